--- /dev/null
+++ b/mallowpond/controller/links.py
@@ -0,0 +1,165 @@
+"""Answer gateways and other controllers over their links."""
+
+import asyncio
+from collections.abc import Callable
+
+from mallowpond.controller.metrics import ControllerMetrics
+from mallowpond.coordination.claims import (
+    Claim,
+    ClaimCommitter,
+    ClaimResult,
+    ClaimUnknown,
+    Finish,
+    SettledAnswer,
+    StoreUnavailable,
+    Void,
+)
+from mallowpond.coordination.quotas import Leased, QuotaLeaser
+from mallowpond.protocol.peer import (
+    ClaimAnswer,
+    ClaimAsk,
+    ClaimVerdict,
+    FinishAsk,
+    GatewayHello,
+    Message,
+    PeerAsk,
+    PeerView,
+    QuotaAnswer,
+    QuotaAsk,
+    Routes,
+    RoutesAsk,
+    VoidAsk,
+)
+from mallowpond.state.claims import (
+    AlreadyRun,
+    Granted,
+    InProgress,
+    OutcomeUnknown,
+    Withdrawn,
+)
+from mallowpond.state.rows import ClaimRow, ClaimState
+from mallowpond.transport.peer_link import PeerLink
+
+RoutesAnswerer = Callable[[RoutesAsk], Routes]
+ViewAnswerer = Callable[[PeerAsk], PeerView]
+
+
+class LinkService:
+    """Serve every link that others open to this controller."""
+
+    def __init__(
+        self,
+        *,
+        routes: RoutesAnswerer,
+        view: ViewAnswerer,
+        claims: ClaimCommitter,
+        quotas: QuotaLeaser,
+        metrics: ControllerMetrics,
+    ) -> None:
+        self._routes = routes
+        self._view = view
+        self._claims = claims
+        self._quotas = quotas
+        self._metrics = metrics
+        self._gateways: dict[str, int] = {}
+
+    @property
+    def gateways(self) -> tuple[str, ...]:
+        """Return the incarnations of the gateways attached now."""
+        return tuple(sorted(self._gateways))
+
+    async def serve(self, link: PeerLink) -> None:
+        """Answer one link until it closes."""
+        gateway: str | None = None
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                while True:
+                    message = await link.receive()
+                    if isinstance(message, GatewayHello) and gateway is None:
+                        gateway = message.gateway
+                        self._gateways[gateway] = self._gateways.get(gateway, 0) + 1
+                    elif isinstance(message, RoutesAsk):
+                        await link.send(self._routes(message))
+                    elif isinstance(message, PeerAsk):
+                        await link.send(self._view(message))
+                    else:
+                        tasks.create_task(self._answer_later(link, message))
+        finally:
+            self._detach(gateway)
+
+    def _detach(self, gateway: str | None) -> None:
+        if gateway is None:
+            return
+        self._gateways[gateway] -= 1
+        if self._gateways[gateway] == 0:
+            del self._gateways[gateway]
+
+    async def _answer_later(self, link: PeerLink, message: Message) -> None:
+        match message:
+            case QuotaAsk():
+                await link.send(await self._lease(message))
+            case ClaimAsk():
+                work = Claim(row=_row(message, ClaimState.CLAIMED, message.units))
+                await self._submit(link, message.call, work)
+            case FinishAsk(known=known):
+                state = ClaimState.DONE if known else ClaimState.UNKNOWN
+                await self._submit(link, message.call, Finish(row=_row(message, state)))
+            case VoidAsk():
+                work = Void(row=_row(message, ClaimState.VOID))
+                await self._submit(link, message.call, work)
+
+    async def _submit(
+        self, link: PeerLink, call: int, work: Claim | Finish | Void
+    ) -> None:
+        verdict = verdict_of(await self._claims.submit(work))
+        self._metrics.claims.labels(verdict=verdict.value).inc()
+        await link.send(ClaimAnswer(call=call, result=verdict))
+
+    async def _lease(self, ask: QuotaAsk) -> QuotaAnswer:
+        answer = await self._quotas.lease(
+            workspace=ask.workspace,
+            budget=ask.budget,
+            wanted=ask.wanted,
+            needed=ask.needed,
+        )
+        match answer:
+            case Leased(period=period, units=units, period_left=left):
+                return QuotaAnswer(
+                    call=ask.call, period=period, units=units, period_left=left
+                )
+            case _:
+                return QuotaAnswer(call=ask.call, period=0, units=None)
+
+
+def _row(
+    ask: ClaimAsk | FinishAsk | VoidAsk, state: ClaimState, units: int = 0
+) -> ClaimRow:
+    return ClaimRow(
+        workspace=ask.workspace,
+        key=ask.key,
+        attempt=ask.attempt,
+        gateway=ask.gateway if not isinstance(ask, FinishAsk) else "",
+        units=units,
+        state=state,
+    )
+
+
+def verdict_of(result: ClaimResult) -> ClaimVerdict:
+    """Name a claim's result for the wire."""
+    match result:
+        case Granted():
+            return ClaimVerdict.GRANTED
+        case SettledAnswer():
+            return ClaimVerdict.SETTLED
+        case Withdrawn():
+            return ClaimVerdict.WITHDRAWN
+        case InProgress():
+            return ClaimVerdict.IN_PROGRESS
+        case AlreadyRun():
+            return ClaimVerdict.ALREADY_RUN
+        case OutcomeUnknown():
+            return ClaimVerdict.OUTCOME_UNKNOWN
+        case StoreUnavailable():
+            return ClaimVerdict.STORE_UNAVAILABLE
+        case ClaimUnknown():
+            return ClaimVerdict.CLAIM_UNKNOWN
--- /dev/null
+++ b/mallowpond/controller/operator_api.py
@@ -0,0 +1,147 @@
+"""Answer operators over HTTP."""
+
+import asyncio
+import json
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
+
+from prometheus_client import generate_latest
+
+from mallowpond.coordination.configuration import ProposalRefused, Proposed
+from mallowpond.protocol.declaration_file import (
+    Document,
+    Faults,
+    decode_document,
+    parse_declaration,
+)
+from mallowpond.protocol.problems import CONTENT_TYPE, Problem
+from mallowpond.transport.http_server import Exchange, HttpRequest
+
+if TYPE_CHECKING:
+    from mallowpond.controller.service import Controller
+
+FOLLOW_SECONDS = 0.05
+FOLLOW_LIMIT_SECONDS = 30.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Accepted:
+    """The change is in force."""
+
+    version: int
+
+
+class OperatorApi:
+    """Serve apply, history, queries and commands."""
+
+    def __init__(self, *, controller: "Controller") -> None:
+        self._controller = controller
+
+    async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
+        """Answer one operator request."""
+        match (request.method, request.path):
+            case ("GET", "/healthz"):
+                await exchange.respond(200, b"alive\n", content_type="text/plain")
+            case ("GET", "/readyz"):
+                ready = self._controller.is_ready
+                body = b"ready\n" if ready else b"not ready\n"
+                status = 200 if ready else 503
+                await exchange.respond(status, body, content_type="text/plain")
+            case ("GET", "/metrics"):
+                text = generate_latest(self._controller.metrics.registry)
+                await exchange.respond(200, text, content_type="text/plain")
+            case ("GET", "/v1/declaration"):
+                await self._answer_declaration(exchange)
+            case ("GET", "/v1/history"):
+                await self._answer_history(exchange)
+            case ("POST", "/v1/apply"):
+                await self._apply(request, exchange)
+            case _:
+                await _refuse(exchange, 404, "unknown_path", request.path)
+
+    async def _answer_declaration(self, exchange: Exchange) -> None:
+        applied = self._controller.configuration.applied
+        source = decode_document(applied.text).source
+        body = {"version": applied.version, "source": source}
+        await exchange.respond(200, json.dumps(body).encode())
+
+    async def _answer_history(self, exchange: Exchange) -> None:
+        rows = [
+            {"version": r.version, "author": r.author, "proposal": r.proposal}
+            for r in self._controller.configuration.history()
+        ]
+        await exchange.respond(200, json.dumps(rows).encode())
+
+    async def _apply(self, request: HttpRequest, exchange: Exchange) -> None:
+        query = {k: v[0] for k, v in parse_qs(request.target.partition("?")[2]).items()}
+        expect = query.get("expect", "")
+        if not expect.isdigit():
+            await _refuse(exchange, 400, "bad_version", "say expect=VERSION")
+            return
+        try:
+            source = request.body.decode("utf-8")
+        except UnicodeDecodeError:
+            await _refuse(exchange, 400, "bad_declaration", "the file is not UTF-8")
+            return
+        checked = parse_declaration(source)
+        if isinstance(checked, Faults):
+            lines = (f"{f.path}: {f.message}" for f in checked.faults)
+            await _refuse(exchange, 400, "bad_declaration", "\n".join(lines))
+            return
+        document = replace(self._document(), source=source)
+        author = query.get("author", "operator")
+        await self._change(document, int(expect), author, exchange)
+
+    def _document(self) -> Document:
+        return decode_document(self._controller.configuration.applied.text)
+
+    async def _change(
+        self, document: Document, expect: int, author: str, exchange: Exchange
+    ) -> None:
+        outcome = await self.change(document, expect, author)
+        match outcome:
+            case Accepted(version=version):
+                await exchange.respond(200, json.dumps({"version": version}).encode())
+            case ProposalRefused(reason=reason, detail=detail):
+                await _refuse(exchange, 409, reason, detail)
+
+    async def change(
+        self, document: Document, expect: int, author: str
+    ) -> Accepted | ProposalRefused:
+        """Propose a document and follow it until it is accepted or aborted."""
+        configuration = self._controller.configuration
+        proposed = await configuration.propose(
+            text=document.encode(), expect_version=expect, author=author
+        )
+        if isinstance(proposed, ProposalRefused):
+            return proposed
+        return await self._follow(proposed)
+
+    async def _follow(self, proposed: Proposed) -> Accepted | ProposalRefused:
+        configuration = self._controller.configuration
+        was_open = False
+        for _ in range(int(FOLLOW_LIMIT_SECONDS / FOLLOW_SECONDS)):
+            found = {r.proposal: r.version for r in configuration.history()}
+            if proposed.proposal in found:
+                return Accepted(version=found[proposed.proposal])
+            standing = configuration.open_proposal
+            is_open = standing is not None and standing.proposal == proposed.proposal
+            if was_open and not is_open:
+                return ProposalRefused(
+                    reason="aborted",
+                    detail="no majority of every cell prepared the change in time",
+                )
+            was_open = was_open or is_open
+            await asyncio.sleep(FOLLOW_SECONDS)
+        return ProposalRefused(
+            reason="outcome_unknown",
+            detail="the change is still open; see the history before retrying",
+        )
+
+
+async def _refuse(exchange: Exchange, status: int, reason: str, detail: str) -> None:
+    problem = Problem(status=status, reason=reason, detail=detail)
+    await exchange.respond(
+        status, problem.body(""), problem.headers(""), content_type=CONTENT_TYPE
+    )
--- /dev/null
+++ b/mallowpond/controller/peers.py
@@ -0,0 +1,96 @@
+"""Ask the other controllers of the cell for their views."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from itertools import count
+
+from mallowpond.coordination.ports import Clock
+from mallowpond.protocol.peer import Message, PeerAsk, PeerView, Permit
+from mallowpond.state.assurance import Vouch
+from mallowpond.transport.peer_link import LinkClosed, PeerLink, open_link
+
+ANSWER_SECONDS = 1.0
+
+
+class PeerPoller:
+    """Keep a link to each other controller and its latest answer."""
+
+    def __init__(
+        self, *, me: str, clock: Clock, on_vouch: Callable[[Vouch], None]
+    ) -> None:
+        self._me = me
+        self._clock = clock
+        self._on_vouch = on_vouch
+        self._links: dict[str, PeerLink] = {}
+        self._stacks: dict[str, AsyncExitStack] = {}
+        self._sequences = count(1)
+        self._permits: dict[str, tuple[tuple[Permit, ...], float]] = {}
+
+    async def poll(self, addresses: dict[str, str]) -> None:
+        """Ask every peer, each named with its address, once."""
+        await asyncio.gather(
+            *(self._ask(name, address) for name, address in addresses.items())
+        )
+        for name in list(self._links):
+            if name not in addresses:
+                await self._drop(name)
+
+    async def close(self) -> None:
+        """Close every link."""
+        for name in list(self._links):
+            await self._drop(name)
+
+    def permit_ages(self) -> dict[tuple[str, int], float]:
+        """Return the least age at which any peer saw each group whole."""
+        now = self._clock.now()
+        ages: dict[tuple[str, int], float] = {}
+        for permits, asked_at in self._permits.values():
+            for permit in permits:
+                key = (permit.group, permit.generation)
+                age = now - asked_at + permit.age
+                ages[key] = min(age, ages.get(key, age))
+        return ages
+
+    async def _ask(self, name: str, address: str) -> None:
+        try:
+            async with asyncio.timeout(ANSWER_SECONDS):
+                await self._exchange(name, address)
+        except (LinkClosed, TimeoutError):
+            await self._drop(name)
+
+    async def _exchange(self, name: str, address: str) -> None:
+        link = self._links.get(name) or await self._open(name, address)
+        sequence = next(self._sequences)
+        asked_at = self._clock.now()
+        await link.send(PeerAsk(sequence=sequence, member=self._me))
+        while True:
+            answer: Message = await link.receive()
+            if isinstance(answer, PeerView) and answer.sequence == sequence:
+                self._take(answer, asked_at)
+                return
+
+    async def _open(self, name: str, address: str) -> PeerLink:
+        stack = AsyncExitStack()
+        link = await open_link(address, stack)
+        self._stacks[name] = stack
+        self._links[name] = link
+        return link
+
+    def _take(self, view: PeerView, asked_at: float) -> None:
+        self._permits[view.member] = (view.permits, asked_at)
+        vouch = Vouch(
+            member=view.member,
+            asked_at=asked_at,
+            epoch=view.epoch,
+            head_version=view.head_version,
+            read_age=view.read_age,
+            holds_newer=view.holds_newer,
+        )
+        self._on_vouch(vouch)
+
+    async def _drop(self, name: str) -> None:
+        self._links.pop(name, None)
+        stack = self._stacks.pop(name, None)
+        if stack is not None:
+            await stack.aclose()
--- /dev/null
+++ b/mallowpond/controller/service.py
@@ -0,0 +1,409 @@
+"""Run one controller: membership, configuration, groups, claims, operators."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from dataclasses import replace
+
+import structlog
+
+from mallowpond.controller.links import LinkService
+from mallowpond.controller.metrics import ControllerMetrics
+from mallowpond.controller.operator_api import OperatorApi
+from mallowpond.controller.peers import PeerPoller
+from mallowpond.coordination.claims import ClaimCommitter
+from mallowpond.coordination.configuration import Configuration
+from mallowpond.coordination.groups import GroupManager, GroupTimings
+from mallowpond.coordination.health import EngineWatch
+from mallowpond.coordination.keys import SHARED
+from mallowpond.coordination.leases import NamedLease
+from mallowpond.coordination.membership import (
+    Heartbeat,
+    MemberIdentity,
+    Membership,
+)
+from mallowpond.coordination.ports import Host, HostState, Ports, Unavailable
+from mallowpond.coordination.quotas import QuotaLeaser
+from mallowpond.coordination.store import TableView, new_id
+from mallowpond.programs.settings import ControllerSettings
+from mallowpond.protocol.declaration_file import parse_document
+from mallowpond.protocol.peer import PeerAsk, PeerView, Permit, Routes, RoutesAsk
+from mallowpond.state.assurance import Assured
+from mallowpond.state.ownership import owner_of
+from mallowpond.state.rows import GroupRow, GroupState, Holder
+from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
+from mallowpond.transport.peer_link import PeerLink, serve_links
+
+log = structlog.get_logger()
+PLANNER_LEASE = "planner"
+
+
+class Controller:
+    """Wire a controller from its settings and ports."""
+
+    def __init__(self, *, settings: ControllerSettings, ports: Ports) -> None:
+        self._settings = settings
+        self._ports = ports
+        self._clock = ports.clock
+        self._rng = random.Random(ports.seed) if ports.seed else random.SystemRandom()
+        self._incarnation = self._draw_id()
+        self._shared = TableView(table=ports.table, prefix=SHARED)
+        self._hosts: tuple[Host, ...] = ()
+        self._routes_version = 1
+        self._routed: tuple[GroupRow, ...] = ()
+        self._stack = AsyncExitStack()
+        self._leaving = False
+        self._built = asyncio.Event()
+        self._downtime_at: float | None = None
+        self.metrics = ControllerMetrics()
+        self.replaced = asyncio.Event()
+
+    async def start(self) -> None:
+        """Listen, build the parts, and run the loops."""
+        timings = self._settings.timings
+        self._links_port = await serve_links(
+            self._serve_link,
+            self._settings.address,
+            self._settings.peer_port,
+            self._stack,
+        )
+        self._api_server = HttpServer(handler=self._handle_operator)
+        self._stack.push_async_callback(self._api_server.close)
+        await self._api_server.start(
+            self._settings.address, self._settings.operator_port
+        )
+        self._build()
+        self._built.set()
+        self._stack.push_async_callback(self._peers.close)
+        self._spawn("claims", self._claims.run())
+        self._spawn("table", self._every(timings.heartbeat, "table", self._table_step))
+        self._spawn("hosts", self._every(timings.host_list, "hosts", self._read_hosts))
+        self._spawn("watch", self._every(timings.watch, "watch", self._watch_step))
+        self._spawn("peers", self._every(timings.heartbeat, "peers", self._peer_step))
+        self._spawn("groups", self._every(timings.heartbeat, "groups", self._plan_step))
+        log.info("controller: started", name=self._settings.name)
+
+    @property
+    def peer_address(self) -> str:
+        """Return where gateways and other controllers reach this one."""
+        return f"{self._settings.address}:{self._links_port}"
+
+    @property
+    def operator_address(self) -> str:
+        """Return where operators reach this controller."""
+        return f"{self._settings.address}:{self._api_server.port}"
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether this controller serves gateways and operators."""
+        assured = isinstance(self.configuration.assurance(), Assured)
+        return assured and not self._leaving
+
+    @property
+    def hosts(self) -> tuple[Host, ...]:
+        """Return the platform's host list as last read."""
+        return self._hosts
+
+    async def leave(self) -> None:
+        """Leave the membership before the rest of the work is finished."""
+        self._leaving = True
+        log.info("controller: leaving", name=self._settings.name)
+        await self._lease.release()
+        applied = self.configuration.applied.version
+        await self.membership.leave(
+            applied=applied, prepared=self.configuration.prepared
+        )
+
+    async def close(self) -> None:
+        """Stop every loop and close every socket."""
+        await self._stack.aclose()
+
+    def _build(self) -> None:
+        settings, ports = self._settings, self._ports
+        identity = MemberIdentity(
+            name=settings.name,
+            cell=settings.cell,
+            address=self.peer_address,
+            operator_address=self.operator_address,
+            incarnation=self._incarnation,
+        )
+        self.membership = Membership(
+            identity=identity,
+            table=ports.table,
+            clock=ports.clock,
+            shared=self._shared,
+            lease_seconds=settings.timings.lease,
+            draw_id=self._draw_id,
+        )
+        self.configuration = Configuration(
+            table=ports.table,
+            clock=ports.clock,
+            shared=self._shared,
+            membership=self.membership,
+            parse=parse_document,
+            draw_id=self._draw_id,
+            assurance_seconds=settings.timings.assurance,
+            abort_seconds=settings.timings.abort,
+        )
+        self._build_groups()
+        self._claims = ClaimCommitter(
+            table=ports.table,
+            member=settings.name,
+            draw_id=self._draw_id,
+            live_gateways=self._live_gateways,
+        )
+        self._links = LinkService(
+            routes=self._answer_routes,
+            view=self._answer_view,
+            claims=self._claims,
+            quotas=QuotaLeaser(table=ports.table, draw_id=self._draw_id),
+            metrics=self.metrics,
+        )
+        self._peers = PeerPoller(
+            me=settings.name,
+            clock=ports.clock,
+            on_vouch=self.configuration.note_vouch,
+        )
+        self._api = OperatorApi(controller=self)
+
+    def _build_groups(self) -> None:
+        settings, ports = self._settings, self._ports
+        timings = settings.timings
+        self._lease = NamedLease(
+            name=PLANNER_LEASE,
+            table=ports.table,
+            clock=ports.clock,
+            shared=self._shared,
+            membership=self.membership,
+            draw_id=self._draw_id,
+        )
+        self.watch = EngineWatch(
+            engines=ports.engines, clock=ports.clock, silent_seconds=timings.silent
+        )
+        self.groups = GroupManager(
+            table=ports.table,
+            clock=ports.clock,
+            engines=ports.engines,
+            shared=self._shared,
+            lease=self._lease,
+            watch=self.watch,
+            holder=self._holder,
+            draw_id=self._draw_id,
+            timings=GroupTimings(
+                drain_settle=timings.drain_settle,
+                drain_limit=timings.drain_limit,
+                forming_limit=timings.forming_limit,
+                max_loading_hosts=settings.max_loading_hosts,
+            ),
+        )
+
+    @property
+    def owns_planner(self) -> bool:
+        """Tell whether this controller plans groups now."""
+        return self._lease.held is not None
+
+    @property
+    def shared(self) -> TableView:
+        """Return the rows that every controller reads."""
+        return self._shared
+
+    # -- loops ---------------------------------------------------------------
+
+    async def _table_step(self) -> None:
+        asked_at = self._clock.now()
+        if not await self._shared.refresh() or not await self.membership.refresh():
+            self.metrics.table_failures.inc()
+            return
+        self.configuration.after_read(asked_at)
+        if self._leaving:
+            return
+        result = await self.membership.renew(
+            applied=self.configuration.applied.version,
+            prepared=self.configuration.prepared,
+            gateways=self._links.gateways,
+        )
+        self.metrics.heartbeats.labels(result=result.value).inc()
+        if result is Heartbeat.REPLACED:
+            log.error("controller: another process took this name, stopping")
+            self.replaced.set()
+            return
+        if self._keeps_epoch():
+            await self.membership.move_epoch()
+        await self.configuration.drive()
+
+    def _keeps_epoch(self) -> bool:
+        if self.membership.cell is None:
+            return True
+        owner = owner_of("epoch", self.membership.takers())
+        return owner == self._settings.name
+
+    async def _read_hosts(self) -> None:
+        hosts = await self._ports.host_list.hosts()
+        if not isinstance(hosts, Unavailable):
+            self._hosts = hosts
+
+    async def _watch_step(self) -> None:
+        await self.watch.poll(tuple(h for h in self._hosts if h.domain))
+
+    async def _peer_step(self) -> None:
+        me = self._settings.name
+        members = self.membership.members()
+        await self._peers.poll({n: m.address for n, m in members.items() if n != me})
+
+    async def _plan_step(self) -> None:
+        if self._leaving:
+            return
+        declaration = self.configuration.applied.declaration
+        if isinstance(self.configuration.assurance(), Assured):
+            await self.groups.tick(declaration=declaration, hosts=self._hosts)
+        self._measure()
+
+    def _measure(self) -> None:
+        now = self._clock.now()
+        elapsed = now - (self._downtime_at or now)
+        self._downtime_at = now
+        metrics = self.metrics
+        applied = self.configuration.applied
+        metrics.config_version.set(applied.version)
+        assurance = self.configuration.assurance()
+        metrics.assured.set(isinstance(assurance, Assured))
+        source = assurance.source.value if isinstance(assurance, Assured) else "none"
+        metrics.assurance_source.labels(source=source).inc()
+        groups = list(self.groups.groups().values())
+        for deployment in applied.declaration.deployments:
+            held = [g for g in groups if g.deployment == deployment.name]
+            for state in GroupState:
+                count = sum(g.state is state for g in held)
+                metrics.groups.labels(deployment.name, state.value).set(count)
+            ready = sum(g.state is GroupState.READY for g in held)
+            down = max(0, deployment.replicas - ready)
+            if self.owns_planner:
+                metrics.group_downtime.labels(deployment.name).inc(down * elapsed)
+        # Only the planner reports these, so that a sum over nodes counts them once.
+        metrics.stranded.set(self.groups.stranded if self.owns_planner else 0)
+        metrics.tainted.set(len(self.groups.tainted) if self.owns_planner else 0)
+        done = self._claims.transactions
+        metrics.claim_transactions.inc(done - metrics_value(metrics.claim_transactions))
+
+    # -- answers -------------------------------------------------------------
+
+    def _answer_routes(self, ask: RoutesAsk) -> Routes:
+        self._note_routes()
+        applied = self.configuration.applied
+        assurance = self.configuration.assurance()
+        left = None
+        if isinstance(assurance, Assured):
+            left = assurance.until - self._clock.now()
+        knows_text = ask.known_config == applied.version
+        knows_groups = ask.known_routes == self._routes_version
+        return Routes(
+            sequence=ask.sequence,
+            config_version=applied.version,
+            config_left=left,
+            config_text=None if knows_text else applied.text,
+            routes_version=self._routes_version,
+            groups=None if knows_groups else self._routed,
+            permits=self._permits(),
+            excluded_hosts=self._excluded_hosts(),
+            leaving=self._leaving,
+        )
+
+    def _note_routes(self) -> None:
+        groups = self.groups.groups().values()
+        ready = tuple(g for g in groups if g.state is GroupState.READY)
+        if ready != self._routed:
+            self._routed = ready
+            # Random and not counted up: a gateway that changes controllers must not
+            # take two controllers' tables of the same number for one.
+            self._routes_version = self._rng.getrandbits(48)
+
+    def _own_permits(self) -> tuple[Permit, ...]:
+        permits = []
+        for group in self.groups.groups().values():
+            age = self.watch.whole_age(group)
+            if group.state is GroupState.READY and age is not None:
+                permit = Permit(group=group.group, generation=group.generation, age=age)
+                permits.append(permit)
+        return tuple(permits)
+
+    def _permits(self) -> tuple[Permit, ...]:
+        return self._own_permits()
+
+    def _excluded_hosts(self) -> tuple[str, ...]:
+        drained = self.configuration.applied.declaration.drained_hosts
+        leaving = (h.name for h in self._hosts if h.state is HostState.LEAVING)
+        return tuple(sorted({*drained, *leaving}))
+
+    def _answer_view(self, ask: PeerAsk) -> PeerView:
+        read = self.configuration.head_read
+        age = self._clock.now() - read.asked_at if read else None
+        return PeerView(
+            sequence=ask.sequence,
+            member=self._settings.name,
+            incarnation=self._incarnation,
+            epoch=self.membership.epoch,
+            head_version=read.version if read else 0,
+            read_age=age,
+            holds_newer=bool(self.configuration.prepared),
+            permits=(),
+        )
+
+    async def _handle_operator(self, request: HttpRequest, exchange: Exchange) -> None:
+        await self._built.wait()
+        await self._api.handle(request, exchange)
+
+    async def _serve_link(self, link: PeerLink) -> None:
+        # The parts need the ports, so the sockets open before the parts exist.
+        await self._built.wait()
+        await self._links.serve(link)
+
+    # -- small parts ---------------------------------------------------------
+
+    def _live_gateways(self) -> frozenset[str]:
+        return self.membership.live_gateways() | set(self._links.gateways)
+
+    def _holder(self) -> Holder:
+        host = self._settings.host
+        listed = {h.name: h.incarnation for h in self._hosts}
+        return Holder(
+            member=self._settings.name,
+            incarnation=self._incarnation,
+            host=host,
+            host_incarnation=listed.get(host, ""),
+        )
+
+    def _draw_id(self) -> str:
+        return new_id(self._rng)
+
+    def _spawn(self, name: str, work: Awaitable[None]) -> None:
+        task = asyncio.create_task(work, name=name)
+        self._stack.push_async_callback(_cancel, task)
+
+    async def _every(
+        self, seconds: float, name: str, step: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            try:
+                await step()
+            except Exception:
+                # A loop that died would stop this node's heartbeat or planning for
+                # good while the process looks alive; the counter makes it visible.
+                self.metrics.loop_failures.labels(loop=name).inc()
+                log.exception("controller: loop step failed", loop=name)
+            await self._clock.sleep(seconds)
+
+
+def metrics_value(counter) -> float:
+    """Return what a counter without labels stands at."""
+    return counter._value.get()
+
+
+async def _cancel(task: asyncio.Task) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+def build(*, settings: ControllerSettings, ports: Ports) -> Controller:
+    """Build a controller from its settings and ports."""
+    return Controller(settings=replace(settings), ports=ports)
--- /dev/null
+++ b/mallowpond/coordination/configuration.py
@@ -0,0 +1,271 @@
+"""Move the configuration everywhere or not at all, and never back.
+
+A change is proposed, prepared by a majority of every cell's members, and accepted in
+one transaction that moves the head. See ``docs/design/configuration.md``.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mallowpond.coordination.keys import CELLS, HEAD, PROPOSAL, SHARED, VERSIONS
+from mallowpond.coordination.membership import Membership
+from mallowpond.coordination.ports import (
+    Check,
+    Clock,
+    Committed,
+    Conflict,
+    Put,
+    TableService,
+    Transaction,
+    Unavailable,
+)
+from mallowpond.coordination.store import (
+    TableView,
+    TypedPut,
+    commit_settled,
+    transaction,
+)
+from mallowpond.state.assurance import (
+    Assured,
+    CellView,
+    HeadRead,
+    NotAssured,
+    Vouch,
+    assess,
+)
+from mallowpond.state.codec import to_plain
+from mallowpond.state.declarations import Declaration
+from mallowpond.state.proposal import Abort, Accept, decide_proposal
+from mallowpond.state.rows import CellRow, HeadRow, ProposalRow, VersionRow
+
+KEPT_VERSIONS = 50
+
+
+@dataclass(frozen=True, kw_only=True)
+class Applied:
+    """Hold the configuration that is in force on this node."""
+
+    version: int
+    text: str
+    declaration: Declaration
+
+
+@dataclass(frozen=True, kw_only=True)
+class Proposed:
+    """The change stands as the open proposal."""
+
+    version: int
+    proposal: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class ProposalRefused:
+    """The change was not proposed; `reason` is one of the public reasons."""
+
+    reason: str
+    detail: str
+
+
+Parse = Callable[[str], Declaration | None]
+
+
+class Configuration:
+    """Prepare, accept, abort and apply configuration versions."""
+
+    def __init__(
+        self,
+        *,
+        table: TableService,
+        clock: Clock,
+        shared: TableView,
+        membership: Membership,
+        parse: Parse,
+        draw_id: Callable[[], str],
+        assurance_seconds: float,
+        abort_seconds: float,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._shared = shared
+        self._membership = membership
+        self._parse = parse
+        self._draw_id = draw_id
+        self._assurance_seconds = assurance_seconds
+        self._abort_seconds = abort_seconds
+        self._applied = Applied(version=0, text="", declaration=Declaration())
+        self._head_read: HeadRead | None = None
+        self._held: ProposalRow | None = None
+        self._first_seen: dict[str, float] = {}
+        self._vouches: dict[str, Vouch] = {}
+
+    @property
+    def applied(self) -> Applied:
+        """Return the configuration in force on this node."""
+        return self._applied
+
+    @property
+    def prepared(self) -> str:
+        """Return the proposal that this node holds beside the applied version."""
+        return self._held.proposal if self._held else ""
+
+    @property
+    def head_read(self) -> HeadRead | None:
+        """Return the last read of the head."""
+        return self._head_read
+
+    @property
+    def open_proposal(self) -> ProposalRow | None:
+        """Return the proposal that stood open at the last read."""
+        row = self._shared.get(PROPOSAL, ProposalRow)
+        return row.value if row else None
+
+    def history(self) -> list[VersionRow]:
+        """Return the accepted versions, latest first."""
+        rows = [v.value for v in self._shared.below(VERSIONS, VersionRow).values()]
+        return sorted(rows, key=lambda r: -r.version)
+
+    def assurance(self) -> Assured | NotAssured:
+        """Tell whether the version in force is known now, and applied here."""
+        cell = self._membership.cell
+        members = cell.value.members if cell else ()
+        verdict = assess(
+            me=self._membership.identity.name,
+            now=self._clock.now(),
+            limit_seconds=self._assurance_seconds,
+            cell=CellView(epoch=self._membership.epoch, members=members),
+            own=self._head_read,
+            holds_newer=self._held is not None,
+            vouches=tuple(self._vouches.values()),
+        )
+        if isinstance(verdict, Assured) and verdict.version != self._applied.version:
+            return NotAssured(reason=f"version {verdict.version} is not applied yet")
+        return verdict
+
+    def note_vouch(self, vouch: Vouch) -> None:
+        """Keep a peer's latest answer."""
+        self._vouches[vouch.member] = vouch
+
+    def after_read(self, asked_at: float) -> None:
+        """Take in what a read of the shared rows showed; `asked_at` is before it."""
+        head = self._shared.get(HEAD, HeadRow)
+        version = head.value.version if head else 0
+        self._head_read = HeadRead(version=version, asked_at=asked_at)
+        self._apply(version)
+        self._prepare()
+
+    async def propose(
+        self, *, text: str, expect_version: int, author: str
+    ) -> Proposed | ProposalRefused:
+        """Open a proposal on top of `expect_version`."""
+        head = self._shared.get(HEAD, HeadRow)
+        standing = head.value.version if head else 0
+        if standing != expect_version:
+            detail = f"version {standing} is in force, not {expect_version}"
+            return ProposalRefused(reason="version_moved", detail=detail)
+        proposal = ProposalRow(
+            version=expect_version + 1,
+            text=text,
+            author=author,
+            proposal=self._draw_id(),
+            proposer=self._membership.identity.name,
+        )
+        put = TypedPut(key=SHARED + PROPOSAL, value=proposal, expect=0)
+        check = Check(key=SHARED + HEAD, version=head.version if head else 0)
+        change = transaction(proposal.proposal, put, checks=(check,))
+        match await commit_settled(self._table, change):
+            case Committed():
+                return Proposed(version=proposal.version, proposal=proposal.proposal)
+            case Conflict():
+                detail = "another change was opened or accepted first; read and retry"
+                return ProposalRefused(reason="lost_race", detail=detail)
+            case Unavailable(reason=why):
+                return ProposalRefused(reason="table_unavailable", detail=why)
+            case _:
+                detail = "the table's answer was lost; see the history before retrying"
+                return ProposalRefused(reason="outcome_unknown", detail=detail)
+
+    async def drive(self) -> None:
+        """Accept or abort the open proposal, whoever proposed it.
+
+        A proposer may die at any step, so every controller drives; the head's
+        compare-and-set lets exactly one acceptance through.
+        """
+        row = self._shared.get(PROPOSAL, ProposalRow)
+        if row is None:
+            self._first_seen.clear()
+            return
+        now = self._clock.now()
+        opened = self._first_seen.setdefault(row.value.proposal, now)
+        cells = self._shared.below(CELLS, CellRow)
+        decision = decide_proposal(
+            proposal=row.value,
+            cells=tuple(c.value for c in cells.values()),
+            members=tuple(self._membership.members().values()),
+            open_seconds=now - opened,
+            abort_seconds=self._abort_seconds,
+        )
+        match decision:
+            case Accept():
+                await self._accept(row.value, row.version)
+            case Abort():
+                await self._abort(row.version)
+
+    async def _accept(self, proposal: ProposalRow, row_version: int) -> None:
+        head = self._shared.get(HEAD, HeadRow)
+        cells = self._shared.below(CELLS, CellRow)
+        checks = [
+            Check(key=SHARED + HEAD, version=head.version if head else 0),
+            Check(key=SHARED + PROPOSAL, version=row_version),
+        ]
+        # A cell that moved its epoch meanwhile may have other majorities.
+        checks += [
+            Check(key=SHARED + CELLS + name, version=cell.version)
+            for name, cell in cells.items()
+        ]
+        new_head = HeadRow(version=proposal.version, proposal=proposal.proposal)
+        kept = VersionRow(
+            version=proposal.version,
+            text=proposal.text,
+            author=proposal.author,
+            proposal=proposal.proposal,
+        )
+        version_key = f"{SHARED}{VERSIONS}{proposal.version:08d}"
+        old_key = f"{SHARED}{VERSIONS}{proposal.version - KEPT_VERSIONS:08d}"
+        change = Transaction(
+            transaction=self._draw_id(),
+            checks=tuple(checks),
+            puts=(
+                Put(key=SHARED + HEAD, value=to_plain(new_head)),
+                Put(key=version_key, value=to_plain(kept)),
+            ),
+            deletes=(SHARED + PROPOSAL, old_key),
+        )
+        await self._table.commit(change)
+
+    async def _abort(self, row_version: int) -> None:
+        change = Transaction(
+            transaction=self._draw_id(),
+            checks=(Check(key=SHARED + PROPOSAL, version=row_version),),
+            deletes=(SHARED + PROPOSAL,),
+        )
+        await self._table.commit(change)
+
+    def _apply(self, version: int) -> None:
+        if version <= self._applied.version:
+            return
+        row = self._shared.get(f"{VERSIONS}{version:08d}", VersionRow)
+        if row is None:
+            return
+        declaration = self._parse(row.value.text)
+        if declaration is not None:
+            self._applied = Applied(
+                version=version, text=row.value.text, declaration=declaration
+            )
+
+    def _prepare(self) -> None:
+        proposal = self.open_proposal
+        if proposal is None or proposal.version <= self._applied.version:
+            self._held = None
+            return
+        if self._parse(proposal.text) is not None:
+            self._held = proposal
--- /dev/null
+++ b/mallowpond/coordination/groups.py
@@ -0,0 +1,510 @@
+"""Form, repair, drain and dissolve groups under the planner's lease.
+
+Every order is written down before it is sent and carries the lease's fencing number.
+A group is READY only once each member has confirmed its generation, in the
+incarnation that was planned with. See ``docs/design/groups.md``.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from mallowpond.coordination.health import EngineWatch, is_in_place
+from mallowpond.coordination.keys import GROUPS, HOSTS, SHARED
+from mallowpond.coordination.leases import NamedLease
+from mallowpond.coordination.ports import (
+    Check,
+    Clock,
+    Committed,
+    Engines,
+    EngineStatus,
+    Host,
+    HostState,
+    Order,
+    OrderAction,
+    Put,
+    TableService,
+    Transaction,
+)
+from mallowpond.coordination.store import TableView, Versioned, commit_settled
+from mallowpond.state.codec import to_plain
+from mallowpond.state.declarations import Declaration, Deployment
+from mallowpond.state.lease import HeldLease
+from mallowpond.state.planner import (
+    Dissolve,
+    Form,
+    PlanGroup,
+    PlanHost,
+    Repair,
+    plan,
+    stranded,
+)
+from mallowpond.state.rows import (
+    GroupMember,
+    GroupRow,
+    GroupState,
+    Holder,
+    HostRow,
+    OrderOutcome,
+)
+
+NO_DEPLOYMENT = Deployment(name="", model="", replicas=0, hosts_per_group=1)
+
+
+@dataclass(frozen=True, kw_only=True)
+class GroupTimings:
+    """Hold the waits of group management, in seconds."""
+
+    drain_settle: float = 2.0
+    drain_limit: float = 120.0
+    forming_limit: float = 60.0
+    max_loading_hosts: int = 64
+
+
+class GroupManager:
+    """Bring groups to what the declaration asks for."""
+
+    def __init__(
+        self,
+        *,
+        table: TableService,
+        clock: Clock,
+        engines: Engines,
+        shared: TableView,
+        lease: NamedLease,
+        watch: EngineWatch,
+        holder: Callable[[], Holder],
+        draw_id: Callable[[], str],
+        timings: GroupTimings,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._engines = engines
+        self._shared = shared
+        self._lease = lease
+        self._watch = watch
+        self._holder = holder
+        self._draw_id = draw_id
+        self._timings = timings
+        self._since: dict[tuple[str, GroupState, int], float] = {}
+        self._stranded = 0
+        self._tainted: tuple[str, ...] = ()
+
+    @property
+    def stranded(self) -> int:
+        """Return the accelerators idle for want of a group, as last planned."""
+        return self._stranded
+
+    @property
+    def tainted(self) -> tuple[str, ...]:
+        """Return hosts kept out of groups by an older holder's open order."""
+        return self._tainted
+
+    def groups(self) -> dict[str, GroupRow]:
+        """Return the groups as last read."""
+        return {k: v.value for k, v in self._group_rows().items()}
+
+    async def tick(self, *, declaration: Declaration, hosts: tuple[Host, ...]) -> None:
+        """Advance every group by one step, if this process holds the lease."""
+        lease = await self._lease.keep()
+        if lease is None:
+            await self._withdraw_orders()
+            return
+        self._note_states()
+        await self._promote_loaded()
+        await self._finish_drained()
+        await self._plan(declaration, hosts, lease)
+        await self._send_orders(declaration, hosts)
+
+    def _group_rows(self) -> dict[str, Versioned[GroupRow]]:
+        return self._shared.below(GROUPS, GroupRow)
+
+    def _host_rows(self) -> dict[str, Versioned[HostRow]]:
+        return self._shared.below(HOSTS, HostRow)
+
+    def _note_states(self) -> None:
+        now = self._clock.now()
+        present = {
+            (name, row.value.state, row.value.generation)
+            for name, row in self._group_rows().items()
+        }
+        self._since = {key: self._since.get(key, now) for key in present}
+
+    def _age(self, group: GroupRow) -> float:
+        key = (group.group, group.state, group.generation)
+        return self._clock.now() - self._since.get(key, self._clock.now())
+
+    # -- from loading to ready, from draining to gone ------------------------
+
+    async def _promote_loaded(self) -> None:
+        for name, row in self._group_rows().items():
+            group = row.value
+            if group.state is not GroupState.LOADING:
+                continue
+            if self._watch.whole_age(group) is None:
+                continue
+            ready = replace(group, state=GroupState.READY)
+            done = self._host_changes(group.hosts, outcome=OrderOutcome.DONE)
+            await self._commit({GROUPS + name: (ready, row.version), **done})
+
+    async def _finish_drained(self) -> None:
+        for name, row in self._group_rows().items():
+            group = row.value
+            if group.state is not GroupState.DRAINING:
+                continue
+            if self._is_drained(group):
+                await self._delete(name, row)
+
+    def _is_drained(self, group: GroupRow) -> bool:
+        age = self._age(group)
+        if age >= self._timings.drain_limit:
+            return True
+        # Gateways learn of the draining within the settle time; an engine that is
+        # idle before then may still be sent a request that its stop would cut off.
+        if age < self._timings.drain_settle:
+            return False
+        status = self._watch.recent(group.leader.host)
+        return status is None or status.in_flight == 0
+
+    async def _delete(self, name: str, row: Versioned[GroupRow]) -> None:
+        freed = self._freed(row.value.hosts)
+        change = self._transaction(freed, deletes=(SHARED + GROUPS + name,))
+        held = Check(key=SHARED + GROUPS + name, version=row.version)
+        await self._apply(replace(change, checks=(*change.checks, held)))
+
+    def _freed(self, hosts: tuple[str, ...]) -> dict[str, tuple[object, int]]:
+        """Return the changes that unbind hosts and write down their unload orders."""
+        return self._host_changes(
+            hosts, group=None, generation=0, outcome=OrderOutcome.PENDING, new=True
+        )
+
+    def _host_changes(
+        self, hosts: tuple[str, ...], *, new: bool = False, **fields: object
+    ) -> dict[str, tuple[object, int]]:
+        rows = self._host_rows()
+        changes: dict[str, tuple[object, int]] = {}
+        for host in hosts:
+            row = rows.get(host)
+            if row is None:
+                continue
+            changed = replace(row.value, **fields)
+            if new:
+                changed = self._next_order(changed)
+            changes[HOSTS + host] = (changed, row.version)
+        return changes
+
+    def _next_order(self, row: HostRow) -> HostRow:
+        lease = self._lease.held
+        fence = lease.fence if lease else row.fence
+        return replace(row, order=row.order + 1, fence=fence, holder=self._holder())
+
+    # -- planning ------------------------------------------------------------
+
+    async def _plan(
+        self, declaration: Declaration, hosts: tuple[Host, ...], lease: HeldLease
+    ) -> None:
+        self._tainted = self._find_tainted(declaration, hosts, lease)
+        plan_hosts = [self._plan_host(h, declaration) for h in hosts if h.domain]
+        plan_groups = [
+            self._plan_group(row.value, declaration)
+            for row in self._group_rows().values()
+            if row.value.state in (GroupState.LOADING, GroupState.READY)
+        ]
+        known = {
+            "hosts": plan_hosts,
+            "deployments": declaration.deployments,
+            "groups": plan_groups,
+        }
+        self._stranded = stranded(**known)
+        for action in plan(**known):
+            await self._carry_out(action, hosts)
+
+    def _plan_host(self, host: Host, declaration: Declaration) -> PlanHost:
+        row = self._host_rows().get(host.name)
+        is_usable = (
+            host.state is HostState.LIVE
+            and host.name not in declaration.drained_hosts
+            and host.name not in self._tainted
+            and self._watch.recent(host.name) is not None
+        )
+        return PlanHost(
+            name=host.name,
+            domain=host.domain,
+            accelerators=host.accelerators,
+            usable=is_usable,
+            group=row.value.group if row else None,
+        )
+
+    def _plan_group(self, group: GroupRow, declaration: Declaration) -> PlanGroup:
+        lost = frozenset(
+            member.host for member in group.members if self._has_lost(member, group)
+        )
+        return PlanGroup(
+            name=group.group,
+            deployment=group.deployment,
+            hosts=group.hosts,
+            lost=lost,
+            serving=group.state is GroupState.READY,
+            stopped=group.group in declaration.stopped_groups,
+        )
+
+    def _has_lost(self, member: GroupMember, group: GroupRow) -> bool:
+        """Tell whether a member came back as another, or never took its place."""
+        status = self._watch.recent(member.host)
+        if status is None:
+            return True
+        if status.incarnation != member.incarnation:
+            return True
+        if group.state is GroupState.READY:
+            return not is_in_place(status, member, group)
+        return self._age(group) >= self._timings.forming_limit
+
+    def _find_tainted(
+        self, declaration: Declaration, hosts: tuple[Host, ...], lease: HeldLease
+    ) -> tuple[str, ...]:
+        """Name hosts that an older holder may still send an order to.
+
+        An engine that ignores fencing would obey a holder that wakes after its lease
+        lapsed, and stand in two groups at once. Waiting cannot rule that out.
+        """
+        if all(d.checks_fencing for d in declaration.deployments):
+            return ()
+        listed = {h.name: h.incarnation for h in hosts}
+        return tuple(
+            name
+            for name, row in self._host_rows().items()
+            if row.value.fence < lease.fence
+            and row.value.outcome is OrderOutcome.PENDING
+            and not self._is_carried_out(row.value)
+            and not _is_holder_replaced(row.value.holder, listed)
+        )
+
+    def _is_carried_out(self, row: HostRow) -> bool:
+        status = self._watch.recent(row.host)
+        return status is not None and status.order >= row.order
+
+    async def _carry_out(
+        self, action: Form | Repair | Dissolve, hosts: tuple[Host, ...]
+    ) -> None:
+        match action:
+            case Form(deployment=deployment, hosts=chosen):
+                loading = self._loading_hosts() + len(chosen)
+                if loading > self._timings.max_loading_hosts:
+                    return
+                name = f"{deployment}-{self._draw_id()[:8]}"
+                members = self._members(chosen, hosts)
+                await self._start_group(name, deployment, 1, members, 0)
+            case Repair(group=name, hosts=chosen):
+                row = self._group_rows().get(name)
+                if row is None or await self._drained_first(name, row):
+                    return
+                members = self._members(chosen, hosts)
+                generation = row.value.generation + 1
+                await self._start_group(
+                    name, row.value.deployment, generation, members, row.version
+                )
+            case Dissolve(group=name):
+                row = self._group_rows().get(name)
+                if row is None or await self._drained_first(name, row):
+                    return
+                await self._delete(name, row)
+
+    async def _drained_first(self, name: str, row: Versioned[GroupRow]) -> bool:
+        """Drain a group that still serves instead of cutting its requests off."""
+        group = row.value
+        if group.state is not GroupState.READY:
+            return False
+        if self._watch.whole_age(group) is None:
+            return False
+        if any(self._watch.recent(h) is None for h in group.hosts):
+            return False
+        draining = replace(group, state=GroupState.DRAINING)
+        await self._commit({GROUPS + name: (draining, row.version)})
+        return True
+
+    def _loading_hosts(self) -> int:
+        rows = (row.value for row in self._group_rows().values())
+        return sum(len(g.members) for g in rows if g.state is GroupState.LOADING)
+
+    def _members(
+        self, chosen: tuple[str, ...], hosts: tuple[Host, ...]
+    ) -> tuple[GroupMember, ...]:
+        listed = {host.name: host for host in hosts}
+        members = []
+        for rank, name in enumerate(chosen):
+            status = self._watch.recent(name)
+            if status is None:
+                return ()
+            member = GroupMember(
+                host=name,
+                address=listed[name].address,
+                incarnation=status.incarnation,
+                rank=rank,
+            )
+            members.append(member)
+        return tuple(members)
+
+    async def _start_group(
+        self,
+        name: str,
+        deployment: str,
+        generation: int,
+        members: tuple[GroupMember, ...],
+        version: int,
+    ) -> None:
+        if not members:
+            return
+        group = GroupRow(
+            group=name,
+            deployment=deployment,
+            generation=generation,
+            state=GroupState.LOADING,
+            members=members,
+        )
+        changes: dict[str, tuple[object, int]] = {GROUPS + name: (group, version)}
+        old = self._group_rows().get(name)
+        left = set(old.value.hosts) - set(group.hosts) if old else set()
+        changes.update(self._freed(tuple(sorted(left))))
+        rows = self._host_rows()
+        for member in members:
+            held = rows.get(member.host)
+            if held and held.value.group not in (None, name):
+                # Another group's row still names the host; its own repair or
+                # dissolution frees it first.
+                return
+            bound = self._bound(member, group, held.value if held else None)
+            changes[HOSTS + member.host] = (bound, held.version if held else 0)
+        await self._commit(changes)
+
+    def _bound(
+        self, member: GroupMember, group: GroupRow, held: HostRow | None
+    ) -> HostRow:
+        row = HostRow(
+            host=member.host,
+            incarnation=member.incarnation,
+            group=group.group,
+            generation=group.generation,
+            order=held.order if held else 0,
+            fence=held.fence if held else 0,
+            holder=self._holder(),
+            outcome=OrderOutcome.PENDING,
+        )
+        return self._next_order(row)
+
+    # -- orders --------------------------------------------------------------
+
+    async def _send_orders(
+        self, declaration: Declaration, hosts: tuple[Host, ...]
+    ) -> None:
+        """Send what is written down and not carried out; sending twice is harmless."""
+        addresses = {host.name: host.address for host in hosts}
+        deployments = {d.name: d for d in declaration.deployments}
+        for name, row in self._host_rows().items():
+            status = self._watch.recent(name)
+            if status is None or name not in addresses or name in self._tainted:
+                continue
+            if self._needs_nothing(row.value, status):
+                continue
+            adopted = await self._adopt(name, row)
+            lease = self._lease.held
+            if adopted is None or lease is None:
+                continue
+            order = self._order_for(adopted, deployments, lease)
+            await self._engines.order(addresses[name], order)
+
+    def _needs_nothing(self, row: HostRow, status: EngineStatus) -> bool:
+        """Tell whether the engine holds just what its row says."""
+        placed = (status.group or None, status.generation)
+        if placed == (row.group, row.generation) and status.order >= row.order:
+            return True
+        # A member that restarted after its group was READY waits for the repair.
+        return row.group is not None and row.outcome is not OrderOutcome.PENDING
+
+    async def _adopt(self, name: str, row: Versioned[HostRow]) -> HostRow | None:
+        """Write an older holder's order down as our own before sending it again."""
+        lease = self._lease.held
+        if lease is None:
+            return None
+        if row.value.fence == lease.fence:
+            return row.value
+        adopted = self._next_order(replace(row.value, outcome=OrderOutcome.PENDING))
+        if await self._commit({HOSTS + name: (adopted, row.version)}):
+            return adopted
+        return None
+
+    def _order_for(
+        self, row: HostRow, deployments: dict[str, Deployment], lease: HeldLease
+    ) -> Order:
+        group = self._group_rows().get(row.group) if row.group else None
+        if group is None:
+            return Order(order=row.order, fence=lease.fence, action=OrderAction.UNLOAD)
+        deployment = deployments.get(group.value.deployment, NO_DEPLOYMENT)
+        return Order(
+            order=row.order,
+            fence=lease.fence,
+            action=OrderAction.LOAD,
+            group=group.value.group,
+            generation=group.value.generation,
+            deployment=deployment.name,
+            model=deployment.model,
+            load_seconds=deployment.load_seconds,
+            members=group.value.members,
+        )
+
+    async def _withdraw_orders(self) -> None:
+        """Declare that this process will send none of its open orders any more.
+
+        A process that lost its lease is between sends here, since one loop does
+        both, so what it wrote down and did not send it never will. This frees hosts
+        that the next holder had to keep out as tainted.
+        """
+        if self._lease.is_mine:
+            return
+        me = self._holder()
+        open_rows: dict[str, tuple[object, int]] = {}
+        for name, row in self._host_rows().items():
+            if row.value.holder == me and row.value.outcome is OrderOutcome.PENDING:
+                withdrawn = replace(row.value, outcome=OrderOutcome.WITHDRAWN)
+                open_rows[HOSTS + name] = (withdrawn, row.version)
+        if open_rows:
+            await self._apply(self._transaction(open_rows, under_lease=False))
+
+    # -- transactions --------------------------------------------------------
+
+    async def _commit(self, changes: dict[str, tuple[object, int]]) -> bool:
+        return await self._apply(self._transaction(changes))
+
+    def _transaction(
+        self,
+        changes: dict[str, tuple[object, int]],
+        *,
+        deletes: tuple[str, ...] = (),
+        under_lease: bool = True,
+    ) -> Transaction:
+        checks = [Check(key=SHARED + k, version=v) for k, (_, v) in changes.items()]
+        if under_lease:
+            # The lease's row version changes with its holder, so the table itself
+            # refuses what a holder writes after it lost the lease.
+            checks.append(self._lease.check)
+        return Transaction(
+            transaction=self._draw_id(),
+            checks=tuple(checks),
+            puts=tuple(
+                Put(key=SHARED + k, value=to_plain(row))
+                for k, (row, _) in changes.items()
+            ),
+            deletes=deletes,
+        )
+
+    async def _apply(self, change: Transaction) -> bool:
+        if self._lease.is_mine and self._lease.held is None:
+            return False
+        outcome = await commit_settled(self._table, change)
+        await self._shared.refresh()
+        return isinstance(outcome, Committed)
+
+
+def _is_holder_replaced(holder: Holder, listed: dict[str, str]) -> bool:
+    """Tell whether the platform's list shows that the holder's host is gone."""
+    if not holder.host or not holder.host_incarnation:
+        return False
+    return listed.get(holder.host) != holder.host_incarnation
--- /dev/null
+++ b/mallowpond/coordination/leases.py
@@ -0,0 +1,109 @@
+"""Hold a named lease while this process owns the name and its heartbeat moves."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from mallowpond.coordination.keys import LEASES, SHARED
+from mallowpond.coordination.membership import Membership
+from mallowpond.coordination.ports import Check, Clock, TableService
+from mallowpond.coordination.store import (
+    TableView,
+    TypedPut,
+    Versioned,
+    commit_settled,
+    transaction,
+)
+from mallowpond.state.lease import HeldLease
+from mallowpond.state.ownership import owner_of
+from mallowpond.state.rows import LeaseRow
+
+
+class NamedLease:
+    """Take, hold and give back the lease on one name."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        table: TableService,
+        clock: Clock,
+        shared: TableView,
+        membership: Membership,
+        draw_id: Callable[[], str],
+    ) -> None:
+        self._name = name
+        self._table = table
+        self._clock = clock
+        self._shared = shared
+        self._membership = membership
+        self._draw_id = draw_id
+
+    @property
+    def held(self) -> HeldLease | None:
+        """Return the lease while this process may act under it."""
+        row = self._row
+        if row is None or not self._is_mine(row.value):
+            return None
+        lease = HeldLease(
+            fence=row.value.fence,
+            version=row.version,
+            valid_until=self._membership.valid_until,
+        )
+        return lease if lease.is_valid(self._clock.now()) else None
+
+    @property
+    def is_mine(self) -> bool:
+        """Tell whether the row names this process, valid or not."""
+        row = self._row
+        return row is not None and self._is_mine(row.value)
+
+    @property
+    def check(self) -> Check:
+        """Return the check that makes a transaction fail for an older holder."""
+        row = self._row
+        return Check(key=self._key, version=row.version if row else 0)
+
+    async def keep(self) -> HeldLease | None:
+        """Take the lease when it is ours to take, give it back when it is not."""
+        me = self._membership.identity
+        owner = owner_of(self._name, self._membership.takers())
+        row = self._row
+        if row is not None and self._is_mine(row.value):
+            if owner not in (None, me.name):
+                await self.release()
+                return None
+            return self.held
+        if owner == me.name and self._is_free(row):
+            fence = row.value.fence + 1 if row else 1
+            taken = LeaseRow(holder=me.name, incarnation=me.incarnation, fence=fence)
+            await self._put(taken, row)
+        return None
+
+    async def release(self) -> None:
+        """Give the lease back; the fencing number stays in the row."""
+        row = self._row
+        if row is not None and self._is_mine(row.value):
+            await self._put(replace(row.value, holder="", incarnation=""), row)
+
+    @property
+    def _key(self) -> str:
+        return SHARED + LEASES + self._name
+
+    @property
+    def _row(self) -> Versioned[LeaseRow] | None:
+        return self._shared.get(LEASES + self._name, LeaseRow)
+
+    def _is_mine(self, row: LeaseRow) -> bool:
+        me = self._membership.identity
+        return (row.holder, row.incarnation) == (me.name, me.incarnation)
+
+    def _is_free(self, row: Versioned[LeaseRow] | None) -> bool:
+        if row is None or not row.value.holder:
+            return True
+        return self._membership.is_gone(row.value.holder, row.value.incarnation)
+
+    async def _put(self, lease: LeaseRow, row: Versioned[LeaseRow] | None) -> None:
+        expect = row.version if row else 0
+        put = TypedPut(key=self._key, value=lease, expect=expect)
+        await commit_settled(self._table, transaction(self._draw_id(), put))
+        await self._shared.refresh()
--- /dev/null
+++ b/mallowpond/coordination/quotas.py
@@ -0,0 +1,78 @@
+"""Lease chunks of workspaces' daily budgets from the table."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mallowpond.coordination.keys import quota_key
+from mallowpond.coordination.ports import Committed, TableService, Unavailable
+from mallowpond.coordination.store import TypedPut, commit_settled, transaction
+from mallowpond.state.codec import from_plain
+from mallowpond.state.quota import grant
+from mallowpond.state.rows import QuotaRow
+
+PERIOD_SECONDS = 86400
+MAX_ATTEMPTS = 5
+
+
+@dataclass(frozen=True, kw_only=True)
+class Leased:
+    """These units of the period were leased; 0 means that the budget is spent."""
+
+    period: int
+    units: int
+    period_left: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeaseFailed:
+    """The table could not be asked, or raced with too many others."""
+
+    reason: str
+
+
+class QuotaLeaser:
+    """Lease units by compare-and-set on the workspace's row."""
+
+    def __init__(
+        self,
+        *,
+        table: TableService,
+        draw_id: Callable[[], str],
+        wall_time: Callable[[], float] = time.time,
+    ) -> None:
+        self._table = table
+        self._draw_id = draw_id
+        self._wall_time = wall_time
+
+    async def lease(
+        self, *, workspace: str, budget: int, wanted: int, needed: int
+    ) -> Leased | LeaseFailed:
+        """Lease up to `wanted` units, at least `needed`."""
+        key = quota_key(workspace)
+        for _ in range(MAX_ATTEMPTS):
+            row = await self._table.read(key)
+            if isinstance(row, Unavailable):
+                return LeaseFailed(reason=row.reason)
+            period, left = self._period()
+            held = from_plain(row.value, QuotaRow) if row else None
+            if held is not None and held.period >= period:
+                # A host whose clock is behind joins the period that the row names.
+                period, leased = held.period, held.leased
+            else:
+                leased = 0
+            units = grant(budget=budget, leased=leased, wanted=wanted, needed=needed)
+            if units is None:
+                return Leased(period=period, units=0, period_left=left)
+            new = QuotaRow(workspace=workspace, period=period, leased=leased + units)
+            put = TypedPut(key=key, value=new, expect=row.version if row else 0)
+            change = transaction(self._draw_id(), put)
+            if isinstance(await commit_settled(self._table, change), Committed):
+                return Leased(period=period, units=units, period_left=left)
+        # An unknown commit may have taken effect: its units are forfeited, not spent.
+        return LeaseFailed(reason="too many conflicts")
+
+    def _period(self) -> tuple[int, float]:
+        now = self._wall_time()
+        period = int(now // PERIOD_SECONDS)
+        return period, (period + 1) * PERIOD_SECONDS - now
--- /dev/null
+++ b/mallowpond/gateway/claims.py
@@ -0,0 +1,149 @@
+"""Claim requests that may not be repeated, and make sure that voids get through."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from mallowpond.coordination.ports import Clock
+from mallowpond.gateway.link import ControllerLink
+from mallowpond.gateway.metrics import GatewayMetrics
+from mallowpond.protocol.peer import ClaimAsk, ClaimVerdict, FinishAsk, VoidAsk
+from mallowpond.protocol.problems import Outcome, Problem
+
+RETRY_SECONDS = 0.5
+COME_BACK_SECONDS = 2.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class ClaimedAttempt:
+    """Name an attempt whose claim was committed."""
+
+    workspace: str
+    key: str
+    attempt: str
+
+
+@dataclass(kw_only=True)
+class ClaimKeeper:
+    """Claim, finish and void over the controller link, retrying the last two."""
+
+    link: ControllerLink
+    gateway: str
+    clock: Clock
+    metrics: GatewayMetrics
+    timeout: float
+    _unsettled: list[FinishAsk | VoidAsk] = field(default_factory=list)
+    _wake: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def unsettled(self) -> int:
+        """Return how many finishes and voids the table does not know of yet."""
+        return len(self._unsettled)
+
+    async def claim(
+        self, *, workspace: str, key: str, attempt: str, units: int
+    ) -> ClaimedAttempt | Problem:
+        """Claim and charge an attempt; only then may it be sent."""
+        claimed = ClaimedAttempt(workspace=workspace, key=key, attempt=attempt)
+        ask = ClaimAsk(
+            call=0,
+            workspace=workspace,
+            key=key,
+            attempt=attempt,
+            gateway=self.gateway,
+            units=units,
+        )
+        try:
+            verdict = await self.link.ask_claim(ask, self.timeout)
+        except asyncio.CancelledError:
+            # The caller left while the claim was on its way: it may be committed,
+            # and without a void its key would be blocked and charged for nothing.
+            self.void(claimed)
+            raise
+        if verdict is ClaimVerdict.GRANTED:
+            return claimed
+        if verdict in (ClaimVerdict.CLAIM_UNKNOWN, ClaimVerdict.WITHDRAWN):
+            self.void(claimed)
+        return _problem(verdict)
+
+    def finish(self, claimed: ClaimedAttempt, *, known: bool) -> None:
+        """Note that an attempt ran, or that nobody can tell whether it did."""
+        ask = FinishAsk(
+            call=0,
+            workspace=claimed.workspace,
+            key=claimed.key,
+            attempt=claimed.attempt,
+            known=known,
+        )
+        self._enqueue(ask)
+
+    def void(self, claimed: ClaimedAttempt) -> None:
+        """Withdraw and refund an attempt of which nothing was sent."""
+        ask = VoidAsk(
+            call=0,
+            workspace=claimed.workspace,
+            key=claimed.key,
+            attempt=claimed.attempt,
+            gateway=self.gateway,
+        )
+        self._enqueue(ask)
+
+    async def run(self) -> None:
+        """Settle what is queued until the table knows it."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._unsettled:
+                batch, self._unsettled = self._unsettled, []
+                await asyncio.gather(*(self._settle(ask) for ask in batch))
+                self.metrics.pending_voids.set(len(self._unsettled))
+                if self._unsettled:
+                    await self.clock.sleep(RETRY_SECONDS)
+
+    def _enqueue(self, ask: FinishAsk | VoidAsk) -> None:
+        self._unsettled.append(ask)
+        self._wake.set()
+
+    async def _settle(self, ask: FinishAsk | VoidAsk) -> None:
+        verdict = await self.link.ask_claim(ask, self.timeout)
+        if verdict is not ClaimVerdict.SETTLED:
+            self._unsettled.append(ask)
+
+
+def _problem(verdict: ClaimVerdict) -> Problem:
+    match verdict:
+        case ClaimVerdict.IN_PROGRESS:
+            return Problem(
+                status=409,
+                reason="claim_in_progress",
+                detail="An earlier attempt with this key is still being served.",
+                outcome=Outcome.IN_PROGRESS,
+                retry_after=COME_BACK_SECONDS,
+            )
+        case ClaimVerdict.ALREADY_RUN:
+            return Problem(
+                status=409,
+                reason="already_run",
+                detail="An earlier attempt with this key has run and was charged.",
+                outcome=Outcome.ALREADY_RUN,
+            )
+        case ClaimVerdict.OUTCOME_UNKNOWN:
+            return Problem(
+                status=409,
+                reason="earlier_outcome_unknown",
+                detail="An earlier attempt with this key was sent; it may have run.",
+                outcome=Outcome.UNKNOWN,
+            )
+        case ClaimVerdict.CLAIM_UNKNOWN | ClaimVerdict.WITHDRAWN:
+            return Problem(
+                status=503,
+                reason="claim_unknown",
+                detail="The claim could not be confirmed, so nothing was sent.",
+                retry_after=COME_BACK_SECONDS,
+            )
+        case _:
+            return Problem(
+                status=503,
+                reason="store_unavailable",
+                detail="The table service is unavailable, so nothing was claimed.",
+                retry_after=COME_BACK_SECONDS,
+            )
--- /dev/null
+++ b/mallowpond/gateway/dispatch.py
@@ -0,0 +1,130 @@
+"""Send one attempt of a request to one target and tell how far it came."""
+
+import asyncio
+from dataclasses import dataclass
+
+from mallowpond.protocol.engine import (
+    KEY_HEADER,
+    NOT_STARTED,
+    OUTCOME_HEADER,
+    RESUME_HEADER,
+    dispatch_headers,
+    is_echo,
+)
+from mallowpond.state.rows import GroupRow
+from mallowpond.transport.http_client import (
+    CallFailed,
+    FailurePhase,
+    HttpClient,
+    HttpResponse,
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Attempt:
+    """Describe one attempt; `resume_after` counts events delivered already."""
+
+    request: str
+    path: str
+    body: bytes
+    content_type: str
+    repeatable: bool
+    method: str = "POST"
+    idempotency_key: str | None = None
+    resume_after: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class NotStarted:
+    """The target surely did not start the request."""
+
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class MaybeRun:
+    """The target may have run the request, and no whole answer came."""
+
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answering:
+    """The target answers with the right echo; the body is still to be read."""
+
+    response: HttpResponse
+
+
+AttemptOutcome = NotStarted | MaybeRun | Answering
+
+
+async def dispatch(
+    *, http: HttpClient, group: GroupRow, attempt: Attempt, first_byte_seconds: float
+) -> AttemptOutcome:
+    """Send an attempt to a group's leader and read the head of the answer."""
+    echo = dispatch_headers(attempt.request, group.group, group.generation)
+    answer = await _send(http, group.leader.address, attempt, echo, first_byte_seconds)
+    if not isinstance(answer, HttpResponse):
+        return answer
+    if _says_not_started(answer):
+        answer.close()
+        return NotStarted(reason="engine_refused")
+    if not is_echo(answer.headers, attempt.request, group.group, group.generation):
+        # Another request's answer would reach this caller; closing the connection
+        # also keeps the rest of it from the next one.
+        answer.close()
+        return MaybeRun(reason="crossed_answer")
+    return Answering(response=answer)
+
+
+async def dispatch_plainly(
+    *, http: HttpClient, target: str, attempt: Attempt, first_byte_seconds: float
+) -> AttemptOutcome:
+    """Send an attempt to a plain service, which echoes nothing."""
+    headers = (("mallowpond-request", attempt.request),)
+    answer = await _send(http, target, attempt, headers, first_byte_seconds)
+    if not isinstance(answer, HttpResponse):
+        return answer
+    return Answering(response=answer)
+
+
+async def _send(
+    http: HttpClient,
+    address: str,
+    attempt: Attempt,
+    headers: tuple[tuple[str, str], ...],
+    first_byte_seconds: float,
+) -> HttpResponse | NotStarted | MaybeRun:
+    headers += (("content-type", attempt.content_type),)
+    if attempt.idempotency_key is not None:
+        headers += ((KEY_HEADER, attempt.idempotency_key),)
+    if attempt.resume_after:
+        headers += ((RESUME_HEADER, str(attempt.resume_after)),)
+    try:
+        async with asyncio.timeout(first_byte_seconds):
+            answer = await http.send(
+                address,
+                attempt.method,
+                attempt.path,
+                headers=headers,
+                body=attempt.body,
+                # A kept connection can be closed by the target while the request is
+                # on its way; for a request that must not be repeated nobody could
+                # tell then whether it ran.
+                fresh=not attempt.repeatable,
+            )
+    except TimeoutError:
+        return MaybeRun(reason="first_byte_timeout")
+    match answer:
+        case CallFailed(phase=FailurePhase.CONNECT):
+            return NotStarted(reason="connect_failed")
+        case CallFailed() if not answer.bytes_left:
+            return NotStarted(reason="connection_closed")
+        case CallFailed(phase=phase):
+            return MaybeRun(reason=f"cut_{phase.value}")
+        case response:
+            return response
+
+
+def _says_not_started(response: HttpResponse) -> bool:
+    return response.headers.get(OUTCOME_HEADER) == NOT_STARTED
--- /dev/null
+++ b/mallowpond/gateway/link.py
@@ -0,0 +1,171 @@
+"""Stay attached to one controller, and to the next when that is gone."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from dataclasses import replace
+from itertools import count
+
+import structlog
+
+from mallowpond.coordination.ports import Clock
+from mallowpond.gateway.routes import RouteTable
+from mallowpond.protocol.peer import (
+    ClaimAnswer,
+    ClaimAsk,
+    ClaimVerdict,
+    FinishAsk,
+    GatewayHello,
+    QuotaAnswer,
+    QuotaAsk,
+    Routes,
+    RoutesAsk,
+    SuspectGroup,
+    VoidAsk,
+)
+from mallowpond.transport.peer_link import LinkClosed, PeerLink, open_link
+
+log = structlog.get_logger()
+RETRY_SECONDS = 0.2
+SILENT_SECONDS = 1.5
+
+
+class ControllerLink:
+    """Poll routes and carry claims and quota leases over one link at a time."""
+
+    def __init__(
+        self,
+        *,
+        gateway: str,
+        controllers: tuple[str, ...],
+        routes: RouteTable,
+        clock: Clock,
+        poll_seconds: float,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._gateway = gateway
+        self._controllers = controllers
+        self._routes = routes
+        self._clock = clock
+        self._poll_seconds = poll_seconds
+        self._on_change = on_change
+        self._link: PeerLink | None = None
+        self._calls: dict[int, asyncio.Future] = {}
+        self._numbers = count(1)
+        self._asked: dict[int, float] = {}
+        self._answered_at = 0.0
+
+    @property
+    def is_attached(self) -> bool:
+        """Tell whether a controller is attached now."""
+        return self._link is not None
+
+    async def run(self) -> None:
+        """Stay attached for ever."""
+        place = 0
+        while True:
+            address = self._controllers[place % len(self._controllers)]
+            try:
+                await self._attach(address)
+            except* (LinkClosed, TimeoutError):
+                pass
+            self._fail_calls()
+            place += 1
+            await self._clock.sleep(RETRY_SECONDS)
+
+    async def ask_claim(
+        self, ask: ClaimAsk | FinishAsk | VoidAsk, timeout: float
+    ) -> ClaimVerdict:
+        """Send a claim, finish or void and return the verdict."""
+        answer = await self._call(ask, timeout)
+        if isinstance(answer, ClaimAnswer):
+            return answer.result
+        return answer
+
+    async def ask_quota(self, ask: QuotaAsk, timeout: float) -> QuotaAnswer | None:
+        """Lease quota units; None when no answer came."""
+        answer = await self._call(ask, timeout)
+        return answer if isinstance(answer, QuotaAnswer) else None
+
+    async def suspect(self, group: str, generation: int) -> None:
+        """Report a group that failed a dispatch."""
+        if self._link is None:
+            return
+        try:
+            await self._link.send(SuspectGroup(group=group, generation=generation))
+        except LinkClosed:
+            return
+
+    async def _call(
+        self, ask: ClaimAsk | FinishAsk | VoidAsk | QuotaAsk, timeout: float
+    ) -> ClaimAnswer | QuotaAnswer | ClaimVerdict:
+        if self._link is None:
+            return ClaimVerdict.STORE_UNAVAILABLE
+        number = next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        self._calls[number] = future
+        try:
+            async with asyncio.timeout(timeout):
+                await self._link.send(replace(ask, call=number))
+                return await future
+        except (LinkClosed, TimeoutError):
+            # The controller may have committed the claim without our hearing of it.
+            return ClaimVerdict.CLAIM_UNKNOWN
+        finally:
+            self._calls.pop(number, None)
+
+    async def _attach(self, address: str) -> None:
+        async with AsyncExitStack() as stack:
+            link = await open_link(address, stack)
+            await link.send(GatewayHello(gateway=self._gateway))
+            self._link = link
+            stack.callback(self._detach)
+            self._answered_at = self._clock.now()
+            log.info("gateway: attached", controller=address)
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._poll(link))
+                tasks.create_task(self._receive(link))
+
+    def _detach(self) -> None:
+        self._link = None
+        self._asked.clear()
+        log.info("gateway: detached")
+
+    async def _poll(self, link: PeerLink) -> None:
+        while True:
+            number = next(self._numbers)
+            self._asked[number] = self._clock.now()
+            ask = RoutesAsk(
+                sequence=number,
+                known_config=self._routes.config_version,
+                known_routes=self._routes.routes_version,
+            )
+            await link.send(ask)
+            await self._clock.sleep(self._poll_seconds)
+            # A frozen controller keeps its socket open; without this limit the
+            # gateway would run out of permits while another controller could serve.
+            if self._clock.now() - self._answered_at > SILENT_SECONDS:
+                raise LinkClosed("the controller is silent")
+
+    async def _receive(self, link: PeerLink) -> None:
+        while True:
+            message = await link.receive()
+            match message:
+                case Routes(sequence=number):
+                    asked_at = self._asked.pop(number, None)
+                    if asked_at is None:
+                        continue
+                    self._answered_at = self._clock.now()
+                    self._routes.take(message, asked_at)
+                    self._on_change()
+                    if message.leaving:
+                        raise LinkClosed("the controller is leaving")
+                case ClaimAnswer(call=number) | QuotaAnswer(call=number):
+                    future = self._calls.get(number)
+                    if future is not None and not future.done():
+                        future.set_result(message)
+
+    def _fail_calls(self) -> None:
+        for future in self._calls.values():
+            if not future.done():
+                future.set_exception(LinkClosed("the link closed"))
--- /dev/null
+++ b/mallowpond/gateway/relay.py
@@ -0,0 +1,128 @@
+"""Pass an answer on to its caller, whole or visibly broken."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from mallowpond.transport.http_client import (
+    BodyEvent,
+    CallFailed,
+    Chunk,
+    End,
+    FailurePhase,
+    HttpResponse,
+)
+from mallowpond.transport.http_server import Exchange
+
+EVENT_END = b"\n\n"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Whole:
+    """The answer was passed on whole."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Broken:
+    """The answer broke off before its end."""
+
+    reason: str
+
+
+RelayEnd = Whole | Broken
+
+
+@dataclass(kw_only=True)
+class StreamProgress:
+    """Count the events of a stream that reached the caller."""
+
+    events: int = 0
+    chunks: int = 0
+    _rest: bytearray = field(default_factory=bytearray)
+
+    def take(self, data: bytes) -> bytes:
+        """Return the whole events that `data` completes.
+
+        Only whole events are passed on: a resumed stream starts at an event, and
+        half an event from the broken one would garble it.
+        """
+        self._rest += data
+        cut = self._rest.rfind(EVENT_END)
+        if cut < 0:
+            return b""
+        whole = bytes(self._rest[: cut + len(EVENT_END)])
+        del self._rest[: cut + len(EVENT_END)]
+        self.events += whole.count(EVENT_END)
+        self.chunks += 1
+        return whole
+
+    def drop_rest(self) -> None:
+        """Forget half an event that a broken stream left."""
+        self._rest.clear()
+
+    @property
+    def has_rest(self) -> bool:
+        """Tell whether bytes are left that complete no event."""
+        return bool(self._rest)
+
+
+async def relay_stream(
+    response: HttpResponse,
+    exchange: Exchange,
+    progress: StreamProgress,
+    *,
+    headers: tuple[tuple[str, str], ...],
+    silence_seconds: float,
+) -> RelayEnd:
+    """Pass events on as they come; the answer is left open for the caller to end."""
+    try:
+        async for event in timed_events(response, silence_seconds):
+            match event:
+                case Chunk(data=data):
+                    whole = progress.take(data)
+                    if not whole:
+                        continue
+                    if not exchange.started:
+                        await exchange.start(200, headers)
+                    await exchange.send(whole)
+                case End():
+                    return Broken(reason="cut_event") if progress.has_rest else Whole()
+                case CallFailed(phase=phase):
+                    return Broken(reason=f"cut_{phase.value}")
+    finally:
+        response.close()
+    return Broken(reason="cut_body")
+
+
+async def read_whole(response: HttpResponse, silence_seconds: float) -> bytes | Broken:
+    """Read an answer to its end before any of it is passed on."""
+    body = bytearray()
+    try:
+        async for event in timed_events(response, silence_seconds):
+            match event:
+                case Chunk(data=data):
+                    body += data
+                case End():
+                    return bytes(body)
+                case CallFailed(phase=phase):
+                    return Broken(reason=f"cut_{phase.value}")
+    finally:
+        response.close()
+    return Broken(reason="cut_body")
+
+
+async def timed_events(
+    response: HttpResponse, silence_seconds: float
+) -> AsyncIterator[BodyEvent]:
+    """Yield the events of a body, and a failure when it falls silent."""
+    events = response.events()
+    while True:
+        try:
+            async with asyncio.timeout(silence_seconds):
+                event = await anext(events)
+        except TimeoutError:
+            yield CallFailed(phase=FailurePhase.BODY, reason="silent")
+            return
+        except StopAsyncIteration:
+            return
+        yield event
--- /dev/null
+++ b/mallowpond/gateway/routes.py
@@ -0,0 +1,79 @@
+"""What a gateway may route to now, and which configuration it may serve."""
+
+from dataclasses import dataclass, field
+
+from mallowpond.protocol.declaration_file import parse_document
+from mallowpond.protocol.peer import Routes
+from mallowpond.state.declarations import Declaration
+from mallowpond.state.rows import GroupRow
+
+
+@dataclass(kw_only=True)
+class RouteTable:
+    """Keep the latest routes and the times up to which they may be relied on.
+
+    Times are this gateway's own, counted from before it asked, so a slow answer or
+    a frozen gateway shortens what it may rely on and never lengthens it.
+    """
+
+    permit_seconds: float
+    config_version: int = 0
+    routes_version: int = 0
+    declaration: Declaration = field(default_factory=Declaration)
+    groups: dict[str, GroupRow] = field(default_factory=dict)
+    _config_until: float = 0.0
+    _permit_until: dict[tuple[str, int], float] = field(default_factory=dict)
+    _excluded: frozenset[str] = frozenset()
+
+    def take(self, routes: Routes, asked_at: float) -> None:
+        """Take in an answer to a question asked at `asked_at`."""
+        if routes.config_version < self.config_version:
+            # Another controller that has not applied the latest version yet: what
+            # was accepted must never revert, so its answer vouches for nothing.
+            return
+        self._take_config(routes, asked_at)
+        if routes.groups is not None:
+            self.groups = {group.group: group for group in routes.groups}
+            self.routes_version = routes.routes_version
+        self._excluded = frozenset(routes.excluded_hosts)
+        for permit in routes.permits:
+            key = (permit.group, permit.generation)
+            until = asked_at - permit.age + self.permit_seconds
+            self._permit_until[key] = max(until, self._permit_until.get(key, until))
+        self._forget_old_permits(asked_at)
+
+    def revoke(self, group: str, generation: int) -> None:
+        """Stop using a group until it is seen whole again."""
+        self._permit_until.pop((group, generation), None)
+
+    def is_sure(self, now: float) -> bool:
+        """Tell whether the version held is known to be the one in force."""
+        return now < self._config_until
+
+    def serving(self, deployment: str, now: float) -> list[GroupRow]:
+        """Return the groups of a deployment that may be sent new work."""
+        return [
+            group
+            for group in self.groups.values()
+            if group.deployment == deployment and self.is_serving(group, now)
+        ]
+
+    def is_serving(self, group: GroupRow, now: float) -> bool:
+        """Tell whether a group was seen whole lately and none of its hosts leaves."""
+        until = self._permit_until.get((group.group, group.generation), 0.0)
+        return now < until and self._excluded.isdisjoint(group.hosts)
+
+    def _take_config(self, routes: Routes, asked_at: float) -> None:
+        if routes.config_text is not None:
+            declaration = parse_document(routes.config_text)
+            if declaration is None:
+                return
+            self.declaration = declaration
+            self.config_version = routes.config_version
+        if routes.config_left is None or routes.config_version != self.config_version:
+            return
+        self._config_until = max(self._config_until, asked_at + routes.config_left)
+
+    def _forget_old_permits(self, now: float) -> None:
+        kept = {k: until for k, until in self._permit_until.items() if until > now}
+        self._permit_until = kept
--- /dev/null
+++ b/mallowpond/programs/logs.py
@@ -0,0 +1,30 @@
+"""Set up structured logs with a fixed prefix for each part."""
+
+import logging
+import sys
+
+import structlog
+
+from mallowpond.programs.settings import LogSettings
+
+
+def set_up_logs(settings: LogSettings) -> None:
+    """Choose the format and level of every log line."""
+    level = getattr(logging, settings.level.upper())
+    renderer = (
+        structlog.dev.ConsoleRenderer(colors=False)
+        if settings.format == "console"
+        else structlog.processors.JSONRenderer()
+    )
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=False,
+    )
--- /dev/null
+++ b/mallowpond/programs/processes.py
@@ -0,0 +1,80 @@
+"""Run each program until it is told to stop."""
+
+import asyncio
+
+import structlog
+
+from mallowpond.controller.service import build as build_controller
+from mallowpond.coordination.clock import MonotonicClock
+from mallowpond.coordination.ports import Ports
+from mallowpond.gateway.service import build as build_gateway
+from mallowpond.programs.settings import (
+    ControllerSettings,
+    EngineStandinSettings,
+    GatewaySettings,
+    PlatformStandinSettings,
+)
+from mallowpond.standins.engine import EngineStandin
+from mallowpond.standins.platform import PlatformStandin
+from mallowpond.transport.engine_client import EngineClient
+from mallowpond.transport.http_client import HttpClient
+from mallowpond.transport.table_client import TableClient
+
+log = structlog.get_logger()
+
+
+async def run_gateway(settings: GatewaySettings, stop: asyncio.Event) -> None:
+    """Run a gateway; a stop lets the requests in progress finish."""
+    gateway = build_gateway(settings=settings, clock=MonotonicClock())
+    await gateway.start()
+    try:
+        await stop.wait()
+        await gateway.drain()
+    finally:
+        await gateway.close()
+
+
+async def run_controller(settings: ControllerSettings, stop: asyncio.Event) -> None:
+    """Run a controller; a stop leaves the membership first."""
+    http = HttpClient()
+    table = TableClient(
+        http=http, address=settings.platform, timeout=settings.timings.table_timeout
+    )
+    engines = EngineClient(http=http, timeout=settings.timings.engine_timeout)
+    ports = Ports(table=table, host_list=table, engines=engines, clock=MonotonicClock())
+    controller = build_controller(settings=settings, ports=ports)
+    await controller.start()
+    try:
+        stopping = asyncio.create_task(stop.wait())
+        replaced = asyncio.create_task(controller.replaced.wait())
+        await asyncio.wait({stopping, replaced}, return_when=asyncio.FIRST_COMPLETED)
+        if stop.is_set():
+            await controller.leave()
+        stopping.cancel()
+        replaced.cancel()
+    finally:
+        await controller.close()
+        await http.close()
+
+
+async def run_platform(settings: PlatformStandinSettings, stop: asyncio.Event) -> None:
+    """Run the platform's stand-in."""
+    platform = PlatformStandin(hosts=settings.hosts)
+    await platform.server.start(settings.address, settings.port)
+    log.info("platform: started", port=platform.server.port)
+    await stop.wait()
+    await platform.server.close()
+
+
+async def run_engine(settings: EngineStandinSettings, stop: asyncio.Event) -> None:
+    """Run an engine's stand-in."""
+    engine = EngineStandin(
+        host=settings.host,
+        incarnation=settings.incarnation,
+        checks_fencing=settings.checks_fencing,
+        step_seconds=settings.step_seconds,
+    )
+    await engine.start(settings.address, settings.port)
+    log.info("engine: started", host=settings.host, port=engine.server.port)
+    await stop.wait()
+    await engine.close()
--- /dev/null
+++ b/mallowpond/programs/tests/cluster.py
@@ -0,0 +1,268 @@
+"""Run the reference layout as real processes on loopback, for tests."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+from hashlib import sha256
+from pathlib import Path
+
+API_KEY = "kurul-key"
+STARTUP_SECONDS = 30.0
+DECLARATION = f"""
+[[deployments]]
+name = "meteor"
+model = "meteor-7b"
+replicas = 2
+hosts_per_group = 4
+load_seconds = 0.2
+requests_per_group = 8
+
+[[workspaces]]
+name = "kurul-a"
+key_sha256 = "{sha256(API_KEY.encode()).hexdigest()}"
+
+[[kinds]]
+name = "alert-note"
+repeatable = false
+"""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answer:
+    """Hold an HTTP answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def json(self) -> dict:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+def http(
+    method: str,
+    url: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    timeout: float = 20.0,
+) -> Answer:
+    """Make one HTTP call and return any answer."""
+    request = urllib.request.Request(
+        url, data=body, headers=headers or {}, method=method
+    )
+    opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+    try:
+        with opener.open(request, timeout=timeout) as answer:
+            return Answer(
+                status=answer.status, headers=dict(answer.headers), body=answer.read()
+            )
+    except urllib.error.HTTPError as error:
+        return Answer(status=error.code, headers=dict(error.headers), body=error.read())
+
+
+@dataclass(kw_only=True)
+class Cluster:
+    """Own the processes of one layout."""
+
+    folder: Path
+    engines: int = 8
+    controllers: int = 2
+    gateways: int = 2
+    checks_fencing: bool = True
+    timings: str = ""
+    ports: dict[str, int] = field(default_factory=dict)
+    processes: dict[str, subprocess.Popen] = field(default_factory=dict)
+
+    def __enter__(self) -> "Cluster":
+        self._draw_ports()
+        self._write_settings()
+        self.start("platform")
+        for name in self.names("engine") + self.names("controller"):
+            self.start(name)
+        for name in self.names("gateway"):
+            self.start(name)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def names(self, kind: str) -> list[str]:
+        """Return the names of the processes of a kind."""
+        counts = {
+            "engine": self.engines,
+            "controller": self.controllers,
+            "gateway": self.gateways,
+        }
+        return [f"{kind}{n}" for n in range(counts[kind])]
+
+    def start(self, name: str) -> None:
+        """Start one process from its settings file."""
+        kind = name.rstrip("0123456789")
+        command = [kind] if kind in ("gateway", "controller") else ["standin", kind]
+        log = open(self.folder / f"{name}.log", "ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", "mallowpond", *command]
+            + ["--config", str(self.folder / f"{name}.toml")],
+            stdout=log,
+            stderr=log,
+            env=os.environ | {"PYTHONDONTWRITEBYTECODE": "1"},
+        )
+        log.close()
+
+    def kill(self, name: str) -> None:
+        """Kill a process without warning."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process so that it can wake later as if nothing happened."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Wake a frozen process."""
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def url(self, name: str, path: str) -> str:
+        """Return a URL of a process."""
+        return f"http://127.0.0.1:{self.ports[name]}{path}"
+
+    def apply(self, declaration: str = DECLARATION, expect: int = 0) -> Answer:
+        """Apply a declaration through the first controller that answers."""
+        url = self.url("controller0", f"/v1/apply?expect={expect}")
+        return http("POST", url, declaration.encode())
+
+    def wait_for(self, what, seconds: float = STARTUP_SECONDS):
+        """Poll `what` until it returns something true, and return that."""
+        limit = time.monotonic() + seconds
+        while time.monotonic() < limit:
+            try:
+                found = what()
+                if found:
+                    return found
+            except (OSError, ValueError, KeyError):
+                pass
+            time.sleep(0.05)
+        raise AssertionError(f"not reached in {seconds} s: {what}")
+
+    def wait_ready(self) -> None:
+        """Wait until every controller is ready."""
+        for name in self.names("controller"):
+            self.wait_for(
+                lambda n=name: http("GET", self.url(n, "/readyz")).status == 200
+            )
+
+    def complete(
+        self,
+        prompt: str,
+        gateway: str = "gateway0",
+        headers: dict[str, str] | None = None,
+        **fields: object,
+    ) -> Answer:
+        """Ask for a completion."""
+        body = {"model": "meteor-7b", "prompt": prompt, "max_tokens": 4} | fields
+        sent = {"authorization": f"Bearer {API_KEY}"} | (headers or {})
+        sent["content-type"] = "application/json"
+        url = self.url(gateway, "/v1/completions")
+        return http("POST", url, json.dumps(body).encode(), sent)
+
+    def wait_serving(self, gateway: str = "gateway0") -> Answer:
+        """Wait until a completion is served."""
+
+        def served() -> Answer | None:
+            answer = self.complete("ping", gateway)
+            return answer if answer.status == 200 else None
+
+        return self.wait_for(served)
+
+    def set_faults(self, name: str, **faults: object) -> None:
+        """Switch faults of a stand-in."""
+        url = self.url(name, "/standin/faults")
+        http("POST", url, json.dumps(faults).encode())
+
+    def runs(self) -> list[str]:
+        """Return the ids of the requests that engines started."""
+        found: list[str] = []
+        for name in self.names("engine"):
+            if self.processes[name].poll() is None:
+                found += http("GET", self.url(name, "/standin/runs")).json
+        return found
+
+    def _draw_ports(self) -> None:
+        names = ["platform", *self.names("engine"), *self.names("gateway")]
+        names += self.names("controller")
+        peers = [f"{name}-peer" for name in self.names("controller")]
+        all_names = names + peers
+        self.ports = dict(zip(all_names, free_ports(len(all_names)), strict=True))
+
+    def _write(self, name: str, text: str) -> None:
+        (self.folder / f"{name}.toml").write_text(text)
+
+    def _write_settings(self) -> None:
+        hosts = []
+        for place, name in enumerate(self.names("engine")):
+            fencing = str(self.checks_fencing).lower()
+            self._write(
+                name,
+                f'host = "{name}"\nport = {self.ports[name]}\n'
+                f"checks_fencing = {fencing}\n",
+            )
+            domain = "a" if place < self.engines / 2 else "b"
+            hosts.append(_host_table(name, self.ports[name], domain, "1"))
+        for name in self.names("controller"):
+            hosts.append(_host_table(f"entry-{name}", 1, "", "boot-1"))
+        self._write("platform", f"port = {self.ports['platform']}\n" + "".join(hosts))
+        for name in self.names("controller"):
+            self._write(
+                name,
+                f'name = "{name}"\ncell = "ub"\nhost = "entry-{name}"\n'
+                f'platform = "127.0.0.1:{self.ports["platform"]}"\n'
+                f"operator_port = {self.ports[name]}\n"
+                f"peer_port = {self.ports[name + '-peer']}\n"
+                f"[timings]\nheartbeat = 0.2\nlease = 1.5\nwatch = 0.2\n"
+                f"silent = 1.0\nhost_list = 0.3\nassurance = 2.0\nabort = 4.0\n"
+                f"drain_settle = 1.0\nengine_timeout = 0.5\n" + self.timings,
+            )
+        controllers = [
+            f'"127.0.0.1:{self.ports[n + "-peer"]}"' for n in self.names("controller")
+        ]
+        for place, name in enumerate(self.names("gateway")):
+            turned = controllers[place % len(controllers) :] + controllers
+            self._write(
+                name,
+                f'name = "{name}"\nport = {self.ports[name]}\n'
+                f"controllers = [{', '.join(turned[: len(controllers)])}]\n"
+                "receive_seconds = 1.0\n"
+                "[timings]\npermit = 2.0\nroutes = 0.1\nclaim = 2.0\n",
+            )
+
+
+def _host_table(name: str, port: int, domain: str, incarnation: str) -> str:
+    return (
+        f'[[hosts]]\nname = "{name}"\naddress = "127.0.0.1:{port}"\n'
+        f'domain = "{domain}"\ndata_centre = "dc1"\naccelerators = 8\n'
+        f'incarnation = "{incarnation}"\n'
+    )
--- /dev/null
+++ b/mallowpond/programs/tests/test_thin_path.py
@@ -0,0 +1,23 @@
+"""The whole path through separate processes."""
+
+from mallowpond.programs.tests.cluster import Cluster
+
+
+def test_completion_goes_from_caller_to_group_and_back(tmp_path):
+    with Cluster(folder=tmp_path) as cluster:
+        cluster.wait_ready()
+        assert cluster.apply().json["version"] == 1
+
+        whole = cluster.wait_serving()
+        assert whole.json["choices"][0]["text"] == "ping.0 ping.1 ping.2 ping.3 "
+
+        streamed = cluster.complete("star", "gateway1", stream=True)
+        assert streamed.status == 200
+        assert streamed.body.count(b"data: ") == 6
+        assert streamed.body.endswith(b"data: [DONE]\n\n")
+
+        cluster.kill("controller0")
+        again = cluster.complete("again", stream=True)
+        assert again.status == 200
+        cluster.wait_serving("gateway0")
+        cluster.wait_serving("gateway1")
--- /dev/null
+++ b/mallowpond/protocol/engine.py
@@ -0,0 +1,27 @@
+"""Headers and documents that gateways and engines exchange."""
+
+REQUEST_HEADER = "mallowpond-request"
+GROUP_HEADER = "mallowpond-group"
+GENERATION_HEADER = "mallowpond-generation"
+LOAD_HEADER = "mallowpond-load"
+KEY_HEADER = "mallowpond-key"
+RESUME_HEADER = "mallowpond-resume-after"
+OUTCOME_HEADER = "mallowpond-outcome"
+NOT_STARTED = "not_started"
+
+
+def dispatch_headers(
+    request: str, group: str, generation: int
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers that an engine has to echo."""
+    return (
+        (REQUEST_HEADER, request),
+        (GROUP_HEADER, group),
+        (GENERATION_HEADER, str(generation)),
+    )
+
+
+def is_echo(headers: dict[str, str], request: str, group: str, generation: int) -> bool:
+    """Tell whether an answer belongs to this dispatch."""
+    expected = dispatch_headers(request, group, generation)
+    return all(headers.get(name) == value for name, value in expected)
--- /dev/null
+++ b/mallowpond/standins/platform.py
@@ -0,0 +1,196 @@
+"""Stand in for the platform: table service and host list, with faults on request."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field, replace
+from urllib.parse import parse_qs
+
+from mallowpond.coordination.ports import (
+    CommitOutcome,
+    Committed,
+    Conflict,
+    Host,
+    HostState,
+    Put,
+    Row,
+    Scanned,
+    Transaction,
+    Unavailable,
+    Unknown,
+)
+from mallowpond.state.codec import from_json, from_plain, to_json
+from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlatformFaults:
+    """Say what goes wrong; `lost_answers` counts commits whose answer is lost."""
+
+    down: bool = False
+    delay_seconds: float = 0.0
+    lost_answers: int = 0
+    stale_hosts: bool = False
+
+
+@dataclass(kw_only=True)
+class MemoryTable:
+    """Keep rows in memory behind the `TableService` port."""
+
+    faults: PlatformFaults = PlatformFaults()
+    version: int = 0
+    commits: int = 0
+    reads: int = 0
+    _rows: dict[str, Row] = field(default_factory=dict)
+    _deleted: dict[str, int] = field(default_factory=dict)
+
+    async def read(self, key: str) -> Row | None | Unavailable:
+        """Return the row, None when it is absent."""
+        self.reads += 1
+        if self.faults.down:
+            return Unavailable(reason="down")
+        return self._rows.get(key)
+
+    async def scan(self, prefix: str, since: int = 0) -> Scanned | Unavailable:
+        """Return the rows below `prefix` changed after table version `since`."""
+        self.reads += 1
+        if self.faults.down:
+            return Unavailable(reason="down")
+        rows = (r for k, r in self._rows.items() if k.startswith(prefix))
+        gone = (
+            k for k, v in self._deleted.items() if k.startswith(prefix) and v > since
+        )
+        return Scanned(
+            rows=tuple(row for row in rows if row.version > since),
+            deleted=tuple(gone),
+            version=self.version,
+        )
+
+    async def commit(self, transaction: Transaction) -> CommitOutcome:
+        """Apply a transaction; the answer is lost when the fault says so."""
+        if self.faults.down:
+            return Unavailable(reason="down")
+        outcome = self.apply(transaction)
+        if self.faults.lost_answers:
+            left = self.faults.lost_answers - 1
+            self.faults = replace(self.faults, lost_answers=left)
+            return Unknown(reason="answer lost")
+        return outcome
+
+    def apply(self, transaction: Transaction) -> Committed | Conflict:
+        """Change the rows at once when every check holds."""
+        self.commits += 1
+        broken = [c.key for c in transaction.checks if self._at(c.key) != c.version]
+        if broken:
+            return Conflict(keys=tuple(broken))
+        self.version += 1
+        for put in transaction.puts:
+            self._put(put, transaction.transaction)
+        for key in transaction.deletes:
+            self._rows.pop(key, None)
+            self._deleted[key] = self.version
+        return Committed(version=self.version)
+
+    def _at(self, key: str) -> int:
+        row = self._rows.get(key)
+        return row.version if row else 0
+
+    def _put(self, put: Put, transaction: str) -> None:
+        self._deleted.pop(put.key, None)
+        self._rows[put.key] = Row(
+            key=put.key,
+            value=put.value,
+            version=self.version,
+            transaction=transaction,
+        )
+
+
+class PlatformStandin:
+    """Serve a `MemoryTable` and a host list over HTTP."""
+
+    def __init__(self, *, hosts: tuple[Host, ...]) -> None:
+        self.table = MemoryTable()
+        self._hosts = {host.name: host for host in hosts}
+        self._stale_hosts = dict(self._hosts)
+        self.server = HttpServer(handler=self._handle)
+
+    async def hosts(self) -> tuple[Host, ...] | Unavailable:
+        """Return the hosts, as they were when the list went stale."""
+        if self.table.faults.down:
+            return Unavailable(reason="down")
+        if not self.table.faults.stale_hosts:
+            self._stale_hosts = dict(self._hosts)
+        return tuple(self._stale_hosts.values())
+
+    def set_host(self, host: Host) -> None:
+        """Add or change a host."""
+        self._hosts[host.name] = host
+
+    def remove_host(self, name: str) -> None:
+        """Take a host off the list."""
+        self._hosts.pop(name, None)
+
+    async def _handle(self, request: HttpRequest, exchange: Exchange) -> None:
+        if request.path.startswith("/standin/"):
+            await self._control(request, exchange)
+            return
+        if self.table.faults.delay_seconds:
+            await asyncio.sleep(self.table.faults.delay_seconds)
+        if self.table.faults.down:
+            await exchange.respond(503, b"down")
+            return
+        await self._serve(request, exchange)
+
+    async def _serve(self, request: HttpRequest, exchange: Exchange) -> None:
+        query = {k: v[0] for k, v in parse_qs(request.target.partition("?")[2]).items()}
+        match request.path:
+            case "/table/row":
+                await exchange.respond(
+                    200, to_json(await self.table.read(query["key"]))
+                )
+            case "/table/scan":
+                found = await self.table.scan(query["prefix"], int(query["since"]))
+                await exchange.respond(200, to_json(found))
+            case "/table/commit":
+                outcome = await self.table.commit(from_json(request.body, Transaction))
+                await _answer_commit(outcome, exchange)
+            case "/hosts":
+                await exchange.respond(200, to_json(await self.hosts()))
+            case _:
+                await exchange.respond(404)
+
+    async def _control(self, request: HttpRequest, exchange: Exchange) -> None:
+        match request.path:
+            case "/standin/faults":
+                self.table.faults = from_json(request.body, PlatformFaults)
+            case "/standin/host":
+                change = json.loads(request.body)
+                self._change_host(change)
+            case "/standin/counts":
+                counts = {"commits": self.table.commits, "reads": self.table.reads}
+                await exchange.respond(200, to_json(counts))
+                return
+        await exchange.respond(200)
+
+    def _change_host(self, change: dict[str, str]) -> None:
+        known = self._hosts.get(change["name"])
+        if change.get("state") == "gone":
+            self.remove_host(change["name"])
+        elif known and "state" in change:
+            self.set_host(replace(known, state=HostState(change["state"])))
+        elif known:
+            self.set_host(replace(known, incarnation=change["incarnation"]))
+        else:
+            self.set_host(from_plain(change, Host))
+
+
+async def _answer_commit(outcome: CommitOutcome, exchange: Exchange) -> None:
+    match outcome:
+        case Committed():
+            await exchange.respond(200, to_json(outcome))
+        case Conflict():
+            await exchange.respond(409, to_json(outcome))
+        case Unavailable(reason=reason):
+            await exchange.respond(503, reason.encode())
+        case Unknown():
+            # Nothing is answered: the connection closes with the change in effect.
+            return
--- /dev/null
+++ b/mallowpond/state/claims.py
@@ -0,0 +1,91 @@
+"""Decide whether a request that may not be repeated is allowed to run."""
+
+from dataclasses import dataclass, replace
+
+from mallowpond.state.rows import ClaimRow, ClaimState
+
+
+@dataclass(frozen=True, kw_only=True)
+class Granted:
+    """The request may be sent once; the row that says so still has to be kept."""
+
+    row: ClaimRow
+
+
+@dataclass(frozen=True, kw_only=True)
+class Withdrawn:
+    """This very attempt was withdrawn before its claim arrived."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class InProgress:
+    """Another attempt holds the claim and its gateway is alive."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class AlreadyRun:
+    """Another attempt has run to its end."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class OutcomeUnknown:
+    """Another attempt was sent, and nobody can tell whether it ran."""
+
+
+ClaimDecision = Granted | Withdrawn | InProgress | AlreadyRun | OutcomeUnknown
+
+
+def decide_claim(
+    *, held: ClaimRow | None, asked: ClaimRow, live_gateways: frozenset[str]
+) -> ClaimDecision:
+    """Weigh an attempt against the claim that the table holds."""
+    match held:
+        case None:
+            return Granted(row=asked)
+        case ClaimRow(state=ClaimState.VOID, attempt=attempt):
+            # A late duplicate of a withdrawn claim must not bring it back to life.
+            return Withdrawn() if attempt == asked.attempt else Granted(row=asked)
+        case ClaimRow(state=ClaimState.CLAIMED, attempt=asked.attempt):
+            return Granted(row=held)
+        case ClaimRow(state=ClaimState.DONE):
+            return AlreadyRun()
+        case ClaimRow(state=ClaimState.UNKNOWN):
+            return OutcomeUnknown()
+        case ClaimRow(gateway=gateway) if gateway in live_gateways:
+            return InProgress()
+        case _:
+            return OutcomeUnknown()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Settled:
+    """Write this row and add `units` (negative for a refund) to the ledger."""
+
+    row: ClaimRow
+    units: int
+
+
+def settle_end(*, held: ClaimRow | None, asked: ClaimRow) -> Settled | None:
+    """Return the change that ends an attempt as done or unknown, None if there is none.
+
+    `asked.state` says how the attempt ended.
+    """
+    if held is None or held.attempt != asked.attempt:
+        return None
+    if held.state is not ClaimState.CLAIMED:
+        return None
+    return Settled(row=replace(held, state=asked.state), units=0)
+
+
+def settle_void(*, held: ClaimRow | None, asked: ClaimRow) -> Settled | None:
+    """Return the change that withdraws an attempt of which nothing was sent.
+
+    An absent row is voided too: the claim's own commit may still be on its way, and
+    the void row makes it conflict instead of charging for a request that was refused.
+    """
+    void = replace(asked, state=ClaimState.VOID)
+    if held is None:
+        return Settled(row=void, units=0)
+    if held.attempt != asked.attempt or held.state is not ClaimState.CLAIMED:
+        return None
+    return Settled(row=replace(held, state=ClaimState.VOID), units=-held.units)
--- /dev/null
+++ b/mallowpond/state/limits.py
@@ -0,0 +1,112 @@
+"""Decide at once whether a request is sent, waits its turn, or is refused."""
+
+import heapq
+from dataclasses import dataclass, field
+from itertools import count
+
+SERVICE_SMOOTHING = 0.1
+MIN_RETRY_AFTER_SECONDS = 1.0
+MAX_RETRY_AFTER_SECONDS = 60.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Ticket:
+    """Stand for one waiting request."""
+
+    number: int
+    workspace: str
+    deadline: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Refused:
+    """The request cannot be served in time; come back after `retry_after`."""
+
+    reason: str
+    retry_after: float
+
+
+@dataclass(kw_only=True)
+class FairQueue:
+    """Order waiting requests so that workspaces share by their declared weight."""
+
+    _heap: list[tuple[float, int, Ticket]] = field(default_factory=list)
+    _last_finish: dict[str, float] = field(default_factory=dict)
+    _cancelled: set[int] = field(default_factory=set)
+    _numbers: count = field(default_factory=count)
+    _virtual: float = 0.0
+
+    def __len__(self) -> int:
+        return len(self._heap) - len(self._cancelled)
+
+    def push(self, *, workspace: str, share: float, deadline: float) -> Ticket:
+        """Add a request and return its ticket."""
+        start = max(self._virtual, self._last_finish.get(workspace, 0.0))
+        finish = start + 1.0 / share
+        self._last_finish[workspace] = finish
+        number = next(self._numbers)
+        ticket = Ticket(number=number, workspace=workspace, deadline=deadline)
+        heapq.heappush(self._heap, (finish, number, ticket))
+        return ticket
+
+    def cancel(self, ticket: Ticket) -> None:
+        """Take back a request that still waits."""
+        if any(entry[2] is ticket for entry in self._heap):
+            self._cancelled.add(ticket.number)
+
+    def pop(self) -> Ticket | None:
+        """Return the request whose turn it is."""
+        while self._heap:
+            finish, number, ticket = heapq.heappop(self._heap)
+            if number in self._cancelled:
+                self._cancelled.discard(number)
+                continue
+            self._virtual = max(self._virtual, finish)
+            return ticket
+        self._last_finish.clear()
+        return None
+
+    def requeue(self, ticket: Ticket) -> None:
+        """Put back a request that turned out to have no place yet."""
+        heapq.heappush(self._heap, (self._virtual, ticket.number, ticket))
+
+    def ahead_of(self, workspace: str, share: float) -> int:
+        """Return how many waiting requests would go before a new one."""
+        start = max(self._virtual, self._last_finish.get(workspace, 0.0))
+        finish = start + 1.0 / share
+        before = sum(entry[0] <= finish for entry in self._heap)
+        return max(0, before - len(self._cancelled))
+
+
+@dataclass(kw_only=True)
+class ServiceTime:
+    """Track how long requests hold a place."""
+
+    seconds: float
+
+    def note(self, seconds: float) -> None:
+        """Add one observation."""
+        self.seconds += SERVICE_SMOOTHING * (seconds - self.seconds)
+
+
+def expected_wait(*, ahead: int, places: int, service_seconds: float) -> float:
+    """Return the seconds until a place frees for one behind `ahead` others."""
+    if places <= 0:
+        return float("inf")
+    return (ahead + 1) * service_seconds / places
+
+
+def judge_wait(
+    *, ahead: int, places: int, service_seconds: float, remaining: float
+) -> Refused | None:
+    """Refuse a request at once when its deadline cannot be met in the queue."""
+    wait = expected_wait(ahead=ahead, places=places, service_seconds=service_seconds)
+    if wait + service_seconds <= remaining:
+        return None
+    late_by = wait + service_seconds - remaining
+    return Refused(reason="overloaded", retry_after=bounded_retry_after(late_by))
+
+
+def bounded_retry_after(seconds: float) -> float:
+    """Keep a time to come back within what a caller can use."""
+    return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, seconds))
--- /dev/null
+++ b/mallowpond/state/ownership.py
@@ -0,0 +1,21 @@
+"""Rendezvous hashing: who owns what, given the same members."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+
+def rendezvous_score(member: str, key: str) -> int:
+    """Return the weight of `member` for `key`."""
+    digest = blake2b(f"{member}\0{key}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def owner_of(key: str, members: Iterable[str]) -> str | None:
+    """Return the member with the highest weight for `key`."""
+    scored = ((rendezvous_score(member, key), member) for member in members)
+    return max(scored, default=(0, None))[1]
+
+
+def ranked_owners(key: str, members: Iterable[str]) -> list[str]:
+    """Return the members by falling weight for `key`."""
+    return sorted(members, key=lambda m: rendezvous_score(m, key), reverse=True)
--- /dev/null
+++ b/mallowpond/transport/engine_client.py
@@ -0,0 +1,51 @@
+"""Order and observe engines over HTTP."""
+
+from mallowpond.coordination.ports import (
+    EngineStatus,
+    Order,
+    OrderAccepted,
+    OrderRefused,
+    OrderResult,
+    OrderUnknown,
+    Unavailable,
+)
+from mallowpond.state.codec import from_json, to_json
+from mallowpond.transport.http_client import CallFailed, HttpClient
+
+
+class EngineClient:
+    """Reach the engines on target hosts."""
+
+    def __init__(self, *, http: HttpClient, timeout: float = 1.0) -> None:
+        self._http = http
+        self._timeout = timeout
+
+    async def order(self, address: str, order: Order) -> OrderResult:
+        """Send one order."""
+        answer = await self._http.fetch(
+            address, "POST", "/engine/order", body=to_json(order), timeout=self._timeout
+        )
+        match answer:
+            case CallFailed() if answer.bytes_left:
+                return OrderUnknown(reason=answer.reason)
+            case CallFailed(reason=reason):
+                return OrderRefused(reason=reason)
+            case (200, _):
+                return OrderAccepted()
+            case (409, body):
+                return OrderRefused(reason=body.decode(errors="replace"))
+            case (status, _):
+                return OrderUnknown(reason=f"status {status}")
+
+    async def status(self, address: str) -> EngineStatus | Unavailable:
+        """Ask an engine what it holds."""
+        answer = await self._http.fetch(
+            address, "GET", "/engine/status", timeout=self._timeout
+        )
+        match answer:
+            case CallFailed(reason=reason):
+                return Unavailable(reason=reason)
+            case (200, body):
+                return from_json(body, EngineStatus)
+            case (status, _):
+                return Unavailable(reason=f"status {status}")
--- /dev/null
+++ b/mallowpond/transport/http_client.py
@@ -0,0 +1,284 @@
+"""Call HTTP/1.1 servers with h11 and tell exactly how far a call came."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+import h11
+
+from mallowpond.transport.headers import decode_headers
+
+READ_SIZE = 65536
+MAX_IDLE_PER_ADDRESS = 32
+Headers = tuple[tuple[str, str], ...]
+
+
+class FailurePhase(str, Enum):
+    """Say where on its way a call failed."""
+
+    CONNECT = "connect"
+    CLOSED_BEFORE_SEND = "closed_before_send"
+    SEND = "send"
+    BEFORE_HEAD = "before_head"
+    BODY = "body"
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallFailed:
+    """A call failed; `bytes_left` tells whether the server may have seen any of it."""
+
+    phase: FailurePhase
+    reason: str
+
+    @property
+    def bytes_left(self) -> bool:
+        """Tell whether any byte of the request may have left this host."""
+        return self.phase not in (
+            FailurePhase.CONNECT,
+            FailurePhase.CLOSED_BEFORE_SEND,
+        )
+
+
+@dataclass(frozen=True, kw_only=True)
+class Chunk:
+    """Carry bytes of an answer; chunks that arrived together come as one."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, kw_only=True)
+class End:
+    """Mark that the answer arrived whole."""
+
+
+BodyEvent = Chunk | End | CallFailed
+
+
+@dataclass(kw_only=True)
+class _Connection:
+    address: str
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    state: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
+
+    @property
+    def is_usable(self) -> bool:
+        return not (self.reader.at_eof() or self.writer.is_closing())
+
+    def abort(self) -> None:
+        self.writer.transport.abort()
+
+
+class HttpResponse:
+    """Read one answer; closing it early drops the connection, never reuses it."""
+
+    def __init__(
+        self, *, head: h11.Response, connection: _Connection, client: "HttpClient"
+    ) -> None:
+        self._connection = connection
+        self._client = client
+        self._done = False
+        self.status = head.status_code
+        self.headers = decode_headers(head.headers)
+
+    async def events(self) -> AsyncIterator[BodyEvent]:
+        """Yield chunks, then one `End` or `CallFailed`."""
+        state, reader = self._connection.state, self._connection.reader
+        pending = bytearray()
+        while True:
+            try:
+                event = state.next_event()
+            except h11.RemoteProtocolError as error:
+                event = CallFailed(phase=FailurePhase.BODY, reason=str(error))
+            match event:
+                case h11.Data():
+                    pending += event.data
+                    continue
+                case h11.NEED_DATA if not pending:
+                    try:
+                        state.receive_data(await reader.read(READ_SIZE))
+                    except ConnectionError as error:
+                        yield CallFailed(phase=FailurePhase.BODY, reason=str(error))
+                        return
+                    continue
+            if pending:
+                yield Chunk(data=bytes(pending))
+                pending.clear()
+            match event:
+                case h11.EndOfMessage():
+                    self._done = True
+                    yield End()
+                    return
+                case CallFailed():
+                    yield event
+                    return
+                case h11.ConnectionClosed():
+                    yield CallFailed(phase=FailurePhase.BODY, reason="closed early")
+                    return
+
+    async def read(self, limit: int = 64 * 1024 * 1024) -> bytes | CallFailed:
+        """Return the whole body."""
+        body = bytearray()
+        async for event in self.events():
+            match event:
+                case Chunk(data=data):
+                    body += data
+                    if len(body) > limit:
+                        return CallFailed(phase=FailurePhase.BODY, reason="too large")
+                case CallFailed():
+                    return event
+        return bytes(body)
+
+    def close(self) -> None:
+        """Give the connection back when the answer was whole, else drop it."""
+        # A connection with an unread rest would hand one caller's late answer to
+        # the next caller; one would notice it by answers that do not match.
+        if self._done and self._connection.state.our_state is h11.DONE:
+            self._client.give_back(self._connection)
+        else:
+            self._connection.abort()
+
+
+class HttpClient:
+    """Keep connections to many servers."""
+
+    def __init__(self, *, connect_seconds: float = 1.0) -> None:
+        self._connect_seconds = connect_seconds
+        self._idle: dict[str, list[_Connection]] = defaultdict(list)
+        self._closed = False
+
+    async def send(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        *,
+        headers: Headers = (),
+        body: bytes = b"",
+        fresh: bool = False,
+    ) -> HttpResponse | CallFailed:
+        """Send a request and return once the head of the answer is here.
+
+        With `fresh` no kept connection is used: a server may close one at the very
+        moment of sending, and then nobody can tell whether the request ran.
+        """
+        connection = None if fresh else self._take(address)
+        if connection is None:
+            opened = await self._open(address)
+            if isinstance(opened, CallFailed):
+                return opened
+            connection = opened
+        try:
+            answer = await _exchange(connection, method, target, headers, body)
+        except BaseException:
+            connection.abort()
+            raise
+        if isinstance(answer, CallFailed):
+            connection.abort()
+            return answer
+        return HttpResponse(head=answer, connection=connection, client=self)
+
+    async def fetch(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        *,
+        headers: Headers = (),
+        body: bytes = b"",
+        timeout: float = 5.0,
+    ) -> tuple[int, bytes] | CallFailed:
+        """Send a request and return status and whole body, within `timeout`."""
+        response: HttpResponse | CallFailed | None = None
+        try:
+            async with asyncio.timeout(timeout):
+                response = await self.send(
+                    address, method, target, headers=headers, body=body
+                )
+                if isinstance(response, CallFailed):
+                    return response
+                data = await response.read()
+        except TimeoutError:
+            # The connection itself is opened under a shorter limit of its own, so
+            # a timeout here means that bytes may have left.
+            return CallFailed(phase=FailurePhase.BEFORE_HEAD, reason="timeout")
+        finally:
+            if isinstance(response, HttpResponse):
+                response.close()
+        return data if isinstance(data, CallFailed) else (response.status, data)
+
+    def give_back(self, connection: _Connection) -> None:
+        """Keep a connection for the next request to its server."""
+        idle = self._idle[connection.address]
+        if self._closed or len(idle) >= MAX_IDLE_PER_ADDRESS:
+            connection.abort()
+            return
+        try:
+            connection.state.start_next_cycle()
+        except h11.LocalProtocolError:
+            connection.abort()
+            return
+        idle.append(connection)
+
+    async def close(self) -> None:
+        """Drop every kept connection."""
+        self._closed = True
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.abort()
+        self._idle.clear()
+
+    def _take(self, address: str) -> _Connection | None:
+        idle = self._idle[address]
+        while idle:
+            connection = idle.pop()
+            if connection.is_usable:
+                return connection
+            connection.abort()
+        return None
+
+    async def _open(self, address: str) -> _Connection | CallFailed:
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._connect_seconds):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError) as error:
+            reason = str(error) or "connect timeout"
+            return CallFailed(phase=FailurePhase.CONNECT, reason=reason)
+        return _Connection(address=address, reader=reader, writer=writer)
+
+
+async def _exchange(
+    connection: _Connection, method: str, target: str, headers: Headers, body: bytes
+) -> h11.Response | CallFailed:
+    if not connection.is_usable:
+        return CallFailed(phase=FailurePhase.CLOSED_BEFORE_SEND, reason="closed")
+    fixed = (("host", connection.address), ("content-length", str(len(body))))
+    request = h11.Request(method=method, target=target, headers=fixed + headers)
+    state = connection.state
+    data = state.send(request) or b""
+    data += state.send(h11.Data(data=body)) or b""
+    data += state.send(h11.EndOfMessage()) or b""
+    try:
+        connection.writer.write(data)
+        await connection.writer.drain()
+    except ConnectionError as error:
+        return CallFailed(phase=FailurePhase.SEND, reason=str(error))
+    try:
+        return await _read_head(connection)
+    except (ConnectionError, h11.RemoteProtocolError) as error:
+        return CallFailed(phase=FailurePhase.BEFORE_HEAD, reason=str(error))
+
+
+async def _read_head(connection: _Connection) -> h11.Response | CallFailed:
+    while True:
+        event = connection.state.next_event()
+        match event:
+            case h11.NEED_DATA:
+                connection.state.receive_data(await connection.reader.read(READ_SIZE))
+            case h11.Response():
+                return event
+            case h11.ConnectionClosed():
+                return CallFailed(phase=FailurePhase.BEFORE_HEAD, reason="closed")
--- /dev/null
+++ b/mallowpond/transport/http_server.py
@@ -0,0 +1,327 @@
+"""Meet HTTP/1.1 clients with h11 on asyncio streams."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import h11
+
+from mallowpond.transport.headers import decode_headers
+
+READ_SIZE = 65536
+MAX_HEADER_BYTES = 16384
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServerLimits:
+    """Bound what one client may make the server hold or wait for."""
+
+    header_bytes: int = MAX_HEADER_BYTES
+    body_bytes: int = 4 * 1024 * 1024
+    receive_seconds: float = 10.0
+    idle_seconds: float = 60.0
+    send_seconds: float = 30.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class HttpRequest:
+    """Hold one request, its body read whole."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition("?")[0]
+
+
+@dataclass(frozen=True, kw_only=True)
+class BadInput:
+    """Tell why a request could not be read."""
+
+    status: int
+    reason: str
+    detail: str
+
+
+class ClientGone(Exception):
+    """The client closed its connection before the answer was complete."""
+
+
+@dataclass(kw_only=True)
+class Exchange:
+    """Answer one request; an answer left open is cut, never ended as if whole."""
+
+    _connection: h11.Connection
+    _writer: asyncio.StreamWriter
+    _send_seconds: float
+    started: bool = field(default=False, init=False)
+    finished: bool = field(default=False, init=False)
+
+    async def respond(
+        self,
+        status: int,
+        body: bytes = b"",
+        headers: Headers = (),
+        content_type: str = "application/json",
+    ) -> None:
+        """Send a whole answer."""
+        fixed = (("content-type", content_type), ("content-length", str(len(body))))
+        data = self._head(status, headers + fixed)
+        data += self._connection.send(h11.Data(data=body)) or b""
+        data += self._connection.send(h11.EndOfMessage()) or b""
+        self.finished = True
+        await self._write(data)
+
+    async def start(self, status: int, headers: Headers = ()) -> None:
+        """Send the head of a chunked answer."""
+        await self._write(self._head(status, headers))
+
+    async def send(self, data: bytes) -> None:
+        """Send one part of a chunked answer."""
+        await self._write(self._connection.send(h11.Data(data=data)) or b"")
+
+    async def end(self) -> None:
+        """Mark a chunked answer as whole."""
+        self.finished = True
+        await self._write(self._connection.send(h11.EndOfMessage()) or b"")
+
+    def _head(self, status: int, headers: Headers) -> bytes:
+        self.started = True
+        reason = HTTPStatus(status).phrase
+        head = h11.Response(status_code=status, headers=headers, reason=reason)
+        return self._connection.send(head) or b""
+
+    async def _write(self, data: bytes) -> None:
+        if self._writer.is_closing():
+            raise ClientGone
+        self._writer.write(data)
+        try:
+            # A client that stops reading would hold its stream's memory and its
+            # group's slot for ever; one notices it by slots that never free.
+            async with asyncio.timeout(self._send_seconds):
+                await self._writer.drain()
+        except (ConnectionError, TimeoutError) as error:
+            raise ClientGone from error
+
+
+Handler = Callable[[HttpRequest, Exchange], Awaitable[None]]
+BadInputHandler = Callable[[BadInput, Exchange], Awaitable[None]]
+
+
+async def _plain_bad_input(bad: BadInput, exchange: Exchange) -> None:
+    await exchange.respond(bad.status, bad.detail.encode(), content_type="text/plain")
+
+
+class _Unreadable(Exception):
+    def __init__(self, bad: BadInput) -> None:
+        super().__init__(bad.detail)
+        self.bad = bad
+
+
+class HttpServer:
+    """Serve one handler on one address."""
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        limits: ServerLimits = ServerLimits(),
+        on_bad_input: BadInputHandler = _plain_bad_input,
+    ) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._on_bad_input = on_bad_input
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.Task[None]] = set()
+        self._closing = False
+
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on."""
+        assert self._server is not None
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen; port 0 takes any free one."""
+        self._server = await asyncio.start_server(
+            self._accept, host, port, limit=READ_SIZE, backlog=1024
+        )
+
+    async def close(self) -> None:
+        """Stop listening and drop the connections that are left."""
+        self._closing = True
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._connections):
+            task.cancel()
+        await asyncio.gather(*self._connections, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections.add(task)
+        try:
+            await self._converse(reader, writer)
+        except (ConnectionError, asyncio.CancelledError, ClientGone):
+            pass
+        finally:
+            self._connections.discard(task)
+            writer.transport.abort() if self._closing else writer.close()
+
+    async def _converse(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+        while True:
+            exchange = Exchange(
+                _connection=connection,
+                _writer=writer,
+                _send_seconds=self._limits.send_seconds,
+            )
+            try:
+                request = await self._receive(connection, reader, writer)
+            except _Unreadable as unreadable:
+                await self._on_bad_input(unreadable.bad, exchange)
+                return
+            if request is None:
+                return
+            await self._handle(request, exchange, connection, reader)
+            if not exchange.finished or connection.our_state is not h11.DONE:
+                # No closing chunk goes out: the client sees the answer broken off.
+                return
+            if connection.their_state is not h11.DONE:
+                return
+            connection.start_next_cycle()
+
+    async def _handle(
+        self,
+        request: HttpRequest,
+        exchange: Exchange,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+    ) -> None:
+        # A client that leaves must free its group's slot at once, so the socket
+        # is watched while the handler runs and the handler is cancelled.
+        work = asyncio.ensure_future(self._handler(request, exchange))
+        watch = asyncio.ensure_future(_watch_departure(connection, reader))
+        try:
+            await asyncio.wait({work, watch}, return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                work.cancel("client gone")
+            with contextlib.suppress(asyncio.CancelledError, ClientGone):
+                await work
+        finally:
+            work.cancel()
+            watch.cancel()
+            await asyncio.gather(work, watch, return_exceptions=True)
+
+    async def _receive(
+        self,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> HttpRequest | None:
+        if not connection.trailing_data[0]:
+            first = await self._read_first(reader)
+            if first == b"":
+                return None
+            connection.receive_data(first)
+        try:
+            async with asyncio.timeout(self._limits.receive_seconds):
+                return await self._read_request(connection, reader, writer)
+        except TimeoutError:
+            raise _Unreadable(
+                BadInput(
+                    status=408,
+                    reason="slow_sender",
+                    detail="The request did not arrive in time.",
+                )
+            ) from None
+
+    async def _read_first(self, reader: asyncio.StreamReader) -> bytes:
+        try:
+            async with asyncio.timeout(self._limits.idle_seconds):
+                return await reader.read(READ_SIZE)
+        except TimeoutError:
+            return b""
+
+    async def _read_request(
+        self,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> HttpRequest | None:
+        head: h11.Request | None = None
+        body = bytearray()
+        while True:
+            try:
+                event = connection.next_event()
+            except h11.RemoteProtocolError as error:
+                raise _Unreadable(_bad_protocol(error)) from error
+            match event:
+                case h11.NEED_DATA:
+                    if connection.they_are_waiting_for_100_continue:
+                        go_on = h11.InformationalResponse(status_code=100, headers=[])
+                        writer.write(connection.send(go_on) or b"")
+                    connection.receive_data(await reader.read(READ_SIZE))
+                case h11.Request():
+                    head = event
+                case h11.Data():
+                    body += event.data
+                    if len(body) > self._limits.body_bytes:
+                        raise _Unreadable(
+                            BadInput(
+                                status=413,
+                                reason="body_too_large",
+                                detail=f"At most {self._limits.body_bytes} bytes.",
+                            )
+                        )
+                case h11.EndOfMessage():
+                    assert head is not None
+                    return _whole_request(head, bytes(body))
+                case _:
+                    return None
+
+
+def _whole_request(head: h11.Request, body: bytes) -> HttpRequest:
+    return HttpRequest(
+        method=head.method.decode("latin-1"),
+        target=head.target.decode("latin-1"),
+        headers=decode_headers(head.headers),
+        body=body,
+    )
+
+
+def _bad_protocol(error: h11.RemoteProtocolError) -> BadInput:
+    if error.error_status_hint == 431:
+        return BadInput(
+            status=431, reason="headers_too_large", detail="The headers are too large."
+        )
+    return BadInput(status=400, reason="malformed_http", detail=str(error))
+
+
+async def _watch_departure(
+    connection: h11.Connection, reader: asyncio.StreamReader
+) -> None:
+    held = 0
+    while held < READ_SIZE:
+        try:
+            data = await reader.read(READ_SIZE)
+        except ConnectionError:
+            return
+        if not data:
+            return
+        held += len(data)
+        connection.receive_data(data)
+    await asyncio.Event().wait()
