Let the thin-path test wait for both gateways

Cause: the second gateway hangs on the other controller, which reads the group's row up to a heartbeat later; its refusal as no_group was true. Ruled out: a lost answer (the gateway's log shows no_group).

--- a/mallowpond/programs/tests/test_thin_path.py
+++ b/mallowpond/programs/tests/test_thin_path.py
@@ -11,6 +11,8 @@
         whole = cluster.wait_serving()
         assert whole.json["choices"][0]["text"] == "ping.0 ping.1 ping.2 ping.3 "
 
+        # The second gateway's controller may read the group's row a heartbeat later.
+        cluster.wait_serving("gateway1")
         streamed = cluster.complete("star", "gateway1", stream=True)
         assert streamed.status == 200
         assert streamed.body.count(b"data: ") == 6
