--- a/mallowpond/controller/links.py
+++ b/mallowpond/controller/links.py
@@ -28,6 +28,7 @@
     QuotaAsk,
     Routes,
     RoutesAsk,
+    SuspectGroup,
     VoidAsk,
 )
 from mallowpond.state.claims import (
@@ -55,12 +56,14 @@
         claims: ClaimCommitter,
         quotas: QuotaLeaser,
         metrics: ControllerMetrics,
+        on_suspect: Callable[[], None],
     ) -> None:
         self._routes = routes
         self._view = view
         self._claims = claims
         self._quotas = quotas
         self._metrics = metrics
+        self._on_suspect = on_suspect
         self._gateways: dict[str, int] = {}
 
     @property
@@ -96,6 +99,8 @@
 
     async def _answer_later(self, link: PeerLink, message: Message) -> None:
         match message:
+            case SuspectGroup():
+                self._on_suspect()
             case QuotaAsk():
                 await link.send(await self._lease(message))
             case ClaimAsk():
--- a/mallowpond/controller/service.py
+++ b/mallowpond/controller/service.py
@@ -37,6 +37,8 @@
 
 log = structlog.get_logger()
 PLANNER_LEASE = "planner"
+DETACH_SECONDS = 3.0
+DETACH_CHECK_SECONDS = 0.05
 
 
 class Controller:
@@ -55,6 +57,7 @@
         self._stack = AsyncExitStack()
         self._leaving = False
         self._built = asyncio.Event()
+        self._look_again = asyncio.Event()
         self._downtime_at: float | None = None
         self.metrics = ControllerMetrics()
         self.replaced = asyncio.Event()
@@ -80,6 +83,7 @@
         self._spawn("table", self._every(timings.heartbeat, "table", self._table_step))
         self._spawn("hosts", self._every(timings.host_list, "hosts", self._read_hosts))
         self._spawn("watch", self._every(timings.watch, "watch", self._watch_step))
+        self._spawn("suspects", self._every(0.0, "suspects", self._suspect_step))
         self._spawn("peers", self._every(timings.heartbeat, "peers", self._peer_step))
         self._spawn("groups", self._every(timings.heartbeat, "groups", self._plan_step))
         log.info("controller: started", name=self._settings.name)
@@ -115,6 +119,14 @@
             applied=applied, prepared=self.configuration.prepared
         )
 
+    async def drain(self) -> None:
+        """Wait until the gateways have moved and no claim waits, within a limit."""
+        limit = self._clock.now() + DETACH_SECONDS
+        while self._clock.now() < limit:
+            if not self._links.gateways and not self._claims.waiting:
+                return
+            await self._clock.sleep(DETACH_CHECK_SECONDS)
+
     async def close(self) -> None:
         """Stop every loop and close every socket."""
         await self._stack.aclose()
@@ -152,12 +164,14 @@
             member=settings.name,
             draw_id=self._draw_id,
             live_gateways=self._live_gateways,
+            on_transaction=self.metrics.claim_transactions.inc,
         )
         self._links = LinkService(
             routes=self._answer_routes,
             view=self._answer_view,
             claims=self._claims,
             quotas=QuotaLeaser(table=ports.table, draw_id=self._draw_id),
+            on_suspect=self._look_again.set,
             metrics=self.metrics,
         )
         self._peers = PeerPoller(
@@ -246,6 +260,13 @@
     async def _watch_step(self) -> None:
         await self.watch.poll(tuple(h for h in self._hosts if h.domain))
 
+    async def _suspect_step(self) -> None:
+        """Look at the engines at once when a gateway reports a failed dispatch."""
+        await self._look_again.wait()
+        self._look_again.clear()
+        await self._watch_step()
+        await self._clock.sleep(self._settings.timings.watch / 4)
+
     async def _peer_step(self) -> None:
         me = self._settings.name
         members = self.membership.members()
@@ -283,8 +304,6 @@
         # Only the planner reports these, so that a sum over nodes counts them once.
         metrics.stranded.set(self.groups.stranded if self.owns_planner else 0)
         metrics.tainted.set(len(self.groups.tainted) if self.owns_planner else 0)
-        done = self._claims.transactions
-        metrics.claim_transactions.inc(done - metrics_value(metrics.claim_transactions))
 
     # -- answers -------------------------------------------------------------
 
@@ -394,11 +413,6 @@
             await self._clock.sleep(seconds)
 
 
-def metrics_value(counter) -> float:
-    """Return what a counter without labels stands at."""
-    return counter._value.get()
-
-
 async def _cancel(task: asyncio.Task) -> None:
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
--- a/mallowpond/coordination/claims.py
+++ b/mallowpond/coordination/claims.py
@@ -120,6 +120,7 @@
         member: str,
         draw_id: Callable[[], str],
         live_gateways: Callable[[], frozenset[str]],
+        on_transaction: Callable[[], None] = lambda: None,
     ) -> None:
         self._table = table
         self._member = member
@@ -127,7 +128,12 @@
         self._live_gateways = live_gateways
         self._queue: list[_Waiting] = []
         self._wake = asyncio.Event()
-        self.transactions = 0
+        self._on_transaction = on_transaction
+
+    @property
+    def waiting(self) -> int:
+        """Return how much work waits for its transaction."""
+        return len(self._queue)
 
     async def submit(self, work: ClaimWork) -> ClaimResult:
         """Queue one piece of work and return what became of it."""
@@ -220,7 +226,7 @@
             checks=tuple(Check(key=k, version=v) for k, v in group.checks.items()),
             puts=tuple(Put(key=k, value=to_plain(r)) for k, r in group.rows.items()),
         )
-        self.transactions += 1
+        self._on_transaction()
         match await commit_settled(self._table, change):
             case Committed():
                 for waiting, result in group.pending:
--- a/mallowpond/coordination/groups.py
+++ b/mallowpond/coordination/groups.py
@@ -5,6 +5,7 @@
 incarnation that was planned with. See ``docs/design/groups.md``.
 """
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -112,6 +113,7 @@
         self._note_states()
         await self._promote_loaded()
         await self._finish_drained()
+        await self._note_unloaded()
         await self._plan(declaration, hosts, lease)
         await self._send_orders(declaration, hosts)
 
@@ -154,6 +156,17 @@
             if self._is_drained(group):
                 await self._delete(name, row)
 
+    async def _note_unloaded(self) -> None:
+        """Close the orders that free hosts have carried out."""
+        done: dict[str, tuple[object, int]] = {}
+        for name, row in self._host_rows().items():
+            is_open = row.value.outcome is OrderOutcome.PENDING
+            if is_open and row.value.group is None and self._is_carried_out(row.value):
+                closed = replace(row.value, outcome=OrderOutcome.DONE)
+                done[HOSTS + name] = (closed, row.version)
+        if done:
+            await self._commit(done)
+
     def _is_drained(self, group: GroupRow) -> bool:
         age = self._age(group)
         if age >= self._timings.drain_limit:
@@ -398,18 +411,35 @@
         """Send what is written down and not carried out; sending twice is harmless."""
         addresses = {host.name: host.address for host in hosts}
         deployments = {d.name: d for d in declaration.deployments}
+        open_rows = [await self._adopt(n, r) for n, r in self._unfinished(addresses)]
+        # The lease is looked at after every commit and right before the sends, since
+        # an engine that ignores fencing obeys a holder whose lease has lapsed.
+        lease = self._lease.held
+        if lease is None:
+            return
+        # All at once: one engine that hangs must not hold up the orders to the rest.
+        await asyncio.gather(
+            *(
+                self._engines.order(
+                    addresses[row.host], self._order_for(row, deployments, lease)
+                )
+                for row in open_rows
+                if row is not None
+            )
+        )
+
+    def _unfinished(
+        self, addresses: dict[str, str]
+    ) -> list[tuple[str, Versioned[HostRow]]]:
+        """Return the rows of reachable hosts whose engines hold something else."""
+        found = []
         for name, row in self._host_rows().items():
             status = self._watch.recent(name)
             if status is None or name not in addresses or name in self._tainted:
                 continue
-            if self._needs_nothing(row.value, status):
-                continue
-            adopted = await self._adopt(name, row)
-            lease = self._lease.held
-            if adopted is None or lease is None:
-                continue
-            order = self._order_for(adopted, deployments, lease)
-            await self._engines.order(addresses[name], order)
+            if not self._needs_nothing(row.value, status):
+                found.append((name, row))
+        return found
 
     def _needs_nothing(self, row: HostRow, status: EngineStatus) -> bool:
         """Tell whether the engine holds just what its row says."""
--- a/mallowpond/gateway/link.py
+++ b/mallowpond/gateway/link.py
@@ -28,6 +28,7 @@
 log = structlog.get_logger()
 RETRY_SECONDS = 0.2
 SILENT_SECONDS = 1.5
+REATTACH_SECONDS = 1.0
 
 
 class ControllerLink:
@@ -50,6 +51,7 @@
         self._poll_seconds = poll_seconds
         self._on_change = on_change
         self._link: PeerLink | None = None
+        self._attached = asyncio.Event()
         self._calls: dict[int, asyncio.Future] = {}
         self._numbers = count(1)
         self._asked: dict[int, float] = {}
@@ -99,14 +101,15 @@
     async def _call(
         self, ask: ClaimAsk | FinishAsk | VoidAsk | QuotaAsk, timeout: float
     ) -> ClaimAnswer | QuotaAnswer | ClaimVerdict:
-        if self._link is None:
+        link = await self._current_link()
+        if link is None:
             return ClaimVerdict.STORE_UNAVAILABLE
         number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
         self._calls[number] = future
         try:
             async with asyncio.timeout(timeout):
-                await self._link.send(replace(ask, call=number))
+                await link.send(replace(ask, call=number))
                 return await future
         except (LinkClosed, TimeoutError):
             # The controller may have committed the claim without our hearing of it.
@@ -114,11 +117,21 @@
         finally:
             self._calls.pop(number, None)
 
+    async def _current_link(self) -> PeerLink | None:
+        """Return the link, waiting shortly for the next one while there is none."""
+        try:
+            async with asyncio.timeout(REATTACH_SECONDS):
+                await self._attached.wait()
+        except TimeoutError:
+            return None
+        return self._link
+
     async def _attach(self, address: str) -> None:
         async with AsyncExitStack() as stack:
             link = await open_link(address, stack)
             await link.send(GatewayHello(gateway=self._gateway))
             self._link = link
+            self._attached.set()
             stack.callback(self._detach)
             self._answered_at = self._clock.now()
             log.info("gateway: attached", controller=address)
@@ -128,6 +141,7 @@
 
     def _detach(self) -> None:
         self._link = None
+        self._attached.clear()
         self._asked.clear()
         log.info("gateway: detached")
 
@@ -159,12 +173,18 @@
                     self._routes.take(message, asked_at)
                     self._on_change()
                     if message.leaving:
-                        raise LinkClosed("the controller is leaving")
+                        self._move_on()
                 case ClaimAnswer(call=number) | QuotaAnswer(call=number):
                     future = self._calls.get(number)
                     if future is not None and not future.done():
                         future.set_result(message)
 
+    def _move_on(self) -> None:
+        """Leave a controller that is leaving once it has answered every call."""
+        self._attached.clear()
+        if not self._calls:
+            raise LinkClosed("the controller is leaving")
+
     def _fail_calls(self) -> None:
         for future in self._calls.values():
             if not future.done():
--- a/mallowpond/gateway/pools.py
+++ b/mallowpond/gateway/pools.py
@@ -88,7 +88,8 @@
         async def note_failure(place: Place, reason: str) -> None:
             group = self.routes.groups.get(place.target)
             if group is not None and reason in SUSPECT_REASONS:
-                self.routes.revoke(group.group, group.generation)
+                now = self.clock.now()
+                self.routes.revoke(group.group, group.generation, now)
                 await self.link.suspect(group.group, group.generation)
 
         def leave(place: Place, held: float, latency: float | None) -> None:
--- a/mallowpond/gateway/routes.py
+++ b/mallowpond/gateway/routes.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from mallowpond.protocol.declaration_file import parse_document
-from mallowpond.protocol.peer import Routes
+from mallowpond.protocol.peer import Permit, Routes
 from mallowpond.state.declarations import Declaration
 from mallowpond.state.rows import GroupRow
 
@@ -23,6 +23,7 @@
     groups: dict[str, GroupRow] = field(default_factory=dict)
     _config_until: float = 0.0
     _permit_until: dict[tuple[str, int], float] = field(default_factory=dict)
+    _revoked_at: dict[tuple[str, int], float] = field(default_factory=dict)
     _excluded: frozenset[str] = frozenset()
 
     def take(self, routes: Routes, asked_at: float) -> None:
@@ -37,14 +38,14 @@
             self.routes_version = routes.routes_version
         self._excluded = frozenset(routes.excluded_hosts)
         for permit in routes.permits:
-            key = (permit.group, permit.generation)
-            until = asked_at - permit.age + self.permit_seconds
-            self._permit_until[key] = max(until, self._permit_until.get(key, until))
+            self._take_permit(permit, asked_at)
         self._forget_old_permits(asked_at)
 
-    def revoke(self, group: str, generation: int) -> None:
-        """Stop using a group until it is seen whole again."""
-        self._permit_until.pop((group, generation), None)
+    def revoke(self, group: str, generation: int, now: float) -> None:
+        """Stop using a group until it is seen whole after `now`."""
+        key = (group, generation)
+        self._permit_until.pop(key, None)
+        self._revoked_at[key] = now
 
     def is_sure(self, now: float) -> bool:
         """Tell whether the version held is known to be the one in force."""
@@ -74,6 +75,18 @@
             return
         self._config_until = max(self._config_until, asked_at + routes.config_left)
 
+    def _take_permit(self, permit: Permit, asked_at: float) -> None:
+        key = (permit.group, permit.generation)
+        seen_at = asked_at - permit.age
+        # A controller that has not noticed the failure yet goes on sending its last
+        # sight of the whole group; it must not bring the group back.
+        if seen_at <= self._revoked_at.get(key, 0.0):
+            return
+        until = seen_at + self.permit_seconds
+        self._permit_until[key] = max(until, self._permit_until.get(key, until))
+
     def _forget_old_permits(self, now: float) -> None:
         kept = {k: until for k, until in self._permit_until.items() if until > now}
         self._permit_until = kept
+        oldest = now - self.permit_seconds
+        self._revoked_at = {k: at for k, at in self._revoked_at.items() if at > oldest}
--- a/mallowpond/programs/processes.py
+++ b/mallowpond/programs/processes.py
@@ -50,6 +50,7 @@
         await asyncio.wait({stopping, replaced}, return_when=asyncio.FIRST_COMPLETED)
         if stop.is_set():
             await controller.leave()
+            await controller.drain()
         stopping.cancel()
         replaced.cancel()
     finally:
--- /dev/null
+++ b/mallowpond/state/tests/test_ownership.py
@@ -0,0 +1,27 @@
+"""Rendezvous hashing moves little."""
+
+from mallowpond.state.ownership import owner_of, ranked_owners
+
+KEYS = [f"deployment-{n}" for n in range(1000)]
+MEMBERS = [f"controller-{n}" for n in range(7)]
+
+
+def test_nobody_owns_without_members():
+    assert owner_of("a", []) is None
+
+
+def test_owner_does_not_depend_on_order():
+    assert owner_of("a", MEMBERS) == owner_of("a", reversed(MEMBERS))
+
+
+def test_a_loss_moves_only_the_lost_members_keys():
+    before = {k: owner_of(k, MEMBERS) for k in KEYS}
+    after = {k: owner_of(k, MEMBERS[1:]) for k in KEYS}
+    moved = [k for k in KEYS if before[k] != after[k]]
+    assert all(before[k] == MEMBERS[0] for k in moved)
+    assert len(moved) < 1000 / 7 * 1.3
+
+
+def test_ranked_owners_start_with_the_owner():
+    assert ranked_owners("a", MEMBERS)[0] == owner_of("a", MEMBERS)
+    assert sorted(ranked_owners("a", MEMBERS)) == MEMBERS
