Keep a host out of groups while an older holder's order may still arrive

Cause: dissolving a group wrote a new order over the row of a host whose last order an older, frozen holder had written down and not sent, so the record of the open order was lost and an engine that ignores fencing could be handed to a second group. Found by test_host_is_kept_out_where_engines_ignore_fencing. Ruled out: the commit itself (it checks the lease's row). Change: rows keep earlier open orders; for engines without fencing an order is sent once, and closed only by the engine showing just it, its holder, or the holder's host being gone. Before: tainted set empty, hosts given on.

--- /dev/null
+++ b/mallowpond/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The program that manages members, configuration, groups and claims."""
--- a/mallowpond/controller/service.py
+++ b/mallowpond/controller/service.py
@@ -258,7 +258,7 @@
             self._hosts = hosts
 
     async def _watch_step(self) -> None:
-        await self.watch.poll(tuple(h for h in self._hosts if h.domain))
+        await self.watch.poll(self._hosts)
 
     async def _suspect_step(self) -> None:
         """Look at the engines at once when a gateway reports a failed dispatch."""
@@ -301,9 +301,8 @@
             down = max(0, deployment.replicas - ready)
             if self.owns_planner:
                 metrics.group_downtime.labels(deployment.name).inc(down * elapsed)
-        # Only the planner reports these, so that a sum over nodes counts them once.
-        metrics.stranded.set(self.groups.stranded if self.owns_planner else 0)
-        metrics.tainted.set(len(self.groups.tainted) if self.owns_planner else 0)
+        metrics.stranded.set(self.groups.stranded)
+        metrics.tainted.set(len(self.groups.tainted))
 
     # -- answers -------------------------------------------------------------
 
--- /dev/null
+++ b/mallowpond/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""What uses the table service: membership, configuration, claims, groups."""
--- a/mallowpond/coordination/groups.py
+++ b/mallowpond/coordination/groups.py
@@ -5,13 +5,13 @@
 incarnation that was planned with. See ``docs/design/groups.md``.
 """
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from mallowpond.coordination.health import EngineWatch, is_in_place
 from mallowpond.coordination.keys import GROUPS, HOSTS, SHARED
 from mallowpond.coordination.leases import NamedLease
+from mallowpond.coordination.orders import OrderDesk
 from mallowpond.coordination.ports import (
     Check,
     Clock,
@@ -79,11 +79,10 @@
     ) -> None:
         self._table = table
         self._clock = clock
-        self._engines = engines
         self._shared = shared
         self._lease = lease
         self._watch = watch
-        self._holder = holder
+        self._desk = OrderDesk(engines=engines, watch=watch, holder=holder)
         self._draw_id = draw_id
         self._timings = timings
         self._since: dict[tuple[str, GroupState, int], float] = {}
@@ -106,15 +105,19 @@
 
     async def tick(self, *, declaration: Declaration, hosts: tuple[Host, ...]) -> None:
         """Advance every group by one step, if this process holds the lease."""
+        checks_fencing = all(d.checks_fencing for d in declaration.deployments)
+        self._desk.look(checks_fencing=checks_fencing, hosts=hosts)
         lease = await self._lease.keep()
         if lease is None:
+            # Only the planner speaks of these, so that a sum over nodes is right.
+            self._tainted, self._stranded = (), 0
             await self._withdraw_orders()
             return
         self._note_states()
         await self._promote_loaded()
         await self._finish_drained()
-        await self._note_unloaded()
-        await self._plan(declaration, hosts, lease)
+        await self._close_orders()
+        await self._plan(declaration, hosts)
         await self._send_orders(declaration, hosts)
 
     def _group_rows(self) -> dict[str, Versioned[GroupRow]]:
@@ -156,16 +159,17 @@
             if self._is_drained(group):
                 await self._delete(name, row)
 
-    async def _note_unloaded(self) -> None:
-        """Close the orders that free hosts have carried out."""
-        done: dict[str, tuple[object, int]] = {}
+    async def _close_orders(self) -> None:
+        """Note the orders that free hosts carried out and those that are closed."""
+        changes: dict[str, tuple[object, int]] = {}
         for name, row in self._host_rows().items():
-            is_open = row.value.outcome is OrderOutcome.PENDING
-            if is_open and row.value.group is None and self._is_carried_out(row.value):
-                closed = replace(row.value, outcome=OrderOutcome.DONE)
-                done[HOSTS + name] = (closed, row.version)
-        if done:
-            await self._commit(done)
+            changed = self._desk.pruned(row.value) or row.value
+            if row.value.group is None and self._is_carried_out(row.value):
+                changed = replace(changed, outcome=OrderOutcome.DONE)
+            if changed != row.value:
+                changes[HOSTS + name] = (changed, row.version)
+        if changes:
+            await self._commit(changes)
 
     def _is_drained(self, group: GroupRow) -> bool:
         age = self._age(group)
@@ -186,9 +190,7 @@
 
     def _freed(self, hosts: tuple[str, ...]) -> dict[str, tuple[object, int]]:
         """Return the changes that unbind hosts and write down their unload orders."""
-        return self._host_changes(
-            hosts, group=None, generation=0, outcome=OrderOutcome.PENDING, new=True
-        )
+        return self._host_changes(hosts, group=None, generation=0, new=True)
 
     def _host_changes(
         self, hosts: tuple[str, ...], *, new: bool = False, **fields: object
@@ -199,24 +201,23 @@
             row = rows.get(host)
             if row is None:
                 continue
-            changed = replace(row.value, **fields)
-            if new:
-                changed = self._next_order(changed)
+            changed = self._next_order(row.value) if new else row.value
+            changed = replace(changed, **fields)
             changes[HOSTS + host] = (changed, row.version)
         return changes
 
     def _next_order(self, row: HostRow) -> HostRow:
         lease = self._lease.held
-        fence = lease.fence if lease else row.fence
-        return replace(row, order=row.order + 1, fence=fence, holder=self._holder())
+        return self._desk.next_order(row, lease.fence if lease else row.fence)
 
     # -- planning ------------------------------------------------------------
 
-    async def _plan(
-        self, declaration: Declaration, hosts: tuple[Host, ...], lease: HeldLease
-    ) -> None:
-        self._tainted = self._find_tainted(declaration, hosts, lease)
-        plan_hosts = [self._plan_host(h, declaration) for h in hosts if h.domain]
+    async def _plan(self, declaration: Declaration, hosts: tuple[Host, ...]) -> None:
+        rows = self._host_rows()
+        self._tainted = tuple(
+            name for name, row in rows.items() if self._desk.is_tainted(row.value)
+        )
+        plan_hosts = [self._plan_host(h, declaration) for h in hosts if h.is_target]
         plan_groups = [
             self._plan_group(row.value, declaration)
             for row in self._group_rows().values()
@@ -271,29 +272,9 @@
             return not is_in_place(status, member, group)
         return self._age(group) >= self._timings.forming_limit
 
-    def _find_tainted(
-        self, declaration: Declaration, hosts: tuple[Host, ...], lease: HeldLease
-    ) -> tuple[str, ...]:
-        """Name hosts that an older holder may still send an order to.
-
-        An engine that ignores fencing would obey a holder that wakes after its lease
-        lapsed, and stand in two groups at once. Waiting cannot rule that out.
-        """
-        if all(d.checks_fencing for d in declaration.deployments):
-            return ()
-        listed = {h.name: h.incarnation for h in hosts}
-        return tuple(
-            name
-            for name, row in self._host_rows().items()
-            if row.value.fence < lease.fence
-            and row.value.outcome is OrderOutcome.PENDING
-            and not self._is_carried_out(row.value)
-            and not _is_holder_replaced(row.value.holder, listed)
-        )
-
     def _is_carried_out(self, row: HostRow) -> bool:
         status = self._watch.recent(row.host)
-        return status is not None and status.order >= row.order
+        return status is not None and status.order == row.order
 
     async def _carry_out(
         self, action: Form | Repair | Dissolve, hosts: tuple[Host, ...]
@@ -391,17 +372,23 @@
     def _bound(
         self, member: GroupMember, group: GroupRow, held: HostRow | None
     ) -> HostRow:
-        row = HostRow(
-            host=member.host,
+        if held is None:
+            held = HostRow(
+                host=member.host,
+                incarnation=member.incarnation,
+                group=None,
+                generation=0,
+                order=0,
+                fence=0,
+                holder=Holder(member="", incarnation=""),
+                outcome=OrderOutcome.DONE,
+            )
+        return replace(
+            self._next_order(held),
             incarnation=member.incarnation,
             group=group.group,
             generation=group.generation,
-            order=held.order if held else 0,
-            fence=held.fence if held else 0,
-            holder=self._holder(),
-            outcome=OrderOutcome.PENDING,
         )
-        return self._next_order(row)
 
     # -- orders --------------------------------------------------------------
 
@@ -417,16 +404,12 @@
         lease = self._lease.held
         if lease is None:
             return
-        # All at once: one engine that hangs must not hold up the orders to the rest.
-        await asyncio.gather(
-            *(
-                self._engines.order(
-                    addresses[row.host], self._order_for(row, deployments, lease)
-                )
-                for row in open_rows
-                if row is not None
-            )
-        )
+        orders = [
+            (addresses[row.host], row, self._order_for(row, deployments, lease))
+            for row in open_rows
+            if row is not None and self._desk.may_send(row)
+        ]
+        await self._desk.send(orders)
 
     def _unfinished(
         self, addresses: dict[str, str]
@@ -444,7 +427,7 @@
     def _needs_nothing(self, row: HostRow, status: EngineStatus) -> bool:
         """Tell whether the engine holds just what its row says."""
         placed = (status.group or None, status.generation)
-        if placed == (row.group, row.generation) and status.order >= row.order:
+        if placed == (row.group, row.generation) and status.order == row.order:
             return True
         # A member that restarted after its group was READY waits for the repair.
         return row.group is not None and row.outcome is not OrderOutcome.PENDING
@@ -456,7 +439,7 @@
             return None
         if row.value.fence == lease.fence:
             return row.value
-        adopted = self._next_order(replace(row.value, outcome=OrderOutcome.PENDING))
+        adopted = self._next_order(row.value)
         if await self._commit({HOSTS + name: (adopted, row.version)}):
             return adopted
         return None
@@ -481,22 +464,21 @@
         )
 
     async def _withdraw_orders(self) -> None:
-        """Declare that this process will send none of its open orders any more.
+        """Declare that this process will send none of its unsent orders any more.
 
-        A process that lost its lease is between sends here, since one loop does
-        both, so what it wrote down and did not send it never will. This frees hosts
-        that the next holder had to keep out as tainted.
+        A process that lost its lease is between sends here, since one loop does both,
+        so what it did not send it never will. This frees hosts that the next holder
+        has to keep out of groups.
         """
         if self._lease.is_mine:
             return
-        me = self._holder()
-        open_rows: dict[str, tuple[object, int]] = {}
+        changes: dict[str, tuple[object, int]] = {}
         for name, row in self._host_rows().items():
-            if row.value.holder == me and row.value.outcome is OrderOutcome.PENDING:
-                withdrawn = replace(row.value, outcome=OrderOutcome.WITHDRAWN)
-                open_rows[HOSTS + name] = (withdrawn, row.version)
-        if open_rows:
-            await self._apply(self._transaction(open_rows, under_lease=False))
+            withdrawn = self._desk.withdrawn(row.value)
+            if withdrawn is not None:
+                changes[HOSTS + name] = (withdrawn, row.version)
+        if changes:
+            await self._apply(self._transaction(changes, under_lease=False))
 
     # -- transactions --------------------------------------------------------
 
@@ -531,10 +513,3 @@
         outcome = await commit_settled(self._table, change)
         await self._shared.refresh()
         return isinstance(outcome, Committed)
-
-
-def _is_holder_replaced(holder: Holder, listed: dict[str, str]) -> bool:
-    """Tell whether the platform's list shows that the holder's host is gone."""
-    if not holder.host or not holder.host_incarnation:
-        return False
-    return listed.get(holder.host) != holder.host_incarnation
--- a/mallowpond/coordination/health.py
+++ b/mallowpond/coordination/health.py
@@ -33,7 +33,8 @@
         self._seen: dict[str, Seen] = {}
 
     async def poll(self, hosts: tuple[Host, ...]) -> None:
-        """Ask every host at once."""
+        """Ask every target host at once."""
+        hosts = tuple(host for host in hosts if host.is_target)
         await asyncio.gather(*(self._ask(host) for host in hosts))
         listed = {host.name for host in hosts}
         self._seen = {n: s for n, s in self._seen.items() if n in listed}
--- a/mallowpond/coordination/ports.py
+++ b/mallowpond/coordination/ports.py
@@ -105,7 +105,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Host:
-    """Describe one host as the platform's lagging list gives it."""
+    """Describe one host as the platform's lagging list gives it.
+
+    An entry host carries no engine and stands in no fabric domain (``""``).
+    """
 
     name: str
     address: str
@@ -115,6 +118,11 @@
     incarnation: str
     state: HostState = HostState.LIVE
 
+    @property
+    def is_target(self) -> bool:
+        """Tell whether the host carries an engine."""
+        return self.domain != ""
+
 
 class HostList(Protocol):
     """Read the platform's lagging list of hosts."""
--- /dev/null
+++ b/mallowpond/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The program that meets callers."""
--- /dev/null
+++ b/mallowpond/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, the settings, and how each program runs."""
--- /dev/null
+++ b/mallowpond/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and documents, and how they are encoded."""
--- /dev/null
+++ b/mallowpond/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the engines, for tests and trials."""
--- a/mallowpond/state/rows.py
+++ b/mallowpond/state/rows.py
@@ -118,13 +118,22 @@
     host_incarnation: str = ""
 
 
+@dataclass(frozen=True, kw_only=True)
+class OpenOrder:
+    """Remember an order that was written down and may still arrive."""
+
+    order: int
+    holder: Holder
+
+
 @dataclass(frozen=True, kw_only=True)
 class HostRow:
     """Bind a host to at most one group and keep the last order meant for it.
 
     The row is keyed by host, so the table itself cannot hold two groups for one
     host. `fence` and `holder` are those of the lease under which `order` was
-    written, before it was sent.
+    written, before it was sent. `earlier` keeps orders that were replaced while it was
+    not known whether they would still arrive.
     """
 
     host: str
@@ -135,6 +144,7 @@
     fence: int
     holder: Holder
     outcome: OrderOutcome
+    earlier: tuple[OpenOrder, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/mallowpond/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: HTTP by h11, links between our processes by websockets."""
