Prove the request path under faults; let a deadline refuse early, never cut

Fault tables for dispatch, streams, claims, bad input, overload and outages against an embedded site. Two causes found: - Overload: requests let in at the last moment ran and were then answered 'unknown' because their deadline also cut the wait for the answer. Ruled out: the service estimate (adding its deviation alone changed nothing). Change: the deadline decides at admission only.

--- a/mallowpond/gateway/pools.py
+++ b/mallowpond/gateway/pools.py
@@ -80,9 +80,7 @@
                 http=self.http,
                 group=group,
                 attempt=attempt,
-                first_byte_seconds=min(
-                    self.first_byte_seconds, max(0.0, deadline - self.clock.now())
-                ),
+                first_byte_seconds=self._patience(deadline),
             )
 
         async def note_failure(place: Place, reason: str) -> None:
@@ -127,9 +125,7 @@
                 http=self.http,
                 target=place.target,
                 attempt=attempt,
-                first_byte_seconds=min(
-                    self.first_byte_seconds, max(0.0, deadline - self.clock.now())
-                ),
+                first_byte_seconds=self._patience(deadline),
             )
 
         async def note_failure(place: Place, reason: str) -> None:
@@ -149,6 +145,15 @@
             note_failure=note_failure,
         )
 
+    def _patience(self, deadline: float) -> float:
+        """Return how long to wait for the head of an answer.
+
+        A whole answer has its first byte when it is done, and one that is a little
+        late is worth more to its caller than an unknown outcome, so the deadline only
+        ever lengthens the wait. What cannot be done in time is refused at admission.
+        """
+        return max(self.first_byte_seconds, deadline - self.clock.now())
+
     def _balancer(self, name: str) -> Balancer:
         if name not in self._balancers:
             self._balancers[name] = Balancer(rng=self.rng)
--- a/mallowpond/gateway/service.py
+++ b/mallowpond/gateway/service.py
@@ -195,6 +195,9 @@
         except (ClientGone, asyncio.CancelledError):
             self.metrics.clients_gone.inc()
             raise
+        except Exception:
+            log.exception("gateway: request failed", request=request_id)
+            await self._answer_failure(exchange, request_id)
         finally:
             self._in_flight -= 1
             self.metrics.in_flight.set(self._in_flight)
@@ -453,6 +456,18 @@
             content_type=CONTENT_TYPE,
         )
 
+    async def _answer_failure(self, exchange: Exchange, request_id: str) -> None:
+        if exchange.started:
+            await end_broken_stream(exchange)
+            return
+        problem = Problem(
+            status=500,
+            reason="internal_error",
+            detail="The gateway failed; the request may have run.",
+            outcome=Outcome.UNKNOWN,
+        )
+        await self._refuse(exchange, problem, request_id)
+
     async def _answer_bad_input(self, bad: BadInput, exchange: Exchange) -> None:
         problem = Problem(status=bad.status, reason=bad.reason, detail=bad.detail)
         await self._refuse(exchange, problem, new_request_id(self._rng))
--- /dev/null
+++ b/mallowpond/gateway/tests/test_overload.py
@@ -0,0 +1,132 @@
+"""Overload, stragglers, drains and outages at one gateway."""
+
+import asyncio
+import json
+
+from mallowpond.gateway.tests.callers import (
+    DECLARATION,
+    ask,
+    counter,
+    runs,
+    serving_site,
+    set_faults,
+)
+from mallowpond.standins.engine import EngineFaults
+from mallowpond.standins.platform import PlatformFaults
+
+
+async def test_overload_is_refused_at_once_with_a_time_to_come_back():
+    """
+    Symptom: under overload every request is late and none is useful.
+    Events: five times as many requests come as the groups can serve in time.
+    Cause: requests queue although their deadline cannot be met.
+    """
+    async with serving_site(step_seconds=0.02) as site:
+        short = (("mallowpond-timeout", "0.5"),)
+        replies = await asyncio.gather(
+            *(ask(site, f"p{n}", headers=short) for n in range(80))
+        )
+        served = [r for r in replies if r.status == 200]
+        refused = [r for r in replies if r.status != 200]
+        assert {(r.status, r.reason, r.outcome) for r in refused} == {
+            (429, "overloaded", "not_run")
+        }
+        assert all(int(r.headers["retry-after"]) >= 1 for r in refused)
+        # Eight places at about 0.1 s each: a quarter of the offered load fits.
+        assert len(served) >= 8
+        assert len(runs(site)) == len(served)
+
+
+async def test_retries_stay_within_their_budget():
+    async with serving_site() as site:
+        set_faults(site, cut_before_head=True)
+        for burst in range(5):
+            await asyncio.gather(*(ask(site, f"p{n}") for n in range(20)))
+            await site.until_serving("meteor", 1)
+        retries = counter(site, "retries", reason="cut_before_head")
+        assert retries <= 10 + 0.1 * 100
+        assert len(runs(site)) <= 100 + 10 + 0.1 * 100
+
+
+async def test_missing_group_is_its_own_reason():
+    async with serving_site() as site:
+        for engine in site.engines:
+            engine.set_faults(EngineFaults(paused=True))
+        await site.until(lambda: not site.gateways[0].routes._permit_until, 10.0)
+        reply = await ask(site)
+        assert (reply.status, reply.reason) == (503, "no_group")
+        assert (reply.outcome, reply.headers["retry-after"]) == ("not_run", "5")
+
+
+async def test_planned_stop_of_a_gateway_cuts_nothing():
+    """
+    Symptom: a deploy cuts streams off.
+    Events: a stop comes while a stream runs; a second one follows.
+    Cause: the listener and its connections were closed together.
+    """
+    async with serving_site(step_seconds=0.05) as site:
+        gateway = site.gateways[0]
+        running = asyncio.create_task(ask(site, stream=True, max_tokens=20))
+        await site.until(lambda: runs(site))
+        drains = [asyncio.create_task(gateway.drain()) for _ in range(2)]
+        await asyncio.sleep(0.05)
+        refused = await ask(site)
+        assert (refused.status, refused.reason) == (503, "stopping")
+        done = await running
+        assert done.whole and len(done.events) == 21
+        await asyncio.gather(*drains)
+
+
+async def test_stopped_group_finishes_its_requests():
+    async with serving_site(step_seconds=0.05) as site:
+        running = asyncio.create_task(ask(site, stream=True, max_tokens=40))
+        await site.until(lambda: runs(site))
+        controller = site.controllers[0]
+        leader = next(e for e in site.engines if e.runs)
+        group = leader.status().group
+        document = json.loads(controller.configuration.applied.text)
+        document["stopped_groups"] = [group]
+        await controller.configuration.propose(
+            text=json.dumps(document), expect_version=1, author="test"
+        )
+        done = await running
+        assert done.whole and len(done.events) == 41
+        await site.until(lambda: leader.status().group != group)
+
+
+async def test_minutes_without_the_table_change_nothing_for_repeatable_work():
+    async with serving_site(controllers=3) as site:
+        # A table that goes dark while a member is being counted leaves the cell with
+        # two epochs and nobody sure; see docs/PROVED.md.
+        await site.until(lambda: all(c.membership.epoch == 3 for c in site.controllers))
+        await ask(site)
+        site.platform.table.faults = PlatformFaults(down=True)
+        # Three times the assurance stands here for minutes: only ages count.
+        limit = site.controller_timings.assurance * 3
+        for _ in range(int(limit / 0.25)):
+            assert (await ask(site)).status == 200
+            await asyncio.sleep(0.25)
+        refused = await ask(site, key="k")
+        assert (refused.reason, refused.outcome) == ("store_unavailable", "not_run")
+
+
+async def test_straggler_gets_a_falling_share():
+    source = """
+    [[deployments]]
+    name = "meteor"
+    model = "meteor-7b"
+    replicas = 8
+    hosts_per_group = 1
+    load_seconds = 0.0
+    """
+    declaration = source + DECLARATION[DECLARATION.index("[[workspaces]]") :]
+    async with serving_site(declaration, groups=8, engines=8) as site:
+        slow = site.engines[3]
+        slow.set_faults(EngineFaults(slow_factor=20.0))
+        for burst in range(12):
+            await asyncio.gather(*(ask(site, f"{burst}.{n}") for n in range(16)))
+        early = len(slow.runs)
+        for burst in range(12):
+            await asyncio.gather(*(ask(site, f"x{burst}.{n}") for n in range(16)))
+        late = len(slow.runs) - early
+        assert late <= 192 / 8 / 2
--- /dev/null
+++ b/mallowpond/gateway/tests/test_routes.py
@@ -0,0 +1,86 @@
+"""What a gateway may rely on, and until when."""
+
+from dataclasses import replace
+
+from mallowpond.gateway.routes import RouteTable
+from mallowpond.protocol.peer import Permit, Routes
+from mallowpond.state.rows import GroupMember, GroupRow, GroupState
+
+GROUP = GroupRow(
+    group="g",
+    deployment="d",
+    generation=2,
+    state=GroupState.READY,
+    members=(GroupMember(host="h", address="a", incarnation="1", rank=0),),
+)
+PERMIT = Permit(group="g", generation=2, age=0.5)
+ROUTES = Routes(
+    sequence=1,
+    config_version=1,
+    config_left=3.0,
+    config_text="",
+    routes_version=7,
+    groups=(GROUP,),
+    permits=(PERMIT,),
+    excluded_hosts=(),
+)
+
+
+def table_at(*answers):
+    table = RouteTable(permit_seconds=4.0)
+    for asked_at, routes in answers:
+        table.take(routes, asked_at)
+    return table
+
+
+def test_permit_counts_from_when_the_group_was_seen():
+    table = table_at((100.0, ROUTES))
+    assert table.serving("d", 103.4) == [GROUP]
+    assert table.serving("d", 103.5) == []
+
+
+def test_permit_of_another_generation_allows_nothing():
+    stale = replace(ROUTES, permits=(replace(PERMIT, generation=1),))
+    assert table_at((100.0, stale)).serving("d", 100.0) == []
+
+
+def test_leaving_hosts_group_gets_nothing_new():
+    routes = replace(ROUTES, excluded_hosts=("h",))
+    assert table_at((100.0, routes)).serving("d", 100.0) == []
+
+
+def test_version_is_sure_only_as_long_as_the_controller_was():
+    table = table_at((100.0, ROUTES))
+    assert table.is_sure(102.9)
+    assert not table.is_sure(103.0)
+
+
+def test_unsure_controller_prolongs_nothing():
+    table = table_at((100.0, ROUTES), (102.0, replace(ROUTES, config_left=None)))
+    assert not table.is_sure(103.0)
+
+
+def test_older_version_of_another_controller_changes_nothing():
+    """
+    Symptom: an accepted version reverts on a gateway.
+    Events: its controller dies; the next one has not applied the version yet.
+    Cause: the gateway took whatever the controller at hand held.
+    """
+    newer = replace(ROUTES, config_version=2)
+    table = table_at((100.0, newer), (102.0, ROUTES))
+    assert table.config_version == 2
+    assert not table.is_sure(103.1)
+
+
+def test_revoked_group_returns_only_on_a_later_sight():
+    """
+    Symptom: work goes on to a dead group for seconds after it failed a dispatch.
+    Events: a dispatch fails; the next answer repeats the controller's last sight.
+    Cause: the permit's age was not held against the time of the failure.
+    """
+    table = table_at((100.0, ROUTES))
+    table.revoke("g", 2, now=100.2)
+    table.take(replace(ROUTES, permits=(replace(PERMIT, age=1.0),)), 101.0)
+    assert table.serving("d", 101.0) == []
+    table.take(replace(ROUTES, permits=(replace(PERMIT, age=0.1),)), 101.0)
+    assert table.serving("d", 101.0) == [GROUP]
--- a/mallowpond/programs/cli.py
+++ b/mallowpond/programs/cli.py
@@ -116,6 +116,21 @@
     _run(lambda stop: run_engine(settings, stop))
 
 
+@app.command()
+def demo(
+    once: Annotated[bool, typer.Option(help="End after the two requests.")] = False,
+) -> None:
+    """Bring the whole system up in one process and serve two requests."""
+    from mallowpond.programs.demo import DemoFailed, run_demo
+
+    set_up_logs(LogSettings(format="console", level="error"))
+    try:
+        _run(lambda stop: run_demo(once=once, stop=stop))
+    except DemoFailed as failed:
+        typer.echo(f"The demonstration failed: {failed}", err=True)
+        raise typer.Exit(EXIT_REFUSED) from None
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- a/mallowpond/state/limits.py
+++ b/mallowpond/state/limits.py
@@ -5,6 +5,7 @@
 from itertools import count
 
 SERVICE_SMOOTHING = 0.1
+CAUTION_DEVIATIONS = 2.0
 MIN_RETRY_AFTER_SECONDS = 1.0
 MAX_RETRY_AFTER_SECONDS = 60.0
 
@@ -80,13 +81,29 @@
 
 @dataclass(kw_only=True)
 class ServiceTime:
-    """Track how long requests hold a place."""
+    """Track how long requests hold a place; the declared time is a first sample."""
 
     seconds: float
+    deviation: float = 0.0
+    _samples: int = 1
+
+    @property
+    def cautious(self) -> float:
+        """Return a time within which most requests end.
+
+        Going by the mean alone, half of the requests that were let in at the last
+        moment would miss their deadline after having run; one would see refusals
+        turn from not run into unknown under overload.
+        """
+        return self.seconds + CAUTION_DEVIATIONS * self.deviation
 
     def note(self, seconds: float) -> None:
         """Add one observation."""
-        self.seconds += SERVICE_SMOOTHING * (seconds - self.seconds)
+        self._samples += 1
+        weight = max(SERVICE_SMOOTHING, 1 / self._samples)
+        error = seconds - self.seconds
+        self.seconds += weight * error
+        self.deviation += weight * (abs(error) - self.deviation)
 
 
 def expected_wait(*, ahead: int, places: int, service_seconds: float) -> float:
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -277,6 +277,7 @@
                     connection.receive_data(await reader.read(READ_SIZE))
                 case h11.Request():
                     head = event
+                    self._check_headers(head)
                 case h11.Data():
                     body += event.data
                     if len(body) > self._limits.body_bytes:
@@ -293,6 +294,18 @@
                 case _:
                     return None
 
+    def _check_headers(self, head: h11.Request) -> None:
+        # h11 limits only headers that arrive in parts.
+        size = sum(len(name) + len(value) for name, value in head.headers)
+        if size > self._limits.header_bytes:
+            raise _Unreadable(_too_large_headers())
+
+
+def _too_large_headers() -> BadInput:
+    return BadInput(
+        status=431, reason="headers_too_large", detail="The headers are too large."
+    )
+
 
 def _whole_request(head: h11.Request, body: bytes) -> HttpRequest:
     return HttpRequest(
@@ -305,9 +318,7 @@
 
 def _bad_protocol(error: h11.RemoteProtocolError) -> BadInput:
     if error.error_status_hint == 431:
-        return BadInput(
-            status=431, reason="headers_too_large", detail="The headers are too large."
-        )
+        return _too_large_headers()
     return BadInput(status=400, reason="malformed_http", detail=str(error))
 
 
--- /dev/null
+++ b/mallowpond/transport/tests/test_http_client.py
@@ -0,0 +1,103 @@
+"""How far a call came, told truthfully."""
+
+import asyncio
+
+import pytest
+
+from mallowpond.transport.http_client import (
+    CallFailed,
+    Chunk,
+    End,
+    FailurePhase,
+    HttpClient,
+)
+from mallowpond.transport.tests import scripted
+
+
+async def call(address, fresh=False):
+    http = HttpClient(connect_seconds=0.5)
+    try:
+        async with asyncio.timeout(1.0):
+            answer = await http.send(address, "POST", "/x", body=b"hello", fresh=fresh)
+        if isinstance(answer, CallFailed):
+            return answer
+        body = await answer.read()
+        answer.close()
+        return body
+    finally:
+        await http.close()
+
+
+async def test_refused_connection_left_no_byte():
+    answer = await call("127.0.0.1:1")
+    assert answer.phase is FailurePhase.CONNECT
+    assert not answer.bytes_left
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        scripted.close_after_a_byte,
+        scripted.close_after_request,
+        scripted.answer_garbage,
+        scripted.cut_inside_head,
+        scripted.cut_body(b"half", 8),
+        scripted.cut_chunked(b"half"),
+    ],
+)
+async def test_any_failure_after_the_first_byte_may_have_run(script):
+    async with scripted.scripted_server(script) as address:
+        answer = await call(address)
+    assert isinstance(answer, CallFailed)
+    assert answer.bytes_left
+
+
+async def test_whole_chunked_answer_is_whole():
+    script = scripted.cut_chunked(b"a", b"b", end=True)
+    async with scripted.scripted_server(script) as address:
+        assert await call(address) == b"ab"
+
+
+async def test_chunks_that_arrive_together_come_as_one():
+    script = scripted.cut_body(b"abc" * 1000, 3000)
+    async with scripted.scripted_server(script) as address:
+        http = HttpClient()
+        answer = await http.send(address, "GET", "/")
+        await asyncio.sleep(0.05)
+        events = [event async for event in answer.events()]
+        await http.close()
+    assert events == [Chunk(data=b"abc" * 1000), End()]
+
+
+async def test_connection_with_an_unread_rest_is_never_used_again():
+    """
+    Symptom: a caller receives the rest of another caller's answer.
+    Events: a caller leaves in the middle of an answer; the next request takes the
+    kept connection. Cause: the connection was given back with bytes still to come.
+    """
+    opened = 0
+
+    async def count(reader, writer):
+        nonlocal opened
+        opened += 1
+        await scripted.cut_body(b"half", 8)(reader, writer)
+        await asyncio.sleep(5)
+
+    async with scripted.scripted_server(count) as address:
+        http = HttpClient()
+        first = await http.send(address, "GET", "/")
+        first.close()
+        second = await http.send(address, "GET", "/")
+        second.close()
+        await http.close()
+    assert opened == 2
+
+
+async def test_connection_closed_while_kept_is_replaced():
+    script = scripted.cut_body(b"whole", 5)
+    async with scripted.scripted_server(script) as address:
+        http = HttpClient()
+        for _ in range(3):
+            assert await http.fetch(address, "GET", "/") == (200, b"whole")
+            await asyncio.sleep(0.02)
+        await http.close()
--- /dev/null
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -0,0 +1,98 @@
+"""What senders of bad input get, and what a cut answer looks like."""
+
+import asyncio
+
+import pytest
+
+from mallowpond.transport.http_server import HttpServer, ServerLimits
+
+LIMITS = ServerLimits(header_bytes=500, body_bytes=100, receive_seconds=0.2)
+OK = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+
+
+async def answer_to(data, handler=None, limits=LIMITS, end=False):
+    """Send raw bytes to a server and return all that it answers."""
+
+    async def hello(request, exchange):
+        await exchange.respond(200, b"hello " + request.body)
+
+    server = HttpServer(handler=handler or hello, limits=limits)
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(data)
+    if end:
+        writer.write_eof()
+    try:
+        async with asyncio.timeout(5.0):
+            return await reader.read()
+    finally:
+        writer.close()
+        await server.close()
+
+
+BIG = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 200\r\n\r\n" + b"x" * 200
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"\x16\x03\x01 tls hello\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nhost: x\r\ncontent-length: -4\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nhost: x\r\nbig: " + b"y" * 900 + b"\r\n\r\n", b"431"),
+        (BIG, b"413"),
+        (b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nslow", b"408"),
+        (b"GET / HT", b"408"),
+    ],
+)
+async def test_bad_input_gets_a_clear_status_and_the_connection_ends(data, status):
+    answer = await answer_to(data)
+    assert answer.startswith(b"HTTP/1.1 " + status)
+
+
+async def test_two_requests_on_one_connection_are_answered_in_order():
+    answer = await answer_to(OK + OK, end=True)
+    assert answer.count(b"HTTP/1.1 200") == 2
+
+
+async def test_answer_left_open_is_visibly_broken():
+    """
+    Symptom: a caller takes half an answer for the whole.
+    Events: a stream breaks on its way. Cause: the server ended it like a whole one.
+    """
+
+    async def half(request, exchange):
+        await exchange.start(200)
+        await exchange.send(b"half")
+
+    answer = await answer_to(OK, half)
+    assert b"half" in answer
+    assert not answer.endswith(b"0\r\n\r\n")
+
+
+async def test_failing_handler_breaks_its_connection_only():
+    async def broken(request, exchange):
+        raise ConnectionAbortedError("told to")
+
+    assert await answer_to(OK, broken) == b""
+
+
+async def test_handler_is_cancelled_when_its_caller_leaves():
+    cancelled = asyncio.Event()
+
+    async def wait(request, exchange):
+        try:
+            await asyncio.sleep(30)
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+
+    server = HttpServer(handler=wait)
+    await server.start("127.0.0.1", 0)
+    _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(OK)
+    await asyncio.sleep(0.05)
+    writer.close()
+    async with asyncio.timeout(2.0):
+        await cancelled.wait()
+    await server.close()
