--- a/mallowpond/controller/operator_api.py
+++ b/mallowpond/controller/operator_api.py
@@ -16,6 +16,18 @@
     parse_declaration,
 )
 from mallowpond.protocol.problems import CONTENT_TYPE, Problem
+from mallowpond.protocol.query import (
+    Command,
+    DrainHost,
+    QueryFault,
+    RestoreGroup,
+    RestoreHost,
+    Show,
+    StopGroup,
+    parse_statement,
+    run_show,
+)
+from mallowpond.state.codec import to_json
 from mallowpond.transport.http_server import Exchange, HttpRequest
 
 if TYPE_CHECKING:
@@ -57,6 +69,8 @@
                 await self._answer_history(exchange)
             case ("POST", "/v1/apply"):
                 await self._apply(request, exchange)
+            case ("POST", "/v1/statement"):
+                await self._run_statement(request, exchange)
             case _:
                 await _refuse(exchange, 404, "unknown_path", request.path)
 
@@ -89,23 +103,72 @@
             lines = (f"{f.path}: {f.message}" for f in checked.faults)
             await _refuse(exchange, 400, "bad_declaration", "\n".join(lines))
             return
-        document = replace(self._document(), source=source)
         author = query.get("author", "operator")
-        await self._change(document, int(expect), author, exchange)
+        outcome = await self.apply_source(source, int(expect), author)
+        await _answer_change(outcome, exchange)
+
+    async def apply_source(
+        self, source: str, expect: int, author: str
+    ) -> Accepted | ProposalRefused:
+        """Bring a file's text in force; what was changed by command stays."""
+        document = replace(self._document(), source=source)
+        return await self.change(document, expect, author)
+
+    async def _run_statement(self, request: HttpRequest, exchange: Exchange) -> None:
+        statement = parse_statement(request.body.decode("utf-8", "replace"))
+        match statement:
+            case QueryFault(message=message):
+                await _refuse(exchange, 400, "bad_statement", message)
+            case Show():
+                await self._show(statement, exchange)
+            case _:
+                await self._command(statement, exchange)
+
+    async def _show(self, show: Show, exchange: Exchange) -> None:
+        tables = self._controller.tables
+        table = tables.build(show.table)
+        if table is None:
+            detail = f"no table {show.table!r}; there are {', '.join(tables.names)}"
+            await _refuse(exchange, 400, "unknown_table", detail)
+            return
+        shown = run_show(show, table)
+        if isinstance(shown, QueryFault):
+            columns = ", ".join(shown.expected)
+            detail = f"{show.table} has no column {shown.found!r}; it has {columns}"
+            await _refuse(exchange, 400, "unknown_column", detail)
+            return
+        await exchange.respond(200, to_json(shown))
+
+    async def _command(self, command: Command, exchange: Exchange) -> None:
+        unknown = self._unknown_name(command)
+        if unknown is not None:
+            await _refuse(exchange, 400, "unknown_name", unknown)
+            return
+        applied = self._controller.configuration.applied
+        document = changed_document(self._document(), command)
+        outcome = await self.change(document, applied.version, "command")
+        await _answer_change(outcome, exchange)
+
+    def _unknown_name(self, command: Command) -> str | None:
+        controller = self._controller
+        match command:
+            case DrainHost(host=host):
+                if host not in {h.name for h in controller.hosts}:
+                    return f"the platform lists no host {host!r}"
+            case StopGroup(group=group):
+                if group not in controller.groups.groups():
+                    return f"there is no group {group!r}"
+            case RestoreHost(host=host):
+                if host not in self._document().drained_hosts:
+                    return f"host {host!r} is not drained"
+            case RestoreGroup(group=group):
+                if group not in self._document().stopped_groups:
+                    return f"group {group!r} is not stopped"
+        return None
 
     def _document(self) -> Document:
         return decode_document(self._controller.configuration.applied.text)
 
-    async def _change(
-        self, document: Document, expect: int, author: str, exchange: Exchange
-    ) -> None:
-        outcome = await self.change(document, expect, author)
-        match outcome:
-            case Accepted(version=version):
-                await exchange.respond(200, json.dumps({"version": version}).encode())
-            case ProposalRefused(reason=reason, detail=detail):
-                await _refuse(exchange, 409, reason, detail)
-
     async def change(
         self, document: Document, expect: int, author: str
     ) -> Accepted | ProposalRefused:
@@ -140,6 +203,35 @@
         )
 
 
+async def _answer_change(
+    outcome: Accepted | ProposalRefused, exchange: Exchange
+) -> None:
+    match outcome:
+        case Accepted(version=version):
+            await exchange.respond(200, json.dumps({"version": version}).encode())
+        case ProposalRefused(reason=reason, detail=detail):
+            await _refuse(exchange, 409, reason, detail)
+
+
+def changed_document(document: Document, command: Command) -> Document:
+    """Return the document as a command changes it."""
+    drained, stopped = set(document.drained_hosts), set(document.stopped_groups)
+    match command:
+        case DrainHost(host=host):
+            drained.add(host)
+        case RestoreHost(host=host):
+            drained.discard(host)
+        case StopGroup(group=group):
+            stopped.add(group)
+        case RestoreGroup(group=group):
+            stopped.discard(group)
+    return replace(
+        document,
+        drained_hosts=tuple(sorted(drained)),
+        stopped_groups=tuple(sorted(stopped)),
+    )
+
+
 async def _refuse(exchange: Exchange, status: int, reason: str, detail: str) -> None:
     problem = Problem(status=status, reason=reason, detail=detail)
     await exchange.respond(
--- a/mallowpond/controller/service.py
+++ b/mallowpond/controller/service.py
@@ -12,6 +12,7 @@
 from mallowpond.controller.metrics import ControllerMetrics
 from mallowpond.controller.operator_api import OperatorApi
 from mallowpond.controller.peers import PeerPoller
+from mallowpond.controller.tables import Tables
 from mallowpond.coordination.claims import ClaimCommitter
 from mallowpond.coordination.configuration import Configuration
 from mallowpond.coordination.groups import GroupManager, GroupTimings
@@ -26,9 +27,9 @@
 from mallowpond.coordination.ports import Host, HostState, Ports, Unavailable
 from mallowpond.coordination.quotas import QuotaLeaser
 from mallowpond.coordination.store import TableView, new_id
-from mallowpond.programs.settings import ControllerSettings
 from mallowpond.protocol.declaration_file import parse_document
 from mallowpond.protocol.peer import PeerAsk, PeerView, Permit, Routes, RoutesAsk
+from mallowpond.settings import ControllerSettings
 from mallowpond.state.assurance import Assured
 from mallowpond.state.ownership import owner_of
 from mallowpond.state.rows import GroupRow, GroupState, Holder
@@ -179,6 +180,14 @@
             clock=ports.clock,
             on_vouch=self.configuration.note_vouch,
         )
+        self.tables = Tables(
+            configuration=self.configuration,
+            membership=self.membership,
+            groups=self.groups,
+            watch=self.watch,
+            shared=self._shared,
+            hosts=lambda: self._hosts,
+        )
         self._api = OperatorApi(controller=self)
 
     def _build_groups(self) -> None:
--- /dev/null
+++ b/mallowpond/controller/tables.py
@@ -0,0 +1,177 @@
+"""The tables that operators query: what runs where and for whom."""
+
+from collections.abc import Callable
+
+from mallowpond.coordination.configuration import Configuration
+from mallowpond.coordination.groups import GroupManager
+from mallowpond.coordination.health import EngineWatch
+from mallowpond.coordination.keys import HOSTS
+from mallowpond.coordination.membership import Membership
+from mallowpond.coordination.ports import Host
+from mallowpond.coordination.store import TableView
+from mallowpond.protocol.query import Cell, Table
+from mallowpond.state.rows import GroupState, HostRow
+
+Cells = tuple[Cell, ...]
+COLUMNS: dict[str, tuple[str, ...]] = {
+    "deployments": ("deployment", "model", "replicas", "ready", "hosts_per_group"),
+    "groups": ("group", "deployment", "state", "generation", "hosts", "seen_whole"),
+    "hosts": (
+        "host",
+        "domain",
+        "data_centre",
+        "state",
+        "accelerators",
+        "group",
+        "reachable",
+        "drained",
+        "tainted",
+    ),
+    "kinds": ("kind", "repeatable"),
+    "members": ("member", "cell", "state", "live", "applied", "epoch", "gateways"),
+    "orders": ("host", "order", "fence", "holder", "outcome", "group", "earlier"),
+    "services": ("service", "path", "methods", "targets", "repeatable"),
+    "versions": ("version", "author", "proposal"),
+    "workspaces": ("workspace", "share", "units_per_day"),
+}
+
+
+class Tables:
+    """Build each table from what this controller last read."""
+
+    def __init__(
+        self,
+        *,
+        configuration: Configuration,
+        membership: Membership,
+        groups: GroupManager,
+        watch: EngineWatch,
+        shared: TableView,
+        hosts: Callable[[], tuple[Host, ...]],
+    ) -> None:
+        self._configuration = configuration
+        self._membership = membership
+        self._groups = groups
+        self._watch = watch
+        self._shared = shared
+        self._hosts = hosts
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Return the names of the tables."""
+        return tuple(COLUMNS)
+
+    def build(self, name: str) -> Table | None:
+        """Return a table, None when there is none of this name."""
+        builders = {
+            "deployments": self._deployment_rows,
+            "groups": self._group_rows,
+            "hosts": self._host_rows,
+            "kinds": self._kind_rows,
+            "members": self._member_rows,
+            "orders": self._order_rows,
+            "services": self._service_rows,
+            "versions": self._version_rows,
+            "workspaces": self._workspace_rows,
+        }
+        if name not in builders:
+            return None
+        rows = tuple(builders[name]())
+        return Table(name=name, columns=COLUMNS[name], rows=rows)
+
+    def _deployment_rows(self) -> list[Cells]:
+        groups = list(self._groups.groups().values())
+        rows = []
+        for one in self._configuration.applied.declaration.deployments:
+            held = [g for g in groups if g.deployment == one.name]
+            ready = sum(g.state is GroupState.READY for g in held)
+            rows.append((one.name, one.model, one.replicas, ready, one.hosts_per_group))
+        return rows
+
+    def _group_rows(self) -> list[Cells]:
+        rows = []
+        for group in self._groups.groups().values():
+            age = self._watch.whole_age(group)
+            row = (
+                group.group,
+                group.deployment,
+                group.state.value,
+                group.generation,
+                " ".join(group.hosts),
+                None if age is None else round(age, 3),
+            )
+            rows.append(row)
+        return rows
+
+    def _host_rows(self) -> list[Cells]:
+        bound = self._shared.below(HOSTS, HostRow)
+        tainted = self._groups.tainted
+        drained = self._configuration.applied.declaration.drained_hosts
+        rows = []
+        for host in self._hosts():
+            row = bound.get(host.name)
+            status = self._watch.recent(host.name)
+            cells = (
+                host.name,
+                host.domain,
+                host.data_centre,
+                host.state.value,
+                host.accelerators,
+                row.value.group if row else None,
+                status is not None,
+                host.name in drained,
+                host.name in tainted,
+            )
+            rows.append(cells)
+        return rows
+
+    def _kind_rows(self) -> list[Cells]:
+        kinds = self._configuration.applied.declaration.kinds
+        return [(k.name, k.repeatable) for k in kinds]
+
+    def _member_rows(self) -> list[Cells]:
+        live = self._membership.live()
+        rows = []
+        for name, member in self._membership.members().items():
+            cells = (
+                name,
+                member.cell,
+                member.state.value,
+                name in live,
+                member.applied,
+                member.epoch,
+                len(member.gateways),
+            )
+            rows.append(cells)
+        return rows
+
+    def _order_rows(self) -> list[Cells]:
+        rows = []
+        for name, row in self._shared.below(HOSTS, HostRow).items():
+            one = row.value
+            cells = (
+                name,
+                one.order,
+                one.fence,
+                one.holder.member,
+                one.outcome.value,
+                one.group,
+                len(one.earlier),
+            )
+            rows.append(cells)
+        return rows
+
+    def _service_rows(self) -> list[Cells]:
+        rows = [
+            (s.name, s.path, " ".join(s.methods), len(s.targets), s.repeatable)
+            for s in self._configuration.applied.declaration.services
+        ]
+        return rows
+
+    def _version_rows(self) -> list[Cells]:
+        history = self._configuration.history()
+        return [(row.version, row.author, row.proposal) for row in history]
+
+    def _workspace_rows(self) -> list[Cells]:
+        declared = self._configuration.applied.declaration.workspaces
+        return [(w.name, w.share, w.units_per_day) for w in declared]
--- a/mallowpond/gateway/service.py
+++ b/mallowpond/gateway/service.py
@@ -29,7 +29,6 @@
     end_broken_stream,
     new_request_id,
 )
-from mallowpond.programs.settings import GatewaySettings
 from mallowpond.protocol.caller import (
     CallerHeaders,
     Completion,
@@ -37,6 +36,7 @@
     parse_headers,
 )
 from mallowpond.protocol.problems import CONTENT_TYPE, Outcome, Problem
+from mallowpond.settings import GatewaySettings
 from mallowpond.state.declarations import Declaration, PlainService, Workspace
 from mallowpond.state.limits import Refused
 from mallowpond.state.retry import RetryBudget
--- a/mallowpond/programs/cli.py
+++ b/mallowpond/programs/cli.py
@@ -9,8 +9,10 @@
 import typer
 
 from mallowpond import __version__
+from mallowpond.programs import operator_commands
 from mallowpond.programs.logs import set_up_logs
-from mallowpond.programs.settings import (
+from mallowpond.protocol.declaration_file import Faults
+from mallowpond.settings import (
     ControllerSettings,
     EngineStandinSettings,
     GatewaySettings,
@@ -18,7 +20,6 @@
     PlatformStandinSettings,
     load_settings,
 )
-from mallowpond.protocol.declaration_file import Faults
 
 T = TypeVar("T")
 EXIT_REFUSED = 1
@@ -26,10 +27,20 @@
 EXIT_UNREACHABLE = 3
 
 app = typer.Typer(
-    help="Serve models whose replicas span several hosts.", no_args_is_help=True
+    help="Serve models whose replicas span several hosts.",
+    epilog="Exit codes: 0 done, 1 refused, 2 usage, 3 unreachable.",
+    no_args_is_help=True,
 )
 standin = typer.Typer(help="Run stand-ins for tests and trials.", no_args_is_help=True)
 app.add_typer(standin, name="standin")
+DEFAULT_CONTROLLER = "127.0.0.1:7400"
+ControllerAddress = Annotated[
+    str,
+    typer.Option(
+        "--controller", envvar="MALLOWPOND_CONTROLLER", help="A controller's IP:PORT."
+    ),
+]
+AsJson = Annotated[bool, typer.Option("--json", help="Print JSON.")]
 ConfigFile = Annotated[Path, typer.Option("--config", help="Settings in TOML.")]
 
 
@@ -116,6 +127,106 @@
     _run(lambda stop: run_engine(settings, stop))
 
 
+@app.command()
+def check(
+    file: Annotated[Path, typer.Argument(help="A declaration in TOML.")],
+) -> None:
+    """Check a declaration without a running system."""
+    checked = operator_commands.check_file(file)
+    if isinstance(checked, Faults):
+        print_faults(file, checked)
+        raise typer.Exit(EXIT_REFUSED)
+    typer.echo(f"{file}: {checked}")
+
+
+@app.command()
+def apply(
+    file: Annotated[Path, typer.Argument(help="A declaration in TOML.")],
+    expect_version: Annotated[
+        int, typer.Option(help="The version that the change is made on.")
+    ],
+    controller: ControllerAddress = DEFAULT_CONTROLLER,
+    author: Annotated[str, typer.Option(help="Who makes the change.")] = "operator",
+    as_json: AsJson = False,
+) -> None:
+    """Show the difference, then bring a declaration in force everywhere."""
+    checked = operator_commands.check_file(file)
+    if isinstance(checked, Faults):
+        print_faults(file, checked)
+        raise typer.Exit(EXIT_REFUSED)
+    reply = asyncio.run(
+        operator_commands.apply_file(
+            controller, file, expect_version, author, quiet=as_json
+        )
+    )
+    _finish(reply, as_json)
+
+
+@app.command()
+def history(
+    controller: ControllerAddress = DEFAULT_CONTROLLER, as_json: AsJson = False
+) -> None:
+    """Show the accepted configuration versions, latest first."""
+    statement = "show versions order by version desc"
+    _finish(asyncio.run(operator_commands.state(controller, statement)), as_json)
+
+
+@app.command()
+def query(
+    statement: Annotated[str, typer.Argument(help="For example: show groups")],
+    controller: ControllerAddress = DEFAULT_CONTROLLER,
+    as_json: AsJson = False,
+) -> None:
+    """Run one statement of the query and command language."""
+    _finish(asyncio.run(operator_commands.state(controller, statement)), as_json)
+
+
+@app.command()
+def drain(
+    host: str,
+    controller: ControllerAddress = DEFAULT_CONTROLLER,
+    as_json: AsJson = False,
+) -> None:
+    """Take a host out of every group, gracefully."""
+    statement = f"drain host {host}"
+    _finish(asyncio.run(operator_commands.state(controller, statement)), as_json)
+
+
+@app.command()
+def stop(
+    group: str,
+    controller: ControllerAddress = DEFAULT_CONTROLLER,
+    as_json: AsJson = False,
+) -> None:
+    """Stop a group, gracefully."""
+    statement = f"stop group {group}"
+    _finish(asyncio.run(operator_commands.state(controller, statement)), as_json)
+
+
+@app.command()
+def restore(
+    kind: Annotated[str, typer.Argument(help="'host' or 'group'")],
+    name: str,
+    controller: ControllerAddress = DEFAULT_CONTROLLER,
+    as_json: AsJson = False,
+) -> None:
+    """Take back a drain or a stop."""
+    statement = f"restore {kind} {name}"
+    _finish(asyncio.run(operator_commands.state(controller, statement)), as_json)
+
+
+def _finish(reply: operator_commands.Reply, as_json: bool) -> None:
+    match reply:
+        case operator_commands.Unreachable(reason=reason):
+            typer.echo(f"The controller cannot be reached: {reason}", err=True)
+            raise typer.Exit(EXIT_UNREACHABLE)
+        case operator_commands.OperatorRefused(reason=reason, detail=detail):
+            typer.echo(f"Refused ({reason}): {detail}", err=True)
+            raise typer.Exit(EXIT_REFUSED)
+        case operator_commands.Done(document=document):
+            typer.echo(operator_commands.render(document, as_json=as_json))
+
+
 @app.command()
 def demo(
     once: Annotated[bool, typer.Option(help="End after the two requests.")] = False,
--- a/mallowpond/programs/logs.py
+++ b/mallowpond/programs/logs.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from mallowpond.programs.settings import LogSettings
+from mallowpond.settings import LogSettings
 
 
 def set_up_logs(settings: LogSettings) -> None:
--- a/mallowpond/programs/processes.py
+++ b/mallowpond/programs/processes.py
@@ -8,7 +8,7 @@
 from mallowpond.coordination.clock import MonotonicClock
 from mallowpond.coordination.ports import Ports
 from mallowpond.gateway.service import build as build_gateway
-from mallowpond.programs.settings import (
+from mallowpond.settings import (
     ControllerSettings,
     EngineStandinSettings,
     GatewaySettings,
--- a/mallowpond/programs/site.py
+++ b/mallowpond/programs/site.py
@@ -13,13 +13,12 @@
 from mallowpond.coordination.ports import Host, Ports
 from mallowpond.gateway.service import Gateway
 from mallowpond.gateway.service import build as build_gateway
-from mallowpond.programs.settings import (
+from mallowpond.settings import (
     ControllerSettings,
     ControllerTimings,
     GatewaySettings,
     GatewayTimings,
 )
-from mallowpond.protocol.declaration_file import Document
 from mallowpond.standins.engine import EngineStandin
 from mallowpond.standins.platform import PlatformStandin
 from mallowpond.transport.engine_client import EngineClient
@@ -97,7 +96,7 @@
         await self.until(lambda: controller.membership.cell is not None)
         api = OperatorApi(controller=controller)
         expect = controller.configuration.applied.version
-        return await api.change(Document(source=source), expect, "demo")
+        return await api.apply_source(source, expect, "site")
 
     async def until_serving(self, deployment: str, groups: int) -> None:
         """Wait until every gateway may send work to this many groups."""
