--- a/mallowpond/coordination/groups.py
+++ b/mallowpond/coordination/groups.py
@@ -217,7 +217,13 @@
         self._tainted = tuple(
             name for name, row in rows.items() if self._desk.is_tainted(row.value)
         )
-        plan_hosts = [self._plan_host(h, declaration) for h in hosts if h.is_target]
+        groups = self.groups().values()
+        draining = frozenset(g.group for g in groups if g.state is GroupState.DRAINING)
+        plan_hosts = [
+            self._plan_host(h, declaration, rows, draining)
+            for h in hosts
+            if h.is_target
+        ]
         plan_groups = [
             self._plan_group(row.value, declaration)
             for row in self._group_rows().values()
@@ -232,8 +238,15 @@
         for action in plan(**known):
             await self._carry_out(action, hosts)
 
-    def _plan_host(self, host: Host, declaration: Declaration) -> PlanHost:
-        row = self._host_rows().get(host.name)
+    def _plan_host(
+        self,
+        host: Host,
+        declaration: Declaration,
+        rows: dict[str, Versioned[HostRow]],
+        draining: frozenset[str],
+    ) -> PlanHost:
+        row = rows.get(host.name)
+        group = row.value.group if row else None
         is_usable = (
             host.state is HostState.LIVE
             and host.name not in declaration.drained_hosts
@@ -245,7 +258,8 @@
             domain=host.domain,
             accelerators=host.accelerators,
             usable=is_usable,
-            group=row.value.group if row else None,
+            group=group,
+            draining=group in draining,
         )
 
     def _plan_group(self, group: GroupRow, declaration: Declaration) -> PlanGroup:
--- a/mallowpond/state/planner.py
+++ b/mallowpond/state/planner.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from mallowpond.state.declarations import Deployment
 
@@ -18,13 +19,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PlanHost:
-    """Describe a host to the planner; only a usable one may join a group."""
+    """Describe a host to the planner; only a usable one may join a group.
+
+    `draining` marks a host whose group is ending, so that it will be free soon.
+    """
 
     name: str
     domain: str
     accelerators: int
     usable: bool = True
     group: str | None = None
+    draining: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -105,6 +110,26 @@
         self.free[domain] = [h for h in pool if h not in taken]
         return taken
 
+    @cached_property
+    def accelerators_per_host(self) -> int:
+        return max((h.accelerators for h in self.hosts.values()), default=0)
+
+    @property
+    def domains(self) -> list[str]:
+        return sorted({host.domain for host in self.hosts.values()})
+
+    def draining_hosts(self, domain: str) -> int:
+        hosts = self.hosts.values()
+        return sum(h.draining and h.usable and h.domain == domain for h in hosts)
+
+    def form(self, deployment: Deployment, domain: str) -> None:
+        hosts = self.take(domain, deployment.hosts_per_group)
+        self.actions.append(Form(deployment=deployment.name, hosts=hosts))
+        name = f"new {len(self.actions)}"
+        self.groups[name] = PlanGroup(
+            name=name, deployment=deployment.name, hosts=hosts
+        )
+
     def dissolve(self, group: PlanGroup, reason: str) -> None:
         del self.groups[group.name]
         self.release(self.survivors(group))
@@ -137,6 +162,7 @@
     _repair_from_broken(board)
     _repair_from_lighter(board)
     _form_missing(board)
+    _make_room(board)
     _repair_across_domains(board)
     _give_up_waiting(board)
     return tuple(board.actions)
@@ -265,21 +291,107 @@
 
 
 def _form_missing(board: _Board) -> None:
-    by_weight = sorted(
-        board.deployments.values(), key=lambda d: (-d.weights.group_downtime, d.name)
-    )
-    for deployment in by_weight:
-        held = sum(g.deployment == deployment.name for g in board.groups.values())
-        for number in range(deployment.replicas - held):
+    for deployment in _by_weight(board):
+        for _ in range(_count_missing(board, deployment)):
             domain = _domain_for(board, deployment)
             if domain is None:
                 break
-            hosts = board.take(domain, deployment.hosts_per_group)
-            board.actions.append(Form(deployment=deployment.name, hosts=hosts))
-            placed = f"new {deployment.name} {number}"
-            board.groups[placed] = PlanGroup(
-                name=placed, deployment=deployment.name, hosts=hosts
-            )
+            board.form(deployment, domain)
+
+
+def _by_weight(board: _Board) -> list[Deployment]:
+    return sorted(
+        board.deployments.values(), key=lambda d: (-d.weights.group_downtime, d.name)
+    )
+
+
+def _count_missing(board: _Board, deployment: Deployment) -> int:
+    held = sum(g.deployment == deployment.name for g in board.groups.values())
+    return deployment.replicas - held
+
+
+def _make_room(board: _Board) -> None:
+    """Clear a domain of smaller groups where a larger one fits nowhere.
+
+    Small groups scatter over the domains as hosts fail and return, and then leave no
+    domain with enough free hosts; one notices a group that stays missing although
+    enough hosts are free in all. A smaller group moves to another domain, or gives
+    way where its downtime weighs less than what the larger one gains.
+    """
+    smallest = min((d.hosts_per_group for d in board.deployments.values()), default=0)
+    for deployment in _by_weight(board):
+        if deployment.hosts_per_group == smallest:
+            continue
+        if _count_missing(board, deployment) <= 0:
+            continue
+        room = {d: _room(board, deployment, d) for d in board.domains}
+        possible = {d: moved for d, moved in room.items() if moved is not None}
+        if possible:
+            domain = min(possible, key=lambda d: (len(possible[d]), d))
+            _clear(board, deployment, domain, possible[domain])
+
+
+def _room(
+    board: _Board, deployment: Deployment, domain: str
+) -> tuple[PlanGroup, ...] | None:
+    """Return the groups to clear from a domain, None where it does not pay."""
+    free = len(board.free.get(domain, ()))
+    lacking = deployment.hosts_per_group - free - board.draining_hosts(domain)
+    if lacking <= 0:
+        # Hosts that drain already make room; clearing more would be for nothing.
+        return ()
+    elsewhere = {d: len(pool) for d, pool in board.free.items() if d != domain}
+    gain = _gain_of_forming(board, deployment, free)
+    cleared: list[PlanGroup] = []
+    for group in _smaller_groups(board, deployment, domain):
+        size = len(group.hosts)
+        target = next((d for d in elsewhere if elsewhere[d] >= size), None)
+        if target is None:
+            gain -= board.deployment(group).weights.group_downtime
+        else:
+            elsewhere[target] -= size
+        cleared.append(group)
+        lacking -= size
+        if lacking <= 0:
+            return tuple(cleared) if gain > 0 else None
+    return None
+
+
+def _gain_of_forming(board: _Board, deployment: Deployment, idle_hosts: int) -> float:
+    """Return what a second with one more group and fewer idle hosts is worth."""
+    weights = deployment.weights
+    idle = idle_hosts * board.accelerators_per_host
+    return weights.group_downtime + weights.stranded_accelerators * idle
+
+
+def _smaller_groups(
+    board: _Board, deployment: Deployment, domain: str
+) -> list[PlanGroup]:
+    weight = deployment.weights.group_downtime
+    found = [
+        group
+        for group in board.groups.values()
+        if len(group.hosts) < deployment.hosts_per_group
+        and board.deployment(group).weights.group_downtime <= weight
+        and all(
+            board.hosts[h].domain == domain for h in group.hosts if h in board.hosts
+        )
+        and not board.is_broken(group)
+    ]
+    return sorted(found, key=lambda g: (-len(g.hosts), g.name))
+
+
+def _clear(
+    board: _Board,
+    deployment: Deployment,
+    domain: str,
+    groups: tuple[PlanGroup, ...],
+) -> None:
+    for group in groups:
+        board.dissolve(group, f"makes room for {deployment.name}")
+    if len(board.free.get(domain, ())) >= deployment.hosts_per_group:
+        board.form(deployment, domain)
+    _form_missing(board)
 
 
 def _domain_for(board: _Board, deployment: Deployment) -> str | None:
@@ -316,9 +428,9 @@
 
 def _holds_spares(board: _Board, deployment: Deployment) -> bool:
     """Tell whether downtime weighs more than one host's idle accelerators."""
-    accelerators = max((h.accelerators for h in board.hosts.values()), default=0)
     weights = deployment.weights
-    return weights.group_downtime > weights.stranded_accelerators * accelerators
+    idle = board.accelerators_per_host
+    return weights.group_downtime > weights.stranded_accelerators * idle
 
 
 def _repair_across_domains(board: _Board) -> None:
@@ -335,17 +447,35 @@
 
 
 def _give_up_waiting(board: _Board) -> None:
-    """Dissolve a broken group where its idle survivors weigh more than waiting.
+    """Dissolve a broken group whose survivors serve better elsewhere.
 
     Survivors keep their weights loaded and serve again as soon as the lost host is
-    back; free survivors can serve another deployment. Waiting is worth the downtime
-    that a warm return saves, and costs the survivors' accelerators meanwhile.
+    back. Where another deployment could use them now, waiting is weighed: it saves
+    the downtime of a cold load and costs the survivors' accelerators meanwhile.
     """
     for group in _broken_by_urgency(board):
-        deployment = board.deployment(group)
         survivors = board.survivors(group)
-        idle = sum(board.hosts[h].accelerators for h in survivors)
-        saved = deployment.weights.group_downtime * deployment.load_seconds
-        cost = deployment.weights.stranded_accelerators * idle * RETURN_SECONDS
-        if not survivors or cost > saved:
-            board.dissolve(group, "not worth waiting")
+        if not survivors:
+            board.dissolve(group, "no member is left")
+        elif _is_waiting_too_dear(board, group) and _helps_another(board, group):
+            board.dissolve(group, "serves better elsewhere")
+            _form_missing(board)
+
+
+def _is_waiting_too_dear(board: _Board, group: PlanGroup) -> bool:
+    deployment = board.deployment(group)
+    idle = sum(board.hosts[h].accelerators for h in board.survivors(group))
+    saved = deployment.weights.group_downtime * deployment.load_seconds
+    cost = deployment.weights.stranded_accelerators * idle * RETURN_SECONDS
+    return cost > saved
+
+
+def _helps_another(board: _Board, group: PlanGroup) -> bool:
+    home = _home(board, group)
+    freed = len(board.free.get(home or "", ())) + len(board.survivors(group))
+    return any(
+        other.name != group.deployment
+        and other.hosts_per_group <= freed
+        and _count_missing(board, other) > 0
+        for other in board.deployments.values()
+    )
