Form a broken group anew elsewhere when its domain has no replacement

Cause: a group whose domain had no free host waited for its lost host while another domain had hosts for a whole new group. Ruled out: the repair order and pacing (same slots as the baseline). Change: relocate where a cold load is shorter than the usual return.

--- a/mallowpond/state/planner.py
+++ b/mallowpond/state/planner.py
@@ -164,6 +164,7 @@
     _form_missing(board)
     _make_room(board)
     _repair_across_domains(board)
+    _relocate(board)
     _give_up_waiting(board)
     return tuple(board.actions)
 
@@ -446,6 +447,22 @@
         board.repair(group, joining)
 
 
+def _relocate(board: _Board) -> None:
+    """Form a broken group anew in another domain that has hosts enough.
+
+    Its survivors' domain has no replacement, so the choice is between a cold load
+    elsewhere and waiting for the lost host to return.
+    """
+    for group in _broken_by_urgency(board):
+        deployment = board.deployment(group)
+        if deployment.load_seconds > RETURN_SECONDS:
+            continue
+        domain = _domain_for(board, deployment)
+        if domain is not None:
+            board.dissolve(group, "forms anew in another domain")
+            board.form(deployment, domain)
+
+
 def _give_up_waiting(board: _Board) -> None:
     """Dissolve a broken group whose survivors serve better elsewhere.
 
