--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,144 @@
+"""Count what membership and configuration cost each node, and what moves."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from bench.report import Report
+from mallowpond.coordination.ports import (
+    CommitOutcome,
+    Row,
+    Scanned,
+    Transaction,
+    Unavailable,
+)
+from mallowpond.coordination.tests.fakes import FakeClock, document, make_node
+from mallowpond.standins.platform import MemoryTable
+from mallowpond.state.codec import to_json
+from mallowpond.state.ownership import owner_of
+
+HEARTBEAT_SECONDS = 0.5
+ROUNDS = 40
+
+
+@dataclass(kw_only=True)
+class CountingTable(MemoryTable):
+    """Count reads, writes and the bytes of both as JSON on the wire."""
+
+    read_bytes: int = 0
+    write_bytes: int = 0
+    scans: int = 0
+    keys: set[str] = field(default_factory=set)
+
+    async def scan(self, prefix: str, since: int = 0) -> Scanned | Unavailable:
+        """Scan and count."""
+        found = await super().scan(prefix, since)
+        self.scans += 1
+        self.read_bytes += len(to_json(found))
+        return found
+
+    async def commit(self, transaction: Transaction) -> CommitOutcome:
+        """Commit and count."""
+        self.write_bytes += len(to_json(transaction))
+        return await super().commit(transaction)
+
+    async def read(self, key: str) -> Row | None | Unavailable:
+        """Read and count."""
+        row = await super().read(key)
+        self.read_bytes += len(to_json(row))
+        return row
+
+
+async def cell_of(count: int) -> tuple[CountingTable, list, FakeClock]:
+    """Return a settled cell of this many controllers."""
+    table, clock = CountingTable(), FakeClock()
+    nodes = [make_node(f"n{i:03}", table, clock) for i in range(count)]
+    for _ in range(count + 20):
+        for node in nodes:
+            await node.step()
+        clock.time += HEARTBEAT_SECONDS
+        cell = nodes[0].membership.cell
+        if cell and len(cell.value.members) == count:
+            break
+    return table, nodes, clock
+
+
+async def cost(count: int) -> tuple[float, ...]:
+    """Return reads, writes, bytes a node and second, and steps to be in force."""
+    table, nodes, clock = await cell_of(count)
+    before = (table.scans, table.commits, table.read_bytes, table.write_bytes)
+    for _ in range(ROUNDS):
+        for node in nodes:
+            await node.step()
+        clock.time += HEARTBEAT_SECONDS
+    after = (table.scans, table.commits, table.read_bytes, table.write_bytes)
+    unit = ROUNDS * HEARTBEAT_SECONDS * count
+    per_node = [(b - a) / unit for a, b in zip(before, after, strict=True)]
+    steps = await _steps_to_force(nodes, clock)
+    return (*per_node, steps * HEARTBEAT_SECONDS)
+
+
+async def _steps_to_force(nodes: list, clock: FakeClock) -> int:
+    """Count heartbeats from the proposal until every node applied it."""
+    node = nodes[0].configuration
+    await node.propose(
+        text=document(), expect_version=node.applied.version, author="bench"
+    )
+    for step in range(1, 100):
+        for one in nodes:
+            await one.step()
+        clock.time += HEARTBEAT_SECONDS
+        if all(n.configuration.applied.version == 1 for n in nodes):
+            return step
+    return 100
+
+
+def moved(members: int, change: str) -> tuple[float, float]:
+    """Return the share of 10,000 names that change owner: rendezvous, modulo."""
+    rng = random.Random(2)
+    names = [f"name-{rng.random()}" for _ in range(2_000)]
+    before = [f"n{i}" for i in range(members)]
+    after = [*before, "new"] if change == "join" else before[1:]
+    rendezvous = sum(owner_of(n, before) != owner_of(n, after) for n in names)
+    modulo = sum(
+        before[hash_of(n) % len(before)] != after[hash_of(n) % len(after)]
+        for n in names
+    )
+    return rendezvous / len(names), modulo / len(names)
+
+
+def hash_of(name: str) -> int:
+    """Return a stable number for a name."""
+    return random.Random(name).getrandbits(48)
+
+
+def run(*, smallest: bool) -> list[Report]:
+    """Measure the cost of cells of several sizes, and ownership moved."""
+    sizes = (3, 7) if smallest else (3, 7, 15, 30, 60)
+    rows = []
+    for size in sizes:
+        scans, commits, read, written, force = asyncio.run(cost(size))
+        rows.append((size, scans, commits, read, written, force))
+    costs = Report(
+        title="Cost of a node in a cell, heartbeats each 0.5 s",
+        columns=(
+            "members",
+            "scans/s",
+            "commits/s",
+            "read B/s",
+            "written B/s",
+            "in force after (s)",
+        ),
+        rows=tuple(rows),
+    )
+    moves = [
+        (count, change, *moved(count, change))
+        for count in ((7,) if smallest else (7, 30, 380))
+        for change in ("join", "loss")
+    ]
+    ownership = Report(
+        title="Share of ownership moved",
+        columns=("members", "change", "rendezvous", "modulo"),
+        rows=tuple(moves),
+    )
+    return [costs, ownership]
