Keep heartbeats in short rows of their own

Cause: every member read every member's whole row at each heartbeat. Ruled out: the shared rows (their scans are empty at rest). Change: the member row is written only when it changes; a row of one number renews it.

--- a/mallowpond/coordination/keys.py
+++ b/mallowpond/coordination/keys.py
@@ -14,6 +14,7 @@
 HOSTS = "host/"
 LEASES = "lease/"
 MEMBERS = "member/"
+BEATS = "beat/"
 
 
 def cell_prefix(cell: str) -> str:
--- a/mallowpond/coordination/membership.py
+++ b/mallowpond/coordination/membership.py
@@ -4,12 +4,19 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from mallowpond.coordination.keys import CELLS, MEMBERS, SHARED, cell_prefix
+from mallowpond.coordination.keys import (
+    BEATS,
+    CELLS,
+    MEMBERS,
+    SHARED,
+    cell_prefix,
+)
 from mallowpond.coordination.ports import (
     Clock,
     Committed,
     Conflict,
     TableService,
+    Transaction,
 )
 from mallowpond.coordination.store import (
     TableView,
@@ -20,7 +27,7 @@
 )
 from mallowpond.state.lease import LapseWatch
 from mallowpond.state.proposal import next_epoch
-from mallowpond.state.rows import CellRow, MemberRow, MemberState
+from mallowpond.state.rows import BeatRow, CellRow, MemberRow, MemberState
 
 GONE_AFTER_LEASES = 3.0
 
@@ -141,10 +148,12 @@
                 self._watch.postpone(dark)
                 self._gone_watch.postpone(dark)
         self._last_read_at = now
+        beats = self._cell_view.below(BEATS, BeatRow)
         for name, member in self.members().items():
             key = (name, member.incarnation)
-            self._watch.observe(key, member.counter, now)
-            self._gone_watch.observe(name, (key, member.counter), now)
+            beat = beats[name].value.n if name in beats else 0
+            self._watch.observe(key, beat, now)
+            self._gone_watch.observe(name, (key, beat), now)
         return True
 
     async def renew(
@@ -156,12 +165,8 @@
         held = self._cell_view.get(MEMBERS + self._identity.name, MemberRow)
         if self._is_replaced(held):
             return Heartbeat.REPLACED
-        self._counter += 1
         row = self._row(applied, prepared, gateways)
-        key = cell_prefix(self._identity.cell) + MEMBERS + self._identity.name
-        expect = held.version if held else 0
-        put = TypedPut(key=key, value=row, expect=expect)
-        change = transaction(self._draw_id(), put)
+        change = self._renewal(row, held)
         outcome = await commit_settled(self._table, change)
         match outcome:
             case Committed():
@@ -201,6 +206,30 @@
             put = TypedPut(key=key, value=step, expect=cell.version)
             await self._table.commit(transaction(self._draw_id(), put))
 
+    def _renewal(
+        self, row: MemberRow, held: Versioned[MemberRow] | None
+    ) -> Transaction:
+        """Return the next beat, with the member row only where that changed."""
+        prefix = cell_prefix(self._identity.cell)
+        name = self._identity.name
+        beat = self._cell_view.get(BEATS + name, BeatRow)
+        self._counter += 1
+        puts = [
+            TypedPut(
+                key=prefix + BEATS + name,
+                value=BeatRow(n=self._counter),
+                expect=beat.version if beat else 0,
+            )
+        ]
+        if held is None or held.value != row:
+            put = TypedPut(
+                key=prefix + MEMBERS + name,
+                value=row,
+                expect=held.version if held else 0,
+            )
+            puts.append(put)
+        return transaction(self._draw_id(), *puts)
+
     def _advance_state(self, now: float) -> None:
         # A newcomer waits one lease time: whoever held its share before has then
         # either seen it or let its own leases lapse.
@@ -221,7 +250,6 @@
             address=self._identity.address,
             operator_address=self._identity.operator_address,
             incarnation=self._identity.incarnation,
-            counter=self._counter,
             applied=applied,
             prepared=prepared,
             epoch=self.epoch,
--- a/mallowpond/state/rows.py
+++ b/mallowpond/state/rows.py
@@ -40,14 +40,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class MemberRow:
-    """Announce one controller; `counter` moves with every renewal."""
+    """Announce one controller; written only when something in it changes."""
 
     name: str
     cell: str
     address: str
     operator_address: str
     incarnation: str
-    counter: int
     applied: int
     prepared: str
     epoch: int
@@ -55,6 +54,13 @@
     gateways: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, kw_only=True)
+class BeatRow:
+    """Renew a member; kept apart and short, since all members read it all the time."""
+
+    n: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class CellRow:
     """List the counted members of a data centre's cell; epochs differ by one."""
