Watch streams for silence without a timeout for each chunk

Cause: each chunk armed and cancelled a timeout twice, and waited for a drain of an empty buffer. Change: one timer a stream; drain only what did not go out.

--- a/mallowpond/gateway/relay.py
+++ b/mallowpond/gateway/relay.py
@@ -1,15 +1,11 @@
 """Pass an answer on to its caller, whole or visibly broken."""
 
-import asyncio
-from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 from mallowpond.transport.http_client import (
-    BodyEvent,
     CallFailed,
     Chunk,
     End,
-    FailurePhase,
     HttpResponse,
 )
 from mallowpond.transport.http_server import Exchange
@@ -76,7 +72,7 @@
 ) -> RelayEnd:
     """Pass events on as they come; the answer is left open for the caller to end."""
     try:
-        async for event in timed_events(response, silence_seconds):
+        async for event in response.events(silence_seconds):
             match event:
                 case Chunk(data=data):
                     whole = progress.take(data)
@@ -98,7 +94,7 @@
     """Read an answer to its end before any of it is passed on."""
     body = bytearray()
     try:
-        async for event in timed_events(response, silence_seconds):
+        async for event in response.events(silence_seconds):
             match event:
                 case Chunk(data=data):
                     body += data
@@ -109,20 +105,3 @@
     finally:
         response.close()
     return Broken(reason="cut_body")
-
-
-async def timed_events(
-    response: HttpResponse, silence_seconds: float
-) -> AsyncIterator[BodyEvent]:
-    """Yield the events of a body, and a failure when it falls silent."""
-    events = response.events()
-    while True:
-        try:
-            async with asyncio.timeout(silence_seconds):
-                event = await anext(events)
-        except TimeoutError:
-            yield CallFailed(phase=FailurePhase.BODY, reason="silent")
-            return
-        except StopAsyncIteration:
-            return
-        yield event
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -71,6 +71,36 @@
         self.writer.transport.abort()
 
 
+class _SilenceWatch:
+    """Abort a connection that falls silent, at no cost for each chunk."""
+
+    def __init__(self, *, connection: _Connection, seconds: float | None) -> None:
+        self._connection = connection
+        self._seconds = seconds
+        self._loop = asyncio.get_running_loop()
+        self._heard_at = self._loop.time()
+        self._timer: asyncio.TimerHandle | None = None
+        if seconds is not None:
+            self._timer = self._loop.call_later(seconds, self._look)
+
+    def note(self) -> None:
+        """Note that bytes came."""
+        self._heard_at = self._loop.time()
+
+    def close(self) -> None:
+        """Stop watching."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _look(self) -> None:
+        left = self._heard_at + (self._seconds or 0.0) - self._loop.time()
+        if left <= 0:
+            # The reader wakes with the end of the stream, short of its own end.
+            self._connection.abort()
+            return
+        self._timer = self._loop.call_later(left, self._look)
+
+
 class HttpResponse:
     """Read one answer; closing it early drops the connection, never reuses it."""
 
@@ -83,8 +113,18 @@
         self.status = head.status_code
         self.headers = decode_headers(head.headers)
 
-    async def events(self) -> AsyncIterator[BodyEvent]:
-        """Yield chunks, then one `End` or `CallFailed`."""
+    async def events(
+        self, silence_seconds: float | None = None
+    ) -> AsyncIterator[BodyEvent]:
+        """Yield chunks, then one `End` or `CallFailed`; a silent body fails."""
+        watch = _SilenceWatch(connection=self._connection, seconds=silence_seconds)
+        try:
+            async for event in self._events(watch):
+                yield event
+        finally:
+            watch.close()
+
+    async def _events(self, watch: "_SilenceWatch") -> AsyncIterator[BodyEvent]:
         state, reader = self._connection.state, self._connection.reader
         pending = bytearray()
         while True:
@@ -102,6 +142,7 @@
                     except ConnectionError as error:
                         yield CallFailed(phase=FailurePhase.BODY, reason=str(error))
                         return
+                    watch.note()
                     continue
             if pending:
                 yield Chunk(data=bytes(pending))
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -102,6 +102,9 @@
         if self._writer.is_closing():
             raise ClientGone
         self._writer.write(data)
+        if self._writer.transport.get_write_buffer_size() == 0:
+            # All of it went out: waiting would only cost time on every chunk.
+            return
         try:
             # A client that stops reading would hold its stream's memory and its
             # group's slot for ever; one notices it by slots that never free.
--- a/mallowpond/transport/tests/test_http_client.py
+++ b/mallowpond/transport/tests/test_http_client.py
@@ -101,3 +101,23 @@
             assert await http.fetch(address, "GET", "/") == (200, b"whole")
             await asyncio.sleep(0.02)
         await http.close()
+
+
+async def test_body_that_falls_silent_fails():
+    """
+    Symptom: a stream hangs for ever and keeps its slot.
+    Events: an engine pauses in the middle of an answer. Cause: no limit between chunks.
+    """
+
+    async def pause(reader, writer):
+        await scripted.cut_body(b"half", 8)(reader, writer)
+        await asyncio.sleep(5)
+
+    async with scripted.scripted_server(pause) as address:
+        http = HttpClient()
+        answer = await http.send(address, "GET", "/")
+        events = [event async for event in answer.events(0.1)]
+        answer.close()
+        await http.close()
+    assert events[0] == Chunk(data=b"half")
+    assert isinstance(events[1], CallFailed)
