Check the lease at the version that it is held at, not as last read

Cause: a transaction's check took the lease row's version from the latest read. A holder that woke after a takeover lost its first commit to a conflict, read the table again, and wrote the rest of its step under the new holder's lease. Ruled out: the rows of hosts (their checks held; hosts that nobody had touched have no row to conflict). Found by taking mechanisms out and seeing which tests still passed: removing the lease check failed none.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,8 @@
     "claims": "Claim latency and transactions, alone and grouped.",
     "membership": "Reads, writes and bytes per node; ownership moved.",
     "request_path": "Processor time and memory per request, chunk and stream.",
+    "control": "Processor time and memory of processes at rest.",
+    "bounds": "Seconds from faults and changes to their answer.",
 }
 
 
--- a/mallowpond/coordination/groups.py
+++ b/mallowpond/coordination/groups.py
@@ -184,9 +184,9 @@
 
     async def _delete(self, name: str, row: Versioned[GroupRow]) -> None:
         freed = self._freed(row.value.hosts)
-        change = self._transaction(freed, deletes=(SHARED + GROUPS + name,))
-        held = Check(key=SHARED + GROUPS + name, version=row.version)
-        await self._apply(replace(change, checks=(*change.checks, held)))
+        key = SHARED + GROUPS + name
+        held = Check(key=key, version=row.version)
+        await self._commit(freed, deletes=(key,), checks=(held,))
 
     def _freed(self, hosts: tuple[str, ...]) -> dict[str, tuple[object, int]]:
         """Return the changes that unbind hosts and write down their unload orders."""
@@ -492,38 +492,43 @@
             if withdrawn is not None:
                 changes[HOSTS + name] = (withdrawn, row.version)
         if changes:
-            await self._apply(self._transaction(changes, under_lease=False))
+            await self._write(changes)
 
     # -- transactions --------------------------------------------------------
 
-    async def _commit(self, changes: dict[str, tuple[object, int]]) -> bool:
-        return await self._apply(self._transaction(changes))
-
-    def _transaction(
+    async def _commit(
         self,
         changes: dict[str, tuple[object, int]],
         *,
         deletes: tuple[str, ...] = (),
-        under_lease: bool = True,
-    ) -> Transaction:
-        checks = [Check(key=SHARED + k, version=v) for k, (_, v) in changes.items()]
-        if under_lease:
-            # The lease's row version changes with its holder, so the table itself
-            # refuses what a holder writes after it lost the lease.
-            checks.append(self._lease.check)
-        return Transaction(
+        checks: tuple[Check, ...] = (),
+    ) -> bool:
+        """Commit under the lease; without it nothing is written.
+
+        The check names the version at which this process holds the lease. Taking the
+        row's version as last read would let a holder that woke after a takeover write
+        under the new holder's lease.
+        """
+        lease = self._lease.held
+        if lease is None:
+            return False
+        fenced = (*checks, Check(key=self._lease.key, version=lease.version))
+        return await self._write(changes, deletes, fenced)
+
+    async def _write(
+        self,
+        changes: dict[str, tuple[object, int]],
+        deletes: tuple[str, ...] = (),
+        checks: tuple[Check, ...] = (),
+    ) -> bool:
+        unchanged = (Check(key=SHARED + k, version=v) for k, (_, v) in changes.items())
+        rows = ((SHARED + key, row) for key, (row, _) in changes.items())
+        change = Transaction(
             transaction=self._draw_id(),
-            checks=tuple(checks),
-            puts=tuple(
-                Put(key=SHARED + k, value=to_plain(row))
-                for k, (row, _) in changes.items()
-            ),
+            checks=(*unchanged, *checks),
+            puts=tuple(Put(key=key, value=to_plain(row)) for key, row in rows),
             deletes=deletes,
         )
-
-    async def _apply(self, change: Transaction) -> bool:
-        if self._lease.is_mine and self._lease.held is None:
-            return False
         outcome = await commit_settled(self._table, change)
         await self._shared.refresh()
         return isinstance(outcome, Committed)
--- a/mallowpond/coordination/leases.py
+++ b/mallowpond/coordination/leases.py
@@ -5,7 +5,7 @@
 
 from mallowpond.coordination.keys import LEASES, SHARED
 from mallowpond.coordination.membership import Membership
-from mallowpond.coordination.ports import Check, Clock, TableService
+from mallowpond.coordination.ports import Clock, TableService
 from mallowpond.coordination.store import (
     TableView,
     TypedPut,
@@ -58,10 +58,9 @@
         return row is not None and self._is_mine(row.value)
 
     @property
-    def check(self) -> Check:
-        """Return the check that makes a transaction fail for an older holder."""
-        row = self._row
-        return Check(key=self._key, version=row.version if row else 0)
+    def key(self) -> str:
+        """Return the key of the lease's row."""
+        return SHARED + LEASES + self._name
 
     async def keep(self) -> HeldLease | None:
         """Take the lease when it is ours to take, give it back when it is not."""
@@ -85,10 +84,6 @@
         if row is not None and self._is_mine(row.value):
             await self._put(replace(row.value, holder="", incarnation=""), row)
 
-    @property
-    def _key(self) -> str:
-        return SHARED + LEASES + self._name
-
     @property
     def _row(self) -> Versioned[LeaseRow] | None:
         return self._shared.get(LEASES + self._name, LeaseRow)
@@ -104,6 +99,6 @@
 
     async def _put(self, lease: LeaseRow, row: Versioned[LeaseRow] | None) -> None:
         expect = row.version if row else 0
-        put = TypedPut(key=self._key, value=lease, expect=expect)
+        put = TypedPut(key=self.key, value=lease, expect=expect)
         await commit_settled(self._table, transaction(self._draw_id(), put))
         await self._shared.refresh()
--- a/mallowpond/coordination/tests/fakes.py
+++ b/mallowpond/coordination/tests/fakes.py
@@ -11,6 +11,8 @@
 from mallowpond.coordination.membership import MemberIdentity, Membership
 from mallowpond.coordination.ports import (
     CommitOutcome,
+    Committed,
+    Conflict,
     EngineStatus,
     Host,
     Order,
@@ -18,6 +20,7 @@
     OrderAction,
     OrderRefused,
     OrderResult,
+    Put,
     Row,
     Scanned,
     Transaction,
@@ -57,15 +60,18 @@
 
     table: MemoryTable
     cut: bool = False
+    reads_cut: bool = False
     lose_answers: int = 0
 
     async def read(self, key: str) -> Row | None | Unavailable:
         """Read unless cut off."""
-        return Unavailable(reason="cut") if self.cut else await self.table.read(key)
+        if self.cut or self.reads_cut:
+            return Unavailable(reason="cut")
+        return await self.table.read(key)
 
     async def scan(self, prefix: str, since: int = 0) -> Scanned | Unavailable:
         """Scan unless cut off."""
-        if self.cut:
+        if self.cut or self.reads_cut:
             return Unavailable(reason="cut")
         return await self.table.scan(prefix, since)
 
@@ -80,6 +86,20 @@
         return outcome
 
 
+@dataclass(kw_only=True)
+class RecordingTable(MemoryTable):
+    """Remember every row that was ever committed."""
+
+    written: list[Put] = field(default_factory=list)
+
+    def apply(self, transaction: Transaction) -> Committed | Conflict:
+        """Apply a transaction and remember its rows."""
+        outcome = super().apply(transaction)
+        if isinstance(outcome, Committed):
+            self.written += transaction.puts
+        return outcome
+
+
 @dataclass(kw_only=True)
 class FakeEngine:
     """Hold what one engine was last ordered."""
@@ -118,11 +138,12 @@
             loaded=self.loads,
         )
 
-    def restart(self) -> None:
-        """Come back as if nothing happened, with nothing loaded."""
+    def restart(self, *, keeps_place: bool = False) -> None:
+        """Come back under a new incarnation, with nothing loaded unless told so."""
         self.incarnation = str(int(self.incarnation) + 1)
-        self.order = None
         self.fence = 0
+        if not keeps_place:
+            self.order = None
 
 
 @dataclass(kw_only=True)
--- a/mallowpond/coordination/tests/test_groups.py
+++ b/mallowpond/coordination/tests/test_groups.py
@@ -11,11 +11,11 @@
     FakeClock,
     FakeEngine,
     FakeEngines,
+    RecordingTable,
     listed,
     make_node,
     settle,
 )
-from mallowpond.standins.platform import MemoryTable
 from mallowpond.state.declarations import Declaration, Deployment
 from mallowpond.state.rows import GroupState
 
@@ -37,7 +37,7 @@
     """Hold controllers, engines and the clock of one test."""
 
     def __init__(self, *, controllers="a", checks_fencing=True, size=3, replicas=1):
-        self.clock, self.table = FakeClock(), MemoryTable()
+        self.clock, self.table = FakeClock(), RecordingTable()
         engines = {h: FakeEngine(host=h, checks_fencing=checks_fencing) for h in HOSTS}
         self.engines = FakeEngines(engines=engines)
         self.nodes = [
@@ -77,8 +77,11 @@
 async def test_group_is_ready_only_when_every_member_has_confirmed():
     site = await Site().start()
     site.engines.engines["h1"].loads = False
-    await site.tick(times=4)
+    await site.tick(times=8)
     assert site.states() == [GroupState.LOADING]
+    # Not even between two steps was it ever called ready.
+    written = [p.value["state"] for p in site.table.written if "/group/" in p.key]
+    assert "ready" not in written
     site.engines.engines["h1"].loads = True
     await site.tick(times=3)
     assert site.states() == [GroupState.READY]
@@ -99,11 +102,17 @@
     engine.restart()
 
 
+async def returns_claiming_its_old_place(engine):
+    engine.restart(keeps_place=True)
+
+
 async def loses_its_place(engine):
     engine.order = None
 
 
-@pytest.mark.parametrize("fault", [dies, returns_as_if_nothing_happened])
+@pytest.mark.parametrize(
+    "fault", [dies, returns_as_if_nothing_happened, returns_claiming_its_old_place]
+)
 @pytest.mark.parametrize("phase", ["forming", "loading", "ready"])
 async def test_lost_member_is_replaced_and_the_group_waits_for_all(fault, phase):
     """
@@ -201,6 +210,47 @@
     assert after == before
 
 
+async def test_older_holder_cannot_bind_hosts_that_nobody_touched():
+    """
+    Symptom: two planners form groups side by side, more than declared.
+    Events: the old holder wakes, believes in its lease, and finds untouched hosts.
+    Cause: only the rows of the hosts were checked, not the lease's.
+    """
+    site = await Site(controllers="ab", size=2).start()
+    await site.until_ordered()
+    frozen = site.owner
+    (other,) = [n for n in site.nodes if n is not frozen]
+    site.clock.time += LEASE
+    await site.tick(other, times=16)
+    await frozen.watch.poll(site.hosts)
+    frozen.membership._renewed_at = site.clock.now()
+    site.declaration = declaration(replicas=2, size=2)
+    before = len(other.groups.groups())
+    await frozen.groups.tick(declaration=site.declaration, hosts=site.hosts)
+    await other.shared.refresh()
+    assert len(other.groups.groups()) == before
+
+
+async def test_planner_that_cannot_read_does_not_bind_a_host_twice():
+    """
+    Symptom: a host stands in two groups of one planner.
+    Events: a commit's answer is lost and the table cannot be read afterwards; the
+    planner plans again on what it knew before.
+    Cause: the host's row was written without a check of its version.
+    """
+    site = await Site(size=2).start()
+    (node,) = site.nodes
+    await site.tick()
+    await node.step()
+    node.line.lose_answers, node.line.reads_cut = 1, True
+    await node.plan(site.declaration, site.hosts)
+    await node.plan(site.declaration, site.hosts)
+    node.line.reads_cut = False
+    await node.shared.refresh()
+    bound = [h for g in node.groups.groups().values() for h in g.hosts]
+    assert len(bound) == len(set(bound)) == 2
+
+
 async def test_lost_commit_answer_does_not_bind_hosts_twice():
     site = await Site().start()
     site.nodes[0].line.lose_answers = 50
