Void late claims over another's void row; show broken groups as broken

Two faults found by looking at tests and measurements harder: - ClaimMachine with the invariant 'a voided attempt is never charged': an attempt decided on another attempt's VOID row could commit after its own void, which wrote nothing then. Cause: settle_void looked at CLAIMED and absent rows only. Change: state BROKEN, out of the routes at once, READY again when every member confirms; also for hosts that leave or are drained, whose groups are drained and taken apart, since nothing will return. Ruled out: gateways (they had no permit and sent nothing).

--- a/mallowpond/controller/service.py
+++ b/mallowpond/controller/service.py
@@ -15,7 +15,11 @@
 from mallowpond.controller.tables import Tables
 from mallowpond.coordination.claims import ClaimCommitter
 from mallowpond.coordination.configuration import Configuration
-from mallowpond.coordination.groups import GroupManager, GroupTimings
+from mallowpond.coordination.groups import (
+    GroupManager,
+    GroupTimings,
+    excluded_hosts,
+)
 from mallowpond.coordination.health import EngineWatch
 from mallowpond.coordination.keys import SHARED
 from mallowpond.coordination.leases import NamedLease
@@ -24,7 +28,7 @@
     MemberIdentity,
     Membership,
 )
-from mallowpond.coordination.ports import Host, HostState, Ports, Unavailable
+from mallowpond.coordination.ports import Host, Ports, Unavailable
 from mallowpond.coordination.quotas import QuotaLeaser
 from mallowpond.coordination.store import TableView, new_id
 from mallowpond.protocol.declaration_file import parse_document
@@ -322,6 +326,7 @@
         left = None
         if isinstance(assurance, Assured):
             left = assurance.until - self._clock.now()
+        excluded = excluded_hosts(applied.declaration, self._hosts)
         knows_text = ask.known_config == applied.version
         knows_groups = ask.known_routes == self._routes_version
         return Routes(
@@ -331,8 +336,8 @@
             config_text=None if knows_text else applied.text,
             routes_version=self._routes_version,
             groups=None if knows_groups else self._routed,
-            permits=self._permits(),
-            excluded_hosts=self._excluded_hosts(),
+            permits=self._own_permits(),
+            excluded_hosts=tuple(sorted(excluded)),
             leaving=self._leaving,
         )
 
@@ -354,14 +359,6 @@
                 permits.append(permit)
         return tuple(permits)
 
-    def _permits(self) -> tuple[Permit, ...]:
-        return self._own_permits()
-
-    def _excluded_hosts(self) -> tuple[str, ...]:
-        drained = self.configuration.applied.declaration.drained_hosts
-        leaving = (h.name for h in self._hosts if h.state is HostState.LEAVING)
-        return tuple(sorted({*drained, *leaving}))
-
     def _answer_view(self, ask: PeerAsk) -> PeerView:
         read = self.configuration.head_read
         age = self._clock.now() - read.asked_at if read else None
--- a/mallowpond/coordination/groups.py
+++ b/mallowpond/coordination/groups.py
@@ -88,6 +88,7 @@
         self._since: dict[tuple[str, GroupState, int], float] = {}
         self._stranded = 0
         self._tainted: tuple[str, ...] = ()
+        self._excluded: frozenset[str] = frozenset()
 
     @property
     def stranded(self) -> int:
@@ -113,8 +114,10 @@
             self._tainted, self._stranded = (), 0
             await self._withdraw_orders()
             return
+        self._excluded = excluded_hosts(declaration, hosts)
         self._note_states()
-        await self._promote_loaded()
+        await self._mark_broken()
+        await self._promote_whole()
         await self._finish_drained()
         await self._close_orders()
         await self._plan(declaration, hosts)
@@ -138,15 +141,32 @@
         key = (group.group, group.state, group.generation)
         return self._clock.now() - self._since.get(key, self._clock.now())
 
-    # -- from loading to ready, from draining to gone ------------------------
+    # -- from loading to ready and back, from draining to gone ------------------------
 
-    async def _promote_loaded(self) -> None:
+    async def _mark_broken(self) -> None:
+        """Take groups that lost a member, or will, out of service at once.
+
+        Where no replacement is at hand the survivors wait; without this the group
+        would go on being counted, and shown, as ready. Nothing is told to the engines
+        here, so requests in progress go on.
+        """
+        for name, row in self._group_rows().items():
+            group = row.value
+            lost = any(self._has_lost(member, group) for member in group.members)
+            leaves = not self._excluded.isdisjoint(group.hosts)
+            if group.state is GroupState.READY and (lost or leaves):
+                broken = replace(group, state=GroupState.BROKEN)
+                await self._commit({GROUPS + name: (broken, row.version)})
+
+    async def _promote_whole(self) -> None:
         for name, row in self._group_rows().items():
             group = row.value
-            if group.state is not GroupState.LOADING:
+            if group.state not in (GroupState.LOADING, GroupState.BROKEN):
                 continue
             if self._watch.whole_age(group) is None:
                 continue
+            if not self._excluded.isdisjoint(group.hosts):
+                continue
             ready = replace(group, state=GroupState.READY)
             done = self._host_changes(group.hosts, outcome=OrderOutcome.DONE)
             await self._commit({GROUPS + name: (ready, row.version), **done})
@@ -219,15 +239,11 @@
         )
         groups = self.groups().values()
         draining = frozenset(g.group for g in groups if g.state is GroupState.DRAINING)
-        plan_hosts = [
-            self._plan_host(h, declaration, rows, draining)
-            for h in hosts
-            if h.is_target
-        ]
+        plan_hosts = [self._plan_host(h, rows, draining) for h in hosts if h.is_target]
         plan_groups = [
             self._plan_group(row.value, declaration)
             for row in self._group_rows().values()
-            if row.value.state in (GroupState.LOADING, GroupState.READY)
+            if row.value.state is not GroupState.DRAINING
         ]
         known = {
             "hosts": plan_hosts,
@@ -241,15 +257,13 @@
     def _plan_host(
         self,
         host: Host,
-        declaration: Declaration,
         rows: dict[str, Versioned[HostRow]],
         draining: frozenset[str],
     ) -> PlanHost:
         row = rows.get(host.name)
         group = row.value.group if row else None
         is_usable = (
-            host.state is HostState.LIVE
-            and host.name not in declaration.drained_hosts
+            host.name not in self._excluded
             and host.name not in self._tainted
             and self._watch.recent(host.name) is not None
         )
@@ -260,6 +274,7 @@
             usable=is_usable,
             group=group,
             draining=group in draining,
+            leaving=host.name in self._excluded,
         )
 
     def _plan_group(self, group: GroupRow, declaration: Declaration) -> PlanGroup:
@@ -282,7 +297,7 @@
             return True
         if status.incarnation != member.incarnation:
             return True
-        if group.state is GroupState.READY:
+        if group.state is not GroupState.LOADING:
             return not is_in_place(status, member, group)
         return self._age(group) >= self._timings.forming_limit
 
@@ -319,12 +334,10 @@
     async def _drained_first(self, name: str, row: Versioned[GroupRow]) -> bool:
         """Drain a group that still serves instead of cutting its requests off."""
         group = row.value
-        if group.state is not GroupState.READY:
+        if group.state not in (GroupState.READY, GroupState.BROKEN):
             return False
         if self._watch.whole_age(group) is None:
             return False
-        if any(self._watch.recent(h) is None for h in group.hosts):
-            return False
         draining = replace(group, state=GroupState.DRAINING)
         await self._commit({GROUPS + name: (draining, row.version)})
         return True
@@ -532,3 +545,9 @@
         outcome = await commit_settled(self._table, change)
         await self._shared.refresh()
         return isinstance(outcome, Committed)
+
+
+def excluded_hosts(declaration: Declaration, hosts: tuple[Host, ...]) -> frozenset[str]:
+    """Return the hosts that get no new work: drained by operators, or leaving."""
+    leaving = (host.name for host in hosts if host.state is HostState.LEAVING)
+    return frozenset((*declaration.drained_hosts, *leaving))
--- a/mallowpond/coordination/health.py
+++ b/mallowpond/coordination/health.py
@@ -47,14 +47,16 @@
         return seen.status
 
     def whole_age(self, group: GroupRow) -> float | None:
-        """Return the age of the oldest report that confirms a member's place."""
+        """Return the age of the oldest report that confirms a member's place.
+
+        None when a member contradicts it, or is silent.
+        """
         ages = []
-        now = self._clock.now()
         for member in group.members:
-            seen = self._seen.get(member.host)
-            if seen is None or not is_in_place(seen.status, member, group):
+            status = self.recent(member.host)
+            if status is None or not is_in_place(status, member, group):
                 return None
-            ages.append(now - seen.asked_at)
+            ages.append(self._clock.now() - self._seen[member.host].asked_at)
         return max(ages, default=None)
 
     async def _ask(self, host: Host) -> None:
--- a/mallowpond/coordination/tests/test_groups.py
+++ b/mallowpond/coordination/tests/test_groups.py
@@ -155,6 +155,23 @@
     assert site.groups[0].generation == group.generation + 1
 
 
+async def test_group_that_waits_for_its_lost_member_is_not_ready():
+    """
+    Symptom: a group with a dead member is counted as serving; its downtime is not.
+    Events: a member dies and its domain has no replacement. Cause: the row stayed
+    READY until a repair could be planned.
+    """
+    site = await ready_site(size=5)
+    (group,) = site.groups
+    site.engines.engines["h1"].silent = True
+    await site.tick(times=8)
+    assert site.states() == [GroupState.BROKEN]
+    assert site.groups[0].hosts == group.hosts
+    site.engines.engines["h1"].silent = False
+    await site.tick(times=3)
+    assert site.states() == [GroupState.READY]
+
+
 async def test_dark_domain_takes_its_groups_down_and_brings_them_back():
     site = await ready_site()
     for engine in site.engines.engines.values():
--- a/mallowpond/state/claims.py
+++ b/mallowpond/state/claims.py
@@ -80,12 +80,16 @@
 def settle_void(*, held: ClaimRow | None, asked: ClaimRow) -> Settled | None:
     """Return the change that withdraws an attempt of which nothing was sent.
 
-    An absent row is voided too: the claim's own commit may still be on its way, and
-    the void row makes it conflict instead of charging for a request that was refused.
+    The claim's own commit may still be on its way. It was decided on an absent row or
+    on another attempt's void row, so either is written anew: the commit then conflicts
+    instead of charging for a request that was refused.
     """
-    void = replace(asked, state=ClaimState.VOID)
-    if held is None:
-        return Settled(row=void, units=0)
+    if held is None or _is_void_of_another(held, asked):
+        return Settled(row=replace(asked, state=ClaimState.VOID), units=0)
     if held.attempt != asked.attempt or held.state is not ClaimState.CLAIMED:
         return None
     return Settled(row=replace(held, state=ClaimState.VOID), units=-held.units)
+
+
+def _is_void_of_another(held: ClaimRow, asked: ClaimRow) -> bool:
+    return held.state is ClaimState.VOID and held.attempt != asked.attempt
--- a/mallowpond/state/planner.py
+++ b/mallowpond/state/planner.py
@@ -21,7 +21,8 @@
 class PlanHost:
     """Describe a host to the planner; only a usable one may join a group.
 
-    `draining` marks a host whose group is ending, so that it will be free soon.
+    `draining` marks a host whose group is ending, so that it will be free soon;
+    `leaving` one that is going for good, so that nothing waits for its return.
     """
 
     name: str
@@ -30,6 +31,7 @@
     usable: bool = True
     group: str | None = None
     draining: bool = False
+    leaving: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -474,6 +476,8 @@
         survivors = board.survivors(group)
         if not survivors:
             board.dissolve(group, "no member is left")
+        elif any(board.hosts[h].leaving for h in group.hosts if h in board.hosts):
+            board.dissolve(group, "a member leaves for good")
         elif _is_waiting_too_dear(board, group) and _helps_another(board, group):
             board.dissolve(group, "serves better elsewhere")
             _form_missing(board)
--- a/mallowpond/state/rows.py
+++ b/mallowpond/state/rows.py
@@ -17,6 +17,7 @@
 
     LOADING = "loading"
     READY = "ready"
+    BROKEN = "broken"
     DRAINING = "draining"
     GONE = "gone"
 
--- a/mallowpond/state/tests/test_claims.py
+++ b/mallowpond/state/tests/test_claims.py
@@ -75,7 +75,7 @@
         super().__init__()
         self.row, self.version, self.ledger = None, 0, 0
         self.on_its_way = []
-        self.granted, self.given_up = set(), set()
+        self.granted, self.given_up, self.voided = set(), set(), set()
         self.sent = []
         self.attempts = 0
 
@@ -114,6 +114,7 @@
     @precondition(lambda self: self.given_up)
     @rule()
     def void(self):
+        self.voided |= self.given_up
         for attempt in sorted(self.given_up):
             settled = settle_void(held=self.row, asked=claim(attempt))
             if settled is not None:
@@ -144,6 +145,12 @@
         charged = self.row is not None and self.row.state is not ClaimState.VOID
         assert self.ledger == (5 if charged else 0)
 
+    @invariant()
+    def voided_attempt_is_never_charged(self):
+        """A commit that arrives after its void must not stand."""
+        claimed = self.row is not None and self.row.state is ClaimState.CLAIMED
+        assert not claimed or self.row.attempt not in self.voided
+
 
 TestClaimMachine = ClaimMachine.TestCase
 TestClaimMachine.settings = settings(
--- a/mallowpond/state/tests/test_planner.py
+++ b/mallowpond/state/tests/test_planner.py
@@ -222,3 +222,15 @@
     assert unusable.isdisjoint(h for chosen in touched for h in chosen)
     everywhere = [h for chosen in placed.values() for h in chosen]
     assert len(everywhere) == len(set(everywhere))
+
+
+def test_nothing_waits_for_a_host_that_leaves_for_good():
+    one = Deployment(
+        name="meteor", model="m", replicas=1, hosts_per_group=2, weights=DOWNTIME_FIRST
+    )
+    known = [
+        PlanHost(name="1", domain="a", accelerators=8),
+        PlanHost(name="2", domain="a", accelerators=8, usable=False, leaving=True),
+    ]
+    actions = plan(hosts=known, deployments=[one], groups=[group("g", "1 2")])
+    assert actions == (Dissolve(group="g", reason="a member leaves for good"),)
