--- /dev/null
+++ b/mallowpond/gateway/reading.py
@@ -0,0 +1,160 @@
+"""Read callers' requests: who asks, for what, and may it be repeated."""
+
+from dataclasses import dataclass
+
+from mallowpond.coordination.ports import Clock
+from mallowpond.gateway.dispatch import Attempt
+from mallowpond.gateway.pools import Pools
+from mallowpond.gateway.routes import RouteTable
+from mallowpond.gateway.serving import TargetPool
+from mallowpond.protocol.caller import (
+    CallerHeaders,
+    Completion,
+    parse_completion,
+    parse_headers,
+)
+from mallowpond.protocol.problems import Problem
+from mallowpond.state.declarations import Declaration, PlainService, Workspace
+from mallowpond.transport.http_server import HttpRequest
+
+
+@dataclass(frozen=True, kw_only=True)
+class Work:
+    """Hold what is known of a request once it has been read and allowed."""
+
+    request: str
+    workspace: Workspace
+    caller: CallerHeaders
+    attempt: Attempt
+    stream: bool
+    units: int
+    pool: TargetPool
+    deadline: float
+
+
+class RequestReader:
+    """Check requests against the declaration, without waiting for anything."""
+
+    def __init__(
+        self,
+        *,
+        routes: RouteTable,
+        pools: Pools,
+        clock: Clock,
+        default_timeout: float,
+    ) -> None:
+        self._routes = routes
+        self._pools = pools
+        self._clock = clock
+        self._default_timeout = default_timeout
+
+    def read(self, request: HttpRequest, request_id: str) -> Work | bytes | Problem:
+        """Return the work, the document asked for, or the refusal."""
+        caller = parse_headers(request.headers, self._default_timeout)
+        if isinstance(caller, Problem):
+            return caller
+        declaration = self._routes.declaration
+        workspace = declaration.workspace_for_key(caller.key_sha256 or "")
+        if workspace is None:
+            return Problem(status=401, reason="bad_key", detail="No such API key.")
+        match (request.method, request.path):
+            case ("GET", "/v1/models"):
+                return self._pools.models_document()
+            case ("POST", "/v1/chat/completions" | "/v1/completions"):
+                return self._read_completion(request, request_id, caller, workspace)
+        service = declaration.service_for_path(request.path)
+        if service is None:
+            return Problem(
+                status=404, reason="unknown_path", detail=f"No route {request.path}."
+            )
+        return self._read_plain(request, request_id, caller, workspace, service)
+
+    def _read_completion(
+        self,
+        request: HttpRequest,
+        request_id: str,
+        caller: CallerHeaders,
+        workspace: Workspace,
+    ) -> Work | Problem:
+        is_chat = request.path.endswith("chat/completions")
+        asked = parse_completion(request.body, is_chat=is_chat)
+        if isinstance(asked, Problem):
+            return asked
+        declaration = self._routes.declaration
+        deployment = declaration.deployment_for_model(asked.model)
+        if deployment is None:
+            return Problem(
+                status=404, reason="unknown_model", detail=f"No model {asked.model!r}."
+            )
+        repeatable = self._is_repeatable(declaration, caller)
+        if not repeatable and caller.idempotency_key is None:
+            return _key_required()
+        deadline = self._clock.now() + caller.timeout
+        pool = self._pools.for_deployment(deployment, workspace, asked.prefix, deadline)
+        return self._work(
+            request, request_id, caller, workspace, pool, repeatable, asked, deadline
+        )
+
+    def _read_plain(
+        self,
+        request: HttpRequest,
+        request_id: str,
+        caller: CallerHeaders,
+        workspace: Workspace,
+        service: PlainService,
+    ) -> Work | Problem:
+        if request.method not in service.methods:
+            detail = f"{service.name} takes {', '.join(service.methods)}."
+            return Problem(status=405, reason="method_not_allowed", detail=detail)
+        repeatable = service.repeatable and self._is_repeatable(
+            self._routes.declaration, caller
+        )
+        if not repeatable and caller.idempotency_key is None:
+            return _key_required()
+        deadline = self._clock.now() + caller.timeout
+        pool = self._pools.for_service(service, workspace, deadline)
+        return self._work(
+            request, request_id, caller, workspace, pool, repeatable, None, deadline
+        )
+
+    def _is_repeatable(self, declaration: Declaration, caller: CallerHeaders) -> bool:
+        return caller.idempotency_key is None and declaration.is_repeatable(caller.kind)
+
+    def _work(
+        self,
+        request: HttpRequest,
+        request_id: str,
+        caller: CallerHeaders,
+        workspace: Workspace,
+        pool: TargetPool,
+        repeatable: bool,
+        asked: Completion | None,
+        deadline: float,
+    ) -> Work:
+        attempt = Attempt(
+            request=request_id,
+            method=request.method,
+            path=request.target,
+            body=request.body,
+            content_type=request.headers.get("content-type", "application/json"),
+            repeatable=repeatable,
+            idempotency_key=caller.idempotency_key,
+        )
+        return Work(
+            request=request_id,
+            workspace=workspace,
+            caller=caller,
+            attempt=attempt,
+            stream=asked.stream if asked else False,
+            units=asked.max_tokens if asked else 1,
+            pool=pool,
+            deadline=deadline,
+        )
+
+
+def _key_required() -> Problem:
+    return Problem(
+        status=400,
+        reason="key_required",
+        detail="A request that may not be repeated needs an Idempotency-Key.",
+    )
--- a/mallowpond/gateway/service.py
+++ b/mallowpond/gateway/service.py
@@ -4,7 +4,6 @@
 import random
 from collections.abc import Awaitable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 
 import structlog
 from prometheus_client import generate_latest
@@ -12,11 +11,11 @@
 from mallowpond.coordination.ports import Clock
 from mallowpond.coordination.store import new_id
 from mallowpond.gateway.claims import ClaimedAttempt, ClaimKeeper
-from mallowpond.gateway.dispatch import Attempt
 from mallowpond.gateway.link import ControllerLink
 from mallowpond.gateway.metrics import GatewayMetrics
 from mallowpond.gateway.pools import Pools
 from mallowpond.gateway.quotas import QuotaKeeper
+from mallowpond.gateway.reading import RequestReader, Work
 from mallowpond.gateway.routes import RouteTable
 from mallowpond.gateway.serving import (
     BrokenOff,
@@ -25,19 +24,11 @@
     Served,
     ServeEnd,
     ServeRun,
-    TargetPool,
     end_broken_stream,
     new_request_id,
 )
-from mallowpond.protocol.caller import (
-    CallerHeaders,
-    Completion,
-    parse_completion,
-    parse_headers,
-)
 from mallowpond.protocol.problems import CONTENT_TYPE, Outcome, Problem
 from mallowpond.settings import GatewaySettings
-from mallowpond.state.declarations import Declaration, PlainService, Workspace
 from mallowpond.state.limits import Refused
 from mallowpond.state.retry import RetryBudget
 from mallowpond.transport.http_client import HttpClient
@@ -55,20 +46,6 @@
 DRAIN_CHECK_SECONDS = 0.05
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Work:
-    """Hold what is known of a request once it has been read and allowed."""
-
-    request: str
-    workspace: Workspace
-    caller: CallerHeaders
-    attempt: Attempt
-    stream: bool
-    units: int
-    pool: TargetPool
-    deadline: float
-
-
 class Gateway:
     """Wire a gateway from its settings and ports."""
 
@@ -112,6 +89,12 @@
             rng=self._rng,
             first_byte_seconds=settings.timings.first_byte,
         )
+        self._reader = RequestReader(
+            routes=self.routes,
+            pools=self._pools,
+            clock=clock,
+            default_timeout=settings.timings.request,
+        )
         limits = ServerLimits(
             header_bytes=settings.max_header_bytes,
             body_bytes=settings.max_body_bytes,
@@ -205,7 +188,8 @@
     async def _serve(
         self, request: HttpRequest, exchange: Exchange, request_id: str
     ) -> None:
-        work = self._read(request, request_id)
+        refused = self._refuse_early()
+        work = refused or self._reader.read(request, request_id)
         if isinstance(work, Problem):
             await self._refuse(exchange, work, request_id)
             return
@@ -224,30 +208,6 @@
             seconds=round(self._clock.now() - started_at, 4),
         )
 
-    def _read(self, request: HttpRequest, request_id: str) -> _Work | bytes | Problem:
-        """Read and check a caller's request without waiting for anything."""
-        caller = parse_headers(request.headers, self._settings.timings.request)
-        if isinstance(caller, Problem):
-            return caller
-        refused = self._refuse_early()
-        if refused is not None:
-            return refused
-        declaration = self.routes.declaration
-        workspace = declaration.workspace_for_key(caller.key_sha256 or "")
-        if workspace is None:
-            return Problem(status=401, reason="bad_key", detail="No such API key.")
-        match (request.method, request.path):
-            case ("GET", "/v1/models"):
-                return self._pools.models_document()
-            case ("POST", "/v1/chat/completions" | "/v1/completions"):
-                return self._read_completion(request, request_id, caller, workspace)
-        service = declaration.service_for_path(request.path)
-        if service is None:
-            return Problem(
-                status=404, reason="unknown_path", detail=f"No route {request.path}."
-            )
-        return self._read_plain(request, request_id, caller, workspace, service)
-
     def _refuse_early(self) -> Problem | None:
         if self._stopping:
             return Problem(
@@ -267,89 +227,7 @@
             )
         return None
 
-    def _read_completion(
-        self,
-        request: HttpRequest,
-        request_id: str,
-        caller: CallerHeaders,
-        workspace: Workspace,
-    ) -> _Work | Problem:
-        is_chat = request.path.endswith("chat/completions")
-        asked = parse_completion(request.body, is_chat=is_chat)
-        if isinstance(asked, Problem):
-            return asked
-        declaration = self.routes.declaration
-        deployment = declaration.deployment_for_model(asked.model)
-        if deployment is None:
-            return Problem(
-                status=404, reason="unknown_model", detail=f"No model {asked.model!r}."
-            )
-        repeatable = self._is_repeatable(declaration, caller)
-        if not repeatable and caller.idempotency_key is None:
-            return _key_required()
-        deadline = self._clock.now() + caller.timeout
-        pool = self._pools.for_deployment(deployment, workspace, asked.prefix, deadline)
-        return self._work(
-            request, request_id, caller, workspace, pool, repeatable, asked, deadline
-        )
-
-    def _read_plain(
-        self,
-        request: HttpRequest,
-        request_id: str,
-        caller: CallerHeaders,
-        workspace: Workspace,
-        service: PlainService,
-    ) -> _Work | Problem:
-        if request.method not in service.methods:
-            detail = f"{service.name} takes {', '.join(service.methods)}."
-            return Problem(status=405, reason="method_not_allowed", detail=detail)
-        repeatable = service.repeatable and self._is_repeatable(
-            self.routes.declaration, caller
-        )
-        if not repeatable and caller.idempotency_key is None:
-            return _key_required()
-        deadline = self._clock.now() + caller.timeout
-        pool = self._pools.for_service(service, workspace, deadline)
-        return self._work(
-            request, request_id, caller, workspace, pool, repeatable, None, deadline
-        )
-
-    def _is_repeatable(self, declaration: Declaration, caller: CallerHeaders) -> bool:
-        return caller.idempotency_key is None and declaration.is_repeatable(caller.kind)
-
-    def _work(
-        self,
-        request: HttpRequest,
-        request_id: str,
-        caller: CallerHeaders,
-        workspace: Workspace,
-        pool: TargetPool,
-        repeatable: bool,
-        asked: Completion | None,
-        deadline: float,
-    ) -> _Work:
-        attempt = Attempt(
-            request=request_id,
-            method=request.method,
-            path=request.target,
-            body=request.body,
-            content_type=request.headers.get("content-type", "application/json"),
-            repeatable=repeatable,
-            idempotency_key=caller.idempotency_key,
-        )
-        return _Work(
-            request=request_id,
-            workspace=workspace,
-            caller=caller,
-            attempt=attempt,
-            stream=asked.stream if asked else False,
-            units=asked.max_tokens if asked else 1,
-            pool=pool,
-            deadline=deadline,
-        )
-
-    async def _admit_and_run(self, work: _Work, exchange: Exchange) -> Problem | None:
+    async def _admit_and_run(self, work: Work, exchange: Exchange) -> Problem | None:
         refused = await self._quotas.spend(work.workspace, work.units)
         if refused is not None:
             return refused
@@ -373,7 +251,7 @@
         return await self._end(work, exchange, end)
 
     async def _claim_and_run(
-        self, work: _Work, exchange: Exchange, place: Place
+        self, work: Work, exchange: Exchange, place: Place
     ) -> ServeEnd:
         """Dispatch only after the claim is committed."""
         try:
@@ -393,7 +271,7 @@
 
     async def _run(
         self,
-        work: _Work,
+        work: Work,
         exchange: Exchange,
         place: Place,
         claimed: ClaimedAttempt | None,
@@ -426,7 +304,7 @@
             self._claims.finish(claimed, known=served)
 
     async def _end(
-        self, work: _Work, exchange: Exchange, end: ServeEnd
+        self, work: Work, exchange: Exchange, end: ServeEnd
     ) -> Problem | None:
         match end:
             case Served():
@@ -441,7 +319,7 @@
             case RefusedRequest(problem=problem):
                 return problem
 
-    def _count(self, work: _Work, result: str) -> None:
+    def _count(self, work: Work, result: str) -> None:
         self.metrics.requests.labels(work.workspace.name, result).inc()
 
     async def _refuse(
@@ -473,14 +351,6 @@
         await self._refuse(exchange, problem, new_request_id(self._rng))
 
 
-def _key_required() -> Problem:
-    return Problem(
-        status=400,
-        reason="key_required",
-        detail="A request that may not be repeated needs an Idempotency-Key.",
-    )
-
-
 def _refused_problem(refused: Refused) -> Problem:
     return Problem(
         status=503 if refused.reason == "no_group" else 429,
