Build each row's data class once, not at every step

Cause: every look at groups and hosts built all their rows anew. Change: the view keeps the typed row with its version.

--- a/mallowpond/coordination/store.py
+++ b/mallowpond/coordination/store.py
@@ -82,6 +82,7 @@
     prefix: str
     rows: dict[str, Row] = field(default_factory=dict)
     version: int = 0
+    _typed: dict[str, Versioned] = field(default_factory=dict)
     _reading: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def refresh(self) -> bool:
@@ -99,23 +100,28 @@
             self.rows[row.key] = row
         for key in found.deleted:
             self.rows.pop(key, None)
+            self._typed.pop(key, None)
         self.version = found.version
         return True
 
     def get(self, key: str, kind: type[T]) -> Versioned[T] | None:
         """Return one row, typed."""
         row = self.rows.get(self.prefix + key)
-        if row is None:
-            return None
-        return Versioned(value=from_plain(row.value, kind), version=row.version)
+        return None if row is None else self._as(row, kind)
 
     def below(self, prefix: str, kind: type[T]) -> dict[str, Versioned[T]]:
         """Return the rows below a prefix, typed, by the rest of their key."""
         start = self.prefix + prefix
         return {
-            key[len(start) :]: Versioned(
-                value=from_plain(row.value, kind), version=row.version
-            )
+            key[len(start) :]: self._as(row, kind)
             for key, row in self.rows.items()
             if key.startswith(start)
         }
+
+    def _as(self, row: Row, kind: type[T]) -> Versioned[T]:
+        # Rows are read at every step and change seldom, so each is built once.
+        known = self._typed.get(row.key)
+        if known is None or known.version != row.version:
+            known = Versioned(value=from_plain(row.value, kind), version=row.version)
+            self._typed[row.key] = known
+        return known
