--- a/mallowpond/coordination/groups.py
+++ b/mallowpond/coordination/groups.py
@@ -8,26 +8,22 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from mallowpond.coordination.group_rows import Changes, GroupRows
 from mallowpond.coordination.health import EngineWatch, is_in_place
-from mallowpond.coordination.keys import GROUPS, HOSTS, SHARED
+from mallowpond.coordination.keys import GROUPS, HOSTS
 from mallowpond.coordination.leases import NamedLease
 from mallowpond.coordination.orders import OrderDesk
 from mallowpond.coordination.ports import (
-    Check,
     Clock,
-    Committed,
     Engines,
     EngineStatus,
     Host,
     HostState,
     Order,
     OrderAction,
-    Put,
     TableService,
-    Transaction,
 )
-from mallowpond.coordination.store import TableView, Versioned, commit_settled
-from mallowpond.state.codec import to_plain
+from mallowpond.coordination.store import TableView, Versioned
 from mallowpond.state.declarations import Declaration, Deployment
 from mallowpond.state.lease import HeldLease
 from mallowpond.state.planner import (
@@ -77,12 +73,18 @@
         draw_id: Callable[[], str],
         timings: GroupTimings,
     ) -> None:
-        self._table = table
         self._clock = clock
-        self._shared = shared
         self._lease = lease
         self._watch = watch
         self._desk = OrderDesk(engines=engines, watch=watch, holder=holder)
+        self._rows = GroupRows(
+            table=table,
+            shared=shared,
+            lease=lease,
+            desk=self._desk,
+            holder=holder,
+            draw_id=draw_id,
+        )
         self._draw_id = draw_id
         self._timings = timings
         self._since: dict[tuple[str, GroupState, int], float] = {}
@@ -102,7 +104,7 @@
 
     def groups(self) -> dict[str, GroupRow]:
         """Return the groups as last read."""
-        return {k: v.value for k, v in self._group_rows().items()}
+        return {k: v.value for k, v in self._rows.groups().items()}
 
     async def tick(self, *, declaration: Declaration, hosts: tuple[Host, ...]) -> None:
         """Advance every group by one step, if this process holds the lease."""
@@ -123,17 +125,11 @@
         await self._plan(declaration, hosts)
         await self._send_orders(declaration, hosts)
 
-    def _group_rows(self) -> dict[str, Versioned[GroupRow]]:
-        return self._shared.below(GROUPS, GroupRow)
-
-    def _host_rows(self) -> dict[str, Versioned[HostRow]]:
-        return self._shared.below(HOSTS, HostRow)
-
     def _note_states(self) -> None:
         now = self._clock.now()
         present = {
             (name, row.value.state, row.value.generation)
-            for name, row in self._group_rows().items()
+            for name, row in self._rows.groups().items()
         }
         self._since = {key: self._since.get(key, now) for key in present}
 
@@ -150,16 +146,16 @@
         would go on being counted, and shown, as ready. Nothing is told to the engines
         here, so requests in progress go on.
         """
-        for name, row in self._group_rows().items():
+        for name, row in self._rows.groups().items():
             group = row.value
             lost = any(self._has_lost(member, group) for member in group.members)
             leaves = not self._excluded.isdisjoint(group.hosts)
             if group.state is GroupState.READY and (lost or leaves):
                 broken = replace(group, state=GroupState.BROKEN)
-                await self._commit({GROUPS + name: (broken, row.version)})
+                await self._rows.commit({GROUPS + name: (broken, row.version)})
 
     async def _promote_whole(self) -> None:
-        for name, row in self._group_rows().items():
+        for name, row in self._rows.groups().items():
             group = row.value
             if group.state not in (GroupState.LOADING, GroupState.BROKEN):
                 continue
@@ -168,28 +164,28 @@
             if not self._excluded.isdisjoint(group.hosts):
                 continue
             ready = replace(group, state=GroupState.READY)
-            done = self._host_changes(group.hosts, outcome=OrderOutcome.DONE)
-            await self._commit({GROUPS + name: (ready, row.version), **done})
+            done = self._rows.host_changes(group.hosts, outcome=OrderOutcome.DONE)
+            await self._rows.commit({GROUPS + name: (ready, row.version), **done})
 
     async def _finish_drained(self) -> None:
-        for name, row in self._group_rows().items():
+        for name, row in self._rows.groups().items():
             group = row.value
             if group.state is not GroupState.DRAINING:
                 continue
             if self._is_drained(group):
-                await self._delete(name, row)
+                await self._rows.delete(name, row)
 
     async def _close_orders(self) -> None:
         """Note the orders that free hosts carried out and those that are closed."""
-        changes: dict[str, tuple[object, int]] = {}
-        for name, row in self._host_rows().items():
+        changes: Changes = {}
+        for name, row in self._rows.hosts().items():
             changed = self._desk.pruned(row.value) or row.value
             if row.value.group is None and self._is_carried_out(row.value):
                 changed = replace(changed, outcome=OrderOutcome.DONE)
             if changed != row.value:
                 changes[HOSTS + name] = (changed, row.version)
         if changes:
-            await self._commit(changes)
+            await self._rows.commit(changes)
 
     def _is_drained(self, group: GroupRow) -> bool:
         age = self._age(group)
@@ -202,38 +198,10 @@
         status = self._watch.recent(group.leader.host)
         return status is None or status.in_flight == 0
 
-    async def _delete(self, name: str, row: Versioned[GroupRow]) -> None:
-        freed = self._freed(row.value.hosts)
-        key = SHARED + GROUPS + name
-        held = Check(key=key, version=row.version)
-        await self._commit(freed, deletes=(key,), checks=(held,))
-
-    def _freed(self, hosts: tuple[str, ...]) -> dict[str, tuple[object, int]]:
-        """Return the changes that unbind hosts and write down their unload orders."""
-        return self._host_changes(hosts, group=None, generation=0, new=True)
-
-    def _host_changes(
-        self, hosts: tuple[str, ...], *, new: bool = False, **fields: object
-    ) -> dict[str, tuple[object, int]]:
-        rows = self._host_rows()
-        changes: dict[str, tuple[object, int]] = {}
-        for host in hosts:
-            row = rows.get(host)
-            if row is None:
-                continue
-            changed = self._next_order(row.value) if new else row.value
-            changed = replace(changed, **fields)
-            changes[HOSTS + host] = (changed, row.version)
-        return changes
-
-    def _next_order(self, row: HostRow) -> HostRow:
-        lease = self._lease.held
-        return self._desk.next_order(row, lease.fence if lease else row.fence)
-
     # -- planning ------------------------------------------------------------
 
     async def _plan(self, declaration: Declaration, hosts: tuple[Host, ...]) -> None:
-        rows = self._host_rows()
+        rows = self._rows.hosts()
         self._tainted = tuple(
             name for name, row in rows.items() if self._desk.is_tainted(row.value)
         )
@@ -242,7 +210,7 @@
         plan_hosts = [self._plan_host(h, rows, draining) for h in hosts if h.is_target]
         plan_groups = [
             self._plan_group(row.value, declaration)
-            for row in self._group_rows().values()
+            for row in self._rows.groups().values()
             if row.value.state is not GroupState.DRAINING
         ]
         known = {
@@ -315,21 +283,21 @@
                     return
                 name = f"{deployment}-{self._draw_id()[:8]}"
                 members = self._members(chosen, hosts)
-                await self._start_group(name, deployment, 1, members, 0)
+                await self._rows.start_group(name, deployment, 1, members, 0)
             case Repair(group=name, hosts=chosen):
-                row = self._group_rows().get(name)
+                row = self._rows.groups().get(name)
                 if row is None or await self._drained_first(name, row):
                     return
                 members = self._members(chosen, hosts)
                 generation = row.value.generation + 1
-                await self._start_group(
+                await self._rows.start_group(
                     name, row.value.deployment, generation, members, row.version
                 )
             case Dissolve(group=name):
-                row = self._group_rows().get(name)
+                row = self._rows.groups().get(name)
                 if row is None or await self._drained_first(name, row):
                     return
-                await self._delete(name, row)
+                await self._rows.delete(name, row)
 
     async def _drained_first(self, name: str, row: Versioned[GroupRow]) -> bool:
         """Drain a group that still serves instead of cutting its requests off."""
@@ -339,11 +307,11 @@
         if self._watch.whole_age(group) is None:
             return False
         draining = replace(group, state=GroupState.DRAINING)
-        await self._commit({GROUPS + name: (draining, row.version)})
+        await self._rows.commit({GROUPS + name: (draining, row.version)})
         return True
 
     def _loading_hosts(self) -> int:
-        rows = (row.value for row in self._group_rows().values())
+        rows = (row.value for row in self._rows.groups().values())
         return sum(len(g.members) for g in rows if g.state is GroupState.LOADING)
 
     def _members(
@@ -364,59 +332,6 @@
             members.append(member)
         return tuple(members)
 
-    async def _start_group(
-        self,
-        name: str,
-        deployment: str,
-        generation: int,
-        members: tuple[GroupMember, ...],
-        version: int,
-    ) -> None:
-        if not members:
-            return
-        group = GroupRow(
-            group=name,
-            deployment=deployment,
-            generation=generation,
-            state=GroupState.LOADING,
-            members=members,
-        )
-        changes: dict[str, tuple[object, int]] = {GROUPS + name: (group, version)}
-        old = self._group_rows().get(name)
-        left = set(old.value.hosts) - set(group.hosts) if old else set()
-        changes.update(self._freed(tuple(sorted(left))))
-        rows = self._host_rows()
-        for member in members:
-            held = rows.get(member.host)
-            if held and held.value.group not in (None, name):
-                # Another group's row still names the host; its own repair or
-                # dissolution frees it first.
-                return
-            bound = self._bound(member, group, held.value if held else None)
-            changes[HOSTS + member.host] = (bound, held.version if held else 0)
-        await self._commit(changes)
-
-    def _bound(
-        self, member: GroupMember, group: GroupRow, held: HostRow | None
-    ) -> HostRow:
-        if held is None:
-            held = HostRow(
-                host=member.host,
-                incarnation=member.incarnation,
-                group=None,
-                generation=0,
-                order=0,
-                fence=0,
-                holder=Holder(member="", incarnation=""),
-                outcome=OrderOutcome.DONE,
-            )
-        return replace(
-            self._next_order(held),
-            incarnation=member.incarnation,
-            group=group.group,
-            generation=group.generation,
-        )
-
     # -- orders --------------------------------------------------------------
 
     async def _send_orders(
@@ -443,7 +358,7 @@
     ) -> list[tuple[str, Versioned[HostRow]]]:
         """Return the rows of reachable hosts whose engines hold something else."""
         found = []
-        for name, row in self._host_rows().items():
+        for name, row in self._rows.hosts().items():
             status = self._watch.recent(name)
             if status is None or name not in addresses or name in self._tainted:
                 continue
@@ -466,15 +381,15 @@
             return None
         if row.value.fence == lease.fence:
             return row.value
-        adopted = self._next_order(row.value)
-        if await self._commit({HOSTS + name: (adopted, row.version)}):
+        adopted = self._rows.next_order(row.value)
+        if await self._rows.commit({HOSTS + name: (adopted, row.version)}):
             return adopted
         return None
 
     def _order_for(
         self, row: HostRow, deployments: dict[str, Deployment], lease: HeldLease
     ) -> Order:
-        group = self._group_rows().get(row.group) if row.group else None
+        group = self._rows.groups().get(row.group) if row.group else None
         if group is None:
             return Order(order=row.order, fence=lease.fence, action=OrderAction.UNLOAD)
         deployment = deployments.get(group.value.deployment, NO_DEPLOYMENT)
@@ -499,52 +414,13 @@
         """
         if self._lease.is_mine:
             return
-        changes: dict[str, tuple[object, int]] = {}
-        for name, row in self._host_rows().items():
+        changes: Changes = {}
+        for name, row in self._rows.hosts().items():
             withdrawn = self._desk.withdrawn(row.value)
             if withdrawn is not None:
                 changes[HOSTS + name] = (withdrawn, row.version)
         if changes:
-            await self._write(changes)
-
-    # -- transactions --------------------------------------------------------
-
-    async def _commit(
-        self,
-        changes: dict[str, tuple[object, int]],
-        *,
-        deletes: tuple[str, ...] = (),
-        checks: tuple[Check, ...] = (),
-    ) -> bool:
-        """Commit under the lease; without it nothing is written.
-
-        The check names the version at which this process holds the lease. Taking the
-        row's version as last read would let a holder that woke after a takeover write
-        under the new holder's lease.
-        """
-        lease = self._lease.held
-        if lease is None:
-            return False
-        fenced = (*checks, Check(key=self._lease.key, version=lease.version))
-        return await self._write(changes, deletes, fenced)
-
-    async def _write(
-        self,
-        changes: dict[str, tuple[object, int]],
-        deletes: tuple[str, ...] = (),
-        checks: tuple[Check, ...] = (),
-    ) -> bool:
-        unchanged = (Check(key=SHARED + k, version=v) for k, (_, v) in changes.items())
-        rows = ((SHARED + key, row) for key, (row, _) in changes.items())
-        change = Transaction(
-            transaction=self._draw_id(),
-            checks=(*unchanged, *checks),
-            puts=tuple(Put(key=key, value=to_plain(row)) for key, row in rows),
-            deletes=deletes,
-        )
-        outcome = await commit_settled(self._table, change)
-        await self._shared.refresh()
-        return isinstance(outcome, Committed)
+            await self._rows.write(changes)
 
 
 def excluded_hosts(declaration: Declaration, hosts: tuple[Host, ...]) -> frozenset[str]:
