--- a/bench/limits.py
+++ b/bench/limits.py
@@ -2,7 +2,9 @@
 
 import heapq
 import random
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field, replace
+from itertools import count
 
 from bench.report import Report
 from mallowpond.state.limits import FairQueue, ServiceTime, judge_wait
@@ -16,6 +18,7 @@
 LARGE_SHARE = 0.6
 BACK_OFF_SECONDS = 1.0
 MAX_TRIES = 4
+WORKSPACES = 10
 
 
 @dataclass(kw_only=True)
@@ -31,105 +34,153 @@
     worst_small: float = 1.0
 
 
-def trial(policy: str, offered: float, seconds: float, lose_third: bool) -> Outcome:
+@dataclass(frozen=True, kw_only=True)
+class Ask:
+    """Hold one try of one request."""
+
+    workspace: int
+    tries: int
+    deadline: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Served:
+    """Hold a request that was sent and how long it took."""
+
+    ask: Ask
+    took: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class LoseGroups:
+    """Take a third of the places away."""
+
+
+@dataclass(kw_only=True)
+class Trial:
     """Replay one offered load through one admission policy."""
-    rng = random.Random(11)
-    out = Outcome()
-    queue, fifo = FairQueue(), []
-    service, budget = ServiceTime(seconds=SERVICE_SECONDS), RetryBudget()
-    events: list = []
-    number = free = PLACES
-    served, asked = [0] * 10, [0] * 10
-    waiting: dict[int, tuple[float, int]] = {}
-    rate = offered * PLACES / SERVICE_SECONDS
-
-    def push(at, kind, data):
-        nonlocal number
-        number += 1
-        heapq.heappush(events, (at, number, kind, data))
-
-    at = 0.0
-    while at < seconds:
-        at += rng.expovariate(rate)
-        workspace = 0 if rng.random() < LARGE_SHARE else rng.randrange(1, 10)
-        push(at, "ask", (workspace, 1, at + DEADLINE_SECONDS))
-    if lose_third:
-        push(seconds / 2, "lose", None)
-
-    def begin(now, workspace, deadline):
-        nonlocal free
-        free -= 1
-        out.sent += 1
-        took = rng.expovariate(1 / SERVICE_SECONDS)
-        push(now + took, "done", (workspace, deadline, took))
-
-    places = PLACES
-    while events:
-        now, _, kind, data = heapq.heappop(events)
-        if kind == "lose":
-            places -= PLACES // 3
-            free -= PLACES // 3
-        elif kind == "ask":
-            workspace, tries, deadline = data
-            out.tries += 1
-            if tries == 1:
-                out.fresh += 1
-                asked[workspace] += 1
-                budget.note_fresh()
-            if free > 0:
-                begin(now, workspace, deadline)
-                continue
-            refused = False
-            if policy == "ours":
+
+    policy: str
+    rng: random.Random
+    places: int = PLACES
+    free: int = PLACES
+    out: Outcome = field(default_factory=Outcome)
+    _queue: FairQueue = field(default_factory=FairQueue)
+    _waiting: dict[int, Ask] = field(default_factory=dict)
+    _fifo: deque[Ask] = field(default_factory=deque)
+    _service: ServiceTime = field(
+        default_factory=lambda: ServiceTime(seconds=SERVICE_SECONDS)
+    )
+    _budget: RetryBudget = field(default_factory=RetryBudget)
+    _events: list = field(default_factory=list)
+    _numbers: count = field(default_factory=count)
+    _asked: list[int] = field(default_factory=lambda: [0] * WORKSPACES)
+    _served: list[int] = field(default_factory=lambda: [0] * WORKSPACES)
+
+    def run(self, offered: float, seconds: float, lose_third: bool) -> Outcome:
+        """Offer a multiple of the capacity and return what became of it."""
+        self._draw_arrivals(offered * PLACES / SERVICE_SECONDS, seconds)
+        if lose_third:
+            self._push(seconds / 2, LoseGroups())
+        while self._events:
+            now, _, event = heapq.heappop(self._events)
+            match event:
+                case LoseGroups():
+                    self.places -= PLACES // 3
+                    self.free -= PLACES // 3
+                case Ask():
+                    self._take_in(event, now)
+                case Served():
+                    self._end(event, now)
+        shares = [s / a for s, a in zip(self._served, self._asked, strict=True) if a]
+        self.out.worst_small = min(shares[1:], default=1.0)
+        return self.out
+
+    def _draw_arrivals(self, rate: float, seconds: float) -> None:
+        at = 0.0
+        while at < seconds:
+            at += self.rng.expovariate(rate)
+            is_large = self.rng.random() < LARGE_SHARE
+            workspace = 0 if is_large else self.rng.randrange(1, WORKSPACES)
+            deadline = at + DEADLINE_SECONDS
+            self._push(at, Ask(workspace=workspace, tries=1, deadline=deadline))
+
+    def _push(self, at: float, event: Ask | Served | LoseGroups) -> None:
+        heapq.heappush(self._events, (at, next(self._numbers), event))
+
+    def _take_in(self, ask: Ask, now: float) -> None:
+        self.out.tries += 1
+        if ask.tries == 1:
+            self.out.fresh += 1
+            self._asked[ask.workspace] += 1
+            self._budget.note_fresh()
+        if self.free > 0:
+            self._send(ask, now)
+        elif self._is_refused(ask, now):
+            self._refuse(ask, now)
+        else:
+            self._wait(ask)
+
+    def _is_refused(self, ask: Ask, now: float) -> bool:
+        match self.policy:
+            case "ours":
                 refused = judge_wait(
-                    ahead=queue.ahead_of(str(workspace), 1.0),
-                    places=places,
-                    service_seconds=service.cautious,
-                    remaining=deadline - now,
+                    ahead=self._queue.ahead_of(str(ask.workspace), 1.0),
+                    places=self.places,
+                    service_seconds=self._service.cautious,
+                    remaining=ask.deadline - now,
                 )
-            elif policy == "fixed limit":
-                refused = len(fifo) >= PLACES
-            if refused:
-                out.refused += 1
-                # Callers ask again; ours are told when, and the gateway's own retries
-                # are held to their budget.
-                may = policy != "ours" or budget.try_spend()
-                if tries < MAX_TRIES and may:
-                    again = now + BACK_OFF_SECONDS * rng.random()
-                    push(again, "ask", (workspace, tries + 1, again + DEADLINE_SECONDS))
-            elif policy == "ours":
-                ticket = queue.push(
-                    workspace=str(workspace), share=1.0, deadline=deadline
-                )
-                waiting[ticket.number] = (deadline, workspace)
-            else:
-                fifo.append((deadline, workspace))
+                return refused is not None
+            case "fixed limit":
+                return len(self._fifo) >= PLACES
+        return False
+
+    def _refuse(self, ask: Ask, now: float) -> None:
+        self.out.refused += 1
+        # Retries of ours are held to their budget; the baselines' callers just retry.
+        may_retry = self.policy != "ours" or self._budget.try_spend()
+        if ask.tries < MAX_TRIES and may_retry:
+            at = now + BACK_OFF_SECONDS * self.rng.random()
+            deadline = at + DEADLINE_SECONDS
+            self._push(at, replace(ask, tries=ask.tries + 1, deadline=deadline))
+
+    def _wait(self, ask: Ask) -> None:
+        if self.policy != "ours":
+            self._fifo.append(ask)
+            return
+        ticket = self._queue.push(
+            workspace=str(ask.workspace), share=1.0, deadline=ask.deadline
+        )
+        self._waiting[ticket.number] = ask
+
+    def _send(self, ask: Ask, now: float) -> None:
+        self.free -= 1
+        self.out.sent += 1
+        took = self.rng.expovariate(1 / SERVICE_SECONDS)
+        self._push(now + took, Served(ask=ask, took=took))
+
+    def _end(self, served: Served, now: float) -> None:
+        self.free += 1
+        self._service.note(served.took)
+        if now <= served.ask.deadline:
+            self.out.useful += 1
+            self._served[served.ask.workspace] += 1
         else:
-            workspace, deadline, took = data
-            free += 1
-            service.note(took)
-            if now <= deadline:
-                out.useful += 1
-                served[workspace] += 1
+            self.out.late += 1
+        while self.free > 0:
+            ask = self._next()
+            if ask is None:
+                return
+            if self.policy == "ours" and now + self._service.cautious > ask.deadline:
+                self.out.refused += 1
             else:
-                out.late += 1
-            while free > 0:
-                if policy == "ours":
-                    ticket = queue.pop()
-                    if ticket is None:
-                        break
-                    deadline, workspace = waiting.pop(ticket.number)
-                    if now + service.cautious > deadline:
-                        out.refused += 1
-                        continue
-                elif fifo:
-                    deadline, workspace = fifo.pop(0)
-                else:
-                    break
-                begin(now, workspace, deadline)
-    shares = [s / a for s, a in zip(served, asked, strict=True) if a][1:]
-    out.worst_small = min(shares, default=1.0)
-    return out
+                self._send(ask, now)
+
+    def _next(self) -> Ask | None:
+        if self.policy != "ours":
+            return self._fifo.popleft() if self._fifo else None
+        ticket = self._queue.pop()
+        return None if ticket is None else self._waiting.pop(ticket.number)
 
 
 def run(*, smallest: bool) -> list[Report]:
@@ -145,7 +196,8 @@
 def _goodput(title: str, offered: float, seconds: float, lose: bool) -> Report:
     rows = []
     for policy in ("no limit", "fixed limit", "ours"):
-        out = trial(policy, offered, seconds, lose)
+        trial = Trial(policy=policy, rng=random.Random(11))
+        out = trial.run(offered, seconds, lose)
         capacity = PLACES / SERVICE_SECONDS * seconds
         row = (
             policy,
@@ -170,16 +222,16 @@
 def _quota(nodes: tuple[int, ...]) -> Report:
     """Spend a budget through chunks on many nodes; a tenth of them crash."""
     rows = []
-    for count in nodes:
+    for size in nodes:
         rng = random.Random(5)
         budget, leased, spent, forfeited, leases = 1_000_000, 0, 0, 0, 0
-        chunks = [Chunk(period=1, units=0)] * count
+        chunks = [Chunk(period=1, units=0)] * size
         for step in range(200_000):
-            node = rng.randrange(count)
+            node = rng.randrange(size)
             units = rng.randrange(1, 64)
             rest = chunks[node].spend(units)
             if rest is None:
-                rate = 32 * 1000 / count
+                rate = 32 * 1000 / size
                 wanted = chunk_size(budget=budget, recent_per_second=rate, needed=units)
                 got = grant(budget=budget, leased=leased, wanted=wanted, needed=units)
                 if got is None:
@@ -192,7 +244,7 @@
                 forfeited += chunks[node].units
                 chunks[node] = Chunk(period=1, units=0)
         row = (
-            count,
+            size,
             spent / budget,
             max(0, spent - budget),
             forfeited / budget,
