Let members hear of a later epoch from their peers

Cause: a table that went dark while a member was being counted left members an epoch apart; they agreed with nobody and the whole cell refused. Ruled out: the majority's size (four of four could be asked). Change: views carry the cell; a later epoch is taken over.

--- a/mallowpond/controller/peers.py
+++ b/mallowpond/controller/peers.py
@@ -8,6 +8,7 @@
 from mallowpond.coordination.ports import Clock
 from mallowpond.protocol.peer import Message, PeerAsk, PeerView
 from mallowpond.state.assurance import Vouch
+from mallowpond.state.rows import CellRow
 from mallowpond.transport.peer_link import LinkClosed, PeerLink, open_link
 
 ANSWER_SECONDS = 1.0
@@ -17,11 +18,17 @@
     """Keep a link to each other controller and its latest answer."""
 
     def __init__(
-        self, *, me: str, clock: Clock, on_vouch: Callable[[Vouch], None]
+        self,
+        *,
+        me: str,
+        clock: Clock,
+        on_vouch: Callable[[Vouch], None],
+        on_cell: Callable[[CellRow], None],
     ) -> None:
         self._me = me
         self._clock = clock
         self._on_vouch = on_vouch
+        self._on_cell = on_cell
         self._links: dict[str, PeerLink] = {}
         self._stacks: dict[str, AsyncExitStack] = {}
         self._sequences = count(1)
@@ -66,10 +73,12 @@
         return link
 
     def _take(self, view: PeerView, asked_at: float) -> None:
+        if view.cell is not None:
+            self._on_cell(view.cell)
         vouch = Vouch(
             member=view.member,
             asked_at=asked_at,
-            epoch=view.epoch,
+            epoch=view.cell.epoch if view.cell else 0,
             head_version=view.head_version,
             read_age=view.read_age,
             holds_newer=view.holds_newer,
--- a/mallowpond/controller/service.py
+++ b/mallowpond/controller/service.py
@@ -184,6 +184,7 @@
             me=settings.name,
             clock=ports.clock,
             on_vouch=self.configuration.note_vouch,
+            on_cell=self.membership.note_cell,
         )
         self.tables = Tables(
             configuration=self.configuration,
@@ -373,7 +374,7 @@
             sequence=ask.sequence,
             member=self._settings.name,
             incarnation=self._incarnation,
-            epoch=self.membership.epoch,
+            cell=self.membership.known_cell,
             head_version=read.version if read else 0,
             read_age=age,
             holds_newer=bool(self.configuration.prepared),
--- a/mallowpond/coordination/configuration.py
+++ b/mallowpond/coordination/configuration.py
@@ -126,8 +126,8 @@
 
     def assurance(self) -> Assured | NotAssured:
         """Tell whether the version in force is known now, and applied here."""
-        cell = self._membership.cell
-        members = cell.value.members if cell else ()
+        cell = self._membership.known_cell
+        members = cell.members if cell else ()
         verdict = assess(
             me=self._membership.identity.name,
             now=self._clock.now(),
--- a/mallowpond/coordination/membership.py
+++ b/mallowpond/coordination/membership.py
@@ -78,6 +78,7 @@
         self._joined_at: float | None = None
         self._renewed_at: float | None = None
         self._last_read_at: float | None = None
+        self._heard: CellRow | None = None
 
     @property
     def identity(self) -> MemberIdentity:
@@ -86,9 +87,18 @@
 
     @property
     def epoch(self) -> int:
-        """Return the cell epoch last read; 0 before the first."""
+        """Return the latest cell epoch known; 0 before the first."""
+        known = self.known_cell
+        return known.epoch if known else 0
+
+    @property
+    def known_cell(self) -> CellRow | None:
+        """Return the cell in the latest epoch that was read or heard of."""
         row = self.cell
-        return row.value.epoch if row else 0
+        read = row.value if row else None
+        if read is None or (self._heard and self._heard.epoch > read.epoch):
+            return self._heard
+        return read
 
     @property
     def cell(self) -> Versioned[CellRow] | None:
@@ -137,6 +147,16 @@
         """Return the incarnations of gateways attached to a live member."""
         return frozenset(g for m in self.live().values() for g in m.gateways)
 
+    def note_cell(self, cell: CellRow) -> None:
+        """Take over a later epoch that a peer has read.
+
+        A table that goes dark while a member is being counted leaves some members an
+        epoch behind. They would never agree with the rest, and the whole cell would
+        refuse until the table is back.
+        """
+        if cell.cell == self._identity.cell and cell.epoch > self.epoch:
+            self._heard = cell
+
     async def refresh(self) -> bool:
         """Read the cell's rows and note which heartbeats moved."""
         if not await self._cell_view.refresh():
--- a/mallowpond/coordination/tests/fakes.py
+++ b/mallowpond/coordination/tests/fakes.py
@@ -201,6 +201,15 @@
         await self.watch.poll(hosts)
         await self.groups.tick(declaration=declaration, hosts=hosts)
 
+    def ask(self, peer: "Node", delay: float = 0.0) -> None:
+        """Ask a peer for its view, which takes `delay` seconds to come."""
+        asked_at = self.clock.now()
+        vouch, cell = peer.vouch(asked_at), peer.membership.known_cell
+        self.clock.time += delay
+        if cell is not None:
+            self.membership.note_cell(cell)
+        self.configuration.note_vouch(vouch)
+
     def vouch(self, asked_at: float) -> Vouch:
         """Answer a peer as the link service does."""
         read = self.configuration.head_read
--- a/mallowpond/protocol/peer.py
+++ b/mallowpond/protocol/peer.py
@@ -11,7 +11,7 @@
 from cattrs.preconf.cbor2 import make_converter
 from cattrs.strategies import configure_tagged_union
 
-from mallowpond.state.rows import GroupRow
+from mallowpond.state.rows import CellRow, GroupRow
 
 
 class ClaimVerdict(str, Enum):
@@ -160,7 +160,7 @@
     sequence: int
     member: str
     incarnation: str
-    epoch: int
+    cell: CellRow | None
     head_version: int
     read_age: float | None
     holds_newer: bool
