--- a/mallowpond/transport/tests/test_http_client.py
+++ b/mallowpond/transport/tests/test_http_client.py
@@ -111,12 +111,13 @@
 
     async def pause(reader, writer):
         await scripted.cut_body(b"half", 8)(reader, writer)
-        await asyncio.sleep(5)
+        await asyncio.sleep(60)
 
     async with scripted.scripted_server(pause) as address:
         http = HttpClient()
         answer = await http.send(address, "GET", "/")
-        events = [event async for event in answer.events(0.1)]
+        async with asyncio.timeout(10):
+            events = [event async for event in answer.events(0.1)]
         answer.close()
         await http.close()
     assert events[0] == Chunk(data=b"half")
