Kill either controller in the test of the whole path

Cause: the issue asks for kill -9 of either controller; the test killed the first. Change: the test runs once for each.

--- a/mallowpond/programs/tests/test_thin_path.py
+++ b/mallowpond/programs/tests/test_thin_path.py
@@ -1,9 +1,12 @@
 """The whole path through separate processes."""
 
+import pytest
+
 from mallowpond.programs.tests.cluster import Cluster
 
 
-def test_completion_goes_from_caller_to_group_and_back(tmp_path):
+@pytest.mark.parametrize("killed", ["controller0", "controller1"])
+def test_completion_goes_from_caller_to_group_and_back(tmp_path, killed):
     with Cluster(folder=tmp_path) as cluster:
         cluster.wait_ready()
         assert cluster.apply().json["version"] == 1
@@ -18,7 +21,7 @@
         assert streamed.body.count(b"data: ") == 6
         assert streamed.body.endswith(b"data: [DONE]\n\n")
 
-        cluster.kill("controller0")
+        cluster.kill(killed)
         again = cluster.complete("again", stream=True)
         assert again.status == 200
         cluster.wait_serving("gateway0")
