--- a/bench/membership.py
+++ b/bench/membership.py
@@ -4,7 +4,8 @@
 import random
 from dataclasses import dataclass, field
 
-from bench.report import Report
+from bench.report import Report, best_seconds
+from mallowpond.coordination.keys import HOSTS, SHARED
 from mallowpond.coordination.ports import (
     CommitOutcome,
     Row,
@@ -12,10 +13,20 @@
     Transaction,
     Unavailable,
 )
+from mallowpond.coordination.store import TableView
 from mallowpond.coordination.tests.fakes import FakeClock, document, make_node
+from mallowpond.protocol.peer import Routes, encode
 from mallowpond.standins.platform import MemoryTable
-from mallowpond.state.codec import to_json
+from mallowpond.state.codec import to_json, to_plain
 from mallowpond.state.ownership import owner_of
+from mallowpond.state.rows import (
+    GroupMember,
+    GroupRow,
+    GroupState,
+    Holder,
+    HostRow,
+    OrderOutcome,
+)
 
 HEARTBEAT_SECONDS = 0.5
 ROUNDS = 40
@@ -141,4 +152,77 @@
         columns=("members", "change", "rendezvous", "modulo"),
         rows=tuple(moves),
     )
-    return [costs, ownership]
+    return [costs, ownership, _fleet_sized((43,) if smallest else (430, 4300))]
+
+
+def _fleet_sized(sizes: tuple[int, ...]) -> Report:
+    """Measure what grows with the hosts: a look at their rows, an answer of routes."""
+    rows = []
+    for hosts in sizes:
+        view = _view_of(hosts)
+        view.below(HOSTS, HostRow)
+        look = best_seconds(lambda v=view: v.below(HOSTS, HostRow))
+        answer = len(encode(_answer_at_rest()))
+        changed = len(encode(_answer_at_rest(_groups_of(hosts // 8))))
+        rows.append((hosts, look * 1e3, answer, changed))
+    columns = (
+        "hosts",
+        "one look at their rows (ms)",
+        "answer of routes at rest (B)",
+        "with every group of 8 (B)",
+    )
+    return Report(title="What grows with the hosts", columns=columns, rows=tuple(rows))
+
+
+def _view_of(hosts: int) -> TableView:
+    view = TableView(table=MemoryTable(), prefix=SHARED)
+    holder = Holder(member="c0", incarnation="1", host="e0", host_incarnation="1")
+    for number in range(hosts):
+        row = HostRow(
+            host=f"h{number}",
+            incarnation="1",
+            group="g",
+            generation=1,
+            order=1,
+            fence=1,
+            holder=holder,
+            outcome=OrderOutcome.DONE,
+        )
+        key = f"{SHARED}{HOSTS}h{number}"
+        view.rows[key] = Row(key=key, value=to_plain(row), version=1, transaction="t")
+    return view
+
+
+def _groups_of(count: int) -> tuple[GroupRow, ...]:
+    return tuple(
+        GroupRow(
+            group=f"deployment-{number:08x}",
+            deployment="deployment",
+            generation=1,
+            state=GroupState.READY,
+            members=tuple(
+                GroupMember(
+                    host=f"host-{number}-{rank}",
+                    address="10.100.100.100:8000",
+                    incarnation="1",
+                    rank=rank,
+                )
+                for rank in range(8)
+            ),
+        )
+        for number in range(count)
+    )
+
+
+def _answer_at_rest(groups: tuple[GroupRow, ...] | None = None) -> Routes:
+    return Routes(
+        sequence=123456,
+        config_version=4000,
+        config_left=3.9,
+        config_text=None,
+        routes_version=2**47,
+        groups=groups,
+        seen_age=0.123456789,
+        exceptions=(),
+        excluded_hosts=(),
+    )
--- a/mallowpond/gateway/tests/test_whole_answers.py
+++ b/mallowpond/gateway/tests/test_whole_answers.py
@@ -53,6 +53,10 @@
         assert reply.whole
         assert reply.events == [f"star.{n} " for n in range(4)] + [""]
         assert counter(site, "retries", reason="cut_body") == 1
+        for number in range(6):
+            other = await ask(site, f"p{number}", stream=True)
+            assert other.whole
+            assert other.events == [f"p{number}.{n} " for n in range(4)] + [""]
 
 
 async def test_stream_that_cannot_be_resumed_ends_visibly_broken():
