Give the two kinds of target pool a class each; end tasks in one place

Cause, read as a newcomer: pools were five closures built in functions of sixty lines; two programs had the same function that cancels a task; the packages' __init__ did not list what they hold. No behaviour changed.

--- a/mallowpond/controller/service.py
+++ b/mallowpond/controller/service.py
@@ -31,6 +31,7 @@
 from mallowpond.coordination.ports import Host, Ports, Unavailable
 from mallowpond.coordination.quotas import QuotaLeaser
 from mallowpond.coordination.store import TableView, new_id
+from mallowpond.coordination.tasks import cancel_task
 from mallowpond.protocol.declaration_file import parse_document
 from mallowpond.protocol.peer import PeerAsk, PeerView, Routes, RoutesAsk, Sight
 from mallowpond.settings import ControllerSettings
@@ -409,7 +410,7 @@
 
     def _spawn(self, name: str, work: Awaitable[None]) -> None:
         task = asyncio.create_task(work, name=name)
-        self._stack.push_async_callback(_cancel, task)
+        self._stack.push_async_callback(cancel_task, task)
 
     async def _every(
         self, seconds: float, name: str, step: Callable[[], Awaitable[None]]
@@ -425,11 +426,6 @@
             await self._clock.sleep(seconds)
 
 
-async def _cancel(task: asyncio.Task) -> None:
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
-
-
 def build(*, settings: ControllerSettings, ports: Ports) -> Controller:
     """Build a controller from its settings and ports."""
     return Controller(settings=replace(settings), ports=ports)
--- a/mallowpond/gateway/pools.py
+++ b/mallowpond/gateway/pools.py
@@ -15,13 +15,129 @@
 from mallowpond.gateway.gate import Gate
 from mallowpond.gateway.link import ControllerLink
 from mallowpond.gateway.routes import RouteTable
-from mallowpond.gateway.serving import Place, TargetPool
+from mallowpond.gateway.serving import Place
 from mallowpond.state.balancer import Balancer
 from mallowpond.state.declarations import Deployment, PlainService, Workspace
 from mallowpond.state.limits import Refused
 from mallowpond.transport.http_client import HttpClient
 
 SUSPECT_REASONS = ("connect_failed", "engine_refused", "cut_before_head", "cut_body")
+SERVICE_RETRY_SECONDS = 1.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Patience:
+    """Say how long to wait for the head of an answer.
+
+    A whole answer has its first byte when it is done, and one that is a little late is
+    worth more to its caller than an unknown outcome, so the deadline only ever
+    lengthens the wait. What cannot be done in time is refused at admission.
+    """
+
+    clock: Clock
+    deadline: float
+    first_byte_seconds: float
+
+    @property
+    def seconds(self) -> float:
+        """Return the seconds to wait from now."""
+        return max(self.first_byte_seconds, self.deadline - self.clock.now())
+
+
+@dataclass(frozen=True, kw_only=True)
+class GroupPool:
+    """Serve one request by the groups of a deployment."""
+
+    gate: Gate
+    balancer: Balancer
+    routes: RouteTable
+    http: HttpClient
+    link: ControllerLink
+    clock: Clock
+    patience: Patience
+    workspace: Workspace
+    prefix: str
+
+    async def enter(self, avoid: frozenset[str]) -> Place | Refused:
+        """Take a place on a group, or wait for a turn."""
+        group = await self.gate.enter(
+            workspace=self.workspace.name,
+            share=self.workspace.share,
+            deadline=self.patience.deadline,
+            prefix=self.prefix,
+            avoid=avoid,
+        )
+        return group if isinstance(group, Refused) else Place(target=group.group)
+
+    def leave(self, place: Place, held_seconds: float, latency: float | None) -> None:
+        """Give a place back."""
+        self.gate.leave(place.target, held_seconds=held_seconds, latency=latency)
+
+    async def dispatch(self, place: Place, attempt: Attempt) -> AttemptOutcome:
+        """Send an attempt to the group's leader while the group may be used."""
+        group = self.routes.groups.get(place.target)
+        if group is None or not self.routes.is_serving(group, self.clock.now()):
+            # The group lost its permit between the choice and the dispatch.
+            return NotStarted(reason="group_gone")
+        return await dispatch(
+            http=self.http,
+            group=group,
+            attempt=attempt,
+            first_byte_seconds=self.patience.seconds,
+        )
+
+    def note_load(self, place: Place, in_flight: int) -> None:
+        """Note the load that rode on a response."""
+        now = self.clock.now()
+        self.balancer.report(place.target, in_flight=in_flight, now=now)
+
+    async def note_failure(self, place: Place, reason: str) -> None:
+        """Stop using a group whose failure may mean that it broke, and report it."""
+        group = self.routes.groups.get(place.target)
+        if group is None or reason not in SUSPECT_REASONS:
+            return
+        self.routes.revoke(group.group, group.generation, self.clock.now())
+        await self.link.suspect(group.group, group.generation)
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServicePool:
+    """Serve one request by the addresses of a plain service."""
+
+    service: PlainService
+    balancer: Balancer
+    http: HttpClient
+    clock: Clock
+    patience: Patience
+
+    async def enter(self, avoid: frozenset[str]) -> Place | Refused:
+        """Take a place on an address; there is no queue for services."""
+        targets = [t for t in self.service.targets if t not in avoid]
+        limit = self.service.requests_per_target
+        chosen = self.balancer.choose(targets, now=self.clock.now(), limit=limit)
+        if chosen is None:
+            return Refused(reason="overloaded", retry_after=SERVICE_RETRY_SECONDS)
+        self.balancer.start(chosen)
+        return Place(target=chosen)
+
+    def leave(self, place: Place, held_seconds: float, latency: float | None) -> None:
+        """Give a place back."""
+        self.balancer.finish(place.target, now=self.clock.now(), latency=latency)
+
+    async def dispatch(self, place: Place, attempt: Attempt) -> AttemptOutcome:
+        """Send an attempt to the address."""
+        return await dispatch_plainly(
+            http=self.http,
+            target=place.target,
+            attempt=attempt,
+            first_byte_seconds=self.patience.seconds,
+        )
+
+    def note_load(self, place: Place, in_flight: int) -> None:
+        """Plain services report no load."""
+
+    async def note_failure(self, place: Place, reason: str) -> None:
+        """Plain services have no permit to revoke."""
 
 
 @dataclass(kw_only=True)
@@ -56,103 +172,36 @@
         workspace: Workspace,
         prefix: str,
         deadline: float,
-    ) -> TargetPool:
+    ) -> GroupPool:
         """Return the pool of a deployment's groups for one request."""
-        balancer = self._balancer(deployment.name)
-        gate = self._gate(deployment)
-
-        async def enter(avoid: frozenset[str]) -> Place | Refused:
-            group = await gate.enter(
-                workspace=workspace.name,
-                share=workspace.share,
-                deadline=deadline,
-                prefix=prefix,
-                avoid=avoid,
-            )
-            return group if isinstance(group, Refused) else Place(target=group.group)
-
-        async def send(place: Place, attempt: Attempt) -> AttemptOutcome:
-            group = self.routes.groups.get(place.target)
-            if group is None or not self.routes.is_serving(group, self.clock.now()):
-                # The group lost its permit between the choice and the dispatch.
-                return NotStarted(reason="group_gone")
-            return await dispatch(
-                http=self.http,
-                group=group,
-                attempt=attempt,
-                first_byte_seconds=self._patience(deadline),
-            )
-
-        async def note_failure(place: Place, reason: str) -> None:
-            group = self.routes.groups.get(place.target)
-            if group is not None and reason in SUSPECT_REASONS:
-                now = self.clock.now()
-                self.routes.revoke(group.group, group.generation, now)
-                await self.link.suspect(group.group, group.generation)
-
-        def leave(place: Place, held: float, latency: float | None) -> None:
-            gate.leave(place.target, held_seconds=held, latency=latency)
-
-        def note_load(place: Place, load: int) -> None:
-            balancer.report(place.target, in_flight=load, now=self.clock.now())
-
-        return TargetPool(
-            enter=enter,
-            leave=leave,
-            dispatch=send,
-            note_load=note_load,
-            note_failure=note_failure,
+        return GroupPool(
+            gate=self._gate(deployment),
+            balancer=self._balancer(deployment.name),
+            routes=self.routes,
+            http=self.http,
+            link=self.link,
+            clock=self.clock,
+            patience=self._patience(deadline),
+            workspace=workspace,
+            prefix=prefix,
         )
 
-    def for_service(
-        self, service: PlainService, workspace: Workspace, deadline: float
-    ) -> TargetPool:
+    def for_service(self, service: PlainService, deadline: float) -> ServicePool:
         """Return the pool of a plain service's targets for one request."""
-        balancer = self._balancer(f"service/{service.name}")
-
-        async def enter(avoid: frozenset[str]) -> Place | Refused:
-            targets = [t for t in service.targets if t not in avoid]
-            chosen = balancer.choose(
-                targets, now=self.clock.now(), limit=service.requests_per_target
-            )
-            if chosen is None:
-                return Refused(reason="overloaded", retry_after=1.0)
-            balancer.start(chosen)
-            return Place(target=chosen)
-
-        async def send(place: Place, attempt: Attempt) -> AttemptOutcome:
-            return await dispatch_plainly(
-                http=self.http,
-                target=place.target,
-                attempt=attempt,
-                first_byte_seconds=self._patience(deadline),
-            )
-
-        async def note_failure(place: Place, reason: str) -> None:
-            return
-
-        def leave(place: Place, held: float, latency: float | None) -> None:
-            balancer.finish(place.target, now=self.clock.now(), latency=latency)
-
-        def note_load(place: Place, load: int) -> None:
-            return
-
-        return TargetPool(
-            enter=enter,
-            leave=leave,
-            dispatch=send,
-            note_load=note_load,
-            note_failure=note_failure,
+        return ServicePool(
+            service=service,
+            balancer=self._balancer(f"service/{service.name}"),
+            http=self.http,
+            clock=self.clock,
+            patience=self._patience(deadline),
         )
 
-    def _patience(self, deadline: float) -> float:
-        """Return how long to wait for the head of an answer.
-
-        A whole answer has its first byte when it is done, and one that is a little
-        late is worth more to its caller than an unknown outcome, so the deadline only
-        ever lengthens the wait. What cannot be done in time is refused at admission.
-        """
-        return max(self.first_byte_seconds, deadline - self.clock.now())
+    def _patience(self, deadline: float) -> Patience:
+        return Patience(
+            clock=self.clock,
+            deadline=deadline,
+            first_byte_seconds=self.first_byte_seconds,
+        )
 
     def _balancer(self, name: str) -> Balancer:
         if name not in self._balancers:
--- a/mallowpond/gateway/reading.py
+++ b/mallowpond/gateway/reading.py
@@ -112,7 +112,7 @@
         if not repeatable and caller.idempotency_key is None:
             return _key_required()
         deadline = self._clock.now() + caller.timeout
-        pool = self._pools.for_service(service, workspace, deadline)
+        pool = self._pools.for_service(service, deadline)
         return self._work(
             request, request_id, caller, workspace, pool, repeatable, None, deadline
         )
--- a/mallowpond/gateway/service.py
+++ b/mallowpond/gateway/service.py
@@ -10,6 +10,7 @@
 
 from mallowpond.coordination.ports import Clock
 from mallowpond.coordination.store import new_id
+from mallowpond.coordination.tasks import cancel_task
 from mallowpond.gateway.claims import ClaimedAttempt, ClaimKeeper
 from mallowpond.gateway.link import ControllerLink
 from mallowpond.gateway.metrics import GatewayMetrics
@@ -147,7 +148,7 @@
 
     def _spawn(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
-        self._stack.push_async_callback(_cancel, task)
+        self._stack.push_async_callback(cancel_task, task)
 
     def _on_routes(self) -> None:
         self._pools.on_routes()
@@ -361,11 +362,6 @@
     )
 
 
-async def _cancel(task: asyncio.Future) -> None:
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
-
-
 def build(*, settings: GatewaySettings, clock: Clock, seed: int = 0) -> Gateway:
     """Build a gateway from its settings and ports."""
     return Gateway(settings=settings, clock=clock, seed=seed)
--- a/mallowpond/gateway/serving.py
+++ b/mallowpond/gateway/serving.py
@@ -1,8 +1,8 @@
 """Serve one admitted request: attempts, retries, resumption, and its one ending."""
 
 import random
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
+from typing import Protocol
 
 from mallowpond.coordination.ports import Clock
 from mallowpond.gateway.dispatch import (
@@ -62,22 +62,25 @@
 
 
 ServeEnd = Served | RefusedRequest | BrokenOff
-EnterPlace = Callable[[frozenset[str]], Awaitable[Place | Refused]]
-LeavePlace = Callable[[Place, float, float | None], None]
-Dispatch = Callable[[Place, Attempt], Awaitable[AttemptOutcome]]
-NoteLoad = Callable[[Place, int], None]
-NoteFailure = Callable[[Place, str], Awaitable[None]]
 
 
-@dataclass(frozen=True, kw_only=True)
-class TargetPool:
-    """Gather how one deployment's or service's targets are taken and called."""
-
-    enter: EnterPlace
-    leave: LeavePlace
-    dispatch: Dispatch
-    note_load: NoteLoad
-    note_failure: NoteFailure
+class TargetPool(Protocol):
+    """Take, call and give back the targets of one deployment or service."""
+
+    async def enter(self, avoid: frozenset[str]) -> Place | Refused:
+        """Take a place on a target that is not to be avoided."""
+
+    def leave(self, place: Place, held_seconds: float, latency: float | None) -> None:
+        """Give a place back; `latency` is seconds a token, None if it did not end."""
+
+    async def dispatch(self, place: Place, attempt: Attempt) -> AttemptOutcome:
+        """Send an attempt to the place's target."""
+
+    def note_load(self, place: Place, in_flight: int) -> None:
+        """Note the load that rode on a response."""
+
+    async def note_failure(self, place: Place, reason: str) -> None:
+        """Note that an attempt on the target failed."""
 
 
 @dataclass(kw_only=True)
--- a/mallowpond/programs/__init__.py
+++ b/mallowpond/programs/__init__.py
@@ -1,1 +1,10 @@
 """The command line, the settings, and how each program runs."""
+
+__all__ = [
+    "cli",
+    "demo",
+    "logs",
+    "operator_commands",
+    "processes",
+    "site",
+]
