Conclude nothing from a host list that was not read, or engines that all are silent

Cause: a planner that had not read the platform's list yet, or was cut off from every engine, saw groups without members and deleted them; and a host missing from an empty list counted as gone, which closed an older holder's open orders where engines ignore fencing, so the host could join a second group. Found by reading the change as a newcomer. Ruled out: the table's checks (the deletions were well-formed and under lease). Change: no step without a list; a group none of whose members can be seen waits as BROKEN, is formed anew elsewhere where hosts are, and serves again when its members confirm. A withdrawn order of a loading group is written anew at once; it waited for the forming limit before, hidden by the deletion.

--- a/mallowpond/coordination/groups.py
+++ b/mallowpond/coordination/groups.py
@@ -108,6 +108,10 @@
 
     async def tick(self, *, declaration: Declaration, hosts: tuple[Host, ...]) -> None:
         """Advance every group by one step, if this process holds the lease."""
+        if not hosts:
+            # A list that was not read yet says nothing: going by it, every group would
+            # look broken and every older holder gone.
+            return
         checks_fencing = all(d.checks_fencing for d in declaration.deployments)
         self._desk.look(checks_fencing=checks_fencing, hosts=hosts)
         lease = await self._lease.keep()
@@ -372,7 +376,7 @@
         if placed == (row.group, row.generation) and status.order == row.order:
             return True
         # A member that restarted after its group was READY waits for the repair.
-        return row.group is not None and row.outcome is not OrderOutcome.PENDING
+        return row.group is not None and row.outcome is OrderOutcome.DONE
 
     async def _adopt(self, name: str, row: Versioned[HostRow]) -> HostRow | None:
         """Write an older holder's order down as our own before sending it again."""
--- a/mallowpond/coordination/tests/test_groups.py
+++ b/mallowpond/coordination/tests/test_groups.py
@@ -180,6 +180,36 @@
     assert site.states() == [GroupState.READY]
 
 
+async def empty_list(site):
+    site.hosts = ()
+
+
+async def everyone_silent(site):
+    for engine in site.engines.engines.values():
+        engine.silent = True
+
+
+@pytest.mark.parametrize("blindness", [empty_list, everyone_silent])
+async def test_planner_that_sees_nobody_takes_no_group_apart(blindness):
+    """
+    Symptom: every group is deleted at once, and has to be loaded anew.
+    Events: a planner has not read the host list yet, or is cut off from the engines.
+    Cause: a group none of whose members can be seen was taken for one without members.
+    """
+    site = await ready_site()
+    before = site.groups
+    hosts = site.hosts
+    await blindness(site)
+    await site.tick(times=10)
+    assert [g.hosts for g in site.groups] == [g.hosts for g in before]
+    site.hosts = hosts
+    for engine in site.engines.engines.values():
+        engine.silent = False
+    await site.tick(times=3)
+    assert [g.generation for g in site.groups] == [g.generation for g in before]
+    assert site.states() == [GroupState.READY]
+
+
 async def test_dark_domain_takes_its_groups_down_and_brings_them_back():
     site = await ready_site()
     for engine in site.engines.engines.values():
@@ -366,6 +396,21 @@
     assert other.groups.tainted == ()
 
 
+async def test_host_list_that_was_never_read_frees_nothing():
+    """
+    Symptom: a host with an older holder's open order joins another group.
+    Events: a controller starts, takes the planner's lease, and plans before it has
+    read the platform's list. Cause: a host missing from an empty list counted as gone.
+    """
+    site, frozen, other, late = await orphaned_intent(checks_fencing=False)
+    await site.tick(other, times=24)
+    listed_hosts, site.hosts = site.hosts, ()
+    await site.tick(other, times=3)
+    site.hosts = listed_hosts
+    await site.tick(other, times=3)
+    assert set(other.groups.tainted) == {host for host, _ in late}
+
+
 async def test_tainted_host_is_freed_when_its_engine_shows_the_order_done():
     site, frozen, other, late = await orphaned_intent(checks_fencing=False)
     await site.tick(other, times=24)
--- a/mallowpond/state/planner.py
+++ b/mallowpond/state/planner.py
@@ -457,7 +457,8 @@
     """
     for group in _broken_by_urgency(board):
         deployment = board.deployment(group)
-        if deployment.load_seconds > RETURN_SECONDS:
+        may_return_warm = board.survivors(group) != ()
+        if may_return_warm and deployment.load_seconds > RETURN_SECONDS:
             continue
         domain = _domain_for(board, deployment)
         if domain is not None:
@@ -473,11 +474,12 @@
     the downtime of a cold load and costs the survivors' accelerators meanwhile.
     """
     for group in _broken_by_urgency(board):
-        survivors = board.survivors(group)
-        if not survivors:
-            board.dissolve(group, "no member is left")
-        elif any(board.hosts[h].leaving for h in group.hosts if h in board.hosts):
+        if any(board.hosts[h].leaving for h in group.hosts if h in board.hosts):
             board.dissolve(group, "a member leaves for good")
+        elif not board.survivors(group):
+            # Nothing is stranded, and a planner that is cut off from the engines sees
+            # no member of any group: taking them apart would load all of them anew.
+            continue
         elif _is_waiting_too_dear(board, group) and _helps_another(board, group):
             board.dissolve(group, "serves better elsewhere")
             _form_missing(board)
