Say a statement to a controller in one place of the command line

Cause: five commands repeated the same call. Result: the 15 tests of the operator's commands passed.

--- a/mallowpond/programs/cli.py
+++ b/mallowpond/programs/cli.py
@@ -167,8 +167,7 @@
     controller: ControllerAddress = DEFAULT_CONTROLLER, as_json: AsJson = False
 ) -> None:
     """Show the accepted configuration versions, latest first."""
-    statement = "show versions order by version desc"
-    _finish(asyncio.run(operator_commands.state(controller, statement)), as_json)
+    _say("show versions order by version desc", controller, as_json)
 
 
 @app.command()
@@ -178,7 +177,7 @@
     as_json: AsJson = False,
 ) -> None:
     """Run one statement of the query and command language."""
-    _finish(asyncio.run(operator_commands.state(controller, statement)), as_json)
+    _say(statement, controller, as_json)
 
 
 @app.command()
@@ -188,8 +187,7 @@
     as_json: AsJson = False,
 ) -> None:
     """Take a host out of every group, gracefully."""
-    statement = f"drain host {host}"
-    _finish(asyncio.run(operator_commands.state(controller, statement)), as_json)
+    _say(f"drain host {host}", controller, as_json)
 
 
 @app.command()
@@ -199,8 +197,7 @@
     as_json: AsJson = False,
 ) -> None:
     """Stop a group, gracefully."""
-    statement = f"stop group {group}"
-    _finish(asyncio.run(operator_commands.state(controller, statement)), as_json)
+    _say(f"stop group {group}", controller, as_json)
 
 
 @app.command()
@@ -211,7 +208,10 @@
     as_json: AsJson = False,
 ) -> None:
     """Take back a drain or a stop."""
-    statement = f"restore {kind} {name}"
+    _say(f"restore {kind} {name}", controller, as_json)
+
+
+def _say(statement: str, controller: str, as_json: bool) -> None:
     _finish(asyncio.run(operator_commands.state(controller, statement)), as_json)
 
 
