Form groups from what is at hand, and let members leave before they join again

Cause: groups did not come back. Seen in the planner's log: 25 of 50 engines free, most with weights, in domains that lacked one for a group; loads give 6 in 16 s. Ruled out: the request path (placing was even) and the store (list read in time). Change: groups across domains where nothing else can form; loads go where they complete a group; members leave, then join; probes are shared; groups form at start only when the list is quiet; streams wait for a group that can start them on time.

--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -2,13 +2,19 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import structlog
 
 from mallowpond.coordination.ports import Clock, Unavailable
 from mallowpond.node.ports import HistoryLost, SiteSource
-from mallowpond.state.fleet import Group, GroupPhase, Target, assemble_groups
+from mallowpond.state.fleet import (
+    EngineProfile,
+    Group,
+    GroupPhase,
+    Target,
+    assemble_groups,
+)
 from mallowpond.state.placement import GroupLoad
 
 log = structlog.get_logger()
@@ -67,7 +73,7 @@
         self._whole_at = float("-inf")
         self._lost_at: float | None = None
         self._regained_at = float("-inf")
-        self._suspects: dict[str, Target] = {}
+        self.newest_target_at = float("-inf")
         self.poll_seconds = POLL_SECONDS
         self.on_change: list[Callable[[], None]] = []
 
@@ -132,6 +138,13 @@
                 reading += theirs[1]
         return GroupLoad(running=running, reading_tokens=reading, slowness=own.slowness)
 
+    def load_of(self, group: Group, profile: EngineProfile) -> GroupLoad:
+        """Return the load of a group, slower where it spans domains."""
+        load = self.load(group.key)
+        if not group.is_far:
+            return load
+        return replace(load, slowness=load.slowness * profile.far_factor)
+
     def own_loads(self) -> dict[GroupKey, tuple[int, float]]:
         """Return this host's own work by group, for its peers."""
         return {
@@ -214,6 +227,7 @@
             known = self._targets.get(identifier)
             if known is None:
                 log.info("targets: new", target=identifier, service=target.service)
+                self.newest_target_at = self._clock.now()
             elif known.draining != target.draining:
                 log.info("targets: draining", target=identifier)
             elif known.membership != target.membership:
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -58,6 +58,7 @@
     store: bool
     stopping: bool
     planning: int
+    traffic: bool = False
     loads: tuple[GroupFigures, ...] = ()
 
 
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import structlog
 
@@ -44,6 +44,12 @@
 
 # Pause between two plans, in seconds.
 PLAN_SECONDS = 0.1
+# Pause between two log lines on the state of all groups, in seconds.
+SUMMARY_SECONDS = 2.0
+# Weight of the declared share of a model against the running streams: those rise at
+# once when a model has too few groups, but say little while few streams run.
+DECLARED_WEIGHT = 0.5
+LEAST_SEEN_WORK = 10.0
 # Epochs that one fencing number has for its groups.
 EPOCHS_PER_FENCE = 1_000_000
 # Time until the effect of an order that was taken must show in the list, in seconds:
@@ -51,14 +57,14 @@
 EFFECT_SECONDS = 1.5
 # Pause before an order that did not fit or got lost is given again, in seconds.
 AGAIN_SECONDS = 0.3
-# Added to the stall time until a head that cannot be reached must have broken.
-HOLD_MARGIN_SECONDS = 0.5
 # Pause between two probes of a target that did not answer, in seconds.
 PROBE_SECONDS = 2.0
 # Probes in a row that must fail before a target counts as lost.
 PROBES = 2
-# Suspicions of one group, each cleared by probes, after which it is formed anew.
-CLEARED_SUSPICIONS = 2
+# Suspicions of one group within a time in seconds, each cleared by probes, after
+# which it is formed anew: its members answer, yet cannot reach one another.
+CLEARED_SUSPICIONS = 4
+CLEARED_SECONDS = 2.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -107,13 +113,14 @@
         self._orders: dict[str, int] = {}
         self._pending: dict[str, Pending] = {}
         self._lost: dict[str, float] = {}
-        self._held: dict[str, float] = {}
+        self._left: dict[str, GroupKey] = {}
         self._formations: dict[GroupKey, Formation] = {}
         self._first_seen: dict[GroupKey, float] = {}
-        self._cleared: dict[GroupKey, int] = {}
+        self._cleared: dict[GroupKey, list[float]] = {}
         self._loads: dict[str, tuple[str, float]] = {}
         self._loads_begun: list[float] = []
-        self._probing: set[str] = set()
+        self._probing: dict[str, asyncio.Task[bool]] = {}
+        self._summed_up_at = float("-inf")
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -150,6 +157,9 @@
     def _plan_service(self, service: str, profile: EngineProfile) -> None:
         view = self._view(service, profile)
         steps = plan_steps(view)
+        if view.now - self._summed_up_at > SUMMARY_SECONDS:
+            self._summed_up_at = view.now
+            self._sum_up(view)
         for step in steps:
             if isinstance(step, Join):
                 self._remember(step)
@@ -159,21 +169,81 @@
         now = self._clock.now()
         return FormationView(
             profile=profile,
-            targets=self._directory.all_of_service(service),
+            targets=tuple(
+                self._as_left(target)
+                for target in self._directory.all_of_service(service)
+            ),
             now=now,
+            demand=self._demand(profile),
             next_epoch=self._next_epoch,
             lost=frozenset(self._lost),
             busy=frozenset(self._pending),
-            held=frozenset(t for t, until in self._held.items() if until > now),
             formations=self._formations,
             first_seen=self._first_seen,
             distrusted=frozenset(
-                k for k, n in self._cleared.items() if n >= CLEARED_SUSPICIONS
+                key
+                for key, times in self._cleared.items()
+                if sum(now - at < CLEARED_SECONDS for at in times) >= CLEARED_SUSPICIONS
             ),
             loads_begun=tuple(self._loads_begun),
-            loads_running=len(self._loads),
+            loading={target: model for target, (model, _) in self._loads.items()},
             before_traffic=not self._traffic_seen.seen,
             is_settled=self._directory.is_settled,
+            newest_target_at=self._directory.newest_target_at,
+        )
+
+    def _as_left(self, target: Target) -> Target:
+        """Return a target without the group that it left before the list shows it."""
+        member = target.membership
+        if member is None:
+            return target
+        if self._left.get(target.id) != (member.group, member.epoch):
+            return target
+        return replace(target, membership=None)
+
+    def _demand(self, profile: EngineProfile) -> dict[str, float]:
+        """Return each model's share of the work, half as declared, half as seen."""
+        running = {model.name: 0.0 for model in profile.models}
+        for group in self._directory.groups.values():
+            if group.model in running:
+                running[group.model] += self._directory.load(group.key).running
+        total = sum(running.values())
+        if total < LEAST_SEEN_WORK:
+            return {}
+        return {
+            model.name: DECLARED_WEIGHT * model.share
+            + (1.0 - DECLARED_WEIGHT) * running[model.name] / total
+            for model in profile.models
+        }
+
+    def _sum_up(self, view: FormationView) -> None:
+        """Log what runs where, for whoever asks later why there was no place."""
+        for model in view.profile.models:
+            groups = [
+                g for g in self._directory.groups.values() if g.model == model.name
+            ]
+            open_groups = [g for g in groups if g.phase is GroupPhase.OPEN]
+            loads = [self._directory.load(g.key) for g in open_groups]
+            log.info(
+                "planner: model",
+                model=model.name,
+                open=len(open_groups),
+                others=[
+                    f"{g.name}:{g.phase.value if g.phase else 'headless'}"
+                    for g in groups
+                    if g.phase is not GroupPhase.OPEN
+                ],
+                running=sum(load.running for load in loads),
+                reading=round(sum(load.reading_tokens for load in loads)),
+                slowness=[round(load.slowness, 1) for load in loads],
+            )
+        free = [t for t in view.targets if t.membership is None]
+        log.info(
+            "planner: targets",
+            listed=len(view.targets),
+            lost=len(view.lost),
+            free=_by_domain(free, view),
+            loading=len(view.loading),
         )
 
     def _remember(self, step: Join) -> None:
@@ -213,7 +283,7 @@
             if key in groups or now - formation.ordered_at < self._stall_seconds
         }
         self._lost = {t: at for t, at in self._lost.items() if t in targets}
-        self._held = {t: until for t, until in self._held.items() if until > now}
+        self._left = {t: key for t, key in self._left.items() if t in targets}
         self._loads_begun = [at for at in self._loads_begun if now - at < 10.0]
         for identifier, (model, _) in list(self._loads.items()):
             target = targets.get(identifier)
@@ -274,6 +344,10 @@
             case OrderTaken(began=began):
                 if began:
                     self._orders[target.id] = self._orders.get(target.id, 0) + 1
+                else:
+                    # Done at once or held already: only the engine knows whether
+                    # it counted, and a wrong count would refuse the next order.
+                    self._orders.pop(target.id, None)
                 self._note_taken(step)
             case OrderFenced():
                 self._orders.pop(target.id, None)
@@ -290,8 +364,10 @@
     def _note_taken(self, step: Step) -> None:
         until = self._clock.now() + EFFECT_SECONDS
         if isinstance(step, Leave):
-            hold = self._stall_seconds + HOLD_MARGIN_SECONDS
-            self._held[step.target.id] = self._clock.now() + hold
+            # It takes effect at once: the list need not be waited for.
+            self._left[step.target.id] = (step.group, step.epoch)
+            self._pending.pop(step.target.id, None)
+            return
         self._pending[step.target.id] = Pending(step=step, until=until)
 
     def _give_back(self, step: Step) -> None:
@@ -317,11 +393,11 @@
         answers = await asyncio.gather(*(self._probe(m) for m in members))
         if not all(answers) or len(members) < len(group.members):
             return
-        self._cleared[group.key] = self._cleared.get(group.key, 0) + 1
+        self._cleared.setdefault(group.key, []).append(self._clock.now())
         log.info(
             "planner: suspicion cleared",
             group=group.name,
-            times=self._cleared[group.key],
+            times=len(self._cleared[group.key]),
         )
         self._watch.clear(group.key)
         self._peers.tell_suspicion(group.key, cleared=True)
@@ -334,20 +410,22 @@
         await self._probe(target)
 
     async def _probe(self, target: Target) -> bool:
-        """Ask a target whether it lives; silences in a row mean that it is lost."""
-        if target.id in self._probing:
-            return True
-        self._probing.add(target.id)
-        try:
-            for _ in range(PROBES):
-                report = await self._targets.report(target)
-                if not isinstance(report, Unavailable):
-                    self._orders[target.id] = report.orders
-                    if self._lost.pop(target.id, None) is not None:
-                        log.info("planner: target regained", target=target.id)
-                    return True
-        finally:
-            self._probing.discard(target.id)
+        """Ask a target whether it lives; whoever asks meanwhile shares the answer."""
+        running = self._probing.get(target.id)
+        if running is None:
+            running = asyncio.ensure_future(self._ask(target))
+            self._probing[target.id] = running
+            running.add_done_callback(lambda _: self._probing.pop(target.id, None))
+        return await asyncio.shield(running)
+
+    async def _ask(self, target: Target) -> bool:
+        for _ in range(PROBES):
+            report = await self._targets.report(target)
+            if not isinstance(report, Unavailable):
+                self._orders[target.id] = report.orders
+                if self._lost.pop(target.id, None) is not None:
+                    log.info("planner: target regained", target=target.id)
+                return True
         if target.id not in self._lost:
             log.warning("planner: target lost", target=target.id, reason=report.reason)
         self._lost[target.id] = self._clock.now()
@@ -398,6 +476,24 @@
             return step.model in target.staged
 
 
+def _by_domain(targets: list[Target], view: FormationView) -> dict[str, list[str]]:
+    domains: dict[str, list[str]] = {}
+    for target in targets:
+        models = domains.setdefault(target.domain, [])
+        state = "free"
+        for name, known in (
+            ("lost", view.lost),
+            ("busy", view.busy),
+            ("loading", view.loading),
+        ):
+            if target.id in known:
+                state = name
+        if target.draining:
+            state = "draining"
+        models.append(f"{state}:{'+'.join(target.staged)}")
+    return {domain: sorted(models) for domain, models in domains.items()}
+
+
 def _has_loaded(target: Target, model: str) -> bool:
     if model in target.staged:
         return True
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -211,10 +211,12 @@
             store=self.configuration.store_answers,
             stopping=self.ingress.stopping,
             planning=self.leadership.fence,
+            traffic=self._traffic.seen,
             loads=heartbeat_loads(self.directory.own_loads()),
         )
 
     def _note_heartbeat(self, heartbeat: Heartbeat) -> None:
+        self._traffic.seen = self._traffic.seen or heartbeat.traffic
         self.directory.note_peer(heartbeat.node, loads_of(heartbeat))
 
     async def _answer_readiness(self, request: HttpRequest, exchange: Exchange) -> None:
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -22,6 +22,7 @@
 from mallowpond.state.fleet import EngineProfile, Group, ModelSpec
 from mallowpond.state.placement import (
     Candidate,
+    GroupLoad,
     choose_group,
     first_event_seconds,
     pass_seconds,
@@ -43,6 +44,9 @@
 PATIENCE_OBJECTIVES = 4.0
 # Time left below which a stream is not sent any more, in seconds.
 LEAST_SECONDS = 0.05
+# Share of the objective that a group's predicted first event may take: the rest is
+# for the way here, and for what the prediction does not know.
+FIRST_EVENT_SHARE = 0.75
 # Time to come back when no group serves a model and none is known to form soon.
 NO_GROUP_RETRY_SECONDS = 1.0
 # Sends that were proved not to have run, at most, for one request.
@@ -167,7 +171,7 @@
         self._hosts = hosts
         self._rng = rng
         self._lines: dict[str, WaitingLine] = {}
-        self._shapes: dict[str, tuple[str, EngineProfile, ModelSpec]] = {}
+        self._shapes: dict[str, tuple[str, EngineProfile, ModelSpec, float]] = {}
         self.active: set[ActiveStream] = set()
         directory.on_change.append(self.wake_all)
 
@@ -182,7 +186,12 @@
         """Serve one stream to its end."""
         work.started_at = self._clock.now()
         work.last_event = work.request.last_event
-        self._shapes[work.model.name] = (work.service, work.profile, work.model)
+        self._shapes[work.model.name] = (
+            work.service,
+            work.profile,
+            work.model,
+            work.route.objective_seconds,
+        )
         self._budget(work.service).note_first(work.started_at)
         failed: FailedAnswer | None = None
         while True:
@@ -265,12 +274,18 @@
         by_key = {f"{g.name}/{g.epoch}": g for g in groups}
         candidates = [
             Candidate(
-                key=key, load=self._directory.load(g.key), is_leaving=g.is_leaving
+                key=key,
+                load=self._directory.load_of(g, work.profile),
+                is_leaving=g.is_leaving,
             )
             for key, g in by_key.items()
         ]
         chosen = choose_group(
-            work.profile, work.model, candidates, prompt_tokens=work.prompt_tokens
+            work.profile,
+            work.model,
+            candidates,
+            prompt_tokens=work.prompt_tokens,
+            limit_seconds=FIRST_EVENT_SHARE * work.route.objective_seconds,
         )
         return None if chosen is None else by_key[chosen.key]
 
@@ -282,7 +297,7 @@
         groups = self._directory.serving_groups(work.service, work.model.name)
         line = self._lines.setdefault(work.model.name, WaitingLine())
         wait = expected_wait(
-            ahead=line.ahead_of(work.priority, work.deadline),
+            ahead=line.ahead_of(work.priority),
             places=float(len(groups) * work.profile.slots),
             hold_seconds=self._hold_seconds(work),
             hosts=self._hosts(),
@@ -294,7 +309,11 @@
             return self._refuse(Reason.OVERLOADED, wait)
         self._metrics.waiting.inc()
         try:
-            came = await line.wait(work.priority, work.deadline, patience)
+            came = await line.wait(
+                priority=work.priority,
+                on_time_until=work.started_at + work.route.objective_seconds,
+                seconds=patience,
+            )
         finally:
             self._metrics.waiting.dec()
         if not came:
@@ -311,7 +330,7 @@
         return max(0.0, WAIT_SHARE * whole - waited)
 
     def _hold_seconds(self, work: StreamWork) -> float:
-        load = self._directory.load(("", 0))
+        load = GroupLoad(running=work.profile.slots)
         passes = work.profile.usual_answer_tokens / max(1, work.profile.stride)
         return max(0.1, passes * pass_seconds(work.profile, work.model, load))
 
@@ -324,16 +343,24 @@
         shape = self._shapes.get(model)
         if line is None or shape is None:
             return
-        service, profile, spec = shape
+        service, profile, spec, objective = shape
 
         def has_place() -> bool:
             groups = self._directory.serving_groups(service, model)
             loads = [
-                Candidate(key=g.name, load=self._directory.load(g.key)) for g in groups
+                Candidate(key=g.name, load=self._directory.load_of(g, profile))
+                for g in groups
             ]
-            return choose_group(profile, spec, loads, prompt_tokens=0) is not None
+            chosen = choose_group(
+                profile,
+                spec,
+                loads,
+                prompt_tokens=profile.usual_prompt_tokens,
+                limit_seconds=FIRST_EVENT_SHARE * objective,
+            )
+            return chosen is not None
 
-        line.wake(has_place)
+        line.wake(has_place, self._clock.now())
 
     # -- one send ------------------------------------------------------------
 
@@ -447,10 +474,11 @@
         if stream.last_event_at is None:
             own.reading_tokens -= stream.reading
             stream.reading = 0.0
+            self._wake(work.model.name)
         else:
             gap = now - stream.last_event_at
             self._metrics.gap.observe(gap)
-            load = self._directory.load(stream.key)
+            load = self._directory.load_of(stream.group, stream.work.profile)
             predicted = pass_seconds(work.profile, work.model, load)
             self._directory.note_gap(stream.key, gap, predicted)
         stream.last_event_at = now
@@ -462,7 +490,7 @@
         pause = first_event_seconds(
             stream.work.profile,
             stream.work.model,
-            self._directory.load(stream.key),
+            self._directory.load_of(stream.group, stream.work.profile),
             stream.work.prompt_tokens,
         )
         own.suspected_until = max(own.suspected_until, self._clock.now() + pause)
--- a/mallowpond/node/waiting.py
+++ b/mallowpond/node/waiting.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import heapq
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
@@ -41,40 +40,62 @@
     return round(bounded * spread, 2)
 
 
+@dataclass(kw_only=True, eq=False)
+class _Turn:
+    priority: int
+    on_time_until: float
+    number: int
+    future: asyncio.Future[None]
+
+
 @dataclass(kw_only=True)
 class WaitingLine:
-    """Wake waiting streams by priority, then by deadline."""
+    """Wake waiting streams: those that can be on time first, then by arrival.
+
+    In a first-come order every stream waits as long as the line is, and once that
+    passes the objective all of them are late. Served in this order, as many are on
+    time as there are places, and the late ones follow when there is room.
+    """
 
-    _heap: list[tuple[int, float, int, asyncio.Future[None]]] = field(
-        default_factory=list
-    )
+    _turns: list[_Turn] = field(default_factory=list)
     _numbers: count = field(default_factory=count)
 
     def __len__(self) -> int:
-        return sum(1 for entry in self._heap if not entry[3].done())
+        return len(self._turns)
 
-    def ahead_of(self, priority: int, deadline: float) -> int:
-        """Return how many waiting streams would go first."""
-        mine = (priority, deadline)
-        return sum(1 for e in self._heap if e[:2] <= mine and not e[3].done())
+    def ahead_of(self, priority: int) -> int:
+        """Return how many waiting streams would go before a late newcomer."""
+        return sum(1 for turn in self._turns if turn.priority <= priority)
 
-    async def wait(self, priority: int, deadline: float, seconds: float) -> bool:
+    async def wait(
+        self, *, priority: int, on_time_until: float, seconds: float
+    ) -> bool:
         """Wait for a turn; return False when it did not come in time."""
-        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._heap, (priority, deadline, next(self._numbers), turn))
+        turn = _Turn(
+            priority=priority,
+            on_time_until=on_time_until,
+            number=next(self._numbers),
+            future=asyncio.get_running_loop().create_future(),
+        )
+        self._turns.append(turn)
         try:
             async with asyncio.timeout(seconds):
-                await turn
+                await turn.future
         except TimeoutError:
             return False
         finally:
-            turn.cancel()
+            if turn in self._turns:
+                self._turns.remove(turn)
         return True
 
-    def wake(self, has_place: Callable[[], bool]) -> None:
+    def wake(self, has_place: Callable[[], bool], now: float) -> None:
         """Wake the first stream if there is a place; it wakes the next one."""
-        while self._heap and self._heap[0][3].done():
-            heapq.heappop(self._heap)
-        if self._heap and has_place():
-            entry = heapq.heappop(self._heap)
-            entry[3].set_result(None)
+        if not self._turns or not has_place():
+            return
+
+        def order(turn: _Turn) -> tuple[bool, int, int]:
+            return (turn.on_time_until <= now, turn.priority, turn.number)
+
+        first = min(self._turns, key=order)
+        self._turns.remove(first)
+        first.future.set_result(None)
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -72,7 +72,7 @@
         self, key: GroupKey, streams: list[ActiveStream], now: float
     ) -> GroupQuiet:
         work = streams[0].work
-        load = self._directory.load(key)
+        load = self._directory.load_of(streams[0].group, work.profile)
         # Tokens that other hosts' prompts still hold are part of the load.
         predicted = first_event_seconds(work.profile, work.model, load, 0.0)
         oldest = min(stream.sent_at for stream in streams)
--- a/mallowpond/platform/documents.py
+++ b/mallowpond/platform/documents.py
@@ -94,6 +94,7 @@
         loads_at_once=int(engine.get("loads_at_once", 1)),
         usual_prompt_tokens=float(usual.get("prompt", 0.0)),
         usual_answer_tokens=float(usual.get("answer", 0.0)),
+        far_factor=float(engine.get("far_x") or 1.0),
         forming_seconds=engine.get("form_ms", 0.0) * MILLISECONDS,
     )
 
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -21,9 +21,9 @@
 from mallowpond.transport.http_client import CallFailed, HttpClient, HttpResponse
 
 # Time until an order or a question to an engine counts as unanswered, in seconds:
-# some hundred round trips.
+# some hundred round trips; a question is asked again, so it waits less.
 ORDER_SECONDS = 0.5
-REPORT_SECONDS = 0.3
+REPORT_SECONDS = 0.15
 JSON_HEADERS = (("content-type", "application/json"),)
 
 
--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -35,6 +35,7 @@
     usual_prompt_tokens: float = 0.0
     usual_answer_tokens: float = 0.0
     forming_seconds: float = 0.0
+    far_factor: float = 1.0
 
     def model(self, name: str) -> ModelSpec | None:
         """Return the model called `name`."""
@@ -103,6 +104,11 @@
         head = self.head
         return None if head is None else _membership(head).phase
 
+    @property
+    def is_far(self) -> bool:
+        """Tell whether the members stand in different fabric domains."""
+        return len({member.domain for member in self.members}) > 1
+
     @property
     def is_leaving(self) -> bool:
         """Tell whether a member is about to stop."""
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import ceil
 
 from mallowpond.state.fleet import (
     EngineProfile,
@@ -27,9 +28,16 @@
 # loads share the weight store and may wait for one another.
 JOIN_PATIENCE_FACTOR = 3.0
 JOIN_PATIENCE_SECONDS = 4.0
-# Engines of a domain that are kept free of groups, so that a lost member can be
-# replaced by one that has the weights staged.
-SPARES_PER_DOMAIN = 1
+# Share of a domain's engines that stay free of groups, so that a lost member can be
+# replaced in about 2 s by one that has the weights staged, not in 12 s or more.
+SPARE_SHARE = 0.2
+# Time without a new target after which the first groups are formed, in seconds: on
+# the first targets alone, a domain would be cut into groups that leave no spare.
+GATHER_SECONDS = 0.8
+# Time that a group without all its members may look ready, in seconds.
+INCOMPLETE_SECONDS = 2.0
+# Cost of a load that drops other staged weights, in loads.
+REPLACED_LOAD_COST = 0.5
 GROUP_PREFIX = "group-"
 
 
@@ -105,9 +113,9 @@
     """Hold all that the decision rests on.
 
     `lost` are targets that do not answer; `busy` targets have an order under way;
-    `held` targets may not join yet, since a head that cannot be reached may still
-    be open with them; `formations` are those whose member lists are known here;
-    `distrusted` groups stood silent and none of their members is known to be lost.
+    `formations` are those whose member lists are known here;
+    `distrusted` groups stood silent and none of their members is known to be lost;
+    `loading` are the models that targets were told to load and do not show yet.
     """
 
     profile: EngineProfile
@@ -117,14 +125,14 @@
     demand: dict[str, float] = field(default_factory=dict)
     lost: frozenset[str] = frozenset()
     busy: frozenset[str] = frozenset()
-    held: frozenset[str] = frozenset()
     formations: dict[tuple[str, int], Formation] = field(default_factory=dict)
     first_seen: dict[tuple[str, int], float] = field(default_factory=dict)
     distrusted: frozenset[tuple[str, int]] = frozenset()
     loads_begun: tuple[float, ...] = ()
-    loads_running: int = 0
+    loading: dict[str, str] = field(default_factory=dict)
     before_traffic: bool = False
     is_settled: bool = True
+    newest_target_at: float = float("-inf")
 
 
 def plan_steps(view: FormationView) -> tuple[Step, ...]:
@@ -133,6 +141,15 @@
     return planner.plan()
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Completion:
+    """Propose loads after which a domain's free targets make a group."""
+
+    model: ModelSpec
+    targets: tuple[Target, ...]
+    cost: float
+
+
 class _Planner:
     def __init__(self, view: FormationView) -> None:
         self._view = view
@@ -142,6 +159,7 @@
         self._served: dict[str, float] = {m.name: 0.0 for m in view.profile.models}
         self._epoch = view.next_epoch
         self._loads_left = _loads_allowed(view)
+        self._loading = dict(view.loading)
 
     def plan(self) -> tuple[Step, ...]:
         grouped: set[str] = set()
@@ -151,15 +169,23 @@
         for target in self._view.targets:
             if target.id not in grouped and self._may_join(target):
                 self._free.setdefault(target.domain, []).append(target)
+        if self._is_gathering():
+            return tuple(self._steps)
         self._form_groups()
-        self._stage_spares()
+        self._stage_weights()
         return tuple(self._steps)
 
+    def _is_gathering(self) -> bool:
+        view = self._view
+        if not view.before_traffic:
+            return False
+        return view.now - view.newest_target_at < GATHER_SECONDS
+
     def _may_join(self, target: Target) -> bool:
         view = self._view
         if target.draining:
             return False
-        return target.id not in view.lost | view.busy | view.held
+        return target.id not in view.lost and target.id not in view.busy
 
     def _keep(self, group: Group) -> bool:
         """Tell whether a group's members stay in it; order what it needs."""
@@ -200,12 +226,7 @@
         if not lost and group.key not in view.distrusted:
             self._order_close(group, head, evict=False)
             return True
-        if head.id in view.lost:
-            # The head may be alive behind a partition and still be open: its
-            # members leave, and join nothing until it must have broken.
-            self._order_leaves(group)
-            return True
-        self._order_close(group, head, evict=True)
+        self._dissolve(group)
         return True
 
     def _has_lost(self, group: Group) -> bool:
@@ -233,7 +254,13 @@
             step = Close(target=head, group=group.name, epoch=group.epoch, evict=evict)
             self._steps.append(step)
 
-    def _order_leaves(self, group: Group) -> None:
+    def _dissolve(self, group: Group) -> None:
+        """Let every member leave; each is free once it has left.
+
+        A head may be opening, or open behind a partition, while the list shows it
+        ready or not at all: a member that joined another group without having left
+        this one would stand in two groups at once.
+        """
         view = self._view
         for member in group.members:
             if member.id not in view.busy and member.id not in view.lost:
@@ -251,8 +278,10 @@
             m not in {t.id for t in view.targets} or m in view.lost
             for m in known.members
         )
-        if group.is_leaving or gone or any(t.id in view.lost for t in group.members):
-            return False
+        lost = any(t.id in view.lost for t in group.members)
+        if lost or gone or group.is_leaving or group.key in view.distrusted:
+            self._dissolve(group)
+            return True
         if whole and all(_is_ready(t) for t in group.members):
             self._count(group, model)
             if head.id not in view.busy:
@@ -264,8 +293,11 @@
             known.ordered_at if known else view.first_seen.get(group.key, view.now)
         )
         patience = JOIN_PATIENCE_SECONDS + JOIN_PATIENCE_FACTOR * model.load_seconds
+        if known is None and all(_is_ready(t) for t in group.members):
+            patience = INCOMPLETE_SECONDS
         if view.now - started > patience:
-            return False
+            self._dissolve(group)
+            return True
         self._count(group, model)
         if known is not None:
             self._order_missing_joins(group, known, model)
@@ -286,21 +318,14 @@
 
     def _keep_headless(self, group: Group) -> bool:
         """Free the members of a group whose head is not listed."""
-        held = [t for t in group.members if t.id in self._view.held]
-        if held:
-            return True
         known = self._view.formations.get(group.key)
-        if known is None:
-            self._order_leaves(group)
-            return True
-        head = known.members[0]
-        if any(t.id == head for t in self._view.targets):
-            # The head has not joined yet: the group is still forming.
-            started = known.ordered_at
-            if self._view.now - started < JOIN_PATIENCE_SECONDS:
+        if known is not None:
+            listed = any(t.id == known.members[0] for t in self._view.targets)
+            waited = self._view.now - known.ordered_at
+            if listed and waited < JOIN_PATIENCE_SECONDS:
+                # The head has not joined yet: the group is still forming.
                 return True
-            return False
-        self._order_leaves(group)
+        self._dissolve(group)
         return True
 
     # -- forming -------------------------------------------------------------
@@ -333,29 +358,56 @@
         for domain, free in self._free.items():
             self._free[domain] = [t for t in free if t.id not in members]
 
-    def _by_deficit(self) -> list[ModelSpec]:
-        def fill(model: ModelSpec) -> float:
-            share = self._view.demand.get(model.name, model.share)
-            return (self._served[model.name] + 0.5) / max(share, 0.01)
+    def _fill(self, model: ModelSpec) -> float:
+        """Return how many groups a model has for its share of the work."""
+        share = self._view.demand.get(model.name, model.share)
+        return (self._served[model.name] + 0.5) / max(share, 0.01)
 
-        return sorted(self._view.profile.models, key=fill)
+    def _by_deficit(self) -> list[ModelSpec]:
+        return sorted(self._view.profile.models, key=self._fill)
 
     def _form_one(self, model: ModelSpec) -> bool:
         best: tuple[float, list[Target]] | None = None
-        for free in self._free.values():
-            chosen = _cheapest_members(free, model, self._served[model.name] > 0)
+        for domain, free in self._free.items():
+            idle = [t for t in free if t.id not in self._loading]
+            chosen = _cheapest_members(idle, model, self._spares(domain))
             if chosen is None:
                 continue
             cost = sum(_join_seconds(t, model) for t in chosen)
             if best is None or cost < best[0]:
                 best = (cost, chosen)
-        if best is None:
+        if best is None or not self._join_all(model, best[1]):
+            return self._form_far(model)
+        return True
+
+    def _spares(self, domain: str) -> int:
+        """Return how many targets of a domain should stay free of groups."""
+        size = sum(1 for target in self._view.targets if target.domain == domain)
+        return ceil(SPARE_SHARE * size)
+
+    def _form_far(self, model: ModelSpec) -> bool:
+        """Form a group across domains of targets that have the weights at hand.
+
+        It runs slower, but at once: the loads that would complete groups within the
+        domains take several times as long as callers wait.
+        """
+        if self._view.before_traffic:
             return False
-        return self._join_all(model, best[1])
+        parts = [
+            [t for t in free if t.id not in self._loading and not _needs_load(t, model)]
+            for free in self._free.values()
+        ]
+        parts.sort(key=len, reverse=True)
+        chosen = [target for part in parts for target in part][: model.size]
+        if len(chosen) < model.size:
+            return False
+        return self._join_all(model, chosen)
 
     def _join_all(self, model: ModelSpec, chosen: list[Target]) -> bool:
         loads = sum(_needs_load(t, model) for t in chosen)
-        if loads > self._loads_left:
+        if loads and not self._view.before_traffic:
+            # The members that are ready would idle while one loads: it is staged
+            # first, and they stay free for another group meanwhile.
             return False
         self._loads_left -= loads
         formation = Formation(
@@ -372,18 +424,55 @@
             self._steps.append(_join(target, formation, model))
         return True
 
-    def _stage_spares(self) -> None:
-        """Stage on every free target the model that its domain may need next."""
+    def _stage_weights(self) -> None:
+        """Load weights where a load helps most.
+
+        Loads are scarce: a domain whose free targets lack one or two for a group is
+        completed first, then cold targets become spares.
+        """
+        while self._loads_left >= 1:
+            completion = self._best_completion()
+            if completion is None:
+                break
+            for target in completion.targets[: self._loads_left]:
+                self._stage(target, completion.model.name)
         for domain, free in sorted(self._free.items()):
-            wanted = self._models_of_domain(domain)
             for target in sorted(free, key=lambda t: t.id):
-                if self._loads_left < 1 or not wanted:
+                if self._loads_left < 1:
                     return
-                if target.staged or target.model:
-                    continue
-                self._loads_left -= 1
-                self._steps.append(Stage(target=target, model=wanted[0]))
-                wanted = wanted[1:] + wanted[:1]
+                if not _models_at_hand(target, self._loading):
+                    self._stage(target, self._models_of_domain(domain)[0])
+
+    def _stage(self, target: Target, model: str) -> None:
+        self._loads_left -= 1
+        self._loading[target.id] = model
+        self._steps.append(Stage(target=target, model=model))
+
+    def _best_completion(self) -> "_Completion | None":
+        best: _Completion | None = None
+        for free in self._free.values():
+            for model in self._view.profile.models:
+                found = self._completion(free, model)
+                if found is not None and (best is None or found.cost < best.cost):
+                    best = found
+        return best
+
+    def _completion(self, free: list[Target], model: ModelSpec) -> "_Completion | None":
+        """Return the loads that would make a group of a domain's free targets."""
+        have = [t for t in free if model.name in _models_at_hand(t, self._loading)]
+        missing = model.size - len(have)
+        if missing <= 0 or missing > len(have):
+            return None
+        others = [t for t in free if t not in have and t.id not in self._loading]
+        others.sort(key=lambda t: (bool(t.staged), t.id))
+        chosen = others[:missing]
+        replaced = sum(bool(t.staged) for t in chosen)
+        if len(chosen) < missing or replaced > 1:
+            return None
+        seconds = (missing + REPLACED_LOAD_COST * replaced) * model.load_seconds
+        return _Completion(
+            model=model, targets=tuple(chosen), cost=seconds * self._fill(model)
+        )
 
     def _models_of_domain(self, domain: str) -> list[str]:
         """Return the models by how many members in the domain each spare covers."""
@@ -394,21 +483,30 @@
                 continue
             if target.membership is not None and target.model in members:
                 members[target.model] += 1
-            elif target.staged and target.staged[-1] in staged:
-                staged[target.staged[-1]] += 1
+            else:
+                for model in _models_at_hand(target, self._loading):
+                    staged[model] = staged.get(model, 0) + 1
         return sorted(members, key=lambda m: (staged[m], -members[m]))
 
 
 def _loads_allowed(view: FormationView) -> int:
     profile = view.profile
-    at_once = max(0, profile.loads_at_once - view.loads_running)
     if view.before_traffic:
-        return at_once
+        # Nothing is served yet, and loads neither slow each other nor count.
+        return len(view.targets)
+    at_once = max(0, profile.loads_at_once - len(view.loading))
     recent = sum(1 for at in view.loads_begun if view.now - at < LOAD_WINDOW_SECONDS)
     rate = int(profile.loads_per_second * LOAD_RATE_SHARE * LOAD_WINDOW_SECONDS)
     return min(at_once, max(0, rate - recent))
 
 
+def _models_at_hand(target: Target, loading: dict[str, str]) -> tuple[str, ...]:
+    """Return the models that a target has, or will have when its load ends."""
+    if target.id in loading:
+        return (loading[target.id],)
+    return target.staged or ((target.model,) if target.model else ())
+
+
 def _is_ready(target: Target) -> bool:
     assert target.membership is not None
     return target.membership.phase is GroupPhase.READY
@@ -438,15 +536,14 @@
 
 
 def _cheapest_members(
-    free: Iterable[Target], model: ModelSpec, keep_spare: bool
+    free: Iterable[Target], model: ModelSpec, spares: int
 ) -> list[Target] | None:
-    """Return the members that join soonest, leaving a spare once a group stands."""
+    """Return the members that join soonest; with loads only if spares are left."""
     ranked = sorted(free, key=lambda t: (_join_seconds(t, model), t.id))
-    spare = SPARES_PER_DOMAIN if keep_spare else 0
     chosen = ranked[: model.size]
     if len(chosen) < model.size:
         return None
     is_repair = all(not _needs_load(t, model) for t in chosen)
-    if len(ranked) < model.size + spare and not is_repair:
+    if len(ranked) < model.size + spares and not is_repair:
         return None
     return chosen
--- a/mallowpond/state/placement.py
+++ b/mallowpond/state/placement.py
@@ -70,9 +70,26 @@
     return 1.5 * one_pass + reading + ending
 
 
-def has_place(profile: EngineProfile, load: GroupLoad) -> bool:
-    """Tell whether a group takes one more stream."""
-    return load.running < profile.slots + QUEUE_BEYOND_SLOTS
+def has_place(
+    profile: EngineProfile,
+    model: ModelSpec,
+    load: GroupLoad,
+    *,
+    prompt_tokens: float,
+    limit_seconds: float,
+) -> bool:
+    """Tell whether a group takes one more stream.
+
+    Beyond the slots nothing starts. Before them, a group that still has to read many
+    prompts takes no more: each would come late and delay the events of those that
+    run. A group with nothing to read always takes one, however slow it is.
+    """
+    if load.running >= profile.slots + QUEUE_BEYOND_SLOTS:
+        return False
+    if load.reading_tokens <= 0:
+        return True
+    seconds = first_event_seconds(profile, model, load, prompt_tokens)
+    return seconds <= limit_seconds
 
 
 def choose_group(
@@ -81,13 +98,24 @@
     candidates: Sequence[Candidate],
     *,
     prompt_tokens: float,
+    limit_seconds: float,
 ) -> Candidate | None:
     """Return the group with the earliest first event, None when all are full.
 
     A group with a member that is about to stop comes last: a stream there may have
     to move once more.
     """
-    open_places = [c for c in candidates if has_place(profile, c.load)]
+    open_places = [
+        candidate
+        for candidate in candidates
+        if has_place(
+            profile,
+            model,
+            candidate.load,
+            prompt_tokens=prompt_tokens,
+            limit_seconds=limit_seconds,
+        )
+    ]
     if not open_places:
         return None
 
