--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -238,6 +238,15 @@
             return Refusal(status=502, reason=Reason.BUDGET_USED)
         return None
 
+    def may_move(self, stream: ActiveStream) -> bool:
+        """Tell whether a stream could go on at another group now."""
+        work = stream.work
+        if not work.route.resumable or stream.moved is not None:
+            return False
+        if self._attempts(work) >= work.route.max_attempts:
+            return False
+        return self._choose(work) is not None
+
     def _attempts(self, work: StreamWork) -> int:
         """Count the engines that may have run the request and are still listed."""
         return sum(1 for head in work.sent_to if head in self._directory.targets)
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -65,7 +65,7 @@
                 by_group[stream.key].append(stream)
         for key, streams in by_group.items():
             quiet = self._quiet(key, streams, now)
-            if is_suspect(quiet):
+            if is_suspect(quiet) and not self._is_marked(key):
                 self._suspect(key, streams, quiet)
 
     def _quiet(
@@ -97,10 +97,22 @@
             streams=len(streams),
         )
         self._mark(key)
-        for stream in streams:
-            stream.move(Reason.SILENT_GROUP)
+        self._move(streams)
         self._peers.tell_suspicion(key)
 
+    def _move(self, streams: list[ActiveStream]) -> None:
+        """Move the streams that may be sent once more; the others stay.
+
+        A suspicion may be wrong: a stream that can go nowhere else is better off
+        where its group may still advance.
+        """
+        for stream in streams:
+            if self._streams.may_move(stream):
+                stream.move(Reason.SILENT_GROUP)
+
+    def _is_marked(self, key: GroupKey) -> bool:
+        return self._directory.work(key).suspected_until > self._clock.now()
+
     def _mark(self, key: GroupKey) -> None:
         # The group reports that it broke only after the stall time, so until then
         # it would be sent new streams again.
@@ -125,8 +137,7 @@
                 return
         self._metrics.suspicions.labels("peer").inc()
         self._mark(key)
-        for stream in streams:
-            stream.move(Reason.SILENT_GROUP)
+        self._move(streams)
 
     def clear(self, key: GroupKey) -> None:
         """Trust a group again whose members were all found alive."""
--- a/mallowpond/platform/store.py
+++ b/mallowpond/platform/store.py
@@ -50,7 +50,7 @@
             answer = await self._feed(CONFIGURATION_TABLE, since, wait_seconds)
         if isinstance(answer, HistoryLost | Unavailable):
             return answer
-        for row in answer["rows"]:
+        for row in _latest(answer["rows"]):
             if row["key"] == CONFIGURATION_KEY and not row.get("removed"):
                 return ConfigurationRead(
                     revision=int(answer["ver"]),
@@ -69,7 +69,7 @@
             answer = await self._feed(TARGETS_TABLE, since, 0.0)
         if isinstance(answer, HistoryLost | Unavailable):
             return answer
-        rows = answer["rows"]
+        rows = _latest(answer["rows"])
         removed = tuple(row["key"] for row in rows if row.get("removed"))
         present = [row for row in rows if not row.get("removed")]
         return TargetsRead(
@@ -97,7 +97,7 @@
         answer = await (self._feed(table, since, 0.0) if since else self._rows(table))
         if isinstance(answer, HistoryLost | Unavailable):
             return _as_unavailable(answer)
-        rows = answer["rows"]
+        rows = _latest(answer["rows"])
         return Scanned(
             rows=tuple(_row(row) for row in rows if not row.get("removed")),
             deleted=tuple(f"{table}/{r['key']}" for r in rows if r.get("removed")),
@@ -180,6 +180,15 @@
                 return Unavailable(reason=f"status {status}")
 
 
+def _latest(rows: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Return the last state of each row: a feed may hold several of one row.
+
+    Taking the first, a node went on with an older configuration although it had
+    read past the newer one, and refused keys that were in force.
+    """
+    return list({row["key"]: row for row in rows}.values())
+
+
 def _as_unavailable(answer: HistoryLost | Unavailable) -> Unavailable:
     if isinstance(answer, Unavailable):
         return answer
