--- a/mallowpond/node/leadership.py
+++ b/mallowpond/node/leadership.py
@@ -78,6 +78,11 @@
             return self._fence
         return 0
 
+    @property
+    def age(self) -> float:
+        """Return the seconds since the lease was surely held."""
+        return self._clock.now() - self._renewed_at
+
     async def run(self) -> None:
         """Take, renew and give up until cancelled."""
         while True:
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -44,12 +44,18 @@
 
 # Pause between two plans, in seconds.
 PLAN_SECONDS = 0.1
+# Time after which a load that does not show is given up, in seconds: some times the
+# longest declared load, since loads share the weight store.
+LOAD_SECONDS = 60.0
 # Pause between two log lines on the state of all groups, in seconds.
 SUMMARY_SECONDS = 2.0
 # Weight of the declared share of a model against the running streams: those rise at
 # once when a model has too few groups, but say little while few streams run.
 DECLARED_WEIGHT = 0.5
 LEAST_SEEN_WORK = 10.0
+# Age of the lease from which a refusal for a higher number makes it be renewed, in
+# seconds: many orders may be refused for the same reason at once.
+LEASE_CHECK_SECONDS = 0.3
 # Epochs that one fencing number has for its groups.
 EPOCHS_PER_FENCE = 1_000_000
 # Time until the effect of an order that was taken must show in the list, in seconds:
@@ -114,6 +120,7 @@
         self._pending: dict[str, Pending] = {}
         self._lost: dict[str, float] = {}
         self._left: dict[str, GroupKey] = {}
+        self._closed: set[GroupKey] = set()
         self._formations: dict[GroupKey, Formation] = {}
         self._first_seen: dict[GroupKey, float] = {}
         self._cleared: dict[GroupKey, list[float]] = {}
@@ -175,6 +182,7 @@
             ),
             now=now,
             demand=self._demand(profile),
+            pressure=self._pressure(profile),
             next_epoch=self._next_epoch,
             lost=frozenset(self._lost),
             busy=frozenset(self._pending),
@@ -185,6 +193,7 @@
                 for key, times in self._cleared.items()
                 if sum(now - at < CLEARED_SECONDS for at in times) >= CLEARED_SUSPICIONS
             ),
+            closed=frozenset(self._closed),
             loads_begun=tuple(self._loads_begun),
             loading={target: model for target, (model, _) in self._loads.items()},
             before_traffic=not self._traffic_seen.seen,
@@ -216,6 +225,19 @@
             for model in profile.models
         }
 
+    def _pressure(self, profile: EngineProfile) -> dict[str, float]:
+        """Return how full each model's groups are, with what waits here."""
+        pressure = {}
+        for model in profile.models:
+            groups = [
+                group
+                for group in self._directory.groups.values()
+                if group.model == model.name and group.phase is GroupPhase.OPEN
+            ]
+            running = sum(self._directory.load(g.key).running for g in groups)
+            pressure[model.name] = running / max(1, len(groups) * profile.slots)
+        return pressure
+
     def _sum_up(self, view: FormationView) -> None:
         """Log what runs where, for whoever asks later why there was no place."""
         for model in view.profile.models:
@@ -228,6 +250,7 @@
                 "planner: model",
                 model=model.name,
                 open=len(open_groups),
+                far=sum(group.is_far for group in open_groups),
                 others=[
                     f"{g.name}:{g.phase.value if g.phase else 'headless'}"
                     for g in groups
@@ -283,11 +306,12 @@
             if key in groups or now - formation.ordered_at < self._stall_seconds
         }
         self._lost = {t: at for t, at in self._lost.items() if t in targets}
+        self._closed &= groups.keys()
         self._left = {t: key for t, key in self._left.items() if t in targets}
         self._loads_begun = [at for at in self._loads_begun if now - at < 10.0]
-        for identifier, (model, _) in list(self._loads.items()):
+        for identifier, (model, at) in list(self._loads.items()):
             target = targets.get(identifier)
-            if target is None or _has_loaded(target, model):
+            if target is None or _has_loaded(target, model) or now - at > LOAD_SECONDS:
                 del self._loads[identifier]
         self._probe_again(now)
 
@@ -342,17 +366,19 @@
         )
         match end:
             case OrderTaken(began=began):
-                if began:
+                if began or isinstance(step, Leave):
+                    # Reports lag, so the count is kept here: with an old one the
+                    # next join would be refused and its whole group would wait.
                     self._orders[target.id] = self._orders.get(target.id, 0) + 1
-                else:
-                    # Done at once or held already: only the engine knows whether
-                    # it counted, and a wrong count would refuse the next order.
-                    self._orders.pop(target.id, None)
                 self._note_taken(step)
             case OrderFenced():
                 self._orders.pop(target.id, None)
                 self._give_back(step)
                 self._spawn(self._check_lease())
+            case OrderUnfit() if isinstance(step, Stage):
+                # It loads already, by an order of an earlier planner.
+                self._orders.pop(target.id, None)
+                self._pending.pop(target.id, None)
             case OrderUnfit() | OrderMisdirected():
                 self._orders.pop(target.id, None)
                 self._give_back(step)
@@ -368,6 +394,8 @@
             self._left[step.target.id] = (step.group, step.epoch)
             self._pending.pop(step.target.id, None)
             return
+        if isinstance(step, Close):
+            self._closed.add((step.group, step.epoch))
         self._pending[step.target.id] = Pending(step=step, until=until)
 
     def _give_back(self, step: Step) -> None:
@@ -377,7 +405,8 @@
         self._loads.pop(step.target.id, None)
 
     async def _check_lease(self) -> None:
-        await self._leadership.renew()
+        if self._leadership.age > LEASE_CHECK_SECONDS:
+            await self._leadership.renew()
 
     # -- probes --------------------------------------------------------------
 
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -31,6 +31,9 @@
 # Share of a domain's engines that stay free of groups, so that a lost member can be
 # replaced in about 2 s by one that has the weights staged, not in 12 s or more.
 SPARE_SHARE = 0.2
+# Fullness of a model's groups from which one is formed across domains: below, free
+# targets are worth more as spares, which repair a group at its full speed.
+FAR_PRESSURE = 0.7
 # Time without a new target after which the first groups are formed, in seconds: on
 # the first targets alone, a domain would be cut into groups that leave no spare.
 GATHER_SECONDS = 0.8
@@ -115,6 +118,7 @@
     `lost` are targets that do not answer; `busy` targets have an order under way;
     `formations` are those whose member lists are known here;
     `distrusted` groups stood silent and none of their members is known to be lost;
+    `closed` groups were told to close, to be taken apart once their work has ended;
     `loading` are the models that targets were told to load and do not show yet.
     """
 
@@ -123,11 +127,13 @@
     now: float
     next_epoch: int
     demand: dict[str, float] = field(default_factory=dict)
+    pressure: dict[str, float] = field(default_factory=dict)
     lost: frozenset[str] = frozenset()
     busy: frozenset[str] = frozenset()
     formations: dict[tuple[str, int], Formation] = field(default_factory=dict)
     first_seen: dict[tuple[str, int], float] = field(default_factory=dict)
     distrusted: frozenset[tuple[str, int]] = frozenset()
+    closed: frozenset[tuple[str, int]] = frozenset()
     loads_begun: tuple[float, ...] = ()
     loading: dict[str, str] = field(default_factory=dict)
     before_traffic: bool = False
@@ -172,6 +178,7 @@
         if self._is_gathering():
             return tuple(self._steps)
         self._form_groups()
+        self._gather_far_groups()
         self._stage_weights()
         return tuple(self._steps)
 
@@ -279,7 +286,9 @@
             for m in known.members
         )
         lost = any(t.id in view.lost for t in group.members)
-        if lost or gone or group.is_leaving or group.key in view.distrusted:
+        gone = gone or self._has_moved_on(known)
+        unwanted = group.key in view.distrusted | view.closed
+        if lost or gone or group.is_leaving or unwanted:
             self._dissolve(group)
             return True
         if whole and all(_is_ready(t) for t in group.members):
@@ -303,6 +312,16 @@
             self._order_missing_joins(group, known, model)
         return True
 
+    def _has_moved_on(self, known: Formation | None) -> bool:
+        """Tell whether a member has joined a later group meanwhile."""
+        if known is None:
+            return False
+        return any(
+            target.membership is not None and target.membership.epoch > known.epoch
+            for target in self._view.targets
+            if target.id in known.members
+        )
+
     def _order_missing_joins(
         self, group: Group, known: Formation, model: ModelSpec
     ) -> None:
@@ -322,9 +341,14 @@
         if known is not None:
             listed = any(t.id == known.members[0] for t in self._view.targets)
             waited = self._view.now - known.ordered_at
-            if listed and waited < JOIN_PATIENCE_SECONDS:
+            lost = any(m in self._view.lost for m in known.members)
+            if listed and not lost and waited < JOIN_PATIENCE_SECONDS:
                 # The head has not joined yet: the group is still forming.
-                return True
+                model = self._view.profile.model(known.model)
+                if model is not None and not self._has_moved_on(known):
+                    self._count(group, model)
+                    self._order_missing_joins(group, known, model)
+                    return True
         self._dissolve(group)
         return True
 
@@ -393,15 +417,39 @@
         """
         if self._view.before_traffic:
             return False
+        if self._view.pressure.get(model.name, 0.0) < FAR_PRESSURE:
+            return False
         parts = [
             [t for t in free if t.id not in self._loading and not _needs_load(t, model)]
             for free in self._free.values()
         ]
-        parts.sort(key=len, reverse=True)
-        chosen = [target for part in parts for target in part][: model.size]
-        if len(chosen) < model.size:
-            return False
-        return self._join_all(model, chosen)
+        chosen = _gather_parts(parts, model.size)
+        return chosen is not None and self._join_all(model, chosen)
+
+    def _gather_far_groups(self) -> None:
+        """Close a far group whose members complete a group within one domain.
+
+        One at a time: while it closes its places are gone.
+        """
+        if any(g.phase is GroupPhase.CLOSING for g in self._groups.values()):
+            return
+        for group in self._groups.values():
+            model = self._view.profile.model(group.model)
+            if model is None or group.phase is not GroupPhase.OPEN or not group.is_far:
+                continue
+            pool = [t for t in group.members if t.id not in self._view.lost]
+            domains = {t.domain for t in pool}
+            for domain in domains:
+                mine = [t for t in pool if t.domain == domain]
+                free = [
+                    t
+                    for t in self._free.get(domain, ())
+                    if t.id not in self._loading and not _needs_load(t, model)
+                ]
+                if len(mine) + len(free) >= model.size:
+                    assert group.head is not None
+                    self._order_close(group, group.head, evict=False)
+                    return
 
     def _join_all(self, model: ModelSpec, chosen: list[Target]) -> bool:
         loads = sum(_needs_load(t, model) for t in chosen)
@@ -489,6 +537,20 @@
         return sorted(members, key=lambda m: (staged[m], -members[m]))
 
 
+def _gather_parts(parts: list[list[Target]], size: int) -> list[Target] | None:
+    """Return `size` targets out of few parts, leaving large ones whole."""
+    chosen: list[Target] = []
+    left = sorted((part for part in parts if part), key=len)
+    while len(chosen) < size:
+        if not left:
+            return None
+        missing = size - len(chosen)
+        enough = next((part for part in left if len(part) >= missing), left[-1])
+        chosen += enough[:missing]
+        left.remove(enough)
+    return chosen
+
+
 def _loads_allowed(view: FormationView) -> int:
     profile = view.profile
     if view.before_traffic:
