Keep groups whose heads only lapsed from the list; doubt entries lost during a store outage

Change: a removal without a recent heartbeat is a lapse; such a head serves on where events still come from it. Removals seen within 2.2 s of the store's return wait.

--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -31,6 +31,13 @@
 WHOLE_READ_SECONDS = 10.0
 # Time that peers' figures of a group's work count, in seconds.
 PEER_LOAD_SECONDS = 1.5
+# Heartbeats without one after which a target's removal shows a lapse: a target that
+# leaves is removed at once, one that is dead or cut off after three of them.
+LAPSE_HEARTBEATS = 2.0
+# Time that a lapsed target is remembered, in seconds, and the age of the last event
+# from a lapsed head up to which this host sends it new streams.
+LAPSED_SECONDS = 15.0
+LAPSED_EVENT_SECONDS = 1.0
 # Weight of a new observation of a group's pace.
 SLOWNESS_SMOOTHING = 0.1
 SLOWNESS_RANGE = (0.5, 30.0)
@@ -61,7 +68,10 @@
 class Directory:
     """Mirror the platform's list of targets."""
 
-    def __init__(self, *, source: SiteSource, clock: Clock) -> None:
+    def __init__(
+        self, *, source: SiteSource, clock: Clock, heartbeat_seconds: float = 1.0
+    ) -> None:
+        self._heartbeat_seconds = heartbeat_seconds
         self._source = source
         self._clock = clock
         self._targets: dict[str, Target] = {}
@@ -73,6 +83,9 @@
         self._whole_at = float("-inf")
         self._lost_at: float | None = None
         self._regained_at = float("-inf")
+        self._doubted: set[str] = set()
+        self._listed_at: dict[str, float] = {}
+        self._lapsed_at: dict[str, float] = {}
         self.newest_target_at = float("-inf")
         self.poll_seconds = POLL_SECONDS
         self.on_change: list[Callable[[], None]] = []
@@ -98,7 +111,20 @@
 
     def of_service(self, service: str) -> list[Target]:
         """Return the targets of a service that may get new work."""
-        return [t for t in self._by_service.get(service, ()) if not t.draining]
+        return [
+            target
+            for target in self._by_service.get(service, ())
+            if not (target.draining or target.lapsed)
+        ]
+
+    def forget(self, identifier: str) -> None:
+        """Drop a lapsed target that was found to be dead."""
+        target = self._targets.get(identifier)
+        if target is None or not target.lapsed:
+            return
+        self._lapsed_at.pop(identifier, None)
+        self._targets = {k: t for k, t in self._targets.items() if k != identifier}
+        self._rebuild()
 
     def all_of_service(self, service: str) -> tuple[Target, ...]:
         """Return every listed target of a service."""
@@ -116,8 +142,20 @@
             and group.head.service == service
             and not group.head.draining
             and self.work(group.key).suspected_until <= now
+            and self._is_heard(group, now)
         ]
 
+    def _is_heard(self, group: Group, now: float) -> bool:
+        """Tell whether a group may be sent streams although its head lapsed.
+
+        A head that is only cut off from the list serves on; one that died is not
+        heard of. Without this, a cut of a few heads takes as many groups away.
+        """
+        assert group.head is not None
+        if not group.head.lapsed:
+            return True
+        return now - self._work[group.key].last_event_at < LAPSED_EVENT_SECONDS
+
     # -- work ----------------------------------------------------------------
 
     def work(self, key: GroupKey) -> GroupWork:
@@ -180,6 +218,7 @@
     async def refresh(self) -> bool:
         """Read the changes; return False when the list could not be read."""
         now = self._clock.now()
+        self._drop_doubted()
         due = now - self._whole_at > WHOLE_READ_SECONDS
         answer = await self._source.targets(0 if due else self._revision)
         match answer:
@@ -203,6 +242,43 @@
         self._revision = answer.revision
         return True
 
+    def learn(self, target: Target) -> None:
+        """Take what a target says of itself while the list cannot be read."""
+        known = self._targets.get(target.id)
+        if known is None or self._lost_at is None:
+            return
+        news = replace(
+            known,
+            model=target.model,
+            staged=target.staged,
+            membership=target.membership,
+        )
+        if news != known:
+            self._targets = {**self._targets, target.id: news}
+            self._rebuild()
+
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether the list cannot be read now."""
+        return self._lost_at is not None
+
+    def _drop_doubted(self) -> None:
+        """Drop the entries that did not come back, and those that lapsed long ago."""
+        limit = self._clock.now() - LAPSED_SECONDS
+        for identifier in [i for i, at in self._lapsed_at.items() if at < limit]:
+            del self._lapsed_at[identifier]
+            self._doubted.add(identifier)
+        if not self._doubted or not self.is_settled:
+            return
+        log.info("targets: did not return", targets=sorted(self._doubted))
+        self._targets = {
+            identifier: target
+            for identifier, target in self._targets.items()
+            if identifier not in self._doubted
+        }
+        self._doubted = set()
+        self._rebuild()
+
     def _apply(
         self, targets: Iterable[Target], removed: Iterable[str], *, whole: bool
     ) -> None:
@@ -211,15 +287,44 @@
         gone = set(removed)
         if whole:
             gone |= set(found) - set(listed)
+        gone -= set(listed)
         found.update(listed)
+        if not self.is_settled:
+            # Entries lapse while the store is away although their targets live; a
+            # node that believed it would have no target to send to at its return.
+            self._doubted |= gone
+            gone = set()
+        self._doubted -= set(listed)
+        self._note_listed(listed, whole=whole)
         for identifier in gone:
-            found.pop(identifier, None)
+            self._remove(found, identifier)
         if found == self._targets:
             return
         self._log_changes(found)
         self._targets = found
         self._rebuild()
 
+    def _note_listed(self, listed: dict[str, Target], *, whole: bool) -> None:
+        now = self._clock.now()
+        for identifier in listed:
+            self._lapsed_at.pop(identifier, None)
+            # A whole read also holds entries that have not changed.
+            if not whole or identifier not in self._listed_at:
+                self._listed_at[identifier] = now
+
+    def _remove(self, found: dict[str, Target], identifier: str) -> None:
+        target = found.get(identifier)
+        if target is None or target.lapsed:
+            return
+        now = self._clock.now()
+        silent = now - self._listed_at.pop(identifier, now)
+        if target.draining or silent < LAPSE_HEARTBEATS * self._heartbeat_seconds:
+            del found[identifier]
+            return
+        self._lapsed_at[identifier] = now
+        found[identifier] = replace(target, lapsed=True)
+        log.info("targets: lapsed", target=identifier, silent=round(silent, 2))
+
     def _log_changes(self, found: dict[str, Target]) -> None:
         for identifier in self._targets.keys() - found.keys():
             log.info("targets: gone", target=identifier)
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -49,6 +49,11 @@
 LOAD_SECONDS = 60.0
 # Pause between two log lines on the state of all groups, in seconds.
 SUMMARY_SECONDS = 2.0
+# Pause between two probes of a member that the list has lost, in seconds.
+LAPSE_PROBE_SECONDS = 1.0
+# Pause between two questions to the targets of orders while the list is lost, in
+# seconds: reports lag by some hundred milliseconds.
+ASK_SECONDS = 0.3
 # Weight of the declared share of a model against the running streams: those rise at
 # once when a model has too few groups, but say little while few streams run.
 DECLARED_WEIGHT = 0.5
@@ -121,12 +126,14 @@
         self._lost: dict[str, float] = {}
         self._left: dict[str, GroupKey] = {}
         self._closed: set[GroupKey] = set()
+        self._lapse_probed: dict[str, float] = {}
         self._formations: dict[GroupKey, Formation] = {}
         self._first_seen: dict[GroupKey, float] = {}
         self._cleared: dict[GroupKey, list[float]] = {}
         self._loads: dict[str, tuple[str, float]] = {}
         self._loads_begun: list[float] = []
         self._probing: dict[str, asyncio.Task[bool]] = {}
+        self._asked_at = float("-inf")
         self._summed_up_at = float("-inf")
 
     async def run(self) -> None:
@@ -314,6 +321,8 @@
             if target is None or _has_loaded(target, model) or now - at > LOAD_SECONDS:
                 del self._loads[identifier]
         self._probe_again(now)
+        if self._directory.is_lost:
+            self._ask_pending(now)
 
     # -- orders --------------------------------------------------------------
 
@@ -451,7 +460,7 @@
         for _ in range(PROBES):
             report = await self._targets.report(target)
             if not isinstance(report, Unavailable):
-                self._orders[target.id] = report.orders
+                self._directory.learn(report.target)
                 if self._lost.pop(target.id, None) is not None:
                     log.info("planner: target regained", target=target.id)
                 return True
@@ -461,11 +470,29 @@
         return False
 
     def _probe_again(self, now: float) -> None:
+        for target in list(self._directory.targets.values()):
+            if not target.lapsed or target.membership is None:
+                continue
+            if target.id in self._lost:
+                self._directory.forget(target.id)
+            elif now - self._lapse_probed.get(target.id, 0.0) > LAPSE_PROBE_SECONDS:
+                self._lapse_probed[target.id] = now
+                self._spawn(self._probe_quietly(target))
         for identifier, at in self._lost.items():
             target = self._directory.targets.get(identifier)
             if target and now - at > PROBE_SECONDS and identifier not in self._probing:
                 self._spawn(self._probe_quietly(target))
 
+    def _ask_pending(self, now: float) -> None:
+        """Ask the targets of orders what came of them while the list is lost."""
+        if now - self._asked_at < ASK_SECONDS:
+            return
+        self._asked_at = now
+        for identifier in self._pending:
+            target = self._directory.targets.get(identifier)
+            if target is not None and identifier not in self._lost:
+                self._spawn(self._probe_quietly(target))
+
     def _spawn(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -58,7 +58,9 @@
         self.configuration = ConfigurationFollower(
             source=ports.source, clock=clock, revoke_seconds=settings.bounds.revoke
         )
-        self.directory = Directory(source=ports.source, clock=clock)
+        self.directory = Directory(
+            source=ports.source, clock=clock, heartbeat_seconds=settings.heartbeat
+        )
         self.peers = PeerNetwork(
             name=settings.name,
             incarnation=self._incarnation,
--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -64,7 +64,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Target:
-    """Describe one incarnation of a back end as the platform lists it."""
+    """Describe one incarnation of a back end as the platform lists it.
+
+    A `lapsed` target fell out of the list by its silence, without having left.
+    """
 
     id: str
     service: str
@@ -72,6 +75,7 @@
     data_centre: str
     slots: int
     draining: bool = False
+    lapsed: bool = False
     domain: str = ""
     model: str = ""
     staged: tuple[str, ...] = ()
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -190,7 +190,7 @@
 
     def _may_join(self, target: Target) -> bool:
         view = self._view
-        if target.draining:
+        if target.draining or target.lapsed:
             return False
         return target.id not in view.lost and target.id not in view.busy
 
