--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -31,13 +31,10 @@
 WHOLE_READ_SECONDS = 10.0
 # Time that peers' figures of a group's work count, in seconds.
 PEER_LOAD_SECONDS = 1.5
-# Heartbeats without one after which a target's removal shows a lapse: a target that
-# leaves is removed at once, one that is dead or cut off after three of them.
-LAPSE_HEARTBEATS = 2.0
-# Time that a lapsed target is remembered, in seconds, and the age of the last event
-# from a lapsed head up to which this host sends it new streams.
+# Time that a lapsed target is remembered, in seconds, and the time for which a probe
+# that found it healthy lets it get new streams: the probes come once a second.
 LAPSED_SECONDS = 15.0
-LAPSED_EVENT_SECONDS = 1.0
+VOUCHED_SECONDS = 1.6
 # Weight of a new observation of a group's pace.
 SLOWNESS_SMOOTHING = 0.1
 SLOWNESS_RANGE = (0.5, 30.0)
@@ -68,10 +65,7 @@
 class Directory:
     """Mirror the platform's list of targets."""
 
-    def __init__(
-        self, *, source: SiteSource, clock: Clock, heartbeat_seconds: float = 1.0
-    ) -> None:
-        self._heartbeat_seconds = heartbeat_seconds
+    def __init__(self, *, source: SiteSource, clock: Clock) -> None:
         self._source = source
         self._clock = clock
         self._targets: dict[str, Target] = {}
@@ -84,7 +78,7 @@
         self._lost_at: float | None = None
         self._regained_at = float("-inf")
         self._doubted: set[str] = set()
-        self._listed_at: dict[str, float] = {}
+        self._vouched_at: dict[str, float] = {}
         self._lapsed_at: dict[str, float] = {}
         self.newest_target_at = float("-inf")
         self.poll_seconds = POLL_SECONDS
@@ -142,19 +136,26 @@
             and group.head.service == service
             and not group.head.draining
             and self.work(group.key).suspected_until <= now
-            and self._is_heard(group, now)
+            and self._is_known_to_live(group, now)
         ]
 
-    def _is_heard(self, group: Group, now: float) -> bool:
+    def _is_known_to_live(self, group: Group, now: float) -> bool:
         """Tell whether a group may be sent streams although its head lapsed.
 
-        A head that is only cut off from the list serves on; one that died is not
-        heard of. Without this, a cut of a few heads takes as many groups away.
+        A head that is only cut off from the list serves on, one that leaves must not
+        get new streams, and the list does not tell them apart: a probe does. Without
+        this, a cut of a few heads takes as many groups away.
         """
         assert group.head is not None
         if not group.head.lapsed:
             return True
-        return now - self._work[group.key].last_event_at < LAPSED_EVENT_SECONDS
+        vouched_at = self._vouched_at.get(group.head.id, float("-inf"))
+        return now - vouched_at < VOUCHED_SECONDS
+
+    def vouch(self, identifier: str) -> None:
+        """Note that a target the list has lost was found healthy, and not leaving."""
+        if identifier in self._lapsed_at:
+            self._vouched_at[identifier] = self._clock.now()
 
     # -- work ----------------------------------------------------------------
 
@@ -295,7 +296,8 @@
             self._doubted |= gone
             gone = set()
         self._doubted -= set(listed)
-        self._note_listed(listed, whole=whole)
+        for identifier in listed:
+            self._lapsed_at.pop(identifier, None)
         for identifier in gone:
             self._remove(found, identifier)
         if found == self._targets:
@@ -304,26 +306,16 @@
         self._targets = found
         self._rebuild()
 
-    def _note_listed(self, listed: dict[str, Target], *, whole: bool) -> None:
-        now = self._clock.now()
-        for identifier in listed:
-            self._lapsed_at.pop(identifier, None)
-            # A whole read also holds entries that have not changed.
-            if not whole or identifier not in self._listed_at:
-                self._listed_at[identifier] = now
-
     def _remove(self, found: dict[str, Target], identifier: str) -> None:
         target = found.get(identifier)
         if target is None or target.lapsed:
             return
-        now = self._clock.now()
-        silent = now - self._listed_at.pop(identifier, now)
-        if target.draining or silent < LAPSE_HEARTBEATS * self._heartbeat_seconds:
+        if target.draining or target.membership is None:
             del found[identifier]
             return
-        self._lapsed_at[identifier] = now
+        self._lapsed_at[identifier] = self._clock.now()
         found[identifier] = replace(target, lapsed=True)
-        log.info("targets: lapsed", target=identifier, silent=round(silent, 2))
+        log.info("targets: lapsed", target=identifier)
 
     def _log_changes(self, found: dict[str, Target]) -> None:
         for identifier in self._targets.keys() - found.keys():
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -72,6 +72,14 @@
     cleared: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class Vouch:
+    """Say that targets which the list has lost were found healthy."""
+
+    node: str
+    targets: tuple[str, ...]
+
+
 @dataclass(frozen=True, kw_only=True)
 class NodeRow:
     """Let nodes find one another through the table service."""
@@ -112,6 +120,7 @@
         self._peers: dict[str, Peer] = {}
         self.on_heartbeat: list[Callable[[Heartbeat], None]] = []
         self.on_suspicion: list[Callable[[Suspicion], None]] = []
+        self.on_vouch: list[Callable[[str], None]] = []
 
     @property
     def live(self) -> list[Peer]:
@@ -163,7 +172,11 @@
             Suspicion(node=self._name, group=key[0], epoch=key[1], cleared=cleared)
         )
 
-    def tell(self, message: Heartbeat | Suspicion) -> None:
+    def tell_vouch(self, target: str) -> None:
+        """Tell every peer that a target which the list has lost is healthy."""
+        self.tell(Vouch(node=self._name, targets=(target,)))
+
+    def tell(self, message: Heartbeat | Suspicion | Vouch) -> None:
         """Send a message to every known peer."""
         if self._transport is None:
             return
@@ -182,6 +195,10 @@
                 suspicion = from_plain(plain, Suspicion)
                 for notify in self.on_suspicion:
                     notify(suspicion)
+            elif kind == "Vouch":
+                for target in from_plain(plain, Vouch).targets:
+                    for vouch in self.on_vouch:
+                        vouch(target)
         except Exception as error:
             log.warning("peers: datagram dropped", sender=addr[0], error=repr(error))
 
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -51,6 +51,9 @@
 SUMMARY_SECONDS = 2.0
 # Pause between two probes of a member that the list has lost, in seconds.
 LAPSE_PROBE_SECONDS = 1.0
+# Probes in a row that find a target unhealthy before it counts as leaving: a head
+# whose slots are full refuses a probe as it refuses a request.
+UNHEALTHY_PROBES = 2
 # Pause between two questions to the targets of orders while the list is lost, in
 # seconds: reports lag by some hundred milliseconds.
 ASK_SECONDS = 0.3
@@ -127,6 +130,7 @@
         self._left: dict[str, GroupKey] = {}
         self._closed: set[GroupKey] = set()
         self._lapse_probed: dict[str, float] = {}
+        self._unhealthy: dict[str, int] = {}
         self._formations: dict[GroupKey, Formation] = {}
         self._first_seen: dict[GroupKey, float] = {}
         self._cleared: dict[GroupKey, list[float]] = {}
@@ -211,6 +215,8 @@
     def _as_left(self, target: Target) -> Target:
         """Return a target without the group that it left before the list shows it."""
         member = target.membership
+        if target.lapsed and self._unhealthy.get(target.id, 0) >= UNHEALTHY_PROBES:
+            return replace(target, draining=True)
         if member is None:
             return target
         if self._left.get(target.id) != (member.group, member.epoch):
@@ -358,6 +364,12 @@
         if isinstance(report, Unavailable):
             self._investigate_target(target)
             return None
+        if _place(report.target) != _place(target):
+            # Another planner's order came after the list was read: a count that
+            # includes it would let an order through that was planned without it,
+            # and the target would stand in two groups.
+            log.info("planner: target changed since the list", target=target.id)
+            return None
         self._orders[target.id] = report.orders
         return report.orders
 
@@ -477,7 +489,7 @@
                 self._directory.forget(target.id)
             elif now - self._lapse_probed.get(target.id, 0.0) > LAPSE_PROBE_SECONDS:
                 self._lapse_probed[target.id] = now
-                self._spawn(self._probe_quietly(target))
+                self._spawn(self._probe_lapsed(target))
         for identifier, at in self._lost.items():
             target = self._directory.targets.get(identifier)
             if target and now - at > PROBE_SECONDS and identifier not in self._probing:
@@ -493,6 +505,26 @@
             if target is not None and identifier not in self._lost:
                 self._spawn(self._probe_quietly(target))
 
+    async def _probe_lapsed(self, target: Target) -> None:
+        """Tell a target that is cut off from the list from one that leaves."""
+        configuration = self._configuration.configuration
+        service = configuration and configuration.services.get(target.service)
+        if not service:
+            return
+        healthy = await self._targets.is_healthy(target, service.health_path)
+        if isinstance(healthy, Unavailable):
+            await self._probe(target)
+            return
+        if healthy:
+            self._unhealthy.pop(target.id, None)
+            self._directory.vouch(target.id)
+            self._peers.tell_vouch(target.id)
+            return
+        times = self._unhealthy.get(target.id, 0) + 1
+        self._unhealthy[target.id] = times
+        if times == UNHEALTHY_PROBES:
+            log.info("planner: target leaves unannounced", target=target.id)
+
     def _spawn(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
@@ -550,6 +582,11 @@
     return {domain: sorted(models) for domain, models in domains.items()}
 
 
+def _place(target: Target) -> tuple[str, int] | None:
+    member = target.membership
+    return None if member is None else (member.group, member.epoch)
+
+
 def _has_loaded(target: Target, model: str) -> bool:
     if model in target.staged:
         return True
--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -152,6 +152,9 @@
     async def report(self, target: Target) -> EngineReport | Unavailable:
         """Ask an engine what it holds."""
 
+    async def is_healthy(self, target: Target, path: str) -> bool | Unavailable:
+        """Ask whether a target is healthy and not leaving; a full one says no."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class NodePorts:
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -58,9 +58,7 @@
         self.configuration = ConfigurationFollower(
             source=ports.source, clock=clock, revoke_seconds=settings.bounds.revoke
         )
-        self.directory = Directory(
-            source=ports.source, clock=clock, heartbeat_seconds=settings.heartbeat
-        )
+        self.directory = Directory(source=ports.source, clock=clock)
         self.peers = PeerNetwork(
             name=settings.name,
             incarnation=self._incarnation,
@@ -120,7 +118,9 @@
             stall_seconds=settings.bounds.stall,
             traffic_seen=self._traffic,
         )
+        self.leadership.on_taken.append(lambda: self.peers.tell(self._describe()))
         self.peers.on_heartbeat.append(self._note_heartbeat)
+        self.peers.on_vouch.append(self.directory.vouch)
         self._readiness = HttpServer(handler=self._answer_readiness)
         self._metrics_server = HttpServer(handler=self._answer_metrics)
 
--- a/mallowpond/platform/documents.py
+++ b/mallowpond/platform/documents.py
@@ -74,6 +74,7 @@
     return Service(
         name=service["name"],
         max_connections=int(service.get("max_conns", 0)),
+        health_path=service.get("health_path") or "/",
         profile=None if engine is None else _profile(engine),
     )
 
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -114,6 +114,21 @@
             case (status, _):
                 return Unavailable(reason=f"status {status}")
 
+    async def is_healthy(self, target: Target, path: str) -> bool | Unavailable:
+        """Ask whether a target is healthy and not leaving; a full one says no."""
+        answer = await self._http.fetch(
+            target.address,
+            "GET",
+            path,
+            headers=((names.EXPECT_INSTANCE, target.id),),
+            timeout=REPORT_SECONDS,
+        )
+        match answer:
+            case CallFailed(reason=reason):
+                return Unavailable(reason=reason)
+            case (status, _):
+                return status == 200
+
 
 def _operation(step: Step) -> dict[str, Any]:
     match step:
--- a/mallowpond/state/site_configuration.py
+++ b/mallowpond/state/site_configuration.py
@@ -46,6 +46,7 @@
 
     name: str
     max_connections: int
+    health_path: str = "/"
     profile: EngineProfile | None = None
 
 
