--- /dev/null
+++ b/mallowpond/node/tests/test_configuration.py
@@ -0,0 +1,50 @@
+"""What a node knows of the configuration when the store fails it."""
+
+from mallowpond.node.configuration import ConfigurationFollower
+from mallowpond.node.tests.fakes import FakeClock, FakeSource
+from mallowpond.state.site_configuration import SiteConfiguration
+
+
+def version(number):
+    """Write a configuration."""
+    return SiteConfiguration(version=number, routes=(), services={})
+
+
+def follower_of(*numbers):
+    """Build a follower of a source that holds these versions."""
+    clock = FakeClock()
+    source = FakeSource()
+    source.configurations.extend(map(version, numbers))
+    follower = ConfigurationFollower(source=source, clock=clock, revoke_seconds=5.0)
+    return follower, source, clock
+
+
+async def test_a_node_is_sure_only_while_its_version_is_confirmed():
+    follower, source, clock = follower_of(3)
+    assert not follower.is_sure
+    await follower.step()
+    assert follower.is_sure
+    source.cut = True
+    clock.time += 5.0
+    await follower.step()
+    assert not follower.is_sure
+    source.cut = False
+    await follower.step()
+    assert follower.is_sure
+
+
+async def test_versions_only_rise():
+    follower, _, _ = follower_of(3, 2)
+    await follower.step()
+    await follower.step()
+    assert follower.configuration.version == 3
+
+
+async def test_a_peers_confirmation_counts_only_for_the_same_version():
+    follower, _, clock = follower_of(3)
+    await follower.step()
+    clock.time += 6.0
+    follower.confirm(4, clock.time)
+    assert not follower.is_sure
+    follower.confirm(3, clock.time - 1.0)
+    assert follower.is_sure
--- /dev/null
+++ b/mallowpond/node/tests/test_directory.py
@@ -0,0 +1,92 @@
+"""What a node believes of its targets when the list lies or is silent."""
+
+from collections import deque
+
+from mallowpond.node.directory import (
+    RETURN_SECONDS,
+    VOUCHED_SECONDS,
+    Directory,
+)
+from mallowpond.node.ports import HistoryLost
+from mallowpond.node.tests.fakes import FakeClock, FakeSource, listing, open_group
+
+
+async def directory_of(*answers):
+    """Build a directory that read the first answer."""
+    clock = FakeClock()
+    source = FakeSource(listed=deque(answers))
+    directory = Directory(source=source, clock=clock)
+    await directory.refresh()
+    return directory, source, clock
+
+
+def serving(directory):
+    """Return the names of the groups that get streams."""
+    return {g.name for g in directory.serving_groups("engines", "m")}
+
+
+async def test_entries_that_lapsed_during_an_outage_are_kept_for_a_while():
+    """Symptom: nothing is served for two seconds after the store's return.
+
+    Sequence: the store is down longer than entries live; at its return the list is
+    empty, until every engine has written its entry again.
+    Cause: a missing entry was taken for a target that is gone.
+    """
+    group = open_group("g")
+    directory, source, clock = await directory_of(listing(*group))
+    source.cut = True
+    await directory.refresh()
+    source.cut = False
+    clock.time += 8.0
+    source.listed.append(listing(revision=9, whole=True))
+    await directory.refresh()
+    assert serving(directory) == {"g"}
+    clock.time += RETURN_SECONDS + 0.1
+    source.listed.append(listing(revision=10, whole=False))
+    await directory.refresh()
+    assert serving(directory) == set()
+
+
+async def test_a_head_that_fell_out_of_the_list_gets_streams_only_while_vouched_for():
+    """Symptom: a target that leaves gets new requests seconds after it said so.
+
+    Sequence: its entry is removed without a word, as that of one that is cut off.
+    Cause: the list does not tell the two apart, and both were used on.
+    """
+    group = open_group("g")
+    directory, source, clock = await directory_of(listing(*group))
+    source.listed.append(listing(revision=2, removed=("g0",), whole=False))
+    await directory.refresh()
+    assert serving(directory) == set()
+    directory.vouch("g0")
+    assert serving(directory) == {"g"}
+    clock.time += VOUCHED_SECONDS
+    assert serving(directory) == set()
+
+
+async def test_a_draining_head_gets_no_new_streams():
+    group = open_group("g")
+    directory, source, _ = await directory_of(listing(*group))
+    leaving = type(group[0])(**{**vars(group[0]), "draining": True})
+    source.listed.append(listing(leaving, revision=2, whole=False))
+    await directory.refresh()
+    assert serving(directory) == set()
+
+
+async def test_a_lost_history_leads_to_a_whole_read():
+    group = open_group("g")
+    directory, source, _ = await directory_of(listing(*group))
+    source.listed.append(HistoryLost())
+    assert not await directory.refresh()
+    other = open_group("h")
+    source.listed.append(listing(*group, *other, revision=5))
+    await directory.refresh()
+    assert serving(directory) == {"g", "h"}
+
+
+async def test_loads_of_silent_peers_are_forgotten():
+    directory, _, clock = await directory_of(listing(*open_group("g")))
+    directory.note_peer("n", {("g", 1): (3, 500.0)})
+    assert directory.load(("g", 1)).running == 3
+    clock.time += 5.0
+    assert directory.load(("g", 1)).running == 0
--- /dev/null
+++ b/mallowpond/node/tests/test_waiting.py
@@ -0,0 +1,69 @@
+"""Who gets the next place, and who is told to come back."""
+
+import asyncio
+
+from mallowpond.node.waiting import (
+    MAX_RETRY_AFTER_SECONDS,
+    WaitingLine,
+    expected_wait,
+    retry_after,
+)
+
+
+async def served(line, now, *streams):
+    """Let streams wait, free one place after the other, return their order."""
+    order = []
+
+    async def wait(name, priority, on_time_until):
+        if await line.wait(
+            priority=priority, on_time_until=on_time_until, seconds=60.0
+        ):
+            order.append(name)
+
+    tasks = [asyncio.create_task(wait(*stream)) for stream in streams]
+    await asyncio.sleep(0)
+    for _ in streams:
+        line.wake(lambda: True, now)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+    await asyncio.gather(*tasks)
+    return order
+
+
+async def test_streams_that_can_be_on_time_go_first():
+    """Symptom: in a burst every stream is late, although half could be on time.
+
+    Sequence: more streams come than there are places; the line grows past the
+    objective.
+    Cause: places went by arrival, so each one waited as long as the line was.
+    """
+    order = await served(
+        WaitingLine(), 10.0, ("late", 1, 9.0), ("fresh", 1, 10.2), ("second", 1, 10.3)
+    )
+    assert order == ["fresh", "second", "late"]
+
+
+async def test_a_more_urgent_stream_goes_before_an_equal_one():
+    order = await served(WaitingLine(), 10.0, ("low", 2, 11.0), ("high", 0, 11.0))
+    assert order == ["high", "low"]
+
+
+async def test_a_stream_that_gives_up_leaves_the_line():
+    line = WaitingLine()
+    task = asyncio.create_task(line.wait(priority=1, on_time_until=1.0, seconds=60.0))
+    await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert len(line) == 0
+
+
+def test_the_wait_follows_from_places_and_hosts():
+    assert expected_wait(ahead=0, places=0, hold_seconds=1, hosts=7) == float("inf")
+    assert expected_wait(ahead=9, places=50, hold_seconds=1.0, hosts=5) == 1.0
+
+
+def test_callers_refused_together_come_back_apart():
+    times = {retry_after(1.0, draw / 10) for draw in range(10)}
+    assert len(times) == 10
+    assert max(times) <= 2 * MAX_RETRY_AFTER_SECONDS
+    assert min(times) > 0
--- /dev/null
+++ b/mallowpond/platform/tests/test_callers.py
@@ -0,0 +1,94 @@
+"""What the adapter makes of callers' requests."""
+
+import pytest
+
+from mallowpond.node.ports import InvalidRequest
+from mallowpond.platform.callers import PlatformCallers
+from mallowpond.transport.http_server import HttpRequest
+
+WHOLE = (
+    ("host", "A.example:80"),
+    ("x-mallowpond-attempt-id", "q1"),
+    ("last-event-id", "12"),
+    ("x-mallowpond-model", "m"),
+    ("x-mallowpond-token-counts", "1460,80"),
+    ("x-mallowpond-prompt-prefix", "5c:800"),
+    ("x-mallowpond-deadline-ms", "8000"),
+    ("x-mallowpond-tenant", "forged"),
+    ("x-mallowpond-expect-instance", "forged"),
+    ("authorization", "Bearer secret"),
+    ("connection", "keep-alive, x-hop"),
+    ("x-hop", "1"),
+    ("x-other", "1"),
+    ("x-other", "2"),
+)
+
+
+def read(*headers, method="POST", target="/p/x?y=1"):
+    """Read a request with these headers."""
+    request = HttpRequest(
+        method=method,
+        target=target,
+        headers=dict(headers),
+        body=b"b",
+        header_list=tuple(headers),
+    )
+    return PlatformCallers().read(request)
+
+
+def test_each_header_is_decoded_once():
+    found = read(*WHOLE)
+    assert (found.id, found.host, found.path) == ("q1", "a.example", "/p/x")
+    assert (found.key, found.seconds_left, found.model) == ("secret", 8.0, "m")
+    assert (found.prompt_tokens, found.answer_tokens) == (1460, 80)
+    assert found.last_event == "12"
+
+
+def test_only_headers_that_concern_the_engine_are_passed_on():
+    """Symptom: an engine sees a caller's key, or a workspace that the caller chose.
+
+    Sequence: a caller sends the headers that only the system may set.
+    Cause: headers were passed on without telling those apart.
+    """
+    passed = dict(read(*WHOLE).passed_headers)
+    for name in (
+        "authorization",
+        "x-mallowpond-tenant",
+        "x-mallowpond-expect-instance",
+        "x-mallowpond-deadline-ms",
+        "last-event-id",
+        "connection",
+        "x-hop",
+    ):
+        assert name not in passed
+    assert passed["x-mallowpond-attempt-id"] == "q1"
+    assert passed["x-mallowpond-prompt-prefix"] == "5c:800"
+    assert read(*WHOLE).passed_headers.count(("x-other", "1")) == 1
+    assert read(*WHOLE).passed_headers.count(("x-other", "2")) == 1
+
+
+def test_a_request_without_an_id_is_invalid():
+    assert isinstance(read(("host", "a")), InvalidRequest)
+
+
+@pytest.mark.parametrize("text", ["", "x", "1,y", ",", "9" * 400])
+def test_bad_numbers_count_as_missing_or_as_numbers(text):
+    found = read(
+        ("host", "a"),
+        ("x-mallowpond-attempt-id", "q"),
+        ("x-mallowpond-token-counts", text),
+        ("x-mallowpond-deadline-ms", text),
+    )
+    assert found.prompt_tokens >= 0
+    assert found.seconds_left is None or found.seconds_left >= 0
+
+
+@pytest.mark.parametrize(
+    ("value", "key"),
+    [("Bearer k", "k"), ("bearer  k ", "k"), ("Basic k", None), ("", None)],
+)
+def test_only_bearer_keys_count(value, key):
+    found = read(
+        ("host", "a"), ("x-mallowpond-attempt-id", "q"), ("authorization", value)
+    )
+    assert found.key == key
--- /dev/null
+++ b/mallowpond/state/tests/test_formation.py
@@ -0,0 +1,244 @@
+"""Which orders the planner gives, on small fleets written out by hand."""
+
+from mallowpond.state.fleet import (
+    EngineProfile,
+    GroupPhase,
+    Membership,
+    ModelSpec,
+    Target,
+)
+from mallowpond.state.formation import (
+    Close,
+    Formation,
+    FormationView,
+    Join,
+    Leave,
+    Open,
+    Stage,
+    plan_steps,
+)
+
+LARGE = ModelSpec(name="large", size=4, share=0.5, load_seconds=16, warm_seconds=1.6)
+SMALL = ModelSpec(name="small", size=3, share=0.5, load_seconds=12, warm_seconds=1.1)
+PROFILE = EngineProfile(
+    slots=13, models=(LARGE, SMALL), loads_per_second=4.5, loads_at_once=6
+)
+NOW = 100.0
+
+
+def target(name, domain="d0", *, staged="", group=None, rank=0, phase=None, **more):
+    """Write a target; `group` is a name and an epoch."""
+    membership = None
+    if group is not None:
+        membership = Membership(
+            group=group[0],
+            epoch=group[1],
+            rank=rank,
+            phase=phase or GroupPhase.READY,
+        )
+    return Target(
+        id=name,
+        service="engines",
+        address=f"{name}:1",
+        data_centre="a",
+        slots=13,
+        domain=domain,
+        staged=(staged,) if staged else (),
+        model=staged if group else "",
+        membership=membership,
+        **more,
+    )
+
+
+def group(name, epoch, size, phase, *, domain="d0", model="small"):
+    """Write a whole group; only the head has `phase`."""
+    key = (name, epoch)
+    phases = [phase] + [GroupPhase.READY] * (size - 1)
+    return [
+        target(
+            f"{name}{rank}",
+            domain,
+            staged=model,
+            group=key,
+            rank=rank,
+            phase=phases[rank],
+        )
+        for rank in range(size)
+    ]
+
+
+def plan(targets, **more):
+    """Plan on these targets."""
+    view = FormationView(
+        profile=PROFILE, targets=tuple(targets), now=NOW, next_epoch=7, **more
+    )
+    return plan_steps(view)
+
+
+def of_kind(steps, kind):
+    """Return the steps of one kind."""
+    return [step for step in steps if isinstance(step, kind)]
+
+
+def test_an_empty_fleet_is_formed_whole_before_traffic():
+    steps = plan([target(f"t{i}") for i in range(9)], before_traffic=True)
+    joins = of_kind(steps, Join)
+    groups = {}
+    for join in joins:
+        groups.setdefault(join.group, []).append(join)
+    sizes = sorted(len(members) for members in groups.values())
+    assert sizes == [3, 4]
+    for members in groups.values():
+        assert {m.target.id for m in members} == set(members[0].members)
+    assert len(of_kind(steps, Stage)) == 2
+
+
+def test_nothing_is_formed_while_targets_still_arrive():
+    """Symptom: a domain of nine is cut into three groups of three with no spare.
+
+    Sequence: targets register one after the other; groups form of the first ones.
+    Cause: the plan was made on a list that was not complete.
+    """
+    targets = [target(f"t{i}") for i in range(5)]
+    steps = plan(targets, before_traffic=True, newest_target_at=NOW - 0.1)
+    assert steps == ()
+
+
+def test_a_working_group_is_left_alone():
+    assert plan(group("g", 1, 3, GroupPhase.OPEN)) == ()
+
+
+def test_a_whole_ready_group_is_opened_also_when_another_planner_formed_it():
+    (step,) = plan(group("g", 1, 3, GroupPhase.READY))
+    assert step == Open(target=step.target, group="g", epoch=1)
+    assert step.target.id == "g0"
+
+
+def test_a_group_is_not_opened_before_every_member_is_ready():
+    """Symptom: a request runs in a group that lacks a member's weights.
+
+    Sequence: the head and one member are ready, the third still joins.
+    Cause: opening goes by the head alone, since engines do not check the others.
+    """
+    members = group("g", 1, 3, GroupPhase.READY)
+    joining = target("g2", staged="small", group=("g", 1), rank=2)
+    joining = Target(
+        **{
+            **vars(joining),
+            "membership": Membership(
+                group="g", epoch=1, rank=2, phase=GroupPhase.JOINING
+            ),
+        }
+    )
+    assert of_kind(plan([*members[:2], joining]), Open) == []
+
+
+def test_members_leave_before_they_join_again():
+    """Symptom: a host stands in two groups, one of which is open.
+
+    Sequence: a member dies; the planner joins the others to a new group while their
+    head, which the list shows ready, is opening by an order still under way.
+    Cause: a join replaced a membership that had not been left.
+    """
+    members = group("g", 1, 3, GroupPhase.READY)
+    spare = target("s", staged="small")
+    steps = plan([*members, spare], lost=frozenset({"g2"}))
+    assert {s.target.id for s in of_kind(steps, Leave)} == {"g0", "g1"}
+    assert of_kind(steps, Join) == []
+
+
+def test_survivors_and_a_staged_spare_form_again_at_once():
+    survivors = [target("a", staged="small"), target("b", staged="small")]
+    spare = target("s", staged="small")
+    cold = target("c")
+    joins = of_kind(plan([*survivors, cold, spare]), Join)
+    assert {join.target.id for join in joins} == {"a", "b", "s"}
+    assert not any(join.loads for join in joins)
+
+
+def test_a_group_with_a_leaving_member_is_closed_gracefully():
+    members = group("g", 1, 3, GroupPhase.OPEN)
+    leaving = Target(**{**vars(members[2]), "draining": True})
+    (close,) = of_kind(plan([*members[:2], leaving]), Close)
+    assert close.target.id == "g0"
+    assert not close.evict
+
+
+def test_a_closed_group_is_taken_apart_and_not_opened_again():
+    """Symptom: one group is opened and closed twice a second and serves nobody.
+
+    Sequence: a group is closed to be formed anew; once closed it looks whole and
+    ready, and is opened.
+    Cause: nothing remembered why it was closed.
+    """
+    members = group("g", 1, 3, GroupPhase.READY)
+    steps = plan(members, closed=frozenset({("g", 1)}))
+    assert of_kind(steps, Open) == []
+    assert len(of_kind(steps, Leave)) == 3
+
+
+def test_a_member_that_only_fell_out_of_the_list_does_not_end_its_group():
+    members = group("g", 1, 3, GroupPhase.OPEN)
+    assert plan(members[:2]) == ()
+
+
+def test_no_entry_counts_as_missing_just_after_a_store_outage():
+    members = group("g", 1, 3, GroupPhase.OPEN)
+    spare = target("s", staged="small")
+    assert plan([*members[:2], spare], is_settled=False) == ()
+
+
+def test_a_join_is_not_repeated_for_a_group_that_a_member_has_left_behind():
+    """Symptom: hundreds of joins are refused because their epoch is old.
+
+    Sequence: a member of a forming group joins a later one; the planner goes on
+    ordering it into the first.
+    Cause: the first formation was kept although it could never be whole.
+    """
+    forming = group("g", 1, 3, GroupPhase.READY)[:2]
+    moved = target("g2", staged="small", group=("h", 5), rank=0)
+    known = Formation(
+        group="g", epoch=1, model="small", members=("g0", "g1", "g2"), ordered_at=NOW
+    )
+    steps = plan([*forming, moved], formations={("g", 1): known})
+    assert of_kind(steps, Join) == []
+    assert {"g0", "g1"} <= {s.target.id for s in of_kind(steps, Leave)}
+
+
+def test_loads_go_where_they_complete_a_group():
+    near = [target(f"n{i}", "d0", staged="large") for i in range(3)]
+    cold = [target("c0", "d0"), target("c1", "d1")]
+    stages = of_kind(plan([*near, *cold], loads_begun=(NOW, NOW)), Stage)
+    assert stages[0].target.id == "c0"
+    assert stages[0].model == "large"
+
+
+def test_loads_keep_to_the_rate_of_the_weight_store():
+    cold = [target(f"c{i}", f"d{i}") for i in range(9)]
+    assert len(of_kind(plan(cold), Stage)) == 3
+    begun = (NOW - 0.1, NOW - 0.2, NOW - 0.3)
+    assert of_kind(plan(cold, loads_begun=begun), Stage) == []
+
+
+def test_a_group_across_domains_is_formed_only_under_pressure():
+    parts = [target(f"t{i}", f"d{i}", staged="small") for i in range(3)]
+    assert of_kind(plan(parts), Join) == []
+    joins = of_kind(plan(parts, pressure={"small": 0.9}), Join)
+    assert len(joins) == 3
+
+
+def test_no_target_gets_two_groups_in_one_plan():
+    fleet = [target(f"t{i}", f"d{i % 3}", staged="small") for i in range(27)]
+    joins = of_kind(plan(fleet, pressure={"small": 0.9}), Join)
+    assert len({join.target.id for join in joins}) == len(joins)
+
+
+def test_demand_decides_which_model_gets_the_targets():
+    fleet = [target(f"t{i}") for i in range(5)]
+    for model, wanted in (("large", 4), ("small", 3)):
+        other = {"large": "small", "small": "large"}[model]
+        joins = of_kind(
+            plan(fleet, before_traffic=True, demand={model: 0.9, other: 0.1}), Join
+        )
+        assert {join.model for join in joins} <= {model}
+        assert len(joins) in (0, wanted)
--- /dev/null
+++ b/mallowpond/state/tests/test_placement.py
@@ -0,0 +1,105 @@
+"""Where a stream goes, and when a group is suspected."""
+
+from mallowpond.state.fleet import EngineProfile, ModelSpec
+from mallowpond.state.placement import (
+    Candidate,
+    GroupLoad,
+    choose_group,
+    first_event_seconds,
+    pass_seconds,
+)
+from mallowpond.state.silence import GroupQuiet, is_suspect, silence_limit
+
+PROFILE = EngineProfile(
+    slots=13,
+    stride=7,
+    step_seconds=0.006,
+    request_seconds=0.0001,
+    context_seconds_per_k=0.00002,
+    read_tokens_per_second=50_000,
+    usual_prompt_tokens=1000,
+    usual_answer_tokens=180,
+)
+MODEL = ModelSpec(name="m", size=4)
+
+
+def choose(*loads, prompt=1000, limit=0.3, leaving=()):
+    """Return the index of the chosen load."""
+    candidates = [
+        Candidate(key=str(i), load=load, is_leaving=i in leaving)
+        for i, load in enumerate(loads)
+    ]
+    chosen = choose_group(
+        PROFILE, MODEL, candidates, prompt_tokens=prompt, limit_seconds=limit
+    )
+    return None if chosen is None else int(chosen.key)
+
+
+def test_a_long_prompt_counts_for_more_than_a_few_running_streams():
+    """Symptom: short prompts come late although a neighbour group is free.
+
+    Sequence: one group reads a prompt of 8,000 tokens, the other runs four streams.
+    Cause: placement by requests in flight sees one against four.
+    """
+    reading = GroupLoad(running=1, reading_tokens=8000)
+    writing = GroupLoad(running=4)
+    assert choose(reading, writing) == 1
+
+
+def test_no_stream_goes_where_it_cannot_start_on_time():
+    backlog = GroupLoad(running=5, reading_tokens=20_000)
+    assert choose(backlog) is None
+
+
+def test_an_idle_group_takes_a_stream_however_slow_it_is():
+    assert choose(GroupLoad(running=0, slowness=20.0)) == 0
+
+
+def test_full_groups_take_nothing():
+    assert choose(GroupLoad(running=14)) is None
+
+
+def test_a_group_that_is_about_to_stop_comes_last():
+    idle, busy = GroupLoad(running=0), GroupLoad(running=8)
+    assert choose(idle, busy, leaving={0}) == 1
+    assert choose(idle, leaving={0}) == 0
+
+
+def test_slow_groups_are_predicted_slow():
+    fast = pass_seconds(PROFILE, MODEL, GroupLoad(running=5))
+    slow = pass_seconds(PROFILE, MODEL, GroupLoad(running=5, slowness=4.0))
+    assert abs(slow - 4 * fast) < 1e-9
+
+
+def quiet(silent, load, allowed=0.2):
+    """Describe a group that has been silent for some seconds."""
+    predicted = first_event_seconds(PROFILE, MODEL, load, 0.0)
+    return GroupQuiet(
+        silent_seconds=silent,
+        streams_writing=1,
+        predicted_gap=predicted,
+        allowed_gap=allowed,
+    )
+
+
+def test_a_silent_idle_group_is_suspected_before_its_streams_are_late():
+    load = GroupLoad(running=2)
+    assert not is_suspect(quiet(0.06, load))
+    assert is_suspect(quiet(0.15, load))
+
+
+def test_overload_does_not_look_like_death():
+    """Symptom: groups are taken for dead one after the other until none is left.
+
+    Sequence: some groups die, the others read all their prompts and fall silent for
+    half a second; a fixed limit takes them for dead as well.
+    Cause: the limit did not follow from the work that a group is known to have.
+    """
+    loaded = GroupLoad(running=13, reading_tokens=15_000)
+    assert not is_suspect(quiet(0.4, loaded))
+    assert is_suspect(quiet(1.5, loaded))
+
+
+def test_the_limit_never_falls_below_what_the_timing_explains():
+    assert silence_limit(1.0, 0.2) > 1.0
+    assert silence_limit(0.01, 0.2) == 0.55 * 0.2
--- /dev/null
+++ b/mallowpond/state/tests/test_retry_window.py
@@ -0,0 +1,40 @@
+"""The share of one budget that each host may use."""
+
+from mallowpond.state.retry_window import RetryWindow
+
+
+def window():
+    """Return a window of 10 s with a fifth and 100 beyond."""
+    return RetryWindow(ratio=0.2, slack=100.0, window_seconds=10.0)
+
+
+def repeats(budget, now, hosts):
+    """Return how many repeats are allowed at once."""
+    count = 0
+    while budget.try_repeat(now, hosts):
+        count += 1
+    return count
+
+
+def test_all_hosts_together_stay_within_the_budget():
+    """Symptom: a dead data centre makes twice the allowed sends.
+
+    Sequence: seven hosts lose the same groups and each uses the whole slack.
+    Cause: the budget is shared, and nobody can ask the others in time.
+    """
+    hosts = 7
+    total = 0
+    for _ in range(hosts):
+        budget = window()
+        for at in range(50):
+            budget.note_first(at / 10)
+        total += repeats(budget, 5.0, hosts)
+    assert total <= 0.2 * 50 * hosts + 100.0
+    assert total >= 0.5 * (0.2 * 50 * hosts + 100.0)
+
+
+def test_the_window_slides():
+    budget = window()
+    first = repeats(budget, 0.0, 1)
+    assert repeats(budget, 5.0, 1) == 0
+    assert repeats(budget, 10.1, 1) == first
