Keep the targets of formations under way; bring a model where it is already held

Now the plan reserves such targets, and the executor withholds a join of a target that it joined elsewhere and has not let leave. Test failed first.

--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -128,6 +128,7 @@
         self._pending: dict[str, Pending] = {}
         self._lost: dict[str, float] = {}
         self._left: dict[str, GroupKey] = {}
+        self._joined: dict[str, tuple[GroupKey, float]] = {}
         self._closed: set[GroupKey] = set()
         self._lapse_probed: dict[str, float] = {}
         self._unhealthy: dict[str, int] = {}
@@ -320,6 +321,11 @@
         }
         self._lost = {t: at for t, at in self._lost.items() if t in targets}
         self._closed &= groups.keys()
+        for identifier, (_, at) in list(self._joined.items()):
+            target = targets.get(identifier)
+            shown_free = target is None or target.membership is None
+            if shown_free and now - at > EFFECT_SECONDS:
+                del self._joined[identifier]
         self._left = {t: key for t, key in self._left.items() if t in targets}
         self._loads_begun = [at for at in self._loads_begun if now - at < 10.0]
         for identifier, (model, at) in list(self._loads.items()):
@@ -345,6 +351,9 @@
 
     async def _order(self, step: Step) -> None:
         target = step.target
+        if isinstance(step, Join) and self._stands_elsewhere(step):
+            self._give_back(step)
+            return
         expected = await self._count_of(target)
         if expected is None:
             self._give_back(step)
@@ -356,6 +365,21 @@
         end = await self._targets.order(step, fence=fence, expected=expected)
         self._note(step, end)
 
+    def _stands_elsewhere(self, step: Join) -> bool:
+        """Tell whether a target has joined another group here and not left it.
+
+        The list may show the join late; what was ordered counts before what is shown.
+        """
+        joined = self._joined.get(step.target.id)
+        if joined is None or joined[0] == (step.group, step.epoch):
+            return False
+        key = joined[0]
+        group = self._directory.groups.get(key)
+        if group is not None and group.phase is GroupPhase.BROKEN:
+            return False
+        log.warning("planner: join withheld", target=step.target.id, stands_in=key[0])
+        return True
+
     async def _count_of(self, target: Target) -> int | None:
         known = self._orders.get(target.id)
         if known is not None:
@@ -413,8 +437,12 @@
         if isinstance(step, Leave):
             # It takes effect at once: the list need not be waited for.
             self._left[step.target.id] = (step.group, step.epoch)
+            self._joined.pop(step.target.id, None)
             self._pending.pop(step.target.id, None)
             return
+        if isinstance(step, Join):
+            key = (step.group, step.epoch)
+            self._joined[step.target.id] = (key, self._clock.now())
         if isinstance(step, Close):
             self._closed.add((step.group, step.epoch))
         self._pending[step.target.id] = Pending(step=step, until=until)
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -28,6 +28,10 @@
 # loads share the weight store and may wait for one another.
 JOIN_PATIENCE_FACTOR = 3.0
 JOIN_PATIENCE_SECONDS = 4.0
+# Cost of each engine of a domain that holds another model than the one that is to be
+# loaded there, in seconds: far above any load, so that models mix only where no
+# domain is left.
+MIXING_SECONDS = 1000.0
 # Share of a domain's engines that stay free of groups, so that a lost member can be
 # replaced in about 2 s by one that has the weights staged, not in 12 s or more.
 SPARE_SHARE = 0.2
@@ -166,9 +170,12 @@
         self._epoch = view.next_epoch
         self._loads_left = _loads_allowed(view)
         self._loading = dict(view.loading)
+        # Targets of formations that are under way, whether they have joined or not:
+        # free for another group, they would be ordered into two at once.
+        self._reserved: set[str] = set()
 
     def plan(self) -> tuple[Step, ...]:
-        grouped: set[str] = set()
+        grouped = self._reserved
         for group in self._groups.values():
             if self._keep(group):
                 grouped |= {member.id for member in group.members}
@@ -309,6 +316,7 @@
             return True
         self._count(group, model)
         if known is not None:
+            self._reserved |= set(known.members)
             self._order_missing_joins(group, known, model)
         return True
 
@@ -347,6 +355,7 @@
                 model = self._view.profile.model(known.model)
                 if model is not None and not self._has_moved_on(known):
                     self._count(group, model)
+                    self._reserved |= set(known.members)
                     self._order_missing_joins(group, known, model)
                     return True
         self._dissolve(group)
@@ -357,13 +366,8 @@
     def _form_groups(self) -> None:
         for formation in self._view.formations.values():
             self._reserve(formation)
-        progress = True
-        while progress:
-            progress = False
-            for model in self._by_deficit():
-                if self._form_one(model):
-                    progress = True
-                    break
+        while any(self._form_one(model) for model in self._by_deficit()):
+            pass
 
     def _reserve(self, formation: Formation) -> None:
         """Keep targets free of other groups while their join is on its way."""
@@ -398,12 +402,29 @@
             if chosen is None:
                 continue
             cost = sum(_join_seconds(t, model) for t in chosen)
+            if any(_needs_load(t, model) for t in chosen):
+                cost += self._mixing_cost(domain, model)
             if best is None or cost < best[0]:
                 best = (cost, chosen)
         if best is None or not self._join_all(model, best[1]):
             return self._form_far(model)
         return True
 
+    def _mixing_cost(self, domain: str, model: ModelSpec) -> float:
+        """Return what it costs to bring a model into a domain, in seconds.
+
+        In a domain that carries one model, any survivor can replace any other
+        member; of two models each leaves parts that lack one or two.
+        """
+        own = other = 0
+        for target in self._view.targets:
+            if target.domain != domain:
+                continue
+            held = {target.model, *_models_at_hand(target, self._loading)} - {""}
+            own += model.name in held
+            other += bool(held - {model.name})
+        return MIXING_SECONDS * (other - min(1, own))
+
     def _spares(self, domain: str) -> int:
         """Return how many targets of a domain should stay free of groups."""
         size = sum(1 for target in self._view.targets if target.domain == domain)
@@ -469,6 +490,8 @@
         self._served[model.name] += 1.0
         for target in chosen:
             self._free[target.domain].remove(target)
+            if _needs_load(target, model):
+                self._loading[target.id] = model.name
             self._steps.append(_join(target, formation, model))
         return True
 
@@ -489,7 +512,7 @@
                 if self._loads_left < 1:
                     return
                 if not _models_at_hand(target, self._loading):
-                    self._stage(target, self._models_of_domain(domain)[0])
+                    self._stage(target, self._model_for_spare(domain))
 
     def _stage(self, target: Target, model: str) -> None:
         self._loads_left -= 1
@@ -522,19 +545,20 @@
             model=model, targets=tuple(chosen), cost=seconds * self._fill(model)
         )
 
-    def _models_of_domain(self, domain: str) -> list[str]:
-        """Return the models by how many members in the domain each spare covers."""
-        members = {m.name: 0 for m in self._view.profile.models}
-        staged = {m.name: 0 for m in self._view.profile.models}
+    def _model_for_spare(self, domain: str) -> str:
+        """Return the model of most members in a domain, then of fewest spares."""
+        members = {model.name: 0 for model in self._view.profile.models}
+        spares = {model.name: 0 for model in self._view.profile.models}
         for target in self._view.targets:
             if target.domain != domain:
                 continue
-            if target.membership is not None and target.model in members:
-                members[target.model] += 1
-            else:
-                for model in _models_at_hand(target, self._loading):
-                    staged[model] = staged.get(model, 0) + 1
-        return sorted(members, key=lambda m: (staged[m], -members[m]))
+            if target.membership is not None:
+                members[target.model] = members.get(target.model, 0) + 1
+                continue
+            for model in _models_at_hand(target, self._loading):
+                spares[model] = spares.get(model, 0) + 1
+        names = [model.name for model in self._view.profile.models]
+        return min(names, key=lambda name: (-members[name], spares[name]))
 
 
 def _gather_parts(parts: list[list[Target]], size: int) -> list[Target] | None:
--- a/mallowpond/state/tests/test_formation.py
+++ b/mallowpond/state/tests/test_formation.py
@@ -205,6 +205,26 @@
     assert {"g0", "g1"} <= {s.target.id for s in of_kind(steps, Leave)}
 
 
+def test_a_target_whose_join_is_under_way_is_not_taken_for_another_group():
+    """Symptom: a host joins a second group while its first one is open.
+
+    Sequence: of three joins one is taken and two get no answer; the two targets look
+    free, and a second group is formed of them while the joins are repeated.
+    Cause: only formations of which nothing showed yet kept their targets.
+    """
+    first = target("g2", staged="small", group=("g", 1), rank=2)
+    waiting = [target("g0", staged="small"), target("g1", staged="small")]
+    spare = target("s", staged="small")
+    known = Formation(
+        group="g", epoch=1, model="small", members=("g0", "g1", "g2"), ordered_at=NOW
+    )
+    joins = of_kind(plan([first, *waiting, spare], formations={("g", 1): known}), Join)
+    assert {(join.target.id, join.group) for join in joins} == {
+        ("g0", "g"),
+        ("g1", "g"),
+    }
+
+
 def test_loads_go_where_they_complete_a_group():
     near = [target(f"n{i}", "d0", staged="large") for i in range(3)]
     cold = [target("c0", "d0"), target("c1", "d1")]
