--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -49,6 +49,9 @@
 LOAD_SECONDS = 60.0
 # Pause between two log lines on the state of all groups, in seconds.
 SUMMARY_SECONDS = 2.0
+# Time after an order within which a target's report may not show it, in seconds: a
+# few times the usual lag of reports.
+REPORT_LAG_SECONDS = 0.7
 # Pause between two probes of a member that the list has lost, in seconds.
 LAPSE_PROBE_SECONDS = 1.0
 # Probes in a row that find a target unhealthy before it counts as leaving: a head
@@ -130,6 +133,7 @@
         self._left: dict[str, GroupKey] = {}
         self._joined: dict[str, tuple[GroupKey, float]] = {}
         self._closed: set[GroupKey] = set()
+        self._ordered_at: dict[str, float] = {}
         self._lapse_probed: dict[str, float] = {}
         self._unhealthy: dict[str, int] = {}
         self._formations: dict[GroupKey, Formation] = {}
@@ -323,8 +327,11 @@
         self._closed &= groups.keys()
         for identifier, (_, at) in list(self._joined.items()):
             target = targets.get(identifier)
-            shown_free = target is None or target.membership is None
-            if shown_free and now - at > EFFECT_SECONDS:
+            # While the list is away it shows nothing of what was ordered since.
+            shown_free = self._directory.is_settled and (
+                target is not None and target.membership is None
+            )
+            if target is None or (shown_free and now - at > EFFECT_SECONDS):
                 del self._joined[identifier]
         self._left = {t: key for t, key in self._left.items() if t in targets}
         self._loads_begun = [at for at in self._loads_begun if now - at < 10.0]
@@ -436,6 +443,7 @@
                 self._investigate_target(target)
 
     def _note_taken(self, step: Step) -> None:
+        self._ordered_at[step.target.id] = self._clock.now()
         until = self._clock.now() + EFFECT_SECONDS
         if isinstance(step, Leave):
             # It takes effect at once: the list need not be waited for.
@@ -503,7 +511,9 @@
         for _ in range(PROBES):
             report = await self._targets.report(target)
             if not isinstance(report, Unavailable):
-                self._directory.learn(report.target)
+                ordered_at = self._ordered_at.get(target.id, float("-inf"))
+                if self._clock.now() - ordered_at > REPORT_LAG_SECONDS:
+                    self._directory.learn(report.target)
                 if self._lost.pop(target.id, None) is not None:
                     log.info("planner: target regained", target=target.id)
                 return True
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -44,9 +44,9 @@
 PATIENCE_OBJECTIVES = 4.0
 # Time left below which a stream is not sent any more, in seconds.
 LEAST_SECONDS = 0.05
-# Share of the objective that a group's predicted first event may take: the rest is
-# for the way here, and for what the prediction does not know.
-FIRST_EVENT_SHARE = 0.75
+# Share of the objective that a group's predicted first event may take. Less makes
+# streams wait for places that groups across domains could give them in time.
+FIRST_EVENT_SHARE = 1.0
 # Time to come back when no group serves a model and none is known to form soon.
 NO_GROUP_RETRY_SECONDS = 1.0
 # Sends that were proved not to have run, at most, for one request.
