--- a/mallowpond/platform/program.py
+++ b/mallowpond/platform/program.py
@@ -9,13 +9,13 @@
 import structlog
 
 from mallowpond.coordination.clock import BootClock
+from mallowpond.node.logs import set_up_node_logs
 from mallowpond.node.ports import NodePorts
 from mallowpond.node.service import build
 from mallowpond.node.settings import NodeSettings
 from mallowpond.platform.callers import PlatformCallers
 from mallowpond.platform.engines import PlatformEngines
 from mallowpond.platform.store import PlatformStore
-from mallowpond.programs.logs import set_up_logs
 from mallowpond.protocol.declaration_file import Faults
 from mallowpond.settings import load_settings
 from mallowpond.transport.http_client import HttpClient
@@ -29,7 +29,20 @@
 EXIT_USAGE = 2
 
 
-async def run_node(settings: NodeSettings) -> None:
+def _reload(path: Path, running: NodeSettings) -> None:
+    """Read the settings again; a bad file changes nothing and is told of."""
+    settings = load_settings(path, NodeSettings)
+    if isinstance(settings, Faults):
+        faults = [f"{fault.path}: {fault.message}" for fault in settings.faults]
+        log.error("node: reload refused", path=str(path), faults=faults)
+        return
+    set_up_node_logs(settings.log, BootClock())
+    changed = [n for n, v in vars(settings).items() if v != getattr(running, n)]
+    # Addresses and bounds stay as they are while requests are under way.
+    log.info("node: reloaded", changed=changed, in_force=["log"])
+
+
+async def run_node(settings: NodeSettings, path: Path) -> None:
     """Run a node until it is told to stop."""
     http = HttpClient(connect_seconds=CONNECT_SECONDS)
     store = PlatformStore(http=http, address=settings.store)
@@ -44,7 +57,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log.info("node: reload asked for"))
+    loop.add_signal_handler(signal.SIGHUP, _reload, path, settings)
     try:
         await node.start()
         await stop.wait()
@@ -62,5 +75,5 @@
         for fault in settings.faults:
             print(f"{path}: {fault.path}: {fault.message}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    set_up_logs(settings.log)
-    asyncio.run(run_node(settings))
+    set_up_node_logs(settings.log, BootClock())
+    asyncio.run(run_node(settings, path))
--- a/mallowpond/programs/cli.py
+++ b/mallowpond/programs/cli.py
@@ -107,6 +107,14 @@
     _run(lambda stop: run_controller(settings, stop))
 
 
+@app.command()
+def node() -> None:
+    """Run a node on the platform; its settings come from the platform."""
+    from mallowpond.platform.program import main as run_node
+
+    run_node()
+
+
 @standin.command("platform")
 def standin_platform(config: ConfigFile) -> None:
     """Run a stand-in for the platform's table service and host list."""
--- a/mallowpond/programs/logs.py
+++ b/mallowpond/programs/logs.py
@@ -8,9 +8,13 @@
 from mallowpond.settings import LogSettings
 
 
+def log_level(settings: LogSettings) -> int:
+    """Return the number of the level that the settings name."""
+    return getattr(logging, settings.level.upper())
+
+
 def set_up_logs(settings: LogSettings) -> None:
     """Choose the format and level of every log line."""
-    level = getattr(logging, settings.level.upper())
     renderer = (
         structlog.dev.ConsoleRenderer(colors=False)
         if settings.format == "console"
@@ -24,7 +28,7 @@
             structlog.processors.format_exc_info,
             renderer,
         ],
-        wrapper_class=structlog.make_filtering_bound_logger(level),
+        wrapper_class=structlog.make_filtering_bound_logger(log_level(settings)),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
         cache_logger_on_first_use=False,
     )
