Wake waiting streams when peers free places

Cause: a stream waited until one of its own host's streams ended, though its peers' heartbeats showed free places.

--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -220,6 +220,9 @@
     def _note_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._traffic.seen = self._traffic.seen or heartbeat.traffic
         self.directory.note_peer(heartbeat.node, loads_of(heartbeat))
+        # Places that other hosts' streams freed are known only from here: without
+        # this a stream waited until one of this host's own ended.
+        self.streams.wake_all()
 
     async def _answer_readiness(self, request: HttpRequest, exchange: Exchange) -> None:
         if self.is_ready:
