--- a/mallowpond/state/placement.py
+++ b/mallowpond/state/placement.py
@@ -10,6 +10,9 @@
 
 from mallowpond.state.fleet import EngineProfile, ModelSpec
 
+# Requests beyond the slots that an engine may be given: its queue admits them as
+# soon as a slot frees, so a slot never idles for the length of a round trip.
+QUEUE_BEYOND_SLOTS = 1
 # Passes from the arrival of a request to its first event beside the reading: the one
 # under way, and one that writes. With 1.5 the median of 1,842 first events on one
 # loaded day took 1.28 times the prediction.
@@ -94,7 +97,7 @@
     prompts takes no more: each would come late and delay the events of those that
     run. A group with nothing to read always takes one, however slow it is.
     """
-    if load.running >= profile.slots:
+    if load.running >= profile.slots + QUEUE_BEYOND_SLOTS:
         return False
     if load.reading_tokens <= 0:
         return True
