--- a/mallowpond/node/ingress.py
+++ b/mallowpond/node/ingress.py
@@ -11,9 +11,9 @@
 from mallowpond.node.configuration import ConfigurationFollower
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, CutOff, Reason, Refusal, ServeOutcome
-from mallowpond.node.planner import TrafficSeen
 from mallowpond.node.ports import CallerProtocol, CallerRequest, InvalidRequest
 from mallowpond.node.streams import StreamService, StreamWork
+from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.waiting import retry_after
 from mallowpond.state.fleet import EngineProfile, ModelSpec
 from mallowpond.state.site_configuration import (
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -26,6 +26,7 @@
     OrderUnfit,
     Targets,
 )
+from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.watch import GroupWatch
 from mallowpond.state.fleet import EngineProfile, Group, GroupPhase, Target
 from mallowpond.state.formation import (
@@ -107,7 +108,7 @@
         clock: Clock,
         metrics: NodeMetrics,
         stall_seconds: float,
-        traffic_seen: "TrafficSeen",
+        traffic_seen: TrafficSeen,
     ) -> None:
         self._configuration = configuration
         self._directory = directory
@@ -577,13 +578,6 @@
             log.error("planner: task failed", error=repr(task.exception()))
 
 
-@dataclass(kw_only=True)
-class TrafficSeen:
-    """Remember whether any request came: loads are cheap only before the first."""
-
-    seen: bool = False
-
-
 def _shows(target: Target, step: Step) -> bool:
     """Tell whether a target's entry shows that an order took effect."""
     member = target.membership
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -23,10 +23,11 @@
     heartbeat_loads,
     loads_of,
 )
-from mallowpond.node.planner import GroupPlanner, TrafficSeen
+from mallowpond.node.planner import GroupPlanner
 from mallowpond.node.ports import NodePorts
 from mallowpond.node.settings import NodeSettings
 from mallowpond.node.streams import StreamService
+from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.watch import GroupWatch
 from mallowpond.state.retry_window import RetryWindow
 from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
--- a/mallowpond/node/settings.py
+++ b/mallowpond/node/settings.py
@@ -10,8 +10,6 @@
     """Hold the deployment's promises, in seconds unless they are shares."""
 
     revoke: float = 5.0
-    apply: float = 2.0
-    drain: float = 2.0
     grace: float = 8.0
     stall: float = 4.0
     checks_fencing: bool = False
@@ -33,6 +31,5 @@
     store: str
     first_start: bool = False
     metrics_port: int = 0
-    heartbeat: float = 1.0
     bounds: NodeBounds = field(default_factory=NodeBounds)
     log: LogSettings = field(default_factory=LogSettings)
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -242,7 +242,7 @@
 
 
 @dataclass(kw_only=True)
-class Bench:
+class Rig:
     """Hold a stream service over fakes."""
 
     clock: FakeClock
@@ -276,7 +276,7 @@
         )
 
 
-async def bench_of(*groups):
+async def rig_of(*groups):
     """Build a stream service whose list holds these open groups."""
     clock, targets = FakeClock(), FakeTargets()
     members = [target for group in groups for target in open_group(group)]
@@ -294,7 +294,7 @@
         rng=random.Random(1),
     )
     await directory.refresh()
-    return Bench(
+    return Rig(
         clock=clock,
         targets=targets,
         directory=directory,
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -83,7 +83,6 @@
         since = max(self._directory.work(key).last_event_at, oldest, self._fresh_from)
         return GroupQuiet(
             silent_seconds=now - since,
-            streams_writing=sum(s.last_event_at is not None for s in streams),
             predicted_gap=predicted,
             allowed_gap=min(stream.allowed_gap for stream in streams),
         )
--- a/mallowpond/platform/documents.py
+++ b/mallowpond/platform/documents.py
@@ -84,19 +84,16 @@
     return EngineProfile(
         slots=int(engine.get("slots", 1)),
         models=tuple(_model(model) for model in engine.get("models") or ()),
-        memory_tokens=int(engine.get("kv_capacity", 0)),
         stride=int(engine.get("stride", 1)),
         step_seconds=engine.get("step_ms", 0.0) * MILLISECONDS,
         request_seconds=engine.get("per_seq_ms", 0.0) * MILLISECONDS,
         context_seconds_per_k=engine.get("context_per_k", 0.0) * MILLISECONDS,
         read_tokens_per_second=float(engine.get("read_per_s") or 1.0),
-        chunk_tokens=int(engine.get("chunk", 1)),
         loads_per_second=float(engine.get("loads_per_s", 0.0)),
         loads_at_once=int(engine.get("loads_at_once", 1)),
         usual_prompt_tokens=float(usual.get("prompt", 0.0)),
         usual_answer_tokens=float(usual.get("answer", 0.0)),
         far_factor=float(engine.get("far_x") or 1.0),
-        forming_seconds=engine.get("form_ms", 0.0) * MILLISECONDS,
     )
 
 
--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -23,18 +23,15 @@
 
     slots: int
     models: tuple[ModelSpec, ...] = ()
-    memory_tokens: int = 0
     stride: int = 1
     step_seconds: float = 0.0
     request_seconds: float = 0.0
     context_seconds_per_k: float = 0.0
     read_tokens_per_second: float = 1.0
-    chunk_tokens: int = 1
     loads_per_second: float = 0.0
     loads_at_once: int = 1
     usual_prompt_tokens: float = 0.0
     usual_answer_tokens: float = 0.0
-    forming_seconds: float = 0.0
     far_factor: float = 1.0
 
     def model(self, name: str) -> ModelSpec | None:
--- a/mallowpond/state/placement.py
+++ b/mallowpond/state/placement.py
@@ -39,7 +39,6 @@
     key: str
     load: GroupLoad
     is_leaving: bool = False
-    same_data_centre: bool = False
 
 
 def pass_seconds(profile: EngineProfile, model: ModelSpec, load: GroupLoad) -> float:
--- a/mallowpond/state/silence.py
+++ b/mallowpond/state/silence.py
@@ -23,7 +23,6 @@
     """Describe the streams that one entry host has on one group."""
 
     silent_seconds: float
-    streams_writing: int
     predicted_gap: float
     allowed_gap: float
 
--- a/mallowpond/state/tests/test_placement.py
+++ b/mallowpond/state/tests/test_placement.py
@@ -76,7 +76,6 @@
     predicted = silent_seconds(PROFILE, MODEL, load)
     return GroupQuiet(
         silent_seconds=silent,
-        streams_writing=1,
         predicted_gap=predicted,
         allowed_gap=allowed,
     )
