--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -13,8 +13,8 @@
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, Reason, Refusal, ServeOutcome
 from mallowpond.node.ports import CallerProtocol, CallerRequest, Headers, Targets
-from mallowpond.node.waiting import retry_after
 from mallowpond.state.fleet import Target
+from mallowpond.state.limits import spread_retry_after
 from mallowpond.state.retry_window import RetryWindow
 from mallowpond.state.site_configuration import Repeat, Route
 from mallowpond.transport.http_client import CallFailed
@@ -235,7 +235,7 @@
         if work.sent_to:
             status = 504 if reason is Reason.TIMEOUT else 502
             return Refusal(status=status, reason=reason)
-        after = retry_after(NO_TARGET_RETRY_SECONDS, self._rng.random())
+        after = spread_retry_after(NO_TARGET_RETRY_SECONDS, self._rng.random())
         return Refusal(status=503, reason=reason, retry_after=after)
 
 
--- a/mallowpond/node/ingress.py
+++ b/mallowpond/node/ingress.py
@@ -12,10 +12,11 @@
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, CutOff, Reason, Refusal, ServeOutcome
 from mallowpond.node.ports import CallerProtocol, CallerRequest, InvalidRequest
-from mallowpond.node.streams import StreamService, StreamWork
+from mallowpond.node.stream_work import StreamWork
+from mallowpond.node.streams import StreamService
 from mallowpond.node.traffic import TrafficSeen
-from mallowpond.node.waiting import retry_after
 from mallowpond.state.fleet import EngineProfile, ModelSpec
+from mallowpond.state.limits import spread_retry_after
 from mallowpond.state.site_configuration import (
     Repeat,
     Route,
@@ -175,7 +176,7 @@
         return await self._calls.serve(call)
 
     def _come_back(self, reason: Reason) -> Refusal:
-        after = retry_after(UNSURE_RETRY_SECONDS, self._rng.random())
+        after = spread_retry_after(UNSURE_RETRY_SECONDS, self._rng.random())
         return Refusal(status=503, reason=reason, retry_after=after)
 
     def _apply_limits(self, configuration: SiteConfiguration) -> None:
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -26,10 +26,12 @@
     OrderUnfit,
     Targets,
 )
+from mallowpond.node.probes import TargetProbes
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.watch import GroupWatch
 from mallowpond.state.fleet import EngineProfile, Group, GroupPhase, Target
-from mallowpond.state.formation import (
+from mallowpond.state.formation import plan_steps
+from mallowpond.state.formation_view import (
     Close,
     Formation,
     FormationView,
@@ -38,7 +40,6 @@
     Open,
     Stage,
     Step,
-    plan_steps,
 )
 
 log = structlog.get_logger()
@@ -53,11 +54,6 @@
 # Time after an order within which a target's report may not show it, in seconds: a
 # few times the usual lag of reports.
 REPORT_LAG_SECONDS = 0.7
-# Pause between two probes of a member that the list has lost, in seconds.
-LAPSE_PROBE_SECONDS = 1.0
-# Probes in a row that find a target unhealthy before it counts as leaving: a head
-# whose slots are full refuses a probe as it refuses a request.
-UNHEALTHY_PROBES = 2
 # Pause between two questions to the targets of orders while the list is lost, in
 # seconds: reports lag by some hundred milliseconds.
 ASK_SECONDS = 0.3
@@ -75,10 +71,6 @@
 EFFECT_SECONDS = 1.5
 # Pause before an order that did not fit or got lost is given again, in seconds.
 AGAIN_SECONDS = 0.3
-# Pause between two probes of a target that did not answer, in seconds.
-PROBE_SECONDS = 2.0
-# Probes in a row that must fail before a target counts as lost.
-PROBES = 2
 # Suspicions of one group within a time in seconds, each cleared by probes, after
 # which it is formed anew: its members answer, yet cannot reach one another.
 CLEARED_SUSPICIONS = 4
@@ -121,28 +113,34 @@
         self._stall_seconds = stall_seconds
         self._traffic_seen = traffic_seen
         self._tasks: set[asyncio.Task[None]] = set()
+        self._probes = TargetProbes(
+            configuration=configuration,
+            directory=directory,
+            targets=targets,
+            peers=peers,
+            clock=clock,
+            may_learn=self._may_learn,
+            spawn=self._spawn,
+        )
         self._reset()
         leadership.on_taken.append(self._reset)
         watch.on_suspect.append(self._investigate)
 
     def _reset(self) -> None:
+        self._probes.reset()
         self._is_fresh = False
         self._next_epoch = self._leadership.fence * EPOCHS_PER_FENCE + 1
         self._orders: dict[str, int] = {}
         self._pending: dict[str, Pending] = {}
-        self._lost: dict[str, float] = {}
         self._left: dict[str, GroupKey] = {}
         self._joined: dict[str, tuple[GroupKey, float]] = {}
         self._closed: set[GroupKey] = set()
         self._ordered_at: dict[str, float] = {}
-        self._lapse_probed: dict[str, float] = {}
-        self._unhealthy: dict[str, int] = {}
         self._formations: dict[GroupKey, Formation] = {}
         self._first_seen: dict[GroupKey, float] = {}
         self._cleared: dict[GroupKey, list[float]] = {}
         self._loads: dict[str, tuple[str, float]] = {}
         self._loads_begun: list[float] = []
-        self._probing: dict[str, asyncio.Task[bool]] = {}
         self._asked_at = float("-inf")
         self._summed_up_at = float("-inf")
 
@@ -201,7 +199,7 @@
             demand=self._demand(profile),
             pressure=self._pressure(profile),
             next_epoch=self._next_epoch,
-            lost=frozenset(self._lost),
+            lost=self._probes.lost,
             busy=frozenset(self._pending),
             formations=self._formations,
             first_seen=self._first_seen,
@@ -221,7 +219,7 @@
     def _as_left(self, target: Target) -> Target:
         """Return a target without the group that it left before the list shows it."""
         member = target.membership
-        if target.lapsed and self._unhealthy.get(target.id, 0) >= UNHEALTHY_PROBES:
+        if self._probes.is_leaving(target):
             return replace(target, draining=True)
         if member is None:
             return target
@@ -324,7 +322,6 @@
             for key, formation in self._formations.items()
             if key in groups or now - formation.ordered_at < self._stall_seconds
         }
-        self._lost = {t: at for t, at in self._lost.items() if t in targets}
         self._closed &= groups.keys()
         for identifier, (_, at) in list(self._joined.items()):
             target = targets.get(identifier)
@@ -340,7 +337,7 @@
             target = targets.get(identifier)
             if target is None or _has_loaded(target, model) or now - at > LOAD_SECONDS:
                 del self._loads[identifier]
-        self._probe_again(now)
+        self._probes.look()
         if self._directory.is_lost:
             self._ask_pending(now)
 
@@ -397,7 +394,7 @@
             return known
         report = await self._targets.report(target)
         if isinstance(report, Unavailable):
-            self._investigate_target(target)
+            self._probes.investigate(target)
             return None
         if _place(report.target) != _place(target):
             # Another planner's order came after the list was read: a count that
@@ -441,7 +438,7 @@
             case OrderLost():
                 self._orders.pop(target.id, None)
                 self._give_back(step)
-                self._investigate_target(target)
+                self._probes.investigate(target)
 
     def _note_taken(self, step: Step) -> None:
         self._ordered_at[step.target.id] = self._clock.now()
@@ -459,6 +456,11 @@
             self._closed.add((step.group, step.epoch))
         self._pending[step.target.id] = Pending(step=step, until=until)
 
+    def _may_learn(self, identifier: str) -> bool:
+        """Tell whether a target's report surely shows its last order."""
+        ordered_at = self._ordered_at.get(identifier, float("-inf"))
+        return self._clock.now() - ordered_at > REPORT_LAG_SECONDS
+
     def _give_back(self, step: Step) -> None:
         """Free the target for another order after a moment."""
         until = self._clock.now() + AGAIN_SECONDS
@@ -479,8 +481,8 @@
             self._spawn(self._probe_group(group))
 
     async def _probe_group(self, group: Group) -> None:
-        members = [m for m in group.members if m.id not in self._lost]
-        answers = await asyncio.gather(*(self._probe(m) for m in members))
+        members = [m for m in group.members if m.id not in self._probes.lost]
+        answers = await asyncio.gather(*(self._probes.probe(m) for m in members))
         if not all(answers) or len(members) < len(group.members):
             return
         self._cleared.setdefault(group.key, []).append(self._clock.now())
@@ -492,51 +494,6 @@
         self._watch.clear(group.key)
         self._peers.tell_suspicion(group.key, cleared=True)
 
-    def _investigate_target(self, target: Target) -> None:
-        if target.id not in self._probing and target.id not in self._lost:
-            self._spawn(self._probe_quietly(target))
-
-    async def _probe_quietly(self, target: Target) -> None:
-        await self._probe(target)
-
-    async def _probe(self, target: Target) -> bool:
-        """Ask a target whether it lives; whoever asks meanwhile shares the answer."""
-        running = self._probing.get(target.id)
-        if running is None:
-            running = asyncio.ensure_future(self._ask(target))
-            self._probing[target.id] = running
-            running.add_done_callback(lambda _: self._probing.pop(target.id, None))
-        return await asyncio.shield(running)
-
-    async def _ask(self, target: Target) -> bool:
-        for _ in range(PROBES):
-            report = await self._targets.report(target)
-            if not isinstance(report, Unavailable):
-                ordered_at = self._ordered_at.get(target.id, float("-inf"))
-                if self._clock.now() - ordered_at > REPORT_LAG_SECONDS:
-                    self._directory.learn(report.target)
-                if self._lost.pop(target.id, None) is not None:
-                    log.info("planner: target regained", target=target.id)
-                return True
-        if target.id not in self._lost:
-            log.warning("planner: target lost", target=target.id, reason=report.reason)
-        self._lost[target.id] = self._clock.now()
-        return False
-
-    def _probe_again(self, now: float) -> None:
-        for target in list(self._directory.targets.values()):
-            if not target.lapsed or target.membership is None:
-                continue
-            if target.id in self._lost:
-                self._directory.forget(target.id)
-            elif now - self._lapse_probed.get(target.id, 0.0) > LAPSE_PROBE_SECONDS:
-                self._lapse_probed[target.id] = now
-                self._spawn(self._probe_lapsed(target))
-        for identifier, at in self._lost.items():
-            target = self._directory.targets.get(identifier)
-            if target and now - at > PROBE_SECONDS and identifier not in self._probing:
-                self._spawn(self._probe_quietly(target))
-
     def _ask_pending(self, now: float) -> None:
         """Ask the targets of orders what came of them while the list is lost."""
         if now - self._asked_at < ASK_SECONDS:
@@ -544,28 +501,8 @@
         self._asked_at = now
         for identifier in self._pending:
             target = self._directory.targets.get(identifier)
-            if target is not None and identifier not in self._lost:
-                self._spawn(self._probe_quietly(target))
-
-    async def _probe_lapsed(self, target: Target) -> None:
-        """Tell a target that is cut off from the list from one that leaves."""
-        configuration = self._configuration.configuration
-        service = configuration and configuration.services.get(target.service)
-        if not service:
-            return
-        healthy = await self._targets.is_healthy(target, service.health_path)
-        if isinstance(healthy, Unavailable):
-            await self._probe(target)
-            return
-        if healthy:
-            self._unhealthy.pop(target.id, None)
-            self._directory.vouch(target.id)
-            self._peers.tell_vouch(target.id)
-            return
-        times = self._unhealthy.get(target.id, 0) + 1
-        self._unhealthy[target.id] = times
-        if times == UNHEALTHY_PROBES:
-            log.info("planner: target leaves unannounced", target=target.id)
+            if target is not None and identifier not in self._probes.lost:
+                self._spawn(self._probes.probe(target))
 
     def _spawn(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -5,7 +5,9 @@
 
 from mallowpond.coordination.ports import TableService, Unavailable
 from mallowpond.state.fleet import Target
-from mallowpond.state.formation import Step
+from mallowpond.state.formation_view import (
+    Step,
+)
 from mallowpond.state.site_configuration import SiteConfiguration
 from mallowpond.transport.http_client import CallFailed, HttpResponse
 from mallowpond.transport.http_server import HttpRequest
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -3,23 +3,26 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import structlog
 
 from mallowpond.coordination.ports import Clock
-from mallowpond.gateway.relay import StreamProgress
-from mallowpond.node.directory import Directory, GroupKey
+from mallowpond.node.directory import Directory
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, CutOff, Reason, Refusal, ServeOutcome
-from mallowpond.node.ports import CallerProtocol, CallerRequest, Targets
-from mallowpond.node.waiting import (
-    WAIT_SHARE,
-    WaitingLine,
-    expected_wait,
-    retry_after,
+from mallowpond.node.ports import CallerProtocol, Targets
+from mallowpond.node.stream_work import (
+    ActiveStream,
+    AttemptEnd,
+    FailedAnswer,
+    Interrupted,
+    NotRun,
+    StreamWork,
+    WholeAnswer,
 )
+from mallowpond.node.waiting import WaitingLine
 from mallowpond.state.fleet import EngineProfile, Group, ModelSpec
+from mallowpond.state.limits import expected_wait, spread_retry_after
 from mallowpond.state.placement import (
     Candidate,
     GroupLoad,
@@ -28,17 +31,18 @@
     pass_seconds,
 )
 from mallowpond.state.retry_window import RetryWindow
-from mallowpond.state.site_configuration import Route
 from mallowpond.transport.http_client import (
     CallFailed,
     Chunk,
     End,
     HttpResponse,
 )
-from mallowpond.transport.http_server import Exchange
 
 log = structlog.get_logger()
 
+# Share of a caller's patience that a stream may wait here for a place: the rest is
+# for reading the prompt and the first pass.
+WAIT_SHARE = 0.6
 # Silence after which callers leave, in seconds: their patience at the least.
 PATIENCE_SECONDS = 2.0
 PATIENCE_OBJECTIVES = 4.0
@@ -54,103 +58,6 @@
 EVENT_ID = b"id:"
 
 
-@dataclass(kw_only=True)
-class StreamWork:
-    """Hold the state of one stream while it is served."""
-
-    request: CallerRequest
-    route: Route
-    service: str
-    profile: EngineProfile
-    model: ModelSpec
-    workspace: str | None
-    priority: int
-    deadline: float
-    exchange: Exchange
-    progress: StreamProgress = field(default_factory=StreamProgress)
-    last_event: str | None = None
-    sent_to: list[str] = field(default_factory=list)
-    not_run: int = 0
-    sends: int = 0
-    waited: float = 0.0
-    started_at: float = 0.0
-    first_event_at: float | None = None
-    last_event_at: float | None = None
-    longest_gap: float = 0.0
-
-    @property
-    def prompt_tokens(self) -> float:
-        """Return the tokens that a group reads first, those written so far too."""
-        written = self.progress.events * self.profile.stride
-        return float(self.request.prompt_tokens + written)
-
-
-@dataclass(kw_only=True, eq=False)
-class ActiveStream:
-    """Watch one stream's send to one group."""
-
-    work: StreamWork
-    group: Group
-    sent_at: float
-    task: asyncio.Task["AttemptEnd"] | None = None
-    moved: Reason | None = None
-    reading: float = 0.0
-    last_event_at: float | None = None
-    events: int = 0
-
-    @property
-    def key(self) -> GroupKey:
-        """Return the group's key."""
-        return self.group.key
-
-    @property
-    def allowed_gap(self) -> float:
-        """Return the silence that leaves the stream on time, in seconds."""
-        route = self.work.route
-        if self.last_event_at is None and self.work.first_event_at is None:
-            return route.objective_seconds
-        return route.gap_seconds or route.objective_seconds
-
-    def move(self, reason: Reason) -> None:
-        """Stop the send; the stream goes on at another group."""
-        if self.moved is None and self.task is not None:
-            self.moved = reason
-            self.task.cancel()
-
-
-@dataclass(frozen=True, kw_only=True)
-class WholeAnswer:
-    """The group's answer ended as it should."""
-
-    status: int
-
-
-@dataclass(frozen=True, kw_only=True)
-class NotRun:
-    """The group proved that it did not run the request."""
-
-    reason: Reason
-
-
-@dataclass(frozen=True, kw_only=True)
-class Interrupted:
-    """The answer broke off, failed, or the stream was moved away."""
-
-    reason: Reason
-
-
-@dataclass(frozen=True, kw_only=True)
-class FailedAnswer:
-    """The engine ran the request and answered with a failure of its own."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-
-AttemptEnd = WholeAnswer | NotRun | Interrupted | FailedAnswer
-
-
 class StreamService:
     """Serve streams on the groups of a directory."""
 
@@ -327,9 +234,9 @@
         line = self._lines.setdefault(work.model.name, WaitingLine())
         wait = expected_wait(
             ahead=line.ahead_of(work.priority),
-            places=float(len(groups) * work.profile.slots),
-            hold_seconds=self._hold_seconds(work),
-            hosts=self._hosts(),
+            places=len(groups) * work.profile.slots,
+            # Every host gets its part of the places that free.
+            service_seconds=self._hold_seconds(work) * self._hosts(),
         )
         patience = min(self._patience(work), work.deadline - now)
         if not groups:
@@ -365,7 +272,7 @@
         return max(0.1, passes * pass_seconds(work.profile, work.model, load))
 
     def _refuse(self, reason: Reason, wait: float) -> Refusal:
-        after = retry_after(wait, self._rng.random())
+        after = spread_retry_after(wait, self._rng.random())
         return Refusal(status=503, reason=reason, retry_after=after)
 
     def _wake(self, model: str) -> None:
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -15,7 +15,8 @@
     OrderTaken,
     TargetsRead,
 )
-from mallowpond.node.streams import StreamService, StreamWork
+from mallowpond.node.stream_work import StreamWork
+from mallowpond.node.streams import StreamService
 from mallowpond.state.fleet import (
     EngineProfile,
     GroupPhase,
--- a/mallowpond/node/tests/test_waiting.py
+++ b/mallowpond/node/tests/test_waiting.py
@@ -2,12 +2,7 @@
 
 import asyncio
 
-from mallowpond.node.waiting import (
-    MAX_RETRY_AFTER_SECONDS,
-    WaitingLine,
-    expected_wait,
-    retry_after,
-)
+from mallowpond.node.waiting import WaitingLine
 
 
 async def served(line, now, *streams):
@@ -55,15 +50,3 @@
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
     assert len(line) == 0
-
-
-def test_the_wait_follows_from_places_and_hosts():
-    assert expected_wait(ahead=0, places=0, hold_seconds=1, hosts=7) == float("inf")
-    assert expected_wait(ahead=9, places=50, hold_seconds=1.0, hosts=5) == 1.0
-
-
-def test_callers_refused_together_come_back_apart():
-    times = {retry_after(1.0, draw / 10) for draw in range(10)}
-    assert len(times) == 10
-    assert max(times) <= 2 * MAX_RETRY_AFTER_SECONDS
-    assert min(times) > 0
--- a/mallowpond/node/waiting.py
+++ b/mallowpond/node/waiting.py
@@ -10,35 +10,6 @@
 from dataclasses import dataclass, field
 from itertools import count
 
-# Share of a caller's patience that a stream may wait here for a place: the rest is
-# for reading the prompt and the first pass.
-WAIT_SHARE = 0.6
-# Bounds of the time to come back, in seconds.
-MIN_RETRY_AFTER_SECONDS = 0.1
-MAX_RETRY_AFTER_SECONDS = 3.0
-# Spread of the time to come back: callers refused together return apart.
-RETRY_SPREAD = (0.6, 1.4)
-
-
-def expected_wait(
-    *, ahead: int, places: float, hold_seconds: float, hosts: int
-) -> float:
-    """Return the seconds until this host's next place, behind `ahead` others.
-
-    Places free at `places / hold_seconds` a second; each host takes its part.
-    """
-    if places <= 0:
-        return float("inf")
-    return (ahead + 1) * hold_seconds * max(1, hosts) / places
-
-
-def retry_after(wait_seconds: float, draw: float) -> float:
-    """Return the time to come back after; `draw` is uniform in [0, 1)."""
-    low, high = RETRY_SPREAD
-    spread = low + (high - low) * draw
-    bounded = min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait_seconds))
-    return round(bounded * spread, 2)
-
 
 @dataclass(kw_only=True, eq=False)
 class _Turn:
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -10,7 +10,8 @@
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Reason
 from mallowpond.node.peers import PeerNetwork, Suspicion
-from mallowpond.node.streams import ActiveStream, StreamService
+from mallowpond.node.stream_work import ActiveStream
+from mallowpond.node.streams import StreamService
 from mallowpond.state.placement import pass_seconds, silent_seconds
 from mallowpond.state.silence import GroupQuiet, is_suspect
 
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -17,7 +17,14 @@
 from mallowpond.platform import documents
 from mallowpond.platform import headers as names
 from mallowpond.state.fleet import Target
-from mallowpond.state.formation import Close, Join, Leave, Open, Stage, Step
+from mallowpond.state.formation_view import (
+    Close,
+    Join,
+    Leave,
+    Open,
+    Stage,
+    Step,
+)
 from mallowpond.transport.http_client import CallFailed, HttpClient, HttpResponse
 
 # Time until an order or a question to an engine counts as unanswered, in seconds:
--- a/mallowpond/platform/tests/test_engines.py
+++ b/mallowpond/platform/tests/test_engines.py
@@ -14,7 +14,13 @@
 )
 from mallowpond.platform.engines import PlatformEngines
 from mallowpond.state.fleet import Target
-from mallowpond.state.formation import Close, Join, Leave, Open, Stage
+from mallowpond.state.formation_view import (
+    Close,
+    Join,
+    Leave,
+    Open,
+    Stage,
+)
 from mallowpond.transport.http_client import HttpClient, HttpResponse
 from mallowpond.transport.tests import scripted
 
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -8,17 +8,26 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from math import ceil
 
 from mallowpond.state.fleet import (
-    EngineProfile,
     Group,
     GroupPhase,
     ModelSpec,
     Target,
     assemble_groups,
 )
+from mallowpond.state.formation_view import (
+    Close,
+    Formation,
+    FormationView,
+    Join,
+    Leave,
+    Open,
+    Stage,
+    Step,
+)
 
 # Loads that are begun in a second, as a share of the declared rate: loads are
 # counted when they begin at the engine, which is later than the order by a jitter.
@@ -48,103 +57,6 @@
 GROUP_PREFIX = "group-"
 
 
-@dataclass(frozen=True, kw_only=True)
-class Join:
-    """Make a target a member of a group."""
-
-    target: Target
-    group: str
-    epoch: int
-    model: str
-    members: tuple[str, ...]
-    loads: bool = False
-
-
-@dataclass(frozen=True, kw_only=True)
-class Open:
-    """Let a head serve."""
-
-    target: Target
-    group: str
-    epoch: int
-
-
-@dataclass(frozen=True, kw_only=True)
-class Close:
-    """Stop a head from serving; `evict` hands back its work at once."""
-
-    target: Target
-    group: str
-    epoch: int
-    evict: bool
-
-
-@dataclass(frozen=True, kw_only=True)
-class Leave:
-    """Take a member out of a group, which breaks the group."""
-
-    target: Target
-    group: str
-    epoch: int
-
-
-@dataclass(frozen=True, kw_only=True)
-class Stage:
-    """Load a model's weights onto a target's host."""
-
-    target: Target
-    model: str
-
-
-Step = Join | Open | Close | Leave | Stage
-
-
-@dataclass(frozen=True, kw_only=True)
-class Formation:
-    """Remember a group that was ordered: its list, and when."""
-
-    group: str
-    epoch: int
-    model: str
-    members: tuple[str, ...]
-    ordered_at: float
-
-    @property
-    def key(self) -> tuple[str, int]:
-        """Return what tells this formation from every other."""
-        return (self.group, self.epoch)
-
-
-@dataclass(frozen=True, kw_only=True)
-class FormationView:
-    """Hold all that the decision rests on.
-
-    `lost` are targets that do not answer; `busy` targets have an order under way;
-    `formations` are those whose member lists are known here;
-    `distrusted` groups stood silent and none of their members is known to be lost;
-    `closed` groups were told to close, to be taken apart once their work has ended;
-    `loading` are the models that targets were told to load and do not show yet.
-    """
-
-    profile: EngineProfile
-    targets: tuple[Target, ...]
-    now: float
-    next_epoch: int
-    demand: dict[str, float] = field(default_factory=dict)
-    pressure: dict[str, float] = field(default_factory=dict)
-    lost: frozenset[str] = frozenset()
-    busy: frozenset[str] = frozenset()
-    formations: dict[tuple[str, int], Formation] = field(default_factory=dict)
-    first_seen: dict[tuple[str, int], float] = field(default_factory=dict)
-    distrusted: frozenset[tuple[str, int]] = frozenset()
-    closed: frozenset[tuple[str, int]] = frozenset()
-    loads_begun: tuple[float, ...] = ()
-    loading: dict[str, str] = field(default_factory=dict)
-    before_traffic: bool = False
-    is_settled: bool = True
-    newest_target_at: float = float("-inf")
-
-
 def plan_steps(view: FormationView) -> tuple[Step, ...]:
     """Return the orders to give now."""
     planner = _Planner(view)
--- a/mallowpond/state/limits.py
+++ b/mallowpond/state/limits.py
@@ -8,6 +8,10 @@
 CAUTION_DEVIATIONS = 2.0
 MIN_RETRY_AFTER_SECONDS = 1.0
 MAX_RETRY_AFTER_SECONDS = 60.0
+# Bounds of the time to come back for callers whose own time is a few seconds, and its
+# spread: callers refused together return apart instead of all at once.
+SHORT_RETRY_AFTER_SECONDS = (0.1, 3.0)
+RETRY_SPREAD = (0.6, 1.4)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -127,3 +131,11 @@
 def bounded_retry_after(seconds: float) -> float:
     """Keep a time to come back within what a caller can use."""
     return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, seconds))
+
+
+def spread_retry_after(seconds: float, draw: float) -> float:
+    """Return a time to come back around `seconds`; `draw` is uniform in [0, 1)."""
+    least, most = SHORT_RETRY_AFTER_SECONDS
+    low, high = RETRY_SPREAD
+    bounded = min(most, max(least, seconds))
+    return round(bounded * (low + (high - low) * draw), 2)
--- a/mallowpond/state/tests/test_formation.py
+++ b/mallowpond/state/tests/test_formation.py
@@ -7,7 +7,8 @@
     ModelSpec,
     Target,
 )
-from mallowpond.state.formation import (
+from mallowpond.state.formation import plan_steps
+from mallowpond.state.formation_view import (
     Close,
     Formation,
     FormationView,
@@ -15,7 +16,6 @@
     Leave,
     Open,
     Stage,
-    plan_steps,
 )
 
 LARGE = ModelSpec(name="large", size=4, share=0.5, load_seconds=16, warm_seconds=1.6)
--- a/mallowpond/state/tests/test_limits.py
+++ b/mallowpond/state/tests/test_limits.py
@@ -1,6 +1,6 @@
 """Queueing and early refusal."""
 
-from mallowpond.state.limits import FairQueue, judge_wait
+from mallowpond.state.limits import FairQueue, judge_wait, spread_retry_after
 
 
 def test_queue_shares_between_a_large_and_a_small_workspace():
@@ -44,3 +44,20 @@
 
 def test_no_places_means_refusal():
     assert judge_wait(ahead=0, places=0, service_seconds=1.0, remaining=5.0)
+
+
+def test_callers_refused_together_come_back_apart():
+    """Symptom: a burst that was refused comes back as one, and is refused again.
+
+    Sequence: a hundred callers are refused in a moment, all with the same time.
+    Cause: the time to come back had no spread.
+    """
+    times = {spread_retry_after(1.0, draw / 10) for draw in range(10)}
+    assert len(times) == 10
+    assert max(times) <= 1.4
+    assert min(times) >= 0.6
+
+
+def test_a_time_to_come_back_is_one_that_a_short_request_can_use():
+    assert spread_retry_after(float("inf"), 0.5) <= 3.0
+    assert spread_retry_after(0.0, 0.5) > 0
