--- /dev/null
+++ b/mallowpond/node/tests/test_watch.py
@@ -0,0 +1,112 @@
+"""When streams leave a group, and what the peers are told."""
+
+import asyncio
+
+from mallowpond.node.metrics import NodeMetrics
+from mallowpond.node.outcomes import Answered
+from mallowpond.node.peers import Suspicion
+from mallowpond.node.tests.fakes import (
+    FakeExchange,
+    FakeResponse,
+    answer,
+    event,
+    rig_of,
+)
+from mallowpond.node.watch import GroupWatch
+
+STALL_SECONDS = 4.0
+
+
+class FakePeers:
+    """Remember what the peers were told."""
+
+    def __init__(self):
+        self.told = []
+        self.on_suspicion = []
+
+    def tell_suspicion(self, key, *, cleared=False, closing=False):
+        """Remember a message."""
+        self.told.append(key)
+
+
+async def watched(*groups):
+    """Build a rig with a watch, and one stream that got its first event from `a`."""
+    rig = await rig_of(*groups)
+    peers = FakePeers()
+    watch = GroupWatch(
+        streams=rig.service,
+        directory=rig.directory,
+        peers=peers,
+        clock=rig.clock,
+        metrics=NodeMetrics(),
+        stall_seconds=STALL_SECONDS,
+    )
+    held = asyncio.get_running_loop().create_future()
+    rig.targets.script("a0", FakeResponse(script=[event(1), held]))
+    rig.targets.script("b0", answer(2))
+    exchange = FakeExchange()
+    task = asyncio.create_task(rig.service.serve(rig.work(exchange)))
+    while not exchange.body:
+        await asyncio.sleep(0)
+    return rig, watch, peers, task, exchange
+
+
+def let_pass(rig, watch, seconds):
+    """Let time pass in steps as short as the watch's own."""
+    for _ in range(round(seconds / 0.02)):
+        rig.clock.time += 0.02
+        watch.look()
+
+
+async def end(task):
+    """End a stream that is left hanging."""
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_a_stream_leaves_a_group_that_falls_silent():
+    rig, watch, peers, task, exchange = await watched("a", "b")
+    let_pass(rig, watch, 0.3)
+    assert await task == Answered(status=200, target="b0")
+    assert exchange.body == event(1).data + event(2).data
+    assert peers.told == [("a", 1)]
+    names = {g.name for g in rig.directory.serving_groups("engines", "m")}
+    assert names == {"b"}
+
+
+async def test_a_host_that_stood_still_suspects_nobody():
+    """Symptom: a host that was frozen moves all its streams when it wakes.
+
+    Sequence: the host stands still for two seconds; events wait unread meanwhile.
+    Cause: its own pause was taken for the groups' silence.
+    """
+    rig, watch, peers, task, _ = await watched("a", "b")
+    rig.clock.time += 2.0
+    watch.look()
+    assert peers.told == []
+    await end(task)
+
+
+async def test_a_suspicion_of_a_peer_counts_unless_the_group_advances_here():
+    rig, watch, _, task, _ = await watched("a", "b")
+    (hear,) = watch._peers.on_suspicion
+    hear(Suspicion(node="n", group="a", epoch=1))
+    assert not task.done()
+    assert len(rig.directory.serving_groups("engines", "m")) == 2
+    hear(Suspicion(node="n", group="b", epoch=1))
+    names = {g.name for g in rig.directory.serving_groups("engines", "m")}
+    assert names == {"a"}
+    hear(Suspicion(node="n", group="b", epoch=1, cleared=True))
+    assert len(rig.directory.serving_groups("engines", "m")) == 2
+    await end(task)
+
+
+async def test_a_closing_group_gets_nothing_new_and_keeps_its_streams():
+    rig, watch, _, task, _ = await watched("a", "b")
+    (hear,) = watch._peers.on_suspicion
+    hear(Suspicion(node="n", group="a", epoch=1, closing=True))
+    names = {g.name for g in rig.directory.serving_groups("engines", "m")}
+    assert names == {"b"}
+    (stream,) = rig.service.active
+    assert stream.moved is None
+    await end(task)
