--- /dev/null
+++ b/mallowpond/platform/tests/test_ingress.py
@@ -0,0 +1,198 @@
+"""Bad input on the ingress: a status for every case, and never anything but HTTP."""
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mallowpond.node.configuration import ConfigurationFollower
+from mallowpond.node.ingress import Ingress
+from mallowpond.node.metrics import NodeMetrics
+from mallowpond.node.outcomes import Answered
+from mallowpond.node.tests.fakes import FakeClock, FakeSource
+from mallowpond.node.traffic import TrafficSeen
+from mallowpond.platform.callers import PlatformCallers
+from mallowpond.state.site_configuration import (
+    Backend,
+    CallerLimits,
+    KeyHolder,
+    Repeat,
+    Route,
+    SiteConfiguration,
+)
+
+ROUTE = Route(
+    name="r",
+    host="h.example",
+    prefix="/p/",
+    repeat=Repeat.ONCE,
+    backends=(Backend(service="s", weight=1),),
+    timeout_seconds=1.0,
+    objective_seconds=0.2,
+)
+SITE = SiteConfiguration(
+    version=1,
+    routes=(ROUTE,),
+    services={},
+    keys={"good": KeyHolder(workspace="w")},
+    uses_keys=True,
+    limits=CallerLimits(header_bytes=2000, body_bytes=100, header_seconds=0.3),
+)
+
+
+class FakeService:
+    """Answer every request that is admitted."""
+
+    def __init__(self):
+        self.served = []
+
+    async def serve(self, work):
+        """Answer."""
+        self.served.append(work)
+        await work.exchange.respond(200, b"ok", content_type=None)
+        return Answered(status=200, target="t")
+
+
+@asynccontextmanager
+async def ingress_of(*configurations, sure=True):
+    """Serve an ingress that knows these configurations."""
+    clock, source = FakeClock(), FakeSource()
+    source.configurations.extend(configurations)
+    follower = ConfigurationFollower(source=source, clock=clock, revoke_seconds=5.0)
+    if configurations:
+        await follower.step()
+    if not sure:
+        clock.time += 5.0
+    calls = FakeService()
+    ingress = Ingress(
+        callers=PlatformCallers(),
+        configuration=follower,
+        streams=FakeService(),
+        calls=calls,
+        clock=clock,
+        metrics=NodeMetrics(),
+        rng=random.Random(1),
+        traffic=TrafficSeen(),
+    )
+    await ingress.server.start("127.0.0.1", 0)
+    try:
+        yield ingress, calls
+    finally:
+        await ingress.server.close()
+
+
+async def talk(ingress, data):
+    """Send bytes, end sending, and return all that comes back."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", ingress.server.port)
+    try:
+        writer.write(data)
+        return await reader.read(65536)
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
+
+
+def request(*lines, target="/p/x", host="h.example", key="good", body=b""):
+    """Write a request with an id, a key and further header lines."""
+    head = [f"POST {target} HTTP/1.1", f"Host: {host}", "X-Mallowpond-Attempt-Id: q"]
+    if key:
+        head.append(f"Authorization: Bearer {key}")
+    head += [f"Content-Length: {len(body)}", "Connection: close", *lines]
+    return ("\r\n".join(head) + "\r\n\r\n").encode() + body
+
+
+CASES = [
+    (request(), 200),
+    (request(target="/other/"), 404),
+    (request(host="x.example"), 404),
+    (request(key="bad"), 401),
+    (request(key=""), 401),
+    (request("Big: " + "x" * 4000), 431),
+    (request(body=b"x" * 200), 413),
+    (b"GET /p/ HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n", 400),
+    (b"GET /p/ HTTP/1.1\r\n\r\n", 400),
+    (b"\x00\x01\x02\r\n\r\n", 400),
+    (b"POST /p/ HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n", 400),
+    (request(body=b"x" * 50)[:-10], 408),
+]
+
+
+@pytest.mark.parametrize(("data", "status"), CASES)
+async def test_every_case_gets_its_status(data, status):
+    async with ingress_of(SITE) as (ingress, _):
+        # The first request brings the limits of the configuration into force.
+        await talk(ingress, request())
+        answer = await talk(ingress, data)
+        assert answer.startswith(b"HTTP/1.1 %d " % status)
+
+
+async def test_without_a_configuration_callers_are_told_to_come_back():
+    """Symptom: callers of a node that has just started are told that there is no
+    such route, and never come back.
+
+    Sequence: the node serves before it has read a configuration.
+    Cause: knowing nothing was taken for knowing that there is nothing.
+    """
+    async with ingress_of() as (ingress, _):
+        answer = await talk(ingress, request())
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"retry-after: " in answer.lower()
+
+
+async def test_a_node_that_cannot_be_sure_admits_no_key():
+    async with ingress_of(SITE, sure=False) as (ingress, calls):
+        for data in (request(), request(target="/other/")):
+            answer = await talk(ingress, data)
+            assert answer.startswith(b"HTTP/1.1 503 ")
+        assert calls.served == []
+
+
+async def test_a_stopping_node_serves_and_says_that_it_closes():
+    async with ingress_of(SITE) as (ingress, calls):
+        ingress.stopping = True
+        data = request().replace(b"Connection: close\r\n", b"")
+        answer = await talk(ingress, data)
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert b"connection: close" in answer.lower()
+    assert len(calls.served) == 1
+
+
+LINES = st.lists(
+    st.sampled_from(
+        [
+            b"GET /p/x HTTP/1.1",
+            b"POST /p/ HTTP/1.0",
+            b"Host: h.example",
+            b"Content-Length: 5",
+            b"Content-Length: -1",
+            b"Transfer-Encoding: chunked",
+            b"X-Mallowpond-Attempt-Id: q",
+            b"X-Mallowpond-Deadline-Ms: nan",
+            b"X-Mallowpond-Token-Counts: 1,2,3",
+            b"Authorization: Bearer good",
+            b"Expect: 100-continue",
+            b"5",
+            b"0",
+            b"",
+        ]
+    ),
+    max_size=12,
+)
+
+
+@settings(max_examples=40, deadline=None, derandomize=True)
+@given(st.one_of(st.binary(max_size=300), LINES.map(lambda lines: b"\r\n".join(lines))))
+def test_no_bytes_make_the_ingress_answer_anything_but_http(data):
+    async def exchange():
+        async with ingress_of(SITE) as (ingress, _):
+            await talk(ingress, request())
+            answer = await talk(ingress, data + b"\r\n\r\n")
+            assert answer == b"" or answer.startswith(b"HTTP/1.1 ")
+            again = await talk(ingress, request())
+            assert again.startswith(b"HTTP/1.1 200 ")
+
+    asyncio.run(exchange())
