End a formation whose member stands in another group

Only members of later groups ended a formation. Ruled out: late copies (the order was the planner's own) and the count check (it held the first). Test failed first.

--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -233,15 +233,24 @@
         return True
 
     def _has_moved_on(self, known: Formation | None) -> bool:
-        """Tell whether a member has joined a later group meanwhile."""
+        """Tell whether a member stands in another group that is not broken."""
         if known is None:
             return False
         return any(
-            target.membership is not None and target.membership.epoch > known.epoch
+            self._stands_elsewhere(target, known)
             for target in self._view.targets
             if target.id in known.members
         )
 
+    def _stands_elsewhere(self, target: Target, known: Formation) -> bool:
+        member = target.membership
+        if member is None or (member.group, member.epoch) == known.key:
+            return False
+        group = self._groups.get((member.group, member.epoch))
+        is_broken = group is not None and group.phase is GroupPhase.BROKEN
+        # Out of a broken group a member is joined without leaving it first.
+        return member.epoch > known.epoch or not is_broken
+
     def _order_missing_joins(
         self, group: Group, known: Formation, model: ModelSpec
     ) -> None:
--- a/mallowpond/state/tests/test_formation.py
+++ b/mallowpond/state/tests/test_formation.py
@@ -205,6 +205,26 @@
     assert {"g0", "g1"} <= {s.target.id for s in of_kind(steps, Leave)}
 
 
+def test_a_join_is_not_repeated_for_a_target_that_turns_out_to_stand_elsewhere():
+    """Symptom: a host joins a second group while its first one is open.
+
+    Sequence: after a store outage a new planner's list shows a target free; its join
+    is withheld, since the target's report names a group; the list then shows that
+    group whole, and it is opened; the withheld join is ordered once more.
+    Cause: only members of later groups ended a formation, and this one is earlier.
+    """
+    standing = group("old", 1, 3, GroupPhase.OPEN)
+    joined = target("g1", staged="small", group=("g", 5), rank=1)
+    known = Formation(
+        group="g", epoch=5, model="small", members=("old0", "g1", "g2"), ordered_at=NOW
+    )
+    steps = plan(
+        [*standing, joined, target("g2", staged="small")], formations={("g", 5): known}
+    )
+    assert of_kind(steps, Join) == []
+    assert [step.target.id for step in of_kind(steps, Leave)] == ["g1"]
+
+
 def test_a_target_whose_join_is_under_way_is_not_taken_for_another_group():
     """Symptom: a host joins a second group while its first one is open.
 
