--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -143,6 +143,7 @@
     configurations: deque = field(default_factory=deque)
     listed: deque = field(default_factory=deque)
     cut: bool = False
+    asked: list = field(default_factory=list)
 
     async def configuration(self, since, wait_seconds):
         """Answer with the next configuration."""
@@ -158,6 +159,7 @@
 
     async def targets(self, since):
         """Answer with the next list."""
+        self.asked.append(since)
         if self.cut:
             return Unavailable(reason="cut off")
         return self.listed.popleft()
--- a/mallowpond/node/tests/test_directory.py
+++ b/mallowpond/node/tests/test_directory.py
@@ -4,6 +4,7 @@
 
 from mallowpond.node.directory import (
     RETURN_SECONDS,
+    SLOWNESS_SECONDS,
     VOUCHED_SECONDS,
     Directory,
 )
@@ -78,10 +79,26 @@
     directory, source, _ = await directory_of(listing(*group))
     source.listed.append(HistoryLost())
     assert not await directory.refresh()
+    assert source.asked == [0, 1]
     other = open_group("h")
     source.listed.append(listing(*group, *other, revision=5))
     await directory.refresh()
     assert serving(directory) == {"g", "h"}
+    assert source.asked == [0, 1, 0]
+
+
+async def test_a_group_that_was_slow_is_tried_again():
+    """Symptom: a group that has recovered gets no streams for the rest of the day.
+
+    Sequence: it was slow, so all streams went elsewhere, and nothing came from it.
+    Cause: only its own events could show that it is fast again.
+    """
+    directory, _, clock = await directory_of(listing(*open_group("g")))
+    work = directory.work(("g", 1))
+    work.slowness, work.last_event_at = 12.0, clock.time
+    assert directory.load(("g", 1)).slowness == 12.0
+    clock.time += 5 * SLOWNESS_SECONDS
+    assert directory.load(("g", 1)).slowness < 1.1
 
 
 async def test_loads_of_silent_peers_are_forgotten():
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -8,7 +8,7 @@
 from mallowpond.node.configuration import ConfigurationFollower
 from mallowpond.node.directory import Directory
 from mallowpond.node.metrics import NodeMetrics
-from mallowpond.node.planner import GroupPlanner
+from mallowpond.node.planner import REPORT_LAG_SECONDS, GroupPlanner
 from mallowpond.node.ports import EngineReport, OrderLost
 from mallowpond.node.tests.fakes import (
     PROFILE,
@@ -123,10 +123,16 @@
 
 
 async def test_a_new_planner_reads_the_list_before_it_orders():
-    rig = Rig(*open_group("g"))
-    await rig.steps()
+    """Symptom: a new planner takes apart what the last one has just formed.
+
+    Sequence: a node that read the list before a group was formed becomes planner.
+    Cause: it planned on the list that it had.
+    """
+    rig = Rig(free("g0"), free("g1"))
+    await rig.directory.refresh()
+    rig.source.listed = deque([listing(*open_group("g"), revision=2, whole=False)])
+    await rig.steps(3)
     assert rig.targets.orders == []
-    assert rig.directory.groups
 
 
 async def test_what_stands_is_adopted():
@@ -198,6 +204,31 @@
     assert {join.group for join in rig.of_kind(Join)} == first
 
 
+async def test_a_report_says_nothing_of_an_order_that_it_may_not_show_yet():
+    """Symptom: a host joins a second group during a store outage.
+
+    Sequence: a join is taken; the target's report, which lags, shows it free.
+    Cause: the report was taken for what the target holds now.
+    """
+    rig = Rig(free("a"), free("b"))
+    await rig.steps(2)
+    (join, *_) = rig.of_kind(Join)
+    joined = Membership(
+        group=join.group, epoch=join.epoch, rank=0, phase=GroupPhase.READY
+    )
+    await rig.show(replace(free("a"), model="m", membership=joined))
+    rig.source.cut = True
+    await rig.directory.refresh()
+    rig.targets.reports = {"a": EngineReport(orders=1, target=free("a"))}
+    target = rig.directory.targets["a"]
+    rig.planner._ordered_at["a"] = rig.clock.now()
+    assert await rig.planner._probes.probe(target)
+    assert rig.directory.targets["a"].membership == joined
+    rig.clock.time += REPORT_LAG_SECONDS + 0.1
+    assert await rig.planner._probes.probe(target)
+    assert rig.directory.targets["a"].membership is None
+
+
 async def test_survivors_leave_a_group_whose_member_is_dead():
     rig = Rig(*open_group("g"))
     await rig.steps(2)
--- a/mallowpond/node/tests/test_watch.py
+++ b/mallowpond/node/tests/test_watch.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from mallowpond.node.metrics import NodeMetrics
-from mallowpond.node.outcomes import Answered
+from mallowpond.node.outcomes import Answered, Reason
 from mallowpond.node.peers import Suspicion
 from mallowpond.node.tests.fakes import (
     FakeExchange,
@@ -12,7 +12,7 @@
     event,
     rig_of,
 )
-from mallowpond.node.watch import GroupWatch
+from mallowpond.node.watch import SLOW_EVENTS, GroupWatch
 
 STALL_SECONDS = 4.0
 
@@ -74,6 +74,23 @@
     assert names == {"b"}
 
 
+async def test_a_stream_leaves_a_group_whose_every_event_comes_late():
+    """Symptom: a stream ends past its caller's time although other groups are idle.
+
+    Sequence: a group turns twelve times slower; it still sends, so it lives.
+    Cause: only groups that fall silent were left.
+    """
+    rig, watch, peers, task, _ = await watched("a", "b")
+    (stream,) = rig.service.active
+    stream.events = SLOW_EVENTS
+    rig.directory.work(("a", 1)).slowness = 12.0
+    rig.clock.time += 0.02
+    watch.look()
+    assert peers.told == []
+    assert stream.moved is Reason.SLOW_TARGET
+    assert await task == Answered(status=200, target="b0")
+
+
 async def test_a_host_that_stood_still_suspects_nobody():
     """Symptom: a host that was frozen moves all its streams when it wakes.
 
--- a/mallowpond/platform/tests/test_engines.py
+++ b/mallowpond/platform/tests/test_engines.py
@@ -176,3 +176,28 @@
     assert await status_of(b"HTTP/1.1 503 X\r\nx-mallowpond-not-executed: 1\r\n")
     assert not await status_of(b"HTTP/1.1 503 X\r\n")
     assert not await status_of(b"HTTP/1.1 500 X\r\n")
+
+
+async def test_a_connection_with_bytes_left_is_not_used_again():
+    """Symptom: a caller gets bytes that belong to no request.
+
+    Sequence: a target sends more than its answer; the connection is kept.
+    Cause: nobody looked whether anything was left before the next request.
+    """
+    connections = []
+    data = b"HTTP/1.1 200 X\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 X\r\n"
+
+    async def script(reader, writer):
+        connections.append(1)
+        await answering(data)(reader, writer)
+
+    async def call(engines, target):
+        for _ in range(2):
+            response = await engines.send(
+                target, REQUEST, workspace=None, seconds_left=1.0, last_event=None
+            )
+            assert await response.read() == b"ok"
+            response.close()
+
+    await with_engine(script, call)
+    assert len(connections) == 2
--- /dev/null
+++ b/mallowpond/platform/tests/test_program.py
@@ -0,0 +1,96 @@
+"""The settings that the platform fills in, and their reload."""
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+import structlog
+
+from mallowpond.node.settings import NodeBounds, NodeSettings
+from mallowpond.platform import program
+from mallowpond.protocol.declaration_file import Faults
+from mallowpond.settings import load_settings, parse_settings
+
+TEMPLATE = Path(__file__).parents[3] / "deploy" / "node.toml.template"
+FILLED = {
+    "node_name": "front-1",
+    "zone": "hall-a",
+    "ip": "10.1.0.40",
+    "listen.front": "10.1.0.40:8227",
+    "listen.ready": "10.1.0.40:8220",
+    "port_range.0": 7340,
+    "platform.address": "10.200.1.7:8223",
+    "bootstrap": True,
+    "bounds.revoke_ms": 5000,
+    "bounds.grace_s": 8,
+    "bounds.stall_ms": 4000,
+    "bounds.enforce_fencing": True,
+    "bounds.budget_ratio": 0.2,
+    "bounds.budget_window_s": 10,
+    "bounds.budget_slack": 132,
+}
+
+
+def filled():
+    """Fill the template in as the platform's page says."""
+
+    def value(match):
+        name, as_json = match.groups()
+        found = FILLED[name]
+        return json.dumps(found) if as_json else str(found)
+
+    text = TEMPLATE.read_text(encoding="utf-8")
+    return re.sub(r"\{\{([a-z_.0-9]+)(\|json)?\}\}", value, text)
+
+
+def test_the_template_gives_settings_in_seconds():
+    settings = parse_settings(filled(), NodeSettings)
+    assert not isinstance(settings, Faults), settings
+    assert (settings.name, settings.peer_port) == ("front-1", 7340)
+    assert settings.first_start
+    assert settings.bounds == NodeBounds(
+        revoke=5.0,
+        grace=8,
+        stall=4.0,
+        checks_fencing=True,
+        retry_ratio=0.2,
+        retry_window=10,
+        retry_slack=132,
+    )
+
+
+def test_a_field_that_is_not_ours_is_a_fault():
+    assert isinstance(parse_settings(filled() + "\nodd = 1\n", NodeSettings), Faults)
+
+
+@pytest.mark.parametrize("spoilt", ["", "name =", "name = 1\n"])
+def test_a_bad_file_changes_nothing_and_is_told_of(tmp_path, monkeypatch, spoilt):
+    """Symptom: a node stops, or runs on with half of its settings.
+
+    Sequence: its settings file is replaced by a broken one, and it is told to reload.
+    Cause: the file was taken before it was checked whole.
+    """
+    path = tmp_path / "settings.toml"
+    path.write_text(filled(), encoding="utf-8")
+    running = load_settings(path, NodeSettings)
+    path.write_text(spoilt, encoding="utf-8")
+    applied = []
+    monkeypatch.setattr(program, "set_up_node_logs", lambda *_: applied.append(1))
+    with structlog.testing.capture_logs() as logs:
+        program._reload(path, running)
+    assert applied == []
+    assert [line["event"] for line in logs] == ["node: reload refused"]
+    assert logs[0]["faults"]
+
+
+def test_a_changed_file_is_told_of(tmp_path, monkeypatch):
+    path = tmp_path / "settings.toml"
+    path.write_text(filled(), encoding="utf-8")
+    running = load_settings(path, NodeSettings)
+    path.write_text(filled() + '\n[log]\nlevel = "warning"\n', encoding="utf-8")
+    monkeypatch.setattr(program, "set_up_node_logs", lambda *_: None)
+    with structlog.testing.capture_logs() as logs:
+        program._reload(path, running)
+    assert logs[0]["event"] == "node: reloaded"
+    assert logs[0]["changed"] == ["log"]
--- a/mallowpond/state/tests/test_formation.py
+++ b/mallowpond/state/tests/test_formation.py
@@ -245,6 +245,20 @@
     }
 
 
+def test_targets_stay_reserved_also_once_the_head_has_joined():
+    head = target("g0", staged="small", group=("g", 1), rank=0)
+    waiting = [target("g1", staged="small"), target("g2", staged="small")]
+    spare = target("s", staged="small")
+    known = Formation(
+        group="g", epoch=1, model="small", members=("g0", "g1", "g2"), ordered_at=NOW
+    )
+    joins = of_kind(plan([head, *waiting, spare], formations={("g", 1): known}), Join)
+    assert {(join.target.id, join.group) for join in joins} == {
+        ("g1", "g"),
+        ("g2", "g"),
+    }
+
+
 def test_loads_go_where_they_complete_a_group():
     near = [target(f"n{i}", "d0", staged="large") for i in range(3)]
     cold = [target("c0", "d0"), target("c1", "d1")]
