Refuse at a stopping host what it cannot finish

A request is now refused as not run when twice its expected time is not left; the expected time of a stream is that on a full group. Tests fail without it.

--- a/mallowpond/node/ingress.py
+++ b/mallowpond/node/ingress.py
@@ -23,6 +23,7 @@
     SiteConfiguration,
     choose_backend,
 )
+from mallowpond.state.stopping import can_finish
 from mallowpond.transport.http_server import (
     BadInput,
     ClientGone,
@@ -34,8 +35,8 @@
 
 log = structlog.get_logger()
 
-# Time to come back when this node cannot know the configuration, in seconds: other
-# nodes mostly can, and a new connection goes to one of them.
+# Time to come back when this node cannot know the configuration or is about to end,
+# in seconds: other nodes mostly can serve, and a new connection goes to one of them.
 UNSURE_RETRY_SECONDS = 0.3
 # Longest time that a request without a limit of its own is served, in seconds.
 DEFAULT_SECONDS = 30.0
@@ -66,6 +67,7 @@
         self._traffic = traffic
         self._limits_version = 0
         self.stopping = False
+        self.ends_at = float("inf")
         self.in_flight = 0
         self.server = HttpServer(
             handler=self._handle, on_bad_input=self._answer_bad_input
@@ -164,6 +166,8 @@
                     deadline=deadline,
                     exchange=exchange,
                 )
+                if not self._can_finish(self._streams.expected_seconds(work)):
+                    return self._come_back(Reason.STOPPING)
                 return await self._streams.serve(work)
         call = CallWork(
             request=request,
@@ -173,8 +177,15 @@
             deadline=deadline,
             exchange=exchange,
         )
+        if not self._can_finish(route.objective_seconds):
+            return self._come_back(Reason.STOPPING)
         return await self._calls.serve(call)
 
+    def _can_finish(self, expected_seconds: float) -> bool:
+        """Tell whether this host ends after a request that takes so long."""
+        left = self.ends_at - self._clock.now()
+        return can_finish(expected_seconds=expected_seconds, seconds_left=left)
+
     def _come_back(self, reason: Reason) -> Refusal:
         after = spread_retry_after(UNSURE_RETRY_SECONDS, self._rng.random())
         return Refusal(status=503, reason=reason, retry_after=after)
--- a/mallowpond/node/outcomes.py
+++ b/mallowpond/node/outcomes.py
@@ -25,6 +25,7 @@
     TARGET_FAILED = "target_failed"
     CONNECT = "connect"
     SLOW_TARGET = "slow_target"
+    STOPPING = "stopping"
     INTERNAL = "internal_error"
 
 
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -163,6 +163,7 @@
         log.info("node: draining", in_flight=self.ingress.in_flight)
         started = self._clock.now()
         limit = started + self._settings.bounds.grace - CLOSING_SECONDS
+        self.ingress.ends_at = limit
         await self._clock.sleep(min(LAME_SECONDS, 0.5 * self._settings.bounds.grace))
         while self.ingress.in_flight and self._clock.now() < limit:
             await self._clock.sleep(DRAIN_CHECK_SECONDS)
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -266,6 +266,14 @@
         waited = self._clock.now() - work.started_at
         return max(0.0, WAIT_SHARE * whole - waited)
 
+    def expected_seconds(self, work: StreamWork) -> float:
+        """Return how long a stream takes on a full group, from now to its end."""
+        load = GroupLoad(running=work.profile.slots)
+        tokens = work.request.answer_tokens or work.profile.usual_answer_tokens
+        passes = tokens / max(1, work.profile.stride)
+        one_pass = pass_seconds(work.profile, work.model, load)
+        return work.route.objective_seconds + passes * one_pass
+
     def _hold_seconds(self, work: StreamWork) -> float:
         load = GroupLoad(running=work.profile.slots)
         passes = work.profile.usual_answer_tokens / max(1, work.profile.stride)
--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -79,3 +79,22 @@
         await asyncio.sleep(0)
     assert targets.sends == [("g0", None)]
     assert await task == Answered(status=200, target="g0")
+
+
+async def test_a_stop_tells_callers_when_this_host_ends():
+    """Symptom: a stopping host takes streams until its last moment and cuts them.
+
+    Sequence: a stop begins; the host serves on while the balancer takes it out.
+    Cause: what is taken did not depend on how long the host still runs.
+    """
+    clock = FakeClock()
+    ports = NodePorts(
+        callers=FakeCallers(),
+        source=FakeSource(),
+        targets=FakeTargets(),
+        table=MemoryTable(),
+    )
+    node = build(settings=SETTINGS, ports=ports, clock=clock, seed=1)
+    began = clock.now()
+    await node.drain()
+    assert began < node.ingress.ends_at < began + SETTINGS.bounds.grace
--- a/mallowpond/platform/tests/test_ingress.py
+++ b/mallowpond/platform/tests/test_ingress.py
@@ -161,6 +161,22 @@
     assert len(calls.served) == 1
 
 
+async def test_a_node_that_is_about_to_end_refuses_what_it_cannot_finish():
+    """Symptom: an answer is cut off when its node ends, seconds after its stop began.
+
+    Sequence: all nodes of a data centre are stopping, so the balancer still sends
+    callers to them; a node takes a request just before it ends.
+    Cause: a stopping node took every request until its last moment.
+    """
+    async with ingress_of(SITE) as (ingress, calls):
+        ingress.stopping = True
+        ingress.ends_at = ingress._clock.now() + 0.1
+        answer = await talk(ingress, request())
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"retry-after: " in answer.lower()
+    assert calls.served == []
+
+
 LINES = st.lists(
     st.sampled_from(
         [
