--- a/mallowpond/node/stream_work.py
+++ b/mallowpond/node/stream_work.py
@@ -36,6 +36,11 @@
     last_event_at: float | None = None
     longest_gap: float = 0.0
 
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether the caller has part of the answer."""
+        return self.last_event_at is not None
+
     @property
     def prompt_tokens(self) -> float:
         """Return the tokens that a group reads first, those written so far too."""
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -43,9 +43,11 @@
 # Share of a caller's patience that a stream may wait here for a place: the rest is
 # for reading the prompt and the first pass.
 WAIT_SHARE = 0.6
-# Silence after which callers leave, in seconds: their patience at the least.
+# Silence after which callers leave, as the platform's pages give it: the longest of
+# these seconds, objectives and allowed gaps.
 PATIENCE_SECONDS = 2.0
 PATIENCE_OBJECTIVES = 4.0
+PATIENCE_GAPS = 8.0
 # Time left below which a stream is not sent any more, in seconds.
 LEAST_SECONDS = 0.05
 # Share of the objective that a group's predicted first event may take. Less makes
@@ -233,7 +235,7 @@
         groups = self._directory.serving_groups(work.service, work.model.name)
         line = self._lines.setdefault(work.model.name, WaitingLine())
         wait = expected_wait(
-            ahead=line.ahead_of(work.priority),
+            ahead=line.ahead_of(work.priority, has_begun=work.has_begun),
             places=len(groups) * work.profile.slots,
             # Every host gets its part of the places that free.
             service_seconds=self._hold_seconds(work) * self._hosts(),
@@ -249,6 +251,7 @@
                 priority=work.priority,
                 on_time_until=work.started_at + work.route.objective_seconds,
                 seconds=patience,
+                has_begun=work.has_begun,
             )
         finally:
             self._metrics.waiting.dec()
@@ -259,12 +262,18 @@
         return None
 
     def _patience(self, work: StreamWork) -> float:
-        """Return how long a stream may wait for a place from now."""
+        """Return how long a stream may wait for a place from now.
+
+        Counted from its last event: counted from its start, a stream that had run for
+        1.2 s was cut off at once when its group died and no place was free.
+        """
         whole = max(
-            PATIENCE_SECONDS, PATIENCE_OBJECTIVES * work.route.objective_seconds
+            PATIENCE_SECONDS,
+            PATIENCE_OBJECTIVES * work.route.objective_seconds,
+            PATIENCE_GAPS * work.route.gap_seconds,
         )
-        waited = self._clock.now() - work.started_at
-        return max(0.0, WAIT_SHARE * whole - waited)
+        heard_at = work.last_event_at or work.started_at
+        return max(0.0, WAIT_SHARE * whole - (self._clock.now() - heard_at))
 
     def expected_seconds(self, work: StreamWork) -> float:
         """Return how long a stream takes on a full group, from now to its end."""
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -151,6 +151,35 @@
     assert exchange.body == whole(1, 2)
 
 
+async def test_a_stream_that_ran_long_waits_for_a_place_when_its_group_dies():
+    """Symptom: answers are cut off in the middle, although a place frees soon.
+
+    Sequence: a stream has run for 2 s; its group breaks off while the other groups
+    are full; half a second later one has a place.
+    Cause: the time that callers wait for an event was counted from the start of the
+    stream, so it was over.
+    """
+    rig = await rig_of("a", "b")
+    held = asyncio.get_running_loop().create_future()
+    rig.targets.script("a0", FakeResponse(script=[event(1), held, event(2), BROKEN]))
+    rig.directory.work(("b", 1)).running = 10
+    exchange = FakeExchange()
+    task = asyncio.create_task(rig.service.serve(rig.work(exchange)))
+    while not exchange.body:
+        await asyncio.sleep(0)
+    rig.clock.time += 2.0
+    held.set_result(None)
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert not task.done()
+    rig.clock.time += 0.5
+    rig.targets.script("b0", answer(3))
+    rig.directory.work(("b", 1)).running = 0
+    rig.service.wake_all()
+    assert await task == Answered(status=200, target="b0")
+    assert exchange.body == whole(1, 2, 3)
+
+
 async def test_the_work_on_a_group_is_counted_back_when_a_caller_leaves():
     rig = await rig_of("a")
     held = asyncio.get_running_loop().create_future()
--- a/mallowpond/node/tests/test_waiting.py
+++ b/mallowpond/node/tests/test_waiting.py
@@ -9,9 +9,12 @@
     """Let streams wait, free one place after the other, return their order."""
     order = []
 
-    async def wait(name, priority, on_time_until):
+    async def wait(name, priority, on_time_until, has_begun=False):
         if await line.wait(
-            priority=priority, on_time_until=on_time_until, seconds=60.0
+            priority=priority,
+            on_time_until=on_time_until,
+            seconds=60.0,
+            has_begun=has_begun,
         ):
             order.append(name)
 
@@ -50,3 +53,32 @@
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
     assert len(line) == 0
+
+
+async def test_a_stream_whose_group_died_goes_before_newcomers():
+    """Symptom: answers are cut off in the middle while new ones begin.
+
+    Sequence: a group dies under its streams at a time when all places are taken; a
+    place frees, and a newcomer gets it, and the next one too.
+    Cause: the begun stream counted as late, and late ones went last.
+    """
+    order = await served(
+        WaitingLine(), 10.0, ("fresh", 0, 10.2), ("begun", 1, 8.0, True)
+    )
+    assert order == ["begun", "fresh"]
+
+
+async def test_a_begun_stream_waits_behind_begun_ones_only():
+    line = WaitingLine()
+    turns = [
+        asyncio.create_task(
+            line.wait(priority=1, on_time_until=1.0, seconds=60.0, has_begun=begun)
+        )
+        for begun in (False, False, True)
+    ]
+    await asyncio.sleep(0)
+    assert line.ahead_of(1, has_begun=True) == 1
+    assert line.ahead_of(1) == 3
+    for turn in turns:
+        turn.cancel()
+    await asyncio.gather(*turns, return_exceptions=True)
--- a/mallowpond/node/waiting.py
+++ b/mallowpond/node/waiting.py
@@ -13,6 +13,7 @@
 
 @dataclass(kw_only=True, eq=False)
 class _Turn:
+    has_begun: bool
     priority: int
     on_time_until: float
     number: int
@@ -21,7 +22,11 @@
 
 @dataclass(kw_only=True)
 class WaitingLine:
-    """Wake waiting streams: those that can be on time first, then by arrival.
+    """Wake waiting streams: begun ones, those that can be on time, then by arrival.
+
+    A stream whose group died in the middle needs a place for its rest only, and its
+    caller has part of the answer: behind newcomers it would be cut off, its work on
+    the first group would be lost, and the caller would ask for all of it again.
 
     In a first-come order every stream waits as long as the line is, and once that
     passes the objective all of them are late. Served in this order, as many are on
@@ -34,15 +39,23 @@
     def __len__(self) -> int:
         return len(self._turns)
 
-    def ahead_of(self, priority: int) -> int:
-        """Return how many waiting streams would go before a late newcomer."""
-        return sum(1 for turn in self._turns if turn.priority <= priority)
+    def ahead_of(self, priority: int, *, has_begun: bool = False) -> int:
+        """Return how many waiting streams would go before a late one."""
+        if has_begun:
+            return sum(1 for turn in self._turns if turn.has_begun)
+        return sum(1 for t in self._turns if t.has_begun or t.priority <= priority)
 
     async def wait(
-        self, *, priority: int, on_time_until: float, seconds: float
+        self,
+        *,
+        priority: int,
+        on_time_until: float,
+        seconds: float,
+        has_begun: bool = False,
     ) -> bool:
         """Wait for a turn; return False when it did not come in time."""
         turn = _Turn(
+            has_begun=has_begun,
             priority=priority,
             on_time_until=on_time_until,
             number=next(self._numbers),
@@ -64,8 +77,9 @@
         if not self._turns or not has_place():
             return
 
-        def order(turn: _Turn) -> tuple[bool, int, int]:
-            return (turn.on_time_until <= now, turn.priority, turn.number)
+        def order(turn: _Turn) -> tuple[bool, bool, int, int]:
+            late = turn.on_time_until <= now
+            return (not turn.has_begun, late, turn.priority, turn.number)
 
         first = min(self._turns, key=order)
         self._turns.remove(first)
