Add a fault soak of the real programs, with stand-ins of the platform's store and engines

Three nodes, ten engines and a store as processes on loopback; connections between them pass through a proxy that slows, resets, silences or cuts them one way; processes are killed, stopped, paused and started again, keys are taken away, history is dropped, all by seed, in series and overlapping. Promises are checked on what callers got and what engines wrote down.

--- a/mallowpond/programs/cli.py
+++ b/mallowpond/programs/cli.py
@@ -135,6 +135,28 @@
     _run(lambda stop: run_engine(settings, stop))
 
 
+@standin.command("observatory-store")
+def standin_observatory_store(config: ConfigFile) -> None:
+    """Run a stand-in for the observatory platform's store."""
+    from mallowpond.programs.processes import run_observatory_store
+    from mallowpond.standins.observatory_store import StoreOptions
+
+    options = _load(config, StoreOptions)
+    set_up_logs(LogSettings())
+    _run(lambda stop: run_observatory_store(options, stop))
+
+
+@standin.command("observatory-engine")
+def standin_observatory_engine(config: ConfigFile) -> None:
+    """Run a stand-in for an engine of the observatory platform."""
+    from mallowpond.programs.processes import run_observatory_engine
+    from mallowpond.standins.observatory_engine import EngineOptions
+
+    options = _load(config, EngineOptions)
+    set_up_logs(LogSettings())
+    _run(lambda stop: run_observatory_engine(options, stop))
+
+
 @app.command()
 def check(
     file: Annotated[Path, typer.Argument(help="A declaration in TOML.")],
--- a/mallowpond/programs/processes.py
+++ b/mallowpond/programs/processes.py
@@ -7,6 +7,7 @@
 from mallowpond.controller.service import build as build_controller
 from mallowpond.coordination.clock import MonotonicClock
 from mallowpond.coordination.ports import Ports
+from mallowpond.coordination.tasks import cancel_task
 from mallowpond.gateway.service import build as build_gateway
 from mallowpond.settings import (
     ControllerSettings,
@@ -15,6 +16,8 @@
     PlatformStandinSettings,
 )
 from mallowpond.standins.engine import EngineStandin
+from mallowpond.standins.observatory_engine import EngineOptions, ObservatoryEngine
+from mallowpond.standins.observatory_store import ObservatoryStore, StoreOptions
 from mallowpond.standins.platform import PlatformStandin
 from mallowpond.transport.engine_client import EngineClient
 from mallowpond.transport.http_client import HttpClient
@@ -79,3 +82,22 @@
     log.info("engine: started", host=settings.host, port=engine.server.port)
     await stop.wait()
     await engine.close()
+
+
+async def run_observatory_store(options: StoreOptions, stop: asyncio.Event) -> None:
+    """Run the stand-in of the observatory platform's store."""
+    store = ObservatoryStore()
+    await store.server.start(options.host, options.port)
+    expiry = asyncio.create_task(store.run_expiry())
+    await stop.wait()
+    await cancel_task(expiry)
+    await store.server.close()
+
+
+async def run_observatory_engine(options: EngineOptions, stop: asyncio.Event) -> None:
+    """Run the stand-in of one of the observatory platform's engines."""
+    engine = ObservatoryEngine(options=options)
+    await engine.start()
+    await stop.wait()
+    await engine.drain()
+    await engine.close()
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,184 @@
+"""Send requests to the nodes and remember all that came back."""
+
+import asyncio
+import random
+import time
+
+import h11
+
+from soak.records import CallerRecord, Ending, Kind
+
+READ_SIZE = 65536
+STRIDE = 7
+HOST = "h.example"
+PATHS = {Kind.STREAM: "/s/x", Kind.ONCE: "/once/x", Kind.AGAIN: "/again/x"}
+DEADLINES = {Kind.STREAM: 3.0, Kind.ONCE: 1.5, Kind.AGAIN: 1.5}
+# Time beyond its deadline for which a caller listens, in seconds.
+LISTEN_SECONDS = 2.5
+# Share of callers that go to a node also when it says that it is not ready, as a
+# balancer sends them when most nodes say so.
+STRAY_SHARE = 0.1
+READY_LOOK_SECONDS = 0.3
+
+
+class Callers:
+    """Keep requests coming, at random times, on kept and on new connections."""
+
+    def __init__(
+        self, *, ports: list[tuple[int, int]], rate: float, rng: random.Random
+    ) -> None:
+        self._ports = ports
+        self._rate = rate
+        self._rng = rng
+        self._ready: set[int] = set()
+        self._kept: dict[int, list[_Connection]] = {n: [] for n in range(len(ports))}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.records: list[CallerRecord] = []
+
+    async def run(self, until: float) -> None:
+        """Send requests until a time, then let them end."""
+        looking = asyncio.create_task(self._look())
+        while time.monotonic() < until:
+            await asyncio.sleep(self._rng.expovariate(self._rate))
+            self._begin()
+        await asyncio.gather(*self._tasks)
+        looking.cancel()
+        await asyncio.gather(looking, return_exceptions=True)
+        for kept in self._kept.values():
+            for connection in kept:
+                connection.close()
+
+    async def _look(self) -> None:
+        while True:
+            for node, (_, port) in enumerate(self._ports):
+                if await _is_ready(port):
+                    self._ready.add(node)
+                else:
+                    self._ready.discard(node)
+            await asyncio.sleep(READY_LOOK_SECONDS)
+
+    def _begin(self) -> None:
+        rng = self._rng
+        nodes = list(range(len(self._ports)))
+        if self._ready and rng.random() > STRAY_SHARE:
+            nodes = sorted(self._ready)
+        kind = rng.choices(list(Kind), weights=(6, 3, 2))[0]
+        now = time.monotonic()
+        record = CallerRecord(
+            attempt=f"{rng.getrandbits(64):016x}",
+            kind=kind,
+            key=rng.choice(("key-a", "key-b")),
+            node=rng.choice(nodes),
+            events=rng.randint(1, 30),
+            sent_at=now,
+            deadline=now + DEADLINES[kind],
+        )
+        self.records.append(record)
+        task = asyncio.create_task(self._ask(record))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, record: CallerRecord) -> None:
+        connection: _Connection | None = None
+        try:
+            async with asyncio.timeout_at(
+                asyncio.get_running_loop().time()
+                + DEADLINES[record.kind]
+                + LISTEN_SECONDS
+            ):
+                connection = await self._connect(record.node)
+                await connection.ask(record)
+        except TimeoutError:
+            record.ending = Ending.HELD if record.status == 0 else Ending.CUT
+        except (OSError, h11.RemoteProtocolError):
+            record.ending = Ending.CUT if record.status else Ending.NONE
+        finally:
+            record.ended_at = time.monotonic()
+            if connection is not None and connection.is_reusable:
+                self._kept[record.node].append(connection)
+            elif connection is not None:
+                connection.close()
+
+    async def _connect(self, node: int) -> "_Connection":
+        kept = self._kept[node]
+        while kept and self._rng.random() < 0.7:
+            connection = kept.pop()
+            if connection.is_open:
+                return connection
+            connection.close()
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self._ports[node][0]
+        )
+        return _Connection(reader, writer)
+
+
+class _Connection:
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._state = h11.Connection(h11.CLIENT)
+        self.is_reusable = False
+
+    @property
+    def is_open(self) -> bool:
+        return not self._reader.at_eof() and not self._writer.is_closing()
+
+    def close(self) -> None:
+        self._writer.transport.abort()
+
+    async def ask(self, record: CallerRecord) -> None:
+        self.is_reusable = False
+        left = int((record.deadline - time.monotonic()) * 1000)
+        headers = [
+            ("host", HOST),
+            ("authorization", f"Bearer {record.key}"),
+            ("x-mallowpond-attempt-id", record.attempt),
+            ("x-mallowpond-deadline-ms", str(max(1, left))),
+            ("content-length", "0"),
+        ]
+        if record.kind is Kind.STREAM:
+            headers += [
+                ("x-mallowpond-model", "m"),
+                ("x-mallowpond-token-counts", f"100,{STRIDE * record.events}"),
+            ]
+        head = h11.Request(method="POST", target=PATHS[record.kind], headers=headers)
+        data = self._state.send(head) + self._state.send(h11.EndOfMessage())
+        self._writer.write(data)
+        await self._read(record)
+
+    async def _read(self, record: CallerRecord) -> None:
+        while True:
+            event = self._state.next_event()
+            if event is h11.NEED_DATA:
+                self._state.receive_data(await self._reader.read(READ_SIZE))
+            elif isinstance(event, h11.Response):
+                record.status = event.status_code
+                record.headers = {
+                    name.decode(): value.decode() for name, value in event.headers
+                }
+            elif isinstance(event, h11.Data):
+                record.body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                record.ending = Ending.WHOLE
+                break
+            else:
+                raise ConnectionResetError
+        states = (self._state.our_state, self._state.their_state)
+        if states == (h11.DONE, h11.DONE):
+            self._state.start_next_cycle()
+            self.is_reusable = True
+
+
+async def _is_ready(port: int) -> bool:
+    try:
+        async with asyncio.timeout(READY_LOOK_SECONDS):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            try:
+                writer.write(b"GET /-/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+                return b" 200 " in await reader.readline()
+            finally:
+                writer.transport.abort()
+    except (OSError, TimeoutError):
+        return False
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,302 @@
+"""Start the real programs as processes on loopback, and signal them."""
+
+import asyncio
+import base64
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from mallowpond.standins.observatory_store import WRITER_HEADER
+from mallowpond.transport.http_client import CallFailed, HttpClient
+from soak.judge import GROUP_SIZE, REVOKE_SECONDS, WORKSPACES
+from soak.proxy import Proxy
+
+ROOT = Path(__file__).resolve().parent.parent
+NODES = 3
+DOMAINS = 2
+ENGINES_A_DOMAIN = 4
+PLAIN_ENGINES = 2
+GRACE_SECONDS = 8.0
+RESTART_SECONDS = 0.3
+LOAD_SECONDS = 0.3
+
+
+@dataclass(kw_only=True)
+class Member:
+    """Hold one process and how it is started again."""
+
+    name: str
+    arguments: tuple[str, ...]
+    environment: dict[str, str]
+    log: Path
+    process: subprocess.Popen[bytes] | None = None
+    wanted: bool = True
+    stopping_since: float | None = None
+
+    def start(self) -> None:
+        """Start the process; what it writes goes to its log."""
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "mallowpond", *self.arguments],
+                cwd=ROOT,
+                env={**os.environ, **self.environment},
+                stdout=log,
+                stderr=log,
+            )
+        self.stopping_since = None
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process exists."""
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process, if it runs."""
+        if self.is_running and self.process is not None:
+            self.process.send_signal(number)
+
+
+@dataclass(kw_only=True)
+class Fleet:
+    """Hold a store, engines, nodes, and the links between them."""
+
+    folder: Path
+    nodes: list[Member] = field(default_factory=list)
+    engines: list[Member] = field(default_factory=list)
+    store_links: list[Proxy] = field(default_factory=list)
+    engine_links: list[Proxy] = field(default_factory=list)
+    ports: list[tuple[int, int]] = field(default_factory=list)
+    version: int = 0
+    keys: set[str] = field(default_factory=lambda: set(WORKSPACES))
+    _store: Member | None = None
+    _store_port: int = 0
+    _http: HttpClient = field(default_factory=HttpClient)
+    _stack: AsyncExitStack = field(default_factory=AsyncExitStack)
+
+    async def start(self) -> None:
+        """Start everything, and wait until nodes and groups are there."""
+        self._stack.push_async_callback(self._http.close)
+        (self._store_port,) = _free_ports(1)
+        options = {"host": "127.0.0.1", "port": self._store_port}
+        self._store = self._member("store", "observatory-store", options)
+        self._store.start()
+        await self._until(lambda: self.configure(), "the store")
+        for number in range(DOMAINS * ENGINES_A_DOMAIN + PLAIN_ENGINES):
+            await self._add_engine(number)
+        for number in range(NODES):
+            await self._add_node(number)
+        for member in (*self.engines, *self.nodes):
+            member.start()
+        await self._until(self._is_serving, "open groups")
+
+    async def close(self) -> None:
+        """Kill the processes that this fleet started, and close the links."""
+        members = [*self.nodes, *self.engines]
+        if self._store is not None:
+            members.append(self._store)
+        for member in members:
+            member.wanted = False
+            member.signal(signal.SIGCONT)
+            member.signal(signal.SIGKILL)
+        for member in members:
+            if member.process is not None:
+                member.process.wait()
+        await self._stack.aclose()
+
+    async def run_restarts(self) -> None:
+        """Start again what ended, and kill what outlives its grace time."""
+        while True:
+            await asyncio.sleep(RESTART_SECONDS)
+            for member in (*self.nodes, *self.engines):
+                since = member.stopping_since
+                if since is not None and time.monotonic() - since > GRACE_SECONDS:
+                    member.signal(signal.SIGKILL)
+                if member.wanted and not member.is_running:
+                    member.start()
+
+    def stop(self, member: Member) -> None:
+        """Ask a process to end."""
+        if member.stopping_since is None:
+            member.stopping_since = time.monotonic()
+            member.signal(signal.SIGTERM)
+
+    async def configure(self) -> bool:
+        """Write a new configuration with the keys that are in force."""
+        self.version += 1
+        row = {"table": "op", "part": "", "key": "config"}
+        text = json.dumps(_configuration(self.version, self.keys)).encode()
+        value = base64.b64encode(text).decode()
+        return await self._post("/-/rows-tx", {"writes": [{**row, "value": value}]})
+
+    async def drop_history(self) -> bool:
+        """Let the store forget its changes."""
+        return await self._post("/standin/drop-history", {})
+
+    def signal_store(self, number: signal.Signals) -> None:
+        """Send a signal to the store."""
+        if self._store is not None:
+            self._store.signal(number)
+
+    async def _post(self, target: str, document: dict[str, Any]) -> bool:
+        answer = await self._http.fetch(
+            f"127.0.0.1:{self._store_port}",
+            "POST",
+            target,
+            headers=((WRITER_HEADER, "operator"),),
+            body=json.dumps(document).encode(),
+            timeout=1.0,
+        )
+        return not isinstance(answer, CallFailed) and answer[0] == 200
+
+    async def _is_serving(self) -> bool:
+        answer = await self._http.fetch(
+            f"127.0.0.1:{self._store_port}",
+            "GET",
+            "/-/rows-get?table=servers&part=",
+            timeout=1.0,
+        )
+        if isinstance(answer, CallFailed) or answer[0] != 200:
+            return False
+        rows = [
+            json.loads(base64.b64decode(r["value"]))
+            for r in json.loads(answer[1])["rows"]
+        ]
+        states = [(row.get("group") or {}).get("state") for row in rows]
+        return states.count("open") >= DOMAINS
+
+    async def _until(self, holds: Any, what: str, seconds: float = 30.0) -> None:
+        limit = time.monotonic() + seconds
+        while not await holds():
+            if time.monotonic() > limit:
+                raise TimeoutError(f"{what} did not come up")
+            await asyncio.sleep(0.1)
+
+    async def _add_engine(self, number: int) -> None:
+        (port,) = _free_ports(1)
+        link = await self._link(port)
+        is_plain = number >= DOMAINS * ENGINES_A_DOMAIN
+        options = {
+            "host": "127.0.0.1",
+            "port": port,
+            "advertised": f"127.0.0.1:{link.port}",
+            "store": f"127.0.0.1:{self._store_port}",
+            "service": "plain" if is_plain else "engines",
+            "domain": "" if is_plain else f"d{number // ENGINES_A_DOMAIN}",
+            "data_centre": "a",
+            "journal": str(self.folder / f"engine{number}.journal"),
+        }
+        if not is_plain:
+            options["models"] = {"m": LOAD_SECONDS}
+        member = self._member(f"engine{number}", "observatory-engine", options)
+        self.engines.append(member)
+        self.engine_links.append(link)
+
+    async def _add_node(self, number: int) -> None:
+        callers, readiness, peers = _free_ports(3)
+        link = await self._link(self._store_port)
+        path = self.folder / f"node{number}.toml"
+        path.write_text(
+            f'name = "node-{number}"\ndata_centre = "a"\naddress = "127.0.0.1"\n'
+            f'callers = "127.0.0.1:{callers}"\nreadiness = "127.0.0.1:{readiness}"\n'
+            f'peer_port = {peers}\nstore = "127.0.0.1:{link.port}"\n'
+            f"[bounds]\nrevoke = {REVOKE_SECONDS}\ngrace = {GRACE_SECONDS}\n"
+            "stall = 1.0\nchecks_fencing = true\n"
+        )
+        self.nodes.append(
+            Member(
+                name=f"node{number}",
+                arguments=("node",),
+                environment={"MALLOWPOND_BOOT": str(path)},
+                log=self.folder / f"node{number}.log",
+            )
+        )
+        self.store_links.append(link)
+        self.ports.append((callers, readiness))
+
+    async def _link(self, port: int) -> Proxy:
+        link = Proxy(target_port=port)
+        await link.start()
+        self._stack.push_async_callback(link.close)
+        return link
+
+    def _member(self, name: str, program: str, options: dict[str, Any]) -> Member:
+        path = self.folder / f"{name}.toml"
+        path.write_text(_toml(options))
+        return Member(
+            name=name,
+            arguments=("standin", program, "--config", str(path)),
+            environment={},
+            log=self.folder / f"{name}.log",
+        )
+
+
+def _toml(options: dict[str, Any]) -> str:
+    lines = [f"{k} = {json.dumps(v)}" for k, v in options.items() if k != "models"]
+    if "models" in options:
+        lines.append("[models]")
+        lines += [f"{name} = {value}" for name, value in options["models"].items()]
+    return "\n".join(lines) + "\n"
+
+
+def _free_ports(count: int) -> list[int]:
+    with_ports = [socket.socket() for _ in range(count)]
+    for one in with_ports:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in with_ports]
+    for one in with_ports:
+        one.close()
+    return ports
+
+
+def _configuration(version: int, keys: set[str]) -> dict[str, Any]:
+    def route(name: str, kind: str, service: str, timeout: int, **more: Any) -> dict:
+        return {
+            "name": name,
+            "host": "h.example",
+            "prefix": f"/{name}/",
+            "kind": kind,
+            "service": service,
+            "timeout_ms": timeout,
+            "slo_ms": 300,
+            "priority": 1,
+            "max_attempts": 2,
+            **more,
+        }
+
+    models = [{"name": "m", "size": GROUP_SIZE, "load_s": LOAD_SECONDS}]
+    engine = {
+        "slots": 8,
+        "stride": 7,
+        "models": models,
+        "step_ms": 2.8,
+        "read_per_s": 50000.0,
+        "loads_per_s": 10.0,
+        "loads_at_once": 6,
+        "usual": {"prompt": 100, "answer": 100},
+        "far_x": 2.0,
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("s", "stream", "engines", 3000, can_resume=True, gap_target_ms=300),
+            route("once", "non_idempotent", "plain", 1500),
+            route("again", "idempotent", "plain", 1500),
+        ],
+        "services": [
+            {"name": "engines", "health_path": "/healthz", "engine": engine},
+            {"name": "plain", "health_path": "/healthz"},
+        ],
+        "limits": {"header_timeout_ms": 2000, "idle_timeout_ms": 10000},
+        "tenants": [
+            {"name": name, "api_keys": [key] if key in keys else []}
+            for key, name in WORKSPACES.items()
+        ],
+    }
--- /dev/null
+++ b/soak/judge.py
@@ -0,0 +1,190 @@
+"""Check the promises on what a run left behind."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+
+from mallowpond.standins.observatory_engine import call_body, event_bytes
+from soak.records import CallerRecord, Ending, Kind, Note, Run
+
+GROUP_SIZE = 3
+REVOKE_SECONDS = 2.0
+DRAIN_SECONDS = 2.0
+# Time that links, timers and a busy machine may add to a bound, in seconds.
+SLACK_SECONDS = 0.5
+# Time after a disturbance in which a bound in time does not hold, in seconds.
+CALM_SECONDS = 3.0
+# Time after its deadline at which a request must have ended, in seconds.
+HELD_SECONDS = 1.0
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+WORKSPACES = {"key-a": "a", "key-b": "b"}
+
+
+def broken_promises(run: Run, *, timed: bool = True) -> list[str]:
+    """Return a line for each broken promise; with `timed`, bounds in time count."""
+    checks = (
+        _whole_answers,
+        _at_most_once,
+        _true_refusals,
+        _workspaces,
+        _whole_groups,
+        _one_group,
+    )
+    if timed:
+        checks += (_held, _revoked_keys, _leaving_targets, _graceful_stops)
+    return [line for check in checks for line in check(run)]
+
+
+def _expected(record: CallerRecord) -> bytes:
+    if record.kind is not Kind.STREAM:
+        return call_body(record.attempt)
+    numbers = range(1, record.events + 1)
+    return b"".join(event_bytes(record.attempt, number) for number in numbers)
+
+
+def _whole_answers(run: Run) -> Iterator[str]:
+    for record in run.callers:
+        if record.status != 200:
+            continue
+        whole = _expected(record)
+        if record.headers.get("x-mallowpond-attempt-id") != record.attempt:
+            yield f"{record.attempt}: the answer belongs to another request"
+        if record.ending is Ending.WHOLE and record.body != whole:
+            yield f"{record.attempt}: ended as whole, but is not"
+        if not whole.startswith(record.body):
+            yield f"{record.attempt}: events missing, doubled or mixed"
+
+
+def _runs(run: Run) -> Iterator[Note]:
+    return (note for note in run.notes if note.event == "run")
+
+
+def _at_most_once(run: Run) -> Iterator[str]:
+    once = {r.attempt for r in run.callers if r.kind is Kind.ONCE}
+    counts = Counter(note.values["attempt"] for note in _runs(run))
+    for attempt in once:
+        if counts[attempt] > 1:
+            yield f"{attempt}: ran {counts[attempt]} times"
+
+
+def _true_refusals(run: Run) -> Iterator[str]:
+    ran = {note.values["attempt"] for note in _runs(run)}
+    for record in run.callers:
+        refused = record.status in NOT_RUN_STATUSES
+        if refused and record.kind is Kind.ONCE and record.attempt in ran:
+            yield f"{record.attempt}: answered {record.status}, and it ran"
+
+
+def _workspaces(run: Run) -> Iterator[str]:
+    by_attempt = {r.attempt: r for r in run.callers}
+    for note in _runs(run):
+        record = by_attempt.get(note.values["attempt"])
+        if record is None:
+            yield f"{note.values['attempt']}: no caller sent it"
+        elif note.values["tenant"] != WORKSPACES[record.key]:
+            yield f"{record.attempt}: ran for workspace {note.values['tenant']}"
+        if note.values["has_key"]:
+            yield f"{note.values['attempt']}: its key was passed on"
+
+
+def _held(run: Run) -> Iterator[str]:
+    for record in run.callers:
+        end = record.deadline + HELD_SECONDS
+        is_held = record.ending is Ending.HELD or record.ended_at > end
+        if is_held and _is_calm(run, record.node, record.sent_at - CALM_SECONDS, end):
+            yield f"{record.attempt}: held beyond its deadline"
+
+
+def _revoked_keys(run: Run) -> Iterator[str]:
+    sent = {r.attempt: r for r in run.callers}
+    for note in _runs(run):
+        record = sent.get(note.values["attempt"])
+        for revocation in run.revocations:
+            begins = revocation.accepted_at + REVOKE_SECONDS
+            if record is None or record.key != revocation.key:
+                continue
+            if begins < record.sent_at < revocation.restored_at:
+                yield f"{record.attempt}: ran with a key that was taken away"
+
+
+def _whole_groups(run: Run) -> Iterator[str]:
+    ready: set[tuple[str, tuple[str, int]]] = set()
+    for note in run.notes:
+        if note.event == "state" and note.values["state"] == "ready":
+            ready.add((note.engine, note.key))
+        if note.event != "run" or note.key is None:
+            continue
+        members = note.values["members"]
+        missing = [m for m in members if (m, note.key) not in ready]
+        if len(members) != GROUP_SIZE or missing:
+            yield f"{note.values['attempt']}: ran in a group that is not whole"
+
+
+def _one_group(run: Run) -> Iterator[str]:
+    phase: dict[tuple[str, int], tuple[str, str]] = {}
+    for note in run.notes:
+        if note.event == "state" and note.engine == note.values["members"][0]:
+            phase[note.key] = (note.engine, note.values["state"])
+        if note.event == "leave":
+            phase.pop(note.key, None)
+        if note.event == "join" and note.values["before"] is not None:
+            before = tuple(note.values["before"])
+            head, state = phase.get(before, ("", ""))
+            is_other = before != note.key and head != note.engine
+            if is_other and state in ("open", "closing") and _lives(run, head, note.at):
+                yield f"{note.engine}: joined {note.key} while {before} was {state}"
+
+
+def _lives(run: Run, engine: str, at: float) -> bool:
+    """Tell whether an engine does anything after a moment."""
+    return any(note.engine == engine and note.at > at for note in run.notes)
+
+
+def _leaving_targets(run: Run) -> Iterator[str]:
+    sent = {r.attempt: r for r in run.callers}
+    accepted: dict[str, float] = {}
+    for note in run.notes:
+        if note.event == "draining accepted":
+            accepted[note.engine] = note.at
+        since = accepted.get(note.engine)
+        if note.event != "run" or since is None:
+            continue
+        record = sent.get(note.values["attempt"])
+        is_late = note.at > since + DRAIN_SECONDS + SLACK_SECONDS
+        calm_from = since - CALM_SECONDS
+        if record and is_late and _is_calm(run, record.node, calm_from, note.at):
+            yield f"{record.attempt}: sent to an engine that leaves"
+
+
+def _graceful_stops(run: Run) -> Iterator[str]:
+    ran = {note.values["attempt"] for note in _runs(run)}
+    stops = [d for d in run.disturbances if d.kind == "node_stop"]
+    by_node: dict[int, list[float]] = defaultdict(list)
+    for stop in stops:
+        if stop.node is not None:
+            by_node[stop.node].append(stop.began_at)
+    for record in run.callers:
+        if record.ending not in (Ending.CUT, Ending.NONE):
+            continue
+        for at in by_node[record.node]:
+            lasted = record.sent_at - CALM_SECONDS, record.ended_at
+            is_near = at - SLACK_SECONDS < record.ended_at < at + 9.0
+            if record.attempt in ran and is_near and _is_planned(run, *lasted):
+                yield f"{record.attempt}: cut off by a planned stop"
+
+
+def _is_planned(run: Run, start: float, end: float) -> bool:
+    """Tell whether nothing but planned stops of nodes happened in a time."""
+    return not any(
+        d.began_at < end and d.ended_at > start
+        for d in run.disturbances
+        if d.kind != "node_stop"
+    )
+
+
+def _is_calm(run: Run, node: int, start: float, end: float) -> bool:
+    """Tell whether neither a node nor what all nodes share was disturbed."""
+    return not any(
+        d.began_at < end and d.ended_at > start
+        for d in run.disturbances
+        if d.node in (None, node)
+    )
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,115 @@
+"""Carry connections between two processes, and spoil them on request."""
+
+import asyncio
+from enum import Enum
+
+READ_SIZE = 65536
+# Delay of every chunk on a slow link, in seconds: some times the usual answer time.
+SLOW_SECONDS = 0.3
+
+
+class Link(str, Enum):
+    """Say how a link behaves."""
+
+    SOUND = "sound"
+    SLOW = "slow"
+    RESET = "reset"
+    SILENT = "silent"
+    ONE_WAY = "one_way"
+
+
+class Proxy:
+    """Pass bytes from one loopback port to another."""
+
+    def __init__(self, *, target_port: int) -> None:
+        self._target_port = target_port
+        self._link = Link.SOUND
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on."""
+        assert self._server is not None
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self, port: int = 0) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
+
+    async def close(self) -> None:
+        """Drop every connection."""
+        if self._server is not None:
+            self._server.close()
+        self._abort_all()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def set(self, link: Link) -> None:
+        """Change how the link behaves from now on."""
+        was_silent = self._link in (Link.SILENT, Link.ONE_WAY)
+        self._link = link
+        if link is Link.RESET or was_silent:
+            # Bytes that a cut held up are lost with their connections.
+            self._abort_all()
+
+    def _abort_all(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self._writers.add(writer)
+        try:
+            await self._carry(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self._writers.discard(writer)
+            self._tasks.discard(task)
+
+    async def _carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._link is Link.RESET:
+            writer.transport.abort()
+            return
+        there_reader, there = await asyncio.open_connection(
+            "127.0.0.1", self._target_port
+        )
+        self._writers.add(there)
+        try:
+            await asyncio.gather(
+                self._pump(reader, there, is_reply=False),
+                self._pump(there_reader, writer, is_reply=True),
+            )
+        finally:
+            self._writers.discard(there)
+            there.transport.abort()
+            writer.transport.abort()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        is_reply: bool,
+    ) -> None:
+        while data := await reader.read(READ_SIZE):
+            if self._link is Link.SLOW:
+                await asyncio.sleep(SLOW_SECONDS)
+            if self._link is Link.SILENT or (self._link is Link.ONE_WAY and is_reply):
+                # The bytes are gone, and neither side is told.
+                continue
+            writer.write(data)
+            await writer.drain()
+        if self._link in (Link.SILENT, Link.ONE_WAY):
+            await asyncio.Event().wait()
+        # The end of one direction ends both: all peers here use whole closes.
+        raise ConnectionResetError
--- /dev/null
+++ b/soak/records.py
@@ -0,0 +1,110 @@
+"""What callers saw and what engines did, as the checks read it."""
+
+import json
+from dataclasses import dataclass, field
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+
+class Kind(str, Enum):
+    """Name the kinds of requests."""
+
+    STREAM = "stream"
+    ONCE = "once"
+    AGAIN = "again"
+
+
+class Ending(str, Enum):
+    """Say how an answer ended for its caller."""
+
+    WHOLE = "whole"
+    CUT = "cut"
+    NONE = "none"
+    HELD = "held"
+
+
+@dataclass(kw_only=True)
+class CallerRecord:
+    """Hold one request as its caller saw it; times are those of one host's clock."""
+
+    attempt: str
+    kind: Kind
+    key: str
+    node: int
+    events: int
+    sent_at: float
+    deadline: float
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    ending: Ending = Ending.NONE
+    ended_at: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Note:
+    """Hold one line of an engine's journal."""
+
+    at: float
+    engine: str
+    event: str
+    values: dict[str, Any]
+
+    @property
+    def key(self) -> tuple[str, int] | None:
+        """Return the group that the line is about."""
+        group = self.values.get("group")
+        return None if group is None else (group, self.values["epoch"])
+
+
+@dataclass(frozen=True, kw_only=True)
+class Disturbance:
+    """Say what was done to which process, and when; `node` None means all nodes."""
+
+    kind: str
+    began_at: float
+    ended_at: float
+    node: int | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class Revocation:
+    """Say when a key was taken away, and when it was given back."""
+
+    key: str
+    accepted_at: float
+    restored_at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Run:
+    """Hold all that one run left behind."""
+
+    callers: tuple[CallerRecord, ...]
+    notes: tuple[Note, ...]
+    disturbances: tuple[Disturbance, ...]
+    revocations: tuple[Revocation, ...]
+
+
+def read_notes(folder: Path) -> tuple[Note, ...]:
+    """Return the lines of every journal in a folder, by time.
+
+    A killed engine may leave its last line half written.
+    """
+    notes = []
+    for path in folder.glob("*.journal"):
+        for line in path.read_text().splitlines():
+            try:
+                values = json.loads(line)
+            except ValueError:
+                continue
+            notes.append(
+                Note(
+                    at=values.pop("at"),
+                    engine=values.pop("engine"),
+                    event=values.pop("event"),
+                    values=values,
+                )
+            )
+    return tuple(sorted(notes, key=lambda note: note.at))
--- /dev/null
+++ b/soak/tests/test_judge.py
@@ -0,0 +1,133 @@
+"""Each check of the soak sees the breach that it is there for."""
+
+from dataclasses import replace
+
+import pytest
+
+from mallowpond.standins.observatory_engine import call_body, event_bytes
+from soak.judge import broken_promises
+from soak.records import (
+    CallerRecord,
+    Disturbance,
+    Ending,
+    Kind,
+    Note,
+    Revocation,
+    Run,
+)
+
+MEMBERS = ["e0", "e1", "e2"]
+
+
+def note(event, at=10.0, engine="e0", **values):
+    """Write a line of an engine's journal."""
+    return Note(at=at, engine=engine, event=event, values=values)
+
+
+def ran(attempt="q", at=10.1, engine="p0", **values):
+    """Write the line of a run."""
+    place = {"group": None, "epoch": None, "members": None}
+    told = {"attempt": attempt, "tenant": "a", "has_key": False, **place, **values}
+    return note("run", at=at, engine=engine, **told)
+
+
+def record(kind=Kind.ONCE, **more):
+    """Write a request that was answered whole."""
+    body = call_body("q")
+    if kind is Kind.STREAM:
+        body = event_bytes("q", 1) + event_bytes("q", 2)
+    found = CallerRecord(
+        attempt="q",
+        kind=kind,
+        key="key-a",
+        node=0,
+        events=2,
+        sent_at=10.0,
+        deadline=11.5,
+        status=200,
+        headers={"x-mallowpond-attempt-id": "q"},
+        body=body,
+        ending=Ending.WHOLE,
+        ended_at=10.2,
+    )
+    return replace(found, **more)
+
+
+def run_of(*records, notes=(), disturbances=(), revocations=()):
+    """Write a run."""
+    return Run(
+        callers=records,
+        notes=tuple(notes),
+        disturbances=disturbances,
+        revocations=revocations,
+    )
+
+
+READY = [
+    note("state", 9.0, e, group="g", epoch=1, state="ready", members=MEMBERS)
+    for e in MEMBERS
+]
+OPEN = note("state", 9.1, group="g", epoch=1, state="open", members=MEMBERS)
+IN_GROUP = {"group": "g", "epoch": 1, "members": MEMBERS, "engine": "e0"}
+REVOKED = Revocation(key="key-a", accepted_at=5.0, restored_at=20.0)
+JOINED = note("join", 10.0, "e1", group="h", epoch=2, members=["e1"], before=["g", 1])
+LEAVING = note("draining accepted", 5.0, "p0")
+STOPPED = Disturbance(kind="node_stop", began_at=9.9, ended_at=14.0, node=0)
+REFUSED = {"status": 503, "headers": {}, "body": b""}
+CUT = {"ending": Ending.CUT, "body": event_bytes("q", 1)}
+
+KEPT = [
+    run_of(record(), notes=[ran()]),
+    run_of(record(Kind.STREAM), notes=[*READY, OPEN, ran(**IN_GROUP)]),
+    run_of(record(**REFUSED)),
+    run_of(record(Kind.AGAIN), notes=[ran(), ran()]),
+    run_of(record(**CUT, kind=Kind.STREAM), notes=[ran()]),
+]
+BROKEN = [
+    ("another request", run_of(record(headers={}), notes=[ran()])),
+    ("is not", run_of(record(body=b""), notes=[ran()])),
+    ("missing, doubled", run_of(record(**{**CUT, "body": b"x"}), notes=[ran()])),
+    ("ran 2 times", run_of(record(), notes=[ran(), ran()])),
+    ("and it ran", run_of(record(**REFUSED), notes=[ran()])),
+    ("no caller", run_of(notes=[ran()])),
+    ("for workspace", run_of(record(), notes=[ran(tenant="b")])),
+    ("key was passed", run_of(record(), notes=[ran(has_key=True)])),
+    ("held beyond", run_of(record(ended_at=14.0), notes=[ran()])),
+    ("taken away", run_of(record(), notes=[ran()], revocations=(REVOKED,))),
+    ("not whole", run_of(record(), notes=[*READY[:2], OPEN, ran(**IN_GROUP)])),
+    (
+        "while",
+        run_of(
+            notes=[
+                *READY,
+                OPEN,
+                JOINED,
+                note(
+                    "run",
+                    11.0,
+                    attempt="z",
+                    tenant="a",
+                    has_key=False,
+                    members=MEMBERS,
+                    group="g",
+                    epoch=1,
+                ),
+            ]
+        ),
+    ),
+    ("that leaves", run_of(record(), notes=[LEAVING, ran()])),
+    (
+        "planned stop",
+        run_of(record(**CUT, kind=Kind.STREAM), notes=[ran()], disturbances=(STOPPED,)),
+    ),
+]
+
+
+@pytest.mark.parametrize("run", KEPT)
+def test_a_run_that_kept_its_promises_passes(run):
+    assert broken_promises(run) == []
+
+
+@pytest.mark.parametrize(("told", "run"), BROKEN)
+def test_every_breach_is_seen(told, run):
+    assert any(told in line for line in broken_promises(run))
