--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -12,6 +12,7 @@
 from mallowpond.state.fleet import (
     EngineProfile,
     Group,
+    GroupKey,
     GroupPhase,
     Target,
     assemble_groups,
@@ -42,8 +43,6 @@
 SLOWNESS_SECONDS = 3.0
 SLOWNESS_RANGE = (0.5, 30.0)
 
-GroupKey = tuple[str, int]
-
 
 @dataclass(kw_only=True)
 class GroupWork:
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import cbor2
@@ -20,6 +20,7 @@
     Unknown,
 )
 from mallowpond.state.codec import from_plain, to_plain
+from mallowpond.state.fleet import GroupKey
 
 log = structlog.get_logger()
 
@@ -78,6 +79,25 @@
     closing: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class SilenceQuestion:
+    """Ask whether a group that is silent here, for so many seconds, advances there."""
+
+    node: str
+    group: str
+    epoch: int
+    silent: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Advance:
+    """Answer that a group advances."""
+
+    node: str
+    group: str
+    epoch: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class Vouch:
     """Say that targets which the list has lost were found healthy."""
@@ -86,6 +106,13 @@
     targets: tuple[str, ...]
 
 
+Message = Heartbeat | Suspicion | Vouch | SilenceQuestion | Advance
+MESSAGES = {
+    kind.__name__: kind
+    for kind in (Heartbeat, Suspicion, Vouch, SilenceQuestion, Advance)
+}
+
+
 @dataclass(frozen=True, kw_only=True)
 class NodeRow:
     """Let nodes find one another through the table service."""
@@ -127,6 +154,8 @@
         self.on_heartbeat: list[Callable[[Heartbeat], None]] = []
         self.on_suspicion: list[Callable[[Suspicion], None]] = []
         self.on_vouch: list[Callable[[str], None]] = []
+        self.on_question: list[Callable[[SilenceQuestion], bool]] = []
+        self.on_advance: list[Callable[[GroupKey], None]] = []
 
     @property
     def live(self) -> list[Peer]:
@@ -187,16 +216,25 @@
             )
         )
 
+    def ask_about(self, key: GroupKey, silent: float) -> None:
+        """Ask every peer whether a group advances."""
+        self.tell(
+            SilenceQuestion(node=self._name, group=key[0], epoch=key[1], silent=silent)
+        )
+
     def tell_vouch(self, target: str) -> None:
         """Tell every peer that a target which the list has lost is healthy."""
         self.tell(Vouch(node=self._name, targets=(target,)))
 
-    def tell(self, message: Heartbeat | Suspicion | Vouch) -> None:
+    def tell(self, message: Message) -> None:
         """Send a message to every known peer."""
+        self._send(message, self._addresses.values())
+
+    def _send(self, message: Message, addresses: Iterable[str]) -> None:
         if self._transport is None:
             return
         data = cbor2.dumps([type(message).__name__, to_plain(message)])
-        for address in self._addresses.values():
+        for address in addresses:
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
 
@@ -204,18 +242,30 @@
         """Take a peer's message."""
         try:
             kind, plain = cbor2.loads(data)
-            if kind == "Heartbeat":
-                self._hear(from_plain(plain, Heartbeat))
-            elif kind == "Suspicion":
-                suspicion = from_plain(plain, Suspicion)
+            if kind in MESSAGES:
+                self._take(from_plain(plain, MESSAGES[kind]))
+        except Exception as error:
+            log.warning("peers: datagram dropped", sender=addr[0], error=repr(error))
+
+    def _take(self, message: Message) -> None:
+        match message:
+            case Heartbeat():
+                self._hear(message)
+            case Suspicion():
                 for notify in self.on_suspicion:
-                    notify(suspicion)
-            elif kind == "Vouch":
-                for target in from_plain(plain, Vouch).targets:
+                    notify(message)
+            case Vouch(targets=targets):
+                for target in targets:
                     for vouch in self.on_vouch:
                         vouch(target)
-        except Exception as error:
-            log.warning("peers: datagram dropped", sender=addr[0], error=repr(error))
+            case SilenceQuestion(node=asker, group=group, epoch=epoch):
+                address = self._addresses.get(asker)
+                if address and any(ask(message) for ask in self.on_question):
+                    answer = Advance(node=self._name, group=group, epoch=epoch)
+                    self._send(answer, (address,))
+            case Advance(group=group, epoch=epoch):
+                for note in self.on_advance:
+                    note((group, epoch))
 
     def error_received(self, exc: Exception) -> None:
         """Note that a peer's port is closed; its silence tells the rest."""
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -12,7 +12,6 @@
     PLANNER_POLL_SECONDS,
     POLL_SECONDS,
     Directory,
-    GroupKey,
 )
 from mallowpond.node.leadership import Leadership
 from mallowpond.node.metrics import NodeMetrics
@@ -29,7 +28,7 @@
 from mallowpond.node.probes import TargetProbes
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.watch import GroupWatch
-from mallowpond.state.fleet import EngineProfile, Group, GroupPhase, Target
+from mallowpond.state.fleet import EngineProfile, Group, GroupKey, GroupPhase, Target
 from mallowpond.state.formation import plan_steps
 from mallowpond.state.formation_view import (
     Close,
--- a/mallowpond/node/stream_work.py
+++ b/mallowpond/node/stream_work.py
@@ -4,10 +4,9 @@
 from dataclasses import dataclass, field
 
 from mallowpond.gateway.relay import StreamProgress
-from mallowpond.node.directory import GroupKey
 from mallowpond.node.outcomes import Reason
 from mallowpond.node.ports import CallerRequest
-from mallowpond.state.fleet import EngineProfile, Group, ModelSpec
+from mallowpond.state.fleet import EngineProfile, Group, GroupKey, ModelSpec
 from mallowpond.state.site_configuration import Route
 from mallowpond.transport.http_server import Exchange
 
--- a/mallowpond/node/tests/test_watch.py
+++ b/mallowpond/node/tests/test_watch.py
@@ -4,7 +4,7 @@
 
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, Reason
-from mallowpond.node.peers import Suspicion
+from mallowpond.node.peers import SilenceQuestion, Suspicion
 from mallowpond.node.tests.fakes import (
     FakeExchange,
     FakeResponse,
@@ -22,7 +22,14 @@
 
     def __init__(self):
         self.told = []
+        self.asked = []
         self.on_suspicion = []
+        self.on_question = []
+        self.on_advance = []
+
+    def ask_about(self, key, silent):
+        """Remember a question."""
+        self.asked.append(key)
 
     def tell_suspicion(self, key, *, cleared=False, closing=False):
         """Remember a message."""
@@ -74,6 +81,63 @@
     assert names == {"b"}
 
 
+async def test_a_group_that_advances_for_other_hosts_keeps_its_streams():
+    """Symptom: in a fleet of 70 hosts groups are taken for dead from the first second,
+    their streams are moved and cut, and whole groups are formed anew.
+
+    Sequence: each host has one stream or two on a group; a pass takes longer than this
+    host expects, since it hears of the others' work late.
+    Cause: a host judged by its own streams alone.
+    """
+    rig, watch, peers, task, _ = await watched("a", "b")
+    rig.clock.time += 0.02
+    while not peers.asked:
+        let_pass(rig, watch, 0.02)
+    (note,) = peers.on_advance
+    note(("a", 1))
+    let_pass(rig, watch, 0.04)
+    assert peers.told == []
+    assert not task.done()
+    await end(task)
+
+
+async def test_a_group_that_died_after_an_answer_is_asked_about_again():
+    rig, watch, peers, task, _ = await watched("a", "b")
+    while not peers.asked:
+        let_pass(rig, watch, 0.02)
+    (note,) = peers.on_advance
+    note(("a", 1))
+    asked = len(peers.asked)
+    let_pass(rig, watch, 0.12)
+    assert len(peers.asked) > asked
+    assert await task == Answered(status=200, target="b0")
+
+
+async def test_a_host_leaves_a_group_that_only_others_can_reach():
+    """Symptom: a stream hangs until its deadline while its group serves others.
+
+    Sequence: the connection to the group falls silent without a reset.
+    Cause: the other hosts' word that the group lives was all that counted.
+    """
+    rig, watch, peers, task, _ = await watched("a", "b")
+    (note,) = peers.on_advance
+    for _ in range(60):
+        let_pass(rig, watch, 0.02)
+        note(("a", 1))
+    assert await task == Answered(status=200, target="b0")
+    assert peers.told == []
+
+
+async def test_a_host_tells_of_an_event_that_it_saw_since():
+    rig, watch, peers, task, _ = await watched("a", "b")
+    (asked,) = peers.on_question
+    rig.clock.time += 0.1
+    assert asked(SilenceQuestion(node="n", group="a", epoch=1, silent=0.3))
+    assert not asked(SilenceQuestion(node="n", group="a", epoch=1, silent=0.1))
+    assert not asked(SilenceQuestion(node="n", group="z", epoch=1, silent=0.3))
+    await end(task)
+
+
 async def test_a_stream_leaves_a_group_whose_every_event_comes_late():
     """Symptom: a stream ends past its caller's time although other groups are idle.
 
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -2,18 +2,27 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from dataclasses import replace
 
 import structlog
 
 from mallowpond.coordination.ports import Clock
-from mallowpond.node.directory import Directory, GroupKey
+from mallowpond.node.directory import Directory
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Reason
-from mallowpond.node.peers import PeerNetwork, Suspicion
+from mallowpond.node.peers import PeerNetwork, SilenceQuestion, Suspicion
 from mallowpond.node.stream_work import ActiveStream
 from mallowpond.node.streams import StreamService
+from mallowpond.state.fleet import GroupKey
 from mallowpond.state.placement import pass_seconds, silent_seconds
-from mallowpond.state.silence import GroupQuiet, is_suspect
+from mallowpond.state.silence import (
+    Doubt,
+    GroupQuiet,
+    Verdict,
+    has_advanced,
+    is_suspect,
+    judge_silence,
+)
 
 log = structlog.get_logger()
 
@@ -24,6 +33,9 @@
 # A pause between two looks that is longer shows that this process stood still: what
 # looks like a group's silence then is its own, so all groups get a new start.
 STALLED_SECONDS = 0.1
+# Time for which a group that only this host cannot reach gets none of its streams, in
+# seconds: a connection that fell silent is replaced by the next stream's.
+UNREACHED_SECONDS = 1.0
 
 
 class GroupWatch:
@@ -47,8 +59,11 @@
         self._stall_seconds = stall_seconds
         self._looked_at = clock.now()
         self._fresh_from = clock.now()
+        self._doubts: dict[GroupKey, Doubt] = {}
         self.on_suspect: list[Callable[[GroupKey], None]] = []
         peers.on_suspicion.append(self._hear)
+        peers.on_question.append(self._sees_advance)
+        peers.on_advance.append(self._note_advance)
 
     async def run(self) -> None:
         """Look until cancelled."""
@@ -69,10 +84,39 @@
         for key, streams in by_group.items():
             quiet = self._quiet(key, streams, now)
             if is_suspect(quiet) and not self._is_marked(key):
-                self._suspect(key, streams, quiet)
+                self._judge(key, streams, quiet)
             else:
+                self._doubts.pop(key, None)
                 self._move_from_slow(streams)
 
+    def _judge(
+        self, key: GroupKey, streams: list[ActiveStream], quiet: GroupQuiet
+    ) -> None:
+        now = self._clock.now()
+        match judge_silence(quiet, self._doubts.get(key), now):
+            case Verdict.ASK:
+                self._doubts[key] = Doubt(asked_at=now)
+                self._peers.ask_about(key, quiet.silent_seconds)
+            case Verdict.SUSPECT:
+                del self._doubts[key]
+                self._suspect(key, streams, quiet)
+            case Verdict.LEAVE:
+                del self._doubts[key]
+                self._leave(key, streams, quiet)
+
+    def _sees_advance(self, question: SilenceQuestion) -> bool:
+        """Answer a peer that takes a group for silent."""
+        key = (question.group, question.epoch)
+        if key not in self._directory.groups:
+            return False
+        own_silence = self._clock.now() - self._directory.work(key).last_event_at
+        return has_advanced(own_silence=own_silence, asked_silence=question.silent)
+
+    def _note_advance(self, key: GroupKey) -> None:
+        doubt = self._doubts.get(key)
+        if doubt is not None:
+            self._doubts[key] = replace(doubt, advanced_at=self._clock.now())
+
     def _quiet(
         self, key: GroupKey, streams: list[ActiveStream], now: float
     ) -> GroupQuiet:
@@ -104,6 +148,21 @@
         self._move(streams)
         self._peers.tell_suspicion(key)
 
+    def _leave(
+        self, key: GroupKey, streams: list[ActiveStream], quiet: GroupQuiet
+    ) -> None:
+        """Move the streams of a group that advances for other hosts."""
+        self._metrics.suspicions.labels("unreached").inc()
+        log.info(
+            "groups: unreached",
+            group=key[0],
+            silent=round(quiet.silent_seconds, 3),
+            predicted=round(quiet.predicted_gap, 3),
+            streams=len(streams),
+        )
+        self._exclude(key, UNREACHED_SECONDS)
+        self._move(streams)
+
     def _move(self, streams: list[ActiveStream]) -> None:
         """Move the streams that may be sent once more; the others stay.
 
@@ -174,8 +233,11 @@
         The list shows it up to a poll later, and each stream sent meanwhile is turned
         away and waits for a place anew.
         """
+        self._exclude(key, self._stall_seconds)
+
+    def _exclude(self, key: GroupKey, seconds: float) -> None:
         work = self._directory.work(key)
-        until = self._clock.now() + self._stall_seconds
+        until = self._clock.now() + seconds
         work.suspected_until = max(work.suspected_until, until)
 
     def clear(self, key: GroupKey) -> None:
--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
+# A group's name and epoch, which tell one formation from every other.
+GroupKey = tuple[str, int]
+
 
 @dataclass(frozen=True, kw_only=True)
 class ModelSpec:
--- a/mallowpond/state/silence.py
+++ b/mallowpond/state/silence.py
@@ -4,9 +4,14 @@
 only seconds later. All streams of a group advance in the same pass, so an event of
 any of them shows that the group lives; the silence of all of them, past what the
 declared timing explains, is the only early sign of its death.
+
+Streams of one group come from many hosts. Where each host has one or two of them, its
+own say little, and what it knows of the others' load is old: it asks whether any host
+saw an event since, before it takes the group for dead.
 """
 
 from dataclasses import dataclass
+from enum import Enum
 
 # Multiple of the predicted silence below which a group is never suspected: passes
 # that read the prompts of other hosts' requests are not all known here.
@@ -16,6 +21,18 @@
 # Share of the objective or gap after which a silent group is suspected if the
 # prediction allows; the rest is what a resume elsewhere takes.
 TRIGGER_SHARE = 0.55
+# Time that the other hosts have to say that they saw an event, in seconds: some tens
+# of round trips within a region, and a small part of any gap target.
+ANSWER_SECONDS = 0.025
+# Time that such an answer counts, in seconds; then the others are asked again, since
+# the group may have died after it.
+ADVANCE_SECONDS = 0.1
+# Multiple of the limit at which a host leaves a group that advances elsewhere: its own
+# way to the group must be cut.
+OWN_SILENCE_FACTOR = 2.0
+# Part of the asker's silence within which another host must have seen an event: all
+# streams of a dead group fall silent with the same pass.
+ADVANCE_SHARE = 0.6
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -37,3 +54,40 @@
     """Tell whether a group's silence means that its streams have to move."""
     limit = silence_limit(quiet.predicted_gap, quiet.allowed_gap)
     return quiet.silent_seconds > limit
+
+
+class Verdict(Enum):
+    """Say what to do about a group that stands silent here."""
+
+    ASK = "ask"
+    WAIT = "wait"
+    LEAVE = "leave"
+    SUSPECT = "suspect"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Doubt:
+    """Remember when the other hosts were asked, and the last event that one saw."""
+
+    asked_at: float
+    advanced_at: float | None = None
+
+
+def judge_silence(quiet: GroupQuiet, doubt: Doubt | None, now: float) -> Verdict:
+    """Decide about a group whose silence here is past its limit."""
+    if doubt is None:
+        return Verdict.ASK
+    if doubt.advanced_at is not None:
+        limit = silence_limit(quiet.predicted_gap, quiet.allowed_gap)
+        if quiet.silent_seconds > OWN_SILENCE_FACTOR * limit:
+            return Verdict.LEAVE
+        is_old = now - doubt.advanced_at > ADVANCE_SECONDS
+        return Verdict.ASK if is_old else Verdict.WAIT
+    if now - doubt.asked_at < ANSWER_SECONDS:
+        return Verdict.WAIT
+    return Verdict.SUSPECT
+
+
+def has_advanced(*, own_silence: float, asked_silence: float) -> bool:
+    """Tell whether this host's last event shows that the group lives."""
+    return own_silence < ADVANCE_SHARE * asked_silence
