--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -1,5 +1,8 @@
 """Follow the configuration, and know how old its last confirmation is."""
 
+import asyncio
+from collections.abc import Callable
+
 import structlog
 
 from mallowpond.coordination.ports import Clock, Unavailable
@@ -10,11 +13,16 @@
 log = structlog.get_logger()
 
 # Time that one question waits at the store for a change, in seconds. A question
-# confirms the version as of its sending, so the age stays below twice this.
-WAIT_SECONDS = 1.0
+# confirms the version as of its sending, so the age stays below twice this; it is
+# time that is missing when the store is lost.
+WAIT_SECONDS = 0.5
 # Pause after a question that failed, in seconds: a store that is down gets few calls,
 # and a node is back well within the bound for a change.
 RETRY_SECONDS = 0.2
+# Pause between two questions to the hosts that read the store, in seconds, and the
+# questions in a row without an answer after which this host reads for itself.
+ASK_SECONDS = 0.5
+UNANSWERED_QUESTIONS = 3
 # Revision from which everything is read.
 FROM_START = 0
 
@@ -32,6 +40,13 @@
         self._failures = 0
         self._configuration: SiteConfiguration | None = None
         self._confirmation: Confirmation | None = None
+        self._question = 0
+        self._asked_at = float("-inf")
+        self._unanswered = 0
+        self._is_behind = asyncio.Event()
+        self.on_newer: list[Callable[[], None]] = []
+        self.is_reader: Callable[[], bool] = lambda: True
+        self.ask_readers: Callable[[int], None] = lambda number: None
 
     @property
     def configuration(self) -> SiteConfiguration | None:
@@ -60,12 +75,60 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            if not await self.step():
+            if self._may_ask_readers():
+                self._ask()
+                await self._pause()
+            elif not await self.step():
                 await self._clock.sleep(RETRY_SECONDS)
 
+    def _may_ask_readers(self) -> bool:
+        """Tell whether the hosts that read the store can be relied on now."""
+        if self._configuration is None or self._is_behind.is_set():
+            return False
+        return not self.is_reader() and self._unanswered < UNANSWERED_QUESTIONS
+
+    def _ask(self) -> None:
+        self._question += 1
+        self._unanswered += 1
+        self._asked_at = self._clock.now()
+        self.ask_readers(self._question)
+
+    async def _pause(self) -> None:
+        """Wait for the next question, or until a newer version is heard of."""
+        sleep = asyncio.ensure_future(self._clock.sleep(ASK_SECONDS))
+        behind = asyncio.ensure_future(self._is_behind.wait())
+        try:
+            await asyncio.wait({sleep, behind}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            sleep.cancel()
+            behind.cancel()
+            await asyncio.gather(sleep, behind, return_exceptions=True)
+
+    def hear_version(self, version: int) -> None:
+        """Note that a peer has this version; a newer one is read at once."""
+        known = self._configuration
+        if known is not None and version > known.version and not self.is_reader():
+            self._is_behind.set()
+
+    def hear_answer(self, number: int, version: int, age: float) -> None:
+        """Take a reader's answer to a question.
+
+        The age counts from before the question was sent: an answer that waited unread
+        while this host stood still confirms nothing after that.
+        """
+        if number != self._question:
+            return
+        self._unanswered = 0
+        self.confirm(version, self._asked_at - age)
+        self.hear_version(version)
+
     async def step(self) -> bool:
         """Ask the store once; return False when it did not answer."""
         asked_at = self._clock.now()
+        if self._is_behind.is_set():
+            # A follower's revision is mostly older than the store's history.
+            self._is_behind.clear()
+            self._revision = FROM_START
         answer = await self._source.configuration(self._revision, WAIT_SECONDS)
         match answer:
             case Unavailable(reason=reason):
@@ -78,6 +141,7 @@
         if self._failures:
             log.info("configuration: store regained", failures=self._failures)
         self._failures = 0
+        self._unanswered = 0
         self._revision = answer.revision
         self._adopt(answer, asked_at)
         return answer.configuration is not None or self._configuration is not None
@@ -121,3 +185,6 @@
             version=configuration.version,
             confirmed_at=confirmed_at,
         )
+        if known is None or configuration.version > known.version:
+            for notify in self.on_newer:
+                notify()
--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -8,7 +8,7 @@
 import structlog
 
 from mallowpond.coordination.ports import Clock, Unavailable
-from mallowpond.node.ports import HistoryLost, SiteSource
+from mallowpond.node.ports import HistoryLost, SiteSource, TargetsRead
 from mallowpond.state.fleet import (
     EngineProfile,
     Group,
@@ -31,6 +31,14 @@
 # Time after which a whole read replaces the changes, in seconds: a feed may have
 # heard nothing of some change.
 WHOLE_READ_SECONDS = 10.0
+# The same for a host that follows readers, which make such reads themselves.
+FOLLOWER_WHOLE_READ_SECONDS = 30.0
+# Silence of the readers after which a host reads for itself, in seconds: some digests.
+READERS_SILENCE_SECONDS = 0.7
+# Time after which a change that a reader tells of has got lost, in seconds.
+MISSED_CHANGE_SECONDS = 0.25
+# Time that the readers' sums of all work count, in seconds.
+TOTALS_SECONDS = 0.7
 # Time that peers' figures of a group's work count, in seconds.
 PEER_LOAD_SECONDS = 1.5
 # Time that a lapsed target is remembered, in seconds, and the time for which a probe
@@ -83,7 +91,15 @@
         self._vouched_at: dict[str, float] = {}
         self._lapsed_at: dict[str, float] = {}
         self.newest_target_at = float("-inf")
+        self.changed = 0
+        self._heard_at = float("-inf")
+        self._behind_since: float | None = None
+        self._totals: dict[GroupKey, tuple[int, float]] = {}
+        self._totals_at = float("-inf")
+        self._told: dict[GroupKey, tuple[int, float]] = {}
         self.poll_seconds = POLL_SECONDS
+        self.is_reader: Callable[[], bool] = lambda: True
+        self.on_read: list[Callable[[TargetsRead, int], None]] = []
         self.on_change: list[Callable[[], None]] = []
 
     # -- reading -------------------------------------------------------------
@@ -170,6 +186,13 @@
         now = self._clock.now()
         own = self._work[key]
         running, reading = own.running, own.reading_tokens
+        if now - self._totals_at < TOTALS_SECONDS:
+            others, others_reading = self._others(key)
+            return GroupLoad(
+                running=running + others,
+                reading_tokens=reading + others_reading,
+                slowness=self._slowness(own, now),
+            )
         for peer in self._peers.values():
             if now - peer.heard_at > PEER_LOAD_SECONDS:
                 continue
@@ -183,6 +206,12 @@
             slowness=self._slowness(own, now),
         )
 
+    def _others(self, key: GroupKey) -> tuple[int, float]:
+        """Return the readers' sum of a group's work without this host's part of it."""
+        running, reading = self._totals.get(key, (0, 0.0))
+        told_running, told_reading = self._told.get(key, (0, 0.0))
+        return max(0, running - told_running), max(0.0, reading - told_reading)
+
     def _slowness(self, work: GroupWork, now: float) -> float:
         """Return a group's slowness, forgotten while it sends nothing.
 
@@ -207,6 +236,15 @@
             if work.running
         }
 
+    def all_loads(self) -> dict[GroupKey, tuple[int, float]]:
+        """Return all hosts' work by group, as a reader sums it up."""
+        loads = {key: self.load(key) for key in self._groups}
+        return {k: (v.running, v.reading_tokens) for k, v in loads.items() if v.running}
+
+    def note_told(self, loads: dict[GroupKey, tuple[int, float]]) -> None:
+        """Note which of this host's work is part of the readers' sums."""
+        self._told = loads
+
     def note_peer(self, name: str, loads: dict[GroupKey, tuple[int, float]]) -> None:
         """Note a peer's work by group."""
         self._peers[name] = PeerLoad(heard_at=self._clock.now(), loads=loads)
@@ -228,14 +266,57 @@
     async def run(self) -> None:
         """Follow the list until cancelled."""
         while True:
-            await self.refresh()
+            if self._must_read():
+                await self.refresh()
             await self._clock.sleep(self.poll_seconds)
 
+    def _must_read(self) -> bool:
+        """Tell whether this host has to read the list itself."""
+        now = self._clock.now()
+        if self.is_reader() or self.poll_seconds < POLL_SECONDS:
+            return True
+        if now - self._heard_at > READERS_SILENCE_SECONDS:
+            return True
+        if now - self._whole_at > FOLLOWER_WHOLE_READ_SECONDS:
+            return True
+        behind = self._behind_since
+        return behind is not None and now - behind > MISSED_CHANGE_SECONDS
+
+    def hear_digest(
+        self, changed: int, loads: dict[GroupKey, tuple[int, float]]
+    ) -> None:
+        """Note a reader's newest change of the list, and its sums of all work."""
+        now = self._clock.now()
+        self._heard_at = now
+        if changed <= self._revision:
+            self._behind_since = None
+            self._note_regained(now)
+            self._drop_doubted()
+        elif self._behind_since is None:
+            self._behind_since = now
+        if loads and not self.is_reader():
+            self._totals = loads
+            self._totals_at = now
+
+    def hear_change(self, read: TargetsRead, *, previous: int) -> None:
+        """Take a change of the list that a reader passes on.
+
+        It holds all changes after `previous`: one who misses some before reads.
+        """
+        if previous > self._revision or read.revision <= self._revision:
+            return
+        if self._whole_at == float("-inf"):
+            return
+        self._apply(read.targets, read.removed, whole=False)
+        self._revision = read.revision
+        self.changed = max(self.changed, read.revision)
+
     async def refresh(self) -> bool:
         """Read the changes; return False when the list could not be read."""
         now = self._clock.now()
         self._drop_doubted()
-        due = now - self._whole_at > WHOLE_READ_SECONDS
+        limit = WHOLE_READ_SECONDS if self.is_reader() else FOLLOWER_WHOLE_READ_SECONDS
+        due = now - self._whole_at > limit
         answer = await self._source.targets(0 if due else self._revision)
         match answer:
             case Unavailable(reason=reason):
@@ -248,16 +329,38 @@
                 self._whole_at = float("-inf")
                 self._regained_at = now
                 return False
-        if self._lost_at is not None:
-            log.info("targets: list regained", away=round(now - self._lost_at, 3))
-            self._lost_at = None
-            self._regained_at = now
+        self._note_regained(now)
         if answer.whole:
             self._whole_at = now
+        before = self._targets
         self._apply(answer.targets, answer.removed, whole=answer.whole)
-        self._revision = answer.revision
+        self._revision = max(self._revision, answer.revision)
+        self._behind_since = None
+        if answer.whole:
+            is_change = self._targets != before or not self.changed
+        else:
+            is_change = bool(answer.targets or answer.removed)
+        if is_change:
+            self._note_change(answer)
         return True
 
+    def _note_regained(self, now: float) -> None:
+        if self._lost_at is not None:
+            log.info("targets: list regained", away=round(now - self._lost_at, 3))
+            self._lost_at = None
+            self._regained_at = now
+
+    def _note_change(self, answer: TargetsRead) -> None:
+        """Remember the last change; pass it on unless it is a whole read.
+
+        Who follows sees by the digests that he lacks it, and reads it himself.
+        """
+        previous = self.changed
+        self.changed = max(self.changed, answer.revision)
+        if not answer.whole:
+            for notify in self.on_read:
+                notify(answer, previous)
+
     def learn(self, target: Target) -> None:
         """Take what a target says of itself while the list cannot be read."""
         known = self._targets.get(target.id)
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import TypeVar, get_args
 
 import cbor2
 import structlog
@@ -19,8 +20,8 @@
     Unavailable,
     Unknown,
 )
-from mallowpond.state.codec import from_plain, to_plain
-from mallowpond.state.fleet import GroupKey
+from mallowpond.state.codec import from_compact, from_plain, to_compact, to_plain
+from mallowpond.state.fleet import GroupKey, Target
 
 log = structlog.get_logger()
 
@@ -106,11 +107,70 @@
     targets: tuple[str, ...]
 
 
-Message = Heartbeat | Suspicion | Vouch | SilenceQuestion | Advance
-MESSAGES = {
-    kind.__name__: kind
-    for kind in (Heartbeat, Suspicion, Vouch, SilenceQuestion, Advance)
-}
+@dataclass(frozen=True, kw_only=True)
+class Digest:
+    """Tell, as a reader of the store, what is newest there and where work runs.
+
+    `changed` is the revision of the list's last change; `loads` are all hosts' work by
+    group, empty in small fleets, where heartbeats tell it.
+    """
+
+    node: str
+    version: int
+    changed: int
+    loads: tuple[GroupFigures, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class ListChange:
+    """Pass on what a reader found changed in the list after `previous`."""
+
+    node: str
+    previous: int
+    revision: int
+    targets: tuple[Target, ...]
+    removed: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Work:
+    """Tell the readers one host's work by group."""
+
+    node: str
+    loads: tuple[GroupFigures, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class VersionQuestion:
+    """Ask a reader which configuration is the newest."""
+
+    node: str
+    number: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class VersionAnswer:
+    """Say which version was the newest `age` seconds before this was sent."""
+
+    node: str
+    number: int
+    version: int
+    age: float
+
+
+Message = (
+    Heartbeat
+    | Suspicion
+    | Vouch
+    | SilenceQuestion
+    | Advance
+    | Digest
+    | ListChange
+    | Work
+    | VersionQuestion
+    | VersionAnswer
+)
+MESSAGES = {kind.__name__: kind for kind in get_args(Message)}
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -156,6 +216,11 @@
         self.on_vouch: list[Callable[[str], None]] = []
         self.on_question: list[Callable[[SilenceQuestion], bool]] = []
         self.on_advance: list[Callable[[GroupKey], None]] = []
+        self.on_digest: list[Callable[[Digest], None]] = []
+        self.on_list_change: list[Callable[[ListChange], None]] = []
+        self.on_work: list[Callable[[Work], None]] = []
+        self.on_version_question: list[Callable[[VersionQuestion], None]] = []
+        self.on_version_answer: list[Callable[[VersionAnswer], None]] = []
 
     @property
     def live(self) -> list[Peer]:
@@ -169,6 +234,11 @@
         """Return how many nodes serve, this one included."""
         return 1 + len(self.live)
 
+    @property
+    def is_large(self) -> bool:
+        """Tell whether heartbeats are too rare to go by their work figures."""
+        return self.interval > HEARTBEAT_SECONDS
+
     @property
     def interval(self) -> float:
         """Return the pause between two heartbeats, in seconds."""
@@ -230,10 +300,14 @@
         """Send a message to every known peer."""
         self._send(message, self._addresses.values())
 
+    def tell_nodes(self, message: Message, nodes: Iterable[str]) -> None:
+        """Send a message to some peers."""
+        self._send(message, (self._addresses[n] for n in nodes if n in self._addresses))
+
     def _send(self, message: Message, addresses: Iterable[str]) -> None:
         if self._transport is None:
             return
-        data = cbor2.dumps([type(message).__name__, to_plain(message)])
+        data = cbor2.dumps([type(message).__name__, to_compact(message)])
         for address in addresses:
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
@@ -243,7 +317,7 @@
         try:
             kind, plain = cbor2.loads(data)
             if kind in MESSAGES:
-                self._take(from_plain(plain, MESSAGES[kind]))
+                self._take(from_compact(plain, MESSAGES[kind]))
         except Exception as error:
             log.warning("peers: datagram dropped", sender=addr[0], error=repr(error))
 
@@ -252,8 +326,7 @@
             case Heartbeat():
                 self._hear(message)
             case Suspicion():
-                for notify in self.on_suspicion:
-                    notify(message)
+                _notify(self.on_suspicion, message)
             case Vouch(targets=targets):
                 for target in targets:
                     for vouch in self.on_vouch:
@@ -266,6 +339,16 @@
             case Advance(group=group, epoch=epoch):
                 for note in self.on_advance:
                     note((group, epoch))
+            case Digest():
+                _notify(self.on_digest, message)
+            case ListChange():
+                _notify(self.on_list_change, message)
+            case Work():
+                _notify(self.on_work, message)
+            case VersionQuestion():
+                _notify(self.on_version_question, message)
+            case VersionAnswer():
+                _notify(self.on_version_answer, message)
 
     def error_received(self, exc: Exception) -> None:
         """Note that a peer's port is closed; its silence tells the rest."""
@@ -281,8 +364,7 @@
         self._peers[heartbeat.node] = Peer(
             heartbeat=heartbeat, heard_at=self._clock.now()
         )
-        for notify in self.on_heartbeat:
-            notify(heartbeat)
+        _notify(self.on_heartbeat, heartbeat)
 
     async def _write_row(self) -> bool:
         row = NodeRow(address=self._address, incarnation=self._incarnation)
@@ -308,10 +390,18 @@
         return True
 
 
+T = TypeVar("T")
+
+
+def _notify(listeners: list[Callable[[T], None]], message: T) -> None:
+    for notify in listeners:
+        notify(message)
+
+
 def heartbeat_loads(
-    loads: dict[tuple[str, int], tuple[int, float]],
+    loads: dict[GroupKey, tuple[int, float]],
 ) -> tuple[GroupFigures, ...]:
-    """Return a host's work by group as a heartbeat carries it."""
+    """Return a host's work by group as messages carry it."""
     return tuple(
         GroupFigures(
             group=key[0], epoch=key[1], running=running, reading=round(reading)
@@ -320,6 +410,8 @@
     )
 
 
-def loads_of(heartbeat: Heartbeat) -> dict[tuple[str, int], tuple[int, float]]:
-    """Return the work by group that a heartbeat tells."""
-    return {(f.group, f.epoch): (f.running, f.reading) for f in heartbeat.loads}
+def loads_of(
+    message: Heartbeat | Work | Digest,
+) -> dict[GroupKey, tuple[int, float]]:
+    """Return the work by group that a message tells."""
+    return {(f.group, f.epoch): (f.running, f.reading) for f in message.loads}
--- /dev/null
+++ b/mallowpond/node/readers.py
@@ -0,0 +1,178 @@
+"""Let a few hosts read the store, and tell the others.
+
+The load pattern: each host reads the configuration and the list of targets several
+times a second, so that a fleet of 70 makes 215 calls a second to the store, most of
+them for the same news. Two hosts read; the others follow what they tell, and read for
+themselves as soon as they hear nothing or miss a change.
+"""
+
+from collections.abc import Callable
+
+import structlog
+
+from mallowpond.coordination.ports import Clock
+from mallowpond.node.configuration import ConfigurationFollower
+from mallowpond.node.directory import Directory
+from mallowpond.node.peers import (
+    Digest,
+    Heartbeat,
+    ListChange,
+    PeerNetwork,
+    VersionAnswer,
+    VersionQuestion,
+    Work,
+    heartbeat_loads,
+    loads_of,
+)
+from mallowpond.node.ports import TargetsRead
+from mallowpond.state.ownership import ranked_owners
+
+log = structlog.get_logger()
+
+# Hosts that read for all: with one, its death leaves the others to themselves until
+# its heartbeats are missed. The first of them is also the next to plan.
+READERS = 2
+READERS_KEY = "planner"
+# Pause between two digests, and between two tellings of work to the readers, in
+# seconds: a few passes of a group, in a small part of a host's link.
+DIGEST_SECONDS = 0.2
+# Largest change of the list that is passed on, in targets: about 20 KB; above, each
+# host reads the list once.
+MOST_PASSED_ON = 60
+
+
+class Readers:
+    """Choose the hosts that read, tell as one of them, or listen to them."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        peers: PeerNetwork,
+        configuration: ConfigurationFollower,
+        directory: Directory,
+        clock: Clock,
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        self._name = name
+        self._peers = peers
+        self._configuration = configuration
+        self._directory = directory
+        self._clock = clock
+        self._is_stopping = is_stopping
+        self._reads = False
+        self.on_news: list[Callable[[], None]] = []
+        configuration.is_reader = lambda: self.reads
+        configuration.ask_readers = self._ask
+        directory.is_reader = lambda: self.reads
+        directory.on_read.append(self._pass_on)
+        peers.on_heartbeat.append(self._note_heartbeat)
+        peers.on_digest.append(self._note_digest)
+        peers.on_list_change.append(self._note_change)
+        peers.on_work.append(self._note_work)
+        peers.on_version_question.append(self._answer)
+        peers.on_version_answer.append(self._note_answer)
+
+    @property
+    def names(self) -> list[str]:
+        """Return the hosts that read now."""
+        able = [p.heartbeat for p in self._peers.live]
+        names = [h.node for h in able if h.store and not h.stopping]
+        if self._configuration.store_answers and not self._is_stopping():
+            names.append(self._name)
+        return ranked_owners(READERS_KEY, names)[:READERS]
+
+    @property
+    def reads(self) -> bool:
+        """Tell whether this host is to read the store."""
+        names = self.names
+        return not names or self._name in names
+
+    async def run(self) -> None:
+        """Tell what is newest, or this host's work, until cancelled."""
+        while True:
+            self.step()
+            await self._clock.sleep(DIGEST_SECONDS)
+
+    def step(self) -> None:
+        """Tell once."""
+        if self.reads != self._reads:
+            self._reads = not self._reads
+            log.info("readers: changed", reads=self._reads, readers=self.names)
+        if not self._reads:
+            if self._peers.is_large:
+                self._tell_work()
+            return
+        known = self._configuration.configuration
+        if known is None or self._directory.is_lost:
+            return
+        loads = self._directory.all_loads() if self._peers.is_large else {}
+        self._peers.tell(
+            Digest(
+                node=self._name,
+                version=known.version,
+                changed=self._directory.changed,
+                loads=heartbeat_loads(loads),
+            )
+        )
+
+    def _tell_work(self) -> None:
+        loads = self._directory.own_loads()
+        self._directory.note_told(loads)
+        work = Work(node=self._name, loads=heartbeat_loads(loads))
+        self._peers.tell_nodes(work, self.names)
+
+    # -- the list of targets -------------------------------------------------
+
+    def _pass_on(self, read: TargetsRead, previous: int) -> None:
+        size = len(read.targets) + len(read.removed)
+        if not self._reads or size > MOST_PASSED_ON:
+            return
+        self._peers.tell(
+            ListChange(
+                node=self._name,
+                previous=previous,
+                revision=read.revision,
+                targets=read.targets,
+                removed=read.removed,
+            )
+        )
+
+    def _note_change(self, change: ListChange) -> None:
+        read = TargetsRead(
+            revision=change.revision, targets=change.targets, removed=change.removed
+        )
+        self._directory.hear_change(read, previous=change.previous)
+
+    def _note_digest(self, digest: Digest) -> None:
+        self._directory.hear_digest(digest.changed, loads_of(digest))
+        self._configuration.hear_version(digest.version)
+        for notify in self.on_news:
+            notify()
+
+    def _note_work(self, work: Work) -> None:
+        self._directory.note_peer(work.node, loads_of(work))
+
+    # -- the configuration ---------------------------------------------------
+
+    def _note_heartbeat(self, heartbeat: Heartbeat) -> None:
+        self._configuration.hear_version(heartbeat.version)
+
+    def _ask(self, number: int) -> None:
+        question = VersionQuestion(node=self._name, number=number)
+        self._peers.tell_nodes(question, self.names)
+
+    def _answer(self, question: VersionQuestion) -> None:
+        confirmation = self._configuration.confirmation
+        if confirmation is None:
+            return
+        answer = VersionAnswer(
+            node=self._name,
+            number=question.number,
+            version=confirmation.version,
+            age=confirmation.age(self._clock.now()),
+        )
+        self._peers.tell_nodes(answer, (question.node,))
+
+    def _note_answer(self, answer: VersionAnswer) -> None:
+        self._configuration.hear_answer(answer.number, answer.version, answer.age)
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -25,6 +25,7 @@
 )
 from mallowpond.node.planner import GroupPlanner
 from mallowpond.node.ports import NodePorts
+from mallowpond.node.readers import Readers
 from mallowpond.node.settings import NodeSettings
 from mallowpond.node.streams import StreamService
 from mallowpond.node.traffic import TrafficSeen
@@ -119,6 +120,16 @@
             stall_seconds=settings.bounds.stall,
             traffic_seen=self._traffic,
         )
+        self.readers = Readers(
+            name=settings.name,
+            peers=self.peers,
+            configuration=self.configuration,
+            directory=self.directory,
+            clock=clock,
+            is_stopping=lambda: self.ingress.stopping,
+        )
+        self.readers.on_news.append(self.streams.wake_all)
+        self.configuration.on_newer.append(lambda: self.peers.tell(self._describe()))
         self.leadership.on_taken.append(lambda: self.peers.tell(self._describe()))
         self.peers.on_heartbeat.append(self._note_heartbeat)
         self.peers.on_vouch.append(self.directory.vouch)
@@ -150,6 +161,7 @@
             self.peers.run_rows(),
             self.watch.run(),
             self.leadership.run(),
+            self.readers.run(),
             self.planner.run(),
         ):
             self._spawn(work)
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -15,7 +15,7 @@
 )
 from mallowpond.node.tests.fakes import FakeClock
 from mallowpond.standins.platform import MemoryTable
-from mallowpond.state.codec import to_plain
+from mallowpond.state.codec import to_compact
 
 LOADS = {("g", 3): (4, 500)}
 SENDER = ("127.0.0.1", 1)
@@ -39,7 +39,7 @@
 
 def encode(message):
     """Return a message as it goes over the wire."""
-    return cbor2.dumps([type(message).__name__, to_plain(message)])
+    return cbor2.dumps([type(message).__name__, to_compact(message)])
 
 
 def network(table=None):
--- /dev/null
+++ b/mallowpond/node/tests/test_readers.py
@@ -0,0 +1,246 @@
+"""Few hosts read the store; the others follow them, and miss nothing."""
+
+from collections import deque
+
+from mallowpond.node.configuration import UNANSWERED_QUESTIONS, ConfigurationFollower
+from mallowpond.node.directory import (
+    FOLLOWER_WHOLE_READ_SECONDS,
+    MISSED_CHANGE_SECONDS,
+    READERS_SILENCE_SECONDS,
+    Directory,
+)
+from mallowpond.node.peers import (
+    Digest,
+    Heartbeat,
+    ListChange,
+    PeerNetwork,
+    VersionAnswer,
+    VersionQuestion,
+)
+from mallowpond.node.readers import READERS, Readers
+from mallowpond.node.tests.fakes import (
+    FakeClock,
+    FakeSource,
+    listing,
+    member,
+    open_group,
+)
+from mallowpond.node.tests.test_configuration import version
+from mallowpond.standins.platform import MemoryTable
+
+
+def beat(node, **more):
+    """Write a heartbeat of a host that reaches the store."""
+    said = {"version": 1, "sure": True, "store": True, "stopping": False, "planning": 0}
+    return Heartbeat(
+        node=node, incarnation="1", address="127.0.0.1:1", **{**said, **more}
+    )
+
+
+class Host:
+    """Hold one host of a fleet; what it tells is kept, not sent."""
+
+    def __init__(self, name="a"):
+        self.clock, self.source = FakeClock(), FakeSource()
+        self.peers = PeerNetwork(
+            name=name,
+            incarnation="1",
+            address="127.0.0.1:1",
+            table=MemoryTable(),
+            clock=self.clock,
+            describe=lambda: beat(name),
+        )
+        self.told = []
+        self.peers._send = lambda message, addresses: self.told.append(message)
+        self.configuration = ConfigurationFollower(
+            source=self.source, clock=self.clock, revoke_seconds=5.0
+        )
+        self.directory = Directory(source=self.source, clock=self.clock)
+        self.readers = Readers(
+            name=name,
+            peers=self.peers,
+            configuration=self.configuration,
+            directory=self.directory,
+            clock=self.clock,
+            is_stopping=lambda: False,
+        )
+
+    def hear(self, *messages):
+        """Take messages of other hosts."""
+        for message in messages:
+            self.peers._take(message)
+
+    def told_of(self, kind):
+        """Return what was told of one kind."""
+        return [message for message in self.told if isinstance(message, kind)]
+
+
+async def follower(*targets):
+    """Build a host that follows others and has read the list and version 1."""
+    names = (f"n{number}" for number in range(50))
+    host = Host()
+    host.source.configurations.append(version(1))
+    await host.configuration.step()
+    host.source.listed.append(listing(*targets, revision=10))
+    await host.directory.refresh()
+    while host.readers.reads:
+        host.hear(beat(next(names)))
+    host.hear(digest(changed=10))
+    return host
+
+
+def digest(*, changed, number=1):
+    """Write a reader's digest."""
+    return Digest(node="n0", version=number, changed=changed)
+
+
+def change(*targets, previous, revision, removed=()):
+    """Write a change of the list as a reader passes it on."""
+    return ListChange(
+        node="n0",
+        previous=previous,
+        revision=revision,
+        targets=targets,
+        removed=removed,
+    )
+
+
+def test_all_hosts_choose_the_same_few_readers():
+    names = ["a", "b", "c", "d", "e"]
+    chosen = []
+    for name in names:
+        host = Host(name)
+        host.hear(*(beat(other) for other in names if other != name))
+        chosen.append(host.readers.names)
+    assert all(found == chosen[0] for found in chosen)
+    assert len(chosen[0]) == READERS
+
+
+def test_hosts_that_the_store_turns_away_or_that_stop_do_not_read_for_others():
+    host = Host()
+    host.hear(beat("b", store=False), beat("c", stopping=True))
+    assert host.readers.names == ["a"]
+
+
+async def test_a_follower_takes_a_change_without_a_call():
+    host = await follower(*open_group("g"))
+    host.hear(change(member("x", "h", 0), previous=10, revision=12))
+    host.hear(digest(changed=12))
+    assert "x" in host.directory.targets
+    assert not host.directory._must_read()
+    assert len(host.source.asked) == 1
+
+
+async def test_a_follower_that_missed_a_change_reads_the_list():
+    """Symptom: a host sends to an engine that has left for seconds.
+
+    Sequence: the datagram with its leaving gets lost; the next change arrives.
+    Cause: a change was applied on a list that lacked the one before.
+    """
+    host = await follower(*open_group("g"))
+    host.hear(change(member("x", "h", 0), previous=12, revision=14))
+    assert "x" not in host.directory.targets
+    host.hear(digest(changed=14))
+    host.clock.time += MISSED_CHANGE_SECONDS + 0.01
+    host.hear(digest(changed=14))
+    assert host.directory._must_read()
+
+
+async def test_an_older_change_that_arrives_late_is_ignored():
+    host = await follower(*open_group("g"))
+    left = change(previous=10, revision=14, removed=("x",))
+    host.hear(change(member("x", "h", 0), previous=10, revision=12), left)
+    host.hear(change(member("x", "h", 0), previous=10, revision=12))
+    assert host.directory.targets.get("x") is None or host.directory.targets["x"].lapsed
+
+
+async def test_a_follower_reads_for_itself_when_the_readers_fall_silent():
+    host = await follower(*open_group("g"))
+    assert not host.directory._must_read()
+    host.clock.time += READERS_SILENCE_SECONDS + 0.01
+    assert host.directory._must_read()
+
+
+async def test_a_follower_compares_the_whole_list_at_intervals():
+    host = await follower(*open_group("g"))
+    host.clock.time += FOLLOWER_WHOLE_READ_SECONDS + 0.1
+    host.hear(digest(changed=10))
+    assert host.directory._must_read()
+
+
+async def test_a_reader_passes_on_what_changed_after_the_last_change():
+    host = Host()
+    host.source.configurations.append(version(1))
+    await host.configuration.step()
+    host.readers.step()
+    host.source.listed = deque(
+        [
+            listing(*open_group("g"), revision=10),
+            listing(revision=11, whole=False),
+            listing(member("x", "h", 0), revision=12, whole=False),
+        ]
+    )
+    for _ in range(3):
+        await host.directory.refresh()
+    (told,) = host.told_of(ListChange)
+    assert (told.previous, told.revision) == (10, 12)
+    host.readers.step()
+    assert host.told_of(Digest)[-1].changed == 12
+
+
+async def test_a_readers_answer_counts_from_before_the_question():
+    """Symptom: a key works seconds after it was taken away.
+
+    Sequence: a host asks, stands still for four seconds, and finds the answer.
+    Cause: the answer's age was counted from its arrival.
+    """
+    host = await follower()
+    host.clock.time += 1.0
+    asked_at = host.clock.time
+    host.configuration._ask()
+    (question,) = host.told_of(VersionQuestion)
+    host.clock.time += 4.0
+    host.hear(VersionAnswer(node="n0", number=question.number, version=1, age=0.4))
+    assert host.configuration.confirmation.confirmed_at == asked_at - 0.4
+
+
+async def test_an_answer_to_an_older_question_confirms_nothing():
+    host = await follower()
+    confirmed_at = host.configuration.confirmation.confirmed_at
+    host.configuration._ask()
+    host.clock.time += 1.0
+    host.configuration._ask()
+    host.hear(VersionAnswer(node="n0", number=1, version=1, age=0.0))
+    assert host.configuration.confirmation.confirmed_at == confirmed_at
+
+
+async def test_a_follower_that_hears_of_a_newer_version_reads_it():
+    host = await follower()
+    assert host.configuration._may_ask_readers()
+    host.hear(digest(changed=10, number=2))
+    assert not host.configuration._may_ask_readers()
+    host.source.configurations.append(version(2))
+    await host.configuration.step()
+    assert host.configuration.configuration.version == 2
+    assert host.configuration._may_ask_readers()
+
+
+async def test_a_follower_without_answers_asks_the_store():
+    host = await follower()
+    for _ in range(UNANSWERED_QUESTIONS):
+        assert host.configuration._may_ask_readers()
+        host.configuration._ask()
+    assert not host.configuration._may_ask_readers()
+    await host.configuration.step()
+    assert host.configuration._may_ask_readers()
+
+
+async def test_a_reader_answers_with_the_age_of_its_own_certainty():
+    host = Host()
+    host.source.configurations.append(version(3))
+    await host.configuration.step()
+    host.clock.time += 0.7
+    host.hear(VersionQuestion(node="b", number=5))
+    (told,) = host.told_of(VersionAnswer)
+    assert (told.number, told.version) == (5, 3)
+    assert abs(told.age - 0.7) < 1e-6
--- a/mallowpond/state/codec.py
+++ b/mallowpond/state/codec.py
@@ -1,13 +1,32 @@
 """Turn data classes into plain values and back."""
 
 import json
-from typing import Any, TypeVar
+from collections.abc import Callable
+from dataclasses import is_dataclass
+from typing import Any, TypeVar, get_type_hints
 
+from cattrs import Converter, UnstructureStrategy
 from cattrs.preconf.json import make_converter
 
 T = TypeVar("T")
 
 _converter = make_converter()
+# Without the names of fields a datagram with 33 groups' figures takes a third.
+_compact = Converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
+
+
+def _build_by_order(kind: type[T]) -> Callable[[Any, type[T]], T]:
+    """Return what builds a keyword-only class from its fields' values in order."""
+    hints = get_type_hints(kind)
+
+    def build(values: Any, _: type[T]) -> T:
+        pairs = zip(hints.items(), values, strict=True)
+        return kind(**{n: _compact.structure(v, hint) for (n, hint), v in pairs})
+
+    return build
+
+
+_compact.register_structure_hook_factory(is_dataclass, _build_by_order)
 
 
 def to_plain(value: Any) -> Any:
@@ -20,6 +39,16 @@
     return _converter.structure(value, kind)
 
 
+def to_compact(value: Any) -> Any:
+    """Turn a data class into lists, texts and numbers, by the order of its fields."""
+    return _compact.unstructure(value)
+
+
+def from_compact(value: Any, kind: type[T]) -> T:
+    """Build a data class from what `to_compact` made of it."""
+    return _compact.structure(value, kind)
+
+
 def to_json(value: Any) -> bytes:
     """Encode a data class or plain value as JSON."""
     return json.dumps(to_plain(value), separators=(",", ":")).encode()
