--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -170,17 +170,31 @@
     async def drain(self) -> None:
         """Tell the balancer, serve on for a moment, then finish what is in progress."""
         self.ingress.stopping = True
-        await self.leadership.release()
+        await self._hand_over()
         self.peers.tell(self._describe())
         log.info("node: draining", in_flight=self.ingress.in_flight)
+        grace = self._settings.bounds.grace
         started = self._clock.now()
-        limit = started + self._settings.bounds.grace - CLOSING_SECONDS
+        lame_until = started + min(LAME_SECONDS, 0.5 * grace)
+        limit = started + grace - CLOSING_SECONDS
         self.ingress.ends_at = limit
-        await self._clock.sleep(min(LAME_SECONDS, 0.5 * self._settings.bounds.grace))
-        while self.ingress.in_flight and self._clock.now() < limit:
+        while self._clock.now() < lame_until or (
+            self.ingress.in_flight and self._clock.now() < limit
+        ):
             await self._clock.sleep(DRAIN_CHECK_SECONDS)
+            await self._hand_over()
+        self.ingress.server.refuse_more()
         log.info("node: drained", in_flight=self.ingress.in_flight)
 
+    async def _hand_over(self) -> None:
+        """Stop planning if another node can take over.
+
+        While the store is away none can, and groups that lose a member would stay
+        down until it is back.
+        """
+        if self.configuration.store_answers:
+            await self.leadership.release()
+
     async def close(self) -> None:
         """Close every socket and stop every task."""
         await self._stack.aclose()
--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -21,7 +21,9 @@
     open_group,
 )
 from mallowpond.standins.platform import MemoryTable
+from mallowpond.state.site_configuration import SiteConfiguration
 
+SITE = SiteConfiguration(version=1, routes=(), services={})
 SETTINGS = NodeSettings(
     name="a",
     data_centre="d",
@@ -98,3 +100,31 @@
     began = clock.now()
     await node.drain()
     assert began < node.ingress.ends_at < began + SETTINGS.bounds.grace
+    assert node.ingress.server._refusing
+
+
+async def test_a_planner_that_stops_while_the_store_is_away_plans_to_its_end():
+    """Symptom: groups that lose a member in a store outage stay down until its end.
+
+    Sequence: the store goes away; the planner's host is stopped.
+    Cause: it gave up planning at once, and no other node could take the lease.
+    """
+    clock = FakeClock()
+    ports = NodePorts(
+        callers=FakeCallers(),
+        source=FakeSource(cut=True),
+        targets=FakeTargets(),
+        table=MemoryTable(),
+    )
+    node = build(settings=SETTINGS, ports=ports, clock=clock, seed=1)
+    await node.leadership._take()
+    await node.configuration.step()
+    stopping = asyncio.create_task(node.drain())
+    for _ in range(3):
+        await asyncio.sleep(0)
+    assert node.leadership.fence
+    ports.source.cut = False
+    ports.source.configurations.append(SITE)
+    await node.configuration.step()
+    await stopping
+    assert not node.leadership.fence
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -156,7 +156,9 @@
         self._on_bad_input = on_bad_input
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
+        self._busy: set[asyncio.Task[None]] = set()
         self._closing = False
+        self._refusing = False
 
     @property
     def port(self) -> int:
@@ -174,6 +176,18 @@
             self._accept, host, port, limit=READ_SIZE, backlog=1024
         )
 
+    def refuse_more(self) -> None:
+        """Take no further request; those in progress go on.
+
+        Without this, a request that came between the end of the last one and the
+        close of the server was passed on and cut off.
+        """
+        self._refusing = True
+        if self._server is not None:
+            self._server.close()
+        for task in self._connections - self._busy:
+            task.cancel()
+
     async def close(self) -> None:
         """Stop listening and drop the connections that are left."""
         self._closing = True
@@ -214,9 +228,15 @@
             except _Unreadable as unreadable:
                 await self._on_bad_input(unreadable.bad, exchange)
                 return
-            if request is None:
+            if request is None or self._refusing:
                 return
-            await self._handle(request, exchange, connection, reader)
+            task = asyncio.current_task()
+            assert task is not None
+            self._busy.add(task)
+            try:
+                await self._handle(request, exchange, connection, reader)
+            finally:
+                self._busy.discard(task)
             if not exchange.finished or connection.our_state is not h11.DONE:
                 # No closing chunk goes out: the client sees the answer broken off.
                 return
--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -96,3 +96,44 @@
     async with asyncio.timeout(2.0):
         await cancelled.wait()
     await server.close()
+
+
+async def test_a_server_that_refuses_more_finishes_what_it_has():
+    """Symptom: a request is passed on and cut off at the end of a planned stop.
+
+    Sequence: the last answer ends; a request arrives on a kept connection just before
+    the server closes.
+    Cause: until it closed, the server took whatever came.
+    """
+    release, taken = asyncio.Event(), []
+
+    async def hold(request, exchange):
+        taken.append(request.target)
+        await release.wait()
+        await exchange.respond(200, b"whole")
+
+    server = HttpServer(handler=hold)
+    await server.start("127.0.0.1", 0)
+    busy, busy_writer = await asyncio.open_connection("127.0.0.1", server.port)
+    late, late_writer = await asyncio.open_connection("127.0.0.1", server.port)
+    busy_writer.write(OK)
+    while not taken:
+        await asyncio.sleep(0.01)
+    server.refuse_more()
+    late_writer.write(OK)
+    async with asyncio.timeout(5.0):
+        assert await _read_all(late) == b""
+        release.set()
+        assert (await busy.readuntil(b"whole")).startswith(b"HTTP/1.1 200")
+    assert len(taken) == 1
+    for writer in (busy_writer, late_writer):
+        writer.close()
+    await server.close()
+
+
+async def _read_all(reader):
+    """Return what comes until the other side closes or resets."""
+    try:
+        return await reader.read()
+    except ConnectionError:
+        return b""
