--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -20,7 +20,6 @@
     GroupQuiet,
     Verdict,
     has_advanced,
-    is_suspect,
     judge_silence,
 )
 
@@ -83,17 +82,19 @@
                 by_group[stream.key].append(stream)
         for key, streams in by_group.items():
             quiet = self._quiet(key, streams, now)
-            if is_suspect(quiet) and not self._is_marked(key):
-                self._judge(key, streams, quiet)
-            else:
-                self._doubts.pop(key, None)
+            if self._is_marked(key):
                 self._move_from_slow(streams)
+            else:
+                self._judge(key, streams, quiet)
 
     def _judge(
         self, key: GroupKey, streams: list[ActiveStream], quiet: GroupQuiet
     ) -> None:
         now = self._clock.now()
         match judge_silence(quiet, self._doubts.get(key), now):
+            case Verdict.SOUND:
+                self._doubts.pop(key, None)
+                self._move_from_slow(streams)
             case Verdict.ASK:
                 self._doubts[key] = Doubt(asked_at=now)
                 self._peers.ask_about(key, quiet.silent_seconds)
--- a/mallowpond/state/silence.py
+++ b/mallowpond/state/silence.py
@@ -24,6 +24,10 @@
 # Time that the other hosts have to say that they saw an event, in seconds: some tens
 # of round trips within a region, and a small part of any gap target.
 ANSWER_SECONDS = 0.025
+# Part of the limit after which they are asked, so that the answers are there at the
+# limit: asked at the limit itself, streams of a dead group moved some 40 ms later and
+# missed a gap target of 200 ms.
+ASK_SHARE = 0.75
 # Time that such an answer counts, in seconds; then the others are asked again, since
 # the group may have died after it.
 ADVANCE_SECONDS = 0.1
@@ -50,15 +54,10 @@
     return max(expected, TRIGGER_SHARE * allowed)
 
 
-def is_suspect(quiet: GroupQuiet) -> bool:
-    """Tell whether a group's silence means that its streams have to move."""
-    limit = silence_limit(quiet.predicted_gap, quiet.allowed_gap)
-    return quiet.silent_seconds > limit
-
-
 class Verdict(Enum):
     """Say what to do about a group that stands silent here."""
 
+    SOUND = "sound"
     ASK = "ask"
     WAIT = "wait"
     LEAVE = "leave"
@@ -74,16 +73,18 @@
 
 
 def judge_silence(quiet: GroupQuiet, doubt: Doubt | None, now: float) -> Verdict:
-    """Decide about a group whose silence here is past its limit."""
+    """Decide about a group by its silence here and what the other hosts answered."""
+    limit = silence_limit(quiet.predicted_gap, quiet.allowed_gap)
+    if quiet.silent_seconds <= ASK_SHARE * limit:
+        return Verdict.SOUND
     if doubt is None:
         return Verdict.ASK
     if doubt.advanced_at is not None:
-        limit = silence_limit(quiet.predicted_gap, quiet.allowed_gap)
         if quiet.silent_seconds > OWN_SILENCE_FACTOR * limit:
             return Verdict.LEAVE
         is_old = now - doubt.advanced_at > ADVANCE_SECONDS
         return Verdict.ASK if is_old else Verdict.WAIT
-    if now - doubt.asked_at < ANSWER_SECONDS:
+    if now - doubt.asked_at < ANSWER_SECONDS or quiet.silent_seconds <= limit:
         return Verdict.WAIT
     return Verdict.SUSPECT
 
--- a/mallowpond/state/tests/test_placement.py
+++ b/mallowpond/state/tests/test_placement.py
@@ -8,7 +8,15 @@
     pass_seconds,
     silent_seconds,
 )
-from mallowpond.state.silence import GroupQuiet, is_suspect, silence_limit
+from mallowpond.state.silence import (
+    ANSWER_SECONDS,
+    ASK_SHARE,
+    Doubt,
+    GroupQuiet,
+    Verdict,
+    judge_silence,
+    silence_limit,
+)
 
 PROFILE = EngineProfile(
     slots=13,
@@ -81,6 +89,11 @@
     )
 
 
+def is_suspect(quiet):
+    """Tell whether a group is suspected once the other hosts have not answered."""
+    return judge_silence(quiet, Doubt(asked_at=0.0), 100.0) is Verdict.SUSPECT
+
+
 def test_a_silent_idle_group_is_suspected_before_its_streams_are_late():
     load = GroupLoad(running=2)
     assert not is_suspect(quiet(0.06, load))
@@ -102,3 +115,23 @@
 def test_the_limit_never_falls_below_what_the_timing_explains():
     assert silence_limit(1.0, 0.2) > 1.0
     assert silence_limit(0.01, 0.2) == 0.55 * 0.2
+
+
+def test_the_other_hosts_have_answered_by_the_limit():
+    """Symptom: streams of a dead group move too late for their gap target.
+
+    Sequence: a group dies; its silence reaches the limit; the other hosts are asked.
+    Cause: the time for their answers was added to the limit.
+    """
+    limit = silence_limit(0.05, 0.2)
+
+    def verdict(silent, doubt):
+        quiet = GroupQuiet(silent_seconds=silent, predicted_gap=0.05, allowed_gap=0.2)
+        return judge_silence(quiet, doubt, 100.0 + silent)
+
+    asked_at = 100.0 + ASK_SHARE * limit + 0.001
+    assert ASK_SHARE * limit + ANSWER_SECONDS < limit
+    assert verdict(ASK_SHARE * limit - 0.001, None) is Verdict.SOUND
+    assert verdict(ASK_SHARE * limit + 0.001, None) is Verdict.ASK
+    assert verdict(limit - 0.001, Doubt(asked_at=asked_at)) is Verdict.WAIT
+    assert verdict(limit + 0.001, Doubt(asked_at=asked_at)) is Verdict.SUSPECT
