--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -131,6 +131,7 @@
             silent_seconds=now - since,
             predicted_gap=predicted,
             allowed_gap=min(stream.allowed_gap for stream in streams),
+            has_running=any(stream.events for stream in streams),
         )
 
     def _suspect(
--- a/mallowpond/state/silence.py
+++ b/mallowpond/state/silence.py
@@ -31,8 +31,8 @@
 # Time that such an answer counts, in seconds; then the others are asked again, since
 # the group may have died after it.
 ADVANCE_SECONDS = 0.1
-# Multiple of the limit at which a host leaves a group that advances elsewhere: its own
-# way to the group must be cut.
+# Multiple of the limit at which a host leaves a group that advances elsewhere while
+# its own streams still wait for their first event.
 OWN_SILENCE_FACTOR = 2.0
 # Part of the asker's silence within which another host must have seen an event: all
 # streams of a dead group fall silent with the same pass.
@@ -41,11 +41,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class GroupQuiet:
-    """Describe the streams that one entry host has on one group."""
+    """Describe the streams that one entry host has on one group.
+
+    `has_running` tells whether one of them has had an event there: it would have had
+    another one with each pass, while a stream that still waits for its first may wait
+    longer than the others.
+    """
 
     silent_seconds: float
     predicted_gap: float
     allowed_gap: float
+    has_running: bool = False
 
 
 def silence_limit(predicted: float, allowed: float) -> float:
@@ -80,7 +86,10 @@
     if doubt is None:
         return Verdict.ASK
     if doubt.advanced_at is not None:
-        if quiet.silent_seconds > OWN_SILENCE_FACTOR * limit:
+        # With running streams only this host's way to the group can be cut: waiting
+        # on cost streams their gap target where engines were cut from some hosts.
+        factor = 1.0 if quiet.has_running else OWN_SILENCE_FACTOR
+        if quiet.silent_seconds > factor * limit:
             return Verdict.LEAVE
         is_old = now - doubt.advanced_at > ADVANCE_SECONDS
         return Verdict.ASK if is_old else Verdict.WAIT
