--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -330,11 +330,15 @@
                 self._regained_at = now
                 return False
         self._note_regained(now)
+        if answer.revision < self._revision:
+            # A reader's change came while the answer was on its way: taking the
+            # answer would bring back the state before that change.
+            return True
         if answer.whole:
             self._whole_at = now
         before = self._targets
         self._apply(answer.targets, answer.removed, whole=answer.whole)
-        self._revision = max(self._revision, answer.revision)
+        self._revision = answer.revision
         self._behind_since = None
         if answer.whole:
             is_change = self._targets != before or not self.changed
--- a/mallowpond/node/tests/test_readers.py
+++ b/mallowpond/node/tests/test_readers.py
@@ -154,6 +154,27 @@
     assert host.directory.targets.get("x") is None or host.directory.targets["x"].lapsed
 
 
+async def test_an_answer_that_a_change_overtook_is_ignored():
+    """Symptom: the planner orders members into groups that the list shows as gone; a
+    host's list stays old for seconds.
+
+    Sequence: a host asks the store; before the answer a reader's change arrives, which
+    is newer than the answer.
+    Cause: the answer's rows replaced the newer ones, and no later read mended them.
+    """
+    host = await follower(*open_group("g"))
+    newer = change(member("x", "h", 0), previous=10, revision=13)
+    older = listing(member("x", "old", 0), revision=12, whole=False)
+
+    async def overtaken(since):
+        host.hear(newer)
+        return older
+
+    host.source.targets = overtaken
+    assert await host.directory.refresh()
+    assert host.directory.targets["x"].membership.group == "h"
+
+
 async def test_a_follower_reads_for_itself_when_the_readers_fall_silent():
     host = await follower(*open_group("g"))
     assert not host.directory._must_read()
