--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -449,13 +449,19 @@
         until = self._clock.now() + EFFECT_SECONDS
         if isinstance(step, Leave):
             # It takes effect at once: the list need not be waited for.
-            self._left[step.target.id] = (step.group, step.epoch)
+            key = (step.group, step.epoch)
+            self._left[step.target.id] = key
             self._joined.pop(step.target.id, None)
+            # The formation is over: kept, it had its members join again, and they
+            # stood for seconds in a group that could not be whole.
+            self._formations.pop(key, None)
+            self._closed.add(key)
             self._pending.pop(step.target.id, None)
             return
         if isinstance(step, Join):
             key = (step.group, step.epoch)
             self._joined[step.target.id] = (key, self._clock.now())
+            self._left.pop(step.target.id, None)
         if isinstance(step, Close):
             self._closed.add((step.group, step.epoch))
         self._pending[step.target.id] = Pending(step=step, until=until)
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -276,3 +276,48 @@
     joins = rig.of_kind(Join)
     assert [join.target.id for join in joins].count("a") == 2
     assert len({(join.group, join.epoch) for join in joins}) == 1
+
+
+def placed(name, join, rank, phase=GroupPhase.READY):
+    """Write a target as the list shows it after it has joined."""
+    place = Membership(group=join.group, epoch=join.epoch, rank=rank, phase=phase)
+    return replace(free(name), model="m", membership=place)
+
+
+async def test_members_that_left_a_group_do_not_join_it_again():
+    """Symptom: two hosts stand in a group of three for the rest of the day, and serve
+    nobody; a third group waits for them.
+
+    Sequence: a group is formed; a member falls out of the list and the group is closed;
+    the members leave, and are ordered to join the same formation again.
+    Cause: the formation was kept for its first seconds although its group was over.
+    """
+    rig = Rig(free("a"), free("b"))
+    await rig.steps(2)
+    first = rig.of_kind(Join)[0]
+    head, other = first.members
+    await rig.show(placed(head, first, 0), placed(other, first, 1))
+    rig.planner._closed.add((first.group, first.epoch))
+    rig.planner._probes._lost[other] = rig.clock.now()
+    await rig.steps(1)
+    assert [order.target.id for order in rig.of_kind(Leave)] == [head]
+    rig.planner._probes._lost.clear()
+    await rig.show(free(head))
+    await rig.steps(5)
+    assert [j for j in rig.of_kind(Join)[2:] if j.group == first.group] == []
+
+
+async def test_a_target_that_joined_again_does_not_count_as_free():
+    """Symptom: the planner orders a target into another group over and over, and holds
+    each of these orders back.
+
+    Sequence: a target leaves a group and joins it again.
+    Cause: the leave was remembered beyond the join.
+    """
+    rig = Rig(free("a"), free("b"))
+    await rig.steps(2)
+    join = rig.of_kind(Join)[0]
+    rig.planner._left[join.target.id] = (join.group, join.epoch)
+    rig.planner._note_taken(join)
+    shown = placed(join.target.id, join, 0)
+    assert rig.planner._as_left(shown).membership == shown.membership
