Let a group serve on with a leaving member until it must go

Cause: where engines are replaced in turn (Skyfall mix), a group was closed as soon as one member announced its end, also with no engine at hand to replace it; the new engines need 12 to 16 s to load. A member that is not the head stays up to 10 s while the head has work. Now such a group is closed when the domain can replace the member, or 6 s after the announcement; a leaving head's at once, as before.

The test that asked for a close at once, without a replacement, is replaced by three: at once with one, at once for a head, after the time otherwise.

--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -134,6 +134,7 @@
         self._left: dict[str, GroupKey] = {}
         self._joined: dict[str, tuple[GroupKey, float]] = {}
         self._closed: set[GroupKey] = set()
+        self._leaving_since: dict[str, float] = {}
         self._ordered_at: dict[str, float] = {}
         self._formations: dict[GroupKey, Formation] = {}
         self._first_seen: dict[GroupKey, float] = {}
@@ -208,6 +209,7 @@
                 if sum(now - at < CLEARED_SECONDS for at in times) >= CLEARED_SUSPICIONS
             ),
             closed=frozenset(self._closed),
+            leaving_since=self._leaving_since,
             loads_begun=tuple(self._loads_begun),
             loading={target: model for target, (model, _) in self._loads.items()},
             before_traffic=not self._traffic_seen.seen,
@@ -318,6 +320,11 @@
                 del self._pending[identifier]
         for key in groups:
             self._first_seen.setdefault(key, now)
+        self._leaving_since = {
+            identifier: self._leaving_since.get(identifier, now)
+            for identifier, target in targets.items()
+            if target.draining or self._probes.is_leaving(target)
+        }
         for known in (self._first_seen, self._cleared):
             for key in [k for k in known if k not in groups]:
                 del known[key]
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -29,6 +29,10 @@
     Step,
 )
 
+# Time that a group serves on with a member, not its head, that is about to stop, in
+# seconds: the member stays up to 10 s while the head has work, the streams that run
+# need 2 s to end, and the others are kept back in case the list told late.
+LEAVING_MEMBER_SECONDS = 6.0
 # Loads that are begun in a second, as a share of the declared rate: loads are
 # counted when they begin at the engine, which is later than the order by a jitter.
 LOAD_RATE_SHARE = 0.8
@@ -142,12 +146,15 @@
         assert head is not None
         lost = self._has_lost(group)
         missing = len(group.members) < model.size and view.is_settled
-        if not (lost or missing or group.is_leaving or group.key in view.distrusted):
+        leaving = self._must_close_soon(group)
+        unwanted = lost or group.key in view.distrusted
+        if not (unwanted or missing or group.is_leaving):
             self._count(group, model)
             return True
-        if missing and not lost and not self._can_replace(group, model):
-            # The missing member may only be cut off from the platform's list: the
-            # group serves on until it is known to be dead or can form anew.
+        if not (unwanted or leaving or self._can_replace(group, model)):
+            # A missing member may only be cut off from the platform's list, and a
+            # leaving one stays while its head has work: the group serves on until
+            # the member is known to be dead, must go, or can be replaced at once.
             self._count(group, model)
             return True
         if not lost and group.key not in view.distrusted:
@@ -156,6 +163,21 @@
         self._dissolve(group)
         return True
 
+    def _must_close_soon(self, group: Group) -> bool:
+        """Tell whether a member is about to go, whatever work the head has.
+
+        Work that comes to a leaving head is late for the bound of a leaving target;
+        other members of a group may leave while it serves.
+        """
+        if group.head is not None and group.head.draining:
+            return True
+        now, since = self._view.now, self._view.leaving_since
+        return any(
+            now - since.get(member.id, now) > LEAVING_MEMBER_SECONDS
+            for member in group.members
+            if member.draining
+        )
+
     def _has_lost(self, group: Group) -> bool:
         known = self._view.formations.get(group.key)
         members = {member.id for member in group.members}
@@ -174,7 +196,8 @@
             and self._may_join(target)
             and not _needs_load(target, model)
         ]
-        return len(ready) >= model.size - len(group.members)
+        staying = sum(not member.draining for member in group.members)
+        return len(ready) >= model.size - staying
 
     def _order_close(self, group: Group, head: Target, *, evict: bool) -> None:
         if head.id not in self._view.busy and head.id not in self._view.lost:
--- a/mallowpond/state/formation_view.py
+++ b/mallowpond/state/formation_view.py
@@ -80,6 +80,7 @@
     `formations` are those whose member lists are known here;
     `distrusted` groups stood silent and none of their members is known to be lost;
     `closed` groups were told to close, to be taken apart once their work has ended;
+    `leaving_since` says when each target that is about to stop was first seen so;
     `loading` are the models that targets were told to load and do not show yet.
     """
 
@@ -95,6 +96,7 @@
     first_seen: dict[tuple[str, int], float] = field(default_factory=dict)
     distrusted: frozenset[tuple[str, int]] = frozenset()
     closed: frozenset[tuple[str, int]] = frozenset()
+    leaving_since: dict[str, float] = field(default_factory=dict)
     loads_begun: tuple[float, ...] = ()
     loading: dict[str, str] = field(default_factory=dict)
     before_traffic: bool = False
