--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -90,6 +90,8 @@
     def _ask(self) -> None:
         self._question += 1
         self._unanswered += 1
+        if self._unanswered == UNANSWERED_QUESTIONS:
+            log.warning("configuration: readers silent", questions=self._unanswered)
         self._asked_at = self._clock.now()
         self.ask_readers(self._question)
 
@@ -118,6 +120,8 @@
         """
         if number != self._question:
             return
+        if self._unanswered >= UNANSWERED_QUESTIONS:
+            log.info("configuration: readers answer")
         self._unanswered = 0
         self.confirm(version, self._asked_at - age)
         self.hear_version(version)
