--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -127,7 +127,12 @@
             case GroupPhase.OPEN:
                 return self._keep_open(group, model)
             case GroupPhase.CLOSING:
-                self._count(group, model)
+                if self._has_lost(group):
+                    # Its work never ends, so it would keep its members until the
+                    # stall time has passed.
+                    self._dissolve(group)
+                else:
+                    self._count(group, model)
                 return True
             case GroupPhase.BROKEN:
                 return False
--- a/mallowpond/state/tests/test_formation.py
+++ b/mallowpond/state/tests/test_formation.py
@@ -234,6 +234,18 @@
     assert not close.evict
 
 
+def test_a_closing_group_that_loses_a_member_is_taken_apart():
+    """Symptom: survivors of a dead group stay out of use for four seconds.
+
+    Sequence: a group is closed gracefully; before its work has ended a member dies.
+    Cause: a closing group was left alone until its head said that it broke.
+    """
+    members = group("g", 1, 3, GroupPhase.CLOSING)
+    assert plan(members) == ()
+    steps = plan(members, lost=frozenset({"g2"}))
+    assert {s.target.id for s in of_kind(steps, Leave)} == {"g0", "g1"}
+
+
 def test_a_closed_group_is_taken_apart_and_not_opened_again():
     """Symptom: one group is opened and closed twice a second and serves nobody.
 
