Make seven mechanisms' tests able to fail

Of eleven mechanisms taken out on a scratch copy, seven made no test fail: the pace of a follower that cannot read, calls at a stop by their deadline, streams at a stop, the patience with streams that wait their turn, a newer version read whole, the list regained by a digest, this host's part of the readers' sums, and the largest change passed on (eight with the last). Each has a test now. The pace of 380 hosts has one for what a host hears, since four of them tell more often than the older test allowed for one.

--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -6,6 +6,8 @@
 
 from mallowpond.node.peers import (
     GONE_SECONDS,
+    HEARTBEATS_PER_SECOND,
+    SENIOR_HEARTBEATS_PER_SECOND,
     Heartbeat,
     PeerNetwork,
     Suspicion,
@@ -121,3 +123,19 @@
         peers._addresses[str(number)] = "127.0.0.1:1"
     assert peers.interval > 5.0
     assert few <= 0.1
+
+
+def test_a_host_of_a_large_fleet_hears_no_more_than_it_did_at_one_pace():
+    """Symptom: the few hosts that tell often cost the others what the many save.
+
+    Sequence: four hosts of 380 tell how they are at a faster pace.
+    Cause: their pace was chosen without counting what each host then hears.
+    """
+    peers, _ = network()
+    for number in range(380):
+        peers._addresses[str(number)] = "127.0.0.1:1"
+    seldom = 1 / SENIOR_HEARTBEATS_PER_SECOND
+    assert peers.interval == 380 * seldom
+    often = 4 / peers.interval
+    peers.is_senior = False
+    assert often + 376 / peers.interval < HEARTBEATS_PER_SECOND / 2
--- a/mallowpond/node/tests/test_readers.py
+++ b/mallowpond/node/tests/test_readers.py
@@ -3,7 +3,11 @@
 import asyncio
 from collections import deque
 
-from mallowpond.node.configuration import UNANSWERED_QUESTIONS, ConfigurationFollower
+from mallowpond.node.configuration import (
+    FROM_START,
+    UNANSWERED_QUESTIONS,
+    ConfigurationFollower,
+)
 from mallowpond.node.directory import (
     FOLLOWER_WHOLE_READ_SECONDS,
     MISSED_CHANGE_SECONDS,
@@ -18,7 +22,12 @@
     VersionAnswer,
     VersionQuestion,
 )
-from mallowpond.node.readers import READERS, SENIORS, Readers
+from mallowpond.node.readers import (
+    MOST_PASSED_ON,
+    READERS,
+    SENIORS,
+    Readers,
+)
 from mallowpond.node.tests.fakes import (
     FakeClock,
     FakeSource,
@@ -236,6 +245,96 @@
         assert host.directory._must_read() == (seconds > 1.0)
 
 
+async def test_a_follower_that_cannot_read_what_it_missed_asks_at_a_pace():
+    """Symptom: a store that is down gets ten calls a second from every host.
+
+    Sequence: a follower misses a change, and the store does not answer it.
+    Cause: each look asked again, since the change was still missing.
+    """
+    host = await follower(*open_group("g"))
+    host.source.cut = True
+    host.hear(digest(changed=14))
+    host.clock.time += MISSED_CHANGE_SECONDS + 0.01
+    host.hear(digest(changed=14))
+    assert host.directory._must_read()
+    assert not await host.directory.refresh()
+    host.clock.time += 0.1
+    assert not host.directory._must_read()
+    host.clock.time += MISSED_CHANGE_SECONDS
+    assert host.directory._must_read()
+
+
+async def test_a_follower_whose_own_way_to_the_store_is_cut_goes_by_the_readers():
+    """Symptom: a host takes every entry that lapses for one that may return, for as
+    long as its way to the store is cut.
+
+    Sequence: the readers fall silent for a moment, the host reads for itself and gets
+    no answer; the readers are heard again.
+    Cause: only an answer of the store ended the loss of the list.
+    """
+    host = await follower(*open_group("g"))
+    host.source.cut = True
+    assert not await host.directory.refresh()
+    assert host.directory.is_lost
+    host.hear(digest(changed=10))
+    assert not host.directory.is_lost
+
+
+async def test_the_readers_sums_do_not_count_a_hosts_own_work_twice():
+    """Symptom: a group looks twice as full to the hosts that use it most.
+
+    Sequence: a host tells the readers its three streams; their sum of eight comes back.
+    Cause: the sum was added to the host's own three.
+    """
+    host = await follower(*open_group("g"))
+    key = ("g", 1)
+    host.directory.work(key).running = 3
+    host.directory.note_told({key: (3, 100.0)})
+    host.directory.hear_digest(10, {key: (8, 500.0)})
+    load = host.directory.load(key)
+    assert (load.running, load.reading_tokens) == (8, 400.0)
+
+
+async def test_a_change_too_large_for_a_datagram_is_not_passed_on():
+    host = Host()
+    host.source.configurations.append(version(1))
+    await host.configuration.step()
+    host.readers.step()
+    many = [member(f"x{n}", "h", n) for n in range(MOST_PASSED_ON + 1)]
+    host.source.listed = deque(
+        [
+            listing(*open_group("g"), revision=10),
+            listing(*many, revision=12, whole=False),
+        ]
+    )
+    for _ in range(2):
+        await host.directory.refresh()
+    assert host.told_of(ListChange) == []
+    host.readers.step()
+    assert host.told_of(Digest)[-1].changed == 12
+
+
+async def test_a_follower_reads_a_newer_version_whole():
+    """Symptom: a new version takes two calls, and is in force half a second later.
+
+    Sequence: a follower asked the store long ago; it hears of a newer version, and asks
+    for the changes since then, which the store has forgotten.
+    Cause: a follower's last revision is mostly older than the store's history.
+    """
+    host = await follower()
+    asked = []
+    read = host.source.configuration
+
+    async def noted(since, wait_seconds):
+        asked.append(since)
+        return await read(since, wait_seconds)
+
+    host.source.configuration = noted
+    host.hear(digest(changed=10, number=2))
+    await host.configuration.step()
+    assert asked == [FROM_START]
+
+
 async def test_a_reader_passes_on_what_changed_after_the_last_change():
     host = Host()
     host.source.configurations.append(version(1))
--- a/mallowpond/platform/tests/test_ingress.py
+++ b/mallowpond/platform/tests/test_ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
@@ -15,12 +16,14 @@
 from mallowpond.node.tests.fakes import FakeClock, FakeSource
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.platform.callers import PlatformCallers
+from mallowpond.state.fleet import EngineProfile, ModelSpec
 from mallowpond.state.site_configuration import (
     Backend,
     CallerLimits,
     KeyHolder,
     Repeat,
     Route,
+    Service,
     SiteConfiguration,
 )
 
@@ -33,10 +36,12 @@
     timeout_seconds=1.0,
     objective_seconds=0.2,
 )
+STREAM = replace(ROUTE, name="t", prefix="/t/", repeat=Repeat.STREAM)
+MODELS = EngineProfile(slots=4, models=(ModelSpec(name="m", size=2),))
 SITE = SiteConfiguration(
     version=1,
-    routes=(ROUTE,),
-    services={},
+    routes=(ROUTE, STREAM),
+    services={"s": Service(name="s", max_connections=9, profile=MODELS)},
     keys={"good": KeyHolder(workspace="w")},
     uses_keys=True,
     limits=CallerLimits(header_bytes=2000, body_bytes=100, header_seconds=0.3),
@@ -49,6 +54,10 @@
     def __init__(self):
         self.served = []
 
+    def expected_seconds(self, work):
+        """Tell that a stream takes a second."""
+        return 1.0
+
     async def serve(self, work):
         """Answer."""
         self.served.append(work)
@@ -161,6 +170,33 @@
     assert len(calls.served) == 1
 
 
+@pytest.mark.parametrize(
+    ("target", "left", "status"),
+    [
+        ("/p/x", 0.9, 503),
+        ("/p/x", 1.1, 200),
+        ("/t/x", 2.9, 503),
+        ("/t/x", 3.1, 200),
+    ],
+)
+async def test_a_stopping_node_takes_calls_to_their_deadline_and_short_streams(
+    target, left, status
+):
+    """Symptom: an answer is cut off when its node ends.
+
+    Sequence: a node that stops takes a call with a deadline of 1 s when 0.9 s are left,
+    or a stream of a second when 2.9 s are.
+    Cause: the call was judged by its objective, which it may miss; the stream by its
+    expected time, in which it neither waits nor moves.
+    """
+    async with ingress_of(SITE) as (ingress, _):
+        ingress.stopping = True
+        ingress.ends_at = ingress._clock.now() + left
+        data = request("X-Mallowpond-Model: m", target=target)
+        answer = await talk(ingress, data)
+    assert answer.startswith(b"HTTP/1.1 %d " % status)
+
+
 async def test_a_node_that_is_about_to_end_refuses_what_it_cannot_finish():
     """Symptom: an answer is cut off when its node ends, seconds after its stop began.
 
--- a/mallowpond/state/tests/test_placement.py
+++ b/mallowpond/state/tests/test_placement.py
@@ -178,3 +178,27 @@
     assert verdict(ASK_SHARE * limit + 0.001, None) is Verdict.ASK
     assert verdict(limit - 0.001, Doubt(asked_at=asked_at)) is Verdict.WAIT
     assert verdict(limit + 0.001, Doubt(asked_at=asked_at)) is Verdict.SUSPECT
+
+
+def test_a_stream_that_only_waits_its_turn_is_not_moved():
+    """Symptom: streams that wait for a group to read its prompts are moved away, and
+    wait anew at the next group.
+
+    Sequence: a group reads many prompts; a stream still has no event there, while
+    others on the group advance.
+    Cause: its silence counted like that of a stream that had run.
+    """
+    limit = silence_limit(0.05, 0.2)
+
+    def verdict(factor, has_running):
+        quiet = GroupQuiet(
+            silent_seconds=factor * limit,
+            predicted_gap=0.05,
+            allowed_gap=0.2,
+            has_running=has_running,
+        )
+        return judge_silence(quiet, Doubt(asked_at=9.9, advanced_at=9.95), 10.0)
+
+    assert verdict(1.1, has_running=True) is Verdict.LEAVE
+    assert verdict(3.9, has_running=False) is Verdict.WAIT
+    assert verdict(4.1, has_running=False) is Verdict.LEAVE
