--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from mallowpond.platform import headers as names
 from soak.records import CallerRecord, Ending, Kind
 
 READ_SIZE = 65536
@@ -19,6 +20,8 @@
 # balancer sends them when most nodes say so.
 STRAY_SHARE = 0.1
 READY_LOOK_SECONDS = 0.3
+# Share of requests that go on a kept connection where there is one.
+KEPT_SHARE = 0.7
 
 
 class Callers:
@@ -101,7 +104,7 @@
 
     async def _connect(self, node: int) -> "_Connection":
         kept = self._kept[node]
-        while kept and self._rng.random() < 0.7:
+        while kept and self._rng.random() < KEPT_SHARE:
             connection = kept.pop()
             if connection.is_open:
                 return connection
@@ -133,15 +136,15 @@
         left = int((record.deadline - time.monotonic()) * 1000)
         headers = [
             ("host", HOST),
-            ("authorization", f"Bearer {record.key}"),
-            ("x-mallowpond-attempt-id", record.attempt),
-            ("x-mallowpond-deadline-ms", str(max(1, left))),
+            (names.AUTHORIZATION, f"Bearer {record.key}"),
+            (names.ATTEMPT, record.attempt),
+            (names.DEADLINE, str(max(1, left))),
             ("content-length", "0"),
         ]
         if record.kind is Kind.STREAM:
             headers += [
-                ("x-mallowpond-model", "m"),
-                ("x-mallowpond-token-counts", f"100,{STRIDE * record.events}"),
+                (names.MODEL, "m"),
+                (names.TOKENS, f"100,{STRIDE * record.events}"),
             ]
         head = h11.Request(method="POST", target=PATHS[record.kind], headers=headers)
         data = self._state.send(head) + self._state.send(h11.EndOfMessage())
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,11 +1,9 @@
 """Start the real programs as processes on loopback, and signal them."""
 
 import asyncio
-import base64
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -14,8 +12,13 @@
 from pathlib import Path
 from typing import Any
 
-from mallowpond.standins.observatory_store import WRITER_HEADER
-from mallowpond.transport.http_client import CallFailed, HttpClient
+from mallowpond.platform.program import SETTINGS_VARIABLE
+from mallowpond.programs.tests.cluster import free_ports
+from mallowpond.standins.observatory_operator import (
+    ObservatoryOperator,
+    soak_configuration,
+)
+from mallowpond.transport.http_client import HttpClient
 from soak.judge import GROUP_SIZE, REVOKE_SECONDS, WORKSPACES
 from soak.proxy import Proxy
 
@@ -79,12 +82,15 @@
     _store: Member | None = None
     _store_port: int = 0
     _http: HttpClient = field(default_factory=HttpClient)
+    _operator: ObservatoryOperator = field(init=False)
     _stack: AsyncExitStack = field(default_factory=AsyncExitStack)
 
     async def start(self) -> None:
         """Start everything, and wait until nodes and groups are there."""
         self._stack.push_async_callback(self._http.close)
-        (self._store_port,) = _free_ports(1)
+        (self._store_port,) = free_ports(1)
+        address = f"127.0.0.1:{self._store_port}"
+        self._operator = ObservatoryOperator(http=self._http, address=address)
         options = {"host": "127.0.0.1", "port": self._store_port}
         self._store = self._member("store", "observatory-store", options)
         self._store.start()
@@ -131,46 +137,28 @@
     async def configure(self) -> bool:
         """Write a new configuration with the keys that are in force."""
         self.version += 1
-        row = {"table": "op", "part": "", "key": "config"}
-        text = json.dumps(_configuration(self.version, self.keys)).encode()
-        value = base64.b64encode(text).decode()
-        return await self._post("/-/rows-tx", {"writes": [{**row, "value": value}]})
+        document = soak_configuration(
+            self.version,
+            group_size=GROUP_SIZE,
+            load_seconds=LOAD_SECONDS,
+            workspaces={
+                name: key if key in self.keys else None
+                for key, name in WORKSPACES.items()
+            },
+        )
+        return await self._operator.configure(document)
 
     async def drop_history(self) -> bool:
         """Let the store forget its changes."""
-        return await self._post("/standin/drop-history", {})
+        return await self._operator.drop_history()
 
     def signal_store(self, number: signal.Signals) -> None:
         """Send a signal to the store."""
         if self._store is not None:
             self._store.signal(number)
 
-    async def _post(self, target: str, document: dict[str, Any]) -> bool:
-        answer = await self._http.fetch(
-            f"127.0.0.1:{self._store_port}",
-            "POST",
-            target,
-            headers=((WRITER_HEADER, "operator"),),
-            body=json.dumps(document).encode(),
-            timeout=1.0,
-        )
-        return not isinstance(answer, CallFailed) and answer[0] == 200
-
     async def _is_serving(self) -> bool:
-        answer = await self._http.fetch(
-            f"127.0.0.1:{self._store_port}",
-            "GET",
-            "/-/rows-get?table=servers&part=",
-            timeout=1.0,
-        )
-        if isinstance(answer, CallFailed) or answer[0] != 200:
-            return False
-        rows = [
-            json.loads(base64.b64decode(r["value"]))
-            for r in json.loads(answer[1])["rows"]
-        ]
-        states = [(row.get("group") or {}).get("state") for row in rows]
-        return states.count("open") >= DOMAINS
+        return await self._operator.open_groups() >= DOMAINS
 
     async def _until(self, holds: Any, what: str, seconds: float = 30.0) -> None:
         limit = time.monotonic() + seconds
@@ -180,7 +168,7 @@
             await asyncio.sleep(0.1)
 
     async def _add_engine(self, number: int) -> None:
-        (port,) = _free_ports(1)
+        (port,) = free_ports(1)
         link = await self._link(port)
         is_plain = number >= DOMAINS * ENGINES_A_DOMAIN
         options = {
@@ -200,7 +188,7 @@
         self.engine_links.append(link)
 
     async def _add_node(self, number: int) -> None:
-        callers, readiness, peers = _free_ports(3)
+        callers, readiness, peers = free_ports(3)
         link = await self._link(self._store_port)
         path = self.folder / f"node{number}.toml"
         path.write_text(
@@ -214,7 +202,7 @@
             Member(
                 name=f"node{number}",
                 arguments=("node",),
-                environment={"MALLOWPOND_BOOT": str(path)},
+                environment={SETTINGS_VARIABLE: str(path)},
                 log=self.folder / f"node{number}.log",
             )
         )
@@ -244,59 +232,3 @@
         lines.append("[models]")
         lines += [f"{name} = {value}" for name, value in options["models"].items()]
     return "\n".join(lines) + "\n"
-
-
-def _free_ports(count: int) -> list[int]:
-    with_ports = [socket.socket() for _ in range(count)]
-    for one in with_ports:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in with_ports]
-    for one in with_ports:
-        one.close()
-    return ports
-
-
-def _configuration(version: int, keys: set[str]) -> dict[str, Any]:
-    def route(name: str, kind: str, service: str, timeout: int, **more: Any) -> dict:
-        return {
-            "name": name,
-            "host": "h.example",
-            "prefix": f"/{name}/",
-            "kind": kind,
-            "service": service,
-            "timeout_ms": timeout,
-            "slo_ms": 300,
-            "priority": 1,
-            "max_attempts": 2,
-            **more,
-        }
-
-    models = [{"name": "m", "size": GROUP_SIZE, "load_s": LOAD_SECONDS}]
-    engine = {
-        "slots": 8,
-        "stride": 7,
-        "models": models,
-        "step_ms": 2.8,
-        "read_per_s": 50000.0,
-        "loads_per_s": 10.0,
-        "loads_at_once": 6,
-        "usual": {"prompt": 100, "answer": 100},
-        "far_x": 2.0,
-    }
-    return {
-        "version": version,
-        "routes": [
-            route("s", "stream", "engines", 3000, can_resume=True, gap_target_ms=300),
-            route("once", "non_idempotent", "plain", 1500),
-            route("again", "idempotent", "plain", 1500),
-        ],
-        "services": [
-            {"name": "engines", "health_path": "/healthz", "engine": engine},
-            {"name": "plain", "health_path": "/healthz"},
-        ],
-        "limits": {"header_timeout_ms": 2000, "idle_timeout_ms": 10000},
-        "tenants": [
-            {"name": name, "api_keys": [key] if key in keys else []}
-            for key, name in WORKSPACES.items()
-        ],
-    }
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -3,6 +3,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
+from mallowpond.platform import headers as names
 from mallowpond.standins.observatory_engine import call_body, event_bytes
 from soak.records import CallerRecord, Ending, Kind, Note, Run
 
@@ -15,6 +16,9 @@
 CALM_SECONDS = 3.0
 # Time after its deadline at which a request must have ended, in seconds.
 HELD_SECONDS = 1.0
+# Time after its SIGTERM within which a node has ended, in seconds: its grace and a
+# second.
+STOP_SECONDS = 9.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 WORKSPACES = {"key-a": "a", "key-b": "b"}
 
@@ -46,7 +50,7 @@
         if record.status != 200:
             continue
         whole = _expected(record)
-        if record.headers.get("x-mallowpond-attempt-id") != record.attempt:
+        if record.headers.get(names.ATTEMPT) != record.attempt:
             yield f"{record.attempt}: the answer belongs to another request"
         if record.ending is Ending.WHOLE and record.body != whole:
             yield f"{record.attempt}: ended as whole, but is not"
@@ -167,7 +171,7 @@
             continue
         for at in by_node[record.node]:
             lasted = record.sent_at - CALM_SECONDS, record.ended_at
-            is_near = at - SLACK_SECONDS < record.ended_at < at + 9.0
+            is_near = at - SLACK_SECONDS < record.ended_at < at + STOP_SECONDS
             if record.attempt in ran and is_near and _is_planned(run, *lasted):
                 yield f"{record.attempt}: cut off by a planned stop"
 
