Tell processes of a target apart by their start

An engine may start again under the id that it had. Its start, decoded once in the adapter, is a field of Target; nothing goes by it yet. 300 tests of the node, the decisions and the adapter pass.

--- a/mallowpond/platform/documents.py
+++ b/mallowpond/platform/documents.py
@@ -132,6 +132,7 @@
         model=models[0]["name"] if models else "",
         staged=tuple(_staged(entry) for entry in row.get("staged") or ()),
         membership=_membership(row.get("group")),
+        born=int(row.get("born", 0)),
     )
 
 
--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -8,6 +8,18 @@
 GroupKey = tuple[str, int]
 
 
+@dataclass(frozen=True, kw_only=True)
+class Process:
+    """Name one process of a back end: a restart keeps `id` and changes `born`.
+
+    `born` is a time of day, which may be stepped: two values tell two processes
+    apart, and never which of them is the later one.
+    """
+
+    id: str
+    born: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class ModelSpec:
     """Describe a model; times are those of a whole group of `size` engines."""
@@ -64,9 +76,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Target:
-    """Describe one incarnation of a back end as the platform lists it.
+    """Describe one process of a back end as the platform lists it.
 
-    A `lapsed` target fell out of the list by its silence, without having left.
+    `born` tells it from other processes under the same `id` (see `Process`). A
+    `lapsed` target fell out of the list by its silence, without having left.
     """
 
     id: str
@@ -80,6 +93,12 @@
     model: str = ""
     staged: tuple[str, ...] = ()
     membership: Membership | None = None
+    born: int = 0
+
+    @property
+    def process(self) -> Process:
+        """Return which process this is."""
+        return Process(id=self.id, born=self.born)
 
 
 @dataclass(frozen=True, kw_only=True)
