Log how requests reach a stopping node, and on which connection

The record of streams cut at a stop could not tell whether callers came on new connections or on kept ones. Each request that comes after SIGTERM has a line now with the number of earlier requests on its connection and the time left. No decision changes.

--- a/mallowpond/node/ingress.py
+++ b/mallowpond/node/ingress.py
@@ -79,6 +79,12 @@
         self._traffic.seen = True
         if self.stopping:
             exchange.close_after()
+            log.info(
+                "ingress: reached while stopping",
+                target=request.path,
+                earlier=exchange.earlier,
+                left=round(self.ends_at - self._clock.now(), 3),
+            )
         try:
             await self._serve(request, exchange)
         except ClientGone:
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -57,11 +58,15 @@
 
 @dataclass(kw_only=True)
 class Exchange:
-    """Answer one request; an answer left open is cut, never ended as if whole."""
+    """Answer one request; an answer left open is cut, never ended as if whole.
+
+    `earlier` counts the requests that came before on the same connection.
+    """
 
     _connection: h11.Connection
     _writer: asyncio.StreamWriter
     _send_seconds: float
+    earlier: int = 0
     started: bool = field(default=False, init=False)
     finished: bool = field(default=False, init=False)
     _close_after: bool = field(default=False, init=False)
@@ -217,11 +222,12 @@
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
-        while True:
+        for earlier in itertools.count():
             exchange = Exchange(
                 _connection=connection,
                 _writer=writer,
                 _send_seconds=self._limits.send_seconds,
+                earlier=earlier,
             )
             try:
                 request = await self._receive(connection, reader, writer)
