--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections import deque
+from dataclasses import dataclass
 
 from mallowpond.node.outcomes import Answered
 from mallowpond.node.peers import GroupFigures, Heartbeat
 from mallowpond.node.ports import NodePorts
-from mallowpond.node.service import build
+from mallowpond.node.service import LAME_SECONDS, build
 from mallowpond.node.settings import NodeSettings
 from mallowpond.node.tests.fakes import (
     PROFILE,
@@ -103,6 +104,80 @@
     assert node.ingress.server._refusing
 
 
+@dataclass(kw_only=True)
+class GatedClock(FakeClock):
+    """Stand still for sleepers from a time on, until the test moves it."""
+
+    until: float = float("inf")
+
+    async def sleep(self, seconds):
+        """Move the time on, and wait while it is past the gate."""
+        await super().sleep(seconds)
+        while self.time > self.until:
+            await asyncio.sleep(0.001)
+
+
+def get(path):
+    """Write a request on a connection that is kept."""
+    return f"GET {path} HTTP/1.1\r\nhost: h\r\n\r\n".encode()
+
+
+async def test_connections_of_before_a_stop_bring_no_requests_to_its_end():
+    """A caller's stream was cut in the middle when its host ended after a planned stop.
+
+    The host had been told to stop 5.6 s and 7.2 s before it took the two streams that
+    it cut, and the balancer had sent it no new connection for 3.9 s: at 16.756 s its
+    readiness failed, at 20.633 s and 22.152 s the streams came, at 22.352 s, the end of
+    its grace time, both were closed. They came on connections that had been open before
+    the stop. Such a connection was idle, or carried an answer that began before the
+    stop and so did not say that it would close, and it brought requests to the host
+    until its last moment.
+    """
+    clock = GatedClock()
+    ports = NodePorts(
+        callers=FakeCallers(),
+        source=FakeSource(),
+        targets=FakeTargets(),
+        table=MemoryTable(),
+    )
+    node = build(settings=SETTINGS, ports=ports, clock=clock, seed=1)
+    ends = {"/first": asyncio.Event(), "/last": asyncio.Event()}
+
+    async def stream(request, exchange):
+        await exchange.start(200)
+        if request.path in ends:
+            await ends[request.path].wait()
+        await exchange.end()
+
+    node.ingress._serve = stream
+    server = node.ingress.server
+    await server.start("127.0.0.1", 0)
+    connections = [
+        await asyncio.open_connection("127.0.0.1", server.port) for _ in range(3)
+    ]
+    (first, _), (last, _), (idle, _) = connections
+    async with asyncio.timeout(5.0):
+        for (reader, writer), path in zip(
+            connections, ("/first", "/last", "/idle"), strict=True
+        ):
+            writer.write(get(path))
+            await reader.readuntil(b"\r\n\r\n")
+        await idle.readuntil(b"0\r\n\r\n")
+        clock.until = clock.now() + LAME_SECONDS + 0.5
+        stopping = asyncio.create_task(node.drain())
+        assert await idle.read() == b""
+        ends["/first"].set()
+        assert await first.read() == b"0\r\n\r\n"
+        assert not stopping.done()
+        ends["/last"].set()
+        clock.until = float("inf")
+        assert await last.read() == b"0\r\n\r\n"
+        await stopping
+    for _, writer in connections:
+        writer.close()
+    await server.close()
+
+
 async def test_a_planner_that_stops_while_the_store_is_away_plans_to_its_end():
     """Symptom: groups that lose a member in a store outage stay down until its end.
 
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -194,3 +194,20 @@
     assert rig.directory.work(("a", 1)).running == 0
     assert rig.directory.work(("a", 1)).reading_tokens == 0
     assert not rig.service.active
+
+
+async def test_a_stopping_host_reckons_with_the_pace_that_its_groups_show():
+    """A caller's stream was cut in the middle when its host ended after a planned stop.
+
+    A host that stops takes a stream if three times the stream's expected time are left
+    to it. The expected time was that of a sound group, so a host whose groups ran at a
+    fifth of their pace took streams that needed longer than it had.
+    """
+    rig = await rig_of("a")
+    work = rig.work(FakeExchange())
+    sound = rig.service.expected_seconds(work)
+    group_work = rig.directory.work(("a", 1))
+    group_work.slowness, group_work.last_event_at = 5.0, rig.clock.now()
+    passes = sound - work.route.objective_seconds
+    slow = rig.service.expected_seconds(work)
+    assert slow >= work.route.objective_seconds + 4.9 * passes
