Let connections of before a stop carry no request to its end

Cause: a connection whose answer began before SIGTERM did not say that it would close, and an idle one was kept until the last answer had ended, so both brought requests up to the end of the grace time, when new connections had long gone to other hosts. Ruled out: the balancer (another host of the data centre was ready from 13.1 s on). Since streams that cannot finish are refused, such a request was mostly refused, not cut; but each refusal costs its caller a retry at a host that would not have met it.

Once the balancer has taken the host out, idle connections that have carried a request close, and each other one closes after its answer.

--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -179,9 +179,12 @@
         lame_until = started + min(LAME_SECONDS, 0.5 * grace)
         limit = started + grace - CLOSING_SECONDS
         self.ingress.ends_at = limit
-        while self._clock.now() < lame_until or (
-            self.ingress.in_flight and self._clock.now() < limit
-        ):
+        while self._clock.now() < lame_until:
+            await self._clock.sleep(DRAIN_CHECK_SECONDS)
+            await self._hand_over()
+        # New connections go to other hosts by now; those of before still come here.
+        self.ingress.server.keep_no_connections()
+        while self.ingress.in_flight and self._clock.now() < limit:
             await self._clock.sleep(DRAIN_CHECK_SECONDS)
             await self._hand_over()
         self.ingress.server.refuse_more()
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -162,8 +162,10 @@
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
         self._busy: set[asyncio.Task[None]] = set()
+        self._idle: set[asyncio.Task[None]] = set()
         self._closing = False
         self._refusing = False
+        self._keeps_connections = True
 
     @property
     def port(self) -> int:
@@ -181,6 +183,17 @@
             self._accept, host, port, limit=READ_SIZE, backlog=1024
         )
 
+    def keep_no_connections(self) -> None:
+        """Let a connection carry one request only; close those that are idle now.
+
+        A connection whose answer began before a stop was announced does not know of it:
+        kept, it brought requests to a process until its end, which cut them off, while
+        new connections went elsewhere.
+        """
+        self._keeps_connections = False
+        for task in list(self._idle):
+            task.cancel()
+
     def refuse_more(self) -> None:
         """Take no further request; those in progress go on.
 
@@ -230,7 +243,9 @@
                 earlier=earlier,
             )
             try:
-                request = await self._receive(connection, reader, writer)
+                request = await self._receive(
+                    connection, reader, writer, is_kept=earlier > 0
+                )
             except _Unreadable as unreadable:
                 await self._on_bad_input(unreadable.bad, exchange)
                 return
@@ -246,7 +261,7 @@
             if not exchange.finished or connection.our_state is not h11.DONE:
                 # No closing chunk goes out: the client sees the answer broken off.
                 return
-            if connection.their_state is not h11.DONE:
+            if connection.their_state is not h11.DONE or not self._keeps_connections:
                 return
             connection.start_next_cycle()
 
@@ -277,9 +292,11 @@
         connection: h11.Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        *,
+        is_kept: bool,
     ) -> HttpRequest | None:
         if not connection.trailing_data[0]:
-            first = await self._read_first(reader)
+            first = await self._read_first(reader, is_kept=is_kept)
             if first == b"":
                 return None
             connection.receive_data(first)
@@ -295,12 +312,20 @@
                 )
             ) from None
 
-    async def _read_first(self, reader: asyncio.StreamReader) -> bytes:
+    async def _read_first(
+        self, reader: asyncio.StreamReader, *, is_kept: bool
+    ) -> bytes:
+        task = asyncio.current_task()
+        assert task is not None
+        if is_kept:
+            self._idle.add(task)
         try:
             async with asyncio.timeout(self._limits.idle_seconds):
                 return await reader.read(READ_SIZE)
         except TimeoutError:
             return b""
+        finally:
+            self._idle.discard(task)
 
     async def _read_request(
         self,
