Reckon a stream's time at a stop by the pace of the groups that are there

Cause: a stopping host takes a stream if three times its expected time are left, and that time was that of a sound group; with groups at a fifth of their pace (engines that turned slow, groups across domains) it took streams that it could not end, and with no group at all streams that waited first.

The time is reckoned on the group that the stream would get, full, at the pace that it shows; without any group it is infinite, so the caller is sent on at once. Reckoned only while stopping.

--- a/mallowpond/node/ingress.py
+++ b/mallowpond/node/ingress.py
@@ -172,7 +172,7 @@
                     deadline=deadline,
                     exchange=exchange,
                 )
-                if not self._can_finish(self._streams.expected_seconds(work)):
+                if self.stopping and not self._can_finish(work):
                     return self._come_back(Reason.STOPPING)
                 return await self._streams.serve(work)
         call = CallWork(
@@ -188,10 +188,12 @@
             return self._come_back(Reason.STOPPING)
         return await self._calls.serve(call)
 
-    def _can_finish(self, expected_seconds: float) -> bool:
-        """Tell whether this host ends after a request that takes so long."""
-        left = self.ends_at - self._clock.now()
-        return can_finish(expected_seconds=expected_seconds, seconds_left=left)
+    def _can_finish(self, work: StreamWork) -> bool:
+        """Tell whether a stream that is begun now ends before this host does."""
+        return can_finish(
+            expected_seconds=self._streams.expected_seconds(work),
+            seconds_left=self.ends_at - self._clock.now(),
+        )
 
     def _come_back(self, reason: Reason) -> Refusal:
         after = spread_retry_after(UNSURE_RETRY_SECONDS, self._rng.random())
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from math import inf
 
 import structlog
 
@@ -284,8 +285,21 @@
         return max(0.0, WAIT_SHARE * whole - (self._clock.now() - heard_at))
 
     def expected_seconds(self, work: StreamWork) -> float:
-        """Return how long a stream takes on a full group, from now to its end."""
-        load = GroupLoad(running=work.profile.slots)
+        """Return how long a stream takes from now on, infinity without a group.
+
+        On the group that it would get, full and at the pace that it shows; without a
+        place on the best that may get one: at the pace of a sound group, a host took
+        streams that its slow groups could not end before it ended.
+        """
+        groups = self._directory.serving_groups(work.service, work.model.name)
+        chosen = self._choose(work)
+        candidates = [chosen] if chosen is not None else groups
+        loads = [self._directory.load_of(g, work.profile) for g in candidates]
+        if not loads:
+            return inf
+        load = GroupLoad(
+            running=work.profile.slots, slowness=min(load.slowness for load in loads)
+        )
         tokens = work.request.answer_tokens or work.profile.usual_answer_tokens
         passes = tokens / max(1, work.profile.stride)
         one_pass = pass_seconds(work.profile, work.model, load)
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -211,3 +211,13 @@
     passes = sound - work.route.objective_seconds
     slow = rig.service.expected_seconds(work)
     assert slow >= work.route.objective_seconds + 4.9 * passes
+
+
+async def test_a_stopping_host_takes_no_stream_for_which_it_has_no_group():
+    """A caller waited on a stopping host for a group, and its answer was cut off.
+
+    Nothing was known of when a group would serve, yet the stream's time was reckoned
+    as if one did.
+    """
+    rig = await rig_of()
+    assert rig.service.expected_seconds(rig.work(FakeExchange())) == float("inf")
