Let answers that were handed over whole go out when a server closes

Nothing counted as in progress then, so a planned stop went on to its end.

A connection whose answer is whole is closed, not aborted, and the server waits up to 0.5 s for it; an answer in progress is cut as before. A client that reads nothing holds nobody up longer than that (test).

--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -13,6 +13,9 @@
 
 READ_SIZE = 65536
 MAX_HEADER_BYTES = 16384
+# Time in which answers that were handed over whole may still go out when the server
+# closes, in seconds: less than the 0.7 s that a stopping node keeps for closing.
+FLUSH_SECONDS = 0.5
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -161,9 +164,10 @@
         self._on_bad_input = on_bad_input
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
-        self._busy: set[asyncio.Task[None]] = set()
+        self._busy: dict[asyncio.Task[None], Exchange] = {}
         self._idle: set[asyncio.Task[None]] = set()
-        self._closing = False
+        self._parting: set[asyncio.Task[None]] = set()
+        self._cut: set[asyncio.Task[None]] = set()
         self._refusing = False
         self._keeps_connections = True
 
@@ -203,15 +207,19 @@
         self._refusing = True
         if self._server is not None:
             self._server.close()
-        for task in self._connections - self._busy:
+        for task in self._connections - self._busy.keys():
             task.cancel()
 
     async def close(self) -> None:
-        """Stop listening and drop the connections that are left."""
-        self._closing = True
+        """Stop listening, cut answers in progress, and let whole ones go out."""
         if self._server is not None:
             self._server.close()
-        for task in list(self._connections):
+        self._cut = {task for task, each in self._busy.items() if not each.finished}
+        for task in self._connections - self._parting:
+            task.cancel()
+        if self._connections:
+            await asyncio.wait(self._connections, timeout=FLUSH_SECONDS)
+        for task in self._connections:
             task.cancel()
         await asyncio.gather(*self._connections, return_exceptions=True)
 
@@ -226,8 +234,29 @@
         except (ConnectionError, asyncio.CancelledError, ClientGone):
             pass
         finally:
+            await self._part(task, writer)
             self._connections.discard(task)
-            writer.transport.abort() if self._closing else writer.close()
+
+    async def _part(
+        self, task: asyncio.Task[None], writer: asyncio.StreamWriter
+    ) -> None:
+        """Close a connection once what was written has gone out.
+
+        A handler ends while up to 64 KiB of its answer stand in the buffer. Dropped
+        with the connection, the caller of a slow link got a part of a whole answer.
+        """
+        if task in self._cut:
+            writer.transport.abort()
+            return
+        self._parting.add(task)
+        writer.close()
+        try:
+            async with asyncio.timeout(self._limits.send_seconds):
+                await writer.wait_closed()
+        except (ConnectionError, TimeoutError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self._parting.discard(task)
 
     async def _converse(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -253,11 +282,11 @@
                 return
             task = asyncio.current_task()
             assert task is not None
-            self._busy.add(task)
+            self._busy[task] = exchange
             try:
                 await self._handle(request, exchange, connection, reader)
             finally:
-                self._busy.discard(task)
+                del self._busy[task]
             if not exchange.finished or connection.our_state is not h11.DONE:
                 # No closing chunk goes out: the client sees the answer broken off.
                 return
--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -1,6 +1,7 @@
 """What senders of bad input get, and what a cut answer looks like."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -131,6 +132,60 @@
     await server.close()
 
 
+@pytest.mark.parametrize("stops_first", [True, False])
+async def test_an_answer_that_was_handed_over_whole_arrives_whole(stops_first):
+    """A caller on a slow link got part of an answer when its host ended as planned.
+
+    The handler had ended and nothing was in progress, so the server closed; what the
+    link had not taken yet stood in the connection's buffer, and was dropped with it.
+    """
+    body = b"x" * 200_000
+    handed_over = asyncio.Event()
+
+    async def answer(request, exchange):
+        await exchange.respond(200, body)
+        handed_over.set()
+
+    server = HttpServer(handler=answer, limits=ServerLimits(send_seconds=5.0))
+    await server.start("127.0.0.1", 0)
+    # Small windows on both sides; a connection has its server's send buffer.
+    listening = server._server.sockets[0]
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    own = socket.socket()
+    own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    own.connect(("127.0.0.1", server.port))
+    reader, writer = await asyncio.open_connection(sock=own, limit=1024)
+    writer.write(OK)
+    assert b"200" in await reader.readuntil(b"\r\n\r\n")
+    got = 0
+    async with asyncio.timeout(5.0):
+        while not handed_over.is_set():
+            got += len(await reader.read(1024))
+        if stops_first:
+            server.refuse_more()
+        closing = asyncio.create_task(server.close())
+        await asyncio.sleep(0.05)
+        while data := await reader.read(1024):
+            got += len(data)
+        await closing
+    assert got == len(body)
+    writer.close()
+
+
+async def test_a_server_ends_although_a_client_reads_nothing():
+    async def answer(request, exchange):
+        await exchange.respond(200, b"x" * 8_000_000)
+
+    server = HttpServer(handler=answer, limits=ServerLimits(send_seconds=0.2))
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port, limit=1024)
+    writer.write(OK)
+    await reader.readuntil(b"\r\n\r\n")
+    async with asyncio.timeout(2.0):
+        await server.close()
+    writer.close()
+
+
 async def _read_all(reader):
     """Return what comes until the other side closes or resets."""
     try:
