Count the ages of the test without the table on a virtual clock

Cause: all parts of the test share one loop, and their ages counted real time, so a stall of the loop (another program on the machine) aged every vouch past the assurance, and the gateway rightly refused.

The loop of this test now tells a virtual time, which moves to the next timer only when no socket has anything left. Same minutes (three assurances), same requests, same assertions.

--- a/mallowpond/gateway/tests/callers.py
+++ b/mallowpond/gateway/tests/callers.py
@@ -4,6 +4,8 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
+from mallowpond.coordination.clock import MonotonicClock
+from mallowpond.coordination.ports import Clock
 from mallowpond.programs.site import API_KEY, Site, SiteShape, key_hash
 from mallowpond.standins.engine import EngineFaults
 from mallowpond.transport.http_client import CallFailed, End, HttpClient, HttpResponse
@@ -66,10 +68,15 @@
 
 
 @asynccontextmanager
-async def serving_site(declaration: str = DECLARATION, groups: int = 2, **shape):
+async def serving_site(
+    declaration: str = DECLARATION,
+    groups: int = 2,
+    clock: Clock | None = None,
+    **shape,
+):
     """Run a site of four engines in two domains that serves."""
     shape = {"engines": 4, "step_seconds": 0.002} | shape
-    async with Site(shape=SiteShape(**shape)) as site:
+    async with Site(shape=SiteShape(**shape), clock=clock or MonotonicClock()) as site:
         await site.apply(declaration)
         await site.until_serving("meteor", groups)
         yield site
--- a/mallowpond/gateway/tests/test_overload.py
+++ b/mallowpond/gateway/tests/test_overload.py
@@ -11,6 +11,7 @@
     serving_site,
     set_faults,
 )
+from mallowpond.gateway.tests.turned_clock import TurnedClock, run_on
 from mallowpond.standins.engine import EngineFaults
 from mallowpond.standins.platform import PlatformFaults
 
@@ -94,8 +95,20 @@
         await site.until(lambda: leader.status().group != group)
 
 
-async def test_minutes_without_the_table_change_nothing_for_repeatable_work():
-    async with serving_site(controllers=3) as site:
+def test_minutes_without_the_table_change_nothing_for_repeatable_work():
+    """
+    Symptom: requests are refused as ``configuration_unsure`` while the table is dark.
+    Events: no part reaches the table for three times the assurance.
+    Cause: nobody vouched for the configuration but the table.
+    """
+    # On the machine's clock a stall of the test itself, beside other work, aged
+    # every vouch past the assurance, and a gateway rightly refused.
+    clock = TurnedClock()
+    run_on(clock, _ask_for_minutes_without_the_table(clock))
+
+
+async def _ask_for_minutes_without_the_table(clock):
+    async with serving_site(controllers=3, clock=clock) as site:
         await site.until(lambda: site.controllers[0].membership.epoch == 3)
         await ask(site)
         site.platform.table.faults = PlatformFaults(down=True)
--- /dev/null
+++ b/mallowpond/gateway/tests/test_turned_clock.py
@@ -0,0 +1,61 @@
+"""The clock that tests turn ages nothing by itself."""
+
+import asyncio
+import time
+
+from mallowpond.gateway.tests.turned_clock import TurnedClock, run_on
+
+
+def test_a_stall_of_the_loop_ages_nothing():
+    """
+    Symptom: a test of ages fails beside other work on the machine.
+    Events: the whole process stands still while an answer is on its way.
+    Cause: the ages of what is held were counted on the machine's clock.
+    """
+    clock = TurnedClock()
+
+    async def stall() -> None:
+        began = clock.now()
+        time.sleep(0.05)
+        await asyncio.sleep(0)
+        assert clock.now() == began
+
+    run_on(clock, stall())
+
+
+def test_a_timer_is_due_at_its_time_and_without_waiting():
+    clock = TurnedClock()
+
+    async def wait() -> None:
+        began = clock.now()
+        await asyncio.sleep(3600.0)
+        assert abs(clock.now() - began - 3600.0) < 1e-6
+
+    began = time.monotonic()
+    run_on(clock, wait())
+    assert time.monotonic() - began < 60.0
+
+
+def test_bytes_arrive_before_the_next_timer():
+    """
+    Symptom: every call between two parts of one process times out.
+    Events: one part sends bytes; the loop has nothing else to do but a timer.
+    Cause: the clock was turned on although the bytes were still on their way.
+    """
+
+    async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(await reader.readline())
+        writer.close()
+
+    async def call() -> None:
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        for _ in range(50):
+            async with asyncio.timeout(0.001):
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(b"star\n")
+                assert await reader.readline() == b"star\n"
+            writer.close()
+        server.close()
+
+    run_on(TurnedClock(), call())
--- a/mallowpond/programs/site.py
+++ b/mallowpond/programs/site.py
@@ -10,7 +10,7 @@
 from mallowpond.controller.service import build as build_controller
 from mallowpond.coordination.clock import MonotonicClock
 from mallowpond.coordination.configuration import ProposalRefused
-from mallowpond.coordination.ports import Host, Ports
+from mallowpond.coordination.ports import Clock, Host, Ports
 from mallowpond.gateway.service import Gateway
 from mallowpond.gateway.service import build as build_gateway
 from mallowpond.settings import (
@@ -64,6 +64,7 @@
     shape: SiteShape = SiteShape()
     controller_timings: ControllerTimings = FAST_CONTROLLER
     gateway_timings: GatewayTimings = FAST_GATEWAY
+    clock: Clock = field(default_factory=MonotonicClock)
     engines: list[EngineStandin] = field(default_factory=list)
     controllers: list[Controller] = field(default_factory=list)
     gateways: list[Gateway] = field(default_factory=list)
@@ -100,12 +101,11 @@
 
     async def until_serving(self, deployment: str, groups: int) -> None:
         """Wait until every gateway may send work to this many groups."""
-        clock = MonotonicClock()
         for gateway in self.gateways:
             await self.until(
                 lambda g=gateway: (
                     g.is_ready
-                    and len(g.routes.serving(deployment, clock.now())) >= groups
+                    and len(g.routes.serving(deployment, self.clock.now())) >= groups
                 )
             )
 
@@ -146,7 +146,7 @@
             table=table,
             host_list=table,
             engines=EngineClient(http=http, timeout=timings.engine_timeout),
-            clock=MonotonicClock(),
+            clock=self.clock,
             seed=number + 1,
         )
         settings = ControllerSettings(
@@ -169,9 +169,7 @@
             controllers=tuple(addresses[turn:] + addresses[:turn]),
             timings=self.gateway_timings,
         )
-        gateway = build_gateway(
-            settings=settings, clock=MonotonicClock(), seed=number + 1
-        )
+        gateway = build_gateway(settings=settings, clock=self.clock, seed=number + 1)
         self._stack.push_async_callback(gateway.close)
         await gateway.start()
         self.gateways.append(gateway)
