Restart engines under their id in the soak, and write entries of other writers

Stand-ins: an engine tells its start (`born`) in its entry and its report, may have a fixed id, and keeps what it staged over a restart only in a file that its options name; orders, fences and its group end with its process. The store's stand-in holds an entry of another writer for a time, written anew after each of the engine's own.

Soak: an engine is killed and started at once under its id, alone, twice, while it joins a group, and beside a cut store link; entries of other writers stand under unknown keys and under ids of living engines; nodes are told to stop in close series, twice each, beside a new configuration. Seeds of the first draw mean the faults that they meant; a seed of the second also draws which kinds it has, so that some seeds have calm times.

An answer cut at a planned stop counts also beside a new configuration or dropped history.

New checks, each seen to see its breach (test_judge): no group opens long after a member started anew, nothing is sent by an entry of another writer, nothing is meant for an engine that only such an entry names. Three older checks know that a process that starts under a known id holds nothing.

--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import base64
 import json
 import secrets
 import time
@@ -16,7 +15,12 @@
 import structlog
 
 from mallowpond.platform import headers as names
-from mallowpond.standins.observatory_store import ENGINES_TABLE, WRITER_HEADER, pack
+from mallowpond.standins.observatory_store import (
+    ENGINES_TABLE,
+    WRITER_HEADER,
+    pack,
+    unpack,
+)
 from mallowpond.transport.http_client import CallFailed, HttpClient
 from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
 
@@ -36,7 +40,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class EngineOptions:
-    """Say what an engine is; `models` maps each name to its load time in seconds."""
+    """Say what an engine is; `models` maps each name to its load time in seconds.
+
+    A process has the given `id`, or a new one. What it staged outlives it only in
+    `staged_file`, which stands for the storage of its host.
+    """
 
     host: str
     port: int
@@ -46,6 +54,8 @@
     domain: str
     data_centre: str
     journal: str
+    id: str = ""
+    staged_file: str = ""
     models: dict[str, float] = field(default_factory=dict)
     slots: int = 8
     stride: int = 7
@@ -69,12 +79,13 @@
 
     def __init__(self, *, options: EngineOptions) -> None:
         self._options = options
-        self._id = f"i-{secrets.token_hex(5)}"
+        self._id = options.id or new_engine_id()
+        self._born = int(time.time() * 1000)
         self._http = HttpClient(connect_seconds=PING_TIMEOUT_SECONDS)
         self._journal: TextIO = Path(options.journal).open("a", buffering=1)
         self._place: Place | None = None
         self._model = ""
-        self._staged = ""
+        self._staged = _read_staged(options.staged_file)
         self._orders = 0
         self._fence = 0
         self._highest_epoch = 0
@@ -164,6 +175,7 @@
             "address": options.advertised,
             "zone": options.data_centre,
             "version": 1,
+            "born": self._born,
             "slots": options.slots,
             "state": "draining" if self._draining else "ready",
             "cold_left_ms": 0,
@@ -223,9 +235,13 @@
         rows = json.loads(answer[1])["rows"]
         if not rows or rows[0]["key"] != member:
             return None
-        entry = json.loads(base64.b64decode(rows[0]["value"]))
-        self._peers[member] = entry["address"]
-        return entry["address"]
+        entry = unpack(rows[0]["value"])
+        address = entry.get("address") if isinstance(entry, dict) else None
+        if not isinstance(address, str):
+            # Another writer's entry stands there; the member's own comes back.
+            return None
+        self._peers[member] = address
+        return address
 
     def _set_state(self, place: Place, state: str) -> None:
         if self._place is place:
@@ -287,7 +303,8 @@
         seconds = JOIN_SECONDS
         if body["model"] not in (self._model, self._staged):
             seconds += self._options.models.get(body["model"], 0.0)
-        self._model = self._staged = body["model"]
+        self._model = body["model"]
+        self._keep_staged(body["model"])
         self._later(seconds, lambda: self._set_state(place, "ready"))
         return 202
 
@@ -324,12 +341,17 @@
             return 200
 
         def done() -> None:
-            self._staged = model
+            self._keep_staged(model)
             self._changed.set()
 
         self._later(self._options.models.get(model, 0.0), done)
         return 202
 
+    def _keep_staged(self, model: str) -> None:
+        self._staged = model
+        if self._options.staged_file:
+            Path(self._options.staged_file).write_text(model)
+
     def _later(self, seconds: float, effect: Any) -> None:
         asyncio.get_running_loop().call_later(seconds, effect)
 
@@ -342,6 +364,7 @@
             echo += ((names.ATTEMPT, attempt),)
         wanted = request.headers.get(names.EXPECT_INSTANCE, self._id)
         if wanted != self._id:
+            self._note("misdirected", wanted=wanted)
             await exchange.respond(421, headers=(*echo, *NOT_RUN))
         elif request.path == "/healthz":
             await exchange.respond(503 if self._draining else 200, headers=echo)
@@ -403,10 +426,28 @@
         await exchange.end()
 
     def _note(self, event: str, **values: Any) -> None:
-        line = {"at": time.monotonic(), "engine": self._id, "event": event, **values}
+        line = {
+            "at": time.monotonic(),
+            "engine": self._id,
+            "born": self._born,
+            "event": event,
+            **values,
+        }
         self._journal.write(json.dumps(line) + "\n")
 
 
+def new_engine_id() -> str:
+    """Draw the id of an engine."""
+    return f"i-{secrets.token_hex(5)}"
+
+
+def _read_staged(path: str) -> str:
+    try:
+        return Path(path).read_text() if path else ""
+    except FileNotFoundError:
+        return ""
+
+
 def call_body(attempt: str) -> bytes:
     """Return the body with which a plain service answers a request."""
     return f"answer to {attempt}".encode()
--- a/mallowpond/standins/observatory_operator.py
+++ b/mallowpond/standins/observatory_operator.py
@@ -4,10 +4,41 @@
 import json
 from typing import Any
 
-from mallowpond.standins.observatory_store import ENGINES_TABLE, WRITER_HEADER, pack
+from mallowpond.standins.observatory_store import (
+    ENGINES_TABLE,
+    WRITER_HEADER,
+    pack,
+    unpack,
+)
 from mallowpond.transport.http_client import CallFailed, HttpClient
 
 CALL_SECONDS = 1.0
+# Fields without which an entry names no engine.
+NEEDED_FIELDS = ("service", "address", "zone", "slots", "state", "born")
+WRONG_FIELDS: tuple[dict[str, Any], ...] = (
+    {"service": 7},
+    {"service": None},
+    {"service": "nowhere"},
+    {"address": None},
+    {"address": ["127.0.0.1", 80]},
+    {"zone": 1},
+    {"slots": "eight"},
+    {"slots": [8]},
+    {"state": "melted"},
+    {"state": 1},
+    {"born": "now"},
+    {"born": 1.5},
+    {"models": 5},
+    {"models": [{"version": 1}]},
+    {"staged": [7]},
+    {"staged": 1},
+    {"group": "g"},
+    {"group": {"name": "g", "epoch": "one", "rank": 0, "state": "open"}},
+    {"group": {"name": "g", "epoch": 1, "rank": 0, "state": "melted"}},
+)
+UNREADABLE = (b"", b"\xff\xfe{", b'{"service": "engi', b"\x00" * 40)
+# Keys that no engine has.
+NO_IDS = ("", " ", "i-", "no id", "i-\u2603", "../op/config", "x" * 200)
 
 
 class ObservatoryOperator:
@@ -26,8 +57,19 @@
         """Let the store forget its changes."""
         return await self._post("/standin/drop-history", {})
 
+    async def write_foreign(self, key: str, value: bytes, seconds: float) -> bool:
+        """Let the store hold an engine's entry of another writer for a time."""
+        packed = base64.b64encode(value).decode()
+        document = {"key": key, "value": packed, "seconds": seconds}
+        return await self._post("/standin/foreign", document)
+
     async def open_groups(self) -> int:
         """Return how many engines say that their group is open; 0 without an answer."""
+        entries = (await self.entries()).values()
+        return sum((e.get("group") or {}).get("state") == "open" for e in entries)
+
+    async def entries(self) -> dict[str, dict[str, Any]]:
+        """Return each engine's own entry by its id; nothing without an answer."""
         answer = await self._http.fetch(
             self._address,
             "GET",
@@ -35,10 +77,9 @@
             timeout=CALL_SECONDS,
         )
         if isinstance(answer, CallFailed) or answer[0] != 200:
-            return 0
-        rows = json.loads(answer[1])["rows"]
-        entries = [json.loads(base64.b64decode(row["value"])) for row in rows]
-        return sum((e.get("group") or {}).get("state") == "open" for e in entries)
+            return {}
+        found = {r["key"]: unpack(r["value"]) for r in json.loads(answer[1])["rows"]}
+        return {key: e for key, e in found.items() if _is_own(e)}
 
     async def _post(self, target: str, document: dict[str, Any]) -> bool:
         answer = await self._http.fetch(
@@ -52,6 +93,20 @@
         return not isinstance(answer, CallFailed) and answer[0] == 200
 
 
+def _is_own(entry: Any) -> bool:
+    """Tell whether an engine wrote an entry: each of them says its group, or none."""
+    return isinstance(entry, dict) and isinstance(entry.get("group", 0), dict | None)
+
+
+def foreign_values(entry: dict[str, Any]) -> tuple[bytes, ...]:
+    """Return entries of other writers that look like this one, and name no engine."""
+    wrong = [{k: v for k, v in entry.items() if k != name} for name in NEEDED_FIELDS]
+    wrong += [{**entry, **change} for change in WRONG_FIELDS]
+    unlike = [None, 7, "star", [], {}]
+    documents = tuple(json.dumps(document).encode() for document in (*wrong, *unlike))
+    return (*documents, *UNREADABLE)
+
+
 def soak_configuration(
     version: int,
     *,
--- a/mallowpond/standins/observatory_store.py
+++ b/mallowpond/standins/observatory_store.py
@@ -47,6 +47,14 @@
         return {**document, "value": self.value}
 
 
+@dataclass(frozen=True, kw_only=True)
+class ForeignEntry:
+    """Hold an entry that is written anew after each write of its engine, for a time."""
+
+    value: str
+    until: float
+
+
 @dataclass(kw_only=True)
 class ObservatoryStore:
     """Serve the platform's store calls from memory."""
@@ -56,6 +64,7 @@
     _history: list[StoredRow] = field(default_factory=list)
     _kept_from: int = 0
     _heard_at: dict[Place, float] = field(default_factory=dict)
+    _foreign: dict[Place, ForeignEntry] = field(default_factory=dict)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
@@ -75,6 +84,13 @@
         self._history.clear()
         self._kept_from = self.version
 
+    def write_foreign(self, key: str, value: str, seconds: float) -> None:
+        """Write an engine's entry as another writer does, and keep it for a time."""
+        place = (ENGINES_TABLE, "", key)
+        until = time.monotonic() + seconds
+        self._foreign[place] = ForeignEntry(value=value, until=until)
+        self._apply({place: value}, [])
+
     async def _answer(self, request: HttpRequest, exchange: Exchange) -> None:
         path, _, query = request.target.partition("?")
         asked = {name: values[0] for name, values in parse_qs(query).items()}
@@ -89,6 +105,9 @@
             case ("POST", "/standin/drop-history"):
                 self.drop_history()
                 status, document = 200, {}
+            case ("POST", "/standin/foreign"):
+                self.write_foreign(**json.loads(request.body))
+                status, document = 200, {}
             case _:
                 status, document = 404, {}
         await exchange.respond(status, json.dumps(document).encode())
@@ -113,6 +132,7 @@
         for place, value in writes.items():
             if place[0] == ENGINES_TABLE:
                 self._heard_at[place] = time.monotonic()
+                value = self._foreign_value(place) or value
             known = self._rows.get(place)
             if known is not None and _is_heartbeat(known.value, value):
                 # Only its number changed: readers of the feed are not told.
@@ -123,6 +143,8 @@
             self._rows[place] = row
             self._history.append(row)
         for place in removed:
+            if self._foreign_value(place) is not None:
+                continue
             self._heard_at.pop(place, None)
             if self._rows.pop(place, None) is not None:
                 gone = StoredRow(place=place, value=None, version=self.version)
@@ -130,6 +152,13 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _foreign_value(self, place: Place) -> str | None:
+        held = self._foreign.get(place)
+        if held is not None and held.until < time.monotonic():
+            del self._foreign[place]
+            return None
+        return held and held.value
+
     def _version_of(self, place: Place) -> int:
         row = self._rows.get(place)
         return 0 if row is None else row.version
@@ -179,7 +208,7 @@
 def _is_heartbeat(before: str | None, after: str) -> bool:
     if before is None or before == after:
         return before == after
-    known, new = (json.loads(base64.b64decode(value)) for value in (before, after))
+    known, new = unpack(before), unpack(after)
     if not isinstance(known, dict) or not isinstance(new, dict):
         return False
     return "sequence" in new and {**known, "sequence": 0} == {**new, "sequence": 0}
@@ -188,3 +217,11 @@
 def pack(document: Any) -> str:
     """Return a document as the store keeps values."""
     return base64.b64encode(json.dumps(document).encode()).decode()
+
+
+def unpack(value: str) -> Any:
+    """Return the document in a kept value, None where no document can be read."""
+    try:
+        return json.loads(base64.b64decode(value, validate=True))
+    except ValueError:
+        return None
--- /dev/null
+++ b/mallowpond/standins/tests/test_observatory.py
@@ -0,0 +1,136 @@
+"""The stand-ins of the platform's engines and store, as the fault soak uses them."""
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import pytest
+
+from mallowpond.standins.observatory_engine import EngineOptions, ObservatoryEngine
+from mallowpond.standins.observatory_operator import (
+    ObservatoryOperator,
+    foreign_values,
+)
+from mallowpond.standins.observatory_store import ObservatoryStore
+from mallowpond.transport.http_client import HttpClient
+
+LOOPBACK = "127.0.0.1"
+JOIN = {
+    "operation": "join",
+    "group": "g",
+    "epoch": 7,
+    "model": "m",
+    "members": ["i-fixed"],
+}
+
+
+@asynccontextmanager
+async def _store():
+    store, http = ObservatoryStore(), HttpClient()
+    await store.server.start(LOOPBACK, 0)
+    address = f"{LOOPBACK}:{store.server.port}"
+    try:
+        yield address, ObservatoryOperator(http=http, address=address), http
+    finally:
+        await http.close()
+        await store.server.close()
+
+
+@asynccontextmanager
+async def _engine(options: EngineOptions):
+    engine = ObservatoryEngine(options=options)
+    await engine.start()
+    try:
+        yield f"{LOOPBACK}:{engine.server.port}"
+    finally:
+        await engine.close()
+
+
+def _options(store: str, tmp_path, **more) -> EngineOptions:
+    return EngineOptions(
+        host=LOOPBACK,
+        port=0,
+        advertised="127.0.0.1:1",
+        store=store,
+        service="engines",
+        domain="d0",
+        data_centre="a",
+        journal=str(tmp_path / "journal"),
+        id="i-fixed",
+        models={"m": 0.0},
+        **more,
+    )
+
+
+async def _until(holds) -> None:
+    async with asyncio.timeout(5.0):
+        while not await holds():
+            await asyncio.sleep(0.01)
+
+
+async def _report(http: HttpClient, address: str) -> dict:
+    return json.loads((await http.fetch(address, "GET", "/-/report"))[1])
+
+
+@pytest.mark.parametrize("keeps", [False, True])
+async def test_a_restarted_engine_holds_nothing_under_its_id(tmp_path, keeps):
+    async with _store() as (store, operator, http):
+        options = _options(store, tmp_path)
+        if keeps:
+            options = replace(options, staged_file=str(tmp_path / "staged"))
+        async with _engine(options) as address:
+            body = json.dumps(JOIN).encode()
+            assert (await http.fetch(address, "POST", "/-/order", body=body))[0] == 202
+
+            async def tells_its_group() -> bool:
+                entry = (await operator.entries()).get("i-fixed", {})
+                return (entry.get("group") or {}).get("state") == "ready"
+
+            await _until(tells_its_group)
+            first = await _report(http, address)
+            assert first == {**first, "sequence": 1, "staged": ["m"]}
+        async with _engine(options) as address:
+
+            async def holds_nothing() -> bool:
+                entry = (await operator.entries())["i-fixed"]
+                return entry["group"] is None and entry["born"] != first["born"]
+
+            await _until(holds_nothing)
+            later = await _report(http, address)
+            assert (later["sequence"], later["group"]) == (0, None)
+            assert isinstance(later["born"], int) and later["born"] > first["born"]
+            assert later["staged"] == (["m"] if keeps else [])
+
+
+async def test_a_foreign_entry_stands_until_its_time_and_then_the_own_one(tmp_path):
+    async with _store() as (store, operator, _):
+        async with _engine(_options(store, tmp_path)):
+
+            async def is_own() -> bool:
+                return "born" in (await operator.entries()).get("i-fixed", {})
+
+            await _until(is_own)
+            assert await operator.write_foreign("i-fixed", b"\xff{", 1.0)
+            for _ in range(9):
+                # The engine writes every 0.4 s; the other writer writes after it.
+                assert not await is_own()
+                await asyncio.sleep(0.1)
+            await _until(is_own)
+
+
+def test_foreign_values_are_each_unlike_an_engines_own():
+    entry = {
+        "service": "s",
+        "address": "a:1",
+        "zone": "a",
+        "slots": 8,
+        "state": "ready",
+        "born": 1,
+        "models": [],
+        "staged": [],
+        "group": None,
+    }
+    values = foreign_values(entry)
+    assert len(set(values)) == len(values) > 30
+    assert json.dumps(entry).encode() not in values
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,8 +20,14 @@
 # balancer sends them when most nodes say so.
 STRAY_SHARE = 0.1
 READY_LOOK_SECONDS = 0.3
-# Share of requests that go on a kept connection where there is one.
+# Share of requests that go on a kept connection where there is one, whether or not
+# its node says that it is ready: callers use connections until they close.
 KEPT_SHARE = 0.7
+# Share of streams that last for seconds, so that many nodes are told to stop while
+# they run; their number of events, and their time.
+LONG_SHARE = 0.04
+LONG_EVENTS = (100, 200)
+LONG_SECONDS = 6.0
 
 
 class Callers:
@@ -34,7 +40,7 @@
         self._rate = rate
         self._rng = rng
         self._ready: set[int] = set()
-        self._kept: dict[int, list[_Connection]] = {n: [] for n in range(len(ports))}
+        self._kept: list[_Connection] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self.records: list[CallerRecord] = []
 
@@ -47,9 +53,8 @@
         await asyncio.gather(*self._tasks)
         looking.cancel()
         await asyncio.gather(looking, return_exceptions=True)
-        for kept in self._kept.values():
-            for connection in kept:
-                connection.close()
+        for connection in self._kept:
+            connection.close()
 
     async def _look(self) -> None:
         while True:
@@ -62,34 +67,47 @@
 
     def _begin(self) -> None:
         rng = self._rng
-        nodes = list(range(len(self._ports)))
-        if self._ready and rng.random() > STRAY_SHARE:
-            nodes = sorted(self._ready)
+        connection = self._take_kept()
+        node = self._choose_node() if connection is None else connection.node
         kind = rng.choices(list(Kind), weights=(6, 3, 2))[0]
+        events, seconds = rng.randint(1, 30), DEADLINES[kind]
+        if kind is Kind.STREAM and rng.random() < LONG_SHARE:
+            events, seconds = rng.randint(*LONG_EVENTS), LONG_SECONDS
         now = time.monotonic()
         record = CallerRecord(
             attempt=f"{rng.getrandbits(64):016x}",
             kind=kind,
             key=rng.choice(("key-a", "key-b")),
-            node=rng.choice(nodes),
-            events=rng.randint(1, 30),
+            node=node,
+            events=events,
             sent_at=now,
-            deadline=now + DEADLINES[kind],
+            deadline=now + seconds,
+            is_kept=connection is not None,
         )
         self.records.append(record)
-        task = asyncio.create_task(self._ask(record))
+        task = asyncio.create_task(self._ask(record, connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _ask(self, record: CallerRecord) -> None:
-        connection: _Connection | None = None
+    def _take_kept(self) -> "_Connection | None":
+        self._kept = [c for c in self._kept if c.is_open]
+        if not self._kept or self._rng.random() > KEPT_SHARE:
+            return None
+        return self._kept.pop(self._rng.randrange(len(self._kept)))
+
+    def _choose_node(self) -> int:
+        nodes = list(range(len(self._ports)))
+        if self._ready and self._rng.random() > STRAY_SHARE:
+            nodes = sorted(self._ready)
+        return self._rng.choice(nodes)
+
+    async def _ask(
+        self, record: CallerRecord, connection: "_Connection | None"
+    ) -> None:
         try:
-            async with asyncio.timeout_at(
-                asyncio.get_running_loop().time()
-                + DEADLINES[record.kind]
-                + LISTEN_SECONDS
-            ):
-                connection = await self._connect(record.node)
+            async with asyncio.timeout_at(record.deadline + LISTEN_SECONDS):
+                if connection is None:
+                    connection = await self._connect(record.node)
                 await connection.ask(record)
         except TimeoutError:
             record.ending = Ending.HELD if record.status == 0 else Ending.CUT
@@ -98,27 +116,22 @@
         finally:
             record.ended_at = time.monotonic()
             if connection is not None and connection.is_reusable:
-                self._kept[record.node].append(connection)
+                self._kept.append(connection)
             elif connection is not None:
                 connection.close()
 
     async def _connect(self, node: int) -> "_Connection":
-        kept = self._kept[node]
-        while kept and self._rng.random() < KEPT_SHARE:
-            connection = kept.pop()
-            if connection.is_open:
-                return connection
-            connection.close()
         reader, writer = await asyncio.open_connection(
             "127.0.0.1", self._ports[node][0]
         )
-        return _Connection(reader, writer)
+        return _Connection(node, reader, writer)
 
 
 class _Connection:
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, node: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.node = node
         self._reader = reader
         self._writer = writer
         self._state = h11.Connection(h11.CLIENT)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,12 +5,15 @@
 import signal
 import time
 from dataclasses import dataclass, field
+from typing import Any
 
 import structlog
 
+from mallowpond.standins.observatory_engine import new_engine_id
+from mallowpond.standins.observatory_operator import NO_IDS, foreign_values
 from soak.fleet import Fleet, Member
 from soak.proxy import Link
-from soak.records import Disturbance, Revocation
+from soak.records import Disturbance, ForeignEntry, Revocation
 
 log = structlog.get_logger()
 
@@ -31,6 +34,20 @@
     "revoke",
     "reconfigure",
 )
+# Kinds that came later: a seed of the first draw goes on meaning the same faults.
+LATER_KINDS = (
+    "node_stop_series",
+    "engine_restart",
+    "engine_restart_twice",
+    "engine_restart_forming",
+    "engine_restart_unheard",
+    "foreign_entry",
+    "foreign_entry_of_engine",
+)
+# Parts of all kinds that a seed of the second draw may choose from: with few kinds
+# there are calm times, in which the bounds in time count.
+KIND_SHARES = (0.15, 0.3, 0.6, 1.0)
+NEWEST_DRAW = 2
 LINKS = (Link.SLOW, Link.RESET, Link.SILENT, Link.ONE_WAY)
 LONGEST_SECONDS = 4.0
 MEAN_PAUSE_SECONDS = 1.2
@@ -38,6 +55,12 @@
 SERIES_SECONDS = 1.0
 # Time after a kill or stop until a node serves and knows its peers, in seconds.
 SETTLE_SECONDS = 2.0
+# Longest wait for an engine that joins a group, and the pause between looks, seconds.
+FORMING_SECONDS = 3.0
+FORMING_LOOK_SECONDS = 0.02
+# Time for which an entry of another writer stands at least, in seconds: longer than
+# the bound after which nothing may be sent to its engine.
+FOREIGN_SECONDS = 3.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -51,14 +74,19 @@
     link: Link
 
 
-def draw_faults(rng: random.Random, seconds: float) -> tuple[Fault, ...]:
+def draw_faults(rng: random.Random, seconds: float, draw: int) -> tuple[Fault, ...]:
     """Return the faults of one run; they overlap and come in series."""
+    kinds = KINDS
+    if draw > 1:
+        share = rng.choice(KIND_SHARES)
+        kinds += LATER_KINDS
+        kinds = tuple(k for k in kinds if rng.random() < share) or LATER_KINDS
     faults = []
     at = rng.expovariate(1.0 / MEAN_PAUSE_SECONDS)
     while at < seconds:
         fault = Fault(
             at=at,
-            kind=rng.choice(KINDS),
+            kind=rng.choice(kinds),
             seconds=rng.uniform(0.2, LONGEST_SECONDS),
             draw=rng.randrange(1_000_000),
             link=rng.choice(LINKS),
@@ -75,6 +103,7 @@
     fleet: Fleet
     disturbances: list[Disturbance] = field(default_factory=list)
     revocations: list[Revocation] = field(default_factory=list)
+    foreign: list[ForeignEntry] = field(default_factory=list)
 
     async def run(self, faults: tuple[Fault, ...]) -> None:
         """Bring about every fault at its time; return when the last has ended."""
@@ -102,7 +131,14 @@
                 await self._stop_node(number)
             case "node_stop_all":
                 kind = "node_stop"
-                await self._stop_all()
+                await self._stop_all(SERIES_SECONDS)
+                return
+            case "node_stop_series":
+                kind = "node_stop"
+                await asyncio.gather(
+                    self._stop_all(fault.seconds / len(fleet.nodes)),
+                    self._signal_again(fault.seconds),
+                )
                 return
             case "node_pause":
                 node = number
@@ -125,6 +161,21 @@
             case "engine_stop":
                 fleet.stop(engine)
                 await self._until_back(engine)
+            case "engine_restart":
+                await self._restart(self._plain_or_grouped(fault.draw))
+            case "engine_restart_twice":
+                engine = self._plain_or_grouped(fault.draw)
+                await fleet.restart(engine)
+                await asyncio.sleep(fault.seconds / 4.0)
+                await self._restart(engine)
+            case "engine_restart_forming":
+                await self._restart_forming(fault.draw)
+            case "engine_restart_unheard":
+                await self._restart_unheard(fault)
+            case "foreign_entry":
+                await self._write_foreign(fault, None)
+            case "foreign_entry_of_engine":
+                await self._write_foreign(fault, engine)
             case "engine_pause":
                 await self._pause(engine, fault.seconds)
             case "engine_link":
@@ -154,9 +205,84 @@
         self.fleet.stop(member)
         await self._until_back(member)
 
-    async def _stop_all(self) -> None:
+    def _plain_or_grouped(self, draw: int) -> Member:
+        # Requests that may not be repeated go to the few plain engines only.
+        engines, plain = self.fleet.engines, self.fleet.grouped_engines
+        half = engines[plain:] if draw % 2 else engines[:plain]
+        return half[draw // 2 % len(half)]
+
+    async def _restart(self, engine: Member) -> None:
+        await self.fleet.restart(engine)
+        await asyncio.sleep(SETTLE_SECONDS)
+
+    async def _restart_forming(self, draw: int) -> None:
+        """Break a group, and restart one engine while it joins the next."""
+        fleet = self.fleet
+        fleet.engines[draw % fleet.grouped_engines].signal(signal.SIGKILL)
+        limit = time.monotonic() + FORMING_SECONDS
+        while time.monotonic() < limit:
+            entries = await fleet.entries()
+            joining = [
+                engine
+                for engine in fleet.engines
+                if _group_state(entries.get(engine.id)) == "joining"
+            ]
+            if joining:
+                await fleet.restart(joining[draw // 7 % len(joining)])
+                break
+            await asyncio.sleep(FORMING_LOOK_SECONDS)
+        await asyncio.sleep(SETTLE_SECONDS)
+
+    async def _restart_unheard(self, fault: Fault) -> None:
+        """Restart an engine while it, or one of the nodes, is cut off the store."""
+        fleet = self.fleet
+        number = fault.draw // 2
+        place = number % len(fleet.engines)
+        link = fleet.engine_store_links[place]
+        if fault.draw % 2:
+            link = fleet.store_links[number % len(fleet.nodes)]
+        link.set(fault.link)
+        await asyncio.sleep(fault.seconds / 2.0)
+        await fleet.restart(fleet.engines[place])
+        await asyncio.sleep(fault.seconds / 2.0)
+        link.set(Link.SOUND)
+        await asyncio.sleep(SETTLE_SECONDS)
+
+    async def _write_foreign(self, fault: Fault, engine: Member | None) -> None:
+        entries = await self.fleet.entries()
+        if not entries:
+            return
+        key = NO_IDS[fault.draw % len(NO_IDS)]
+        if engine is not None:
+            key = engine.id
+        elif fault.draw % 3:
+            key = new_engine_id()
+        known = list(entries.values())
+        like = entries.get(key, known[fault.draw // 3 % len(known)])
+        values = foreign_values(like)
+        value = values[fault.draw // 5 % len(values)]
+        seconds = FOREIGN_SECONDS + fault.seconds
+        asked_at = time.monotonic()
+        if await self.fleet.write_foreign(key, value, seconds):
+            log.info("soak: foreign entry", key=key, value=value)
+            entry = ForeignEntry(
+                key=key, written_at=time.monotonic(), until=asked_at + seconds
+            )
+            self.foreign.append(entry)
+            await asyncio.sleep(seconds)
+
+    async def _signal_again(self, seconds: float) -> None:
+        """Signal nodes that may be stopping, and write a configuration."""
+        await asyncio.sleep(seconds / 2.0)
+        await self.fleet.configure()
+        for node in self.fleet.nodes:
+            if node.stopping_since is not None:
+                node.signal(signal.SIGHUP)
+                node.signal(signal.SIGTERM)
+
+    async def _stop_all(self, pause: float) -> None:
         async def stop(number: int) -> None:
-            await asyncio.sleep(number * SERIES_SECONDS)
+            await asyncio.sleep(number * pause)
             began = time.monotonic()
             await self._stop_node(number)
             self._note("node_stop", began, number)
@@ -195,3 +321,7 @@
         self.disturbances.append(
             Disturbance(kind=kind, began_at=began, ended_at=time.monotonic(), node=node)
         )
+
+
+def _group_state(entry: dict[str, Any] | None) -> str | None:
+    return ((entry or {}).get("group") or {}).get("state")
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,6 +14,7 @@
 
 from mallowpond.platform.program import SETTINGS_VARIABLE
 from mallowpond.programs.tests.cluster import free_ports
+from mallowpond.standins.observatory_engine import new_engine_id
 from mallowpond.standins.observatory_operator import (
     ObservatoryOperator,
     soak_configuration,
@@ -23,13 +24,21 @@
 from soak.proxy import Proxy
 
 ROOT = Path(__file__).resolve().parent.parent
-NODES = 3
-DOMAINS = 2
-ENGINES_A_DOMAIN = 4
-PLAIN_ENGINES = 2
 GRACE_SECONDS = 8.0
 RESTART_SECONDS = 0.3
 LOAD_SECONDS = 0.3
+# Pause between two looks whether a killed process has ended, in seconds.
+KILL_LOOK_SECONDS = 0.005
+
+
+@dataclass(frozen=True, kw_only=True)
+class FleetShape:
+    """Say how many processes of each kind there are."""
+
+    nodes: int = 3
+    domains: int = 2
+    engines_a_domain: int = 4
+    plain_engines: int = 2
 
 
 @dataclass(kw_only=True)
@@ -40,6 +49,7 @@
     arguments: tuple[str, ...]
     environment: dict[str, str]
     log: Path
+    options: dict[str, Any] | None = None
     process: subprocess.Popen[bytes] | None = None
     wanted: bool = True
     stopping_since: float | None = None
@@ -56,6 +66,11 @@
             )
         self.stopping_since = None
 
+    @property
+    def id(self) -> str:
+        """Return the id of the engine that this is, empty for others."""
+        return (self.options or {}).get("id", "")
+
     @property
     def is_running(self) -> bool:
         """Tell whether the process exists."""
@@ -72,10 +87,12 @@
     """Hold a store, engines, nodes, and the links between them."""
 
     folder: Path
+    shape: FleetShape = FleetShape()
     nodes: list[Member] = field(default_factory=list)
     engines: list[Member] = field(default_factory=list)
     store_links: list[Proxy] = field(default_factory=list)
     engine_links: list[Proxy] = field(default_factory=list)
+    engine_store_links: list[Proxy] = field(default_factory=list)
     ports: list[tuple[int, int]] = field(default_factory=list)
     version: int = 0
     keys: set[str] = field(default_factory=lambda: set(WORKSPACES))
@@ -95,9 +112,9 @@
         self._store = self._member("store", "observatory-store", options)
         self._store.start()
         await self._until(lambda: self.configure(), "the store")
-        for number in range(DOMAINS * ENGINES_A_DOMAIN + PLAIN_ENGINES):
+        for number in range(self.grouped_engines + self.shape.plain_engines):
             await self._add_engine(number)
-        for number in range(NODES):
+        for number in range(self.shape.nodes):
             await self._add_node(number)
         for member in (*self.engines, *self.nodes):
             member.start()
@@ -126,8 +143,24 @@
                 if since is not None and time.monotonic() - since > GRACE_SECONDS:
                     member.signal(signal.SIGKILL)
                 if member.wanted and not member.is_running:
+                    if member.options is not None:
+                        self._write(member, {"id": new_engine_id()})
                     member.start()
 
+    async def restart(self, engine: Member) -> None:
+        """Kill an engine and start it at once under the id that it had."""
+        engine.wanted = False
+        engine.signal(signal.SIGKILL)
+        while engine.is_running:
+            await asyncio.sleep(KILL_LOOK_SECONDS)
+        engine.start()
+        engine.wanted = True
+
+    @property
+    def grouped_engines(self) -> int:
+        """Return how many engines may stand in groups; the plain ones come after."""
+        return self.shape.domains * self.shape.engines_a_domain
+
     def stop(self, member: Member) -> None:
         """Ask a process to end."""
         if member.stopping_since is None:
@@ -152,15 +185,24 @@
         """Let the store forget its changes."""
         return await self._operator.drop_history()
 
+    async def entries(self) -> dict[str, dict[str, Any]]:
+        """Return what each engine says of itself in the store, by its id."""
+        return await self._operator.entries()
+
+    async def write_foreign(self, key: str, value: bytes, seconds: float) -> bool:
+        """Let the store hold an engine's entry of another writer for a time."""
+        return await self._operator.write_foreign(key, value, seconds)
+
     def signal_store(self, number: signal.Signals) -> None:
         """Send a signal to the store."""
         if self._store is not None:
             self._store.signal(number)
 
     async def _is_serving(self) -> bool:
-        return await self._operator.open_groups() >= DOMAINS
+        groups = self.shape.engines_a_domain // GROUP_SIZE * self.shape.domains
+        return await self._operator.open_groups() >= groups
 
-    async def _until(self, holds: Any, what: str, seconds: float = 30.0) -> None:
+    async def _until(self, holds: Any, what: str, seconds: float = 90.0) -> None:
         limit = time.monotonic() + seconds
         while not await holds():
             if time.monotonic() > limit:
@@ -170,22 +212,28 @@
     async def _add_engine(self, number: int) -> None:
         (port,) = free_ports(1)
         link = await self._link(port)
-        is_plain = number >= DOMAINS * ENGINES_A_DOMAIN
+        store_link = await self._link(self._store_port)
+        is_plain = number >= self.grouped_engines
+        name = f"engine{number}"
         options = {
             "host": "127.0.0.1",
             "port": port,
             "advertised": f"127.0.0.1:{link.port}",
-            "store": f"127.0.0.1:{self._store_port}",
+            "store": f"127.0.0.1:{store_link.port}",
             "service": "plain" if is_plain else "engines",
-            "domain": "" if is_plain else f"d{number // ENGINES_A_DOMAIN}",
+            "domain": "" if is_plain else f"d{number // self.shape.engines_a_domain}",
             "data_centre": "a",
-            "journal": str(self.folder / f"engine{number}.journal"),
+            "journal": str(self.folder / f"{name}.journal"),
+            "staged_file": str(self.folder / f"{name}.staged"),
+            "id": new_engine_id(),
         }
         if not is_plain:
             options["models"] = {"m": LOAD_SECONDS}
-        member = self._member(f"engine{number}", "observatory-engine", options)
+        member = self._member(name, "observatory-engine", options)
+        member.options = options
         self.engines.append(member)
         self.engine_links.append(link)
+        self.engine_store_links.append(store_link)
 
     async def _add_node(self, number: int) -> None:
         callers, readiness, peers = free_ports(3)
@@ -225,6 +273,11 @@
             log=self.folder / f"{name}.log",
         )
 
+    def _write(self, engine: Member, change: dict[str, Any]) -> None:
+        engine.options = {**(engine.options or {}), **change}
+        path = self.folder / f"{engine.name}.toml"
+        path.write_text(_toml(engine.options))
+
 
 def _toml(options: dict[str, Any]) -> str:
     lines = [f"{k} = {json.dumps(v)}" for k, v in options.items() if k != "models"]
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -14,6 +14,23 @@
 SLACK_SECONDS = 0.5
 # Time after a disturbance in which a bound in time does not hold, in seconds.
 CALM_SECONDS = 3.0
+# Time after it was written at which an entry of another writer, or a start of an
+# engine, is known to every node, in seconds: some reads of the list, and their way.
+NEWS_SECONDS = 2.5
+# Disturbances after which an answer that was under way has to end whole all the same.
+HARMLESS = ("node_stop", "reconfigure", "history", "foreign_entry")
+# Disturbances that leave each node's reads of the list of engines alone.
+HEARD = (
+    "engine_kill",
+    "engine_kill_pair",
+    "engine_stop",
+    "engine_restart",
+    "engine_restart_twice",
+    "engine_restart_forming",
+    "foreign_entry_of_engine",
+    "revoke",
+    *HARMLESS[1:],
+)
 # Time after its deadline at which a request must have ended, in seconds.
 HELD_SECONDS = 1.0
 # Time after its SIGTERM within which a node has ended, in seconds: its grace and a
@@ -32,9 +49,17 @@
         _workspaces,
         _whole_groups,
         _one_group,
+        _no_such_engines,
     )
     if timed:
-        checks += (_held, _revoked_keys, _leaving_targets, _graceful_stops)
+        checks += (
+            _held,
+            _revoked_keys,
+            _leaving_targets,
+            _graceful_stops,
+            _whole_openings,
+            _foreign_entries,
+        )
     return [line for check in checks for line in check(run)]
 
 
@@ -130,6 +155,9 @@
             phase[note.key] = (note.engine, note.values["state"])
         if note.event == "leave":
             phase.pop(note.key, None)
+        if note.event == "start":
+            # A process that starts holds nothing, also under a known id.
+            phase = {k: v for k, v in phase.items() if v[0] != note.engine}
         if note.event == "join" and note.values["before"] is not None:
             before = tuple(note.values["before"])
             head, state = phase.get(before, ("", ""))
@@ -149,6 +177,8 @@
     for note in run.notes:
         if note.event == "draining accepted":
             accepted[note.engine] = note.at
+        if note.event == "start":
+            accepted.pop(note.engine, None)
         since = accepted.get(note.engine)
         if note.event != "run" or since is None:
             continue
@@ -159,6 +189,46 @@
             yield f"{record.attempt}: sent to an engine that leaves"
 
 
+def _whole_openings(run: Run) -> Iterator[str]:
+    """Find groups that opened long after a member had started anew."""
+    ready: dict[tuple[str, tuple[str, int]], float] = {}
+    started: dict[str, float] = {}
+    for note in run.notes:
+        if note.event == "start":
+            started[note.engine] = note.at
+        if note.event != "state":
+            continue
+        if note.values["state"] == "ready":
+            ready[note.engine, note.key] = note.at
+        if note.values["state"] != "open":
+            continue
+        for member in note.values["members"]:
+            since = started.get(member, 0.0)
+            is_known = since < note.at - NEWS_SECONDS
+            if is_known and ready.get((member, note.key), -1.0) < since:
+                if _is_heard(run, since - CALM_SECONDS, note.at):
+                    yield f"{note.engine}: opened {note.key} without {member}"
+
+
+def _foreign_entries(run: Run) -> Iterator[str]:
+    for note in _runs(run):
+        for entry in run.foreign:
+            since = entry.written_at + NEWS_SECONDS
+            if note.engine != entry.key or not since < note.at < entry.until:
+                continue
+            if _is_heard(run, entry.written_at - CALM_SECONDS, note.at):
+                yield f"{note.values['attempt']}: sent by an entry of another writer"
+
+
+def _no_such_engines(run: Run) -> Iterator[str]:
+    """Find what was sent to an engine that only another writer names."""
+    engines = {note.engine for note in run.notes}
+    for note in run.notes:
+        wanted = note.values.get("wanted")
+        if note.event == "misdirected" and wanted not in engines:
+            yield f"{note.engine}: got what was meant for {wanted!r}"
+
+
 def _graceful_stops(run: Run) -> Iterator[str]:
     ran = {note.values["attempt"] for note in _runs(run)}
     stops = [d for d in run.disturbances if d.kind == "node_stop"]
@@ -181,7 +251,7 @@
     return not any(
         d.began_at < end and d.ended_at > start
         for d in run.disturbances
-        if d.kind != "node_stop"
+        if d.kind not in HARMLESS
     )
 
 
@@ -190,5 +260,14 @@
     return not any(
         d.began_at < end and d.ended_at > start
         for d in run.disturbances
-        if d.node in (None, node)
+        if d.node in (None, node) and (d.kind not in HARMLESS or d.node == node)
+    )
+
+
+def _is_heard(run: Run, start: float, end: float) -> bool:
+    """Tell whether nothing kept a node from the list of engines."""
+    return not any(
+        d.began_at < end and d.ended_at > start
+        for d in run.disturbances
+        if d.kind not in HEARD
     )
--- a/soak/records.py
+++ b/soak/records.py
@@ -1,7 +1,7 @@
 """What callers saw and what engines did, as the checks read it."""
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from enum import Enum
 from pathlib import Path
 from typing import Any
@@ -35,6 +35,7 @@
     events: int
     sent_at: float
     deadline: float
+    is_kept: bool = False
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
@@ -77,6 +78,15 @@
     restored_at: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class ForeignEntry:
+    """Say from when to when an entry of another writer stood under a key."""
+
+    key: str
+    written_at: float
+    until: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class Run:
     """Hold all that one run left behind."""
@@ -85,6 +95,13 @@
     notes: tuple[Note, ...]
     disturbances: tuple[Disturbance, ...]
     revocations: tuple[Revocation, ...]
+    foreign: tuple[ForeignEntry, ...] = ()
+
+
+def write_run(run: Run, path: Path) -> None:
+    """Write what callers saw and what was done, for who traces a failed run."""
+    kept = {name: value for name, value in asdict(run).items() if name != "notes"}
+    path.write_text(json.dumps(kept, indent=1, default=repr))
 
 
 def read_notes(folder: Path) -> tuple[Note, ...]:
--- /dev/null
+++ b/soak/tests/test_callers.py
@@ -0,0 +1,62 @@
+"""Callers behave as a balancer and its clients do."""
+
+import asyncio
+import random
+import time
+
+from mallowpond.platform import headers as names
+from mallowpond.standins.observatory_engine import call_body
+from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
+from soak.callers import LISTEN_SECONDS, LONG_SECONDS, Callers
+from soak.records import Ending, Kind
+
+
+async def _answer(request: HttpRequest, exchange: Exchange) -> None:
+    attempt = request.headers[names.ATTEMPT]
+    await exchange.respond(200, call_body(attempt), ((names.ATTEMPT, attempt),))
+
+
+async def _run_until_one_node_is_not_ready() -> tuple[Callers, float]:
+    stopped_at = float("inf")
+
+    async def tell(request: HttpRequest, exchange: Exchange) -> None:
+        await exchange.respond(200 if time.monotonic() < stopped_at else 503)
+
+    async def tell_always(request: HttpRequest, exchange: Exchange) -> None:
+        await exchange.respond(200)
+
+    servers = [HttpServer(handler=h) for h in (_answer, tell, _answer, tell_always)]
+    for server in servers:
+        await server.start("127.0.0.1", 0)
+    ports = [(servers[n].port, servers[n + 1].port) for n in (0, 2)]
+    callers = Callers(ports=ports, rate=150.0, rng=random.Random(1))
+    running = asyncio.create_task(callers.run(time.monotonic() + 2.0))
+    await asyncio.sleep(0.8)
+    stopped_at = time.monotonic()
+    await running
+    for server in servers:
+        await server.close()
+    return callers, stopped_at
+
+
+def test_open_connections_are_used_until_they_close():
+    """
+    Symptom: a node that cuts off what comes late in its stop passes every check.
+    Sequence: a node says that it is not ready; its connections stay open.
+    Cause: callers left a node, with their open connections, as soon as it said so.
+    """
+    callers, stopped_at = asyncio.run(_run_until_one_node_is_not_ready())
+    late = [r for r in callers.records if r.node == 0 and r.sent_at > stopped_at + 0.5]
+    assert sum(r.is_kept for r in late) > 20
+    assert all(r.ending is Ending.WHOLE for r in late)
+    # New connections mostly go where the node says that it is ready.
+    new = [r for r in callers.records if not r.is_kept and r.sent_at > stopped_at + 0.5]
+    assert sum(r.node == 0 for r in new) < len(new) / 4
+
+
+def test_some_streams_last_for_seconds():
+    callers, _ = asyncio.run(_run_until_one_node_is_not_ready())
+    streams = [r for r in callers.records if r.kind is Kind.STREAM]
+    long = [r for r in streams if r.events >= 100]
+    assert 0 < len(long) < len(streams) / 8
+    assert all(r.deadline - r.sent_at > LONG_SECONDS - LISTEN_SECONDS for r in long)
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -10,6 +10,7 @@
     CallerRecord,
     Disturbance,
     Ending,
+    ForeignEntry,
     Kind,
     Note,
     Revocation,
@@ -53,13 +54,14 @@
     return replace(found, **more)
 
 
-def run_of(*records, notes=(), disturbances=(), revocations=()):
+def run_of(*records, notes=(), disturbances=(), revocations=(), foreign=()):
     """Write a run."""
     return Run(
         callers=records,
         notes=tuple(notes),
         disturbances=disturbances,
         revocations=revocations,
+        foreign=foreign,
     )
 
 
@@ -75,6 +77,15 @@
 STOPPED = Disturbance(kind="node_stop", began_at=9.9, ended_at=14.0, node=0)
 REFUSED = {"status": 503, "headers": {}, "body": b""}
 CUT = {"ending": Ending.CUT, "body": event_bytes("q", 1)}
+RECONFIGURED = Disturbance(kind="reconfigure", began_at=9.8, ended_at=9.9)
+KILLED = Disturbance(kind="engine_kill", began_at=9.0, ended_at=11.0)
+RESTARTED = note("start", 9.05, "e1", born=2)
+REJOINED = note("state", 9.5, "e1", group="g", epoch=1, state="ready", members=MEMBERS)
+LEFT = note("leave", 12.0, group="g", epoch=1)
+REOPENED = note("state", 13.0, group="g", epoch=1, state="open", members=MEMBERS)
+FOREIGN = ForeignEntry(key="p0", written_at=5.0, until=12.0)
+STORE_CUT = Disturbance(kind="store_link", began_at=4.0, ended_at=6.0, node=1)
+MISDIRECTED = note("misdirected", wanted="no id")
 
 KEPT = [
     run_of(record(), notes=[ran()]),
@@ -82,6 +93,36 @@
     run_of(record(**REFUSED)),
     run_of(record(Kind.AGAIN), notes=[ran(), ran()]),
     run_of(record(**CUT, kind=Kind.STREAM), notes=[ran()]),
+    # A stop is not to blame for what an engine's death cut off beside it.
+    run_of(
+        record(**CUT, kind=Kind.STREAM), notes=[ran()], disturbances=(STOPPED, KILLED)
+    ),
+    # A member that started a moment before the opening, or joined anew.
+    run_of(notes=[*READY, RESTARTED, OPEN]),
+    run_of(
+        notes=[
+            *READY,
+            RESTARTED,
+            REJOINED,
+            REOPENED,
+        ]
+    ),
+    # A group of an engine that started anew under its id is gone with its process.
+    run_of(
+        notes=[
+            *READY,
+            OPEN,
+            note("start", 9.5),
+            JOINED,
+            LEFT,
+        ]
+    ),
+    run_of(record(), notes=[LEAVING, note("start", 9.0, "p0"), ran()]),
+    # What came before the news, or after an entry of the engine's own.
+    run_of(record(), notes=[ran(at=7.0)], foreign=(FOREIGN,)),
+    run_of(record(), notes=[ran(at=12.5)], foreign=(FOREIGN,)),
+    run_of(record(), notes=[ran()], foreign=(FOREIGN,), disturbances=(STORE_CUT,)),
+    run_of(notes=[note("start", 1.0, "e9"), note("misdirected", wanted="e9")]),
 ]
 BROKEN = [
     ("another request", run_of(record(headers={}), notes=[ran()])),
@@ -120,6 +161,27 @@
         "planned stop",
         run_of(record(**CUT, kind=Kind.STREAM), notes=[ran()], disturbances=(STOPPED,)),
     ),
+    (
+        "planned stop",
+        run_of(
+            record(**CUT, kind=Kind.STREAM),
+            notes=[ran()],
+            disturbances=(STOPPED, RECONFIGURED),
+        ),
+    ),
+    (
+        "ran 2 times",
+        run_of(record(), notes=[ran(born=1), note("start", 10.15, "p0"), ran(born=2)]),
+    ),
+    ("without e1", run_of(notes=[*READY, RESTARTED, REOPENED])),
+    ("another writer", run_of(record(), notes=[ran()], foreign=(FOREIGN,))),
+    (
+        "another writer",
+        run_of(
+            record(), notes=[ran()], foreign=(FOREIGN,), disturbances=(RECONFIGURED,)
+        ),
+    ),
+    ("meant for 'no id'", run_of(notes=[MISDIRECTED])),
 ]
 
 
