--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,7 @@
 from soak.fleet import Fleet, FleetShape
 from soak.judge import broken_promises
 from soak.records import Run, read_notes, write_run
+from soak.regressions import REGRESSIONS
 
 RATE = 40.0
 # Time after the last fault in which callers go on, in seconds.
@@ -79,6 +80,9 @@
     nodes: Annotated[int, typer.Option(help="How many nodes.")] = 3,
     domains: Annotated[int, typer.Option(help="How many domains.")] = 2,
     rate: Annotated[float, typer.Option(help="Requests a second.")] = RATE,
+    regressions: Annotated[
+        bool, typer.Option(help="Play the seeds that once failed, and no others.")
+    ] = False,
     keep: Annotated[Path, typer.Option(help="Where failed runs are kept.")] = Path(
         "soak-results"
     ),
@@ -86,7 +90,10 @@
     """Play seeds one after the other; exit with 1 if a promise was broken."""
     failed = []
     shape = FleetShape(nodes=nodes, domains=domains)
-    for seed in range(first, first + seeds):
+    cases = [(seed, draw, seconds) for seed in range(first, first + seeds)]
+    if regressions:
+        cases = [(case.seed, case.draw, case.seconds) for case in REGRESSIONS]
+    for seed, draw, seconds in cases:
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         playing = play(seed, seconds, folder, draw=draw, shape=shape, rate=rate)
         run = asyncio.run(playing)
@@ -102,7 +109,7 @@
             write_run(run, folder / "run.json")
             shutil.copytree(folder, keep / str(seed), dirs_exist_ok=True)
         shutil.rmtree(folder)
-    typer.echo(f"{seeds} seeds, {len(failed)} failed: {failed}")
+    typer.echo(f"{len(cases)} seeds, {len(failed)} failed: {failed}")
     raise typer.Exit(1 if failed else 0)
 
 
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -1,4 +1,8 @@
-"""Seeds that once broke a promise, each with what it means and what the cause was."""
+"""Seeds that once broke a promise, with the cause that was found.
+
+A seed draws faults and callers; what the processes make of them differs from run to
+run, so a seed that passes has not shown its cause to be gone.
+"""
 
 from dataclasses import dataclass
 
@@ -13,4 +17,10 @@
     cause: str
 
 
-REGRESSIONS: tuple[Regression, ...] = ()
+LONG_STREAMS = "the soak's own route ended streams that its callers meant to last"
+REGRESSIONS = (
+    Regression(seed=2000, draw=2, seconds=12.0, cause=LONG_STREAMS),
+    Regression(seed=2001, draw=2, seconds=12.0, cause=LONG_STREAMS),
+    Regression(seed=2017, draw=2, seconds=12.0, cause=LONG_STREAMS),
+    Regression(seed=2034, draw=2, seconds=12.0, cause=LONG_STREAMS),
+)
