Check that entries of no engine leave the others served

An entry under an unknown key, a new configuration and dropped history are nothing that a request may suffer from; with nothing else wrong for some seconds each one is served.

--- a/soak/judge.py
+++ b/soak/judge.py
@@ -17,8 +17,13 @@
 # Time after it was written at which an entry of another writer, or a start of an
 # engine, is known to every node, in seconds: some reads of the list, and their way.
 NEWS_SECONDS = 2.5
-# Disturbances after which an answer that was under way has to end whole all the same.
-HARMLESS = ("node_stop", "reconfigure", "history", "foreign_entry")
+# Disturbances beside which every request is served all the same.
+DISREGARDED = ("reconfigure", "history", "foreign_entry")
+# Disturbances after which an answer that was under way has to end whole.
+HARMLESS = ("node_stop", *DISREGARDED)
+# Time after the last disturbance after which every request is served, in seconds: a
+# group is formed again, and hosts that started anew know the others.
+SETTLED_SECONDS = 5.0
 # Disturbances that leave each node's reads of the list of engines alone.
 HEARD = (
     "engine_kill",
@@ -29,7 +34,7 @@
     "engine_restart_forming",
     "foreign_entry_of_engine",
     "revoke",
-    *HARMLESS[1:],
+    *DISREGARDED,
 )
 # Time after its deadline at which a request must have ended, in seconds.
 HELD_SECONDS = 1.0
@@ -59,6 +64,7 @@
             _graceful_stops,
             _whole_openings,
             _foreign_entries,
+            _others_hold,
         )
     return [line for check in checks for line in check(run)]
 
@@ -220,6 +226,18 @@
                 yield f"{note.values['attempt']}: sent by an entry of another writer"
 
 
+def _others_hold(run: Run) -> Iterator[str]:
+    """Find what was not served while nothing was wrong but entries of no engine."""
+    changes = [d for d in run.disturbances if d.kind in DISREGARDED]
+    for record in run.callers:
+        if record.status == 200 and record.ending is Ending.WHOLE:
+            continue
+        is_near = any(d.began_at < record.sent_at < d.ended_at + 1.0 for d in changes)
+        start = record.sent_at - SETTLED_SECONDS
+        if is_near and _is_undisturbed(run, start, record.ended_at):
+            yield f"{record.attempt}: not served beside an entry of no engine"
+
+
 def _no_such_engines(run: Run) -> Iterator[str]:
     """Find what was sent to an engine that only another writer names."""
     engines = {note.engine for note in run.notes}
@@ -247,12 +265,13 @@
 
 
 def _is_planned(run: Run, start: float, end: float) -> bool:
-    """Tell whether nothing but planned stops of nodes happened in a time."""
-    return not any(
-        d.began_at < end and d.ended_at > start
-        for d in run.disturbances
-        if d.kind not in HARMLESS
-    )
+    """Tell whether nothing happened but what may cut no answer off."""
+    return not _disturbed_by(run, start, end, except_for=HARMLESS)
+
+
+def _is_undisturbed(run: Run, start: float, end: float) -> bool:
+    """Tell whether nothing happened but what every process may disregard."""
+    return not _disturbed_by(run, start, end, except_for=DISREGARDED)
 
 
 def _is_calm(run: Run, node: int, start: float, end: float) -> bool:
@@ -266,8 +285,14 @@
 
 def _is_heard(run: Run, start: float, end: float) -> bool:
     """Tell whether nothing kept a node from the list of engines."""
-    return not any(
+    return not _disturbed_by(run, start, end, except_for=HEARD)
+
+
+def _disturbed_by(
+    run: Run, start: float, end: float, *, except_for: tuple[str, ...]
+) -> bool:
+    return any(
         d.began_at < end and d.ended_at > start
         for d in run.disturbances
-        if d.kind not in HEARD
+        if d.kind not in except_for
     )
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -84,6 +84,7 @@
 LEFT = note("leave", 12.0, group="g", epoch=1)
 REOPENED = note("state", 13.0, group="g", epoch=1, state="open", members=MEMBERS)
 FOREIGN = ForeignEntry(key="p0", written_at=5.0, until=12.0)
+NO_ENGINE = Disturbance(kind="foreign_entry", began_at=9.0, ended_at=12.0)
 STORE_CUT = Disturbance(kind="store_link", began_at=4.0, ended_at=6.0, node=1)
 MISDIRECTED = note("misdirected", wanted="no id")
 
@@ -122,6 +123,7 @@
     run_of(record(), notes=[ran(at=7.0)], foreign=(FOREIGN,)),
     run_of(record(), notes=[ran(at=12.5)], foreign=(FOREIGN,)),
     run_of(record(), notes=[ran()], foreign=(FOREIGN,), disturbances=(STORE_CUT,)),
+    run_of(record(**REFUSED), disturbances=(NO_ENGINE, KILLED)),
     run_of(notes=[note("start", 1.0, "e9"), note("misdirected", wanted="e9")]),
 ]
 BROKEN = [
@@ -181,6 +183,7 @@
             record(), notes=[ran()], foreign=(FOREIGN,), disturbances=(RECONFIGURED,)
         ),
     ),
+    ("entry of no engine", run_of(record(**REFUSED), disturbances=(NO_ENGINE,))),
     ("meant for 'no id'", run_of(notes=[MISDIRECTED])),
 ]
 
