Keep what was ordered of each process in a book of its own

Cause: an engine may start again under its id. Counts of orders, orders under way, what was joined and left and loads were kept by the id, so the next process got orders with the count of the earlier one, and a late answer was noted for it.

Change: the order book holds all of it by id and start together and drops it with the process; a late answer changes nothing but the log. Within one process a count that falls back is a late report and is not used; another process starts from its own report. The rest of the planner's behaviour is kept.

Seen failing before: the three new tests of the planner (an order with count 8 in place of 0, one with count 1 in place of 0, no second load). Two older tests set the same state by the book's methods, as strict as before.

--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import structlog
 
@@ -36,23 +36,17 @@
     FormationView,
     Join,
     Leave,
-    Open,
     Stage,
     Step,
 )
+from mallowpond.state.order_book import OrderBook, is_load
 
 log = structlog.get_logger()
 
 # Pause between two plans, in seconds.
 PLAN_SECONDS = 0.1
-# Time after which a load that does not show is given up, in seconds: some times the
-# longest declared load, since loads share the weight store.
-LOAD_SECONDS = 60.0
 # Pause between two log lines on the state of all groups, in seconds.
 SUMMARY_SECONDS = 2.0
-# Time after an order within which a target's report may not show it, in seconds: a
-# few times the usual lag of reports.
-REPORT_LAG_SECONDS = 0.7
 # Pause between two questions to the targets of orders while the list is lost, in
 # seconds: reports lag by some hundred milliseconds.
 ASK_SECONDS = 0.3
@@ -65,25 +59,12 @@
 LEASE_CHECK_SECONDS = 0.3
 # Epochs that one fencing number has for its groups.
 EPOCHS_PER_FENCE = 1_000_000
-# Time until the effect of an order that was taken must show in the list, in seconds:
-# engines report a change at once, and the list is read a few times a second.
-EFFECT_SECONDS = 1.5
-# Pause before an order that did not fit or got lost is given again, in seconds.
-AGAIN_SECONDS = 0.3
 # Suspicions of one group within a time in seconds, each cleared by probes, after
 # which it is formed anew: its members answer, yet cannot reach one another.
 CLEARED_SUSPICIONS = 4
 CLEARED_SECONDS = 2.0
 
 
-@dataclass(frozen=True, kw_only=True)
-class Pending:
-    """Remember an order until its effect shows."""
-
-    step: Step
-    until: float
-
-
 class GroupPlanner:
     """Plan the groups of every model service while this node holds the lease."""
 
@@ -112,6 +93,7 @@
         self._stall_seconds = stall_seconds
         self._traffic_seen = traffic_seen
         self._tasks: set[asyncio.Task[None]] = set()
+        self._book = OrderBook()
         self._probes = TargetProbes(
             configuration=configuration,
             directory=directory,
@@ -127,19 +109,14 @@
 
     def _reset(self) -> None:
         self._probes.reset()
+        self._book.reset()
         self._is_fresh = False
         self._next_epoch = self._leadership.fence * EPOCHS_PER_FENCE + 1
-        self._orders: dict[str, int] = {}
-        self._pending: dict[str, Pending] = {}
-        self._left: dict[str, GroupKey] = {}
-        self._joined: dict[str, tuple[GroupKey, float]] = {}
         self._closed: set[GroupKey] = set()
         self._leaving_since: dict[str, float] = {}
-        self._ordered_at: dict[str, float] = {}
         self._formations: dict[GroupKey, Formation] = {}
         self._first_seen: dict[GroupKey, float] = {}
         self._cleared: dict[GroupKey, list[float]] = {}
-        self._loads: dict[str, tuple[str, float]] = {}
         self._loads_begun: list[float] = []
         self._asked_at = float("-inf")
         self._summed_up_at = float("-inf")
@@ -200,7 +177,7 @@
             pressure=self._pressure(profile),
             next_epoch=self._next_epoch,
             lost=self._probes.lost,
-            busy=frozenset(self._pending),
+            busy=self._book.busy,
             formations=self._formations,
             first_seen=self._first_seen,
             distrusted=frozenset(
@@ -211,7 +188,7 @@
             closed=frozenset(self._closed),
             leaving_since=self._leaving_since,
             loads_begun=tuple(self._loads_begun),
-            loading={target: model for target, (model, _) in self._loads.items()},
+            loading=self._book.loading,
             before_traffic=not self._traffic_seen.seen,
             is_settled=self._directory.is_settled,
             newest_target_at=self._directory.newest_target_at,
@@ -219,14 +196,9 @@
 
     def _as_left(self, target: Target) -> Target:
         """Return a target without the group that it left before the list shows it."""
-        member = target.membership
         if self._probes.is_leaving(target):
             return replace(target, draining=True)
-        if member is None:
-            return target
-        if self._left.get(target.id) != (member.group, member.epoch):
-            return target
-        return replace(target, membership=None)
+        return self._book.as_left(target)
 
     def _demand(self, profile: EngineProfile) -> dict[str, float]:
         """Return each model's share of the work, half as declared, half as seen.
@@ -314,10 +286,8 @@
         """Drop what the list shows to be done, and what is out of date."""
         now = self._clock.now()
         targets, groups = self._directory.targets, self._directory.groups
-        for identifier, pending in list(self._pending.items()):
-            target = targets.get(identifier)
-            if target is None or _shows(target, pending.step) or now > pending.until:
-                del self._pending[identifier]
+        # While the list is away it shows nothing of what was ordered since.
+        self._book.settle(targets, now=now, shows_orders=self._directory.is_settled)
         for key in groups:
             self._first_seen.setdefault(key, now)
         self._leaving_since = {
@@ -334,20 +304,7 @@
             if key in groups or now - formation.ordered_at < self._stall_seconds
         }
         self._closed &= groups.keys()
-        for identifier, (_, at) in list(self._joined.items()):
-            target = targets.get(identifier)
-            # While the list is away it shows nothing of what was ordered since.
-            shown_free = self._directory.is_settled and (
-                target is not None and target.membership is None
-            )
-            if target is None or (shown_free and now - at > EFFECT_SECONDS):
-                del self._joined[identifier]
-        self._left = {t: key for t, key in self._left.items() if t in targets}
         self._loads_begun = [at for at in self._loads_begun if now - at < 10.0]
-        for identifier, (model, at) in list(self._loads.items()):
-            target = targets.get(identifier)
-            if target is None or _has_loaded(target, model) or now - at > LOAD_SECONDS:
-                del self._loads[identifier]
         self._probes.look()
         if self._directory.is_lost:
             self._ask_pending(now)
@@ -355,17 +312,15 @@
     # -- orders --------------------------------------------------------------
 
     def _begin(self, step: Step) -> None:
-        target = step.target
-        if target.id in self._pending:
+        now = self._clock.now()
+        if self._book.is_busy(step.target):
             return
-        until = self._clock.now() + EFFECT_SECONDS
-        self._pending[target.id] = Pending(step=step, until=until)
+        self._book.begin(step, now)
         if isinstance(step, Leave | Close):
             self._watch.retire((step.group, step.epoch))
             self._peers.tell_suspicion((step.group, step.epoch), closing=True)
-        if isinstance(step, Stage) or (isinstance(step, Join) and step.loads):
-            self._loads[target.id] = (step.model, self._clock.now())
-            self._loads_begun.append(self._clock.now())
+        if is_load(step):
+            self._loads_begun.append(now)
         self._spawn(self._order(step))
 
     async def _order(self, step: Step) -> None:
@@ -382,17 +337,16 @@
             self._give_back(step)
             return
         end = await self._targets.order(step, fence=fence, expected=expected)
-        self._note(step, end)
+        self._note(step, end, expected=expected)
 
     def _stands_elsewhere(self, step: Join) -> bool:
         """Tell whether a target has joined another group here and not left it.
 
         The list may show the join late; what was ordered counts before what is shown.
         """
-        joined = self._joined.get(step.target.id)
-        if joined is None or joined[0] == (step.group, step.epoch):
+        key = self._book.joined(step.target)
+        if key is None or key == (step.group, step.epoch):
             return False
-        key = joined[0]
         group = self._directory.groups.get(key)
         if group is not None and group.phase is GroupPhase.BROKEN:
             return False
@@ -400,7 +354,7 @@
         return True
 
     async def _count_of(self, target: Target) -> int | None:
-        known = self._orders.get(target.id)
+        known = self._book.count(target)
         if known is not None:
             return known
         report = await self._targets.report(target)
@@ -413,11 +367,18 @@
             # and the target would stand in two groups.
             log.info("planner: target changed since the list", target=target.id)
             return None
-        self._orders[target.id] = report.orders
+        if not self._book.note_report(target, report.orders):
+            return None
         return report.orders
 
-    def _note(self, step: Step, end: OrderEnd) -> None:
+    def _is_present(self, target: Target) -> bool:
+        """Tell whether a target is still the process that an order was meant for."""
+        listed = self._directory.targets.get(target.id)
+        return listed is not None and listed.process == target.process
+
+    def _note(self, step: Step, end: OrderEnd, *, expected: int) -> None:
         target = step.target
+        is_late = not self._is_present(target)
         kind = type(step).__name__.lower()
         self._metrics.orders.labels(kind, type(end).__name__).inc()
         log.info(
@@ -427,62 +388,51 @@
             group=getattr(step, "group", None),
             end=type(end).__name__,
             fence=self._leadership.fence,
+            late=is_late,
         )
+        if is_late:
+            # Nothing of what the earlier process answered holds for the present one.
+            return
         match end:
             case OrderTaken(began=began):
                 if began or isinstance(step, Leave):
-                    # Reports lag, so the count is kept here: with an old one the
-                    # next join would be refused and its whole group would wait.
-                    self._orders[target.id] = self._orders.get(target.id, 0) + 1
+                    self._book.note_begun(step, expected=expected, is_sure=began)
                 self._note_taken(step)
             case OrderFenced():
-                self._orders.pop(target.id, None)
+                self._book.doubt_count(target)
                 self._give_back(step)
                 self._spawn(self._check_lease())
             case OrderUnfit() if isinstance(step, Stage):
                 # It loads already, by an order of an earlier planner.
-                self._orders.pop(target.id, None)
-                self._pending.pop(target.id, None)
+                self._book.doubt_count(target)
+                self._book.end(target)
             case OrderUnfit() | OrderMisdirected():
-                self._orders.pop(target.id, None)
+                self._book.doubt_count(target)
                 self._give_back(step)
             case OrderLost():
-                self._orders.pop(target.id, None)
+                self._book.doubt_count(target)
                 self._give_back(step)
                 self._probes.investigate(target)
 
     def _note_taken(self, step: Step) -> None:
-        self._ordered_at[step.target.id] = self._clock.now()
-        until = self._clock.now() + EFFECT_SECONDS
-        if isinstance(step, Leave):
-            # It takes effect at once: the list need not be waited for.
-            key = (step.group, step.epoch)
-            self._left[step.target.id] = key
-            self._joined.pop(step.target.id, None)
-            # The formation is over: kept, it had its members join again, and they
-            # stood for seconds in a group that could not be whole.
-            self._formations.pop(key, None)
-            self._closed.add(key)
-            self._pending.pop(step.target.id, None)
-            return
-        if isinstance(step, Join):
-            key = (step.group, step.epoch)
-            self._joined[step.target.id] = (key, self._clock.now())
-            self._left.pop(step.target.id, None)
-        if isinstance(step, Close):
-            self._closed.add((step.group, step.epoch))
-        self._pending[step.target.id] = Pending(step=step, until=until)
-
-    def _may_learn(self, identifier: str) -> bool:
+        self._book.note_taken(step, self._clock.now())
+        match step:
+            case Leave(group=group, epoch=epoch):
+                # The formation is over: kept, it had its members join again, and they
+                # stood for seconds in a group that could not be whole.
+                self._formations.pop((group, epoch), None)
+                self._closed.add((group, epoch))
+            case Close(group=group, epoch=epoch):
+                self._closed.add((group, epoch))
+
+    def _may_learn(self, target: Target) -> bool:
         """Tell whether a target's report surely shows its last order."""
-        ordered_at = self._ordered_at.get(identifier, float("-inf"))
-        return self._clock.now() - ordered_at > REPORT_LAG_SECONDS
+        return self._book.may_show(target, self._clock.now())
 
     def _give_back(self, step: Step) -> None:
         """Free the target for another order after a moment."""
-        until = self._clock.now() + AGAIN_SECONDS
-        self._pending[step.target.id] = Pending(step=step, until=until)
-        self._loads.pop(step.target.id, None)
+        if self._is_present(step.target):
+            self._book.give_back(step, self._clock.now())
 
     async def _check_lease(self) -> None:
         if self._leadership.age > LEASE_CHECK_SECONDS:
@@ -516,7 +466,7 @@
         if now - self._asked_at < ASK_SECONDS:
             return
         self._asked_at = now
-        for identifier in self._pending:
+        for identifier in self._book.busy:
             target = self._directory.targets.get(identifier)
             if target is not None and identifier not in self._probes.lost:
                 self._spawn(self._probes.probe(target))
@@ -532,27 +482,6 @@
             log.error("planner: task failed", error=repr(task.exception()))
 
 
-def _shows(target: Target, step: Step) -> bool:
-    """Tell whether a target's entry shows that an order took effect."""
-    member = target.membership
-    match step:
-        case Join():
-            return member is not None and member.epoch >= step.epoch
-        case Open():
-            return member is not None and (
-                member.epoch != step.epoch
-                or member.phase in (GroupPhase.OPEN, GroupPhase.BROKEN)
-            )
-        case Close():
-            return member is None or (
-                member.epoch != step.epoch or member.phase is not GroupPhase.OPEN
-            )
-        case Leave():
-            return member is None or member.epoch != step.epoch
-        case Stage():
-            return step.model in target.staged
-
-
 def _by_domain(targets: list[Target], view: FormationView) -> dict[str, list[str]]:
     domains: dict[str, list[str]] = {}
     for target in targets:
@@ -574,10 +503,3 @@
 def _place(target: Target) -> tuple[str, int] | None:
     member = target.membership
     return None if member is None else (member.group, member.epoch)
-
-
-def _has_loaded(target: Target, model: str) -> bool:
-    if model in target.staged:
-        return True
-    member = target.membership
-    return member is not None and member.phase is not GroupPhase.JOINING
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -37,7 +37,7 @@
         targets: Targets,
         peers: PeerNetwork,
         clock: Clock,
-        may_learn: Callable[[str], bool],
+        may_learn: Callable[[Target], bool],
         spawn: Callable[[Coroutine[Any, Any, Any]], None],
     ) -> None:
         self._configuration = configuration
@@ -102,7 +102,7 @@
             if isinstance(report, Unavailable):
                 reason = report.reason
                 continue
-            if self._may_learn(target.id):
+            if self._may_learn(target):
                 self._directory.learn(report.target)
             if self._lost.pop(target.id, None) is not None:
                 log.info("planner: target regained", target=target.id)
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -8,7 +8,7 @@
 from mallowpond.node.configuration import ConfigurationFollower
 from mallowpond.node.directory import Directory
 from mallowpond.node.metrics import NodeMetrics
-from mallowpond.node.planner import REPORT_LAG_SECONDS, GroupPlanner
+from mallowpond.node.planner import GroupPlanner
 from mallowpond.node.ports import EngineReport, OrderLost
 from mallowpond.node.tests.fakes import (
     PROFILE,
@@ -21,7 +21,8 @@
 )
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.state.fleet import GroupPhase, Membership, Target
-from mallowpond.state.formation_view import Join, Leave, Open
+from mallowpond.state.formation_view import Join, Leave, Open, Stage
+from mallowpond.state.order_book import REPORT_LAG_SECONDS
 from mallowpond.state.site_configuration import Service, SiteConfiguration
 
 
@@ -75,10 +76,10 @@
 class Rig:
     """Run a planner step by step."""
 
-    def __init__(self, *targets):
+    def __init__(self, *targets, profile=PROFILE):
         self.clock, self.targets = FakeClock(), FakeTargets()
         self.source = FakeSource(listed=deque([listing(*targets)] * 2))
-        service = Service(name="engines", max_connections=10, profile=PROFILE)
+        service = Service(name="engines", max_connections=10, profile=profile)
         self.source.configurations.append(
             SiteConfiguration(version=1, routes=(), services={"engines": service})
         )
@@ -221,7 +222,7 @@
     await rig.directory.refresh()
     rig.targets.reports = {"a": EngineReport(orders=1, target=free("a"))}
     target = rig.directory.targets["a"]
-    rig.planner._ordered_at["a"] = rig.clock.now()
+    rig.planner._book.note_taken(join, rig.clock.now())
     assert await rig.planner._probes.probe(target)
     assert rig.directory.targets["a"].membership == joined
     rig.clock.time += REPORT_LAG_SECONDS + 0.1
@@ -317,7 +318,82 @@
     rig = Rig(free("a"), free("b"))
     await rig.steps(2)
     join = rig.of_kind(Join)[0]
-    rig.planner._left[join.target.id] = (join.group, join.epoch)
-    rig.planner._note_taken(join)
+    leave = Leave(target=join.target, group=join.group, epoch=join.epoch)
+    rig.planner._book.note_taken(leave, rig.clock.now())
+    rig.planner._book.note_taken(join, rig.clock.now())
     shown = placed(join.target.id, join, 0)
     assert rig.planner._as_left(shown).membership == shown.membership
+
+
+def restarted(name, born=2):
+    """Write the next process of a target: no group, and no weights in use."""
+    return replace(free(name), born=born)
+
+
+async def test_the_count_of_an_earlier_process_is_not_the_next_ones():
+    """Symptom: orders to a target that started again are refused; or one is carried
+    out that was planned before a late order of the earlier process arrived.
+
+    Sequence: a target with 7 orders takes a join and starts again under its id; it is
+    ordered into a group once more.
+    Cause: the count of orders was kept by the id alone.
+    """
+    rig = Rig(free("a"), free("b"))
+    rig.targets.reports = {
+        name: EngineReport(orders=7, target=free(name)) for name in "ab"
+    }
+    await rig.steps(2)
+    rig.targets.reports["a"] = EngineReport(orders=0, target=restarted("a"))
+    rig.targets.orders.clear()
+    await rig.show(restarted("a"), free("c"))
+    await rig.steps(60)
+    counts = [count for step, _, count in rig.targets.orders if step.target.id == "a"]
+    assert counts
+    assert counts[0] == 0
+
+
+async def test_a_late_answer_of_an_earlier_process_changes_nothing():
+    """Symptom: a target that holds nothing counts as a member, and nothing is ordered
+    of it until that is given up.
+
+    Sequence: a join is under way when its target starts again; the answer of the
+    earlier process comes after the list has shown the new one.
+    Cause: the answer was noted for whatever process has the id.
+    """
+    rig = Rig(free("a"), free("b"))
+    take, answers = rig.targets.order, asyncio.Event()
+
+    async def late(step, *, fence, expected):
+        if step.target.id == "a":
+            await answers.wait()
+        return await take(step, fence=fence, expected=expected)
+
+    rig.targets.order = late
+    await rig.steps(2)
+    await rig.show(restarted("a"))
+    await rig.steps()
+    rig.targets.order = take
+    answers.set()
+    await rig.steps()
+    rig.targets.reports["a"] = EngineReport(orders=0, target=restarted("a"))
+    rig.targets.orders.clear()
+    await rig.show(free("c"))
+    await rig.steps(60)
+    counts = [count for step, _, count in rig.targets.orders if step.target.id == "a"]
+    assert counts
+    assert counts[0] == 0
+
+
+async def test_a_load_ends_with_its_process():
+    """Symptom: a target without weights is not told to load any for a minute.
+
+    Sequence: a cold target is told to load and starts again before it has.
+    Cause: the load was remembered by the id, for the longest time of a load.
+    """
+    cold = replace(free("a"), staged=())
+    rig = Rig(cold, profile=replace(PROFILE, loads_per_second=4.5))
+    await rig.steps(2)
+    assert len(rig.of_kind(Stage)) == 1
+    await rig.show(replace(cold, born=2))
+    await rig.steps(15)
+    assert len(rig.of_kind(Stage)) == 2
