Break a group at once when a member has started again

Cause: a group and a formation were taken for whole, or for waiting, by the ids of their members. A member that starts again under its id holds nothing, so its group stands still until its head breaks after the stall time, or waits for a join that never shows.

Change: the decision is given the processes that were seen in each group or ordered into it. Once the target of one runs another process, an open, closing, forming or headless group is taken apart and a formation of which nothing shows ends. The restarted target joins elsewhere only when no head of its earlier group may serve any more. Which process is the present one is decided by the newest direct answer and the later list; the start says only that two differ (state/processes.py).

Ruled out: telling the later process by its start; clocks of hosts are stepped.

--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -13,6 +13,7 @@
 
 from mallowpond.state.fleet import (
     Group,
+    GroupKey,
     GroupPhase,
     ModelSpec,
     Target,
@@ -28,6 +29,7 @@
     Stage,
     Step,
 )
+from mallowpond.state.processes import has_restarted
 
 # Time that a group serves on with a member, not its head, that is about to stop, in
 # seconds: the member stays up to 10 s while the head has work, the streams that run
@@ -81,6 +83,8 @@
         self._view = view
         self._steps: list[Step] = []
         self._groups = assemble_groups(view.targets)
+        self._listed = {target.id: target for target in view.targets}
+        self._held = self._held_by_earlier_groups()
         self._free: dict[str, list[Target]] = {}
         self._served: dict[str, float] = {m.name: 0.0 for m in view.profile.models}
         self._epoch = view.next_epoch
@@ -114,10 +118,24 @@
 
     def _may_join(self, target: Target) -> bool:
         view = self._view
-        if target.draining or target.lapsed:
+        if target.draining or target.lapsed or target.id in self._held:
             return False
         return target.id not in view.lost and target.id not in view.busy
 
+    def _held_by_earlier_groups(self) -> frozenset[str]:
+        """Return targets whose earlier process's group may still serve.
+
+        Joined to another group before that head has left, a target would stand in two
+        groups by its id, of which the first is not broken yet.
+        """
+        return frozenset(
+            process.id
+            for key, seen in self._view.seen.items()
+            if key in self._groups and _may_serve(self._groups[key])
+            for process in seen
+            if has_restarted((process,), self._listed)
+        )
+
     def _keep(self, group: Group) -> bool:
         """Tell whether a group's members stay in it; order what it needs."""
         model = self._view.profile.model(group.model)
@@ -183,7 +201,14 @@
             if member.draining
         )
 
+    def _has_restarted(self, key: GroupKey) -> bool:
+        """Tell whether a member has started again: it holds nothing of the group."""
+        return has_restarted(self._view.seen.get(key, ()), self._listed)
+
     def _has_lost(self, group: Group) -> bool:
+        """Tell whether a member is dead, or has started again since it joined."""
+        if self._has_restarted(group.key):
+            return True
         known = self._view.formations.get(group.key)
         members = {member.id for member in group.members}
         if known is not None:
@@ -234,7 +259,7 @@
             for m in known.members
         )
         lost = any(t.id in view.lost for t in group.members)
-        gone = gone or self._has_moved_on(known)
+        gone = gone or self._has_moved_on(known) or self._has_restarted(group.key)
         unwanted = group.key in view.distrusted | view.closed
         if lost or gone or group.is_leaving or unwanted:
             self._dissolve(group)
@@ -296,7 +321,7 @@
     def _keep_headless(self, group: Group) -> bool:
         """Free the members of a group whose head is not listed."""
         known = self._view.formations.get(group.key)
-        if known is not None:
+        if known is not None and not self._has_restarted(group.key):
             listed = any(t.id == known.members[0] for t in self._view.targets)
             waited = self._view.now - known.ordered_at
             lost = any(m in self._view.lost for m in known.members)
@@ -329,7 +354,7 @@
         model = view.profile.model(formation.model)
         listed = {t.id: t for t in view.targets}
         alive = all(m in listed and m not in view.lost for m in formation.members)
-        if model is None or not alive:
+        if model is None or not alive or self._has_restarted(formation.key):
             return
         self._served[model.name] += 1.0
         members = frozenset(formation.members)
@@ -551,6 +576,10 @@
     return target.staged or ((target.model,) if target.model else ())
 
 
+def _may_serve(group: Group) -> bool:
+    return group.phase not in (None, GroupPhase.BROKEN)
+
+
 def _is_ready(target: Target) -> bool:
     assert target.membership is not None
     return target.membership.phase is GroupPhase.READY
--- a/mallowpond/state/formation_view.py
+++ b/mallowpond/state/formation_view.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from mallowpond.state.fleet import EngineProfile, Target
+from mallowpond.state.fleet import EngineProfile, Process, Target
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -78,6 +78,7 @@
 
     `lost` are targets that do not answer; `busy` targets have an order under way;
     `formations` are those whose member lists are known here;
+    `seen` are the processes that were ordered into each group or seen in it;
     `distrusted` groups stood silent and none of their members is known to be lost;
     `closed` groups were told to close, to be taken apart once their work has ended;
     `leaving_since` says when each target that is about to stop was first seen so;
@@ -94,6 +95,7 @@
     busy: frozenset[str] = frozenset()
     formations: dict[tuple[str, int], Formation] = field(default_factory=dict)
     first_seen: dict[tuple[str, int], float] = field(default_factory=dict)
+    seen: dict[tuple[str, int], frozenset[Process]] = field(default_factory=dict)
     distrusted: frozenset[tuple[str, int]] = frozenset()
     closed: frozenset[tuple[str, int]] = frozenset()
     leaving_since: dict[str, float] = field(default_factory=dict)
--- a/mallowpond/state/tests/test_formation.py
+++ b/mallowpond/state/tests/test_formation.py
@@ -1,5 +1,9 @@
 """Which orders the planner gives, on small fleets written out by hand."""
 
+from dataclasses import replace
+
+import pytest
+
 from mallowpond.state.fleet import (
     EngineProfile,
     GroupPhase,
@@ -378,3 +382,80 @@
         )
         assert {join.model for join in joins} <= {model}
         assert len(joins) in (0, wanted)
+
+
+def processes(targets):
+    """Return the processes of these targets."""
+    return frozenset(t.process for t in targets)
+
+
+def again(old):
+    """Write the next process of a target: it holds its staged weights only."""
+    return replace(old, born=old.born + 1, model="", membership=None)
+
+
+@pytest.mark.parametrize("rank", [0, 1, 2])
+@pytest.mark.parametrize(
+    "phase", [GroupPhase.OPEN, GroupPhase.CLOSING, GroupPhase.READY, GroupPhase.JOINING]
+)
+def test_a_group_with_a_member_that_started_again_is_taken_apart(phase, rank):
+    """Symptom: a group serves nobody until its head says that it is broken.
+
+    Sequence: a member starts again under its id and registers without a group.
+    Cause: an entry without the group was taken for one that is only cut off.
+    """
+    members = group("g", 1, 3, phase)
+    seen = {("g", 1): processes(members)}
+    members[rank] = again(members[rank])
+    steps = plan(members, seen=seen)
+    others = {m.id for m in members} - {members[rank].id}
+    assert {s.target.id for s in of_kind(steps, Leave)} == others
+    assert of_kind(steps, Join) == of_kind(steps, Open) == []
+
+
+def test_a_member_that_joined_again_as_another_process_ends_its_group():
+    """Symptom: a group stands still although every member shows ready.
+
+    Sequence: a member starts again, and a late copy of its join is carried out.
+    Cause: the group was whole by ids, while its head waits for the earlier process.
+    """
+    members = group("g", 1, 3, GroupPhase.OPEN)
+    seen = {("g", 1): processes(members)}
+    members[2] = replace(members[2], born=9)
+    steps = plan(members, seen=seen)
+    assert {s.target.id for s in of_kind(steps, Leave)} == {"g0", "g1", "g2"}
+
+
+def test_a_target_that_started_again_joins_once_its_earlier_group_is_over():
+    """Symptom: an engine joins another group while its first one is open.
+
+    Sequence: a member starts again, holds nothing, and is joined elsewhere before the
+    head of its earlier group has left it.
+    Cause: the target looks free as soon as it registers.
+    """
+    members = group("g", 1, 3, GroupPhase.OPEN)
+    seen = {("g", 1): processes(members)}
+    spares = [target("s", staged="small"), target("t", staged="small")]
+    restarted = again(members[2])
+    steps = plan([*members[:2], restarted, *spares], seen=seen)
+    assert of_kind(steps, Join) == []
+    headless = [members[1], restarted, *spares]
+    joins = of_kind(plan(headless, seen=seen), Join)
+    assert {join.target.id for join in joins} == {"g2", "s", "t"}
+
+
+def test_a_formation_of_which_nothing_shows_ends_with_a_member_that_started_again():
+    """Symptom: targets stand idle for four seconds.
+
+    Sequence: a group is ordered; before a join shows, a member starts again.
+    Cause: the formation kept its targets by their ids.
+    """
+    free = [target(f"g{i}", staged="small") for i in range(3)]
+    known = Formation(
+        group="g", epoch=1, model="small", members=("g0", "g1", "g2"), ordered_at=NOW
+    )
+    seen = {("g", 1): processes(free)}
+    told = {"formations": {("g", 1): known}, "seen": seen}
+    assert of_kind(plan(free, **told), Join) == []
+    joins = of_kind(plan([*free[:2], again(free[2])], **told), Join)
+    assert {join.epoch for join in joins} == {7}
--- /dev/null
+++ b/mallowpond/state/tests/test_processes.py
@@ -0,0 +1,90 @@
+"""Which process of a target is the present one, by direct answers and the list."""
+
+from dataclasses import replace
+
+from mallowpond.state.fleet import GroupPhase, Membership, Target
+from mallowpond.state.processes import PresentProcesses, has_restarted
+
+PLACE = Membership(group="g", epoch=1, rank=0, phase=GroupPhase.OPEN)
+# The clock of the host was set back between the two starts.
+FIRST = Target(
+    id="a",
+    service="engines",
+    address="a:1",
+    data_centre="d",
+    slots=4,
+    born=9,
+    model="m",
+    membership=PLACE,
+)
+SECOND = replace(FIRST, born=4, model="", membership=None)
+THIRD = replace(SECOND, born=6)
+
+
+def heard(processes, answered, *, asked=FIRST, asked_at=1.0, listed=FIRST):
+    """Take an answer."""
+    processes.hear(asked=asked, answered=answered, asked_at=asked_at, listed=listed)
+
+
+def test_an_answer_of_another_process_ends_the_listed_one():
+    processes = PresentProcesses()
+    heard(processes, FIRST)
+    assert processes.present(FIRST) == FIRST
+    heard(processes, SECOND, asked_at=2.0)
+    present = processes.present(FIRST)
+    assert present.process == SECOND.process
+    assert present.membership is None
+    assert present.lapsed
+    assert processes.present(SECOND) == SECOND
+
+
+def test_an_answer_that_was_asked_for_earlier_changes_nothing():
+    """Symptom: the earlier process of a target counts as the present one again.
+
+    Sequence: two questions are under way; the answer to the first comes last.
+    Cause: answers were taken in the order in which they came.
+    """
+    processes = PresentProcesses()
+    heard(processes, THIRD, asked_at=2.0)
+    heard(processes, SECOND, asked_at=1.0)
+    assert processes.present(FIRST).process == THIRD.process
+
+
+def test_an_answer_is_not_held_against_a_list_that_moved_on_meanwhile():
+    """Symptom: a process that has just registered is taken for gone.
+
+    Sequence: a question is under way when the list shows the next process; the earlier
+    one's answer comes after that.
+    Cause: the answer was compared with what the list showed later.
+    """
+    processes = PresentProcesses()
+    heard(processes, THIRD, asked=FIRST, listed=SECOND)
+    assert processes.present(SECOND) == SECOND
+
+
+def test_the_list_decides_when_it_shows_a_third_process_later():
+    processes = PresentProcesses()
+    heard(processes, SECOND)
+    assert processes.present(THIRD) == THIRD
+    assert processes.present(FIRST).process == SECOND.process
+
+
+def test_a_process_that_answers_again_later_is_present():
+    processes = PresentProcesses()
+    heard(processes, SECOND)
+    heard(processes, FIRST, asked_at=2.0)
+    assert processes.present(FIRST) == FIRST
+
+
+def test_targets_that_are_gone_are_forgotten():
+    processes = PresentProcesses()
+    heard(processes, SECOND)
+    processes.settle({})
+    assert processes.present(FIRST) == FIRST
+
+
+def test_a_group_has_restarted_when_one_seen_in_it_is_another_process_now():
+    seen = {FIRST.process}
+    assert not has_restarted(seen, {"a": FIRST})
+    assert not has_restarted(seen, {})
+    assert has_restarted(seen, {"a": SECOND})
