Plan by the processes of targets, by what they answer themselves

Cause: probes, losses, vouching and what the planner expects of a target were kept by its id. A member that crashed behind a cut and started again answered the probes, so its group was cleared of suspicion and stayed; a head's health check vouched for a group that it did not hold; orders went by the list's process and the other one's count.

Change: probes belong to one process. An answer of another process ends the listed one: its group is taken apart, it is not vouched for, and it gets no orders until the list shows the new process. A join or an open is withheld when a member has started again since the plan. A late answer, report or failed probe of the earlier process changes nothing.

--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -28,7 +28,14 @@
 from mallowpond.node.probes import TargetProbes
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.watch import GroupWatch
-from mallowpond.state.fleet import EngineProfile, Group, GroupKey, GroupPhase, Target
+from mallowpond.state.fleet import (
+    EngineProfile,
+    Group,
+    GroupKey,
+    GroupPhase,
+    Process,
+    Target,
+)
 from mallowpond.state.formation import plan_steps
 from mallowpond.state.formation_view import (
     Close,
@@ -36,10 +43,12 @@
     FormationView,
     Join,
     Leave,
+    Open,
     Stage,
     Step,
 )
 from mallowpond.state.order_book import OrderBook, is_load
+from mallowpond.state.processes import PresentProcesses, has_restarted
 
 log = structlog.get_logger()
 
@@ -94,11 +103,13 @@
         self._traffic_seen = traffic_seen
         self._tasks: set[asyncio.Task[None]] = set()
         self._book = OrderBook()
+        self._processes = PresentProcesses()
         self._probes = TargetProbes(
             configuration=configuration,
             directory=directory,
             targets=targets,
             peers=peers,
+            processes=self._processes,
             clock=clock,
             may_learn=self._may_learn,
             spawn=self._spawn,
@@ -109,13 +120,15 @@
 
     def _reset(self) -> None:
         self._probes.reset()
+        self._processes.reset()
         self._book.reset()
         self._is_fresh = False
         self._next_epoch = self._leadership.fence * EPOCHS_PER_FENCE + 1
         self._closed: set[GroupKey] = set()
-        self._leaving_since: dict[str, float] = {}
+        self._leaving_since: dict[Process, float] = {}
         self._formations: dict[GroupKey, Formation] = {}
         self._first_seen: dict[GroupKey, float] = {}
+        self._seen: dict[GroupKey, set[Process]] = {}
         self._cleared: dict[GroupKey, list[float]] = {}
         self._loads_begun: list[float] = []
         self._asked_at = float("-inf")
@@ -169,7 +182,7 @@
         return FormationView(
             profile=profile,
             targets=tuple(
-                self._as_left(target)
+                self._as_known(target)
                 for target in self._directory.all_of_service(service)
             ),
             now=now,
@@ -180,13 +193,14 @@
             busy=self._book.busy,
             formations=self._formations,
             first_seen=self._first_seen,
+            seen={key: frozenset(seen) for key, seen in self._seen.items()},
             distrusted=frozenset(
                 key
                 for key, times in self._cleared.items()
                 if sum(now - at < CLEARED_SECONDS for at in times) >= CLEARED_SUSPICIONS
             ),
             closed=frozenset(self._closed),
-            leaving_since=self._leaving_since,
+            leaving_since={p.id: at for p, at in self._leaving_since.items()},
             loads_begun=tuple(self._loads_begun),
             loading=self._book.loading,
             before_traffic=not self._traffic_seen.seen,
@@ -194,11 +208,17 @@
             newest_target_at=self._directory.newest_target_at,
         )
 
-    def _as_left(self, target: Target) -> Target:
-        """Return a target without the group that it left before the list shows it."""
+    def _as_known(self, target: Target) -> Target:
+        """Return a target as answers and orders show it before the list does."""
         if self._probes.is_leaving(target):
             return replace(target, draining=True)
-        return self._book.as_left(target)
+        return self._book.as_left(self._processes.present(target))
+
+    @property
+    def _present(self) -> dict[str, Target]:
+        """Return every listed target, as the process that it runs now."""
+        targets = self._directory.targets
+        return {t: self._processes.present(listed) for t, listed in targets.items()}
 
     def _demand(self, profile: EngineProfile) -> dict[str, float]:
         """Return each model's share of the work, half as declared, half as seen.
@@ -281,18 +301,24 @@
                 members=step.members,
                 ordered_at=self._clock.now(),
             )
+            present = self._present
+            self._seen[key] = {present[member].process for member in step.members}
 
     def _settle(self) -> None:
         """Drop what the list shows to be done, and what is out of date."""
         now = self._clock.now()
         targets, groups = self._directory.targets, self._directory.groups
+        self._processes.settle(targets)
+        present = self._present
         # While the list is away it shows nothing of what was ordered since.
-        self._book.settle(targets, now=now, shows_orders=self._directory.is_settled)
-        for key in groups:
+        self._book.settle(present, now=now, shows_orders=self._directory.is_settled)
+        for key, group in groups.items():
             self._first_seen.setdefault(key, now)
+            members = {member.process for member in group.members}
+            self._seen.setdefault(key, set()).update(members)
         self._leaving_since = {
-            identifier: self._leaving_since.get(identifier, now)
-            for identifier, target in targets.items()
+            target.process: self._leaving_since.get(target.process, now)
+            for target in targets.values()
             if target.draining or self._probes.is_leaving(target)
         }
         for known in (self._first_seen, self._cleared):
@@ -304,6 +330,8 @@
             if key in groups or now - formation.ordered_at < self._stall_seconds
         }
         self._closed &= groups.keys()
+        known_keys = groups.keys() | self._formations.keys()
+        self._seen = {key: s for key, s in self._seen.items() if key in known_keys}
         self._loads_begun = [at for at in self._loads_begun if now - at < 10.0]
         self._probes.look()
         if self._directory.is_lost:
@@ -333,12 +361,23 @@
             self._give_back(step)
             return
         fence = self._leadership.fence
-        if not fence:
+        if not fence or self._is_overtaken(step):
             self._give_back(step)
             return
         end = await self._targets.order(step, fence=fence, expected=expected)
         self._note(step, end, expected=expected)
 
+    def _is_overtaken(self, step: Step) -> bool:
+        """Tell whether a member of a group that is to begin has started again.
+
+        The plan is as old as the question for the count; opened on it, the group
+        would begin work with a member that holds nothing.
+        """
+        if not isinstance(step, Join | Open):
+            return False
+        seen = self._seen.get((step.group, step.epoch), ())
+        return has_restarted(seen, self._present)
+
     def _stands_elsewhere(self, step: Join) -> bool:
         """Tell whether a target has joined another group here and not left it.
 
@@ -357,10 +396,12 @@
         known = self._book.count(target)
         if known is not None:
             return known
-        report = await self._targets.report(target)
+        report = await self._probes.report(target)
         if isinstance(report, Unavailable):
             self._probes.investigate(target)
             return None
+        if report.target.process != target.process:
+            return None
         if _place(report.target) != _place(target):
             # Another planner's order came after the list was read: a count that
             # includes it would let an order through that was planned without it,
@@ -374,7 +415,9 @@
     def _is_present(self, target: Target) -> bool:
         """Tell whether a target is still the process that an order was meant for."""
         listed = self._directory.targets.get(target.id)
-        return listed is not None and listed.process == target.process
+        if listed is None:
+            return False
+        return self._processes.present(listed).process == target.process
 
     def _note(self, step: Step, end: OrderEnd, *, expected: int) -> None:
         target = step.target
@@ -426,8 +469,9 @@
                 self._closed.add((group, epoch))
 
     def _may_learn(self, target: Target) -> bool:
-        """Tell whether a target's report surely shows its last order."""
-        return self._book.may_show(target, self._clock.now())
+        """Tell whether a report is the present process's and shows its last order."""
+        is_current = self._book.may_show(target, self._clock.now())
+        return is_current and self._is_present(target)
 
     def _give_back(self, step: Step) -> None:
         """Free the target for another order after a moment."""
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -10,8 +10,9 @@
 from mallowpond.node.configuration import ConfigurationFollower
 from mallowpond.node.directory import Directory
 from mallowpond.node.peers import PeerNetwork
-from mallowpond.node.ports import Targets
-from mallowpond.state.fleet import Target
+from mallowpond.node.ports import EngineReport, Targets
+from mallowpond.state.fleet import Process, Target
+from mallowpond.state.processes import PresentProcesses
 
 log = structlog.get_logger()
 
@@ -36,6 +37,7 @@
         directory: Directory,
         targets: Targets,
         peers: PeerNetwork,
+        processes: PresentProcesses,
         clock: Clock,
         may_learn: Callable[[Target], bool],
         spawn: Callable[[Coroutine[Any, Any, Any]], None],
@@ -44,22 +46,25 @@
         self._directory = directory
         self._targets = targets
         self._peers = peers
+        self._processes = processes
         self._clock = clock
         self._may_learn = may_learn
         self._spawn = spawn
-        self._lost: dict[str, float] = {}
-        self._asking: dict[str, asyncio.Task[bool]] = {}
-        self._lapse_probed: dict[str, float] = {}
-        self._unhealthy: dict[str, int] = {}
+        # What is known of a process ends with it: kept by the id, a target that has
+        # just started again would count as dead, or share the answer of the earlier.
+        self._lost: dict[Process, float] = {}
+        self._asking: dict[Process, asyncio.Task[bool]] = {}
+        self._lapse_probed: dict[Process, float] = {}
+        self._unhealthy: dict[Process, int] = {}
 
     @property
     def lost(self) -> frozenset[str]:
         """Return the targets that do not answer."""
-        return frozenset(self._lost)
+        return frozenset(process.id for process in self._lost)
 
     def is_leaving(self, target: Target) -> bool:
         """Tell whether a target that the list has lost is about to stop."""
-        unhealthy = self._unhealthy.get(target.id, 0)
+        unhealthy = self._unhealthy.get(target.process, 0)
         return target.lapsed and unhealthy >= UNHEALTHY_PROBES
 
     def reset(self) -> None:
@@ -72,51 +77,77 @@
         """Probe again what is due: lost targets, and those the list has lost."""
         now = self._clock.now()
         targets = self._directory.targets
-        self._lost = {t: at for t, at in self._lost.items() if t in targets}
+        listed = {target.process: target for target in targets.values()}
+        for known in (self._lost, self._lapse_probed, self._unhealthy):
+            for process in [p for p in known if p not in listed]:
+                del known[process]
         for target in list(targets.values()):
             if target.lapsed and target.membership is not None:
                 self._look_at_lapsed(target, now)
-        for identifier, at in self._lost.items():
-            target = targets.get(identifier)
-            if target and now - at > PROBE_SECONDS and identifier not in self._asking:
-                self._spawn(self.probe(target))
+        for process, at in self._lost.items():
+            if now - at > PROBE_SECONDS and process not in self._asking:
+                self._spawn(self.probe(listed[process]))
 
     def investigate(self, target: Target) -> None:
         """Probe a target that did not answer an order or a question."""
-        if target.id not in self._asking and target.id not in self._lost:
+        process = target.process
+        if process not in self._asking and process not in self._lost:
             self._spawn(self.probe(target))
 
     async def probe(self, target: Target) -> bool:
-        """Ask a target whether it lives; whoever asks meanwhile shares the answer."""
-        running = self._asking.get(target.id)
+        """Ask whether a process lives; whoever asks meanwhile shares the answer."""
+        process = target.process
+        running = self._asking.get(process)
         if running is None:
             running = asyncio.ensure_future(self._ask(target))
-            self._asking[target.id] = running
-            running.add_done_callback(lambda _: self._asking.pop(target.id, None))
+            self._asking[process] = running
+            running.add_done_callback(lambda _: self._asking.pop(process, None))
         return await asyncio.shield(running)
 
+    async def report(self, target: Target) -> EngineReport | Unavailable:
+        """Ask a target what it holds, and note which of its processes answers."""
+        asked_at = self._clock.now()
+        report = await self._targets.report(target)
+        if isinstance(report, Unavailable):
+            return report
+        listed = self._directory.targets.get(target.id)
+        self._processes.hear(
+            asked=target, answered=report.target, asked_at=asked_at, listed=listed
+        )
+        if report.target.process != target.process:
+            log.info(
+                "planner: another process answered",
+                target=target.id,
+                asked=target.born,
+                answered=report.target.born,
+            )
+        return report
+
     async def _ask(self, target: Target) -> bool:
         reason = ""
         for _ in range(PROBES):
-            report = await self._targets.report(target)
+            report = await self.report(target)
             if isinstance(report, Unavailable):
                 reason = report.reason
                 continue
-            if self._may_learn(target):
+            if self._may_learn(report.target):
                 self._directory.learn(report.target)
-            if self._lost.pop(target.id, None) is not None:
+            if self._lost.pop(target.process, None) is not None:
                 log.info("planner: target regained", target=target.id)
-            return True
-        if target.id not in self._lost:
+            return report.target.process == target.process
+        listed = self._directory.targets.get(target.id)
+        if listed is None or listed.process != target.process:
+            return False
+        if target.process not in self._lost:
             log.warning("planner: target lost", target=target.id, reason=reason)
-        self._lost[target.id] = self._clock.now()
+        self._lost[target.process] = self._clock.now()
         return False
 
     def _look_at_lapsed(self, target: Target, now: float) -> None:
-        if target.id in self._lost:
+        if target.process in self._lost:
             self._directory.forget(target.id)
-        elif now - self._lapse_probed.get(target.id, 0.0) > LAPSE_PROBE_SECONDS:
-            self._lapse_probed[target.id] = now
+        elif now - self._lapse_probed.get(target.process, 0.0) > LAPSE_PROBE_SECONDS:
+            self._lapse_probed[target.process] = now
             self._spawn(self._probe_lapsed(target))
 
     async def _probe_lapsed(self, target: Target) -> None:
@@ -130,11 +161,15 @@
             await self.probe(target)
             return
         if healthy:
-            self._unhealthy.pop(target.id, None)
+            self._unhealthy.pop(target.process, None)
+            # A target that started again is healthy too, yet its group is over: its
+            # streams would be turned away for as long as it was vouched for.
+            if not await self.probe(target):
+                return
             self._directory.vouch(target.id)
             self._peers.tell_vouch(target.id)
             return
-        times = self._unhealthy.get(target.id, 0) + 1
-        self._unhealthy[target.id] = times
+        times = self._unhealthy.get(target.process, 0) + 1
+        self._unhealthy[target.process] = times
         if times == UNHEALTHY_PROBES:
             log.info("planner: target leaves unannounced", target=target.id)
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -51,13 +51,17 @@
 
 
 class FakePeers:
-    """Have no peers."""
+    """Have no peers; remember what was vouched for."""
+
+    def __init__(self):
+        self.vouched = []
 
     def tell_suspicion(self, key, *, cleared=False, closing=False):
         """Tell nobody."""
 
     def tell_vouch(self, target):
-        """Tell nobody."""
+        """Remember the target."""
+        self.vouched.append(target)
 
 
 def free(name):
@@ -87,13 +91,13 @@
         self.configuration = ConfigurationFollower(
             source=self.source, clock=self.clock, revoke_seconds=5.0
         )
-        self.watch = FakeWatch()
+        self.watch, self.peers = FakeWatch(), FakePeers()
         self.planner = GroupPlanner(
             configuration=self.configuration,
             directory=self.directory,
             targets=self.targets,
             leadership=FakeLeadership(),
-            peers=FakePeers(),
+            peers=self.peers,
             watch=self.watch,
             clock=self.clock,
             metrics=NodeMetrics(),
@@ -299,7 +303,7 @@
     head, other = first.members
     await rig.show(placed(head, first, 0), placed(other, first, 1))
     rig.planner._closed.add((first.group, first.epoch))
-    rig.planner._probes._lost[other] = rig.clock.now()
+    rig.planner._probes._lost[rig.directory.targets[other].process] = rig.clock.now()
     await rig.steps(1)
     assert [order.target.id for order in rig.of_kind(Leave)] == [head]
     rig.planner._probes._lost.clear()
@@ -322,7 +326,7 @@
     rig.planner._book.note_taken(leave, rig.clock.now())
     rig.planner._book.note_taken(join, rig.clock.now())
     shown = placed(join.target.id, join, 0)
-    assert rig.planner._as_left(shown).membership == shown.membership
+    assert rig.planner._as_known(shown).membership == shown.membership
 
 
 def restarted(name, born=2):
@@ -374,7 +378,9 @@
     await rig.steps()
     rig.targets.order = take
     answers.set()
-    await rig.steps()
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert "a" not in rig.planner._book.busy
     rig.targets.reports["a"] = EngineReport(orders=0, target=restarted("a"))
     rig.targets.orders.clear()
     await rig.show(free("c"))
@@ -397,3 +403,188 @@
     await rig.show(replace(cold, born=2))
     await rig.steps(15)
     assert len(rig.of_kind(Stage)) == 2
+
+
+async def formed(rig):
+    """Have two free targets form a group; return it as its members show it, ready."""
+    await rig.steps(2)
+    join = rig.of_kind(Join)[0]
+    ready = [placed(name, join, rank) for rank, name in enumerate(join.members)]
+    await rig.show(*ready)
+    return ready
+
+
+async def test_a_formation_ends_when_a_member_starts_again():
+    """Symptom: a target is ordered into a group that cannot be whole, over and over,
+    while the others wait in it.
+
+    Sequence: two joins are taken; one target starts again before it shows that.
+    Cause: a formation lists ids, and the id was still there.
+    """
+    rig = Rig(free("a"), free("b"))
+    await rig.steps(2)
+    join = rig.of_kind(Join)[0]
+    await rig.show(placed("b", join, join.members.index("b")))
+    rig.targets.orders.clear()
+    await rig.show(restarted("a"))
+    await rig.steps(2)
+    assert [leave.target.id for leave in rig.of_kind(Leave)] == ["b"]
+    await rig.steps(20)
+    again = rig.of_kind(Join)
+    assert {join.target.id for join in again} == {"a", "b"}
+    assert {join.epoch for join in again}.isdisjoint({join.epoch for join in [join]})
+
+
+async def test_a_ready_group_is_not_opened_once_a_member_has_started_again():
+    """Symptom: a request begins in a group of which a member holds nothing.
+
+    Sequence: all members show ready; the head's report is awaited for the open, and
+    meanwhile the list shows that a member has started again.
+    Cause: what the plan went by was not looked at again before the order.
+    """
+    rig = Rig(free("a"), free("b"))
+    ready = await formed(rig)
+    rig.planner._book.doubt_count(ready[0])
+    rig.targets.reports[ready[0].id] = EngineReport(orders=1, target=ready[0])
+    answer, ask = asyncio.Event(), rig.targets.report
+
+    async def slow(target):
+        await answer.wait()
+        return await ask(target)
+
+    rig.targets.report = slow
+    await rig.steps()
+    await rig.show(restarted(ready[1].id))
+    answer.set()
+    await rig.steps(6)
+    assert rig.of_kind(Open) == []
+    assert [leave.target.id for leave in rig.of_kind(Leave)] == [ready[0].id]
+
+
+async def test_a_group_is_taken_apart_when_a_member_answers_as_another_process():
+    """Symptom: a group that serves nobody is cleared of suspicion again and again.
+
+    Sequence: a member that the list cannot hear crashes and starts again; its group
+    falls silent and is suspected; all members answer the probes.
+    Cause: the probes went by the id, under which the new process answers.
+    """
+    rig = Rig(*open_group("g"))
+    await rig.steps(2)
+    rig.targets.reports["g1"] = EngineReport(orders=0, target=restarted("g1"))
+    rig.watch.on_suspect[0](("g", 1))
+    await rig.steps(3)
+    assert rig.watch.cleared == []
+    assert [leave.target.id for leave in rig.of_kind(Leave)] == ["g0"]
+
+
+async def test_a_target_that_the_list_shows_as_its_earlier_process_joins_nothing():
+    """Symptom: a group waits for a member whose joining no list shows.
+
+    Sequence: a target starts again and cannot tell the list so; its report is asked
+    for before it is ordered to join.
+    Cause: the order went by the list's process and the report's count.
+    """
+    rig = Rig(free("a"), free("b"))
+    rig.targets.reports["a"] = EngineReport(orders=0, target=restarted("a"))
+    await rig.steps(30)
+    assert "a" not in {join.target.id for join in rig.of_kind(Join)}
+    await rig.show(restarted("a"))
+    await rig.steps(20)
+    assert "a" in {join.target.id for join in rig.of_kind(Join)}
+
+
+async def test_no_load_is_ordered_of_a_process_that_the_list_does_not_show():
+    """Symptom: a load is counted against a process that is gone.
+
+    Sequence: a cold target starts again; its report is asked for before the load.
+    Cause: the order went to whatever process answers under the id.
+    """
+    cold = replace(free("a"), staged=())
+    rig = Rig(cold, profile=replace(PROFILE, loads_per_second=4.5))
+    rig.targets.reports["a"] = EngineReport(orders=0, target=replace(cold, born=2))
+    await rig.steps(10)
+    assert rig.targets.orders == []
+
+
+async def test_a_lapsed_target_that_started_again_is_not_vouched_for():
+    """Symptom: streams are sent to a head that holds nothing.
+
+    Sequence: a head is cut off from the list, crashes and starts again; a health
+    check finds it well.
+    Cause: health is of the new process; the group went with the earlier one.
+    """
+    rig = Rig(*open_group("g"))
+    await rig.steps(2)
+    rig.targets.reports["g0"] = EngineReport(orders=0, target=restarted("g0"))
+    await rig.show(removed=("g0",))
+    await rig.steps(5)
+    assert rig.peers.vouched == []
+    assert [leave.target.id for leave in rig.of_kind(Leave)] == ["g1"]
+
+
+async def test_a_lost_target_that_starts_again_is_free_at_once():
+    """Symptom: a restarted target stays out of use until it is probed again.
+
+    Sequence: two probes of a dead target fail; the list shows its next process.
+    Cause: the loss was remembered by the id.
+    """
+    rig = Rig(free("a"), free("b"))
+    rig.targets.reports["a"] = Unavailable(reason="refused")
+    await rig.steps(4)
+    assert rig.planner._probes.lost == {"a"}
+    rig.targets.reports["a"] = EngineReport(orders=0, target=restarted("a"))
+    await rig.show(restarted("a"))
+    rig.targets.orders.clear()
+    await rig.steps(1)
+    assert rig.planner._probes.lost == set()
+
+
+async def test_a_probe_that_fails_late_does_not_lose_the_next_process():
+    """Symptom: a target that has just started is taken for dead.
+
+    Sequence: a probe is under way when the list shows the target's next process; the
+    probe of the earlier one then ends unanswered.
+    Cause: the answer was noted for whatever process has the id.
+    """
+    rig = Rig(*open_group("g"))
+    await rig.steps(2)
+    ended = asyncio.Event()
+
+    async def silent(target):
+        await ended.wait()
+        return Unavailable(reason="timeout")
+
+    rig.targets.report = silent
+    asked = rig.directory.targets["g1"]
+    probe = asyncio.ensure_future(rig.planner._probes.probe(asked))
+    await asyncio.sleep(0)
+    await rig.show(restarted("g1"))
+    ended.set()
+    assert not await probe
+    assert rig.planner._probes.lost == set()
+
+
+async def test_a_late_report_of_an_earlier_process_teaches_nothing():
+    """Symptom: a target that holds nothing counts as a member during a store outage.
+
+    Sequence: a question is under way when the list shows the next process and is then
+    lost; the earlier process's report comes after that.
+    Cause: while the list is lost, a report was taken for whatever process has the id.
+    """
+    rig = Rig(*open_group("g"))
+    await rig.steps(2)
+    ended, asked = asyncio.Event(), rig.directory.targets["g1"]
+
+    async def late(target):
+        await ended.wait()
+        return EngineReport(orders=3, target=asked)
+
+    rig.targets.report = late
+    probe = asyncio.ensure_future(rig.planner._probes.probe(asked))
+    await asyncio.sleep(0)
+    await rig.show(restarted("g1"))
+    rig.source.cut = True
+    await rig.directory.refresh()
+    ended.set()
+    await probe
+    assert rig.directory.targets["g1"] == restarted("g1")
