Decode each entry of the list and each report by itself

Cause: an entry of another writer (a field missing, of another type, out of range or not known, bytes that cannot be read, a key that is no id) raised in its decoding, and with it the whole read of the list on every node; some wrong values were taken as they were. An unreadable entry drops the target that was known by it at once: kept as fallen silent, a probe could bring it back. An answer of the store without a readable version is none; a commit that was taken at an unreadable version is unknown, and is settled by a read.

Ruled out: dropping an unreadable entry silently (the known target would be used on).

One test said that an empty entry is a target: that was the fault, and it is replaced by one that wants it refused. Two entries in tests got the fields that an entry must have. Seen failing with the check taken out, each: the drop in the directory (5 tests), that a change of only unreadable entries is passed on, keys that are no id, the type of removed, base64 read strictly, engines that leave out their place.

--- a/mallowpond/coordination/ports.py
+++ b/mallowpond/coordination/ports.py
@@ -17,6 +17,15 @@
     transaction: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class UnreadableRow:
+    """Tell that a row stands there which this program did not write, or not so."""
+
+    key: str
+    version: int
+    reason: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class Check:
     """Require that a row stands at this version; 0 means that it is absent."""
@@ -81,12 +90,16 @@
     rows: tuple[Row, ...]
     deleted: tuple[str, ...]
     version: int
+    unreadable: tuple[UnreadableRow, ...] = ()
 
 
 class TableService(Protocol):
-    """Read and change rows of the platform's transactional table service."""
+    """Read and change rows of the platform's transactional table service.
+
+    Only where other programs can write to our tables is a row ever unreadable.
+    """
 
-    async def read(self, key: str) -> Row | None | Unavailable:
+    async def read(self, key: str) -> Row | UnreadableRow | None | Unavailable:
         """Return the row, None when it is absent."""
 
     async def scan(self, prefix: str, since: int = 0) -> Scanned | Unavailable:
--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -333,7 +333,7 @@
             return
         if self._whole_at == float("-inf"):
             return
-        self._apply(read.targets, read.removed, whole=False)
+        self._apply(read)
         self._revision = read.revision
         self.changed = max(self.changed, read.revision)
 
@@ -364,13 +364,13 @@
         if answer.whole:
             self._whole_at = now
         before = self._targets
-        self._apply(answer.targets, answer.removed, whole=answer.whole)
+        self._apply(answer)
         self._revision = answer.revision
         self._behind_since = None
         if answer.whole:
             is_change = self._targets != before or not self.changed
         else:
-            is_change = bool(answer.targets or answer.removed)
+            is_change = bool(answer.targets or answer.removed or answer.unreadable)
         if is_change:
             self._note_change(answer)
         return True
@@ -423,24 +423,26 @@
         gone, self._doubted = self._doubted, set()
         self._take({k: t for k, t in self._targets.items() if k not in gone})
 
-    def _apply(
-        self, targets: Iterable[Target], removed: Iterable[str], *, whole: bool
-    ) -> None:
+    def _apply(self, read: TargetsRead) -> None:
         found = dict(self._targets)
-        listed = {target.id: target for target in targets}
-        gone = set(removed)
-        if whole:
+        listed = {target.id: target for target in read.targets}
+        gone = set(read.removed)
+        if read.whole:
             gone |= set(found) - set(listed)
         gone -= set(listed)
         # Entries that say the same stay the same objects, which mark what changed.
         found.update({k: t for k, t in listed.items() if found.get(k) != t})
+        for identifier in read.unreadable:
+            # It did not fall silent: kept as lapsed, a probe of the address in its
+            # last readable entry would bring it back into use.
+            found.pop(identifier, None)
         if not self.is_settled:
             # Entries lapse while the store is away although their targets live; a
             # node that believed it would have no target to send to at its return.
             self._doubted |= gone
             gone = set()
         self._doubted -= set(listed)
-        for identifier in listed:
+        for identifier in (*listed, *read.unreadable):
             self._lapsed_at.pop(identifier, None)
         for identifier in gone:
             self._remove(found, identifier)
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -140,6 +140,7 @@
     revision: int
     targets: tuple[Target, ...]
     removed: tuple[str, ...]
+    unreadable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -57,20 +57,28 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ConfigurationRead:
-    """Answer a read of the configuration; None means that there is none."""
+    """Answer a read of the configuration; None means that there is none.
+
+    With `unreadable` there is a newer one, which cannot be read.
+    """
 
     revision: int
     configuration: SiteConfiguration | None
     changed: bool
+    unreadable: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
 class TargetsRead:
-    """Answer a read of the targets: all of them, or those that changed."""
+    """Answer a read of the targets: all of them, or those that changed.
+
+    Keys in `unreadable` have an entry that names no target to use.
+    """
 
     revision: int
     targets: tuple[Target, ...]
     removed: tuple[str, ...] = ()
+    unreadable: tuple[str, ...] = ()
     whole: bool = False
 
 
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -135,7 +135,7 @@
     # -- the list of targets -------------------------------------------------
 
     def _pass_on(self, read: TargetsRead, previous: int) -> None:
-        size = len(read.targets) + len(read.removed)
+        size = len(read.targets) + len(read.removed) + len(read.unreadable)
         if not self._reads or size > MOST_PASSED_ON:
             return
         self._peers.tell(
@@ -145,12 +145,16 @@
                 revision=read.revision,
                 targets=read.targets,
                 removed=read.removed,
+                unreadable=read.unreadable,
             )
         )
 
     def _note_change(self, change: ListChange) -> None:
         read = TargetsRead(
-            revision=change.revision, targets=change.targets, removed=change.removed
+            revision=change.revision,
+            targets=change.targets,
+            removed=change.removed,
+            unreadable=change.unreadable,
         )
         self._directory.hear_change(read, previous=change.previous)
 
--- a/mallowpond/node/tests/test_directory.py
+++ b/mallowpond/node/tests/test_directory.py
@@ -1,6 +1,9 @@
 """What a node believes of its targets when the list lies or is silent."""
 
 from collections import deque
+from dataclasses import replace
+
+import pytest
 
 from mallowpond.node.directory import (
     RETURN_SECONDS,
@@ -107,3 +110,54 @@
     assert directory.load(("g", 1)).running == 3
     clock.time += 5.0
     assert directory.load(("g", 1)).running == 0
+
+
+@pytest.mark.parametrize("whole", [True, False])
+@pytest.mark.parametrize("lapsed_before", [True, False])
+async def test_a_target_whose_entry_cannot_be_read_is_dropped_for_good(
+    whole, lapsed_before
+):
+    """Symptom: streams go on to an engine by what an older entry said of it.
+
+    Sequence: the entry of an open group's head is replaced by one that cannot be
+    read; a probe finds that something healthy answers at the old address.
+    Cause: the target counted as fallen silent, which a probe makes up for.
+    """
+    head, other = open_group("g")
+    directory, source, clock = await directory_of(listing(head, other))
+    if lapsed_before:
+        source.listed.append(listing(revision=2, removed=("g0",), whole=False))
+        await directory.refresh()
+    clock.time += 20.0 if whole else 0.0
+    bad = replace(listing(other, revision=9, whole=whole), unreadable=("g0",))
+    source.listed.append(bad)
+    await directory.refresh()
+    directory.vouch("g0")
+    assert serving(directory) == set()
+    assert set(directory.targets) == {"g1"}
+
+
+async def test_an_unreadable_entry_counts_also_right_after_an_outage():
+    head, other = open_group("g")
+    directory, source, clock = await directory_of(listing(head, other))
+    source.cut = True
+    await directory.refresh()
+    source.cut = False
+    bad = replace(listing(revision=9, whole=False), unreadable=("g0",))
+    source.listed.append(bad)
+    await directory.refresh()
+    assert set(directory.targets) == {"g1"}
+
+
+async def test_readers_pass_on_which_entries_cannot_be_read():
+    head, other = open_group("g")
+    directory, source, _ = await directory_of(listing(head, other))
+    passed_on = []
+    directory.on_read.append(lambda read, previous: passed_on.append(read))
+    bad = replace(listing(revision=9, whole=False), unreadable=("g0",))
+    source.listed.append(bad)
+    await directory.refresh()
+    assert passed_on == [bad]
+    follower, _, _ = await directory_of(listing(head, other))
+    follower.hear_change(bad, previous=1)
+    assert set(follower.targets) == {"g1"}
--- a/mallowpond/platform/documents.py
+++ b/mallowpond/platform/documents.py
@@ -1,8 +1,24 @@
-"""Decode the platform's documents into the product's types."""
+"""Decode the platform's documents into the product's types.
+
+The private classes declare each document as the platform writes it: field names,
+types, and what may be missing.
+"""
 
 from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from enum import Enum
 from typing import Any
 
+from mallowpond.node.ports import EngineReport
+from mallowpond.state.decoding import (
+    Address,
+    Fault,
+    Identifier,
+    Name,
+    Positive,
+    Unreadable,
+    decode,
+)
 from mallowpond.state.fleet import (
     EngineProfile,
     GroupPhase,
@@ -26,126 +42,356 @@
     "stream": Repeat.STREAM,
 }
 MILLISECONDS = 0.001
+# Fields of an entry that may be a number or a text, with the kind of number.
+NUMBERED = {"domain": int, "version": float}
+
+
+# -- the configuration -------------------------------------------------------
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Backend:
+    service: str
+    weight: float = 1.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Route:
+    name: str
+    host: str
+    prefix: str
+    kind: str = ""
+    service: str = ""
+    backends: tuple[_Backend, ...] = ()
+    timeout_ms: float = 0.0
+    slo_ms: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+    no_auth: bool = False
+    can_resume: bool = False
+    gap_target_ms: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Model:
+    name: str
+    size: float = 1.0
+    share: float = 1.0
+    pace: float = 1.0
+    load_s: float = 0.0
+    warm_s: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Usual:
+    prompt: float = 0.0
+    answer: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Engine:
+    slots: float = 1.0
+    models: tuple[_Model, ...] = ()
+    stride: float = 1.0
+    step_ms: float = 0.0
+    per_seq_ms: float = 0.0
+    context_per_k: float = 0.0
+    read_per_s: float = 0.0
+    loads_per_s: float = 0.0
+    loads_at_once: float = 1.0
+    usual: _Usual = _Usual()
+    far_x: float = 0.0
 
 
-def configuration(document: Mapping[str, Any]) -> SiteConfiguration:
-    """Decode the operator's configuration."""
-    limits = document.get("limits") or {}
-    tenants = document.get("tenants")
+@dataclass(frozen=True, kw_only=True)
+class _Service:
+    name: str
+    max_conns: float = 0.0
+    health_path: str = ""
+    engine: _Engine | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Limits:
+    max_header_bytes: float = 16384.0
+    max_body_bytes: float = 4.0 * 1024 * 1024
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Tenant:
+    name: Name
+    # An empty key would let in who sends an empty one.
+    api_keys: tuple[Name, ...] = ()
+    priority: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Configuration:
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
+
+
+def configuration(document: Any) -> SiteConfiguration | Unreadable:
+    """Decode the operator's configuration, whole or not at all."""
+    found = decode(document, _Configuration)
+    if isinstance(found, Unreadable):
+        return found
+    limits = found.limits
     return SiteConfiguration(
-        version=int(document["version"]),
-        routes=tuple(_route(route) for route in document.get("routes") or ()),
-        services={s["name"]: _service(s) for s in document.get("services") or ()},
-        keys=_keys(tenants or ()),
-        uses_keys=bool(tenants),
+        version=found.version,
+        routes=tuple(_route(route) for route in found.routes),
+        services={service.name: _service(service) for service in found.services},
+        keys=_keys(found.tenants),
+        uses_keys=bool(found.tenants),
         limits=CallerLimits(
-            header_bytes=int(limits.get("max_header_bytes", 16384)),
-            body_bytes=int(limits.get("max_body_bytes", 4 * 1024 * 1024)),
-            header_seconds=limits.get("header_timeout_ms", 3000) * MILLISECONDS,
-            idle_seconds=limits.get("idle_timeout_ms", 15000) * MILLISECONDS,
+            header_bytes=int(limits.max_header_bytes),
+            body_bytes=int(limits.max_body_bytes),
+            header_seconds=limits.header_timeout_ms * MILLISECONDS,
+            idle_seconds=limits.idle_timeout_ms * MILLISECONDS,
         ),
     )
 
 
-def _route(route: Mapping[str, Any]) -> Route:
+def _route(route: _Route) -> Route:
     # A route names either one service or several with weights.
-    backends = route.get("backends") or [{"service": route.get("service", "")}]
+    backends = route.backends or (_Backend(service=route.service),)
     return Route(
-        name=route["name"],
-        host=route["host"].lower(),
-        prefix=route["prefix"],
-        repeat=REPEATS.get(route.get("kind", ""), Repeat.ONCE),
-        backends=tuple(
-            Backend(service=b["service"], weight=float(b.get("weight", 1)))
-            for b in backends
-        ),
-        timeout_seconds=route.get("timeout_ms", 0) * MILLISECONDS,
-        objective_seconds=route.get("slo_ms", 0) * MILLISECONDS,
-        priority=int(route.get("priority", 0)),
-        max_attempts=int(route.get("max_attempts", 1)),
-        needs_key=not route.get("no_auth", False),
-        resumable=bool(route.get("can_resume", False)),
-        gap_seconds=route.get("gap_target_ms", 0) * MILLISECONDS,
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        repeat=REPEATS.get(route.kind, Repeat.ONCE),
+        backends=tuple(Backend(service=b.service, weight=b.weight) for b in backends),
+        timeout_seconds=route.timeout_ms * MILLISECONDS,
+        objective_seconds=route.slo_ms * MILLISECONDS,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        needs_key=not route.no_auth,
+        resumable=route.can_resume,
+        gap_seconds=route.gap_target_ms * MILLISECONDS,
     )
 
 
-def _service(service: Mapping[str, Any]) -> Service:
-    engine = service.get("engine")
+def _service(service: _Service) -> Service:
+    engine = service.engine
     return Service(
-        name=service["name"],
-        max_connections=int(service.get("max_conns", 0)),
-        health_path=service.get("health_path") or "/",
+        name=service.name,
+        max_connections=int(service.max_conns),
+        health_path=service.health_path or "/",
         profile=None if engine is None else _profile(engine),
     )
 
 
-def _profile(engine: Mapping[str, Any]) -> EngineProfile:
-    usual = engine.get("usual") or {}
+def _profile(engine: _Engine) -> EngineProfile:
     return EngineProfile(
-        slots=int(engine.get("slots", 1)),
-        models=tuple(_model(model) for model in engine.get("models") or ()),
-        stride=int(engine.get("stride", 1)),
-        step_seconds=engine.get("step_ms", 0.0) * MILLISECONDS,
-        request_seconds=engine.get("per_seq_ms", 0.0) * MILLISECONDS,
-        context_seconds_per_k=engine.get("context_per_k", 0.0) * MILLISECONDS,
-        read_tokens_per_second=float(engine.get("read_per_s") or 1.0),
-        loads_per_second=float(engine.get("loads_per_s", 0.0)),
-        loads_at_once=int(engine.get("loads_at_once", 1)),
-        usual_prompt_tokens=float(usual.get("prompt", 0.0)),
-        usual_answer_tokens=float(usual.get("answer", 0.0)),
-        far_factor=float(engine.get("far_x") or 1.0),
+        slots=int(engine.slots),
+        models=tuple(_model(model) for model in engine.models),
+        stride=int(engine.stride),
+        step_seconds=engine.step_ms * MILLISECONDS,
+        request_seconds=engine.per_seq_ms * MILLISECONDS,
+        context_seconds_per_k=engine.context_per_k * MILLISECONDS,
+        read_tokens_per_second=engine.read_per_s or 1.0,
+        loads_per_second=engine.loads_per_s,
+        loads_at_once=int(engine.loads_at_once),
+        usual_prompt_tokens=engine.usual.prompt,
+        usual_answer_tokens=engine.usual.answer,
+        far_factor=engine.far_x or 1.0,
     )
 
 
-def _model(model: Mapping[str, Any]) -> ModelSpec:
+def _model(model: _Model) -> ModelSpec:
     return ModelSpec(
-        name=model["name"],
-        size=int(model.get("size", 1)),
-        share=float(model.get("share", 1.0)),
-        pace=float(model.get("pace", 1.0)),
-        load_seconds=float(model.get("load_s", 0.0)),
-        warm_seconds=float(model.get("warm_s", 0.0)),
+        name=model.name,
+        size=int(model.size),
+        share=model.share,
+        pace=model.pace,
+        load_seconds=model.load_s,
+        warm_seconds=model.warm_s,
     )
 
 
-def _keys(tenants: Any) -> dict[str, KeyHolder]:
+def _keys(tenants: tuple[_Tenant, ...]) -> dict[str, KeyHolder]:
     keys = {}
     for tenant in tenants:
-        holder = KeyHolder(
-            workspace=tenant["name"], priority=int(tenant.get("priority", 0))
-        )
-        keys |= {key: holder for key in tenant.get("api_keys") or ()}
+        holder = KeyHolder(workspace=tenant.name, priority=tenant.priority)
+        keys |= {key: holder for key in tenant.api_keys}
     return keys
 
 
-def target(identifier: str, row: Mapping[str, Any]) -> Target:
-    """Decode an engine's entry in the list, or the same fields of its report."""
-    models = row.get("models") or ()
+# -- the product's own rows --------------------------------------------------
+
+
+@dataclass(frozen=True, kw_only=True)
+class OwnRow:
+    """Hold what a row of ours says, and the transaction that wrote it."""
+
+    value: Any
+    transaction: str
+
+
+def own_row(document: Any) -> OwnRow | Unreadable:
+    """Decode what a row of the product's own tables holds."""
+    found = decode(document, OwnRow)
+    if isinstance(found, OwnRow) and not isinstance(found.value, Mapping):
+        return Unreadable(fault=Fault.TYPE, field="value")
+    return found
+
+
+# -- what engines say of themselves ------------------------------------------
+
+
+class _State(str, Enum):
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Group:
+    name: Name
+    epoch: int
+    rank: int
+    state: GroupPhase
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Named:
+    name: Name
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Entry:
+    service: Name
+    address: Address
+    zone: Name
+    version: str
+    slots: Positive
+    state: _State
+    cold_left_ms: float
+    sequence: int
+    born: int
+    # Services without models report none of these.
+    domain: str | None = None
+    models: tuple[_Named, ...] | None = None
+    staged: tuple[Name, ...] | None = None
+    group: _Group | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Report:
+    sequence: int
+    born: int
+    models: tuple[_Named, ...]
+    staged: tuple[Name, ...]
+    group: _Group | None = None
+    stage: str = ""
+    busy: bool = False
+    queued: float = 0.0
+    running: float = 0.0
+    kv_used: float = 0.0
+    kv_total: float = 0.0
+    handles: float = 0.0
+    pace: float = 1.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Key:
+    id: Identifier
+
+
+def is_identifier(key: Any) -> bool:
+    """Tell whether a key can be an engine's."""
+    return isinstance(decode({"id": key}, _Key), _Key)
+
+
+def target(identifier: Any, row: Any) -> Target | Unreadable:
+    """Decode an engine's entry in the list; one that is not whole is none."""
+    key = decode({"id": identifier}, _Key)
+    if isinstance(key, Unreadable):
+        return key
+    entry = decode(_one_spelling(row), _Entry)
+    if isinstance(entry, Unreadable):
+        return entry
+    missing = _missing_place(entry)
+    if missing:
+        return Unreadable(fault=Fault.MISSING, field=missing)
     return Target(
-        id=identifier,
-        service=row.get("service", ""),
-        address=row.get("address", ""),
-        data_centre=row.get("zone", ""),
-        slots=int(row.get("slots", 0)),
-        draining=row.get("state", "ready") == "draining",
-        domain=str(row.get("domain", "")),
-        model=models[0]["name"] if models else "",
-        staged=tuple(_staged(entry) for entry in row.get("staged") or ()),
-        membership=_membership(row.get("group")),
-        born=int(row.get("born", 0)),
+        id=key.id,
+        service=entry.service,
+        address=entry.address,
+        data_centre=entry.zone,
+        slots=entry.slots,
+        draining=entry.state is _State.DRAINING,
+        domain=entry.domain or "",
+        model=_first(entry.models or ()),
+        staged=entry.staged or (),
+        membership=_membership(entry.group),
+        born=entry.born,
+    )
+
+
+def report(asked: Target, document: Any) -> EngineReport | Unreadable:
+    """Decode what an engine says of itself; the rest stays as the list has it."""
+    found = decode(_one_spelling(document), _Report)
+    if isinstance(found, Unreadable):
+        return found
+    # Here `sequence` counts orders; in the list it counts heartbeats.
+    return EngineReport(
+        orders=found.sequence,
+        target=replace(
+            asked,
+            model=_first(found.models),
+            staged=found.staged,
+            membership=_membership(found.group),
+            born=found.born,
+        ),
     )
 
 
-def _staged(entry: Any) -> str:
-    return entry if isinstance(entry, str) else entry["name"]
+def _one_spelling(row: Any) -> Any:
+    """Return an entry or report with each field in one of its spellings.
+
+    A domain or version may be a number, a staged model an object with a name, and an
+    engine without a group may say so by an empty one.
+    """
+    if not isinstance(row, Mapping):
+        return row
+    found = dict(row)
+    for name, kind in NUMBERED.items():
+        if not isinstance(decode(found.get(name), kind), Unreadable):
+            found[name] = str(found[name])
+    staged = found.get("staged")
+    if isinstance(staged, list):
+        found["staged"] = [s.get("name") if isinstance(s, dict) else s for s in staged]
+    group = found.get("group")
+    if group == {} or (isinstance(group, dict) and group.get("name") == ""):
+        found["group"] = None
+    return found
+
+
+def _missing_place(entry: _Entry) -> str:
+    """Return which field an engine that carries models has left out.
+
+    Taken for a free engine of no domain, it would be ordered into a group.
+    """
+    places = {"domain": entry.domain, "models": entry.models, "staged": entry.staged}
+    missing = [name for name, value in places.items() if value is None]
+    carries_no_model = not entry.models and not entry.group
+    if carries_no_model and {"domain", "staged"} <= set(missing):
+        return ""
+    return missing[0] if missing else ""
+
+
+def _first(models: tuple[_Named, ...]) -> str:
+    return models[0].name if models else ""
 
 
-def _membership(group: Mapping[str, Any] | None) -> Membership | None:
-    if not group or not group.get("name"):
+def _membership(group: _Group | None) -> Membership | None:
+    if group is None:
         return None
     return Membership(
-        group=group["name"],
-        epoch=int(group["epoch"]),
-        rank=int(group.get("rank", 0)),
-        phase=GroupPhase(group["state"]),
+        group=group.name, epoch=group.epoch, rank=group.rank, phase=group.state
     )
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -14,8 +14,10 @@
     OrderTaken,
     OrderUnfit,
 )
+from mallowpond.node.unreadable import UnreadableNotes
 from mallowpond.platform import documents
 from mallowpond.platform import headers as names
+from mallowpond.state.decoding import Unreadable, parse_json
 from mallowpond.state.fleet import Target
 from mallowpond.state.formation_view import (
     Close,
@@ -37,8 +39,11 @@
 class PlatformEngines:
     """Speak to engines and plain services."""
 
-    def __init__(self, *, http: HttpClient) -> None:
+    def __init__(
+        self, *, http: HttpClient, notes: UnreadableNotes | None = None
+    ) -> None:
         self._http = http
+        self._notes = notes or UnreadableNotes()
 
     async def send(
         self,
@@ -112,15 +117,19 @@
             case CallFailed(reason=reason):
                 return Unavailable(reason=reason)
             case (200, data):
-                report = json.loads(data)
-                # Here `sequence` counts orders; in the list it counts heartbeats.
-                return EngineReport(
-                    orders=int(report["sequence"]),
-                    target=documents.target(target.id, report),
-                )
+                return self._report(target, data)
             case (status, _):
                 return Unavailable(reason=f"status {status}")
 
+    def _report(self, target: Target, data: bytes) -> EngineReport | Unavailable:
+        found = parse_json(data)
+        if not isinstance(found, Unreadable):
+            found = documents.report(target, found)
+        if isinstance(found, Unreadable):
+            self._notes.note("report", target.id, found)
+            return Unavailable(reason=str(found))
+        return found
+
     async def is_healthy(self, target: Target, path: str) -> bool | Unavailable:
         """Ask whether a target is healthy and not leaving; a full one says no."""
         answer = await self._http.fetch(
--- a/mallowpond/platform/store.py
+++ b/mallowpond/platform/store.py
@@ -14,9 +14,20 @@
     Transaction,
     Unavailable,
     Unknown,
+    UnreadableRow,
 )
 from mallowpond.node.ports import ConfigurationRead, HistoryLost, TargetsRead
+from mallowpond.node.unreadable import UnreadableNotes
 from mallowpond.platform import documents
+from mallowpond.platform.rows import (
+    StoreAnswer,
+    StoredRow,
+    committed_version,
+    conflicting_keys,
+    store_answer,
+)
+from mallowpond.state.decoding import Fault, Unreadable
+from mallowpond.state.fleet import Target
 from mallowpond.transport.http_client import CallFailed, HttpClient
 
 # Time beyond what a call is asked to wait until it counts as lost, in seconds: the
@@ -34,9 +45,12 @@
 class PlatformStore:
     """Read and change rows; keys of the port are written TABLE/KEY."""
 
-    def __init__(self, *, http: HttpClient, address: str) -> None:
+    def __init__(
+        self, *, http: HttpClient, address: str, notes: UnreadableNotes | None = None
+    ) -> None:
         self._http = http
         self._address = address
+        self._notes = notes or UnreadableNotes()
 
     # -- the configuration and the list of targets --------------------------
 
@@ -50,17 +64,30 @@
             answer = await self._feed(CONFIGURATION_TABLE, since, wait_seconds)
         if isinstance(answer, HistoryLost | Unavailable):
             return answer
-        for row in _latest(answer["rows"]):
-            if row["key"] == CONFIGURATION_KEY and not row.get("removed"):
-                return ConfigurationRead(
-                    revision=int(answer["ver"]),
-                    configuration=documents.configuration(_value(row)),
-                    changed=True,
-                )
+        reason = answer.nameless[0] if answer.nameless else None
+        for row in answer.latest:
+            if row.key == CONFIGURATION_KEY and not row.removed:
+                return self._configuration_read(answer.version, row)
+        if reason is not None:
+            self._notes.note("configuration", "", reason)
         return ConfigurationRead(
-            revision=int(answer["ver"]), configuration=None, changed=False
+            revision=answer.version,
+            configuration=None,
+            changed=False,
+            unreadable=reason is not None,
         )
 
+    def _configuration_read(self, revision: int, row: StoredRow) -> ConfigurationRead:
+        found = row.document
+        if not isinstance(found, Unreadable):
+            found = documents.configuration(found)
+        if isinstance(found, Unreadable):
+            self._notes.note("configuration", row.key, found)
+            return ConfigurationRead(
+                revision=revision, configuration=None, changed=True, unreadable=True
+            )
+        return ConfigurationRead(revision=revision, configuration=found, changed=True)
+
     async def targets(self, since: int) -> TargetsRead | HistoryLost | Unavailable:
         """Return what changed after `since`; 0 reads all of them."""
         if since == 0:
@@ -69,27 +96,42 @@
             answer = await self._feed(TARGETS_TABLE, since, 0.0)
         if isinstance(answer, HistoryLost | Unavailable):
             return answer
-        rows = _latest(answer["rows"])
-        removed = tuple(row["key"] for row in rows if row.get("removed"))
-        present = [row for row in rows if not row.get("removed")]
+        for reason in answer.nameless:
+            self._notes.note("target", "", reason)
+        found = {row.key: self._target(row) for row in answer.latest if not row.removed}
+        bad = [key for key, target in found.items() if not isinstance(target, Target)]
+        removed = [row.key for row in answer.latest if row.removed]
+        # What stands under another key was never a target, and is none to drop.
         return TargetsRead(
-            revision=int(answer["ver"]),
-            targets=tuple(documents.target(r["key"], _value(r)) for r in present),
-            removed=removed,
+            revision=answer.version,
+            targets=tuple(t for t in found.values() if isinstance(t, Target)),
+            removed=tuple(filter(documents.is_identifier, removed)),
+            unreadable=tuple(filter(documents.is_identifier, bad)),
             whole=since == 0,
         )
 
+    def _target(self, row: StoredRow) -> Target | Unreadable:
+        found = row.document
+        if not isinstance(found, Unreadable):
+            found = documents.target(row.key, found)
+        if isinstance(found, Unreadable):
+            self._notes.note("target", row.key, found)
+        return found
+
     # -- the product's own rows ---------------------------------------------
 
-    async def read(self, key: str) -> Row | None | Unavailable:
+    async def read(self, key: str) -> Row | UnreadableRow | None | Unavailable:
         """Return the row, None when it is absent."""
         table, _, name = key.partition("/")
         query = f"table={quote(table)}&part=&from={quote(name)}&limit=1"
         answer = await self._get(f"/-/rows-get?{query}")
         if isinstance(answer, HistoryLost | Unavailable):
             return _as_unavailable(answer)
-        rows = [row for row in answer["rows"] if row["key"] == name]
-        return _row(rows[0]) if rows else None
+        if answer.nameless:
+            # It may be the row asked for: taken for absent, it would be replaced.
+            return Unavailable(reason=f"row without a key: {answer.nameless[0]}")
+        rows = [row for row in answer.rows if row.key == name]
+        return self._own_row(table, rows[0]) if rows else None
 
     async def scan(self, prefix: str, since: int = 0) -> Scanned | Unavailable:
         """Return the rows of a table that changed after version `since`."""
@@ -97,11 +139,31 @@
         answer = await (self._feed(table, since, 0.0) if since else self._rows(table))
         if isinstance(answer, HistoryLost | Unavailable):
             return _as_unavailable(answer)
-        rows = _latest(answer["rows"])
+        for reason in answer.nameless:
+            self._notes.note(table, "", reason)
+        rows = [self._own_row(table, r) for r in answer.latest if not r.removed]
         return Scanned(
-            rows=tuple(_row(row) for row in rows if not row.get("removed")),
-            deleted=tuple(f"{table}/{r['key']}" for r in rows if r.get("removed")),
-            version=int(answer["ver"]),
+            rows=tuple(row for row in rows if isinstance(row, Row)),
+            deleted=tuple(f"{table}/{r.key}" for r in answer.latest if r.removed),
+            version=answer.version,
+            unreadable=tuple(row for row in rows if isinstance(row, UnreadableRow)),
+        )
+
+    def _own_row(self, table: str, row: StoredRow) -> Row | UnreadableRow:
+        key = f"{table}/{row.key}"
+        found = row.document
+        if not isinstance(found, Unreadable):
+            found = documents.own_row(found)
+        if row.version == 0 and not isinstance(found, Unreadable):
+            found = Unreadable(fault=Fault.MISSING, field="ver")
+        if isinstance(found, Unreadable):
+            self._notes.note(table, row.key, found)
+            return UnreadableRow(key=key, version=row.version, reason=str(found))
+        return Row(
+            key=key,
+            value=found.value,
+            version=row.version,
+            transaction=found.transaction,
         )
 
     async def commit(self, transaction: Transaction) -> CommitOutcome:
@@ -130,42 +192,43 @@
             case CallFailed(reason=reason):
                 return Unavailable(reason=reason)
             case (200, data):
-                return Committed(version=int(json.loads(data)["ver"]))
+                return _committed(committed_version(data))
             case (412, data):
-                rows = json.loads(data).get("rows") or ()
-                return Conflict(keys=tuple(f"{r['table']}/{r['key']}" for r in rows))
+                return Conflict(keys=conflicting_keys(data))
             case (status, _):
                 # Every other status of the store says that nothing was done.
                 return Unavailable(reason=f"status {status}")
 
     # -- calls ---------------------------------------------------------------
 
-    async def _rows(self, table: str) -> dict[str, Any] | HistoryLost | Unavailable:
+    async def _rows(self, table: str) -> StoreAnswer | HistoryLost | Unavailable:
         """Read a whole table; pages after the first may be a little newer."""
-        rows: list[dict[str, Any]] = []
-        start, revision = "", 0
+        pages: list[StoreAnswer] = []
+        start = ""
         while True:
             query = f"table={quote(table)}&part=&from={quote(start)}&limit={PAGE_ROWS}"
             answer = await self._get(f"/-/rows-get?{query}")
             if isinstance(answer, HistoryLost | Unavailable):
                 return answer
-            rows += answer["rows"]
-            # Changes after the first page are read again by the next feed.
-            revision = revision or int(answer["ver"])
-            if not answer.get("more_pages"):
-                return {"rows": rows, "ver": revision}
-            start = answer["rows"][-1]["key"] + "\0"
+            pages.append(answer)
+            if not answer.has_more:
+                return _joined(pages)
+            following = answer.rows[-1].key + "\0" if answer.rows else ""
+            if following <= start:
+                # Asked again from the same place, the store would answer for ever.
+                return Unavailable(reason="page without an end")
+            start = following
 
     async def _feed(
         self, table: str, since: int, wait_seconds: float
-    ) -> dict[str, Any] | HistoryLost | Unavailable:
+    ) -> StoreAnswer | HistoryLost | Unavailable:
         wait = int(wait_seconds * 1000)
         query = f"table={quote(table)}&since_rev={since}&wait_ms={wait}"
         return await self._get(f"/-/rows-feed?{query}", wait_seconds)
 
     async def _get(
         self, target: str, wait_seconds: float = 0.0
-    ) -> dict[str, Any] | HistoryLost | Unavailable:
+    ) -> StoreAnswer | HistoryLost | Unavailable:
         answer = await self._http.fetch(
             self._address, "GET", target, timeout=wait_seconds + CALL_SECONDS
         )
@@ -173,20 +236,36 @@
             case CallFailed(reason=reason):
                 return Unavailable(reason=reason)
             case (200, data):
-                return json.loads(data)
+                return self._readable(store_answer(data))
             case (410, _):
                 return HistoryLost()
             case (status, _):
                 return Unavailable(reason=f"status {status}")
 
+    def _readable(self, answer: StoreAnswer | Unreadable) -> StoreAnswer | Unavailable:
+        if not isinstance(answer, Unreadable):
+            return answer
+        self._notes.note("store", "", answer)
+        return Unavailable(reason=str(answer))
+
 
-def _latest(rows: list[dict[str, Any]]) -> list[dict[str, Any]]:
-    """Return the last state of each row: a feed may hold several of one row.
+def _joined(pages: list[StoreAnswer]) -> StoreAnswer:
+    """Return the pages of a table as one answer, of the version of the first page.
 
-    Taking the first, a node went on with an older configuration although it had
-    read past the newer one, and refused keys that were in force.
+    Changes after the first page are read again by the next feed.
     """
-    return list({row["key"]: row for row in rows}.values())
+    return StoreAnswer(
+        version=pages[0].version,
+        rows=tuple(row for page in pages for row in page.rows),
+        nameless=tuple(fault for page in pages for fault in page.nameless),
+    )
+
+
+def _committed(version: int | Unreadable) -> Committed | Unknown:
+    if isinstance(version, Unreadable):
+        # It took effect, but a later change has to name its version.
+        return Unknown(reason=str(version))
+    return Committed(version=version)
 
 
 def _as_unavailable(answer: HistoryLost | Unavailable) -> Unavailable:
@@ -195,10 +274,6 @@
     return Unavailable(reason="the history asked for is lost")
 
 
-def _value(row: dict[str, Any]) -> Any:
-    return json.loads(base64.b64decode(row["value"]))
-
-
 def _place(key: str) -> dict[str, str]:
     table, _, name = key.partition("/")
     return {"table": table, "part": "", "key": name}
@@ -207,13 +282,3 @@
 def _packed(value: dict[str, Any], transaction: str) -> str:
     text = json.dumps({"value": value, "transaction": transaction})
     return base64.b64encode(text.encode()).decode()
-
-
-def _row(row: dict[str, Any]) -> Row:
-    packed = _value(row)
-    return Row(
-        key=f"{row['table']}/{row['key']}",
-        value=packed["value"],
-        version=int(row["ver"]),
-        transaction=packed["transaction"],
-    )
--- a/mallowpond/platform/tests/test_documents.py
+++ b/mallowpond/platform/tests/test_documents.py
@@ -1,7 +1,8 @@
 """What the adapter makes of the platform's documents."""
 
 from mallowpond.platform import documents
-from mallowpond.state.fleet import GroupPhase
+from mallowpond.state.decoding import Fault, Unreadable
+from mallowpond.state.fleet import GroupPhase, Process
 from mallowpond.state.site_configuration import Repeat
 
 DOCUMENT = {
@@ -94,8 +95,12 @@
         "service": "s",
         "address": "10.0.0.1:80",
         "zone": "a",
+        "version": 1,
         "slots": 13,
         "state": "draining",
+        "cold_left_ms": 0,
+        "sequence": 4,
+        "born": 1_733_184_000_000,
         "domain": "d1",
         "models": [{"name": "m", "version": 1, "adapters": []}],
         "staged": ["m"],
@@ -103,6 +108,13 @@
     }
     target = documents.target("i-1", row)
     assert target.draining
+    assert (target.service, target.address) == ("s", "10.0.0.1:80")
+    assert (target.data_centre, target.slots) == ("a", 13)
     assert (target.domain, target.model, target.staged) == ("d1", "m", ("m",))
     assert target.membership.phase is GroupPhase.OPEN
-    assert documents.target("i-2", {}).membership is None
+    assert target.process == Process(id="i-1", born=1_733_184_000_000)
+    free = documents.target("i-2", {**row, "group": None})
+    assert free.membership is None
+    assert documents.target("i-3", {}) == Unreadable(
+        fault=Fault.MISSING, field="service"
+    )
--- /dev/null
+++ b/mallowpond/platform/tests/test_entries.py
@@ -0,0 +1,138 @@
+"""Entries of the list that other writers wrote: none raises, none is half used."""
+
+import json
+
+import pytest
+
+from mallowpond.platform import documents
+from mallowpond.state.fleet import Target
+
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": 1,
+    "slots": 13,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "sequence": 4,
+    "born": 1_733_184_000_000,
+    "domain": "d1",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "staged": ["m"],
+    "group": {"name": "g", "epoch": 3, "rank": 0, "state": "open"},
+}
+GROUP = ENTRY["group"]
+GONE = object()
+
+
+def with_field(name, value):
+    """Return the entry with one field changed, or without it."""
+    if value is GONE:
+        return {k: v for k, v in ENTRY.items() if k != name}
+    return {**ENTRY, name: value}
+
+
+def with_group_field(name, value):
+    """Return the entry with one field of its group changed, or without it."""
+    if value is GONE:
+        return with_field("group", {k: v for k, v in GROUP.items() if k != name})
+    return with_field("group", {**GROUP, name: value})
+
+
+REQUIRED = (
+    "service",
+    "address",
+    "zone",
+    "version",
+    "slots",
+    "state",
+    "cold_left_ms",
+    "sequence",
+    "born",
+)
+PLACED = ("domain", "models", "staged")
+NO_TEXTS = (7, None, True, [], {}, "", "a\nb", "x" * 2000)
+NO_COUNTS = ("x", "4", None, True, 1.5, [], {}, -1, 2**60, float("nan"), float("inf"))
+
+BAD = [
+    *((name, GONE) for name in REQUIRED + PLACED),
+    *((name, value) for name in ("service", "zone") for value in NO_TEXTS),
+    *(("address", value) for value in (*NO_TEXTS, "10.0.0.1", "a:b", ":80")),
+    *(("address", value) for value in ("h:0", "h:65536", "h:-1", "h h:80", "é:80")),
+    *(("version", value) for value in (None, True, [], {}, "a\nb", float("inf"))),
+    *((name, v) for name in ("slots", "sequence", "born") for v in NO_COUNTS),
+    ("slots", 0),
+    *(("state", value) for value in ("gone", "Ready", "", 7, None, True, ["ready"])),
+    *(("cold_left_ms", v) for v in ("x", None, True, -1, 1e300, float("inf"))),
+    *(("domain", value) for value in (None, True, 1.5, [], {}, "a\nb")),
+    *(("models", value) for value in (5, "m", None, {}, ["m"], [5], [{}], [None])),
+    *(("models", [{"name": value}]) for value in NO_TEXTS),
+    *(("staged", value) for value in (5, "m", None, {}, [5], [None], [""], [{}])),
+    *(("group", value) for value in (5, "g", True, [], [1])),
+]
+BAD_GROUPS = [
+    *((name, GONE) for name in ("name", "epoch", "rank", "state")),
+    *(("name", value) for value in (7, None, True, [], {}, "a\nb")),
+    *((name, value) for name in ("epoch", "rank") for value in NO_COUNTS),
+    *(("state", value) for value in ("gone", "", 7, None, True, ["open"])),
+]
+
+
+def test_a_whole_entry_is_a_target():
+    target = documents.target("i-1", ENTRY)
+    assert isinstance(target, Target)
+    assert (target.born, target.slots, target.domain) == (1_733_184_000_000, 13, "d1")
+
+
+@pytest.mark.parametrize(("name", "value"), BAD)
+def test_an_entry_with_a_bad_field_is_no_target(name, value):
+    """Symptom: no node learns of any change of the list any more.
+
+    Sequence: another writer puts an entry into the list in which a field is missing,
+    of another type, out of range, or names something that is not known.
+    Cause: its decoding raised, and with it that of the whole answer; or the value was
+    taken as it was, and work was sent by it.
+    """
+    assert not isinstance(documents.target("i-1", with_field(name, value)), Target)
+
+
+@pytest.mark.parametrize(("name", "value"), BAD_GROUPS)
+def test_an_entry_with_a_bad_group_is_no_target(name, value):
+    found = documents.target("i-1", with_group_field(name, value))
+    assert not isinstance(found, Target)
+
+
+@pytest.mark.parametrize("row", [None, 7, "x", True, [], [1], {}, [ENTRY]])
+def test_what_is_no_entry_at_all_is_no_target(row):
+    assert not isinstance(documents.target("i-1", row), Target)
+
+
+@pytest.mark.parametrize(
+    "key", ["", " ", "a b", "a\n", "é", "x" * 129, "a/b", 7, None, "i-"]
+)
+def test_an_entry_under_a_key_that_is_no_id_is_no_target(key):
+    assert not isinstance(documents.target(key, ENTRY), Target)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"group": None},
+        {"group": {}},
+        {"group": GONE},
+        {"group": {"name": "", "epoch": 0, "rank": 0, "state": ""}},
+        {"models": []},
+        {"staged": []},
+        {"staged": [{"name": "m"}]},
+        {"version": "2.1"},
+        {"cold_left_ms": 12.5},
+        {"domain": 3},
+        {"state": "draining"},
+        {"later": {"x": 1}},
+        {name: GONE for name in (*PLACED, "group")},
+    ],
+)
+def test_what_may_differ_between_whole_entries_makes_none_unreadable(changes):
+    entry = {k: v for k, v in {**ENTRY, **changes}.items() if v is not GONE}
+    assert isinstance(documents.target("i-1", json.loads(json.dumps(entry))), Target)
--- a/mallowpond/platform/tests/test_store.py
+++ b/mallowpond/platform/tests/test_store.py
@@ -16,6 +16,7 @@
 )
 from mallowpond.node.ports import HistoryLost
 from mallowpond.platform.store import PlatformStore
+from mallowpond.platform.tests.test_entries import ENTRY
 from mallowpond.transport.http_client import HttpClient
 from mallowpond.transport.tests import scripted
 
@@ -100,7 +101,7 @@
 
 async def test_an_entry_that_was_removed_and_came_back_is_there():
     gone = {"table": "servers", "part": "", "key": "i-1", "removed": True}
-    back = row("i-1", {"service": "s"})
+    back = row("i-1", ENTRY)
     data = response(200, {"rows": [gone, back], "ver": 40})
     found, _ = await ask(data, lambda store: store.targets(5))
     assert [t.id for t in found.targets] == ["i-1"]
@@ -119,3 +120,98 @@
     assert found is None
     lost, _ = await ask(b"", lambda store: store.read("leases/x"))
     assert isinstance(lost, Unavailable)
+
+
+GOOD = row("i-2", ENTRY)
+BAD_ROWS = [
+    {**GOOD, "key": "i-1", "value": "%%%"},
+    {**GOOD, "key": "i-1", "value": base64.b64encode(b"\xff\xfe\x01").decode()},
+    {**GOOD, "key": "i-1", "value": base64.b64encode(b"{").decode()},
+    {**GOOD, "key": "i-1", "value": base64.b64encode(b"[" * 50_000).decode()},
+    {**GOOD, "key": "i-1", "value": base64.b64encode(b'{"a": NaN}').decode()},
+    *({**GOOD, "key": "i-1", "value": value} for value in (None, 7, [], {}, "é")),
+    {**GOOD, "key": "i-1", "value": "%" + GOOD["value"]},
+    {"key": "i-1", "ver": 1},
+    {**GOOD, "key": "i-1", "removed": "yes"},
+    row("i-1", [ENTRY]),
+    row("i-1", {**ENTRY, "slots": "x"}),
+]
+
+
+@pytest.mark.parametrize("since", [0, 5])
+@pytest.mark.parametrize("bad", BAD_ROWS)
+async def test_an_unreadable_entry_leaves_the_others_and_the_version(bad, since):
+    """Symptom: all nodes serve by an old list, and log that the list is lost.
+
+    Sequence: another writer's entry stands in the list, or replaces an engine's.
+    Cause: the answer was decoded as a whole, and one entry made all of it fail.
+    """
+    data = response(200, {"rows": [bad, GOOD], "ver": 40})
+    found, _ = await ask(data, lambda store: store.targets(since))
+    assert [t.id for t in found.targets] == ["i-2"]
+    assert (found.unreadable, found.removed) == (("i-1",), ())
+    assert found.revision == 40
+
+
+@pytest.mark.parametrize("key", ["", "a b", "a/b", "é", "x" * 200, "i-"])
+async def test_an_entry_under_a_key_that_is_no_id_is_left_out(key):
+    data = response(200, {"rows": [{**GOOD, "key": key}, GOOD], "ver": 40})
+    found, _ = await ask(data, lambda store: store.targets(5))
+    assert [t.id for t in found.targets] == ["i-2"]
+    assert (found.unreadable, found.removed) == ((), ())
+
+
+@pytest.mark.parametrize("bad", [None, 7, "x", [], {}, {"key": 7}, {"key": None}])
+async def test_a_row_without_a_key_is_left_out(bad):
+    data = response(200, {"rows": [bad, GOOD], "ver": 40})
+    found, _ = await ask(data, lambda store: store.targets(5))
+    assert [t.id for t in found.targets] == ["i-2"]
+
+
+BAD_ANSWERS = [
+    *({"rows": [], "ver": v} for v in (None, "4", True, 1.5, -1, 2**60, [], {})),
+    {"rows": []},
+    {"ver": 4},
+    *({"ver": 4, "rows": rows} for rows in (None, 7, "x", {}, {"a": 1})),
+    {"ver": 4, "rows": [], "more_pages": "yes"},
+    {"ver": 4, "rows": [], "more_pages": True},
+]
+BAD_BODIES = [b"", b"{", b"[]", b"7", b"null", b'"x"', b"\xff\xfe\xfd", b"[" * 50_000]
+
+
+def raw(status, body):
+    """Write an answer of these bytes."""
+    return f"HTTP/1.1 {status} X\r\ncontent-length: {len(body)}\r\n\r\n".encode() + body
+
+
+@pytest.mark.parametrize("body", [*map(json.dumps, BAD_ANSWERS), *BAD_BODIES])
+@pytest.mark.parametrize(
+    "call",
+    [
+        lambda store: store.targets(0),
+        lambda store: store.configuration(0, 0.0),
+        lambda store: store.scan("nodes/"),
+        lambda store: store.read("leases/planner"),
+    ],
+)
+async def test_an_answer_that_cannot_be_read_is_none(body, call):
+    data = raw(200, body if isinstance(body, bytes) else body.encode())
+    found, _ = await ask(data, call)
+    if body == json.dumps(BAD_ANSWERS[-1]) and found is None:
+        # A read of one row asks for no second page.
+        return
+    assert isinstance(found, Unavailable)
+
+
+@pytest.mark.parametrize(
+    "body", [*BAD_BODIES, b"{}", b'{"ver": "4"}', b'{"ver": true}']
+)
+async def test_a_change_that_took_effect_at_no_readable_version_is_unknown(body):
+    found, _ = await ask(raw(200, body), commit)
+    assert isinstance(found, Unknown)
+
+
+@pytest.mark.parametrize("body", [*BAD_BODIES, b"{}", b'{"rows": [7, {"key": 1}]}'])
+async def test_a_refused_change_is_a_conflict_whatever_its_answer_says(body):
+    found, _ = await ask(raw(412, body), commit)
+    assert found == Conflict(keys=())
