Let the soak's engines be slower than the configuration declares

A node reckons at a stop what it can still finish; with engines that keep the declared pace it cannot be wrong. A cut within 0.02 s of the caller's deadline is no longer laid to a planned stop: a stream that is too slow for its caller ends there, stop or not.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -80,6 +80,9 @@
     nodes: Annotated[int, typer.Option(help="How many nodes.")] = 3,
     domains: Annotated[int, typer.Option(help="How many domains.")] = 2,
     rate: Annotated[float, typer.Option(help="Requests a second.")] = RATE,
+    slowness: Annotated[
+        float, typer.Option(help="Time of an event, as a multiple of the declared.")
+    ] = 1.0,
     regressions: Annotated[
         bool, typer.Option(help="Play the seeds that once failed, and no others.")
     ] = False,
@@ -89,7 +92,7 @@
 ) -> None:
     """Play seeds one after the other; exit with 1 if a promise was broken."""
     failed = []
-    shape = FleetShape(nodes=nodes, domains=domains)
+    shape = FleetShape(nodes=nodes, domains=domains, slowness=slowness)
     cases = [(seed, draw, seconds) for seed in range(first, first + seeds)]
     if regressions:
         cases = [(case.seed, case.draw, case.seconds) for case in REGRESSIONS]
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -27,18 +27,21 @@
 GRACE_SECONDS = 8.0
 RESTART_SECONDS = 0.3
 LOAD_SECONDS = 0.3
+# Time of one event by the engine model of the configuration, in seconds.
+EVENT_SECONDS = 0.02
 # Pause between two looks whether a killed process has ended, in seconds.
 KILL_LOOK_SECONDS = 0.005
 
 
 @dataclass(frozen=True, kw_only=True)
 class FleetShape:
-    """Say how many processes of each kind there are."""
+    """Say how many processes there are, and how slow engines are beside their model."""
 
     nodes: int = 3
     domains: int = 2
     engines_a_domain: int = 4
     plain_engines: int = 2
+    slowness: float = 1.0
 
 
 @dataclass(kw_only=True)
@@ -226,6 +229,7 @@
             "journal": str(self.folder / f"{name}.journal"),
             "staged_file": str(self.folder / f"{name}.staged"),
             "id": new_engine_id(),
+            "event_seconds": EVENT_SECONDS * self.shape.slowness,
         }
         if not is_plain:
             options["models"] = {"m": LOAD_SECONDS}
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -12,6 +12,9 @@
 DRAIN_SECONDS = 2.0
 # Time that links, timers and a busy machine may add to a bound, in seconds.
 SLACK_SECONDS = 0.5
+# Time by which a node may end an answer before its caller's deadline, in seconds: it
+# is told whole milliseconds that are left.
+TIMER_SECONDS = 0.02
 # Time after a disturbance in which a bound in time does not hold, in seconds.
 CALM_SECONDS = 3.0
 # Time after it was written at which an entry of another writer, or a start of an
@@ -255,7 +258,9 @@
         if stop.node is not None:
             by_node[stop.node].append(stop.began_at)
     for record in run.callers:
-        if record.ending not in (Ending.CUT, Ending.NONE):
+        is_cut = record.ending in (Ending.CUT, Ending.NONE)
+        if not is_cut or record.ended_at > record.deadline - TIMER_SECONDS:
+            # What was too slow for its caller was not cut off by the stop.
             continue
         for at in by_node[record.node]:
             lasted = record.sent_at - CALM_SECONDS, record.ended_at
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -94,6 +94,11 @@
     run_of(record(**REFUSED)),
     run_of(record(Kind.AGAIN), notes=[ran(), ran()]),
     run_of(record(**CUT, kind=Kind.STREAM), notes=[ran()]),
+    run_of(
+        record(**CUT, kind=Kind.STREAM, ended_at=11.49),
+        notes=[ran()],
+        disturbances=(STOPPED,),
+    ),
     # A stop is not to blame for what an engine's death cut off beside it.
     run_of(
         record(**CUT, kind=Kind.STREAM), notes=[ran()], disturbances=(STOPPED, KILLED)
