--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -18,9 +18,12 @@
 
 
 LONG_STREAMS = "the soak's own route ended streams that its callers meant to last"
+FOREIGN_ENTRY = "an entry of another writer, under an unknown key, counted as an engine"
 REGRESSIONS = (
     Regression(seed=2000, draw=2, seconds=12.0, cause=LONG_STREAMS),
     Regression(seed=2001, draw=2, seconds=12.0, cause=LONG_STREAMS),
     Regression(seed=2017, draw=2, seconds=12.0, cause=LONG_STREAMS),
     Regression(seed=2034, draw=2, seconds=12.0, cause=LONG_STREAMS),
+    Regression(seed=2046, draw=2, seconds=12.0, cause=FOREIGN_ENTRY),
+    Regression(seed=2048, draw=2, seconds=12.0, cause=FOREIGN_ENTRY),
 )
