--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -152,11 +152,14 @@
 
     async def restart(self, engine: Member) -> None:
         """Kill an engine and start it at once under the id that it had."""
+        process = engine.process
         engine.wanted = False
         engine.signal(signal.SIGKILL)
-        while engine.is_running:
+        while process is not None and process.poll() is None:
             await asyncio.sleep(KILL_LOOK_SECONDS)
-        engine.start()
+        # Another fault may have started it meanwhile: two processes would share a port.
+        if engine.process is process:
+            engine.start()
         engine.wanted = True
 
     @property
