Accept targets that tell no start; use none that lacks the start that others tell

Ruled out: the stop path and the planner, by the log of one node.

The start may be missing; null or another type is unreadable as before. The directory leaves out an entry without one where most listed targets tell theirs, or where the same id told it.

--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -16,6 +16,7 @@
     GroupPhase,
     Target,
     assemble_groups,
+    without_start,
 )
 from mallowpond.state.placement import GroupLoad
 
@@ -426,13 +427,18 @@
     def _apply(self, read: TargetsRead) -> None:
         found = dict(self._targets)
         listed = {target.id: target for target in read.targets}
+        untold = without_start(listed, found | listed if read.whole else found)
+        for identifier in untold:
+            log.warning("targets: start not told", target=identifier)
+            del listed[identifier]
+        unreadable = untold.union(read.unreadable)
         gone = set(read.removed)
         if read.whole:
             gone |= set(found) - set(listed)
         gone -= set(listed)
         # Entries that say the same stay the same objects, which mark what changed.
         found.update({k: t for k, t in listed.items() if found.get(k) != t})
-        for identifier in read.unreadable:
+        for identifier in unreadable:
             # It did not fall silent: kept as lapsed, a probe of the address in its
             # last readable entry would bring it back into use.
             found.pop(identifier, None)
@@ -442,7 +448,7 @@
             self._doubted |= gone
             gone = set()
         self._doubted -= set(listed)
-        for identifier in (*listed, *read.unreadable):
+        for identifier in (*listed, *unreadable):
             self._lapsed_at.pop(identifier, None)
         for identifier in gone:
             self._remove(found, identifier)
--- a/mallowpond/node/tests/test_directory.py
+++ b/mallowpond/node/tests/test_directory.py
@@ -161,3 +161,39 @@
     follower, _, _ = await directory_of(listing(head, other))
     follower.hear_change(bad, previous=1)
     assert set(follower.targets) == {"g1"}
+
+
+async def test_an_entry_that_lacks_the_start_that_others_tell_names_no_target():
+    """Symptom: work is sent to an address where no target is, or to one that another
+    writer has named.
+
+    Sequence: targets tell their starts; an entry that tells none comes under a new id,
+    then under the id of a listed target.
+    Cause: a start that is missing was taken for a platform where none is told.
+    """
+    told = [replace(t, born=5) for name in "gh" for t in open_group(name)]
+    directory, source, _ = await directory_of(listing(*told))
+    foreign = replace(told[0], id="x", membership=None, born=None)
+    source.listed.append(listing(foreign, revision=2, whole=False))
+    await directory.refresh()
+    assert "x" not in directory.targets
+    source.listed.append(listing(replace(told[0], born=None), revision=3, whole=False))
+    await directory.refresh()
+    assert set(directory.targets) == {"g1", "h0", "h1"}
+    assert serving(directory) == {"h"}
+
+
+async def test_targets_of_a_platform_that_tells_no_starts_are_used():
+    """Symptom: nothing is served although every target is listed and well.
+
+    Sequence: targets write entries without a start; another writer puts one with a
+    start beside them.
+    Cause: the start was taken for a field that no entry may lack.
+    """
+    group = open_group("g")
+    foreign = replace(group[0], id="x", membership=None, born=5)
+    directory, source, _ = await directory_of(listing(*group, foreign))
+    assert serving(directory) == {"g"}
+    source.listed.append(listing(*open_group("h"), revision=2, whole=False))
+    await directory.refresh()
+    assert serving(directory) == {"g", "h"}
--- a/mallowpond/platform/documents.py
+++ b/mallowpond/platform/documents.py
@@ -272,7 +272,8 @@
     state: _State
     cold_left_ms: float
     sequence: int
-    born: int
+    # Not every platform's engines tell their start.
+    born: int | None = None
     # Services without models report none of these.
     domain: str | None = None
     models: tuple[_Named, ...] | None = None
@@ -283,9 +284,9 @@
 @dataclass(frozen=True, kw_only=True)
 class _Report:
     sequence: int
-    born: int
     models: tuple[_Named, ...]
     staged: tuple[Name, ...]
+    born: int | None = None
     group: _Group | None = None
     stage: str = ""
     busy: bool = False
@@ -315,6 +316,8 @@
     entry = decode(_one_spelling(row), _Entry)
     if isinstance(entry, Unreadable):
         return entry
+    if "born" in row and entry.born is None:
+        return Unreadable(fault=Fault.TYPE, field="born")
     missing = _missing_place(entry)
     if missing:
         return Unreadable(fault=Fault.MISSING, field=missing)
--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -1,6 +1,6 @@
 """Model engines, their groups, and the timing that their operator declares."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -13,11 +13,12 @@
     """Name one process of a back end: a restart keeps `id` and changes `born`.
 
     `born` is a time of day, which may be stepped: two values tell two processes
-    apart, and never which of them is the later one.
+    apart, and never which of them is the later one. It is None where back ends do not
+    tell it.
     """
 
     id: str
-    born: int
+    born: int | None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -93,7 +94,7 @@
     model: str = ""
     staged: tuple[str, ...] = ()
     membership: Membership | None = None
-    born: int = 0
+    born: int | None = None
 
     @property
     def process(self) -> Process:
@@ -160,3 +161,22 @@
             members=tuple(found),
         )
     return groups
+
+
+def without_start(
+    listed: Mapping[str, Target], known: Mapping[str, Target]
+) -> frozenset[str]:
+    """Return the listed targets whose entries lack the start that others tell.
+
+    An entry of another writer may lack any field; used, it would name a back end that
+    is not there. Where back ends tell no start at all, none is missed: by the others of
+    the list, and by what was known of the same `id`.
+    """
+    told = sum(t.born is not None for t in known.values())
+    is_usual = 2 * told > len(known)
+    return frozenset(
+        target.id
+        for target in listed.values()
+        if target.born is None
+        and (is_usual or (target.id in known and known[target.id].born is not None))
+    )
