Leave a group whose head answers that it holds none

A head that had started again behind a cut answered 421 to every stream. The answer counted as that of a full head: the group was left for one predicted first event, then, having no streams, it looked like the least loaded and drew them again, each at the price of one repeat. A stream of which every attempt was proved not run ended 502 when the repeats or the time were used up.

The answer now takes the formation out of use on this node at once; streams that show no event there move, and the peers are told with the process of the head. It is used again when its head is listed open in a change, with another entry, or in a whole read asked 5 s later. A full head (503) is left for a moment as before. The end of a request goes by whether any engine may have run it: 503 with a time to come back if none did. Repeats that an engine turns away count as before.

Ruled out: leaving such a group for longer (a pause says nothing of the group); not counting turned-away repeats (they arrive at engines).

Seen failing on the code before: the stream sent again to the head that refused, 503 with no budget left and at the deadline (full and misdirected, five cases). Each mechanism was taken out in turn and a test failed each time.

--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -9,7 +9,9 @@
 
 from mallowpond.coordination.ports import Clock, Unavailable
 from mallowpond.node.ports import HistoryLost, SiteSource, TargetsRead
+from mallowpond.state.broken_groups import BrokenGroups
 from mallowpond.state.fleet import (
+    BreakCause,
     EngineProfile,
     Group,
     GroupKey,
@@ -70,6 +72,12 @@
     suspected_until: float = 0.0
     suspicions: int = 0
 
+    def forget_pace(self) -> None:
+        """Drop what the engines of before taught; what runs is counted on."""
+        self.slowness = 1.0
+        self.suspected_until = 0.0
+        self.suspicions = 0
+
 
 @dataclass(frozen=True, kw_only=True)
 class PeerLoad:
@@ -90,6 +98,7 @@
         self._groups: dict[GroupKey, Group] = {}
         self._members: dict[GroupKey, set[str]] = {}
         self._work: dict[GroupKey, GroupWork] = defaultdict(GroupWork)
+        self._broken = BrokenGroups()
         self._peers: dict[str, PeerLoad] = {}
         self._revision = 0
         self._whole_at = float("-inf")
@@ -110,6 +119,7 @@
         self.is_reader: Callable[[], bool] = lambda: True
         self.on_read: list[Callable[[TargetsRead, int], None]] = []
         self.on_change: list[Callable[[], None]] = []
+        self.on_broken: list[Callable[[Group, BreakCause, bool], None]] = []
 
     # -- reading -------------------------------------------------------------
 
@@ -161,6 +171,7 @@
             and group.head is not None
             and group.head.service == service
             and not group.head.draining
+            and group.key not in self._broken
             and self.work(group.key).suspected_until <= now
             and self._is_known_to_live(group, now)
         ]
@@ -171,9 +182,42 @@
             group.phase is GroupPhase.OPEN
             and group.head is not None
             and group.head.service == service
+            and group.key not in self._broken
             for group in self._groups.values()
         )
 
+    def is_broken(self, key: GroupKey) -> bool:
+        """Tell whether a formation was found to serve no more."""
+        return key in self._broken
+
+    def break_group(
+        self, group: Group, cause: BreakCause, *, is_told: bool = False
+    ) -> None:
+        """Send a formation nothing more until it is seen open anew.
+
+        `is_told` says that the peers know of it. News of another process than the
+        head that is known now change nothing.
+        """
+        known = self._groups.get(group.key)
+        if known is None or known.head is None or group.head is None:
+            return
+        if group.key in self._broken or known.head.process != group.head.process:
+            return
+        self._note_broken(known, cause, is_told=is_told)
+
+    def _note_broken(self, group: Group, cause: BreakCause, *, is_told: bool) -> None:
+        self._broken.add(group, self._clock.now())
+        self.work(group.key).forget_pace()
+        log.warning(
+            "groups: broken",
+            group=group.name,
+            epoch=group.epoch,
+            head=group.head.id if group.head else None,
+            cause=cause.value,
+        )
+        for notify in self.on_broken:
+            notify(group, cause, is_told)
+
     def _is_known_to_live(self, group: Group, now: float) -> bool:
         """Tell whether a group may be sent streams although its head lapsed.
 
@@ -445,6 +489,18 @@
         for identifier in gone:
             self._remove(found, identifier)
         self._take(found)
+        self._take_back(listed.values(), is_change=not whole)
+
+    def _take_back(self, listed: Iterable[Target], *, is_change: bool) -> None:
+        """Use the groups again whose heads the list shows open anew."""
+        for target in listed:
+            place = target.membership
+            group = place and self._groups.get((place.group, place.epoch))
+            if not group or group.head is None or group.head.id != target.id:
+                continue
+            seen = self._broken.see(group, is_change=is_change, asked_at=self._read_at)
+            if seen:
+                log.info("groups: open anew", group=group.name, epoch=group.epoch)
 
     def _remove(self, found: dict[str, Target], identifier: str) -> None:
         target = found.get(identifier)
@@ -477,6 +533,7 @@
             by_service.setdefault(target.service, []).append(target)
         self._by_service = by_service
         self._forget_idle_work()
+        self._broken.keep(self._groups)
         for notify in self.on_change:
             notify()
 
--- a/mallowpond/node/outcomes.py
+++ b/mallowpond/node/outcomes.py
@@ -18,6 +18,8 @@
     TIMEOUT = "timeout"
     MAYBE_RUN = "maybe_run"
     NOT_RUN = "not_run"
+    MISDIRECTED = "misdirected"
+    RESTARTED = "restarted"
     ATTEMPTS_USED = "attempts_used"
     BUDGET_USED = "budget_used"
     BROKEN_STREAM = "broken_stream"
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -21,7 +21,7 @@
     Unknown,
 )
 from mallowpond.state.codec import from_compact, from_plain, to_compact, to_plain
-from mallowpond.state.fleet import GroupKey, Target
+from mallowpond.state.fleet import BreakCause, Group, GroupKey, Process, Target
 
 log = structlog.get_logger()
 
@@ -109,6 +109,21 @@
     epoch: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class GroupBroken:
+    """Say that a formation serves no more, as its head or a member showed itself.
+
+    `head` is the process that the sender took for its head: a receiver that knows
+    another one has newer or older news of the group than this.
+    """
+
+    node: str
+    group: str
+    epoch: int
+    head: Process
+    cause: BreakCause
+
+
 @dataclass(frozen=True, kw_only=True)
 class Vouch:
     """Say that targets which the list has lost were found healthy."""
@@ -171,6 +186,7 @@
 Message = (
     Heartbeat
     | Suspicion
+    | GroupBroken
     | Vouch
     | SilenceQuestion
     | Advance
@@ -229,6 +245,7 @@
         self.is_senior = True
         self.on_heartbeat: list[Callable[[Heartbeat], None]] = []
         self.on_suspicion: list[Callable[[Suspicion], None]] = []
+        self.on_group_broken: list[Callable[[GroupBroken], None]] = []
         self.on_vouch: list[Callable[[str], None]] = []
         self.on_question: list[Callable[[SilenceQuestion], bool]] = []
         self.on_advance: list[Callable[[GroupKey], None]] = []
@@ -306,6 +323,20 @@
             )
         )
 
+    def tell_broken(self, group: Group, cause: BreakCause) -> None:
+        """Tell every peer that a formation serves no more."""
+        if group.head is None:
+            return
+        self.tell(
+            GroupBroken(
+                node=self._name,
+                group=group.name,
+                epoch=group.epoch,
+                head=group.head.process,
+                cause=cause,
+            )
+        )
+
     def ask_about(self, key: GroupKey, silent: float) -> None:
         """Ask every peer whether a group advances."""
         self.tell(
@@ -347,6 +378,8 @@
                 self._hear(message)
             case Suspicion():
                 _notify(self.on_suspicion, message)
+            case GroupBroken():
+                _notify(self.on_group_broken, message)
             case Vouch(targets=targets):
                 for target in targets:
                     for vouch in self.on_vouch:
--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -148,6 +148,9 @@
     def is_not_run(self, response: HttpResponse) -> bool:
         """Tell whether an answer proves that the request did not run."""
 
+    def is_misdirected(self, response: HttpResponse) -> bool:
+        """Tell whether another engine answered, or one that holds no open group."""
+
     async def order(self, step: Step, *, fence: int, expected: int) -> OrderEnd:
         """Give an engine an order that only this count of earlier ones may precede."""
 
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -21,7 +21,7 @@
     WholeAnswer,
 )
 from mallowpond.node.waiting import WaitingLine
-from mallowpond.state.fleet import EngineProfile, Group, ModelSpec
+from mallowpond.state.fleet import BreakCause, EngineProfile, Group, ModelSpec
 from mallowpond.state.limits import expected_wait, spread_retry_after
 from mallowpond.state.placement import (
     Candidate,
@@ -121,7 +121,8 @@
                     failed = end
                     reason = Reason.TARGET_FAILED
                 case NotRun(reason=reason) | Interrupted(reason=reason):
-                    pass
+                    if reason is Reason.MISDIRECTED:
+                        self._directory.break_group(group, BreakCause.REFUSED)
             refusal = self._may_send_again(work, end, reason)
             if refusal is not None:
                 return await self._end_unserved(work, refusal, failed)
@@ -194,6 +195,9 @@
         if work.sent_to and refusal.status == 503:
             # Some engine may have run it, so "not run" would be a lie.
             return Refusal(status=502, reason=refusal.reason)
+        if not work.sent_to and refusal.status != 503:
+            # Every engine turned it away: the caller may come back, whatever it asked.
+            return self._refuse(refusal.reason, NO_GROUP_RETRY_SECONDS)
         return refusal
 
     # -- placing -------------------------------------------------------------
@@ -398,6 +402,8 @@
         work = stream.work
         if self._targets.is_not_run(response):
             await response.read()
+            if self._targets.is_misdirected(response):
+                return NotRun(reason=Reason.MISDIRECTED)
             self._suspect(stream, Reason.NOT_RUN)
             return NotRun(reason=Reason.NOT_RUN)
         headers = self._callers.answer_headers(response)
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -37,6 +37,7 @@
     read_tokens_per_second=50_000,
     usual_answer_tokens=100,
 )
+MISDIRECTED = 421
 BROKEN = CallFailed(phase=FailurePhase.BODY, reason="closed early")
 UNREACHABLE = CallFailed(phase=FailurePhase.CONNECT, reason="refused")
 
@@ -112,7 +113,11 @@
 
     def is_not_run(self, response):
         """Tell whether an answer proves that the request did not run."""
-        return "not-run" in response.headers
+        return response.status == 421 or "not-run" in response.headers
+
+    def is_misdirected(self, response):
+        """Tell whether an answer says that another engine was meant."""
+        return response.status == 421
 
     async def order(self, step, *, fence, expected):
         """Take every order."""
@@ -279,13 +284,23 @@
         )
 
 
-async def rig_of(*groups):
+def misdirected():
+    """Write the answer of an engine that is not the one, or holds no open group."""
+    return FakeResponse(script=[], status=MISDIRECTED)
+
+
+def full():
+    """Write the answer of a head that has no place."""
+    return FakeResponse(script=[], status=503, headers={"not-run": "1"})
+
+
+async def rig_of(*groups, slack=100.0):
     """Build a stream service whose list holds these open groups."""
     clock, targets = FakeClock(), FakeTargets()
     members = [target for group in groups for target in open_group(group)]
     source = FakeSource(listed=deque([listing(*members)]))
     directory = Directory(source=source, clock=clock)
-    budget = RetryWindow(ratio=1.0, slack=100.0, window_seconds=10.0)
+    budget = RetryWindow(ratio=1.0, slack=slack, window_seconds=10.0)
     service = StreamService(
         directory=directory,
         targets=targets,
--- a/mallowpond/node/tests/test_directory.py
+++ b/mallowpond/node/tests/test_directory.py
@@ -1,6 +1,7 @@
 """What a node believes of its targets when the list lies or is silent."""
 
 from collections import deque
+from dataclasses import replace
 
 from mallowpond.node.directory import (
     RETURN_SECONDS,
@@ -8,8 +9,10 @@
     VOUCHED_SECONDS,
     Directory,
 )
-from mallowpond.node.ports import HistoryLost
+from mallowpond.node.ports import HistoryLost, TargetsRead
 from mallowpond.node.tests.fakes import FakeClock, FakeSource, listing, open_group
+from mallowpond.state.broken_groups import STILL_WRITTEN_SECONDS
+from mallowpond.state.fleet import BreakCause, GroupPhase
 
 
 async def directory_of(*answers):
@@ -107,3 +110,55 @@
     assert directory.load(("g", 1)).running == 3
     clock.time += 5.0
     assert directory.load(("g", 1)).running == 0
+
+
+async def test_a_broken_group_is_used_again_only_when_it_is_listed_anew():
+    """Symptom: a head that refused all streams draws them again every few seconds.
+
+    Sequence: the list is read whole again; it still holds the entry of before.
+    Cause: an entry that was known when the head refused counted as news of it.
+    """
+    group = open_group("g")
+    directory, source, clock = await directory_of(listing(*group))
+    directory.break_group(directory.groups["g", 1], BreakCause.REFUSED)
+    assert serving(directory) == set()
+    assert directory.count_open("engines") == 0
+    clock.time += 0.5
+    source.listed.append(listing(*group, revision=2))
+    directory._whole_at = float("-inf")
+    await directory.refresh()
+    assert source.asked[-1] == 0
+    assert serving(directory) == set()
+    directory.hear_change(
+        TargetsRead(revision=3, targets=(group[0],)), previous=directory.changed
+    )
+    assert serving(directory) == {"g"}
+
+
+async def test_a_broken_group_is_used_again_when_a_late_whole_read_still_shows_it():
+    """Symptom: a group that is sound gets no streams for the rest of the day.
+
+    Sequence: its head refuses a stream, closes and opens again between two reads, and
+    the feed says nothing of it.
+    Cause: only a change of its entry could bring it back.
+    """
+    group = open_group("g")
+    directory, source, clock = await directory_of(listing(*group))
+    directory.break_group(directory.groups["g", 1], BreakCause.REFUSED)
+    clock.time += STILL_WRITTEN_SECONDS + 0.1
+    source.listed.append(listing(*group, revision=2))
+    directory._whole_at = float("-inf")
+    await directory.refresh()
+    assert serving(directory) == {"g"}
+
+
+async def test_a_broken_group_is_not_used_again_before_it_is_open():
+    group = open_group("g")
+    directory, _, _ = await directory_of(listing(*group))
+    directory.break_group(directory.groups["g", 1], BreakCause.REFUSED)
+    place = replace(group[0].membership, phase=GroupPhase.CLOSING)
+    closing = replace(group[0], membership=place)
+    directory.hear_change(TargetsRead(revision=3, targets=(closing,)), previous=1)
+    assert directory.is_broken(("g", 1))
+    directory.hear_change(TargetsRead(revision=4, targets=(group[0],)), previous=3)
+    assert serving(directory) == {"g"}
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
 from mallowpond.node.outcomes import Answered, CutOff, Reason, Refusal
 from mallowpond.node.tests.fakes import (
     BROKEN,
@@ -12,6 +14,8 @@
     FakeResponse,
     answer,
     event,
+    full,
+    misdirected,
     rig_of,
 )
 
@@ -194,3 +198,101 @@
     assert rig.directory.work(("a", 1)).running == 0
     assert rig.directory.work(("a", 1)).reading_tokens == 0
     assert not rig.service.active
+
+
+async def test_a_head_that_says_it_is_not_the_one_gets_no_more_streams():
+    """Symptom: streams are sent to one head over and over, which runs none of them.
+
+    Sequence: a head starts again behind a cut; the list still shows it open. It
+    answers each stream that it holds no open group.
+    Cause: the answer counted as that of a full head, which is left for a moment only;
+    without streams it looked like the least loaded.
+    """
+    rig = await rig_of("a", "b")
+    rig.targets.script("a0", *(misdirected() for _ in range(9)))
+    rig.targets.script("b0", *(answer(1) for _ in range(9)))
+    rig.directory.work(("b", 1)).running = 1
+    for _ in range(3):
+        outcome = await rig.service.serve(rig.work(FakeExchange()))
+        assert outcome == Answered(status=200, target="b0")
+        rig.clock.time += 60.0
+    assert [name for name, _ in rig.targets.sends].count("a0") == 1
+
+
+async def test_a_full_head_gets_streams_again_after_a_moment():
+    rig = await rig_of("a", "b")
+    rig.targets.script("a0", full(), answer(1))
+    rig.targets.script("b0", answer(1), answer(1))
+    rig.directory.work(("b", 1)).running = 1
+    assert await rig.service.serve(rig.work(FakeExchange())) == Answered(
+        status=200, target="b0"
+    )
+    rig.clock.time += 1.0
+    assert await rig.service.serve(rig.work(FakeExchange())) == Answered(
+        status=200, target="a0"
+    )
+
+
+@pytest.mark.parametrize("refusal", [full, misdirected])
+async def test_refused_for_sure_and_no_budget_left_is_not_run(refusal):
+    """Symptom: callers are told 502, and give up, for streams that nobody ran.
+
+    Sequence: a head turns a stream away; the repeats of this window are used up.
+    Cause: the end of the budget was answered alike whether the stream may have run
+    or was proved not to have.
+    """
+    rig = await rig_of("a", "b", slack=0.0)
+    for name in ("a0", "b0"):
+        rig.targets.script(name, refusal())
+    outcome = await rig.service.serve(rig.work(FakeExchange()))
+    assert (outcome.status, outcome.reason) == (503, Reason.BUDGET_USED)
+    assert outcome.retry_after > 0
+    assert len(rig.targets.sends) == 1
+
+
+async def test_a_used_budget_after_an_attempt_that_may_have_run_stays_unknown():
+    rig = await rig_of("a", "b", "c", slack=2.5)
+    rig.targets.script("a0", FakeResponse(script=[BROKEN]))
+    for name in ("b0", "c0"):
+        rig.targets.script(name, full())
+    rig.directory.work(("b", 1)).running = 1
+    rig.directory.work(("c", 1)).running = 1
+    outcome = await rig.service.serve(rig.work(FakeExchange()))
+    assert outcome == Refusal(status=502, reason=Reason.BUDGET_USED, retry_after=None)
+
+
+@pytest.mark.parametrize("refusal", [full, misdirected])
+async def test_a_stream_that_no_group_ran_until_its_deadline_is_not_run(refusal):
+    """Symptom: a caller that could come back is told that its time is over.
+
+    Sequence: the only group turns a stream away, just before the route's timeout.
+    Cause: the end of the time was answered alike whether the stream may have run or
+    was proved not to have.
+    """
+    rig = await rig_of("a")
+    refused = refusal()
+    rig.targets.script("a0", refused)
+    work = rig.work(FakeExchange())
+
+    async def late(limit=0):
+        rig.clock.time = work.deadline
+        return b""
+
+    refused.read = late
+    outcome = await rig.service.serve(work)
+    assert (outcome.status, outcome.reason) == (503, Reason.TIMEOUT)
+    assert outcome.retry_after > 0
+
+
+async def test_no_place_left_after_an_attempt_that_may_have_run_stays_unknown():
+    """Symptom: a caller is promised that a stream did not run, and it had.
+
+    Sequence: the only group breaks off before the first event; no other has a place.
+    Cause: the end of the wait for a place spoke for the whole request.
+    """
+    rig = await rig_of("a")
+    rig.targets.script("a0", FakeResponse(script=[BROKEN]))
+    work = rig.work(FakeExchange())
+    work.deadline = rig.clock.now() + 0.1
+    outcome = await rig.service.serve(work)
+    assert (outcome.status, outcome.reason) == (502, Reason.NO_GROUP)
--- a/mallowpond/node/tests/test_watch.py
+++ b/mallowpond/node/tests/test_watch.py
@@ -4,15 +4,17 @@
 
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, Reason
-from mallowpond.node.peers import SilenceQuestion, Suspicion
+from mallowpond.node.peers import GroupBroken, SilenceQuestion, Suspicion
 from mallowpond.node.tests.fakes import (
     FakeExchange,
     FakeResponse,
     answer,
     event,
+    misdirected,
     rig_of,
 )
 from mallowpond.node.watch import SLOW_EVENTS, GroupWatch
+from mallowpond.state.fleet import BreakCause, Process
 
 STALL_SECONDS = 4.0
 
@@ -26,11 +28,16 @@
         self.on_suspicion = []
         self.on_question = []
         self.on_advance = []
+        self.on_group_broken = []
 
     def ask_about(self, key, silent):
         """Remember a question."""
         self.asked.append(key)
 
+    def tell_broken(self, group, cause):
+        """Remember a message."""
+        self.told.append((group.key, cause))
+
     def tell_suspicion(self, key, *, cleared=False, closing=False):
         """Remember a message."""
         self.told.append(key)
@@ -212,3 +219,60 @@
     (stream,) = rig.service.active
     assert stream.moved is None
     await end(task)
+
+
+async def test_a_head_that_refuses_loses_its_silent_streams_and_peers_are_told():
+    """Symptom: streams hang at a head that started again, on every host.
+
+    Sequence: the head of a group starts again behind a cut; it answers the next stream
+    that it holds no open group, and the streams of before never advance.
+    Cause: the answer taught nothing: neither the other streams of the host nor the
+    other hosts went by it.
+    """
+    rig, watch, peers, task, exchange = await watched("a", "b")
+    rig.targets.answers["a0"].append(misdirected())
+    rig.targets.answers["b0"].append(answer(1))
+    rig.directory.work(("b", 1)).running = 2
+    rig.clock.time += 0.1
+    (stream,) = rig.service.active
+    outcome = await rig.service.serve(rig.work(FakeExchange()))
+    assert outcome == Answered(status=200, target="b0")
+    assert stream.moved is Reason.SILENT_GROUP
+    assert await task == Answered(status=200, target="b0")
+    assert peers.told == [(("a", 1), BreakCause.REFUSED)]
+
+
+async def test_streams_that_advance_end_where_they_are_when_a_head_refuses():
+    """Symptom: streams are sent once more although their group would end them.
+
+    Sequence: a head that closes lets what runs there end, and turns away a new stream.
+    Cause: the refusal was taken for the end of all that runs there.
+    """
+    rig, watch, peers, task, _ = await watched("a", "b")
+    rig.targets.answers["a0"].append(misdirected())
+    rig.targets.answers["b0"].append(answer(1))
+    rig.directory.work(("b", 1)).running = 2
+    (stream,) = rig.service.active
+    await rig.service.serve(rig.work(FakeExchange()))
+    assert rig.directory.is_broken(("a", 1))
+    assert stream.moved is None
+    await end(task)
+
+
+async def test_a_peers_word_of_a_broken_group_counts_for_the_same_head_only():
+    """Symptom: a group that was formed anew gets no streams on some hosts.
+
+    Sequence: a head refuses a stream, starts again and serves a group of the same name
+    and epoch; the word of the refusal comes late.
+    Cause: the message named the group, not the process that had refused.
+    """
+    rig, watch, peers, task, _ = await watched("a", "b")
+    (hear,) = peers.on_group_broken
+    told = {"node": "n", "epoch": 1, "cause": BreakCause.REFUSED}
+    hear(GroupBroken(group="b", head=Process(id="b0", born=7), **told))
+    assert len(rig.directory.serving_groups("engines", "m")) == 2
+    hear(GroupBroken(group="b", head=Process(id="b0", born=0), **told))
+    names = {g.name for g in rig.directory.serving_groups("engines", "m")}
+    assert names == {"a"}
+    assert peers.told == []
+    await end(task)
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -10,10 +10,15 @@
 from mallowpond.node.directory import Directory
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Reason
-from mallowpond.node.peers import PeerNetwork, SilenceQuestion, Suspicion
+from mallowpond.node.peers import (
+    GroupBroken,
+    PeerNetwork,
+    SilenceQuestion,
+    Suspicion,
+)
 from mallowpond.node.stream_work import ActiveStream
 from mallowpond.node.streams import StreamService
-from mallowpond.state.fleet import GroupKey
+from mallowpond.state.fleet import BreakCause, Group, GroupKey
 from mallowpond.state.placement import pass_seconds, silent_seconds
 from mallowpond.state.silence import (
     Doubt,
@@ -60,7 +65,9 @@
         self._fresh_from = clock.now()
         self._doubts: dict[GroupKey, Doubt] = {}
         self.on_suspect: list[Callable[[GroupKey], None]] = []
+        directory.on_broken.append(self._leave_broken)
         peers.on_suspicion.append(self._hear)
+        peers.on_group_broken.append(self._hear_broken)
         peers.on_question.append(self._sees_advance)
         peers.on_advance.append(self._note_advance)
 
@@ -220,17 +227,47 @@
         if suspicion.closing:
             self.retire(key)
             return
-        now = self._clock.now()
-        streams = [s for s in self._streams.active if s.key == key and not s.moved]
-        if streams:
-            quiet = self._quiet(key, streams, now)
-            if quiet.silent_seconds < max(0.5 * quiet.predicted_gap, LOOK_SECONDS):
-                log.info("groups: suspicion not shared", group=key[0])
-                return
+        streams = self._streams_on(key)
+        if self._advances(key, streams):
+            log.info("groups: suspicion not shared", group=key[0])
+            return
         self._metrics.suspicions.labels("peer").inc()
         self._mark(key)
         self._move(streams)
 
+    def _streams_on(self, key: GroupKey) -> list[ActiveStream]:
+        return [s for s in self._streams.active if s.key == key and not s.moved]
+
+    def _advances(self, key: GroupKey, streams: list[ActiveStream]) -> bool:
+        """Tell whether a group showed an event here too lately to be silent."""
+        if not streams:
+            return False
+        quiet = self._quiet(key, streams, self._clock.now())
+        return quiet.silent_seconds < max(0.5 * quiet.predicted_gap, LOOK_SECONDS)
+
+    def _hear_broken(self, message: GroupBroken) -> None:
+        """Take a peer's word that a formation serves no more, and pass it to no one."""
+        group = self._directory.groups.get((message.group, message.epoch))
+        if group is None or group.head is None:
+            return
+        if group.head.process == message.head:
+            self._directory.break_group(group, message.cause, is_told=True)
+
+    def _leave_broken(self, group: Group, cause: BreakCause, is_told: bool) -> None:
+        """Move the streams of a formation that serves no more, and tell the peers.
+
+        A head that closes turns streams away while those that run there end well, so
+        after a refusal only those leave that show no event.
+        """
+        streams = self._streams_on(group.key)
+        if not self._advances(group.key, streams):
+            self._move(streams)
+        if not is_told:
+            self._peers.tell_broken(group, cause)
+        self._metrics.suspicions.labels(cause.value).inc()
+        for notify in self.on_suspect:
+            notify(group.key)
+
     def retire(self, key: GroupKey) -> None:
         """Send no new streams to a group that is closed or taken apart.
 
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -70,7 +70,11 @@
 
     def is_not_run(self, response: HttpResponse) -> bool:
         """Tell whether an answer proves that the request did not run."""
-        return response.status == 421 or names.NOT_RUN in response.headers
+        return self.is_misdirected(response) or names.NOT_RUN in response.headers
+
+    def is_misdirected(self, response: HttpResponse) -> bool:
+        """Tell whether another engine answered, or one that holds no open group."""
+        return response.status == 421
 
     async def order(self, step: Step, *, fence: int, expected: int) -> OrderEnd:
         """Give an engine an order that only this count of earlier ones may precede."""
--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -64,6 +64,15 @@
     BROKEN = "broken"
 
 
+class BreakCause(str, Enum):
+    """Say how it became known that a formation serves no more."""
+
+    # Its head answered that it is another engine, or holds no open group.
+    REFUSED = "refused"
+    # A member is another process now, which holds nothing of the formation.
+    RESTARTED = "restarted"
+
+
 @dataclass(frozen=True, kw_only=True)
 class Membership:
     """Place an engine in one formation of a group; rank 0 is the head."""
