Decode leases, nodes' rows, messages and the configuration each by itself

Cause: a lease's row that is no lease ended the task that plans (its decoding raised), one bad row among the nodes' rows ended the task that reads them, and a heartbeat whose address has no port ended the task that sends heartbeats to all. A configuration that cannot be read ended the following of it. Fields of messages were converted or compared as they came.

Now: a lease that cannot be read counts as held, is replaced only after its row stood still for the lease time, on the condition of its version, and by a number above that version, which no number written before can exceed. A configuration that cannot be read leaves the one before in force without confirming it, so that keyed requests are refused once the bound for keys is reached. Messages are read by the same decoder as documents; a counter (mallowpond_unreadable) and one event tell what was left out. Counts of tokens in callers' headers got bounds: their sum travels in heartbeats.

Ruled out: taking an unreadable lease at once where engines check fences: the number of its holder is not known.

--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -40,6 +40,7 @@
         self._failures = 0
         self._configuration: SiteConfiguration | None = None
         self._confirmation: Confirmation | None = None
+        self._is_replaced = False
         self._question = 0
         self._asked_at = float("-inf")
         self._unanswered = 0
@@ -167,9 +168,23 @@
             log.warning("configuration: store lost", reason=reason)
 
     def _adopt(self, answer: ConfigurationRead, asked_at: float) -> None:
+        """Take what an answer says; nothing confirms a version that was replaced.
+
+        A configuration that cannot be read may have taken keys away: as long as it is
+        the newest one, an answer that nothing changed since confirms that one.
+        """
         if answer.configuration is not None:
+            self._is_replaced = False
             self._take(answer.configuration, asked_at)
-        elif self._configuration is not None:
+        elif answer.unreadable:
+            self._is_replaced = True
+            known = self._configuration
+            log.error(
+                "configuration: unreadable",
+                revision=answer.revision,
+                in_force=known.version if known else None,
+            )
+        elif self._configuration is not None and not self._is_replaced:
             self.confirm(self._configuration.version, asked_at)
 
     def _take(self, configuration: SiteConfiguration, confirmed_at: float) -> None:
--- a/mallowpond/node/leadership.py
+++ b/mallowpond/node/leadership.py
@@ -12,6 +12,7 @@
     Row,
     TableService,
     Unavailable,
+    UnreadableRow,
 )
 from mallowpond.coordination.store import (
     TypedPut,
@@ -20,7 +21,8 @@
     transaction,
 )
 from mallowpond.node.peers import PeerNetwork
-from mallowpond.state.codec import from_plain
+from mallowpond.node.unreadable import UnreadableNotes
+from mallowpond.state.decoding import Fault, Unreadable, decode
 from mallowpond.state.ownership import owner_of
 from mallowpond.state.rows import LeaseRow
 
@@ -52,7 +54,9 @@
         rng: random.Random,
         checks_fencing: bool,
         may_plan: Callable[[], bool],
+        notes: UnreadableNotes | None = None,
     ) -> None:
+        self._notes = notes or UnreadableNotes()
         self._name = name
         self._incarnation = incarnation
         self._table = table
@@ -129,26 +133,32 @@
         if isinstance(row, Unavailable):
             log.warning("planner: lease not read", reason=row.reason)
             return
-        if row is not None and not self._may_replace(row):
-            return
-        fence = from_plain(row.value, LeaseRow).fence + 1 if row else 1
-        if await self._write(fence, row.version if row else 0):
+        fence, version = 1, 0
+        if row is not None:
+            lease = _lease_of(row)
+            if not self._may_replace(row.version, lease):
+                return
+            fence, version = _next_fence(row.version, lease), row.version
+        if await self._write(fence, version):
             self._fence = fence
             log.info("planner: lease taken", fence=fence)
             for notify in self.on_taken:
                 notify()
 
-    def _may_replace(self, row: Row) -> bool:
+    def _may_replace(self, version: int, lease: LeaseRow | Unreadable) -> bool:
         """Tell whether the holder can do no harm any more.
 
         Engines that check fencing refuse an old holder; elsewhere its lease has to
-        lapse, seen by a row that does not change.
+        lapse, seen by a row that does not change. A lease that cannot be read may be
+        held by anyone, and lapses in the same way wherever it is.
         """
-        if self._checks_fencing:
+        if self._checks_fencing and isinstance(lease, LeaseRow):
             return True
         now = self._clock.now()
-        if self._watched is None or self._watched[0] != row.version:
-            self._watched = (row.version, now)
+        if self._watched is None or self._watched[0] != version:
+            self._watched = (version, now)
+            if isinstance(lease, Unreadable):
+                self._notes.note("lease", LEASE_KEY, lease)
             return False
         return now - self._watched[1] > LEASE_SECONDS + RENEW_SECONDS
 
@@ -175,3 +185,23 @@
             case _:
                 log.warning("planner: lease not written", reason=outcome.reason)
         return False
+
+
+def _lease_of(row: Row | UnreadableRow) -> LeaseRow | Unreadable:
+    if isinstance(row, UnreadableRow):
+        return Unreadable(fault=Fault.BYTES)
+    lease = decode(row.value, LeaseRow)
+    if isinstance(lease, LeaseRow) and lease.fence > row.version:
+        # Each number was the next one, written by a change of its own, and each change
+        # raises the version: no holder wrote this.
+        return Unreadable(fault=Fault.RANGE, field="fence")
+    return lease
+
+
+def _next_fence(version: int, lease: LeaseRow | Unreadable) -> int:
+    """Return a number that is higher than all before it.
+
+    Where the last one cannot be read, the version of its row stands for it: a number
+    is never higher than the version at which it was written.
+    """
+    return version + 1 if isinstance(lease, Unreadable) else lease.fence + 1
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -25,6 +25,9 @@
         self.orders = counter("mallowpond_orders", "Orders to engines", "kind", "end")
         self.clients_gone = counter("mallowpond_clients_gone", "Callers that left")
         self.bad_input = counter("mallowpond_bad_input", "Unreadable", "reason")
+        self.unreadable = counter(
+            "mallowpond_unreadable", "Documents left out", "kind", "fault"
+        )
         self.first_event = histogram("mallowpond_first_event_seconds", "First event")
         self.gap = histogram("mallowpond_event_gap_seconds", "Gap between events")
         self.refusing = histogram("mallowpond_refuse_seconds", "Time to refuse")
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import TypeVar, get_args
+from typing import Any, TypeVar, get_args
 
 import cbor2
 import structlog
@@ -20,7 +20,17 @@
     Unavailable,
     Unknown,
 )
-from mallowpond.state.codec import from_compact, from_plain, to_compact, to_plain
+from mallowpond.node.unreadable import UnreadableNotes
+from mallowpond.state.codec import to_compact, to_plain
+from mallowpond.state.decoding import (
+    Fault,
+    Identifier,
+    Name,
+    SocketAddress,
+    Unreadable,
+    decode,
+    decode_compact,
+)
 from mallowpond.state.fleet import GroupKey, Target
 
 log = structlog.get_logger()
@@ -43,13 +53,18 @@
 # all others itself, so the rows only mend what was lost.
 ROWS_SECONDS = 15.0
 NODES_PREFIX = "nodes/"
+# Longest pause between heartbeats that a peer may announce, in seconds: that of 1,200
+# hosts. A longer one would keep a dead peer among the living.
+LONGEST_INTERVAL_SECONDS = 60.0
+# Largest datagram that is read, in bytes: what UDP over IPv4 carries.
+LARGEST_DATAGRAM = 65_507
 
 
 @dataclass(frozen=True, kw_only=True)
 class GroupFigures:
     """Tell one host's work on one group."""
 
-    group: str
+    group: Name
     epoch: int
     running: int
     reading: float
@@ -62,9 +77,9 @@
     `interval` is the pause until its next heartbeat, in seconds.
     """
 
-    node: str
+    node: Name
     incarnation: str
-    address: str
+    address: SocketAddress
     version: int
     sure: bool
     store: bool
@@ -83,8 +98,8 @@
     those that run may end there.
     """
 
-    node: str
-    group: str
+    node: Name
+    group: Name
     epoch: int
     cleared: bool = False
     closing: bool = False
@@ -94,8 +109,8 @@
 class SilenceQuestion:
     """Ask whether a group that is silent here, for so many seconds, advances there."""
 
-    node: str
-    group: str
+    node: Name
+    group: Name
     epoch: int
     silent: float
 
@@ -104,8 +119,8 @@
 class Advance:
     """Answer that a group advances."""
 
-    node: str
-    group: str
+    node: Name
+    group: Name
     epoch: int
 
 
@@ -113,8 +128,8 @@
 class Vouch:
     """Say that targets which the list has lost were found healthy."""
 
-    node: str
-    targets: tuple[str, ...]
+    node: Name
+    targets: tuple[Identifier, ...]
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -125,7 +140,7 @@
     group, empty in small fleets, where heartbeats tell it.
     """
 
-    node: str
+    node: Name
     version: int
     changed: int
     loads: tuple[GroupFigures, ...] = ()
@@ -135,19 +150,19 @@
 class ListChange:
     """Pass on what a reader found changed in the list after `previous`."""
 
-    node: str
+    node: Name
     previous: int
     revision: int
     targets: tuple[Target, ...]
-    removed: tuple[str, ...]
-    unreadable: tuple[str, ...] = ()
+    removed: tuple[Identifier, ...]
+    unreadable: tuple[Identifier, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
 class Work:
     """Tell the readers one host's work by group."""
 
-    node: str
+    node: Name
     loads: tuple[GroupFigures, ...]
 
 
@@ -155,7 +170,7 @@
 class VersionQuestion:
     """Ask a reader which configuration is the newest."""
 
-    node: str
+    node: Name
     number: int
 
 
@@ -163,7 +178,7 @@
 class VersionAnswer:
     """Say which version was the newest `age` seconds before this was sent."""
 
-    node: str
+    node: Name
     number: int
     version: int
     age: float
@@ -188,7 +203,7 @@
 class NodeRow:
     """Let nodes find one another through the table service."""
 
-    address: str
+    address: SocketAddress
     incarnation: str
 
 
@@ -217,7 +232,9 @@
         table: TableService,
         clock: Clock,
         describe: Callable[[], Heartbeat],
+        notes: UnreadableNotes | None = None,
     ) -> None:
+        self._notes = notes or UnreadableNotes()
         self._name = name
         self._incarnation = incarnation
         self._address = address
@@ -335,12 +352,16 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a peer's message."""
+        message = read_message(data)
+        if isinstance(message, Unreadable):
+            self._notes.note("datagram", addr[0], message)
+            return
         try:
-            kind, plain = cbor2.loads(data)
-            if kind in MESSAGES:
-                self._take(from_compact(plain, MESSAGES[kind]))
-        except Exception as error:
-            log.warning("peers: datagram dropped", sender=addr[0], error=repr(error))
+            self._take(message)
+        except Exception:
+            # A fault of this program in what one message leads to must not reach the
+            # transport, over which all other messages come.
+            log.exception("peers: message failed", kind=type(message).__name__)
 
     def _take(self, message: Message) -> None:
         match message:
@@ -405,12 +426,42 @@
             return False
         for row in found.rows:
             name = row.key.removeprefix(NODES_PREFIX)
-            if name != self._name:
-                address = from_plain(row.value, NodeRow).address
-                self._addresses.setdefault(name, address)
+            node = decode(row.value, NodeRow)
+            if isinstance(node, Unreadable):
+                self._notes.note("node", name, node)
+            elif name != self._name:
+                self._addresses.setdefault(name, node.address)
         return True
 
 
+def read_message(data: bytes) -> Message | Unreadable:
+    """Decode a datagram, whatever it holds."""
+    if len(data) > LARGEST_DATAGRAM:
+        return Unreadable(fault=Fault.RANGE)
+    content = _parse(data)
+    if isinstance(content, Unreadable):
+        return content
+    if not isinstance(content, list) or len(content) != 2:
+        return Unreadable(fault=Fault.TYPE)
+    name, plain = content
+    if not isinstance(name, str) or name not in MESSAGES:
+        return Unreadable(fault=Fault.UNKNOWN)
+    message = decode_compact(plain, MESSAGES[name])
+    if isinstance(message, Heartbeat):
+        if not 0.0 < message.interval <= LONGEST_INTERVAL_SECONDS:
+            return Unreadable(fault=Fault.RANGE, field="interval")
+    return message
+
+
+def _parse(data: bytes) -> Any | Unreadable:
+    try:
+        return cbor2.loads(data)
+    # Tagged values are built by the constructors of many types, each with errors of
+    # its own.
+    except Exception:
+        return Unreadable(fault=Fault.BYTES)
+
+
 T = TypeVar("T")
 
 
@@ -425,7 +476,11 @@
     """Return a host's work by group as messages carry it."""
     return tuple(
         GroupFigures(
-            group=key[0], epoch=key[1], running=running, reading=round(reading)
+            group=key[0],
+            epoch=key[1],
+            running=running,
+            # Sums of parts may end just below nothing, which no peer would read.
+            reading=max(0, round(reading)),
         )
         for key, (running, reading) in loads.items()
     )
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -29,6 +29,7 @@
 from mallowpond.node.settings import NodeSettings
 from mallowpond.node.streams import StreamService
 from mallowpond.node.traffic import TrafficSeen
+from mallowpond.node.unreadable import UnreadableNotes
 from mallowpond.node.watch import GroupWatch
 from mallowpond.state.retry_window import RetryWindow
 from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
@@ -47,7 +48,13 @@
     """Run everything of one entry host."""
 
     def __init__(
-        self, *, settings: NodeSettings, ports: NodePorts, clock: Clock, seed: int = 0
+        self,
+        *,
+        settings: NodeSettings,
+        ports: NodePorts,
+        clock: Clock,
+        seed: int = 0,
+        metrics: NodeMetrics | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -56,7 +63,8 @@
         self._stack = AsyncExitStack()
         self._budgets: dict[str, RetryWindow] = {}
         self._traffic = TrafficSeen(seen=not settings.first_start)
-        self.metrics = NodeMetrics()
+        self.metrics = metrics or NodeMetrics()
+        notes = UnreadableNotes(counter=self.metrics.unreadable)
         self.configuration = ConfigurationFollower(
             source=ports.source, clock=clock, revoke_seconds=settings.bounds.revoke
         )
@@ -68,6 +76,7 @@
             table=ports.table,
             clock=clock,
             describe=self._describe,
+            notes=notes,
         )
         shared = {
             "directory": self.directory,
@@ -107,6 +116,7 @@
             rng=self._rng,
             checks_fencing=settings.bounds.checks_fencing,
             may_plan=self._may_plan,
+            notes=notes,
         )
         self.planner = GroupPlanner(
             configuration=self.configuration,
@@ -275,7 +285,12 @@
 
 
 def build(
-    *, settings: NodeSettings, ports: NodePorts, clock: Clock, seed: int = 0
+    *,
+    settings: NodeSettings,
+    ports: NodePorts,
+    clock: Clock,
+    seed: int = 0,
+    metrics: NodeMetrics | None = None,
 ) -> Node:
     """Build a node from its settings and ports."""
-    return Node(settings=settings, ports=ports, clock=clock, seed=seed)
+    return Node(settings=settings, ports=ports, clock=clock, seed=seed, metrics=metrics)
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -141,6 +141,7 @@
     """Hold a configuration and targets; cut off, it answers nothing."""
 
     configurations: deque = field(default_factory=deque)
+    reads: deque = field(default_factory=deque)
     listed: deque = field(default_factory=deque)
     cut: bool = False
     asked: list = field(default_factory=list)
@@ -149,6 +150,8 @@
         """Answer with the next configuration."""
         if self.cut:
             return Unavailable(reason="cut off")
+        if self.reads:
+            return self.reads.popleft()
         if self.configurations:
             return ConfigurationRead(
                 revision=since + 1,
--- a/mallowpond/node/tests/test_configuration.py
+++ b/mallowpond/node/tests/test_configuration.py
@@ -1,6 +1,7 @@
 """What a node knows of the configuration when the store fails it."""
 
 from mallowpond.node.configuration import ConfigurationFollower
+from mallowpond.node.ports import ConfigurationRead
 from mallowpond.node.tests.fakes import FakeClock, FakeSource
 from mallowpond.state.site_configuration import SiteConfiguration
 
@@ -48,3 +49,45 @@
     assert not follower.is_sure
     follower.confirm(3, clock.time - 1.0)
     assert follower.is_sure
+
+
+UNREADABLE = ConfigurationRead(
+    revision=9, configuration=None, changed=True, unreadable=True
+)
+
+
+async def test_a_configuration_that_cannot_be_read_ends_the_certainty_of_the_old_one():
+    """Symptom: a key that was taken away is admitted for as long as a node runs.
+
+    Sequence: a configuration of a shape that this program does not know replaces the
+    one in force; the store answers each later question that nothing changed since.
+    Cause: an answer without a configuration confirmed the one that was held.
+    """
+    follower, source, clock = follower_of(3)
+    await follower.step()
+    source.reads.append(UNREADABLE)
+    assert await follower.step()
+    for _ in range(6):
+        clock.time += 1.0
+        assert await follower.step()
+    assert follower.configuration.version == 3
+    assert not follower.is_sure
+    source.configurations.append(version(4))
+    await follower.step()
+    assert follower.configuration.version == 4
+    assert follower.is_sure
+    clock.time += 4.0
+    await follower.step()
+    assert follower.is_sure
+    assert follower.confirmation.age(clock.time) == 0.0
+
+
+async def test_a_first_configuration_that_cannot_be_read_is_none():
+    follower, source, _ = follower_of()
+    source.reads.append(UNREADABLE)
+    assert not await follower.step()
+    assert follower.configuration is None
+    assert not follower.is_sure
+    source.configurations.append(version(4))
+    assert await follower.step()
+    assert follower.is_sure
--- a/mallowpond/node/tests/test_leadership.py
+++ b/mallowpond/node/tests/test_leadership.py
@@ -3,7 +3,11 @@
 import random
 from dataclasses import dataclass, field
 
+import pytest
+
+from mallowpond.coordination.ports import Put, Transaction, UnreadableRow
 from mallowpond.node.leadership import (
+    LEASE_KEY,
     LEASE_SECONDS,
     LISTEN_SECONDS,
     RENEW_SECONDS,
@@ -172,3 +176,89 @@
     leadership = leadership_of("a", table, clock, peers)
     await leadership.step()
     assert leadership.fence == 1
+
+
+def spoil(table, value):
+    """Let another writer put a row in the lease's place."""
+    put = Put(key=LEASE_KEY, value=value)
+    return table.apply(Transaction(transaction="x", puts=(put,))).version
+
+
+NO_LEASES = [
+    {},
+    {"holder": "b", "incarnation": "b/1"},
+    {"holder": "b", "incarnation": "b/1", "fence": "3"},
+    {"holder": "b", "incarnation": "b/1", "fence": True},
+    {"holder": "b", "incarnation": "b/1", "fence": -1},
+    {"holder": "b", "incarnation": "b/1", "fence": 2**60},
+    {"holder": 7, "incarnation": "b/1", "fence": 3},
+    # Each holder takes the next number, in a change of its own: no number can be
+    # higher than the version of the row that holds it.
+    {"holder": "b", "incarnation": "b/1", "fence": 40},
+]
+
+
+@pytest.mark.parametrize("value", NO_LEASES)
+@pytest.mark.parametrize("checks_fencing", [True, False])
+async def test_a_lease_that_cannot_be_read_is_not_free(value, checks_fencing):
+    """Symptom: no node plans any more; or two do, with numbers that engines refuse.
+
+    Sequence: another writer replaces the lease's row by one that is no lease.
+    Cause: its decoding raised in the task that takes the lease, which ended; taken
+    for an absent lease, the next number would have begun at one again.
+    """
+    clock, table = FakeClock(), MemoryTable()
+    for _ in range(6):
+        table.apply(Transaction(transaction="y", puts=(Put(key="k/k", value={}),)))
+    version = spoil(table, value)
+    leadership = leadership_of("a", table, clock, checks_fencing=checks_fencing)
+    await leadership.step()
+    clock.time += LEASE_SECONDS + RENEW_SECONDS - 0.1
+    await leadership.step()
+    assert leadership.fence == 0
+    clock.time += 0.2
+    await leadership.step()
+    assert leadership.fence == version + 1
+
+
+async def test_a_lease_that_is_spoilt_anew_is_waited_out_anew():
+    clock, table = FakeClock(), MemoryTable()
+    spoil(table, {})
+    leadership = leadership_of("a", table, clock)
+    await leadership.step()
+    clock.time += LEASE_SECONDS + RENEW_SECONDS + 0.1
+    spoil(table, {})
+    await leadership.step()
+    assert leadership.fence == 0
+
+
+async def test_a_holder_whose_lease_is_spoilt_steps_down_and_is_outnumbered():
+    clock, table = FakeClock(), MemoryTable()
+    old = leadership_of("a", table, clock)
+    await old.step()
+    spoil(table, {"holder": None})
+    clock.time += RENEW_SECONDS
+    await old.step()
+    assert old.fence == 0
+    new = leadership_of("b", table, clock)
+    await new.step()
+    clock.time += LEASE_SECONDS + RENEW_SECONDS + 0.1
+    await new.step()
+    assert new.fence > 1
+
+
+async def test_a_row_whose_value_cannot_be_read_at_all_is_not_free():
+    class SpoiltTable(MemoryTable):
+        async def read(self, key):
+            return UnreadableRow(key=key, version=7, reason="bytes")
+
+    clock, table = FakeClock(), SpoiltTable()
+    for _ in range(6):
+        table.apply(Transaction(transaction="y", puts=(Put(key="k/k", value={}),)))
+    assert spoil(table, {}) == 7
+    leadership = leadership_of("a", table, clock)
+    await leadership.step()
+    assert leadership.fence == 0
+    clock.time += LEASE_SECONDS + RENEW_SECONDS + 0.1
+    await leadership.step()
+    assert leadership.fence == 8
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -1,28 +1,55 @@
 """Messages between nodes, whole, doubled, or broken."""
 
+from dataclasses import dataclass, fields, replace
+from typing import get_origin, get_type_hints
+
 import cbor2
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from mallowpond.coordination.ports import Put, Transaction
 from mallowpond.node.peers import (
     GONE_SECONDS,
     HEARTBEATS_PER_SECOND,
+    MESSAGES,
     SENIOR_HEARTBEATS_PER_SECOND,
+    Advance,
+    Digest,
     Heartbeat,
+    ListChange,
     PeerNetwork,
+    SilenceQuestion,
     Suspicion,
+    VersionAnswer,
+    VersionQuestion,
     Vouch,
+    Work,
     heartbeat_loads,
     loads_of,
+    read_message,
 )
 from mallowpond.node.tests.fakes import FakeClock
 from mallowpond.standins.platform import MemoryTable
 from mallowpond.state.codec import to_compact
+from mallowpond.state.decoding import Unreadable
+from mallowpond.state.fleet import GroupPhase, Membership, Target
 
 LOADS = {("g", 3): (4, 500)}
 SENDER = ("127.0.0.1", 1)
 
 
+@dataclass(kw_only=True)
+class FakeTransport:
+    """Remember where datagrams went."""
+
+    sent: list
+
+    def sendto(self, data, address):
+        """Note one datagram."""
+        self.sent.append(address)
+
+
 def beat(node="b", **more):
     """Write a heartbeat."""
     return Heartbeat(
@@ -139,3 +166,223 @@
     often = 4 / peers.interval
     peers.is_senior = False
     assert often + 376 / peers.interval < HEARTBEATS_PER_SECOND / 2
+
+
+TARGET = Target(
+    id="t",
+    service="s",
+    address="10.0.0.1:80",
+    data_centre="a",
+    slots=4,
+    model="m",
+    staged=("m",),
+    membership=Membership(group="g", epoch=3, rank=0, phase=GroupPhase.OPEN),
+    born=5,
+)
+MESSAGES_OF_EACH_KIND = (
+    beat(),
+    Suspicion(node="b", group="g", epoch=3),
+    Vouch(node="b", targets=("t",)),
+    SilenceQuestion(node="b", group="g", epoch=3, silent=0.5),
+    Advance(node="b", group="g", epoch=3),
+    Digest(node="b", version=3, changed=4, loads=heartbeat_loads(LOADS)),
+    ListChange(
+        node="b",
+        previous=3,
+        revision=4,
+        targets=(TARGET,),
+        removed=("u",),
+        unreadable=("v",),
+    ),
+    Work(node="b", loads=heartbeat_loads(LOADS)),
+    VersionQuestion(node="b", number=3),
+    VersionAnswer(node="b", number=3, version=4, age=0.5),
+)
+# What is no value of any field, by its type.
+WRONG = {
+    str: (7, None, True, [], {}, b"x", "a\nb", "x" * 2000),
+    bool: (7, None, "x", []),
+    int: ("4", None, True, 1.5, -1, 2**60, []),
+    float: ("4", None, True, -0.5, float("nan"), float("inf"), 1e300, []),
+    tuple: (7, None, True, "x", {}, [7], [None], [[]]),
+}
+
+
+def spoilt_messages():
+    """Yield each message with one field that is no value of its type."""
+    for message in MESSAGES_OF_EACH_KIND:
+        name, plain = type(message).__name__, to_compact(message)
+        for place, field in enumerate(fields(message)):
+            value = getattr(message, field.name)
+            for wrong in WRONG[type(value)]:
+                changed = [*plain[:place], wrong, *plain[place + 1 :]]
+                case = f"{name}-{field.name}-{wrong!r:.20}"
+                yield pytest.param(name, changed, id=case)
+
+
+def listening():
+    """Build a network that remembers all that it takes."""
+    peers, _ = network()
+    taken = []
+    for name, listeners in vars(peers).items():
+        if name.startswith("on_"):
+            listeners.append(taken.append)
+    return peers, taken
+
+
+def test_all_kinds_of_messages_are_tried():
+    assert {type(m).__name__ for m in MESSAGES_OF_EACH_KIND} == set(MESSAGES)
+
+
+@pytest.mark.parametrize("message", MESSAGES_OF_EACH_KIND)
+def test_a_whole_message_is_read_as_it_was_sent(message):
+    assert read_message(encode(message)) == message
+
+
+@pytest.mark.parametrize(("name", "plain"), list(spoilt_messages()))
+def test_a_message_with_one_wrong_field_is_not_taken(name, plain):
+    """Symptom: a node takes peers for dead, or its planner for overruled, at random.
+
+    Sequence: a datagram of another program, or of another version of this one, has a
+    field of another type or out of range.
+    Cause: fields were converted to their type, or compared as they came.
+    """
+    peers, taken = listening()
+    peers.datagram_received(cbor2.dumps([name, plain]), SENDER)
+    assert taken == []
+    assert peers.hosts == 1
+
+
+@pytest.mark.parametrize(
+    "address", ["", "x", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536"]
+)
+def test_a_peers_bad_address_does_not_stop_the_messages_to_the_others(address):
+    """Symptom: a node falls silent towards all others, and they take it for dead.
+
+    Sequence: a heartbeat or a row names an address without a port.
+    Cause: the address was split when a message was sent, in the task that sends
+    heartbeats, which ended by it.
+    """
+    peers, _ = network()
+    sent = []
+    peers._transport = FakeTransport(sent=sent)
+    peers.datagram_received(encode(replace(beat("c"), address=address)), SENDER)
+    peers.datagram_received(encode(beat("b")), SENDER)
+    peers.tell(Advance(node="a", group="g", epoch=1))
+    assert sent == [("127.0.0.1", 9)]
+
+
+def test_a_peers_name_as_address_is_never_looked_up():
+    peers, _ = network()
+    peers.datagram_received(encode(replace(beat(), address="peer.example:9")), SENDER)
+    assert peers.hosts == 1
+
+
+@pytest.mark.parametrize("interval", [0.0, 1e6])
+def test_a_peer_cannot_be_silent_for_ever_and_count_as_alive(interval):
+    peers, _ = network()
+    peers.datagram_received(encode(beat(interval=interval)), SENDER)
+    assert peers.hosts == 1
+
+
+def test_a_listener_that_fails_does_not_end_the_listening():
+    peers, _ = network()
+    peers.on_heartbeat.append(lambda heartbeat: 1 / 0)
+    peers.datagram_received(encode(beat()), SENDER)
+    assert peers.hosts == 2
+
+
+BAD_NODE_ROWS = [
+    {},
+    {"address": "127.0.0.1:7"},
+    {"address": 7, "incarnation": "1"},
+    {"address": "x", "incarnation": "1"},
+    {"address": "127.0.0.1:7", "incarnation": None},
+]
+
+
+@pytest.mark.parametrize("value", BAD_NODE_ROWS)
+async def test_a_row_that_cannot_be_read_leaves_the_other_nodes(value):
+    """Symptom: nodes that start do not find one another.
+
+    Sequence: another writer puts a row among the nodes' rows.
+    Cause: its decoding raised, and the task that reads the rows ended.
+    """
+    table = MemoryTable()
+    table.apply(Transaction(transaction="x", puts=(Put(key="nodes/0", value=value),)))
+    first, _ = network(table)
+    assert await first._write_row()
+    second = PeerNetwork(
+        name="b",
+        incarnation="1",
+        address="127.0.0.1:9",
+        table=table,
+        clock=FakeClock(),
+        describe=beat,
+    )
+    assert await second._read_rows()
+    assert second._addresses == {"a": "127.0.0.1:8"}
+
+
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=5)
+    | st.binary(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=3) | st.integers(), inner, max_size=3)
+    ),
+    max_leaves=10,
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.binary(max_size=100) | VALUES.map(cbor2.dumps))
+def test_no_bytes_and_no_value_are_taken_for_a_message(data):
+    peers, taken = listening()
+    peers.datagram_received(data, SENDER)
+    assert taken == []
+
+
+@settings(max_examples=500, deadline=None, derandomize=True)
+@given(st.sampled_from(MESSAGES_OF_EACH_KIND), st.data())
+def test_a_message_with_one_changed_field_is_whole_or_left_out(message, data):
+    plain = list(to_compact(message))
+    place = data.draw(st.integers(0, len(plain) - 1))
+    plain[place] = data.draw(VALUES)
+    found = read_message(cbor2.dumps([type(message).__name__, plain]))
+    if isinstance(found, Unreadable):
+        return
+    for field, hint in get_type_hints(type(found)).items():
+        assert isinstance(getattr(found, field), get_origin(hint) or _base(hint))
+
+
+def _base(hint):
+    return getattr(hint, "__supertype__", hint)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x81" * 60_000,
+        b"\x9b\x00\x00\x00\xff\xff\xff\xff\xff",
+        b"\xd8\x1c\x81\xd8\x1d\x00",
+        b"\xc4\x82\x1b\x7f\xff\xff\xff\xff\xff\xff\xff\x01",
+        b"\xc5\x82\x1b\x7f\xff\xff\xff\xff\xff\xff\xff\x01",
+        b"\xd8\x23\x62((",
+        b"x" * 70_000,
+    ],
+)
+def test_a_datagram_made_to_cost_much_is_left_out(data):
+    peers, taken = listening()
+    peers.datagram_received(data, SENDER)
+    assert taken == []
+
+
+def test_a_sum_of_work_just_below_nothing_leaves_the_message_readable():
+    loads = heartbeat_loads({("g", 3): (1, -0.7)})
+    message = Work(node="b", loads=loads)
+    assert read_message(encode(message)) == message
--- a/mallowpond/platform/callers.py
+++ b/mallowpond/platform/callers.py
@@ -1,11 +1,16 @@
 """Read callers' requests as the platform's protocol writes them."""
 
+from math import isfinite
+
 from mallowpond.node.ports import CallerRequest, Headers, InvalidRequest
 from mallowpond.platform import headers as names
 from mallowpond.transport.http_client import HttpResponse
 from mallowpond.transport.http_server import HttpRequest
 
 KEY_SCHEME = "bearer "
+# Tokens above which a count is none: a thousand times the largest context in use; sums
+# of such counts go to other nodes, which read whole numbers up to 2**53.
+MOST_TOKENS = 2**31
 
 
 class PlatformCallers:
@@ -62,14 +67,16 @@
 
 def _seconds(text: str) -> float | None:
     try:
-        return max(0.0, float(text) / 1000.0)
+        seconds = float(text) / 1000.0
     except ValueError:
         return None
+    return max(0.0, seconds) if isfinite(seconds) else None
 
 
 def _token_counts(text: str) -> tuple[int, int]:
     prompt, _, answer = text.partition(",")
     try:
-        return int(prompt), int(answer or 0)
+        counts = int(prompt), int(answer or 0)
     except ValueError:
         return 0, 0
+    return counts if all(0 <= count <= MOST_TOKENS for count in counts) else (0, 0)
--- a/mallowpond/platform/program.py
+++ b/mallowpond/platform/program.py
@@ -10,9 +10,11 @@
 
 from mallowpond.coordination.clock import BootClock
 from mallowpond.node.logs import set_up_node_logs
+from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.ports import NodePorts
 from mallowpond.node.service import build
 from mallowpond.node.settings import NodeSettings
+from mallowpond.node.unreadable import UnreadableNotes
 from mallowpond.platform.callers import PlatformCallers
 from mallowpond.platform.engines import PlatformEngines
 from mallowpond.platform.store import PlatformStore
@@ -45,14 +47,16 @@
 async def run_node(settings: NodeSettings, path: Path) -> None:
     """Run a node until it is told to stop."""
     http = HttpClient(connect_seconds=CONNECT_SECONDS)
-    store = PlatformStore(http=http, address=settings.store)
+    metrics = NodeMetrics()
+    notes = UnreadableNotes(counter=metrics.unreadable)
+    store = PlatformStore(http=http, address=settings.store, notes=notes)
     ports = NodePorts(
         callers=PlatformCallers(),
         source=store,
-        targets=PlatformEngines(http=http),
+        targets=PlatformEngines(http=http, notes=notes),
         table=store,
     )
-    node = build(settings=settings, ports=ports, clock=BootClock())
+    node = build(settings=settings, ports=ports, clock=BootClock(), metrics=metrics)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/mallowpond/platform/store.py
+++ b/mallowpond/platform/store.py
@@ -131,7 +131,13 @@
             # It may be the row asked for: taken for absent, it would be replaced.
             return Unavailable(reason=f"row without a key: {answer.nameless[0]}")
         rows = [row for row in answer.rows if row.key == name]
-        return self._own_row(table, rows[0]) if rows else None
+        if not rows:
+            return None
+        found = self._own_row(table, rows[0])
+        if found.version == 0:
+            # No change could name the version that it replaces.
+            return Unavailable(reason="row without a version")
+        return found
 
     async def scan(self, prefix: str, since: int = 0) -> Scanned | Unavailable:
         """Return the rows of a table that changed after version `since`."""
--- a/mallowpond/platform/tests/test_callers.py
+++ b/mallowpond/platform/tests/test_callers.py
@@ -3,7 +3,7 @@
 import pytest
 
 from mallowpond.node.ports import InvalidRequest
-from mallowpond.platform.callers import PlatformCallers
+from mallowpond.platform.callers import MOST_TOKENS, PlatformCallers
 from mallowpond.transport.http_server import HttpRequest
 
 WHOLE = (
@@ -71,16 +71,26 @@
     assert isinstance(read(("host", "a")), InvalidRequest)
 
 
-@pytest.mark.parametrize("text", ["", "x", "1,y", ",", "9" * 400])
+@pytest.mark.parametrize(
+    "text",
+    ["", "x", "1,y", ",", "9" * 400, "9" * 5000, "-1,5", "5,-1", "nan", "inf", "1e999"],
+)
 def test_bad_numbers_count_as_missing_or_as_numbers(text):
+    """Symptom: one request makes all peers take its node for dead.
+
+    Sequence: it tells a prompt of 10 to the 400 tokens; the node's heartbeat carries
+    the sum of its prompts, which no peer can read.
+    Cause: counts in callers' headers had no bounds.
+    """
     found = read(
         ("host", "a"),
         ("x-mallowpond-attempt-id", "q"),
         ("x-mallowpond-token-counts", text),
         ("x-mallowpond-deadline-ms", text),
     )
-    assert found.prompt_tokens >= 0
-    assert found.seconds_left is None or found.seconds_left >= 0
+    assert 0 <= found.prompt_tokens <= MOST_TOKENS
+    assert 0 <= found.answer_tokens <= MOST_TOKENS
+    assert found.seconds_left is None or 0 <= found.seconds_left < float("inf")
 
 
 @pytest.mark.parametrize(
--- a/mallowpond/state/codec.py
+++ b/mallowpond/state/codec.py
@@ -1,9 +1,7 @@
 """Turn data classes into plain values and back."""
 
 import json
-from collections.abc import Callable
-from dataclasses import is_dataclass
-from typing import Any, TypeVar, get_type_hints
+from typing import Any, TypeVar
 
 from cattrs import Converter, UnstructureStrategy
 from cattrs.preconf.json import make_converter
@@ -15,20 +13,6 @@
 _compact = Converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
 
 
-def _build_by_order(kind: type[T]) -> Callable[[Any, type[T]], T]:
-    """Return what builds a keyword-only class from its fields' values in order."""
-    hints = get_type_hints(kind)
-
-    def build(values: Any, _: type[T]) -> T:
-        pairs = zip(hints.items(), values, strict=True)
-        return kind(**{n: _compact.structure(v, hint) for (n, hint), v in pairs})
-
-    return build
-
-
-_compact.register_structure_hook_factory(is_dataclass, _build_by_order)
-
-
 def to_plain(value: Any) -> Any:
     """Turn a data class into maps, lists, texts and numbers."""
     return _converter.unstructure(value)
@@ -44,11 +28,6 @@
     return _compact.unstructure(value)
 
 
-def from_compact(value: Any, kind: type[T]) -> T:
-    """Build a data class from what `to_compact` made of it."""
-    return _compact.structure(value, kind)
-
-
 def to_json(value: Any) -> bytes:
     """Encode a data class or plain value as JSON."""
     return json.dumps(to_plain(value), separators=(",", ":")).encode()
--- a/mallowpond/state/decoding.py
+++ b/mallowpond/state/decoding.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import MISSING, dataclass, fields, is_dataclass
 from enum import Enum
+from ipaddress import ip_address
 from typing import (
     Any,
     NewType,
@@ -33,6 +34,7 @@
 # An identifier goes into headers, logs and keys of rows, which take 200 bytes; those
 # in use are a tenth as long.
 IDENTIFIER = re.compile(r"[A-Za-z0-9]([A-Za-z0-9._:-]{0,126}[A-Za-z0-9])?")
+PORT = re.compile(r"[0-9]{1,5}")
 ADDRESS = re.compile(r"([A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
 LARGEST_PORT = 65535
 
@@ -40,6 +42,9 @@
 Name = NewType("Name", str)
 Identifier = NewType("Identifier", str)
 Address = NewType("Address", str)
+# An address whose host is an IP address: a name would have to be looked up, and a
+# datagram socket does that while the loop stands still.
+SocketAddress = NewType("SocketAddress", str)
 Positive = NewType("Positive", int)
 
 
@@ -139,6 +144,17 @@
     return value
 
 
+def _socket_address(value: Any, _: type) -> str:
+    host, _, port = _text(value, str).rpartition(":")
+    if not PORT.fullmatch(port) or not 1 <= int(port) <= LARGEST_PORT:
+        raise Unfit(Fault.RANGE)
+    try:
+        ip_address(host)
+    except ValueError:
+        raise Unfit(Fault.RANGE) from None
+    return value
+
+
 def _whole_number(value: Any, _: type) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise Unfit(Fault.TYPE)
@@ -264,6 +280,7 @@
     Name: _name,
     Identifier: _identifier,
     Address: _address,
+    SocketAddress: _socket_address,
     Positive: _positive,
 }
 
--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from mallowpond.state.decoding import Address, Identifier, Name, Positive
+
 # A group's name and epoch, which tell one formation from every other.
 GroupKey = tuple[str, int]
 
@@ -68,7 +70,7 @@
 class Membership:
     """Place an engine in one formation of a group; rank 0 is the head."""
 
-    group: str
+    group: Name
     epoch: int
     rank: int
     phase: GroupPhase
@@ -82,11 +84,11 @@
     `lapsed` target fell out of the list by its silence, without having left.
     """
 
-    id: str
-    service: str
-    address: str
-    data_centre: str
-    slots: int
+    id: Identifier
+    service: Name
+    address: Address
+    data_centre: Name
+    slots: Positive
     draining: bool = False
     lapsed: bool = False
     domain: str = ""
