--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -497,7 +497,7 @@
         for identifier in gone:
             self._remove(found, identifier)
         self._take(found)
-        self._take_back(listed.values(), is_change=not whole)
+        self._take_back(listed.values(), is_change=not read.whole)
 
     def _take_back(self, listed: Iterable[Target], *, is_change: bool) -> None:
         """Use the groups again whose heads the list shows open anew."""
