Break a group when a member answers that it does not stand in it

What a target answers of its own place counts now, if the list has shown another one for longer than reports lag and the last order shows: its group is over, it is not vouched for, and it gets no orders until the list shows it. Two of the three new tests fail without the change; the third (an answer that may be older than the list) guards the limit.

--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -193,6 +193,7 @@
             busy=self._book.busy,
             formations=self._formations,
             first_seen=self._first_seen,
+            unheld=self._processes.unheld,
             seen={key: frozenset(seen) for key, seen in self._seen.items()},
             distrusted=frozenset(
                 key
@@ -308,7 +309,7 @@
         """Drop what the list shows to be done, and what is out of date."""
         now = self._clock.now()
         targets, groups = self._directory.targets, self._directory.groups
-        self._processes.settle(targets)
+        self._processes.settle(targets, now=now)
         present = self._present
         # While the list is away it shows nothing of what was ordered since.
         self._book.settle(present, now=now, shows_orders=self._directory.is_settled)
@@ -402,7 +403,7 @@
             return None
         if report.target.process != target.process:
             return None
-        if _place(report.target) != _place(target):
+        if report.target.place != target.place:
             # Another planner's order came after the list was read: a count that
             # includes it would let an order through that was planned without it,
             # and the target would stand in two groups.
@@ -496,6 +497,8 @@
         answers = await asyncio.gather(*(self._probes.probe(m) for m in members))
         if not all(answers) or len(members) < len(group.members):
             return
+        if group.key in self._processes.unheld:
+            return
         self._cleared.setdefault(group.key, []).append(self._clock.now())
         log.info(
             "planner: suspicion cleared",
@@ -542,8 +545,3 @@
             state = "draining"
         models.append(f"{state}:{'+'.join(target.staged)}")
     return {domain: sorted(models) for domain, models in domains.items()}
-
-
-def _place(target: Target) -> tuple[str, int] | None:
-    member = target.membership
-    return None if member is None else (member.group, member.epoch)
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -112,7 +112,11 @@
             return report
         listed = self._directory.targets.get(target.id)
         self._processes.hear(
-            asked=target, answered=report.target, asked_at=asked_at, listed=listed
+            asked=target,
+            answered=report.target,
+            asked_at=asked_at,
+            listed=listed,
+            shows_orders=self._may_learn(report.target),
         )
         if report.target.process != target.process:
             log.info(
@@ -166,6 +170,8 @@
             # streams would be turned away for as long as it was vouched for.
             if not await self.probe(target):
                 return
+            if self._processes.present(target).place != target.place:
+                return
             self._directory.vouch(target.id)
             self._peers.tell_vouch(target.id)
             return
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -588,3 +588,48 @@
     ended.set()
     await probe
     assert rig.directory.targets["g1"] == restarted("g1")
+
+
+async def suspect_after_answer(seconds, *, answers_for="g1"):
+    """Suspect a group of which a member answers that it stands nowhere."""
+    rig = Rig(*open_group("g"))
+    await rig.steps(round(10 * seconds))
+    rig.targets.reports[answers_for] = EngineReport(orders=0, target=free(answers_for))
+    rig.watch.on_suspect[0](("g", 1))
+    await rig.steps(3)
+    return rig
+
+
+async def test_a_group_is_taken_apart_when_a_member_answers_that_it_stands_nowhere():
+    """Symptom: a group that serves nobody is cleared of suspicion, and its other
+    members stay in it until the list shows what its head knew for seconds.
+
+    Sequence: a member that the list cannot hear starts again under its id, on a
+    platform whose targets tell no start; its group refuses streams, is suspected, and
+    all members answer the probes.
+    Cause: only another start told that a member had lost its place.
+    """
+    rig = await suspect_after_answer(1.5)
+    assert rig.watch.cleared == []
+    assert [leave.target.id for leave in rig.of_kind(Leave)] == ["g0"]
+
+
+async def test_an_answer_that_may_be_older_than_the_list_takes_no_group_apart():
+    rig = await suspect_after_answer(0.3)
+    assert rig.watch.cleared == [("g", 1)]
+    assert rig.of_kind(Leave) == []
+
+
+async def test_a_lapsed_head_that_answers_that_it_stands_nowhere_is_not_vouched_for():
+    """Symptom: streams go to a head that turns each of them away.
+
+    Sequence: a head is cut off from the list, starts again, and is found healthy.
+    Cause: health says nothing of the place in a group.
+    """
+    rig = Rig(*open_group("g"))
+    await rig.steps(15)
+    rig.targets.reports["g0"] = EngineReport(orders=0, target=free("g0"))
+    await rig.show(removed=("g0",))
+    await rig.steps(5)
+    assert rig.peers.vouched == []
+    assert [leave.target.id for leave in rig.of_kind(Leave)] == ["g1"]
--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -112,6 +112,12 @@
         """Return which process this is."""
         return Process(id=self.id, born=self.born)
 
+    @property
+    def place(self) -> GroupKey | None:
+        """Return the formation that it stands in, None if in none."""
+        member = self.membership
+        return None if member is None else (member.group, member.epoch)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Group:
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -203,6 +203,8 @@
 
     def _has_restarted(self, key: GroupKey) -> bool:
         """Tell whether a member has started again: it holds nothing of the group."""
+        if key in self._view.unheld:
+            return True
         return has_restarted(self._view.seen.get(key, ()), self._listed)
 
     def _has_lost(self, group: Group) -> bool:
--- a/mallowpond/state/formation_view.py
+++ b/mallowpond/state/formation_view.py
@@ -79,6 +79,7 @@
     `lost` are targets that do not answer; `busy` targets have an order under way;
     `formations` are those whose member lists are known here;
     `seen` are the processes that were ordered into each group or seen in it;
+    `unheld` are the groups of which a member answers that it does not stand in them;
     `distrusted` groups stood silent and none of their members is known to be lost;
     `closed` groups were told to close, to be taken apart once their work has ended;
     `leaving_since` says when each target that is about to stop was first seen so;
@@ -96,6 +97,7 @@
     formations: dict[tuple[str, int], Formation] = field(default_factory=dict)
     first_seen: dict[tuple[str, int], float] = field(default_factory=dict)
     seen: dict[tuple[str, int], frozenset[Process]] = field(default_factory=dict)
+    unheld: frozenset[tuple[str, int]] = frozenset()
     distrusted: frozenset[tuple[str, int]] = frozenset()
     closed: frozenset[tuple[str, int]] = frozenset()
     leaving_since: dict[str, float] = field(default_factory=dict)
--- a/mallowpond/state/processes.py
+++ b/mallowpond/state/processes.py
@@ -6,12 +6,20 @@
 lists that were read one after the other, the later one holds the later registration.
 So the answer to the newest question ends the process that was listed when it was asked;
 and when the list moves on to a process that no answer has ended, that one is present.
+
+Where targets tell no start, and where a member was taken out of its group by nobody's
+order known here, what shows it is the place: a target that answers that it does not
+stand where the list has shown it for a while has lost that place.
 """
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 
-from mallowpond.state.fleet import Process, Target
+from mallowpond.state.fleet import GroupKey, Process, Target
+
+# Time for which the list must have shown a place before an answer that shows another
+# one counts, in seconds: a few times the usual lag of reports.
+SETTLED_SECONDS = 0.7
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -23,19 +31,48 @@
     ended: frozenset[Process] = frozenset()
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Listed:
+    """Hold where the list shows a process, and since when."""
+
+    process: Process
+    place: GroupKey | None
+    since: float
+
+
 class PresentProcesses:
     """Know the present process of each target, by direct answers and the list."""
 
     def __init__(self) -> None:
         self._heard: dict[str, _Heard] = {}
+        self._listed: dict[str, _Listed] = {}
+        self._displaced: dict[Process, GroupKey] = {}
+
+    @property
+    def unheld(self) -> frozenset[GroupKey]:
+        """Return the groups in which a member answers that it does not stand."""
+        return frozenset(self._displaced.values())
 
     def reset(self) -> None:
         """Forget every answer."""
         self._heard.clear()
+        self._listed.clear()
+        self._displaced.clear()
 
-    def settle(self, targets: Mapping[str, Target]) -> None:
-        """Forget targets that are not listed any more."""
+    def settle(self, targets: Mapping[str, Target], *, now: float) -> None:
+        """Note where the list shows each target; forget those that it does not."""
         self._heard = {t: h for t, h in self._heard.items() if t in targets}
+        self._listed = {
+            name: self._as_listed(target, now) for name, target in targets.items()
+        }
+        shown = {(each.process, each.place) for each in self._listed.values()}
+        self._displaced = {p: k for p, k in self._displaced.items() if (p, k) in shown}
+
+    def _as_listed(self, target: Target, now: float) -> _Listed:
+        known = self._listed.get(target.id)
+        if known and (known.process, known.place) == (target.process, target.place):
+            return known
+        return _Listed(process=target.process, place=target.place, since=now)
 
     def hear(
         self,
@@ -44,12 +81,16 @@
         answered: Target,
         asked_at: float,
         listed: Target | None,
+        shows_orders: bool = True,
     ) -> None:
         """Take a direct answer.
 
         `listed` is what the list shows now. When it moved on while the question was
         under way, nobody knows which of the two came first, and nothing is learnt.
+        `shows_orders` is false while the answer may not show the last order yet.
         """
+        if shows_orders:
+            self._hear_place(asked, answered, asked_at)
         heard = self._heard.get(asked.id)
         if heard is not None and asked_at < heard.asked_at:
             return
@@ -64,12 +105,24 @@
             ended=frozenset(ended - {answered.process}),
         )
 
+    def _hear_place(self, asked: Target, answered: Target, asked_at: float) -> None:
+        known = self._listed.get(asked.id)
+        if known is None or answered.process != known.process or known.place is None:
+            return
+        if answered.place == known.place:
+            self._displaced.pop(known.process, None)
+        elif asked_at - known.since > SETTLED_SECONDS:
+            self._displaced[known.process] = known.place
+
     def present(self, target: Target) -> Target:
         """Return a listed target, or what is known of the process that follows it.
 
         That one gets no orders before the list shows it: what came of them would show
-        nowhere, and its group could not be opened.
+        nowhere, and its group could not be opened. The same holds for a target that has
+        lost the place that the list shows.
         """
+        if target.place and self._displaced.get(target.process) == target.place:
+            return replace(target, model="", membership=None, lapsed=True)
         heard = self._heard.get(target.id)
         if heard is None or target.process not in heard.ended:
             return target
