--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -178,6 +178,48 @@
     await server.close()
 
 
+async def test_a_stop_waits_for_a_request_that_was_read_in_its_last_moment():
+    """A call was passed on and cut off 3 ms later, when its host ended as planned.
+
+    The host was told to stop at 24.000 s and judged itself done at 27.241 s; the call
+    reached its target at 27.238 s. It had been read in the very pass of the loop in
+    which the host looked for requests in progress, and counted only from the first step
+    of its handler, one pass later.
+    """
+    clock = GatedClock()
+    ports = NodePorts(
+        callers=FakeCallers(),
+        source=FakeSource(),
+        targets=FakeTargets(),
+        table=MemoryTable(),
+    )
+    node = build(settings=SETTINGS, ports=ports, clock=clock, seed=1)
+    server, end = node.ingress.server, asyncio.Event()
+
+    async def not_counted_yet(request, exchange):
+        await end.wait()
+        await exchange.respond(200)
+
+    server._handler = not_counted_yet
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(get("/late"))
+    async with asyncio.timeout(5.0):
+        while not server._busy:
+            await asyncio.sleep(0.001)
+        clock.until = clock.now() + LAME_SECONDS + 0.5
+        stopping = asyncio.create_task(node.drain())
+        while clock.now() < clock.until and not stopping.done():
+            await asyncio.sleep(0.001)
+        assert not stopping.done()
+        end.set()
+        clock.until = float("inf")
+        await stopping
+        await server.close()
+        assert (await reader.read()).startswith(b"HTTP/1.1 200")
+    writer.close()
+
+
 async def test_a_planner_that_stops_while_the_store_is_away_plans_to_its_end():
     """Symptom: groups that lose a member in a store outage stay down until its end.
 
--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -132,6 +132,35 @@
     await server.close()
 
 
+async def test_a_request_that_has_arrived_is_served_although_its_connection_closes():
+    """A caller's request went unanswered when its connection was closed as idle.
+
+    The request had been read from the socket in the pass of the loop in which the
+    server closed its idle connections, and was dropped with what was read.
+    """
+
+    async def hello(request, exchange):
+        await exchange.respond(200, b"hello")
+
+    server = HttpServer(handler=hello)
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    async with asyncio.timeout(5.0):
+        writer.write(OK)
+        await reader.readuntil(b"hello")
+        while not server._idle:
+            await asyncio.sleep(0.001)
+        writer.write(OK)
+        # One pass of the loop finds the bytes, the next one reads them; the server's
+        # own task would go on with them one later.
+        for _ in range(2):
+            await asyncio.sleep(0)
+        server.keep_no_connections()
+        assert (await reader.read()).endswith(b"hello")
+    writer.close()
+    await server.close()
+
+
 @pytest.mark.parametrize("stops_first", [True, False])
 async def test_an_answer_that_was_handed_over_whole_arrives_whole(stops_first):
     """A caller on a slow link got part of an answer when its host ended as planned.
