--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import TypeVar, get_args
+from typing import Any, TypeVar, get_args
 
 import cbor2
 import structlog
@@ -20,8 +20,18 @@
     Unavailable,
     Unknown,
 )
-from mallowpond.state.codec import from_compact, from_plain, to_compact, to_plain
-from mallowpond.state.fleet import GroupKey, Target
+from mallowpond.node.unreadable import UnreadableNotes
+from mallowpond.state.codec import to_compact, to_plain
+from mallowpond.state.decoding import (
+    Fault,
+    Identifier,
+    Name,
+    SocketAddress,
+    Unreadable,
+    decode,
+    decode_compact,
+)
+from mallowpond.state.fleet import BreakCause, Group, GroupKey, Process, Target
 
 log = structlog.get_logger()
 
@@ -43,13 +53,18 @@
 # all others itself, so the rows only mend what was lost.
 ROWS_SECONDS = 15.0
 NODES_PREFIX = "nodes/"
+# Longest pause between heartbeats that a peer may announce, in seconds: that of 1,200
+# hosts. A longer one would keep a dead peer among the living.
+LONGEST_INTERVAL_SECONDS = 60.0
+# Largest datagram that is read, in bytes: what UDP over IPv4 carries.
+LARGEST_DATAGRAM = 65_507
 
 
 @dataclass(frozen=True, kw_only=True)
 class GroupFigures:
     """Tell one host's work on one group."""
 
-    group: str
+    group: Name
     epoch: int
     running: int
     reading: float
@@ -62,9 +77,9 @@
     `interval` is the pause until its next heartbeat, in seconds.
     """
 
-    node: str
+    node: Name
     incarnation: str
-    address: str
+    address: SocketAddress
     version: int
     sure: bool
     store: bool
@@ -83,8 +98,8 @@
     those that run may end there.
     """
 
-    node: str
-    group: str
+    node: Name
+    group: Name
     epoch: int
     cleared: bool = False
     closing: bool = False
@@ -94,8 +109,8 @@
 class SilenceQuestion:
     """Ask whether a group that is silent here, for so many seconds, advances there."""
 
-    node: str
-    group: str
+    node: Name
+    group: Name
     epoch: int
     silent: float
 
@@ -104,17 +119,32 @@
 class Advance:
     """Answer that a group advances."""
 
+    node: Name
+    group: Name
+    epoch: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class GroupBroken:
+    """Say that a formation serves no more, as its head or a member showed itself.
+
+    `head` is the process that the sender took for its head: a receiver that knows
+    another one has newer or older news of the group than this.
+    """
+
     node: str
     group: str
     epoch: int
+    head: Process
+    cause: BreakCause
 
 
 @dataclass(frozen=True, kw_only=True)
 class Vouch:
     """Say that targets which the list has lost were found healthy."""
 
-    node: str
-    targets: tuple[str, ...]
+    node: Name
+    targets: tuple[Identifier, ...]
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -125,7 +155,7 @@
     group, empty in small fleets, where heartbeats tell it.
     """
 
-    node: str
+    node: Name
     version: int
     changed: int
     loads: tuple[GroupFigures, ...] = ()
@@ -135,19 +165,19 @@
 class ListChange:
     """Pass on what a reader found changed in the list after `previous`."""
 
-    node: str
+    node: Name
     previous: int
     revision: int
     targets: tuple[Target, ...]
-    removed: tuple[str, ...]
-    unreadable: tuple[str, ...] = ()
+    removed: tuple[Identifier, ...]
+    unreadable: tuple[Identifier, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
 class Work:
     """Tell the readers one host's work by group."""
 
-    node: str
+    node: Name
     loads: tuple[GroupFigures, ...]
 
 
@@ -155,7 +185,7 @@
 class VersionQuestion:
     """Ask a reader which configuration is the newest."""
 
-    node: str
+    node: Name
     number: int
 
 
@@ -163,7 +193,7 @@
 class VersionAnswer:
     """Say which version was the newest `age` seconds before this was sent."""
 
-    node: str
+    node: Name
     number: int
     version: int
     age: float
@@ -172,6 +202,7 @@
 Message = (
     Heartbeat
     | Suspicion
+    | GroupBroken
     | Vouch
     | SilenceQuestion
     | Advance
@@ -188,7 +219,7 @@
 class NodeRow:
     """Let nodes find one another through the table service."""
 
-    address: str
+    address: SocketAddress
     incarnation: str
 
 
@@ -217,7 +248,9 @@
         table: TableService,
         clock: Clock,
         describe: Callable[[], Heartbeat],
+        notes: UnreadableNotes | None = None,
     ) -> None:
+        self._notes = notes or UnreadableNotes()
         self._name = name
         self._incarnation = incarnation
         self._address = address
@@ -230,6 +263,7 @@
         self.is_senior = True
         self.on_heartbeat: list[Callable[[Heartbeat], None]] = []
         self.on_suspicion: list[Callable[[Suspicion], None]] = []
+        self.on_group_broken: list[Callable[[GroupBroken], None]] = []
         self.on_vouch: list[Callable[[str], None]] = []
         self.on_question: list[Callable[[SilenceQuestion], bool]] = []
         self.on_advance: list[Callable[[GroupKey], None]] = []
@@ -307,6 +341,20 @@
             )
         )
 
+    def tell_broken(self, group: Group, cause: BreakCause) -> None:
+        """Tell every peer that a formation serves no more."""
+        if group.head is None:
+            return
+        self.tell(
+            GroupBroken(
+                node=self._name,
+                group=group.name,
+                epoch=group.epoch,
+                head=group.head.process,
+                cause=cause,
+            )
+        )
+
     def ask_about(self, key: GroupKey, silent: float) -> None:
         """Ask every peer whether a group advances."""
         self.tell(
@@ -335,12 +383,16 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a peer's message."""
+        message = read_message(data)
+        if isinstance(message, Unreadable):
+            self._notes.note("datagram", addr[0], message)
+            return
         try:
-            kind, plain = cbor2.loads(data)
-            if kind in MESSAGES:
-                self._take(from_compact(plain, MESSAGES[kind]))
-        except Exception as error:
-            log.warning("peers: datagram dropped", sender=addr[0], error=repr(error))
+            self._take(message)
+        except Exception:
+            # A fault of this program in what one message leads to must not reach the
+            # transport, over which all other messages come.
+            log.exception("peers: message failed", kind=type(message).__name__)
 
     def _take(self, message: Message) -> None:
         match message:
@@ -348,6 +400,8 @@
                 self._hear(message)
             case Suspicion():
                 _notify(self.on_suspicion, message)
+            case GroupBroken():
+                _notify(self.on_group_broken, message)
             case Vouch(targets=targets):
                 for target in targets:
                     for vouch in self.on_vouch:
@@ -405,12 +459,42 @@
             return False
         for row in found.rows:
             name = row.key.removeprefix(NODES_PREFIX)
-            if name != self._name:
-                address = from_plain(row.value, NodeRow).address
-                self._addresses.setdefault(name, address)
+            node = decode(row.value, NodeRow)
+            if isinstance(node, Unreadable):
+                self._notes.note("node", name, node)
+            elif name != self._name:
+                self._addresses.setdefault(name, node.address)
         return True
 
 
+def read_message(data: bytes) -> Message | Unreadable:
+    """Decode a datagram, whatever it holds."""
+    if len(data) > LARGEST_DATAGRAM:
+        return Unreadable(fault=Fault.RANGE)
+    content = _parse(data)
+    if isinstance(content, Unreadable):
+        return content
+    if not isinstance(content, list) or len(content) != 2:
+        return Unreadable(fault=Fault.TYPE)
+    name, plain = content
+    if not isinstance(name, str) or name not in MESSAGES:
+        return Unreadable(fault=Fault.UNKNOWN)
+    message = decode_compact(plain, MESSAGES[name])
+    if isinstance(message, Heartbeat):
+        if not 0.0 < message.interval <= LONGEST_INTERVAL_SECONDS:
+            return Unreadable(fault=Fault.RANGE, field="interval")
+    return message
+
+
+def _parse(data: bytes) -> Any | Unreadable:
+    try:
+        return cbor2.loads(data)
+    # Tagged values are built by the constructors of many types, each with errors of
+    # its own.
+    except Exception:
+        return Unreadable(fault=Fault.BYTES)
+
+
 T = TypeVar("T")
 
 
@@ -425,7 +509,11 @@
     """Return a host's work by group as messages carry it."""
     return tuple(
         GroupFigures(
-            group=key[0], epoch=key[1], running=running, reading=round(reading)
+            group=key[0],
+            epoch=key[1],
+            running=running,
+            # Sums of parts may end just below nothing, which no peer would read.
+            reading=max(0, round(reading)),
         )
         for key, (running, reading) in loads.items()
     )
