--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,7 +13,7 @@
 
 from mallowpond.coordination.tasks import cancel_task
 from soak.callers import Callers
-from soak.faults import NEWEST_DRAW, Injector, draw_faults
+from soak.faults import NEWEST_DRAW, Injector, draw_faults, draw_kinds
 from soak.fleet import Fleet, FleetShape
 from soak.judge import broken_promises
 from soak.records import Run, read_notes, write_run
@@ -30,6 +30,7 @@
     folder: Path,
     *,
     draw: int = NEWEST_DRAW,
+    only: tuple[str, ...] = (),
     shape: FleetShape = FleetShape(),
     rate: float = RATE,
 ) -> Run:
@@ -44,7 +45,7 @@
         asking = asyncio.create_task(
             callers.run(time.monotonic() + seconds + CALM_SECONDS)
         )
-        await injector.run(draw_faults(rng, seconds, draw))
+        await injector.run(draw_faults(rng, seconds, only or draw_kinds(rng, draw)))
         await asking
         await cancel_task(restarts)
     finally:
@@ -77,6 +78,9 @@
     first: Annotated[int, typer.Option(help="The first seed.")] = 1,
     seconds: Annotated[float, typer.Option(help="Time with faults a seed.")] = 15.0,
     draw: Annotated[int, typer.Option(help="Which draw of faults.")] = NEWEST_DRAW,
+    only: Annotated[
+        list[str] | None, typer.Option(help="A kind of fault; no others are drawn.")
+    ] = None,
     nodes: Annotated[int, typer.Option(help="How many nodes.")] = 3,
     domains: Annotated[int, typer.Option(help="How many domains.")] = 2,
     rate: Annotated[float, typer.Option(help="Requests a second.")] = RATE,
@@ -98,7 +102,15 @@
         cases = [(case.seed, case.draw, case.seconds) for case in REGRESSIONS]
     for seed, draw, seconds in cases:
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        playing = play(seed, seconds, folder, draw=draw, shape=shape, rate=rate)
+        playing = play(
+            seed,
+            seconds,
+            folder,
+            draw=draw,
+            only=tuple(only or ()),
+            shape=shape,
+            rate=rate,
+        )
         run = asyncio.run(playing)
         lines = broken_promises(run)
         statuses = Counter(r.status for r in run.callers)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -74,13 +74,19 @@
     link: Link
 
 
-def draw_faults(rng: random.Random, seconds: float, draw: int) -> tuple[Fault, ...]:
+def draw_kinds(rng: random.Random, draw: int) -> tuple[str, ...]:
+    """Return the kinds that faults of one run are of."""
+    if draw == 1:
+        return KINDS
+    share = rng.choice(KIND_SHARES)
+    kinds = KINDS + LATER_KINDS
+    return tuple(k for k in kinds if rng.random() < share) or LATER_KINDS
+
+
+def draw_faults(
+    rng: random.Random, seconds: float, kinds: tuple[str, ...]
+) -> tuple[Fault, ...]:
     """Return the faults of one run; they overlap and come in series."""
-    kinds = KINDS
-    if draw > 1:
-        share = rng.choice(KIND_SHARES)
-        kinds += LATER_KINDS
-        kinds = tuple(k for k in kinds if rng.random() < share) or LATER_KINDS
     faults = []
     at = rng.expovariate(1.0 / MEAN_PAUSE_SECONDS)
     while at < seconds:
