--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,7 +6,7 @@
 import tempfile
 import time
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
 
@@ -18,19 +18,23 @@
 from soak.faults import NEWEST_DRAW, Injector, draw_faults, draw_kinds
 from soak.fleet import Fleet, FleetShape
 from soak.judge import broken_promises
-from soak.records import Run, read_notes, write_run
+from soak.records import Disturbance, Run, read_notes, write_run
 
 RATE = 40.0
 # Time after the last fault in which callers go on, in seconds.
 CALM_SECONDS = 3.0
+# Time for which no link carries anything, in seconds, after which a node may take its
+# groups for silent: a part of the gap that the configuration allows.
+STALL_SECONDS = 0.1
 STALL_LOOK_SECONDS = 0.02
 
 
 @dataclass(kw_only=True)
 class Stalls:
-    """Hold how long this process stood still: the links of all others are in it."""
+    """Hold when this process stood still: the links of all others are in it."""
 
     longest: float = 0.0
+    found: list[Disturbance] = field(default_factory=list)
 
     async def watch(self) -> None:
         """Look at the clock until cancelled."""
@@ -39,6 +43,11 @@
             await asyncio.sleep(STALL_LOOK_SECONDS)
             late = time.monotonic() - began - STALL_LOOK_SECONDS
             self.longest = max(self.longest, late)
+            if late > STALL_SECONDS:
+                stall = Disturbance(
+                    kind="stall", began_at=began, ended_at=time.monotonic()
+                )
+                self.found.append(stall)
 
 
 async def play(
@@ -67,7 +76,7 @@
     return Run(
         callers=tuple(callers.records),
         notes=read_notes(folder),
-        disturbances=tuple(injector.disturbances),
+        disturbances=(*injector.disturbances, *stalls.found),
         revocations=tuple(injector.revocations),
         foreign=tuple(injector.foreign),
         longest_stall=stalls.longest,
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -27,6 +27,9 @@
 # Time after the last disturbance after which every request is served, in seconds: a
 # group is formed again, and hosts that started anew know the others.
 SETTLED_SECONDS = 5.0
+# A time in which the soak itself stood still, and with it every link. It may cut an
+# answer off; bounds of seconds hold all the same.
+STALL = "stall"
 # Disturbances that leave each node's reads of the list of engines alone.
 HEARD = (
     "engine_kill",
@@ -37,6 +40,7 @@
     "engine_restart_forming",
     "foreign_entry_of_engine",
     "revoke",
+    STALL,
     *DISREGARDED,
 )
 # Time after its deadline at which a request must have ended, in seconds.
@@ -286,7 +290,8 @@
     return not any(
         d.began_at < end and d.ended_at > start
         for d in run.disturbances
-        if d.node in (None, node) and (d.kind not in HARMLESS or d.node == node)
+        if d.node in (None, node)
+        and (d.kind not in (STALL, *HARMLESS) or d.node == node)
     )
 
 
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -79,6 +79,7 @@
 CUT = {"ending": Ending.CUT, "body": event_bytes("q", 1)}
 RECONFIGURED = Disturbance(kind="reconfigure", began_at=9.8, ended_at=9.9)
 KILLED = Disturbance(kind="engine_kill", began_at=9.0, ended_at=11.0)
+STALLED = Disturbance(kind="stall", began_at=9.95, ended_at=10.1)
 RESTARTED = note("start", 9.05, "e1", born=2)
 REJOINED = note("state", 9.5, "e1", group="g", epoch=1, state="ready", members=MEMBERS)
 LEFT = note("leave", 12.0, group="g", epoch=1)
@@ -103,6 +104,9 @@
     run_of(
         record(**CUT, kind=Kind.STREAM), notes=[ran()], disturbances=(STOPPED, KILLED)
     ),
+    run_of(
+        record(**CUT, kind=Kind.STREAM), notes=[ran()], disturbances=(STOPPED, STALLED)
+    ),
     # A member that started a moment before the opening, or joined anew.
     run_of(notes=[*READY, RESTARTED, OPEN]),
     run_of(
@@ -180,6 +184,14 @@
         "ran 2 times",
         run_of(record(), notes=[ran(born=1), note("start", 10.15, "p0"), ran(born=2)]),
     ),
+    (
+        "held beyond",
+        run_of(record(ended_at=14.0), notes=[ran()], disturbances=(STALLED,)),
+    ),
+    (
+        "another writer",
+        run_of(record(), notes=[ran()], foreign=(FOREIGN,), disturbances=(STALLED,)),
+    ),
     ("without e1", run_of(notes=[*READY, RESTARTED, REOPENED])),
     ("another writer", run_of(record(), notes=[ran()], foreign=(FOREIGN,))),
     (
