Keep what is known of a target by its process, in the request path

A target may start again under its id. The entry of the new process was taken for a change of the old one: a group with such a member kept its streams until it was declared dead, what was known of the process (attempts, call records, who vouched for it, pace) went on under the id, and a late report of the earlier process was taken for news of the later one.

When the list shows another process, the groups of the earlier one are broken at once and their streams move, to wait in line where no place is free. What a target answers itself counts before the list shows it, and peers are told. Attempts, tried groups, records of calls and vouchers go by process. A plain target whose address answers for another one gets nothing until its entry changes.

Ruled out: ordering processes by their start (the clock may be stepped); using the new process on its own word alone (what its orders did would show nowhere).

--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -13,7 +13,7 @@
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, Reason, Refusal, ServeOutcome
 from mallowpond.node.ports import CallerProtocol, CallerRequest, Headers, Targets
-from mallowpond.state.fleet import Target
+from mallowpond.state.fleet import Process, Target
 from mallowpond.state.limits import spread_retry_after
 from mallowpond.state.retry_window import RetryWindow
 from mallowpond.state.site_configuration import Repeat, Route
@@ -38,10 +38,12 @@
 
 @dataclass(kw_only=True)
 class TargetRecord:
-    """Count a target's work here and remember its failures."""
+    """Count the work of a target's process here and remember its failures."""
 
     running: int = 0
     avoided_until: float = 0.0
+    # The entry at whose address another target answered.
+    misdirected: Target | None = None
 
 
 @dataclass(kw_only=True)
@@ -54,8 +56,8 @@
     workspace: str | None
     deadline: float
     exchange: Exchange
-    sent_to: list[str] = field(default_factory=list)
-    turned_away: list[str] = field(default_factory=list)
+    sent_to: list[Process] = field(default_factory=list)
+    turned_away: list[Process] = field(default_factory=list)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -98,7 +100,8 @@
         self._budget = budget
         self._hosts = hosts
         self._rng = rng
-        self._records: dict[str, TargetRecord] = defaultdict(TargetRecord)
+        self._records: dict[Process, TargetRecord] = defaultdict(TargetRecord)
+        directory.on_change.append(self._forget_ended)
 
     async def serve(self, work: CallWork) -> ServeOutcome:
         """Serve one request to its end."""
@@ -129,14 +132,18 @@
 
     def _choose(self, work: CallWork) -> Target | None:
         used = set(work.sent_to) | set(work.turned_away)
-        targets = self._directory.of_service(work.service)
-        left = [t for t in targets if t.id not in used]
+        targets = [
+            target
+            for target in self._directory.of_service(work.service)
+            if self._records[target.process].misdirected is not target
+        ]
+        left = [t for t in targets if t.process not in used]
         if not left:
-            left = [t for t in targets if t.id not in work.sent_to]
+            left = [t for t in targets if t.process not in work.sent_to]
         now = self._clock.now()
 
         def rank(target: Target) -> tuple[bool, float]:
-            record = self._records[target.id]
+            record = self._records[target.process]
             draw = self._rng.random()
             return (record.avoided_until > now, record.running + draw)
 
@@ -150,9 +157,9 @@
         limit = left
         if self._is_repeatable(work) and len(work.sent_to) + 1 < self._attempts(work):
             limit = FIRST_SEND_SHARE * left
-        record = self._records[target.id]
+        record = self._records[target.process]
         record.running += 1
-        work.sent_to.append(target.id)
+        work.sent_to.append(target.process)
         log.info(
             "call: sent",
             request=work.request.id,
@@ -188,6 +195,8 @@
             body = await response.read()
         finally:
             response.close()
+        if self._targets.is_misdirected(response):
+            return NoReply(reason=Reason.MISDIRECTED, may_have_run=False)
         if self._targets.is_not_run(response):
             return NoReply(reason=Reason.NOT_RUN, may_have_run=False)
         if isinstance(body, CallFailed):
@@ -198,14 +207,29 @@
     def _judge(
         self, work: CallWork, target: Target, reply: WholeReply | NoReply
     ) -> None:
-        now = self._clock.now()
-        match reply:
-            case NoReply(may_have_run=False):
-                work.sent_to.remove(target.id)
-                work.turned_away.append(target.id)
-                self._records[target.id].avoided_until = now + AVOID_SECONDS
-            case NoReply():
-                self._records[target.id].avoided_until = now + AVOID_SECONDS
+        if not isinstance(reply, NoReply):
+            return
+        record = self._records[target.process]
+        record.avoided_until = self._clock.now() + AVOID_SECONDS
+        if not reply.may_have_run:
+            work.sent_to.remove(target.process)
+            work.turned_away.append(target.process)
+        if reply.reason is Reason.MISDIRECTED:
+            # Until the list says something else of it, each send there is one of the
+            # few repeats, and is turned away again.
+            record.misdirected = target
+
+    def _forget_ended(self) -> None:
+        """Drop what is known of processes that are gone, once their work here ends."""
+        listed = self._directory.targets
+        ended = [
+            process
+            for process, record in self._records.items()
+            if not record.running
+            and (process.id not in listed or listed[process.id].process != process)
+        ]
+        for process in ended:
+            del self._records[process]
 
     def _is_repeatable(self, work: CallWork) -> bool:
         return work.route.repeat is Repeat.IDEMPOTENT
@@ -222,7 +246,7 @@
                 return False
         elif not self._is_repeatable(work):
             return False
-        elif len(work.sent_to) >= self._attempts(work):
+        elif self._directory.count_present(work.sent_to) >= self._attempts(work):
             return False
         return self._budget(work.service).try_repeat(now, self._hosts())
 
@@ -231,7 +255,7 @@
     ) -> ServeOutcome:
         if failed is not None:
             await _respond(work, failed)
-            return Answered(status=failed.status, target=work.sent_to[-1])
+            return Answered(status=failed.status, target=work.sent_to[-1].id)
         if work.sent_to:
             status = 504 if reason is Reason.TIMEOUT else 502
             return Refusal(status=status, reason=reason)
--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -1,7 +1,7 @@
 """Hold the targets, their groups, and the work that is known to be on them."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field, replace
 from math import exp
 
@@ -10,12 +10,14 @@
 from mallowpond.coordination.ports import Clock, Unavailable
 from mallowpond.node.ports import HistoryLost, SiteSource, TargetsRead
 from mallowpond.state.broken_groups import BrokenGroups
+from mallowpond.state.ended_processes import EndedProcesses
 from mallowpond.state.fleet import (
     BreakCause,
     EngineProfile,
     Group,
     GroupKey,
     GroupPhase,
+    Process,
     Target,
     assemble_groups,
 )
@@ -105,7 +107,8 @@
         self._lost_at: float | None = None
         self._regained_at = float("-inf")
         self._doubted: set[str] = set()
-        self._vouched_at: dict[str, float] = {}
+        self._vouched_at: dict[Process, float] = {}
+        self._ended = EndedProcesses()
         self._lapsed_at: dict[str, float] = {}
         self.newest_target_at = float("-inf")
         self.changed = 0
@@ -228,13 +231,19 @@
         assert group.head is not None
         if not group.head.lapsed:
             return True
-        vouched_at = self._vouched_at.get(group.head.id, float("-inf"))
+        vouched_at = self._vouched_at.get(group.head.process, float("-inf"))
         return now - vouched_at < VOUCHED_SECONDS
 
     def vouch(self, identifier: str) -> None:
         """Note that a target the list has lost was found healthy, and not leaving."""
-        if identifier in self._lapsed_at:
-            self._vouched_at[identifier] = self._clock.now()
+        now = self._clock.now()
+        recent = {
+            p: t for p, t in self._vouched_at.items() if now - t < VOUCHED_SECONDS
+        }
+        target = self._targets.get(identifier)
+        if target is not None and target.lapsed:
+            recent[target.process] = now
+        self._vouched_at = recent
 
     # -- work ----------------------------------------------------------------
 
@@ -437,9 +446,18 @@
                 notify(answer, previous)
 
     def learn(self, target: Target) -> None:
-        """Take what a target says of itself while the list cannot be read."""
+        """Take what a target says of itself while the list cannot be read.
+
+        That it started again counts at once: the list shows the entry of before for
+        some seconds. Of its new process nothing is used before the list shows it.
+        """
         known = self._targets.get(target.id)
-        if known is None or self._lost_at is None:
+        if known is None or target.process in self._ended:
+            return
+        if target.process != known.process:
+            self._note_ended(known)
+            return
+        if self._lost_at is None:
             return
         news = replace(
             known,
@@ -450,6 +468,23 @@
         if news != known:
             self._take({**self._targets, target.id: news})
 
+    def _note_ended(self, target: Target) -> None:
+        """Note, before the list shows it, that a process is gone."""
+        if target.process in self._ended:
+            return
+        self._ended.add(target.process, self._clock.now())
+        log.warning("targets: started again", target=target.id, born=target.born)
+        place = target.membership
+        group = place and self._groups.get((place.group, place.epoch))
+        if group:
+            self._note_broken(group, BreakCause.RESTARTED, is_told=False)
+
+    def count_present(self, processes: Collection[Process]) -> int:
+        """Count the processes that are listed and not known to be gone."""
+        listed = (self._targets.get(process.id) for process in processes)
+        present = {t.process for t in listed if t is not None}
+        return sum(p in present and p not in self._ended for p in processes)
+
     @property
     def is_lost(self) -> bool:
         """Tell whether the list cannot be read now."""
@@ -491,13 +526,17 @@
         self._take(found)
         self._take_back(listed.values(), is_change=not whole)
 
-    def _take_back(self, listed: Iterable[Target], *, is_change: bool) -> None:
+    def _take_back(self, listed: Collection[Target], *, is_change: bool) -> None:
         """Use the groups again whose heads the list shows open anew."""
+        if not is_change:
+            self._ended.see(listed, asked_at=self._read_at)
         for target in listed:
             place = target.membership
             group = place and self._groups.get((place.group, place.epoch))
             if not group or group.head is None or group.head.id != target.id:
                 continue
+            if any(member.process in self._ended for member in group.members):
+                continue
             seen = self._broken.see(group, is_change=is_change, asked_at=self._read_at)
             if seen:
                 log.info("groups: open anew", group=group.name, epoch=group.epoch)
@@ -525,6 +564,15 @@
         if not changed and not gone:
             return
         self._log_changes(found, changed, gone)
+        restarted = [
+            (known[k], found[k])
+            for k in changed
+            if k in known and known[k].process != found[k].process
+        ]
+        broken = self._groups_of(earlier for earlier, _ in restarted)
+        now = self._clock.now()
+        for earlier, later in restarted:
+            self._ended.replace(earlier.process, later.process, now)
         self._targets = found
         self._regroup([known[k] for k in (*changed, *gone) if k in known])
         self._regroup([found[k] for k in changed])
@@ -534,9 +582,17 @@
         self._by_service = by_service
         self._forget_idle_work()
         self._broken.keep(self._groups)
+        for group in broken:
+            self._note_broken(group, BreakCause.RESTARTED, is_told=True)
         for notify in self.on_change:
             notify()
 
+    def _groups_of(self, targets: Iterable[Target]) -> list[Group]:
+        """Return the groups that these targets belong to, each once."""
+        places = [t.membership for t in targets if t.membership is not None]
+        keys = dict.fromkeys((p.group, p.epoch) for p in places)
+        return [self._groups[key] for key in keys if key in self._groups]
+
     def _regroup(self, targets: Iterable[Target]) -> None:
         """Gather the groups that these targets belonged or belong to."""
         for target in targets:
@@ -573,6 +629,13 @@
             if known is None:
                 log.info("targets: new", target=identifier, service=target.service)
                 self.newest_target_at = self._clock.now()
+            elif known.process != target.process:
+                log.info(
+                    "targets: another process",
+                    target=identifier,
+                    before=known.born,
+                    born=target.born,
+                )
             elif known.draining != target.draining:
                 log.info("targets: draining", target=identifier)
             elif known.membership != target.membership:
--- a/mallowpond/node/stream_work.py
+++ b/mallowpond/node/stream_work.py
@@ -6,7 +6,13 @@
 from mallowpond.gateway.relay import StreamProgress
 from mallowpond.node.outcomes import Reason
 from mallowpond.node.ports import CallerRequest
-from mallowpond.state.fleet import EngineProfile, Group, GroupKey, ModelSpec
+from mallowpond.state.fleet import (
+    EngineProfile,
+    Group,
+    GroupKey,
+    ModelSpec,
+    Process,
+)
 from mallowpond.state.site_configuration import Route
 from mallowpond.transport.http_server import Exchange
 
@@ -26,7 +32,7 @@
     exchange: Exchange
     progress: StreamProgress = field(default_factory=StreamProgress)
     last_event: str | None = None
-    sent_to: list[str] = field(default_factory=list)
+    sent_to: list[Process] = field(default_factory=list)
     not_run: int = 0
     sends: int = 0
     waited: float = 0.0
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -116,7 +116,7 @@
             match end:
                 case WholeAnswer(status=status):
                     self._log_served(work)
-                    return Answered(status=status, target=work.sent_to[-1])
+                    return Answered(status=status, target=work.sent_to[-1].id)
                 case FailedAnswer():
                     failed = end
                     reason = Reason.TARGET_FAILED
@@ -169,18 +169,20 @@
             sends=work.sends,
         )
 
-    def may_move(self, stream: ActiveStream) -> bool:
-        """Tell whether a stream could go on at another group now."""
+    def may_go_on(self, stream: ActiveStream) -> bool:
+        """Tell whether a stream may be sent to another group, when one has a place."""
         work = stream.work
         if not work.route.resumable or stream.moved is not None:
             return False
-        if self._attempts(work) >= work.route.max_attempts:
-            return False
-        return self._choose(work) is not None
+        return self._attempts(work) < work.route.max_attempts
+
+    def may_move(self, stream: ActiveStream) -> bool:
+        """Tell whether a stream could go on at another group now."""
+        return self.may_go_on(stream) and self._choose(stream.work) is not None
 
     def _attempts(self, work: StreamWork) -> int:
-        """Count the engines that may have run the request and are still listed."""
-        return sum(1 for head in work.sent_to if head in self._directory.targets)
+        """Count the engines that may have run the request and have not ended."""
+        return self._directory.count_present(work.sent_to)
 
     async def _end_unserved(
         self, work: StreamWork, refusal: Refusal, failed: FailedAnswer | None
@@ -191,7 +193,7 @@
             await work.exchange.respond(
                 failed.status, failed.body, failed.headers, content_type=None
             )
-            return Answered(status=failed.status, target=work.sent_to[-1])
+            return Answered(status=failed.status, target=work.sent_to[-1].id)
         if work.sent_to and refusal.status == 503:
             # Some engine may have run it, so "not run" would be a lie.
             return Refusal(status=502, reason=refusal.reason)
@@ -213,7 +215,7 @@
 
     def _choose(self, work: StreamWork) -> Group | None:
         groups = self._directory.serving_groups(work.service, work.model.name)
-        groups = [g for g in groups if g.head and g.head.id not in work.sent_to]
+        groups = [g for g in groups if g.head and g.head.process not in work.sent_to]
         by_key = {f"{g.name}/{g.epoch}": g for g in groups}
         candidates = [
             Candidate(
@@ -340,7 +342,7 @@
         )
         own.running += 1
         own.reading_tokens += stream.reading
-        work.sent_to.append(group.head.id)
+        work.sent_to.append(group.head.process)
         work.sends += 1
         log.info(
             "stream: sent",
--- a/mallowpond/node/tests/test_calls.py
+++ b/mallowpond/node/tests/test_calls.py
@@ -57,21 +57,9 @@
     )
 
 
-async def serve(route, *answers, targets=("a", "b", "c"), slack=100.0):
-    """Serve one request whose sends get these answers in turn."""
-    clock, fakes = FakeClock(), FakeTargets()
-    left = deque(answers)
-    source = FakeSource(listed=deque([listing(*map(plain, targets))]))
-    directory = Directory(source=source, clock=clock)
-    await directory.refresh()
-    budget = RetryWindow(ratio=0.0, slack=slack, window_seconds=10.0)
-
-    async def send(target, request, *, workspace, seconds_left, last_event):
-        fakes.sends.append(target.id)
-        return left.popleft()
-
-    fakes.send = send
-    service = CallService(
+def service_of(directory, fakes, clock, budget):
+    """Build a service of calls over fakes."""
+    return CallService(
         directory=directory,
         targets=fakes,
         callers=FakeCallers(),
@@ -81,11 +69,14 @@
         hosts=lambda: 1,
         rng=random.Random(1),
     )
-    exchange = FakeExchange()
+
+
+def work_of(clock, route, exchange):
+    """Write a request to serve."""
     request = CallerRequest(
         id="q", host="h", method="POST", target="/", body=b"", passed_headers=()
     )
-    work = CallWork(
+    return CallWork(
         request=request,
         route=route,
         service="plain",
@@ -93,6 +84,25 @@
         deadline=clock.now() + 1.0,
         exchange=exchange,
     )
+
+
+async def serve(route, *answers, targets=("a", "b", "c"), slack=100.0):
+    """Serve one request whose sends get these answers in turn."""
+    clock, fakes = FakeClock(), FakeTargets()
+    left = deque(answers)
+    source = FakeSource(listed=deque([listing(*map(plain, targets))]))
+    directory = Directory(source=source, clock=clock)
+    await directory.refresh()
+    budget = RetryWindow(ratio=0.0, slack=slack, window_seconds=10.0)
+
+    async def send(target, request, *, workspace, seconds_left, last_event):
+        fakes.sends.append(target.id)
+        return left.popleft()
+
+    fakes.send = send
+    service = service_of(directory, fakes, clock, budget)
+    exchange = FakeExchange()
+    work = work_of(clock, route, exchange)
     return await service.serve(work), fakes.sends, exchange
 
 
@@ -157,3 +167,68 @@
     )
     assert len(sends) == 1
     assert exchange.status == 500
+
+
+async def test_a_target_that_says_it_is_another_gets_no_more_requests():
+    """Symptom: requests are turned away at one address over and over.
+
+    Sequence: a target ended, and its address serves for another; it is listed still.
+    Cause: the answer counted as that of a full target, which is tried again when all
+    others have been.
+    """
+    answers = [reply(421) for _ in range(8)]
+    outcome, sends, _ = await serve(ONCE, *answers, targets=("a", "b"))
+    assert (outcome.status, outcome.reason) == (503, Reason.NO_TARGET)
+    assert outcome.retry_after > 0
+    assert sorted(sends) == ["a", "b"]
+
+
+async def test_what_a_target_did_before_it_started_again_is_forgotten():
+    """Symptom: a target that has just started gets no requests.
+
+    Sequence: it failed a request; it starts again under its id.
+    Cause: failures were remembered under the id.
+    """
+    clock, fakes = FakeClock(), FakeTargets()
+    a, b = plain("a"), plain("b")
+    source = FakeSource(listed=deque([listing(a)]))
+    directory = Directory(source=source, clock=clock)
+    await directory.refresh()
+    budget = RetryWindow(ratio=0.0, slack=9.0, window_seconds=10.0)
+    service = service_of(directory, fakes, clock, budget)
+    fakes.script("a", BROKEN, reply(200))
+    outcome = await service.serve(work_of(clock, ONCE, FakeExchange()))
+    assert outcome == Refusal(status=502, reason=Reason.MAYBE_RUN)
+    anew = replace(a, born=1)
+    directory.hear_change(listing(anew, b, revision=2, whole=False), previous=1)
+    service._records[b.process].running = 1
+    outcome = await service.serve(work_of(clock, ONCE, FakeExchange()))
+    assert outcome == Answered(status=200, target="a")
+    assert a.process not in service._records
+
+
+async def test_a_call_that_may_run_once_never_goes_to_the_later_process():
+    """Symptom: one record is written twice.
+
+    Sequence: a target crashes over a request, and starts again under its id before
+    the connection breaks.
+    Cause: the request had never been sent to that process, so it counted as not run.
+    """
+    clock, fakes = FakeClock(), FakeTargets()
+    source = FakeSource(listed=deque([listing(plain("a"))]))
+    directory = Directory(source=source, clock=clock)
+    await directory.refresh()
+    budget = RetryWindow(ratio=0.0, slack=9.0, window_seconds=10.0)
+    service = service_of(directory, fakes, clock, budget)
+    sends = []
+
+    async def crash(target, request, **more):
+        sends.append(target.process)
+        anew = replace(target, born=1)
+        directory.hear_change(listing(anew, revision=2, whole=False), previous=1)
+        return BROKEN
+
+    fakes.send = crash
+    outcome = await service.serve(work_of(clock, ONCE, FakeExchange()))
+    assert outcome == Refusal(status=502, reason=Reason.MAYBE_RUN)
+    assert len(sends) == 1
--- a/mallowpond/node/tests/test_directory.py
+++ b/mallowpond/node/tests/test_directory.py
@@ -10,7 +10,13 @@
     Directory,
 )
 from mallowpond.node.ports import HistoryLost, TargetsRead
-from mallowpond.node.tests.fakes import FakeClock, FakeSource, listing, open_group
+from mallowpond.node.tests.fakes import (
+    FakeClock,
+    FakeSource,
+    listing,
+    member,
+    open_group,
+)
 from mallowpond.state.broken_groups import STILL_WRITTEN_SECONDS
 from mallowpond.state.fleet import BreakCause, GroupPhase
 
@@ -162,3 +168,159 @@
     assert directory.is_broken(("g", 1))
     directory.hear_change(TargetsRead(revision=4, targets=(group[0],)), previous=3)
     assert serving(directory) == {"g"}
+
+
+def restarted(target, **more):
+    """Write the entry of a process that started under the id of another."""
+    return replace(target, **{"born": target.born + 1, "membership": None, **more})
+
+
+def change(revision, *targets):
+    """Write a change of the list."""
+    return TargetsRead(revision=revision, targets=targets)
+
+
+async def test_a_group_is_broken_when_any_member_started_again():
+    """Symptom: streams hang at a group until it is declared dead, seconds later.
+
+    Sequence: a member that is not the head starts again under its id; the list shows
+    its new process without a group. The head is listed open all the while, also anew.
+    Cause: the entry was taken for a change of the same process, and the group for
+    whole without it.
+    """
+    for rank in (0, 1):
+        group = open_group("g")
+        directory, _, _ = await directory_of(listing(*group))
+        broken = []
+        directory.on_broken.append(lambda *told, seen=broken: seen.append(told))
+        directory.hear_change(change(2, restarted(group[rank])), previous=1)
+        assert serving(directory) == set()
+        ((of, cause, is_told),) = broken
+        assert (of.key, cause, is_told) == (("g", 1), BreakCause.RESTARTED, True)
+    directory.hear_change(change(3, replace(group[0], staged=("n",))), previous=2)
+    assert serving(directory) == set()
+
+
+async def test_a_group_of_the_later_processes_is_used():
+    group = open_group("g")
+    directory, _, _ = await directory_of(listing(*group))
+    directory.hear_change(change(2, *map(restarted, group)), previous=1)
+    places = [replace(t.membership, epoch=2) for t in group]
+    anew = [restarted(t, membership=p) for t, p in zip(group, places, strict=True)]
+    directory.hear_change(change(3, *anew), previous=2)
+    assert [g.key for g in directory.serving_groups("engines", "m")] == [("g", 2)]
+
+
+async def test_what_a_restarted_target_says_counts_before_the_list_shows_it():
+    """Symptom: streams go to a group for seconds after a member said it holds nothing.
+
+    Sequence: a member starts again; the list still holds the entry of before, and
+    holds it with some change once more, written before the restart.
+    Cause: what a target says of itself was used only while the list was lost.
+    """
+    group = open_group("g")
+    directory, _, _ = await directory_of(listing(*group))
+    broken = []
+    directory.on_broken.append(lambda *told: broken.append(told[1:]))
+    directory.learn(restarted(group[1]))
+    assert serving(directory) == set()
+    assert broken == [(BreakCause.RESTARTED, False)]
+    late = [replace(target, staged=("n",)) for target in group]
+    directory.hear_change(change(2, *late), previous=1)
+    assert serving(directory) == set()
+
+
+async def test_a_late_report_of_the_earlier_process_changes_nothing():
+    """Symptom: a group that is sound gets no streams.
+
+    Sequence: a target starts again and its group is formed anew; a report that the
+    earlier process had given arrives, while the list is lost too.
+    Cause: reports were taken without looking whose they were.
+    """
+    group = open_group("g")
+    directory, source, _ = await directory_of(listing(*group))
+    places = [replace(t.membership, epoch=2) for t in group]
+    anew = [restarted(t, membership=p) for t, p in zip(group, places, strict=True)]
+    directory.hear_change(change(2, *anew), previous=1)
+    before = dict(directory.targets)
+    for is_lost in (False, True):
+        source.cut = is_lost
+        await directory.refresh() if is_lost else None
+        directory.learn(group[1])
+        assert directory.targets == before
+        assert [g.key for g in directory.serving_groups("engines", "m")] == [("g", 2)]
+
+
+async def test_a_process_that_the_list_still_shows_later_is_believed_again():
+    """Symptom: a target is never used again, though it lives.
+
+    Sequence: an answer of an earlier process is taken for that of a later one; no
+    other entry follows, since the listed process is the present one.
+    Cause: what was said of a process once stood for ever.
+    """
+    group = open_group("g")
+    directory, source, clock = await directory_of(listing(*group))
+    directory.learn(restarted(group[1]))
+    clock.time += STILL_WRITTEN_SECONDS + 0.1
+    source.listed.append(listing(*group, revision=2))
+    directory._whole_at = float("-inf")
+    await directory.refresh()
+    assert serving(directory) == {"g"}
+
+
+async def test_who_vouched_for_a_process_did_not_vouch_for_the_next():
+    """Symptom: a head that just started again gets streams although it is unlisted.
+
+    Sequence: an unlisted head is found healthy; it starts again, is listed open in a
+    new group, and falls out of the list a moment later.
+    Cause: what was known of the process was kept under the id.
+    """
+    group = open_group("g")
+    directory, source, clock = await directory_of(listing(*group))
+    gone = TargetsRead(revision=2, targets=(), removed=("g0",))
+    directory.hear_change(gone, previous=1)
+    directory.vouch("g0")
+    assert serving(directory) == {"g"}
+    anew = [restarted(t, membership=replace(t.membership, epoch=2)) for t in group]
+    directory.hear_change(change(3, *anew), previous=2)
+    directory.hear_change(replace(gone, revision=4), previous=3)
+    assert directory.targets["g0"].lapsed
+    assert serving(directory) == set()
+
+
+async def test_the_pace_that_a_group_showed_ends_with_its_processes():
+    group = open_group("g")
+    directory, _, clock = await directory_of(listing(*group))
+    work = directory.work(("g", 1))
+    work.slowness, work.last_event_at, work.running = 12.0, clock.time, 1
+    directory.hear_change(change(2, restarted(group[0])), previous=1)
+    assert directory.load(("g", 1)).slowness == 1.0
+    assert directory.load(("g", 1)).running == 1
+
+
+async def test_attempts_at_processes_that_ended_do_not_count():
+    group = open_group("g")
+    directory, _, _ = await directory_of(listing(*group, member("x", "h", 0)))
+    sent = [target.process for target in group]
+    assert directory.count_present(sent) == 2
+    directory.hear_change(change(2, restarted(group[0])), previous=1)
+    assert directory.count_present(sent) == 1
+    directory.learn(restarted(group[1]))
+    assert directory.count_present(sent) == 0
+
+
+async def test_the_list_decides_which_process_is_present():
+    """Symptom: a target that the list shows is not used.
+
+    Sequence: the clock of its host is set back while it starts again twice, so the
+    third process has the time of the first.
+    Cause: what was noted of the first one stood against a later entry of the list.
+    """
+    group = open_group("g")
+    directory, _, _ = await directory_of(listing(*group))
+    directory.hear_change(change(2, *map(restarted, group)), previous=1)
+    places = [replace(t.membership, epoch=3) for t in group]
+    third = [replace(t, membership=p) for t, p in zip(group, places, strict=True)]
+    directory.hear_change(change(3, *third), previous=2)
+    assert [g.key for g in directory.serving_groups("engines", "m")] == [("g", 3)]
+    assert directory.count_present([t.process for t in third]) == 2
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mallowpond.node.outcomes import Answered, CutOff, Reason, Refusal
+from mallowpond.node.ports import TargetsRead
 from mallowpond.node.tests.fakes import (
     BROKEN,
     ROUTE,
@@ -296,3 +297,62 @@
     work.deadline = rig.clock.now() + 0.1
     outcome = await rig.service.serve(work)
     assert (outcome.status, outcome.reason) == (502, Reason.OVERLOADED)
+
+
+async def formed_anew(rig, group):
+    """Start the members of a group again, and form it anew."""
+    known = rig.directory.targets
+    anew = [
+        replace(
+            known[name],
+            born=known[name].born + 1,
+            membership=replace(known[name].membership, epoch=2),
+        )
+        for name in (f"{group}0", f"{group}1")
+    ]
+    revision = rig.directory.changed + 1
+    rig.directory.hear_change(
+        TargetsRead(revision=revision, targets=tuple(anew)), previous=revision - 1
+    )
+
+
+async def test_engines_that_started_again_do_not_count_as_attempts():
+    """Symptom: streams are cut off although a group has a place for them.
+
+    Sequence: two groups break off under a stream, as their engines crash; one is formed
+    anew from the engines that started again under their ids.
+    Cause: attempts and groups that were tried went by the engine's id.
+    """
+    rig = await rig_of("a", "b")
+    held = asyncio.get_running_loop().create_future()
+    rig.targets.script("a0", FakeResponse(script=[event(1), BROKEN]), answer(3))
+    rig.targets.script("b0", FakeResponse(script=[event(2), held, BROKEN]))
+    rig.directory.work(("b", 1)).running = 1
+    exchange = FakeExchange()
+    task = asyncio.create_task(rig.service.serve(rig.work(exchange)))
+    while len(rig.targets.sends) < 2:
+        await asyncio.sleep(0)
+    await formed_anew(rig, "a")
+    held.set_result(None)
+    assert await task == Answered(status=200, target="a0")
+    assert exchange.body == whole(1, 2, 3)
+
+
+async def test_a_stream_that_may_run_once_never_goes_to_the_later_process():
+    """Symptom: a request that may run once at most runs twice.
+
+    Sequence: its head crashes before the first event, starts again under its id and
+    holds an open group when the connection breaks.
+    Cause: the request had never been sent to that process, so it counted as not run.
+    """
+    rig = await rig_of("a")
+    held = asyncio.get_running_loop().create_future()
+    rig.targets.script("a0", FakeResponse(script=[held, BROKEN]), answer(1))
+    work = rig.work(FakeExchange(), replace(ROUTE, resumable=False))
+    task = asyncio.create_task(rig.service.serve(work))
+    while not rig.targets.sends:
+        await asyncio.sleep(0)
+    await formed_anew(rig, "a")
+    held.set_result(None)
+    assert await task == Refusal(status=502, reason=Reason.MAYBE_RUN)
+    assert len(rig.targets.sends) == 1
--- a/mallowpond/node/tests/test_watch.py
+++ b/mallowpond/node/tests/test_watch.py
@@ -1,15 +1,18 @@
 """When streams leave a group, and what the peers are told."""
 
 import asyncio
+from dataclasses import replace
 
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, Reason
 from mallowpond.node.peers import GroupBroken, SilenceQuestion, Suspicion
+from mallowpond.node.ports import TargetsRead
 from mallowpond.node.tests.fakes import (
     FakeExchange,
     FakeResponse,
     answer,
     event,
+    member,
     misdirected,
     rig_of,
 )
@@ -276,3 +279,48 @@
     assert names == {"a"}
     assert peers.told == []
     await end(task)
+
+
+async def test_streams_leave_a_group_at_once_when_a_member_started_again():
+    """Symptom: streams hang for the time after which a group is declared dead.
+
+    Sequence: a member starts again under its id. Its group has just shown an event,
+    and no other has a place at the moment.
+    Cause: streams stayed while their group seemed to advance, or until another group
+    had a place; they waited for one in no line.
+    """
+    rig, watch, peers, task, _ = await watched("a", "b")
+    rig.directory.work(("b", 1)).running = 9
+    (stream,) = rig.service.active
+    anew = member("a1", "a", 1, born=1)
+    anew = replace(anew, membership=None)
+    rig.directory.hear_change(TargetsRead(revision=2, targets=(anew,)), previous=1)
+    assert stream.moved is Reason.RESTARTED
+    assert peers.told == []
+    for _ in range(9):
+        await asyncio.sleep(0)
+    assert not task.done()
+    rig.directory.work(("b", 1)).running = 0
+    rig.service.wake_all()
+    assert await task == Answered(status=200, target="b0")
+
+
+async def test_peers_are_told_of_a_restart_that_the_list_does_not_show():
+    rig, watch, peers, task, _ = await watched("a", "b")
+    rig.directory.learn(replace(member("a1", "a", 1, born=1), membership=None))
+    assert peers.told == [(("a", 1), BreakCause.RESTARTED)]
+    assert await task == Answered(status=200, target="b0")
+
+
+async def test_a_stream_that_cannot_be_resumed_stays_when_a_member_started_again():
+    """Symptom: a request that may run once at most runs twice.
+
+    Sequence: its head starts again under its id, and holds an open group again.
+    Cause: the later process was taken for one that the request was never sent to.
+    """
+    rig, watch, peers, task, _ = await watched("a", "b")
+    (stream,) = rig.service.active
+    stream.work.route = replace(stream.work.route, resumable=False)
+    rig.directory.learn(replace(member("a0", "a", 0, born=1), membership=None))
+    assert stream.moved is None
+    await end(task)
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -257,10 +257,14 @@
         """Move the streams of a formation that serves no more, and tell the peers.
 
         A head that closes turns streams away while those that run there end well, so
-        after a refusal only those leave that show no event.
+        after a refusal only those leave that show no event. What ran on a process that
+        is gone never goes on there: it leaves to wait in line where no place is free.
         """
         streams = self._streams_on(group.key)
-        if not self._advances(group.key, streams):
+        if cause is BreakCause.RESTARTED:
+            for stream in filter(self._streams.may_go_on, streams):
+                stream.move(Reason.RESTARTED)
+        elif not self._advances(group.key, streams):
             self._move(streams)
         if not is_told:
             self._peers.tell_broken(group, cause)
