Take a health answer only from the process that was asked; property tests

A health answer counts as healthy only with the id that was asked for, and, where its body tells a start, with that start; 421 is no health answer but says that another engine has the address. A keep-alive time of some hundred digits raised when its answer was closed.

Whatever value, bytes or good document with one field changed: nothing raises, the good entries hold, and each target that comes out is whole.

--- a/mallowpond/platform/documents.py
+++ b/mallowpond/platform/documents.py
@@ -13,8 +13,10 @@
 from mallowpond.state.decoding import (
     Address,
     Fault,
+    HeaderText,
     Identifier,
     Name,
+    Path,
     Positive,
     Unreadable,
     decode,
@@ -107,7 +109,7 @@
 class _Service:
     name: str
     max_conns: float = 0.0
-    health_path: str = ""
+    health_path: Path = Path("")
     engine: _Engine | None = None
 
 
@@ -121,7 +123,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class _Tenant:
-    name: Name
+    name: HeaderText
     # An empty key would let in who sends an empty one.
     api_keys: tuple[Name, ...] = ()
     priority: int = 0
@@ -297,6 +299,11 @@
     pace: float = 1.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Born:
+    born: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class _Key:
     id: Identifier
@@ -351,6 +358,14 @@
     )
 
 
+def born_of(document: Any) -> int | None | Unreadable:
+    """Decode the start in the body of a health answer, None where there is none."""
+    if not isinstance(document, Mapping) or "born" not in document:
+        return None
+    found = decode(document, _Born)
+    return found if isinstance(found, Unreadable) else found.born
+
+
 def _one_spelling(row: Any) -> Any:
     """Return an entry or report with each field in one of its spellings.
 
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -27,7 +27,12 @@
     Stage,
     Step,
 )
-from mallowpond.transport.http_client import CallFailed, HttpClient, HttpResponse
+from mallowpond.transport.http_client import (
+    CallFailed,
+    HttpAnswer,
+    HttpClient,
+    HttpResponse,
+)
 
 # Time until an order or a question to an engine counts as unanswered, in seconds:
 # some hundred round trips; a question is asked again, so it waits less.
@@ -132,7 +137,7 @@
 
     async def is_healthy(self, target: Target, path: str) -> bool | Unavailable:
         """Ask whether a target is healthy and not leaving; a full one says no."""
-        answer = await self._http.fetch(
+        answer = await self._http.ask(
             target.address,
             "GET",
             path,
@@ -142,8 +147,24 @@
         match answer:
             case CallFailed(reason=reason):
                 return Unavailable(reason=reason)
-            case (status, _):
-                return status == 200
+            case HttpAnswer(status=421):
+                return Unavailable(reason="another engine has this address")
+            case HttpAnswer(status=200):
+                return self._health(target, answer)
+            case _:
+                return False
+
+    def _health(self, target: Target, answer: HttpAnswer) -> bool | Unavailable:
+        """Tell whether it is the process asked for that called itself healthy."""
+        if answer.headers.get(names.INSTANCE) != target.id:
+            return Unavailable(reason="another engine answered")
+        born = documents.born_of(parse_json(answer.body))
+        if isinstance(born, Unreadable):
+            self._notes.note("health", target.id, born)
+            return Unavailable(reason=str(born))
+        if born is not None and born != target.born:
+            return Unavailable(reason="another process of the engine answered")
+        return True
 
 
 def _operation(step: Step) -> dict[str, Any]:
--- a/mallowpond/platform/rows.py
+++ b/mallowpond/platform/rows.py
@@ -1,7 +1,6 @@
 """Decode the answers of the platform's table service, each row by itself."""
 
 import base64
-import binascii
 from dataclasses import dataclass
 from typing import Any
 
@@ -121,7 +120,7 @@
         return Unreadable(fault=Fault.MISSING, field="value")
     try:
         return parse_json(base64.b64decode(row["value"], validate=True))
-    except (TypeError, ValueError, binascii.Error):
+    except (TypeError, ValueError):
         return Unreadable(fault=Fault.BYTES, field="value")
 
 
--- /dev/null
+++ b/mallowpond/platform/tests/test_any_document.py
@@ -0,0 +1,193 @@
+"""Whatever others write: nothing raises, good entries hold, none is half used."""
+
+import base64
+import json
+from dataclasses import fields
+
+import cbor2
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mallowpond.node.ports import EngineReport
+from mallowpond.platform import documents, rows
+from mallowpond.platform.tests.test_documents import DOCUMENT
+from mallowpond.platform.tests.test_engines import REPORT
+from mallowpond.platform.tests.test_entries import ENTRY
+from mallowpond.platform.tests.test_store import GOOD, parsed_targets
+from mallowpond.state.decoding import Fault, Unreadable, decode, parse_json
+from mallowpond.state.fleet import GroupPhase, Target
+from mallowpond.state.rows import LeaseRow
+from mallowpond.state.site_configuration import SiteConfiguration
+
+ASKED = documents.target("i-1", ENTRY)
+TEXTS = st.text(max_size=6) | st.sampled_from(
+    [
+        "",
+        "ready",
+        "draining",
+        "open",
+        "i-1",
+        "10.0.0.1:80",
+        "a\nb",
+        "\ud800",
+        "x" * 2000,
+    ]
+)
+NUMBERS = st.integers() | st.floats() | st.sampled_from([2**53 + 1, 10**400, -1, True])
+SCALARS = st.none() | st.booleans() | NUMBERS | TEXTS
+
+
+def nested(scalars):
+    """Return a strategy of lists and maps of these scalars."""
+    return st.recursive(
+        scalars,
+        lambda inner: (
+            st.lists(inner, max_size=3)
+            | st.dictionaries(st.text(max_size=4), inner, max_size=3)
+        ),
+        max_leaves=8,
+    )
+
+
+VALUES = nested(SCALARS)
+CBOR = nested(st.none() | st.booleans() | NUMBERS | st.text(max_size=6))
+BYTES = st.binary(max_size=60) | VALUES.map(lambda v: json.dumps(v).encode())
+CASES = settings(max_examples=200, deadline=None, derandomize=True)
+
+
+@st.composite
+def changed(draw, document, depth=0):
+    """Draw the document with one field, at any depth, replaced or left out."""
+    if not document or not isinstance(document, dict | list):
+        return draw(SCALARS | VALUES)
+    if depth and draw(st.integers(0, 3)) == 0:
+        return draw(VALUES)
+    if isinstance(document, list):
+        place = draw(st.integers(0, len(document) - 1))
+        item = draw(changed(document[place], depth + 1))
+        return [*document[:place], item, *document[place + 1 :]]
+    name = draw(st.sampled_from(sorted(document)))
+    if draw(st.integers(0, 5)) == 0:
+        return {k: v for k, v in document.items() if k != name}
+    return {**document, name: draw(changed(document[name], depth + 1))}
+
+
+def assert_whole(target):
+    """Check that every field of a target is one that can be used."""
+    assert isinstance(target, Target)
+    for name in ("id", "service", "address", "data_centre"):
+        value = getattr(target, name)
+        assert isinstance(value, str)
+        assert value.strip()
+        assert value.isprintable()
+    assert target.id.isascii()
+    assert 1 <= int(target.address.rpartition(":")[2]) <= 65535
+    for number in (target.slots, target.born):
+        assert type(number) is int
+        assert 0 <= number <= 2**53
+    assert all(isinstance(text, str) for text in (target.domain, target.model))
+    assert all(isinstance(text, str) and text for text in target.staged)
+    if target.membership is not None:
+        assert target.membership.group
+        assert isinstance(target.membership.phase, GroupPhase)
+        for number in (target.membership.epoch, target.membership.rank):
+            assert type(number) is int
+            assert 0 <= number <= 2**53
+
+
+@CASES
+@given(TEXTS | VALUES, VALUES, changed(ENTRY))
+def test_an_entry_is_a_whole_target_or_none(key, value, entry):
+    for found in (
+        documents.target(key, ENTRY),
+        documents.target("i-1", value),
+        documents.target("i-1", entry),
+    ):
+        if not isinstance(found, Unreadable):
+            assert_whole(found)
+
+
+@CASES
+@given(VALUES | changed(REPORT))
+def test_a_report_is_whole_or_none(value):
+    found = documents.report(ASKED, value)
+    if not isinstance(found, Unreadable):
+        assert isinstance(found, EngineReport)
+        assert type(found.orders) is int
+        assert found.orders >= 0
+        assert_whole(found.target)
+    assert isinstance(documents.born_of(value), int | None | Unreadable)
+
+
+@CASES
+@given(VALUES | changed(DOCUMENT))
+def test_a_configuration_is_whole_or_none(value):
+    found = documents.configuration(value)
+    if isinstance(found, Unreadable):
+        return
+    assert isinstance(found, SiteConfiguration)
+    assert type(found.version) is int
+    for route in found.routes:
+        for field in fields(route):
+            number = getattr(route, field.name)
+            assert not isinstance(number, int | float) or 0 <= number <= 2**53
+        assert route.prefix.isprintable()
+    assert all(found.keys)
+    assert "" not in found.keys
+
+
+@CASES
+@given(st.lists(VALUES | changed(GOOD), max_size=3), st.integers(0, 3))
+def test_good_entries_hold_beside_any_others(others, place):
+    answer = {"rows": [*others[:place], GOOD, *others[place:]], "ver": 40}
+    found = parsed_targets(json.dumps(answer).encode())
+    if any(isinstance(row, dict) and row.get("key") == "i-2" for row in others):
+        return
+    assert found.revision == 40
+    assert documents.target("i-2", ENTRY) in found.targets
+    for target in found.targets:
+        assert_whole(target)
+        assert target.id not in found.unreadable
+
+
+@CASES
+@given(BYTES)
+def test_any_bytes_are_an_answer_or_none(data):
+    for read in (rows.store_answer, rows.committed_version, rows.conflicting_keys):
+        read(data)
+    document = parse_json(data)
+    assert not isinstance(documents.target("i-1", document), Target)
+    assert not isinstance(decode(document, LeaseRow), LeaseRow)
+    value = base64.b64encode(data).decode()
+    answer = {"rows": [{**GOOD, "key": "i-1", "value": value}], "ver": 4}
+    found = parsed_targets(json.dumps(answer).encode())
+    assert (found.targets, found.unreadable) == ((), ("i-1",))
+
+
+@CASES
+@given(VALUES | changed(json.loads(json.dumps({"rows": [GOOD], "ver": 4}))))
+def test_any_answer_is_read_or_none(value):
+    found = rows.store_answer(json.dumps(value).encode())
+    if not isinstance(found, Unreadable):
+        assert type(found.version) is int
+        assert all(isinstance(row.key, str) for row in found.rows)
+
+
+@CASES
+@given(VALUES | changed({"holder": "b", "incarnation": "b/1", "fence": 3}))
+def test_a_lease_is_whole_or_none(value):
+    found = decode(value, LeaseRow)
+    if not isinstance(found, Unreadable):
+        assert isinstance(found.holder, str)
+        assert type(found.fence) is int
+        assert found.fence >= 0
+
+
+@CASES
+@given(CBOR.map(cbor2.dumps))
+def test_cbor_is_no_json(data):
+    assert isinstance(documents.target("i-1", parse_json(data)), Unreadable)
+
+
+def test_a_value_nested_too_deep_is_unreadable():
+    assert parse_json(b"[" * 100_000) == Unreadable(fault=Fault.BYTES)
--- a/mallowpond/platform/tests/test_documents.py
+++ b/mallowpond/platform/tests/test_documents.py
@@ -1,5 +1,9 @@
 """What the adapter makes of the platform's documents."""
 
+from copy import deepcopy
+
+import pytest
+
 from mallowpond.platform import documents
 from mallowpond.state.decoding import Fault, Unreadable
 from mallowpond.state.fleet import GroupPhase, Process
@@ -118,3 +122,97 @@
     assert documents.target("i-3", {}) == Unreadable(
         fault=Fault.MISSING, field="service"
     )
+
+
+# What is no value of any field of the configuration, by the type of a good one.
+WRONG = {
+    str: (7, True, [], {}, "a\nb", "x" * 2000),
+    bool: (7, "x", [], {}),
+    int: ("4", True, -1, 2**60, [], {}),
+    float: ("4", True, -0.5, 1e300, float("inf"), float("nan"), [], {}),
+    list: (7, True, "x", {"a": 1}, [7], [None], ["x"], [[]]),
+    dict: (7, True, "x", [], [1]),
+}
+UNUSED = {"later_field"}
+
+
+def spoilt(document, path=()):
+    """Yield each document with one field that is no value of its type."""
+    for name, value in document.items() if isinstance(document, dict) else ():
+        if name in UNUSED:
+            continue
+        for wrong in WRONG[type(value)]:
+            if name != "api_keys" or wrong != ["x"]:
+                yield (*path, name), {**document, name: wrong}
+        if isinstance(value, dict):
+            for inner, changed in spoilt(value, (*path, name)):
+                yield inner, {**document, name: changed}
+        if isinstance(value, list):
+            for place, item in enumerate(value):
+                for inner, changed in spoilt(item, (*path, name, place)):
+                    items = [*value[:place], changed, *value[place + 1 :]]
+                    yield inner, {**document, name: items}
+
+
+SPOILT = [
+    pytest.param(document, id=".".join(map(str, path)) + f"-{number}")
+    for number, (path, document) in enumerate(spoilt(DOCUMENT))
+]
+
+
+@pytest.mark.parametrize("document", SPOILT)
+def test_a_configuration_with_one_wrong_field_is_unreadable_as_a_whole(document):
+    """Symptom: requests get 404 on a route that is in force, or keys never expire.
+
+    Sequence: a configuration has a field of another type than this program knows.
+    Cause: its decoding raised in the task that follows the configuration; taken in
+    part, what is missing of it would be refused for a reason that is not true.
+    """
+    assert isinstance(documents.configuration(document), Unreadable)
+
+
+@pytest.mark.parametrize(
+    ("part", "name"),
+    [
+        ((), "version"),
+        (("routes", 0), "name"),
+        (("routes", 0), "host"),
+        (("routes", 0), "prefix"),
+        (("routes", 0, "backends", 0), "service"),
+        (("services", 0), "name"),
+        (("services", 0, "engine", "models", 0), "name"),
+        (("tenants", 0), "name"),
+    ],
+)
+def test_a_configuration_without_a_name_is_unreadable(part, name):
+    document = deepcopy(DOCUMENT)
+    holder = document
+    for step in part:
+        holder = holder[step]
+    del holder[name]
+    found = documents.configuration(document)
+    assert isinstance(found, Unreadable)
+    assert found.fault is Fault.MISSING
+
+
+@pytest.mark.parametrize("document", [None, 7, "x", True, [], [DOCUMENT], {}])
+def test_what_is_no_configuration_is_unreadable(document):
+    assert isinstance(documents.configuration(document), Unreadable)
+
+
+def test_an_empty_key_lets_nobody_in():
+    tenants = [{"name": "w", "api_keys": [""]}]
+    found = documents.configuration({**DOCUMENT, "tenants": tenants})
+    assert isinstance(found, Unreadable)
+
+
+@pytest.mark.parametrize("path", ["x", "/a b", "/é", "/a\r\nx: y"])
+def test_a_health_path_that_cannot_be_asked_for_is_unreadable(path):
+    services = [{"name": "s", "health_path": path}]
+    found = documents.configuration({**DOCUMENT, "services": services})
+    assert isinstance(found, Unreadable)
+
+
+def test_null_and_unknown_fields_count_as_missing():
+    document = {"version": 1, "routes": None, "limits": None, "x": {"y": [1]}}
+    assert documents.configuration(document) == documents.configuration({"version": 1})
--- a/mallowpond/platform/tests/test_engines.py
+++ b/mallowpond/platform/tests/test_engines.py
@@ -1,9 +1,11 @@
 """What is known after each answer, or none, of an engine."""
 
 import json
+from dataclasses import replace
 
 import pytest
 
+from mallowpond.coordination.ports import Unavailable
 from mallowpond.node.ports import (
     CallerRequest,
     OrderFenced,
@@ -13,7 +15,7 @@
     OrderUnfit,
 )
 from mallowpond.platform.engines import PlatformEngines
-from mallowpond.state.fleet import Target
+from mallowpond.state.fleet import Process, Target
 from mallowpond.state.formation_view import (
     Close,
     Join,
@@ -201,3 +203,119 @@
 
     await with_engine(script, call)
     assert len(connections) == 2
+
+
+REPORT = {
+    "stage": "both",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "busy": False,
+    "sequence": 2,
+    "born": 1_733_184_000_000,
+    "queued": 1,
+    "running": 12,
+    "kv_used": 41000,
+    "kv_total": 90000,
+    "handles": 0,
+    "pace": 1.5,
+    "domain": "d1",
+    "staged": ["m"],
+    "group": {"name": "g", "epoch": 3, "rank": 0, "state": "open"},
+}
+
+
+def answer_of(body, status=200, headers=""):
+    """Write an answer of these bytes."""
+    head = f"HTTP/1.1 {status} X\r\n{headers}content-length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+async def report_of(body):
+    """Ask an engine that answers with these bytes for its report."""
+
+    async def call(engines, target):
+        return await engines.report(target)
+
+    return await with_engine(answering(answer_of(body)), call)
+
+
+async def test_a_report_tells_what_an_engine_holds_and_which_process_it_is():
+    found = await report_of(json.dumps(REPORT).encode())
+    assert found.orders == 2
+    assert found.target.process == Process(id="i-1", born=1_733_184_000_000)
+    assert (found.target.model, found.target.staged) == ("m", ("m",))
+    assert found.target.membership.group == "g"
+    assert found.target.service == "s"
+
+
+GONE = object()
+BAD_REPORTS = [
+    *((name, GONE) for name in ("sequence", "born", "models", "staged")),
+    *((n, v) for n in ("sequence", "born") for v in ("4", None, True, 1.5, -1, 2**60)),
+    *(("models", value) for value in (5, None, "m", {}, [5], [{}], [{"name": 7}])),
+    *(("staged", value) for value in (5, None, "m", {}, [5], [None], [{}])),
+    *(("group", value) for value in (5, "g", [], {"name": "g"})),
+    ("group", {**REPORT["group"], "state": "melted"}),
+    ("group", {**REPORT["group"], "epoch": "one"}),
+    ("busy", "no"),
+    *((n, v) for n in ("queued", "running", "kv_used", "pace") for v in ("x", -1)),
+]
+
+
+@pytest.mark.parametrize(("name", "value"), BAD_REPORTS)
+async def test_a_report_with_a_wrong_field_is_no_answer(name, value):
+    """Symptom: the planner stops, or goes by a count of orders that nobody counted.
+
+    Sequence: an engine of another version answers a question about what it holds.
+    Cause: the decoding of its report raised in the task that plans, or took a value
+    of another type for a count.
+    """
+    document = {k: v for k, v in {**REPORT, name: value}.items() if v is not GONE}
+    found = await report_of(json.dumps(document).encode())
+    assert isinstance(found, Unavailable)
+    assert name in found.reason
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b"[]", b"7", b"null", b'"x"', b"\xff\xfe\xfd", b"[" * 50_000]
+)
+async def test_a_report_that_is_no_object_is_no_answer(body):
+    assert isinstance(await report_of(body), Unavailable)
+
+
+HEALTHY = "x-mallowpond-instance-id: i-1\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "healthy"),
+    [
+        (answer_of(b"ok", 200, HEALTHY), True),
+        (answer_of(b"{}", 200, HEALTHY), True),
+        (answer_of(b"", 503, HEALTHY), False),
+        (answer_of(b"", 503), False),
+        (answer_of(b"ok", 200), None),
+        (answer_of(b"ok", 200, "x-mallowpond-instance-id: i-2\r\n"), None),
+        (answer_of(b'{"born": 5}', 200, HEALTHY), True),
+        (answer_of(b'{"born": 6}', 200, HEALTHY), None),
+        (answer_of(b'{"born": "5"}', 200, HEALTHY), None),
+        (answer_of(b"\xff", 200, HEALTHY), True),
+        (answer_of(b"", 421, HEALTHY), None),
+        (b"", None),
+        (b"\xff\xff\r\n\r\n", None),
+    ],
+)
+async def test_only_the_process_that_was_asked_for_can_be_healthy(data, healthy):
+    """Symptom: an engine that fell silent gets streams that another one refuses.
+
+    Sequence: its address belongs to another engine, or it started again; that one
+    answers a health check.
+    Cause: nobody looked who answered.
+    """
+
+    async def call(engines, target):
+        return await engines.is_healthy(replace(target, born=5), "/healthz")
+
+    found = await with_engine(answering(data), call)
+    if healthy is None:
+        assert isinstance(found, Unavailable)
+    else:
+        assert found is healthy
--- a/mallowpond/platform/tests/test_entries.py
+++ b/mallowpond/platform/tests/test_entries.py
@@ -59,7 +59,10 @@
     *((name, GONE) for name in REQUIRED + PLACED),
     *((name, value) for name in ("service", "zone") for value in NO_TEXTS),
     *(("address", value) for value in (*NO_TEXTS, "10.0.0.1", "a:b", ":80")),
-    *(("address", value) for value in ("h:0", "h:65536", "h:-1", "h h:80", "é:80")),
+    *(
+        ("address", value)
+        for value in ("h:0", "h:65536", "h:-1", "h h:80", "é:80", "a..b:80")
+    ),
     *(("version", value) for value in (None, True, [], {}, "a\nb", float("inf"))),
     *((name, v) for name in ("slots", "sequence", "born") for v in NO_COUNTS),
     ("slots", 0),
@@ -129,6 +132,7 @@
         {"cold_left_ms": 12.5},
         {"domain": 3},
         {"state": "draining"},
+        {"address": "engine-1.example:80"},
         {"later": {"x": 1}},
         {name: GONE for name in (*PLACED, "group")},
     ],
--- a/mallowpond/platform/tests/test_store.py
+++ b/mallowpond/platform/tests/test_store.py
@@ -1,5 +1,6 @@
 """What is known after each answer, or none, of the platform's table service."""
 
+import asyncio
 import base64
 import json
 
@@ -49,6 +50,23 @@
     return outcome, requests[0]
 
 
+class FixedHttp:
+    """Answer every call with the same bytes."""
+
+    def __init__(self, data):
+        self._data = data
+
+    async def fetch(self, address, method, target, **more):
+        """Answer."""
+        return 200, self._data
+
+
+def parsed_targets(data):
+    """Return what a list of these bytes is read as."""
+    store = PlatformStore(http=FixedHttp(data), address="")
+    return asyncio.run(store.targets(5))
+
+
 def commit(store):
     """Commit the change."""
     return store.commit(CHANGE)
--- a/mallowpond/state/decoding.py
+++ b/mallowpond/state/decoding.py
@@ -14,7 +14,6 @@
 from typing import (
     Any,
     NewType,
-    NoReturn,
     TypeVar,
     get_args,
     get_origin,
@@ -35,13 +34,19 @@
 # in use are a tenth as long.
 IDENTIFIER = re.compile(r"[A-Za-z0-9]([A-Za-z0-9._:-]{0,126}[A-Za-z0-9])?")
 PORT = re.compile(r"[0-9]{1,5}")
-ADDRESS = re.compile(r"([A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
+HOST_LABEL = re.compile(r"[A-Za-z0-9]([A-Za-z0-9-]{0,61}[A-Za-z0-9])?")
+VISIBLE = re.compile(r"[!-~]([ -~]*[!-~])?")
+PATH = re.compile(r"(/[!-~]*)?")
 LARGEST_PORT = 65535
 
 # Values that are narrower than their type, for the fields of data classes.
 Name = NewType("Name", str)
 Identifier = NewType("Identifier", str)
 Address = NewType("Address", str)
+# What can be a header's value, and what can be asked for in a request's first line:
+# another one makes each request that carries it fail.
+HeaderText = NewType("HeaderText", str)
+Path = NewType("Path", str)
 # An address whose host is an IP address: a name would have to be looked up, and a
 # datagram socket does that while the loop stands still.
 SocketAddress = NewType("SocketAddress", str)
@@ -91,18 +96,14 @@
 
 
 def parse_json(data: bytes | str) -> Any | Unreadable:
-    """Parse JSON as its standard has it, without infinities."""
+    """Parse JSON, whatever it holds."""
     try:
-        return json.loads(data, parse_constant=_refuse_constant)
+        return json.loads(data)
     # A value nested too deep ends in a RecursionError.
     except (ValueError, RecursionError):
         return Unreadable(fault=Fault.BYTES)
 
 
-def _refuse_constant(text: str) -> NoReturn:
-    raise ValueError(f"{text} is no JSON number")
-
-
 def _checked(converter: Converter, value: Any, kind: type[T]) -> T | Unreadable:
     try:
         return converter.structure(value, kind)
@@ -137,22 +138,47 @@
     return value
 
 
-def _address(value: Any, _: type) -> str:
-    parts = ADDRESS.fullmatch(_text(value, str))
-    if parts is None or not 1 <= int(parts[2]) <= LARGEST_PORT:
+def _matching(pattern: re.Pattern[str], value: Any) -> str:
+    if not pattern.fullmatch(_text(value, str)):
         raise Unfit(Fault.RANGE)
     return value
 
 
+def _header_text(value: Any, _: type) -> str:
+    return _matching(VISIBLE, value)
+
+
+def _path(value: Any, _: type) -> str:
+    return _matching(PATH, value)
+
+
+def _address(value: Any, _: type) -> str:
+    host = _host_of(value)
+    if not _is_ip(host):
+        for label in host.split("."):
+            _matching(HOST_LABEL, label)
+    return value
+
+
 def _socket_address(value: Any, _: type) -> str:
-    host, _, port = _text(value, str).rpartition(":")
-    if not PORT.fullmatch(port) or not 1 <= int(port) <= LARGEST_PORT:
+    if not _is_ip(_host_of(value)):
         raise Unfit(Fault.RANGE)
+    return value
+
+
+def _host_of(address: Any) -> str:
+    host, _, port = _text(address, str).rpartition(":")
+    if not 1 <= int(_matching(PORT, port)) <= LARGEST_PORT:
+        raise Unfit(Fault.RANGE)
+    return host
+
+
+def _is_ip(host: str) -> bool:
     try:
         ip_address(host)
     except ValueError:
-        raise Unfit(Fault.RANGE) from None
-    return value
+        return False
+    return True
 
 
 def _whole_number(value: Any, _: type) -> int:
@@ -278,6 +304,8 @@
     float: _number,
     bool: _truth,
     Name: _name,
+    HeaderText: _header_text,
+    Path: _path,
     Identifier: _identifier,
     Address: _address,
     SocketAddress: _socket_address,
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -19,7 +19,8 @@
 # Answers to earlier requests that are skipped on one connection, at most.
 MAX_SKIPPED_ANSWERS = 4
 METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE"})
-KEEP_ALIVE_SECONDS = re.compile(r"timeout=(\d+)")
+# A number of more digits, which may not fit into a time, counts as none.
+KEEP_ALIVE_SECONDS = re.compile(r"timeout=([0-9]{1,9})(?![0-9])")
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -203,6 +204,15 @@
             self._connection.abort()
 
 
+@dataclass(frozen=True, kw_only=True)
+class HttpAnswer:
+    """Hold one answer, read to its end."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
 class HttpClient:
     """Keep connections to many servers."""
 
@@ -262,6 +272,24 @@
         timeout: float = 5.0,
     ) -> tuple[int, bytes] | CallFailed:
         """Send a request and return status and whole body, within `timeout`."""
+        answer = await self.ask(
+            address, method, target, headers=headers, body=body, timeout=timeout
+        )
+        return (
+            answer if isinstance(answer, CallFailed) else (answer.status, answer.body)
+        )
+
+    async def ask(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        *,
+        headers: Headers = (),
+        body: bytes = b"",
+        timeout: float = 5.0,
+    ) -> HttpAnswer | CallFailed:
+        """Send a request and return its whole answer, within `timeout`."""
         response: HttpResponse | CallFailed | None = None
         try:
             async with asyncio.timeout(timeout):
@@ -278,7 +306,9 @@
         finally:
             if isinstance(response, HttpResponse):
                 response.close()
-        return data if isinstance(data, CallFailed) else (response.status, data)
+        if isinstance(data, CallFailed):
+            return data
+        return HttpAnswer(status=response.status, headers=response.headers, body=data)
 
     def give_back(self, connection: _Connection) -> None:
         """Keep a connection for the next request to its server."""
--- a/mallowpond/transport/tests/test_http_client.py
+++ b/mallowpond/transport/tests/test_http_client.py
@@ -122,3 +122,21 @@
         await http.close()
     assert events[0] == Chunk(data=b"half")
     assert isinstance(events[1], CallFailed)
+
+
+@pytest.mark.parametrize("seconds", ["9" * 400, "9" * 5000, "", "x", "-1"])
+async def test_a_keep_alive_time_that_is_no_time_counts_as_none(seconds):
+    """Symptom: a request whose whole answer is here fails inside this program.
+
+    Sequence: a server tells a keep-alive time of some hundred digits.
+    Cause: it was turned into a number and multiplied, which overflows.
+    """
+
+    async def script(reader, writer):
+        await scripted.read_request(reader)
+        head = f"HTTP/1.1 200 X\r\nkeep-alive: timeout={seconds}\r\n"
+        writer.write(f"{head}content-length: 2\r\n\r\nok".encode())
+        await writer.drain()
+
+    async with scripted.scripted_server(script) as address:
+        assert await call(address) == b"ok"
