--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -27,18 +27,21 @@
 GRACE_SECONDS = 8.0
 RESTART_SECONDS = 0.3
 LOAD_SECONDS = 0.3
+# Time of one event by the engine model of the configuration, in seconds.
+EVENT_SECONDS = 0.02
 # Pause between two looks whether a killed process has ended, in seconds.
 KILL_LOOK_SECONDS = 0.005
 
 
 @dataclass(frozen=True, kw_only=True)
 class FleetShape:
-    """Say how many processes of each kind there are."""
+    """Say how many processes there are, and how slow engines are beside their model."""
 
     nodes: int = 3
     domains: int = 2
     engines_a_domain: int = 4
     plain_engines: int = 2
+    slowness: float = 1.0
 
 
 @dataclass(kw_only=True)
@@ -149,11 +152,14 @@
 
     async def restart(self, engine: Member) -> None:
         """Kill an engine and start it at once under the id that it had."""
+        process = engine.process
         engine.wanted = False
         engine.signal(signal.SIGKILL)
-        while engine.is_running:
+        while process is not None and process.poll() is None:
             await asyncio.sleep(KILL_LOOK_SECONDS)
-        engine.start()
+        # Another fault may have started it meanwhile: two processes would share a port.
+        if engine.process is process:
+            engine.start()
         engine.wanted = True
 
     @property
@@ -226,6 +232,7 @@
             "journal": str(self.folder / f"{name}.journal"),
             "staged_file": str(self.folder / f"{name}.staged"),
             "id": new_engine_id(),
+            "event_seconds": EVENT_SECONDS * self.shape.slowness,
         }
         if not is_plain:
             options["models"] = {"m": LOAD_SECONDS}
