--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from math import inf
 
 import structlog
 
@@ -21,7 +22,7 @@
     WholeAnswer,
 )
 from mallowpond.node.waiting import WaitingLine
-from mallowpond.state.fleet import EngineProfile, Group, ModelSpec
+from mallowpond.state.fleet import BreakCause, EngineProfile, Group, ModelSpec
 from mallowpond.state.limits import expected_wait, spread_retry_after
 from mallowpond.state.placement import (
     Candidate,
@@ -121,7 +122,8 @@
                     failed = end
                     reason = Reason.TARGET_FAILED
                 case NotRun(reason=reason) | Interrupted(reason=reason):
-                    pass
+                    if reason is Reason.MISDIRECTED:
+                        self._directory.break_group(group, BreakCause.REFUSED)
             refusal = self._may_send_again(work, end, reason)
             if refusal is not None:
                 return await self._end_unserved(work, refusal, failed)
@@ -194,6 +196,9 @@
         if work.sent_to and refusal.status == 503:
             # Some engine may have run it, so "not run" would be a lie.
             return Refusal(status=502, reason=refusal.reason)
+        if not work.sent_to and refusal.status != 503:
+            # Every engine turned it away: the caller may come back, whatever it asked.
+            return self._refuse(refusal.reason, NO_GROUP_RETRY_SECONDS)
         return refusal
 
     # -- placing -------------------------------------------------------------
@@ -284,8 +289,21 @@
         return max(0.0, WAIT_SHARE * whole - (self._clock.now() - heard_at))
 
     def expected_seconds(self, work: StreamWork) -> float:
-        """Return how long a stream takes on a full group, from now to its end."""
-        load = GroupLoad(running=work.profile.slots)
+        """Return how long a stream takes from now on, infinity without a group.
+
+        On the group that it would get, full and at the pace that it shows; without a
+        place on the best that may get one: at the pace of a sound group, a host took
+        streams that its slow groups could not end before it ended.
+        """
+        groups = self._directory.serving_groups(work.service, work.model.name)
+        chosen = self._choose(work)
+        candidates = [chosen] if chosen is not None else groups
+        loads = [self._directory.load_of(g, work.profile) for g in candidates]
+        if not loads:
+            return inf
+        load = GroupLoad(
+            running=work.profile.slots, slowness=min(load.slowness for load in loads)
+        )
         tokens = work.request.answer_tokens or work.profile.usual_answer_tokens
         passes = tokens / max(1, work.profile.stride)
         one_pass = pass_seconds(work.profile, work.model, load)
@@ -398,6 +416,8 @@
         work = stream.work
         if self._targets.is_not_run(response):
             await response.read()
+            if self._targets.is_misdirected(response):
+                return NotRun(reason=Reason.MISDIRECTED)
             self._suspect(stream, Reason.NOT_RUN)
             return NotRun(reason=Reason.NOT_RUN)
         headers = self._callers.answer_headers(response)
