--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from mallowpond.state.decoding import Address, Identifier, Name, Positive
+
 # A group's name and epoch, which tell one formation from every other.
 GroupKey = tuple[str, int]
 
@@ -78,7 +80,7 @@
 class Membership:
     """Place an engine in one formation of a group; rank 0 is the head."""
 
-    group: str
+    group: Name
     epoch: int
     rank: int
     phase: GroupPhase
@@ -92,11 +94,11 @@
     `lapsed` target fell out of the list by its silence, without having left.
     """
 
-    id: str
-    service: str
-    address: str
-    data_centre: str
-    slots: int
+    id: Identifier
+    service: Name
+    address: Address
+    data_centre: Name
+    slots: Positive
     draining: bool = False
     lapsed: bool = False
     domain: str = ""
@@ -110,6 +112,12 @@
         """Return which process this is."""
         return Process(id=self.id, born=self.born)
 
+    @property
+    def place(self) -> GroupKey | None:
+        """Return the formation that it stands in, None if in none."""
+        member = self.membership
+        return None if member is None else (member.group, member.epoch)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Group:
