Bring together targets that tell no start with what rests on it

A report without a start is read where the list tells none either, and is unreadable where it does; a health answer is compared only with a start that is known. The fakes' targets tell theirs, as the tests of restarts take for given.

--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -212,7 +212,7 @@
         domain="d0",
         model="m",
         membership=Membership(group=group, epoch=1, rank=rank, phase=phase),
-        **more,
+        **{"born": 0, **more},
     )
 
 
--- a/mallowpond/platform/documents.py
+++ b/mallowpond/platform/documents.py
@@ -348,6 +348,10 @@
     found = decode(_one_spelling(document), _Report)
     if isinstance(found, Unreadable):
         return found
+    if found.born is None and "born" in document:
+        return Unreadable(fault=Fault.TYPE, field="born")
+    if found.born is None and asked.born is not None:
+        return Unreadable(fault=Fault.MISSING, field="born")
     # Here `sequence` counts orders; in the list it counts heartbeats.
     return EngineReport(
         orders=found.sequence,
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -166,7 +166,7 @@
         if isinstance(born, Unreadable):
             self._notes.note("health", target.id, born)
             return Unavailable(reason=str(born))
-        if born is not None and born != target.born:
+        if None not in (born, target.born) and born != target.born:
             return Unavailable(reason="another process of the engine answered")
         return True
 
