--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -74,6 +74,7 @@
         slots=4,
         domain="d0",
         staged=("m",),
+        born=0,
     )
 
 
