Look for places again when a suspicion ends

Cause: a group that was withheld for a time got no new streams after it either, until news of the list or the end of another stream made someone look. Ruled out: the stop itself; the engines (no change in their journals).

Groups are withheld and released in one place, and the watch wakes the waiting streams when a release is due. Both cases of the test failed before.

--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field, replace
-from math import exp
+from math import exp, inf
 
 import structlog
 
@@ -102,6 +102,7 @@
         self._members: dict[GroupKey, set[str]] = {}
         self._work: dict[GroupKey, GroupWork] = defaultdict(GroupWork)
         self._broken = BrokenGroups()
+        self._release_at = inf
         self._peers: dict[str, PeerLoad] = {}
         self._revision = 0
         self._whole_at = float("-inf")
@@ -190,6 +191,31 @@
             for group in self._groups.values()
         )
 
+    def withhold(self, key: GroupKey, until: float) -> None:
+        """Send a group no new streams until a time."""
+        work = self.work(key)
+        work.suspected_until = max(work.suspected_until, until)
+        self._release_at = min(self._release_at, work.suspected_until)
+
+    def release(self, key: GroupKey) -> None:
+        """Send a group new streams again that was withheld."""
+        work, now = self.work(key), self._clock.now()
+        work.suspected_until = min(work.suspected_until, now)
+        self._release_at = min(self._release_at, now)
+
+    def take_releases(self) -> bool:
+        """Tell whether a group may get streams again since this was last asked.
+
+        Nothing else tells those that wait: without it, streams that a suspicion had
+        moved were cut off beside groups that stood by.
+        """
+        now = self._clock.now()
+        if now < self._release_at:
+            return False
+        ends = (work.suspected_until for work in self._work.values())
+        self._release_at = min((end for end in ends if end > now), default=inf)
+        return True
+
     def is_broken(self, key: GroupKey) -> bool:
         """Tell whether a formation was found to serve no more."""
         return key in self._broken
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -481,14 +481,13 @@
 
     def _suspect(self, stream: ActiveStream, reason: Reason) -> None:
         """Send no more streams to a group for a moment after it turned one away."""
-        own = self._directory.work(stream.key)
         pause = first_event_seconds(
             stream.work.profile,
             stream.work.model,
             self._directory.load_of(stream.group, stream.work.profile),
             stream.work.prompt_tokens,
         )
-        own.suspected_until = max(own.suspected_until, self._clock.now() + pause)
+        self._directory.withhold(stream.key, self._clock.now() + pause)
         log.info(
             "stream: turned away",
             request=stream.work.request.id,
--- a/mallowpond/node/tests/test_watch.py
+++ b/mallowpond/node/tests/test_watch.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, Reason
 from mallowpond.node.peers import GroupBroken, SilenceQuestion, Suspicion
@@ -324,3 +326,31 @@
     rig.directory.learn(replace(member("a0", "a", 0, born=1), membership=None))
     assert stream.moved is None
     await end(task)
+
+
+@pytest.mark.parametrize("is_cleared", [True, False])
+async def test_a_stream_that_waits_gets_its_place_when_a_suspicion_ends(is_cleared):
+    """Streams were cut off while two sound groups stood by, one of them empty.
+
+    A host that was slow itself suspected both of its groups in one look, and eight
+    streams that were moved away waited for a place. The suspicions ended 0.26 s before
+    the streams' patience, but only news of the list and the ends of other streams made
+    anyone look whether there was a place.
+    """
+    rig, watch, peers, task, exchange = await watched("a", "b")
+    for group in "ab":
+        watch._mark((group, 1))
+    (stream,) = rig.service.active
+    stream.move(Reason.SILENT_GROUP)
+    for _ in range(10):
+        await asyncio.sleep(0)
+    assert len(rig.targets.sends) == 1
+    if is_cleared:
+        watch.clear(("b", 1))
+        let_pass(rig, watch, 0.04)
+    else:
+        let_pass(rig, watch, STALL_SECONDS + 0.04)
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert rig.targets.sends[1:] == [("b0", "1")]
+    assert await task == Answered(status=200, target="b0")
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -83,6 +83,8 @@
         if now - self._looked_at > STALLED_SECONDS:
             self._fresh_from = now
         self._looked_at = now
+        if self._directory.take_releases():
+            self._streams.wake_all()
         by_group: dict[GroupKey, list[ActiveStream]] = defaultdict(list)
         for stream in self._streams.active:
             if stream.moved is None:
@@ -214,7 +216,7 @@
         # it would be sent new streams again.
         work = self._directory.work(key)
         work.suspicions += 1
-        work.suspected_until = self._clock.now() + self._stall_seconds
+        self._directory.withhold(key, self._clock.now() + self._stall_seconds)
         for notify in self.on_suspect:
             notify(key)
 
@@ -281,11 +283,8 @@
         self._exclude(key, self._stall_seconds)
 
     def _exclude(self, key: GroupKey, seconds: float) -> None:
-        work = self._directory.work(key)
-        until = self._clock.now() + seconds
-        work.suspected_until = max(work.suspected_until, until)
+        self._directory.withhold(key, self._clock.now() + seconds)
 
     def clear(self, key: GroupKey) -> None:
         """Trust a group again whose members were all found alive."""
-        work = self._directory.work(key)
-        work.suspected_until = min(work.suspected_until, self._clock.now())
+        self._directory.release(key)
