--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -83,6 +83,8 @@
         if now - self._looked_at > STALLED_SECONDS:
             self._fresh_from = now
         self._looked_at = now
+        if self._directory.take_releases():
+            self._streams.wake_all()
         by_group: dict[GroupKey, list[ActiveStream]] = defaultdict(list)
         for stream in self._streams.active:
             if stream.moved is None:
@@ -214,7 +216,7 @@
         # it would be sent new streams again.
         work = self._directory.work(key)
         work.suspicions += 1
-        work.suspected_until = self._clock.now() + self._stall_seconds
+        self._directory.withhold(key, self._clock.now() + self._stall_seconds)
         for notify in self.on_suspect:
             notify(key)
 
@@ -257,10 +259,14 @@
         """Move the streams of a formation that serves no more, and tell the peers.
 
         A head that closes turns streams away while those that run there end well, so
-        after a refusal only those leave that show no event.
+        after a refusal only those leave that show no event. What ran on a process that
+        is gone never goes on there: it leaves to wait in line where no place is free.
         """
         streams = self._streams_on(group.key)
-        if not self._advances(group.key, streams):
+        if cause is BreakCause.RESTARTED:
+            for stream in filter(self._streams.may_go_on, streams):
+                stream.move(Reason.RESTARTED)
+        elif not self._advances(group.key, streams):
             self._move(streams)
         if not is_told:
             self._peers.tell_broken(group, cause)
@@ -277,11 +283,8 @@
         self._exclude(key, self._stall_seconds)
 
     def _exclude(self, key: GroupKey, seconds: float) -> None:
-        work = self._directory.work(key)
-        until = self._clock.now() + seconds
-        work.suspected_until = max(work.suspected_until, until)
+        self._directory.withhold(key, self._clock.now() + seconds)
 
     def clear(self, key: GroupKey) -> None:
         """Trust a group again whose members were all found alive."""
-        work = self._directory.work(key)
-        work.suspected_until = min(work.suspected_until, self._clock.now())
+        self._directory.release(key)
