Take the soak's ports from below those of connections

Ports come from a part of the range that the kernel gives to no connection, and that is the process's own.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -4,16 +4,18 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
+from itertools import islice
 from pathlib import Path
 from typing import Any
 
 from mallowpond.platform.program import SETTINGS_VARIABLE
-from mallowpond.programs.tests.cluster import free_ports
 from mallowpond.standins.observatory_engine import new_engine_id
 from mallowpond.standins.observatory_operator import (
     ObservatoryOperator,
@@ -29,6 +31,10 @@
 LOAD_SECONDS = 0.3
 # Time of one event by the engine model of the configuration, in seconds.
 EVENT_SECONDS = 0.02
+FIRST_PORT = 10000
+FIRST_EPHEMERAL_PORT = 32768
+# Ports of one process that plays seeds: more than a fleet of a hundred uses.
+PORTS_A_PROCESS = 400
 # Pause between two looks whether a killed process has ended, in seconds.
 KILL_LOOK_SECONDS = 0.005
 
@@ -90,6 +96,7 @@
     """Hold a store, engines, nodes, and the links between them."""
 
     folder: Path
+    ports_left: Iterator[int] = field(default_factory=lambda: _own_ports())
     shape: FleetShape = FleetShape()
     nodes: list[Member] = field(default_factory=list)
     engines: list[Member] = field(default_factory=list)
@@ -108,7 +115,7 @@
     async def start(self) -> None:
         """Start everything, and wait until nodes and groups are there."""
         self._stack.push_async_callback(self._http.close)
-        (self._store_port,) = free_ports(1)
+        self._store_port = next(self.ports_left)
         address = f"127.0.0.1:{self._store_port}"
         self._operator = ObservatoryOperator(http=self._http, address=address)
         options = {"host": "127.0.0.1", "port": self._store_port}
@@ -216,7 +223,7 @@
             await asyncio.sleep(0.1)
 
     async def _add_engine(self, number: int) -> None:
-        (port,) = free_ports(1)
+        port = next(self.ports_left)
         link = await self._link(port)
         store_link = await self._link(self._store_port)
         is_plain = number >= self.grouped_engines
@@ -243,7 +250,7 @@
         self.engine_store_links.append(store_link)
 
     async def _add_node(self, number: int) -> None:
-        callers, readiness, peers = free_ports(3)
+        callers, readiness, peers = islice(self.ports_left, 3)
         link = await self._link(self._store_port)
         path = self.folder / f"node{number}.toml"
         path.write_text(
@@ -286,6 +293,23 @@
         path.write_text(_toml(engine.options))
 
 
+def _own_ports() -> Iterator[int]:
+    """Draw ports that nothing listens on, from a part that is this process's own.
+
+    They lie below those that the kernel gives to connections: a port from among these
+    was taken by a connection of another process before the store listened on it.
+    """
+    blocks = (FIRST_EPHEMERAL_PORT - FIRST_PORT) // PORTS_A_PROCESS
+    first = FIRST_PORT + os.getpid() % blocks * PORTS_A_PROCESS
+    for port in range(first, first + PORTS_A_PROCESS):
+        with socket.socket() as one:
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        yield port
+
+
 def _toml(options: dict[str, Any]) -> str:
     lines = [f"{k} = {json.dumps(v)}" for k, v in options.items() if k != "models"]
     if "models" in options:
--- a/soak/tests/test_fleet.py
+++ b/soak/tests/test_fleet.py
@@ -1,8 +1,26 @@
 """Processes are started again once, whatever overlaps."""
 
 import asyncio
+from itertools import islice
 
-from soak.fleet import Fleet, Member
+from soak.fleet import (
+    FIRST_EPHEMERAL_PORT,
+    FIRST_PORT,
+    Fleet,
+    Member,
+    _own_ports,
+)
+
+
+def test_ports_are_not_among_those_of_connections():
+    """
+    Symptom: a run does not start, since a port is in use.
+    Sequence: a port is found free; a connection gets it; a process would listen there.
+    Cause: the kernel gave the port to the connection.
+    """
+    ports = list(islice(_own_ports(), 100))
+    assert len(set(ports)) == 100
+    assert all(FIRST_PORT <= port < FIRST_EPHEMERAL_PORT for port in ports)
 
 
 def test_overlapping_restarts_of_one_engine_end(tmp_path):
