Ask callers of the soak's test for the share of kept connections, not for a number

The test failed in one run of the suite and in 2 of 6 runs of its own, beside other work (load 16 on 16 processors): 13 and 14 requests came on kept connections of the stopping node where it wanted more than 20, since a busy machine sends fewer in all.

--- a/soak/tests/test_callers.py
+++ b/soak/tests/test_callers.py
@@ -46,8 +46,12 @@
     Cause: callers left a node, with their open connections, as soon as it said so.
     """
     callers, stopped_at = asyncio.run(_run_until_one_node_is_not_ready())
-    late = [r for r in callers.records if r.node == 0 and r.sent_at > stopped_at + 0.5]
-    assert sum(r.is_kept for r in late) > 20
+    after = [r for r in callers.records if r.sent_at > stopped_at + 0.5]
+    late = [r for r in after if r.node == 0]
+    # How many there are depends on how busy the machine is, their share does not: new
+    # connections go to the other node, so it falls from a half as they become kept.
+    kept = [r for r in after if r.is_kept]
+    assert sum(r.node == 0 for r in kept) > len(kept) / 10 > 0
     assert all(r.ending is Ending.WHOLE for r in late)
     # New connections mostly go where the node says that it is ready.
     new = [r for r in callers.records if not r.is_kept and r.sent_at > stopped_at + 0.5]
