Leave a group that keeps turning streams away for longer each time

A head that has crashed refuses connections at once, and the list shows it open for some seconds. It was left for one predicted first event, under a tenth of a second, each time, so one stream after another was sent there, each one a repeat. The pause doubles now until the group shows an event, to 1 s at most. A full head, which shows events all the time, is left for a moment as before.

--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -73,12 +73,15 @@
     last_event_at: float = 0.0
     suspected_until: float = 0.0
     suspicions: int = 0
+    # Length of the last pause after the group turned a stream away, 0 since an event.
+    pause_seconds: float = 0.0
 
     def forget_pace(self) -> None:
         """Drop what the engines of before taught; what runs is counted on."""
         self.slowness = 1.0
         self.suspected_until = 0.0
         self.suspicions = 0
+        self.pause_seconds = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -58,6 +58,9 @@
 NO_GROUP_RETRY_SECONDS = 1.0
 # Sends that were proved not to have run, at most, for one request.
 MAX_NOT_RUN = 6
+# Longest pause of a group that turns every stream away, in seconds: as long as one that
+# only this host cannot reach is left, and shorter than any caller waits.
+MOST_PAUSE_SECONDS = 1.0
 EVENT_ID = b"id:"
 
 
@@ -464,17 +467,27 @@
         stream.last_event_at = now
         stream.events += 1
         own.last_event_at = now
+        own.pause_seconds = 0.0
 
     def _suspect(self, stream: ActiveStream, reason: Reason) -> None:
-        """Send no more streams to a group for a moment after it turned one away."""
+        """Send no more streams to a group for a moment after it turned one away.
+
+        Twice as long each time, until it shows an event: heads that have crashed would
+        be sent a stream after each short pause, each one of the shared repeats.
+        """
         own = self._directory.work(stream.key)
+        now = self._clock.now()
         pause = first_event_seconds(
             stream.work.profile,
             stream.work.model,
             self._directory.load_of(stream.group, stream.work.profile),
             stream.work.prompt_tokens,
         )
-        own.suspected_until = max(own.suspected_until, self._clock.now() + pause)
+        if own.suspected_until <= now:
+            # Streams that were under way together are turned away once, not in a row.
+            pause = max(pause, min(2 * own.pause_seconds, MOST_PAUSE_SECONDS))
+            own.pause_seconds = pause
+        own.suspected_until = max(own.suspected_until, now + pause)
         log.info(
             "stream: turned away",
             request=stream.work.request.id,
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -7,6 +7,7 @@
 
 from mallowpond.node.outcomes import Answered, CutOff, Reason, Refusal
 from mallowpond.node.ports import TargetsRead
+from mallowpond.node.streams import MOST_PAUSE_SECONDS
 from mallowpond.node.tests.fakes import (
     BROKEN,
     ROUTE,
@@ -356,3 +357,46 @@
     held.set_result(None)
     assert await task == Refusal(status=502, reason=Reason.MAYBE_RUN)
     assert len(rig.targets.sends) == 1
+
+
+async def test_a_head_that_cannot_be_reached_is_tried_less_and_less():
+    """Symptom: the repeats of a window are used up at one address.
+
+    Sequence: a head crashes; until the list shows it, a stream is sent there each time
+    that the pause after the last one is over.
+    Cause: the pause was as short after the tenth refusal as after the first.
+    """
+    rig = await rig_of("a", "b")
+    rig.targets.script("a0", *(UNREACHABLE for _ in range(99)))
+    rig.targets.script("b0", *(answer(1) for _ in range(99)))
+    rig.directory.work(("b", 1)).running = 1
+    for _ in range(20):
+        outcome = await rig.service.serve(rig.work(FakeExchange()))
+        assert outcome == Answered(status=200, target="b0")
+        rig.clock.time += 0.1
+    assert [name for name, _ in rig.targets.sends].count("a0") <= 5
+
+
+async def test_a_full_head_that_advances_is_left_for_a_moment_only():
+    rig = await rig_of("a", "b")
+    rig.targets.script("a0", full(), answer(1), full(), answer(1), full(), answer(1))
+    rig.targets.script("b0", *(answer(1) for _ in range(9)))
+    rig.directory.work(("b", 1)).running = 1
+    for _ in range(6):
+        await rig.service.serve(rig.work(FakeExchange()))
+        rig.clock.time += 0.1
+    assert [name for name, _ in rig.targets.sends].count("a0") == 6
+
+
+async def test_a_head_that_turned_streams_away_for_long_gets_one_again():
+    rig = await rig_of("a", "b")
+    rig.targets.script("a0", *(full() for _ in range(20)))
+    rig.targets.script("b0", *(answer(1) for _ in range(99)))
+    rig.directory.work(("b", 1)).running = 1
+    for _ in range(10):
+        await rig.service.serve(rig.work(FakeExchange()))
+        rig.clock.time += 0.2
+    rig.targets.script("a0", answer(1))
+    rig.clock.time += MOST_PAUSE_SECONDS
+    outcome = await rig.service.serve(rig.work(FakeExchange()))
+    assert outcome == Answered(status=200, target="a0")
