--- a/mallowpond/node/tests/test_directory.py
+++ b/mallowpond/node/tests/test_directory.py
@@ -161,3 +161,21 @@
     follower, _, _ = await directory_of(listing(head, other))
     follower.hear_change(bad, previous=1)
     assert set(follower.targets) == {"g1"}
+
+
+@pytest.mark.parametrize("name", ["a", "z"])
+async def test_an_entry_of_another_service_takes_no_place_in_a_group(name):
+    """Symptom: an open group gets no streams, though all its engines are well.
+
+    Sequence: another writer's entry, whole but of a service that nobody knows, names
+    the group, and its head's rank.
+    Cause: whoever named a group was taken for a member, and might become its head.
+    """
+    group = open_group("g")
+    foreign = replace(group[0], id=name, service="nowhere")
+    for listed in ([foreign, *group], [*group, foreign]):
+        directory, _, _ = await directory_of(listing(*listed))
+        assert serving(directory) == {"g"}
+        (found,) = directory.serving_groups("engines", "m")
+        assert [member.id for member in found.members] == ["g0", "g1"]
+        assert directory.serving_groups("nowhere", "m") == []
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -373,7 +373,7 @@
         b"\xc4\x82\x1b\x7f\xff\xff\xff\xff\xff\xff\xff\x01",
         b"\xc5\x82\x1b\x7f\xff\xff\xff\xff\xff\xff\xff\x01",
         b"\xd8\x23\x62((",
-        b"x" * 70_000,
+        encode(Vouch(node="b", targets=("t" * 100,) * 700)),
     ],
 )
 def test_a_datagram_made_to_cost_much_is_left_out(data):
--- a/mallowpond/platform/tests/test_store.py
+++ b/mallowpond/platform/tests/test_store.py
@@ -14,8 +14,11 @@
     Transaction,
     Unavailable,
     Unknown,
+    UnreadableRow,
 )
+from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.ports import HistoryLost
+from mallowpond.node.unreadable import UnreadableNotes
 from mallowpond.platform.store import PlatformStore
 from mallowpond.platform.tests.test_entries import ENTRY
 from mallowpond.transport.http_client import HttpClient
@@ -233,3 +236,101 @@
 async def test_a_refused_change_is_a_conflict_whatever_its_answer_says(body):
     found, _ = await ask(raw(412, body), commit)
     assert found == Conflict(keys=())
+
+
+def own(key, document, **more):
+    """Write a row of ours."""
+    return {**row(key, document), "table": "nodes", "ver": 7, **more}
+
+
+OURS = {"value": {"a": 1}, "transaction": "t"}
+NOT_OURS = [
+    own("x", None),
+    own("x", 7),
+    own("x", []),
+    own("x", {}),
+    own("x", {"value": {"a": 1}}),
+    own("x", {"transaction": "t"}),
+    own("x", {"value": 7, "transaction": "t"}),
+    own("x", {"value": [], "transaction": "t"}),
+    own("x", {"value": {"a": 1}, "transaction": 7}),
+    own("x", OURS, value="%%%"),
+    own("x", OURS, value=None),
+    own("x", OURS, removed="yes"),
+]
+
+
+@pytest.mark.parametrize("bad", NOT_OURS)
+async def test_a_row_that_is_not_ours_stands_where_it_stands(bad):
+    """Symptom: a lease is taken although another node holds it.
+
+    Sequence: another writer replaces its row by one that this program cannot read.
+    Cause: a row that cannot be read counted as absent, or failed the whole read.
+    """
+    data = response(200, {"rows": [bad], "ver": 9})
+    found, _ = await ask(data, lambda store: store.read("nodes/x"))
+    assert isinstance(found, UnreadableRow)
+    assert (found.key, found.version) == ("nodes/x", 7)
+    data = response(200, {"rows": [bad, own("y", OURS)], "ver": 9})
+    scanned, _ = await ask(data, lambda store: store.scan("nodes/"))
+    assert [r.key for r in scanned.rows] == ["nodes/y"]
+    assert [(r.key, r.version) for r in scanned.unreadable] == [("nodes/x", 7)]
+    assert scanned.version == 9
+
+
+@pytest.mark.parametrize("version", [None, "7", True, -1, 1.5, 0])
+async def test_a_row_whose_version_cannot_be_read_cannot_be_replaced(version):
+    bad = own("x", OURS, ver=version)
+    data = response(200, {"rows": [bad], "ver": 9})
+    found, _ = await ask(data, lambda store: store.read("nodes/x"))
+    assert isinstance(found, Unavailable)
+    scanned, _ = await ask(data, lambda store: store.scan("nodes/"))
+    assert scanned.rows == ()
+    assert [r.key for r in scanned.unreadable] == ["nodes/x"]
+
+
+@pytest.mark.parametrize("bad", [None, 7, [], {}, {"key": 7, "ver": 1}])
+async def test_a_row_without_a_key_may_be_the_one_that_is_asked_for(bad):
+    data = response(200, {"rows": [bad], "ver": 9})
+    found, _ = await ask(data, lambda store: store.read("nodes/x"))
+    assert isinstance(found, Unavailable)
+    found, _ = await ask(data, lambda store: store.configuration(5, 0.0))
+    assert found.unreadable
+
+
+BAD_CONFIGURATIONS = [
+    row("config", None),
+    row("config", []),
+    row("config", {}),
+    row("config", {"version": "7"}),
+    row("config", {"version": 7, "routes": [{"name": "r"}]}),
+    {**row("config", {"version": 7}), "value": "%%%"},
+    {**row("config", {"version": 7}), "removed": "yes"},
+]
+
+
+@pytest.mark.parametrize("since", [0, 5])
+@pytest.mark.parametrize("bad", BAD_CONFIGURATIONS)
+async def test_a_configuration_that_cannot_be_read_is_told_as_such(bad, since):
+    data = response(200, {"rows": [bad], "ver": 40})
+    found, _ = await ask(data, lambda store: store.configuration(since, 0.0))
+    assert (found.configuration, found.unreadable) == (None, True)
+    assert found.revision == 40
+
+
+async def test_only_the_newest_state_of_the_configuration_counts():
+    rows = [BAD_CONFIGURATIONS[0], row("config", {"version": 8})]
+    data = response(200, {"rows": rows, "ver": 40})
+    found, _ = await ask(data, lambda store: store.configuration(5, 0.0))
+    assert (found.configuration.version, found.unreadable) == (8, False)
+
+
+async def test_what_is_left_out_is_counted_by_kind_and_fault():
+    counter = NodeMetrics().unreadable
+    rows = [{**GOOD, "key": "i-1", "value": "%%%"}, row("i-3", {**ENTRY, "slots": -1})]
+    body = json.dumps({"rows": rows, "ver": 4}).encode()
+    notes = UnreadableNotes(counter=counter)
+    store = PlatformStore(http=FixedHttp(body), address="", notes=notes)
+    await store.targets(5)
+    assert counter.labels("target", "bytes")._value.get() == 1
+    assert counter.labels("target", "range")._value.get() == 1
--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -1,5 +1,6 @@
 """Model engines, their groups, and the timing that their operator declares."""
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -146,14 +147,21 @@
 
 
 def assemble_groups(targets: Iterable[Target]) -> dict[tuple[str, int], Group]:
-    """Gather targets that report the same group and epoch."""
+    """Gather targets that report the same group and epoch.
+
+    A formation belongs to the service of most of its members: an entry of another one
+    that names it is of another writer, and would take the place of a member.
+    """
     members: dict[tuple[str, int], list[Target]] = {}
     for target in targets:
         if target.membership is not None:
             key = (target.membership.group, target.membership.epoch)
             members.setdefault(key, []).append(target)
     groups = {}
-    for key, found in members.items():
+    for key, reported in members.items():
+        services = Counter(target.service for target in reported)
+        service = max(sorted(services), key=services.__getitem__)
+        found = [target for target in reported if target.service == service]
         found.sort(key=lambda t: _membership(t).rank)
         groups[key] = Group(
             name=key[0],
