End a formation at once when another process refuses a member's join

Cause: a join answered by another process at the address was given back like one that did not fit. Ruled out: a lost join; the list (it held the entry until it lapsed).

A count that starts anew is taken also where targets tell no start, if the report must show the last order. Both tests failed before.

--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -409,7 +409,7 @@
             # and the target would stand in two groups.
             log.info("planner: target changed since the list", target=target.id)
             return None
-        if not self._book.note_report(target, report.orders):
+        if not self._book.note_report(target, report.orders, now=self._clock.now()):
             return None
         return report.orders
 
@@ -450,9 +450,13 @@
                 # It loads already, by an order of an earlier planner.
                 self._book.doubt_count(target)
                 self._book.end(target)
-            case OrderUnfit() | OrderMisdirected():
+            case OrderUnfit():
                 self._book.doubt_count(target)
                 self._give_back(step)
+            case OrderMisdirected():
+                self._book.doubt_count(target)
+                self._give_back(step)
+                self._probes.note_replaced(target)
             case OrderLost():
                 self._book.doubt_count(target)
                 self._give_back(step)
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -11,6 +11,7 @@
 from mallowpond.node.directory import Directory
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.ports import EngineReport, Targets
+from mallowpond.state.broken_groups import STILL_WRITTEN_SECONDS
 from mallowpond.state.fleet import Process, Target
 from mallowpond.state.processes import PresentProcesses
 
@@ -53,14 +54,15 @@
         # What is known of a process ends with it: kept by the id, a target that has
         # just started again would count as dead, or share the answer of the earlier.
         self._lost: dict[Process, float] = {}
+        self._replaced: dict[Process, float] = {}
         self._asking: dict[Process, asyncio.Task[bool]] = {}
         self._lapse_probed: dict[Process, float] = {}
         self._unhealthy: dict[Process, int] = {}
 
     @property
     def lost(self) -> frozenset[str]:
-        """Return the targets that do not answer."""
-        return frozenset(process.id for process in self._lost)
+        """Return the targets that do not answer, or at whose address another does."""
+        return frozenset(process.id for process in (*self._lost, *self._replaced))
 
     def is_leaving(self, target: Target) -> bool:
         """Tell whether a target that the list has lost is about to stop."""
@@ -70,6 +72,7 @@
     def reset(self) -> None:
         """Forget what an earlier planner's time taught."""
         self._lost.clear()
+        self._replaced.clear()
         self._lapse_probed.clear()
         self._unhealthy.clear()
 
@@ -78,9 +81,13 @@
         now = self._clock.now()
         targets = self._directory.targets
         listed = {target.process: target for target in targets.values()}
-        for known in (self._lost, self._lapse_probed, self._unhealthy):
+        for known in (self._lost, self._replaced, self._lapse_probed, self._unhealthy):
             for process in [p for p in known if p not in listed]:
                 del known[process]
+        # What the list still shows by then is written anew, so the word was wrong.
+        for process, at in list(self._replaced.items()):
+            if now - at > STILL_WRITTEN_SECONDS:
+                del self._replaced[process]
         for target in list(targets.values()):
             if target.lapsed and target.membership is not None:
                 self._look_at_lapsed(target, now)
@@ -94,6 +101,16 @@
         if process not in self._asking and process not in self._lost:
             self._spawn(self.probe(target))
 
+    def note_replaced(self, target: Target) -> None:
+        """Note that another engine refused what was meant for this one.
+
+        Its report would be no news of this one, and looks like a late one of it: a
+        formation waited three seconds for a member that was gone.
+        """
+        if target.process not in self._replaced:
+            log.warning("planner: target lost", target=target.id, reason="replaced")
+        self._replaced[target.process] = self._clock.now()
+
     async def probe(self, target: Target) -> bool:
         """Ask whether a process lives; whoever asks meanwhile shares the answer."""
         process = target.process
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -9,7 +9,7 @@
 from mallowpond.node.directory import Directory
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.planner import GroupPlanner
-from mallowpond.node.ports import EngineReport, OrderLost
+from mallowpond.node.ports import EngineReport, OrderLost, OrderMisdirected
 from mallowpond.node.tests.fakes import (
     PROFILE,
     FakeClock,
@@ -634,3 +634,35 @@
     await rig.steps(5)
     assert rig.peers.vouched == []
     assert [leave.target.id for leave in rig.of_kind(Leave)] == ["g1"]
+
+
+async def test_a_join_that_another_process_refuses_ends_its_formation_at_once():
+    """Symptom: three targets stand idle for three seconds while groups are missing.
+
+    Sequence: a target crashes and another process comes at its address while the list
+    shows it on; it is ordered to join, and the answer is that it is not that target.
+    Cause: the formation waited for the join as for one that got lost. The target's
+    report, which another process gives, had fewer orders than were known, so it was
+    taken for late and the join was not even given again.
+    """
+    rig = Rig(*map(free, "abc"))
+    take = rig.targets.order
+    refused = []
+
+    async def order(step, *, fence, expected):
+        if step.target.id == "a":
+            refused.append(step)
+            return OrderMisdirected()
+        return await take(step, fence=fence, expected=expected)
+
+    rig.targets.order = order
+    await rig.steps(2)
+    assert len(refused) == 1
+    (join,) = rig.of_kind(Join)
+    await rig.show(placed(join.target.id, join, join.members.index(join.target.id)))
+    rig.targets.orders.clear()
+    await rig.steps(1)
+    assert [leave.target.id for leave in rig.of_kind(Leave)] == [join.target.id]
+    await rig.steps(10)
+    assert len(refused) == 1
+    assert {join.target.id for join in rig.of_kind(Join)} == {"b", "c"}
--- a/mallowpond/state/order_book.py
+++ b/mallowpond/state/order_book.py
@@ -152,14 +152,16 @@
         record = self._records.get(target.process)
         return None if record is None else record.count
 
-    def note_report(self, target: Target, orders: int) -> bool:
+    def note_report(self, target: Target, orders: int, *, now: float) -> bool:
         """Take a process's own count; return False when it is out of date.
 
         Within one process the count never falls: a lower one was told late, and an
-        order that goes by it would be refused. Another process starts anew.
+        order that goes by it would be refused. Another process starts anew; where
+        targets tell no start, so does one whose report must show the last order.
         """
         record = self._record(target)
-        if orders < record.least_count:
+        may_be_another = target.born is None and self.may_show(target, now)
+        if orders < record.least_count and not may_be_another:
             return False
         record.count = record.least_count = orders
         return True
--- a/mallowpond/state/tests/test_order_book.py
+++ b/mallowpond/state/tests/test_order_book.py
@@ -4,7 +4,12 @@
 
 from mallowpond.state.fleet import GroupPhase, Membership, Target
 from mallowpond.state.formation_view import Join, Leave, Stage
-from mallowpond.state.order_book import AGAIN_SECONDS, EFFECT_SECONDS, OrderBook
+from mallowpond.state.order_book import (
+    AGAIN_SECONDS,
+    EFFECT_SECONDS,
+    REPORT_LAG_SECONDS,
+    OrderBook,
+)
 
 NOW = 100.0
 FIRST = Target(
@@ -32,7 +37,7 @@
     """Return a book in which the first process has taken a join."""
     book = OrderBook()
     join = join_of(FIRST)
-    book.note_report(FIRST, 4)
+    book.note_report(FIRST, 4, now=NOW)
     book.begin(join, NOW)
     book.note_begun(join, expected=4, is_sure=True)
     book.note_taken(join, NOW)
@@ -64,10 +69,10 @@
     """
     book = book_of_first()
     book.doubt_count(FIRST)
-    assert not book.note_report(FIRST, 4)
+    assert not book.note_report(FIRST, 4, now=NOW)
     assert book.count(FIRST) is None
-    assert book.note_report(FIRST, 5)
-    assert book.note_report(SECOND, 0)
+    assert book.note_report(FIRST, 5, now=NOW)
+    assert book.note_report(SECOND, 0, now=NOW)
     assert (book.count(FIRST), book.count(SECOND)) == (5, 0)
 
 
@@ -81,7 +86,7 @@
     leave = Leave(target=FIRST, group="g", epoch=1)
     book.note_begun(leave, expected=5, is_sure=False)
     assert book.count(FIRST) == 6
-    assert book.note_report(FIRST, 5)
+    assert book.note_report(FIRST, 5, now=NOW)
 
 
 def test_a_member_that_left_is_free_before_the_list_shows_it():
@@ -116,3 +121,21 @@
     assert book.loading == {}
     assert settled(book, FIRST, now=NOW + AGAIN_SECONDS).is_busy(FIRST)
     assert not settled(book, FIRST, now=NOW + AGAIN_SECONDS + 0.1).is_busy(FIRST)
+
+
+def test_a_count_that_starts_anew_counts_also_where_targets_tell_no_start():
+    """Symptom: a target that started again gets no more orders.
+
+    Sequence: it tells no start; its report, asked for long after the last order, has
+    fewer orders than were taken.
+    Cause: the report was held for a late one, each time.
+    """
+    book, target = OrderBook(), replace(FIRST, born=None)
+    join = join_of(target)
+    book.note_report(target, 4, now=NOW)
+    book.note_begun(join, expected=4, is_sure=True)
+    book.note_taken(join, NOW)
+    book.doubt_count(target)
+    assert not book.note_report(target, 0, now=NOW + 0.5 * REPORT_LAG_SECONDS)
+    assert book.note_report(target, 0, now=NOW + 1.1 * REPORT_LAG_SECONDS)
+    assert book.count(target) == 0
