--- a/mallowpond/controller/operator_api.py
+++ b/mallowpond/controller/operator_api.py
@@ -2,13 +2,21 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
 from prometheus_client import generate_latest
 
-from mallowpond.coordination.configuration import ProposalRefused, Proposed
+from mallowpond.controller.metrics import ControllerMetrics
+from mallowpond.controller.tables import Tables
+from mallowpond.coordination.configuration import (
+    Configuration,
+    ProposalRefused,
+    Proposed,
+)
+from mallowpond.coordination.groups import GroupManager
+from mallowpond.coordination.ports import Host
 from mallowpond.protocol.declaration_file import (
     Document,
     Faults,
@@ -30,9 +38,6 @@
 from mallowpond.state.codec import to_json
 from mallowpond.transport.http_server import Exchange, HttpRequest
 
-if TYPE_CHECKING:
-    from mallowpond.controller.service import Controller
-
 FOLLOW_SECONDS = 0.05
 FOLLOW_LIMIT_SECONDS = 30.0
 
@@ -47,8 +52,22 @@
 class OperatorApi:
     """Serve apply, history, queries and commands."""
 
-    def __init__(self, *, controller: "Controller") -> None:
-        self._controller = controller
+    def __init__(
+        self,
+        *,
+        configuration: Configuration,
+        groups: GroupManager,
+        tables: Tables,
+        metrics: ControllerMetrics,
+        is_ready: Callable[[], bool],
+        hosts: Callable[[], tuple[Host, ...]],
+    ) -> None:
+        self._configuration = configuration
+        self._groups = groups
+        self._tables = tables
+        self._metrics = metrics
+        self._is_ready = is_ready
+        self._hosts = hosts
 
     async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
         """Answer one operator request."""
@@ -56,12 +75,12 @@
             case ("GET", "/healthz"):
                 await exchange.respond(200, b"alive\n", content_type="text/plain")
             case ("GET", "/readyz"):
-                ready = self._controller.is_ready
+                ready = self._is_ready()
                 body = b"ready\n" if ready else b"not ready\n"
                 status = 200 if ready else 503
                 await exchange.respond(status, body, content_type="text/plain")
             case ("GET", "/metrics"):
-                text = generate_latest(self._controller.metrics.registry)
+                text = generate_latest(self._metrics.registry)
                 await exchange.respond(200, text, content_type="text/plain")
             case ("GET", "/v1/declaration"):
                 await self._answer_declaration(exchange)
@@ -75,7 +94,7 @@
                 await _refuse(exchange, 404, "unknown_path", request.path)
 
     async def _answer_declaration(self, exchange: Exchange) -> None:
-        applied = self._controller.configuration.applied
+        applied = self._configuration.applied
         source = decode_document(applied.text).source
         body = {"version": applied.version, "source": source}
         await exchange.respond(200, json.dumps(body).encode())
@@ -83,7 +102,7 @@
     async def _answer_history(self, exchange: Exchange) -> None:
         rows = [
             {"version": r.version, "author": r.author, "proposal": r.proposal}
-            for r in self._controller.configuration.history()
+            for r in self._configuration.history()
         ]
         await exchange.respond(200, json.dumps(rows).encode())
 
@@ -125,7 +144,7 @@
                 await self._command(statement, exchange)
 
     async def _show(self, show: Show, exchange: Exchange) -> None:
-        tables = self._controller.tables
+        tables = self._tables
         table = tables.build(show.table)
         if table is None:
             detail = f"no table {show.table!r}; there are {', '.join(tables.names)}"
@@ -144,19 +163,18 @@
         if unknown is not None:
             await _refuse(exchange, 400, "unknown_name", unknown)
             return
-        applied = self._controller.configuration.applied
+        applied = self._configuration.applied
         document = changed_document(self._document(), command)
         outcome = await self.change(document, applied.version, "command")
         await _answer_change(outcome, exchange)
 
     def _unknown_name(self, command: Command) -> str | None:
-        controller = self._controller
         match command:
             case DrainHost(host=host):
-                if host not in {h.name for h in controller.hosts}:
+                if host not in {h.name for h in self._hosts()}:
                     return f"the platform lists no host {host!r}"
             case StopGroup(group=group):
-                if group not in controller.groups.groups():
+                if group not in self._groups.groups():
                     return f"there is no group {group!r}"
             case RestoreHost(host=host):
                 if host not in self._document().drained_hosts:
@@ -167,14 +185,13 @@
         return None
 
     def _document(self) -> Document:
-        return decode_document(self._controller.configuration.applied.text)
+        return decode_document(self._configuration.applied.text)
 
     async def change(
         self, document: Document, expect: int, author: str
     ) -> Accepted | ProposalRefused:
         """Propose a document and follow it until it is accepted or aborted."""
-        configuration = self._controller.configuration
-        proposed = await configuration.propose(
+        proposed = await self._configuration.propose(
             text=document.encode(), expect_version=expect, author=author
         )
         if isinstance(proposed, ProposalRefused):
@@ -182,7 +199,7 @@
         return await self._follow(proposed)
 
     async def _follow(self, proposed: Proposed) -> Accepted | ProposalRefused:
-        configuration = self._controller.configuration
+        configuration = self._configuration
         was_open = False
         for _ in range(int(FOLLOW_LIMIT_SECONDS / FOLLOW_SECONDS)):
             found = {r.proposal: r.version for r in configuration.history()}
--- a/mallowpond/controller/service.py
+++ b/mallowpond/controller/service.py
@@ -195,7 +195,14 @@
             shared=self._shared,
             hosts=lambda: self._hosts,
         )
-        self._api = OperatorApi(controller=self)
+        self.api = OperatorApi(
+            configuration=self.configuration,
+            groups=self.groups,
+            tables=self.tables,
+            metrics=self.metrics,
+            is_ready=lambda: self.is_ready,
+            hosts=lambda: self.hosts,
+        )
 
     def _build_groups(self) -> None:
         settings, ports = self._settings, self._ports
@@ -383,7 +390,7 @@
 
     async def _handle_operator(self, request: HttpRequest, exchange: Exchange) -> None:
         await self._built.wait()
-        await self._api.handle(request, exchange)
+        await self.api.handle(request, exchange)
 
     async def _serve_link(self, link: PeerLink) -> None:
         # The parts need the ports, so the sockets open before the parts exist.
--- a/mallowpond/programs/site.py
+++ b/mallowpond/programs/site.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from hashlib import sha256
 
-from mallowpond.controller.operator_api import Accepted, OperatorApi
+from mallowpond.controller.operator_api import Accepted
 from mallowpond.controller.service import Controller
 from mallowpond.controller.service import build as build_controller
 from mallowpond.coordination.clock import MonotonicClock
@@ -95,9 +95,8 @@
         controller = self.controllers[0]
         await self.until(lambda: controller.is_ready)
         await self.until(lambda: controller.membership.cell is not None)
-        api = OperatorApi(controller=controller)
         expect = controller.configuration.applied.version
-        return await api.apply_source(source, expect, "site")
+        return await controller.api.apply_source(source, expect, "site")
 
     async def until_serving(self, deployment: str, groups: int) -> None:
         """Wait until every gateway may send work to this many groups."""
