--- a/mallowpond/platform/tests/test_documents.py
+++ b/mallowpond/platform/tests/test_documents.py
@@ -216,3 +216,10 @@
 def test_null_and_unknown_fields_count_as_missing():
     document = {"version": 1, "routes": None, "limits": None, "x": {"y": [1]}}
     assert documents.configuration(document) == documents.configuration({"version": 1})
+
+
+@pytest.mark.parametrize("name", ["", " ", "w ", "wörk", "a\r\nx: y"])
+def test_a_workspace_that_no_header_can_name_is_unreadable(name):
+    tenants = [{"name": name, "api_keys": ["k"]}]
+    found = documents.configuration({**DOCUMENT, "tenants": tenants})
+    assert isinstance(found, Unreadable)
