--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -1,21 +1,26 @@
 """Hold the targets, their groups, and the work that is known to be on them."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field, replace
-from math import exp
+from math import exp, inf
 
 import structlog
 
 from mallowpond.coordination.ports import Clock, Unavailable
 from mallowpond.node.ports import HistoryLost, SiteSource, TargetsRead
+from mallowpond.state.broken_groups import BrokenGroups
+from mallowpond.state.ended_processes import EndedProcesses
 from mallowpond.state.fleet import (
+    BreakCause,
     EngineProfile,
     Group,
     GroupKey,
     GroupPhase,
+    Process,
     Target,
     assemble_groups,
+    without_start,
 )
 from mallowpond.state.placement import GroupLoad
 
@@ -69,6 +74,15 @@
     last_event_at: float = 0.0
     suspected_until: float = 0.0
     suspicions: int = 0
+    # Length of the last pause after the group turned a stream away, 0 since an event.
+    pause_seconds: float = 0.0
+
+    def forget_pace(self) -> None:
+        """Drop what the engines of before taught; what runs is counted on."""
+        self.slowness = 1.0
+        self.suspected_until = 0.0
+        self.suspicions = 0
+        self.pause_seconds = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -90,13 +104,16 @@
         self._groups: dict[GroupKey, Group] = {}
         self._members: dict[GroupKey, set[str]] = {}
         self._work: dict[GroupKey, GroupWork] = defaultdict(GroupWork)
+        self._broken = BrokenGroups()
+        self._release_at = inf
         self._peers: dict[str, PeerLoad] = {}
         self._revision = 0
         self._whole_at = float("-inf")
         self._lost_at: float | None = None
         self._regained_at = float("-inf")
         self._doubted: set[str] = set()
-        self._vouched_at: dict[str, float] = {}
+        self._vouched_at: dict[Process, float] = {}
+        self._ended = EndedProcesses()
         self._lapsed_at: dict[str, float] = {}
         self.newest_target_at = float("-inf")
         self.changed = 0
@@ -110,6 +127,7 @@
         self.is_reader: Callable[[], bool] = lambda: True
         self.on_read: list[Callable[[TargetsRead, int], None]] = []
         self.on_change: list[Callable[[], None]] = []
+        self.on_broken: list[Callable[[Group, BreakCause, bool], None]] = []
 
     # -- reading -------------------------------------------------------------
 
@@ -161,6 +179,7 @@
             and group.head is not None
             and group.head.service == service
             and not group.head.draining
+            and group.key not in self._broken
             and self.work(group.key).suspected_until <= now
             and self._is_known_to_live(group, now)
         ]
@@ -171,9 +190,67 @@
             group.phase is GroupPhase.OPEN
             and group.head is not None
             and group.head.service == service
+            and group.key not in self._broken
             for group in self._groups.values()
         )
 
+    def withhold(self, key: GroupKey, until: float) -> None:
+        """Send a group no new streams until a time."""
+        work = self.work(key)
+        work.suspected_until = max(work.suspected_until, until)
+        self._release_at = min(self._release_at, work.suspected_until)
+
+    def release(self, key: GroupKey) -> None:
+        """Send a group new streams again that was withheld."""
+        work, now = self.work(key), self._clock.now()
+        work.suspected_until = min(work.suspected_until, now)
+        self._release_at = min(self._release_at, now)
+
+    def take_releases(self) -> bool:
+        """Tell whether a group may get streams again since this was last asked.
+
+        Nothing else tells those that wait: without it, streams that a suspicion had
+        moved were cut off beside groups that stood by.
+        """
+        now = self._clock.now()
+        if now < self._release_at:
+            return False
+        ends = (work.suspected_until for work in self._work.values())
+        self._release_at = min((end for end in ends if end > now), default=inf)
+        return True
+
+    def is_broken(self, key: GroupKey) -> bool:
+        """Tell whether a formation was found to serve no more."""
+        return key in self._broken
+
+    def break_group(
+        self, group: Group, cause: BreakCause, *, is_told: bool = False
+    ) -> None:
+        """Send a formation nothing more until it is seen open anew.
+
+        `is_told` says that the peers know of it. News of another process than the
+        head that is known now change nothing.
+        """
+        known = self._groups.get(group.key)
+        if known is None or known.head is None or group.head is None:
+            return
+        if group.key in self._broken or known.head.process != group.head.process:
+            return
+        self._note_broken(known, cause, is_told=is_told)
+
+    def _note_broken(self, group: Group, cause: BreakCause, *, is_told: bool) -> None:
+        self._broken.add(group, self._clock.now())
+        self.work(group.key).forget_pace()
+        log.warning(
+            "groups: broken",
+            group=group.name,
+            epoch=group.epoch,
+            head=group.head.id if group.head else None,
+            cause=cause.value,
+        )
+        for notify in self.on_broken:
+            notify(group, cause, is_told)
+
     def _is_known_to_live(self, group: Group, now: float) -> bool:
         """Tell whether a group may be sent streams although its head lapsed.
 
@@ -184,13 +261,19 @@
         assert group.head is not None
         if not group.head.lapsed:
             return True
-        vouched_at = self._vouched_at.get(group.head.id, float("-inf"))
+        vouched_at = self._vouched_at.get(group.head.process, float("-inf"))
         return now - vouched_at < VOUCHED_SECONDS
 
     def vouch(self, identifier: str) -> None:
         """Note that a target the list has lost was found healthy, and not leaving."""
-        if identifier in self._lapsed_at:
-            self._vouched_at[identifier] = self._clock.now()
+        now = self._clock.now()
+        recent = {
+            p: t for p, t in self._vouched_at.items() if now - t < VOUCHED_SECONDS
+        }
+        target = self._targets.get(identifier)
+        if target is not None and target.lapsed:
+            recent[target.process] = now
+        self._vouched_at = recent
 
     # -- work ----------------------------------------------------------------
 
@@ -393,9 +476,18 @@
                 notify(answer, previous)
 
     def learn(self, target: Target) -> None:
-        """Take what a target says of itself while the list cannot be read."""
+        """Take what a target says of itself while the list cannot be read.
+
+        That it started again counts at once: the list shows the entry of before for
+        some seconds. Of its new process nothing is used before the list shows it.
+        """
         known = self._targets.get(target.id)
-        if known is None or self._lost_at is None:
+        if known is None or target.process in self._ended:
+            return
+        if target.process != known.process:
+            self._note_ended(known)
+            return
+        if self._lost_at is None:
             return
         news = replace(
             known,
@@ -406,6 +498,23 @@
         if news != known:
             self._take({**self._targets, target.id: news})
 
+    def _note_ended(self, target: Target) -> None:
+        """Note, before the list shows it, that a process is gone."""
+        if target.process in self._ended:
+            return
+        self._ended.add(target.process, self._clock.now())
+        log.warning("targets: started again", target=target.id, born=target.born)
+        place = target.membership
+        group = place and self._groups.get((place.group, place.epoch))
+        if group:
+            self._note_broken(group, BreakCause.RESTARTED, is_told=False)
+
+    def count_present(self, processes: Collection[Process]) -> int:
+        """Count the processes that are listed and not known to be gone."""
+        listed = (self._targets.get(process.id) for process in processes)
+        present = {t.process for t in listed if t is not None}
+        return sum(p in present and p not in self._ended for p in processes)
+
     @property
     def is_lost(self) -> bool:
         """Tell whether the list cannot be read now."""
@@ -426,13 +535,18 @@
     def _apply(self, read: TargetsRead) -> None:
         found = dict(self._targets)
         listed = {target.id: target for target in read.targets}
+        untold = without_start(listed, found | listed if read.whole else found)
+        for identifier in untold:
+            log.warning("targets: start not told", target=identifier)
+            del listed[identifier]
+        unreadable = untold.union(read.unreadable)
         gone = set(read.removed)
         if read.whole:
             gone |= set(found) - set(listed)
         gone -= set(listed)
         # Entries that say the same stay the same objects, which mark what changed.
         found.update({k: t for k, t in listed.items() if found.get(k) != t})
-        for identifier in read.unreadable:
+        for identifier in unreadable:
             # It did not fall silent: kept as lapsed, a probe of the address in its
             # last readable entry would bring it back into use.
             found.pop(identifier, None)
@@ -442,11 +556,27 @@
             self._doubted |= gone
             gone = set()
         self._doubted -= set(listed)
-        for identifier in (*listed, *read.unreadable):
+        for identifier in (*listed, *unreadable):
             self._lapsed_at.pop(identifier, None)
         for identifier in gone:
             self._remove(found, identifier)
         self._take(found)
+        self._take_back(listed.values(), is_change=not read.whole)
+
+    def _take_back(self, listed: Collection[Target], *, is_change: bool) -> None:
+        """Use the groups again whose heads the list shows open anew."""
+        if not is_change:
+            self._ended.see(listed, asked_at=self._read_at)
+        for target in listed:
+            place = target.membership
+            group = place and self._groups.get((place.group, place.epoch))
+            if not group or group.head is None or group.head.id != target.id:
+                continue
+            if any(member.process in self._ended for member in group.members):
+                continue
+            seen = self._broken.see(group, is_change=is_change, asked_at=self._read_at)
+            if seen:
+                log.info("groups: open anew", group=group.name, epoch=group.epoch)
 
     def _remove(self, found: dict[str, Target], identifier: str) -> None:
         target = found.get(identifier)
@@ -471,6 +601,15 @@
         if not changed and not gone:
             return
         self._log_changes(found, changed, gone)
+        restarted = [
+            (known[k], found[k])
+            for k in changed
+            if k in known and known[k].process != found[k].process
+        ]
+        broken = self._groups_of(earlier for earlier, _ in restarted)
+        now = self._clock.now()
+        for earlier, later in restarted:
+            self._ended.replace(earlier.process, later.process, now)
         self._targets = found
         self._regroup([known[k] for k in (*changed, *gone) if k in known])
         self._regroup([found[k] for k in changed])
@@ -479,9 +618,18 @@
             by_service.setdefault(target.service, []).append(target)
         self._by_service = by_service
         self._forget_idle_work()
+        self._broken.keep(self._groups)
+        for group in broken:
+            self._note_broken(group, BreakCause.RESTARTED, is_told=True)
         for notify in self.on_change:
             notify()
 
+    def _groups_of(self, targets: Iterable[Target]) -> list[Group]:
+        """Return the groups that these targets belong to, each once."""
+        places = [t.membership for t in targets if t.membership is not None]
+        keys = dict.fromkeys((p.group, p.epoch) for p in places)
+        return [self._groups[key] for key in keys if key in self._groups]
+
     def _regroup(self, targets: Iterable[Target]) -> None:
         """Gather the groups that these targets belonged or belong to."""
         for target in targets:
@@ -518,6 +666,13 @@
             if known is None:
                 log.info("targets: new", target=identifier, service=target.service)
                 self.newest_target_at = self._clock.now()
+            elif known.process != target.process:
+                log.info(
+                    "targets: another process",
+                    target=identifier,
+                    before=known.born,
+                    born=target.born,
+                )
             elif known.draining != target.draining:
                 log.info("targets: draining", target=identifier)
             elif known.membership != target.membership:
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from math import inf
 
 import structlog
 
@@ -21,7 +22,7 @@
     WholeAnswer,
 )
 from mallowpond.node.waiting import WaitingLine
-from mallowpond.state.fleet import EngineProfile, Group, ModelSpec
+from mallowpond.state.fleet import BreakCause, EngineProfile, Group, ModelSpec
 from mallowpond.state.limits import expected_wait, spread_retry_after
 from mallowpond.state.placement import (
     Candidate,
@@ -58,6 +59,9 @@
 NO_GROUP_RETRY_SECONDS = 1.0
 # Sends that were proved not to have run, at most, for one request.
 MAX_NOT_RUN = 6
+# Longest pause of a group that turns every stream away, in seconds: as long as one that
+# only this host cannot reach is left, and shorter than any caller waits.
+MOST_PAUSE_SECONDS = 1.0
 EVENT_ID = b"id:"
 
 
@@ -116,12 +120,13 @@
             match end:
                 case WholeAnswer(status=status):
                     self._log_served(work)
-                    return Answered(status=status, target=work.sent_to[-1])
+                    return Answered(status=status, target=work.sent_to[-1].id)
                 case FailedAnswer():
                     failed = end
                     reason = Reason.TARGET_FAILED
                 case NotRun(reason=reason) | Interrupted(reason=reason):
-                    pass
+                    if reason is Reason.MISDIRECTED:
+                        self._directory.break_group(group, BreakCause.REFUSED)
             refusal = self._may_send_again(work, end, reason)
             if refusal is not None:
                 return await self._end_unserved(work, refusal, failed)
@@ -168,18 +173,20 @@
             sends=work.sends,
         )
 
-    def may_move(self, stream: ActiveStream) -> bool:
-        """Tell whether a stream could go on at another group now."""
+    def may_go_on(self, stream: ActiveStream) -> bool:
+        """Tell whether a stream may be sent to another group, when one has a place."""
         work = stream.work
         if not work.route.resumable or stream.moved is not None:
             return False
-        if self._attempts(work) >= work.route.max_attempts:
-            return False
-        return self._choose(work) is not None
+        return self._attempts(work) < work.route.max_attempts
+
+    def may_move(self, stream: ActiveStream) -> bool:
+        """Tell whether a stream could go on at another group now."""
+        return self.may_go_on(stream) and self._choose(stream.work) is not None
 
     def _attempts(self, work: StreamWork) -> int:
-        """Count the engines that may have run the request and are still listed."""
-        return sum(1 for head in work.sent_to if head in self._directory.targets)
+        """Count the engines that may have run the request and have not ended."""
+        return self._directory.count_present(work.sent_to)
 
     async def _end_unserved(
         self, work: StreamWork, refusal: Refusal, failed: FailedAnswer | None
@@ -190,10 +197,13 @@
             await work.exchange.respond(
                 failed.status, failed.body, failed.headers, content_type=None
             )
-            return Answered(status=failed.status, target=work.sent_to[-1])
+            return Answered(status=failed.status, target=work.sent_to[-1].id)
         if work.sent_to and refusal.status == 503:
             # Some engine may have run it, so "not run" would be a lie.
             return Refusal(status=502, reason=refusal.reason)
+        if not work.sent_to and refusal.status != 503:
+            # Every engine turned it away: the caller may come back, whatever it asked.
+            return self._refuse(refusal.reason, NO_GROUP_RETRY_SECONDS)
         return refusal
 
     # -- placing -------------------------------------------------------------
@@ -209,7 +219,7 @@
 
     def _choose(self, work: StreamWork) -> Group | None:
         groups = self._directory.serving_groups(work.service, work.model.name)
-        groups = [g for g in groups if g.head and g.head.id not in work.sent_to]
+        groups = [g for g in groups if g.head and g.head.process not in work.sent_to]
         by_key = {f"{g.name}/{g.epoch}": g for g in groups}
         candidates = [
             Candidate(
@@ -284,8 +294,21 @@
         return max(0.0, WAIT_SHARE * whole - (self._clock.now() - heard_at))
 
     def expected_seconds(self, work: StreamWork) -> float:
-        """Return how long a stream takes on a full group, from now to its end."""
-        load = GroupLoad(running=work.profile.slots)
+        """Return how long a stream takes from now on, infinity without a group.
+
+        On the group that it would get, full and at the pace that it shows; without a
+        place on the best that may get one: at the pace of a sound group, a host took
+        streams that its slow groups could not end before it ended.
+        """
+        groups = self._directory.serving_groups(work.service, work.model.name)
+        chosen = self._choose(work)
+        candidates = [chosen] if chosen is not None else groups
+        loads = [self._directory.load_of(g, work.profile) for g in candidates]
+        if not loads:
+            return inf
+        load = GroupLoad(
+            running=work.profile.slots, slowness=min(load.slowness for load in loads)
+        )
         tokens = work.request.answer_tokens or work.profile.usual_answer_tokens
         passes = tokens / max(1, work.profile.stride)
         one_pass = pass_seconds(work.profile, work.model, load)
@@ -336,7 +359,7 @@
         )
         own.running += 1
         own.reading_tokens += stream.reading
-        work.sent_to.append(group.head.id)
+        work.sent_to.append(group.head.process)
         work.sends += 1
         log.info(
             "stream: sent",
@@ -398,6 +421,8 @@
         work = stream.work
         if self._targets.is_not_run(response):
             await response.read()
+            if self._targets.is_misdirected(response):
+                return NotRun(reason=Reason.MISDIRECTED)
             self._suspect(stream, Reason.NOT_RUN)
             return NotRun(reason=Reason.NOT_RUN)
         headers = self._callers.answer_headers(response)
@@ -456,17 +481,27 @@
         stream.last_event_at = now
         stream.events += 1
         own.last_event_at = now
+        own.pause_seconds = 0.0
 
     def _suspect(self, stream: ActiveStream, reason: Reason) -> None:
-        """Send no more streams to a group for a moment after it turned one away."""
+        """Send no more streams to a group for a moment after it turned one away.
+
+        Twice as long each time, until it shows an event: heads that have crashed would
+        be sent a stream after each short pause, each one of the shared repeats.
+        """
         own = self._directory.work(stream.key)
+        now = self._clock.now()
         pause = first_event_seconds(
             stream.work.profile,
             stream.work.model,
             self._directory.load_of(stream.group, stream.work.profile),
             stream.work.prompt_tokens,
         )
-        own.suspected_until = max(own.suspected_until, self._clock.now() + pause)
+        if own.suspected_until <= now:
+            # Streams that were under way together are turned away once, not in a row.
+            pause = max(pause, min(2 * own.pause_seconds, MOST_PAUSE_SECONDS))
+            own.pause_seconds = pause
+        self._directory.withhold(stream.key, now + pause)
         log.info(
             "stream: turned away",
             request=stream.work.request.id,
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -16,6 +16,7 @@
     SENIOR_HEARTBEATS_PER_SECOND,
     Advance,
     Digest,
+    GroupBroken,
     Heartbeat,
     ListChange,
     PeerNetwork,
@@ -33,7 +34,13 @@
 from mallowpond.standins.platform import MemoryTable
 from mallowpond.state.codec import to_compact
 from mallowpond.state.decoding import Unreadable
-from mallowpond.state.fleet import GroupPhase, Membership, Target
+from mallowpond.state.fleet import (
+    BreakCause,
+    GroupPhase,
+    Membership,
+    Process,
+    Target,
+)
 
 LOADS = {("g", 3): (4, 500)}
 SENDER = ("127.0.0.1", 1)
@@ -182,6 +189,20 @@
 MESSAGES_OF_EACH_KIND = (
     beat(),
     Suspicion(node="b", group="g", epoch=3),
+    GroupBroken(
+        node="b",
+        group="g",
+        epoch=3,
+        head=TARGET.process,
+        cause=BreakCause.REFUSED,
+    ),
+    GroupBroken(
+        node="b",
+        group="g",
+        epoch=3,
+        head=Process(id="t", born=None),
+        cause=BreakCause.RESTARTED,
+    ),
     Vouch(node="b", targets=("t",)),
     SilenceQuestion(node="b", group="g", epoch=3, silent=0.5),
     Advance(node="b", group="g", epoch=3),
@@ -205,6 +226,8 @@
     int: ("4", None, True, 1.5, -1, 2**60, []),
     float: ("4", None, True, -0.5, float("nan"), float("inf"), 1e300, []),
     tuple: (7, None, True, "x", {}, [7], [None], [[]]),
+    BreakCause: (7, None, True, [], "", "gone"),
+    Process: (7, None, True, "x", [], ["t"], ["t", "5"], ["t", True], [None, 5]),
 }
 
 
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -3,7 +3,11 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
 from mallowpond.node.outcomes import Answered, CutOff, Reason, Refusal
+from mallowpond.node.ports import TargetsRead
+from mallowpond.node.streams import MOST_PAUSE_SECONDS
 from mallowpond.node.tests.fakes import (
     BROKEN,
     ROUTE,
@@ -12,6 +16,8 @@
     FakeResponse,
     answer,
     event,
+    full,
+    misdirected,
     rig_of,
 )
 
@@ -194,3 +200,230 @@
     assert rig.directory.work(("a", 1)).running == 0
     assert rig.directory.work(("a", 1)).reading_tokens == 0
     assert not rig.service.active
+
+
+async def test_a_stopping_host_reckons_with_the_pace_that_its_groups_show():
+    """A caller's stream was cut in the middle when its host ended after a planned stop.
+
+    A host that stops takes a stream if three times the stream's expected time are left
+    to it. The expected time was that of a sound group, so a host whose groups ran at a
+    fifth of their pace took streams that needed longer than it had.
+    """
+    rig = await rig_of("a")
+    work = rig.work(FakeExchange())
+    sound = rig.service.expected_seconds(work)
+    group_work = rig.directory.work(("a", 1))
+    group_work.slowness, group_work.last_event_at = 5.0, rig.clock.now()
+    passes = sound - work.route.objective_seconds
+    slow = rig.service.expected_seconds(work)
+    assert slow >= work.route.objective_seconds + 4.9 * passes
+
+
+async def test_a_stopping_host_takes_no_stream_for_which_it_has_no_group():
+    """A caller waited on a stopping host for a group, and its answer was cut off.
+
+    Nothing was known of when a group would serve, yet the stream's time was reckoned
+    as if one did.
+    """
+    rig = await rig_of()
+    assert rig.service.expected_seconds(rig.work(FakeExchange())) == float("inf")
+
+
+async def test_a_head_that_says_it_is_not_the_one_gets_no_more_streams():
+    """Symptom: streams are sent to one head over and over, which runs none of them.
+
+    Sequence: a head starts again behind a cut; the list still shows it open. It
+    answers each stream that it holds no open group.
+    Cause: the answer counted as that of a full head, which is left for a moment only;
+    without streams it looked like the least loaded.
+    """
+    rig = await rig_of("a", "b")
+    rig.targets.script("a0", *(misdirected() for _ in range(9)))
+    rig.targets.script("b0", *(answer(1) for _ in range(9)))
+    rig.directory.work(("b", 1)).running = 1
+    for _ in range(3):
+        outcome = await rig.service.serve(rig.work(FakeExchange()))
+        assert outcome == Answered(status=200, target="b0")
+        rig.clock.time += 60.0
+    assert [name for name, _ in rig.targets.sends].count("a0") == 1
+
+
+async def test_a_full_head_gets_streams_again_after_a_moment():
+    rig = await rig_of("a", "b")
+    rig.targets.script("a0", full(), answer(1))
+    rig.targets.script("b0", answer(1), answer(1))
+    rig.directory.work(("b", 1)).running = 1
+    assert await rig.service.serve(rig.work(FakeExchange())) == Answered(
+        status=200, target="b0"
+    )
+    rig.clock.time += 1.0
+    assert await rig.service.serve(rig.work(FakeExchange())) == Answered(
+        status=200, target="a0"
+    )
+
+
+@pytest.mark.parametrize("refusal", [full, misdirected])
+async def test_refused_for_sure_and_no_budget_left_is_not_run(refusal):
+    """Symptom: callers are told 502, and give up, for streams that nobody ran.
+
+    Sequence: a head turns a stream away; the repeats of this window are used up.
+    Cause: the end of the budget was answered alike whether the stream may have run
+    or was proved not to have.
+    """
+    rig = await rig_of("a", "b", slack=0.0)
+    for name in ("a0", "b0"):
+        rig.targets.script(name, refusal())
+    outcome = await rig.service.serve(rig.work(FakeExchange()))
+    assert (outcome.status, outcome.reason) == (503, Reason.BUDGET_USED)
+    assert outcome.retry_after > 0
+    assert len(rig.targets.sends) == 1
+
+
+async def test_a_used_budget_after_an_attempt_that_may_have_run_stays_unknown():
+    rig = await rig_of("a", "b", "c", slack=2.5)
+    rig.targets.script("a0", FakeResponse(script=[BROKEN]))
+    for name in ("b0", "c0"):
+        rig.targets.script(name, full())
+    rig.directory.work(("b", 1)).running = 1
+    rig.directory.work(("c", 1)).running = 1
+    outcome = await rig.service.serve(rig.work(FakeExchange()))
+    assert outcome == Refusal(status=502, reason=Reason.BUDGET_USED, retry_after=None)
+
+
+@pytest.mark.parametrize("refusal", [full, misdirected])
+async def test_a_stream_that_no_group_ran_until_its_deadline_is_not_run(refusal):
+    """Symptom: a caller that could come back is told that its time is over.
+
+    Sequence: the only group turns a stream away, just before the route's timeout.
+    Cause: the end of the time was answered alike whether the stream may have run or
+    was proved not to have.
+    """
+    rig = await rig_of("a")
+    refused = refusal()
+    rig.targets.script("a0", refused)
+    work = rig.work(FakeExchange())
+
+    async def late(limit=0):
+        rig.clock.time = work.deadline
+        return b""
+
+    refused.read = late
+    outcome = await rig.service.serve(work)
+    assert (outcome.status, outcome.reason) == (503, Reason.TIMEOUT)
+    assert outcome.retry_after > 0
+
+
+async def test_no_place_left_after_an_attempt_that_may_have_run_stays_unknown():
+    """Symptom: a caller is promised that a stream did not run, and it had.
+
+    Sequence: the only group breaks off before the first event; no other has a place.
+    Cause: the end of the wait for a place spoke for the whole request.
+    """
+    rig = await rig_of("a")
+    rig.targets.script("a0", FakeResponse(script=[BROKEN]))
+    work = rig.work(FakeExchange())
+    work.deadline = rig.clock.now() + 0.1
+    outcome = await rig.service.serve(work)
+    assert (outcome.status, outcome.reason) == (502, Reason.OVERLOADED)
+
+
+async def formed_anew(rig, group):
+    """Start the members of a group again, and form it anew."""
+    known = rig.directory.targets
+    anew = [
+        replace(
+            known[name],
+            born=known[name].born + 1,
+            membership=replace(known[name].membership, epoch=2),
+        )
+        for name in (f"{group}0", f"{group}1")
+    ]
+    revision = rig.directory.changed + 1
+    rig.directory.hear_change(
+        TargetsRead(revision=revision, targets=tuple(anew)), previous=revision - 1
+    )
+
+
+async def test_engines_that_started_again_do_not_count_as_attempts():
+    """Symptom: streams are cut off although a group has a place for them.
+
+    Sequence: two groups break off under a stream, as their engines crash; one is formed
+    anew from the engines that started again under their ids.
+    Cause: attempts and groups that were tried went by the engine's id.
+    """
+    rig = await rig_of("a", "b")
+    held = asyncio.get_running_loop().create_future()
+    rig.targets.script("a0", FakeResponse(script=[event(1), BROKEN]), answer(3))
+    rig.targets.script("b0", FakeResponse(script=[event(2), held, BROKEN]))
+    rig.directory.work(("b", 1)).running = 1
+    exchange = FakeExchange()
+    task = asyncio.create_task(rig.service.serve(rig.work(exchange)))
+    while len(rig.targets.sends) < 2:
+        await asyncio.sleep(0)
+    await formed_anew(rig, "a")
+    held.set_result(None)
+    assert await task == Answered(status=200, target="a0")
+    assert exchange.body == whole(1, 2, 3)
+
+
+async def test_a_stream_that_may_run_once_never_goes_to_the_later_process():
+    """Symptom: a request that may run once at most runs twice.
+
+    Sequence: its head crashes before the first event, starts again under its id and
+    holds an open group when the connection breaks.
+    Cause: the request had never been sent to that process, so it counted as not run.
+    """
+    rig = await rig_of("a")
+    held = asyncio.get_running_loop().create_future()
+    rig.targets.script("a0", FakeResponse(script=[held, BROKEN]), answer(1))
+    work = rig.work(FakeExchange(), replace(ROUTE, resumable=False))
+    task = asyncio.create_task(rig.service.serve(work))
+    while not rig.targets.sends:
+        await asyncio.sleep(0)
+    await formed_anew(rig, "a")
+    held.set_result(None)
+    assert await task == Refusal(status=502, reason=Reason.MAYBE_RUN)
+    assert len(rig.targets.sends) == 1
+
+
+async def test_a_head_that_cannot_be_reached_is_tried_less_and_less():
+    """Symptom: the repeats of a window are used up at one address.
+
+    Sequence: a head crashes; until the list shows it, a stream is sent there each time
+    that the pause after the last one is over.
+    Cause: the pause was as short after the tenth refusal as after the first.
+    """
+    rig = await rig_of("a", "b")
+    rig.targets.script("a0", *(UNREACHABLE for _ in range(99)))
+    rig.targets.script("b0", *(answer(1) for _ in range(99)))
+    rig.directory.work(("b", 1)).running = 1
+    for _ in range(20):
+        outcome = await rig.service.serve(rig.work(FakeExchange()))
+        assert outcome == Answered(status=200, target="b0")
+        rig.clock.time += 0.1
+    assert [name for name, _ in rig.targets.sends].count("a0") <= 5
+
+
+async def test_a_full_head_that_advances_is_left_for_a_moment_only():
+    rig = await rig_of("a", "b")
+    rig.targets.script("a0", full(), answer(1), full(), answer(1), full(), answer(1))
+    rig.targets.script("b0", *(answer(1) for _ in range(9)))
+    rig.directory.work(("b", 1)).running = 1
+    for _ in range(6):
+        await rig.service.serve(rig.work(FakeExchange()))
+        rig.clock.time += 0.1
+    assert [name for name, _ in rig.targets.sends].count("a0") == 6
+
+
+async def test_a_head_that_turned_streams_away_for_long_gets_one_again():
+    rig = await rig_of("a", "b")
+    rig.targets.script("a0", *(full() for _ in range(20)))
+    rig.targets.script("b0", *(answer(1) for _ in range(99)))
+    rig.directory.work(("b", 1)).running = 1
+    for _ in range(10):
+        await rig.service.serve(rig.work(FakeExchange()))
+        rig.clock.time += 0.2
+    rig.targets.script("a0", answer(1))
+    rig.clock.time += MOST_PAUSE_SECONDS
+    outcome = await rig.service.serve(rig.work(FakeExchange()))
+    assert outcome == Answered(status=200, target="a0")
--- a/mallowpond/platform/documents.py
+++ b/mallowpond/platform/documents.py
@@ -274,7 +274,8 @@
     state: _State
     cold_left_ms: float
     sequence: int
-    born: int
+    # Not every platform's engines tell their start.
+    born: int | None = None
     # Services without models report none of these.
     domain: str | None = None
     models: tuple[_Named, ...] | None = None
@@ -285,9 +286,9 @@
 @dataclass(frozen=True, kw_only=True)
 class _Report:
     sequence: int
-    born: int
     models: tuple[_Named, ...]
     staged: tuple[Name, ...]
+    born: int | None = None
     group: _Group | None = None
     stage: str = ""
     busy: bool = False
@@ -322,6 +323,8 @@
     entry = decode(_one_spelling(row), _Entry)
     if isinstance(entry, Unreadable):
         return entry
+    if "born" in row and entry.born is None:
+        return Unreadable(fault=Fault.TYPE, field="born")
     missing = _missing_place(entry)
     if missing:
         return Unreadable(fault=Fault.MISSING, field=missing)
@@ -345,6 +348,10 @@
     found = decode(_one_spelling(document), _Report)
     if isinstance(found, Unreadable):
         return found
+    if found.born is None and "born" in document:
+        return Unreadable(fault=Fault.TYPE, field="born")
+    if found.born is None and asked.born is not None:
+        return Unreadable(fault=Fault.MISSING, field="born")
     # Here `sequence` counts orders; in the list it counts heartbeats.
     return EngineReport(
         orders=found.sequence,
--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -1,7 +1,7 @@
 """Model engines, their groups, and the timing that their operator declares."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -16,11 +16,12 @@
     """Name one process of a back end: a restart keeps `id` and changes `born`.
 
     `born` is a time of day, which may be stepped: two values tell two processes
-    apart, and never which of them is the later one.
+    apart, and never which of them is the later one. It is None where back ends do not
+    tell it.
     """
 
     id: str
-    born: int
+    born: int | None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -67,6 +68,15 @@
     BROKEN = "broken"
 
 
+class BreakCause(str, Enum):
+    """Say how it became known that a formation serves no more."""
+
+    # Its head answered that it is another engine, or holds no open group.
+    REFUSED = "refused"
+    # A member is another process now, which holds nothing of the formation.
+    RESTARTED = "restarted"
+
+
 @dataclass(frozen=True, kw_only=True)
 class Membership:
     """Place an engine in one formation of a group; rank 0 is the head."""
@@ -96,13 +106,19 @@
     model: str = ""
     staged: tuple[str, ...] = ()
     membership: Membership | None = None
-    born: int = 0
+    born: int | None = None
 
     @property
     def process(self) -> Process:
         """Return which process this is."""
         return Process(id=self.id, born=self.born)
 
+    @property
+    def place(self) -> GroupKey | None:
+        """Return the formation that it stands in, None if in none."""
+        member = self.membership
+        return None if member is None else (member.group, member.epoch)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Group:
@@ -170,3 +186,22 @@
             members=tuple(found),
         )
     return groups
+
+
+def without_start(
+    listed: Mapping[str, Target], known: Mapping[str, Target]
+) -> frozenset[str]:
+    """Return the listed targets whose entries lack the start that others tell.
+
+    An entry of another writer may lack any field; used, it would name a back end that
+    is not there. Where back ends tell no start at all, none is missed: by the others of
+    the list, and by what was known of the same `id`.
+    """
+    told = sum(t.born is not None for t in known.values())
+    is_usual = 2 * told > len(known)
+    return frozenset(
+        target.id
+        for target in listed.values()
+        if target.born is None
+        and (is_usual or (target.id in known and known[target.id].born is not None))
+    )
--- /dev/null
+++ b/mallowpond/state/processes.py
@@ -0,0 +1,136 @@
+"""Decide which process of a target is the present one.
+
+A target may start again under its `id`, with another `born`, which does not say which
+of two processes is the later one: clocks of hosts are stepped. Two things do. An answer
+that a process gives itself shows that it ran after the question was asked; and of two
+lists that were read one after the other, the later one holds the later registration.
+So the answer to the newest question ends the process that was listed when it was asked;
+and when the list moves on to a process that no answer has ended, that one is present.
+
+Where targets tell no start, and where a member was taken out of its group by nobody's
+order known here, what shows it is the place: a target that answers that it does not
+stand where the list has shown it for a while has lost that place.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+from mallowpond.state.fleet import GroupKey, Process, Target
+
+# Time for which the list must have shown a place before an answer that shows another
+# one counts, in seconds: a few times the usual lag of reports.
+SETTLED_SECONDS = 0.7
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Heard:
+    """Hold the newest direct answer, and the processes that it showed to be gone."""
+
+    process: Process
+    asked_at: float
+    ended: frozenset[Process] = frozenset()
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Listed:
+    """Hold where the list shows a process, and since when."""
+
+    process: Process
+    place: GroupKey | None
+    since: float
+
+
+class PresentProcesses:
+    """Know the present process of each target, by direct answers and the list."""
+
+    def __init__(self) -> None:
+        self._heard: dict[str, _Heard] = {}
+        self._listed: dict[str, _Listed] = {}
+        self._displaced: dict[Process, GroupKey] = {}
+
+    @property
+    def unheld(self) -> frozenset[GroupKey]:
+        """Return the groups in which a member answers that it does not stand."""
+        return frozenset(self._displaced.values())
+
+    def reset(self) -> None:
+        """Forget every answer."""
+        self._heard.clear()
+        self._listed.clear()
+        self._displaced.clear()
+
+    def settle(self, targets: Mapping[str, Target], *, now: float) -> None:
+        """Note where the list shows each target; forget those that it does not."""
+        self._heard = {t: h for t, h in self._heard.items() if t in targets}
+        self._listed = {
+            name: self._as_listed(target, now) for name, target in targets.items()
+        }
+        shown = {(each.process, each.place) for each in self._listed.values()}
+        self._displaced = {p: k for p, k in self._displaced.items() if (p, k) in shown}
+
+    def _as_listed(self, target: Target, now: float) -> _Listed:
+        known = self._listed.get(target.id)
+        if known and (known.process, known.place) == (target.process, target.place):
+            return known
+        return _Listed(process=target.process, place=target.place, since=now)
+
+    def hear(
+        self,
+        *,
+        asked: Target,
+        answered: Target,
+        asked_at: float,
+        listed: Target | None,
+        shows_orders: bool = True,
+    ) -> None:
+        """Take a direct answer.
+
+        `listed` is what the list shows now. When it moved on while the question was
+        under way, nobody knows which of the two came first, and nothing is learnt.
+        `shows_orders` is false while the answer may not show the last order yet.
+        """
+        if shows_orders:
+            self._hear_place(asked, answered, asked_at)
+        heard = self._heard.get(asked.id)
+        if heard is not None and asked_at < heard.asked_at:
+            return
+        if listed is None or listed.process != asked.process:
+            return
+        ended = {asked.process}
+        if heard is not None:
+            ended |= {heard.process, *heard.ended}
+        self._heard[asked.id] = _Heard(
+            process=answered.process,
+            asked_at=asked_at,
+            ended=frozenset(ended - {answered.process}),
+        )
+
+    def _hear_place(self, asked: Target, answered: Target, asked_at: float) -> None:
+        known = self._listed.get(asked.id)
+        if known is None or answered.process != known.process or known.place is None:
+            return
+        if answered.place == known.place:
+            self._displaced.pop(known.process, None)
+        elif asked_at - known.since > SETTLED_SECONDS:
+            self._displaced[known.process] = known.place
+
+    def present(self, target: Target) -> Target:
+        """Return a listed target, or what is known of the process that follows it.
+
+        That one gets no orders before the list shows it: what came of them would show
+        nowhere, and its group could not be opened. The same holds for a target that has
+        lost the place that the list shows.
+        """
+        if target.place and self._displaced.get(target.process) == target.place:
+            return replace(target, model="", membership=None, lapsed=True)
+        heard = self._heard.get(target.id)
+        if heard is None or target.process not in heard.ended:
+            return target
+        return replace(
+            target, born=heard.process.born, model="", membership=None, lapsed=True
+        )
+
+
+def has_restarted(seen: Iterable[Process], present: Mapping[str, Target]) -> bool:
+    """Tell whether the target of one of these processes runs another one now."""
+    return any(p.id in present and present[p.id].process != p for p in seen)
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -12,6 +13,9 @@
 
 READ_SIZE = 65536
 MAX_HEADER_BYTES = 16384
+# Time in which answers that were handed over whole may still go out when the server
+# closes, in seconds: less than the 0.7 s that a stopping node keeps for closing.
+FLUSH_SECONDS = 0.5
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -57,11 +61,15 @@
 
 @dataclass(kw_only=True)
 class Exchange:
-    """Answer one request; an answer left open is cut, never ended as if whole."""
+    """Answer one request; an answer left open is cut, never ended as if whole.
+
+    `earlier` counts the requests that came before on the same connection.
+    """
 
     _connection: h11.Connection
     _writer: asyncio.StreamWriter
     _send_seconds: float
+    earlier: int = 0
     started: bool = field(default=False, init=False)
     finished: bool = field(default=False, init=False)
     _close_after: bool = field(default=False, init=False)
@@ -156,9 +164,13 @@
         self._on_bad_input = on_bad_input
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
-        self._busy: set[asyncio.Task[None]] = set()
-        self._closing = False
+        self._busy: dict[asyncio.Task[None], Exchange] = {}
+        self._idle: set[asyncio.Task[None]] = set()
+        self._parting: set[asyncio.Task[None]] = set()
+        self._cut: set[asyncio.Task[None]] = set()
         self._refusing = False
+        self._keeps_connections = True
+        self._is_closing = False
 
     @property
     def port(self) -> int:
@@ -166,6 +178,11 @@
         assert self._server is not None
         return self._server.sockets[0].getsockname()[1]
 
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether a request was read whole and its answer has not ended."""
+        return bool(self._busy)
+
     def set_limits(self, limits: ServerLimits) -> None:
         """Apply new limits to everything that is read from now on."""
         self._limits = limits
@@ -176,6 +193,17 @@
             self._accept, host, port, limit=READ_SIZE, backlog=1024
         )
 
+    def keep_no_connections(self) -> None:
+        """Let a connection carry one request only; close those that are idle now.
+
+        A connection whose answer began before a stop was announced does not know of it:
+        kept, it brought requests to a process until its end, which cut them off, while
+        new connections went elsewhere.
+        """
+        self._keeps_connections = False
+        for task in list(self._idle):
+            task.cancel()
+
     def refuse_more(self) -> None:
         """Take no further request; those in progress go on.
 
@@ -185,15 +213,20 @@
         self._refusing = True
         if self._server is not None:
             self._server.close()
-        for task in self._connections - self._busy:
+        for task in self._connections - self._busy.keys():
             task.cancel()
 
     async def close(self) -> None:
-        """Stop listening and drop the connections that are left."""
-        self._closing = True
+        """Stop listening, cut answers in progress, and let whole ones go out."""
         if self._server is not None:
             self._server.close()
-        for task in list(self._connections):
+        self._is_closing = True
+        self._cut = {task for task, each in self._busy.items() if not each.finished}
+        for task in self._connections - self._parting:
+            task.cancel()
+        if self._connections:
+            await asyncio.wait(self._connections, timeout=FLUSH_SECONDS)
+        for task in self._connections:
             task.cancel()
         await asyncio.gather(*self._connections, return_exceptions=True)
 
@@ -208,8 +241,29 @@
         except (ConnectionError, asyncio.CancelledError, ClientGone):
             pass
         finally:
+            await self._part(task, writer)
             self._connections.discard(task)
-            writer.transport.abort() if self._closing else writer.close()
+
+    async def _part(
+        self, task: asyncio.Task[None], writer: asyncio.StreamWriter
+    ) -> None:
+        """Close a connection once what was written has gone out.
+
+        A handler ends while up to 64 KiB of its answer stand in the buffer. Dropped
+        with the connection, the caller of a slow link got a part of a whole answer.
+        """
+        if task in self._cut:
+            writer.transport.abort()
+            return
+        self._parting.add(task)
+        writer.close()
+        try:
+            async with asyncio.timeout(self._limits.send_seconds):
+                await writer.wait_closed()
+        except (ConnectionError, TimeoutError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self._parting.discard(task)
 
     async def _converse(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -217,14 +271,17 @@
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
-        while True:
+        for earlier in itertools.count():
             exchange = Exchange(
                 _connection=connection,
                 _writer=writer,
                 _send_seconds=self._limits.send_seconds,
+                earlier=earlier,
             )
             try:
-                request = await self._receive(connection, reader, writer)
+                request = await self._receive(
+                    connection, reader, writer, is_kept=earlier > 0
+                )
             except _Unreadable as unreadable:
                 await self._on_bad_input(unreadable.bad, exchange)
                 return
@@ -232,15 +289,15 @@
                 return
             task = asyncio.current_task()
             assert task is not None
-            self._busy.add(task)
+            self._busy[task] = exchange
             try:
                 await self._handle(request, exchange, connection, reader)
             finally:
-                self._busy.discard(task)
+                del self._busy[task]
             if not exchange.finished or connection.our_state is not h11.DONE:
                 # No closing chunk goes out: the client sees the answer broken off.
                 return
-            if connection.their_state is not h11.DONE:
+            if connection.their_state is not h11.DONE or not self._keeps_connections:
                 return
             connection.start_next_cycle()
 
@@ -271,9 +328,11 @@
         connection: h11.Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        *,
+        is_kept: bool,
     ) -> HttpRequest | None:
         if not connection.trailing_data[0]:
-            first = await self._read_first(reader)
+            first = await self._read_first(reader, is_kept=is_kept)
             if first == b"":
                 return None
             connection.receive_data(first)
@@ -289,12 +348,25 @@
                 )
             ) from None
 
-    async def _read_first(self, reader: asyncio.StreamReader) -> bytes:
+    async def _read_first(
+        self, reader: asyncio.StreamReader, *, is_kept: bool
+    ) -> bytes:
+        task = asyncio.current_task()
+        assert task is not None
+        if is_kept:
+            self._idle.add(task)
         try:
             async with asyncio.timeout(self._limits.idle_seconds):
                 return await reader.read(READ_SIZE)
         except TimeoutError:
             return b""
+        except asyncio.CancelledError:
+            if self._refusing or self._is_closing:
+                raise
+            task.uncancel()
+            return await _read_arrived(reader)
+        finally:
+            self._idle.discard(task)
 
     async def _read_request(
         self,
@@ -363,6 +435,19 @@
     return BadInput(status=400, reason="malformed_http", detail=str(error))
 
 
+async def _read_arrived(reader: asyncio.StreamReader) -> bytes:
+    """Return what has been read from the socket already, nothing if nothing has.
+
+    Dropped with its connection, a request that came in the same pass of the loop as the
+    end of idle connections stayed unanswered.
+    """
+    try:
+        async with asyncio.timeout(0):
+            return await reader.read(READ_SIZE)
+    except TimeoutError:
+        return b""
+
+
 async def _watch_departure(
     connection: h11.Connection, reader: asyncio.StreamReader
 ) -> None:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,6 +6,7 @@
 import tempfile
 import time
 from collections import Counter
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
 
@@ -13,66 +14,142 @@
 
 from mallowpond.coordination.tasks import cancel_task
 from soak.callers import Callers
-from soak.faults import Injector, draw_faults
-from soak.fleet import Fleet
+from soak.cases import REGRESSIONS, Case
+from soak.faults import NEWEST_DRAW, Injector, draw_faults, draw_kinds
+from soak.fleet import Fleet, FleetShape
 from soak.judge import broken_promises
-from soak.records import Run, read_notes
+from soak.records import Disturbance, Run, read_notes, write_run
 
 RATE = 40.0
 # Time after the last fault in which callers go on, in seconds.
 CALM_SECONDS = 3.0
+# Time for which no link carries anything, in seconds, after which a node may take its
+# groups for silent: a part of the gap that the configuration allows.
+STALL_SECONDS = 0.1
+STALL_LOOK_SECONDS = 0.02
 
 
-async def play(seed: int, seconds: float, folder: Path) -> Run:
-    """Play one seed and return what it left behind."""
-    rng = random.Random(seed)
-    fleet = Fleet(folder=folder)
+@dataclass(kw_only=True)
+class Stalls:
+    """Hold when this process stood still: the links of all others are in it."""
+
+    longest: float = 0.0
+    found: list[Disturbance] = field(default_factory=list)
+
+    async def watch(self) -> None:
+        """Look at the clock until cancelled."""
+        while True:
+            began = time.monotonic()
+            await asyncio.sleep(STALL_LOOK_SECONDS)
+            late = time.monotonic() - began - STALL_LOOK_SECONDS
+            self.longest = max(self.longest, late)
+            if late > STALL_SECONDS:
+                stall = Disturbance(
+                    kind="stall", began_at=began, ended_at=time.monotonic()
+                )
+                self.found.append(stall)
+
+
+async def play(
+    case: Case, folder: Path, *, shape: FleetShape = FleetShape(), rate: float = RATE
+) -> Run:
+    """Play one case and return what it left behind."""
+    rng = random.Random(case.seed)
+    fleet = Fleet(folder=folder, shape=shape)
     injector = Injector(fleet=fleet)
     try:
         await fleet.start()
         restarts = asyncio.create_task(fleet.run_restarts())
-        callers = Callers(ports=fleet.ports, rate=RATE, rng=random.Random(seed))
+        stalls = Stalls()
+        watching = asyncio.create_task(stalls.watch())
+        callers = Callers(ports=fleet.ports, rate=rate, rng=random.Random(case.seed))
         asking = asyncio.create_task(
-            callers.run(time.monotonic() + seconds + CALM_SECONDS)
+            callers.run(time.monotonic() + case.seconds + CALM_SECONDS)
         )
-        await injector.run(draw_faults(rng, seconds))
+        kinds = case.only or draw_kinds(rng, case.draw)
+        await injector.run(draw_faults(rng, case.seconds, kinds))
         await asking
         await cancel_task(restarts)
+        await cancel_task(watching)
     finally:
         await fleet.close()
     return Run(
         callers=tuple(callers.records),
         notes=read_notes(folder),
-        disturbances=tuple(injector.disturbances),
+        disturbances=(*injector.disturbances, *stalls.found),
         revocations=tuple(injector.revocations),
+        foreign=tuple(injector.foreign),
+        longest_stall=stalls.longest,
     )
 
 
+def _at_stops(run: Run) -> dict[str, int]:
+    """Count the requests that ran when their node was told to stop, or came later."""
+    found: Counter[str] = Counter()
+    for record in run.callers:
+        for stop in run.disturbances:
+            if stop.kind != "node_stop" or stop.node != record.node:
+                continue
+            if record.sent_at < stop.began_at < record.ended_at:
+                found["ran"] += 1
+            if stop.began_at < record.sent_at < stop.ended_at and record.is_kept:
+                found["came on kept connections"] += 1
+    return dict(found)
+
+
 def main(
     seeds: Annotated[int, typer.Option(help="How many seeds.")] = 1,
     first: Annotated[int, typer.Option(help="The first seed.")] = 1,
     seconds: Annotated[float, typer.Option(help="Time with faults a seed.")] = 15.0,
+    draw: Annotated[int, typer.Option(help="Which draw of faults.")] = NEWEST_DRAW,
+    only: Annotated[
+        list[str] | None, typer.Option(help="A kind of fault; no others are drawn.")
+    ] = None,
+    nodes: Annotated[int, typer.Option(help="How many nodes.")] = 3,
+    domains: Annotated[int, typer.Option(help="How many domains.")] = 2,
+    rate: Annotated[float, typer.Option(help="Requests a second.")] = RATE,
+    slowness: Annotated[
+        float, typer.Option(help="Time of an event, as a multiple of the declared.")
+    ] = 1.0,
+    regressions: Annotated[
+        bool, typer.Option(help="Play the seeds that once failed, and no others.")
+    ] = False,
     keep: Annotated[Path, typer.Option(help="Where failed runs are kept.")] = Path(
         "soak-results"
     ),
 ) -> None:
     """Play seeds one after the other; exit with 1 if a promise was broken."""
+    shape = FleetShape(nodes=nodes, domains=domains, slowness=slowness)
+    cases = REGRESSIONS
+    if not regressions:
+        cases = tuple(
+            Case(seed=seed, seconds=seconds, draw=draw, only=tuple(only or ()))
+            for seed in range(first, first + seeds)
+        )
     failed = []
-    for seed in range(first, first + seeds):
-        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        run = asyncio.run(play(seed, seconds, folder))
+    for case in cases:
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{case.seed}-"))
+        run = asyncio.run(play(case, folder, shape=shape, rate=rate))
         lines = broken_promises(run)
-        statuses = Counter(r.status for r in run.callers)
-        typer.echo(f"seed {seed}: {len(run.callers)} requests {dict(statuses)}")
-        for line in lines:
-            typer.echo(f"  BROKEN {line}")
+        _tell(case, run, lines)
         if lines:
-            failed.append(seed)
-            shutil.copytree(folder, keep / str(seed), dirs_exist_ok=True)
+            failed.append(case.seed)
+            write_run(run, folder / "run.json")
+            shutil.copytree(folder, keep / str(case.seed), dirs_exist_ok=True)
         shutil.rmtree(folder)
-    typer.echo(f"{seeds} seeds, {len(failed)} failed: {failed}")
+    typer.echo(f"{len(cases)} seeds, {len(failed)} failed: {failed}")
     raise typer.Exit(1 if failed else 0)
 
 
+def _tell(case: Case, run: Run, lines: list[str]) -> None:
+    statuses = Counter(r.status for r in run.callers)
+    typer.echo(f"seed {case.seed}: {len(run.callers)} requests {dict(statuses)}")
+    kinds = Counter(d.kind for d in run.disturbances)
+    typer.echo(f"  {dict(kinds)}, at planned stops: {_at_stops(run)}")
+    typer.echo(f"  longest stall of this process {run.longest_stall:.2f} s")
+    for line in lines:
+        typer.echo(f"  BROKEN {line}")
+
+
 if __name__ == "__main__":
     typer.run(main)
