Take an answer with a row of no key for no answer about the configuration

Cause: it was told as an unreadable configuration, after which nothing confirms the version that is held until another one is written; an answer that comes whole the next time would not have healed that.

--- a/mallowpond/node/settings.py
+++ b/mallowpond/node/settings.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class NodeSettings:
-    """Configure one node."""
+    """Configure one node; `address` is an IP address, since peers read no name."""
 
     name: str
     data_centre: str
--- a/mallowpond/platform/store.py
+++ b/mallowpond/platform/store.py
@@ -64,17 +64,15 @@
             answer = await self._feed(CONFIGURATION_TABLE, since, wait_seconds)
         if isinstance(answer, HistoryLost | Unavailable):
             return answer
-        reason = answer.nameless[0] if answer.nameless else None
+        if answer.nameless:
+            # It may be the newest configuration: passed over, it would never be read.
+            self._notes.note("configuration", "", answer.nameless[0])
+            return Unavailable(reason=f"row without a key: {answer.nameless[0]}")
         for row in answer.latest:
             if row.key == CONFIGURATION_KEY and not row.removed:
                 return self._configuration_read(answer.version, row)
-        if reason is not None:
-            self._notes.note("configuration", "", reason)
         return ConfigurationRead(
-            revision=answer.version,
-            configuration=None,
-            changed=False,
-            unreadable=reason is not None,
+            revision=answer.version, configuration=None, changed=False
         )
 
     def _configuration_read(self, revision: int, row: StoredRow) -> ConfigurationRead:
