Explain a request, a group or a configuration from the logs of all hosts

`mallowpond explain ID FILE...` merges hosts' logs and tells one request's story in time order, with what happened to its groups, targets and hosts, and its ending with the reason; `--group NAME` and `--version N` do the same for a group and a configuration. A caller that leaves is logged with its request's id now.

--- a/mallowpond/node/ingress.py
+++ b/mallowpond/node/ingress.py
@@ -92,7 +92,6 @@
             raise
         except asyncio.CancelledError:
             self._metrics.clients_gone.inc()
-            log.info("ingress: caller left", target=request.path)
             raise
         except Exception as error:
             log.exception("ingress: request failed", error=repr(error))
@@ -111,7 +110,15 @@
             refusal = Refusal(status=400, reason=Reason.BAD_REQUEST)
             await self._refuse(exchange, refusal, "", 0.0)
             return
-        outcome = await self._admit_and_serve(read, exchange, started_at)
+        try:
+            outcome = await self._admit_and_serve(read, exchange, started_at)
+        except (ClientGone, asyncio.CancelledError):
+            log.info(
+                "ingress: caller left",
+                request=read.id,
+                seconds=round(self._clock.now() - started_at, 3),
+            )
+            raise
         seconds = self._clock.now() - started_at
         match outcome:
             case Answered(status=status, target=target):
--- a/mallowpond/programs/cli.py
+++ b/mallowpond/programs/cli.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Annotated, TypeVar
@@ -10,6 +11,13 @@
 
 from mallowpond import __version__
 from mallowpond.programs import operator_commands
+from mallowpond.programs.explain import (
+    LogFiles,
+    explain_group,
+    explain_request,
+    explain_version,
+    render,
+)
 from mallowpond.programs.logs import set_up_logs
 from mallowpond.protocol.declaration_file import Faults
 from mallowpond.settings import (
@@ -257,6 +265,53 @@
             typer.echo(operator_commands.render(document, as_json=as_json))
 
 
+@app.command()
+def explain(
+    words: Annotated[
+        list[str] | None,
+        typer.Argument(
+            metavar="[ID] [FILE ...]",
+            help="A request's id, and logs, each named after its host; none: stdin.",
+        ),
+    ] = None,
+    group: Annotated[str, typer.Option(help="A group's name, in place of ID.")] = "",
+    version: Annotated[int, typer.Option(help="A configuration's, for ID.")] = 0,
+) -> None:
+    """Tell what happened to a request, a group or a configuration, from logs."""
+    names = list(words or ())
+    request = "" if group or version else names.pop(0) if names else ""
+    if sum(map(bool, (request, group, version))) != 1:
+        typer.echo("Say one of ID, --group and --version.", err=True)
+        raise typer.Exit(EXIT_USAGE)
+    logs = _read_logs([Path(name) for name in names])
+    if request:
+        story = explain_request(logs.lines, request)
+    elif group:
+        story = explain_group(logs.lines, group)
+    else:
+        story = explain_version(logs.lines, version)
+    if logs.unreadable:
+        typer.echo(f"{logs.unreadable} lines are no log lines.", err=True)
+    if story is None:
+        typer.echo("No line names it.", err=True)
+        raise typer.Exit(EXIT_REFUSED)
+    for line in render(story):
+        typer.echo(line)
+
+
+def _read_logs(files: list[Path]) -> LogFiles:
+    missing = [str(path) for path in files if not path.is_file()]
+    if missing:
+        typer.echo(f"No such file: {', '.join(missing)}", err=True)
+        raise typer.Exit(EXIT_USAGE)
+    if files:
+        return LogFiles.of(files)
+    logs = LogFiles()
+    logs.read("-", sys.stdin)
+    logs.sort()
+    return logs
+
+
 @app.command()
 def demo(
     once: Annotated[bool, typer.Option(help="End after the two requests.")] = False,
--- /dev/null
+++ b/mallowpond/programs/tests/test_explain.py
@@ -0,0 +1,115 @@
+"""From the id of a request to its cause, by log lines alone."""
+
+import json
+import re
+
+import pytest
+from typer.testing import CliRunner
+
+from mallowpond.programs.cli import EXIT_REFUSED, EXIT_USAGE, app
+
+RUNNER = CliRunner()
+
+
+def line(at, event, **fields):
+    """Write one log line of a node."""
+    stamp = f"2026-01-01T00:00:{at:06.3f}Z"
+    return json.dumps({**fields, "event": event, "level": "info", "timestamp": stamp})
+
+
+LOGS = {
+    "a-1": [
+        line(1.0, "configuration: in force", version=7),
+        line(9.0, "stream: sent", request="q1", group="g", target="e0"),
+        line(9.2, "stream: sent", request="other", group="g", target="e0"),
+        line(9.5, "groups: suspected", group="g", silent=0.4),
+        line(9.6, "stream: sent once more", request="q1", group="g", reason="x"),
+        line(9.7, "ingress: cut off", request="q1", reason="attempts_used"),
+        line(10.0, "ingress: refused", request="q2", status=503, reason="stopping"),
+        line(10.1, "node: draining", in_flight=2),
+        line(40.0, "targets: gone", target="e0"),
+    ],
+    "b-1": [
+        line(1.25, "configuration: in force", version=7),
+        line(8.0, "planner: forming", group="g", members=["e0", "e1"]),
+        line(9.4, "planner: target lost", target="e1"),
+        line(9.9, "groups: broken", group="g", cause="restarted", head="e0"),
+        line(9.9, "configuration: store lost", reason="reset"),
+        line(9.9, "stream: served", request="q3", group="h"),
+    ],
+}
+
+
+@pytest.fixture
+def files(tmp_path):
+    """Write each host's log, as a collector does, with something before each line."""
+    for host, lines in LOGS.items():
+        rows = "".join(f"  12.5 {host} {text}\n" for text in lines)
+        (tmp_path / f"{host}.log").write_text(rows)
+    return [str(path) for path in sorted(tmp_path.iterdir())]
+
+
+def told(*words):
+    """Run the command; return its exit code and lines."""
+    result = RUNNER.invoke(app, ["explain", *words])
+    return result.exit_code, result.output.splitlines()
+
+
+def test_a_stream_that_was_cut_off_is_told_with_what_happened_to_its_group(files):
+    code, lines = told("q1", *files)
+    assert code == 0
+    events = [re.split(r"\s{2,}", text.strip())[2] for text in lines[:-1]]
+    assert events == [
+        "planner: forming",
+        "stream: sent",
+        "groups: suspected",
+        "stream: sent once more",
+        "ingress: cut off",
+        "groups: broken",
+        "node: draining",
+    ]
+    assert lines[-1].startswith("=> cut off: attempts_used (each engine")
+
+
+def test_a_refusal_is_told_with_what_its_host_did(files):
+    code, lines = told("q2", *files)
+    assert code == 0
+    assert "node: draining" in lines[1]
+    assert lines[-1].startswith("=> refused with 503: stopping (the host was told")
+
+
+def test_a_group_is_told_with_its_members(files):
+    code, lines = told("--group", "g", *files)
+    assert code == 0
+    assert any("planner: target lost" in text for text in lines)
+    assert lines[-1] == "=> 2 members ordered, 2 sends of streams, broken (restarted)"
+
+
+def test_a_configuration_is_told_host_by_host(files):
+    code, lines = told("--version", "7", *files)
+    assert code == 0
+    assert lines[-1] == "=> in force on 2 hosts within 0.250 s"
+
+
+def test_what_no_line_names_is_said_so(files):
+    assert told("q9", *files)[0] == EXIT_REFUSED
+    assert told("--group", "z", *files)[0] == EXIT_REFUSED
+
+
+@pytest.mark.parametrize("words", [(), ("q1", "/no/such/file"), ("--group", "g", "x")])
+def test_a_wrong_call_is_refused(words):
+    assert told(*words)[0] == EXIT_USAGE
+
+
+def test_lines_of_others_are_counted_and_passed_over(tmp_path):
+    path = tmp_path / "a-1.log"
+    path.write_text("no line\n{}\n[1]\n" + LOGS["a-1"][6] + "\n")
+    code, lines = told("q2", str(path))
+    assert code == 0
+    assert "3 lines are no log lines." in lines
+
+
+def test_lines_may_come_on_standard_input():
+    result = RUNNER.invoke(app, ["explain", "q2"], input="\n".join(LOGS["a-1"]))
+    assert result.exit_code == 0
+    assert "refused with 503" in result.output
