--- a/mallowpond/programs/tests/cluster.py
+++ b/mallowpond/programs/tests/cluster.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -11,8 +10,12 @@
 import urllib.request
 from dataclasses import dataclass, field
 from hashlib import sha256
+from itertools import islice
 from pathlib import Path
 
+from mallowpond.standins.own_ports import own_ports
+
+PORTS = own_ports()
 API_KEY = "kurul-key"
 STARTUP_SECONDS = 30.0
 DECLARATION = f"""
@@ -34,17 +37,6 @@
 """
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 @dataclass(frozen=True, kw_only=True)
 class Answer:
     """Hold an HTTP answer."""
@@ -216,7 +208,7 @@
         names += self.names("controller")
         peers = [f"{name}-peer" for name in self.names("controller")]
         all_names = names + peers
-        self.ports = dict(zip(all_names, free_ports(len(all_names)), strict=True))
+        self.ports = dict(zip(all_names, islice(PORTS, len(all_names)), strict=True))
 
     def _write(self, name: str, text: str) -> None:
         (self.folder / f"{name}.toml").write_text(text)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -21,6 +20,7 @@
     ObservatoryOperator,
     soak_configuration,
 )
+from mallowpond.standins.own_ports import own_ports
 from mallowpond.transport.http_client import HttpClient
 from soak.judge import GROUP_SIZE, REVOKE_SECONDS, WORKSPACES
 from soak.proxy import Proxy
@@ -31,10 +31,6 @@
 LOAD_SECONDS = 0.3
 # Time of one event by the engine model of the configuration, in seconds.
 EVENT_SECONDS = 0.02
-FIRST_PORT = 10000
-FIRST_EPHEMERAL_PORT = 32768
-# Ports of one process that plays seeds: more than a fleet of a hundred uses.
-PORTS_A_PROCESS = 400
 # Pause between two looks whether a killed process has ended, in seconds.
 KILL_LOOK_SECONDS = 0.005
 
@@ -96,7 +92,7 @@
     """Hold a store, engines, nodes, and the links between them."""
 
     folder: Path
-    ports_left: Iterator[int] = field(default_factory=lambda: _own_ports())
+    ports_left: Iterator[int] = field(default_factory=own_ports)
     shape: FleetShape = FleetShape()
     nodes: list[Member] = field(default_factory=list)
     engines: list[Member] = field(default_factory=list)
@@ -293,23 +289,6 @@
         path.write_text(_toml(engine.options))
 
 
-def _own_ports() -> Iterator[int]:
-    """Draw ports that nothing listens on, from a part that is this process's own.
-
-    They lie below those that the kernel gives to connections: a port from among these
-    was taken by a connection of another process before the store listened on it.
-    """
-    blocks = (FIRST_EPHEMERAL_PORT - FIRST_PORT) // PORTS_A_PROCESS
-    first = FIRST_PORT + os.getpid() % blocks * PORTS_A_PROCESS
-    for port in range(first, first + PORTS_A_PROCESS):
-        with socket.socket() as one:
-            try:
-                one.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        yield port
-
-
 def _toml(options: dict[str, Any]) -> str:
     lines = [f"{k} = {json.dumps(v)}" for k, v in options.items() if k != "models"]
     if "models" in options:
