--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -103,6 +103,9 @@
         self._traffic_seen = traffic_seen
         self._tasks: set[asyncio.Task[None]] = set()
         self._book = OrderBook()
+        # Both are kept beyond a planner's term: one that knew only what the list shows
+        # at its start would take a group for whole whose member has started again.
+        self._seen: dict[GroupKey, set[Process]] = {}
         self._processes = PresentProcesses()
         self._probes = TargetProbes(
             configuration=configuration,
@@ -110,17 +113,18 @@
             targets=targets,
             peers=peers,
             processes=self._processes,
+            book=self._book,
             clock=clock,
             may_learn=self._may_learn,
             spawn=self._spawn,
         )
         self._reset()
         leadership.on_taken.append(self._reset)
+        directory.on_change.append(self._note_members)
         watch.on_suspect.append(self._investigate)
 
     def _reset(self) -> None:
         self._probes.reset()
-        self._processes.reset()
         self._book.reset()
         self._is_fresh = False
         self._next_epoch = self._leadership.fence * EPOCHS_PER_FENCE + 1
@@ -128,7 +132,6 @@
         self._leaving_since: dict[Process, float] = {}
         self._formations: dict[GroupKey, Formation] = {}
         self._first_seen: dict[GroupKey, float] = {}
-        self._seen: dict[GroupKey, set[Process]] = {}
         self._cleared: dict[GroupKey, list[float]] = {}
         self._loads_begun: list[float] = []
         self._asked_at = float("-inf")
@@ -304,18 +307,25 @@
             present = self._present
             self._seen[key] = {present[member].process for member in step.members}
 
+    def _note_members(self) -> None:
+        """Note the processes that the list shows in each group."""
+        self._processes.settle(self._directory.targets)
+        groups = self._directory.groups
+        known = groups.keys() | self._formations.keys()
+        self._seen = {key: seen for key, seen in self._seen.items() if key in known}
+        for key, group in groups.items():
+            members = {member.process for member in group.members}
+            self._seen.setdefault(key, set()).update(members)
+
     def _settle(self) -> None:
         """Drop what the list shows to be done, and what is out of date."""
         now = self._clock.now()
         targets, groups = self._directory.targets, self._directory.groups
-        self._processes.settle(targets)
         present = self._present
         # While the list is away it shows nothing of what was ordered since.
         self._book.settle(present, now=now, shows_orders=self._directory.is_settled)
-        for key, group in groups.items():
+        for key in groups:
             self._first_seen.setdefault(key, now)
-            members = {member.process for member in group.members}
-            self._seen.setdefault(key, set()).update(members)
         self._leaving_since = {
             target.process: self._leaving_since.get(target.process, now)
             for target in targets.values()
@@ -330,8 +340,6 @@
             if key in groups or now - formation.ordered_at < self._stall_seconds
         }
         self._closed &= groups.keys()
-        known_keys = groups.keys() | self._formations.keys()
-        self._seen = {key: s for key, s in self._seen.items() if key in known_keys}
         self._loads_begun = [at for at in self._loads_begun if now - at < 10.0]
         self._probes.look()
         if self._directory.is_lost:
@@ -349,9 +357,10 @@
             self._peers.tell_suspicion((step.group, step.epoch), closing=True)
         if is_load(step):
             self._loads_begun.append(now)
-        self._spawn(self._order(step))
+        self._spawn(self._order(step, self._leadership.fence))
 
-    async def _order(self, step: Step) -> None:
+    async def _order(self, step: Step, fence: int) -> None:
+        """Give an order under the fencing number with which it was planned."""
         target = step.target
         if isinstance(step, Join) and self._stands_elsewhere(step):
             self._give_back(step)
@@ -360,22 +369,30 @@
         if expected is None:
             self._give_back(step)
             return
-        fence = self._leadership.fence
-        if not fence or self._is_overtaken(step):
+        # Planned before this node lost the lease and took it anew, an order rests on
+        # what was since forgotten.
+        is_held = fence and fence == self._leadership.fence
+        if not is_held or self._is_overtaken(step):
             self._give_back(step)
             return
         end = await self._targets.order(step, fence=fence, expected=expected)
         self._note(step, end, expected=expected)
 
     def _is_overtaken(self, step: Step) -> bool:
-        """Tell whether a member of a group that is to begin has started again.
+        """Tell whether an order's target, or a member it counts on, is another process.
 
-        The plan is as old as the question for the count; opened on it, the group
-        would begin work with a member that holds nothing.
+        Nor may a member join a formation that is over by now. The plan is as old as
+        the question for the count; opened on it, a group would begin work with a
+        member that holds nothing.
         """
+        if not self._is_present(step.target):
+            return True
         if not isinstance(step, Join | Open):
             return False
-        seen = self._seen.get((step.group, step.epoch), ())
+        key = (step.group, step.epoch)
+        if isinstance(step, Join) and key not in self._formations:
+            return True
+        seen = self._seen.get(key, ())
         return has_restarted(seen, self._present)
 
     def _stands_elsewhere(self, step: Join) -> bool:
@@ -510,7 +527,7 @@
         if now - self._asked_at < ASK_SECONDS:
             return
         self._asked_at = now
-        for identifier in self._book.busy:
+        for identifier in sorted(self._book.busy):
             target = self._directory.targets.get(identifier)
             if target is not None and identifier not in self._probes.lost:
                 self._spawn(self._probes.probe(target))
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -12,6 +12,7 @@
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.ports import EngineReport, Targets
 from mallowpond.state.fleet import Process, Target
+from mallowpond.state.order_book import OrderBook
 from mallowpond.state.processes import PresentProcesses
 
 log = structlog.get_logger()
@@ -38,6 +39,7 @@
         targets: Targets,
         peers: PeerNetwork,
         processes: PresentProcesses,
+        book: OrderBook,
         clock: Clock,
         may_learn: Callable[[Target], bool],
         spawn: Callable[[Coroutine[Any, Any, Any]], None],
@@ -47,6 +49,7 @@
         self._targets = targets
         self._peers = peers
         self._processes = processes
+        self._book = book
         self._clock = clock
         self._may_learn = may_learn
         self._spawn = spawn
@@ -114,6 +117,7 @@
         self._processes.hear(
             asked=target, answered=report.target, asked_at=asked_at, listed=listed
         )
+        self._book.note_seen(report.target, report.orders)
         if report.target.process != target.process:
             log.info(
                 "planner: another process answered",
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -92,11 +92,12 @@
             source=self.source, clock=self.clock, revoke_seconds=5.0
         )
         self.watch, self.peers = FakeWatch(), FakePeers()
+        self.leadership = FakeLeadership()
         self.planner = GroupPlanner(
             configuration=self.configuration,
             directory=self.directory,
             targets=self.targets,
-            leadership=FakeLeadership(),
+            leadership=self.leadership,
             peers=self.peers,
             watch=self.watch,
             clock=self.clock,
@@ -588,3 +589,47 @@
     ended.set()
     await probe
     assert rig.directory.targets["g1"] == restarted("g1")
+
+
+async def test_no_order_of_an_earlier_term_is_given_under_a_later_number():
+    """Symptom: a target is ordered into a group of which a member has started again.
+
+    Sequence: joins wait for reports; the node loses the lease and takes it anew, and
+    forgets what it planned; the reports come.
+    Cause: a waiting order took the number of the moment at which it was given.
+    """
+    rig = Rig(free("a"), free("b"))
+    answer, ask = asyncio.Event(), rig.targets.report
+
+    async def slow(target):
+        await answer.wait()
+        return await ask(target)
+
+    rig.targets.report = slow
+    await rig.steps(2)
+    rig.leadership.fence = 5
+    for notify in rig.leadership.on_taken:
+        notify()
+    answer.set()
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert rig.targets.orders == []
+
+
+async def test_a_new_planner_knows_which_members_started_again_before_its_term():
+    """Symptom: a group serves nobody until its head says that it is broken.
+
+    Sequence: a member starts again and registers; another node becomes planner.
+    Cause: the new planner knew only the processes that its first list showed.
+    """
+    rig = Rig(*open_group("g"))
+    rig.leadership.fence = 0
+    await rig.directory.refresh()
+    await rig.steps()
+    await rig.show(restarted("g1"))
+    rig.leadership.fence = 5
+    for notify in rig.leadership.on_taken:
+        notify()
+    rig.source.listed.append(listing(revision=10, whole=False))
+    await rig.steps(3)
+    assert [leave.target.id for leave in rig.of_kind(Leave)] == ["g0"]
--- a/mallowpond/state/order_book.py
+++ b/mallowpond/state/order_book.py
@@ -164,6 +164,13 @@
         record.count = record.least_count = orders
         return True
 
+    def note_seen(self, target: Target, orders: int) -> None:
+        """Note a count that a process told beside: later ones may not be lower."""
+        record = self._record(target)
+        record.least_count = max(record.least_count, orders)
+        if record.count is not None and record.count < orders:
+            record.count = None
+
     def note_begun(self, step: Step, *, expected: int, is_sure: bool) -> None:
         """Count an order on top of those that it expected before it.
 
@@ -171,6 +178,8 @@
         refused and its whole group would wait.
         """
         record = self._record(step.target)
+        if expected + 1 < record.least_count:
+            return
         record.count = expected + 1
         if is_sure:
             record.least_count = max(record.least_count, expected + 1)
--- a/mallowpond/state/processes.py
+++ b/mallowpond/state/processes.py
@@ -29,10 +29,6 @@
     def __init__(self) -> None:
         self._heard: dict[str, _Heard] = {}
 
-    def reset(self) -> None:
-        """Forget every answer."""
-        self._heard.clear()
-
     def settle(self, targets: Mapping[str, Target]) -> None:
         """Forget targets that are not listed any more."""
         self._heard = {t: h for t, h in self._heard.items() if t in targets}
--- a/mallowpond/state/tests/test_order_book.py
+++ b/mallowpond/state/tests/test_order_book.py
@@ -71,6 +71,19 @@
     assert (book.count(FIRST), book.count(SECOND)) == (5, 0)
 
 
+def test_a_count_that_a_probe_told_makes_older_ones_out_of_date():
+    book = OrderBook()
+    book.note_report(FIRST, 4)
+    book.note_seen(FIRST, 4)
+    assert book.count(FIRST) == 4
+    book.note_seen(FIRST, 6)
+    assert book.count(FIRST) is None
+    book.note_begun(join_of(FIRST), expected=4, is_sure=True)
+    assert book.count(FIRST) is None
+    assert not book.note_report(FIRST, 5)
+    assert book.note_report(FIRST, 6)
+
+
 def test_a_count_that_is_not_sure_does_not_outlast_a_report():
     """Symptom: a target gets no more orders at all.
 
