--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -13,6 +13,7 @@
 from mallowpond.node.ports import EngineReport, Targets
 from mallowpond.state.broken_groups import STILL_WRITTEN_SECONDS
 from mallowpond.state.fleet import Process, Target
+from mallowpond.state.order_book import OrderBook
 from mallowpond.state.processes import PresentProcesses
 
 log = structlog.get_logger()
@@ -39,6 +40,7 @@
         targets: Targets,
         peers: PeerNetwork,
         processes: PresentProcesses,
+        book: OrderBook,
         clock: Clock,
         may_learn: Callable[[Target], bool],
         spawn: Callable[[Coroutine[Any, Any, Any]], None],
@@ -48,6 +50,7 @@
         self._targets = targets
         self._peers = peers
         self._processes = processes
+        self._book = book
         self._clock = clock
         self._may_learn = may_learn
         self._spawn = spawn
@@ -135,6 +138,7 @@
             listed=listed,
             shows_orders=self._may_learn(report.target),
         )
+        self._book.note_seen(report.target, report.orders)
         if report.target.process != target.process:
             log.info(
                 "planner: another process answered",
