Let an answer end the process that was asked, whatever the list shows since

An answer of another process proves that the one that was asked has ended, so what the list shows meanwhile need not be compared; the report's count goes to the process that answered, and the look before each order withholds what was meant for another. Two checks for which no failing test could be written are gone. Joins of a formation that is over have a test.

--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -417,15 +417,13 @@
         if isinstance(report, Unavailable):
             self._probes.investigate(target)
             return None
-        if report.target.process != target.process:
-            return None
         if _place(report.target) != _place(target):
             # Another planner's order came after the list was read: a count that
             # includes it would let an order through that was planned without it,
             # and the target would stand in two groups.
             log.info("planner: target changed since the list", target=target.id)
             return None
-        if not self._book.note_report(target, report.orders):
+        if not self._book.note_report(report.target, report.orders):
             return None
         return report.orders
 
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -113,10 +113,7 @@
         report = await self._targets.report(target)
         if isinstance(report, Unavailable):
             return report
-        listed = self._directory.targets.get(target.id)
-        self._processes.hear(
-            asked=target, answered=report.target, asked_at=asked_at, listed=listed
-        )
+        self._processes.hear(asked=target, answered=report.target, asked_at=asked_at)
         self._book.note_seen(report.target, report.orders)
         if report.target.process != target.process:
             log.info(
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -633,3 +633,25 @@
     rig.source.listed.append(listing(revision=10, whole=False))
     await rig.steps(3)
     assert [leave.target.id for leave in rig.of_kind(Leave)] == ["g0"]
+
+
+async def test_no_target_joins_a_formation_that_is_over():
+    """Symptom: a target stands in a group that nobody else is ordered into.
+
+    Sequence: a join waits for a report for longer than its formation is kept; a second
+    group is planned meanwhile; the report comes.
+    Cause: a waiting join was given whatever had become of its formation.
+    """
+    rig = Rig(free("a"), free("b"))
+    answer, ask = asyncio.Event(), rig.targets.report
+
+    async def slow(target):
+        await answer.wait()
+        return await ask(target)
+
+    rig.targets.report = slow
+    await rig.steps(60)
+    answer.set()
+    await rig.steps(3)
+    joins = rig.of_kind(Join)
+    assert {(join.group, join.epoch) for join in joins} == set(rig.planner._formations)
--- a/mallowpond/state/processes.py
+++ b/mallowpond/state/processes.py
@@ -4,8 +4,9 @@
 of two processes is the later one: clocks of hosts are stepped. Two things do. An answer
 that a process gives itself shows that it ran after the question was asked; and of two
 lists that were read one after the other, the later one holds the later registration.
-So the answer to the newest question ends the process that was listed when it was asked;
-and when the list moves on to a process that no answer has ended, that one is present.
+So the answer to the newest question ends the process that was listed when it was asked,
+whatever the list shows meanwhile; when the list moves on to a process that no answer
+has ended, that one is present.
 """
 
 from collections.abc import Iterable, Mapping
@@ -33,24 +34,11 @@
         """Forget targets that are not listed any more."""
         self._heard = {t: h for t, h in self._heard.items() if t in targets}
 
-    def hear(
-        self,
-        *,
-        asked: Target,
-        answered: Target,
-        asked_at: float,
-        listed: Target | None,
-    ) -> None:
-        """Take a direct answer.
-
-        `listed` is what the list shows now. When it moved on while the question was
-        under way, nobody knows which of the two came first, and nothing is learnt.
-        """
+    def hear(self, *, asked: Target, answered: Target, asked_at: float) -> None:
+        """Take a direct answer to a question that was meant for a listed process."""
         heard = self._heard.get(asked.id)
         if heard is not None and asked_at < heard.asked_at:
             return
-        if listed is None or listed.process != asked.process:
-            return
         ended = {asked.process}
         if heard is not None:
             ended |= {heard.process, *heard.ended}
