--- a/mallowpond/state/formation_view.py
+++ b/mallowpond/state/formation_view.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from mallowpond.state.fleet import EngineProfile, Process, Target
+from mallowpond.state.fleet import EngineProfile, ModelSpec, Process, Target
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -104,3 +104,20 @@
     before_traffic: bool = False
     is_settled: bool = True
     newest_target_at: float = float("-inf")
+
+
+def needs_load(target: Target, model: ModelSpec) -> bool:
+    """Tell whether a target must load a model's weights before it can serve it."""
+    return target.model != model.name and model.name not in target.staged
+
+
+def join_of(target: Target, formation: Formation, model: ModelSpec) -> Join:
+    """Write the order that brings a target into a formation."""
+    return Join(
+        target=target,
+        group=formation.group,
+        epoch=formation.epoch,
+        model=formation.model,
+        members=formation.members,
+        loads=needs_load(target, model),
+    )
--- a/mallowpond/state/tests/test_formation.py
+++ b/mallowpond/state/tests/test_formation.py
@@ -11,7 +11,7 @@
     ModelSpec,
     Target,
 )
-from mallowpond.state.formation import LEAVING_MEMBER_SECONDS, plan_steps
+from mallowpond.state.formation import plan_steps
 from mallowpond.state.formation_view import (
     Close,
     Formation,
@@ -21,6 +21,7 @@
     Open,
     Stage,
 )
+from mallowpond.state.upkeep import LEAVING_MEMBER_SECONDS
 
 LARGE = ModelSpec(name="large", size=4, share=0.5, load_seconds=16, warm_seconds=1.6)
 SMALL = ModelSpec(name="small", size=3, share=0.5, load_seconds=12, warm_seconds=1.1)
