--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -15,6 +15,7 @@
 )
 from mallowpond.node.leadership import Leadership
 from mallowpond.node.metrics import NodeMetrics
+from mallowpond.node.model_summary import demand, log_summary, pressure
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.ports import (
     OrderEnd,
@@ -59,10 +60,6 @@
 # Pause between two questions to the targets of orders while the list is lost, in
 # seconds: reports lag by some hundred milliseconds.
 ASK_SECONDS = 0.3
-# Weight of the declared share of a model against the running streams: those rise at
-# once when a model has too few groups, but say little while few streams run.
-DECLARED_WEIGHT = 0.5
-LEAST_SEEN_WORK = 10.0
 # Age of the lease from which a refusal for a higher number makes it be renewed, in
 # seconds: many orders may be refused for the same reason at once.
 LEASE_CHECK_SECONDS = 0.3
@@ -174,7 +171,7 @@
         steps = plan_steps(view)
         if view.now - self._summed_up_at > SUMMARY_SECONDS:
             self._summed_up_at = view.now
-            self._sum_up(view)
+            log_summary(self._directory, view)
         for step in steps:
             if isinstance(step, Join):
                 self._remember(step)
@@ -189,8 +186,8 @@
                 for target in self._directory.all_of_service(service)
             ),
             now=now,
-            demand=self._demand(profile),
-            pressure=self._pressure(profile),
+            demand=demand(self._directory, profile),
+            pressure=pressure(self._directory, profile),
             next_epoch=self._next_epoch,
             lost=self._probes.lost,
             busy=self._book.busy,
@@ -223,70 +220,6 @@
         targets = self._directory.targets
         return {t: self._processes.present(listed) for t, listed in targets.items()}
 
-    def _demand(self, profile: EngineProfile) -> dict[str, float]:
-        """Return each model's share of the work, half as declared, half as seen.
-
-        Work is counted by the engines that it takes, as the declared shares are.
-        """
-        running = {model.name: 0.0 for model in profile.models}
-        sizes = {model.name: model.size for model in profile.models}
-        for group in self._directory.groups.values():
-            if group.model in running:
-                streams = self._directory.load(group.key).running
-                running[group.model] += sizes[group.model] * streams
-        total = sum(running.values())
-        if total < LEAST_SEEN_WORK:
-            return {}
-        return {
-            model.name: DECLARED_WEIGHT * model.share
-            + (1.0 - DECLARED_WEIGHT) * running[model.name] / total
-            for model in profile.models
-        }
-
-    def _pressure(self, profile: EngineProfile) -> dict[str, float]:
-        """Return how full each model's groups are, with what waits here."""
-        pressure = {}
-        for model in profile.models:
-            groups = [
-                group
-                for group in self._directory.groups.values()
-                if group.model == model.name and group.phase is GroupPhase.OPEN
-            ]
-            running = sum(self._directory.load(g.key).running for g in groups)
-            pressure[model.name] = running / max(1, len(groups) * profile.slots)
-        return pressure
-
-    def _sum_up(self, view: FormationView) -> None:
-        """Log what runs where, for whoever asks later why there was no place."""
-        for model in view.profile.models:
-            groups = [
-                g for g in self._directory.groups.values() if g.model == model.name
-            ]
-            open_groups = [g for g in groups if g.phase is GroupPhase.OPEN]
-            loads = [self._directory.load(g.key) for g in open_groups]
-            log.info(
-                "planner: model",
-                model=model.name,
-                open=len(open_groups),
-                far=sum(group.is_far for group in open_groups),
-                others=[
-                    f"{g.name}:{g.phase.value if g.phase else 'headless'}"
-                    for g in groups
-                    if g.phase is not GroupPhase.OPEN
-                ],
-                running=sum(load.running for load in loads),
-                reading=round(sum(load.reading_tokens for load in loads)),
-                slowness=[round(load.slowness, 1) for load in loads],
-            )
-        free = [t for t in view.targets if t.membership is None]
-        log.info(
-            "planner: targets",
-            listed=len(view.targets),
-            lost=len(view.lost),
-            free=_by_domain(free, view),
-            loading=len(view.loading),
-        )
-
     def _remember(self, step: Join) -> None:
         self._next_epoch = max(self._next_epoch, step.epoch + 1)
         key = (step.group, step.epoch)
@@ -541,24 +474,6 @@
             log.error("planner: task failed", error=repr(task.exception()))
 
 
-def _by_domain(targets: list[Target], view: FormationView) -> dict[str, list[str]]:
-    domains: dict[str, list[str]] = {}
-    for target in targets:
-        models = domains.setdefault(target.domain, [])
-        state = "free"
-        for name, known in (
-            ("lost", view.lost),
-            ("busy", view.busy),
-            ("loading", view.loading),
-        ):
-            if target.id in known:
-                state = name
-        if target.draining:
-            state = "draining"
-        models.append(f"{state}:{'+'.join(target.staged)}")
-    return {domain: sorted(models) for domain, models in domains.items()}
-
-
 def _place(target: Target) -> tuple[str, int] | None:
     member = target.membership
     return None if member is None else (member.group, member.epoch)
