--- a/mallowpond/node/tests/test_planner_restarts.py
+++ b/mallowpond/node/tests/test_planner_restarts.py
@@ -274,6 +274,22 @@
         while self.fleet.unanswered:
             self.answer_late(0)
 
+    @rule(rounds=st.integers(0, 4), all_anew=st.booleans())
+    def restart_under_late_orders(self, rounds, all_anew):
+        """Have orders carried out late by the process that follows the one meant."""
+        planner = self.fence % 2
+        if all_anew:
+            for name in NAMES:
+                self.restart(name, 1, True)
+            self.read_list(planner)
+        self.plan([Fate.LATE] * len(NAMES), planner)
+        for order in self.fleet.late:
+            self.restart(order.step.target.id, 1, True)
+        for _ in range(rounds):
+            self.all_goes_well(0.1)
+        while self.fleet.late:
+            self.carry_out_late(0)
+
     @rule(
         trouble=st.sampled_from(["lapse", "drain", "stall"]),
         name=st.sampled_from(NAMES),
