Use no group that the list shows late with a member that is gone

Found by a state machine of restarts: a member says that it started again, then the list shows a group of a later epoch, which its earlier process had joined before. Only the group of which the node had known was out of use, so the late one got streams. A listed group with such a member is broken from the start now. Seen failing before, by the state machine and by the test.

--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -530,15 +530,22 @@
         self._take_back(listed.values(), is_change=not whole)
 
     def _take_back(self, listed: Collection[Target], *, is_change: bool) -> None:
-        """Use the groups again whose heads the list shows open anew."""
+        """Use the groups again whose heads the list shows open anew.
+
+        One that it shows with a process that is gone is out of use from the start.
+        """
         if not is_change:
             self._ended.see(listed, asked_at=self._read_at)
         for target in listed:
             place = target.membership
             group = place and self._groups.get((place.group, place.epoch))
-            if not group or group.head is None or group.head.id != target.id:
+            if not group:
                 continue
             if any(member.process in self._ended for member in group.members):
+                if group.key not in self._broken:
+                    self._note_broken(group, BreakCause.RESTARTED, is_told=True)
+                continue
+            if group.head is None or group.head.id != target.id:
                 continue
             seen = self._broken.see(group, is_change=is_change, asked_at=self._read_at)
             if seen:
--- a/mallowpond/node/tests/test_directory.py
+++ b/mallowpond/node/tests/test_directory.py
@@ -324,3 +324,18 @@
     directory.hear_change(change(3, *third), previous=2)
     assert [g.key for g in directory.serving_groups("engines", "m")] == [("g", 3)]
     assert directory.count_present([t.process for t in third]) == 2
+
+
+async def test_a_group_listed_late_with_a_member_that_is_gone_gets_no_streams():
+    """Symptom: streams hang at a group that has just been listed.
+
+    Sequence: a member says itself that it started again; then the list shows a group
+    that its earlier process had joined before.
+    Cause: only the group of which the node had known was taken out of use.
+    """
+    group = open_group("g")
+    directory, _, _ = await directory_of(listing(*group))
+    directory.learn(restarted(group[1]))
+    late = [replace(t, membership=replace(t.membership, epoch=2)) for t in group]
+    directory.hear_change(change(2, *late), previous=1)
+    assert serving(directory) == set()
