--- a/mallowpond/node/tests/test_directory.py
+++ b/mallowpond/node/tests/test_directory.py
@@ -433,3 +433,18 @@
         (found,) = directory.serving_groups("engines", "m")
         assert [member.id for member in found.members] == ["g0", "g1"]
         assert directory.serving_groups("nowhere", "m") == []
+
+
+async def test_a_group_listed_late_with_a_member_that_is_gone_gets_no_streams():
+    """Symptom: streams hang at a group that has just been listed.
+
+    Sequence: a member says itself that it started again; then the list shows a group
+    that its earlier process had joined before.
+    Cause: only the group of which the node had known was taken out of use.
+    """
+    group = open_group("g")
+    directory, _, _ = await directory_of(listing(*group))
+    directory.learn(restarted(group[1]))
+    late = [replace(t, membership=replace(t.membership, epoch=2)) for t in group]
+    directory.hear_change(change(2, *late), previous=1)
+    assert serving(directory) == set()
