--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,7 +12,7 @@
 from mallowpond.standins.observatory_engine import new_engine_id
 from mallowpond.standins.observatory_operator import NO_IDS, foreign_values
 from soak.fleet import Fleet, Member
-from soak.proxy import Link
+from soak.proxy import Link, Proxy
 from soak.records import Disturbance, ForeignEntry, Revocation
 
 log = structlog.get_logger()
@@ -49,6 +49,7 @@
 KIND_SHARES = (0.15, 0.3, 0.6, 1.0)
 NEWEST_DRAW = 2
 LINKS = (Link.SLOW, Link.RESET, Link.SILENT, Link.ONE_WAY)
+SERIES = ("node_stop_all", "node_stop_series")
 LONGEST_SECONDS = 4.0
 MEAN_PAUSE_SECONDS = 1.2
 # Pause between the stops of a series, in seconds: shorter than a stop takes.
@@ -122,78 +123,73 @@
         await asyncio.gather(*tasks)
 
     async def _bring_about(self, fault: Fault) -> None:
-        fleet = self.fleet
-        number = fault.draw % len(fleet.nodes)
-        engine = fleet.engines[fault.draw % len(fleet.engines)]
         began = time.monotonic()
-        kind, node = fault.kind, None
+        number = fault.draw % len(self.fleet.nodes)
+        match fault.kind.partition("_")[0]:
+            case "node" if fault.kind in SERIES:
+                # Each of its stops is noted by itself.
+                await self._stop_series(fault)
+                return
+            case "node":
+                await self._disturb_node(fault, self.fleet.nodes[number])
+            case "engine":
+                number = fault.draw % len(self.fleet.engines)
+                await self._disturb_engine(fault, self.fleet.engines[number])
+            case _:
+                await self._disturb_store(fault, number)
+        is_of_one = fault.kind.startswith("node") or fault.kind == "store_link"
+        self._note(fault.kind, began, number if is_of_one else None)
+
+    async def _disturb_node(self, fault: Fault, node: Member) -> None:
         match fault.kind:
             case "node_kill":
-                node = number
-                fleet.nodes[number].signal(signal.SIGKILL)
+                node.signal(signal.SIGKILL)
                 await asyncio.sleep(SETTLE_SECONDS)
             case "node_stop":
-                node = number
-                await self._stop_node(number)
-            case "node_stop_all":
-                kind = "node_stop"
-                await self._stop_all(SERIES_SECONDS)
-                return
-            case "node_stop_series":
-                kind = "node_stop"
-                await asyncio.gather(
-                    self._stop_all(fault.seconds / len(fleet.nodes)),
-                    self._signal_again(fault.seconds),
-                )
-                return
+                self.fleet.stop(node)
+                await self._until_back(node)
             case "node_pause":
-                node = number
-                await self._pause(fleet.nodes[number], fault.seconds)
+                await self._pause(node, fault.seconds)
             case "node_stop_and_pause":
-                node = number
-                fleet.stop(fleet.nodes[number])
-                await self._pause(fleet.nodes[number], fault.seconds)
-                await self._until_back(fleet.nodes[number])
+                self.fleet.stop(node)
+                await self._pause(node, fault.seconds)
+                await self._until_back(node)
+
+    async def _disturb_engine(self, fault: Fault, engine: Member) -> None:
+        engines = self.fleet.engines
+        match fault.kind:
             case "engine_kill":
                 engine.signal(signal.SIGKILL)
                 await asyncio.sleep(SETTLE_SECONDS)
             case "engine_kill_pair":
-                for member in (
-                    engine,
-                    fleet.engines[fault.draw // 7 % len(fleet.engines)],
-                ):
+                for member in (engine, engines[fault.draw // 7 % len(engines)]):
                     member.signal(signal.SIGKILL)
                 await asyncio.sleep(SETTLE_SECONDS)
             case "engine_stop":
-                fleet.stop(engine)
+                self.fleet.stop(engine)
                 await self._until_back(engine)
+            case "engine_pause":
+                await self._pause(engine, fault.seconds)
+            case "engine_link":
+                link = self.fleet.engine_links[engines.index(engine)]
+                await self._spoil(link, fault)
             case "engine_restart":
                 await self._restart(self._plain_or_grouped(fault.draw))
             case "engine_restart_twice":
-                engine = self._plain_or_grouped(fault.draw)
-                await fleet.restart(engine)
+                twice = self._plain_or_grouped(fault.draw)
+                await self.fleet.restart(twice)
                 await asyncio.sleep(fault.seconds / 4.0)
-                await self._restart(engine)
+                await self._restart(twice)
             case "engine_restart_forming":
                 await self._restart_forming(fault.draw)
             case "engine_restart_unheard":
                 await self._restart_unheard(fault)
-            case "foreign_entry":
-                await self._write_foreign(fault, None)
-            case "foreign_entry_of_engine":
-                await self._write_foreign(fault, engine)
-            case "engine_pause":
-                await self._pause(engine, fault.seconds)
-            case "engine_link":
-                link = fleet.engine_links[fault.draw % len(fleet.engine_links)]
-                link.set(fault.link)
-                await asyncio.sleep(fault.seconds)
-                link.set(Link.SOUND)
+
+    async def _disturb_store(self, fault: Fault, number: int) -> None:
+        fleet = self.fleet
+        match fault.kind:
             case "store_link":
-                node = number
-                fleet.store_links[number].set(fault.link)
-                await asyncio.sleep(fault.seconds)
-                fleet.store_links[number].set(Link.SOUND)
+                await self._spoil(fleet.store_links[number], fault)
             case "store_pause":
                 fleet.signal_store(signal.SIGSTOP)
                 await asyncio.sleep(fault.seconds)
@@ -204,12 +200,16 @@
                 await self._revoke(fault.seconds)
             case "reconfigure":
                 await fleet.configure()
-        self._note(kind, began, node)
+            case "foreign_entry":
+                await self._write_foreign(fault, None)
+            case "foreign_entry_of_engine":
+                engine = fleet.engines[fault.draw % len(fleet.engines)]
+                await self._write_foreign(fault, engine)
 
-    async def _stop_node(self, number: int) -> None:
-        member = self.fleet.nodes[number]
-        self.fleet.stop(member)
-        await self._until_back(member)
+    async def _spoil(self, link: Proxy, fault: Fault) -> None:
+        link.set(fault.link)
+        await asyncio.sleep(fault.seconds)
+        link.set(Link.SOUND)
 
     def _plain_or_grouped(self, draw: int) -> Member:
         # Requests that may not be repeated go to the few plain engines only.
@@ -277,6 +277,16 @@
             self.foreign.append(entry)
             await asyncio.sleep(seconds)
 
+    async def _stop_series(self, fault: Fault) -> None:
+        """Stop all nodes, one after the other, before the earlier ones are back."""
+        if fault.kind == "node_stop_all":
+            await self._stop_all(SERIES_SECONDS)
+            return
+        await asyncio.gather(
+            self._stop_all(fault.seconds / len(self.fleet.nodes)),
+            self._signal_again(fault.seconds),
+        )
+
     async def _signal_again(self, seconds: float) -> None:
         """Signal nodes that may be stopping, and write a configuration."""
         await asyncio.sleep(seconds / 2.0)
@@ -290,7 +300,8 @@
         async def stop(number: int) -> None:
             await asyncio.sleep(number * pause)
             began = time.monotonic()
-            await self._stop_node(number)
+            self.fleet.stop(self.fleet.nodes[number])
+            await self._until_back(self.fleet.nodes[number])
             self._note("node_stop", began, number)
 
         numbers = range(len(self.fleet.nodes))
