--- a/soak/cases.py
+++ b/soak/cases.py
@@ -22,7 +22,7 @@
 
 LONG_STREAMS = "the soak's own route ended streams that its callers meant to last"
 FOREIGN_ENTRY = "an entry of another writer, under an unknown key, counted as an engine"
-# Open: a busy machine was needed for it.
+# It needed a busy machine, on which the soak's links stood still for a moment.
 SUSPECTED = "streams of a falsely suspected group were not woken when the doubt ended"
 STOPS = ("node_stop_all", "node_stop_series", "node_stop", "reconfigure")
 REGRESSIONS = (
