Add two failing tests of a server that stops while connections close or come

Found by looking for other places where a stop decides by what lags a pass of the loop or drops a buffer.

--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -201,11 +201,82 @@
     writer.close()
 
 
-async def test_a_server_ends_although_a_client_reads_nothing():
+async def test_a_stop_lets_the_answer_of_a_closing_connection_go_out():
+    """A caller on a slow link got part of an answer when its host was done as planned.
+
+    The host was stopping, so its answer said that the connection closes, and with the
+    handler's end the connection was being closed while its buffer still went out. The
+    stop took nothing to be in progress and cancelled that closing, which dropped what
+    the buffer held: the more likely the sooner a stop sees that its last answer ended.
+    """
+    body = b"x" * 200_000
+
+    async def answer(request, exchange):
+        exchange.close_after()
+        await exchange.respond(200, body)
+
+    server = HttpServer(handler=answer, limits=ServerLimits(send_seconds=5.0))
+    await server.start("127.0.0.1", 0)
+    listening = server._server.sockets[0]
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    own = socket.socket()
+    own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    own.connect(("127.0.0.1", server.port))
+    reader, writer = await asyncio.open_connection(sock=own, limit=1024)
+    writer.write(OK)
+    assert b"200" in await reader.readuntil(b"\r\n\r\n")
+    got = 0
+    async with asyncio.timeout(5.0):
+        while not server._parting:
+            got += len(await reader.read(1024))
+        # A stop that has time left waits for it as for any answer.
+        was_busy = server.is_busy
+        server.refuse_more()
+        while data := await reader.read(1024):
+            got += len(data)
+    assert (got, was_busy) == (len(body), True)
+    writer.close()
+    await server.close()
+
+
+async def test_a_server_that_closes_serves_no_connection_that_it_has_just_accepted():
+    """A request was passed on by a server that had closed, and cut off with its process.
+
+    A connection is accepted two passes of the loop before it is counted: one that came
+    in between was not among those that the close ended, and was served after it.
+    """
+    served = []
+
+    async def hello(request, exchange):
+        served.append(request.target)
+        await exchange.respond(200, b"hello")
+
+    server = HttpServer(handler=hello)
+    await server.start("127.0.0.1", 0)
+    own = socket.socket()
+    own.connect(("127.0.0.1", server.port))
+    own.sendall(OK)
+    own.setblocking(False)
+    reader, writer = await asyncio.open_connection(sock=own)
+    while not server._server._active_count:
+        await asyncio.sleep(0)
+    assert not server._connections
+    await server.close()
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert served == []
+    async with asyncio.timeout(5.0):
+        assert await _read_all(reader) == b""
+    writer.close()
+
+
+@pytest.mark.parametrize("send_seconds", [0.2, 30.0])
+async def test_a_server_ends_although_a_client_reads_nothing(send_seconds):
     async def answer(request, exchange):
         await exchange.respond(200, b"x" * 8_000_000)
 
-    server = HttpServer(handler=answer, limits=ServerLimits(send_seconds=0.2))
+    limits = ServerLimits(send_seconds=send_seconds)
+    server = HttpServer(handler=answer, limits=limits)
     await server.start("127.0.0.1", 0)
     reader, writer = await asyncio.open_connection("127.0.0.1", server.port, limit=1024)
     writer.write(OK)
