Let closing connections finish when a server stops, and start none then

Cause: a stopping host's answers say that their connection closes, so each connection goes into its closing when its handler ends; refuse_more cancelled what was not busy, closing ones with it, and a cancelled closing drops the buffer. Besides, the server counted as idle meanwhile, so a stop with seconds left gave such an answer 0.5 s at most. A connection that had been accepted but not counted was missed by close and served after it; a node refuses by then, gateways and controllers did not. Ruled out: the wait in close, which spares closing connections already.

Closing connections are left alone and count as busy; a connection that begins after the end of a stop ends at once.

--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -180,8 +180,8 @@
 
     @property
     def is_busy(self) -> bool:
-        """Tell whether a request was read whole and its answer has not ended."""
-        return bool(self._busy)
+        """Tell whether a request was read whole and its answer has not gone out."""
+        return bool(self._busy or self._parting)
 
     def set_limits(self, limits: ServerLimits) -> None:
         """Apply new limits to everything that is read from now on."""
@@ -213,7 +213,8 @@
         self._refusing = True
         if self._server is not None:
             self._server.close()
-        for task in self._connections - self._busy.keys():
+        # Cancelled, a connection that is being closed would drop the end of its answer.
+        for task in self._connections - self._busy.keys() - self._parting:
             task.cancel()
 
     async def close(self) -> None:
@@ -272,6 +273,10 @@
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         for earlier in itertools.count():
+            if self._refusing or self._is_closing:
+                # Accepted in the last pass of the loop, it was not among those that
+                # the close ended, and its request was served after it.
+                return
             exchange = Exchange(
                 _connection=connection,
                 _writer=writer,
--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -240,7 +240,7 @@
 
 
 async def test_a_server_that_closes_serves_no_connection_that_it_has_just_accepted():
-    """A request was passed on by a server that had closed, and cut off with its process.
+    """A request was served by a server that had closed, whose process was ending.
 
     A connection is accepted two passes of the loop before it is counted: one that came
     in between was not among those that the close ended, and was served after it.
