Add a failing test of a request that waits for a place when its host ends

Found by looking for other places where a planned stop ends what it took. Both cases fail on the code as it is: the connection closes with nothing sent, and where a place frees 0.2 s before the end the stream is sent to an engine.

--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -2,15 +2,18 @@
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from mallowpond.node.outcomes import Answered
+import pytest
+
+from mallowpond.node.outcomes import Answered, Refusal
 from mallowpond.node.peers import GroupFigures, Heartbeat
 from mallowpond.node.ports import NodePorts
-from mallowpond.node.service import LAME_SECONDS, build
+from mallowpond.node.service import CLOSING_SECONDS, LAME_SECONDS, build
 from mallowpond.node.settings import NodeSettings
 from mallowpond.node.tests.fakes import (
     PROFILE,
+    ROUTE,
     FakeCallers,
     FakeClock,
     FakeExchange,
@@ -220,6 +223,62 @@
     writer.close()
 
 
+@pytest.mark.parametrize("frees", [False, True])
+async def test_a_stop_ends_no_request_that_waits_for_a_place_without_an_answer(frees):
+    """A request that no engine had seen got a closed connection at a planned stop.
+
+    It waited for a place while its host stopped, and the host closed at the end of its
+    grace time with the request in its line. Where a place came free just before, the
+    stream was sent to an engine although nothing but its cut was left to come.
+    """
+    clock, targets = GatedClock(), FakeTargets()
+    source = FakeSource(listed=deque([listing(*open_group("g"))]))
+    ports = NodePorts(
+        callers=FakeCallers(), source=source, targets=targets, table=MemoryTable()
+    )
+    node = build(settings=SETTINGS, ports=ports, clock=clock, seed=1)
+    await node.directory.refresh()
+    node._note_heartbeat(heartbeat(PROFILE.slots + 1))
+    targets.script("g0", answer(1))
+    rig = Rig(
+        clock=clock,
+        targets=targets,
+        directory=node.directory,
+        service=node.streams,
+        source=source,
+    )
+
+    async def stream(request, exchange):
+        route = replace(ROUTE, objective_seconds=4.0)
+        work = replace(rig.work(exchange, route), deadline=clock.now() + 30.0)
+        outcome = await node.streams.serve(work)
+        assert isinstance(outcome, Refusal)
+        await node.ingress._refuse(exchange, outcome, "", 0.0)
+
+    node.ingress._serve = stream
+    server = node.ingress.server
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(get("/waits"))
+    async with asyncio.timeout(5.0):
+        while not server._busy:
+            await asyncio.sleep(0.001)
+        clock.until = clock.now() + SETTINGS.bounds.grace - CLOSING_SECONDS - 0.2
+        stopping = asyncio.create_task(node.drain())
+        while clock.now() < clock.until:
+            await asyncio.sleep(0.001)
+        if frees:
+            node._note_heartbeat(heartbeat(0))
+            await asyncio.sleep(0.05)
+        clock.until = float("inf")
+        await stopping
+        await server.close()
+        got = await reader.read()
+    assert targets.sends == []
+    assert got.startswith(b"HTTP/1.1 503")
+    writer.close()
+
+
 async def test_a_planner_that_stops_while_the_store_is_away_plans_to_its_end():
     """Symptom: groups that lose a member in a store outage stay down until its end.
 
