Refuse streams that still wait for a place when their host ends

Cause: whether a stream can finish was judged once, when it was taken. One that then waited for a place was closed unanswered at the end of the stop, and one that got a place just before was sent to an engine and cut; those that waited since before the stop were never judged. A wait may last 1.2 s at least, a stream of 0.3 s is taken down to 0.9 s before the end. Ruled out: calls, which wait for no place.

A stream that has not begun is judged again before each send while its host stops, and those that still wait 0.2 s before the end are refused as not run.

--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -42,6 +42,9 @@
 # Part of the grace time that is kept back for closing, in seconds.
 CLOSING_SECONDS = 0.7
 DRAIN_CHECK_SECONDS = 0.05
+# Time before the end in which streams that still wait are refused, in seconds: closed
+# with their host, requests that no engine had seen got no answer.
+LAST_REFUSALS_SECONDS = 0.2
 
 
 class Node:
@@ -188,7 +191,7 @@
         started = self._clock.now()
         lame_until = started + min(LAME_SECONDS, 0.5 * grace)
         limit = started + grace - CLOSING_SECONDS
-        self.ingress.ends_at = limit
+        self.ingress.ends_at = self.streams.ends_at = limit
         while self._clock.now() < lame_until:
             await self._clock.sleep(DRAIN_CHECK_SECONDS)
             await self._hand_over()
@@ -197,6 +200,8 @@
         # Asked of the server: a request that it has just read is not in flight yet, and
         # one that was overlooked was passed on and cut off 3 ms later.
         while self.ingress.server.is_busy and self._clock.now() < limit:
+            if self._clock.now() >= limit - LAST_REFUSALS_SECONDS:
+                self.streams.end_waits()
             await self._clock.sleep(DRAIN_CHECK_SECONDS)
             await self._hand_over()
         self.ingress.server.refuse_more()
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -91,6 +91,7 @@
         self._lines: dict[str, WaitingLine] = {}
         self._shapes: dict[str, tuple[str, EngineProfile, ModelSpec, float]] = {}
         self.active: set[ActiveStream] = set()
+        self.ends_at = inf
         directory.on_change.append(self.wake_all)
 
     def wake_all(self) -> None:
@@ -98,6 +99,11 @@
         for model in self._lines:
             self._wake(model)
 
+    def end_waits(self) -> None:
+        """Let no stream wait for a place any longer."""
+        for line in self._lines.values():
+            line.end()
+
     # -- one stream ----------------------------------------------------------
 
     async def serve(self, work: StreamWork) -> ServeOutcome:
@@ -210,6 +216,8 @@
 
     async def _place(self, work: StreamWork) -> Group | Refusal:
         while True:
+            if self._ends_before(work):
+                return self._refuse(Reason.STOPPING, 0.0)
             group = self._choose(work)
             if group is not None:
                 return group
@@ -314,6 +322,16 @@
         one_pass = pass_seconds(work.profile, work.model, load)
         return work.route.objective_seconds + passes * one_pass
 
+    def _ends_before(self, work: StreamWork) -> bool:
+        """Tell whether this host ends before a stream that has not begun.
+
+        Judged only when it was taken, a stream got a place just before its host ended
+        and was cut off; its caller can still come back to another host.
+        """
+        if self.ends_at == inf or work.has_begun:
+            return False
+        return self._clock.now() + self.expected_seconds(work) > self.ends_at
+
     def _hold_seconds(self, work: StreamWork) -> float:
         load = GroupLoad(running=work.profile.slots)
         passes = work.profile.usual_answer_tokens / max(1, work.profile.stride)
--- a/mallowpond/node/waiting.py
+++ b/mallowpond/node/waiting.py
@@ -17,7 +17,7 @@
     priority: int
     on_time_until: float
     number: int
-    future: asyncio.Future[None]
+    future: asyncio.Future[bool]
 
 
 @dataclass(kw_only=True)
@@ -64,13 +64,18 @@
         self._turns.append(turn)
         try:
             async with asyncio.timeout(seconds):
-                await turn.future
+                return await turn.future
         except TimeoutError:
             return False
         finally:
             if turn in self._turns:
                 self._turns.remove(turn)
-        return True
+
+    def end(self) -> None:
+        """Tell all that wait that their turn does not come."""
+        turns, self._turns = self._turns, []
+        for turn in turns:
+            turn.future.set_result(False)
 
     def wake(self, has_place: Callable[[], bool], now: float) -> None:
         """Wake the first stream if there is a place; it wakes the next one."""
@@ -83,4 +88,4 @@
 
         first = min(self._turns, key=order)
         self._turns.remove(first)
-        first.future.set_result(None)
+        first.future.set_result(True)
