Add two failing tests of streams that leave the line as a place frees

Found by looking for decisions by state that lags a pass of the loop: a stream stands in the line until its own next step. Both fail on the code as it is: waking raises InvalidStateError in the caller, which may be the look at the groups, whose task ends by it; and the place that was offered to a stream that leaves is offered to no other.

--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -10,6 +10,7 @@
 from mallowpond.node.streams import MOST_PAUSE_SECONDS
 from mallowpond.node.tests.fakes import (
     BROKEN,
+    PROFILE,
     ROUTE,
     UNREACHABLE,
     FakeExchange,
@@ -427,3 +428,27 @@
     rig.clock.time += MOST_PAUSE_SECONDS
     outcome = await rig.service.serve(rig.work(FakeExchange()))
     assert outcome == Answered(status=200, target="a0")
+
+
+async def test_the_place_of_a_woken_stream_that_leaves_goes_to_the_next():
+    """A stream waited on beside a free place.
+
+    The place was offered to the first of the line, which wakes the next one when it is
+    sent; its caller left in the same pass of the loop, and nobody was woken.
+    """
+    rig = await rig_of("a")
+    rig.directory.work(("a", 1)).running = PROFILE.slots + 1
+    rig.targets.script("a0", answer(1))
+    tasks = [
+        asyncio.create_task(rig.service.serve(rig.work(FakeExchange())))
+        for _ in range(2)
+    ]
+    for _ in range(5):
+        await asyncio.sleep(0)
+    rig.directory.work(("a", 1)).running = 0
+    rig.service.wake_all()
+    tasks[0].cancel()
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert rig.targets.sends == [("a0", None)]
+    assert await tasks[1] == Answered(status=200, target="a0")
--- a/mallowpond/node/tests/test_waiting.py
+++ b/mallowpond/node/tests/test_waiting.py
@@ -82,3 +82,27 @@
     for turn in turns:
         turn.cancel()
     await asyncio.gather(*turns, return_exceptions=True)
+
+
+async def test_a_stream_that_leaves_the_line_as_a_place_frees_harms_no_other():
+    """The look at the groups ended for good, and no stream was moved any more.
+
+    A caller left, or a wait ran out, in the very pass of the loop in which a place was
+    found for its stream. The stream stood in the line until its own next step, so it
+    was woken although its wait had ended, which failed in whoever was waking: the look
+    at the groups, or the end of another stream.
+    """
+    line = WaitingLine()
+
+    def wait():
+        return asyncio.create_task(
+            line.wait(priority=0, on_time_until=0.0, seconds=5.0)
+        )
+
+    leaving, staying = wait(), wait()
+    while len(line) < 2:
+        await asyncio.sleep(0)
+    leaving.cancel()
+    line.wake(lambda: True, 1.0)
+    assert await staying
+    assert len(line) == 0
