Wake no stream whose wait has ended, and hand its place on

Cause: a stream that leaves the line, because its caller left or its time ran out, stands in it until its own next step. Woken in that pass it raised InvalidStateError in whoever was waking: the end of another stream, a peer's heartbeat, or the look at the groups, whose task ended by it for good. Woken just before, it took the wake with it, and the next stream waited on beside a free place. Ruled out: the gateway's line, which leaves a turn to be given and gives its place back.

Turns that have ended are passed over; a stream that leaves without a place wakes the next; a turn that came as the time ran out counts.

--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -217,6 +217,7 @@
     async def _place(self, work: StreamWork) -> Group | Refusal:
         while True:
             if self._ends_before(work):
+                self._wake(work.model.name)
                 return self._refuse(Reason.STOPPING, 0.0)
             group = self._choose(work)
             if group is not None:
@@ -272,6 +273,7 @@
         if wait > patience:
             return self._refuse(Reason.OVERLOADED, wait)
         self._metrics.waiting.inc()
+        came = False
         try:
             came = await line.wait(
                 priority=work.priority,
@@ -282,6 +284,9 @@
         finally:
             self._metrics.waiting.dec()
             work.waited += self._clock.now() - now
+            if not came:
+                # It may have been offered a place as it left, which goes to the next.
+                self._wake(work.model.name)
         if not came:
             reason = Reason.OVERLOADED if groups else Reason.NO_GROUP
             return self._refuse(reason, NO_GROUP_RETRY_SECONDS)
--- a/mallowpond/node/tests/test_waiting.py
+++ b/mallowpond/node/tests/test_waiting.py
@@ -106,3 +106,12 @@
     line.wake(lambda: True, 1.0)
     assert await staying
     assert len(line) == 0
+
+
+async def test_a_turn_that_comes_as_the_time_runs_out_has_come():
+    """A stream was refused although a place had been found for it in the same pass."""
+    line = WaitingLine()
+    waiting = asyncio.create_task(line.wait(priority=0, on_time_until=0.0, seconds=0.0))
+    await asyncio.sleep(0)
+    line.wake(lambda: True, 1.0)
+    assert await waiting
--- a/mallowpond/node/waiting.py
+++ b/mallowpond/node/waiting.py
@@ -66,26 +66,41 @@
             async with asyncio.timeout(seconds):
                 return await turn.future
         except TimeoutError:
-            return False
+            # Its turn may have come in the pass of the loop in which the time ran out.
+            return _has_come(turn)
         finally:
             if turn in self._turns:
                 self._turns.remove(turn)
 
     def end(self) -> None:
         """Tell all that wait that their turn does not come."""
-        turns, self._turns = self._turns, []
+        turns, self._turns = self._waiting(), []
         for turn in turns:
             turn.future.set_result(False)
 
     def wake(self, has_place: Callable[[], bool], now: float) -> None:
         """Wake the first stream if there is a place; it wakes the next one."""
-        if not self._turns or not has_place():
+        waiting = self._waiting()
+        if not waiting or not has_place():
             return
 
         def order(turn: _Turn) -> tuple[bool, bool, int, int]:
             late = turn.on_time_until <= now
             return (not turn.has_begun, late, turn.priority, turn.number)
 
-        first = min(self._turns, key=order)
+        first = min(waiting, key=order)
         self._turns.remove(first)
         first.future.set_result(True)
+
+    def _waiting(self) -> list[_Turn]:
+        """Return the turns that can still be given.
+
+        A stream that leaves, or whose time runs out, stands in the line until its own
+        next step; waking it failed, and ended the task that was looking at the groups.
+        """
+        return [turn for turn in self._turns if not turn.future.done()]
+
+
+def _has_come(turn: _Turn) -> bool:
+    future = turn.future
+    return future.done() and not future.cancelled() and future.result()
