Add three failing tests of gateways and controllers that stop with work under way

Found by looking for the cause of streams cut at a stop elsewhere. All three stops end at once on the code as it is, with a void on its way, a request read, an operator's call unanswered.

--- a/mallowpond/gateway/tests/test_overload.py
+++ b/mallowpond/gateway/tests/test_overload.py
@@ -3,15 +3,18 @@
 import asyncio
 import json
 
+from mallowpond.gateway.claims import ClaimedAttempt
 from mallowpond.gateway.tests.callers import (
     DECLARATION,
     ask,
     counter,
     runs,
+    send,
     serving_site,
     set_faults,
 )
 from mallowpond.gateway.tests.turned_clock import TurnedClock, run_on
+from mallowpond.protocol.peer import ClaimVerdict
 from mallowpond.standins.engine import EngineFaults
 from mallowpond.standins.platform import PlatformFaults
 
@@ -78,6 +81,83 @@
         await asyncio.gather(*drains)
 
 
+async def test_a_gateway_stops_only_when_what_it_settles_is_settled():
+    """An attempt that had ended stayed claimed after a planned stop of its gateway.
+
+    The stop waits for what the table does not know of yet. What was on its way to the
+    table was not among that, so the stop went on and the call was cancelled.
+    """
+    async with serving_site() as site:
+        gateway = site.gateways[0]
+        sent, settled = asyncio.Event(), asyncio.Event()
+
+        async def settle(work, timeout):
+            sent.set()
+            await settled.wait()
+            return ClaimVerdict.SETTLED
+
+        gateway._link.ask_claim = settle
+        gateway._claims.void(ClaimedAttempt(workspace="w", key="k", attempt="a"))
+        await sent.wait()
+        draining = asyncio.create_task(gateway.drain())
+        await asyncio.sleep(0.2)
+        assert not draining.done()
+        settled.set()
+        async with asyncio.timeout(5.0):
+            await draining
+
+
+async def test_a_gateway_answers_a_request_that_was_read_as_its_stop_began():
+    """A request got a closed connection and no answer at a planned stop of a gateway.
+
+    It was read in the pass of the loop in which the gateway looked for requests in
+    progress, and counted only from the first step of its handler, one pass later.
+    """
+    async with serving_site() as site:
+        gateway, end = site.gateways[0], asyncio.Event()
+
+        async def not_counted_yet(request, exchange):
+            await end.wait()
+            await exchange.respond(200)
+
+        gateway._server._handler = not_counted_yet
+        asking = asyncio.create_task(ask(site))
+        await site.until(lambda: gateway._server.is_busy)
+        draining = asyncio.create_task(gateway.drain())
+        await asyncio.sleep(0.2)
+        assert not draining.done()
+        end.set()
+        await draining
+        assert (await asking).status == 200
+
+
+async def test_a_controller_that_leaves_answers_its_operator():
+    """An operator's change got no answer when its controller was stopped as planned.
+
+    The stop waited for gateways and claims; what operators had asked was cut off, and
+    whether the change was in force they had to find out themselves.
+    """
+    async with serving_site() as site:
+        controller, end = site.controllers[0], asyncio.Event()
+
+        async def slow(request, exchange):
+            await end.wait()
+            await exchange.respond(200)
+
+        controller._api_server._handler = slow
+        address = controller.operator_address
+        asking = asyncio.create_task(send(address, "GET", "/v1/history"))
+        await site.until(lambda: controller._api_server.is_busy)
+        await site.gateways[0].close()
+        await site.until(lambda: not controller._links.gateways)
+        draining = asyncio.create_task(controller.drain())
+        await asyncio.sleep(0.2)
+        assert not draining.done()
+        end.set()
+        await draining
+        assert (await asking).status == 200
+
+
 async def test_stopped_group_finishes_its_requests():
     async with serving_site(step_seconds=0.05) as site:
         running = asyncio.create_task(ask(site, stream=True, max_tokens=40))
