Let gateways and controllers stop only when nothing is under way

Cause: a gateway's stop went by counts that lag behind: requests count from the first step of their handler, and finishes and voids did not count while they were on their way. A controller's stop did not look at what operators had asked. What was overlooked was cancelled by the close. Ruled out for a gateway: taking new work to its end, since it refuses from its first moment.

A gateway asks its server and counts what is on its way; a controller asks its operators' server, within the limit that stood before.

--- a/mallowpond/controller/service.py
+++ b/mallowpond/controller/service.py
@@ -127,10 +127,12 @@
         )
 
     async def drain(self) -> None:
-        """Wait until the gateways have moved and no claim waits, within a limit."""
+        """Wait until the gateways have moved and nothing waits, within a limit."""
         limit = self._clock.now() + DETACH_SECONDS
         while self._clock.now() < limit:
-            if not self._links.gateways and not self._claims.waiting:
+            # Cut off, an operator could not know whether a change is in force.
+            asked = self._claims.waiting or self._api_server.is_busy
+            if not self._links.gateways and not asked:
                 return
             await self._clock.sleep(DETACH_CHECK_SECONDS)
 
--- a/mallowpond/gateway/claims.py
+++ b/mallowpond/gateway/claims.py
@@ -32,12 +32,14 @@
     metrics: GatewayMetrics
     timeout: float
     _unsettled: list[FinishAsk | VoidAsk] = field(default_factory=list)
+    _settling: int = 0
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
     def unsettled(self) -> int:
         """Return how many finishes and voids the table does not know of yet."""
-        return len(self._unsettled)
+        # Those on their way too: a planned stop that went by the rest cancelled them.
+        return len(self._unsettled) + self._settling
 
     async def claim(
         self, *, workspace: str, key: str, attempt: str, units: int
@@ -94,7 +96,9 @@
             self._wake.clear()
             while self._unsettled:
                 batch, self._unsettled = self._unsettled, []
+                self._settling = len(batch)
                 await asyncio.gather(*(self._settle(ask) for ask in batch))
+                self._settling = 0
                 self.metrics.pending_voids.set(len(self._unsettled))
                 if self._unsettled:
                     await self.clock.sleep(RETRY_SECONDS)
--- a/mallowpond/gateway/service.py
+++ b/mallowpond/gateway/service.py
@@ -144,7 +144,9 @@
 
     @property
     def _is_busy(self) -> bool:
-        return self._in_flight > 0 or self._claims.unsettled > 0
+        # Asked of the server: a request that it has just read is not in flight yet, and
+        # one that was overlooked got no answer.
+        return self._server.is_busy or self._claims.unsettled > 0
 
     def _spawn(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
