--- /dev/null
+++ b/mallowpond/coordination/tests/test_claims.py
@@ -0,0 +1,45 @@
+"""What a controller's claims count as under way."""
+
+import asyncio
+
+from mallowpond.coordination.claims import ClaimCommitter, SettledAnswer, Void
+from mallowpond.standins.platform import MemoryTable
+from mallowpond.state.claims import ClaimRow, ClaimState
+
+
+async def test_work_counts_as_waiting_until_its_transaction_has_ended():
+    """A claim's caller got no verdict when its controller was stopped as planned.
+
+    The stop waits until no claim waits. A claim whose transaction was under way had
+    left the queue and was not counted, so the stop went on and cancelled it.
+    """
+    reading, read = asyncio.Event(), asyncio.Event()
+
+    class SlowTable(MemoryTable):
+        async def read(self, key):
+            reading.set()
+            await read.wait()
+            return await super().read(key)
+
+    committer = ClaimCommitter(
+        table=SlowTable(),
+        member="m",
+        draw_id=lambda: "t",
+        live_gateways=frozenset,
+    )
+    row = ClaimRow(
+        workspace="w",
+        key="k",
+        attempt="a",
+        gateway="g",
+        units=5,
+        state=ClaimState.VOID,
+    )
+    running = asyncio.create_task(committer.run())
+    settling = asyncio.create_task(committer.submit(Void(row=row)))
+    await reading.wait()
+    assert committer.waiting == 1
+    read.set()
+    assert await settling == SettledAnswer()
+    assert committer.waiting == 0
+    running.cancel()
