Count claims until they are answered

Cause: work left the queue, and the count, when its transaction began; a controller's stop that came then closed under it. A submission counts until its answer now.

--- a/mallowpond/coordination/claims.py
+++ b/mallowpond/coordination/claims.py
@@ -127,13 +127,17 @@
         self._draw_id = draw_id
         self._live_gateways = live_gateways
         self._queue: list[_Waiting] = []
+        self._unanswered = 0
         self._wake = asyncio.Event()
         self._on_transaction = on_transaction
 
     @property
     def waiting(self) -> int:
-        """Return how much work waits for its transaction."""
-        return len(self._queue)
+        """Return how much work has no answer yet.
+
+        Counted by what was queued, a transaction under way was cancelled by a stop.
+        """
+        return self._unanswered
 
     async def submit(self, work: ClaimWork) -> ClaimResult:
         """Queue one piece of work and return what became of it."""
@@ -141,7 +145,11 @@
         waiting = _Waiting(work=work, answer=loop.create_future())
         self._queue.append(waiting)
         self._wake.set()
-        return await waiting.answer
+        self._unanswered += 1
+        try:
+            return await waiting.answer
+        finally:
+            self._unanswered -= 1
 
     async def run(self) -> None:
         """Commit whatever waits, group after group."""
