Add two failing tests of requests that are read as their connection ends

The class of the request that was dropped with an idle connection, on its two other ways: behind an answer, and at the end of the idle time.

--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 
@@ -161,6 +162,62 @@
     await server.close()
 
 
+async def test_a_request_that_came_before_the_last_answer_ended_is_served():
+    """A caller's request was read and dropped by a host that was stopping.
+
+    The answer before it had begun before the stop and did not say that the connection
+    closes, so the caller sent its next request on it. It was read while the answer's
+    handler was ending, and then the connection closed.
+    """
+    targets, end = [], asyncio.Event()
+
+    async def answer(request, exchange):
+        targets.append(request.target)
+        if request.target == "/first":
+            await end.wait()
+        await exchange.respond(200, request.target.encode())
+
+    server = HttpServer(handler=answer)
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    async with asyncio.timeout(5.0):
+        writer.write(OK.replace(b"/", b"/first", 1))
+        while not targets:
+            await asyncio.sleep(0.001)
+        server.keep_no_connections()
+        writer.write(OK.replace(b"/", b"/next", 1))
+        await asyncio.sleep(0.01)
+        end.set()
+        assert (await reader.read()).endswith(b"/next")
+    writer.close()
+    await server.close()
+
+
+async def test_a_request_that_came_while_the_server_stood_still_is_served():
+    """Requests were dropped unanswered after a process had stood still for a while.
+
+    Bytes of a request and the end of the time that its connection may stay idle were
+    found in the same pass of the loop, and the connection closed as idle.
+    """
+
+    async def hello(request, exchange):
+        await exchange.respond(200, b"hello")
+
+    server = HttpServer(handler=hello, limits=ServerLimits(idle_seconds=0.5))
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    async with asyncio.timeout(5.0):
+        writer.write(OK)
+        await reader.readuntil(b"hello")
+        while not server._idle:
+            await asyncio.sleep(0.001)
+        writer.write(OK)
+        time.sleep(0.7)
+        assert (await reader.read()).endswith(b"hello")
+    writer.close()
+    await server.close()
+
+
 @pytest.mark.parametrize("stops_first", [True, False])
 async def test_an_answer_that_was_handed_over_whole_arrives_whole(stops_first):
     """A caller on a slow link got part of an answer when its host ended as planned.
