Serve what was read before a connection ends, on each way that it ends

Cause: a request that has arrived was asked for only where a stop closes idle connections. A connection whose last answer ends during a stop dropped what had been read behind it (its caller had not been told that it closes), and the end of the idle time dropped bytes that were found in the same pass of the loop, as after a process stood still.

All three ways look at what has arrived first.

--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -302,9 +302,14 @@
             if not exchange.finished or connection.our_state is not h11.DONE:
                 # No closing chunk goes out: the client sees the answer broken off.
                 return
-            if connection.their_state is not h11.DONE or not self._keeps_connections:
+            if connection.their_state is not h11.DONE:
                 return
             connection.start_next_cycle()
+            if not self._keeps_connections and not connection.trailing_data[0]:
+                arrived = await _read_arrived(reader)
+                if not arrived:
+                    return
+                connection.receive_data(arrived)
 
     async def _handle(
         self,
@@ -364,7 +369,7 @@
             async with asyncio.timeout(self._limits.idle_seconds):
                 return await reader.read(READ_SIZE)
         except TimeoutError:
-            return b""
+            return await _read_arrived(reader)
         except asyncio.CancelledError:
             if self._refusing or self._is_closing:
                 raise
@@ -444,7 +449,7 @@
     """Return what has been read from the socket already, nothing if nothing has.
 
     Dropped with its connection, a request that came in the same pass of the loop as the
-    end of idle connections stayed unanswered.
+    connection's end, or behind its last answer, stayed unanswered.
     """
     try:
         async with asyncio.timeout(0):
