--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from mallowpond.coordination.clock import MonotonicClock
 from mallowpond.node.outcomes import Answered, Refusal
 from mallowpond.node.peers import GroupFigures, Heartbeat
 from mallowpond.node.ports import NodePorts
@@ -26,6 +27,7 @@
 )
 from mallowpond.standins.platform import MemoryTable
 from mallowpond.state.site_configuration import SiteConfiguration
+from mallowpond.transport import http_server
 
 SITE = SiteConfiguration(version=1, routes=(), services={})
 SETTINGS = NodeSettings(
@@ -279,6 +281,45 @@
     writer.close()
 
 
+async def test_a_node_closes_its_servers_at_the_same_time(monkeypatch):
+    """The end of an answer was dropped when its host was killed while it closed.
+
+    Each server waits for what still goes out, and a node closed them one after another,
+    the callers' last: with a reader of its metrics that had stopped reading, that took
+    longer than the time that is kept for closing.
+    """
+    monkeypatch.setattr(http_server, "FLUSH_SECONDS", 1.0)
+    ports = NodePorts(
+        callers=FakeCallers(),
+        source=FakeSource(cut=True),
+        targets=FakeTargets(),
+        table=MemoryTable(),
+    )
+    node = build(settings=SETTINGS, ports=ports, clock=MonotonicClock(), seed=1)
+
+    async def much(request, exchange):
+        await exchange.respond(200, b"x" * 8_000_000)
+
+    servers = (node.ingress.server, node._readiness, node._metrics_server)
+    for server in servers:
+        server._handler = much
+    await node._metrics_server.start("127.0.0.1", 0)
+    node._stack.push_async_callback(node._metrics_server.close)
+    await node.start()
+    writers = []
+    for server in servers:
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", server.port, limit=1024
+        )
+        writer.write(get("/"))
+        await reader.readuntil(b"\r\n\r\n")
+        writers.append(writer)
+    async with asyncio.timeout(1.9):
+        await node.close()
+    for writer in writers:
+        writer.close()
+
+
 async def test_a_planner_that_stops_while_the_store_is_away_plans_to_its_end():
     """Symptom: groups that lose a member in a store outage stay down until its end.
 
