Close a node's servers at the same time

Cause: each server waits up to 0.5 s for what still goes out, and a node closed its three one after another, its callers' last, within the 0.7 s that are kept of the grace time. Suspected for a reader of metrics that stops reading; not seen in a run of the programs. The test failed before and passes now.

--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -218,6 +218,10 @@
 
     async def close(self) -> None:
         """Close every socket and stop every task."""
+        # Together: each may wait for its last bytes, and one after another they took
+        # longer than what is kept of the grace time.
+        servers = (self.ingress.server, self._readiness, self._metrics_server)
+        await asyncio.gather(*(server.close() for server in servers))
         await self._stack.aclose()
         log.info("node: stopped", name=self._settings.name)
 
