Let a stream of a stopping host wait for a group while there is time

A stream that had no group for a moment was refused at once when it was judged again, although its host still had seconds.

--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -216,10 +216,10 @@
 
     async def _place(self, work: StreamWork) -> Group | Refusal:
         while True:
-            if self._ends_before(work):
+            group = self._choose(work)
+            if group is not None and self._ends_before(work):
                 self._wake(work.model.name)
                 return self._refuse(Reason.STOPPING, 0.0)
-            group = self._choose(work)
             if group is not None:
                 return group
             refusal = await self._wait(work)
