Let two tests of closing connections fail without each part of their mends

Taken out one at a time, the sparing of closing connections in close, the bound of its wait and the look for bytes behind an answer failed no test. Now each fails one.

--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from mallowpond.transport import http_server
 from mallowpond.transport.http_server import HttpServer, ServerLimits
 
 LIMITS = ServerLimits(header_bytes=500, body_bytes=100, receive_seconds=0.2)
@@ -162,13 +163,20 @@
     await server.close()
 
 
-async def test_a_request_that_came_before_the_last_answer_ended_is_served():
+@pytest.mark.parametrize("was_watched", [True, False])
+async def test_a_request_that_came_before_the_last_answer_ended_is_served(
+    was_watched, monkeypatch
+):
     """A caller's request was read and dropped by a host that was stopping.
 
     The answer before it had begun before the stop and did not say that the connection
     closes, so the caller sent its next request on it. It was read while the answer's
-    handler was ending, and then the connection closed.
+    handler was ending, and then the connection closed. Bytes that came after the watch
+    for the caller's departure had ended, and before the close, were not even looked for.
     """
+    if not was_watched:
+        never = asyncio.Event()
+        monkeypatch.setattr(http_server, "_watch_departure", lambda *_: never.wait())
     targets, end = [], asyncio.Event()
 
     async def answer(request, exchange):
@@ -258,7 +266,8 @@
     writer.close()
 
 
-async def test_a_stop_lets_the_answer_of_a_closing_connection_go_out():
+@pytest.mark.parametrize("closes", [False, True])
+async def test_a_stop_lets_the_answer_of_a_closing_connection_go_out(closes):
     """A caller on a slow link got part of an answer when its host was done as planned.
 
     The host was stopping, so its answer said that the connection closes, and with the
@@ -288,9 +297,15 @@
             got += len(await reader.read(1024))
         # A stop that has time left waits for it as for any answer.
         was_busy = server.is_busy
-        server.refuse_more()
+        if closes:
+            closing = asyncio.create_task(server.close())
+            await asyncio.sleep(0)
+        else:
+            server.refuse_more()
         while data := await reader.read(1024):
             got += len(data)
+        if closes:
+            await closing
     assert (got, was_busy) == (len(body), True)
     writer.close()
     await server.close()
