--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 
+from mallowpond.transport import http_server
 from mallowpond.transport.http_server import HttpServer, ServerLimits
 
 LIMITS = ServerLimits(header_bytes=500, body_bytes=100, receive_seconds=0.2)
@@ -161,6 +163,69 @@
     await server.close()
 
 
+@pytest.mark.parametrize("was_watched", [True, False])
+async def test_a_request_that_came_before_the_last_answer_ended_is_served(
+    was_watched, monkeypatch
+):
+    """A caller's request was read and dropped by a host that was stopping.
+
+    The answer before it had begun before the stop and did not say that the connection
+    closes, so the caller sent its next request on it. It was read while the answer's
+    handler was ending, and then the connection closed. Bytes that came after the watch
+    for the caller's departure had ended, and before the close, were not even looked for.
+    """
+    if not was_watched:
+        never = asyncio.Event()
+        monkeypatch.setattr(http_server, "_watch_departure", lambda *_: never.wait())
+    targets, end = [], asyncio.Event()
+
+    async def answer(request, exchange):
+        targets.append(request.target)
+        if request.target == "/first":
+            await end.wait()
+        await exchange.respond(200, request.target.encode())
+
+    server = HttpServer(handler=answer)
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    async with asyncio.timeout(5.0):
+        writer.write(OK.replace(b"/", b"/first", 1))
+        while not targets:
+            await asyncio.sleep(0.001)
+        server.keep_no_connections()
+        writer.write(OK.replace(b"/", b"/next", 1))
+        await asyncio.sleep(0.01)
+        end.set()
+        assert (await reader.read()).endswith(b"/next")
+    writer.close()
+    await server.close()
+
+
+async def test_a_request_that_came_while_the_server_stood_still_is_served():
+    """Requests were dropped unanswered after a process had stood still for a while.
+
+    Bytes of a request and the end of the time that its connection may stay idle were
+    found in the same pass of the loop, and the connection closed as idle.
+    """
+
+    async def hello(request, exchange):
+        await exchange.respond(200, b"hello")
+
+    server = HttpServer(handler=hello, limits=ServerLimits(idle_seconds=0.5))
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    async with asyncio.timeout(5.0):
+        writer.write(OK)
+        await reader.readuntil(b"hello")
+        while not server._idle:
+            await asyncio.sleep(0.001)
+        writer.write(OK)
+        time.sleep(0.7)
+        assert (await reader.read()).endswith(b"hello")
+    writer.close()
+    await server.close()
+
+
 @pytest.mark.parametrize("stops_first", [True, False])
 async def test_an_answer_that_was_handed_over_whole_arrives_whole(stops_first):
     """A caller on a slow link got part of an answer when its host ended as planned.
@@ -201,11 +266,89 @@
     writer.close()
 
 
-async def test_a_server_ends_although_a_client_reads_nothing():
+@pytest.mark.parametrize("closes", [False, True])
+async def test_a_stop_lets_the_answer_of_a_closing_connection_go_out(closes):
+    """A caller on a slow link got part of an answer when its host was done as planned.
+
+    The host was stopping, so its answer said that the connection closes, and with the
+    handler's end the connection was being closed while its buffer still went out. The
+    stop took nothing to be in progress and cancelled that closing, which dropped what
+    the buffer held: the more likely the sooner a stop sees that its last answer ended.
+    """
+    body = b"x" * 200_000
+
+    async def answer(request, exchange):
+        exchange.close_after()
+        await exchange.respond(200, body)
+
+    server = HttpServer(handler=answer, limits=ServerLimits(send_seconds=5.0))
+    await server.start("127.0.0.1", 0)
+    listening = server._server.sockets[0]
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    own = socket.socket()
+    own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    own.connect(("127.0.0.1", server.port))
+    reader, writer = await asyncio.open_connection(sock=own, limit=1024)
+    writer.write(OK)
+    assert b"200" in await reader.readuntil(b"\r\n\r\n")
+    got = 0
+    async with asyncio.timeout(5.0):
+        while not server._parting:
+            got += len(await reader.read(1024))
+        # A stop that has time left waits for it as for any answer.
+        was_busy = server.is_busy
+        if closes:
+            closing = asyncio.create_task(server.close())
+            await asyncio.sleep(0)
+        else:
+            server.refuse_more()
+        while data := await reader.read(1024):
+            got += len(data)
+        if closes:
+            await closing
+    assert (got, was_busy) == (len(body), True)
+    writer.close()
+    await server.close()
+
+
+async def test_a_server_that_closes_serves_no_connection_that_it_has_just_accepted():
+    """A request was served by a server that had closed, whose process was ending.
+
+    A connection is accepted two passes of the loop before it is counted: one that came
+    in between was not among those that the close ended, and was served after it.
+    """
+    served = []
+
+    async def hello(request, exchange):
+        served.append(request.target)
+        await exchange.respond(200, b"hello")
+
+    server = HttpServer(handler=hello)
+    await server.start("127.0.0.1", 0)
+    own = socket.socket()
+    own.connect(("127.0.0.1", server.port))
+    own.sendall(OK)
+    own.setblocking(False)
+    reader, writer = await asyncio.open_connection(sock=own)
+    while not server._server._active_count:
+        await asyncio.sleep(0)
+    assert not server._connections
+    await server.close()
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert served == []
+    async with asyncio.timeout(5.0):
+        assert await _read_all(reader) == b""
+    writer.close()
+
+
+@pytest.mark.parametrize("send_seconds", [0.2, 30.0])
+async def test_a_server_ends_although_a_client_reads_nothing(send_seconds):
     async def answer(request, exchange):
         await exchange.respond(200, b"x" * 8_000_000)
 
-    server = HttpServer(handler=answer, limits=ServerLimits(send_seconds=0.2))
+    limits = ServerLimits(send_seconds=send_seconds)
+    server = HttpServer(handler=answer, limits=limits)
     await server.start("127.0.0.1", 0)
     reader, writer = await asyncio.open_connection("127.0.0.1", server.port, limit=1024)
     writer.write(OK)
