--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,18 +7,20 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
+from itertools import islice
 from pathlib import Path
 from typing import Any
 
 from mallowpond.platform.program import SETTINGS_VARIABLE
-from mallowpond.programs.tests.cluster import free_ports
 from mallowpond.standins.observatory_engine import new_engine_id
 from mallowpond.standins.observatory_operator import (
     ObservatoryOperator,
     soak_configuration,
 )
+from mallowpond.standins.own_ports import own_ports
 from mallowpond.transport.http_client import HttpClient
 from soak.judge import GROUP_SIZE, REVOKE_SECONDS, WORKSPACES
 from soak.proxy import Proxy
@@ -90,6 +92,7 @@
     """Hold a store, engines, nodes, and the links between them."""
 
     folder: Path
+    ports_left: Iterator[int] = field(default_factory=own_ports)
     shape: FleetShape = FleetShape()
     nodes: list[Member] = field(default_factory=list)
     engines: list[Member] = field(default_factory=list)
@@ -108,7 +111,7 @@
     async def start(self) -> None:
         """Start everything, and wait until nodes and groups are there."""
         self._stack.push_async_callback(self._http.close)
-        (self._store_port,) = free_ports(1)
+        self._store_port = next(self.ports_left)
         address = f"127.0.0.1:{self._store_port}"
         self._operator = ObservatoryOperator(http=self._http, address=address)
         options = {"host": "127.0.0.1", "port": self._store_port}
@@ -216,7 +219,7 @@
             await asyncio.sleep(0.1)
 
     async def _add_engine(self, number: int) -> None:
-        (port,) = free_ports(1)
+        port = next(self.ports_left)
         link = await self._link(port)
         store_link = await self._link(self._store_port)
         is_plain = number >= self.grouped_engines
@@ -243,7 +246,7 @@
         self.engine_store_links.append(store_link)
 
     async def _add_node(self, number: int) -> None:
-        callers, readiness, peers = free_ports(3)
+        callers, readiness, peers = islice(self.ports_left, 3)
         link = await self._link(self._store_port)
         path = self.folder / f"node{number}.toml"
         path.write_text(
