--- a/mallowpond/state/processes.py
+++ b/mallowpond/state/processes.py
@@ -53,12 +53,6 @@
         """Return the groups in which a member answers that it does not stand."""
         return frozenset(self._displaced.values())
 
-    def reset(self) -> None:
-        """Forget every answer."""
-        self._heard.clear()
-        self._listed.clear()
-        self._displaced.clear()
-
     def settle(self, targets: Mapping[str, Target], *, now: float) -> None:
         """Note where the list shows each target; forget those that it does not."""
         self._heard = {t: h for t, h in self._heard.items() if t in targets}
