--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -336,7 +336,7 @@
         """
         if self.ends_at == inf or work.has_begun:
             return False
-        return self._clock.now() + self.expected_seconds(work) > self.ends_at
+        return self._clock.now() + self.longest_seconds(work) > self.ends_at
 
     def _hold_seconds(self, work: StreamWork) -> float:
         load = GroupLoad(running=work.profile.slots)
