Log each group that ends by the restart of a member, once

Without it a group that was taken apart because the list showed another process of a member left no reason in the log. Seen failing without it: the test of a formation that ends.

--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -126,6 +126,7 @@
         self._is_fresh = False
         self._next_epoch = self._leadership.fence * EPOCHS_PER_FENCE + 1
         self._closed: set[GroupKey] = set()
+        self._ended: set[GroupKey] = set()
         self._leaving_since: dict[Process, float] = {}
         self._formations: dict[GroupKey, Formation] = {}
         self._first_seen: dict[GroupKey, float] = {}
@@ -273,11 +274,20 @@
             if key in groups or now - formation.ordered_at < self._stall_seconds
         }
         self._closed &= groups.keys()
+        self._note_ended(present)
         self._loads_begun = [at for at in self._loads_begun if now - at < 10.0]
         self._probes.look()
         if self._directory.is_lost:
             self._ask_pending(now)
 
+    def _note_ended(self, present: dict[str, Target]) -> None:
+        """Log each group that ends by the restart of a member, once."""
+        groups = self._directory.groups
+        ended = {k for k, seen in self._seen.items() if has_restarted(seen, present)}
+        for name, epoch in sorted(ended & groups.keys() - self._ended):
+            log.info("planner: member started again", group=name, epoch=epoch)
+        self._ended = ended & groups.keys()
+
     # -- orders --------------------------------------------------------------
 
     def _begin(self, step: Step) -> None:
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -4,6 +4,8 @@
 from collections import deque
 from dataclasses import replace
 
+import structlog
+
 from mallowpond.coordination.ports import Unavailable
 from mallowpond.node.configuration import ConfigurationFollower
 from mallowpond.node.directory import Directory
@@ -428,7 +430,10 @@
     await rig.show(placed("b", join, join.members.index("b")))
     rig.targets.orders.clear()
     await rig.show(restarted("a"))
-    await rig.steps(2)
+    with structlog.testing.capture_logs() as lines:
+        await rig.steps(2)
+    ended = [ln for ln in lines if ln["event"] == "planner: member started again"]
+    assert [line["group"] for line in ended] == [join.group]
     assert [leave.target.id for leave in rig.of_kind(Leave)] == ["b"]
     await rig.steps(20)
     again = rig.of_kind(Join)
