--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -172,7 +172,7 @@
     The answer before it had begun before the stop and did not say that the connection
     closes, so the caller sent its next request on it. It was read while the answer's
     handler was ending, and then the connection closed. Bytes that came after the watch
-    for the caller's departure had ended, and before the close, were not even looked for.
+    for the caller's departure had ended, and before the close, were not looked for.
     """
     if not was_watched:
         never = asyncio.Event()
