Keep the seed in which an old planner joined a member of an open group

Seed 8102 with 41 processes on: a planner woke after 1.4 s, in which another node had taken its lease and opened a group; it joined one of that group's members to a new one, since the member had seen no newer fence. Traced in logs and journals; open.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -50,12 +50,10 @@
                 self.found.append(stall)
 
 
-async def play(
-    case: Case, folder: Path, *, shape: FleetShape = FleetShape(), rate: float = RATE
-) -> Run:
+async def play(case: Case, folder: Path, *, rate: float = RATE) -> Run:
     """Play one case and return what it left behind."""
     rng = random.Random(case.seed)
-    fleet = Fleet(folder=folder, shape=shape)
+    fleet = Fleet(folder=folder, shape=case.shape)
     injector = Injector(fleet=fleet)
     try:
         await fleet.start()
@@ -123,13 +121,19 @@
     cases = REGRESSIONS
     if not regressions:
         cases = tuple(
-            Case(seed=seed, seconds=seconds, draw=draw, only=tuple(only or ()))
+            Case(
+                seed=seed,
+                seconds=seconds,
+                draw=draw,
+                only=tuple(only or ()),
+                shape=shape,
+            )
             for seed in range(first, first + seeds)
         )
     failed = []
     for case in cases:
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{case.seed}-"))
-        run = asyncio.run(play(case, folder, shape=shape, rate=rate))
+        run = asyncio.run(play(case, folder, rate=rate))
         lines = broken_promises(run)
         _tell(case, run, lines)
         if lines:
--- a/soak/cases.py
+++ b/soak/cases.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from soak.faults import NEWEST_DRAW
+from soak.fleet import FleetShape
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -17,6 +18,7 @@
     seconds: float
     draw: int = NEWEST_DRAW
     only: tuple[str, ...] = ()
+    shape: FleetShape = FleetShape()
     cause: str = ""
 
 
@@ -24,12 +26,24 @@
 FOREIGN_ENTRY = "an entry of another writer, under an unknown key, counted as an engine"
 # It needed a busy machine, on which the soak's links stood still for a moment.
 SUSPECTED = "streams of a falsely suspected group were not woken when the doubt ended"
+# Open when it was found.
+OLD_PLANNER = (
+    "a planner that woke from a pause joined a member, which knew no newer fence yet, "
+    "out of a group that its successor had opened"
+)
 STOPS = ("node_stop_all", "node_stop_series", "node_stop", "reconfigure")
 REGRESSIONS = (
     Case(seed=2000, draw=2, seconds=12.0, cause=LONG_STREAMS),
     Case(seed=2001, draw=2, seconds=12.0, cause=LONG_STREAMS),
     Case(seed=2017, draw=2, seconds=12.0, cause=LONG_STREAMS),
     Case(seed=2034, draw=2, seconds=12.0, cause=LONG_STREAMS),
+    Case(
+        seed=8102,
+        draw=2,
+        seconds=12.0,
+        cause=OLD_PLANNER,
+        shape=FleetShape(nodes=6, domains=8),
+    ),
     Case(seed=2046, draw=2, seconds=12.0, cause=FOREIGN_ENTRY),
     Case(seed=2048, draw=2, seconds=12.0, cause=FOREIGN_ENTRY),
     Case(seed=4005, draw=2, seconds=12.0, cause=SUSPECTED, only=STOPS),
