--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -130,12 +130,10 @@
         report = await self._targets.report(target)
         if isinstance(report, Unavailable):
             return report
-        listed = self._directory.targets.get(target.id)
         self._processes.hear(
             asked=target,
             answered=report.target,
             asked_at=asked_at,
-            listed=listed,
             shows_orders=self._may_learn(report.target),
         )
         self._book.note_seen(report.target, report.orders)
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -91,6 +91,7 @@
         self._lines: dict[str, WaitingLine] = {}
         self._shapes: dict[str, tuple[str, EngineProfile, ModelSpec, float]] = {}
         self.active: set[ActiveStream] = set()
+        self.ends_at = inf
         directory.on_change.append(self.wake_all)
 
     def wake_all(self) -> None:
@@ -98,6 +99,11 @@
         for model in self._lines:
             self._wake(model)
 
+    def end_waits(self) -> None:
+        """Let no stream wait for a place any longer."""
+        for line in self._lines.values():
+            line.end()
+
     # -- one stream ----------------------------------------------------------
 
     async def serve(self, work: StreamWork) -> ServeOutcome:
@@ -211,6 +217,9 @@
     async def _place(self, work: StreamWork) -> Group | Refusal:
         while True:
             group = self._choose(work)
+            if group is not None and self._ends_before(work):
+                self._wake(work.model.name)
+                return self._refuse(Reason.STOPPING, 0.0)
             if group is not None:
                 return group
             refusal = await self._wait(work)
@@ -264,6 +273,7 @@
         if wait > patience:
             return self._refuse(Reason.OVERLOADED, wait)
         self._metrics.waiting.inc()
+        came = False
         try:
             came = await line.wait(
                 priority=work.priority,
@@ -274,6 +284,9 @@
         finally:
             self._metrics.waiting.dec()
             work.waited += self._clock.now() - now
+            if not came:
+                # It may have been offered a place as it left, which goes to the next.
+                self._wake(work.model.name)
         if not came:
             reason = Reason.OVERLOADED if groups else Reason.NO_GROUP
             return self._refuse(reason, NO_GROUP_RETRY_SECONDS)
@@ -293,12 +306,13 @@
         heard_at = work.last_event_at or work.started_at
         return max(0.0, WAIT_SHARE * whole - (self._clock.now() - heard_at))
 
-    def expected_seconds(self, work: StreamWork) -> float:
-        """Return how long a stream takes from now on, infinity without a group.
+    def longest_seconds(self, work: StreamWork) -> float:
+        """Return how long a stream may take from now on, infinity without a group.
 
-        On the group that it would get, full and at the pace that it shows; without a
-        place on the best that may get one: at the pace of a sound group, a host took
-        streams that its slow groups could not end before it ended.
+        With as many tokens as it may get, on the group that it would get, full and at
+        the pace that it shows; without a place on the best that may get one: at the
+        pace of a sound group, a host took streams that its slow groups could not end
+        before it ended.
         """
         groups = self._directory.serving_groups(work.service, work.model.name)
         chosen = self._choose(work)
@@ -314,6 +328,16 @@
         one_pass = pass_seconds(work.profile, work.model, load)
         return work.route.objective_seconds + passes * one_pass
 
+    def _ends_before(self, work: StreamWork) -> bool:
+        """Tell whether this host ends before a stream that has not begun.
+
+        Judged only when it was taken, a stream got a place just before its host ended
+        and was cut off; its caller can still come back to another host.
+        """
+        if self.ends_at == inf or work.has_begun:
+            return False
+        return self._clock.now() + self.expected_seconds(work) > self.ends_at
+
     def _hold_seconds(self, work: StreamWork) -> float:
         load = GroupLoad(running=work.profile.slots)
         passes = work.profile.usual_answer_tokens / max(1, work.profile.stride)
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -10,6 +10,7 @@
 from mallowpond.node.streams import MOST_PAUSE_SECONDS
 from mallowpond.node.tests.fakes import (
     BROKEN,
+    PROFILE,
     ROUTE,
     UNREACHABLE,
     FakeExchange,
@@ -205,17 +206,17 @@
 async def test_a_stopping_host_reckons_with_the_pace_that_its_groups_show():
     """A caller's stream was cut in the middle when its host ended after a planned stop.
 
-    A host that stops takes a stream if three times the stream's expected time are left
-    to it. The expected time was that of a sound group, so a host whose groups ran at a
+    A host that stops takes a stream if the time that the stream may take is left
+    to it. That time was of a sound group, so a host whose groups ran at a
     fifth of their pace took streams that needed longer than it had.
     """
     rig = await rig_of("a")
     work = rig.work(FakeExchange())
-    sound = rig.service.expected_seconds(work)
+    sound = rig.service.longest_seconds(work)
     group_work = rig.directory.work(("a", 1))
     group_work.slowness, group_work.last_event_at = 5.0, rig.clock.now()
     passes = sound - work.route.objective_seconds
-    slow = rig.service.expected_seconds(work)
+    slow = rig.service.longest_seconds(work)
     assert slow >= work.route.objective_seconds + 4.9 * passes
 
 
@@ -226,7 +227,7 @@
     as if one did.
     """
     rig = await rig_of()
-    assert rig.service.expected_seconds(rig.work(FakeExchange())) == float("inf")
+    assert rig.service.longest_seconds(rig.work(FakeExchange())) == float("inf")
 
 
 async def test_a_head_that_says_it_is_not_the_one_gets_no_more_streams():
@@ -427,3 +428,27 @@
     rig.clock.time += MOST_PAUSE_SECONDS
     outcome = await rig.service.serve(rig.work(FakeExchange()))
     assert outcome == Answered(status=200, target="a0")
+
+
+async def test_the_place_of_a_woken_stream_that_leaves_goes_to_the_next():
+    """A stream waited on beside a free place.
+
+    The place was offered to the first of the line, which wakes the next one when it is
+    sent; its caller left in the same pass of the loop, and nobody was woken.
+    """
+    rig = await rig_of("a")
+    rig.directory.work(("a", 1)).running = PROFILE.slots + 1
+    rig.targets.script("a0", answer(1))
+    tasks = [
+        asyncio.create_task(rig.service.serve(rig.work(FakeExchange())))
+        for _ in range(2)
+    ]
+    for _ in range(5):
+        await asyncio.sleep(0)
+    rig.directory.work(("a", 1)).running = 0
+    rig.service.wake_all()
+    tasks[0].cancel()
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert rig.targets.sends == [("a0", None)]
+    assert await tasks[1] == Answered(status=200, target="a0")
--- a/mallowpond/state/processes.py
+++ b/mallowpond/state/processes.py
@@ -4,8 +4,9 @@
 of two processes is the later one: clocks of hosts are stepped. Two things do. An answer
 that a process gives itself shows that it ran after the question was asked; and of two
 lists that were read one after the other, the later one holds the later registration.
-So the answer to the newest question ends the process that was listed when it was asked;
-and when the list moves on to a process that no answer has ended, that one is present.
+So the answer to the newest question ends the process that was listed when it was asked,
+whatever the list shows meanwhile; when the list moves on to a process that no answer
+has ended, that one is present.
 
 Where targets tell no start, and where a member was taken out of its group by nobody's
 order known here, what shows it is the place: a target that answers that it does not
@@ -74,13 +75,10 @@
         asked: Target,
         answered: Target,
         asked_at: float,
-        listed: Target | None,
         shows_orders: bool = True,
     ) -> None:
-        """Take a direct answer.
+        """Take a direct answer to a question that was meant for a listed process.
 
-        `listed` is what the list shows now. When it moved on while the question was
-        under way, nobody knows which of the two came first, and nothing is learnt.
         `shows_orders` is false while the answer may not show the last order yet.
         """
         if shows_orders:
@@ -88,8 +86,6 @@
         heard = self._heard.get(asked.id)
         if heard is not None and asked_at < heard.asked_at:
             return
-        if listed is None or listed.process != asked.process:
-            return
         ended = {asked.process}
         if heard is not None:
             ended |= {heard.process, *heard.ended}
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -180,8 +180,8 @@
 
     @property
     def is_busy(self) -> bool:
-        """Tell whether a request was read whole and its answer has not ended."""
-        return bool(self._busy)
+        """Tell whether a request was read whole and its answer has not gone out."""
+        return bool(self._busy or self._parting)
 
     def set_limits(self, limits: ServerLimits) -> None:
         """Apply new limits to everything that is read from now on."""
@@ -213,7 +213,8 @@
         self._refusing = True
         if self._server is not None:
             self._server.close()
-        for task in self._connections - self._busy.keys():
+        # Cancelled, a connection that is being closed would drop the end of its answer.
+        for task in self._connections - self._busy.keys() - self._parting:
             task.cancel()
 
     async def close(self) -> None:
@@ -272,6 +273,10 @@
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         for earlier in itertools.count():
+            if self._refusing or self._is_closing:
+                # Accepted in the last pass of the loop, it was not among those that
+                # the close ended, and its request was served after it.
+                return
             exchange = Exchange(
                 _connection=connection,
                 _writer=writer,
@@ -297,9 +302,14 @@
             if not exchange.finished or connection.our_state is not h11.DONE:
                 # No closing chunk goes out: the client sees the answer broken off.
                 return
-            if connection.their_state is not h11.DONE or not self._keeps_connections:
+            if connection.their_state is not h11.DONE:
                 return
             connection.start_next_cycle()
+            if not self._keeps_connections and not connection.trailing_data[0]:
+                arrived = await _read_arrived(reader)
+                if not arrived:
+                    return
+                connection.receive_data(arrived)
 
     async def _handle(
         self,
@@ -359,7 +369,7 @@
             async with asyncio.timeout(self._limits.idle_seconds):
                 return await reader.read(READ_SIZE)
         except TimeoutError:
-            return b""
+            return await _read_arrived(reader)
         except asyncio.CancelledError:
             if self._refusing or self._is_closing:
                 raise
@@ -439,7 +449,7 @@
     """Return what has been read from the socket already, nothing if nothing has.
 
     Dropped with its connection, a request that came in the same pass of the loop as the
-    end of idle connections stayed unanswered.
+    connection's end, or behind its last answer, stayed unanswered.
     """
     try:
         async with asyncio.timeout(0):
