--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -8,6 +8,7 @@
     GONE_SECONDS,
     HEARTBEATS_PER_SECOND,
     SENIOR_HEARTBEATS_PER_SECOND,
+    GroupBroken,
     Heartbeat,
     PeerNetwork,
     Suspicion,
@@ -18,6 +19,7 @@
 from mallowpond.node.tests.fakes import FakeClock
 from mallowpond.standins.platform import MemoryTable
 from mallowpond.state.codec import to_compact
+from mallowpond.state.fleet import BreakCause, Process
 
 LOADS = {("g", 3): (4, 500)}
 SENDER = ("127.0.0.1", 1)
@@ -139,3 +141,18 @@
     often = 4 / peers.interval
     peers.is_senior = False
     assert often + 376 / peers.interval < HEARTBEATS_PER_SECOND / 2
+
+
+def test_the_word_of_a_broken_group_names_the_process_of_its_head():
+    peers, _ = network()
+    heard = []
+    peers.on_group_broken.append(heard.append)
+    message = GroupBroken(
+        node="b",
+        group="g",
+        epoch=3,
+        head=Process(id="e", born=5),
+        cause=BreakCause.REFUSED,
+    )
+    peers.datagram_received(encode(message), SENDER)
+    assert heard == [message]
