--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -409,3 +409,18 @@
     loads = heartbeat_loads({("g", 3): (1, -0.7)})
     message = Work(node="b", loads=loads)
     assert read_message(encode(message)) == message
+
+
+def test_the_word_of_a_broken_group_names_the_process_of_its_head():
+    peers, _ = network()
+    heard = []
+    peers.on_group_broken.append(heard.append)
+    message = GroupBroken(
+        node="b",
+        group="g",
+        epoch=3,
+        head=Process(id="e", born=5),
+        cause=BreakCause.REFUSED,
+    )
+    peers.datagram_received(encode(message), SENDER)
+    assert heard == [message]
