--- a/soak/cases.py
+++ b/soak/cases.py
@@ -26,7 +26,6 @@
 FOREIGN_ENTRY = "an entry of another writer, under an unknown key, counted as an engine"
 # It needed a busy machine, on which the soak's links stood still for a moment.
 SUSPECTED = "streams of a falsely suspected group were not woken when the doubt ended"
-# Open when it was found.
 OLD_PLANNER = (
     "a planner that woke from a pause joined a member, which knew no newer fence yet, "
     "out of a group that its successor had opened"
