--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -60,6 +60,10 @@
 # Pause between two questions to the targets of orders while the list is lost, in
 # seconds: reports lag by some hundred milliseconds.
 ASK_SECONDS = 0.3
+# Time between two plans from which this process counts as having stood still, in
+# seconds: another node takes over after a second of silence, and a number that it has
+# not given to every member of a group does not guard the others.
+PAUSE_SECONDS = 0.5
 # Age of the lease from which a refusal for a higher number makes it be renewed, in
 # seconds: many orders may be refused for the same reason at once.
 LEASE_CHECK_SECONDS = 0.3
@@ -124,8 +128,11 @@
         self._probes.reset()
         self._book.reset()
         self._is_fresh = False
+        self._stepped_at = self._clock.now()
+        self._lease_asked_at = float("-inf")
         self._next_epoch = self._leadership.fence * EPOCHS_PER_FENCE + 1
         self._closed: set[GroupKey] = set()
+        self._ended: set[GroupKey] = set()
         self._leaving_since: dict[Process, float] = {}
         self._formations: dict[GroupKey, Formation] = {}
         self._first_seen: dict[GroupKey, float] = {}
@@ -152,6 +159,9 @@
             self._directory.poll_seconds = POLL_SECONDS
             return
         self._directory.poll_seconds = PLANNER_POLL_SECONDS
+        if not await self._is_confirmed():
+            return
+        self._stepped_at = self._clock.now()
         if not self._is_fresh:
             # A plan on an old list would take apart what the last planner formed.
             self._is_fresh = await self._directory.refresh()
@@ -164,6 +174,22 @@
             if service.profile is not None and service.profile.models:
                 self._plan_service(service.name, service.profile)
 
+    async def _is_confirmed(self) -> bool:
+        """Tell whether the lease is held, asked for anew after this process paused."""
+        if not self._has_paused:
+            return True
+        now = self._clock.now()
+        if now - self._lease_asked_at < LEASE_CHECK_SECONDS:
+            return False
+        self._lease_asked_at = now
+        log.info("planner: paused", seconds=round(now - self._stepped_at, 3))
+        return await self._leadership.confirm()
+
+    @property
+    def _has_paused(self) -> bool:
+        """Tell whether this process stood still: another may have taken over."""
+        return self._clock.now() - self._stepped_at > PAUSE_SECONDS
+
     # -- planning ------------------------------------------------------------
 
     def _plan_service(self, service: str, profile: EngineProfile) -> None:
@@ -274,11 +300,20 @@
             if key in groups or now - formation.ordered_at < self._stall_seconds
         }
         self._closed &= groups.keys()
+        self._note_ended(present)
         self._loads_begun = [at for at in self._loads_begun if now - at < 10.0]
         self._probes.look()
         if self._directory.is_lost:
             self._ask_pending(now)
 
+    def _note_ended(self, present: dict[str, Target]) -> None:
+        """Log each group that ends by the restart of a member, once."""
+        groups = self._directory.groups
+        ended = {k for k, seen in self._seen.items() if has_restarted(seen, present)}
+        for name, epoch in sorted(ended & groups.keys() - self._ended):
+            log.info("planner: member started again", group=name, epoch=epoch)
+        self._ended = ended & groups.keys()
+
     # -- orders --------------------------------------------------------------
 
     def _begin(self, step: Step) -> None:
@@ -306,7 +341,7 @@
         # Planned before this node lost the lease and took it anew, an order rests on
         # what was since forgotten.
         is_held = fence and fence == self._leadership.fence
-        if not is_held or self._is_overtaken(step):
+        if not is_held or self._has_paused or self._is_overtaken(step):
             self._give_back(step)
             return
         end = await self._targets.order(step, fence=fence, expected=expected)
