--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -186,10 +186,10 @@
 async def test_a_stop_waits_for_a_request_that_was_read_in_its_last_moment():
     """A call was passed on and cut off 3 ms later, when its host ended as planned.
 
-    The host was told to stop at 24.000 s and judged itself done at 27.241 s; the call
-    reached its target at 27.238 s. It had been read in the very pass of the loop in
-    which the host looked for requests in progress, and counted only from the first step
-    of its handler, one pass later.
+    The host was told to stop at 24.000 s; the call reached its target at 27.238 s, and
+    its connection closed at 27.241 s. A request counted only from the first step of its
+    handler, one pass of the loop after it was read, so one that was read as the host
+    looked for requests in progress was not seen.
     """
     clock = GatedClock()
     ports = NodePorts(
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -194,7 +194,7 @@
         )
 
     def keep_no_connections(self) -> None:
-        """Let a connection carry one request only; close those that are idle now.
+        """Let a connection carry one request only; close those that wait for another.
 
         A connection whose answer began before a stop was announced does not know of it:
         kept, it brought requests to a process until its end, which cut them off, while
