--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -41,6 +41,17 @@
 )
 
 
+def node_over(clock, *, source=None, targets=None):
+    """Build a node over fakes."""
+    ports = NodePorts(
+        callers=FakeCallers(),
+        source=source or FakeSource(),
+        targets=targets or FakeTargets(),
+        table=MemoryTable(),
+    )
+    return build(settings=SETTINGS, ports=ports, clock=clock, seed=1)
+
+
 def heartbeat(running):
     """Write a peer's heartbeat with so many streams on the only group."""
     return Heartbeat(
@@ -64,10 +75,7 @@
     """
     clock, targets = FakeClock(), FakeTargets()
     source = FakeSource(listed=deque([listing(*open_group("g"))]))
-    ports = NodePorts(
-        callers=FakeCallers(), source=source, targets=targets, table=MemoryTable()
-    )
-    node = build(settings=SETTINGS, ports=ports, clock=clock, seed=1)
+    node = node_over(clock, source=source, targets=targets)
     await node.directory.refresh()
     targets.script("g0", answer(1))
     node._note_heartbeat(heartbeat(PROFILE.slots + 1))
@@ -96,13 +104,7 @@
     Cause: what is taken did not depend on how long the host still runs.
     """
     clock = FakeClock()
-    ports = NodePorts(
-        callers=FakeCallers(),
-        source=FakeSource(),
-        targets=FakeTargets(),
-        table=MemoryTable(),
-    )
-    node = build(settings=SETTINGS, ports=ports, clock=clock, seed=1)
+    node = node_over(clock)
     began = clock.now()
     await node.drain()
     assert began < node.ingress.ends_at < began + SETTINGS.bounds.grace
@@ -139,13 +141,7 @@
     until its last moment.
     """
     clock = GatedClock()
-    ports = NodePorts(
-        callers=FakeCallers(),
-        source=FakeSource(),
-        targets=FakeTargets(),
-        table=MemoryTable(),
-    )
-    node = build(settings=SETTINGS, ports=ports, clock=clock, seed=1)
+    node = node_over(clock)
     ends = {"/first": asyncio.Event(), "/last": asyncio.Event()}
 
     async def stream(request, exchange):
@@ -192,13 +188,7 @@
     looked for requests in progress was not seen.
     """
     clock = GatedClock()
-    ports = NodePorts(
-        callers=FakeCallers(),
-        source=FakeSource(),
-        targets=FakeTargets(),
-        table=MemoryTable(),
-    )
-    node = build(settings=SETTINGS, ports=ports, clock=clock, seed=1)
+    node = node_over(clock)
     server, end = node.ingress.server, asyncio.Event()
 
     async def not_counted_yet(request, exchange):
@@ -235,10 +225,7 @@
     """
     clock, targets = GatedClock(), FakeTargets()
     source = FakeSource(listed=deque([listing(*open_group("g"))]))
-    ports = NodePorts(
-        callers=FakeCallers(), source=source, targets=targets, table=MemoryTable()
-    )
-    node = build(settings=SETTINGS, ports=ports, clock=clock, seed=1)
+    node = node_over(clock, source=source, targets=targets)
     await node.directory.refresh()
     node._note_heartbeat(heartbeat(PROFILE.slots + 1))
     targets.script("g0", answer(1))
@@ -289,13 +276,7 @@
     longer than the time that is kept for closing.
     """
     monkeypatch.setattr(http_server, "FLUSH_SECONDS", 1.0)
-    ports = NodePorts(
-        callers=FakeCallers(),
-        source=FakeSource(cut=True),
-        targets=FakeTargets(),
-        table=MemoryTable(),
-    )
-    node = build(settings=SETTINGS, ports=ports, clock=MonotonicClock(), seed=1)
+    node = node_over(MonotonicClock(), source=FakeSource(cut=True))
 
     async def much(request, exchange):
         await exchange.respond(200, b"x" * 8_000_000)
@@ -326,22 +307,16 @@
     Sequence: the store goes away; the planner's host is stopped.
     Cause: it gave up planning at once, and no other node could take the lease.
     """
-    clock = FakeClock()
-    ports = NodePorts(
-        callers=FakeCallers(),
-        source=FakeSource(cut=True),
-        targets=FakeTargets(),
-        table=MemoryTable(),
-    )
-    node = build(settings=SETTINGS, ports=ports, clock=clock, seed=1)
+    source = FakeSource(cut=True)
+    node = node_over(FakeClock(), source=source)
     await node.leadership._take()
     await node.configuration.step()
     stopping = asyncio.create_task(node.drain())
     for _ in range(3):
         await asyncio.sleep(0)
     assert node.leadership.fence
-    ports.source.cut = False
-    ports.source.configurations.append(SITE)
+    source.cut = False
+    source.configurations.append(SITE)
     await node.configuration.step()
     await stopping
     assert not node.leadership.fence
