Count late and unserved requests by cause, from the logs

Cause: where worth is lost was read out of logs by scripts that nobody kept. Change: mallowpond losses FILE... puts each late stream and each unserved attempt down to one cause, and tells suspicions and the errors of predicted first events.

--- a/mallowpond/programs/cli.py
+++ b/mallowpond/programs/cli.py
@@ -19,6 +19,7 @@
     render,
 )
 from mallowpond.programs.logs import set_up_logs
+from mallowpond.programs.losses import count_losses, render_losses
 from mallowpond.protocol.declaration_file import Faults
 from mallowpond.settings import (
     ControllerSettings,
@@ -299,6 +300,21 @@
         typer.echo(line)
 
 
+@app.command()
+def losses(
+    files: Annotated[
+        list[Path] | None,
+        typer.Argument(metavar="[FILE ...]", help="Logs of all hosts; none: stdin."),
+    ] = None,
+) -> None:
+    """Count which requests were late or unserved, and why, from logs."""
+    logs = _read_logs(list(files or ()))
+    if logs.unreadable:
+        typer.echo(f"{logs.unreadable} lines are no log lines.", err=True)
+    for line in render_losses(count_losses(logs.lines)):
+        typer.echo(line)
+
+
 def _read_logs(files: list[Path]) -> LogFiles:
     missing = [str(path) for path in files if not path.is_file()]
     if missing:
