Let callers wait on a socket while a node loads its program

Cause: nothing listened until a node had loaded all modules, 0.4 to 0.5 s of processor time; after a loss of all hosts its callers were turned away, most of them for good. Change: the callers' socket is opened first, from the settings file alone; a node begins to serve once the store has told it the configuration and the list, or after 0.25 s.

--- a/mallowpond/__main__.py
+++ b/mallowpond/__main__.py
@@ -4,9 +4,14 @@
 
 if __name__ == "__main__":
     if sys.argv[1:2] == ["node"]:
+        from mallowpond.platform.early import listen_for_callers
+
+        listener = listen_for_callers()
         # A killed node is back sooner and smaller without the command line.
         from mallowpond.platform.program import main
+
+        main(listener)
     else:
-        from mallowpond.programs.cli import main
+        from mallowpond.programs.cli import main as run_command_line
 
-    main()
+        run_command_line()
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import Awaitable
 from contextlib import AsyncExitStack
 
@@ -39,6 +40,11 @@
 # Time after a stop in which new requests are still served, in seconds: the balancer
 # asks once a second and takes a node out after two misses.
 LAME_SECONDS = 3.2
+# Time in which a node that has just started reads what it needs before it serves
+# callers that already wait, and the pause between two looks, in seconds: two answers of
+# the store take 0.01 s, and a store that is down must not keep them.
+FIRST_READ_SECONDS = 0.25
+FIRST_LOOK_SECONDS = 0.005
 # Part of the grace time that is kept back for closing, in seconds.
 CLOSING_SECONDS = 0.7
 DRAIN_CHECK_SECONDS = 0.05
@@ -58,8 +64,10 @@
         clock: Clock,
         seed: int = 0,
         metrics: NodeMetrics | None = None,
+        listener: socket.socket | None = None,
     ) -> None:
         self._settings = settings
+        self._listener = listener
         self._clock = clock
         self._rng = random.Random(seed) if seed else random.SystemRandom()
         self._incarnation = new_id(self._rng)
@@ -160,17 +168,14 @@
         self._stack.push_async_callback(self.planner.close)
         self._stack.callback(self.peers.close)
         await self.peers.start(self._settings.peer_port)
-        for server, address in (
-            (self.ingress.server, self._settings.callers),
-            (self._readiness, self._settings.readiness),
-        ):
-            host, _, port = address.rpartition(":")
-            self._stack.push_async_callback(server.close)
-            await server.start(host, int(port))
+        await self._listen(self._readiness, self._settings.readiness)
         await self._start_metrics()
+        self._spawn(self.configuration.run())
+        self._spawn(self.directory.run())
+        if self._listener is not None:
+            await self._read_first()
+        await self._listen(self.ingress.server, self._settings.callers, self._listener)
         for work in (
-            self.configuration.run(),
-            self.directory.run(),
             self.peers.run_heartbeats(),
             self.peers.run_rows(),
             self.watch.run(),
@@ -181,6 +186,25 @@
             self._spawn(work)
         log.info("node: started", name=self._settings.name)
 
+    async def _listen(
+        self, server: HttpServer, address: str, listener: socket.socket | None = None
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._stack.push_async_callback(server.close)
+        await server.start(host, int(port), listener)
+
+    async def _read_first(self) -> None:
+        """Wait until the store has told what callers need, but not for long.
+
+        Callers already wait on the socket: answered some milliseconds sooner, each of
+        them would be refused for want of a configuration.
+        """
+        limit = self._clock.now() + FIRST_READ_SECONDS
+        while self._clock.now() < limit:
+            if self.configuration.configuration and self.directory.targets:
+                return
+            await self._clock.sleep(FIRST_LOOK_SECONDS)
+
     async def drain(self) -> None:
         """Tell the balancer, serve on for a moment, then finish what is in progress."""
         self.ingress.stopping = True
@@ -305,6 +329,14 @@
     clock: Clock,
     seed: int = 0,
     metrics: NodeMetrics | None = None,
+    listener: socket.socket | None = None,
 ) -> Node:
     """Build a node from its settings and ports."""
-    return Node(settings=settings, ports=ports, clock=clock, seed=seed, metrics=metrics)
+    return Node(
+        settings=settings,
+        ports=ports,
+        clock=clock,
+        seed=seed,
+        metrics=metrics,
+        listener=listener,
+    )
--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -1,6 +1,7 @@
 """The parts of a node together, over fakes."""
 
 import asyncio
+import socket
 from collections import deque
 from dataclasses import dataclass, replace
 
@@ -320,3 +321,64 @@
     await node.configuration.step()
     await stopping
     assert not node.leadership.fence
+
+
+async def test_callers_that_wait_at_a_start_meet_a_host_that_knows_its_routes():
+    """Symptom: a host that has just started refuses the callers that waited for it.
+
+    Sequence: callers connect while a host loads its program; it serves them at once,
+    some milliseconds before the store has told it the configuration.
+    Cause: nothing kept them for the two answers of the store that are under way.
+    """
+    source = FakeSource(
+        configurations=deque([SITE]), listed=deque([listing(*open_group("g"))] * 99)
+    )
+    read = asyncio.Event()
+    unread = source.configuration
+
+    async def configuration(after, wait_seconds):
+        await read.wait()
+        await asyncio.sleep(0.01)
+        return await unread(after, wait_seconds)
+
+    source.configuration = configuration
+    listener = socket.create_server(("127.0.0.1", 0))
+    ports = NodePorts(
+        callers=FakeCallers(),
+        source=source,
+        targets=FakeTargets(),
+        table=MemoryTable(),
+    )
+    node = build(
+        settings=SETTINGS, ports=ports, clock=MonotonicClock(), listener=listener
+    )
+    starting = asyncio.create_task(node.start())
+    try:
+        await asyncio.sleep(0.05)
+        assert not starting.done()
+        read.set()
+        await starting
+        assert node.configuration.configuration is not None
+    finally:
+        await node.close()
+
+
+async def test_a_host_serves_although_the_store_does_not_answer_at_its_start():
+    source = FakeSource()
+    source.configuration = lambda after, wait: asyncio.sleep(60)
+    listener = socket.create_server(("127.0.0.1", 0))
+    ports = NodePorts(
+        callers=FakeCallers(),
+        source=source,
+        targets=FakeTargets(),
+        table=MemoryTable(),
+    )
+    node = build(
+        settings=SETTINGS, ports=ports, clock=MonotonicClock(), listener=listener
+    )
+    try:
+        async with asyncio.timeout(5.0):
+            await node.start()
+        assert node.ingress.server._server.is_serving()
+    finally:
+        await node.close()
--- a/mallowpond/platform/program.py
+++ b/mallowpond/platform/program.py
@@ -1,8 +1,8 @@
 """Run a node on the platform."""
 
 import asyncio
-import os
 import signal
+import socket
 import sys
 from pathlib import Path
 
@@ -16,6 +16,7 @@
 from mallowpond.node.settings import NodeSettings
 from mallowpond.node.unreadable import UnreadableNotes
 from mallowpond.platform.callers import PlatformCallers
+from mallowpond.platform.early import settings_path
 from mallowpond.platform.engines import PlatformEngines
 from mallowpond.platform.store import PlatformStore
 from mallowpond.protocol.declaration_file import Faults
@@ -23,8 +24,6 @@
 from mallowpond.transport.http_client import HttpClient
 
 log = structlog.get_logger()
-SETTINGS_VARIABLE = "MALLOWPOND_BOOT"
-DEFAULT_SETTINGS_PATH = "/etc/mallowpond/local.conf"
 # Time to open a connection to an engine or the store, in seconds: some tens of round
 # trips; a host that is dark answers nothing.
 CONNECT_SECONDS = 0.25
@@ -44,7 +43,9 @@
     log.info("node: reloaded", changed=changed, in_force=["log"])
 
 
-async def run_node(settings: NodeSettings, path: Path) -> None:
+async def run_node(
+    settings: NodeSettings, path: Path, listener: socket.socket | None = None
+) -> None:
     """Run a node until it is told to stop."""
     http = HttpClient(connect_seconds=CONNECT_SECONDS)
     metrics = NodeMetrics()
@@ -56,7 +57,13 @@
         targets=PlatformEngines(http=http, notes=notes),
         table=store,
     )
-    node = build(settings=settings, ports=ports, clock=BootClock(), metrics=metrics)
+    node = build(
+        settings=settings,
+        ports=ports,
+        clock=BootClock(),
+        metrics=metrics,
+        listener=listener,
+    )
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -71,13 +78,13 @@
         await http.close()
 
 
-def main() -> None:
+def main(listener: socket.socket | None = None) -> None:
     """Read the settings that the platform filled in, and run."""
-    path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH))
+    path = Path(settings_path())
     settings = load_settings(path, NodeSettings)
     if isinstance(settings, Faults):
         for fault in settings.faults:
             print(f"{path}: {fault.path}: {fault.message}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
     set_up_node_logs(settings.log, BootClock())
-    asyncio.run(run_node(settings, path))
+    asyncio.run(run_node(settings, path, listener))
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -187,10 +188,13 @@
         """Apply new limits to everything that is read from now on."""
         self._limits = limits
 
-    async def start(self, host: str, port: int) -> None:
-        """Listen; port 0 takes any free one."""
+    async def start(
+        self, host: str, port: int, listener: socket.socket | None = None
+    ) -> None:
+        """Serve an address, or a socket that listens; port 0 takes any free one."""
+        where = {"host": host, "port": port} if listener is None else {"sock": listener}
         self._server = await asyncio.start_server(
-            self._accept, host, port, limit=READ_SIZE, backlog=1024
+            self._accept, limit=READ_SIZE, backlog=1024, **where
         )
 
     def keep_no_connections(self) -> None:
