--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -1,19 +1,18 @@
-"""Hold the targets, their groups, and the work that is known to be on them."""
+"""Hold the targets and their groups as the platform lists them."""
 
-from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable
-from dataclasses import dataclass, field, replace
-from math import exp, inf
+from dataclasses import replace
+from math import inf
 
 import structlog
 
 from mallowpond.coordination.ports import Clock, Unavailable
+from mallowpond.node.group_loads import Figures, GroupLoads
 from mallowpond.node.ports import HistoryLost, SiteSource, TargetsRead
 from mallowpond.state.broken_groups import BrokenGroups
 from mallowpond.state.ended_processes import EndedProcesses
 from mallowpond.state.fleet import (
     BreakCause,
-    EngineProfile,
     Group,
     GroupKey,
     GroupPhase,
@@ -22,7 +21,6 @@
     assemble_groups,
     without_start,
 )
-from mallowpond.state.placement import GroupLoad
 
 log = structlog.get_logger()
 
@@ -48,52 +46,10 @@
 READERS_SILENCE_SECONDS = 0.7
 # Time after which a change that a reader tells of has got lost, in seconds.
 MISSED_CHANGE_SECONDS = 0.25
-# Time that the readers' sums of all work count, in seconds.
-TOTALS_SECONDS = 0.7
-# Age of what is known of other hosts' work, in seconds: by the readers' sums, two
-# pauses of 0.2 s and a half; by the hosts' own heartbeats, 0.1 s.
-TOTALS_AGE_SECONDS = 0.3
-HEARTBEAT_AGE_SECONDS = 0.1
-# Time that peers' figures of a group's work count, in seconds.
-PEER_LOAD_SECONDS = 1.5
 # Time that a lapsed target is remembered, in seconds, and the time for which a probe
 # that found it healthy lets it get new streams: the probes come once a second.
 LAPSED_SECONDS = 15.0
 VOUCHED_SECONDS = 1.6
-# Weight of a new observation of a group's pace.
-SLOWNESS_SMOOTHING = 0.1
-# Time in which what is known of a group's pace fades, in seconds.
-SLOWNESS_SECONDS = 3.0
-SLOWNESS_RANGE = (0.5, 30.0)
-
-
-@dataclass(kw_only=True)
-class GroupWork:
-    """Count this host's own streams on one group."""
-
-    running: int = 0
-    reading_tokens: float = 0.0
-    slowness: float = 1.0
-    last_event_at: float = 0.0
-    suspected_until: float = 0.0
-    suspicions: int = 0
-    # Length of the last pause after the group turned a stream away, 0 since an event.
-    pause_seconds: float = 0.0
-
-    def forget_pace(self) -> None:
-        """Drop what the engines of before taught; what runs is counted on."""
-        self.slowness = 1.0
-        self.suspected_until = 0.0
-        self.suspicions = 0
-        self.pause_seconds = 0.0
-
-
-@dataclass(frozen=True, kw_only=True)
-class PeerLoad:
-    """Hold one peer's figures of its work by group."""
-
-    heard_at: float
-    loads: dict[GroupKey, tuple[int, float]] = field(default_factory=dict)
 
 
 class Directory:
@@ -106,10 +62,9 @@
         self._by_service: dict[str, list[Target]] = {}
         self._groups: dict[GroupKey, Group] = {}
         self._members: dict[GroupKey, set[str]] = {}
-        self._work: dict[GroupKey, GroupWork] = defaultdict(GroupWork)
+        self.loads = GroupLoads(clock=clock)
         self._broken = BrokenGroups()
         self._release_at = inf
-        self._peers: dict[str, PeerLoad] = {}
         self._revision = 0
         self._whole_at = float("-inf")
         self._lost_at: float | None = None
@@ -123,9 +78,6 @@
         self._read_at = float("-inf")
         self._heard_at = float("-inf")
         self._behind_since: float | None = None
-        self._totals: dict[GroupKey, tuple[int, float]] = {}
-        self._totals_at = float("-inf")
-        self._told: dict[GroupKey, tuple[int, float]] = {}
         self.poll_seconds = POLL_SECONDS
         self.is_reader: Callable[[], bool] = lambda: True
         self.tries_first: Callable[[], bool] = lambda: True
@@ -184,7 +136,7 @@
             and group.head.service == service
             and not group.head.draining
             and group.key not in self._broken
-            and self.work(group.key).suspected_until <= now
+            and self.loads.work(group.key).suspected_until <= now
             and self._is_known_to_live(group, now)
         ]
 
@@ -200,13 +152,13 @@
 
     def withhold(self, key: GroupKey, until: float) -> None:
         """Send a group no new streams until a time."""
-        work = self.work(key)
+        work = self.loads.work(key)
         work.suspected_until = max(work.suspected_until, until)
         self._release_at = min(self._release_at, work.suspected_until)
 
     def release(self, key: GroupKey) -> None:
         """Send a group new streams again that was withheld."""
-        work, now = self.work(key), self._clock.now()
+        work, now = self.loads.work(key), self._clock.now()
         work.suspected_until = min(work.suspected_until, now)
         self._release_at = min(self._release_at, now)
 
@@ -219,7 +171,7 @@
         now = self._clock.now()
         if now < self._release_at:
             return False
-        ends = (work.suspected_until for work in self._work.values())
+        ends = (work.suspected_until for work in self.loads.all_work())
         self._release_at = min((end for end in ends if end > now), default=inf)
         return True
 
@@ -244,7 +196,7 @@
 
     def _note_broken(self, group: Group, cause: BreakCause, *, is_told: bool) -> None:
         self._broken.add(group, self._clock.now())
-        self.work(group.key).forget_pace()
+        self.loads.work(group.key).forget_pace()
         log.warning(
             "groups: broken",
             group=group.name,
@@ -279,99 +231,6 @@
             recent[target.process] = now
         self._vouched_at = recent
 
-    # -- work ----------------------------------------------------------------
-
-    def work(self, key: GroupKey) -> GroupWork:
-        """Return this host's own work on a group."""
-        return self._work[key]
-
-    def load(self, key: GroupKey) -> GroupLoad:
-        """Return what is known of all hosts' work on a group."""
-        now = self._clock.now()
-        own = self._work[key]
-        running, reading = own.running, own.reading_tokens
-        if now - self._totals_at < TOTALS_SECONDS:
-            others, others_reading = self._others(key)
-            return GroupLoad(
-                running=running + others,
-                reading_tokens=reading + others_reading,
-                slowness=self._slowness(own, now),
-            )
-        for peer in self._peers.values():
-            if now - peer.heard_at > PEER_LOAD_SECONDS:
-                continue
-            theirs = peer.loads.get(key)
-            if theirs is not None:
-                running += theirs[0]
-                reading += theirs[1]
-        return GroupLoad(
-            running=running,
-            reading_tokens=reading,
-            slowness=self._slowness(own, now),
-        )
-
-    @property
-    def load_age(self) -> float:
-        """Return how old the figures of other hosts' work mostly are, in seconds."""
-        if self._clock.now() - self._totals_at < TOTALS_SECONDS:
-            return TOTALS_AGE_SECONDS
-        return HEARTBEAT_AGE_SECONDS
-
-    def _others(self, key: GroupKey) -> tuple[int, float]:
-        """Return the readers' sum of a group's work without this host's part of it."""
-        running, reading = self._totals.get(key, (0, 0.0))
-        told_running, told_reading = self._told.get(key, (0, 0.0))
-        return max(0, running - told_running), max(0.0, reading - told_reading)
-
-    def _slowness(self, work: GroupWork, now: float) -> float:
-        """Return a group's slowness, forgotten while it sends nothing.
-
-        A group that was slow gets no streams, so nothing would ever show that it has
-        recovered.
-        """
-        age = max(0.0, now - work.last_event_at)
-        return 1.0 + (work.slowness - 1.0) * exp(-age / SLOWNESS_SECONDS)
-
-    def load_of(self, group: Group, profile: EngineProfile) -> GroupLoad:
-        """Return the load of a group, slower where it spans domains."""
-        load = self.load(group.key)
-        if not group.is_far:
-            return load
-        return replace(load, slowness=load.slowness * profile.far_factor)
-
-    def own_loads(self) -> dict[GroupKey, tuple[int, float]]:
-        """Return this host's own work by group, for its peers."""
-        return {
-            key: (work.running, work.reading_tokens)
-            for key, work in self._work.items()
-            if work.running
-        }
-
-    def all_loads(self) -> dict[GroupKey, tuple[int, float]]:
-        """Return all hosts' work by group, as a reader sums it up."""
-        loads = {key: self.load(key) for key in self._groups}
-        return {k: (v.running, v.reading_tokens) for k, v in loads.items() if v.running}
-
-    def note_told(self, loads: dict[GroupKey, tuple[int, float]]) -> None:
-        """Note which of this host's work is part of the readers' sums."""
-        self._told = loads
-
-    def note_peer(self, name: str, loads: dict[GroupKey, tuple[int, float]]) -> None:
-        """Note a peer's work by group."""
-        self._peers[name] = PeerLoad(heard_at=self._clock.now(), loads=loads)
-
-    def forget_peer(self, name: str) -> None:
-        """Drop a peer's figures."""
-        self._peers.pop(name, None)
-
-    def note_gap(self, key: GroupKey, seconds: float, predicted: float) -> None:
-        """Learn how a group's pace compares with what is declared."""
-        work = self._work[key]
-        low, high = SLOWNESS_RANGE
-        ratio = min(high, max(low, seconds / max(predicted, 1e-4)))
-        work.slowness += SLOWNESS_SMOOTHING * (ratio * work.slowness - work.slowness)
-        work.slowness = min(high, max(low, work.slowness))
-
     # -- following -----------------------------------------------------------
 
     async def run(self) -> None:
@@ -402,9 +261,7 @@
             return self.poll_seconds
         return POLL_SECONDS if self.tries_first() else LOST_POLL_SECONDS
 
-    def hear_digest(
-        self, changed: int, loads: dict[GroupKey, tuple[int, float]]
-    ) -> None:
+    def hear_digest(self, changed: int, loads: Figures) -> None:
         """Note a reader's newest change of the list, and its sums of all work."""
         now = self._clock.now()
         self._heard_at = now
@@ -415,8 +272,7 @@
         elif self._behind_since is None:
             self._behind_since = now
         if loads and not self.is_reader():
-            self._totals = loads
-            self._totals_at = now
+            self.loads.note_totals(loads)
 
     def hear_change(self, read: TargetsRead, *, previous: int) -> None:
         """Take a change of the list that a reader passes on.
@@ -635,7 +491,7 @@
         for target in found.values():
             by_service.setdefault(target.service, []).append(target)
         self._by_service = by_service
-        self._forget_idle_work()
+        self.loads.forget_idle(self._groups)
         self._broken.keep(self._groups)
         for group in broken:
             self._note_broken(group, BreakCause.RESTARTED, is_told=True)
@@ -665,15 +521,6 @@
                 self._groups.pop(key, None)
                 del self._members[key]
 
-    def _forget_idle_work(self) -> None:
-        idle = [
-            key
-            for key, work in self._work.items()
-            if key not in self._groups and work.running == 0
-        ]
-        for key in idle:
-            del self._work[key]
-
     def _log_changes(
         self, found: dict[str, Target], changed: Iterable[str], gone: Iterable[str]
     ) -> None:
--- /dev/null
+++ b/mallowpond/node/group_loads.py
@@ -0,0 +1,178 @@
+"""Count the work that is known to be on each group, and learn its pace."""
+
+from collections import defaultdict
+from collections.abc import Container, Iterable
+from dataclasses import dataclass, field, replace
+from math import exp
+
+from mallowpond.coordination.ports import Clock
+from mallowpond.state.fleet import EngineProfile, Group, GroupKey
+from mallowpond.state.placement import GroupLoad
+
+# Time that the readers' sums of all work count, in seconds.
+TOTALS_SECONDS = 0.7
+# Age of what is known of other hosts' work, in seconds: by the readers' sums, two
+# pauses of 0.2 s and a half; by the hosts' own heartbeats, 0.1 s.
+TOTALS_AGE_SECONDS = 0.3
+HEARTBEAT_AGE_SECONDS = 0.1
+# Time that peers' figures of a group's work count, in seconds.
+PEER_LOAD_SECONDS = 1.5
+# Weight of a new observation of a group's pace.
+SLOWNESS_SMOOTHING = 0.1
+# Time in which what is known of a group's pace fades, in seconds.
+SLOWNESS_SECONDS = 3.0
+SLOWNESS_RANGE = (0.5, 30.0)
+
+# Streams and tokens still to be read, by group.
+Figures = dict[GroupKey, tuple[int, float]]
+
+
+@dataclass(kw_only=True)
+class GroupWork:
+    """Count this host's own streams on one group."""
+
+    running: int = 0
+    reading_tokens: float = 0.0
+    slowness: float = 1.0
+    last_event_at: float = 0.0
+    suspected_until: float = 0.0
+    suspicions: int = 0
+    # Length of the last pause after the group turned a stream away, 0 since an event.
+    pause_seconds: float = 0.0
+
+    def forget_pace(self) -> None:
+        """Drop what the engines of before taught; what runs is counted on."""
+        self.slowness = 1.0
+        self.suspected_until = 0.0
+        self.suspicions = 0
+        self.pause_seconds = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class PeerLoad:
+    """Hold one peer's figures of its work by group."""
+
+    heard_at: float
+    loads: Figures = field(default_factory=dict)
+
+
+class GroupLoads:
+    """Hold this host's own work by group, and what others tell of theirs."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._work: dict[GroupKey, GroupWork] = defaultdict(GroupWork)
+        self._peers: dict[str, PeerLoad] = {}
+        self._totals: Figures = {}
+        self._totals_at = float("-inf")
+        self._told: Figures = {}
+
+    def work(self, key: GroupKey) -> GroupWork:
+        """Return this host's own work on a group."""
+        return self._work[key]
+
+    def load(self, key: GroupKey) -> GroupLoad:
+        """Return what is known of all hosts' work on a group."""
+        now = self._clock.now()
+        own = self._work[key]
+        running, reading = own.running, own.reading_tokens
+        if now - self._totals_at < TOTALS_SECONDS:
+            others, others_reading = self._others(key)
+            return GroupLoad(
+                running=running + others,
+                reading_tokens=reading + others_reading,
+                slowness=self._slowness(own, now),
+            )
+        for peer in self._peers.values():
+            if now - peer.heard_at > PEER_LOAD_SECONDS:
+                continue
+            theirs = peer.loads.get(key)
+            if theirs is not None:
+                running += theirs[0]
+                reading += theirs[1]
+        return GroupLoad(
+            running=running,
+            reading_tokens=reading,
+            slowness=self._slowness(own, now),
+        )
+
+    @property
+    def load_age(self) -> float:
+        """Return how old the figures of other hosts' work mostly are, in seconds."""
+        if self._clock.now() - self._totals_at < TOTALS_SECONDS:
+            return TOTALS_AGE_SECONDS
+        return HEARTBEAT_AGE_SECONDS
+
+    def _others(self, key: GroupKey) -> tuple[int, float]:
+        """Return the readers' sum of a group's work without this host's part of it."""
+        running, reading = self._totals.get(key, (0, 0.0))
+        told_running, told_reading = self._told.get(key, (0, 0.0))
+        return max(0, running - told_running), max(0.0, reading - told_reading)
+
+    def _slowness(self, work: GroupWork, now: float) -> float:
+        """Return a group's slowness, forgotten while it sends nothing.
+
+        A group that was slow gets no streams, so nothing would ever show that it has
+        recovered.
+        """
+        age = max(0.0, now - work.last_event_at)
+        return 1.0 + (work.slowness - 1.0) * exp(-age / SLOWNESS_SECONDS)
+
+    def load_of(self, group: Group, profile: EngineProfile) -> GroupLoad:
+        """Return the load of a group, slower where it spans domains."""
+        load = self.load(group.key)
+        if not group.is_far:
+            return load
+        return replace(load, slowness=load.slowness * profile.far_factor)
+
+    def own_loads(self) -> Figures:
+        """Return this host's own work by group, for its peers."""
+        return {
+            key: (work.running, work.reading_tokens)
+            for key, work in self._work.items()
+            if work.running
+        }
+
+    def all_loads(self, groups: Iterable[GroupKey]) -> Figures:
+        """Return all hosts' work on these groups, as a reader sums it up."""
+        loads = {key: self.load(key) for key in groups}
+        return {k: (v.running, v.reading_tokens) for k, v in loads.items() if v.running}
+
+    def note_told(self, loads: Figures) -> None:
+        """Note which of this host's work is part of the readers' sums."""
+        self._told = loads
+
+    def note_peer(self, name: str, loads: Figures) -> None:
+        """Note a peer's work by group."""
+        self._peers[name] = PeerLoad(heard_at=self._clock.now(), loads=loads)
+
+    def forget_peer(self, name: str) -> None:
+        """Drop a peer's figures."""
+        self._peers.pop(name, None)
+
+    def note_gap(self, key: GroupKey, seconds: float, predicted: float) -> None:
+        """Learn how a group's pace compares with what is declared."""
+        work = self._work[key]
+        low, high = SLOWNESS_RANGE
+        ratio = min(high, max(low, seconds / max(predicted, 1e-4)))
+        work.slowness += SLOWNESS_SMOOTHING * (ratio * work.slowness - work.slowness)
+        work.slowness = min(high, max(low, work.slowness))
+
+    def note_totals(self, loads: Figures) -> None:
+        """Note the sums of all hosts' work that a reader tells."""
+        self._totals = loads
+        self._totals_at = self._clock.now()
+
+    def all_work(self) -> Iterable[GroupWork]:
+        """Return this host's own work on every group."""
+        return self._work.values()
+
+    def forget_idle(self, known: Container[GroupKey]) -> None:
+        """Drop the groups that are gone and on which nothing runs here."""
+        idle = [
+            key
+            for key, work in self._work.items()
+            if key not in known and work.running == 0
+        ]
+        for key in idle:
+            del self._work[key]
--- a/mallowpond/node/model_summary.py
+++ b/mallowpond/node/model_summary.py
@@ -23,7 +23,7 @@
     sizes = {model.name: model.size for model in profile.models}
     for group in directory.groups.values():
         if group.model in running:
-            streams = directory.load(group.key).running
+            streams = directory.loads.load(group.key).running
             running[group.model] += sizes[group.model] * streams
     total = sum(running.values())
     if total < LEAST_SEEN_WORK:
@@ -44,7 +44,7 @@
             for group in directory.groups.values()
             if group.model == model.name and group.phase is GroupPhase.OPEN
         ]
-        running = sum(directory.load(g.key).running for g in groups)
+        running = sum(directory.loads.load(g.key).running for g in groups)
         fullness[model.name] = running / max(1, len(groups) * profile.slots)
     return fullness
 
@@ -54,7 +54,7 @@
     for model in view.profile.models:
         groups = [g for g in directory.groups.values() if g.model == model.name]
         open_groups = [g for g in groups if g.phase is GroupPhase.OPEN]
-        loads = [directory.load(g.key) for g in open_groups]
+        loads = [directory.loads.load(g.key) for g in open_groups]
         log.info(
             "planner: model",
             model=model.name,
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -130,7 +130,11 @@
         known = self._configuration.configuration
         if known is None or self._directory.is_lost:
             return
-        loads = self._directory.all_loads() if self._peers.is_large else {}
+        loads = (
+            self._directory.loads.all_loads(self._directory.groups)
+            if self._peers.is_large
+            else {}
+        )
         self._peers.tell(
             Digest(
                 node=self._name,
@@ -141,8 +145,8 @@
         )
 
     def _tell_work(self) -> None:
-        loads = self._directory.own_loads()
-        self._directory.note_told(loads)
+        loads = self._directory.loads.own_loads()
+        self._directory.loads.note_told(loads)
         work = Work(node=self._name, loads=heartbeat_loads(loads))
         self._peers.tell_nodes(work, self.names)
 
@@ -179,7 +183,7 @@
             notify()
 
     def _note_work(self, work: Work) -> None:
-        self._directory.note_peer(work.node, loads_of(work))
+        self._directory.loads.note_peer(work.node, loads_of(work))
 
     # -- the configuration ---------------------------------------------------
 
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -292,12 +292,12 @@
             planning=self.leadership.fence,
             traffic=self._traffic.seen,
             interval=self.peers.interval,
-            loads=heartbeat_loads(self.directory.own_loads()),
+            loads=heartbeat_loads(self.directory.loads.own_loads()),
         )
 
     def _note_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._traffic.seen = self._traffic.seen or heartbeat.traffic
-        self.directory.note_peer(heartbeat.node, loads_of(heartbeat))
+        self.directory.loads.note_peer(heartbeat.node, loads_of(heartbeat))
         # Places that other hosts' streams freed are known only from here: without
         # this a stream waited until one of this host's own ended.
         self.streams.wake_all()
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -233,7 +233,7 @@
         candidates = [
             Candidate(
                 key=key,
-                load=self._directory.load_of(g, work.profile),
+                load=self._directory.loads.load_of(g, work.profile),
                 is_leaving=g.is_leaving,
             )
             for key, g in by_key.items()
@@ -247,7 +247,7 @@
             unseen=unseen_streams(
                 own_per_second=self._budget(work.service).firsts_per_second,
                 hosts=self._hosts(),
-                age_seconds=self._directory.load_age,
+                age_seconds=self._directory.loads.load_age,
                 groups=self._directory.count_open(work.service),
             ),
             rng=self._rng,
@@ -317,7 +317,7 @@
         groups = self._directory.serving_groups(work.service, work.model.name)
         chosen = self._choose(work)
         candidates = [chosen] if chosen is not None else groups
-        loads = [self._directory.load_of(g, work.profile) for g in candidates]
+        loads = [self._directory.loads.load_of(g, work.profile) for g in candidates]
         if not loads:
             return inf
         load = GroupLoad(
@@ -357,7 +357,7 @@
         def has_place() -> bool:
             groups = self._directory.serving_groups(service, model)
             loads = [
-                Candidate(key=g.name, load=self._directory.load_of(g, profile))
+                Candidate(key=g.name, load=self._directory.loads.load_of(g, profile))
                 for g in groups
             ]
             chosen = choose_group(
@@ -376,8 +376,8 @@
     async def _send(self, work: StreamWork, group: Group) -> AttemptEnd:
         assert group.head is not None
         now = self._clock.now()
-        own = self._directory.work(group.key)
-        load = self._directory.load_of(group, work.profile)
+        own = self._directory.loads.work(group.key)
+        load = self._directory.loads.load_of(group, work.profile)
         stream = ActiveStream(
             work=work, group=group, sent_at=now, reading=work.prompt_tokens
         )
@@ -485,7 +485,7 @@
 
     def _note_event(self, stream: ActiveStream) -> None:
         now = self._clock.now()
-        work, own = stream.work, self._directory.work(stream.key)
+        work, own = stream.work, self._directory.loads.work(stream.key)
         if work.first_event_at is None:
             work.first_event_at = now
             self._metrics.first_event.observe(now - work.started_at)
@@ -499,9 +499,9 @@
         else:
             gap = now - stream.last_event_at
             self._metrics.gap.observe(gap)
-            load = self._directory.load_of(stream.group, stream.work.profile)
+            load = self._directory.loads.load_of(stream.group, stream.work.profile)
             predicted = pass_seconds(work.profile, work.model, load)
-            self._directory.note_gap(stream.key, gap, predicted)
+            self._directory.loads.note_gap(stream.key, gap, predicted)
         stream.last_event_at = now
         stream.events += 1
         own.last_event_at = now
@@ -513,12 +513,12 @@
         Twice as long each time, until it shows an event: heads that have crashed would
         be sent a stream after each short pause, each one of the shared repeats.
         """
-        own = self._directory.work(stream.key)
+        own = self._directory.loads.work(stream.key)
         now = self._clock.now()
         pause = first_event_seconds(
             stream.work.profile,
             stream.work.model,
-            self._directory.load_of(stream.group, stream.work.profile),
+            self._directory.loads.load_of(stream.group, stream.work.profile),
             stream.work.prompt_tokens,
         )
         if own.suspected_until <= now:
--- a/mallowpond/node/tests/test_directory.py
+++ b/mallowpond/node/tests/test_directory.py
@@ -7,10 +7,10 @@
 
 from mallowpond.node.directory import (
     RETURN_SECONDS,
-    SLOWNESS_SECONDS,
     VOUCHED_SECONDS,
     Directory,
 )
+from mallowpond.node.group_loads import SLOWNESS_SECONDS
 from mallowpond.node.ports import HistoryLost, TargetsRead
 from mallowpond.node.tests.fakes import (
     FakeClock,
@@ -105,19 +105,19 @@
     Cause: only its own events could show that it is fast again.
     """
     directory, _, clock = await directory_of(listing(*open_group("g")))
-    work = directory.work(("g", 1))
+    work = directory.loads.work(("g", 1))
     work.slowness, work.last_event_at = 12.0, clock.time
-    assert directory.load(("g", 1)).slowness == 12.0
+    assert directory.loads.load(("g", 1)).slowness == 12.0
     clock.time += 5 * SLOWNESS_SECONDS
-    assert directory.load(("g", 1)).slowness < 1.1
+    assert directory.loads.load(("g", 1)).slowness < 1.1
 
 
 async def test_loads_of_silent_peers_are_forgotten():
     directory, _, clock = await directory_of(listing(*open_group("g")))
-    directory.note_peer("n", {("g", 1): (3, 500.0)})
-    assert directory.load(("g", 1)).running == 3
+    directory.loads.note_peer("n", {("g", 1): (3, 500.0)})
+    assert directory.loads.load(("g", 1)).running == 3
     clock.time += 5.0
-    assert directory.load(("g", 1)).running == 0
+    assert directory.loads.load(("g", 1)).running == 0
 
 
 @pytest.mark.parametrize("whole", [True, False])
@@ -382,11 +382,11 @@
 async def test_the_pace_that_a_group_showed_ends_with_its_processes():
     group = open_group("g")
     directory, _, clock = await directory_of(listing(*group))
-    work = directory.work(("g", 1))
+    work = directory.loads.work(("g", 1))
     work.slowness, work.last_event_at, work.running = 12.0, clock.time, 1
     directory.hear_change(change(2, restarted(group[0])), previous=1)
-    assert directory.load(("g", 1)).slowness == 1.0
-    assert directory.load(("g", 1)).running == 1
+    assert directory.loads.load(("g", 1)).slowness == 1.0
+    assert directory.loads.load(("g", 1)).running == 1
 
 
 async def test_attempts_at_processes_that_ended_do_not_count():
--- a/mallowpond/node/tests/test_restarts.py
+++ b/mallowpond/node/tests/test_restarts.py
@@ -457,7 +457,7 @@
     @invariant()
     def work_is_counted(self):
         """Compare the counted streams with those that are under way."""
-        counted = sum(work.running for work in self.directory._work.values())
+        counted = sum(work.running for work in self.directory.loads._work.values())
         assert counted == len(self.rig.service.active)
 
     def teardown(self):
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -169,7 +169,7 @@
     rig = await rig_of("a", "b")
     held = asyncio.get_running_loop().create_future()
     rig.targets.script("a0", FakeResponse(script=[event(1), held, event(2), BROKEN]))
-    rig.directory.work(("b", 1)).running = 10
+    rig.directory.loads.work(("b", 1)).running = 10
     exchange = FakeExchange()
     task = asyncio.create_task(rig.service.serve(rig.work(exchange)))
     while not exchange.body:
@@ -181,7 +181,7 @@
     assert not task.done()
     rig.clock.time += 0.5
     rig.targets.script("b0", answer(3))
-    rig.directory.work(("b", 1)).running = 0
+    rig.directory.loads.work(("b", 1)).running = 0
     rig.service.wake_all()
     assert await task == Answered(status=200, target="b0")
     assert exchange.body == whole(1, 2, 3)
@@ -195,11 +195,11 @@
     task = asyncio.create_task(rig.service.serve(rig.work(exchange)))
     while not exchange.body:
         await asyncio.sleep(0)
-    assert rig.directory.work(("a", 1)).running == 1
+    assert rig.directory.loads.work(("a", 1)).running == 1
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
-    assert rig.directory.work(("a", 1)).running == 0
-    assert rig.directory.work(("a", 1)).reading_tokens == 0
+    assert rig.directory.loads.work(("a", 1)).running == 0
+    assert rig.directory.loads.work(("a", 1)).reading_tokens == 0
     assert not rig.service.active
 
 
@@ -213,7 +213,7 @@
     rig = await rig_of("a")
     work = rig.work(FakeExchange())
     sound = rig.service.longest_seconds(work)
-    group_work = rig.directory.work(("a", 1))
+    group_work = rig.directory.loads.work(("a", 1))
     group_work.slowness, group_work.last_event_at = 5.0, rig.clock.now()
     passes = sound - work.route.objective_seconds
     slow = rig.service.longest_seconds(work)
@@ -241,7 +241,7 @@
     rig = await rig_of("a", "b")
     rig.targets.script("a0", *(misdirected() for _ in range(9)))
     rig.targets.script("b0", *(answer(1) for _ in range(9)))
-    rig.directory.work(("b", 1)).running = 1
+    rig.directory.loads.work(("b", 1)).running = 1
     for _ in range(3):
         outcome = await rig.service.serve(rig.work(FakeExchange()))
         assert outcome == Answered(status=200, target="b0")
@@ -253,7 +253,7 @@
     rig = await rig_of("a", "b")
     rig.targets.script("a0", full(), answer(1))
     rig.targets.script("b0", answer(1), answer(1))
-    rig.directory.work(("b", 1)).running = 1
+    rig.directory.loads.work(("b", 1)).running = 1
     assert await rig.service.serve(rig.work(FakeExchange())) == Answered(
         status=200, target="b0"
     )
@@ -285,8 +285,8 @@
     rig.targets.script("a0", FakeResponse(script=[BROKEN]))
     for name in ("b0", "c0"):
         rig.targets.script(name, full())
-    rig.directory.work(("b", 1)).running = 1
-    rig.directory.work(("c", 1)).running = 1
+    rig.directory.loads.work(("b", 1)).running = 1
+    rig.directory.loads.work(("c", 1)).running = 1
     outcome = await rig.service.serve(rig.work(FakeExchange()))
     assert outcome == Refusal(status=502, reason=Reason.BUDGET_USED, retry_after=None)
 
@@ -356,7 +356,7 @@
     held = asyncio.get_running_loop().create_future()
     rig.targets.script("a0", FakeResponse(script=[event(1), BROKEN]), answer(3))
     rig.targets.script("b0", FakeResponse(script=[event(2), held, BROKEN]))
-    rig.directory.work(("b", 1)).running = 1
+    rig.directory.loads.work(("b", 1)).running = 1
     exchange = FakeExchange()
     task = asyncio.create_task(rig.service.serve(rig.work(exchange)))
     while len(rig.targets.sends) < 2:
@@ -397,7 +397,7 @@
     rig = await rig_of("a", "b")
     rig.targets.script("a0", *(UNREACHABLE for _ in range(99)))
     rig.targets.script("b0", *(answer(1) for _ in range(99)))
-    rig.directory.work(("b", 1)).running = 1
+    rig.directory.loads.work(("b", 1)).running = 1
     for _ in range(20):
         outcome = await rig.service.serve(rig.work(FakeExchange()))
         assert outcome == Answered(status=200, target="b0")
@@ -409,7 +409,7 @@
     rig = await rig_of("a", "b")
     rig.targets.script("a0", full(), answer(1), full(), answer(1), full(), answer(1))
     rig.targets.script("b0", *(answer(1) for _ in range(9)))
-    rig.directory.work(("b", 1)).running = 1
+    rig.directory.loads.work(("b", 1)).running = 1
     for _ in range(6):
         await rig.service.serve(rig.work(FakeExchange()))
         rig.clock.time += 0.1
@@ -420,7 +420,7 @@
     rig = await rig_of("a", "b")
     rig.targets.script("a0", *(full() for _ in range(20)))
     rig.targets.script("b0", *(answer(1) for _ in range(99)))
-    rig.directory.work(("b", 1)).running = 1
+    rig.directory.loads.work(("b", 1)).running = 1
     for _ in range(10):
         await rig.service.serve(rig.work(FakeExchange()))
         rig.clock.time += 0.2
@@ -437,7 +437,7 @@
     sent; its caller left in the same pass of the loop, and nobody was woken.
     """
     rig = await rig_of("a")
-    rig.directory.work(("a", 1)).running = PROFILE.slots + 1
+    rig.directory.loads.work(("a", 1)).running = PROFILE.slots + 1
     rig.targets.script("a0", answer(1))
     tasks = [
         asyncio.create_task(rig.service.serve(rig.work(FakeExchange())))
@@ -445,7 +445,7 @@
     ]
     for _ in range(5):
         await asyncio.sleep(0)
-    rig.directory.work(("a", 1)).running = 0
+    rig.directory.loads.work(("a", 1)).running = 0
     rig.service.wake_all()
     tasks[0].cancel()
     for _ in range(20):
--- a/mallowpond/node/tests/test_watch.py
+++ b/mallowpond/node/tests/test_watch.py
@@ -180,7 +180,7 @@
     rig, watch, peers, task, _ = await watched("a", "b")
     (stream,) = rig.service.active
     stream.events = SLOW_EVENTS
-    rig.directory.work(("a", 1)).slowness = 12.0
+    rig.directory.loads.work(("a", 1)).slowness = 12.0
     rig.clock.time += 0.02
     watch.look()
     assert peers.told == []
@@ -237,7 +237,7 @@
     rig, watch, peers, task, exchange = await watched("a", "b")
     rig.targets.answers["a0"].append(misdirected())
     rig.targets.answers["b0"].append(answer(1))
-    rig.directory.work(("b", 1)).running = 2
+    rig.directory.loads.work(("b", 1)).running = 2
     rig.clock.time += 0.1
     (stream,) = rig.service.active
     outcome = await rig.service.serve(rig.work(FakeExchange()))
@@ -256,7 +256,7 @@
     rig, watch, peers, task, _ = await watched("a", "b")
     rig.targets.answers["a0"].append(misdirected())
     rig.targets.answers["b0"].append(answer(1))
-    rig.directory.work(("b", 1)).running = 2
+    rig.directory.loads.work(("b", 1)).running = 2
     (stream,) = rig.service.active
     await rig.service.serve(rig.work(FakeExchange()))
     assert rig.directory.is_broken(("a", 1))
@@ -292,7 +292,7 @@
     had a place; they waited for one in no line.
     """
     rig, watch, peers, task, _ = await watched("a", "b")
-    rig.directory.work(("b", 1)).running = 9
+    rig.directory.loads.work(("b", 1)).running = 9
     (stream,) = rig.service.active
     anew = member("a1", "a", 1, born=1)
     anew = replace(anew, membership=None)
@@ -302,7 +302,7 @@
     for _ in range(9):
         await asyncio.sleep(0)
     assert not task.done()
-    rig.directory.work(("b", 1)).running = 0
+    rig.directory.loads.work(("b", 1)).running = 0
     rig.service.wake_all()
     assert await task == Answered(status=200, target="b0")
 
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -121,7 +121,7 @@
         key = (question.group, question.epoch)
         if key not in self._directory.groups:
             return False
-        own_silence = self._clock.now() - self._directory.work(key).last_event_at
+        own_silence = self._clock.now() - self._directory.loads.work(key).last_event_at
         return has_advanced(own_silence=own_silence, asked_silence=question.silent)
 
     def _note_advance(self, key: GroupKey) -> None:
@@ -133,11 +133,13 @@
         self, key: GroupKey, streams: list[ActiveStream], now: float
     ) -> GroupQuiet:
         work = streams[0].work
-        load = self._directory.load_of(streams[0].group, work.profile)
+        load = self._directory.loads.load_of(streams[0].group, work.profile)
         # Tokens that other hosts' prompts still hold are part of the load.
         predicted = silent_seconds(work.profile, work.model, load)
         oldest = min(stream.sent_at for stream in streams)
-        since = max(self._directory.work(key).last_event_at, oldest, self._fresh_from)
+        since = max(
+            self._directory.loads.work(key).last_event_at, oldest, self._fresh_from
+        )
         return GroupQuiet(
             silent_seconds=now - since,
             predicted_gap=predicted,
@@ -196,7 +198,7 @@
             work = stream.work
             if stream.events < SLOW_EVENTS:
                 continue
-            load = self._directory.load_of(stream.group, work.profile)
+            load = self._directory.loads.load_of(stream.group, work.profile)
             gap = pass_seconds(work.profile, work.model, load)
             if gap > stream.allowed_gap and self._streams.may_move(stream):
                 log.info(
@@ -209,12 +211,12 @@
                 stream.move(Reason.SLOW_TARGET)
 
     def _is_marked(self, key: GroupKey) -> bool:
-        return self._directory.work(key).suspected_until > self._clock.now()
+        return self._directory.loads.work(key).suspected_until > self._clock.now()
 
     def _mark(self, key: GroupKey) -> None:
         # The group reports that it broke only after the stall time, so until then
         # it would be sent new streams again.
-        work = self._directory.work(key)
+        work = self._directory.loads.work(key)
         work.suspicions += 1
         self._directory.withhold(key, self._clock.now() + self._stall_seconds)
         for notify in self.on_suspect:
