--- a/mallowpond/state/tests/test_formation.py
+++ b/mallowpond/state/tests/test_formation.py
@@ -460,3 +460,55 @@
     assert of_kind(plan(free, **told), Join) == []
     joins = of_kind(plan([*free[:2], again(free[2])], **told), Join)
     assert {join.epoch for join in joins} == {7}
+
+
+@pytest.mark.parametrize(
+    ("domains", "engines", "sizes", "least_grouped"),
+    [(6, 8, (4, 2), 48), (6, 9, (4, 3), 51), (9, 19, (8, 4), 144), (4, 20, (8, 2), 72)],
+)
+def test_a_fleet_is_cut_into_groups_with_few_engines_left(
+    domains, engines, sizes, least_grouped
+):
+    """Symptom: streams wait for a group while ten of 48 engines stand idle.
+
+    Sequence: domains of eight engines are cut into groups of four and of two.
+    Cause: a spare for each domain broke up a group of four; what was left took a pair,
+    and two engines of each domain fitted nothing more.
+    """
+    models = tuple(
+        ModelSpec(name=f"size{size}", size=size, share=0.5, load_seconds=16)
+        for size in sizes
+    )
+    fleet = {
+        f"{d}-{n}": target(f"{d}-{n}", f"d{d}")
+        for d in range(domains)
+        for n in range(engines)
+    }
+    # Targets that joined at one plan show their weights at the next.
+    for epoch in range(1, 99):
+        view = FormationView(
+            profile=EngineProfile(slots=13, models=models),
+            targets=tuple(fleet.values()),
+            now=NOW,
+            next_epoch=epoch,
+            before_traffic=True,
+        )
+        joins = of_kind(plan_steps(view), Join)
+        if not joins:
+            break
+        (first,) = {join.epoch for join in joins if join.epoch == epoch}
+        for join in joins:
+            if join.epoch == first:
+                fleet[join.target.id] = target(
+                    join.target.id,
+                    join.target.domain,
+                    staged=join.model,
+                    group=(join.group, join.epoch),
+                    rank=join.members.index(join.target.id),
+                )
+    grouped = [t for t in fleet.values() if t.membership is not None]
+    assert len(grouped) >= least_grouped
+    by_domain = {}
+    for member in grouped:
+        by_domain.setdefault(member.domain, set()).add(member.model)
+    assert sum(len(found) > 1 for found in by_domain.values()) <= 1
