--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import ceil
 
 from mallowpond.state.fleet import (
     GroupPhase,
@@ -34,11 +35,9 @@
 # loaded there, in seconds: far above any load, so that models mix only where no
 # domain is left.
 MIXING_SECONDS = 1000.0
-# Targets of a domain that stay free beside groups of two models, so that a lost member
-# can be replaced in about 2 s by one that has the weights staged, not in 12 s or more.
-# Beside groups of one model, whatever fits none more is spare enough: any survivor
-# replaces any member.
-MIXED_SPARES = 1
+# Share of a domain's engines that stay free of groups, so that a lost member can be
+# replaced in about 2 s by one that has the weights staged, not in 12 s or more.
+SPARE_SHARE = 0.1
 # Fullness of a model's groups from which one is formed across domains: below, free
 # targets are worth more as spares, which repair a group at its full speed.
 FAR_PRESSURE = 0.7
@@ -140,8 +139,8 @@
         best: tuple[float, list[Target]] | None = None
         for domain, free in self._free.items():
             idle = [t for t in free if t.id not in self._loading]
-            chosen = _cheapest_members(idle, model)
-            if chosen is None or not self._may_begin(domain, model, idle, chosen):
+            chosen = _cheapest_members(idle, model, self._spares(domain))
+            if chosen is None:
                 continue
             cost = sum(_join_seconds(t, model) for t in chosen)
             if any(needs_load(t, model) for t in chosen):
@@ -167,37 +166,10 @@
             other += bool(held - {model.name})
         return MIXING_SECONDS * (other - min(1, own))
 
-    def _may_begin(
-        self, domain: str, model: ModelSpec, idle: list[Target], chosen: list[Target]
-    ) -> bool:
-        """Tell whether loads may bring a group of a model into a domain.
-
-        A domain is left to the model that it carries while another group of that one
-        fits, and its rest goes only to a model that has less than its share: of eight
-        targets for groups of four and of two, a group of each and a spare left two
-        idle, ten of 48 in all. Only a model that has no group at all goes before.
-        """
-        if not any(needs_load(target, model) for target in chosen):
-            return True
-        names = self._models_of(domain) - {model.name}
-        others = [m for m in self._view.profile.models if m.name in names]
-        if not others:
-            return True
-        if len(idle) < model.size + MIXED_SPARES:
-            return False
-        if not self._served[model.name]:
-            return True
-        is_short = self._fill(model) <= min(map(self._fill, others))
-        return is_short and len(idle) < min(m.size for m in others)
-
-    def _models_of(self, domain: str) -> set[str]:
-        """Return the models that the groups of a domain serve or will serve."""
-        return {
-            self._joining.get(target.id, target.model)
-            for target in self._view.targets
-            if target.domain == domain
-            and (target.id in self._joining or target.membership is not None)
-        }
+    def _spares(self, domain: str) -> int:
+        """Return how many targets of a domain should stay free of groups."""
+        size = sum(1 for target in self._view.targets if target.domain == domain)
+        return ceil(SPARE_SHARE * size)
 
     def _form_far(self, model: ModelSpec) -> bool:
         """Form a group across domains of targets that have the weights at hand.
@@ -374,7 +346,15 @@
     return model.load_seconds
 
 
-def _cheapest_members(free: Iterable[Target], model: ModelSpec) -> list[Target] | None:
-    """Return the members that join soonest, None when there are too few."""
+def _cheapest_members(
+    free: Iterable[Target], model: ModelSpec, spares: int
+) -> list[Target] | None:
+    """Return the members that join soonest; with loads only if spares are left."""
     ranked = sorted(free, key=lambda t: (_join_seconds(t, model), t.id))
-    return ranked[: model.size] if len(ranked) >= model.size else None
+    chosen = ranked[: model.size]
+    if len(chosen) < model.size:
+        return None
+    is_repair = all(not needs_load(t, model) for t in chosen)
+    if len(ranked) < model.size + spares and not is_repair:
+        return None
+    return chosen
