--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -216,7 +216,6 @@
             pressure=pressure(self._directory, profile),
             next_epoch=self._next_epoch,
             lost=self._probes.lost,
-            slow=self._probes.slow,
             busy=self._book.busy,
             formations=self._formations,
             first_seen=self._first_seen,
@@ -488,10 +487,6 @@
             return
         if group.key in self._processes.unheld:
             return
-        slow = sorted(self._probes.slow & {m.id for m in members})
-        if slow:
-            self._note_slow(group, slow)
-            return
         self._cleared.setdefault(group.key, []).append(self._clock.now())
         log.info(
             "planner: suspicion cleared",
@@ -501,22 +496,6 @@
         self._watch.clear(group.key)
         self._peers.tell_suspicion(group.key, cleared=True)
 
-    def _note_slow(self, group: Group, slow: list[str]) -> None:
-        """Let a slow group get no streams while another one serves its model.
-
-        Cleared at once, it drew streams and was suspected again, up to 22 times a
-        second; formed anew of the same members, it would be as slow.
-        """
-        service = group.members[0].service
-        serving = self._directory.serving_groups(service, group.model)
-        is_alone = all(other.key == group.key for other in serving)
-        log.info(
-            "planner: group slow", group=group.name, members=slow, is_alone=is_alone
-        )
-        if is_alone:
-            self._watch.clear(group.key)
-            self._peers.tell_suspicion(group.key, cleared=True)
-
     def _ask_pending(self, now: float) -> None:
         """Ask the targets of orders what came of them while the list is lost."""
         if now - self._asked_at < ASK_SECONDS:
--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -133,14 +133,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class EngineReport:
-    """Hold what an engine says of itself; `orders` counts those it has begun.
-
-    `pace` is by what factor its work takes longer than declared.
-    """
+    """Hold what an engine says of itself; `orders` counts those it has begun."""
 
     orders: int
     target: Target
-    pace: float = 1.0
 
 
 class Targets(Protocol):
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -22,9 +22,6 @@
 PROBE_SECONDS = 2.0
 # Probes in a row that must fail before a target counts as lost.
 PROBES = 2
-# Factor on its declared times from which a target counts as slow: at a usual pass of
-# 0.04 s its events come 0.12 s apart, near the shortest gap that callers allow.
-SLOW_PACE = 3.0
 # Pause between two probes of a member that the list has lost, in seconds.
 LAPSE_PROBE_SECONDS = 1.0
 # Probes in a row that find a target unhealthy before it counts as leaving: a head
@@ -61,7 +58,6 @@
         # just started again would count as dead, or share the answer of the earlier.
         self._lost: dict[Process, float] = {}
         self._replaced: dict[Process, float] = {}
-        self._slow: dict[Process, float] = {}
         self._asking: dict[Process, asyncio.Task[bool]] = {}
         self._lapse_probed: dict[Process, float] = {}
         self._unhealthy: dict[Process, int] = {}
@@ -71,11 +67,6 @@
         """Return the targets that do not answer, or at whose address another does."""
         return frozenset(process.id for process in (*self._lost, *self._replaced))
 
-    @property
-    def slow(self) -> frozenset[str]:
-        """Return the targets that said that they work at a small part of their pace."""
-        return frozenset(process.id for process in self._slow)
-
     def is_leaving(self, target: Target) -> bool:
         """Tell whether a target that the list has lost is about to stop."""
         unhealthy = self._unhealthy.get(target.process, 0)
@@ -84,7 +75,6 @@
     def reset(self) -> None:
         """Forget what an earlier planner's time taught."""
         self._lost.clear()
-        self._slow.clear()
         self._replaced.clear()
         self._lapse_probed.clear()
         self._unhealthy.clear()
@@ -94,13 +84,7 @@
         now = self._clock.now()
         targets = self._directory.targets
         listed = {target.process: target for target in targets.values()}
-        for known in (
-            self._lost,
-            self._slow,
-            self._replaced,
-            self._lapse_probed,
-            self._unhealthy,
-        ):
+        for known in (self._lost, self._replaced, self._lapse_probed, self._unhealthy):
             for process in [p for p in known if p not in listed]:
                 del known[process]
         # What the list still shows by then is written anew, so the word was wrong.
@@ -110,7 +94,7 @@
         for target in list(targets.values()):
             if target.lapsed and target.membership is not None:
                 self._look_at_lapsed(target, now)
-        for process, at in (*self._lost.items(), *self._slow.items()):
+        for process, at in self._lost.items():
             if now - at > PROBE_SECONDS and process not in self._asking:
                 self._spawn(self.probe(listed[process]))
 
@@ -160,20 +144,8 @@
                 asked=target.born,
                 answered=report.target.born,
             )
-        else:
-            self._note_pace(target, report.pace)
         return report
 
-    def _note_pace(self, target: Target, pace: float) -> None:
-        is_known = target.process in self._slow
-        if pace >= SLOW_PACE:
-            self._slow[target.process] = self._clock.now()
-            if not is_known:
-                log.warning("planner: target slow", target=target.id, pace=pace)
-        elif is_known:
-            del self._slow[target.process]
-            log.info("planner: target at its pace", target=target.id)
-
     async def _ask(self, target: Target) -> bool:
         reason = ""
         for _ in range(PROBES):
--- a/mallowpond/platform/documents.py
+++ b/mallowpond/platform/documents.py
@@ -355,7 +355,6 @@
     # Here `sequence` counts orders; in the list it counts heartbeats.
     return EngineReport(
         orders=found.sequence,
-        pace=found.pace,
         target=replace(
             asked,
             model=_first(found.models),
--- a/mallowpond/state/formation_view.py
+++ b/mallowpond/state/formation_view.py
@@ -76,8 +76,7 @@
 class FormationView:
     """Hold all that the decision rests on.
 
-    `lost` are targets that do not answer, `slow` those that work at a small part of
-    their declared pace; `busy` targets have an order under way;
+    `lost` are targets that do not answer; `busy` targets have an order under way;
     `formations` are those whose member lists are known here;
     `seen` are the processes that were ordered into each group or seen in it;
     `unheld` are the groups of which a member answers that it does not stand in them;
@@ -94,7 +93,6 @@
     demand: dict[str, float] = field(default_factory=dict)
     pressure: dict[str, float] = field(default_factory=dict)
     lost: frozenset[str] = frozenset()
-    slow: frozenset[str] = frozenset()
     busy: frozenset[str] = frozenset()
     formations: dict[tuple[str, int], Formation] = field(default_factory=dict)
     first_seen: dict[tuple[str, int], float] = field(default_factory=dict)
--- a/mallowpond/state/upkeep.py
+++ b/mallowpond/state/upkeep.py
@@ -44,7 +44,6 @@
         self._groups = groups
         self._listed = {target.id: target for target in view.targets}
         self._held = self._held_by_earlier_groups()
-        self._replaced_slow = self._slow_groups_to_replace()
         self.steps: list[Step] = []
         self.served = {model.name: 0.0 for model in view.profile.models}
         self.reserved: set[str] = set()
@@ -54,8 +53,7 @@
         view = self._view
         if target.draining or target.lapsed or target.id in self._held:
             return False
-        unfit = view.lost | view.slow | view.busy
-        return target.id not in unfit
+        return target.id not in view.lost and target.id not in view.busy
 
     def _held_by_earlier_groups(self) -> frozenset[str]:
         """Return targets whose earlier process's group may still serve.
@@ -71,49 +69,6 @@
             if has_restarted((process,), self._listed)
         )
 
-    def _slow_groups_to_replace(self) -> frozenset[GroupKey]:
-        """Return the slow groups whose sound members make whole groups anew.
-
-        The load pattern: two in five engines work at a twelfth of their pace for some
-        seconds, and a group is as slow as its slowest member: of groups of four, one in
-        eight is left. The sound members of several, in one domain, form again at once.
-        """
-        found: set[GroupKey] = set()
-        if not self._view.slow:
-            return frozenset()
-        for model in self._view.profile.models:
-            for domain in {target.domain for target in self._view.targets}:
-                found |= self._slow_in_domain(model, domain)
-        return frozenset(found)
-
-    def _slow_in_domain(self, model: ModelSpec, domain: str) -> set[GroupKey]:
-        slow = {
-            group.key: self._count_sound(group)
-            for group in self._groups.values()
-            if group.model == model.name
-            and group.phase is GroupPhase.OPEN
-            and not group.is_far
-            and group.members[0].domain == domain
-            and self._count_sound(group) < len(group.members)
-        }
-        free = len(self._ready_in(domain, model))
-        wanted = (free + sum(slow.values())) // model.size * model.size
-        chosen: set[GroupKey] = set()
-        for key in sorted(slow, key=lambda key: (-slow[key], key)):
-            if free >= wanted:
-                break
-            chosen.add(key)
-            free += slow[key]
-        return chosen
-
-    def _count_sound(self, group: Group) -> int:
-        """Count the members that may serve in another group at their pace."""
-        unfit = self._view.slow | self._view.lost
-        return sum(
-            not (member.id in unfit or member.draining or member.lapsed)
-            for member in group.members
-        )
-
     def keep(self, group: Group) -> bool:
         """Tell whether a group's members stay in it; order what it needs."""
         model = self._view.profile.model(group.model)
@@ -150,10 +105,7 @@
         leaving = self._must_close_soon(group)
         unwanted = lost or group.key in view.distrusted
         if not (unwanted or missing or group.is_leaving):
-            if group.key in self._replaced_slow:
-                self._dissolve(group)
-            else:
-                self._count(group, model)
+            self._count(group, model)
             return True
         if not (unwanted or leaving or self._can_replace(group, model)):
             # A missing member may only be cut off from the platform's list, and a
@@ -200,13 +152,8 @@
 
     def _can_replace(self, group: Group, model: ModelSpec) -> bool:
         """Tell whether the domain has free targets with the weights at hand."""
-        ready = self._ready_in(group.members[0].domain, model)
-        staying = sum(not member.draining for member in group.members)
-        return len(ready) >= model.size - staying
-
-    def _ready_in(self, domain: str, model: ModelSpec) -> list[Target]:
-        """Return a domain's free targets that have a model's weights at hand."""
-        return [
+        domain = group.members[0].domain
+        ready = [
             target
             for target in self._view.targets
             if target.domain == domain
@@ -214,6 +161,8 @@
             and self.may_join(target)
             and not needs_load(target, model)
         ]
+        staying = sum(not member.draining for member in group.members)
+        return len(ready) >= model.size - staying
 
     def order_close(self, group: Group, head: Target, *, evict: bool) -> None:
         """Close a group once its head takes an order."""
