Let a host that only it cannot reach the store try often

Cause, found by reading the change on stores that are away for all: a host that is not among the first to try waited 1.5 s after any failed question, also when the store served the others; one that had just started had no configuration for that long. Change: the long pause holds only while no host reaches the store. The test fails without.

--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -101,11 +101,14 @@
 
     @property
     def tries_first(self) -> bool:
-        """Tell whether this host is to try the store often while none reaches it.
+        """Tell whether this host is to try the store often.
 
-        Each host of a fleet did: in an outage of 8 s, 65 hosts made seven calls a
-        second each, 3,600 in all (worked out), all of them refused.
+        While none reaches it, each host of a fleet did: in an outage of 8 s, 65 hosts
+        made seven calls a second each, 3,600 in all (worked out), all of them refused.
+        One that the store turns away while it serves others has to try for itself.
         """
+        if self._ranked():
+            return True
         names = [p.heartbeat.node for p in self._peers.live]
         ranked = ranked_owners(READERS_KEY, [*names, self._name])
         return self._name in ranked[:READERS]
--- a/mallowpond/node/tests/test_readers.py
+++ b/mallowpond/node/tests/test_readers.py
@@ -480,3 +480,21 @@
     assert host.configuration.store_answers
     host.hear(beat(names[2], store=True))
     assert not host.configuration._store_is_back.is_set()
+
+
+def test_a_host_that_only_it_cannot_reach_the_store_tries_often():
+    """Symptom: a host that has just started serves nobody for 1.5 s.
+
+    Sequence: its first question to the store fails, or the store turns it away for a
+    moment, while it serves the other hosts.
+    Cause: the pause that is meant for an outage for all.
+    """
+    names = [f"n{number}" for number in range(9)]
+    last = ranked_owners(READERS_KEY, names)[-1]
+    others = [name for name in names if name != last]
+    host = Host(last)
+    host.configuration._failures = 1
+    host.hear(*(beat(other, store=False) for other in others))
+    assert not host.readers.tries_first
+    host.hear(beat(others[0], store=True))
+    assert host.readers.tries_first
--- a/mallowpond/platform/early.py
+++ b/mallowpond/platform/early.py
@@ -21,9 +21,10 @@
 
 
 def listen_for_callers() -> socket.socket | None:
-    """Open the callers' socket, None where the settings cannot be read.
+    """Open the callers' socket, None where that fails.
 
-    The check of the settings tells every fault a moment later.
+    What is wrong with the settings, or with the address, is told a moment later by
+    their check and by the node, which then listens itself.
     """
     try:
         with open(settings_path(), "rb") as file:
