--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -42,7 +42,7 @@
 )
 
 
-def node_over(clock, *, source=None, targets=None):
+def node_over(clock, *, source=None, targets=None, listener=None):
     """Build a node over fakes."""
     ports = NodePorts(
         callers=FakeCallers(),
@@ -50,7 +50,7 @@
         targets=targets or FakeTargets(),
         table=MemoryTable(),
     )
-    return build(settings=SETTINGS, ports=ports, clock=clock, seed=1)
+    return build(settings=SETTINGS, ports=ports, clock=clock, seed=1, listener=listener)
 
 
 def heartbeat(running):
@@ -343,15 +343,7 @@
 
     source.configuration = configuration
     listener = socket.create_server(("127.0.0.1", 0))
-    ports = NodePorts(
-        callers=FakeCallers(),
-        source=source,
-        targets=FakeTargets(),
-        table=MemoryTable(),
-    )
-    node = build(
-        settings=SETTINGS, ports=ports, clock=MonotonicClock(), listener=listener
-    )
+    node = node_over(MonotonicClock(), source=source, listener=listener)
     starting = asyncio.create_task(node.start())
     try:
         await asyncio.sleep(0.05)
@@ -367,15 +359,7 @@
     source = FakeSource()
     source.configuration = lambda after, wait: asyncio.sleep(60)
     listener = socket.create_server(("127.0.0.1", 0))
-    ports = NodePorts(
-        callers=FakeCallers(),
-        source=source,
-        targets=FakeTargets(),
-        table=MemoryTable(),
-    )
-    node = build(
-        settings=SETTINGS, ports=ports, clock=MonotonicClock(), listener=listener
-    )
+    node = node_over(MonotonicClock(), source=source, listener=listener)
     try:
         async with asyncio.timeout(5.0):
             await node.start()
