--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -276,7 +276,7 @@
         missing = model.size - len(have)
         if missing <= 0 or missing > len(have):
             return None
-        others = [t for t in free if t not in have and self._may_reload(t, model)]
+        others = [t for t in free if t not in have and t.id not in self._loading]
         others.sort(key=lambda t: (bool(t.staged), t.id))
         chosen = others[:missing]
         replaced = sum(bool(t.staged) for t in chosen)
@@ -287,19 +287,6 @@
             model=model, targets=tuple(chosen), cost=seconds * self._fill(model)
         )
 
-    def _may_reload(self, target: Target, model: ModelSpec) -> bool:
-        """Tell whether a target's weights may make room for a model's.
-
-        Only for a model that has less than the one that is dropped: of four targets
-        that waited for the load that would make them a group of a model short of
-        places, three were loaded with the other one, which had places to spare.
-        """
-        if target.id in self._loading:
-            return False
-        held = _models_at_hand(target, self._loading)
-        models = [m for m in self._view.profile.models if m.name in held]
-        return all(self._fill(model) < self._fill(m) for m in models)
-
     def _model_for_spare(self, domain: str) -> str:
         """Return the model of most members in a domain, then of fewest spares."""
         members = {model.name: 0 for model in self._view.profile.models}
