--- a/mallowpond/state/first_event.py
+++ b/mallowpond/state/first_event.py
@@ -14,9 +14,11 @@
 # First events that the estimate rests on: a host sees as many in about ten seconds, and
 # the median stands still while a few of them come from a group that died.
 SAMPLES = 64
-# First events below which nothing is known yet.
+# First events below which nothing is known yet: a host sees as many in two seconds, and
+# the median of fewer may be that of a single group that died.
 LEAST_SAMPLES = 8
-# Share of the samples that come later than the longest delay that counts as usual.
+# Share of the samples that come later than the longest delay that counts as usual: two
+# of them, so that a stream moved from a dead group does not set the limit.
 LATE_SHARE = 0.04
 # Longest delay that is assumed while nothing is known, in seconds: engines of 0.4 s
 # would be taken for dead by every host that has just started.
