--- a/mallowpond/platform/early.py
+++ b/mallowpond/platform/early.py
@@ -2,8 +2,9 @@
 
 Loading it takes some tenths of a second. The callers of a host that was killed would be
 turned away meanwhile, and most of them ask twice only; on a socket that listens they
-wait, and are answered as soon as the host can. With a shorter start, 0.9 of 100 requests
-failed on a day that ends with the loss of all hosts, in place of 2.4 (one play each).
+wait, and are answered as soon as the host can. With a shorter start, 0.9 of 100
+requests failed on a day that ends with the loss of all hosts, in place of 2.4 (one play
+each).
 """
 
 import os
