Count a model that no group serves as full, and its work as not seen

Cause: pressure gave 0 for a model without an open group, so no group across domains was formed, and the share seen counted only what runs. Ruled out: missing weights, all survivors had them staged.

--- a/mallowpond/node/model_summary.py
+++ b/mallowpond/node/model_summary.py
@@ -3,7 +3,7 @@
 import structlog
 
 from mallowpond.node.directory import Directory
-from mallowpond.state.fleet import EngineProfile, GroupPhase, Target
+from mallowpond.state.fleet import EngineProfile, Group, GroupPhase, Target
 from mallowpond.state.formation_view import FormationView
 
 log = structlog.get_logger()
@@ -14,17 +14,25 @@
 LEAST_SEEN_WORK = 10.0
 
 
+# Fullness of a model that no open group serves, while its requests are refused or wait:
+# what runs on no group says nothing. Read as no need, both groups of a model that had
+# lost a member stayed down for 23 s beside their free survivors.
+UNSERVED_FULLNESS = 1.0
+
+
 def demand(directory: Directory, profile: EngineProfile) -> dict[str, float]:
     """Return each model's share of the work, half as declared, half as seen.
 
-    Work is counted by the engines that it takes, as the declared shares are.
+    Work is counted by the engines that it takes, as the declared shares are. While a
+    model has no open group its work is not seen, and the declared shares hold alone.
     """
-    running = {model.name: 0.0 for model in profile.models}
-    sizes = {model.name: model.size for model in profile.models}
-    for group in directory.groups.values():
-        if group.model in running:
-            streams = directory.loads.load(group.key).running
-            running[group.model] += sizes[group.model] * streams
+    running: dict[str, float] = {}
+    for model in profile.models:
+        groups = _open_groups(directory, model.name)
+        if not groups:
+            return {}
+        streams = sum(directory.loads.load(group.key).running for group in groups)
+        running[model.name] = float(model.size * streams)
     total = sum(running.values())
     if total < LEAST_SEEN_WORK:
         return {}
@@ -39,16 +47,21 @@
     """Return how full each model's groups are, with what waits here."""
     fullness = {}
     for model in profile.models:
-        groups = [
-            group
-            for group in directory.groups.values()
-            if group.model == model.name and group.phase is GroupPhase.OPEN
-        ]
-        running = sum(directory.loads.load(g.key).running for g in groups)
-        fullness[model.name] = running / max(1, len(groups) * profile.slots)
+        groups = _open_groups(directory, model.name)
+        running = sum(directory.loads.load(group.key).running for group in groups)
+        places = len(groups) * profile.slots
+        fullness[model.name] = running / places if places else UNSERVED_FULLNESS
     return fullness
 
 
+def _open_groups(directory: Directory, model: str) -> list[Group]:
+    return [
+        group
+        for group in directory.groups.values()
+        if group.model == model and group.phase is GroupPhase.OPEN
+    ]
+
+
 def log_summary(directory: Directory, view: FormationView) -> None:
     """Log what runs where, for whoever asks later why there was no place."""
     for model in view.profile.models:
