Reckon the rate of a host that has just begun from its first request

At full size 28 of the first 193 streams that were looked at were turned away: the first groups of the list got the streams of all hosts, 66 and more within 0.2 s. Cause: whether to draw among groups goes by the rate of the last ten seconds, most of which lay before the first request. Tried and not kept: choosing among equals by chance, which two tests of few hosts with fresh figures forbid.

The test failed first.

--- a/mallowpond/state/retry_window.py
+++ b/mallowpond/state/retry_window.py
@@ -9,6 +9,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+# Least time over which a rate is reckoned, in seconds: less would make a rate of one
+# request.
+LEAST_RATE_SECONDS = 0.5
 # Part of the budget that is used: hosts count their windows at different moments.
 USED_SHARE = 0.8
 
@@ -20,18 +23,28 @@
     ratio: float
     slack: float
     window_seconds: float
+    _since: float | None = None
     _firsts: deque[float] = field(default_factory=deque)
     _repeats: deque[float] = field(default_factory=deque)
 
     def note_first(self, now: float) -> None:
         """Count the first send of a request."""
+        if self._since is None:
+            self._since = now
         self._firsts.append(now)
         _forget(self._firsts, now - self.window_seconds)
 
     @property
     def firsts_per_second(self) -> float:
-        """Return the rate of first sends over the last window."""
-        return len(self._firsts) / self.window_seconds
+        """Return the rate of first sends over the last window, or since the first one.
+
+        Over a whole window, hosts that had just begun to serve took the others for
+        idle, and 195 of them sent the streams of a fifth of a second to one group.
+        """
+        if self._since is None:
+            return 0.0
+        known = max(LEAST_RATE_SECONDS, self._firsts[-1] - self._since)
+        return len(self._firsts) / min(self.window_seconds, known)
 
     def try_repeat(self, now: float, hosts: int) -> bool:
         """Take one repeated send out of this host's part of the budget."""
--- a/mallowpond/state/tests/test_retry_window.py
+++ b/mallowpond/state/tests/test_retry_window.py
@@ -38,3 +38,30 @@
     first = repeats(budget, 0.0, 1)
     assert repeats(budget, 5.0, 1) == 0
     assert repeats(budget, 10.1, 1) == first
+
+
+def test_the_rate_of_a_host_that_has_just_begun_is_not_spread_over_the_window():
+    """Symptom: the groups that are listed first turn streams away at a fleet's start.
+
+    Sequence: 195 hosts begin to serve with all groups idle.
+    Cause: each reckoned the others' rate from ten seconds, most of them before the
+    first request, and took the best group by figures in which nothing of it showed.
+    """
+    budget = window()
+    for number in range(10):
+        budget.note_first(0.1 * number)
+    assert 8.0 < budget.firsts_per_second < 13.0
+    assert window().firsts_per_second == 0.0
+
+
+def test_one_request_is_no_high_rate():
+    budget = window()
+    budget.note_first(5.0)
+    assert budget.firsts_per_second <= 2.0
+
+
+def test_the_rate_of_a_host_that_has_served_long_is_that_of_the_window():
+    budget = window()
+    for number in range(300):
+        budget.note_first(0.1 * number)
+    assert 9.5 < budget.firsts_per_second < 10.5
