Decode plain values first, and keep who lives for a moment

Of what a host at rest uses beside 194 others (0.037 of a core: a node on loopback with a generator of their datagrams, 8 s), half went into decoding and a fifth into going through all peers.

--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -63,8 +63,8 @@
 ORDINARY_ROWS_SECONDS = 120.0
 # Pause before the rows are written and read again after a failure, in seconds.
 ROWS_AGAIN_SECONDS = 0.5
-# Time for which the number of live hosts is kept, in seconds: each request asks for it,
-# and counting 195 peers takes 0.1 ms.
+# Time for which it is kept which hosts live, in seconds: each request asks for their
+# number and each of ten loops who they are, and going through 195 takes 0.1 ms.
 COUNT_SECONDS = 0.2
 # Pause between two log lines on hosts that were met, in seconds: a fleet of 195 hosts
 # that starts wrote 37,830 of them.
@@ -341,8 +341,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._addresses: dict[str, str] = {}
         self._peers: dict[str, Peer] = {}
-        self._hosts = 1
-        self._hosts_counted_at = float("-inf")
+        self._live: list[Peer] = []
+        self._counted_at = float("-inf")
         self._met = 0
         self._met_told_at = float("-inf")
         self.is_senior = True
@@ -369,16 +369,15 @@
     def live(self) -> list[Peer]:
         """Return the peers that were heard of lately."""
         now = self._clock.now()
-        return [p for p in self._peers.values() if p.is_live(now)]
+        if now - self._counted_at > COUNT_SECONDS:
+            self._live = [p for p in self._peers.values() if p.is_live(now)]
+            self._counted_at = now
+        return self._live
 
     @property
     def hosts(self) -> int:
         """Return how many nodes serve, this one included."""
-        now = self._clock.now()
-        if now - self._hosts_counted_at > COUNT_SECONDS:
-            self._hosts = 1 + len(self.live)
-            self._hosts_counted_at = now
-        return self._hosts
+        return 1 + len(self.live)
 
     def hears(self, node: str, seconds: float) -> bool:
         """Tell whether a node was heard of within a time."""
@@ -598,13 +597,16 @@
         now = self._clock.now()
         is_new = False
         known = self._peers.get(heartbeat.node)
-        if known is None:
-            self._hosts_counted_at = float("-inf")
+        if known is None or not known.is_live(now):
+            self._counted_at = float("-inf")
         if known is None or known.heartbeat.incarnation != heartbeat.incarnation:
             self._note_met(heartbeat, now)
             is_new = True
         self._addresses[heartbeat.node] = heartbeat.address
-        self._peers[heartbeat.node] = Peer(heartbeat=heartbeat, heard_at=now)
+        if known is None:
+            self._peers[heartbeat.node] = Peer(heartbeat=heartbeat, heard_at=now)
+        else:
+            known.heartbeat, known.heard_at = heartbeat, now
         _notify(self.on_heartbeat, heartbeat)
         if is_new and self._is_among_seniors:
             # A host that has just started must know whom to follow before the next
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -45,7 +45,7 @@
 # Time for which the ranking of the hosts is kept unless one of them changes, in
 # seconds: ranked anew for each of 25 messages a second, 195 hosts took a quarter of
 # what a host that only follows used.
-RANKED_SECONDS = 0.1
+RANKED_SECONDS = 0.3
 
 
 class Readers:
--- a/mallowpond/state/decoding.py
+++ b/mallowpond/state/decoding.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import MISSING, dataclass, fields, is_dataclass
 from enum import Enum
+from functools import lru_cache
 from ipaddress import ip_address
 from typing import (
     Any,
@@ -38,6 +39,8 @@
 VISIBLE = re.compile(r"[!-~]([ -~]*[!-~])?")
 PATH = re.compile(r"(/[!-~]*)?")
 LARGEST_PORT = 65535
+# Addresses of which it is kept whether they are IP addresses: some fleets' worth.
+KEPT_ADDRESSES = 8192
 
 # Values that are narrower than their type, for the fields of data classes.
 Name = NewType("Name", str)
@@ -115,17 +118,25 @@
 
 
 def _text(value: Any, kind: type[str]) -> str:
+    # Nearly every value is a plain one of its type: looked at first, a digest of 82
+    # groups is decoded in half of the time.
+    if kind is str and type(value) is str and _is_fit_text(value):
+        return value
     if not isinstance(value, str):
         raise Unfit(Fault.TYPE)
     if issubclass(kind, Enum):
         return _member(value, kind)
     # Half of a surrogate pair, which JSON can hold, cannot be sent or logged; it is
     # not printable either.
-    if len(value) > LONGEST_TEXT or not value.isprintable():
+    if not _is_fit_text(value):
         raise Unfit(Fault.RANGE)
     return value
 
 
+def _is_fit_text(value: str) -> bool:
+    return len(value) <= LONGEST_TEXT and value.isprintable()
+
+
 def _blob(value: Any, _: type) -> bytes:
     if not isinstance(value, bytes):
         raise Unfit(Fault.TYPE)
@@ -179,6 +190,8 @@
     return host
 
 
+# Hosts' addresses come again with each heartbeat and each change of the list.
+@lru_cache(maxsize=KEPT_ADDRESSES)
 def _is_ip(host: str) -> bool:
     try:
         ip_address(host)
@@ -188,6 +201,8 @@
 
 
 def _whole_number(value: Any, _: type) -> int:
+    if type(value) is int and 0 <= value <= LARGEST_NUMBER:
+        return value
     if isinstance(value, bool) or not isinstance(value, int):
         raise Unfit(Fault.TYPE)
     return _in_range(value)
@@ -200,6 +215,8 @@
 
 
 def _number(value: Any, _: type) -> float:
+    if type(value) is float and 0 <= value <= LARGEST_NUMBER:
+        return value
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise Unfit(Fault.TYPE)
     return float(_in_range(value))
@@ -266,14 +283,22 @@
     converter: Converter, kind: type[T]
 ) -> Callable[[Any, type[T]], T]:
     readers = _readers(converter, kind)
+    names = tuple(readers)
+    hooks = [(converter.get_structure_hook(h), h) for h in _hints(kind)]
 
     def build(values: Any, _: type[T]) -> T:
         if not isinstance(values, list | tuple):
             raise Unfit(Fault.TYPE)
-        if len(values) != len(readers):
+        if len(values) != len(names):
             raise Unfit(Fault.MISSING)
-        pairs = zip(readers.items(), values, strict=True)
-        return kind(**{name: read(value) for (name, read), value in pairs})
+        try:
+            found = [hook(v, h) for (hook, h), v in zip(hooks, values, strict=True)]
+        except Unfit:
+            # Once more, to find out which field it was.
+            for read, value in zip(readers.values(), values, strict=True):
+                read(value)
+            raise
+        return kind(**dict(zip(names, found, strict=True)))
 
     return build
 
@@ -287,6 +312,10 @@
     return {n: _reader(converter, n, h) for n, h in get_type_hints(kind).items()}
 
 
+def _hints(kind: type) -> list[Any]:
+    return list(get_type_hints(kind).values())
+
+
 def _reader(converter: Converter, name: str, hint: Any) -> Callable[[Any], Any]:
     structure = converter.get_structure_hook(hint)
 
