--- a/mallowpond/node/leadership.py
+++ b/mallowpond/node/leadership.py
@@ -147,10 +147,22 @@
             fence, version = _next_fence(row.version, lease), row.version
         if await self._write(fence, version):
             self._fence = fence
-            log.info("planner: lease taken", fence=fence)
+            self._tell_taken(fence)
             for notify in self.on_taken:
                 notify()
 
+    def _tell_taken(self, fence: int) -> None:
+        """Log what this node took the lease for: the last planner as it was heard."""
+        last = self._peers.last_planner
+        log.info(
+            "planner: lease taken",
+            fence=fence,
+            last=last and last.heartbeat.node,
+            silent=last and round(self._clock.now() - last.heard_at, 3),
+            reached_store=last and last.heartbeat.store,
+            stopped=last and last.heartbeat.stopping,
+        )
+
     def _may_replace(self, version: int, lease: LeaseRow | Unreadable) -> bool:
         """Tell whether the holder can do no harm any more.
 
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -384,6 +384,12 @@
             self._counted_at = now
         return self._live
 
+    @property
+    def last_planner(self) -> Peer | None:
+        """Return the peer with the highest fencing number, whether it lives or not."""
+        planners = [p for p in self._peers.values() if p.heartbeat.planning]
+        return max(planners, key=lambda p: p.heartbeat.planning, default=None)
+
     @property
     def hosts(self) -> int:
         """Return how many nodes serve, this one included."""
--- a/mallowpond/node/tests/test_leadership.py
+++ b/mallowpond/node/tests/test_leadership.py
@@ -23,6 +23,7 @@
     """Hold the peers that are heard of."""
 
     live: list = field(default_factory=list)
+    last_planner: Peer | None = None
 
 
 def heartbeat(name, planning=0, store=True, stopping=False):
