--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -15,6 +15,7 @@
 from mallowpond.node.configuration import ConfigurationFollower
 from mallowpond.node.directory import Directory
 from mallowpond.node.fanout import MOST_PARTS, Fanout, PartCollector
+from mallowpond.node.group_loads import Figures
 from mallowpond.node.peers import (
     Digest,
     Heartbeat,
@@ -43,6 +44,9 @@
 # Turns in which a reader that stands by tells a large fleet once: well within the
 # silence after which a host reads for itself.
 STANDBY_TURNS = 2
+# Turns in which a host tells work that has not changed once: within the silence after
+# which it is not asked to tell others on. Most of 195 hosts have no work at most turns.
+UNCHANGED_WORK_TURNS = 3
 # Targets of a change of the list in one datagram: about 7 KB.
 MOST_PASSED_ON = 60
 # Time for which the ranking of the hosts is kept unless one of them changes, in
@@ -83,6 +87,8 @@
         self._is_stopping = is_stopping
         self._reads = False
         self._turn = 0
+        self._work_turn = 0
+        self._told_work: Figures = {}
         self._store_was_reached = True
         self.on_news: list[Callable[[], None]] = []
         configuration.is_reader = lambda: self.reads
@@ -197,6 +203,10 @@
 
     def _tell_work(self) -> None:
         loads = self._directory.loads.own_loads()
+        self._work_turn += 1
+        if loads == self._told_work and self._work_turn % UNCHANGED_WORK_TURNS:
+            return
+        self._told_work = loads
         self._directory.loads.note_told(loads)
         work = Work(node=self._name, loads=heartbeat_loads(loads))
         self._peers.tell_nodes(work, self.names)
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -99,6 +99,9 @@
             FirstEventDelay
         )
         self.active: set[ActiveStream] = set()
+        self._serving = 0
+        # Set while streams are served or wait here.
+        self.has_streams = asyncio.Event()
         self.ends_at = inf
         directory.on_change.append(self.wake_all)
 
@@ -120,6 +123,16 @@
 
     async def serve(self, work: StreamWork) -> ServeOutcome:
         """Serve one stream to its end."""
+        self._serving += 1
+        self.has_streams.set()
+        try:
+            return await self._serve(work)
+        finally:
+            self._serving -= 1
+            if not self._serving:
+                self.has_streams.clear()
+
+    async def _serve(self, work: StreamWork) -> ServeOutcome:
         work.started_at = self._clock.now()
         work.last_event = work.request.last_event
         self._shapes[work.model.name] = (
--- a/mallowpond/node/tests/test_readers.py
+++ b/mallowpond/node/tests/test_readers.py
@@ -719,3 +719,15 @@
     for data in (b"", b"junk", zlib.compress(b"2")[:-3], zlib.compress(b"7")):
         host.hear(ConfigurationPart(node="n0", version=2, data=data))
     assert host.configuration.configuration.version == 1
+
+
+def test_a_host_without_news_of_its_work_tells_it_seldom():
+    host = large_fleet("a5")
+    for _ in range(30):
+        host.readers.step()
+    told = [message for message, _ in host.sent if isinstance(message, Work)]
+    assert 8 <= len(told) <= 12
+    host.directory.loads.work(("g", 1)).running = 2
+    host.readers.step()
+    assert isinstance(host.sent[-1][0], Work)
+    assert host.sent[-1][0].loads.running == (2,)
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -80,6 +80,10 @@
     async def run(self) -> None:
         """Look until cancelled."""
         while True:
+            if not self._streams.has_streams.is_set():
+                # A host at rest has nothing to look at.
+                await self._streams.has_streams.wait()
+                self._due_at = self._clock.now() + self._pause
             await self._clock.sleep(self._pause)
             self.look()
 
