Leave the lease with a holder that was not heard of while it renews it

Cause: a host that has just started went by the heartbeats that it had heard, though the row names the holder. Ruled out: a holder that was silent or cut off; none had a fault.

Now a holder that was heard and is silent, cut off, stopping or another process is replaced at once as before; one that was never heard only if the row stands still for 2 s. The first test failed before (the lease went to the second host at once).

--- a/mallowpond/node/leadership.py
+++ b/mallowpond/node/leadership.py
@@ -36,6 +36,11 @@
 # not renewed has lapsed: three renewals and the longest usual answer.
 RENEW_SECONDS = 1.5
 LEASE_SECONDS = 5.0
+# Time without a renewal after which a lease is taken from a host that was not heard of,
+# in seconds: one renewal and a few looks. A host that has just started has not heard
+# all others; going by heartbeats alone, at a fleet's start the lease changed hands five
+# times in a second and ended with a host of half of a core.
+UNRENEWED_SECONDS = RENEW_SECONDS + 0.5
 # Age up to which a renewal shows that the lease is held, in seconds: less than the
 # second of silence after which another node takes it.
 CONFIRMED_SECONDS = 0.8
@@ -170,15 +175,23 @@
         lapse, seen by a row that does not change. A lease that cannot be read may be
         held by anyone, and lapses in the same way wherever it is.
         """
+        limit = LEASE_SECONDS + RENEW_SECONDS
         if self._checks_fencing and isinstance(lease, LeaseRow):
-            return True
+            if self._is_gone(lease):
+                return True
+            limit = UNRENEWED_SECONDS
         now = self._clock.now()
         if self._watched is None or self._watched[0] != version:
             self._watched = (version, now)
             if isinstance(lease, Unreadable):
                 self._notes.note("lease", LEASE_KEY, lease)
             return False
-        return now - self._watched[1] > LEASE_SECONDS + RENEW_SECONDS
+        return now - self._watched[1] > limit
+
+    def _is_gone(self, lease: LeaseRow) -> bool:
+        if lease.holder == self._name:
+            return True
+        return self._peers.is_gone(lease.holder, lease.incarnation)
 
     async def confirm(self) -> bool:
         """Renew the lease; tell whether it is surely held."""
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -384,6 +384,17 @@
             self._counted_at = now
         return self._live
 
+    def is_gone(self, node: str, incarnation: str) -> bool:
+        """Tell whether a node that was heard of plans no more as this incarnation."""
+        peer = self._peers.get(node)
+        if peer is None:
+            return False
+        heard = peer.heartbeat
+        is_able = heard.store and not heard.stopping
+        return heard.incarnation != incarnation or not (
+            is_able and peer.is_live(self._clock.now())
+        )
+
     @property
     def last_planner(self) -> Peer | None:
         """Return the peer with the highest fencing number, whether it lives or not."""
--- a/mallowpond/node/tests/test_leadership.py
+++ b/mallowpond/node/tests/test_leadership.py
@@ -11,6 +11,7 @@
     LEASE_SECONDS,
     LISTEN_SECONDS,
     RENEW_SECONDS,
+    UNRENEWED_SECONDS,
     Leadership,
 )
 from mallowpond.node.peers import Heartbeat, Peer
@@ -24,6 +25,11 @@
 
     live: list = field(default_factory=list)
     last_planner: Peer | None = None
+    unheard: frozenset = frozenset()
+
+    def is_gone(self, node, incarnation):
+        """Tell whether a host that was heard of plans no more."""
+        return node not in self.unheard
 
 
 def heartbeat(name, planning=0, store=True, stopping=False):
@@ -282,3 +288,42 @@
     clock.time += 2.0
     table.faults = PlatformFaults(down=True)
     assert not await second.confirm()
+
+
+async def test_a_host_that_has_not_heard_the_planner_does_not_replace_it():
+    """Symptom: at a fleet's start the lease changes hands five times in a second, and
+    ends with a host of half of a core.
+
+    Sequence: the strongest host takes the lease; a weaker one, which has just started,
+    has not heard of it yet and finds itself the first of those that it knows.
+    Cause: only heartbeats told it that another one plans; the row was there to read.
+    """
+    clock, table = FakeClock(), MemoryTable()
+    holder = leadership_of("a", table, clock)
+    await holder.step()
+    assert holder.fence == 1
+    other = leadership_of("b", table, clock, FakePeers(unheard={"a"}))
+    for _ in range(40):
+        clock.time += 0.2
+        await holder.step()
+        await other.step()
+    assert (holder.fence, other.fence) == (1, 0)
+
+
+async def test_a_planner_whose_heartbeats_end_is_replaced_at_once():
+    clock, table = FakeClock(), MemoryTable()
+    await leadership_of("a", table, clock).step()
+    other = leadership_of("b", table, clock, FakePeers())
+    await other.step()
+    assert other.fence == 2
+
+
+async def test_a_lease_that_nobody_renews_is_taken_from_a_host_that_is_not_known():
+    clock, table = FakeClock(), MemoryTable()
+    await leadership_of("a", table, clock).step()
+    other = leadership_of("b", table, clock, FakePeers(unheard={"a"}))
+    await other.step()
+    assert other.fence == 0
+    clock.time += UNRENEWED_SECONDS + 0.1
+    await other.step()
+    assert other.fence == 2
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -464,3 +464,20 @@
     peers, taken = listening()
     peers.datagram_received(data, SENDER)
     assert taken == []
+
+
+def test_a_node_that_was_never_heard_is_not_known_to_be_gone():
+    peers, clock = network()
+    assert not peers.is_gone("b", "1")
+    peers.datagram_received(encode(beat()), SENDER)
+    assert not peers.is_gone("b", beat().incarnation)
+    assert peers.is_gone("b", "another")
+    clock.time += GONE_SECONDS + 0.1
+    assert peers.is_gone("b", beat().incarnation)
+
+
+@pytest.mark.parametrize("said", [{"store": False}, {"stopping": True}])
+def test_a_node_that_cannot_plan_is_gone_for_the_lease(said):
+    peers, _ = network()
+    peers.datagram_received(encode(replace(beat(), **said)), SENDER)
+    assert peers.is_gone("b", beat().incarnation)
