Give messages between nodes a module of their own

peers.py had grown to 760 lines: what is said and how a datagram holds it now stand in messages.py, who is told and who lives stay. No behaviour, bound or assertion changed; tests import from the new place.

--- a/mallowpond/node/configuration_sharing.py
+++ b/mallowpond/node/configuration_sharing.py
@@ -11,12 +11,8 @@
 
 from mallowpond.node.configuration import ConfigurationFollower
 from mallowpond.node.fanout import MOST_PARTS, Fanout, PartCollector
-from mallowpond.node.peers import (
-    ConfigurationPart,
-    ConfigurationQuestion,
-    PeerNetwork,
-    unpack,
-)
+from mallowpond.node.messages import ConfigurationPart, ConfigurationQuestion, unpack
+from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.readers import Readers
 
 log = structlog.get_logger()
--- a/mallowpond/node/fanout.py
+++ b/mallowpond/node/fanout.py
@@ -8,7 +8,8 @@
 from dataclasses import replace
 from typing import TypeVar
 
-from mallowpond.node.peers import ConfigurationPart, Digest, ListChange, PeerNetwork
+from mallowpond.node.messages import ConfigurationPart, Digest, ListChange
+from mallowpond.node.peers import PeerNetwork
 from mallowpond.state.ownership import ranked_by_capacity
 
 # What orders the hosts of a data centre that have the same processor time.
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -1,16 +1,10 @@
-"""Talk to the other nodes: heartbeats and suspicions by datagram.
-
-Datagrams may be lost or doubled; every message holds a whole statement, and the
-next heartbeat repeats what matters.
-"""
+"""Talk to the other nodes by datagram, and know which of them live."""
 
 import asyncio
-import zlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
-from typing import Any, TypeVar, get_args
+from typing import TypeVar
 
-import cbor2
 import structlog
 
 from mallowpond.coordination.ports import (
@@ -21,24 +15,38 @@
     Unavailable,
     Unknown,
 )
+from mallowpond.node.messages import (
+    HEARTBEAT_SECONDS,
+    Advance,
+    ConfigurationPart,
+    ConfigurationQuestion,
+    Digest,
+    GroupBroken,
+    Heartbeat,
+    ListChange,
+    LivenessAnswer,
+    LivenessQuestion,
+    Message,
+    SilenceQuestion,
+    Suspicion,
+    VersionAnswer,
+    VersionQuestion,
+    Vouch,
+    Work,
+    read_message,
+    write_message,
+)
 from mallowpond.node.unreadable import UnreadableNotes
-from mallowpond.state.codec import to_compact, to_plain
+from mallowpond.state.codec import to_plain
 from mallowpond.state.decoding import (
-    Fault,
-    Identifier,
-    Name,
-    Positive,
     SocketAddress,
     Unreadable,
     decode,
-    decode_compact,
 )
-from mallowpond.state.fleet import BreakCause, Group, GroupKey, Process, Target
+from mallowpond.state.fleet import BreakCause, Group, GroupKey
 
 log = structlog.get_logger()
 
-# Pause between two heartbeats, in seconds: peers' loads age by two passes or so.
-HEARTBEAT_SECONDS = 0.1
 # Heartbeats that one node may send in a second; in a larger fleet each peer hears less
 # often, so that the bytes of a node do not grow with the fleet.
 HEARTBEATS_PER_SECOND = 60.0
@@ -70,240 +78,6 @@
 # that starts wrote 37,830 of them.
 MET_SECONDS = 1.0
 NODES_PREFIX = "nodes/"
-# Longest pause between heartbeats that a peer may announce, in seconds: that of 1,200
-# hosts. A longer one would keep a dead peer among the living.
-LONGEST_INTERVAL_SECONDS = 60.0
-# Largest datagram that is read, in bytes: what UDP over IPv4 carries; and the largest
-# that one is unpacked to.
-LARGEST_DATAGRAM = 65_507
-LARGEST_UNPACKED = 4 * LARGEST_DATAGRAM
-# Size from which a datagram is compressed, in bytes: 60 changed targets take 6.6 KB and
-# a fifth of it compressed. At full size, 500 of them to 43 hosts filled a link for a
-# quarter of a second, and what got lost was read from the store by each host.
-COMPRESSED_BYTES = 600
-# First byte of what is compressed; no message begins with it.
-COMPRESSED_MARK = b"\x78"
-
-
-@dataclass(frozen=True, kw_only=True)
-class WorkFigures:
-    """Tell work by group, in a column for each figure.
-
-    With a data class for each group, decoding the sums of 82 groups five times a second
-    was a quarter of what a host at rest used.
-    """
-
-    groups: tuple[Name, ...] = ()
-    epochs: tuple[int, ...] = ()
-    running: tuple[int, ...] = ()
-    reading: tuple[int, ...] = ()
-
-    @property
-    def is_whole(self) -> bool:
-        """Tell whether each column has a figure of each group."""
-        columns = (self.groups, self.epochs, self.running, self.reading)
-        return len(set(map(len, columns))) == 1
-
-
-@dataclass(frozen=True, kw_only=True)
-class Heartbeat:
-    """Say what a node does; `planning` is its fencing number, 0 if it plans not.
-
-    `interval` is the pause until its next heartbeat, in seconds; `cores` is the
-    processor time that it has.
-    """
-
-    node: Name
-    incarnation: str
-    address: SocketAddress
-    version: int
-    sure: bool
-    store: bool
-    stopping: bool
-    planning: int
-    traffic: bool = False
-    interval: float = HEARTBEAT_SECONDS
-    data_centre: str = ""
-    cores: float = 0.0
-    loads: WorkFigures = WorkFigures()
-
-
-@dataclass(frozen=True, kw_only=True)
-class Suspicion:
-    """Say that a group stands silent.
-
-    With `cleared` it is sound again; with `closing` it gets no new streams, but
-    those that run may end there.
-    """
-
-    node: Name
-    group: Name
-    epoch: int
-    cleared: bool = False
-    closing: bool = False
-
-
-@dataclass(frozen=True, kw_only=True)
-class SilenceQuestion:
-    """Ask whether a group that is silent here, for so many seconds, advances there."""
-
-    node: Name
-    group: Name
-    epoch: int
-    silent: float
-
-
-@dataclass(frozen=True, kw_only=True)
-class Advance:
-    """Answer that a group advances."""
-
-    node: Name
-    group: Name
-    epoch: int
-
-
-@dataclass(frozen=True, kw_only=True)
-class GroupBroken:
-    """Say that a formation serves no more, as its head or a member showed itself.
-
-    `head` is the process that the sender took for its head: a receiver that knows
-    another one has newer or older news of the group than this.
-    """
-
-    node: str
-    group: str
-    epoch: int
-    head: Process
-    cause: BreakCause
-
-
-@dataclass(frozen=True, kw_only=True)
-class Vouch:
-    """Say that targets which the list has lost were found healthy."""
-
-    node: Name
-    targets: tuple[Identifier, ...]
-
-
-@dataclass(frozen=True, kw_only=True)
-class Digest:
-    """Tell, as a reader of the store, what is newest there and where work runs.
-
-    `changed` is the revision of the list's last change; `loads` are all hosts' work by
-    group, empty in small fleets, where heartbeats tell it. With `pass_on` the receiver
-    tells it to its own data centre.
-    """
-
-    node: Name
-    version: int
-    changed: int
-    loads: WorkFigures = WorkFigures()
-    pass_on: bool = False
-
-
-@dataclass(frozen=True, kw_only=True)
-class ListChange:
-    """Pass on what a reader found changed in the list after `previous`.
-
-    A large change comes in several `parts`, of which this is number `part`. With
-    `pass_on` the receiver tells it to its own data centre.
-    """
-
-    node: Name
-    previous: int
-    revision: int
-    targets: tuple[Target, ...]
-    removed: tuple[Identifier, ...]
-    unreadable: tuple[Identifier, ...] = ()
-    part: int = 0
-    parts: Positive = 1
-    pass_on: bool = False
-
-
-@dataclass(frozen=True, kw_only=True)
-class Work:
-    """Tell the readers one host's work by group."""
-
-    node: Name
-    loads: WorkFigures
-
-
-@dataclass(frozen=True, kw_only=True)
-class VersionQuestion:
-    """Ask a reader which configuration is the newest."""
-
-    node: Name
-    number: int
-
-
-@dataclass(frozen=True, kw_only=True)
-class VersionAnswer:
-    """Say which version was the newest `age` seconds before this was sent."""
-
-    node: Name
-    number: int
-    version: int
-    age: float
-
-
-@dataclass(frozen=True, kw_only=True)
-class ConfigurationPart:
-    """Pass on a configuration, compressed, in several `parts` where it is large.
-
-    With `pass_on` the receiver tells it to its own data centre.
-    """
-
-    node: Name
-    version: int
-    data: bytes
-    part: int = 0
-    parts: Positive = 1
-    pass_on: bool = False
-
-
-@dataclass(frozen=True, kw_only=True)
-class ConfigurationQuestion:
-    """Ask a peer for the configuration that it has."""
-
-    node: Name
-
-
-@dataclass(frozen=True, kw_only=True)
-class LivenessQuestion:
-    """Ask whether a target lives, as the asker doubts what it finds itself."""
-
-    node: Name
-    number: int
-    target: Identifier
-
-
-@dataclass(frozen=True, kw_only=True)
-class LivenessAnswer:
-    """Say whether a target answered this host."""
-
-    node: Name
-    number: int
-    alive: bool
-
-
-Message = (
-    Heartbeat
-    | Suspicion
-    | GroupBroken
-    | Vouch
-    | SilenceQuestion
-    | Advance
-    | Digest
-    | ListChange
-    | Work
-    | VersionQuestion
-    | VersionAnswer
-    | LivenessQuestion
-    | LivenessAnswer
-    | ConfigurationPart
-    | ConfigurationQuestion
-)
-MESSAGES = {kind.__name__: kind for kind in get_args(Message)}
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -679,82 +453,9 @@
         return True
 
 
-def write_message(message: Message) -> bytes:
-    """Encode a message as a datagram."""
-    data = cbor2.dumps([type(message).__name__, to_compact(message)])
-    return data if len(data) < COMPRESSED_BYTES else zlib.compress(data)
-
-
-def read_message(data: bytes) -> Message | Unreadable:
-    """Decode a datagram, whatever it holds."""
-    if len(data) > LARGEST_DATAGRAM:
-        return Unreadable(fault=Fault.RANGE)
-    if data[:1] == COMPRESSED_MARK:
-        unpacked = unpack(data, LARGEST_UNPACKED)
-        if unpacked is None:
-            return Unreadable(fault=Fault.BYTES)
-        data = unpacked
-    content = _parse(data)
-    if isinstance(content, Unreadable):
-        return content
-    if not isinstance(content, list) or len(content) != 2:
-        return Unreadable(fault=Fault.TYPE)
-    name, plain = content
-    if not isinstance(name, str) or name not in MESSAGES:
-        return Unreadable(fault=Fault.UNKNOWN)
-    message = decode_compact(plain, MESSAGES[name])
-    if isinstance(message, Heartbeat):
-        if not 0.0 < message.interval <= LONGEST_INTERVAL_SECONDS:
-            return Unreadable(fault=Fault.RANGE, field="interval")
-    if isinstance(message, Heartbeat | Digest | Work) and not message.loads.is_whole:
-        return Unreadable(fault=Fault.MISSING, field="loads")
-    return message
-
-
-def unpack(data: bytes, most: int) -> bytes | None:
-    """Return what was compressed, None if it is damaged or larger than `most` bytes."""
-    unpacking = zlib.decompressobj()
-    try:
-        unpacked = unpacking.decompress(data, most)
-    except zlib.error:
-        return None
-    return unpacked if unpacking.eof else None
-
-
-def _parse(data: bytes) -> Any | Unreadable:
-    try:
-        return cbor2.loads(data)
-    # Tagged values are built by the constructors of many types, each with errors of
-    # its own.
-    except Exception:
-        return Unreadable(fault=Fault.BYTES)
-
-
 T = TypeVar("T")
 
 
 def _notify(listeners: list[Callable[[T], None]], message: T) -> None:
     for notify in listeners:
         notify(message)
-
-
-def heartbeat_loads(
-    loads: dict[GroupKey, tuple[int, float]],
-) -> WorkFigures:
-    """Return a host's work by group as messages carry it."""
-    return WorkFigures(
-        groups=tuple(group for group, _ in loads),
-        epochs=tuple(epoch for _, epoch in loads),
-        running=tuple(running for running, _ in loads.values()),
-        # Sums of parts may end just below nothing, which no peer would read.
-        reading=tuple(max(0, round(reading)) for _, reading in loads.values()),
-    )
-
-
-def loads_of(
-    message: Heartbeat | Work | Digest,
-) -> dict[GroupKey, tuple[int, float]]:
-    """Return the work by group that a message tells."""
-    told = message.loads
-    keys = zip(told.groups, told.epochs, strict=True)
-    return dict(zip(keys, zip(told.running, told.reading, strict=True), strict=True))
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -16,17 +16,17 @@
 from mallowpond.node.directory import Directory
 from mallowpond.node.fanout import MOST_PARTS, Fanout, PartCollector
 from mallowpond.node.group_loads import Figures
-from mallowpond.node.peers import (
+from mallowpond.node.messages import (
     Digest,
     Heartbeat,
     ListChange,
-    PeerNetwork,
     VersionAnswer,
     VersionQuestion,
     Work,
     heartbeat_loads,
     loads_of,
 )
+from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.ports import TargetsRead
 from mallowpond.state.ownership import ranked_by_capacity
 
--- a/mallowpond/node/second_opinion.py
+++ b/mallowpond/node/second_opinion.py
@@ -5,7 +5,8 @@
 from itertools import count
 from typing import Any
 
-from mallowpond.node.peers import LivenessAnswer, LivenessQuestion, PeerNetwork
+from mallowpond.node.messages import LivenessAnswer, LivenessQuestion
+from mallowpond.node.peers import PeerNetwork
 from mallowpond.state.ownership import ranked_by_capacity
 
 # Time that a host has to answer, in seconds: two questions of its own to the target,
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -19,13 +19,9 @@
 from mallowpond.node.fanout import Fanout
 from mallowpond.node.ingress import Ingress
 from mallowpond.node.leadership import Leadership
+from mallowpond.node.messages import Heartbeat, heartbeat_loads, loads_of
 from mallowpond.node.metrics import NodeMetrics
-from mallowpond.node.peers import (
-    Heartbeat,
-    PeerNetwork,
-    heartbeat_loads,
-    loads_of,
-)
+from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.planner import GroupPlanner
 from mallowpond.node.ports import NodePorts
 from mallowpond.node.readers import Readers
--- a/mallowpond/node/tests/test_leadership.py
+++ b/mallowpond/node/tests/test_leadership.py
@@ -14,7 +14,8 @@
     UNRENEWED_SECONDS,
     Leadership,
 )
-from mallowpond.node.peers import Heartbeat, Peer
+from mallowpond.node.messages import Heartbeat
+from mallowpond.node.peers import Peer
 from mallowpond.node.tests.fakes import FakeClock
 from mallowpond.standins.platform import MemoryTable, PlatformFaults
 
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -10,11 +10,8 @@
 from hypothesis import strategies as st
 
 from mallowpond.coordination.ports import Put, Transaction
-from mallowpond.node.peers import (
-    GONE_SECONDS,
-    HEARTBEATS_PER_SECOND,
+from mallowpond.node.messages import (
     MESSAGES,
-    SENIOR_HEARTBEATS_PER_SECOND,
     Advance,
     ConfigurationPart,
     ConfigurationQuestion,
@@ -24,7 +21,6 @@
     ListChange,
     LivenessAnswer,
     LivenessQuestion,
-    PeerNetwork,
     SilenceQuestion,
     Suspicion,
     VersionAnswer,
@@ -37,6 +33,12 @@
     read_message,
     write_message,
 )
+from mallowpond.node.peers import (
+    GONE_SECONDS,
+    HEARTBEATS_PER_SECOND,
+    SENIOR_HEARTBEATS_PER_SECOND,
+    PeerNetwork,
+)
 from mallowpond.node.tests.fakes import FakeClock
 from mallowpond.standins.platform import MemoryTable
 from mallowpond.state.codec import to_compact
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -10,8 +10,9 @@
 from mallowpond.coordination.ports import Unavailable
 from mallowpond.node.configuration import ConfigurationFollower
 from mallowpond.node.directory import Directory
+from mallowpond.node.messages import Heartbeat, LivenessAnswer
 from mallowpond.node.metrics import NodeMetrics
-from mallowpond.node.peers import Heartbeat, LivenessAnswer, Peer
+from mallowpond.node.peers import Peer
 from mallowpond.node.planner import GroupPlanner
 from mallowpond.node.ports import EngineReport, OrderLost, OrderMisdirected
 from mallowpond.node.tests.fakes import (
--- a/mallowpond/node/tests/test_readers.py
+++ b/mallowpond/node/tests/test_readers.py
@@ -22,18 +22,18 @@
     Directory,
 )
 from mallowpond.node.fanout import MOST_PARTS, RELAY_SILENCE_SECONDS, Fanout
-from mallowpond.node.peers import (
+from mallowpond.node.messages import (
     ConfigurationPart,
     ConfigurationQuestion,
     Digest,
     Heartbeat,
     ListChange,
-    PeerNetwork,
     VersionAnswer,
     VersionQuestion,
     Work,
     heartbeat_loads,
 )
+from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.ports import ConfigurationRead
 from mallowpond.node.readers import (
     MOST_PASSED_ON,
--- a/mallowpond/node/tests/test_restarts.py
+++ b/mallowpond/node/tests/test_restarts.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from mallowpond.node.messages import GroupBroken
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, CutOff, Refusal
-from mallowpond.node.peers import GroupBroken
 from mallowpond.node.tests.fakes import (
     BROKEN,
     ROUTE,
--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -8,8 +8,8 @@
 import pytest
 
 from mallowpond.coordination.clock import MonotonicClock
+from mallowpond.node.messages import Heartbeat, heartbeat_loads
 from mallowpond.node.outcomes import Answered, Refusal
-from mallowpond.node.peers import Heartbeat, heartbeat_loads
 from mallowpond.node.ports import NodePorts
 from mallowpond.node.service import CLOSING_SECONDS, LAME_SECONDS, build
 from mallowpond.node.settings import NodeSettings
--- a/mallowpond/node/tests/test_watch.py
+++ b/mallowpond/node/tests/test_watch.py
@@ -5,9 +5,9 @@
 
 import pytest
 
+from mallowpond.node.messages import GroupBroken, SilenceQuestion, Suspicion
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, Reason
-from mallowpond.node.peers import GroupBroken, SilenceQuestion, Suspicion
 from mallowpond.node.ports import TargetsRead
 from mallowpond.node.tests.fakes import (
     FakeExchange,
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -8,14 +8,10 @@
 
 from mallowpond.coordination.ports import Clock
 from mallowpond.node.directory import Directory
+from mallowpond.node.messages import GroupBroken, SilenceQuestion, Suspicion
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Reason
-from mallowpond.node.peers import (
-    GroupBroken,
-    PeerNetwork,
-    SilenceQuestion,
-    Suspicion,
-)
+from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.stream_work import ActiveStream
 from mallowpond.node.streams import StreamService
 from mallowpond.state.fleet import BreakCause, Group, GroupKey
