--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -44,7 +44,7 @@
     """Tell work by group, in a column for each figure.
 
     With a data class for each group, sums of 82 groups took 446 to 750 us to decode; in
-    columns they take 104 to 153 (two and four runs on a busy machine).
+    columns they take 104 to 153 (two and three runs on a busy machine).
     """
 
     groups: tuple[Name, ...] = ()
