Log what a request and its returns share

A caller that comes again has a new id each time, so the logs could not tell one request that ends its engines from many that stood on engines that ended. stream: sent and call: sent name a fingerprint of host, target, workspace and body now.

--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import cached_property
 
 import structlog
 
@@ -59,6 +60,11 @@
     sent_to: list[Process] = field(default_factory=list)
     turned_away: list[Process] = field(default_factory=list)
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Return what the request shares with its returns."""
+        return self.request.fingerprint(self.workspace)
+
 
 @dataclass(frozen=True, kw_only=True)
 class WholeReply:
@@ -163,6 +169,7 @@
         log.info(
             "call: sent",
             request=work.request.id,
+            fingerprint=work.fingerprint,
             target=target.id,
             running=record.running,
             left=round(left, 3),
--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from mallowpond.coordination.ports import TableService, Unavailable
+from mallowpond.state.fingerprint import fingerprint
 from mallowpond.state.fleet import Target
 from mallowpond.state.formation_view import (
     Step,
@@ -37,6 +38,12 @@
         """Return the target without its query."""
         return self.target.partition("?")[0]
 
+    def fingerprint(self, workspace: str | None) -> str:
+        """Return what this request shares with its returns from one workspace."""
+        return fingerprint(
+            host=self.host, target=self.target, workspace=workspace, body=self.body
+        )
+
 
 @dataclass(frozen=True, kw_only=True)
 class InvalidRequest:
--- a/mallowpond/node/stream_work.py
+++ b/mallowpond/node/stream_work.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from mallowpond.gateway.relay import StreamProgress
 from mallowpond.node.outcomes import Reason
@@ -41,6 +42,11 @@
     last_event_at: float | None = None
     longest_gap: float = 0.0
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Return what the request shares with its returns."""
+        return self.request.fingerprint(self.workspace)
+
     @property
     def has_begun(self) -> bool:
         """Tell whether the caller has part of the answer."""
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -433,6 +433,7 @@
         log.info(
             "stream: sent",
             request=work.request.id,
+            fingerprint=work.fingerprint,
             group=group.name,
             target=group.head.id,
             running=load.running,
