--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -155,9 +155,11 @@
     listed: deque = field(default_factory=deque)
     cut: bool = False
     asked: list = field(default_factory=list)
+    waits: list = field(default_factory=list)
 
     async def configuration(self, since, wait_seconds):
         """Answer with the next configuration."""
+        self.waits.append(wait_seconds)
         if self.cut:
             return Unavailable(reason="cut off")
         if self.reads:
--- a/mallowpond/node/tests/test_configuration.py
+++ b/mallowpond/node/tests/test_configuration.py
@@ -1,8 +1,11 @@
 """What a node knows of the configuration when the store fails it."""
 
-from mallowpond.node.configuration import ConfigurationFollower
+from collections import deque
+
+from mallowpond.node.configuration import ASK_SECONDS, ConfigurationFollower
 from mallowpond.node.ports import ConfigurationRead
 from mallowpond.node.tests.fakes import FakeClock, FakeSource
+from mallowpond.state.confirmation import ADMISSION_MARGIN_SECONDS
 from mallowpond.state.site_configuration import SiteConfiguration
 
 
@@ -91,3 +94,20 @@
     source.configurations.append(version(4))
     assert await follower.step()
     assert follower.is_sure
+
+
+async def test_no_question_waits_longer_than_the_bound_for_keys_bears():
+    """Symptom: where keys must go within two seconds, nearly all requests are refused.
+
+    Sequence: a reader's question waits at the store; another host asks the reader.
+    Cause: the wait was the same whatever the bound, and longer than what it left.
+    """
+    for bound in (1.0, 2.0, 5.0, 60.0):
+        source = FakeSource(configurations=deque([version(3)]))
+        follower = ConfigurationFollower(
+            source=source, clock=FakeClock(), revoke_seconds=bound
+        )
+        for _ in range(2):
+            await follower.step()
+        ages = source.waits[-1] + min(ASK_SECONDS, source.waits[-1])
+        assert ages < bound - ADMISSION_MARGIN_SECONDS
--- a/mallowpond/platform/tests/test_store.py
+++ b/mallowpond/platform/tests/test_store.py
@@ -334,3 +334,15 @@
     await store.targets(5)
     assert counter.labels("target", "bytes")._value.get() == 1
     assert counter.labels("target", "range")._value.get() == 1
+
+
+async def test_a_whole_read_tells_when_the_store_answered():
+    """Symptom: keyed requests are refused now and then although the store answers.
+
+    Sequence: a host reads the configuration whole, then asks for changes with a wait.
+    Cause: the store's time was dropped from whole reads, the only fast ones; by the
+    slow ones each answer seemed to be as old as the wait.
+    """
+    data = response(200, {"rows": [], "ver": 4, "now_ms": 51_230})
+    found, _ = await ask(data, lambda store: store.configuration(0, 0.0))
+    assert found.answered_at == 51.23
