Keep hosts sure of their configuration while the store answers

What callers saw: where keys must go within 2 s most requests were refused as configuration_unsure although the store answered. Cause: whole reads dropped the store's time, and they are the fast ones by which a host learns the store's clock; so an answer that had waited seemed as old as its wait. And the wait was 1.5 s whatever the bound: with 0.5 s between two questions to a reader, more than a bound of 2 s less its margin leaves. Change: a whole read keeps the time of its first page; a question waits at most 0.3 of the bound. With a bound of 5 s the wait is 1.5 s as before. Ruled out: a store that does not answer (no line says so).

--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -13,10 +13,13 @@
 
 log = structlog.get_logger()
 
-# Time that one question waits at the store for a change, in seconds. An answer confirms
-# the version as of its leaving the store, so the age stays about below this; it is time
-# that is missing when the store is lost. At 0.5 s two hosts made 4 calls a second.
+# Longest time that one question waits at the store for a change, in seconds, and the
+# part of the bound for keys that it may take. An answer confirms the version as of its
+# leaving the store, so a reader's age stays about below the wait; it is time that is
+# missing when the store is lost. Shorter waits make more calls; with ones that the bound
+# does not bear, hosts that ask a reader refuse keys while the store answers.
 WAIT_SECONDS = 1.5
+WAIT_SHARE = 0.3
 # Pause after a question that failed, in seconds: a store that is down gets few calls,
 # and a node is back well within the bound for a change.
 RETRY_SECONDS = 0.2
@@ -174,8 +177,10 @@
             # A follower's revision is mostly older than the store's history.
             self._is_behind.clear()
             self._revision = FROM_START
-        # After a failure what matters is that the version still holds, not news.
-        wait = 0.0 if self._failures else WAIT_SECONDS
+        wait = min(WAIT_SECONDS, WAIT_SHARE * self._revoke_seconds)
+        if self._failures:
+            # What matters then is that the version still holds, not news.
+            wait = 0.0
         answer = await self._source.configuration(self._revision, wait)
         match answer:
             case Unavailable(reason=reason):
--- a/mallowpond/platform/store.py
+++ b/mallowpond/platform/store.py
@@ -295,6 +295,9 @@
     """
     return StoreAnswer(
         version=pages[0].version,
+        # Whole reads are the fast ones, by which the store's clock is learnt: without
+        # their time an answer that waited seems as old as its wait.
+        answered_at=pages[0].answered_at,
         rows=tuple(row for page in pages for row in page.rows),
         nameless=tuple(fault for page in pages for fault in page.nameless),
     )
