Bring the request that ends its engines about, with real processes

Engine stand-ins end 0.1 s after a request with a certain body begins to run. A caller sends it again and again, at any node, as a stream, as a call that may be repeated and as one that may not; all other callers come back with what was not answered whole. The soak draws such requests beside its other faults (draw 3) and checks that they reach engines three times at most once the news of three ended engines had time to spread, and that nobody who only stood beside them stays unserved.

--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -16,8 +16,8 @@
 # Longest time that one question waits at the store for a change, in seconds, and the
 # part of the bound for keys that it may take. An answer confirms the version as of its
 # leaving the store, so a reader's age stays about below the wait; it is time that is
-# missing when the store is lost. Shorter waits make more calls; with ones that the bound
-# does not bear, hosts that ask a reader refuse keys while the store answers.
+# missing when the store is lost. Shorter waits make more calls; with ones that the
+# bound does not bear, hosts that ask a reader refuse keys while the store answers.
 WAIT_SECONDS = 1.5
 WAIT_SHARE = 0.3
 # Pause after a question that failed, in seconds: a store that is down gets few calls,
--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import os
 import secrets
 import time
 from dataclasses import dataclass, field
@@ -36,6 +37,10 @@
 CALL_SECONDS = 0.03
 STORE_SECONDS = 1.0
 NOT_RUN = ((names.NOT_RUN, "1"),)
+# A request whose body begins like this ends the process that runs it, and how long
+# after the run began, in seconds.
+FATAL_BODY = b"fatal "
+FATAL_SECONDS = 0.1
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -401,8 +406,11 @@
                 members=place and place.members,
             )
             stamp = ((names.STAMP, f"{self._id}.{attempt}"), *echo)
+            is_fatal = request.body.startswith(FATAL_BODY)
+            if is_fatal:
+                self._later(FATAL_SECONDS, lambda: self._crash(attempt))
             if place is None:
-                await asyncio.sleep(CALL_SECONDS)
+                await asyncio.sleep(2 * FATAL_SECONDS if is_fatal else CALL_SECONDS)
                 await exchange.respond(200, call_body(attempt), stamp)
             else:
                 await self._stream(request, exchange, attempt, stamp)
@@ -425,6 +433,11 @@
             await exchange.send(event_bytes(attempt, number))
         await exchange.end()
 
+    def _crash(self, attempt: str) -> None:
+        """End the process as a crash does: every connection closes where it stands."""
+        self._note("crash", attempt=attempt)
+        os._exit(1)
+
     def _note(self, event: str, **values: Any) -> None:
         line = {
             "at": time.monotonic(),
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,8 @@
 from soak.records import Disturbance, Run, read_notes, write_run
 
 RATE = 40.0
+# How often a caller comes again, where a request may end the engines of others.
+RETURNS = 8
 # Time after the last fault in which callers go on, in seconds.
 CALM_SECONDS = 3.0
 # Time for which no link carries anything, in seconds, after which a node may take its
@@ -54,18 +56,26 @@
     """Play one case and return what it left behind."""
     rng = random.Random(case.seed)
     fleet = Fleet(folder=folder, shape=case.shape)
-    injector = Injector(fleet=fleet)
+    kinds = case.only or draw_kinds(rng, case.draw)
+    faults = (*case.faults, *draw_faults(rng, case.seconds, kinds))
+    is_fatal = any(fault.kind == "fatal_request" for fault in faults)
+    ends_in = max([case.seconds, *(f.at + f.seconds for f in case.faults)])
+    callers = Callers(
+        ports=fleet.ports,
+        rate=rate,
+        rng=random.Random(case.seed),
+        returns=RETURNS if is_fatal else 0,
+    )
+    injector = Injector(fleet=fleet, callers=callers)
     try:
         await fleet.start()
         restarts = asyncio.create_task(fleet.run_restarts())
         stalls = Stalls()
         watching = asyncio.create_task(stalls.watch())
-        callers = Callers(ports=fleet.ports, rate=rate, rng=random.Random(case.seed))
         asking = asyncio.create_task(
-            callers.run(time.monotonic() + case.seconds + CALM_SECONDS)
+            callers.run(time.monotonic() + ends_in + CALM_SECONDS)
         )
-        kinds = case.only or draw_kinds(rng, case.draw)
-        await injector.run(draw_faults(rng, case.seconds, kinds))
+        await injector.run(tuple(sorted(faults, key=lambda fault: fault.at)))
         await asking
         await cancel_task(restarts)
         await cancel_task(watching)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from dataclasses import replace
 
 import h11
 
@@ -28,17 +29,30 @@
 LONG_SHARE = 0.04
 LONG_EVENTS = (100, 200)
 LONG_SECONDS = 6.0
+# Longest pauses before a caller sends a request that was not answered whole again, and
+# before one that never is comes again, in seconds.
+RETURN_SECONDS = 0.8
+INSIST_SECONDS = 0.4
+# Events of a stream that ends its engine: it would last longer than the engine does.
+FATAL_EVENTS = 30
 
 
 class Callers:
     """Keep requests coming, at random times, on kept and on new connections."""
 
     def __init__(
-        self, *, ports: list[tuple[int, int]], rate: float, rng: random.Random
+        self,
+        *,
+        ports: list[tuple[int, int]],
+        rate: float,
+        rng: random.Random,
+        returns: int = 0,
     ) -> None:
         self._ports = ports
         self._rate = rate
         self._rng = rng
+        # How often a caller comes again with a request that was not answered whole.
+        self._returns = returns
         self._ready: set[int] = set()
         self._kept: list[_Connection] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -56,6 +70,16 @@
         for connection in self._kept:
             connection.close()
 
+    async def insist(self, *, kind: Kind, body: str, until: float) -> None:
+        """Send one request again and again, at any node, whatever comes of it."""
+        key = self._rng.choice(("key-a", "key-b"))
+        while time.monotonic() < until:
+            first = self._record(kind, FATAL_EVENTS, DEADLINES[kind])
+            record = replace(first, content=body, key=key)
+            self.records.append(record)
+            await self._ask(record, None)
+            await asyncio.sleep(self._rng.uniform(0.0, INSIST_SECONDS))
+
     async def _look(self) -> None:
         while True:
             for node, (_, port) in enumerate(self._ports):
@@ -73,21 +97,44 @@
         events, seconds = rng.randint(1, 30), DEADLINES[kind]
         if kind is Kind.STREAM and rng.random() < LONG_SHARE:
             events, seconds = rng.randint(*LONG_EVENTS), LONG_SECONDS
+        record = self._record(kind, events, seconds, node)
+        record.is_kept = connection is not None
+        self.records.append(record)
+        task = asyncio.create_task(self._persist(record, connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _record(
+        self, kind: Kind, events: int, seconds: float, node: int | None = None
+    ) -> CallerRecord:
         now = time.monotonic()
-        record = CallerRecord(
-            attempt=f"{rng.getrandbits(64):016x}",
+        attempt = f"{self._rng.getrandbits(64):016x}"
+        return CallerRecord(
+            attempt=attempt,
             kind=kind,
-            key=rng.choice(("key-a", "key-b")),
-            node=node,
+            key=self._rng.choice(("key-a", "key-b")),
+            node=self._choose_node() if node is None else node,
             events=events,
             sent_at=now,
             deadline=now + seconds,
-            is_kept=connection is not None,
+            content=attempt,
         )
-        self.records.append(record)
-        task = asyncio.create_task(self._ask(record, connection))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+
+    async def _persist(
+        self, record: CallerRecord, connection: "_Connection | None"
+    ) -> None:
+        """Ask, and ask again elsewhere while the request may be repeated."""
+        await self._ask(record, connection)
+        for _ in range(self._returns):
+            is_whole = record.status == 200 and record.ending is Ending.WHOLE
+            may_have_run = record.kind is Kind.ONCE and record.status != 503
+            if is_whole or may_have_run:
+                return
+            await asyncio.sleep(self._rng.uniform(0.0, RETURN_SECONDS))
+            again = self._record(record.kind, record.events, DEADLINES[record.kind])
+            record = replace(again, content=record.content, key=record.key)
+            self.records.append(record)
+            await self._ask(record, None)
 
     def _take_kept(self) -> "_Connection | None":
         self._kept = [c for c in self._kept if c.is_open]
@@ -152,7 +199,7 @@
             (names.AUTHORIZATION, f"Bearer {record.key}"),
             (names.ATTEMPT, record.attempt),
             (names.DEADLINE, str(max(1, left))),
-            ("content-length", "0"),
+            ("content-length", str(len(record.content))),
         ]
         if record.kind is Kind.STREAM:
             headers += [
@@ -160,7 +207,9 @@
                 (names.TOKENS, f"100,{STRIDE * record.events}"),
             ]
         head = h11.Request(method="POST", target=PATHS[record.kind], headers=headers)
-        data = self._state.send(head) + self._state.send(h11.EndOfMessage())
+        data = self._state.send(head)
+        data += self._state.send(h11.Data(data=record.content.encode()))
+        data += self._state.send(h11.EndOfMessage())
         self._writer.write(data)
         await self._read(record)
 
--- a/soak/cases.py
+++ b/soak/cases.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from soak.faults import NEWEST_DRAW
+from soak.faults import NEWEST_DRAW, Fault
 from soak.fleet import FleetShape
 
 
@@ -19,6 +19,8 @@
     draw: int = NEWEST_DRAW
     only: tuple[str, ...] = ()
     shape: FleetShape = FleetShape()
+    # Faults that come beside what is drawn; none is drawn in a run of no seconds.
+    faults: tuple[Fault, ...] = ()
     cause: str = ""
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,11 +9,12 @@
 
 import structlog
 
-from mallowpond.standins.observatory_engine import new_engine_id
+from mallowpond.standins.observatory_engine import FATAL_BODY, new_engine_id
 from mallowpond.standins.observatory_operator import NO_IDS, foreign_values
+from soak.callers import Callers
 from soak.fleet import Fleet, Member
 from soak.proxy import Link, Proxy
-from soak.records import Disturbance, ForeignEntry, Revocation
+from soak.records import Disturbance, ForeignEntry, Kind, Revocation
 
 log = structlog.get_logger()
 
@@ -44,10 +45,12 @@
     "foreign_entry",
     "foreign_entry_of_engine",
 )
+# A request that ends each engine that runs it, sent again and again.
+NEWEST_KINDS = ("fatal_request",)
 # Parts of all kinds that a seed of the second draw may choose from: with few kinds
 # there are calm times, in which the bounds in time count.
 KIND_SHARES = (0.15, 0.3, 0.6, 1.0)
-NEWEST_DRAW = 2
+NEWEST_DRAW = 3
 LINKS = (Link.SLOW, Link.RESET, Link.SILENT, Link.ONE_WAY)
 SERIES = ("node_stop_all", "node_stop_series")
 LONGEST_SECONDS = 4.0
@@ -62,6 +65,9 @@
 # Time for which an entry of another writer stands at least, in seconds: longer than
 # the bound after which nothing may be sent to its engine.
 FOREIGN_SECONDS = 3.5
+# Time for which a request that ends its engines comes again at least, in seconds:
+# longer than the bound after which it may hardly reach one.
+FATAL_SECONDS = 6.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -72,7 +78,7 @@
     kind: str
     seconds: float
     draw: int
-    link: Link
+    link: Link = Link.SLOW
 
 
 def draw_kinds(rng: random.Random, draw: int) -> tuple[str, ...]:
@@ -80,7 +86,7 @@
     if draw == 1:
         return KINDS
     share = rng.choice(KIND_SHARES)
-    kinds = KINDS + LATER_KINDS
+    kinds = KINDS + LATER_KINDS + (NEWEST_KINDS if draw > 2 else ())
     return tuple(k for k in kinds if rng.random() < share) or LATER_KINDS
 
 
@@ -108,6 +114,7 @@
     """Carry out faults on a fleet, and remember what was done."""
 
     fleet: Fleet
+    callers: Callers
     disturbances: list[Disturbance] = field(default_factory=list)
     revocations: list[Revocation] = field(default_factory=list)
     foreign: list[ForeignEntry] = field(default_factory=list)
@@ -132,6 +139,8 @@
                 return
             case "node":
                 await self._disturb_node(fault, self.fleet.nodes[number])
+            case "fatal":
+                await self._send_fatal(fault)
             case "engine":
                 number = fault.draw % len(self.fleet.engines)
                 await self._disturb_engine(fault, self.fleet.engines[number])
@@ -140,6 +149,15 @@
         is_of_one = fault.kind.startswith("node") or fault.kind == "store_link"
         self._note(fault.kind, began, number if is_of_one else None)
 
+    async def _send_fatal(self, fault: Fault) -> None:
+        kinds = list(Kind)
+        await self.callers.insist(
+            kind=kinds[fault.draw % len(kinds)],
+            body=f"{FATAL_BODY.decode()}{fault.draw}",
+            until=time.monotonic() + FATAL_SECONDS + fault.seconds,
+        )
+        await asyncio.sleep(SETTLE_SECONDS)
+
     async def _disturb_node(self, fault: Fault, node: Member) -> None:
         match fault.kind:
             case "node_kill":
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 
 from mallowpond.platform import headers as names
-from mallowpond.standins.observatory_engine import call_body, event_bytes
+from mallowpond.standins.observatory_engine import FATAL_BODY, call_body, event_bytes
 from soak.records import CallerRecord, Ending, Kind, Note, Run
 
 GROUP_SIZE = 3
@@ -49,6 +49,11 @@
 # second.
 STOP_SECONDS = 9.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Engines that one request may end before it is known for it, and how often it may
+# reach engines after a while all the same.
+FATAL_ENDINGS = 3
+FATAL_RETRIES = 3
+FATAL_KIND = "fatal_request"
 WORKSPACES = {"key-a": "a", "key-b": "b"}
 
 
@@ -62,6 +67,8 @@
         _whole_groups,
         _one_group,
         _no_such_engines,
+        _contained,
+        _bystanders,
     )
     if timed:
         checks += (
@@ -254,6 +261,58 @@
             yield f"{note.engine}: got what was meant for {wanted!r}"
 
 
+def _contained(run: Run) -> Iterator[str]:
+    """Find requests that went on to engines long after they had ended some."""
+    sent = {record.attempt: record for record in run.callers}
+    ended: dict[str, list[float]] = defaultdict(list)
+    for note in run.notes:
+        if note.event == "crash":
+            ended[sent[note.values["attempt"]].content].append(note.at)
+    for content, times in ended.items():
+        if len(times) < FATAL_ENDINGS:
+            continue
+        since = sorted(times)[FATAL_ENDINGS - 1] + CALM_SECONDS
+        again = {
+            record.attempt
+            for record in (sent.get(note.values["attempt"]) for note in _runs(run))
+            if record is not None
+            and record.content == content
+            and record.sent_at > since
+            and not _was_disturbed(run, record.node, record.sent_at)
+        }
+        if len(again) > FATAL_RETRIES:
+            yield f"{content}: ended {len(times)} engines, sent {len(again)} times more"
+
+
+def _was_disturbed(run: Run, node: int, at: float) -> bool:
+    """Tell whether a node itself was disturbed just before a moment."""
+    return any(
+        d.node == node and d.began_at < at and d.ended_at > at - CALM_SECONDS
+        for d in run.disturbances
+    )
+
+
+def _bystanders(run: Run) -> Iterator[str]:
+    """Find requests that only stood on engines which another one ended."""
+    fatal = [d for d in run.disturbances if d.kind == FATAL_KIND]
+    by_content: dict[str, list[CallerRecord]] = defaultdict(list)
+    for record in run.callers:
+        # What may not be repeated is lost with its engine, as its caller is told.
+        if record.kind is not Kind.ONCE:
+            by_content[record.content].append(record)
+    for content, records in by_content.items():
+        if any(r.status == 200 and r.ending is Ending.WHOLE for r in records):
+            continue
+        start, end = records[0].sent_at, records[-1].ended_at
+        is_beside = any(d.began_at < start and end < d.ended_at for d in fatal)
+        is_alone = not _disturbed_by(
+            run, start - SETTLED_SECONDS, end, except_for=(FATAL_KIND, *DISREGARDED)
+        )
+        is_fatal = content.startswith(FATAL_BODY.decode())
+        if len(records) > 1 and is_beside and is_alone and not is_fatal:
+            yield f"{content}: asked {len(records)} times beside a fatal request"
+
+
 def _graceful_stops(run: Run) -> Iterator[str]:
     ran = {note.values["attempt"] for note in _runs(run)}
     stops = [d for d in run.disturbances if d.kind == "node_stop"]
--- a/soak/records.py
+++ b/soak/records.py
@@ -36,6 +36,8 @@
     sent_at: float
     deadline: float
     is_kept: bool = False
+    # The request's body, which stays the same when its caller sends it again.
+    content: str = ""
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -88,8 +88,59 @@
 NO_ENGINE = Disturbance(kind="foreign_entry", began_at=9.0, ended_at=12.0)
 STORE_CUT = Disturbance(kind="store_link", began_at=4.0, ended_at=6.0, node=1)
 MISDIRECTED = note("misdirected", wanted="no id")
+FATAL_BESIDE = Disturbance(kind="fatal_request", began_at=0.0, ended_at=60.0)
+RESTARTED_NODE = Disturbance(kind="node_kill", began_at=19.0, ended_at=21.0, node=0)
+FAILED = {"status": 502, "headers": {}, "body": b""}
+
+
+def fatal(*times):
+    """Write a request that ended an engine at each of these times."""
+    records = [
+        record(
+            **FAILED,
+            attempt=f"f{at}",
+            content="fatal 1",
+            sent_at=at,
+            ended_at=at,
+            deadline=at + 1.5,
+        )
+        for at in times
+    ]
+    lines = [ran(f"f{at}", at) for at in times]
+    lines += [note("crash", at + 0.1, attempt=f"f{at}") for at in times]
+    return records, lines
+
+
+def fatal_run(*times, **more):
+    """Write a run with such a request."""
+    records, lines = fatal(*times)
+    return run_of(*records, notes=lines, **more)
+
+
+def asked(*, sent_at, **more):
+    """Write one asking of a request that was asked several times."""
+    times = {"sent_at": sent_at, "ended_at": sent_at, "deadline": sent_at + 1.5}
+    return record(Kind.AGAIN, content="c", **times, **more)
+
 
 KEPT = [
+    # Within the time that the news of it takes, and a few times after.
+    fatal_run(10.0, 11.0, 12.0, 12.5, 13.0, 14.0, 15.0, 20.0, 20.1, 20.2),
+    fatal_run(10.0, 11.0, 20.0, 20.1, 20.2),
+    fatal_run(
+        10.0,
+        11.0,
+        12.0,
+        *(20.0 + n / 10 for n in range(4)),
+        disturbances=(RESTARTED_NODE,),
+    ),
+    run_of(
+        asked(sent_at=10.0, **FAILED),
+        asked(sent_at=11.0, **REFUSED),
+        asked(sent_at=12.0),
+        notes=[ran(), ran()],
+        disturbances=(FATAL_BESIDE,),
+    ),
     run_of(record(), notes=[ran()]),
     run_of(record(Kind.STREAM), notes=[*READY, OPEN, ran(**IN_GROUP)]),
     run_of(record(**REFUSED)),
@@ -136,6 +187,15 @@
     run_of(notes=[note("start", 1.0, "e9"), note("misdirected", wanted="e9")]),
 ]
 BROKEN = [
+    ("4 times more", fatal_run(10.0, 11.0, 12.0, *(20.0 + n / 10 for n in range(4)))),
+    (
+        "beside a fatal request",
+        run_of(
+            asked(sent_at=10.0, **FAILED),
+            asked(sent_at=11.0, **REFUSED),
+            disturbances=(FATAL_BESIDE,),
+        ),
+    ),
     ("another request", run_of(record(headers={}), notes=[ran()])),
     ("is not", run_of(record(body=b""), notes=[ran()])),
     ("missing, doubled", run_of(record(**{**CUT, "body": b"x"}), notes=[ran()])),
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -6,7 +6,8 @@
 
 from soak.__main__ import play
 from soak.cases import Case
-from soak.judge import broken_promises
+from soak.faults import Fault
+from soak.judge import FATAL_ENDINGS, broken_promises
 from soak.records import Ending
 
 SECONDS = 4.0
@@ -24,3 +25,20 @@
     run = asyncio.run(play(Case(seed=seed, seconds=SECONDS, draw=draw), tmp_path))
     assert broken_promises(run, timed=False) == []
     assert any(r.status == 200 and r.ending is Ending.WHOLE for r in run.callers)
+
+
+# Numbers of the draw whose remainder chooses the kind of the request.
+@pytest.mark.parametrize("draw", [0, 1, 2], ids=["stream", "once", "again"])
+def test_a_request_that_ends_its_engines_is_held_back(draw, tmp_path):
+    """One caller's request ended each engine that ran it, and the caller came again.
+
+    It came with a new id each time, mostly at another host. A bound on the engines of
+    one exchange started anew with each return and nothing outlived the exchange, so it
+    went on ending engines, and what ran beside it was lost with them. Two engines of
+    one day: a stream began to run 101 ms and 66 ms before its head ended.
+    """
+    fault = Fault(at=0.2, kind="fatal_request", seconds=6.0, draw=draw)
+    case = Case(seed=1, seconds=0.0, faults=(fault,))
+    run = asyncio.run(play(case, tmp_path))
+    assert sum(note.event == "crash" for note in run.notes) >= FATAL_ENDINGS
+    assert broken_promises(run, timed=False) == []
