Hold a request back that ends the targets which run it

Cause: what a host knew of a request ended with its exchange. max_attempts counts the targets of one exchange that are still there, and a target that ended is not. Class: a bound that one host or one exchange keeps alone, on something that outlives both.

Change: a request and its returns share a fingerprint (host, target, workspace, body). Each host notes under which fingerprint a target broke off, and tells six keepers of it, drawn by rendezvous hash, which put together what several hosts saw. Three ended targets hold it back for ten minutes: 503 before it is sent, with the time left as Retry-After; 502 where it ran. Every host is told, a host that starts asks three others, and the store keeps what is held back, for the case that all start at once. Who only stood beside it is not held back: endings that a held request explains do not count, with the same endings that which ran for less time is the likelier cause, a whole answer refutes them, and a send to a target that had ended before is no evidence.

Why it holds: records only add up (any order, doubled, lost and told again), so hosts agree; a wrong choice between two is put right by one more ending. Tried and changed: counting each broken send.

--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -14,6 +14,7 @@
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, Reason, Refusal, ServeOutcome
 from mallowpond.node.ports import CallerProtocol, CallerRequest, Headers, Targets
+from mallowpond.node.quarantine import Quarantine
 from mallowpond.state.fleet import Process, Target
 from mallowpond.state.limits import spread_retry_after
 from mallowpond.state.retry_window import RetryWindow
@@ -97,6 +98,7 @@
         budget: Callable[[str], RetryWindow],
         hosts: Callable[[], int],
         rng: random.Random,
+        quarantine: Quarantine,
     ) -> None:
         self._directory = directory
         self._targets = targets
@@ -106,12 +108,16 @@
         self._budget = budget
         self._hosts = hosts
         self._rng = rng
+        self._quarantine = quarantine
         self._records: dict[Process, TargetRecord] = defaultdict(TargetRecord)
         directory.on_change.append(self._forget_ended)
 
     async def serve(self, work: CallWork) -> ServeOutcome:
         """Serve one request to its end."""
         self._budget(work.service).note_first(self._clock.now())
+        held = self._quarantine.refusal(work.fingerprint)
+        if held is not None:
+            return held
         failed: WholeReply | None = None
         while True:
             target = self._choose(work)
@@ -120,6 +126,7 @@
             reply = await self._send(work, target)
             match reply:
                 case WholeReply(status=status) if status < 500:
+                    self._quarantine.note_answer(work.fingerprint)
                     await _respond(work, reply)
                     return Answered(status=status, target=target.id)
                 case WholeReply():
@@ -182,6 +189,10 @@
             reply = NoReply(reason=reason, may_have_run=True)
         finally:
             record.running -= 1
+        if isinstance(reply, NoReply) and reply.reason is Reason.MAYBE_RUN:
+            self._quarantine.note_ending(work.fingerprint, target.process, now)
+        elif isinstance(reply, WholeReply):
+            self._quarantine.note_life(target.process)
         self._judge(work, target, reply)
         return reply
 
@@ -248,6 +259,8 @@
         now = self._clock.now()
         if work.deadline - now < LEAST_SECONDS:
             return False
+        if self._quarantine.refusal(work.fingerprint) is not None:
+            return False
         if isinstance(reply, NoReply) and not reply.may_have_run:
             if len(work.turned_away) > MAX_NOT_RUN:
                 return False
--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -6,6 +6,7 @@
 import structlog
 
 from mallowpond.coordination.ports import Clock, Unavailable
+from mallowpond.coordination.tasks import sleep_until_news
 from mallowpond.node.ports import ConfigurationRead, HistoryLost, SiteSource
 from mallowpond.state.confirmation import Confirmation, may_admit, merge
 from mallowpond.state.site_configuration import SiteConfiguration
@@ -52,7 +53,7 @@
         self._failures = 0
         self._configuration: SiteConfiguration | None = None
         self._confirmation: Confirmation | None = None
-        self._store_clock = StoreClock()
+        self.store_clock = StoreClock()
         self._is_replaced = False
         self._question = 0
         self._asked_at = float("-inf")
@@ -135,14 +136,7 @@
 
     async def _pause(self, seconds: float, news: asyncio.Event) -> None:
         """Wait for the next question, or until there is news to ask about."""
-        sleep = asyncio.ensure_future(self._clock.sleep(seconds))
-        heard = asyncio.ensure_future(news.wait())
-        try:
-            await asyncio.wait({sleep, heard}, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            sleep.cancel()
-            heard.cancel()
-            await asyncio.gather(sleep, heard, return_exceptions=True)
+        await sleep_until_news(self._clock, seconds, news)
 
     def hear_store(self) -> None:
         """Note that another host reaches the store, which was away for all."""
@@ -228,14 +222,14 @@
     def _answered_at(self, answer: ConfigurationRead, asked_at: float) -> float:
         """Return when the answer left the store, or a little before."""
         told = answer.answered_at
-        self._store_clock.note(asked_at=asked_at, answered_at=told)
-        return self._store_clock.answered_at(
+        self.store_clock.note(asked_at=asked_at, answered_at=told)
+        return self.store_clock.answered_at(
             asked_at=asked_at, answered_at=told, received_at=self._clock.now()
         )
 
     def _note_failure(self, reason: str) -> None:
         self._failures += 1
-        self._store_clock.forget()
+        self.store_clock.forget()
         if self._configuration is None:
             self.ask_peers()
         if self._failures == 1:
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -11,6 +11,7 @@
 import cbor2
 
 from mallowpond.state.codec import to_compact
+from mallowpond.state.crash_ledger import CrashRecord
 from mallowpond.state.decoding import (
     Fault,
     Identifier,
@@ -240,6 +241,22 @@
     alive: bool
 
 
+@dataclass(frozen=True, kw_only=True)
+class CrashRecords:
+    """Tell under which requests targets ended; with `answer` a peer had asked."""
+
+    node: Name
+    records: tuple[CrashRecord, ...]
+    answer: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class CrashQuestion:
+    """Ask a peer under which requests targets ended."""
+
+    node: Name
+
+
 Message = (
     Heartbeat
     | Suspicion
@@ -256,6 +273,8 @@
     | LivenessAnswer
     | ConfigurationPart
     | ConfigurationQuestion
+    | CrashRecords
+    | CrashQuestion
 )
 MESSAGES = {kind.__name__: kind for kind in get_args(Message)}
 
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -40,6 +40,10 @@
         self.in_flight = Gauge(
             "mallowpond_in_flight", "Requests being served", registry=self.registry
         )
+        self.held_back = Gauge(
+            "mallowpond_held_back", "Requests held back", registry=self.registry
+        )
+        self.endings = counter("mallowpond_targets_ended", "Broken off by their target")
         self.configuration_age = Gauge(
             "mallowpond_configuration_age_seconds",
             "Age of the last confirmation",
--- a/mallowpond/node/outcomes.py
+++ b/mallowpond/node/outcomes.py
@@ -26,6 +26,7 @@
     SILENT_GROUP = "silent_group"
     TARGET_FAILED = "target_failed"
     CONNECT = "connect"
+    HELD_BACK = "held_back"
     SLOW_TARGET = "slow_target"
     STOPPING = "stopping"
     INTERNAL = "internal_error"
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -20,6 +20,8 @@
     Advance,
     ConfigurationPart,
     ConfigurationQuestion,
+    CrashQuestion,
+    CrashRecords,
     Digest,
     GroupBroken,
     Heartbeat,
@@ -146,6 +148,8 @@
         self.on_configuration_question: list[
             Callable[[ConfigurationQuestion], None]
         ] = []
+        self.on_crash_records: list[Callable[[CrashRecords], None]] = []
+        self.on_crash_question: list[Callable[[CrashQuestion], None]] = []
         self.on_liveness_question: list[Callable[[LivenessQuestion], None]] = []
         self.on_liveness_answer: list[Callable[[LivenessAnswer], None]] = []
 
@@ -383,6 +387,10 @@
                 _notify(self.on_configuration_part, message)
             case ConfigurationQuestion():
                 _notify(self.on_configuration_question, message)
+            case CrashRecords():
+                _notify(self.on_crash_records, message)
+            case CrashQuestion():
+                _notify(self.on_crash_question, message)
             case LivenessQuestion():
                 _notify(self.on_liveness_question, message)
             case LivenessAnswer():
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -24,6 +24,8 @@
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.planner import GroupPlanner
 from mallowpond.node.ports import NodePorts
+from mallowpond.node.quarantine import Quarantine
+from mallowpond.node.quarantine_sharing import QuarantineSharing
 from mallowpond.node.readers import Readers
 from mallowpond.node.settings import NodeSettings
 from mallowpond.node.streams import StreamService
@@ -87,6 +89,17 @@
             describe=self._describe,
             notes=notes,
         )
+        quarantine = Quarantine(clock=clock, metrics=self.metrics)
+        self.quarantine_sharing = QuarantineSharing(
+            name=settings.name,
+            quarantine=quarantine,
+            peers=self.peers,
+            table=ports.table,
+            clock=clock,
+            store_clock=self.configuration.store_clock,
+            rng=self._rng,
+            notes=notes,
+        )
         shared = {
             "directory": self.directory,
             "targets": ports.targets,
@@ -96,6 +109,7 @@
             "budget": self._budget,
             "hosts": lambda: self.peers.hosts,
             "rng": self._rng,
+            "quarantine": quarantine,
         }
         self.streams = StreamService(**shared)
         self.ingress = Ingress(
@@ -197,6 +211,10 @@
             self.leadership.run(),
             self.readers.run(),
             self.planner.run(),
+            self.quarantine_sharing.run_telling(),
+            self.quarantine_sharing.run_asking(),
+            self.quarantine_sharing.run_writing(),
+            self.quarantine_sharing.run_reading(),
         ):
             self._spawn(work)
         log.info("node: started", name=self._settings.name)
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -13,6 +13,7 @@
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, CutOff, Reason, Refusal, ServeOutcome
 from mallowpond.node.ports import CallerProtocol, Targets
+from mallowpond.node.quarantine import Quarantine
 from mallowpond.node.stream_work import (
     ActiveStream,
     AttemptEnd,
@@ -84,6 +85,7 @@
         budget: Callable[[str], RetryWindow],
         hosts: Callable[[], int],
         rng: random.Random,
+        quarantine: Quarantine,
     ) -> None:
         self._directory = directory
         self._targets = targets
@@ -93,6 +95,7 @@
         self._budget = budget
         self._hosts = hosts
         self._rng = rng
+        self._quarantine = quarantine
         self._lines: dict[str, WaitingLine] = {}
         self._shapes: dict[str, tuple[str, EngineProfile, ModelSpec, float]] = {}
         self._delays: dict[tuple[str, str], FirstEventDelay] = defaultdict(
@@ -150,6 +153,7 @@
             end = await self._send(work, group)
             match end:
                 case WholeAnswer(status=status):
+                    self._quarantine.note_answer(work.fingerprint)
                     self._log_served(work)
                     return Answered(status=status, target=work.sent_to[-1].id)
                 case FailedAnswer():
@@ -174,6 +178,9 @@
         self, work: StreamWork, end: AttemptEnd, reason: Reason
     ) -> Refusal | None:
         now = self._clock.now()
+        held = self._quarantine.refusal(work.fingerprint)
+        if held is not None:
+            return held
         if isinstance(end, NotRun):
             work.not_run += 1
             work.sent_to.pop()
@@ -241,6 +248,11 @@
 
     async def _place(self, work: StreamWork) -> Group | Refusal:
         while True:
+            held = self._quarantine.refusal(work.fingerprint)
+            if held is not None:
+                # Placed all the same, it would end one more group and all that runs
+                # there; its caller comes again, at any host.
+                return held
             group = self._choose(work)
             if group is not None and self._ends_before(work):
                 self._wake(work.model.name)
@@ -451,7 +463,7 @@
         self._wake(work.model.name)
         try:
             async with asyncio.timeout(max(0.001, work.deadline - now)):
-                return await stream.task
+                end = await stream.task
         except asyncio.CancelledError:
             if stream.moved is None or _is_cancelling():
                 raise
@@ -466,6 +478,9 @@
             own.reading_tokens -= stream.reading
             work.progress.drop_rest()
             self._wake(work.model.name)
+        if end == Interrupted(reason=Reason.BROKEN_STREAM):
+            self._quarantine.note_ending(work.fingerprint, group.head.process, now)
+        return end
 
     async def _attempt(self, stream: ActiveStream) -> AttemptEnd:
         work, head = stream.work, stream.group.head
@@ -553,6 +568,8 @@
             load = self._directory.loads.load_of(stream.group, stream.work.profile)
             predicted = pass_seconds(work.profile, work.model, load)
             self._directory.loads.note_gap(stream.key, gap, predicted)
+        if stream.group.head is not None:
+            self._quarantine.note_life(stream.group.head.process)
         stream.last_event_at = now
         stream.events += 1
         own.last_event_at = now
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -15,6 +15,7 @@
     OrderTaken,
     TargetsRead,
 )
+from mallowpond.node.quarantine import Quarantine
 from mallowpond.node.stream_work import StreamWork
 from mallowpond.node.streams import StreamService
 from mallowpond.state.fleet import (
@@ -316,15 +317,17 @@
     source = FakeSource(listed=deque([listing(*members)]))
     directory = Directory(source=source, clock=clock)
     budget = RetryWindow(ratio=1.0, slack=slack, window_seconds=10.0)
+    metrics = NodeMetrics()
     service = StreamService(
         directory=directory,
         targets=targets,
         callers=FakeCallers(),
         clock=clock,
-        metrics=NodeMetrics(),
+        metrics=metrics,
         budget=lambda service: budget,
         hosts=lambda: 1,
         rng=random.Random(1),
+        quarantine=Quarantine(clock=clock, metrics=metrics),
     )
     await directory.refresh()
     return Rig(
--- a/mallowpond/node/tests/test_calls.py
+++ b/mallowpond/node/tests/test_calls.py
@@ -9,6 +9,7 @@
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, Reason, Refusal
 from mallowpond.node.ports import CallerRequest
+from mallowpond.node.quarantine import Quarantine
 from mallowpond.node.tests.fakes import (
     BROKEN,
     UNREACHABLE,
@@ -59,15 +60,17 @@
 
 def service_of(directory, fakes, clock, budget):
     """Build a service of calls over fakes."""
+    metrics = NodeMetrics()
     return CallService(
         directory=directory,
         targets=fakes,
         callers=FakeCallers(),
         clock=clock,
-        metrics=NodeMetrics(),
+        metrics=metrics,
         budget=lambda service: budget,
         hosts=lambda: 1,
         rng=random.Random(1),
+        quarantine=Quarantine(clock=clock, metrics=metrics),
     )
 
 
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -15,6 +15,8 @@
     Advance,
     ConfigurationPart,
     ConfigurationQuestion,
+    CrashQuestion,
+    CrashRecords,
     Digest,
     GroupBroken,
     Heartbeat,
@@ -42,6 +44,7 @@
 from mallowpond.node.tests.fakes import FakeClock
 from mallowpond.standins.platform import MemoryTable
 from mallowpond.state.codec import to_compact
+from mallowpond.state.crash_ledger import CrashRecord, Ending
 from mallowpond.state.decoding import Unreadable
 from mallowpond.state.fleet import (
     BreakCause,
@@ -195,6 +198,11 @@
     membership=Membership(group="g", epoch=3, rank=0, phase=GroupPhase.OPEN),
     born=5,
 )
+CRASHED = CrashRecord(
+    request="f1",
+    endings=(Ending(process=Process(id="t", born=5), ran=0.1),),
+    age=2.0,
+)
 MESSAGES_OF_EACH_KIND = (
     beat(),
     Suspicion(node="b", group="g", epoch=3),
@@ -231,6 +239,8 @@
     ConfigurationQuestion(node="b"),
     LivenessQuestion(node="b", number=3, target="t"),
     LivenessAnswer(node="b", number=3, alive=True),
+    CrashRecords(node="b", records=(CRASHED,), answer=True),
+    CrashQuestion(node="b"),
 )
 # What is no value of any field, by its type.
 WRONG = {
--- a/mallowpond/state/ownership.py
+++ b/mallowpond/state/ownership.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 from functools import lru_cache
 from hashlib import blake2b
+from heapq import nlargest
 
 # Weights that are kept: a few keys over all hosts of a fleet. Hosts rank their peers
 # some 25 times a second; hashing 88 names each time took 12 ms a second (one host fed
@@ -10,11 +11,15 @@
 KEPT_SCORES = 4096
 
 
+def _score(member: str, key: str) -> int:
+    digest = blake2b(f"{member}\0{key}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
 @lru_cache(maxsize=KEPT_SCORES)
 def rendezvous_score(member: str, key: str) -> int:
     """Return the weight of `member` for `key`."""
-    digest = blake2b(f"{member}\0{key}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
+    return _score(member, key)
 
 
 def owner_of(key: str, members: Iterable[str]) -> str | None:
@@ -28,6 +33,14 @@
     return sorted(members, key=lambda m: rendezvous_score(m, key), reverse=True)
 
 
+def first_owners(key: str, members: Iterable[str], count: int) -> list[str]:
+    """Return the members with the highest weights for a key that is asked for seldom.
+
+    Its weights are not kept: they would push out those that are needed all the time.
+    """
+    return nlargest(count, members, key=lambda m: _score(m, key))
+
+
 def ranked_by_capacity(key: str, members: Mapping[str, float]) -> list[str]:
     """Return the members, those with the most cores first, then by weight for `key`.
 
--- a/mallowpond/state/store_clock.py
+++ b/mallowpond/state/store_clock.py
@@ -23,6 +23,14 @@
         """Drop what was learnt: the store may be another process with another clock."""
         self._offset = float("-inf")
 
+    def to_store_time(self, at: float) -> float | None:
+        """Return this host's time on the store's clock, None while it is not known."""
+        return None if self._offset == float("-inf") else at - self._offset
+
+    def from_store_time(self, at: float) -> float | None:
+        """Return a time of the store's clock on this host's, None if not known."""
+        return None if self._offset == float("-inf") else at + self._offset
+
     def answered_at(
         self, *, asked_at: float, answered_at: float | None, received_at: float
     ) -> float:
--- /dev/null
+++ b/mallowpond/state/tests/test_crash_ledger.py
@@ -0,0 +1,201 @@
+"""Which requests are held back, by the targets that ended under them."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from mallowpond.state.crash_ledger import (
+    ANSWERED_SECONDS,
+    ENDINGS_TO_HOLD,
+    FORGET_SECONDS,
+    HOLD_SECONDS,
+    MAX_ANSWERED,
+    MAX_ENDINGS,
+    MAX_REQUESTS,
+    CrashLedger,
+    CrashRecord,
+    Ending,
+)
+from mallowpond.state.fleet import Process
+
+
+def ending(target, ran=0.1):
+    """Write the ending of a target."""
+    return Ending(process=Process(id=str(target), born=1), ran=ran)
+
+
+def record(request, *targets, ran=0.1, age=0.0):
+    """Write a record of a request under which these targets ended."""
+    endings = tuple(ending(target, ran) for target in targets)
+    return CrashRecord(request=request, endings=endings, age=age)
+
+
+def ledger_of(*records):
+    """Build a ledger that heard these records."""
+    ledger = CrashLedger()
+    for known in records:
+        ledger.merge(known, 0.0)
+    return ledger
+
+
+def test_a_request_is_held_back_once_three_targets_ended_under_it():
+    ledger = CrashLedger()
+    for number in range(ENDINGS_TO_HOLD):
+        assert not ledger.held(0.0)
+        ledger.note_ending("bad", ending(number), 0.0)
+    assert ledger.held(0.0) == {"bad"}
+    assert ledger.seconds_held("bad", 1.0) == HOLD_SECONDS - 1.0
+
+
+def test_one_target_counts_once_however_often_it_is_told():
+    ledger = ledger_of(*[record("bad", "a")] * 5)
+    assert not ledger.held(0.0)
+
+
+def test_a_target_that_starts_again_under_its_id_counts_again():
+    ledger = CrashLedger()
+    for born in range(ENDINGS_TO_HOLD):
+        again = Ending(process=Process(id="a", born=born), ran=0.1)
+        ledger.note_ending("bad", again, 0.0)
+    assert ledger.held(0.0) == {"bad"}
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_hosts_agree_whatever_the_order_in_which_they_hear(seed):
+    """Symptom: a host goes on sending what all others hold back.
+
+    Sequence: records come late, doubled and in any order.
+    Cause: what was told replaced what was known.
+    """
+    rng = random.Random(seed)
+    told = [record("bad", n, ran=0.1) for n in range(4)]
+    told += [record("beside", n, ran=rng.random()) for n in (0, 1, 2)]
+    told += [record("other", n, ran=0.3) for n in (7, 8)]
+    heard = told + rng.choices(told, k=5)
+    rng.shuffle(heard)
+    assert ledger_of(*heard).held(0.0) == {"bad"}
+
+
+def test_who_stood_beside_it_each_time_is_not_held_back():
+    """Symptom: a request that harms nobody is refused for minutes.
+
+    Sequence: with few groups, it comes again to the very groups to which the one that
+    ends them comes again; all three end under both.
+    Cause: standing on targets that ended was all that counted.
+    """
+    ledger = ledger_of(
+        record("beside", "a", "b", "c", ran=0.4), record("bad", "a", "b", "c", ran=0.1)
+    )
+    assert ledger.held(0.0) == {"bad"}
+
+
+def test_a_wrong_choice_between_two_is_put_right_by_one_more_ending():
+    ledger = ledger_of(
+        record("beside", "a", "b", "c", ran=0.05), record("bad", "a", "b", "c", ran=0.1)
+    )
+    assert ledger.held(0.0) == {"beside"}
+    ledger.merge(record("bad", "d"), 0.0)
+    assert ledger.held(0.0) == {"bad"}
+
+
+def test_a_bystander_with_a_lost_target_of_its_own_is_not_held_back():
+    ledger = ledger_of(
+        record("bad", "a", "b", "c", ran=0.1), record("beside", "a", "b", "z", ran=0.4)
+    )
+    assert ledger.held(0.0) == {"bad"}
+
+
+def test_two_requests_that_end_targets_are_both_held_back():
+    ledger = ledger_of(record("one", "a", "b", "c", "d"), record("two", "c", "x", "y"))
+    assert ledger.held(0.0) == {"one", "two"}
+
+
+def test_a_whole_answer_clears_a_request():
+    ledger = ledger_of(record("fine", "a", "b"))
+    told = ledger.note_answer("fine", 1.0)
+    assert all(known.refuted for known in told.endings)
+    ledger.merge(record("fine", "c"), 1.0 + ANSWERED_SECONDS + 1.0)
+    assert not ledger.held(70.0)
+    assert ledger.note_answer("never seen", 1.0) is None
+
+
+def test_what_a_host_refutes_is_refuted_where_it_is_heard_late():
+    """Symptom: a request that was answered is held back on another host.
+
+    Sequence: the news that it was answered comes before that of a target's end.
+    Cause: the later news counted for more.
+    """
+    first = ledger_of(record("fine", "a", "b", "c"))
+    refuted = first.note_answer("fine", 1.0)
+    second = ledger_of(refuted, record("fine", "a", "b", "c"))
+    assert not second.held(1.0)
+
+
+def test_a_request_that_many_send_alike_is_not_held_back_for_a_domains_end():
+    """Symptom: a popular request is refused for minutes after an outage.
+
+    Sequence: it runs on several targets of a fabric domain, which all end at once.
+    Cause: three ended targets counted although it had just been answered.
+    """
+    ledger = CrashLedger()
+    ledger.note_answer("popular", 0.0)
+    for target in "abcd":
+        ledger.note_ending("popular", ending(target), 1.0)
+    assert not ledger.held(1.0)
+    ledger.note_answer("untold", 0.0)
+    for target in "efgh":
+        ledger.note_ending("untold", ending(target), ANSWERED_SECONDS + 1.0)
+    assert ledger.held(ANSWERED_SECONDS + 1.0) == {"untold"}
+
+
+def test_a_hold_ends_and_one_more_ending_begins_it_anew():
+    ledger = ledger_of(record("bad", "a", "b", "c"))
+    assert not ledger.held(HOLD_SECONDS)
+    assert ledger.seconds_held("bad", HOLD_SECONDS + 1.0) == 0.0
+    ledger.note_ending("bad", ending("d"), HOLD_SECONDS + 1.0)
+    assert ledger.held(HOLD_SECONDS + 1.0) == {"bad"}
+    later = HOLD_SECONDS + FORGET_SECONDS + 2.0
+    ledger.note_ending("bad", ending("e"), later)
+    assert not ledger.held(later)
+
+
+def test_an_age_counts_when_a_host_hears_of_it_late():
+    ledger = ledger_of(record("bad", "a", "b", "c", age=HOLD_SECONDS - 5.0))
+    assert ledger.seconds_held("bad", 0.0) == 5.0
+
+
+def test_what_a_host_keeps_is_bounded_and_held_requests_stay():
+    ledger = ledger_of(record("bad", *range(3 * MAX_ENDINGS)))
+    for number in range(MAX_REQUESTS + 50):
+        ledger.merge(record(f"r{number}", f"t{number}"), 1.0)
+    for number in range(MAX_ANSWERED + 50):
+        ledger.note_answer(f"a{number}", 1.0)
+    records = list(ledger.records(1.0))
+    assert len(records) == MAX_REQUESTS
+    assert records[0].request == "bad"
+    assert len(records[0].endings) == MAX_ENDINGS
+    assert ledger.held(1.0) == {"bad"}
+    assert len(ledger._answered) == MAX_ANSWERED
+
+
+def test_a_record_of_another_host_is_taken_as_it_was_told():
+    first = ledger_of(record("bad", "a", "b", "c"))
+    told = replace(next(first.records(2.0)))
+    assert told.age == 2.0
+    assert ledger_of(told).held(0.0) == {"bad"}
+
+
+def test_what_is_sent_to_a_target_that_has_ended_did_not_end_it():
+    """Symptom: requests that harm nobody are held back after a target's end.
+
+    Sequence: a target ends; until the list shows it, others are sent there and break
+    off at once.
+    Cause: each send that broke off counted against its request.
+    """
+    ledger = CrashLedger()
+    assert ledger.note_ending("bad", ending("a", ran=0.1), 10.0) is not None
+    assert ledger.note_ending("beside", ending("a", ran=0.5), 10.01) is not None
+    assert ledger.note_ending("later", ending("a", ran=0.002), 10.5) is None
+    ledger.note_life(Process(id="a", born=1))
+    assert ledger.note_ending("again", ending("a", ran=0.1), 11.0) is not None
