Count a target that the list shows as restarted as ended

A stream was moved away when the list told of the new process before the broken connection was read, and nothing was noted under its fingerprint. The test fails with broken connections alone.

--- a/mallowpond/node/stream_work.py
+++ b/mallowpond/node/stream_work.py
@@ -36,6 +36,7 @@
     sent_to: list[Process] = field(default_factory=list)
     not_run: int = 0
     sends: int = 0
+    sent_at: float = 0.0
     waited: float = 0.0
     started_at: float = 0.0
     first_event_at: float | None = None
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -68,6 +68,9 @@
 # Longest pause of a group that turns every stream away, in seconds: as long as one that
 # only this host cannot reach is left, and shorter than any caller waits.
 MOST_PAUSE_SECONDS = 1.0
+# How a send ends when the target ends while it runs the stream: the connection closes,
+# or the list shows another process there first.
+ENDED_REASONS = (Reason.BROKEN_STREAM, Reason.RESTARTED)
 EVENT_ID = b"id:"
 
 
@@ -162,6 +165,9 @@
                 case NotRun(reason=reason) | Interrupted(reason=reason):
                     if reason is Reason.MISDIRECTED:
                         self._directory.break_group(group, BreakCause.REFUSED)
+            if reason in ENDED_REASONS and group.head is not None:
+                process, sent_at = group.head.process, work.sent_at
+                self._quarantine.note_ending(work.fingerprint, process, sent_at)
             refusal = self._may_send_again(work, end, reason)
             if refusal is not None:
                 return await self._end_unserved(work, refusal, failed)
@@ -441,6 +447,7 @@
         own.running += 1
         own.reading_tokens += stream.reading
         work.sent_to.append(group.head.process)
+        work.sent_at = now
         work.sends += 1
         log.info(
             "stream: sent",
@@ -463,7 +470,7 @@
         self._wake(work.model.name)
         try:
             async with asyncio.timeout(max(0.001, work.deadline - now)):
-                end = await stream.task
+                return await stream.task
         except asyncio.CancelledError:
             if stream.moved is None or _is_cancelling():
                 raise
@@ -478,9 +485,6 @@
             own.reading_tokens -= stream.reading
             work.progress.drop_rest()
             self._wake(work.model.name)
-        if end == Interrupted(reason=Reason.BROKEN_STREAM):
-            self._quarantine.note_ending(work.fingerprint, group.head.process, now)
-        return end
 
     async def _attempt(self, stream: ActiveStream) -> AttemptEnd:
         work, head = stream.work, stream.group.head
--- a/mallowpond/node/tests/test_quarantine.py
+++ b/mallowpond/node/tests/test_quarantine.py
@@ -1,11 +1,13 @@
 """A fleet holds back a request that ends its targets, wherever it comes again."""
 
+import asyncio
 import random
 from collections import deque
 from dataclasses import replace
 
 import pytest
 
+from mallowpond.coordination.tasks import cancel_task
 from mallowpond.node.messages import (
     CrashRecords,
     Heartbeat,
@@ -330,3 +332,28 @@
     assert quarantine.is_held("bad")
     outcome = await rig.service.serve(beside)
     assert outcome == Answered(status=200, target="d0")
+
+
+async def test_a_target_that_the_list_shows_as_restarted_counts_as_ended():
+    """Symptom: a request ends engine after engine, and none of it is noted.
+
+    Sequence: its engine ends and starts again; the list tells that before the broken
+    connection is read, and the stream is moved away.
+    Cause: only connections that broke counted.
+    """
+    rig = await rig_of("a", "b")
+    open_end = asyncio.get_running_loop().create_future()
+    rig.targets.script("a0", FakeResponse(script=[open_end]))
+    rig.targets.script("b0", FakeResponse(script=[open_end]))
+    work = rig.work(FakeExchange())
+    serving = asyncio.create_task(rig.service.serve(work))
+    for _ in range(10):
+        await asyncio.sleep(0)
+    rig.clock.time += 0.1
+    (stream,) = rig.service.active
+    stream.move(Reason.RESTARTED)
+    for _ in range(10):
+        await asyncio.sleep(0)
+    record = rig.service._quarantine.record(work.fingerprint)
+    assert [e.process for e in record.endings] == [stream.group.head.process]
+    await cancel_task(serving)
