Show that the own interface sends a request on that ends its groups

The class of the incident, looked for elsewhere: a gateway knows the three attempts of one exchange and no others.

--- /dev/null
+++ b/mallowpond/gateway/tests/test_quarantine.py
@@ -0,0 +1,70 @@
+"""A request that ends its targets is held back at every gateway."""
+
+import asyncio
+
+from mallowpond.gateway.tests.callers import ask, runs, serving_site, set_faults
+from mallowpond.state.crash_ledger import ENDINGS_TO_HOLD, HOLD_SECONDS
+
+FATAL = "fatal"
+# Returns of the request, of which nearly all used to reach an engine.
+RETURNS = 14
+
+
+async def come_again(site, gateway):
+    """Send the request once there is a group that could run it."""
+    site_gateway = site.gateways[gateway]
+    await site.until(lambda: site_gateway.routes.serving("meteor", site.clock.now()))
+    return await ask(site, prompt=FATAL, gateway=gateway)
+
+
+async def test_a_request_that_ends_its_groups_is_held_back_at_every_gateway():
+    """Symptom: groups break one after the other, each with all that runs there.
+
+    Sequence: one caller's request ends the engine that runs it, and the caller sends it
+    again through another gateway, which is attached to another controller.
+    Cause: a gateway knew of the three attempts of one exchange, and of no others.
+    """
+    async with serving_site(controllers=2, gateways=2) as site:
+        set_faults(site, fatal_prompt=FATAL)
+        for number in range(RETURNS):
+            reply = await come_again(site, number % 2)
+            if reply.status == 503 and reply.reason == "held_back":
+                break
+        ended = len(runs(site))
+        assert ENDINGS_TO_HOLD <= ended <= 2 * ENDINGS_TO_HOLD
+        await asyncio.sleep(0.5)
+        for gateway in (0, 1, 0, 1):
+            reply = await come_again(site, gateway)
+            assert (reply.status, reply.reason) == (503, "held_back")
+            assert reply.outcome == "not_run"
+            assert 0.0 < float(reply.headers["retry-after"]) <= HOLD_SECONDS
+        assert len(runs(site)) == ended
+        assert (await ask(site, prompt="star")).status == 200
+
+
+async def test_a_gateway_and_a_controller_that_start_anew_know_it_from_the_table():
+    """Symptom: after a restart the request ends groups again.
+
+    Sequence: it is held back; a gateway starts, attached to a controller that has
+    just started.
+    Cause: what was known went with the processes.
+    """
+    async with serving_site() as site:
+        set_faults(site, fatal_prompt=FATAL)
+        for _ in range(RETURNS):
+            reply = await come_again(site, 0)
+            if reply.reason == "held_back":
+                break
+        table = site.platform.table
+        await site.until(
+            lambda: any(k.startswith("shared/quarantine/") for k in table._rows)
+        )
+        ended = len(runs(site))
+        await site._start_controller(1)
+        started = site.controllers[1]
+        await site.until(lambda: started.quarantine.told())
+        await site._start_gateway(1)
+        await site.until(lambda: site.gateways[1].is_ready)
+        reply = await come_again(site, 1)
+        assert (reply.status, reply.reason) == (503, "held_back")
+        assert len(runs(site)) == ended
--- a/mallowpond/standins/engine.py
+++ b/mallowpond/standins/engine.py
@@ -41,6 +41,8 @@
     swap_answers: bool = False
     ignore_fencing: bool = False
     refuse_start: bool = False
+    # A prompt that ends the process which runs it, empty for none.
+    fatal_prompt: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -214,6 +216,8 @@
             return
         headers = self._answer_headers(request, order)
         asked = json.loads(request.body)
+        if faults.fatal_prompt and asked.get("prompt") == faults.fatal_prompt:
+            await self._crash()
         words = _words(asked, int(request.headers.get(RESUME_HEADER, "0")))
         is_chat = request.path.endswith("chat/completions")
         if not asked.get("stream"):
@@ -245,6 +249,13 @@
             (LOAD_HEADER, str(self._in_flight)),
         )
 
+    async def _crash(self) -> None:
+        """Lose the place in the group, and all that runs there, as a crash does."""
+        await asyncio.sleep(self._step_seconds)
+        self._placement = None
+        self._whole = False
+        raise ConnectionAbortedError("the process ended")
+
     async def _speak(self, words: Iterator[str], order: Order):
         for spoken, word in enumerate(words):
             if self._faults.cut_after_tokens == spoken:
