Hold such a request back in the own interface too

What callers saw: through the gateways a request could end one group after the other. Cause: MAX_ATTEMPTS counts within one exchange, and the budget of retries is a gateway's own. Change: gateways note under which fingerprint a target ended and report it with their next question for the routes; controllers put the reports together with the shared rows that all of them read, and answer with what is held back. Refused before it is charged or claimed, as not run, with the time left. Why it holds: the same ledger as on the nodes; rows outlive all processes.

--- a/mallowpond/controller/links.py
+++ b/mallowpond/controller/links.py
@@ -19,6 +19,7 @@
     ClaimAnswer,
     ClaimAsk,
     ClaimVerdict,
+    CrashReport,
     FinishAsk,
     GatewayHello,
     Message,
@@ -38,6 +39,7 @@
     OutcomeUnknown,
     Withdrawn,
 )
+from mallowpond.state.crash_ledger import CrashRecord
 from mallowpond.state.rows import ClaimRow, ClaimState
 from mallowpond.transport.peer_link import PeerLink
 
@@ -57,6 +59,7 @@
         quotas: QuotaLeaser,
         metrics: ControllerMetrics,
         on_suspect: Callable[[], None],
+        on_crash: Callable[[tuple[CrashRecord, ...]], None],
     ) -> None:
         self._routes = routes
         self._view = view
@@ -64,6 +67,7 @@
         self._quotas = quotas
         self._metrics = metrics
         self._on_suspect = on_suspect
+        self._on_crash = on_crash
         self._gateways: dict[str, int] = {}
 
     @property
@@ -101,6 +105,8 @@
         match message:
             case SuspectGroup():
                 self._on_suspect()
+            case CrashReport(records=records):
+                self._on_crash(records)
             case QuotaAsk():
                 await link.send(await self._lease(message))
             case ClaimAsk():
--- a/mallowpond/controller/service.py
+++ b/mallowpond/controller/service.py
@@ -12,6 +12,7 @@
 from mallowpond.controller.metrics import ControllerMetrics
 from mallowpond.controller.operator_api import OperatorApi
 from mallowpond.controller.peers import PeerPoller
+from mallowpond.controller.quarantine import ControllerQuarantine
 from mallowpond.controller.tables import Tables
 from mallowpond.coordination.claims import ClaimCommitter
 from mallowpond.coordination.configuration import Configuration
@@ -175,12 +176,19 @@
             live_gateways=self._live_gateways,
             on_transaction=self.metrics.claim_transactions.inc,
         )
+        self.quarantine = ControllerQuarantine(
+            table=ports.table,
+            shared=self._shared,
+            clock=ports.clock,
+            draw_id=self._draw_id,
+        )
         self._links = LinkService(
             routes=self._answer_routes,
             view=self._answer_view,
             claims=self._claims,
             quotas=QuotaLeaser(table=ports.table, draw_id=self._draw_id),
             on_suspect=self._look_again.set,
+            on_crash=self.quarantine.hear,
             metrics=self.metrics,
         )
         self._peers = PeerPoller(
@@ -255,6 +263,7 @@
             self.metrics.table_failures.inc()
             return
         self.configuration.after_read(asked_at)
+        await self.quarantine.step()
         if self._leaving:
             return
         result = await self.membership.renew(
@@ -341,6 +350,7 @@
         excluded = excluded_hosts(applied.declaration, self._hosts)
         seen_age, exceptions = self._sights()
         knows_text = ask.known_config == applied.version
+        knows_held = ask.known_held == self.quarantine.version
         knows_groups = ask.known_routes == self._routes_version
         return Routes(
             sequence=ask.sequence,
@@ -353,6 +363,8 @@
             exceptions=exceptions,
             excluded_hosts=tuple(sorted(excluded)),
             leaving=self._leaving,
+            held_version=self.quarantine.version,
+            held=None if knows_held else self.quarantine.told(),
         )
 
     def _note_routes(self) -> None:
--- a/mallowpond/coordination/keys.py
+++ b/mallowpond/coordination/keys.py
@@ -14,6 +14,7 @@
 HOSTS = "host/"
 LEASES = "lease/"
 MEMBERS = "member/"
+QUARANTINE = "quarantine/"
 BEATS = "beat/"
 
 
--- a/mallowpond/gateway/link.py
+++ b/mallowpond/gateway/link.py
@@ -14,6 +14,7 @@
     ClaimAnswer,
     ClaimAsk,
     ClaimVerdict,
+    CrashReport,
     FinishAsk,
     GatewayHello,
     QuotaAnswer,
@@ -23,12 +24,15 @@
     SuspectGroup,
     VoidAsk,
 )
+from mallowpond.state.crash_ledger import CrashRecord
 from mallowpond.transport.peer_link import LinkClosed, PeerLink, open_link
 
 log = structlog.get_logger()
 RETRY_SECONDS = 0.2
 SILENT_SECONDS = 1.5
 REATTACH_SECONDS = 1.0
+# Reports that wait for a controller, at most; the oldest are dropped.
+MAX_UNREPORTED = 200
 
 
 class ControllerLink:
@@ -43,6 +47,7 @@
         clock: Clock,
         poll_seconds: float,
         on_change: Callable[[], None],
+        on_held: Callable[[tuple[CrashRecord, ...]], None],
     ) -> None:
         self._gateway = gateway
         self._controllers = controllers
@@ -50,6 +55,10 @@
         self._clock = clock
         self._poll_seconds = poll_seconds
         self._on_change = on_change
+        self._on_held = on_held
+        self._held_version = 0
+        # What no controller has been told yet, newest last.
+        self._unreported: dict[str, CrashRecord] = {}
         self._link: PeerLink | None = None
         self._attached = asyncio.Event()
         self._calls: dict[int, asyncio.Future] = {}
@@ -98,6 +107,13 @@
         except LinkClosed:
             return
 
+    def report_crash(self, record: CrashRecord) -> None:
+        """Report with the next question under which request targets ended."""
+        self._unreported.pop(record.request, None)
+        self._unreported[record.request] = record
+        if len(self._unreported) > MAX_UNREPORTED:
+            del self._unreported[next(iter(self._unreported))]
+
     async def _call(
         self, ask: ClaimAsk | FinishAsk | VoidAsk | QuotaAsk, timeout: float
     ) -> ClaimAnswer | QuotaAnswer | ClaimVerdict:
@@ -143,6 +159,8 @@
         self._link = None
         self._attached.clear()
         self._asked.clear()
+        # Another controller counts its changes by itself.
+        self._held_version = 0
         log.info("gateway: detached")
 
     async def _poll(self, link: PeerLink) -> None:
@@ -153,7 +171,9 @@
                 sequence=number,
                 known_config=self._routes.config_version,
                 known_routes=self._routes.routes_version,
+                known_held=self._held_version,
             )
+            await self._report_crashes(link)
             await link.send(ask)
             await self._clock.sleep(self._poll_seconds)
             # A frozen controller keeps its socket open; without this limit the
@@ -161,6 +181,17 @@
             if self._clock.now() - self._answered_at > SILENT_SECONDS:
                 raise LinkClosed("the controller is silent")
 
+    async def _report_crashes(self, link: PeerLink) -> None:
+        records = tuple(self._unreported.values())
+        if not records:
+            return
+        await link.send(CrashReport(records=records))
+        self._unreported = {
+            request: record
+            for request, record in self._unreported.items()
+            if record not in records
+        }
+
     async def _receive(self, link: PeerLink) -> None:
         while True:
             message = await link.receive()
@@ -171,6 +202,9 @@
                         continue
                     self._answered_at = self._clock.now()
                     self._routes.take(message, asked_at)
+                    if message.held is not None:
+                        self._held_version = message.held_version
+                        self._on_held(message.held)
                     self._on_change()
                     if message.leaving:
                         self._move_on()
--- a/mallowpond/gateway/pools.py
+++ b/mallowpond/gateway/pools.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 from mallowpond.coordination.ports import Clock
@@ -99,6 +100,11 @@
         self.routes.revoke(group.group, group.generation, self.clock.now())
         await self.link.suspect(group.group, group.generation)
 
+    def life_of(self, place: Place) -> str:
+        """Name a group's formation."""
+        group = self.routes.groups.get(place.target)
+        return f"{place.target}/{group.generation if group else 0}"
+
 
 @dataclass(frozen=True, kw_only=True)
 class ServicePool:
@@ -109,6 +115,8 @@
     http: HttpClient
     clock: Clock
     patience: Patience
+    # How often each address failed: what starts again there has the same address.
+    lives: Counter[str]
 
     async def enter(self, avoid: frozenset[str]) -> Place | Refused:
         """Take a place on an address; there is no queue for services."""
@@ -137,7 +145,12 @@
         """Plain services report no load."""
 
     async def note_failure(self, place: Place, reason: str) -> None:
-        """Plain services have no permit to revoke."""
+        """Count the lives of an address; there is no permit to revoke."""
+        self.lives[place.target] += 1
+
+    def life_of(self, place: Place) -> str:
+        """Name what stands behind an address until it fails."""
+        return f"{place.target}/{self.lives[place.target]}"
 
 
 @dataclass(kw_only=True)
@@ -152,6 +165,7 @@
     first_byte_seconds: float
     _gates: dict[str, Gate] = field(default_factory=dict)
     _balancers: dict[str, Balancer] = field(default_factory=dict)
+    _lives: Counter[str] = field(default_factory=Counter)
 
     def on_routes(self) -> None:
         """Give places on new groups to those that wait."""
@@ -194,6 +208,7 @@
             http=self.http,
             clock=self.clock,
             patience=self._patience(deadline),
+            lives=self._lives,
         )
 
     def _patience(self, deadline: float) -> Patience:
--- /dev/null
+++ b/mallowpond/gateway/quarantine.py
@@ -0,0 +1,64 @@
+"""Hold back requests that end their targets, by what all gateways have seen."""
+
+from collections.abc import Callable, Iterable
+
+import structlog
+
+from mallowpond.coordination.ports import Clock
+from mallowpond.protocol.problems import Problem
+from mallowpond.state.crash_ledger import CrashLedger, CrashRecord, Ending
+from mallowpond.state.fleet import Process
+
+log = structlog.get_logger()
+
+
+class GatewayQuarantine:
+    """Note under which requests targets ended, and report it."""
+
+    def __init__(self, *, clock: Clock, report: Callable[[CrashRecord], None]) -> None:
+        self._clock = clock
+        self._report = report
+        self._ledger = CrashLedger()
+
+    def problem(self, request: str) -> Problem | None:
+        """Return how a request is refused before it is sent, None if it may be sent."""
+        seconds = self._ledger.seconds_held(request, self._clock.now())
+        if seconds <= 0.0:
+            return None
+        return Problem(
+            status=503,
+            reason="held_back",
+            detail="The targets that ran this request before ended while they did.",
+            retry_after=seconds,
+        )
+
+    def is_held(self, request: str) -> bool:
+        """Tell whether a request is held back now."""
+        return self.problem(request) is not None
+
+    def note_ending(self, request: str, target: str, sent_at: float) -> None:
+        """Note that a target broke off while it ran a request."""
+        now = self._clock.now()
+        ending = Ending(process=Process(id=target, born=None), ran=now - sent_at)
+        record = self._ledger.note_ending(request, ending, now)
+        if record is None:
+            return
+        log.info(
+            "gateway: target ended",
+            fingerprint=request,
+            target=target,
+            endings=len(record.endings),
+        )
+        self._report(record)
+
+    def note_answer(self, request: str, target: str) -> None:
+        """Note that a target answered a request whole."""
+        self._ledger.note_life(Process(id=target, born=None))
+        record = self._ledger.note_answer(request, self._clock.now())
+        if record is not None:
+            self._report(record)
+
+    def hear(self, records: Iterable[CrashRecord]) -> None:
+        """Take what a controller put together."""
+        for record in records:
+            self._ledger.merge(record, self._clock.now())
--- a/mallowpond/gateway/reading.py
+++ b/mallowpond/gateway/reading.py
@@ -1,6 +1,7 @@
 """Read callers' requests: who asks, for what, and may it be repeated."""
 
 from dataclasses import dataclass
+from functools import cached_property
 
 from mallowpond.coordination.ports import Clock
 from mallowpond.gateway.dispatch import Attempt
@@ -15,6 +16,7 @@
 )
 from mallowpond.protocol.problems import Problem
 from mallowpond.state.declarations import Declaration, PlainService, Workspace
+from mallowpond.state.fingerprint import fingerprint
 from mallowpond.transport.http_server import HttpRequest
 
 
@@ -31,6 +33,16 @@
     pool: TargetPool
     deadline: float
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Return what the request shares with its returns."""
+        return fingerprint(
+            host="",
+            target=self.attempt.path,
+            workspace=self.workspace.name,
+            body=self.attempt.body,
+        )
+
 
 class RequestReader:
     """Check requests against the declaration, without waiting for anything."""
--- a/mallowpond/gateway/service.py
+++ b/mallowpond/gateway/service.py
@@ -15,6 +15,7 @@
 from mallowpond.gateway.link import ControllerLink
 from mallowpond.gateway.metrics import GatewayMetrics
 from mallowpond.gateway.pools import Pools
+from mallowpond.gateway.quarantine import GatewayQuarantine
 from mallowpond.gateway.quotas import QuotaKeeper
 from mallowpond.gateway.reading import RequestReader, Work
 from mallowpond.gateway.routes import RouteTable
@@ -64,6 +65,9 @@
         self.metrics = GatewayMetrics()
         self._http = HttpClient(connect_seconds=settings.timings.connect)
         self.routes = RouteTable(permit_seconds=settings.timings.permit)
+        self._quarantine = GatewayQuarantine(
+            clock=clock, report=lambda record: self._link.report_crash(record)
+        )
         self._link = ControllerLink(
             gateway=self._incarnation,
             controllers=settings.controllers,
@@ -71,6 +75,7 @@
             clock=clock,
             poll_seconds=settings.timings.routes,
             on_change=self._on_routes,
+            on_held=self._quarantine.hear,
         )
         self._claims = ClaimKeeper(
             link=self._link,
@@ -231,6 +236,9 @@
         return None
 
     async def _admit_and_run(self, work: Work, exchange: Exchange) -> Problem | None:
+        held = self._quarantine.problem(work.fingerprint)
+        if held is not None:
+            return held
         refused = await self._quotas.spend(work.workspace, work.units)
         if refused is not None:
             return refused
@@ -282,6 +290,8 @@
         run = ServeRun(
             pool=work.pool,
             attempt=work.attempt,
+            fingerprint=work.fingerprint,
+            quarantine=self._quarantine,
             exchange=exchange,
             stream=work.stream,
             resumable=work.stream and work.attempt.repeatable,
--- a/mallowpond/gateway/serving.py
+++ b/mallowpond/gateway/serving.py
@@ -13,6 +13,7 @@
     NotStarted,
 )
 from mallowpond.gateway.metrics import GatewayMetrics
+from mallowpond.gateway.quarantine import GatewayQuarantine
 from mallowpond.gateway.relay import (
     Broken,
     RelayEnd,
@@ -30,6 +31,8 @@
 
 MAX_ATTEMPTS = 3
 COME_BACK_SECONDS = 2.0
+# How an attempt ends when its target ends while it runs the request.
+ENDED_REASONS = ("cut_before_head", "cut_body", "cut_event")
 BROKEN_EVENT = b'data: {"error": {"message": "the answer broke off", '
 BROKEN_EVENT += b'"type": "broken_stream", "code": "unknown"}}\n\n'
 
@@ -82,6 +85,9 @@
     async def note_failure(self, place: Place, reason: str) -> None:
         """Note that an attempt on the target failed."""
 
+    def life_of(self, place: Place) -> str:
+        """Name the target so that it has another name after it ended."""
+
 
 @dataclass(kw_only=True)
 class ServeRun:
@@ -89,6 +95,8 @@
 
     pool: TargetPool
     attempt: Attempt
+    fingerprint: str
+    quarantine: GatewayQuarantine
     exchange: Exchange
     stream: bool
     resumable: bool
@@ -111,9 +119,13 @@
         """Serve from `place`, then from others while retries are allowed."""
         self.budget.note_fresh()
         for number in range(1, MAX_ATTEMPTS + 1):
+            sent_at, life = self.clock.now(), self.pool.life_of(place)
             reason = await self._attempt(place)
             if reason is None:
+                self.quarantine.note_answer(self.fingerprint, life)
                 return Served()
+            if reason in ENDED_REASONS:
+                self.quarantine.note_ending(self.fingerprint, life, sent_at)
             if not self._may_retry(number):
                 return self._give_up(reason)
             self.metrics.retries.labels(reason=reason).inc()
@@ -125,7 +137,7 @@
         return self._give_up("attempts_spent")
 
     def _may_retry(self, number: int) -> bool:
-        if number >= MAX_ATTEMPTS:
+        if number >= MAX_ATTEMPTS or self.quarantine.is_held(self.fingerprint):
             return False
         # A request that may not be repeated is sent again only when its last attempt
         # surely did not start.
--- a/mallowpond/protocol/peer.py
+++ b/mallowpond/protocol/peer.py
@@ -11,6 +11,7 @@
 from cattrs.preconf.cbor2 import make_converter
 from cattrs.strategies import configure_tagged_union
 
+from mallowpond.state.crash_ledger import CrashRecord
 from mallowpond.state.rows import CellRow, GroupRow
 
 
@@ -41,6 +42,7 @@
     sequence: int
     known_config: int
     known_routes: int
+    known_held: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -59,7 +61,8 @@
     `config_left` is for how many seconds more the controller is sure of the version in
     force, counted from its answer; None while it is not sure. Every group was seen
     whole at most `seen_age` seconds ago, but for the `exceptions`: naming each group in
-    each answer would by itself break the budget for control traffic.
+    each answer would by itself break the budget for control traffic. `held` tells of
+    the requests that are or were held back since they end their targets.
     """
 
     sequence: int
@@ -72,6 +75,8 @@
     exceptions: tuple[Sight, ...]
     excluded_hosts: tuple[str, ...]
     leaving: bool = False
+    held_version: int = 0
+    held: tuple[CrashRecord, ...] | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -145,6 +150,13 @@
     generation: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class CrashReport:
+    """Report under which requests targets ended, or were answered since."""
+
+    records: tuple[CrashRecord, ...]
+
+
 @dataclass(frozen=True, kw_only=True)
 class PeerAsk:
     """Ask another controller of the cell for its view."""
@@ -177,6 +189,7 @@
     | QuotaAsk
     | QuotaAnswer
     | SuspectGroup
+    | CrashReport
     | PeerAsk
     | PeerView
 )
