Give the placing of streams a module, and streams and calls one construction

No behaviour changes. streams.py had grown to 640 lines with two jobs; where a stream goes, waits or is refused is stream_placing.py now. StreamService and CallService took the same nine parts one by one; they take ServingParts. Tests only follow the names.

--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -1,23 +1,17 @@
 """Serve requests of plain services: whole answers, at most once where declared."""
 
 import asyncio
-import random
 from collections import defaultdict
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import cached_property
 
 import structlog
 
-from mallowpond.coordination.ports import Clock
-from mallowpond.node.directory import Directory
-from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, Reason, Refusal, ServeOutcome
-from mallowpond.node.ports import CallerProtocol, CallerRequest, Headers, Targets
-from mallowpond.node.quarantine import Quarantine
+from mallowpond.node.ports import CallerRequest, Headers
+from mallowpond.node.serving_parts import ServingParts
 from mallowpond.state.fleet import Process, Target
 from mallowpond.state.limits import spread_retry_after
-from mallowpond.state.retry_window import RetryWindow
 from mallowpond.state.site_configuration import Repeat, Route
 from mallowpond.transport.http_client import CallFailed
 from mallowpond.transport.http_server import Exchange
@@ -87,30 +81,18 @@
 class CallService:
     """Serve requests on the targets of plain services."""
 
-    def __init__(
-        self,
-        *,
-        directory: Directory,
-        targets: Targets,
-        callers: CallerProtocol,
-        clock: Clock,
-        metrics: NodeMetrics,
-        budget: Callable[[str], RetryWindow],
-        hosts: Callable[[], int],
-        rng: random.Random,
-        quarantine: Quarantine,
-    ) -> None:
-        self._directory = directory
-        self._targets = targets
-        self._callers = callers
-        self._clock = clock
-        self._metrics = metrics
-        self._budget = budget
-        self._hosts = hosts
-        self._rng = rng
-        self._quarantine = quarantine
+    def __init__(self, *, parts: ServingParts) -> None:
+        self._directory = parts.directory
+        self._targets = parts.targets
+        self._callers = parts.callers
+        self._clock = parts.clock
+        self._metrics = parts.metrics
+        self._budget = parts.budget
+        self._hosts = parts.hosts
+        self._rng = parts.rng
+        self._quarantine = parts.quarantine
         self._records: dict[Process, TargetRecord] = defaultdict(TargetRecord)
-        directory.on_change.append(self._forget_ended)
+        parts.directory.on_change.append(self._forget_ended)
 
     async def serve(self, work: CallWork) -> ServeOutcome:
         """Serve one request to its end."""
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -27,6 +27,7 @@
 from mallowpond.node.quarantine import Quarantine
 from mallowpond.node.quarantine_sharing import QuarantineSharing
 from mallowpond.node.readers import Readers
+from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.settings import NodeSettings
 from mallowpond.node.streams import StreamService
 from mallowpond.node.traffic import TrafficSeen
@@ -100,23 +101,23 @@
             rng=self._rng,
             notes=notes,
         )
-        shared = {
-            "directory": self.directory,
-            "targets": ports.targets,
-            "callers": ports.callers,
-            "clock": clock,
-            "metrics": self.metrics,
-            "budget": self._budget,
-            "hosts": lambda: self.peers.hosts,
-            "rng": self._rng,
-            "quarantine": quarantine,
-        }
-        self.streams = StreamService(**shared)
+        parts = ServingParts(
+            directory=self.directory,
+            targets=ports.targets,
+            callers=ports.callers,
+            clock=clock,
+            metrics=self.metrics,
+            budget=self._budget,
+            hosts=lambda: self.peers.hosts,
+            rng=self._rng,
+            quarantine=quarantine,
+        )
+        self.streams = StreamService(parts=parts)
         self.ingress = Ingress(
             callers=ports.callers,
             configuration=self.configuration,
             streams=self.streams,
-            calls=CallService(**shared),
+            calls=CallService(parts=parts),
             clock=clock,
             metrics=self.metrics,
             rng=self._rng,
@@ -178,7 +179,7 @@
             fanout=self.fanout,
             configuration=self.configuration,
         )
-        self.readers.on_news.append(self.streams.wake_all)
+        self.readers.on_news.append(self.streams.placing.wake_all)
         self.configuration.on_newer.append(self._tell_version)
         self.leadership.on_taken.append(lambda: self.peers.tell(self._describe()))
         self.peers.on_heartbeat.append(self._note_heartbeat)
@@ -248,7 +249,7 @@
         started = self._clock.now()
         lame_until = started + min(LAME_SECONDS, 0.5 * grace)
         limit = started + grace - CLOSING_SECONDS
-        self.ingress.ends_at = self.streams.ends_at = limit
+        self.ingress.ends_at = self.streams.placing.ends_at = limit
         while self._clock.now() < lame_until:
             await self._clock.sleep(DRAIN_CHECK_SECONDS)
             await self._hand_over()
@@ -258,7 +259,7 @@
         # one that was overlooked was passed on and cut off 3 ms later.
         while self.ingress.server.is_busy and self._clock.now() < limit:
             if self._clock.now() >= limit - LAST_REFUSALS_SECONDS:
-                self.streams.end_waits()
+                self.streams.placing.end_waits()
             await self._clock.sleep(DRAIN_CHECK_SECONDS)
             await self._hand_over()
         self.ingress.server.refuse_more()
@@ -342,7 +343,7 @@
         self.directory.loads.note_peer(heartbeat.node, loads_of(heartbeat))
         # Places that other hosts' streams freed are known only from here: without
         # this a stream waited until one of this host's own ended.
-        self.streams.wake_all()
+        self.streams.placing.wake_all()
 
     async def _answer_readiness(self, request: HttpRequest, exchange: Exchange) -> None:
         if self.is_ready:
--- /dev/null
+++ b/mallowpond/node/stream_placing.py
@@ -0,0 +1,259 @@
+"""Give each stream a group: choose one, wait for a place, or refuse at once."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+from math import inf
+
+from mallowpond.node.outcomes import Reason, Refusal
+from mallowpond.node.serving_parts import ServingParts
+from mallowpond.node.stream_work import StreamWork
+from mallowpond.node.waiting import WaitingLine
+from mallowpond.state.first_event import FirstEventDelay
+from mallowpond.state.fleet import EngineProfile, Group, ModelSpec
+from mallowpond.state.limits import expected_wait, spread_retry_after
+from mallowpond.state.placement import (
+    UNSEEN_STREAMS,
+    Candidate,
+    GroupLoad,
+    choose_group,
+    draw_places,
+    pass_seconds,
+    unseen_streams,
+)
+
+# Share of a caller's patience that a stream may wait here for a place: the rest is
+# for reading the prompt and the first pass.
+WAIT_SHARE = 0.6
+# Silence after which callers leave, as the platform's pages give it: the longest of
+# these seconds, objectives and allowed gaps.
+PATIENCE_SECONDS = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_GAPS = 8.0
+# Time left below which a stream is not sent any more, in seconds.
+LEAST_SECONDS = 0.05
+# Share of the objective that a group's predicted first event may take. Less makes
+# streams wait for places that groups across domains could give them in time.
+FIRST_EVENT_SHARE = 1.0
+# Time to come back when no group serves a model and none is known to form soon.
+NO_GROUP_RETRY_SECONDS = 1.0
+
+
+class StreamPlacing:
+    """Place streams on the groups of a directory."""
+
+    def __init__(self, *, parts: ServingParts) -> None:
+        self._directory = parts.directory
+        self._clock = parts.clock
+        self._metrics = parts.metrics
+        self._budget = parts.budget
+        self._hosts = parts.hosts
+        self._rng = parts.rng
+        self._quarantine = parts.quarantine
+        self._lines: dict[str, WaitingLine] = {}
+        self._shapes: dict[str, tuple[str, EngineProfile, ModelSpec, float]] = {}
+        self._delays: dict[tuple[str, str], FirstEventDelay] = defaultdict(
+            FirstEventDelay
+        )
+        self.ends_at = inf
+
+    def note_shape(self, work: StreamWork) -> None:
+        """Remember what a stream of its model looks like, for those that wait."""
+        self._shapes[work.model.name] = (
+            work.service,
+            work.profile,
+            work.model,
+            work.route.objective_seconds,
+        )
+
+    def wake_all(self) -> None:
+        """Look whether waiting streams have a place now."""
+        for model in self._lines:
+            self.wake(model)
+
+    def delay(self, service: str, model: str) -> FirstEventDelay:
+        """Return what was learnt of the first events of a model."""
+        return self._delays[(service, model)]
+
+    def end_waits(self) -> None:
+        """Let no stream wait for a place any longer."""
+        for line in self._lines.values():
+            line.end()
+
+    async def place(self, work: StreamWork) -> Group | Refusal:
+        """Return the group that a stream goes to, or why it goes to none."""
+        while True:
+            held = self._quarantine.refusal(work.fingerprint)
+            if held is not None:
+                # Placed all the same, it would end one more group and all that runs
+                # there; its caller comes again, at any host.
+                return held
+            group = self.choose(work)
+            if group is not None and self._ends_before(work):
+                self.wake(work.model.name)
+                return self.refuse(Reason.STOPPING, 0.0)
+            if group is not None:
+                return group
+            refusal = await self._wait(work)
+            if refusal is not None:
+                return refusal
+
+    def choose(self, work: StreamWork) -> Group | None:
+        """Return the group with a place for a stream now, None if there is none."""
+        groups = self._directory.serving_groups(work.service, work.model.name)
+        groups = [g for g in groups if g.head and g.head.process not in work.sent_to]
+        by_key = {f"{g.name}/{g.epoch}": g for g in groups}
+        unseen = unseen_streams(
+            own_per_second=self._budget(work.service).firsts_per_second,
+            hosts=self._hosts(),
+            age_seconds=self._directory.loads.load_age,
+            groups=self._directory.count_open(work.service),
+        )
+        limit = FIRST_EVENT_SHARE * work.route.objective_seconds
+        if unseen >= UNSEEN_STREAMS:
+            candidates = draw_places(
+                work.profile,
+                work.model,
+                self._candidates(work, self._rng.sample(groups, len(groups))),
+                prompt_tokens=work.prompt_tokens,
+                limit_seconds=limit,
+            )
+        else:
+            candidates = list(self._candidates(work, groups))
+        chosen = choose_group(
+            work.profile,
+            work.model,
+            candidates,
+            prompt_tokens=work.prompt_tokens,
+            limit_seconds=limit,
+            delay_seconds=self.delay(work.service, work.model.name).usual,
+            unseen=unseen,
+            rng=self._rng,
+        )
+        return None if chosen is None else by_key[chosen.key]
+
+    def _candidates(self, work: StreamWork, groups: list[Group]) -> Iterator[Candidate]:
+        for group in groups:
+            yield Candidate(
+                key=f"{group.name}/{group.epoch}",
+                load=self._directory.loads.load_of(group, work.profile),
+                is_leaving=group.is_leaving,
+            )
+
+    async def _wait(self, work: StreamWork) -> Refusal | None:
+        """Wait for a place, or say at once that there will be none in time."""
+        now = self._clock.now()
+        if now + LEAST_SECONDS > work.deadline:
+            return Refusal(status=504, reason=Reason.TIMEOUT)
+        groups = self._directory.serving_groups(work.service, work.model.name)
+        line = self._lines.setdefault(work.model.name, WaitingLine())
+        wait = expected_wait(
+            ahead=line.ahead_of(work.priority, has_begun=work.has_begun),
+            places=len(groups) * work.profile.slots,
+            # Every host gets its part of the places that free.
+            service_seconds=self._hold_seconds(work) * self._hosts(),
+        )
+        patience = min(self._patience(work), work.deadline - now)
+        if not groups:
+            wait = patience
+        if wait > patience:
+            return self.refuse(Reason.OVERLOADED, wait)
+        self._metrics.waiting.inc()
+        came = False
+        try:
+            came = await line.wait(
+                priority=work.priority,
+                on_time_until=work.started_at + work.route.objective_seconds,
+                seconds=patience,
+                has_begun=work.has_begun,
+            )
+        finally:
+            self._metrics.waiting.dec()
+            work.waited += self._clock.now() - now
+            if not came:
+                # It may have been offered a place as it left, which goes to the next.
+                self.wake(work.model.name)
+        if not came:
+            reason = Reason.OVERLOADED if groups else Reason.NO_GROUP
+            return self.refuse(reason, NO_GROUP_RETRY_SECONDS)
+        return None
+
+    def _patience(self, work: StreamWork) -> float:
+        """Return how long a stream may wait for a place from now.
+
+        Counted from its last event: counted from its start, a stream that had run for
+        1.2 s was cut off at once when its group died and no place was free.
+        """
+        whole = max(
+            PATIENCE_SECONDS,
+            PATIENCE_OBJECTIVES * work.route.objective_seconds,
+            PATIENCE_GAPS * work.route.gap_seconds,
+        )
+        heard_at = work.last_event_at or work.started_at
+        return max(0.0, WAIT_SHARE * whole - (self._clock.now() - heard_at))
+
+    def longest_seconds(self, work: StreamWork) -> float:
+        """Return how long a stream may take from now on, infinity without a group.
+
+        With as many tokens as it may get, on the group that it would get, full and at
+        the pace that it shows; without a place on the best that may get one: at the
+        pace of a sound group, a host took streams that its slow groups could not end
+        before it ended.
+        """
+        groups = self._directory.serving_groups(work.service, work.model.name)
+        chosen = self.choose(work)
+        candidates = [chosen] if chosen is not None else groups
+        loads = [self._directory.loads.load_of(g, work.profile) for g in candidates]
+        if not loads:
+            return inf
+        load = GroupLoad(
+            running=work.profile.slots, slowness=min(load.slowness for load in loads)
+        )
+        tokens = work.request.answer_tokens or work.profile.usual_answer_tokens
+        passes = tokens / max(1, work.profile.stride)
+        one_pass = pass_seconds(work.profile, work.model, load)
+        return work.route.objective_seconds + passes * one_pass
+
+    def _ends_before(self, work: StreamWork) -> bool:
+        """Tell whether this host ends before a stream that has not begun.
+
+        Judged only when it was taken, a stream got a place just before its host ended
+        and was cut off; its caller can still come back to another host.
+        """
+        if self.ends_at == inf or work.has_begun:
+            return False
+        return self._clock.now() + self.longest_seconds(work) > self.ends_at
+
+    def _hold_seconds(self, work: StreamWork) -> float:
+        load = GroupLoad(running=work.profile.slots)
+        passes = work.profile.usual_answer_tokens / max(1, work.profile.stride)
+        return max(0.1, passes * pass_seconds(work.profile, work.model, load))
+
+    def refuse(self, reason: Reason, wait: float) -> Refusal:
+        """Refuse a stream that did not run, to come back after about `wait` seconds."""
+        after = spread_retry_after(wait, self._rng.random())
+        return Refusal(status=503, reason=reason, retry_after=after)
+
+    def wake(self, model: str) -> None:
+        """Look whether the streams that wait for a model have a place now."""
+        line = self._lines.get(model)
+        shape = self._shapes.get(model)
+        if line is None or shape is None:
+            return
+        service, profile, spec, objective = shape
+
+        def has_place() -> bool:
+            groups = self._directory.serving_groups(service, model)
+            loads = [
+                Candidate(key=g.name, load=self._directory.loads.load_of(g, profile))
+                for g in groups
+            ]
+            chosen = choose_group(
+                profile,
+                spec,
+                loads,
+                prompt_tokens=profile.usual_prompt_tokens,
+                limit_seconds=FIRST_EVENT_SHARE * objective,
+            )
+            return chosen is not None
+
+        line.wake(has_place, self._clock.now())
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -1,19 +1,16 @@
 """Serve streams: place, pass events on, move to another group, end once."""
 
 import asyncio
-import random
-from collections import defaultdict
-from collections.abc import Callable, Iterator
-from math import inf
 
 import structlog
 
-from mallowpond.coordination.ports import Clock
-from mallowpond.node.directory import Directory
-from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, CutOff, Reason, Refusal, ServeOutcome
-from mallowpond.node.ports import CallerProtocol, Targets
-from mallowpond.node.quarantine import Quarantine
+from mallowpond.node.serving_parts import ServingParts
+from mallowpond.node.stream_placing import (
+    LEAST_SECONDS,
+    NO_GROUP_RETRY_SECONDS,
+    StreamPlacing,
+)
 from mallowpond.node.stream_work import (
     ActiveStream,
     AttemptEnd,
@@ -23,22 +20,12 @@
     StreamWork,
     WholeAnswer,
 )
-from mallowpond.node.waiting import WaitingLine
-from mallowpond.state.first_event import FirstEventDelay
-from mallowpond.state.fleet import BreakCause, EngineProfile, Group, ModelSpec
-from mallowpond.state.limits import expected_wait, spread_retry_after
+from mallowpond.state.fleet import BreakCause, Group
 from mallowpond.state.placement import (
-    UNSEEN_STREAMS,
-    Candidate,
-    GroupLoad,
-    choose_group,
     delay_of,
-    draw_places,
     first_event_seconds,
     pass_seconds,
-    unseen_streams,
 )
-from mallowpond.state.retry_window import RetryWindow
 from mallowpond.transport.http_client import (
     CallFailed,
     Chunk,
@@ -48,21 +35,6 @@
 
 log = structlog.get_logger()
 
-# Share of a caller's patience that a stream may wait here for a place: the rest is
-# for reading the prompt and the first pass.
-WAIT_SHARE = 0.6
-# Silence after which callers leave, as the platform's pages give it: the longest of
-# these seconds, objectives and allowed gaps.
-PATIENCE_SECONDS = 2.0
-PATIENCE_OBJECTIVES = 4.0
-PATIENCE_GAPS = 8.0
-# Time left below which a stream is not sent any more, in seconds.
-LEAST_SECONDS = 0.05
-# Share of the objective that a group's predicted first event may take. Less makes
-# streams wait for places that groups across domains could give them in time.
-FIRST_EVENT_SHARE = 1.0
-# Time to come back when no group serves a model and none is known to form soon.
-NO_GROUP_RETRY_SECONDS = 1.0
 # Sends that were proved not to have run, at most, for one request.
 MAX_NOT_RUN = 6
 # Longest pause of a group that turns every stream away, in seconds: as long as one that
@@ -77,53 +49,21 @@
 class StreamService:
     """Serve streams on the groups of a directory."""
 
-    def __init__(
-        self,
-        *,
-        directory: Directory,
-        targets: Targets,
-        callers: CallerProtocol,
-        clock: Clock,
-        metrics: NodeMetrics,
-        budget: Callable[[str], RetryWindow],
-        hosts: Callable[[], int],
-        rng: random.Random,
-        quarantine: Quarantine,
-    ) -> None:
-        self._directory = directory
-        self._targets = targets
-        self._callers = callers
-        self._clock = clock
-        self._metrics = metrics
-        self._budget = budget
-        self._hosts = hosts
-        self._rng = rng
-        self._quarantine = quarantine
-        self._lines: dict[str, WaitingLine] = {}
-        self._shapes: dict[str, tuple[str, EngineProfile, ModelSpec, float]] = {}
-        self._delays: dict[tuple[str, str], FirstEventDelay] = defaultdict(
-            FirstEventDelay
-        )
+    def __init__(self, *, parts: ServingParts) -> None:
+        self._directory = parts.directory
+        self._targets = parts.targets
+        self._callers = parts.callers
+        self._clock = parts.clock
+        self._metrics = parts.metrics
+        self._budget = parts.budget
+        self._hosts = parts.hosts
+        self._quarantine = parts.quarantine
+        self.placing = StreamPlacing(parts=parts)
         self.active: set[ActiveStream] = set()
         self._serving = 0
         # Set while streams are served or wait here.
         self.has_streams = asyncio.Event()
-        self.ends_at = inf
-        directory.on_change.append(self.wake_all)
-
-    def wake_all(self) -> None:
-        """Look whether waiting streams have a place now."""
-        for model in self._lines:
-            self._wake(model)
-
-    def delay(self, service: str, model: str) -> FirstEventDelay:
-        """Return what was learnt of the first events of a model."""
-        return self._delays[(service, model)]
-
-    def end_waits(self) -> None:
-        """Let no stream wait for a place any longer."""
-        for line in self._lines.values():
-            line.end()
+        parts.directory.on_change.append(self.placing.wake_all)
 
     # -- one stream ----------------------------------------------------------
 
@@ -141,16 +81,11 @@
     async def _serve(self, work: StreamWork) -> ServeOutcome:
         work.started_at = self._clock.now()
         work.last_event = work.request.last_event
-        self._shapes[work.model.name] = (
-            work.service,
-            work.profile,
-            work.model,
-            work.route.objective_seconds,
-        )
+        self.placing.note_shape(work)
         self._budget(work.service).note_first(work.started_at)
         failed: FailedAnswer | None = None
         while True:
-            group = await self._place(work)
+            group = await self.placing.place(work)
             if isinstance(group, Refusal):
                 return await self._end_unserved(work, group, failed)
             end = await self._send(work, group)
@@ -191,7 +126,7 @@
             work.not_run += 1
             work.sent_to.pop()
             if work.not_run > MAX_NOT_RUN:
-                return self._refuse(Reason.NO_GROUP, NO_GROUP_RETRY_SECONDS)
+                return self.placing.refuse(Reason.NO_GROUP, NO_GROUP_RETRY_SECONDS)
         elif not work.route.resumable:
             return Refusal(status=502, reason=Reason.MAYBE_RUN)
         elif self._attempts(work) >= work.route.max_attempts:
@@ -226,7 +161,7 @@
 
     def may_move(self, stream: ActiveStream) -> bool:
         """Tell whether a stream could go on at another group now."""
-        return self.may_go_on(stream) and self._choose(stream.work) is not None
+        return self.may_go_on(stream) and self.placing.choose(stream.work) is not None
 
     def _attempts(self, work: StreamWork) -> int:
         """Count the engines that may have run the request and have not ended."""
@@ -247,186 +182,9 @@
             return Refusal(status=502, reason=refusal.reason)
         if not work.sent_to and refusal.status != 503:
             # Every engine turned it away: the caller may come back, whatever it asked.
-            return self._refuse(refusal.reason, NO_GROUP_RETRY_SECONDS)
+            return self.placing.refuse(refusal.reason, NO_GROUP_RETRY_SECONDS)
         return refusal
 
-    # -- placing -------------------------------------------------------------
-
-    async def _place(self, work: StreamWork) -> Group | Refusal:
-        while True:
-            held = self._quarantine.refusal(work.fingerprint)
-            if held is not None:
-                # Placed all the same, it would end one more group and all that runs
-                # there; its caller comes again, at any host.
-                return held
-            group = self._choose(work)
-            if group is not None and self._ends_before(work):
-                self._wake(work.model.name)
-                return self._refuse(Reason.STOPPING, 0.0)
-            if group is not None:
-                return group
-            refusal = await self._wait(work)
-            if refusal is not None:
-                return refusal
-
-    def _choose(self, work: StreamWork) -> Group | None:
-        groups = self._directory.serving_groups(work.service, work.model.name)
-        groups = [g for g in groups if g.head and g.head.process not in work.sent_to]
-        by_key = {f"{g.name}/{g.epoch}": g for g in groups}
-        unseen = unseen_streams(
-            own_per_second=self._budget(work.service).firsts_per_second,
-            hosts=self._hosts(),
-            age_seconds=self._directory.loads.load_age,
-            groups=self._directory.count_open(work.service),
-        )
-        limit = FIRST_EVENT_SHARE * work.route.objective_seconds
-        if unseen >= UNSEEN_STREAMS:
-            candidates = draw_places(
-                work.profile,
-                work.model,
-                self._candidates(work, self._rng.sample(groups, len(groups))),
-                prompt_tokens=work.prompt_tokens,
-                limit_seconds=limit,
-            )
-        else:
-            candidates = list(self._candidates(work, groups))
-        chosen = choose_group(
-            work.profile,
-            work.model,
-            candidates,
-            prompt_tokens=work.prompt_tokens,
-            limit_seconds=limit,
-            delay_seconds=self.delay(work.service, work.model.name).usual,
-            unseen=unseen,
-            rng=self._rng,
-        )
-        return None if chosen is None else by_key[chosen.key]
-
-    def _candidates(self, work: StreamWork, groups: list[Group]) -> Iterator[Candidate]:
-        for group in groups:
-            yield Candidate(
-                key=f"{group.name}/{group.epoch}",
-                load=self._directory.loads.load_of(group, work.profile),
-                is_leaving=group.is_leaving,
-            )
-
-    async def _wait(self, work: StreamWork) -> Refusal | None:
-        """Wait for a place, or say at once that there will be none in time."""
-        now = self._clock.now()
-        if now + LEAST_SECONDS > work.deadline:
-            return Refusal(status=504, reason=Reason.TIMEOUT)
-        groups = self._directory.serving_groups(work.service, work.model.name)
-        line = self._lines.setdefault(work.model.name, WaitingLine())
-        wait = expected_wait(
-            ahead=line.ahead_of(work.priority, has_begun=work.has_begun),
-            places=len(groups) * work.profile.slots,
-            # Every host gets its part of the places that free.
-            service_seconds=self._hold_seconds(work) * self._hosts(),
-        )
-        patience = min(self._patience(work), work.deadline - now)
-        if not groups:
-            wait = patience
-        if wait > patience:
-            return self._refuse(Reason.OVERLOADED, wait)
-        self._metrics.waiting.inc()
-        came = False
-        try:
-            came = await line.wait(
-                priority=work.priority,
-                on_time_until=work.started_at + work.route.objective_seconds,
-                seconds=patience,
-                has_begun=work.has_begun,
-            )
-        finally:
-            self._metrics.waiting.dec()
-            work.waited += self._clock.now() - now
-            if not came:
-                # It may have been offered a place as it left, which goes to the next.
-                self._wake(work.model.name)
-        if not came:
-            reason = Reason.OVERLOADED if groups else Reason.NO_GROUP
-            return self._refuse(reason, NO_GROUP_RETRY_SECONDS)
-        return None
-
-    def _patience(self, work: StreamWork) -> float:
-        """Return how long a stream may wait for a place from now.
-
-        Counted from its last event: counted from its start, a stream that had run for
-        1.2 s was cut off at once when its group died and no place was free.
-        """
-        whole = max(
-            PATIENCE_SECONDS,
-            PATIENCE_OBJECTIVES * work.route.objective_seconds,
-            PATIENCE_GAPS * work.route.gap_seconds,
-        )
-        heard_at = work.last_event_at or work.started_at
-        return max(0.0, WAIT_SHARE * whole - (self._clock.now() - heard_at))
-
-    def longest_seconds(self, work: StreamWork) -> float:
-        """Return how long a stream may take from now on, infinity without a group.
-
-        With as many tokens as it may get, on the group that it would get, full and at
-        the pace that it shows; without a place on the best that may get one: at the
-        pace of a sound group, a host took streams that its slow groups could not end
-        before it ended.
-        """
-        groups = self._directory.serving_groups(work.service, work.model.name)
-        chosen = self._choose(work)
-        candidates = [chosen] if chosen is not None else groups
-        loads = [self._directory.loads.load_of(g, work.profile) for g in candidates]
-        if not loads:
-            return inf
-        load = GroupLoad(
-            running=work.profile.slots, slowness=min(load.slowness for load in loads)
-        )
-        tokens = work.request.answer_tokens or work.profile.usual_answer_tokens
-        passes = tokens / max(1, work.profile.stride)
-        one_pass = pass_seconds(work.profile, work.model, load)
-        return work.route.objective_seconds + passes * one_pass
-
-    def _ends_before(self, work: StreamWork) -> bool:
-        """Tell whether this host ends before a stream that has not begun.
-
-        Judged only when it was taken, a stream got a place just before its host ended
-        and was cut off; its caller can still come back to another host.
-        """
-        if self.ends_at == inf or work.has_begun:
-            return False
-        return self._clock.now() + self.longest_seconds(work) > self.ends_at
-
-    def _hold_seconds(self, work: StreamWork) -> float:
-        load = GroupLoad(running=work.profile.slots)
-        passes = work.profile.usual_answer_tokens / max(1, work.profile.stride)
-        return max(0.1, passes * pass_seconds(work.profile, work.model, load))
-
-    def _refuse(self, reason: Reason, wait: float) -> Refusal:
-        after = spread_retry_after(wait, self._rng.random())
-        return Refusal(status=503, reason=reason, retry_after=after)
-
-    def _wake(self, model: str) -> None:
-        line = self._lines.get(model)
-        shape = self._shapes.get(model)
-        if line is None or shape is None:
-            return
-        service, profile, spec, objective = shape
-
-        def has_place() -> bool:
-            groups = self._directory.serving_groups(service, model)
-            loads = [
-                Candidate(key=g.name, load=self._directory.loads.load_of(g, profile))
-                for g in groups
-            ]
-            chosen = choose_group(
-                profile,
-                spec,
-                loads,
-                prompt_tokens=profile.usual_prompt_tokens,
-                limit_seconds=FIRST_EVENT_SHARE * objective,
-            )
-            return chosen is not None
-
-        line.wake(has_place, self._clock.now())
-
     # -- one send ------------------------------------------------------------
 
     async def _send(self, work: StreamWork, group: Group) -> AttemptEnd:
@@ -434,6 +192,7 @@
         now = self._clock.now()
         own = self._directory.loads.work(group.key)
         load = self._directory.loads.load_of(group, work.profile)
+        usual_delay = self.placing.delay(work.service, work.model.name).usual
         stream = ActiveStream(
             work=work,
             group=group,
@@ -459,15 +218,13 @@
             reading=round(load.reading_tokens),
             slowness=round(load.slowness, 2),
             predicted=round(stream.predicted, 3),
-            delay=round(
-                delay_of(load, self.delay(work.service, work.model.name).usual), 3
-            ),
+            delay=round(delay_of(load, usual_delay), 3),
             left=round(work.deadline - now, 3),
             resume=work.last_event,
         )
         stream.task = asyncio.create_task(self._attempt(stream))
         self.active.add(stream)
-        self._wake(work.model.name)
+        self.placing.wake(work.model.name)
         try:
             async with asyncio.timeout(max(0.001, work.deadline - now)):
                 return await stream.task
@@ -484,7 +241,7 @@
             own.running -= 1
             own.reading_tokens -= stream.reading
             work.progress.drop_rest()
-            self._wake(work.model.name)
+            self.placing.wake(work.model.name)
 
     async def _attempt(self, stream: ActiveStream) -> AttemptEnd:
         work, head = stream.work, stream.group.head
@@ -558,14 +315,14 @@
             work.longest_gap = max(work.longest_gap, now - work.last_event_at)
         work.last_event_at = now
         if stream.last_event_at is None:
-            self.delay(work.service, work.model.name).note(
+            self.placing.delay(work.service, work.model.name).note(
                 observed=now - stream.sent_at,
                 predicted=stream.predicted,
                 slowness=stream.slowness,
             )
             own.reading_tokens -= stream.reading
             stream.reading = 0.0
-            self._wake(work.model.name)
+            self.placing.wake(work.model.name)
         else:
             gap = now - stream.last_event_at
             self._metrics.gap.observe(gap)
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -16,6 +16,7 @@
     TargetsRead,
 )
 from mallowpond.node.quarantine import Quarantine
+from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.stream_work import StreamWork
 from mallowpond.node.streams import StreamService
 from mallowpond.state.fleet import (
@@ -318,7 +319,7 @@
     directory = Directory(source=source, clock=clock)
     budget = RetryWindow(ratio=1.0, slack=slack, window_seconds=10.0)
     metrics = NodeMetrics()
-    service = StreamService(
+    parts = ServingParts(
         directory=directory,
         targets=targets,
         callers=FakeCallers(),
@@ -329,6 +330,7 @@
         rng=random.Random(1),
         quarantine=Quarantine(clock=clock, metrics=metrics),
     )
+    service = StreamService(parts=parts)
     await directory.refresh()
     return Rig(
         clock=clock,
--- a/mallowpond/node/tests/test_calls.py
+++ b/mallowpond/node/tests/test_calls.py
@@ -10,6 +10,7 @@
 from mallowpond.node.outcomes import Answered, Reason, Refusal
 from mallowpond.node.ports import CallerRequest
 from mallowpond.node.quarantine import Quarantine
+from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.tests.fakes import (
     BROKEN,
     UNREACHABLE,
@@ -61,7 +62,7 @@
 def service_of(directory, fakes, clock, budget):
     """Build a service of calls over fakes."""
     metrics = NodeMetrics()
-    return CallService(
+    parts = ServingParts(
         directory=directory,
         targets=fakes,
         callers=FakeCallers(),
@@ -72,6 +73,7 @@
         rng=random.Random(1),
         quarantine=Quarantine(clock=clock, metrics=metrics),
     )
+    return CallService(parts=parts)
 
 
 def work_of(clock, route, exchange):
