--- a/mallowpond/node/tests/test_calls.py
+++ b/mallowpond/node/tests/test_calls.py
@@ -22,6 +22,7 @@
     FakeTargets,
     listing,
 )
+from mallowpond.state.crash_ledger import ENDINGS_TO_HOLD
 from mallowpond.state.fleet import Target
 from mallowpond.state.retry_window import RetryWindow
 from mallowpond.state.site_configuration import Backend, Repeat, Route
@@ -237,3 +238,26 @@
     outcome = await service.serve(work_of(clock, ONCE, FakeExchange()))
     assert outcome == Refusal(status=502, reason=Reason.MAYBE_RUN)
     assert len(sends) == 1
+
+
+async def test_a_call_that_ends_its_targets_is_refused_and_not_sent():
+    """Symptom: one request ends a target of a plain service each time it comes.
+
+    Sequence: it may not be repeated, so each time it is sent once; three targets end.
+    Cause: a limit on the sends of one request says nothing of its returns.
+    """
+    clock, fakes = FakeClock(), FakeTargets()
+    source = FakeSource(listed=deque([listing(*map(plain, "abcd"))]))
+    directory = Directory(source=source, clock=clock)
+    await directory.refresh()
+    for name in "abcd":
+        fakes.script(name, BROKEN)
+    budget = RetryWindow(ratio=0.0, slack=9.0, window_seconds=10.0)
+    service = service_of(directory, fakes, clock, budget)
+    ends = []
+    for _ in range(ENDINGS_TO_HOLD + 1):
+        clock.time += 0.5
+        ends.append(await service.serve(work_of(clock, ONCE, FakeExchange())))
+    assert [end.status for end in ends] == [502] * ENDINGS_TO_HOLD + [503]
+    assert ends[-1].reason is Reason.HELD_BACK
+    assert len(fakes.sends) == ENDINGS_TO_HOLD
--- a/mallowpond/node/tests/test_quarantine.py
+++ b/mallowpond/node/tests/test_quarantine.py
@@ -308,6 +308,9 @@
     # It ran, so this is no promise that it did not.
     assert first == Refusal(status=502, reason=Reason.HELD_BACK)
     assert len(rig.targets.sends) == ENDINGS_TO_HOLD
+    # What is not sent once more spends none of the repeats that all hosts share.
+    repeats = rig.service._metrics.retries.labels(Reason.BROKEN_STREAM.value)
+    assert repeats._value.get() == ENDINGS_TO_HOLD - 1
     rig.clock.time += 1.0
     again = await rig.service.serve(rig.work(FakeExchange(), route))
     assert again == Refusal(
