Bound what controllers keep of ended targets, and look at holds that run out

Rows that hold nothing back go after 30 s, at most 1,000 stand; before, each request that had stood on an ended target kept a row for ten minutes on every controller. A host looks every 30 s at what it holds, so that mallowpond_held_back falls when a hold runs out and nothing else comes. Tests with it; both of the rows' bounds were read out of the code before, not seen failing.

--- a/mallowpond/controller/quarantine.py
+++ b/mallowpond/controller/quarantine.py
@@ -27,6 +27,11 @@
 # Rows that one step writes or drops, at most: what a group's end leaves to report is
 # written in some steps, and the table has other work.
 ROWS_A_STEP = 50
+# Rows that stand in the table, at most: every controller keeps them all.
+MAX_ROWS = 1_000
+# Time after its last ending for which a row stands that holds nothing back, in seconds:
+# by then each controller has put it together with what it knows.
+KEPT_SECONDS = 30.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -128,6 +133,9 @@
             puts.append(put)
         if not puts:
             return
+        if len(rows) >= MAX_ROWS:
+            log.warning("controller: too many rows of the quarantine", rows=len(rows))
+            return
         outcome = await self._table.commit(transaction(self._draw_id(), *puts))
         if isinstance(outcome, Committed):
             self._reported -= set(written)
@@ -136,7 +144,8 @@
 
     async def _drop(self, rows: dict[str, Versioned[QuarantineRow]]) -> None:
         now = self._wall_time()
-        old = [r for r, row in rows.items() if now - row.value.ended_at > HOLD_SECONDS]
+        kept = {r: HOLD_SECONDS if r in self._held else KEPT_SECONDS for r in rows}
+        old = [r for r, row in rows.items() if now - row.value.ended_at > kept[r]]
         if not old:
             return
         keys = tuple(SHARED + QUARANTINE + request for request in old[:ROWS_A_STEP])
--- /dev/null
+++ b/mallowpond/controller/tests/test_quarantine.py
@@ -0,0 +1,103 @@
+"""What controllers keep of requests that end their targets."""
+
+import random
+
+from mallowpond.controller.quarantine import (
+    KEPT_SECONDS,
+    MAX_ROWS,
+    ROWS_A_STEP,
+    ControllerQuarantine,
+)
+from mallowpond.coordination.keys import SHARED
+from mallowpond.coordination.store import TableView, new_id
+from mallowpond.node.tests.fakes import FakeClock
+from mallowpond.standins.platform import MemoryTable
+from mallowpond.state.crash_ledger import HOLD_SECONDS, CrashRecord, Ending
+from mallowpond.state.fleet import Process
+
+
+class Keeper:
+    """Hold one controller's quarantine over a table that others may share."""
+
+    def __init__(self, table, clock):
+        self.table, self.clock = table, clock
+        self.shared = TableView(table=table, prefix=SHARED)
+        rng = random.Random()
+        self.quarantine = ControllerQuarantine(
+            table=table,
+            shared=self.shared,
+            clock=clock,
+            draw_id=lambda: new_id(rng),
+            wall_time=clock.now,
+        )
+
+    async def step(self):
+        """Read the shared rows and act on them, as a heartbeat does."""
+        await self.shared.refresh()
+        await self.quarantine.step()
+
+    @property
+    def told(self):
+        """Return the requests that gateways hear of."""
+        return [record.request for record in self.quarantine.told()]
+
+
+def record(request, *targets):
+    """Write what a gateway reports."""
+    endings = tuple(Ending(process=Process(id=t, born=None), ran=0.1) for t in targets)
+    return CrashRecord(request=request, endings=endings)
+
+
+async def test_what_two_controllers_hear_in_part_is_put_together():
+    """Symptom: a request goes on ending groups while gateways have several controllers.
+
+    Sequence: two gateways see two of its endings each, and report to two controllers.
+    Cause: each controller counted what its own gateways reported.
+    """
+    table, clock = MemoryTable(), FakeClock()
+    first, second = Keeper(table, clock), Keeper(table, clock)
+    first.quarantine.hear((record("bad", "a", "b"),))
+    second.quarantine.hear((record("bad", "c", "d"),))
+    for _ in range(3):
+        await first.step()
+        await second.step()
+    assert first.told == second.told == ["bad"]
+    before = second.quarantine.version
+    refuted = record("bad", "a", "b", "c", "d")
+    endings = tuple(
+        Ending(process=e.process, ran=e.ran, refuted=True) for e in refuted.endings
+    )
+    first.quarantine.hear((CrashRecord(request="bad", endings=endings),))
+    for _ in range(2):
+        await first.step()
+        await second.step()
+    assert second.quarantine.version != before
+    (told,) = second.quarantine.told()
+    assert all(ending.refuted for ending in told.endings)
+
+
+async def test_rows_go_when_they_hold_nothing_back():
+    table, clock = MemoryTable(), FakeClock()
+    keeper = Keeper(table, clock)
+    keeper.quarantine.hear((record("bad", "a", "b", "c"), record("beside", "a")))
+    await keeper.step()
+    assert len(table._rows) == 2
+    clock.time += KEPT_SECONDS + 1.0
+    await keeper.step()
+    assert [key.rpartition("/")[2] for key in table._rows] == ["bad"]
+    clock.time += HOLD_SECONDS
+    await keeper.step()
+    await keeper.step()
+    assert table._rows == {}
+    assert keeper.told == []
+
+
+async def test_rows_are_bounded_in_a_step_and_in_all():
+    table, clock = MemoryTable(), FakeClock()
+    keeper = Keeper(table, clock)
+    keeper.quarantine.hear(tuple(record(f"r{n}", "a") for n in range(MAX_ROWS + 200)))
+    await keeper.step()
+    assert len(table._rows) == ROWS_A_STEP
+    for _ in range(40):
+        await keeper.step()
+    assert len(table._rows) == MAX_ROWS
--- a/mallowpond/node/quarantine.py
+++ b/mallowpond/node/quarantine.py
@@ -48,7 +48,7 @@
             ran=round(ending.ran, 3),
             endings=len(record.endings),
         )
-        self._tell_held()
+        self.review()
         for notify in self.on_seen:
             notify(request)
 
@@ -60,7 +60,7 @@
         """Note that a request was answered whole."""
         if self._ledger.note_answer(request, self._clock.now()) is None:
             return
-        self._tell_held()
+        self.review()
         for notify in self.on_seen:
             notify(request)
 
@@ -68,7 +68,7 @@
         """Take what another host or the store knows."""
         before = self._held
         self._ledger.merge(record, self._clock.now())
-        self._tell_held()
+        self.review()
         for request in self._held - before:
             if request == record.request and record.is_enough:
                 # Whoever told it has decided it, and tells everybody.
@@ -88,7 +88,7 @@
         """Return all that is known, the most important first."""
         return list(self._ledger.records(self._clock.now()))
 
-    def _tell_held(self) -> None:
+    def review(self) -> None:
         """Log what is held back since the last look, and what is no more."""
         held = self._ledger.held(self._clock.now())
         for request in sorted(held - self._held):
--- a/mallowpond/node/quarantine_sharing.py
+++ b/mallowpond/node/quarantine_sharing.py
@@ -245,6 +245,7 @@
         """Read what the store keeps at the start, and at times, until cancelled."""
         await self._clock.sleep(FIRST_ASK_SECONDS)
         while True:
+            self._quarantine.review()
             if not self._peers.is_senior or await self.read():
                 await self._clock.sleep(READ_SECONDS)
             else:
