Let a target end again under its id, and a full ledger take no more

Both tests fail on the code before: where targets do not tell their start, the first end of one made every later send to its id count as sent to nobody; and a ledger full of held requests dropped the new one and then looked for it.

--- a/mallowpond/state/crash_ledger.py
+++ b/mallowpond/state/crash_ledger.py
@@ -27,6 +27,9 @@
 # Time for which an answered request counts as harmless, in seconds: a request that many
 # callers send alike stands on several targets of a fabric domain that fails.
 ANSWERED_SECONDS = 60.0
+# Time after a target's end in which what is sent there counts as sent to nobody, in
+# seconds: later on, another process has started under the same id.
+ENDED_SECONDS = 2.0
 # Bounds of what one host keeps: requests with endings, targets that ended under each,
 # answered requests, and targets that ended.
 MAX_REQUESTS = 2_000
@@ -112,13 +115,21 @@
         None if the target had ended before: until the list shows that, requests go on
         being sent there, and none of them is what ended it.
         """
-        ended_at = self._ended.setdefault(ending.process, now)
-        if len(self._ended) > MAX_ENDED:
-            del self._ended[next(iter(self._ended))]
-        if now - ending.ran > ended_at:
+        sent_at = now - ending.ran
+        ended_at = self._ended.get(ending.process, now)
+        if ended_at < sent_at <= ended_at + ENDED_SECONDS:
             return None
+        self._note_ended(ending.process, sent_at, now)
         self.merge(CrashRecord(request=Identifier(request), endings=(ending,)), now)
-        return self._record(request, now)
+        return self.record(request, now)
+
+    def _note_ended(self, process: Process, sent_at: float, now: float) -> None:
+        """Remember when a target ended, for each of its lives."""
+        if sent_at > self._ended.get(process, now):
+            del self._ended[process]
+        self._ended.setdefault(process, now)
+        if len(self._ended) > MAX_ENDED:
+            del self._ended[next(iter(self._ended))]
 
     def note_answer(self, request: str, now: float) -> CrashRecord | None:
         """Note a whole answer; return what it refutes, None if there was nothing.
--- a/mallowpond/state/tests/test_crash_ledger.py
+++ b/mallowpond/state/tests/test_crash_ledger.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from mallowpond.state import crash_ledger
 from mallowpond.state.crash_ledger import (
     ANSWERED_SECONDS,
+    ENDED_SECONDS,
     ENDINGS_TO_HOLD,
     FORGET_SECONDS,
     HOLD_SECONDS,
@@ -199,3 +201,29 @@
     assert ledger.note_ending("later", ending("a", ran=0.002), 10.5) is None
     ledger.note_life(Process(id="a", born=1))
     assert ledger.note_ending("again", ending("a", ran=0.1), 11.0) is not None
+
+
+def test_a_target_that_starts_again_untold_under_its_id_may_end_again():
+    """Symptom: a request ends a target again and again, and it is not noted.
+
+    Sequence: targets do not tell their start; one ends, starts under its id, and gets
+    the same request first.
+    Cause: its first end made all later sends count as sent to nobody.
+    """
+    ledger = CrashLedger()
+    untold = Ending(process=Process(id="a", born=None), ran=0.1)
+    assert ledger.note_ending("first", untold, 10.0) is not None
+    later = 10.2 + ENDED_SECONDS
+    assert ledger.note_ending("bad", untold, later) is not None
+    assert ledger.note_ending("beside", untold, later + 0.05) is not None
+    assert ledger.note_ending("late", untold, later + 0.5) is None
+
+
+def test_a_ledger_full_of_held_requests_takes_no_more_and_does_not_fail(monkeypatch):
+    most = 50
+    monkeypatch.setattr(crash_ledger, "MAX_REQUESTS", most)
+    ledger = CrashLedger()
+    for number in range(most):
+        ledger.merge(record(f"r{number}", *(f"{number}.{n}" for n in range(3))), 0.0)
+    assert ledger.note_ending("new", ending("x"), 0.0) is None
+    assert len(ledger.held(0.0)) == most
