--- a/mallowpond/node/quarantine.py
+++ b/mallowpond/node/quarantine.py
@@ -33,6 +33,13 @@
             return None
         return Refusal(status=503, reason=Reason.HELD_BACK, retry_after=seconds)
 
+    def refuse(self, request: str, request_id: str) -> Refusal | None:
+        """Return what `refusal` does, and log it under the request's own id."""
+        refusal = self.refusal(request)
+        if refusal is not None:
+            log.info("quarantine: refused", request=request_id, fingerprint=request)
+        return refusal
+
     def note_ending(self, request: str, process: Process, sent_at: float) -> None:
         """Note that a target broke off while it ran a request."""
         now = self._clock.now()
--- a/mallowpond/node/stream_placing.py
+++ b/mallowpond/node/stream_placing.py
@@ -82,7 +82,7 @@
     async def place(self, work: StreamWork) -> Group | Refusal:
         """Return the group that a stream goes to, or why it goes to none."""
         while True:
-            held = self._quarantine.refusal(work.fingerprint)
+            held = self._quarantine.refuse(work.fingerprint, work.request.id)
             if held is not None:
                 # Placed all the same, it would end one more group and all that runs
                 # there; its caller comes again, at any host.
--- a/mallowpond/programs/cli.py
+++ b/mallowpond/programs/cli.py
@@ -13,6 +13,7 @@
 from mallowpond.programs import operator_commands
 from mallowpond.programs.explain import (
     LogFiles,
+    explain_fingerprint,
     explain_group,
     explain_request,
     explain_version,
@@ -277,18 +278,24 @@
     ] = None,
     group: Annotated[str, typer.Option(help="A group's name, in place of ID.")] = "",
     version: Annotated[int, typer.Option(help="A configuration's, for ID.")] = 0,
+    fingerprint: Annotated[
+        str, typer.Option(help="What a request shares with its returns, for ID.")
+    ] = "",
 ) -> None:
     """Tell what happened to a request, a group or a configuration, from logs."""
     names = list(words or ())
-    request = "" if group or version else names.pop(0) if names else ""
-    if sum(map(bool, (request, group, version))) != 1:
-        typer.echo("Say one of ID, --group and --version.", err=True)
+    is_other = group or version or fingerprint
+    request = "" if is_other else names.pop(0) if names else ""
+    if sum(map(bool, (request, group, version, fingerprint))) != 1:
+        typer.echo("Say one of ID, --group, --version and --fingerprint.", err=True)
         raise typer.Exit(EXIT_USAGE)
     logs = _read_logs([Path(name) for name in names])
     if request:
         story = explain_request(logs.lines, request)
     elif group:
         story = explain_group(logs.lines, group)
+    elif fingerprint:
+        story = explain_fingerprint(logs.lines, fingerprint)
     else:
         story = explain_version(logs.lines, version)
     if logs.unreadable:
--- a/mallowpond/programs/explain.py
+++ b/mallowpond/programs/explain.py
@@ -1,6 +1,7 @@
 """Tell the story of a request, a group or a configuration from nodes' log lines."""
 
 import json
+from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from datetime import datetime
@@ -32,6 +33,7 @@
     "unknown_key": "the version in force on this host did not hold the key",
     "no_route": "the version in force on this host had no such route",
     "attempts_used": "each engine that the route allows broke off or fell silent",
+    "held_back": "targets ended under it: see explain --fingerprint",
     "budget_used": "the repeats that all hosts share were used up",
     "misdirected": "the head answered that it holds no such group",
     "timeout": "its time was used up",
@@ -145,6 +147,23 @@
     return Story(lines=tuple(told), verdict=verdict)
 
 
+def explain_fingerprint(lines: Iterable[Line], fingerprint: str) -> Story | None:
+    """Return each return of a request, its targets that ended, and its hold."""
+    told = tuple(x for x in lines if x.fields.get("fingerprint") == fingerprint)
+    if not told:
+        return None
+    by_event: dict[str, list[Line]] = defaultdict(list)
+    for line in told:
+        by_event[line.event].append(line)
+    sent = by_event["stream: sent"] + by_event["call: sent"]
+    ended = {line.fields.get("target") for line in by_event["quarantine: target ended"]}
+    held = {line.host for line in by_event["quarantine: held back"]}
+    refused = len(by_event["quarantine: refused"])
+    verdict = f"{len(sent)} sends, {len(ended)} targets ended, "
+    verdict += f"held back on {len(held)} hosts, {refused} refused"
+    return Story(lines=told, verdict=verdict)
+
+
 def explain_version(lines: Iterable[Line], version: int) -> Story | None:
     """Return when a configuration came into force on each host."""
     told = tuple(
--- a/mallowpond/programs/tests/test_explain.py
+++ b/mallowpond/programs/tests/test_explain.py
@@ -113,3 +113,29 @@
     result = RUNNER.invoke(app, ["explain", "q2"], input="\n".join(LOGS["a-1"]))
     assert result.exit_code == 0
     assert "refused with 503" in result.output
+
+
+def test_a_request_that_ends_its_targets_is_told_by_its_fingerprint(tmp_path):
+    logs = {
+        "a-1": [
+            line(1.0, "stream: sent", request="q1", fingerprint="f", target="e0"),
+            line(1.1, "quarantine: target ended", fingerprint="f", target="e0"),
+            line(3.2, "quarantine: held back", fingerprint="f", targets=["e0"]),
+        ],
+        "b-1": [
+            line(2.0, "call: sent", request="q2", fingerprint="f", target="e1"),
+            line(2.1, "quarantine: target ended", fingerprint="f", target="e1"),
+            line(2.2, "stream: sent", request="q3", fingerprint="other", target="e1"),
+            line(3.2, "quarantine: held back", fingerprint="f", targets=["e0"]),
+            line(4.0, "quarantine: refused", request="q4", fingerprint="f"),
+        ],
+    }
+    for host, rows in logs.items():
+        (tmp_path / f"{host}.log").write_text("\n".join(rows))
+    files = [str(path) for path in sorted(tmp_path.iterdir())]
+    code, lines = told("--fingerprint", "f", *files)
+    assert code == 0
+    assert lines[-1] == ("=> 2 sends, 2 targets ended, held back on 2 hosts, 1 refused")
+    assert not any("q3" in text for text in lines)
+    assert told("--fingerprint", "none", *files)[0] == EXIT_REFUSED
+    assert told("--fingerprint", "f", "--group", "g", *files)[0] == EXIT_USAGE
