Let a stream that comes again in the soak have the time that it had

A long stream was given 3 s when it came again, less than it lasts, and could never be served: the check was wrong there, and is as strict now with the time that the caller first gave.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -124,6 +124,7 @@
         self, record: CallerRecord, connection: "_Connection | None"
     ) -> None:
         """Ask, and ask again elsewhere while the request may be repeated."""
+        seconds = record.deadline - record.sent_at
         await self._ask(record, connection)
         for _ in range(self._returns):
             is_whole = record.status == 200 and record.ending is Ending.WHOLE
@@ -131,7 +132,7 @@
             if is_whole or may_have_run:
                 return
             await asyncio.sleep(self._rng.uniform(0.0, RETURN_SECONDS))
-            again = self._record(record.kind, record.events, DEADLINES[record.kind])
+            again = self._record(record.kind, record.events, seconds)
             record = replace(again, content=record.content, key=record.key)
             self.records.append(record)
             await self._ask(record, None)
