--- a/mallowpond/platform/tests/test_ingress.py
+++ b/mallowpond/platform/tests/test_ingress.py
@@ -54,6 +54,11 @@
     def __init__(self):
         self.served = []
 
+    @property
+    def placing(self):
+        """Return what tells how long a stream may take."""
+        return self
+
     def longest_seconds(self, work):
         """Tell that a stream takes a second at most."""
         return 1.0
