Test that an ending which another host saw counts like an own one

The five tests fail on this code: the ledger has no word on what others saw, a call and a stream go to a target that was told of as ended, and a head that breaks off again after its end stays in use.

--- a/mallowpond/node/tests/test_calls.py
+++ b/mallowpond/node/tests/test_calls.py
@@ -22,8 +22,8 @@
     FakeTargets,
     listing,
 )
-from mallowpond.state.crash_ledger import ENDINGS_TO_HOLD
-from mallowpond.state.fleet import Target
+from mallowpond.state.crash_ledger import ENDINGS_TO_HOLD, CrashRecord, Ending
+from mallowpond.state.fleet import Process, Target
 from mallowpond.state.retry_window import RetryWindow
 from mallowpond.state.site_configuration import Backend, Repeat, Route
 from mallowpond.transport.http_client import Chunk, End
@@ -261,3 +261,23 @@
     assert [end.status for end in ends] == [502] * ENDINGS_TO_HOLD + [503]
     assert ends[-1].reason is Reason.HELD_BACK
     assert len(fakes.sends) == ENDINGS_TO_HOLD
+
+
+async def test_a_call_goes_to_a_target_that_nobody_saw_end():
+    """Guard against sending a call to a target that another host saw end."""
+    clock, fakes = FakeClock(), FakeTargets()
+    source = FakeSource(listed=deque([listing(*map(plain, "abcd"))]))
+    directory = Directory(source=source, clock=clock)
+    await directory.refresh()
+    for name in "abc":
+        fakes.script(name, BROKEN)
+    fakes.script("d", *(reply(200) for _ in range(9)))
+    budget = RetryWindow(ratio=0.0, slack=9.0, window_seconds=10.0)
+    service = service_of(directory, fakes, clock, budget)
+    endings = (Ending(process=Process(id=n, born=None), ran=0.1) for n in "abc")
+    record = CrashRecord(request="bad", endings=tuple(endings))
+    service._quarantine.hear(record)
+    outcomes = [
+        await service.serve(work_of(clock, ONCE, FakeExchange())) for _ in range(9)
+    ]
+    assert [outcome.target for outcome in outcomes] == ["d"] * 9
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -21,6 +21,8 @@
     misdirected,
     rig_of,
 )
+from mallowpond.state.crash_ledger import CrashRecord, Ending
+from mallowpond.state.fleet import Process
 
 
 def whole(*numbers):
@@ -452,3 +454,34 @@
         await asyncio.sleep(0)
     assert rig.targets.sends == [("a0", None)]
     assert await tasks[1] == Answered(status=200, target="a0")
+
+
+def ended(rig, name):
+    """Let another host tell that a group's head ended under some request."""
+    process = Process(id=f"{name}0", born=0)
+    record = CrashRecord(request="bad", endings=(Ending(process=process, ran=0.1),))
+    rig.service._quarantine.hear(record)
+
+
+async def test_a_head_that_others_saw_end_gets_a_stream_only_if_no_other_has_a_place():
+    """Guard against losing streams to heads that are known to be gone."""
+    rig = await rig_of("a", "b")
+    rig.targets.script("a0", *(BROKEN for _ in range(9)))
+    rig.targets.script("b0", *(answer(1) for _ in range(9)))
+    rig.directory.loads.work(("b", 1)).running = 1
+    ended(rig, "a")
+    route = replace(ROUTE, resumable=False)
+    outcome = await rig.service.serve(rig.work(FakeExchange(), route))
+    assert outcome == Answered(status=200, target="b0")
+
+
+async def test_a_head_that_breaks_off_again_after_its_end_is_left_alone_for_a_while():
+    """Guard against sending stream after stream to a head that has ended."""
+    rig = await rig_of("a")
+    rig.targets.script("a0", *(FakeResponse(script=[BROKEN]) for _ in range(20)))
+    ended(rig, "a")
+    route = replace(ROUTE, resumable=False)
+    rig.clock.time += 0.01
+    outcome = await rig.service.serve(rig.work(FakeExchange(), route))
+    assert outcome == Refusal(status=502, reason=Reason.MAYBE_RUN)
+    assert rig.directory.serving_groups("engines", "m") == []
--- a/mallowpond/state/tests/test_crash_ledger.py
+++ b/mallowpond/state/tests/test_crash_ledger.py
@@ -203,6 +203,26 @@
     assert ledger.note_ending("again", ending("a", ran=0.1), 11.0) is not None
 
 
+def test_an_ending_that_another_host_saw_counts_like_an_own_one():
+    """Guard against holding back who was sent to a target that others saw end."""
+    ledger = CrashLedger()
+    ledger.merge(record("bad", "a", age=0.2), 10.2)
+    assert ledger.has_ended(Process(id="a", born=1), 10.3)
+    assert ledger.note_ending("beside", ending("a", ran=0.002), 10.3) is None
+    # Sent before the end, it stood there too.
+    assert ledger.note_ending("before", ending("a", ran=0.4), 10.3) is not None
+
+
+def test_a_target_counts_as_ended_until_it_shows_life_or_may_have_started_again():
+    """Guard against leaving a target alone because of one broken connection."""
+    ledger = ledger_of(record("bad", "a", "b"))
+    first, second = (Process(id=name, born=1) for name in "ab")
+    ledger.note_life(first)
+    assert not ledger.has_ended(first, 0.1)
+    assert ledger.has_ended(second, ENDED_SECONDS)
+    assert not ledger.has_ended(second, ENDED_SECONDS + 0.1)
+
+
 def test_a_target_that_starts_again_untold_under_its_id_may_end_again():
     """Symptom: a request ends a target again and again, and it is not noted.
 
