Let an ending that another host saw count like an own one

Cause: a host went by the ends that it saw itself, so each host sent bystanders once more to targets that others had seen end, and each send that broke off there was evidence against the bystander. Why it holds: a send that began after the end met nobody, whoever saw the end. Doubt is an order, not an exclusion, so connections that are only reset cost no place.

--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -139,8 +139,9 @@
 
         def rank(target: Target) -> tuple[bool, float]:
             record = self._records[target.process]
-            draw = self._rng.random()
-            return (record.avoided_until > now, record.running + draw)
+            is_doubtful = record.avoided_until > now
+            is_doubtful = is_doubtful or self._quarantine.has_ended(target.process)
+            return (is_doubtful, record.running + self._rng.random())
 
         return min(left, key=rank, default=None)
 
--- a/mallowpond/node/quarantine.py
+++ b/mallowpond/node/quarantine.py
@@ -40,13 +40,22 @@
             log.info("quarantine: refused", request=request_id, fingerprint=request)
         return refusal
 
-    def note_ending(self, request: str, process: Process, sent_at: float) -> None:
-        """Note that a target broke off while it ran a request."""
+    def has_ended(self, process: Process) -> bool:
+        """Tell whether a target ended just now, as far as this host has heard."""
+        return self._ledger.has_ended(process, self._clock.now())
+
+    def note_ending(self, request: str, process: Process, sent_at: float) -> bool:
+        """Note that a target broke off while it ran a request.
+
+        False if it had ended before the send, so that the request met nobody there.
+        """
+        if self._ledger.ended_before(process, sent_at):
+            return False
         now = self._clock.now()
         ending = Ending(process=process, ran=now - sent_at)
         record = self._ledger.note_ending(request, ending, now)
         if record is None:
-            return
+            return True
         self._metrics.endings.inc()
         log.info(
             "quarantine: target ended",
@@ -58,6 +67,7 @@
         self.review()
         for notify in self.on_seen:
             notify(request)
+        return True
 
     def note_life(self, process: Process) -> None:
         """Note that a target does something."""
--- a/mallowpond/node/stream_placing.py
+++ b/mallowpond/node/stream_placing.py
@@ -113,7 +113,7 @@
             candidates = draw_places(
                 work.profile,
                 work.model,
-                self._candidates(work, self._rng.sample(groups, len(groups))),
+                self._candidates(work, self._shuffled(groups)),
                 prompt_tokens=work.prompt_tokens,
                 limit_seconds=limit,
             )
@@ -131,14 +131,24 @@
         )
         return None if chosen is None else by_key[chosen.key]
 
+    def _shuffled(self, groups: list[Group]) -> list[Group]:
+        """Return groups in a random order, those whose head has ended last."""
+        drawn = self._rng.sample(groups, len(groups))
+        return sorted(drawn, key=self._has_ended)
+
     def _candidates(self, work: StreamWork, groups: list[Group]) -> Iterator[Candidate]:
         for group in groups:
             yield Candidate(
                 key=f"{group.name}/{group.epoch}",
                 load=self._directory.loads.load_of(group, work.profile),
                 is_leaving=group.is_leaving,
+                has_ended=self._has_ended(group),
             )
 
+    def _has_ended(self, group: Group) -> bool:
+        head = group.head
+        return head is not None and self._quarantine.has_ended(head.process)
+
     async def _wait(self, work: StreamWork) -> Refusal | None:
         """Wait for a place, or say at once that there will be none in time."""
         now = self._clock.now()
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -100,9 +100,8 @@
                 case NotRun(reason=reason) | Interrupted(reason=reason):
                     if reason is Reason.MISDIRECTED:
                         self._directory.break_group(group, BreakCause.REFUSED)
-            if reason in ENDED_REASONS and group.head is not None:
-                process, sent_at = group.head.process, work.sent_at
-                self._quarantine.note_ending(work.fingerprint, process, sent_at)
+            if reason in ENDED_REASONS:
+                self._note_broken(work, group, reason)
             refusal = self._may_send_again(work, end, reason)
             if refusal is not None:
                 return await self._end_unserved(work, refusal, failed)
@@ -256,7 +255,7 @@
         if isinstance(response, CallFailed):
             if response.bytes_left:
                 return Interrupted(reason=Reason.BROKEN_STREAM)
-            self._suspect(stream, Reason.CONNECT)
+            self._suspect(work, stream.group, Reason.CONNECT)
             return NotRun(reason=Reason.CONNECT)
         try:
             return await self._read(stream, response)
@@ -269,7 +268,7 @@
             await response.read()
             if self._targets.is_misdirected(response):
                 return NotRun(reason=Reason.MISDIRECTED)
-            self._suspect(stream, Reason.NOT_RUN)
+            self._suspect(work, stream.group, Reason.NOT_RUN)
             return NotRun(reason=Reason.NOT_RUN)
         headers = self._callers.answer_headers(response)
         if response.status != 200:
@@ -336,29 +335,36 @@
         own.last_event_at = now
         own.pause_seconds = 0.0
 
-    def _suspect(self, stream: ActiveStream, reason: Reason) -> None:
+    def _note_broken(self, work: StreamWork, group: Group, reason: Reason) -> None:
+        """Note that a group's head ended, and leave it alone if it had ended before."""
+        assert group.head is not None
+        process = group.head.process
+        if not self._quarantine.note_ending(work.fingerprint, process, work.sent_at):
+            self._suspect(work, group, reason)
+
+    def _suspect(self, work: StreamWork, group: Group, reason: Reason) -> None:
         """Send no more streams to a group for a moment after it turned one away.
 
         Twice as long each time, until it shows an event: heads that have crashed would
         be sent a stream after each short pause, each one of the shared repeats.
         """
-        own = self._directory.loads.work(stream.key)
+        own = self._directory.loads.work(group.key)
         now = self._clock.now()
         pause = first_event_seconds(
-            stream.work.profile,
-            stream.work.model,
-            self._directory.loads.load_of(stream.group, stream.work.profile),
-            stream.work.prompt_tokens,
+            work.profile,
+            work.model,
+            self._directory.loads.load_of(group, work.profile),
+            work.prompt_tokens,
         )
         if own.suspected_until <= now:
             # Streams that were under way together are turned away once, not in a row.
             pause = max(pause, min(2 * own.pause_seconds, MOST_PAUSE_SECONDS))
             own.pause_seconds = pause
-        self._directory.withhold(stream.key, now + pause)
+        self._directory.withhold(group.key, now + pause)
         log.info(
             "stream: turned away",
-            request=stream.work.request.id,
-            group=stream.group.name,
+            request=work.request.id,
+            group=group.name,
             reason=reason.value,
         )
 
--- a/mallowpond/state/crash_ledger.py
+++ b/mallowpond/state/crash_ledger.py
@@ -87,7 +87,7 @@
         # Least lately changed first.
         self._entries: dict[str, _Entry] = {}
         self._answered: dict[str, float] = {}
-        # When this host first saw each target end.
+        # When each target ended, as this host first saw or heard.
         self._ended: dict[Process, float] = {}
         # Requests with enough endings to be held back, explained or not.
         self._suspects: set[str] = set()
@@ -107,6 +107,16 @@
         """Note that a target goes on: what broke off there was only a connection."""
         self._ended.pop(process, None)
 
+    def has_ended(self, process: Process, now: float) -> bool:
+        """Tell whether a target ended just now and has shown no life since."""
+        ended_at = self._ended.get(process)
+        return ended_at is not None and now - ended_at <= ENDED_SECONDS
+
+    def ended_before(self, process: Process, sent_at: float) -> bool:
+        """Tell whether what was sent to a target then found it ended."""
+        ended_at = self._ended.get(process)
+        return ended_at is not None and ended_at < sent_at <= ended_at + ENDED_SECONDS
+
     def note_ending(
         self, request: str, ending: Ending, now: float
     ) -> CrashRecord | None:
@@ -116,8 +126,7 @@
         being sent there, and none of them is what ended it.
         """
         sent_at = now - ending.ran
-        ended_at = self._ended.get(ending.process, now)
-        if ended_at < sent_at <= ended_at + ENDED_SECONDS:
+        if self.ended_before(ending.process, sent_at):
             return None
         self._note_ended(ending.process, sent_at, now)
         self.merge(CrashRecord(request=Identifier(request), endings=(ending,)), now)
@@ -127,7 +136,10 @@
         """Remember when a target ended, for each of its lives."""
         if sent_at > self._ended.get(process, now):
             del self._ended[process]
-        self._ended.setdefault(process, now)
+        self._hear_ended(process, now)
+
+    def _hear_ended(self, process: Process, ended_at: float) -> None:
+        self._ended.setdefault(process, ended_at)
         if len(self._ended) > MAX_ENDED:
             del self._ended[next(iter(self._ended))]
 
@@ -159,7 +171,10 @@
             entry = _Entry(last_at=now - record.age)
         before = dict(entry.endings)
         for ending in record.endings:
-            known = before.get(ending.process, ending)
+            known = before.get(ending.process)
+            if known is None:
+                known = ending
+                self._hear_ended(ending.process, now - record.age)
             entry.endings[ending.process] = replace(
                 ending,
                 ran=min(known.ran, ending.ran),
--- a/mallowpond/state/placement.py
+++ b/mallowpond/state/placement.py
@@ -46,6 +46,8 @@
     key: str
     load: GroupLoad
     is_leaving: bool = False
+    # Its head broke off just now and has shown no life since.
+    has_ended: bool = False
 
 
 def pass_seconds(profile: EngineProfile, model: ModelSpec, load: GroupLoad) -> float:
@@ -168,9 +170,9 @@
 ) -> Candidate | None:
     """Return the group with the earliest first event, None when all are full.
 
-    A group with a member that is about to stop comes last: a stream there may have
-    to move once more. Where much is unseen the choice is between two groups drawn at
-    random.
+    A group with a member that is about to stop comes late: a stream there may have
+    to move once more. One whose head has probably ended comes last. Where much is
+    unseen the choice is between two groups drawn at random.
 
     `delay_seconds` is what first events take beyond the declared timing on a sound
     group. It counts against slow groups, but not for whether there is a place: who
@@ -192,10 +194,10 @@
     if rng is not None and unseen >= UNSEEN_STREAMS:
         open_places = rng.sample(open_places, min(DRAWN_GROUPS, len(open_places)))
 
-    def rank(candidate: Candidate) -> tuple[bool, float]:
+    def rank(candidate: Candidate) -> tuple[bool, bool, float]:
         seconds = first_event_seconds(profile, model, candidate.load, prompt_tokens)
         seconds += pass_seconds(profile, model, candidate.load)
         seconds += delay_of(candidate.load, delay_seconds)
-        return (candidate.is_leaving, seconds)
+        return (candidate.has_ended, candidate.is_leaving, seconds)
 
     return min(open_places, key=rank)
