Take the request that ran for the most alike time for the cause

Cause: a bystander that comes just before an end runs for less time than the cause, so the mean says little; that the time is the same says more. Change: with as many endings the least difference of the times decides first, then the mean. Why it holds: the cause ends a target a fixed time after it begins; a bystander would have to come at the same moment three times, and then nothing tells them apart.

--- a/mallowpond/state/crash_ledger.py
+++ b/mallowpond/state/crash_ledger.py
@@ -75,9 +75,9 @@
         return {p for p, ending in self.endings.items() if not ending.refuted}
 
     @property
-    def mean_ran(self) -> float:
-        ran = [e.ran for e in self.endings.values() if not e.refuted]
-        return sum(ran) / len(ran)
+    def ran(self) -> list[float]:
+        """Return for how long the request ran on each target that counts."""
+        return [e.ran for e in self.endings.values() if not e.refuted]
 
 
 class CrashLedger:
@@ -238,8 +238,9 @@
         """Hold back what explains the most endings, then what explains the rest.
 
         A bystander's endings are a part of those of the request that caused them. With
-        the same ones, that which ran for less time each time is the likelier cause: it
-        ends a target as it begins there. Chosen wrongly, the cause ends one more target
+        the same ones, that which ran for the most alike time is the likelier cause: it
+        ends each target the same time after it begins there, and a bystander may come
+        at any moment. Chosen wrongly, the cause ends one more target
         and from then on explains more than the other.
         """
         explained: set[Process] = set()
@@ -251,9 +252,10 @@
                 explained |= evidence
         self._held = frozenset(held)
 
-    def _rank(self, request: str) -> tuple[int, float, str]:
-        entry = self._entries[request]
-        return (-len(entry.evidence), entry.mean_ran, request)
+    def _rank(self, request: str) -> tuple[int, float, float, str]:
+        ran = self._entries[request].ran
+        spread, mean = max(ran) - min(ran), sum(ran) / len(ran)
+        return (-len(ran), spread, mean, request)
 
     def _forget(self, now: float) -> None:
         """Drop what is too old, from the least lately changed on."""
--- a/mallowpond/state/tests/test_crash_ledger.py
+++ b/mallowpond/state/tests/test_crash_ledger.py
@@ -92,6 +92,21 @@
     assert ledger.held(0.0) == {"bad"}
 
 
+def test_who_came_just_before_an_end_is_not_taken_for_its_cause():
+    """Guard against holding back a bystander that ran for less time than the cause."""
+
+    def ran(request, *seconds):
+        ends = tuple(ending(n, ran) for n, ran in enumerate(seconds))
+        return CrashRecord(request=request, endings=ends)
+
+    ledger = ledger_of(
+        ran("beside", 0.075, 0.106, 0.134),
+        ran("other", 0.206, 0.116, 0.116),
+        ran("bad", 0.109, 0.116, 0.130),
+    )
+    assert ledger.held(0.0) == {"bad"}
+
+
 def test_a_wrong_choice_between_two_is_put_right_by_one_more_ending():
     ledger = ledger_of(
         record("beside", "a", "b", "c", ran=0.05), record("bad", "a", "b", "c", ran=0.1)
