Let one host count the places of all groups

Cause: each host goes by news of the others' streams that is 0.1 to 0.3 s old, and keeps a waiting line of its own. Change: hosts ask the first one that reads the store (the one that would, while none does) for each place; it hears of all work, counts what it gave until the receiver tells of the stream, and keeps one line: begun, late with little patience left, on time with the newest first, late. Hosts tell it at once when a stream ends. Choice and line stand apart from the messages; what peers tell is added up as it comes instead of at each look. Why it holds: it is advice. Fencing, attempts, keys and drains are judged where they were; two dispatchers at once, or none, are only less exact.

--- a/mallowpond/node/group_loads.py
+++ b/mallowpond/node/group_loads.py
@@ -1,6 +1,6 @@
 """Count the work that is known to be on each group, and learn its pace."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict, deque
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, field, replace
 from math import exp
@@ -17,6 +17,9 @@
 HEARTBEAT_AGE_SECONDS = 0.1
 # Time that peers' figures of a group's work count, in seconds.
 PEER_LOAD_SECONDS = 1.5
+# Time for which a place that was given away counts although its host does not tell of a
+# stream there, in seconds: what a datagram there and the next word of that host take.
+GRANT_SECONDS = 0.5
 # Weight of a new observation of a group's pace.
 SLOWNESS_SMOOTHING = 0.1
 # Time in which what is known of a group's pace fades, in seconds.
@@ -56,13 +59,88 @@
     loads: Figures = field(default_factory=dict)
 
 
+@dataclass(frozen=True, kw_only=True)
+class Grant:
+    """Hold a place that was given to another host's stream, by the giver's count."""
+
+    number: int
+    key: GroupKey
+    tokens: float
+    at: float
+
+
+class PeerWork:
+    """Add up what peers tell of their work, and the places they were given since."""
+
+    def __init__(self) -> None:
+        self._peers: dict[str, PeerLoad] = {}
+        self._running: Counter[GroupKey] = Counter()
+        self._reading: Counter[GroupKey] = Counter()
+        self._grants: dict[str, deque[Grant]] = defaultdict(deque)
+        # When each grant was given and to whom, the oldest first.
+        self._given: deque[tuple[float, str]] = deque()
+
+    def of(self, key: GroupKey, now: float) -> tuple[int, float]:
+        """Return all peers' streams on a group, and their tokens to be read."""
+        self._forget_silent(now)
+        self._forget_given(now)
+        return self._running[key], max(0.0, self._reading[key])
+
+    def note(self, name: str, loads: Figures, granted: int, now: float) -> None:
+        """Take a peer's figures, which hold the places up to number `granted`."""
+        self._drop(name)
+        # Least lately heard first.
+        self._peers[name] = PeerLoad(heard_at=now, loads=loads)
+        for key, (running, reading) in loads.items():
+            self._add(key, running, reading)
+        self.settle(name, granted, now)
+
+    def grant(self, name: str, grant: Grant) -> None:
+        """Count a place that is given to a peer until the peer tells of it."""
+        self._grants[name].append(grant)
+        self._given.append((grant.at, name))
+        self._add(grant.key, 1, grant.tokens)
+
+    def settle(self, name: str, granted: int, now: float) -> None:
+        """Count the places up to a number no more, nor those given long ago."""
+        grants = self._grants[name]
+        while grants and (
+            grants[0].number <= granted or now - grants[0].at > GRANT_SECONDS
+        ):
+            grant = grants.popleft()
+            self._add(grant.key, -1, -grant.tokens)
+
+    def _forget_silent(self, now: float) -> None:
+        while self._peers:
+            name = next(iter(self._peers))
+            if now - self._peers[name].heard_at <= PEER_LOAD_SECONDS:
+                return
+            self._drop(name)
+
+    def _forget_given(self, now: float) -> None:
+        while self._given and now - self._given[0][0] > GRANT_SECONDS:
+            self.settle(self._given.popleft()[1], 0, now)
+
+    def _drop(self, name: str) -> None:
+        known = self._peers.pop(name, None)
+        if known is not None:
+            for key, (running, reading) in known.loads.items():
+                self._add(key, -running, -reading)
+
+    def _add(self, key: GroupKey, running: int, reading: float) -> None:
+        self._running[key] += running
+        self._reading[key] += reading
+        if not self._running[key]:
+            del self._running[key], self._reading[key]
+
+
 class GroupLoads:
     """Hold this host's own work by group, and what others tell of theirs."""
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._work: dict[GroupKey, GroupWork] = defaultdict(GroupWork)
-        self._peers: dict[str, PeerLoad] = {}
+        self._peers = PeerWork()
         self._totals: Figures = {}
         self._totals_at = float("-inf")
         self._told: Figures = {}
@@ -83,16 +161,10 @@
                 reading_tokens=reading + others_reading,
                 slowness=self._slowness(own, now),
             )
-        for peer in self._peers.values():
-            if now - peer.heard_at > PEER_LOAD_SECONDS:
-                continue
-            theirs = peer.loads.get(key)
-            if theirs is not None:
-                running += theirs[0]
-                reading += theirs[1]
+        others, others_reading = self._peers.of(key, now)
         return GroupLoad(
-            running=running,
-            reading_tokens=reading,
+            running=running + others,
+            reading_tokens=reading + others_reading,
             slowness=self._slowness(own, now),
         )
 
@@ -142,13 +214,14 @@
         """Note which of this host's work is part of the readers' sums."""
         self._told = loads
 
-    def note_peer(self, name: str, loads: Figures) -> None:
-        """Note a peer's work by group."""
-        self._peers[name] = PeerLoad(heard_at=self._clock.now(), loads=loads)
+    def note_peer(self, name: str, loads: Figures, granted: int = 0) -> None:
+        """Note a peer's work by group, with the places up to number `granted`."""
+        self._peers.note(name, loads, granted, self._clock.now())
 
-    def forget_peer(self, name: str) -> None:
-        """Drop a peer's figures."""
-        self._peers.pop(name, None)
+    def note_grant(self, name: str, number: int, key: GroupKey, tokens: float) -> None:
+        """Count a place that a peer was given until the peer tells of the stream."""
+        now = self._clock.now()
+        self._peers.grant(name, Grant(number=number, key=key, tokens=tokens, at=now))
 
     def note_gap(self, key: GroupKey, seconds: float, predicted: float) -> None:
         """Learn how a group's pace compares with what is declared."""
@@ -158,6 +231,10 @@
         work.slowness += SLOWNESS_SMOOTHING * (ratio * work.slowness - work.slowness)
         work.slowness = min(high, max(low, work.slowness))
 
+    def note_taken(self, name: str, number: int) -> None:
+        """Count the places up to a number no more: their streams are counted."""
+        self._peers.settle(name, number, self._clock.now())
+
     def note_totals(self, loads: Figures) -> None:
         """Note the sums of all hosts' work that a reader tells."""
         self._totals = loads
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -6,6 +6,7 @@
 
 import zlib
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any, get_args
 
 import cbor2
@@ -81,6 +82,8 @@
     data_centre: str = ""
     cores: float = 0.0
     loads: WorkFigures = WorkFigures()
+    # The last place that the dispatcher gave, whose stream `loads` holds.
+    granted: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -177,10 +180,60 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Work:
-    """Tell the readers one host's work by group."""
+    """Tell the readers one host's work by group.
+
+    It holds the streams of all places that the dispatcher gave up to `granted`.
+    """
 
     node: Name
     loads: WorkFigures
+    granted: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlaceQuestion:
+    """Ask the dispatcher for a place; times are in seconds from now.
+
+    A stream that starts within `on_time` can still meet its objective, and it waits
+    for `patience` at most. Groups in `avoided` are out of the question.
+    """
+
+    node: Name
+    number: int
+    service: Name
+    model: Name
+    prompt_tokens: int
+    objective: float
+    on_time: float
+    patience: float
+    priority: int
+    has_begun: bool = False
+    avoided: tuple[Name, ...] = ()
+
+
+class PlaceVerdict(str, Enum):
+    """Say what becomes of a stream that asked for a place."""
+
+    GRANTED = "granted"
+    WAITING = "waiting"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlaceAnswer:
+    """Answer a question for a place.
+
+    A granted place is on `group`, and `granted` counts those given to that host. One
+    that is refused would have to wait for `wait` seconds.
+    """
+
+    node: Name
+    number: int
+    verdict: PlaceVerdict
+    group: str = ""
+    epoch: int = 0
+    granted: int = 0
+    wait: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -267,6 +320,8 @@
     | Digest
     | ListChange
     | Work
+    | PlaceQuestion
+    | PlaceAnswer
     | VersionQuestion
     | VersionAnswer
     | LivenessQuestion
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -29,6 +29,8 @@
     LivenessAnswer,
     LivenessQuestion,
     Message,
+    PlaceAnswer,
+    PlaceQuestion,
     SilenceQuestion,
     Suspicion,
     VersionAnswer,
@@ -142,6 +144,8 @@
         self.on_digest: list[Callable[[Digest], None]] = []
         self.on_list_change: list[Callable[[ListChange], None]] = []
         self.on_work: list[Callable[[Work], None]] = []
+        self.on_place_question: list[Callable[[PlaceQuestion], None]] = []
+        self.on_place_answer: list[Callable[[PlaceAnswer], None]] = []
         self.on_version_question: list[Callable[[VersionQuestion], None]] = []
         self.on_version_answer: list[Callable[[VersionAnswer], None]] = []
         self.on_configuration_part: list[Callable[[ConfigurationPart], None]] = []
@@ -379,6 +383,10 @@
                 if node in self._peers:
                     self._peers[node].heard_at = self._clock.now()
                 _notify(self.on_work, message)
+            case PlaceQuestion():
+                _notify(self.on_place_question, message)
+            case PlaceAnswer():
+                _notify(self.on_place_answer, message)
             case VersionQuestion():
                 _notify(self.on_version_question, message)
             case VersionAnswer():
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -90,6 +90,8 @@
         self._work_turn = 0
         self._told_work: Figures = {}
         self._store_was_reached = True
+        # The last place that this host was given, which its work holds.
+        self.granted: Callable[[], int] = lambda: 0
         self.on_news: list[Callable[[], None]] = []
         configuration.is_reader = lambda: self.reads
         configuration.ask_readers = self._ask
@@ -143,6 +145,16 @@
         ranked = self._rank_all()
         return [name for name in ranked if name != self._name][:READERS]
 
+    @property
+    def dispatcher(self) -> str:
+        """Return the host that counts the places of all groups.
+
+        The first that reads the store, as it hears of all work; while none reaches the
+        store, the one that would.
+        """
+        names = self.names or self._rank_all()
+        return names[0]
+
     @property
     def tries_first(self) -> bool:
         """Tell whether this host is to try the store often.
@@ -208,8 +220,24 @@
             return
         self._told_work = loads
         self._directory.loads.note_told(loads)
-        work = Work(node=self._name, loads=heartbeat_loads(loads))
-        self._peers.tell_nodes(work, self.names)
+        self._send_work(loads, {*self.names, self.dispatcher})
+
+    def tell_dispatcher(self) -> None:
+        """Tell this host's work at once to the one that counts places for all."""
+        host = self.dispatcher
+        if host == self._name:
+            return
+        loads = self._directory.loads.own_loads()
+        if self._peers.is_large and host in self.names[:1]:
+            self._told_work = loads
+            self._directory.loads.note_told(loads)
+        self._send_work(loads, {host})
+
+    def _send_work(self, loads: Figures, hosts: set[str]) -> None:
+        work = Work(
+            node=self._name, loads=heartbeat_loads(loads), granted=self.granted()
+        )
+        self._peers.tell_nodes(work, hosts - {self._name})
 
     # -- the list of targets -------------------------------------------------
 
@@ -266,7 +294,7 @@
             notify()
 
     def _note_work(self, work: Work) -> None:
-        self._directory.loads.note_peer(work.node, loads_of(work))
+        self._directory.loads.note_peer(work.node, loads_of(work), work.granted)
 
     # -- the configuration ---------------------------------------------------
 
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -16,12 +16,14 @@
 from mallowpond.node.configuration import ConfigurationFollower
 from mallowpond.node.configuration_sharing import ConfigurationSharing
 from mallowpond.node.directory import Directory
+from mallowpond.node.dispatcher import Dispatcher, Shape
 from mallowpond.node.fanout import Fanout
 from mallowpond.node.ingress import Ingress
 from mallowpond.node.leadership import Leadership
 from mallowpond.node.messages import Heartbeat, heartbeat_loads, loads_of
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.peers import PeerNetwork
+from mallowpond.node.place_asking import PlaceAsking
 from mallowpond.node.planner import GroupPlanner
 from mallowpond.node.ports import NodePorts
 from mallowpond.node.quarantine import Quarantine
@@ -172,6 +174,27 @@
             fanout=self.fanout,
             cores=settings.cores,
         )
+        self.dispatcher = Dispatcher(
+            name=settings.name,
+            peers=self.peers,
+            directory=self.directory,
+            choice=self.streams.placing.choice,
+            clock=clock,
+            shape_of=self._shape_of,
+            is_dispatcher=lambda: self.readers.dispatcher == settings.name,
+        )
+        self.asking = PlaceAsking(
+            name=settings.name,
+            peers=self.peers,
+            directory=self.directory,
+            dispatcher=self.dispatcher,
+            clock=clock,
+            dispatching_host=lambda: self.readers.dispatcher,
+        )
+        self.streams.placing.asking = self.asking
+        self.streams.on_end.append(self._tell_end)
+        self.asking.on_unused.append(self._tell_end)
+        self.readers.granted = lambda: self.asking.granted
         self.sharing = ConfigurationSharing(
             name=settings.name,
             peers=self.peers,
@@ -184,6 +207,8 @@
         self.leadership.on_taken.append(lambda: self.peers.tell(self._describe()))
         self.peers.on_heartbeat.append(self._note_heartbeat)
         self.peers.on_vouch.append(self.directory.vouch)
+        self.peers.on_work.append(lambda work: self.dispatcher.wake())
+        self.directory.on_change.append(self.dispatcher.wake)
         self._readiness = HttpServer(handler=self._answer_readiness)
         self._metrics_server = HttpServer(handler=self._answer_metrics)
 
@@ -329,8 +354,23 @@
             data_centre=self._settings.data_centre,
             cores=self._settings.cores,
             loads=heartbeat_loads(self.directory.loads.own_loads()),
+            granted=self.asking.granted,
         )
 
+    def _shape_of(self, service: str, model: str) -> Shape | None:
+        """Return the timing and model of a service, None if it is not declared."""
+        known = self.configuration.configuration
+        declared = known and known.services.get(service)
+        if not declared or declared.profile is None:
+            return None
+        spec = declared.profile.model(model)
+        return None if spec is None else (declared.profile, spec)
+
+    def _tell_end(self) -> None:
+        """Tell whoever counts places that this host holds one less."""
+        self.readers.tell_dispatcher()
+        self.dispatcher.wake()
+
     def _tell_version(self) -> None:
         """Tell a newer version at once; in a large fleet only the readers do."""
         if not self.peers.is_large:
@@ -340,10 +380,13 @@
 
     def _note_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._traffic.seen = self._traffic.seen or heartbeat.traffic
-        self.directory.loads.note_peer(heartbeat.node, loads_of(heartbeat))
+        self.directory.loads.note_peer(
+            heartbeat.node, loads_of(heartbeat), heartbeat.granted
+        )
         # Places that other hosts' streams freed are known only from here: without
         # this a stream waited until one of this host's own ended.
         self.streams.placing.wake_all()
+        self.dispatcher.wake()
 
     async def _answer_readiness(self, request: HttpRequest, exchange: Exchange) -> None:
         if self.is_ready:
--- a/mallowpond/node/stream_placing.py
+++ b/mallowpond/node/stream_placing.py
@@ -1,24 +1,23 @@
 """Give each stream a group: choose one, wait for a place, or refuse at once."""
 
-from collections import defaultdict
-from collections.abc import Iterator
 from math import inf
 
 from mallowpond.node.outcomes import Reason, Refusal
+from mallowpond.node.place_asking import PlaceAsking, Placed, TurnedAway
+from mallowpond.node.place_choice import FIRST_EVENT_SHARE, PlaceChoice, Seek
 from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.stream_work import StreamWork
 from mallowpond.node.waiting import WaitingLine
 from mallowpond.state.first_event import FirstEventDelay
 from mallowpond.state.fleet import EngineProfile, Group, ModelSpec
 from mallowpond.state.limits import expected_wait, spread_retry_after
+from mallowpond.state.place_line import Claim
 from mallowpond.state.placement import (
-    UNSEEN_STREAMS,
     Candidate,
     GroupLoad,
     choose_group,
-    draw_places,
+    first_event_seconds,
     pass_seconds,
-    unseen_streams,
 )
 
 # Share of a caller's patience that a stream may wait here for a place: the rest is
@@ -31,9 +30,6 @@
 PATIENCE_GAPS = 8.0
 # Time left below which a stream is not sent any more, in seconds.
 LEAST_SECONDS = 0.05
-# Share of the objective that a group's predicted first event may take. Less makes
-# streams wait for places that groups across domains could give them in time.
-FIRST_EVENT_SHARE = 1.0
 # Time to come back when no group serves a model and none is known to form soon.
 NO_GROUP_RETRY_SECONDS = 1.0
 
@@ -51,9 +47,15 @@
         self._quarantine = parts.quarantine
         self._lines: dict[str, WaitingLine] = {}
         self._shapes: dict[str, tuple[str, EngineProfile, ModelSpec, float]] = {}
-        self._delays: dict[tuple[str, str], FirstEventDelay] = defaultdict(
-            FirstEventDelay
+        self.choice = PlaceChoice(
+            directory=parts.directory,
+            quarantine=parts.quarantine,
+            budget=parts.budget,
+            hosts=parts.hosts,
+            rng=parts.rng,
         )
+        # Without it this host goes by news of the others alone.
+        self.asking: PlaceAsking | None = None
         self.ends_at = inf
 
     def note_shape(self, work: StreamWork) -> None:
@@ -72,12 +74,14 @@
 
     def delay(self, service: str, model: str) -> FirstEventDelay:
         """Return what was learnt of the first events of a model."""
-        return self._delays[(service, model)]
+        return self.choice.delay(service, model)
 
     def end_waits(self) -> None:
         """Let no stream wait for a place any longer."""
         for line in self._lines.values():
             line.end()
+        if self.asking is not None:
+            self.asking.end_waits()
 
     async def place(self, work: StreamWork) -> Group | Refusal:
         """Return the group that a stream goes to, or why it goes to none."""
@@ -87,7 +91,14 @@
                 # Placed all the same, it would end one more group and all that runs
                 # there; its caller comes again, at any host.
                 return held
-            group = self.choose(work)
+            answer = await self._ask(work)
+            match answer:
+                case TurnedAway(wait=wait):
+                    return self.refuse(Reason.OVERLOADED, wait)
+                case Placed(group=group):
+                    pass
+                case None:
+                    group = self.choose(work)
             if group is not None and self._ends_before(work):
                 self.wake(work.model.name)
                 return self.refuse(Reason.STOPPING, 0.0)
@@ -99,55 +110,46 @@
 
     def choose(self, work: StreamWork) -> Group | None:
         """Return the group with a place for a stream now, None if there is none."""
-        groups = self._directory.serving_groups(work.service, work.model.name)
-        groups = [g for g in groups if g.head and g.head.process not in work.sent_to]
-        by_key = {f"{g.name}/{g.epoch}": g for g in groups}
-        unseen = unseen_streams(
-            own_per_second=self._budget(work.service).firsts_per_second,
-            hosts=self._hosts(),
-            age_seconds=self._directory.loads.load_age,
-            groups=self._directory.count_open(work.service),
-        )
-        limit = FIRST_EVENT_SHARE * work.route.objective_seconds
-        if unseen >= UNSEEN_STREAMS:
-            candidates = draw_places(
-                work.profile,
-                work.model,
-                self._candidates(work, self._shuffled(groups)),
-                prompt_tokens=work.prompt_tokens,
-                limit_seconds=limit,
-            )
-        else:
-            candidates = list(self._candidates(work, groups))
-        chosen = choose_group(
-            work.profile,
-            work.model,
-            candidates,
+        return self.choice.by_news(self._seek(work))
+
+    def _seek(self, work: StreamWork) -> Seek:
+        return Seek(
+            service=work.service,
+            profile=work.profile,
+            model=work.model,
             prompt_tokens=work.prompt_tokens,
-            limit_seconds=limit,
-            delay_seconds=self.delay(work.service, work.model.name).usual,
-            unseen=unseen,
-            rng=self._rng,
+            objective=work.route.objective_seconds,
+            avoided=self._avoided(work),
         )
-        return None if chosen is None else by_key[chosen.key]
 
-    def _shuffled(self, groups: list[Group]) -> list[Group]:
-        """Return groups in a random order, those whose head has ended last."""
-        drawn = self._rng.sample(groups, len(groups))
-        return sorted(drawn, key=self._has_ended)
-
-    def _candidates(self, work: StreamWork, groups: list[Group]) -> Iterator[Candidate]:
-        for group in groups:
-            yield Candidate(
-                key=f"{group.name}/{group.epoch}",
-                load=self._directory.loads.load_of(group, work.profile),
-                is_leaving=group.is_leaving,
-                has_ended=self._has_ended(group),
-            )
+    def _avoided(self, work: StreamWork) -> frozenset[str]:
+        """Return the groups to which a stream was sent already."""
+        if not work.sent_to:
+            return frozenset()
+        groups = self._directory.serving_groups(work.service, work.model.name)
+        return frozenset(
+            g.name for g in groups if g.head and g.head.process in work.sent_to
+        )
 
-    def _has_ended(self, group: Group) -> bool:
-        head = group.head
-        return head is not None and self._quarantine.has_ended(head.process)
+    async def _ask(self, work: StreamWork) -> Placed | TurnedAway | None:
+        """Ask the host that counts all places, if there is one."""
+        now = self._clock.now()
+        patience = min(self._patience(work), work.deadline - now)
+        if self.asking is None or patience <= LEAST_SECONDS:
+            return None
+        claim = Claim(
+            priority=work.priority,
+            on_time_until=self._on_time_until(work),
+            since=now,
+            until=now + patience,
+            has_begun=work.has_begun,
+        )
+        self._metrics.waiting.inc()
+        try:
+            return await self.asking.ask(self._seek(work), claim)
+        finally:
+            self._metrics.waiting.dec()
+            work.waited += self._clock.now() - now
 
     async def _wait(self, work: StreamWork) -> Refusal | None:
         """Wait for a place, or say at once that there will be none in time."""
@@ -160,7 +162,8 @@
             ahead=line.ahead_of(work.priority, has_begun=work.has_begun),
             places=len(groups) * work.profile.slots,
             # Every host gets its part of the places that free.
-            service_seconds=self._hold_seconds(work) * self._hosts(),
+            service_seconds=self.choice.hold_seconds(work.profile, work.model)
+            * self._hosts(),
         )
         patience = min(self._patience(work), work.deadline - now)
         if not groups:
@@ -172,7 +175,7 @@
         try:
             came = await line.wait(
                 priority=work.priority,
-                on_time_until=work.started_at + work.route.objective_seconds,
+                on_time_until=self._on_time_until(work),
                 seconds=patience,
                 has_begun=work.has_begun,
             )
@@ -201,6 +204,19 @@
         heard_at = work.last_event_at or work.started_at
         return max(0.0, WAIT_SHARE * whole - (self._clock.now() - heard_at))
 
+    def _on_time_until(self, work: StreamWork) -> float:
+        """Return until when a place lets a stream meet its objective.
+
+        The first event takes its own time from there on: ordered by the objective
+        alone, those that are just too late go before those that are not.
+        """
+        load = GroupLoad(running=max(0, work.profile.slots - 1))
+        seconds = first_event_seconds(
+            work.profile, work.model, load, work.prompt_tokens
+        )
+        seconds += self.delay(work.service, work.model.name).usual
+        return work.started_at + work.route.objective_seconds - seconds
+
     def longest_seconds(self, work: StreamWork) -> float:
         """Return how long a stream may take from now on, infinity without a group.
 
@@ -233,11 +249,6 @@
             return False
         return self._clock.now() + self.longest_seconds(work) > self.ends_at
 
-    def _hold_seconds(self, work: StreamWork) -> float:
-        load = GroupLoad(running=work.profile.slots)
-        passes = work.profile.usual_answer_tokens / max(1, work.profile.stride)
-        return max(0.1, passes * pass_seconds(work.profile, work.model, load))
-
     def refuse(self, reason: Reason, wait: float) -> Refusal:
         """Refuse a stream that did not run, to come back after about `wait` seconds."""
         after = spread_retry_after(wait, self._rng.random())
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -1,6 +1,7 @@
 """Serve streams: place, pass events on, move to another group, end once."""
 
 import asyncio
+from collections.abc import Callable
 
 import structlog
 
@@ -61,6 +62,8 @@
         self.placing = StreamPlacing(parts=parts)
         self.active: set[ActiveStream] = set()
         self._serving = 0
+        # Called when a send has ended, whatever came of it.
+        self.on_end: list[Callable[[], None]] = []
         # Set while streams are served or wait here.
         self.has_streams = asyncio.Event()
         parts.directory.on_change.append(self.placing.wake_all)
@@ -241,6 +244,8 @@
             own.reading_tokens -= stream.reading
             work.progress.drop_rest()
             self.placing.wake(work.model.name)
+            for notify in self.on_end:
+                notify()
 
     async def _attempt(self, stream: ActiveStream) -> AttemptEnd:
         work, head = stream.work, stream.group.head
--- /dev/null
+++ b/mallowpond/node/tests/test_dispatcher.py
@@ -0,0 +1,249 @@
+"""How hosts get places from the one that counts them, and do without it."""
+
+import asyncio
+
+import pytest
+
+from mallowpond.node.dispatcher import Dispatcher
+from mallowpond.node.group_loads import GRANT_SECONDS, PEER_LOAD_SECONDS, GroupLoads
+from mallowpond.node.messages import (
+    PlaceAnswer,
+    PlaceQuestion,
+    Work,
+    heartbeat_loads,
+    loads_of,
+)
+from mallowpond.node.outcomes import Answered, Reason
+from mallowpond.node.place_asking import SILENT_SECONDS, PlaceAsking
+from mallowpond.node.tests.fakes import (
+    MODEL,
+    PROFILE,
+    FakeClock,
+    FakeExchange,
+    FakeResponse,
+    answer,
+    rig_of,
+)
+
+GROUP = ("a", 1)
+
+
+class Wire:
+    """Carry messages between two hosts at once, unless it is cut."""
+
+    def __init__(self, name):
+        self.name, self.other, self.is_cut = name, None, False
+        self.on_place_question, self.on_place_answer = [], []
+        self.sent = []
+
+    def tell_nodes(self, message, nodes):
+        """Hand a message to the other host."""
+        self.sent.append(message)
+        if self.is_cut or self.other is None or self.other.name not in nodes:
+            return
+        match message:
+            case PlaceQuestion():
+                listeners = self.other.on_place_question
+            case PlaceAnswer():
+                listeners = self.other.on_place_answer
+        for notify in listeners:
+            notify(message)
+
+
+class Site:
+    """Hold two hosts, of which `b` counts the places for both."""
+
+    def __init__(self, rig_a, rig_b):
+        self.rig_a, self.rig_b = rig_a, rig_b
+        self.wire_a, self.wire_b = Wire("a"), Wire("b")
+        self.wire_a.other, self.wire_b.other = self.wire_b, self.wire_a
+        self.dispatcher, self.asking_b = self._host(rig_b, self.wire_b)
+        _, self.asking = self._host(rig_a, self.wire_a)
+
+    def _host(self, rig, wire):
+        dispatcher = Dispatcher(
+            name=wire.name,
+            peers=wire,
+            directory=rig.directory,
+            choice=rig.service.placing.choice,
+            clock=rig.clock,
+            shape_of=lambda service, model: (PROFILE, MODEL),
+            is_dispatcher=lambda: wire.name == "b",
+        )
+        asking = PlaceAsking(
+            name=wire.name,
+            peers=wire,
+            directory=rig.directory,
+            dispatcher=dispatcher,
+            clock=rig.clock,
+            dispatching_host=lambda: "b",
+        )
+        rig.service.placing.asking = asking
+        return dispatcher, asking
+
+    def tell_work(self):
+        """Let `b` hear of the streams of `a`."""
+        loads = self.rig_a.directory.loads.own_loads()
+        work = Work(node="a", loads=heartbeat_loads(loads), granted=self.asking.granted)
+        self.rig_b.directory.loads.note_peer("a", loads_of(work), work.granted)
+        self.dispatcher.wake()
+
+
+async def site_of(*groups):
+    """Build two hosts that know these open groups."""
+    rig_a, rig_b = await rig_of(*groups), await rig_of(*groups)
+    rig_b.clock = rig_a.clock
+    return Site(rig_a, rig_b)
+
+
+async def settle():
+    """Let tasks go on until they wait."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+def held():
+    """Write an answer that ends when its future is done."""
+    future = asyncio.get_running_loop().create_future()
+    return future, FakeResponse(script=[future, *answer(1).script])
+
+
+async def test_hosts_that_know_nothing_of_each_other_do_not_fill_the_same_group():
+    """Guard against all hosts sending to the one group that was best in old news."""
+    site = await site_of("a", "b", "c")
+    futures = []
+    for rig in (site.rig_a, site.rig_b):
+        for name in "abc":
+            future, response = held()
+            futures.append(future)
+            rig.targets.script(f"{name}0", response)
+    tasks = []
+    for _ in range(3):
+        for rig in (site.rig_a, site.rig_b):
+            if len(tasks) < 3:
+                work = rig.work(FakeExchange())
+                tasks.append(asyncio.create_task(rig.service.serve(work)))
+                await settle()
+    sent = [name for rig in (site.rig_a, site.rig_b) for name, _ in rig.targets.sends]
+    assert sorted(sent) == ["a0", "b0", "c0"]
+    for future in futures:
+        future.set_result(None)
+    await asyncio.gather(*tasks)
+
+
+async def test_a_stream_waits_at_the_dispatcher_and_goes_when_a_place_frees():
+    site = await site_of("a")
+    site.rig_a.targets.script("a0", answer(1))
+    full = {GROUP: (PROFILE.slots + 1, 0.0)}
+    site.rig_b.directory.loads.note_peer("c", full)
+    serving = asyncio.create_task(
+        site.rig_a.service.serve(site.rig_a.work(FakeExchange()))
+    )
+    await settle()
+    assert site.rig_a.targets.sends == []
+    site.rig_b.directory.loads.note_peer("c", {})
+    site.dispatcher.wake()
+    assert await serving == Answered(status=200, target="a0")
+
+
+async def test_without_an_answer_a_host_goes_by_its_own_view():
+    """Guard against losing streams to a dispatcher that is gone or cut off."""
+    site = await site_of("a")
+    site.wire_a.is_cut = True
+    site.rig_a.targets.script("a0", answer(1), answer(1), answer(1))
+    for _ in range(2):
+        outcome = await site.rig_a.service.serve(site.rig_a.work(FakeExchange()))
+        assert outcome == Answered(status=200, target="a0")
+    # Asked once: each question in vain costs its stream time.
+    assert len(site.wire_a.sent) == 1
+    site.rig_a.clock.time += SILENT_SECONDS
+    site.wire_a.is_cut = False
+    await site.rig_a.service.serve(site.rig_a.work(FakeExchange()))
+    assert len(site.wire_a.sent) == 2
+    assert site.asking.granted == 1
+
+
+async def test_a_place_that_nobody_takes_is_free_again():
+    """Guard against places that are lost with the callers who left."""
+    site = await site_of("a")
+    site.asking.on_unused.append(site.tell_work)
+    full = {GROUP: (PROFILE.slots + 1, 0.0)}
+    site.rig_b.directory.loads.note_peer("c", full)
+    serving = asyncio.create_task(
+        site.rig_a.service.serve(site.rig_a.work(FakeExchange()))
+    )
+    await settle()
+    serving.cancel()
+    await asyncio.gather(serving, return_exceptions=True)
+    site.rig_b.directory.loads.note_peer("c", {})
+    site.dispatcher.wake()
+    assert site.rig_b.directory.loads.load(GROUP).running == 0
+
+
+async def test_who_cannot_be_placed_in_time_is_refused_at_once():
+    """Guard against callers that wait for what the line says will not come."""
+    site = await site_of("a")
+    site.rig_b.directory.loads.note_peer("c", {GROUP: (PROFILE.slots + 1, 0.0)})
+    waiting = []
+    for _ in range(60):
+        work = site.rig_a.work(FakeExchange())
+        waiting.append(asyncio.create_task(site.rig_a.service.serve(work)))
+    await settle()
+    over = [task.result() for task in waiting if task.done()]
+    assert over
+    assert all(o.status == 503 and o.reason is Reason.OVERLOADED for o in over)
+    assert all(o.retry_after > 0 for o in over)
+    for task in waiting:
+        task.cancel()
+    await asyncio.gather(*waiting, return_exceptions=True)
+
+
+async def test_a_group_that_only_the_asker_avoids_is_not_named():
+    """Guard against sending a stream back to the group that it was moved from."""
+    site = await site_of("a", "b")
+    site.rig_a.directory.withhold(GROUP, site.rig_a.clock.now() + 9.0)
+    site.rig_a.targets.script("b0", *(answer(1) for _ in range(4)))
+    for _ in range(4):
+        outcome = await site.rig_a.service.serve(site.rig_a.work(FakeExchange()))
+        assert outcome == Answered(status=200, target="b0")
+
+
+async def test_a_stopping_host_ends_the_waits_at_the_dispatcher_too():
+    """Guard against requests that get no answer as their host ends."""
+    site = await site_of("a")
+    site.rig_b.directory.loads.note_peer("c", {GROUP: (PROFILE.slots + 1, 0.0)})
+    serving = asyncio.create_task(
+        site.rig_a.service.serve(site.rig_a.work(FakeExchange()))
+    )
+    await settle()
+    site.rig_a.service.placing.end_waits()
+    async with asyncio.timeout(1.0):
+        outcome = await serving
+    assert outcome.status == 503
+
+
+def test_a_place_counts_until_its_host_tells_of_the_stream():
+    """Guard against counting a stream twice, or not at all, between two tellings."""
+    clock = FakeClock()
+    loads = GroupLoads(clock=clock)
+    loads.note_grant("a", 1, GROUP, 100.0)
+    loads.note_grant("a", 2, GROUP, 100.0)
+    assert loads.load(GROUP).running == 2
+    loads.note_peer("a", {GROUP: (1, 50.0)}, 1)
+    assert loads.load(GROUP).running == 2
+    assert loads.load(GROUP).reading_tokens == 150.0
+    loads.note_peer("a", {GROUP: (2, 0.0)}, 2)
+    assert loads.load(GROUP).running == 2
+    assert loads.load(GROUP).reading_tokens == 0.0
+
+
+@pytest.mark.parametrize("tells", [True, False])
+def test_a_place_of_a_host_that_is_gone_is_free_again(tells):
+    """Guard against places that are lost with a host."""
+    clock = FakeClock()
+    loads = GroupLoads(clock=clock)
+    loads.note_grant("a", 1, GROUP, 100.0)
+    if tells:
+        loads.note_peer("a", {GROUP: (1, 0.0)}, 1)
+    clock.time += max(GRANT_SECONDS, PEER_LOAD_SECONDS) + 0.1
+    assert loads.load(GROUP).running == 0
--- a/mallowpond/state/placement.py
+++ b/mallowpond/state/placement.py
@@ -137,6 +137,7 @@
     *,
     prompt_tokens: float,
     limit_seconds: float,
+    most: int = DRAWN_GROUPS,
 ) -> list[Candidate]:
     """Return the first few groups with a place, of candidates in a random order.
 
@@ -154,7 +155,7 @@
             limit_seconds=limit_seconds,
         )
     )
-    return list(islice(places, DRAWN_GROUPS))
+    return list(islice(places, most))
 
 
 def choose_group(
--- /dev/null
+++ b/mallowpond/state/tests/test_place_line.py
@@ -0,0 +1,81 @@
+"""In which order streams of a whole fleet get the places that free."""
+
+from dataclasses import replace
+
+from mallowpond.state.place_line import Claim, PlaceLine
+
+CLAIM = Claim(priority=1, on_time_until=10.0, since=0.0, until=20.0)
+
+
+def order(line, now=0.0):
+    """Return who waits, in order."""
+    return list(line.in_order(now))
+
+
+def test_those_that_can_be_on_time_go_before_those_that_cannot():
+    """Guard against a line in which everybody waits until all are late."""
+    line = PlaceLine()
+    line.join("on time", CLAIM)
+    line.join("late", replace(CLAIM, on_time_until=1.0))
+    assert order(line, now=0.5) == ["late", "on time"]
+    assert order(line, now=1.5) == ["on time", "late"]
+
+
+def test_of_those_that_can_be_on_time_the_newest_goes_first():
+    """Guard against an overload in which each is served when it is just too late."""
+    line = PlaceLine()
+    for name in ("old", "newer", "newest"):
+        line.join(name, CLAIM)
+    assert order(line) == ["newest", "newer", "old"]
+    assert not line.goes_before(CLAIM, 0.0)
+    # Those that are late come as they came.
+    assert order(line, now=11.0) == ["old", "newer", "newest"]
+    assert not line.goes_before(replace(CLAIM, on_time_until=30.0), 11.0)
+
+
+def test_who_is_late_goes_first_before_its_patience_ends():
+    """Guard against newcomers that keep the late ones out until they are lost."""
+    line = PlaceLine()
+    line.join("late", replace(CLAIM, on_time_until=1.0))
+    on_time = replace(CLAIM, on_time_until=30.0)
+    line.join("on time", on_time)
+    assert order(line, now=13.9) == ["on time", "late"]
+    assert order(line, now=14.1) == ["late", "on time"]
+    assert line.goes_before(on_time, 14.1)
+
+
+def test_what_has_begun_goes_first_and_then_the_more_urgent():
+    line = PlaceLine()
+    line.join("urgent", replace(CLAIM, priority=0))
+    line.join("later", CLAIM)
+    line.join("begun", replace(CLAIM, priority=2, has_begun=True))
+    assert order(line) == ["begun", "urgent", "later"]
+
+
+def test_asking_again_keeps_the_place_in_the_line():
+    """Guard against sending who waits to the end of the line with each question."""
+    line = PlaceLine()
+    line.join("first", CLAIM)
+    line.join("second", CLAIM)
+    line.join("first", replace(CLAIM, until=30.0))
+    assert order(line, now=11.0) == ["first", "second"]
+    assert line.over(20.0) == ["first", "second"]
+
+
+def test_who_has_waited_too_long_is_told():
+    line = PlaceLine()
+    line.join("a", replace(CLAIM, until=1.0))
+    line.join("b", CLAIM)
+    assert line.over(1.0) == ["a"]
+    line.leave("a")
+    assert order(line) == ["b"]
+    assert len(line) == 1
+
+
+def test_who_is_ahead_of_a_late_stream_is_counted():
+    line = PlaceLine()
+    for number in range(3):
+        line.join(number, replace(CLAIM, priority=number))
+    line.join("begun", replace(CLAIM, priority=2, has_begun=True))
+    assert line.ahead_of(CLAIM) == 3
+    assert line.ahead_of(replace(CLAIM, has_begun=True)) == 1
