--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
 BENCHES = {
     "planning": "Group downtime and stranded accelerators under failures.",
     "formation": "Capacity that groups keep while engines die or are replaced.",
+    "placing": "Streams late, lost and beyond slots by how places are given.",
     "routing": "Queueing tail, prefix hits and stragglers by routing policy.",
     "limits": "Goodput, refusals, retries, fairness and quota under overload.",
     "claims": "Claim latency and transactions, alone and grouped.",
--- /dev/null
+++ b/bench/placing.py
@@ -0,0 +1,83 @@
+"""Play loads on the placing of streams in virtual time, by the ways that there are."""
+
+import logging
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+
+import structlog
+
+from bench.report import Report
+from mallowpond.emulator.placing import Figures, Scenario, play
+
+PROCESSES = 4
+SEEDS = 4
+SCENARIOS = (
+    Scenario(name="tight, 7 hosts", hosts=7, groups=6, rate=44.0),
+    Scenario(name="tight, 18 hosts", hosts=18, groups=6, rate=44.0),
+    Scenario(name="tight, 74 hosts", hosts=74, groups=32, rate=222.0),
+    Scenario(name="tight, 195 hosts", hosts=195, groups=66, rate=418.0),
+    Scenario(name="tight, 380 hosts", hosts=380, groups=130, rate=820.0),
+    Scenario(
+        name="groups replaced", hosts=74, groups=36, rate=222.0, replaced_every=0.5
+    ),
+    Scenario(name="hosts start anew", hosts=74, groups=40, rate=230.0, restart_at=4.0),
+    Scenario(name="overload, 7 hosts", hosts=7, groups=4, rate=44.0),
+    Scenario(name="overload, 18 hosts", hosts=18, groups=5, rate=57.0),
+    Scenario(name="overload, 74 hosts", hosts=74, groups=18, rate=222.0),
+)
+
+
+def _play(scenario: Scenario, seed: int) -> Figures:
+    silent = structlog.make_filtering_bound_logger(logging.CRITICAL)
+    structlog.configure(wrapper_class=silent)
+    return play(scenario, seed)
+
+
+def run(smallest: bool = False) -> list[Report]:
+    """Compare placing by news with one host that counts places, on the same seeds."""
+    scenarios = SCENARIOS[:1] if smallest else SCENARIOS
+    if smallest:
+        scenarios = tuple(replace(scenario, seconds=4.0) for scenario in scenarios)
+    seeds = range(1 if smallest else SEEDS)
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        plays = {
+            (scenario.name, dispatched, seed): pool.submit(
+                _play, replace(scenario, dispatched=dispatched), seed
+            )
+            for scenario in scenarios
+            for dispatched in (False, True)
+            for seed in seeds
+        }
+        rows = [
+            _row(
+                scenario.name,
+                dispatched,
+                [plays[scenario.name, dispatched, seed].result() for seed in seeds],
+            )
+            for scenario in scenarios
+            for dispatched in (False, True)
+        ]
+    columns = ("load", "places", "streams", "late", "unserved", "beyond", "beside")
+    notes = (
+        f"{len(seeds)} seeds; late and unserved in percent of the streams",
+        "beyond, beside: stream-seconds a play beyond the slots, and beside free ones",
+    )
+    report = Report(
+        title="Placing of streams", columns=columns, rows=tuple(rows), notes=notes
+    )
+    return [report]
+
+
+def _row(
+    name: str, dispatched: bool, plays: list[Figures]
+) -> tuple[str | int | float, ...]:
+    streams = sum(figures.streams for figures in plays)
+    return (
+        name,
+        "counted" if dispatched else "by news",
+        streams,
+        round(100 * sum(figures.late for figures in plays) / streams, 2),
+        round(100 * sum(figures.unserved for figures in plays) / streams, 2),
+        round(sum(figures.beyond for figures in plays) / len(plays), 1),
+        round(sum(figures.beside for figures in plays) / len(plays), 1),
+    )
--- /dev/null
+++ b/mallowpond/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Run the product's own services on a virtual clock, against emulated engines."""
--- /dev/null
+++ b/mallowpond/emulator/tests/test_placing.py
@@ -0,0 +1,45 @@
+"""What the host that counts places brings under the loads that it is there for."""
+
+from dataclasses import replace
+
+import pytest
+
+from mallowpond.emulator.placing import Scenario, play
+
+TIGHT = Scenario(name="tight", hosts=18, groups=6, rate=44.0, seconds=8.0)
+# Four groups of ten slots end some forty streams a second.
+OVERLOAD = replace(TIGHT, name="overload", groups=4)
+RESTART = replace(TIGHT, name="restart", groups=8, restart_at=4.0)
+
+
+def both_ways(scenario, seed):
+    """Play a scenario with and without the host that counts places."""
+    return play(replace(scenario, dispatched=False), seed), play(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_stream_stands_beyond_the_slots_of_a_group_beside_free_ones(seed):
+    """Guard against streams that wait on a full group beside one with free slots."""
+    by_news, dispatched = both_ways(TIGHT, seed)
+    assert by_news.beside > 0.5
+    assert dispatched.beside < by_news.beside / 3
+    assert dispatched.late <= by_news.late
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_when_all_hosts_start_anew_no_group_is_sent_all_their_streams(seed):
+    """Guard against hosts that know nothing of each other and fill the same group."""
+    by_news, dispatched = both_ways(RESTART, seed)
+    assert dispatched.beyond < by_news.beyond / 2
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_in_an_overload_some_are_on_time_and_few_are_lost(seed):
+    """Guard against an overload in which each stream waits until it is late."""
+    by_news, dispatched = both_ways(OVERLOAD, seed)
+    assert dispatched.in_time > by_news.in_time
+    assert dispatched.unserved <= by_news.unserved + 0.02 * by_news.streams
+
+
+def test_a_play_repeats():
+    assert play(TIGHT, 5) == play(TIGHT, 5)
