--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -25,8 +25,8 @@
 # and a node is back well within the bound for a change.
 RETRY_SECONDS = 0.2
 # The same for a host that is not among the first to try, in seconds: while the store is
-# away for all, 65 hosts that ask five times a second each only add calls to it, and the
-# first that is answered tells the others.
+# away for all, a whole fleet that asks often only adds calls to it, and the first that
+# is answered tells the others.
 LATER_RETRY_SECONDS = 1.5
 # Pause between two questions to the hosts that read the store, in seconds, and the
 # questions in a row without an answer after which this host reads for itself.
@@ -34,7 +34,7 @@
 UNANSWERED_QUESTIONS = 3
 # Time for which a host that hears of a newer version waits for the hosts that read the
 # store to pass it on, in seconds: a few datagrams, in a small part of the bound for a
-# change. Without it 195 hosts read each version from the store.
+# change. Without it each host reads each version from the store.
 PASSED_ON_SECONDS = 0.3
 # Revision from which everything is read.
 FROM_START = 0
--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -45,12 +45,12 @@
 # heard nothing of some change.
 WHOLE_READ_SECONDS = 10.0
 # The same for a host that follows readers, which make such reads themselves and pass on
-# what they find: each read of 1,095 entries takes three calls to the store.
+# what they find: each read of a large list takes several calls to the store.
 FOLLOWER_WHOLE_READ_SECONDS = 120.0
 # Silence of the readers after which a host reads for itself, in seconds: some digests.
 READERS_SILENCE_SECONDS = 0.7
-# Time after which a change that a reader tells of has got lost, in seconds: that of 500
-# targets in nine datagrams, told on within each data centre, takes up to half a second.
+# Time after which a change that a reader tells of has got lost, in seconds: a large one,
+# in many datagrams told on within each data centre, takes some tenths of a second.
 MISSED_CHANGE_SECONDS = 0.6
 # Time that a lapsed target is remembered, in seconds, and the time for which a probe
 # that found it healthy lets it get new streams: the probes come once a second.
@@ -478,8 +478,7 @@
     def _take(self, found: dict[str, Target]) -> None:
         """Hold a new list; only the groups of targets that changed are gathered anew.
 
-        Gathering all groups of 300 targets at seven changes a second took 26 ms of
-        every second (one host fed for 10 s, under a profiler).
+        Changes come several times a second, and each touches few groups.
         """
         known = self._targets
         changed = [k for k, t in found.items() if known.get(k) is not t]
@@ -539,8 +538,7 @@
     ) -> None:
         """Log what changed: each change on a host that reads, elsewhere their sum.
 
-        A fleet of 195 hosts that starts wrote 156,730 lines on 1,095 targets' groups in
-        six seconds, and lines that mattered were left out.
+        Each change at each host of a large fleet would push out lines that matter.
         """
         if not self.is_reader():
             self._log_sum(found, changed, gone)
--- a/mallowpond/node/fanout.py
+++ b/mallowpond/node/fanout.py
@@ -1,7 +1,7 @@
 """Tell a whole fleet, each other data centre through one of its hosts.
 
-Told to each of 195 hosts by the readers alone, sums of work of 75 groups take 15 Mbit/s
-of a link of 20, four fifths of it between data centres (worked out).
+Told to each host by the readers alone, the sums of work of a large fleet would fill the
+readers' links, most of it between data centres.
 """
 
 from collections.abc import Callable
--- a/mallowpond/node/group_loads.py
+++ b/mallowpond/node/group_loads.py
@@ -11,8 +11,8 @@
 
 # Time that the readers' sums of all work count, in seconds.
 TOTALS_SECONDS = 0.7
-# Age of what is known of other hosts' work, in seconds: by the readers' sums, two
-# pauses of 0.2 s and a half; by the hosts' own heartbeats, 0.1 s.
+# Age of what is known of other hosts' work, in seconds: by the readers' sums, about two
+# pauses between tellings; by the hosts' own heartbeats, one.
 TOTALS_AGE_SECONDS = 0.3
 HEARTBEAT_AGE_SECONDS = 0.1
 # Time that peers' figures of a group's work count, in seconds.
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -26,16 +26,15 @@
 
 # Pause between two heartbeats, in seconds: peers' loads age by two passes or so.
 HEARTBEAT_SECONDS = 0.1
-# Longest pause between heartbeats that a peer may announce, in seconds: that of 1,200
-# hosts. A longer one would keep a dead peer among the living.
+# Longest pause between heartbeats that a peer may announce, in seconds: beyond that of
+# the largest fleet. A longer one would keep a dead peer among the living.
 LONGEST_INTERVAL_SECONDS = 60.0
 # Largest datagram that is read, in bytes: what UDP over IPv4 carries; and the largest
 # that one is unpacked to.
 LARGEST_DATAGRAM = 65_507
 LARGEST_UNPACKED = 4 * LARGEST_DATAGRAM
-# Size from which a datagram is compressed, in bytes: 60 changed targets take 7.0 KB and
-# a fifth of it compressed. Sent in full, 500 of them to 43 hosts filled a link for a
-# quarter of a second, and what got lost was read from the store by each host.
+# Size from which a datagram is compressed, in bytes: a change of many targets, sent in
+# full to many hosts, would fill a link, and what gets lost each host reads anew.
 COMPRESSED_BYTES = 600
 # First byte of what is compressed; no message begins with it.
 COMPRESSED_MARK = b"\x78"
@@ -45,8 +44,7 @@
 class WorkFigures:
     """Tell work by group, in a column for each figure.
 
-    With a data class for each group, sums of 82 groups took 446 to 750 us to decode; in
-    columns they take 104 to 153 (two and three runs on a busy machine).
+    With a data class for each group they would take several times as long to decode.
     """
 
     groups: tuple[Name, ...] = ()
--- a/mallowpond/node/model_summary.py
+++ b/mallowpond/node/model_summary.py
@@ -15,8 +15,8 @@
 
 
 # Fullness of a model that no open group serves, while its requests are refused or wait:
-# what runs on no group says nothing. Read as no need, both groups of a model that had
-# lost a member stayed down for 23 s beside their free survivors.
+# what runs on no group says nothing. Read as no need, groups that lost a member would
+# stay down beside their free survivors.
 UNSERVED_FULLNESS = 1.0
 
 
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -56,30 +56,28 @@
 HEARTBEATS_PER_SECOND = 60.0
 # Heartbeats a second in a large fleet: of a host that plans or reads the store, or is
 # next to, whose death is noticed after four pauses, and of any other, of which its
-# peers need only know that it lives. Worked out for 88 hosts: four pauses are 1.6 s, at
-# 60 a second 5.9 s; a host hears 18 heartbeats a second, not 60.
+# peers need only know that it lives.
 SENIOR_HEARTBEATS_PER_SECOND = 220.0
 ORDINARY_HEARTBEATS_PER_SECOND = 8.0
 # Pause between two heartbeats of a host that plans or reads, or is next to, to the
-# others of them in a large fleet, in seconds: by those for all 195 hosts, 0.9 s apart,
-# the next one to plan noticed a planner's death after 3.6 s.
+# others of them in a large fleet, in seconds: those for all hosts are too far apart for
+# the next one to plan to notice a planner's death soon.
 SENIOR_SECONDS = 0.25
 # Silence after which a peer counts as gone, in heartbeats and in seconds at least.
 GONE_HEARTBEATS = 4.0
 GONE_SECONDS = 1.0
 # Pause between two reads of the nodes' rows, in seconds: a node that starts tells
 # all others itself, so the rows only mend what was lost, and a host that reads or plans
-# next is enough to find who is missing. Read by each of 195 hosts each 15 s they were
-# 780 calls to the store in a minute.
+# next is enough to find who is missing.
 ROWS_SECONDS = 15.0
 ORDINARY_ROWS_SECONDS = 120.0
 # Pause before the rows are written and read again after a failure, in seconds.
 ROWS_AGAIN_SECONDS = 0.5
 # Time for which it is kept which hosts live, in seconds: each request asks for their
-# number and each of ten loops who they are, and going through 195 takes 0.1 ms.
+# number, and several loops who they are.
 COUNT_SECONDS = 0.2
-# Pause between two log lines on hosts that were met, in seconds: a fleet of 195 hosts
-# that starts wrote 37,830 of them.
+# Pause between two log lines on hosts that were met, in seconds: in a fleet that starts,
+# each host meets each other one.
 MET_SECONDS = 1.0
 NODES_PREFIX = "nodes/"
 
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -59,8 +59,8 @@
 # Pause between two looks whether this node plans now, in seconds: a small part of the
 # second after which a dead planner is replaced.
 FOLLOW_SECONDS = 0.2
-# Pause between two plans while nothing has changed or is under way, in seconds: a plan
-# for 1,095 targets takes 5 ms, and most of them find nothing to do.
+# Pause between two plans while nothing has changed or is under way, in seconds: most of
+# them find nothing to do.
 IDLE_PLAN_SECONDS = 0.5
 # Pause between two log lines on the state of all groups, in seconds.
 SUMMARY_SECONDS = 2.0
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -50,8 +50,7 @@
 # Targets of a change of the list in one datagram: about 7 KB.
 MOST_PASSED_ON = 60
 # Time for which the ranking of the hosts is kept unless one of them changes, in
-# seconds: ranked anew for each of 25 messages a second, 195 hosts took a quarter of
-# what a host that only follows used.
+# seconds: it is asked for at each message.
 RANKED_SECONDS = 0.3
 
 
@@ -159,9 +158,9 @@
     def tries_first(self) -> bool:
         """Tell whether this host is to try the store often.
 
-        While none reaches it, each host of a fleet did: in an outage of 8 s, 65 hosts
-        made seven calls a second each, 3,600 in all (worked out), all of them refused.
-        One that the store turns away while it serves others has to try for itself.
+        While none reaches it, two hosts try for all, as the calls of a whole fleet would
+        all be refused. One that the store turns away while it serves others has to try
+        for itself.
         """
         if self._ranked():
             return True
--- a/mallowpond/state/call_window.py
+++ b/mallowpond/state/call_window.py
@@ -6,9 +6,8 @@
 bound grows by one for each round of answers and shrinks when calls end late.
 """
 
-# Bounds of the window, in calls: with the least, a domain of 73 silent targets is asked
-# twice in 1.4 s (worked out); the most bounds the connections that one host opens
-# together.
+# Bounds of the window, in calls: the least still asks a large silent domain within a
+# second or two; the most bounds the connections that one host opens together.
 LEAST_CALLS = 16.0
 MOST_CALLS = 256.0
 FIRST_CALLS = 32.0
--- a/mallowpond/state/first_event.py
+++ b/mallowpond/state/first_event.py
@@ -1,10 +1,9 @@
 """Learn how much later first events come than the declared timing says.
 
 The load pattern: engines take a time before each first event that no declared figure
-tells, 0.01 s on some deployments and 0.12 s on others, whatever their load. The choice
-of a group and the trust in a silent one go by the predicted first event, so what is
-missing is learnt from those that are seen: on two played days the median error of each
-model's predictions fell from 0.09 to 0.11 s to 0.007 s at the most.
+tells, which differs by an order of magnitude between deployments, whatever their load.
+The choice of a group and the trust in a silent one go by the predicted first event, so
+what is missing is learnt from those that are seen.
 """
 
 from collections import deque
@@ -20,8 +19,8 @@
 # Share of the samples that come later than the longest delay that counts as usual: two
 # of them, so that a stream moved from a dead group does not set the limit.
 LATE_SHARE = 0.04
-# Longest delay that is assumed while nothing is known, in seconds: engines of 0.4 s
-# would be taken for dead by every host that has just started.
+# Longest delay that is assumed while nothing is known, in seconds: with less, a host
+# that has just started would take slow engines for dead.
 UNKNOWN_SECONDS = 1.0
 
 
--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -109,7 +109,7 @@
     membership: Membership | None = None
     born: int | None = None
 
-    # Kept: it is asked for each of 1,095 targets at each change of the list.
+    # Kept: it is asked for each target at each change of the list.
     @cached_property
     def process(self) -> Process:
         """Return which process this is."""
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -36,7 +36,7 @@
 # domain is left.
 MIXING_SECONDS = 1000.0
 # Share of a domain's engines that stay free of groups, so that a lost member can be
-# replaced in about 2 s by one that has the weights staged, not in 12 s or more.
+# replaced by one that has the weights staged, without a load.
 SPARE_SHARE = 0.1
 # Fullness of a model's groups from which one is formed across domains: below, free
 # targets are worth more as spares, which repair a group at its full speed.
@@ -83,8 +83,8 @@
         self._in_domain: dict[str, list[Target]] = {}
         for target in view.targets:
             self._in_domain.setdefault(target.domain, []).append(target)
-        # What a domain offers a model, kept until one of its targets is taken: looked
-        # for anew for each group, the first plan for 1,095 targets took 0.2 s.
+        # What a domain offers a model, kept until one of its targets is taken: the
+        # first plan of a large fleet would look for it anew for each group.
         self._offers: dict[tuple[str, str], _Offer | None] = {}
         self._epoch = view.next_epoch
         self._loads_left = _loads_allowed(view)
@@ -140,8 +140,8 @@
     def _fill(self, model: ModelSpec) -> float:
         """Return how many engines a model has for its share of the work.
 
-        The share is one of engines: read as one of groups, models of 16 and 4 engines
-        with equal shares would get four times as many engines for the larger one.
+        The share is one of engines: read as one of groups, the larger of two models
+        with equal shares would get more engines than the smaller one.
         """
         share = self._view.demand.get(model.name, model.share)
         return (self._served[model.name] + 0.5) * model.size / max(share, 0.01)
--- a/mallowpond/state/ownership.py
+++ b/mallowpond/state/ownership.py
@@ -5,9 +5,8 @@
 from hashlib import blake2b
 from heapq import nlargest
 
-# Weights that are kept: a few keys over all hosts of a fleet. Hosts rank their peers
-# some 25 times a second; hashing 88 names each time took 12 ms a second (one host fed
-# for 10 s as in a fleet of 88, under a profiler).
+# Weights that are kept: a few keys over all hosts of a fleet, which rank their peers
+# many times a second.
 KEPT_SCORES = 4096
 
 
@@ -44,9 +43,8 @@
 def ranked_by_capacity(key: str, members: Mapping[str, float]) -> list[str]:
     """Return the members, those with the most cores first, then by weight for `key`.
 
-    What one host does for a whole fleet goes to a host that can bear it: a planner on
-    half of a core gave out 1,095 orders at once, read none of the answers in time and
-    took 852 sound targets for lost.
+    What one host does for a whole fleet goes to a host that can bear it: a weak one
+    reads answers too late and takes sound targets for lost.
     """
     return sorted(
         members,
--- a/mallowpond/state/placement.py
+++ b/mallowpond/state/placement.py
@@ -16,8 +16,7 @@
 # soon as a slot frees, so a slot never idles for the length of a round trip.
 QUEUE_BEYOND_SLOTS = 1
 # Passes from the arrival of a request to its first event beside the reading: the one
-# under way, and one that writes. With 1.5 the median of 1,842 first events on one
-# loaded day took 1.28 times the prediction.
+# under way, and one that writes.
 FIRST_EVENT_PASSES = 2.0
 # Passes after which a group that works has shown some event, beside the reading.
 SILENT_PASSES = 1.5
@@ -116,8 +115,7 @@
 def delay_of(load: GroupLoad, delay_seconds: float) -> float:
     """Return what a first event takes on a group beyond the declared timing.
 
-    It grows with a group's slowness: 0.11 s were seen within fabric domains, 0.2 to
-    0.3 s on groups across them, which are 2.5 times as slow.
+    It grows with a group's slowness, as on groups across fabric domains.
     """
     return delay_seconds * max(1.0, load.slowness)
 
@@ -141,8 +139,8 @@
 ) -> list[Candidate]:
     """Return the first few groups with a place, of candidates in a random order.
 
-    Where much is unseen the choice is between these, so the others need not be looked
-    at: of 82 groups, all of them took a fifth of what a host spends on a stream.
+    The choice is between these, so the others need not be looked at: in a large fleet
+    that would cost more than the rest of what a host does for the placing.
     """
     places = (
         candidate
--- a/mallowpond/state/retry_window.py
+++ b/mallowpond/state/retry_window.py
@@ -38,8 +38,8 @@
     def firsts_per_second(self) -> float:
         """Return the rate of first sends over the last window, or since the first one.
 
-        Over a whole window, hosts that had just begun to serve took the others for
-        idle, and 195 of them sent the streams of a fifth of a second to one group.
+        Over a whole window, hosts that have just begun to serve would take the others
+        for idle, and send their streams to the same group.
         """
         if self._since is None:
             return 0.0
--- a/mallowpond/state/silence.py
+++ b/mallowpond/state/silence.py
@@ -31,8 +31,8 @@
 # the group may have died after it.
 ADVANCE_SECONDS = 0.1
 # Multiple of the limit at which a host leaves a group that advances elsewhere while
-# its own streams still wait for their first event. At 2, groups were left so 588 times
-# on a day with 70 hosts; in the one that was traced the group had prompts to read.
+# its own streams still wait for their first event: such a group mostly has prompts of
+# others to read.
 OWN_SILENCE_FACTOR = 4.0
 # Part of the asker's silence within which another host must have seen an event: all
 # streams of a dead group fall silent with the same pass.
--- a/mallowpond/state/stopping.py
+++ b/mallowpond/state/stopping.py
@@ -17,8 +17,7 @@
 def can_finish(*, longest_seconds: float, seconds_left: float) -> bool:
     """Tell whether a request that is begun now ends before the host does.
 
-    `longest_seconds` is the time of the longest answer that it may get. With three
-    times that in place of one move, 596 to 700 requests of a day of overlapping stops
-    were refused, most of them in the first 2 s of a stop; worth 0.74 in place of 0.90.
+    `longest_seconds` is the time of the longest answer that it may get, to which one
+    move is added; a wider margin refuses many that would end well.
     """
     return longest_seconds + MOVE_SECONDS <= seconds_left
