--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -49,8 +49,8 @@
 FOLLOWER_WHOLE_READ_SECONDS = 120.0
 # Silence of the readers after which a host reads for itself, in seconds: some digests.
 READERS_SILENCE_SECONDS = 0.7
-# Time after which a change that a reader tells of has got lost, in seconds: a large one,
-# in many datagrams told on within each data centre, takes some tenths of a second.
+# Time after which a change that a reader tells of has got lost, in seconds: a large one
+# comes in many datagrams, told on within each data centre.
 MISSED_CHANGE_SECONDS = 0.6
 # Time that a lapsed target is remembered, in seconds, and the time for which a probe
 # that found it healthy lets it get new streams: the probes come once a second.
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -76,8 +76,8 @@
 # Time for which it is kept which hosts live, in seconds: each request asks for their
 # number, and several loops who they are.
 COUNT_SECONDS = 0.2
-# Pause between two log lines on hosts that were met, in seconds: in a fleet that starts,
-# each host meets each other one.
+# Pause between two log lines on hosts that were met, in seconds: in a fleet that
+# starts, each host meets each other one.
 MET_SECONDS = 1.0
 NODES_PREFIX = "nodes/"
 
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -158,9 +158,9 @@
     def tries_first(self) -> bool:
         """Tell whether this host is to try the store often.
 
-        While none reaches it, two hosts try for all, as the calls of a whole fleet would
-        all be refused. One that the store turns away while it serves others has to try
-        for itself.
+        While none reaches it, two hosts try for all, as the calls of a whole fleet
+        would all be refused. One that the store turns away while it serves others has
+        to try for itself.
         """
         if self._ranked():
             return True
--- a/mallowpond/state/order_book.py
+++ b/mallowpond/state/order_book.py
@@ -20,8 +20,8 @@
 # Time until the effect of an order that was taken must show in the list, in seconds:
 # engines report a change at once, and the list is read a few times a second.
 EFFECT_SECONDS = 1.5
-# Time that an order may wait for its turn and its answer, in seconds: the orders for the
-# first groups of a large fleet take a weak host some seconds.
+# Time that an order may wait for its turn and its answer, in seconds: a weak host takes
+# some seconds for the first groups of a large fleet.
 TURN_SECONDS = 10.0
 # Pause before an order that did not fit or got lost is given again, in seconds.
 AGAIN_SECONDS = 0.3
