--- a/mallowpond/node/tests/test_dispatcher.py
+++ b/mallowpond/node/tests/test_dispatcher.py
@@ -4,11 +4,13 @@
 
 import pytest
 
+from mallowpond.node import place_asking
 from mallowpond.node.dispatcher import Dispatcher
 from mallowpond.node.group_loads import GRANT_SECONDS, PEER_LOAD_SECONDS, GroupLoads
 from mallowpond.node.messages import (
     PlaceAnswer,
     PlaceQuestion,
+    PlaceVerdict,
     Work,
     heartbeat_loads,
     loads_of,
@@ -177,6 +179,9 @@
     await asyncio.gather(serving, return_exceptions=True)
     site.rig_b.directory.loads.note_peer("c", {})
     site.dispatcher.wake()
+    given = site.wire_b.sent[-1]
+    assert given.verdict is PlaceVerdict.GRANTED
+    assert site.asking.granted == given.granted
     assert site.rig_b.directory.loads.load(GROUP).running == 0
 
 
@@ -206,6 +211,21 @@
     for _ in range(4):
         outcome = await site.rig_a.service.serve(site.rig_a.work(FakeExchange()))
         assert outcome == Answered(status=200, target="b0")
+    questions = [m for m in site.wire_a.sent if isinstance(m, PlaceQuestion)]
+    assert [question.avoided for question in questions] == [("a",)] * 4
+
+
+async def test_the_dispatchers_own_streams_count_once():
+    """Guard against a dispatcher that takes its own streams for twice as many."""
+    site = await site_of("a")
+    future, response = held()
+    site.rig_b.targets.script("a0", response)
+    work = site.rig_b.work(FakeExchange())
+    serving = asyncio.create_task(site.rig_b.service.serve(work))
+    await settle()
+    assert site.rig_b.directory.loads.load(GROUP).running == 1
+    future.set_result(None)
+    assert await serving == Answered(status=200, target="a0")
 
 
 async def test_a_stopping_host_ends_the_waits_at_the_dispatcher_too():
@@ -247,3 +267,21 @@
         loads.note_peer("a", {GROUP: (1, 0.0)}, 1)
     clock.time += max(GRANT_SECONDS, PEER_LOAD_SECONDS) + 0.1
     assert loads.load(GROUP).running == 0
+
+
+async def test_a_stream_whose_answer_was_lost_asks_again(monkeypatch):
+    """Guard against streams that wait for an answer that got lost."""
+    monkeypatch.setattr(place_asking, "RENEW_SECONDS", 0.01)
+    site = await site_of("a")
+    site.rig_a.targets.script("a0", answer(1))
+    site.rig_b.directory.loads.note_peer("c", {GROUP: (PROFILE.slots + 1, 0.0)})
+    work = site.rig_a.work(FakeExchange())
+    serving = asyncio.create_task(site.rig_a.service.serve(work))
+    await settle()
+    site.wire_b.is_cut = True
+    site.rig_b.directory.loads.note_peer("c", {})
+    site.dispatcher.wake()
+    site.wire_b.is_cut = False
+    # Well before the patience of its caller ends.
+    async with asyncio.timeout(0.9):
+        assert await serving == Answered(status=200, target="a0")
--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -8,7 +8,7 @@
 import pytest
 
 from mallowpond.coordination.clock import MonotonicClock
-from mallowpond.node.messages import Heartbeat, heartbeat_loads
+from mallowpond.node.messages import Heartbeat, Work, heartbeat_loads
 from mallowpond.node.outcomes import Answered, Refusal
 from mallowpond.node.ports import NodePorts
 from mallowpond.node.service import CLOSING_SECONDS, LAME_SECONDS, build
@@ -386,3 +386,48 @@
     await handling
     # It is refused for want of a route, which only a configuration tells.
     assert exchange.status == 404
+
+
+async def test_a_place_that_another_host_frees_goes_to_who_waits_at_the_dispatcher():
+    """Guard against a line that is looked at only when this host's own streams end."""
+    clock, targets = FakeClock(), FakeTargets()
+    source = FakeSource(listed=deque([listing(*open_group("g"))]))
+    node = node_over(clock, source=source, targets=targets)
+    await node.directory.refresh()
+    targets.script("g0", answer(1))
+    full = heartbeat_loads({("g", 1): (PROFILE.slots + 1, 0.0)})
+    node.peers._take(Work(node="b", loads=full))
+    rig = Rig(
+        clock=clock,
+        targets=targets,
+        directory=node.directory,
+        service=node.streams,
+        source=source,
+    )
+    serving = asyncio.create_task(node.streams.serve(rig.work(FakeExchange())))
+    for _ in range(10):
+        await asyncio.sleep(0)
+    assert targets.sends == []
+    node.peers._take(Work(node="b", loads=heartbeat_loads({})))
+    async with asyncio.timeout(0.2):
+        assert await serving == Answered(status=200, target="g0")
+
+
+async def test_a_host_tells_the_dispatcher_at_once_that_a_stream_has_ended():
+    """Guard against places that stay taken until a host tells its work next."""
+    clock, targets = FakeClock(), FakeTargets()
+    source = FakeSource(listed=deque([listing(*open_group("g"))]))
+    node = node_over(clock, source=source, targets=targets)
+    await node.directory.refresh()
+    targets.script("g0", answer(1))
+    told = []
+    node.readers.tell_dispatcher = lambda: told.append(node.directory.loads.own_loads())
+    rig = Rig(
+        clock=clock,
+        targets=targets,
+        directory=node.directory,
+        service=node.streams,
+        source=source,
+    )
+    await node.streams.serve(rig.work(FakeExchange()))
+    assert told == [{}]
