Tell who waited at the dispatcher in vain to come back after a second

What callers saw: a stream whose patience ended in the dispatcher's line, or whose host stopped, was refused with a time to come back of 0.06 to 0.14 s; it has one more try, and so short after nothing has changed. Before the dispatcher it was told about a second, and whether a group serves its model at all. Cause: such an end was given as a refusal by the dispatcher with no time to wait. Change: it is an outcome of its own, refused like a wait in this host's own line.

--- a/mallowpond/node/place_asking.py
+++ b/mallowpond/node/place_asking.py
@@ -44,6 +44,14 @@
     wait: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class WaitedInVain:
+    """No place came while the stream waited, or this host ends its waits."""
+
+
+PlaceOutcome = Placed | TurnedAway | WaitedInVain
+
+
 class PlaceAsking:
     """Ask for the places of this host's streams."""
 
@@ -66,6 +74,7 @@
         self._number = 0
         self._answers: dict[int, asyncio.Queue[PlaceAnswer]] = {}
         self._silent_until = float("-inf")
+        self._ends_waits = False
         # The last place that the dispatcher gave, of which peers are told.
         self.granted = 0
         # Called when a place was given that no stream takes any more.
@@ -74,14 +83,15 @@
         dispatcher.on_own_answer.append(self._hear)
 
     def end_waits(self) -> None:
-        """Tell all that wait that there is no place in time."""
+        """Tell all that wait that no place will come."""
+        self._ends_waits = True
         for number, answers in self._answers.items():
             refused = PlaceAnswer(
                 node=self._name, number=number, verdict=PlaceVerdict.REFUSED
             )
             answers.put_nowait(refused)
 
-    async def ask(self, seek: Seek, claim: Claim) -> Placed | TurnedAway | None:
+    async def ask(self, seek: Seek, claim: Claim) -> PlaceOutcome | None:
         """Return what the dispatcher says in time, None if it does not answer."""
         self._number += 1
         asker = Asker(node=self._name, number=self._number)
@@ -92,9 +102,7 @@
             del self._answers[asker.number]
             self._dispatcher.leave(asker)
 
-    async def _ask(
-        self, asker: Asker, seek: Seek, claim: Claim
-    ) -> Placed | TurnedAway | None:
+    async def _ask(self, asker: Asker, seek: Seek, claim: Claim) -> PlaceOutcome | None:
         unusable = 0
         while unusable < MOST_UNUSABLE:
             answer = await self._question(asker, seek, claim)
@@ -103,10 +111,12 @@
                 if answer is None:
                     left = claim.until - self._clock.now()
                     if left <= 0.0:
-                        return TurnedAway(wait=0.0)
+                        return WaitedInVain()
                     continue
             if answer is None:
                 return None
+            if self._ends_waits:
+                return WaitedInVain()
             if answer.verdict is PlaceVerdict.REFUSED:
                 return TurnedAway(wait=answer.wait)
             group = self._usable(answer, seek)
--- a/mallowpond/node/stream_placing.py
+++ b/mallowpond/node/stream_placing.py
@@ -3,7 +3,13 @@
 from math import inf
 
 from mallowpond.node.outcomes import Reason, Refusal
-from mallowpond.node.place_asking import PlaceAsking, Placed, TurnedAway
+from mallowpond.node.place_asking import (
+    PlaceAsking,
+    Placed,
+    PlaceOutcome,
+    TurnedAway,
+    WaitedInVain,
+)
 from mallowpond.node.place_choice import FIRST_EVENT_SHARE, PlaceChoice, Seek
 from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.stream_work import StreamWork
@@ -91,10 +97,11 @@
                 # Placed all the same, it would end one more group and all that runs
                 # there; its caller comes again, at any host.
                 return held
-            answer = await self._ask(work)
-            match answer:
+            match await self._ask(work):
                 case TurnedAway(wait=wait):
                     return self.refuse(Reason.OVERLOADED, wait)
+                case WaitedInVain():
+                    return self._refuse_unplaced(work)
                 case Placed(group=group):
                     pass
                 case None:
@@ -131,7 +138,7 @@
             g.name for g in groups if g.head and g.head.process in work.sent_to
         )
 
-    async def _ask(self, work: StreamWork) -> Placed | TurnedAway | None:
+    async def _ask(self, work: StreamWork) -> PlaceOutcome | None:
         """Ask the host that counts all places, if there is one."""
         now = self._clock.now()
         patience = min(self._patience(work), work.deadline - now)
@@ -186,8 +193,7 @@
                 # It may have been offered a place as it left, which goes to the next.
                 self.wake(work.model.name)
         if not came:
-            reason = Reason.OVERLOADED if groups else Reason.NO_GROUP
-            return self.refuse(reason, NO_GROUP_RETRY_SECONDS)
+            return self._refuse_unplaced(work)
         return None
 
     def _patience(self, work: StreamWork) -> float:
@@ -249,6 +255,12 @@
             return False
         return self._clock.now() + self.longest_seconds(work) > self.ends_at
 
+    def _refuse_unplaced(self, work: StreamWork) -> Refusal:
+        """Refuse a stream that waited in vain."""
+        groups = self._directory.serving_groups(work.service, work.model.name)
+        reason = Reason.OVERLOADED if groups else Reason.NO_GROUP
+        return self.refuse(reason, NO_GROUP_RETRY_SECONDS)
+
     def refuse(self, reason: Reason, wait: float) -> Refusal:
         """Refuse a stream that did not run, to come back after about `wait` seconds."""
         after = spread_retry_after(wait, self._rng.random())
--- a/mallowpond/node/tests/test_dispatcher.py
+++ b/mallowpond/node/tests/test_dispatcher.py
@@ -203,6 +203,23 @@
     await asyncio.gather(*waiting, return_exceptions=True)
 
 
+@pytest.mark.parametrize(
+    ("groups", "reason"), [("a", Reason.OVERLOADED), ("", Reason.NO_GROUP)]
+)
+async def test_who_waited_in_vain_is_not_told_to_come_back_at_once(groups, reason):
+    """Guard against callers whose only other try comes while nothing has changed."""
+    site = await site_of(*groups)
+    site.rig_b.directory.loads.note_peer("c", {GROUP: (PROFILE.slots + 1, 0.0)})
+    work = site.rig_a.work(FakeExchange())
+    serving = asyncio.create_task(site.rig_a.service.serve(work))
+    await settle()
+    site.rig_a.clock.time += 2.0
+    async with asyncio.timeout(3.0):
+        outcome = await serving
+    assert (outcome.status, outcome.reason) == (503, reason)
+    assert outcome.retry_after > 0.5
+
+
 async def test_a_group_that_only_the_asker_avoids_is_not_named():
     """Guard against sending a stream back to the group that it was moved from."""
     site = await site_of("a", "b")
@@ -240,6 +257,7 @@
     async with asyncio.timeout(1.0):
         outcome = await serving
     assert outcome.status == 503
+    assert outcome.retry_after > 0.5
 
 
 def test_a_place_counts_until_its_host_tells_of_the_stream():
