--- a/bench/placing.py
+++ b/bench/placing.py
@@ -7,7 +7,8 @@
 import structlog
 
 from bench.report import Report
-from mallowpond.emulator.placing import Figures, Scenario, play
+from mallowpond.emulator.placing import play
+from mallowpond.emulator.scenario import Figures, Scenario
 
 PROCESSES = 4
 SEEDS = 4
--- a/mallowpond/emulator/engines.py
+++ b/mallowpond/emulator/engines.py
@@ -19,7 +19,6 @@
 
     tokens: float
     events: int
-    came_at: float
     # Events that are made, the end as None.
     made: asyncio.Queue[int | None] = field(default_factory=asyncio.Queue)
     number: int = 0
@@ -146,7 +145,6 @@
         stream = EngineStream(
             tokens=float(request.prompt_tokens),
             events=request.answer_tokens,
-            came_at=asyncio.get_running_loop().time(),
         )
         group.take(stream)
         return EmulatedResponse(group=group, stream=stream)
--- /dev/null
+++ b/mallowpond/emulator/hosts.py
@@ -0,0 +1,181 @@
+"""Run the product's placing and serving of single hosts on a virtual clock."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from mallowpond.emulator.engines import EmulatedTargets
+from mallowpond.emulator.scenario import PROFILE, WAY_SECONDS, Scenario
+from mallowpond.emulator.virtual_time import VirtualClock
+from mallowpond.node.directory import Directory
+from mallowpond.node.dispatcher import Dispatcher
+from mallowpond.node.messages import (
+    PlaceAnswer,
+    PlaceQuestion,
+    Work,
+    heartbeat_loads,
+    loads_of,
+)
+from mallowpond.node.metrics import NodeMetrics
+from mallowpond.node.place_asking import PlaceAsking
+from mallowpond.node.ports import TargetsRead
+from mallowpond.node.quarantine import Quarantine
+from mallowpond.node.serving_parts import ServingParts
+from mallowpond.node.streams import StreamService
+from mallowpond.state.fleet import Target
+from mallowpond.state.retry_window import RetryWindow
+
+Told = PlaceQuestion | PlaceAnswer | Work
+
+
+class Surroundings(Protocol):
+    """Give a host what it shares with the others of its fleet."""
+
+    scenario: Scenario
+    rng: random.Random
+    listing: "Listing"
+    targets: EmulatedTargets
+    hosts: list["Host"]
+
+    def dispatching_host(self) -> str | None:
+        """Return the host that counts places for all, None while none is known."""
+
+    def deliver(self, node: str, message: Told) -> None:
+        """Hand a message to a host that is up."""
+
+
+class Exchange:
+    """Take an answer as a caller does."""
+
+    def __init__(self) -> None:
+        self.started = False
+
+    async def start(self, status: int, headers: object = ()) -> None:
+        """Begin an answer."""
+        self.started = True
+
+    async def send(self, data: bytes) -> None:
+        """Take a part."""
+
+    async def end(self) -> None:
+        """Take the end."""
+
+
+class Callers:
+    """Pass no headers on."""
+
+    def answer_headers(self, response: object) -> tuple[tuple[str, str], ...]:
+        """Return no headers."""
+        return ()
+
+
+class Listing:
+    """Hold the list of targets, one for each open group."""
+
+    def __init__(self) -> None:
+        self.targets_now: dict[str, Target] = {}
+        self.revision = 1
+
+    async def targets(self, since: int) -> TargetsRead:
+        """Return the whole list."""
+        return TargetsRead(
+            revision=self.revision,
+            targets=tuple(self.targets_now.values()),
+            whole=True,
+        )
+
+
+class Datagrams:
+    """Carry the messages of one host, each as long as a datagram takes."""
+
+    def __init__(self, fleet: Surroundings) -> None:
+        self._fleet = fleet
+        self.on_place_question: list[Callable[[PlaceQuestion], None]] = []
+        self.on_place_answer: list[Callable[[PlaceAnswer], None]] = []
+        self.on_work: list[Callable[[Work], None]] = []
+
+    def tell_nodes(self, message: Told, nodes: Iterable[str]) -> None:
+        """Send a message to some hosts."""
+        loop = asyncio.get_running_loop()
+        for node in nodes:
+            loop.call_later(WAY_SECONDS, self._fleet.deliver, node, message)
+
+    def hear(self, message: Told) -> None:
+        """Take a message."""
+        match message:
+            case PlaceQuestion():
+                listeners = self.on_place_question
+            case PlaceAnswer():
+                listeners = self.on_place_answer
+            case Work():
+                listeners = self.on_work
+        for notify in listeners:
+            notify(message)
+
+
+class Host:
+    """Run the product's placing and serving of one host."""
+
+    def __init__(self, *, fleet: Surroundings, number: int) -> None:
+        self.name = f"n{number}"
+        self._fleet = fleet
+        clock = VirtualClock()
+        self.directory = Directory(source=fleet.listing, clock=clock)
+        budget = RetryWindow(ratio=0.2, slack=248.0, window_seconds=10.0)
+        metrics = NodeMetrics()
+        self.streams = StreamService(
+            parts=ServingParts(
+                directory=self.directory,
+                targets=fleet.targets,
+                callers=Callers(),
+                clock=clock,
+                metrics=metrics,
+                budget=lambda service: budget,
+                hosts=lambda: len(fleet.hosts) or 1,
+                rng=random.Random(fleet.rng.random()),
+                quarantine=Quarantine(clock=clock, metrics=metrics),
+            )
+        )
+        self.datagrams = Datagrams(fleet)
+        self.dispatcher = Dispatcher(
+            name=self.name,
+            peers=self.datagrams,
+            directory=self.directory,
+            choice=self.streams.placing.choice,
+            clock=clock,
+            shape_of=lambda service, model: (PROFILE, PROFILE.models[0]),
+            is_dispatcher=lambda: fleet.dispatching_host() == self.name,
+        )
+        asking = PlaceAsking(
+            name=self.name,
+            peers=self.datagrams,
+            directory=self.directory,
+            dispatcher=self.dispatcher,
+            clock=clock,
+            dispatching_host=fleet.dispatching_host,
+        )
+        self.asking = asking
+        if fleet.scenario.dispatched:
+            self.streams.placing.asking = asking
+            self.streams.on_end.append(self.tell_work)
+            asking.on_unused.append(self.tell_work)
+            self.datagrams.on_work.append(self._hear_work)
+
+    def tell_work(self) -> None:
+        """Tell the dispatcher this host's streams by group."""
+        host = self._fleet.dispatching_host()
+        if host is None or host == self.name:
+            self.dispatcher.wake()
+            return
+        loads = self.directory.loads.own_loads()
+        self.directory.loads.note_told(loads)
+        work = Work(
+            node=self.name, loads=heartbeat_loads(loads), granted=self.asking.granted
+        )
+        self.datagrams.tell_nodes(work, (host,))
+
+    def _hear_work(self, work: Work) -> None:
+        loads = self.directory.loads
+        loads.note_peer(work.node, loads_of(work), work.granted)
+        self.dispatcher.wake()
--- a/mallowpond/emulator/placing.py
+++ b/mallowpond/emulator/placing.py
@@ -8,258 +8,45 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable, Iterable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 from math import exp, log
 
 from mallowpond.coordination.tasks import cancel_task
 from mallowpond.emulator.engines import EmulatedGroup, EmulatedTargets
-from mallowpond.emulator.virtual_time import VirtualClock, run_virtually
-from mallowpond.node.directory import Directory
-from mallowpond.node.dispatcher import Dispatcher
-from mallowpond.node.messages import (
-    PlaceAnswer,
-    PlaceQuestion,
-    Work,
-    heartbeat_loads,
-    loads_of,
+from mallowpond.emulator.hosts import Exchange, Host, Listing, Told
+from mallowpond.emulator.scenario import (
+    FIRST_EVENT_SECONDS,
+    MODEL,
+    PROFILE,
+    ROUTE,
+    SERVICE,
+    WAY_SECONDS,
+    Figures,
+    Scenario,
 )
-from mallowpond.node.metrics import NodeMetrics
+from mallowpond.emulator.virtual_time import run_virtually
 from mallowpond.node.outcomes import Answered, Refusal
-from mallowpond.node.place_asking import PlaceAsking
-from mallowpond.node.ports import CallerRequest, TargetsRead
-from mallowpond.node.quarantine import Quarantine
-from mallowpond.node.serving_parts import ServingParts
+from mallowpond.node.ports import CallerRequest
 from mallowpond.node.stream_work import StreamWork
-from mallowpond.node.streams import StreamService
-from mallowpond.state.fleet import (
-    EngineProfile,
-    GroupPhase,
-    Membership,
-    ModelSpec,
-    Target,
-)
-from mallowpond.state.retry_window import RetryWindow
-from mallowpond.state.site_configuration import Backend, Repeat, Route
-
-Told = PlaceQuestion | PlaceAnswer | Work
+from mallowpond.state.fleet import GroupPhase, Membership, Target
 
-SERVICE = "engines"
-MODEL = "m"
 # Hosts above which sums of work come from a reader, not from each host's heartbeats.
 LARGE_FLEET = 12
 HEARTBEAT_SECONDS = 0.1
 DIGEST_SECONDS = 0.2
-# Time that a datagram takes, and a request or an answer between host and engine.
-WAY_SECONDS = 0.002
+# Tellings of work to the reader between two digests, by a part of the hosts each.
+TELLING_TURNS = 10
 # Time after the start that does not count: the groups fill up.
 LEAD_SECONDS = 2.0
 LOOK_SECONDS = 0.02
+# Share of the time left after which callers do not come back any more.
 MAX_RETRY_SHARE = 1 / 3
-
-
-@dataclass(frozen=True, kw_only=True)
-class Scenario:
-    """Describe a load; rates are a second, times in seconds.
-
-    With `restart_at` all hosts are gone from then on for `away`; who came meanwhile
-    comes back while they start. With `replaced_every` a group closes and another one
-    opens empty, after each such time.
-    """
-
-    name: str
-    hosts: int
-    groups: int
-    rate: float
-    seconds: float = 12.0
-    prompt_tokens: float = 674.0
-    prompt_spread: float = 0.89
-    events: float = 28.0
-    events_spread: float = 0.7
-    most_events: int = 70
-    restart_at: float | None = None
-    away: float = 1.2
-    replaced_every: float | None = None
-    burst_at: float | None = None
-    burst_x: float = 1.0
-    dispatched: bool = True
-
-
-PROFILE = EngineProfile(
-    slots=10,
-    models=(ModelSpec(name=MODEL, size=1, pace=0.6, share=1.0),),
-    stride=6,
-    step_seconds=0.0078,
-    request_seconds=0.0000947,
-    read_tokens_per_second=45_900.0,
-    usual_prompt_tokens=674.0,
-    usual_answer_tokens=168.0,
-)
-FIRST_EVENT_SECONDS = 0.11
-ROUTE = Route(
-    name="r",
-    host="h",
-    prefix="/",
-    repeat=Repeat.STREAM,
-    backends=(Backend(service=SERVICE, weight=1),),
-    timeout_seconds=6.0,
-    objective_seconds=0.303,
-    max_attempts=2,
-    resumable=True,
-    gap_seconds=0.2,
-)
-
-
-@dataclass(kw_only=True)
-class Figures:
-    """Count what became of the streams of one play."""
-
-    streams: int = 0
-    in_time: int = 0
-    late: int = 0
-    unserved: int = 0
-    gaps: int = 0
-    # Stream-seconds beyond the slots of groups, and those of them beside which a slot
-    # was free on another group.
-    beyond: float = 0.0
-    beside: float = 0.0
-
-
-class Exchange:
-    """Take an answer as a caller does."""
-
-    def __init__(self) -> None:
-        self.started = False
-
-    async def start(self, status: int, headers: object = ()) -> None:
-        """Begin an answer."""
-        self.started = True
-
-    async def send(self, data: bytes) -> None:
-        """Take a part."""
-
-    async def end(self) -> None:
-        """Take the end."""
-
-
-class Callers:
-    """Pass no headers on."""
-
-    def answer_headers(self, response: object) -> tuple[tuple[str, str], ...]:
-        """Return no headers."""
-        return ()
-
-
-class Listing:
-    """Hold the list of targets, one for each open group."""
-
-    def __init__(self) -> None:
-        self.targets_now: dict[str, Target] = {}
-        self.revision = 1
-
-    async def targets(self, since: int) -> TargetsRead:
-        """Return the whole list."""
-        return TargetsRead(
-            revision=self.revision,
-            targets=tuple(self.targets_now.values()),
-            whole=True,
-        )
-
-
-class Datagrams:
-    """Carry the messages of one host, each as long as a datagram takes."""
-
-    def __init__(self, fleet: "Fleet") -> None:
-        self._fleet = fleet
-        self.on_place_question: list[Callable[[PlaceQuestion], None]] = []
-        self.on_place_answer: list[Callable[[PlaceAnswer], None]] = []
-        self.on_work: list[Callable[[Work], None]] = []
-
-    def tell_nodes(self, message: Told, nodes: Iterable[str]) -> None:
-        """Send a message to some hosts."""
-        loop = asyncio.get_running_loop()
-        for node in nodes:
-            loop.call_later(WAY_SECONDS, self._fleet.deliver, node, message)
-
-    def hear(self, message: Told) -> None:
-        """Take a message."""
-        match message:
-            case PlaceQuestion():
-                listeners = self.on_place_question
-            case PlaceAnswer():
-                listeners = self.on_place_answer
-            case Work():
-                listeners = self.on_work
-        for notify in listeners:
-            notify(message)
-
-
-class Host:
-    """Run the product's placing and serving of one host."""
-
-    def __init__(self, *, fleet: "Fleet", number: int) -> None:
-        self.name = f"n{number}"
-        self._fleet = fleet
-        clock = VirtualClock()
-        self.directory = Directory(source=fleet.listing, clock=clock)
-        budget = RetryWindow(ratio=0.2, slack=248.0, window_seconds=10.0)
-        metrics = NodeMetrics()
-        self.streams = StreamService(
-            parts=ServingParts(
-                directory=self.directory,
-                targets=fleet.targets,
-                callers=Callers(),
-                clock=clock,
-                metrics=metrics,
-                budget=lambda service: budget,
-                hosts=lambda: len(fleet.hosts) or 1,
-                rng=random.Random(fleet.rng.random()),
-                quarantine=Quarantine(clock=clock, metrics=metrics),
-            )
-        )
-        self.datagrams = Datagrams(fleet)
-        self.dispatcher = Dispatcher(
-            name=self.name,
-            peers=self.datagrams,
-            directory=self.directory,
-            choice=self.streams.placing.choice,
-            clock=clock,
-            shape_of=lambda service, model: (PROFILE, PROFILE.models[0]),
-            is_dispatcher=lambda: fleet.dispatching_host() == self.name,
-        )
-        asking = PlaceAsking(
-            name=self.name,
-            peers=self.datagrams,
-            directory=self.directory,
-            dispatcher=self.dispatcher,
-            clock=clock,
-            dispatching_host=fleet.dispatching_host,
-        )
-        self.asking = asking
-        if fleet.scenario.dispatched:
-            self.streams.placing.asking = asking
-            self.streams.on_end.append(self.tell_work)
-            asking.on_unused.append(self.tell_work)
-            self.datagrams.on_work.append(self._hear_work)
-
-    def tell_work(self) -> None:
-        """Tell the dispatcher this host's streams by group."""
-        host = self._fleet.dispatching_host()
-        if host is None or host == self.name:
-            self.dispatcher.wake()
-            return
-        loads = self.directory.loads.own_loads()
-        self.directory.loads.note_told(loads)
-        work = Work(
-            node=self.name, loads=heartbeat_loads(loads), granted=self.asking.granted
-        )
-        self.datagrams.tell_nodes(work, (host,))
-
-    def _hear_work(self, work: Work) -> None:
-        loads = self.directory.loads
-        loads.note_peer(work.node, loads_of(work), work.granted)
-        self.dispatcher.wake()
+# Time in which hosts that start anew do so one after the other, and time after the
+# first until callers find them, in seconds.
+START_SECONDS = 0.3
+FOUND_SECONDS = 0.05
+# Pause between two callers that come back then, by how many still wait, in seconds.
+RETURN_SECONDS = 0.03
 
 
 class Fleet:
@@ -332,12 +119,12 @@
         for task in list(self.serving):
             task.cancel()
         await asyncio.sleep(self.scenario.away)
-        back = asyncio.create_task(self.start_hosts(0.3))
-        await asyncio.sleep(0.05)
+        back = asyncio.create_task(self.start_hosts(START_SECONDS))
+        await asyncio.sleep(FOUND_SECONDS)
         while self.waiting_callers:
             request, at = self.waiting_callers.popleft()
             self._begin(request, at)
-            await asyncio.sleep(0.3 / (1 + len(self.waiting_callers)) / 10)
+            await asyncio.sleep(RETURN_SECONDS / (1 + len(self.waiting_callers)))
         await back
 
     def dispatching_host(self) -> str | None:
@@ -369,18 +156,17 @@
 
     async def _tell_sums(self) -> None:
         """Tell a reader each host's work in turn, and all hosts the reader's sums."""
-        turns = 10
         while True:
-            for turn in range(turns):
+            for turn in range(TELLING_TURNS):
                 hosts = self.hosts
                 reader = hosts[0] if hosts else None
-                for host in hosts[1 + turn :: turns]:
+                for host in hosts[1 + turn :: TELLING_TURNS]:
                     loads = host.directory.loads.own_loads()
                     host.directory.loads.note_told(loads)
                     reader.directory.loads.note_peer(
                         host.name, loads, host.asking.granted
                     )
-                await asyncio.sleep(DIGEST_SECONDS / turns)
+                await asyncio.sleep(DIGEST_SECONDS / TELLING_TURNS)
             if self.hosts:
                 reader = self.hosts[0].directory
                 sums = reader.loads.all_loads(reader.groups)
@@ -400,10 +186,7 @@
         scenario = self.scenario
         loop = asyncio.get_running_loop()
         while loop.time() < scenario.seconds:
-            rate = scenario.rate
-            if scenario.burst_at and loop.time() >= scenario.burst_at:
-                rate *= scenario.burst_x
-            await asyncio.sleep(self.rng.expovariate(rate))
+            await asyncio.sleep(self.rng.expovariate(scenario.rate))
             request = self._request()
             if self.hosts:
                 self._begin(request, loop.time())
--- a/mallowpond/emulator/tests/test_placing.py
+++ b/mallowpond/emulator/tests/test_placing.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from mallowpond.emulator.placing import Scenario, play
+from mallowpond.emulator.placing import play
+from mallowpond.emulator.scenario import Scenario
 
 TIGHT = Scenario(name="tight", hosts=18, groups=6, rate=44.0, seconds=8.0)
 # Four groups of ten slots end some forty streams a second.
--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -7,7 +7,8 @@
 import structlog
 
 from mallowpond.coordination.ports import Clock, Unavailable
-from mallowpond.node.group_loads import Figures, GroupLoads
+from mallowpond.node.group_loads import GroupLoads
+from mallowpond.node.peer_work import Figures
 from mallowpond.node.ports import HistoryLost, SiteSource, TargetsRead
 from mallowpond.state.broken_groups import BrokenGroups
 from mallowpond.state.ended_processes import EndedProcesses
--- a/mallowpond/node/group_loads.py
+++ b/mallowpond/node/group_loads.py
@@ -1,11 +1,12 @@
 """Count the work that is known to be on each group, and learn its pace."""
 
-from collections import Counter, defaultdict, deque
+from collections import defaultdict
 from collections.abc import Container, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from math import exp
 
 from mallowpond.coordination.ports import Clock
+from mallowpond.node.peer_work import Figures, Grant, PeerWork
 from mallowpond.state.fleet import EngineProfile, Group, GroupKey
 from mallowpond.state.placement import GroupLoad
 
@@ -15,20 +16,12 @@
 # pauses between tellings; by the hosts' own heartbeats, one.
 TOTALS_AGE_SECONDS = 0.3
 HEARTBEAT_AGE_SECONDS = 0.1
-# Time that peers' figures of a group's work count, in seconds.
-PEER_LOAD_SECONDS = 1.5
-# Time for which a place that was given away counts although its host does not tell of a
-# stream there, in seconds: what a datagram there and the next word of that host take.
-GRANT_SECONDS = 0.5
 # Weight of a new observation of a group's pace.
 SLOWNESS_SMOOTHING = 0.1
 # Time in which what is known of a group's pace fades, in seconds.
 SLOWNESS_SECONDS = 3.0
 SLOWNESS_RANGE = (0.5, 30.0)
 
-# Streams and tokens still to be read, by group.
-Figures = dict[GroupKey, tuple[int, float]]
-
 
 @dataclass(kw_only=True)
 class GroupWork:
@@ -51,89 +44,6 @@
         self.pause_seconds = 0.0
 
 
-@dataclass(frozen=True, kw_only=True)
-class PeerLoad:
-    """Hold one peer's figures of its work by group."""
-
-    heard_at: float
-    loads: Figures = field(default_factory=dict)
-
-
-@dataclass(frozen=True, kw_only=True)
-class Grant:
-    """Hold a place that was given to another host's stream, by the giver's count."""
-
-    number: int
-    key: GroupKey
-    tokens: float
-    at: float
-
-
-class PeerWork:
-    """Add up what peers tell of their work, and the places they were given since."""
-
-    def __init__(self) -> None:
-        self._peers: dict[str, PeerLoad] = {}
-        self._running: Counter[GroupKey] = Counter()
-        self._reading: Counter[GroupKey] = Counter()
-        self._grants: dict[str, deque[Grant]] = defaultdict(deque)
-        # When each grant was given and to whom, the oldest first.
-        self._given: deque[tuple[float, str]] = deque()
-
-    def of(self, key: GroupKey, now: float) -> tuple[int, float]:
-        """Return all peers' streams on a group, and their tokens to be read."""
-        self._forget_silent(now)
-        self._forget_given(now)
-        return self._running[key], max(0.0, self._reading[key])
-
-    def note(self, name: str, loads: Figures, granted: int, now: float) -> None:
-        """Take a peer's figures, which hold the places up to number `granted`."""
-        self._drop(name)
-        # Least lately heard first.
-        self._peers[name] = PeerLoad(heard_at=now, loads=loads)
-        for key, (running, reading) in loads.items():
-            self._add(key, running, reading)
-        self.settle(name, granted, now)
-
-    def grant(self, name: str, grant: Grant) -> None:
-        """Count a place that is given to a peer until the peer tells of it."""
-        self._grants[name].append(grant)
-        self._given.append((grant.at, name))
-        self._add(grant.key, 1, grant.tokens)
-
-    def settle(self, name: str, granted: int, now: float) -> None:
-        """Count the places up to a number no more, nor those given long ago."""
-        grants = self._grants[name]
-        while grants and (
-            grants[0].number <= granted or now - grants[0].at > GRANT_SECONDS
-        ):
-            grant = grants.popleft()
-            self._add(grant.key, -1, -grant.tokens)
-
-    def _forget_silent(self, now: float) -> None:
-        while self._peers:
-            name = next(iter(self._peers))
-            if now - self._peers[name].heard_at <= PEER_LOAD_SECONDS:
-                return
-            self._drop(name)
-
-    def _forget_given(self, now: float) -> None:
-        while self._given and now - self._given[0][0] > GRANT_SECONDS:
-            self.settle(self._given.popleft()[1], 0, now)
-
-    def _drop(self, name: str) -> None:
-        known = self._peers.pop(name, None)
-        if known is not None:
-            for key, (running, reading) in known.loads.items():
-                self._add(key, -running, -reading)
-
-    def _add(self, key: GroupKey, running: int, reading: float) -> None:
-        self._running[key] += running
-        self._reading[key] += reading
-        if not self._running[key]:
-            del self._running[key], self._reading[key]
-
-
 class GroupLoads:
     """Hold this host's own work by group, and what others tell of theirs."""
 
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -15,7 +15,6 @@
 from mallowpond.node.configuration import ConfigurationFollower
 from mallowpond.node.directory import Directory
 from mallowpond.node.fanout import MOST_PARTS, Fanout, PartCollector
-from mallowpond.node.group_loads import Figures
 from mallowpond.node.messages import (
     Digest,
     Heartbeat,
@@ -26,6 +25,7 @@
     heartbeat_loads,
     loads_of,
 )
+from mallowpond.node.peer_work import Figures
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.ports import TargetsRead
 from mallowpond.state.ownership import ranked_by_capacity
--- a/mallowpond/node/tests/test_dispatcher.py
+++ b/mallowpond/node/tests/test_dispatcher.py
@@ -6,7 +6,7 @@
 
 from mallowpond.node import place_asking
 from mallowpond.node.dispatcher import Dispatcher
-from mallowpond.node.group_loads import GRANT_SECONDS, PEER_LOAD_SECONDS, GroupLoads
+from mallowpond.node.group_loads import GroupLoads
 from mallowpond.node.messages import (
     PlaceAnswer,
     PlaceQuestion,
@@ -16,6 +16,7 @@
     loads_of,
 )
 from mallowpond.node.outcomes import Answered, Reason
+from mallowpond.node.peer_work import GRANT_SECONDS, PEER_LOAD_SECONDS
 from mallowpond.node.place_asking import SILENT_SECONDS, PlaceAsking
 from mallowpond.node.tests.fakes import (
     MODEL,
