--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -54,6 +54,17 @@
     return build(settings=SETTINGS, ports=ports, clock=clock, seed=1, listener=listener)
 
 
+def rig_over(node, clock, targets, source):
+    """Let streams be served by a node over fakes."""
+    return Rig(
+        clock=clock,
+        targets=targets,
+        directory=node.directory,
+        service=node.streams,
+        source=source,
+    )
+
+
 def heartbeat(running):
     """Write a peer's heartbeat with so many streams on the only group."""
     return Heartbeat(
@@ -81,13 +92,7 @@
     await node.directory.refresh()
     targets.script("g0", answer(1))
     node._note_heartbeat(heartbeat(PROFILE.slots + 1))
-    rig = Rig(
-        clock=clock,
-        targets=targets,
-        directory=node.directory,
-        service=node.streams,
-        source=source,
-    )
+    rig = rig_over(node, clock, targets, source)
     task = asyncio.create_task(node.streams.serve(rig.work(FakeExchange())))
     for _ in range(5):
         await asyncio.sleep(0)
@@ -231,13 +236,7 @@
     await node.directory.refresh()
     node._note_heartbeat(heartbeat(PROFILE.slots + 1))
     targets.script("g0", answer(1))
-    rig = Rig(
-        clock=clock,
-        targets=targets,
-        directory=node.directory,
-        service=node.streams,
-        source=source,
-    )
+    rig = rig_over(node, clock, targets, source)
 
     async def stream(request, exchange):
         route = replace(ROUTE, objective_seconds=4.0)
@@ -397,13 +396,7 @@
     targets.script("g0", answer(1))
     full = heartbeat_loads({("g", 1): (PROFILE.slots + 1, 0.0)})
     node.peers._take(Work(node="b", loads=full))
-    rig = Rig(
-        clock=clock,
-        targets=targets,
-        directory=node.directory,
-        service=node.streams,
-        source=source,
-    )
+    rig = rig_over(node, clock, targets, source)
     serving = asyncio.create_task(node.streams.serve(rig.work(FakeExchange())))
     for _ in range(10):
         await asyncio.sleep(0)
@@ -422,12 +415,6 @@
     targets.script("g0", answer(1))
     told = []
     node.readers.tell_dispatcher = lambda: told.append(node.directory.loads.own_loads())
-    rig = Rig(
-        clock=clock,
-        targets=targets,
-        directory=node.directory,
-        service=node.streams,
-        source=source,
-    )
+    rig = rig_over(node, clock, targets, source)
     await node.streams.serve(rig.work(FakeExchange()))
     assert told == [{}]
