Log which rate limit a target names in its answers

Each change of what a target names is one line at each host that hears it, and a gauge counts the targets. Nothing goes by it yet.

--- a/mallowpond/emulator/engines.py
+++ b/mallowpond/emulator/engines.py
@@ -7,6 +7,7 @@
 
 from mallowpond.node.ports import CallerRequest
 from mallowpond.state.fleet import EngineProfile, ModelSpec, Target
+from mallowpond.state.target_notice import TargetNotice
 from mallowpond.transport.http_client import Chunk, End
 
 # Tokens that an engine reads in one step, at most.
@@ -152,3 +153,7 @@
     def is_not_run(self, response: EmulatedResponse) -> bool:
         """Tell that every request runs."""
         return False
+
+    def notice(self, response: EmulatedResponse) -> TargetNotice:
+        """Tell that engines say nothing of themselves."""
+        return TargetNotice()
--- a/mallowpond/emulator/hosts.py
+++ b/mallowpond/emulator/hosts.py
@@ -21,6 +21,7 @@
 from mallowpond.node.place_asking import PlaceAsking
 from mallowpond.node.ports import TargetsRead
 from mallowpond.node.quarantine import Quarantine
+from mallowpond.node.rate_limits import RateLimits
 from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.streams import StreamService
 from mallowpond.state.fleet import Target
@@ -135,6 +136,7 @@
                 hosts=lambda: len(fleet.hosts) or 1,
                 rng=random.Random(fleet.rng.random()),
                 quarantine=Quarantine(clock=clock, metrics=metrics),
+                rate_limits=RateLimits(metrics=metrics),
             )
         )
         self.datagrams = Datagrams(fleet)
--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -91,6 +91,7 @@
         self._hosts = parts.hosts
         self._rng = parts.rng
         self._quarantine = parts.quarantine
+        self._rate_limits = parts.rate_limits
         self._records: dict[Process, TargetRecord] = defaultdict(TargetRecord)
         parts.directory.on_change.append(self._forget_ended)
 
@@ -198,6 +199,8 @@
             response.close()
         if self._targets.is_misdirected(response):
             return NoReply(reason=Reason.MISDIRECTED, may_have_run=False)
+        notice = self._targets.notice(response)
+        self._rate_limits.hear(target.process, notice.rate_limit)
         if self._targets.is_not_run(response):
             return NoReply(reason=Reason.NOT_RUN, may_have_run=False)
         if isinstance(body, CallFailed):
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -43,6 +43,11 @@
         self.held_back = Gauge(
             "mallowpond_held_back", "Requests held back", registry=self.registry
         )
+        self.rate_limited = Gauge(
+            "mallowpond_rate_limited_targets",
+            "Targets that named a rate limit",
+            registry=self.registry,
+        )
         self.endings = counter("mallowpond_targets_ended", "Broken off by their target")
         self.configuration_age = Gauge(
             "mallowpond_configuration_age_seconds",
--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -10,6 +10,7 @@
     Step,
 )
 from mallowpond.state.site_configuration import SiteConfiguration
+from mallowpond.state.target_notice import TargetNotice
 from mallowpond.transport.http_client import CallFailed, HttpResponse
 from mallowpond.transport.http_server import HttpRequest
 
@@ -173,6 +174,9 @@
     def is_misdirected(self, response: HttpResponse) -> bool:
         """Tell whether another engine answered, or one that holds no open group."""
 
+    def notice(self, response: HttpResponse) -> TargetNotice:
+        """Return what an answer says of the target itself."""
+
     async def order(self, step: Step, *, fence: int, expected: int) -> OrderEnd:
         """Give an engine an order that only this count of earlier ones may precede."""
 
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -28,6 +28,7 @@
 from mallowpond.node.ports import NodePorts
 from mallowpond.node.quarantine import Quarantine
 from mallowpond.node.quarantine_sharing import QuarantineSharing
+from mallowpond.node.rate_limits import RateLimits
 from mallowpond.node.readers import Readers
 from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.settings import NodeSettings
@@ -113,6 +114,7 @@
             hosts=lambda: self.peers.hosts,
             rng=self._rng,
             quarantine=quarantine,
+            rate_limits=RateLimits(metrics=self.metrics),
         )
         self.streams = StreamService(parts=parts)
         self.ingress = Ingress(
--- a/mallowpond/node/serving_parts.py
+++ b/mallowpond/node/serving_parts.py
@@ -9,6 +9,7 @@
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.ports import CallerProtocol, Targets
 from mallowpond.node.quarantine import Quarantine
+from mallowpond.node.rate_limits import RateLimits
 from mallowpond.state.retry_window import RetryWindow
 
 
@@ -25,3 +26,4 @@
     hosts: Callable[[], int]
     rng: random.Random
     quarantine: Quarantine
+    rate_limits: RateLimits
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -59,6 +59,7 @@
         self._budget = parts.budget
         self._hosts = parts.hosts
         self._quarantine = parts.quarantine
+        self._rate_limits = parts.rate_limits
         self.placing = StreamPlacing(parts=parts)
         self.active: set[ActiveStream] = set()
         self._serving = 0
@@ -273,8 +274,10 @@
             await response.read()
             if self._targets.is_misdirected(response):
                 return NotRun(reason=Reason.MISDIRECTED)
+            self._note_notice(stream, response)
             self._suspect(work, stream.group, Reason.NOT_RUN)
             return NotRun(reason=Reason.NOT_RUN)
+        self._note_notice(stream, response)
         headers = self._callers.answer_headers(response)
         if response.status != 200:
             body = await response.read()
@@ -296,6 +299,12 @@
                     return Interrupted(reason=Reason.BROKEN_STREAM)
         return Interrupted(reason=Reason.BROKEN_STREAM)
 
+    def _note_notice(self, stream: ActiveStream, response: HttpResponse) -> None:
+        """Note what the answer of a group's head says of the head."""
+        if stream.group.head is not None:
+            notice = self._targets.notice(response)
+            self._rate_limits.hear(stream.group.head.process, notice.rate_limit)
+
     async def _pass_on(
         self, stream: ActiveStream, headers: tuple[tuple[str, str], ...], data: bytes
     ) -> None:
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -16,6 +16,7 @@
     TargetsRead,
 )
 from mallowpond.node.quarantine import Quarantine
+from mallowpond.node.rate_limits import RateLimits
 from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.stream_work import StreamWork
 from mallowpond.node.streams import StreamService
@@ -33,6 +34,7 @@
     Route,
     SiteConfiguration,
 )
+from mallowpond.state.target_notice import TargetNotice
 from mallowpond.transport.http_client import CallFailed, Chunk, End, FailurePhase
 
 MODEL = ModelSpec(name="m", size=2)
@@ -126,6 +128,11 @@
         """Tell whether an answer says that another engine was meant."""
         return response.status == 421
 
+    def notice(self, response):
+        """Return what an answer says of the target itself."""
+        limit = response.headers.get("limit")
+        return TargetNotice(rate_limit=None if limit is None else float(limit))
+
     async def order(self, step, *, fence, expected):
         """Take every order."""
         self.orders.append((step, fence, expected))
@@ -340,6 +347,7 @@
         hosts=lambda: 1,
         rng=random.Random(1),
         quarantine=Quarantine(clock=clock, metrics=metrics),
+        rate_limits=RateLimits(metrics=metrics),
     )
     service = StreamService(parts=parts)
     await directory.refresh()
--- a/mallowpond/node/tests/test_calls.py
+++ b/mallowpond/node/tests/test_calls.py
@@ -10,6 +10,7 @@
 from mallowpond.node.outcomes import Answered, Reason, Refusal
 from mallowpond.node.ports import CallerRequest
 from mallowpond.node.quarantine import Quarantine
+from mallowpond.node.rate_limits import RateLimits
 from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.tests.fakes import (
     BROKEN,
@@ -73,6 +74,7 @@
         hosts=lambda: 1,
         rng=random.Random(1),
         quarantine=Quarantine(clock=clock, metrics=metrics),
+        rate_limits=RateLimits(metrics=metrics),
     )
     return CallService(parts=parts)
 
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -1,6 +1,7 @@
 """Send requests and orders to the platform's engines."""
 
 import json
+from math import isfinite
 from typing import Any
 
 from mallowpond.coordination.ports import Unavailable
@@ -27,6 +28,7 @@
     Stage,
     Step,
 )
+from mallowpond.state.target_notice import TargetNotice
 from mallowpond.transport.http_client import (
     CallFailed,
     HttpAnswer,
@@ -86,6 +88,10 @@
         """Tell whether another engine answered, or one that holds no open group."""
         return response.status == 421
 
+    def notice(self, response: HttpResponse) -> TargetNotice:
+        """Return what an engine's answer says of the engine itself."""
+        return TargetNotice(rate_limit=_number(response.headers, names.RATE_LIMIT))
+
     async def order(self, step: Step, *, fence: int, expected: int) -> OrderEnd:
         """Give an engine an order that only this count of earlier ones may precede."""
         body = {**_operation(step), "fence": fence, "expected": expected}
@@ -171,6 +177,15 @@
         return True
 
 
+def _number(headers: dict[str, str], name: str) -> float | None:
+    """Return a header's number, None if there is none that makes sense."""
+    try:
+        number = float(headers[name])
+    except (KeyError, ValueError):
+        return None
+    return number if isfinite(number) and number >= 0.0 else None
+
+
 def _operation(step: Step) -> dict[str, Any]:
     match step:
         case Join():
--- a/mallowpond/platform/headers.py
+++ b/mallowpond/platform/headers.py
@@ -7,6 +7,8 @@
 EXPECT_INSTANCE = "x-mallowpond-expect-instance"
 INSTANCE = "x-mallowpond-instance-id"
 NOT_RUN = "x-mallowpond-not-executed"
+# Requests a second that an engine takes from all hosts together.
+RATE_LIMIT = "server-limit"
 WORKSPACE = "x-mallowpond-tenant"
 MODEL = "x-mallowpond-model"
 # Prompt tokens and the most output tokens, separated by a comma.
--- a/mallowpond/platform/tests/test_engines.py
+++ b/mallowpond/platform/tests/test_engines.py
@@ -24,6 +24,7 @@
     Open,
     Stage,
 )
+from mallowpond.state.target_notice import TargetNotice
 from mallowpond.transport.http_client import HttpClient, HttpResponse
 from mallowpond.transport.tests import scripted
 
@@ -191,6 +192,29 @@
     assert not await status_of(b"HTTP/1.1 500 X\r\n")
 
 
+@pytest.mark.parametrize(
+    ("head", "limit"),
+    [
+        (b"Server-Limit: 1.3\r\n", 1.3),
+        (b"server-limit: 12\r\n", 12.0),
+        (b"", None),
+        (b"server-limit: -1\r\n", None),
+        (b"server-limit: nan\r\n", None),
+        (b"server-limit: some\r\n", None),
+    ],
+)
+async def test_a_named_rate_limit_is_read(head, limit):
+    async def call(engines, target):
+        response = await engines.send(
+            target, REQUEST, workspace=None, seconds_left=1.0, last_event=None
+        )
+        return engines.notice(response)
+
+    data = b"HTTP/1.1 200 X\r\n" + head + b"content-length: 0\r\n\r\n"
+    notice = await with_engine(answering(data), call)
+    assert notice == TargetNotice(rate_limit=limit)
+
+
 async def test_a_connection_with_bytes_left_is_not_used_again():
     """Symptom: a caller gets bytes that belong to no request.
 
