--- a/mallowpond/programs/processes.py
+++ b/mallowpond/programs/processes.py
@@ -1,6 +1,7 @@
 """Run each program until it is told to stop."""
 
 import asyncio
+import signal
 
 import structlog
 
@@ -98,6 +99,8 @@
     """Run the stand-in of one of the observatory platform's engines."""
     engine = ObservatoryEngine(options=options)
     await engine.start()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGUSR1, engine.toggle_need)
     await stop.wait()
     await engine.drain()
     await engine.close()
--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -66,6 +66,8 @@
     stride: int = 7
     event_seconds: float = 0.02
     drain_seconds: float = 2.0
+    # Requests a second that it names as its limit while it is in need.
+    rate_limit: float = 1.0
 
 
 @dataclass(kw_only=True)
@@ -97,6 +99,7 @@
         self._beats = 0
         self._running = 0
         self._draining = False
+        self._is_in_need = False
         self._stalled_at: float | None = None
         self._peers: dict[str, str] = {}
         self._changed = asyncio.Event()
@@ -122,6 +125,12 @@
             await asyncio.sleep(HEARTBEAT_SECONDS)
         await self._write_entry(remove=True)
 
+    def toggle_need(self) -> None:
+        """Name a rate limit in all answers from now on, or no more."""
+        self._is_in_need = not self._is_in_need
+        limit = self._options.rate_limit if self._is_in_need else None
+        self._note("rate limit", limit=limit)
+
     async def close(self) -> None:
         """Stop everything."""
         for task in self._tasks:
@@ -367,6 +376,9 @@
         attempt = request.headers.get(names.ATTEMPT)
         if attempt:
             echo += ((names.ATTEMPT, attempt),)
+            self._note("arrival", attempt=attempt)
+        if self._is_in_need:
+            echo += ((names.RATE_LIMIT, str(self._options.rate_limit)),)
         wanted = request.headers.get(names.EXPECT_INSTANCE, self._id)
         if wanted != self._id:
             self._note("misdirected", wanted=wanted)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
 from mallowpond.standins.observatory_operator import NO_IDS, foreign_values
 from soak.callers import Callers
 from soak.fleet import Fleet, Member
+from soak.judge import NEED_KIND
 from soak.proxy import Link, Proxy
 from soak.records import Disturbance, ForeignEntry, Kind, Revocation
 
@@ -47,10 +48,12 @@
 )
 # A request that ends each engine that runs it, sent again and again.
 NEWEST_KINDS = ("fatal_request",)
+# An engine that names a rate limit in its answers.
+NEED_KINDS = (NEED_KIND,)
 # Parts of all kinds that a seed of the second draw may choose from: with few kinds
 # there are calm times, in which the bounds in time count.
 KIND_SHARES = (0.15, 0.3, 0.6, 1.0)
-NEWEST_DRAW = 3
+NEWEST_DRAW = 4
 LINKS = (Link.SLOW, Link.RESET, Link.SILENT, Link.ONE_WAY)
 SERIES = ("node_stop_all", "node_stop_series")
 LONGEST_SECONDS = 4.0
@@ -68,6 +71,9 @@
 # Time for which a request that ends its engines comes again at least, in seconds:
 # longer than the bound after which it may hardly reach one.
 FATAL_SECONDS = 6.0
+# Time for which an engine names a rate limit at least, in seconds: longer than the time
+# from which on it has to be kept, and a window of it.
+NEED_SECONDS = 8.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -86,7 +92,9 @@
     if draw == 1:
         return KINDS
     share = rng.choice(KIND_SHARES)
-    kinds = KINDS + LATER_KINDS + (NEWEST_KINDS if draw > 2 else ())
+    kinds = KINDS + LATER_KINDS
+    kinds += NEWEST_KINDS if draw > 2 else ()
+    kinds += NEED_KINDS if draw > 3 else ()
     return tuple(k for k in kinds if rng.random() < share) or LATER_KINDS
 
 
@@ -202,6 +210,8 @@
                 await self._restart_forming(fault.draw)
             case "engine_restart_unheard":
                 await self._restart_unheard(fault)
+            case kind if kind == NEED_KIND:
+                await self._put_in_need(fault)
 
     async def _disturb_store(self, fault: Fault, number: int) -> None:
         fleet = self.fleet
@@ -272,6 +282,24 @@
         link.set(Link.SOUND)
         await asyncio.sleep(SETTLE_SECONDS)
 
+    async def _put_in_need(self, fault: Fault) -> None:
+        """Let a head, or a plain engine, ask for fewer requests for a time."""
+        entries = await self.fleet.entries()
+        plain = self.fleet.engines[self.fleet.grouped_engines :]
+        heads = [
+            engine
+            for engine in self.fleet.engines
+            if _group_state(entries.get(engine.id)) == "open"
+        ]
+        choice = plain if fault.draw % 2 or not heads else heads
+        engine = choice[fault.draw // 2 % len(choice)]
+        process = engine.process
+        engine.signal(signal.SIGUSR1)
+        await asyncio.sleep(NEED_SECONDS + fault.seconds)
+        if engine.process is process:
+            engine.signal(signal.SIGUSR1)
+        await asyncio.sleep(SETTLE_SECONDS)
+
     async def _write_foreign(self, fault: Fault, engine: Member | None) -> None:
         entries = await self.fleet.entries()
         if not entries:
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -20,10 +20,11 @@
 # Time after it was written at which an entry of another writer, or a start of an
 # engine, is known to every node, in seconds: some reads of the list, and their way.
 NEWS_SECONDS = 2.5
+NEED_KIND = "engine_need"
 # Disturbances beside which every request is served all the same.
 DISREGARDED = ("reconfigure", "history", "foreign_entry")
 # Disturbances after which an answer that was under way has to end whole.
-HARMLESS = ("node_stop", *DISREGARDED)
+HARMLESS = ("node_stop", NEED_KIND, *DISREGARDED)
 # Time after the last disturbance after which every request is served, in seconds: a
 # group is formed again, and hosts that started anew know the others.
 SETTLED_SECONDS = 5.0
@@ -38,6 +39,7 @@
     "engine_restart",
     "engine_restart_twice",
     "engine_restart_forming",
+    NEED_KIND,
     "foreign_entry_of_engine",
     "revoke",
     STALL,
@@ -54,6 +56,13 @@
 FATAL_ENDINGS = 3
 FATAL_RETRIES = 3
 FATAL_KIND = "fatal_request"
+# Time after an engine first named a rate limit from which on it counts, the window in
+# which its requests are counted, and what hosts that know it may send there: a multiple
+# of the limit, and a number beyond.
+LIMIT_SECONDS = 3.0
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_SHARE = 1.5
+LIMIT_BEYOND = 5
 BESIDE = "beside a fatal request"
 WORKSPACES = {"key-a": "a", "key-b": "b"}
 
@@ -80,6 +89,7 @@
             _whole_openings,
             _foreign_entries,
             _others_hold,
+            _rate_limits,
         )
     return [line for check in checks for line in check(run)]
 
@@ -285,6 +295,46 @@
             yield f"{content}: ended {len(times)} engines, sent {len(again)} times more"
 
 
+def _rate_limits(run: Run) -> Iterator[str]:
+    """Find engines that got more than the rate limit that they had named."""
+    for engine in {note.engine for note in run.notes if note.event == "rate limit"}:
+        notes = [note for note in run.notes if note.engine == engine]
+        named: Note | None = None
+        for note in notes:
+            if note.event == "rate limit":
+                named = note if note.values["limit"] is not None else None
+            elif note.event == "start":
+                named = None
+            elif note.event == "arrival" and named is not None:
+                found = _excess(run, notes, named, note.at)
+                if found:
+                    yield found
+                    break
+
+
+def _excess(run: Run, notes: list[Note], named: Note, at: float) -> str | None:
+    """Say how many requests an engine got in the window up to a moment, if too many."""
+    if at < named.at + LIMIT_SECONDS:
+        return None
+    nodes = {record.attempt: record.node for record in run.callers}
+    told: dict[int, float] = {}
+    counts: Counter[int] = Counter()
+    for note in notes:
+        node = nodes.get(note.values.get("attempt", ""))
+        if note.event != "arrival" or node is None or note.at > at:
+            continue
+        if _was_disturbed(run, node, at):
+            continue
+        if note.at > named.at:
+            told.setdefault(node, note.at)
+        counts[node] += note.at > at - LIMIT_WINDOW_SECONDS
+    count = sum(counts[n] for n, since in told.items() if since < at - SLACK_SECONDS)
+    limit = named.values["limit"]
+    if count <= LIMIT_SHARE * LIMIT_WINDOW_SECONDS * limit + LIMIT_BEYOND:
+        return None
+    return f"{named.engine}: named {limit} a second, got {count} requests"
+
+
 def _was_disturbed(run: Run, node: int, at: float) -> bool:
     """Tell whether a node itself was disturbed just before a moment."""
     return any(
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -273,3 +273,41 @@
 @pytest.mark.parametrize(("told", "run"), BROKEN)
 def test_every_breach_is_seen(told, run):
     assert any(told in line for line in broken_promises(run))
+
+
+def limited(*arrivals, limit=1.0, node=0, disturbances=()):
+    """Write a run of an engine that names a limit at 10 s, and what it got since."""
+    notes = [note("rate limit", at=10.0, engine="p0", limit=limit)]
+    records = []
+    for number, at in enumerate((10.1, *arrivals)):
+        notes.append(note("arrival", at=at, engine="p0", attempt=f"q{number}"))
+        notes.append(ran(attempt=f"q{number}", at=at))
+        records.append(
+            record(
+                attempt=f"q{number}",
+                node=node,
+                headers={"x-mallowpond-attempt-id": f"q{number}"},
+                body=call_body(f"q{number}"),
+            )
+        )
+    return run_of(*records, notes=notes, disturbances=disturbances)
+
+
+def test_requests_beyond_a_rate_limit_are_seen():
+    at_once = [13.5] * 12
+    assert any("named 1.0" in line for line in broken_promises(limited(*at_once)))
+
+
+def test_requests_that_a_rate_limit_allows_are_no_breach():
+    assert broken_promises(limited(*[13.5] * 11)) == []
+    # Before the limit counts, and once it is over.
+    assert broken_promises(limited(*[11.0] * 30)) == []
+    over = limited(*[14.0] * 30)
+    ended = note("rate limit", at=13.9, engine="p0", limit=None)
+    notes = sorted([*over.notes, ended], key=lambda n: n.at)
+    assert broken_promises(replace(over, notes=tuple(notes))) == []
+
+
+def test_a_host_that_was_disturbed_is_excused_from_a_rate_limit():
+    killed = Disturbance(kind="node_kill", began_at=12.0, ended_at=13.0, node=0)
+    assert broken_promises(limited(*[13.5] * 30, disturbances=[killed])) == []
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -7,7 +7,13 @@
 from soak.__main__ import play
 from soak.cases import Case
 from soak.faults import Fault
-from soak.judge import BESIDE, FATAL_ENDINGS, FATAL_KIND, broken_promises
+from soak.judge import (
+    BESIDE,
+    FATAL_ENDINGS,
+    FATAL_KIND,
+    NEED_KIND,
+    broken_promises,
+)
 from soak.records import Ending
 
 SECONDS = 4.0
@@ -58,3 +64,14 @@
     """
     broken = broken_promises(fatal_run, timed=False)
     assert [line for line in broken if BESIDE in line] == []
+
+
+# Numbers of the draw whose remainder chooses what the engine is.
+@pytest.mark.parametrize("draw", [0, 1], ids=["head", "plain"])
+def test_an_engine_that_names_a_rate_limit_gets_no_more(draw, tmp_path):
+    """Guards against hosts that together exceed the rate limit that an engine names."""
+    fault = Fault(at=0.2, kind=NEED_KIND, seconds=1.0, draw=draw)
+    case = Case(seed=1, seconds=0.0, faults=(fault,))
+    run = asyncio.run(play(case, tmp_path))
+    assert any(note.event == "rate limit" for note in run.notes)
+    assert broken_promises(run) == []
