--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -294,12 +294,12 @@
 
 
 def test_requests_beyond_a_rate_limit_are_seen():
-    at_once = [13.5] * 12
+    at_once = [13.5] * 11
     assert any("named 1.0" in line for line in broken_promises(limited(*at_once)))
 
 
 def test_requests_that_a_rate_limit_allows_are_no_breach():
-    assert broken_promises(limited(*[13.5] * 11)) == []
+    assert broken_promises(limited(*[13.5] * 10)) == []
     # Before the limit counts, and once it is over.
     assert broken_promises(limited(*[11.0] * 30)) == []
     over = limited(*[14.0] * 30)
