Keep the rate limit that a target names, over all hosts

Cause: no host read the limit. It went to the caller like any other header, and hosts placed by running streams alone. Class: what a target says of the work that it wants is not asked for where work is sent: streams, streams that move, calls, health looks.

Change: the hosts share the rate out among a few of them, chosen by rendezvous among those that live: three, or one for each request a second. Each keeps its part by itself and begins with nothing, as what was sent just before counts too; a host without a part sends nothing. The host that got an answer tells the others, three times, as the rule for those that were not told is theirs to find out by a request each. The newest word counts: a limit from the arrival of its answer, its end from the moment at which that answer was asked for, so that answers that overtake each other lift nothing. No host's part hangs on what another one says of its own. Groups without room are avoided as those are to which a stream was sent, so the dispatcher gives no place there; a place that the limit closed meanwhile goes back. What no target takes in time is refused at once, as not run, with how often any host may send.

--- a/mallowpond/emulator/hosts.py
+++ b/mallowpond/emulator/hosts.py
@@ -136,7 +136,12 @@
                 hosts=lambda: len(fleet.hosts) or 1,
                 rng=random.Random(fleet.rng.random()),
                 quarantine=Quarantine(clock=clock, metrics=metrics),
-                rate_limits=RateLimits(metrics=metrics),
+                rate_limits=RateLimits(
+                    name=self.name,
+                    directory=self.directory,
+                    clock=clock,
+                    metrics=metrics,
+                ),
             )
         )
         self.datagrams = Datagrams(fleet)
--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -105,7 +105,7 @@
         while True:
             target = self._choose(work)
             if target is None:
-                return await self._end(work, failed, Reason.NO_TARGET)
+                return await self._end(work, failed, self._why_no_target(work))
             reply = await self._send(work, target)
             match reply:
                 case WholeReply(status=status) if status < 500:
@@ -132,6 +132,7 @@
             target
             for target in self._directory.of_service(work.service)
             if self._records[target.process].misdirected is not target
+            and self._rate_limits.may_send(target)
         ]
         left = [t for t in targets if t.process not in used]
         if not left:
@@ -146,6 +147,15 @@
 
         return min(left, key=rank, default=None)
 
+    def _why_no_target(self, work: CallWork) -> Reason:
+        limited = self._rate_limits.retry_seconds(self._unused(work))
+        return Reason.RATE_LIMITED if limited else Reason.NO_TARGET
+
+    def _unused(self, work: CallWork) -> list[Target]:
+        """Return the targets to which a request was not sent."""
+        targets = self._directory.of_service(work.service)
+        return [target for target in targets if target.process not in work.sent_to]
+
     async def _send(self, work: CallWork, target: Target) -> WholeReply | NoReply:
         now = self._clock.now()
         left = work.deadline - now
@@ -156,6 +166,7 @@
             limit = FIRST_SEND_SHARE * left
         record = self._records[target.process]
         record.running += 1
+        self._rate_limits.note_sent(target)
         work.sent_to.append(target.process)
         log.info(
             "call: sent",
@@ -167,7 +178,7 @@
         )
         try:
             async with asyncio.timeout(limit):
-                reply = await self._exchange(work, target, left)
+                reply = await self._exchange(work, target, left, now)
         except TimeoutError:
             reason = Reason.TIMEOUT if limit == left else Reason.SLOW_TARGET
             reply = NoReply(reason=reason, may_have_run=True)
@@ -181,7 +192,7 @@
         return reply
 
     async def _exchange(
-        self, work: CallWork, target: Target, left: float
+        self, work: CallWork, target: Target, left: float, sent_at: float
     ) -> WholeReply | NoReply:
         response = await self._targets.send(
             target,
@@ -200,7 +211,7 @@
         if self._targets.is_misdirected(response):
             return NoReply(reason=Reason.MISDIRECTED, may_have_run=False)
         notice = self._targets.notice(response)
-        self._rate_limits.hear(target.process, notice.rate_limit)
+        self._rate_limits.hear(target, notice, sent_at)
         if self._targets.is_not_run(response):
             return NoReply(reason=Reason.NOT_RUN, may_have_run=False)
         if isinstance(body, CallFailed):
@@ -265,7 +276,10 @@
         if work.sent_to:
             status = 504 if reason is Reason.TIMEOUT else 502
             return Refusal(status=status, reason=reason)
-        after = spread_retry_after(NO_TARGET_RETRY_SECONDS, self._rng.random())
+        wait = NO_TARGET_RETRY_SECONDS
+        if reason is Reason.RATE_LIMITED:
+            wait = self._rate_limits.retry_seconds(self._unused(work))
+        after = spread_retry_after(wait, self._rng.random())
         return Refusal(status=503, reason=reason, retry_after=after)
 
 
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -23,6 +23,7 @@
     decode_compact,
 )
 from mallowpond.state.fleet import BreakCause, GroupKey, Process, Target
+from mallowpond.state.rate_limit import TargetLimit
 
 # Pause between two heartbeats, in seconds: peers' loads age by two passes or so.
 HEARTBEAT_SECONDS = 0.1
@@ -308,6 +309,14 @@
     node: Name
 
 
+@dataclass(frozen=True, kw_only=True)
+class RateLimitNews:
+    """Tell which rate limits targets named, or name no more."""
+
+    node: Name
+    limits: tuple[TargetLimit, ...]
+
+
 Message = (
     Heartbeat
     | Suspicion
@@ -328,6 +337,7 @@
     | ConfigurationQuestion
     | CrashRecords
     | CrashQuestion
+    | RateLimitNews
 )
 MESSAGES = {kind.__name__: kind for kind in get_args(Message)}
 
--- a/mallowpond/node/outcomes.py
+++ b/mallowpond/node/outcomes.py
@@ -27,6 +27,7 @@
     TARGET_FAILED = "target_failed"
     CONNECT = "connect"
     HELD_BACK = "held_back"
+    RATE_LIMITED = "rate_limited"
     SLOW_TARGET = "slow_target"
     STOPPING = "stopping"
     INTERNAL = "internal_error"
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -31,6 +31,7 @@
     Message,
     PlaceAnswer,
     PlaceQuestion,
+    RateLimitNews,
     SilenceQuestion,
     Suspicion,
     VersionAnswer,
@@ -152,6 +153,7 @@
         ] = []
         self.on_crash_records: list[Callable[[CrashRecords], None]] = []
         self.on_crash_question: list[Callable[[CrashQuestion], None]] = []
+        self.on_rate_limits: list[Callable[[RateLimitNews], None]] = []
         self.on_liveness_question: list[Callable[[LivenessQuestion], None]] = []
         self.on_liveness_answer: list[Callable[[LivenessAnswer], None]] = []
 
@@ -397,6 +399,8 @@
                 _notify(self.on_crash_records, message)
             case CrashQuestion():
                 _notify(self.on_crash_question, message)
+            case RateLimitNews():
+                _notify(self.on_rate_limits, message)
             case LivenessQuestion():
                 _notify(self.on_liveness_question, message)
             case LivenessAnswer():
--- a/mallowpond/node/place_asking.py
+++ b/mallowpond/node/place_asking.py
@@ -123,7 +123,7 @@
             if group is not None:
                 return Placed(group=group)
             unusable += 1
-            self._tell_unused()
+            self.give_back()
         return None
 
     async def _question(
@@ -205,8 +205,9 @@
             return
         if answer.verdict is PlaceVerdict.GRANTED:
             self._note_granted(answer)
-            self._tell_unused()
+            self.give_back()
 
-    def _tell_unused(self) -> None:
+    def give_back(self) -> None:
+        """Tell that a place was given which no stream takes."""
         for notify in self.on_unused:
             notify()
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -28,6 +28,7 @@
     Targets,
 )
 from mallowpond.node.probes import TargetProbes
+from mallowpond.node.rate_limits import RateLimits
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.watch import GroupWatch
 from mallowpond.state.fleet import (
@@ -98,6 +99,7 @@
         metrics: NodeMetrics,
         stall_seconds: float,
         traffic_seen: TrafficSeen,
+        rate_limits: RateLimits,
     ) -> None:
         self._configuration = configuration
         self._directory = directory
@@ -126,6 +128,7 @@
             book=self._book,
             clock=clock,
             gate=self._gate,
+            rate_limits=rate_limits,
             may_learn=self._may_learn,
             spawn=self._spawn,
         )
--- a/mallowpond/node/rate_limits.py
+++ b/mallowpond/node/rate_limits.py
@@ -1,28 +1,161 @@
-"""Know the rate limits that targets name in their answers."""
+"""Keep the rate limits that targets name in their answers, together with other hosts.
+
+Only the host that got an answer knows the limit that it names: it tells all others,
+so that those that have no part of the rate stop before they are told by the target.
+Every host keeps the part of the rate that is its own, whether or not others are heard.
+"""
+
+import asyncio
+from collections.abc import Iterable
 
 import structlog
 
+from mallowpond.coordination.ports import Clock
+from mallowpond.coordination.tasks import sleep_until_news
+from mallowpond.node.directory import Directory
+from mallowpond.node.messages import RateLimitNews
 from mallowpond.node.metrics import NodeMetrics
-from mallowpond.state.fleet import Process
+from mallowpond.node.peers import PeerNetwork
+from mallowpond.state.fleet import Group, Process, Target
+from mallowpond.state.rate_limit import LimitShares, TargetLimit
+from mallowpond.state.target_notice import TargetNotice
 
 log = structlog.get_logger()
 
+# Pauses before news is told, in seconds: more than once, as datagrams get lost.
+TELL_PAUSES = (0.0, 0.5, 1.5)
+# Targets that are told of in one message, at most, and the pause between two messages,
+# in seconds: a service in need has many such targets at once.
+TOLD_AT_ONCE = 50
+TELL_SECONDS = 0.1
+
 
 class RateLimits:
-    """Remember which targets named a limit."""
+    """Tell whether targets may be sent a request now."""
 
-    def __init__(self, *, metrics: NodeMetrics) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        directory: Directory,
+        clock: Clock,
+        metrics: NodeMetrics,
+        peers: PeerNetwork | None = None,
+    ) -> None:
+        self._name = name
+        self._directory = directory
+        self._clock = clock
         self._metrics = metrics
-        self._limits: dict[Process, float] = {}
+        self._peers = peers
+        self._shares = LimitShares(host=name)
+        # When each target is told of next, and how often it was.
+        self._due: dict[Process, tuple[float, int]] = {}
+        self._news = asyncio.Event()
+        directory.on_change.append(self._forget_ended)
+        if peers is not None:
+            peers.on_rate_limits.append(self._hear_peer)
 
-    def hear(self, process: Process, limit: float | None) -> None:
-        """Take what an answer of a target says of its limit."""
-        before = self._limits.get(process)
-        if limit == before:
+    def hear(self, target: Target, notice: TargetNotice, asked_at: float) -> None:
+        """Take what an answer says that was asked for at a moment."""
+        process, limit = target.process, notice.rate_limit
+        if limit is None and not self._shares.is_limited(process):
             return
-        if limit is None:
-            del self._limits[process]
-        else:
-            self._limits[process] = limit
-        self._metrics.rate_limited.set(len(self._limits))
-        log.info("target: rate limit", target=process.id, limit=limit, before=before)
+        age = self._clock.now() - asked_at if limit is None else 0.0
+        if self._take(TargetLimit(process=process, limit=limit, age=age)):
+            self._due[process] = (self._clock.now() + TELL_PAUSES[0], 1)
+            self._news.set()
+
+    @property
+    def is_any(self) -> bool:
+        """Tell whether any target names a limit."""
+        return self._shares.is_any
+
+    def may_send(self, target: Target) -> bool:
+        """Tell whether a target may be sent one more request now."""
+        return self.seconds_until(target) <= 0.0
+
+    def seconds_until(self, target: Target) -> float:
+        """Return how long a target may be sent nothing by this host, in seconds."""
+        if not self._shares.is_limited(target.process):
+            return 0.0
+        return self._shares.seconds_until(
+            target.process, self._hosts, self._clock.now()
+        )
+
+    def closed(self, groups: list[Group]) -> frozenset[str]:
+        """Return the groups whose head may be sent nothing now."""
+        if not self.is_any:
+            return frozenset()
+        return frozenset(g.name for g in groups if g.head and not self.may_send(g.head))
+
+    def retry_seconds(self, targets: Iterable[Target]) -> float:
+        """Return when a request that is refused now may find room, at any host."""
+        limited = (t.process for t in targets if self._shares.is_limited(t.process))
+        return min(map(self._shares.retry_seconds, limited), default=0.0)
+
+    def note_sent(self, target: Target) -> None:
+        """Count a request to a target against this host's part of its rate."""
+        self._shares.note_sent(target.process, self._clock.now())
+
+    def _hosts(self) -> list[str]:
+        others = self._peers.live if self._peers else ()
+        return [self._name, *(peer.heartbeat.node for peer in others)]
+
+    def _take(self, said: TargetLimit) -> bool:
+        before = self._shares.limits.get(said.process)
+        if not self._shares.hear(said, self._clock.now()):
+            return False
+        self._metrics.rate_limited.set(len(self._shares.limits))
+        log.info(
+            "target: rate limit",
+            target=said.process.id,
+            limit=said.limit,
+            before=before,
+            age=round(said.age, 3),
+        )
+        return True
+
+    def _forget_ended(self) -> None:
+        if not self.is_any:
+            return
+        listed = {target.process for target in self._directory.targets.values()}
+        self._shares.keep(listed, self._clock.now())
+        self._metrics.rate_limited.set(len(self._shares.limits))
+
+    # -- other hosts ---------------------------------------------------------
+
+    def _hear_peer(self, news: RateLimitNews) -> None:
+        for said in news.limits:
+            listed = self._directory.targets.get(said.process.id)
+            if listed is not None and listed.process == said.process:
+                self._take(said)
+
+    async def run(self) -> None:
+        """Tell other hosts what is new until cancelled."""
+        while True:
+            self._news.clear()
+            if not self._due:
+                await self._news.wait()
+                continue
+            seconds = min(at for at, _ in self._due.values()) - self._clock.now()
+            if seconds > 0.0:
+                await sleep_until_news(self._clock, seconds, self._news)
+                continue
+            self.tell_due()
+            await self._clock.sleep(TELL_SECONDS)
+
+    def tell_due(self) -> None:
+        """Tell the other hosts what is due now."""
+        now = self._clock.now()
+        due = [process for process, (at, _) in self._due.items() if at <= now]
+        told = []
+        for process in due[:TOLD_AT_ONCE]:
+            times = self._due.pop(process)[1]
+            word = self._shares.word(process, now)
+            if word is None:
+                continue
+            told.append(word)
+            if times < len(TELL_PAUSES):
+                self._due[process] = (now + TELL_PAUSES[times], times + 1)
+        if told and self._peers is not None:
+            self._peers.tell(RateLimitNews(node=self._name, limits=tuple(told)))
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -104,6 +104,13 @@
             rng=self._rng,
             notes=notes,
         )
+        self.rate_limits = RateLimits(
+            name=settings.name,
+            directory=self.directory,
+            clock=clock,
+            metrics=self.metrics,
+            peers=self.peers,
+        )
         parts = ServingParts(
             directory=self.directory,
             targets=ports.targets,
@@ -114,7 +121,7 @@
             hosts=lambda: self.peers.hosts,
             rng=self._rng,
             quarantine=quarantine,
-            rate_limits=RateLimits(metrics=self.metrics),
+            rate_limits=self.rate_limits,
         )
         self.streams = StreamService(parts=parts)
         self.ingress = Ingress(
@@ -158,6 +165,7 @@
             metrics=self.metrics,
             stall_seconds=settings.bounds.stall,
             traffic_seen=self._traffic,
+            rate_limits=self.rate_limits,
         )
         self.fanout = Fanout(
             name=settings.name,
@@ -239,6 +247,7 @@
             self.leadership.run(),
             self.readers.run(),
             self.planner.run(),
+            self.rate_limits.run(),
             self.quarantine_sharing.run_telling(),
             self.quarantine_sharing.run_asking(),
             self.quarantine_sharing.run_writing(),
--- a/mallowpond/node/stream_placing.py
+++ b/mallowpond/node/stream_placing.py
@@ -51,6 +51,7 @@
         self._hosts = parts.hosts
         self._rng = parts.rng
         self._quarantine = parts.quarantine
+        self._rate_limits = parts.rate_limits
         self._lines: dict[str, WaitingLine] = {}
         self._shapes: dict[str, tuple[str, EngineProfile, ModelSpec, float]] = {}
         self.choice = PlaceChoice(
@@ -97,11 +98,18 @@
                 # Placed all the same, it would end one more group and all that runs
                 # there; its caller comes again, at any host.
                 return held
+            refusal = self._refuse_limited(work)
+            if refusal is not None:
+                return refusal
             match await self._ask(work):
                 case TurnedAway(wait=wait):
                     return self.refuse(Reason.OVERLOADED, wait)
                 case WaitedInVain():
                     return self._refuse_unplaced(work)
+                case Placed(group=group) if self._rate_limits.closed([group]):
+                    # The rate was used up while the stream waited for its place.
+                    self._give_back()
+                    continue
                 case Placed(group=group):
                     pass
                 case None:
@@ -130,13 +138,31 @@
         )
 
     def _avoided(self, work: StreamWork) -> frozenset[str]:
-        """Return the groups to which a stream was sent already."""
-        if not work.sent_to:
+        """Return the groups that are out of the question for a stream now.
+
+        It was sent there already, or the rate limit of the head leaves no room.
+        """
+        if not work.sent_to and not self._rate_limits.is_any:
             return frozenset()
         groups = self._directory.serving_groups(work.service, work.model.name)
-        return frozenset(
-            g.name for g in groups if g.head and g.head.process in work.sent_to
-        )
+        used = {g.name for g in groups if g.head and g.head.process in work.sent_to}
+        return self._rate_limits.closed(groups).union(used)
+
+    def _refuse_limited(self, work: StreamWork) -> Refusal | None:
+        """Refuse a stream that rate limits keep from every group of its model."""
+        if not self._rate_limits.is_any:
+            return None
+        groups = self._directory.serving_groups(work.service, work.model.name)
+        heads = [g.head for g in groups if g.head is not None]
+        wait = min(map(self._rate_limits.seconds_until, heads), default=0.0)
+        if wait <= self._patience(work):
+            return None
+        return self.refuse(Reason.RATE_LIMITED, self._rate_limits.retry_seconds(heads))
+
+    def _give_back(self) -> None:
+        """Tell that a place which was given is not used."""
+        if self.asking is not None:
+            self.asking.give_back()
 
     async def _ask(self, work: StreamWork) -> PlaceOutcome | None:
         """Ask the host that counts all places, if there is one."""
@@ -276,9 +302,11 @@
 
         def has_place() -> bool:
             groups = self._directory.serving_groups(service, model)
+            closed = self._rate_limits.closed(groups)
             loads = [
                 Candidate(key=g.name, load=self._directory.loads.load_of(g, profile))
                 for g in groups
+                if g.name not in closed
             ]
             chosen = choose_group(
                 profile,
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -208,6 +208,7 @@
         )
         own.running += 1
         own.reading_tokens += stream.reading
+        self._rate_limits.note_sent(group.head)
         work.sent_to.append(group.head.process)
         work.sent_at = now
         work.sends += 1
@@ -301,9 +302,10 @@
 
     def _note_notice(self, stream: ActiveStream, response: HttpResponse) -> None:
         """Note what the answer of a group's head says of the head."""
-        if stream.group.head is not None:
+        head = stream.group.head
+        if head is not None:
             notice = self._targets.notice(response)
-            self._rate_limits.hear(stream.group.head.process, notice.rate_limit)
+            self._rate_limits.hear(head, notice, stream.sent_at)
 
     async def _pass_on(
         self, stream: ActiveStream, headers: tuple[tuple[str, str], ...], data: bytes
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -347,7 +347,9 @@
         hosts=lambda: 1,
         rng=random.Random(1),
         quarantine=Quarantine(clock=clock, metrics=metrics),
-        rate_limits=RateLimits(metrics=metrics),
+        rate_limits=RateLimits(
+            name="n0", directory=directory, clock=clock, metrics=metrics
+        ),
     )
     service = StreamService(parts=parts)
     await directory.refresh()
--- a/mallowpond/node/tests/test_calls.py
+++ b/mallowpond/node/tests/test_calls.py
@@ -74,7 +74,9 @@
         hosts=lambda: 1,
         rng=random.Random(1),
         quarantine=Quarantine(clock=clock, metrics=metrics),
-        rate_limits=RateLimits(metrics=metrics),
+        rate_limits=RateLimits(
+            name="n0", directory=directory, clock=clock, metrics=metrics
+        ),
     )
     return CallService(parts=parts)
 
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -26,6 +26,7 @@
     PlaceAnswer,
     PlaceQuestion,
     PlaceVerdict,
+    RateLimitNews,
     SilenceQuestion,
     Suspicion,
     VersionAnswer,
@@ -56,6 +57,7 @@
     Process,
     Target,
 )
+from mallowpond.state.rate_limit import TargetLimit
 
 LOADS = {("g", 3): (4, 500)}
 SENDER = ("127.0.0.1", 1)
@@ -266,6 +268,13 @@
     LivenessAnswer(node="b", number=3, alive=True),
     CrashRecords(node="b", records=(CRASHED,), answer=True),
     CrashQuestion(node="b"),
+    RateLimitNews(
+        node="b",
+        limits=(
+            TargetLimit(process=TARGET.process, limit=1.5, age=0.1),
+            TargetLimit(process=TARGET.process, limit=None, age=0.1),
+        ),
+    ),
 )
 # What is no value of any field, by its type.
 WRONG = {
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -15,6 +15,7 @@
 from mallowpond.node.peers import Peer
 from mallowpond.node.planner import GroupPlanner
 from mallowpond.node.ports import EngineReport, OrderLost, OrderMisdirected
+from mallowpond.node.rate_limits import RateLimits
 from mallowpond.node.tests.fakes import (
     PROFILE,
     FakeClock,
@@ -129,6 +130,12 @@
             metrics=NodeMetrics(),
             stall_seconds=4.0,
             traffic_seen=TrafficSeen(seen=True),
+            rate_limits=RateLimits(
+                name="n0",
+                directory=self.directory,
+                clock=self.clock,
+                metrics=NodeMetrics(),
+            ),
         )
 
     async def steps(self, count=1):
--- a/mallowpond/node/tests/test_planner_restarts.py
+++ b/mallowpond/node/tests/test_planner_restarts.py
@@ -19,6 +19,7 @@
 from mallowpond.node.directory import Directory
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.planner import GroupPlanner
+from mallowpond.node.rate_limits import RateLimits
 from mallowpond.node.tests.engine_model import (
     SERVING,
     Fate,
@@ -81,6 +82,12 @@
             metrics=NodeMetrics(),
             stall_seconds=4.0,
             traffic_seen=TrafficSeen(seen=True),
+            rate_limits=RateLimits(
+                name="n0",
+                directory=self.directory,
+                clock=clock,
+                metrics=NodeMetrics(),
+            ),
         )
         self.planner.failed = fleet.broken_rules
         self.targets.listed = self._listed
--- /dev/null
+++ b/mallowpond/node/tests/test_rate_limits.py
@@ -0,0 +1,230 @@
+"""What targets that named a rate limit get from the hosts."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from mallowpond.coordination.tasks import cancel_task
+from mallowpond.node.messages import PlaceAnswer, PlaceVerdict, RateLimitNews
+from mallowpond.node.metrics import NodeMetrics
+from mallowpond.node.outcomes import Answered, Reason, Refusal
+from mallowpond.node.rate_limits import TELL_PAUSES, RateLimits
+from mallowpond.node.tests.fakes import (
+    BROKEN,
+    FakeExchange,
+    FakeResponse,
+    answer,
+    event,
+    rig_of,
+)
+from mallowpond.node.tests.test_calls import IDEMPOTENT, reply, serve
+from mallowpond.node.tests.test_dispatcher import settle, site_of
+from mallowpond.state.target_notice import TargetNotice
+
+NAMED = TargetNotice(rate_limit=1.0)
+SCARCE = TargetNotice(rate_limit=0.1)
+
+
+def limited(limit, *numbers):
+    """Write a whole answer that names a limit."""
+    return replace(answer(*numbers), headers={"limit": str(limit)})
+
+
+def limits_of(rig):
+    """Return the rate limits that a rig's host knows."""
+    return rig.service._rate_limits
+
+
+def head(rig, name):
+    """Return a target of a rig."""
+    return rig.directory.targets[name]
+
+
+async def test_a_head_gets_no_more_than_the_rate_that_it_names():
+    """Guards against a head that goes on getting what its slots would bear."""
+    rig = await rig_of("a", "b")
+    rig.targets.script("a0", *(limited(1.0, 1) for _ in range(80)))
+    rig.targets.script("b0", *(answer(1) for _ in range(80)))
+    sent = []
+    for _ in range(80):
+        before = len(rig.targets.sends)
+        outcome = await rig.service.serve(rig.work(FakeExchange()))
+        assert isinstance(outcome, Answered)
+        sent += [rig.clock.time for t, _ in rig.targets.sends[before:] if t == "a0"]
+        rig.clock.time += 0.1
+    assert 6 <= len(sent) <= 9
+
+
+async def test_a_limit_ends_with_the_first_answer_that_names_none():
+    rig = await rig_of("a")
+    rig.targets.script("a0", limited(1.0, 1), answer(1), answer(1))
+    await rig.service.serve(rig.work(FakeExchange()))
+    rig.clock.time += 3.5
+    for _ in range(2):
+        outcome = await rig.service.serve(rig.work(FakeExchange()))
+        assert outcome == Answered(status=200, target="a0")
+
+
+async def test_a_stream_that_no_group_takes_in_time_is_refused_at_once():
+    """Guards against streams that wait for a place which a rate limit withholds."""
+    rig = await rig_of("a")
+    limits_of(rig).hear(head(rig, "a0"), SCARCE, rig.clock.now())
+    outcome = await rig.service.serve(rig.work(FakeExchange()))
+    assert (outcome.status, outcome.reason) == (503, Reason.RATE_LIMITED)
+    assert outcome.retry_after > 1.0
+    assert rig.targets.sends == []
+
+
+async def test_a_stream_that_moves_keeps_the_rate_of_where_it_goes():
+    """Guards against moved streams that a limit on first sends would not hold."""
+    rig = await rig_of("a", "b", "c")
+    limits_of(rig).hear(head(rig, "b0"), SCARCE, rig.clock.now())
+    rig.targets.script("a0", FakeResponse(script=[event(1), BROKEN]))
+    rig.targets.script("c0", answer(2))
+    outcome = await rig.service.serve(rig.work(FakeExchange()))
+    assert outcome == Answered(status=200, target="c0")
+
+
+async def test_waiting_streams_are_not_woken_for_a_limited_group():
+    rig = await rig_of("a")
+    limits_of(rig).hear(head(rig, "a0"), NAMED, rig.clock.now())
+    serving = asyncio.create_task(rig.service.serve(rig.work(FakeExchange())))
+    await settle()
+    rig.service.placing.wake_all()
+    await settle()
+    assert rig.targets.sends == []
+    rig.targets.script("a0", answer(1))
+    rig.clock.time += 1.0
+    rig.service.placing.wake_all()
+    assert await serving == Answered(status=200, target="a0")
+
+
+async def test_a_place_that_the_rate_limit_closes_meanwhile_is_given_back():
+    """Guards against a grant that outlives the room for it.
+
+    The stream waited for its place while its host heard of the limit.
+    """
+    site = await site_of("a")
+    rig, unused = site.rig_a, []
+    site.asking.on_unused.append(lambda: unused.append(True))
+    serving = asyncio.create_task(rig.service.serve(rig.work(FakeExchange())))
+
+    def grant(number):
+        limits_of(rig).hear(head(rig, "a0"), SCARCE, rig.clock.now())
+        return PlaceAnswer(
+            node="b",
+            number=number,
+            verdict=PlaceVerdict.GRANTED,
+            group="a",
+            epoch=1,
+            granted=1,
+        )
+
+    site.dispatcher.ask = lambda asker, seek, claim: grant(asker.number)
+    outcome = await serving
+    assert (outcome.status, outcome.reason) == (503, Reason.RATE_LIMITED)
+    assert rig.targets.sends == []
+    assert unused == [True]
+
+
+@pytest.mark.parametrize("status", [200, 500, 503])
+async def test_any_answer_may_name_a_limit(status):
+    rig = await rig_of("a", "b")
+    headers = {"limit": "1.0"} | ({"not-run": "1"} if status == 503 else {})
+    failing = FakeResponse(script=[], status=status, headers=headers)
+    rig.targets.script("a0", replace(failing, script=answer(1).script))
+    rig.targets.script("b0", answer(1))
+    await rig.service.serve(rig.work(FakeExchange()))
+    assert not limits_of(rig).may_send(head(rig, "a0"))
+
+
+async def test_a_call_goes_to_a_target_whose_rate_leaves_room():
+    first = reply(503, limit="0.1", **{"not-run": "1"})
+    outcome, sends, _ = await serve(IDEMPOTENT, first, reply(200), targets=("a", "b"))
+    assert outcome.status == 200
+    assert len(set(sends)) == 2
+
+
+async def test_a_call_that_no_target_takes_is_refused_as_not_run():
+    first = reply(503, limit="0.1", **{"not-run": "1"})
+    outcome, sends, _ = await serve(IDEMPOTENT, first, targets=("a",))
+    assert isinstance(outcome, Refusal)
+    assert (outcome.status, outcome.reason) == (503, Reason.RATE_LIMITED)
+    assert len(sends) == 1
+
+
+class Wire:
+    """Carry news from one host to another, unless it is lost."""
+
+    def __init__(self):
+        self.on_rate_limits, self.other, self.losses = [], None, 0
+        self.live = ()
+
+    def tell(self, news):
+        """Hand news to the other host."""
+        assert isinstance(news, RateLimitNews)
+        if self.losses:
+            self.losses -= 1
+            return
+        for notify in self.other.on_rate_limits:
+            notify(news)
+
+
+async def pair():
+    """Build the rate limits of two hosts that hear each other."""
+    rig = await rig_of("a")
+    wires = Wire(), Wire()
+    wires[0].other, wires[1].other = wires[1], wires[0]
+    found = [
+        RateLimits(
+            name=name,
+            directory=rig.directory,
+            clock=rig.clock,
+            metrics=NodeMetrics(),
+            peers=wire,
+        )
+        for name, wire in zip(("n0", "n1"), wires, strict=True)
+    ]
+    return rig, wires, found
+
+
+async def test_other_hosts_hear_of_a_limit_and_of_its_end():
+    """Guards against hosts that each have to find a limit by a request of their own."""
+    rig, _, (mine, other) = await pair()
+    mine.hear(head(rig, "a0"), NAMED, rig.clock.now())
+    mine.tell_due()
+    assert not other.may_send(head(rig, "a0"))
+    rig.clock.time += 1.0
+    mine.hear(head(rig, "a0"), TargetNotice(), rig.clock.now())
+    mine.tell_due()
+    assert other.may_send(head(rig, "a0"))
+
+
+async def test_news_that_is_lost_is_told_again():
+    rig, wires, (mine, other) = await pair()
+    wires[0].losses = 2
+    mine.hear(head(rig, "a0"), NAMED, rig.clock.now())
+    for pause in TELL_PAUSES:
+        rig.clock.time += pause
+        mine.tell_due()
+    assert not other.may_send(head(rig, "a0"))
+    assert mine._due == {}
+
+
+async def test_news_of_an_unlisted_process_is_left_out():
+    rig, wires, (mine, other) = await pair()
+    gone = replace(head(rig, "a0"), born=7)
+    mine.hear(gone, NAMED, rig.clock.now())
+    mine.tell_due()
+    assert other.may_send(gone)
+
+
+async def test_news_goes_out_by_itself():
+    rig, _, (mine, other) = await pair()
+    telling = asyncio.create_task(mine.run())
+    await settle()
+    mine.hear(head(rig, "a0"), NAMED, rig.clock.now())
+    await settle()
+    assert other.is_any
+    await cancel_task(telling)
--- /dev/null
+++ b/mallowpond/state/tests/test_rate_limit.py
@@ -0,0 +1,125 @@
+"""The part of a target's rate that each host keeps."""
+
+from math import inf
+
+import pytest
+
+from mallowpond.state.fleet import Process
+from mallowpond.state.rate_limit import (
+    FORGOTTEN_SECONDS,
+    LEAST_RATE,
+    LEAST_SHARERS,
+    MOST_TARGETS,
+    LimitShares,
+    TargetLimit,
+    rate_of,
+)
+
+TARGET = Process(id="t", born=1)
+
+
+def named(limit, age=0.0, process=TARGET):
+    """Write what a target said."""
+    return TargetLimit(process=process, limit=limit, age=age)
+
+
+def fleet(count):
+    """Write the names of hosts."""
+    return [f"n{number}" for number in range(count)]
+
+
+def wait(shares, now, hosts=("n0",)):
+    """Return how long a host waits."""
+    return shares.seconds_until(TARGET, lambda: hosts, now)
+
+
+@pytest.mark.parametrize("count", [1, 2, 7, 74])
+@pytest.mark.parametrize("limit", [0.0, 0.3, 1.0, 1.3, 5.0, 50.0])
+def test_all_hosts_together_keep_a_rate_in_each_window(count, limit):
+    """Guards against parts of a rate that add up to more than the target named."""
+    hosts = fleet(count)
+    all_shares = [LimitShares(host=host) for host in hosts]
+    sent = []
+    for shares in all_shares:
+        shares.hear(named(limit), 0.0)
+    for step in range(1200):
+        now = step / 20
+        for shares in all_shares:
+            while wait(shares, now, hosts) <= 0.0:
+                shares.note_sent(TARGET, now)
+                sent.append(now)
+    # Each request with the one that it may not share a window with.
+    beyond = int(1.5 * 4.0 * limit + 5)
+    pairs = zip(sent, sent[beyond:], strict=False)
+    assert all(later - earlier >= 4.0 for earlier, later in pairs)
+    assert len(sent) >= 0.7 * limit * 60.0
+
+
+def test_a_rate_is_shared_among_few_hosts():
+    parts = [rate_of(host, TARGET, fleet(195), 1.3) for host in fleet(195)]
+    assert sum(parts) == pytest.approx(1.3)
+    assert sum(part > 0.0 for part in parts) == LEAST_SHARERS
+
+
+def test_a_target_that_wants_nothing_is_asked_now_and_then():
+    """Guards against a limit that no answer can end, as nothing is sent any more."""
+    assert rate_of("n0", TARGET, ["n0"], 0.0) == LEAST_RATE
+
+
+def test_a_host_without_a_part_sends_nothing():
+    hosts = fleet(50)
+    idle = next(h for h in hosts if rate_of(h, TARGET, hosts, 1.0) == 0.0)
+    shares = LimitShares(host=idle)
+    shares.hear(named(1.0), 0.0)
+    assert wait(shares, 50.0, hosts) == inf
+
+
+def test_an_answer_asked_for_before_the_limit_does_not_end_it():
+    """Guards against answers that overtake each other and lift a limit in force."""
+    shares = LimitShares(host="n0")
+    assert shares.hear(named(1.0), 10.0)
+    assert not shares.hear(named(None, age=0.5), 10.2)
+    assert shares.is_limited(TARGET)
+    assert shares.hear(named(None, age=0.1), 10.3)
+    assert not shares.is_limited(TARGET)
+    assert wait(shares, 10.3) == 0.0
+
+
+def test_an_old_word_of_another_host_does_not_bring_a_limit_back():
+    shares = LimitShares(host="n0")
+    shares.hear(named(1.0), 10.0)
+    shares.hear(named(None), 11.0)
+    assert not shares.hear(named(1.0, age=1.0), 11.5)
+    assert not shares.is_limited(TARGET)
+
+
+def test_nothing_is_saved_up_beyond_one_request_at_a_low_rate():
+    shares = LimitShares(host="n0")
+    shares.hear(named(0.5), 0.0)
+    assert wait(shares, 50.0) == 0.0
+    shares.note_sent(TARGET, 50.0)
+    assert wait(shares, 50.0) == pytest.approx(2.0)
+
+
+def test_only_a_change_that_matters_is_news():
+    shares = LimitShares(host="n0")
+    assert shares.hear(named(1.0), 0.0)
+    assert not shares.hear(named(1.05), 1.0)
+    assert shares.hear(named(2.0), 2.0)
+    assert shares.limits == {TARGET: 2.0}
+
+
+def test_a_limit_of_which_nothing_is_heard_is_forgotten():
+    shares = LimitShares(host="n0")
+    shares.hear(named(1.0), 0.0)
+    assert wait(shares, 2 * FORGOTTEN_SECONDS) == 0.0
+    assert not shares.is_limited(TARGET)
+
+
+def test_what_is_kept_is_bounded():
+    shares = LimitShares(host="n0")
+    for number in range(MOST_TARGETS + 5):
+        shares.hear(named(1.0, process=Process(id=f"t{number}", born=1)), 0.0)
+    assert len(shares.limits) == MOST_TARGETS
+    shares.keep({Process(id="t3", born=1)}, 0.0)
+    assert list(shares.limits) == [Process(id="t3", born=1)]
