Ask one object whether a target may be sent a request

Streams, calls and probes asked the rate limits; more of what targets say of the work that they want is to come, and is asked for at the same places. Nothing behaves otherwise.

--- a/mallowpond/emulator/hosts.py
+++ b/mallowpond/emulator/hosts.py
@@ -10,6 +10,7 @@
 from mallowpond.emulator.virtual_time import VirtualClock
 from mallowpond.node.directory import Directory
 from mallowpond.node.dispatcher import Dispatcher
+from mallowpond.node.intake import Intake
 from mallowpond.node.messages import (
     PlaceAnswer,
     PlaceQuestion,
@@ -125,6 +126,9 @@
         self.directory = Directory(source=fleet.listing, clock=clock)
         budget = RetryWindow(ratio=0.2, slack=248.0, window_seconds=10.0)
         metrics = NodeMetrics()
+        rate_limits = RateLimits(
+            name=self.name, directory=self.directory, clock=clock, metrics=metrics
+        )
         self.streams = StreamService(
             parts=ServingParts(
                 directory=self.directory,
@@ -136,12 +140,7 @@
                 hosts=lambda: len(fleet.hosts) or 1,
                 rng=random.Random(fleet.rng.random()),
                 quarantine=Quarantine(clock=clock, metrics=metrics),
-                rate_limits=RateLimits(
-                    name=self.name,
-                    directory=self.directory,
-                    clock=clock,
-                    metrics=metrics,
-                ),
+                intake=Intake(rate_limits=rate_limits),
             )
         )
         self.datagrams = Datagrams(fleet)
--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -91,7 +91,7 @@
         self._hosts = parts.hosts
         self._rng = parts.rng
         self._quarantine = parts.quarantine
-        self._rate_limits = parts.rate_limits
+        self._intake = parts.intake
         self._records: dict[Process, TargetRecord] = defaultdict(TargetRecord)
         parts.directory.on_change.append(self._forget_ended)
 
@@ -132,7 +132,7 @@
             target
             for target in self._directory.of_service(work.service)
             if self._records[target.process].misdirected is not target
-            and self._rate_limits.may_send(target)
+            and self._intake.may_send(target)
         ]
         left = [t for t in targets if t.process not in used]
         if not left:
@@ -148,7 +148,7 @@
         return min(left, key=rank, default=None)
 
     def _why_no_target(self, work: CallWork) -> Reason:
-        limited = self._rate_limits.retry_seconds(self._unused(work))
+        limited = self._intake.retry_seconds(self._unused(work))
         return Reason.RATE_LIMITED if limited else Reason.NO_TARGET
 
     def _unused(self, work: CallWork) -> list[Target]:
@@ -166,7 +166,7 @@
             limit = FIRST_SEND_SHARE * left
         record = self._records[target.process]
         record.running += 1
-        self._rate_limits.note_sent(target)
+        self._intake.note_sent(target)
         work.sent_to.append(target.process)
         log.info(
             "call: sent",
@@ -211,7 +211,7 @@
         if self._targets.is_misdirected(response):
             return NoReply(reason=Reason.MISDIRECTED, may_have_run=False)
         notice = self._targets.notice(response)
-        self._rate_limits.hear(target, notice, sent_at)
+        self._intake.hear(target, notice, sent_at)
         if self._targets.is_not_run(response):
             return NoReply(reason=Reason.NOT_RUN, may_have_run=False)
         if isinstance(body, CallFailed):
@@ -278,7 +278,7 @@
             return Refusal(status=status, reason=reason)
         wait = NO_TARGET_RETRY_SECONDS
         if reason is Reason.RATE_LIMITED:
-            wait = self._rate_limits.retry_seconds(self._unused(work))
+            wait = self._intake.retry_seconds(self._unused(work))
         after = spread_retry_after(wait, self._rng.random())
         return Refusal(status=503, reason=reason, retry_after=after)
 
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -14,6 +14,7 @@
     POLL_SECONDS,
     Directory,
 )
+from mallowpond.node.intake import Intake
 from mallowpond.node.leadership import Leadership
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.model_summary import demand, log_summary, pressure
@@ -28,7 +29,6 @@
     Targets,
 )
 from mallowpond.node.probes import TargetProbes
-from mallowpond.node.rate_limits import RateLimits
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.watch import GroupWatch
 from mallowpond.state.fleet import (
@@ -99,7 +99,7 @@
         metrics: NodeMetrics,
         stall_seconds: float,
         traffic_seen: TrafficSeen,
-        rate_limits: RateLimits,
+        intake: Intake,
     ) -> None:
         self._configuration = configuration
         self._directory = directory
@@ -128,7 +128,7 @@
             book=self._book,
             clock=clock,
             gate=self._gate,
-            rate_limits=rate_limits,
+            intake=intake,
             may_learn=self._may_learn,
             spawn=self._spawn,
         )
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -10,9 +10,9 @@
 from mallowpond.node.call_gate import CallGate
 from mallowpond.node.configuration import ConfigurationFollower
 from mallowpond.node.directory import Directory
+from mallowpond.node.intake import Intake
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.ports import EngineReport, Targets
-from mallowpond.node.rate_limits import RateLimits
 from mallowpond.node.second_opinion import SecondOpinion
 from mallowpond.state.broken_groups import STILL_WRITTEN_SECONDS
 from mallowpond.state.fleet import Process, Target
@@ -47,7 +47,7 @@
         book: OrderBook,
         clock: Clock,
         gate: CallGate,
-        rate_limits: RateLimits,
+        intake: Intake,
         may_learn: Callable[[Target], bool],
         spawn: Callable[[Coroutine[Any, Any, Any]], None],
     ) -> None:
@@ -59,7 +59,7 @@
         self._book = book
         self._clock = clock
         self._gate = gate
-        self._rate_limits = rate_limits
+        self._intake = intake
         self._may_learn = may_learn
         self._spawn = spawn
         # What is known of a process ends with it: kept by the id, a target that has
@@ -219,11 +219,11 @@
         """Tell a target that is cut off from the list from one that leaves."""
         configuration = self._configuration.configuration
         service = configuration and configuration.services.get(target.service)
-        if not service or not self._rate_limits.may_send(target):
+        if not service or not self._intake.may_send(target):
             return
         async with self._gate.turn():
             # It takes a slot as a request does.
-            self._rate_limits.note_sent(target)
+            self._intake.note_sent(target)
             healthy = await self._targets.is_healthy(target, service.health_path)
         if isinstance(healthy, Unavailable):
             await self.probe(target)
--- a/mallowpond/node/rate_limits.py
+++ b/mallowpond/node/rate_limits.py
@@ -16,7 +16,7 @@
 from mallowpond.node.messages import RateLimitNews
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.peers import PeerNetwork
-from mallowpond.state.fleet import Group, Process, Target
+from mallowpond.state.fleet import Process, Target
 from mallowpond.state.rate_limit import LimitShares, TargetLimit
 from mallowpond.state.target_notice import TargetNotice
 
@@ -31,7 +31,7 @@
 
 
 class RateLimits:
-    """Tell whether targets may be sent a request now."""
+    """Tell when targets that named a limit may be sent a request."""
 
     def __init__(
         self,
@@ -70,10 +70,6 @@
         """Tell whether any target names a limit."""
         return self._shares.is_any
 
-    def may_send(self, target: Target) -> bool:
-        """Tell whether a target may be sent one more request now."""
-        return self.seconds_until(target) <= 0.0
-
     def seconds_until(self, target: Target) -> float:
         """Return how long a target may be sent nothing by this host, in seconds."""
         if not self._shares.is_limited(target.process):
@@ -82,12 +78,6 @@
             target.process, self._hosts, self._clock.now()
         )
 
-    def closed(self, groups: list[Group]) -> frozenset[str]:
-        """Return the groups whose head may be sent nothing now."""
-        if not self.is_any:
-            return frozenset()
-        return frozenset(g.name for g in groups if g.head and not self.may_send(g.head))
-
     def retry_seconds(self, targets: Iterable[Target]) -> float:
         """Return when a request that is refused now may find room, at any host."""
         limited = (t.process for t in targets if self._shares.is_limited(t.process))
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -19,6 +19,7 @@
 from mallowpond.node.dispatcher import Dispatcher, Shape
 from mallowpond.node.fanout import Fanout
 from mallowpond.node.ingress import Ingress
+from mallowpond.node.intake import Intake
 from mallowpond.node.leadership import Leadership
 from mallowpond.node.messages import Heartbeat, heartbeat_loads, loads_of
 from mallowpond.node.metrics import NodeMetrics
@@ -111,6 +112,7 @@
             metrics=self.metrics,
             peers=self.peers,
         )
+        intake = Intake(rate_limits=self.rate_limits)
         parts = ServingParts(
             directory=self.directory,
             targets=ports.targets,
@@ -121,7 +123,7 @@
             hosts=lambda: self.peers.hosts,
             rng=self._rng,
             quarantine=quarantine,
-            rate_limits=self.rate_limits,
+            intake=intake,
         )
         self.streams = StreamService(parts=parts)
         self.ingress = Ingress(
@@ -165,7 +167,7 @@
             metrics=self.metrics,
             stall_seconds=settings.bounds.stall,
             traffic_seen=self._traffic,
-            rate_limits=self.rate_limits,
+            intake=intake,
         )
         self.fanout = Fanout(
             name=settings.name,
--- a/mallowpond/node/stream_placing.py
+++ b/mallowpond/node/stream_placing.py
@@ -51,7 +51,7 @@
         self._hosts = parts.hosts
         self._rng = parts.rng
         self._quarantine = parts.quarantine
-        self._rate_limits = parts.rate_limits
+        self._intake = parts.intake
         self._lines: dict[str, WaitingLine] = {}
         self._shapes: dict[str, tuple[str, EngineProfile, ModelSpec, float]] = {}
         self.choice = PlaceChoice(
@@ -106,7 +106,7 @@
                     return self.refuse(Reason.OVERLOADED, wait)
                 case WaitedInVain():
                     return self._refuse_unplaced(work)
-                case Placed(group=group) if self._rate_limits.closed([group]):
+                case Placed(group=group) if self._intake.closed([group]):
                     # The rate was used up while the stream waited for its place.
                     self._give_back()
                     continue
@@ -142,22 +142,22 @@
 
         It was sent there already, or the rate limit of the head leaves no room.
         """
-        if not work.sent_to and not self._rate_limits.is_any:
+        if not work.sent_to and not self._intake.is_any:
             return frozenset()
         groups = self._directory.serving_groups(work.service, work.model.name)
         used = {g.name for g in groups if g.head and g.head.process in work.sent_to}
-        return self._rate_limits.closed(groups).union(used)
+        return self._intake.closed(groups).union(used)
 
     def _refuse_limited(self, work: StreamWork) -> Refusal | None:
         """Refuse a stream that rate limits keep from every group of its model."""
-        if not self._rate_limits.is_any:
+        if not self._intake.is_any:
             return None
         groups = self._directory.serving_groups(work.service, work.model.name)
         heads = [g.head for g in groups if g.head is not None]
-        wait = min(map(self._rate_limits.seconds_until, heads), default=0.0)
+        wait = min(map(self._intake.seconds_until, heads), default=0.0)
         if wait <= self._patience(work):
             return None
-        return self.refuse(Reason.RATE_LIMITED, self._rate_limits.retry_seconds(heads))
+        return self.refuse(Reason.RATE_LIMITED, self._intake.retry_seconds(heads))
 
     def _give_back(self) -> None:
         """Tell that a place which was given is not used."""
@@ -302,7 +302,7 @@
 
         def has_place() -> bool:
             groups = self._directory.serving_groups(service, model)
-            closed = self._rate_limits.closed(groups)
+            closed = self._intake.closed(groups)
             loads = [
                 Candidate(key=g.name, load=self._directory.loads.load_of(g, profile))
                 for g in groups
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -59,7 +59,7 @@
         self._budget = parts.budget
         self._hosts = parts.hosts
         self._quarantine = parts.quarantine
-        self._rate_limits = parts.rate_limits
+        self._intake = parts.intake
         self.placing = StreamPlacing(parts=parts)
         self.active: set[ActiveStream] = set()
         self._serving = 0
@@ -208,7 +208,7 @@
         )
         own.running += 1
         own.reading_tokens += stream.reading
-        self._rate_limits.note_sent(group.head)
+        self._intake.note_sent(group.head)
         work.sent_to.append(group.head.process)
         work.sent_at = now
         work.sends += 1
@@ -305,7 +305,7 @@
         head = stream.group.head
         if head is not None:
             notice = self._targets.notice(response)
-            self._rate_limits.hear(head, notice, stream.sent_at)
+            self._intake.hear(head, notice, stream.sent_at)
 
     async def _pass_on(
         self, stream: ActiveStream, headers: tuple[tuple[str, str], ...], data: bytes
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -7,6 +7,7 @@
 
 from mallowpond.coordination.ports import Unavailable
 from mallowpond.node.directory import Directory
+from mallowpond.node.intake import Intake
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.ports import (
     CallerRequest,
@@ -329,6 +330,14 @@
     return FakeResponse(script=[], status=503, headers={"not-run": "1"})
 
 
+def intake_of(directory, clock, **more):
+    """Build what a host knows of the work that targets want."""
+    limits = RateLimits(
+        name="n0", directory=directory, clock=clock, metrics=NodeMetrics(), **more
+    )
+    return Intake(rate_limits=limits)
+
+
 async def rig_of(*groups, slack=100.0):
     """Build a stream service whose list holds these open groups."""
     clock, targets = FakeClock(), FakeTargets()
@@ -347,9 +356,7 @@
         hosts=lambda: 1,
         rng=random.Random(1),
         quarantine=Quarantine(clock=clock, metrics=metrics),
-        rate_limits=RateLimits(
-            name="n0", directory=directory, clock=clock, metrics=metrics
-        ),
+        intake=intake_of(directory, clock),
     )
     service = StreamService(parts=parts)
     await directory.refresh()
--- a/mallowpond/node/tests/test_calls.py
+++ b/mallowpond/node/tests/test_calls.py
@@ -10,7 +10,6 @@
 from mallowpond.node.outcomes import Answered, Reason, Refusal
 from mallowpond.node.ports import CallerRequest
 from mallowpond.node.quarantine import Quarantine
-from mallowpond.node.rate_limits import RateLimits
 from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.tests.fakes import (
     BROKEN,
@@ -21,6 +20,7 @@
     FakeResponse,
     FakeSource,
     FakeTargets,
+    intake_of,
     listing,
 )
 from mallowpond.state.crash_ledger import ENDINGS_TO_HOLD, CrashRecord, Ending
@@ -74,9 +74,7 @@
         hosts=lambda: 1,
         rng=random.Random(1),
         quarantine=Quarantine(clock=clock, metrics=metrics),
-        rate_limits=RateLimits(
-            name="n0", directory=directory, clock=clock, metrics=metrics
-        ),
+        intake=intake_of(directory, clock),
     )
     return CallService(parts=parts)
 
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -15,12 +15,12 @@
 from mallowpond.node.peers import Peer
 from mallowpond.node.planner import GroupPlanner
 from mallowpond.node.ports import EngineReport, OrderLost, OrderMisdirected
-from mallowpond.node.rate_limits import RateLimits
 from mallowpond.node.tests.fakes import (
     PROFILE,
     FakeClock,
     FakeSource,
     FakeTargets,
+    intake_of,
     listing,
     member,
     open_group,
@@ -130,12 +130,7 @@
             metrics=NodeMetrics(),
             stall_seconds=4.0,
             traffic_seen=TrafficSeen(seen=True),
-            rate_limits=RateLimits(
-                name="n0",
-                directory=self.directory,
-                clock=self.clock,
-                metrics=NodeMetrics(),
-            ),
+            intake=intake_of(self.directory, self.clock),
         )
 
     async def steps(self, count=1):
--- a/mallowpond/node/tests/test_planner_restarts.py
+++ b/mallowpond/node/tests/test_planner_restarts.py
@@ -19,7 +19,6 @@
 from mallowpond.node.directory import Directory
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.planner import GroupPlanner
-from mallowpond.node.rate_limits import RateLimits
 from mallowpond.node.tests.engine_model import (
     SERVING,
     Fate,
@@ -27,7 +26,7 @@
     ModelSource,
     ModelTargets,
 )
-from mallowpond.node.tests.fakes import PROFILE, FakeClock
+from mallowpond.node.tests.fakes import PROFILE, FakeClock, intake_of
 from mallowpond.node.tests.test_planner import FakeLeadership, FakePeers, FakeWatch
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.state.fleet import GroupPhase
@@ -82,12 +81,7 @@
             metrics=NodeMetrics(),
             stall_seconds=4.0,
             traffic_seen=TrafficSeen(seen=True),
-            rate_limits=RateLimits(
-                name="n0",
-                directory=self.directory,
-                clock=clock,
-                metrics=NodeMetrics(),
-            ),
+            intake=intake_of(self.directory, clock),
         )
         self.planner.failed = fleet.broken_rules
         self.targets.listed = self._listed
--- a/mallowpond/node/tests/test_rate_limits.py
+++ b/mallowpond/node/tests/test_rate_limits.py
@@ -31,9 +31,9 @@
     return replace(answer(*numbers), headers={"limit": str(limit)})
 
 
-def limits_of(rig):
+def intake_of(rig):
     """Return the rate limits that a rig's host knows."""
-    return rig.service._rate_limits
+    return rig.service._intake
 
 
 def head(rig, name):
@@ -69,7 +69,7 @@
 async def test_a_stream_that_no_group_takes_in_time_is_refused_at_once():
     """Guards against streams that wait for a place which a rate limit withholds."""
     rig = await rig_of("a")
-    limits_of(rig).hear(head(rig, "a0"), SCARCE, rig.clock.now())
+    intake_of(rig).hear(head(rig, "a0"), SCARCE, rig.clock.now())
     outcome = await rig.service.serve(rig.work(FakeExchange()))
     assert (outcome.status, outcome.reason) == (503, Reason.RATE_LIMITED)
     assert outcome.retry_after > 1.0
@@ -79,7 +79,7 @@
 async def test_a_stream_that_moves_keeps_the_rate_of_where_it_goes():
     """Guards against moved streams that a limit on first sends would not hold."""
     rig = await rig_of("a", "b", "c")
-    limits_of(rig).hear(head(rig, "b0"), SCARCE, rig.clock.now())
+    intake_of(rig).hear(head(rig, "b0"), SCARCE, rig.clock.now())
     rig.targets.script("a0", FakeResponse(script=[event(1), BROKEN]))
     rig.targets.script("c0", answer(2))
     outcome = await rig.service.serve(rig.work(FakeExchange()))
@@ -88,7 +88,7 @@
 
 async def test_waiting_streams_are_not_woken_for_a_limited_group():
     rig = await rig_of("a")
-    limits_of(rig).hear(head(rig, "a0"), NAMED, rig.clock.now())
+    intake_of(rig).hear(head(rig, "a0"), NAMED, rig.clock.now())
     serving = asyncio.create_task(rig.service.serve(rig.work(FakeExchange())))
     await settle()
     rig.service.placing.wake_all()
@@ -111,7 +111,7 @@
     serving = asyncio.create_task(rig.service.serve(rig.work(FakeExchange())))
 
     def grant(number):
-        limits_of(rig).hear(head(rig, "a0"), SCARCE, rig.clock.now())
+        intake_of(rig).hear(head(rig, "a0"), SCARCE, rig.clock.now())
         return PlaceAnswer(
             node="b",
             number=number,
@@ -136,7 +136,7 @@
     rig.targets.script("a0", replace(failing, script=answer(1).script))
     rig.targets.script("b0", answer(1))
     await rig.service.serve(rig.work(FakeExchange()))
-    assert not limits_of(rig).may_send(head(rig, "a0"))
+    assert not intake_of(rig).may_send(head(rig, "a0"))
 
 
 async def test_a_call_goes_to_a_target_whose_rate_leaves_room():
@@ -194,11 +194,11 @@
     rig, _, (mine, other) = await pair()
     mine.hear(head(rig, "a0"), NAMED, rig.clock.now())
     mine.tell_due()
-    assert not other.may_send(head(rig, "a0"))
+    assert other.seconds_until(head(rig, "a0")) > 0.0
     rig.clock.time += 1.0
     mine.hear(head(rig, "a0"), TargetNotice(), rig.clock.now())
     mine.tell_due()
-    assert other.may_send(head(rig, "a0"))
+    assert other.seconds_until(head(rig, "a0")) == 0.0
 
 
 async def test_news_that_is_lost_is_told_again():
@@ -208,7 +208,7 @@
     for pause in TELL_PAUSES:
         rig.clock.time += pause
         mine.tell_due()
-    assert not other.may_send(head(rig, "a0"))
+    assert other.seconds_until(head(rig, "a0")) > 0.0
     assert mine._due == {}
 
 
@@ -217,7 +217,7 @@
     gone = replace(head(rig, "a0"), born=7)
     mine.hear(gone, NAMED, rig.clock.now())
     mine.tell_due()
-    assert other.may_send(gone)
+    assert other.seconds_until(gone) == 0.0
 
 
 async def test_news_goes_out_by_itself():
