--- a/mallowpond/node/intake.py
+++ b/mallowpond/node/intake.py
@@ -2,10 +2,14 @@
 
 from collections.abc import Iterable
 
+import structlog
+
 from mallowpond.node.rate_limits import RateLimits
 from mallowpond.state.fleet import Group, Target
 from mallowpond.state.target_notice import TargetNotice
 
+log = structlog.get_logger()
+
 
 class Intake:
     """Put together what targets say of the work that they want."""
@@ -21,6 +25,12 @@
     def hear(self, target: Target, notice: TargetNotice, asked_at: float) -> None:
         """Take what an answer says that was asked for at a moment."""
         self._rate_limits.hear(target, notice, asked_at)
+        if notice.backoff_seconds is not None:
+            log.info(
+                "target: asks for backoff",
+                target=target.id,
+                seconds=notice.backoff_seconds,
+            )
 
     def may_send(self, target: Target) -> bool:
         """Tell whether a target may be sent one more request now."""
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -131,8 +131,11 @@
 
     def notice(self, response):
         """Return what an answer says of the target itself."""
-        limit = response.headers.get("limit")
-        return TargetNotice(rate_limit=None if limit is None else float(limit))
+        limit, backoff = map(response.headers.get, ("limit", "backoff"))
+        return TargetNotice(
+            rate_limit=None if limit is None else float(limit),
+            backoff_seconds=None if backoff is None else float(backoff),
+        )
 
     async def order(self, step, *, fence, expected):
         """Take every order."""
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -90,7 +90,12 @@
 
     def notice(self, response: HttpResponse) -> TargetNotice:
         """Return what an engine's answer says of the engine itself."""
-        return TargetNotice(rate_limit=_number(response.headers, names.RATE_LIMIT))
+        found = response.headers
+        is_backoff = response.status == 503
+        return TargetNotice(
+            rate_limit=_number(found, names.RATE_LIMIT),
+            backoff_seconds=_number(found, names.RETRY_AFTER) if is_backoff else None,
+        )
 
     async def order(self, step: Step, *, fence: int, expected: int) -> OrderEnd:
         """Give an engine an order that only this count of earlier ones may precede."""
--- a/mallowpond/platform/tests/test_engines.py
+++ b/mallowpond/platform/tests/test_engines.py
@@ -215,6 +215,28 @@
     assert notice == TargetNotice(rate_limit=limit)
 
 
+@pytest.mark.parametrize(
+    ("head", "seconds"),
+    [
+        (b"503 X\r\nretry-after: 3\r\n", 3.0),
+        (b"503 X\r\nretry-after: 0.25\r\n", 0.25),
+        (b"503 X\r\nretry-after: Wed, 21 Oct 2026 07:28:00 GMT\r\n", None),
+        (b"503 X\r\n", None),
+        (b"429 X\r\nretry-after: 3\r\n", None),
+        (b"200 X\r\nretry-after: 3\r\n", None),
+    ],
+)
+async def test_only_a_refusal_asks_for_backoff(head, seconds):
+    async def call(engines, target):
+        response = await engines.send(
+            target, REQUEST, workspace=None, seconds_left=1.0, last_event=None
+        )
+        return engines.notice(response).backoff_seconds
+
+    data = b"HTTP/1.1 " + head + b"content-length: 0\r\n\r\n"
+    assert await with_engine(answering(data), call) == seconds
+
+
 async def test_a_connection_with_bytes_left_is_not_used_again():
     """Symptom: a caller gets bytes that belong to no request.
 
