--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -68,6 +68,8 @@
     drain_seconds: float = 2.0
     # Requests a second that it names as its limit while it is in need.
     rate_limit: float = 1.0
+    # Time for which it wants no request of a host that it turns away, in seconds.
+    backoff_seconds: float = 3.0
 
 
 @dataclass(kw_only=True)
@@ -100,6 +102,7 @@
         self._running = 0
         self._draining = False
         self._is_in_need = False
+        self._is_shedding = False
         self._stalled_at: float | None = None
         self._peers: dict[str, str] = {}
         self._changed = asyncio.Event()
@@ -131,6 +134,11 @@
         limit = self._options.rate_limit if self._is_in_need else None
         self._note("rate limit", limit=limit)
 
+    def toggle_shedding(self) -> None:
+        """Turn every request away from now on, or no more."""
+        self._is_shedding = not self._is_shedding
+        self._note("shedding", on=self._is_shedding)
+
     async def close(self) -> None:
         """Stop everything."""
         for task in self._tasks:
@@ -398,6 +406,12 @@
     async def _serve(
         self, request: HttpRequest, exchange: Exchange, attempt: str, echo: Any
     ) -> None:
+        if self._is_shedding:
+            seconds = self._options.backoff_seconds
+            self._note("turned away", attempt=attempt, seconds=seconds)
+            backoff = (names.RETRY_AFTER, str(seconds))
+            await exchange.respond(503, headers=(*echo, *NOT_RUN, backoff))
+            return
         place = self._place
         if self._options.models:
             if place is None or place.rank:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,7 @@
 from mallowpond.standins.observatory_operator import NO_IDS, foreign_values
 from soak.callers import Callers
 from soak.fleet import Fleet, Member
-from soak.judge import NEED_KIND
+from soak.judge import NEED_KIND, SHED_KIND
 from soak.proxy import Link, Proxy
 from soak.records import Disturbance, ForeignEntry, Kind, Revocation
 
@@ -48,8 +48,8 @@
 )
 # A request that ends each engine that runs it, sent again and again.
 NEWEST_KINDS = ("fatal_request",)
-# An engine that names a rate limit in its answers.
-NEED_KINDS = (NEED_KIND,)
+# An engine that names a rate limit in its answers, and one that turns requests away.
+NEED_KINDS = (NEED_KIND, SHED_KIND)
 # Parts of all kinds that a seed of the second draw may choose from: with few kinds
 # there are calm times, in which the bounds in time count.
 KIND_SHARES = (0.15, 0.3, 0.6, 1.0)
@@ -71,8 +71,8 @@
 # Time for which a request that ends its engines comes again at least, in seconds:
 # longer than the bound after which it may hardly reach one.
 FATAL_SECONDS = 6.0
-# Time for which an engine names a rate limit at least, in seconds: longer than the time
-# from which on it has to be kept, and a window of it.
+# Time for which an engine asks for less at least, in seconds: longer than the time from
+# which on a rate limit has to be kept, and a window of it, or than two backoffs.
 NEED_SECONDS = 8.0
 
 
@@ -211,7 +211,9 @@
             case "engine_restart_unheard":
                 await self._restart_unheard(fault)
             case kind if kind == NEED_KIND:
-                await self._put_in_need(fault)
+                await self._put_in_need(fault, signal.SIGUSR1)
+            case kind if kind == SHED_KIND:
+                await self._put_in_need(fault, signal.SIGUSR2)
 
     async def _disturb_store(self, fault: Fault, number: int) -> None:
         fleet = self.fleet
@@ -282,8 +284,8 @@
         link.set(Link.SOUND)
         await asyncio.sleep(SETTLE_SECONDS)
 
-    async def _put_in_need(self, fault: Fault) -> None:
-        """Let a head, or a plain engine, ask for fewer requests for a time."""
+    async def _put_in_need(self, fault: Fault, number: signal.Signals) -> None:
+        """Let a head, or a plain engine, ask for less by a signal, for a time."""
         entries = await self.fleet.entries()
         plain = self.fleet.engines[self.fleet.grouped_engines :]
         heads = [
@@ -294,10 +296,10 @@
         choice = plain if fault.draw % 2 or not heads else heads
         engine = choice[fault.draw // 2 % len(choice)]
         process = engine.process
-        engine.signal(signal.SIGUSR1)
+        engine.signal(number)
         await asyncio.sleep(NEED_SECONDS + fault.seconds)
         if engine.process is process:
-            engine.signal(signal.SIGUSR1)
+            engine.signal(number)
         await asyncio.sleep(SETTLE_SECONDS)
 
     async def _write_foreign(self, fault: Fault, engine: Member | None) -> None:
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -21,10 +21,11 @@
 # engine, is known to every node, in seconds: some reads of the list, and their way.
 NEWS_SECONDS = 2.5
 NEED_KIND = "engine_need"
+SHED_KIND = "engine_shedding"
 # Disturbances beside which every request is served all the same.
 DISREGARDED = ("reconfigure", "history", "foreign_entry")
 # Disturbances after which an answer that was under way has to end whole.
-HARMLESS = ("node_stop", NEED_KIND, *DISREGARDED)
+HARMLESS = ("node_stop", NEED_KIND, SHED_KIND, *DISREGARDED)
 # Time after the last disturbance after which every request is served, in seconds: a
 # group is formed again, and hosts that started anew know the others.
 SETTLED_SECONDS = 5.0
@@ -40,6 +41,7 @@
     "engine_restart_twice",
     "engine_restart_forming",
     NEED_KIND,
+    SHED_KIND,
     "foreign_entry_of_engine",
     "revoke",
     STALL,
@@ -63,6 +65,8 @@
 LIMIT_WINDOW_SECONDS = 4.0
 LIMIT_SHARE = 1.5
 LIMIT_BEYOND = 5
+# Requests that a node may send to an engine that it was asked to leave alone.
+BACKOFF_REQUESTS = 2
 BESIDE = "beside a fatal request"
 WORKSPACES = {"key-a": "a", "key-b": "b"}
 
@@ -90,6 +94,7 @@
             _foreign_entries,
             _others_hold,
             _rate_limits,
+            _backoffs,
         )
     return [line for check in checks for line in check(run)]
 
@@ -335,6 +340,24 @@
     return f"{named.engine}: named {limit} a second, got {count} requests"
 
 
+def _backoffs(run: Run) -> Iterator[str]:
+    """Find nodes that sent on to an engine which had asked them for backoff."""
+    nodes = {record.attempt: record.node for record in run.callers}
+    arrived: dict[tuple[str, int | None], list[float]] = defaultdict(list)
+    for note in run.notes:
+        if note.event == "arrival":
+            arrived[note.engine, nodes.get(note.values["attempt"])].append(note.at)
+    for note in run.notes:
+        node = nodes.get(note.values.get("attempt", ""))
+        if note.event != "turned away" or node is None:
+            continue
+        end = note.at + note.values["seconds"]
+        since = note.at + SLACK_SECONDS
+        count = sum(since < at < end for at in arrived[note.engine, node])
+        if count > BACKOFF_REQUESTS and not _was_disturbed(run, node, end):
+            yield f"{note.engine}: asked node {node} for backoff, got {count} requests"
+
+
 def _was_disturbed(run: Run, node: int, at: float) -> bool:
     """Tell whether a node itself was disturbed just before a moment."""
     return any(
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -311,3 +311,24 @@
 def test_a_host_that_was_disturbed_is_excused_from_a_rate_limit():
     killed = Disturbance(kind="node_kill", began_at=12.0, ended_at=13.0, node=0)
     assert broken_promises(limited(*[13.5] * 30, disturbances=[killed])) == []
+
+
+def turned_away(*arrivals, disturbances=()):
+    """Write a run of an engine that asks a node for 3 s at 10 s."""
+    first = note("turned away", at=10.0, engine="p0", attempt="q", seconds=3.0)
+    later = [note("arrival", at=at, engine="p0", attempt="q") for at in arrivals]
+    notes = (first, ran(), *later)
+    return run_of(record(), notes=notes, disturbances=disturbances)
+
+
+def test_requests_within_a_backoff_are_seen():
+    lines = broken_promises(turned_away(10.6, 11.0, 12.9))
+    assert any("asked node 0 for backoff" in line for line in lines)
+
+
+def test_requests_beside_a_backoff_are_no_breach():
+    # Those that were under way, two more, and those after the time.
+    assert broken_promises(turned_away(10.1, 10.4, 11.0, 12.0, 13.1, 13.2)) == []
+    killed = Disturbance(kind="node_kill", began_at=11.0, ended_at=12.0, node=0)
+    many = turned_away(10.6, 11.0, 12.9, disturbances=[killed])
+    assert broken_promises(many) == []
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -12,6 +12,7 @@
     FATAL_ENDINGS,
     FATAL_KIND,
     NEED_KIND,
+    SHED_KIND,
     broken_promises,
 )
 from soak.records import Ending
@@ -75,3 +76,13 @@
     run = asyncio.run(play(case, tmp_path))
     assert any(note.event == "rate limit" for note in run.notes)
     assert broken_promises(run) == []
+
+
+@pytest.mark.parametrize("draw", [0, 1], ids=["head", "plain"])
+def test_an_engine_that_asks_for_backoff_is_left_alone(draw, tmp_path):
+    """Guards against hosts that come again before the time that an engine asks for."""
+    fault = Fault(at=0.2, kind=SHED_KIND, seconds=1.0, draw=draw)
+    case = Case(seed=1, seconds=0.0, faults=(fault,))
+    run = asyncio.run(play(case, tmp_path))
+    assert any(note.event == "turned away" for note in run.notes)
+    assert broken_promises(run) == []
