--- a/mallowpond/platform/headers.py
+++ b/mallowpond/platform/headers.py
@@ -9,6 +9,8 @@
 NOT_RUN = "x-mallowpond-not-executed"
 # Requests a second that an engine takes from all hosts together.
 RATE_LIMIT = "server-limit"
+# Set in every answer of an engine that is about to stop.
+LEAVING = "server-leaving"
 # Seconds, as an engine writes it to a host that it turns away.
 RETRY_AFTER = "retry-after"
 WORKSPACE = "x-mallowpond-tenant"
--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -66,6 +66,8 @@
     stride: int = 7
     event_seconds: float = 0.02
     drain_seconds: float = 2.0
+    # Time for which only its answers tell that it stops, before its entry does.
+    unannounced_seconds: float = 0.0
     # Requests a second that it names as its limit while it is in need.
     rate_limit: float = 1.0
     # Time for which it wants no request of a host that it turns away, in seconds.
@@ -101,6 +103,7 @@
         self._beats = 0
         self._running = 0
         self._draining = False
+        self._is_announced = False
         self._is_in_need = False
         self._is_shedding = False
         self._stalled_at: float | None = None
@@ -120,6 +123,8 @@
         """Announce the end, serve on for the agreed time, then stop."""
         self._draining = True
         self._note("draining")
+        await asyncio.sleep(self._options.unannounced_seconds)
+        self._is_announced = True
         accepted_at = await self._announce_until_accepted()
         await asyncio.sleep(
             accepted_at + self._options.drain_seconds - time.monotonic()
@@ -199,7 +204,7 @@
             "version": 1,
             "born": self._born,
             "slots": options.slots,
-            "state": "draining" if self._draining else "ready",
+            "state": "draining" if self._is_announced else "ready",
             "cold_left_ms": 0,
             "domain": options.domain,
             "models": [{"name": self._model, "version": 1}] if self._model else [],
@@ -385,6 +390,8 @@
         if attempt:
             echo += ((names.ATTEMPT, attempt),)
             self._note("arrival", attempt=attempt)
+        if self._draining:
+            echo += ((names.LEAVING, "1"),)
         if self._is_in_need:
             echo += ((names.RATE_LIMIT, str(self._options.rate_limit)),)
         wanted = request.headers.get(names.EXPECT_INSTANCE, self._id)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -210,6 +210,10 @@
                 await self._restart_forming(fault.draw)
             case "engine_restart_unheard":
                 await self._restart_unheard(fault)
+            case "engine_stop_head_or_plain":
+                engine = await self._head_or_plain(fault.draw)
+                self.fleet.stop(engine)
+                await self._until_back(engine)
             case kind if kind == NEED_KIND:
                 await self._put_in_need(fault, signal.SIGUSR1)
             case kind if kind == SHED_KIND:
@@ -284,8 +288,8 @@
         link.set(Link.SOUND)
         await asyncio.sleep(SETTLE_SECONDS)
 
-    async def _put_in_need(self, fault: Fault, number: signal.Signals) -> None:
-        """Let a head, or a plain engine, ask for less by a signal, for a time."""
+    async def _head_or_plain(self, draw: int) -> Member:
+        """Choose the head of an open group, or a plain engine."""
         entries = await self.fleet.entries()
         plain = self.fleet.engines[self.fleet.grouped_engines :]
         heads = [
@@ -293,8 +297,12 @@
             for engine in self.fleet.engines
             if _group_state(entries.get(engine.id)) == "open"
         ]
-        choice = plain if fault.draw % 2 or not heads else heads
-        engine = choice[fault.draw // 2 % len(choice)]
+        choice = plain if draw % 2 or not heads else heads
+        return choice[draw // 2 % len(choice)]
+
+    async def _put_in_need(self, fault: Fault, number: signal.Signals) -> None:
+        """Let a head, or a plain engine, ask for less by a signal, for a time."""
+        engine = await self._head_or_plain(fault.draw)
         process = engine.process
         engine.signal(number)
         await asyncio.sleep(NEED_SECONDS + fault.seconds)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -44,6 +44,8 @@
     engines_a_domain: int = 4
     plain_engines: int = 2
     slowness: float = 1.0
+    # Time for which only its answers tell that an engine stops, in seconds.
+    unannounced_seconds: float = 0.0
 
 
 @dataclass(kw_only=True)
@@ -236,6 +238,7 @@
             "staged_file": str(self.folder / f"{name}.staged"),
             "id": new_engine_id(),
             "event_seconds": EVENT_SECONDS * self.shape.slowness,
+            "unannounced_seconds": self.shape.unannounced_seconds,
         }
         if not is_plain:
             options["models"] = {"m": LOAD_SECONDS}
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -95,6 +95,7 @@
             _others_hold,
             _rate_limits,
             _backoffs,
+            _told_of_leaving,
         )
     return [line for check in checks for line in check(run)]
 
@@ -358,6 +359,26 @@
             yield f"{note.engine}: asked node {node} for backoff, got {count} requests"
 
 
+def _told_of_leaving(run: Run) -> Iterator[str]:
+    """Find requests to an engine of whose stop its answers had told that node."""
+    sent = {record.attempt: record for record in run.callers}
+    leaving: set[str] = set()
+    told: dict[tuple[str, int], float] = {}
+    for note in run.notes:
+        if note.event == "draining":
+            leaving.add(note.engine)
+        if note.event == "start":
+            leaving.discard(note.engine)
+            told = {k: at for k, at in told.items() if k[0] != note.engine}
+        record = sent.get(note.values.get("attempt", ""))
+        if note.event != "arrival" or record is None or note.engine not in leaving:
+            continue
+        since = told.setdefault((note.engine, record.node), note.at + SLACK_SECONDS)
+        is_late = record.sent_at > since + DRAIN_SECONDS
+        if is_late and not _was_disturbed(run, record.node, note.at):
+            yield f"{record.attempt}: sent to {note.engine}, which had said it leaves"
+
+
 def _was_disturbed(run: Run, node: int, at: float) -> bool:
     """Tell whether a node itself was disturbed just before a moment."""
     return any(
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -332,3 +332,31 @@
     killed = Disturbance(kind="node_kill", began_at=11.0, ended_at=12.0, node=0)
     many = turned_away(10.6, 11.0, 12.9, disturbances=[killed])
     assert broken_promises(many) == []
+
+
+def leaving(sent_at, disturbances=()):
+    """Write a run of an engine that leaves, of which a node has an answer at 10 s."""
+    notes = (
+        note("draining", at=9.0, engine="p0"),
+        note("arrival", at=10.0, engine="p0", attempt="q0"),
+        ran(attempt="q0", at=10.0),
+        note("arrival", at=sent_at + 0.1, engine="p0", attempt="q1"),
+        ran(attempt="q1", at=sent_at + 0.1),
+    )
+    records = [
+        record(
+            attempt=attempt,
+            sent_at=at,
+            headers={"x-mallowpond-attempt-id": attempt},
+            body=call_body(attempt),
+        )
+        for attempt, at in (("q0", 9.9), ("q1", sent_at))
+    ]
+    return run_of(*records, notes=notes, disturbances=disturbances)
+
+
+def test_a_request_to_an_engine_that_said_it_leaves_is_seen():
+    assert any("said it leaves" in line for line in broken_promises(leaving(13.0)))
+    assert broken_promises(leaving(12.4)) == []
+    killed = Disturbance(kind="node_kill", began_at=11.0, ended_at=12.0, node=0)
+    assert broken_promises(leaving(13.0, disturbances=[killed])) == []
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -7,6 +7,7 @@
 from soak.__main__ import play
 from soak.cases import Case
 from soak.faults import Fault
+from soak.fleet import FleetShape
 from soak.judge import (
     BESIDE,
     FATAL_ENDINGS,
@@ -86,3 +87,14 @@
     run = asyncio.run(play(case, tmp_path))
     assert any(note.event == "turned away" for note in run.notes)
     assert broken_promises(run) == []
+
+
+@pytest.mark.parametrize("draw", [0, 1], ids=["head", "plain"])
+def test_an_engine_that_says_that_it_leaves_gets_nothing_more(draw, tmp_path):
+    """Guards against hosts that learn of an engine's stop from the list alone."""
+    fault = Fault(at=0.2, kind="engine_stop_head_or_plain", seconds=1.0, draw=draw)
+    shape = FleetShape(unannounced_seconds=5.0)
+    case = Case(seed=1, seconds=0.0, faults=(fault,), shape=shape)
+    run = asyncio.run(play(case, tmp_path))
+    assert any(note.event == "draining" for note in run.notes)
+    assert broken_promises(run) == []
