--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -238,8 +238,9 @@
             "staged_file": str(self.folder / f"{name}.staged"),
             "id": new_engine_id(),
             "event_seconds": EVENT_SECONDS * self.shape.slowness,
-            "unannounced_seconds": self.shape.unannounced_seconds,
         }
+        if self.shape.unannounced_seconds:
+            options["unannounced_seconds"] = self.shape.unannounced_seconds
         if not is_plain:
             options["models"] = {"m": LOAD_SECONDS}
         member = self._member(name, "observatory-engine", options)
