--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -67,7 +67,7 @@
     event_seconds: float = 0.02
     drain_seconds: float = 2.0
     # Time for which only its answers tell that it stops, before its entry does.
-    unannounced_seconds: float = 0.0
+    unannounced_seconds: float | None = None
     # Requests a second that it names as its limit while it is in need.
     rate_limit: float = 1.0
     # Time for which it wants no request of a host that it turns away, in seconds.
@@ -123,7 +123,7 @@
         """Announce the end, serve on for the agreed time, then stop."""
         self._draining = True
         self._note("draining")
-        await asyncio.sleep(self._options.unannounced_seconds)
+        await asyncio.sleep(self._options.unannounced_seconds or 0.0)
         self._is_announced = True
         accepted_at = await self._announce_until_accepted()
         await asyncio.sleep(
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -45,7 +45,7 @@
     plain_engines: int = 2
     slowness: float = 1.0
     # Time for which only its answers tell that an engine stops, in seconds.
-    unannounced_seconds: float = 0.0
+    unannounced_seconds: float | None = None
 
 
 @dataclass(kw_only=True)
@@ -239,7 +239,7 @@
             "id": new_engine_id(),
             "event_seconds": EVENT_SECONDS * self.shape.slowness,
         }
-        if self.shape.unannounced_seconds:
+        if self.shape.unannounced_seconds is not None:
             options["unannounced_seconds"] = self.shape.unannounced_seconds
         if not is_plain:
             options["models"] = {"m": LOAD_SECONDS}
