Send nothing more to a target that says that it leaves

Cause: nobody read it; only the list told of a target's stop. Class: the same as of the rate limit and the backoff.

Change: each host remembers the processes whose answers said so, also for a minute after the list has lost their entry, and sends them nothing more. A stream whose only group's head leaves waits for another group, as one may form.

--- a/mallowpond/node/intake.py
+++ b/mallowpond/node/intake.py
@@ -1,6 +1,7 @@
 """Tell which targets take requests now, by what they say in their answers."""
 
 from collections.abc import Iterable
+from math import inf
 
 import structlog
 
@@ -10,6 +11,7 @@
 from mallowpond.node.rate_limits import RateLimits
 from mallowpond.state.backoff import Backoffs
 from mallowpond.state.fleet import Group, Target
+from mallowpond.state.leaving import LeavingTargets
 from mallowpond.state.target_notice import TargetNotice
 
 log = structlog.get_logger()
@@ -25,16 +27,20 @@
         self._directory = directory
         self._clock = clock
         self._backoffs = Backoffs()
+        self._leaving = LeavingTargets()
         directory.on_change.append(self._forget_ended)
 
     @property
     def is_any(self) -> bool:
         """Tell whether any target wants less than it could be sent."""
-        return self._rate_limits.is_any or self._backoffs.is_any
+        is_less = self._rate_limits.is_any or self._backoffs.is_any
+        return is_less or len(self._leaving) > 0
 
     def hear(self, target: Target, notice: TargetNotice, asked_at: float) -> None:
         """Take what an answer says that was asked for at a moment."""
         self._rate_limits.hear(target, notice, asked_at)
+        if notice.is_leaving and self._leaving.add(target.process, self._clock.now()):
+            log.info("target: leaves", target=target.id)
         if notice.backoff_seconds is not None:
             self._backoffs.hear(
                 target.process, notice.backoff_seconds, self._clock.now()
@@ -51,6 +57,8 @@
 
     def seconds_until(self, target: Target) -> float:
         """Return how long a target may be sent nothing by this host, in seconds."""
+        if target.process in self._leaving:
+            return inf
         backoff = self._backoffs.seconds_left(target.process, self._clock.now())
         return max(backoff, self._rate_limits.seconds_until(target))
 
@@ -73,8 +81,9 @@
         return max(backoff, self._rate_limits.retry_seconds(target))
 
     def reason(self, targets: Iterable[Target]) -> Reason | None:
-        """Return why targets are sent nothing now, None if none of them is closed."""
-        closed = [target for target in targets if not self.may_send(target)]
+        """Return why targets that stay are sent nothing now, None if none is closed."""
+        staying = [target for target in targets if target.process not in self._leaving]
+        closed = [target for target in staying if not self.may_send(target)]
         if not closed:
             return None
         now = self._clock.now()
@@ -83,9 +92,11 @@
         return Reason.RATE_LIMITED
 
     def _forget_ended(self) -> None:
-        if self._backoffs.is_any:
-            listed = {target.process for target in self._directory.targets.values()}
-            self._backoffs.keep(listed, self._clock.now())
+        if not self.is_any:
+            return
+        listed = {target.process for target in self._directory.targets.values()}
+        self._backoffs.keep(listed, self._clock.now())
+        self._leaving.keep(listed, self._clock.now())
 
     def note_sent(self, target: Target) -> None:
         """Count a request to a target."""
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -135,6 +135,7 @@
         return TargetNotice(
             rate_limit=None if limit is None else float(limit),
             backoff_seconds=None if backoff is None else float(backoff),
+            is_leaving="leaving" in response.headers,
         )
 
     async def order(self, step, *, fence, expected):
--- a/mallowpond/node/tests/test_intake.py
+++ b/mallowpond/node/tests/test_intake.py
@@ -1,5 +1,7 @@
 """What targets that ask for backoff get from a host."""
 
+from dataclasses import replace
+
 from mallowpond.node.outcomes import Answered, Reason
 from mallowpond.node.tests.fakes import (
     BROKEN,
@@ -62,3 +64,35 @@
     assert (outcome.status, outcome.reason) == (503, Reason.BACKING_OFF)
     assert outcome.retry_after > 0.5 * SECONDS
     assert sorted(sends) == ["a", "b"]
+
+
+def leaving(*numbers):
+    """Write a whole answer of a target that is about to stop."""
+    return replace(answer(*numbers), headers={"leaving": "1"})
+
+
+async def test_a_head_that_says_that_it_leaves_gets_nothing_more():
+    """Guards against streams to a head whose entry in the list is still open."""
+    rig = await rig_of("a", "b")
+    rig.targets.script("a0", leaving(1))
+    rig.targets.script("b0", answer(1), answer(1))
+    for target in ("a0", "b0", "b0"):
+        outcome = await rig.service.serve(rig.work(FakeExchange()))
+        assert outcome == Answered(status=200, target=target)
+        rig.clock.time += 30.0
+
+
+async def test_where_the_only_head_leaves_a_stream_waits_for_another_group():
+    rig = await rig_of("a")
+    rig.targets.script("a0", leaving(1))
+    await rig.service.serve(rig.work(FakeExchange()))
+    outcome = await rig.service.serve(rig.work(FakeExchange()))
+    assert (outcome.status, outcome.reason) == (503, Reason.OVERLOADED)
+    assert len(rig.targets.sends) == 1
+
+
+async def test_a_call_goes_to_no_target_that_leaves():
+    last = reply(500, leaving="1")
+    outcome, sends, _ = await serve(IDEMPOTENT, last, reply(200), targets=("a", "b"))
+    assert outcome.status == 200
+    assert sorted(sends) == ["a", "b"]
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -95,6 +95,7 @@
         return TargetNotice(
             rate_limit=_number(found, names.RATE_LIMIT),
             backoff_seconds=_number(found, names.RETRY_AFTER) if is_backoff else None,
+            is_leaving=found.get(names.LEAVING) == "1",
         )
 
     async def order(self, step: Step, *, fence: int, expected: int) -> OrderEnd:
--- a/mallowpond/platform/tests/test_engines.py
+++ b/mallowpond/platform/tests/test_engines.py
@@ -215,6 +215,18 @@
     assert notice == TargetNotice(rate_limit=limit)
 
 
+async def test_an_engine_says_in_its_answers_that_it_leaves():
+    async def call(engines, target):
+        response = await engines.send(
+            target, REQUEST, workspace=None, seconds_left=1.0, last_event=None
+        )
+        return engines.notice(response).is_leaving
+
+    for head, says in ((b"Server-Leaving: 1\r\n", True), (b"", False)):
+        data = b"HTTP/1.1 200 X\r\n" + head + b"content-length: 0\r\n\r\n"
+        assert await with_engine(answering(data), call) is says
+
+
 @pytest.mark.parametrize(
     ("head", "seconds"),
     [
--- /dev/null
+++ b/mallowpond/state/tests/test_leaving.py
@@ -0,0 +1,27 @@
+"""How long a target that leaves is remembered."""
+
+from mallowpond.state.fleet import Process
+from mallowpond.state.leaving import REMEMBERED_SECONDS, LeavingTargets
+
+TARGET = Process(id="t", born=1)
+
+
+def test_a_target_that_leaves_does_not_come_back():
+    leaving = LeavingTargets()
+    assert leaving.add(TARGET, 10.0)
+    assert not leaving.add(TARGET, 11.0)
+    leaving.keep({TARGET}, 1000.0)
+    assert TARGET in leaving
+    assert Process(id="t", born=2) not in leaving
+
+
+def test_a_target_whose_entry_lapses_and_returns_is_still_known():
+    """Guards against sends to a target that leaves while the list has lost it."""
+    leaving = LeavingTargets()
+    leaving.add(TARGET, 10.0)
+    leaving.keep({TARGET}, 100.0)
+    leaving.keep((), 100.0 + 0.9 * REMEMBERED_SECONDS)
+    assert TARGET in leaving
+    leaving.keep((), 100.0 + 1.1 * REMEMBERED_SECONDS)
+    assert TARGET not in leaving
+    assert not leaving
