--- a/mallowpond/node/intake.py
+++ b/mallowpond/node/intake.py
@@ -62,6 +62,10 @@
         backoff = self._backoffs.seconds_left(target.process, self._clock.now())
         return max(backoff, self._rate_limits.seconds_until(target))
 
+    def is_leaving(self, target: Target) -> bool:
+        """Tell whether an answer of a target said that it is about to stop."""
+        return target.process in self._leaving
+
     def closed(self, groups: list[Group]) -> frozenset[str]:
         """Return the groups whose head may be sent nothing now."""
         if not self.is_any:
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -78,7 +78,9 @@
         return frozenset(process.id for process in (*self._lost, *self._replaced))
 
     def is_leaving(self, target: Target) -> bool:
-        """Tell whether a target that the list has lost is about to stop."""
+        """Tell whether a target is about to stop although the list does not say so."""
+        if self._intake.is_leaving(target):
+            return True
         unhealthy = self._unhealthy.get(target.process, 0)
         return target.lapsed and unhealthy >= UNHEALTHY_PROBES
 
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -30,6 +30,7 @@
 from mallowpond.state.formation_view import Join, Leave, Open, Stage
 from mallowpond.state.order_book import REPORT_LAG_SECONDS
 from mallowpond.state.site_configuration import Service, SiteConfiguration
+from mallowpond.state.target_notice import TargetNotice
 
 
 class FakeLeadership:
@@ -119,6 +120,7 @@
         )
         self.watch, self.peers = FakeWatch(), FakePeers()
         self.leadership = FakeLeadership()
+        self.intake = intake_of(self.directory, self.clock)
         self.planner = GroupPlanner(
             configuration=self.configuration,
             directory=self.directory,
@@ -130,7 +132,7 @@
             metrics=NodeMetrics(),
             stall_seconds=4.0,
             traffic_seen=TrafficSeen(seen=True),
-            intake=intake_of(self.directory, self.clock),
+            intake=self.intake,
         )
 
     async def steps(self, count=1):
@@ -901,3 +903,14 @@
     while rig.clock.time - began < 3.0:
         await rig.steps(1)
     assert 3 <= len(plans) <= 8
+
+
+async def test_a_target_whose_answers_say_that_it_leaves_gets_no_new_group():
+    """Guards against groups formed of a target that only its answers tell leaves."""
+    rig = Rig(free("e0"), free("e1"))
+    await rig.directory.refresh()
+    notice = TargetNotice(is_leaving=True)
+    rig.intake.hear(rig.directory.targets["e0"], notice, rig.clock.now())
+    await rig.steps(5)
+    joins = [step for step, _, _ in rig.targets.orders if isinstance(step, Join)]
+    assert joins == []
