Tell a limit that lasts again before others forget it

Found by reading: hosts without a part of a rate hear of the limit when it is new and then no more, and forget it after a minute, all at the same moment. Each would then send the target a request at once: 195 hosts, 195 requests. The hosts that the target answers tell it again every 20 s. The test failed first.

--- a/mallowpond/node/rate_limits.py
+++ b/mallowpond/node/rate_limits.py
@@ -23,6 +23,9 @@
 
 # Pauses before news is told, in seconds: more than once, as datagrams get lost.
 TELL_PAUSES = (0.0, 0.5, 1.5)
+# Pause after which a limit that lasts is told again, in seconds: well within the time
+# after which hosts that only hear of it forget it.
+TELL_AGAIN_SECONDS = 20.0
 # Targets that are told of in one message, at most, and the pause between two messages,
 # in seconds: a service in need has many such targets at once.
 TOLD_AT_ONCE = 50
@@ -49,6 +52,7 @@
         self._shares = LimitShares(host=name)
         # When each target is told of next, and how often it was.
         self._due: dict[Process, tuple[float, int]] = {}
+        self._told_at: dict[Process, float] = {}
         self._news = asyncio.Event()
         directory.on_change.append(self._forget_ended)
         if peers is not None:
@@ -60,10 +64,17 @@
         if limit is None and not self._shares.is_limited(process):
             return
         age = self._clock.now() - asked_at if limit is None else 0.0
-        if self._take(TargetLimit(process=process, limit=limit, age=age)):
+        is_news = self._take(TargetLimit(process=process, limit=limit, age=age))
+        if is_news or self._is_told_long_ago(process):
             self._due[process] = (self._clock.now() + TELL_PAUSES[0], 1)
             self._news.set()
 
+    def _is_told_long_ago(self, process: Process) -> bool:
+        if process in self._due:
+            return False
+        told_at = self._told_at.setdefault(process, self._clock.now())
+        return self._clock.now() - told_at > TELL_AGAIN_SECONDS
+
     @property
     def is_any(self) -> bool:
         """Tell whether any target names a limit."""
@@ -108,6 +119,7 @@
             return
         listed = {target.process for target in self._directory.targets.values()}
         self._shares.keep(listed, self._clock.now())
+        self._told_at = {p: at for p, at in self._told_at.items() if p in listed}
         self._metrics.rate_limited.set(len(self._shares.limits))
 
     # -- other hosts ---------------------------------------------------------
@@ -143,6 +155,7 @@
             if word is None:
                 continue
             told.append(word)
+            self._told_at[process] = now
             if times < len(TELL_PAUSES):
                 self._due[process] = (now + TELL_PAUSES[times], times + 1)
         if told and self._peers is not None:
--- a/mallowpond/node/tests/test_rate_limits.py
+++ b/mallowpond/node/tests/test_rate_limits.py
@@ -228,3 +228,17 @@
     await settle()
     assert other.is_any
     await cancel_task(telling)
+
+
+async def test_a_limit_that_lasts_is_not_forgotten_by_those_that_only_heard_of_it():
+    """Guards against hosts without a part that all forget a limit at one moment.
+
+    Each then sends the target a request at once, as many as there are hosts.
+    """
+    rig, _, (mine, other) = await pair()
+    for _ in range(40):
+        mine.hear(head(rig, "a0"), NAMED, rig.clock.now())
+        mine.tell_due()
+        rig.clock.time += 5.0
+        other.seconds_until(head(rig, "a0"))
+        assert other.is_any
