Let a begun stream wait where all groups that are left are limited

Found by reading: a stream whose group died while all others named a rate limit was refused at once, as a new one is, and so cut off in its middle, though a group may form while its caller still waits. Begun streams wait as before.

--- a/mallowpond/node/stream_placing.py
+++ b/mallowpond/node/stream_placing.py
@@ -149,8 +149,11 @@
         return self._intake.closed(groups).union(used)
 
     def _refuse_closed(self, work: StreamWork) -> Refusal | None:
-        """Refuse a stream where every group of its model wants none for too long."""
-        if not self._intake.is_any:
+        """Refuse a stream where every group of its model wants none for too long.
+
+        Not one that has begun: it would be cut off, though a group may form in time.
+        """
+        if work.has_begun or not self._intake.is_any:
             return None
         groups = self._directory.serving_groups(work.service, work.model.name)
         heads = [g.head for g in groups if g.head is not None]
--- a/mallowpond/node/tests/test_rate_limits.py
+++ b/mallowpond/node/tests/test_rate_limits.py
@@ -20,6 +20,7 @@
 )
 from mallowpond.node.tests.test_calls import IDEMPOTENT, reply, serve
 from mallowpond.node.tests.test_dispatcher import settle, site_of
+from mallowpond.state.fleet import BreakCause
 from mallowpond.state.target_notice import TargetNotice
 
 NAMED = TargetNotice(rate_limit=1.0)
@@ -242,3 +243,22 @@
         rig.clock.time += 5.0
         other.seconds_until(head(rig, "a0"))
         assert other.is_any
+
+
+async def test_a_stream_that_has_begun_waits_for_a_group_that_may_take_it():
+    """Guards against begun streams that are cut off as all groups left are limited."""
+    rig = await rig_of("a", "b")
+    limits = intake_of(rig)
+    limits.hear(head(rig, "b0"), SCARCE, rig.clock.now())
+    end = asyncio.get_running_loop().create_future()
+    rig.targets.script("a0", FakeResponse(script=[event(1), end, BROKEN]))
+    rig.targets.script("b0", answer(2))
+    serving = asyncio.create_task(rig.service.serve(rig.work(FakeExchange())))
+    await settle()
+    rig.directory.break_group(rig.directory.groups["a", 1], BreakCause.RESTARTED)
+    end.set_result(None)
+    await settle()
+    assert not serving.done()
+    limits.hear(head(rig, "b0"), TargetNotice(), rig.clock.now())
+    rig.service.placing.wake_all()
+    assert await serving == Answered(status=200, target="b0")
