--- a/mallowpond/node/tests/test_rate_limits.py
+++ b/mallowpond/node/tests/test_rate_limits.py
@@ -1,26 +1,40 @@
 """What targets that named a rate limit get from the hosts."""
 
 import asyncio
+from collections import deque
 from dataclasses import replace
 
 import pytest
 
 from mallowpond.coordination.tasks import cancel_task
+from mallowpond.node.directory import Directory
 from mallowpond.node.messages import PlaceAnswer, PlaceVerdict, RateLimitNews
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, Reason, Refusal
 from mallowpond.node.rate_limits import TELL_PAUSES, RateLimits
 from mallowpond.node.tests.fakes import (
     BROKEN,
+    FakeClock,
     FakeExchange,
     FakeResponse,
+    FakeSource,
+    FakeTargets,
     answer,
     event,
+    listing,
     rig_of,
 )
-from mallowpond.node.tests.test_calls import IDEMPOTENT, reply, serve
+from mallowpond.node.tests.test_calls import (
+    IDEMPOTENT,
+    plain,
+    reply,
+    serve,
+    service_of,
+    work_of,
+)
 from mallowpond.node.tests.test_dispatcher import settle, site_of
 from mallowpond.state.fleet import BreakCause
+from mallowpond.state.retry_window import RetryWindow
 from mallowpond.state.target_notice import TargetNotice
 
 NAMED = TargetNotice(rate_limit=1.0)
@@ -155,6 +169,23 @@
     assert len(sends) == 1
 
 
+async def test_a_call_counts_against_the_rate_of_its_target():
+    clock, fakes = FakeClock(), FakeTargets()
+    fakes.script("a", reply(200, limit="1.0"))
+    source = FakeSource(listed=deque([listing(plain("a"))]))
+    directory = Directory(source=source, clock=clock)
+    await directory.refresh()
+    budget = RetryWindow(ratio=0.0, slack=10.0, window_seconds=10.0)
+    service = service_of(directory, fakes, clock, budget)
+    target = directory.targets["a"]
+    service._intake.hear(target, NAMED, clock.now())
+    clock.time += 1.0
+    assert service._intake.may_send(target)
+    outcome = await service.serve(work_of(clock, IDEMPOTENT, FakeExchange()))
+    assert outcome == Answered(status=200, target="a")
+    assert not service._intake.may_send(target)
+
+
 class Wire:
     """Carry news from one host to another, unless it is lost."""
 
