Share the schedule of news between rate limits and held requests

Both told each piece three times and ran the same loop, written twice. A test whose name said more than it could show is renamed.

--- a/mallowpond/node/quarantine_sharing.py
+++ b/mallowpond/node/quarantine_sharing.py
@@ -24,10 +24,10 @@
     Unknown,
 )
 from mallowpond.coordination.store import new_id
-from mallowpond.coordination.tasks import sleep_until_news
 from mallowpond.node.messages import CrashQuestion, CrashRecords
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.quarantine import Quarantine
+from mallowpond.node.repeated_news import RepeatedNews
 from mallowpond.node.unreadable import UnreadableNotes
 from mallowpond.state.codec import to_plain
 from mallowpond.state.crash_ledger import HOLD_SECONDS, CrashRecord, Ending
@@ -43,10 +43,9 @@
 # Pauses before a record is told once more, in seconds: datagrams get lost, and hosts
 # that have just started know few others. The first lets one target's requests gather.
 TELL_PAUSES = (0.01, 0.5, 1.5)
-# Records that one host tells in one go, at most, and the pause between two, in seconds:
-# when a fabric domain ends, what is told of it must not fill the links.
+# Records that one host tells in one go, at most: when a fabric domain ends, what is
+# told of it must not fill the links.
 RECORDS_AT_ONCE = 20
-TELL_SECONDS = 0.1
 # Time after the start until this host asks others and the store, in seconds: until then
 # it may know no peers. Pause between two questions, and the questions without an answer
 # after which nobody is asked any more.
@@ -99,11 +98,11 @@
         self._store_clock = store_clock
         self._rng = rng
         self._notes = notes
-        # When each request is told next, and how often it was told.
-        self._due: dict[str, tuple[float, int]] = {}
+        self._news: RepeatedNews[str] = RepeatedNews(
+            clock=clock, pauses=TELL_PAUSES, at_once=RECORDS_AT_ONCE
+        )
         # What every host was told to hold back, and is to hear the rest of.
         self._told_to_all: set[str] = set()
-        self._news = asyncio.Event()
         self._unwritten: set[str] = set()
         self._to_write = asyncio.Event()
         self._is_answered = False
@@ -125,37 +124,22 @@
         self._write_soon(request)
 
     def _tell_soon(self, request: str) -> None:
-        self._due[request] = (self._clock.now() + TELL_PAUSES[0], 1)
-        self._news.set()
+        self._news.add(request)
 
     async def run_telling(self) -> None:
         """Tell what is due until cancelled."""
-        while True:
-            self._news.clear()
-            if not self._due:
-                await self._news.wait()
-                continue
-            seconds = min(at for at, _ in self._due.values()) - self._clock.now()
-            if seconds > 0.0:
-                await sleep_until_news(self._clock, seconds, self._news)
-                continue
-            self.tell_due()
-            await self._clock.sleep(TELL_SECONDS)
+        await self._news.run(self.tell_due)
 
     def tell_due(self) -> None:
         """Tell what is due now."""
-        now = self._clock.now()
-        due = [request for request, (at, _) in self._due.items() if at <= now]
         by_receivers: dict[frozenset[str], list[CrashRecord]] = {}
-        for request in due[:RECORDS_AT_ONCE]:
-            times = self._due.pop(request)[1]
+        for request in self._news.take_due():
             record = self._quarantine.record(request)
             if record is None:
+                self._news.drop(request)
                 self._told_to_all.discard(request)
                 continue
             by_receivers.setdefault(self._receivers(request), []).append(record)
-            if times < len(TELL_PAUSES):
-                self._due[request] = (now + TELL_PAUSES[times], times + 1)
         for receivers, records in by_receivers.items():
             message = CrashRecords(node=self._name, records=tuple(records))
             self._peers.tell_nodes(message, receivers)
--- a/mallowpond/node/rate_limits.py
+++ b/mallowpond/node/rate_limits.py
@@ -5,16 +5,14 @@
 Every host keeps the part of the rate that is its own, whether or not others are heard.
 """
 
-import asyncio
-
 import structlog
 
 from mallowpond.coordination.ports import Clock
-from mallowpond.coordination.tasks import sleep_until_news
 from mallowpond.node.directory import Directory
 from mallowpond.node.messages import RateLimitNews
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.peers import PeerNetwork
+from mallowpond.node.repeated_news import RepeatedNews
 from mallowpond.state.fleet import Process, Target
 from mallowpond.state.rate_limit import LimitShares, TargetLimit
 from mallowpond.state.target_notice import TargetNotice
@@ -26,10 +24,9 @@
 # Pause after which a limit that lasts is told again, in seconds: well within the time
 # after which hosts that only hear of it forget it.
 TELL_AGAIN_SECONDS = 20.0
-# Targets that are told of in one message, at most, and the pause between two messages,
-# in seconds: a service in need has many such targets at once.
+# Targets that are told of in one message, at most: a service in need has many such
+# targets at once.
 TOLD_AT_ONCE = 50
-TELL_SECONDS = 0.1
 
 
 class RateLimits:
@@ -50,10 +47,10 @@
         self._metrics = metrics
         self._peers = peers
         self._shares = LimitShares(host=name)
-        # When each target is told of next, and how often it was.
-        self._due: dict[Process, tuple[float, int]] = {}
+        self._news: RepeatedNews[Process] = RepeatedNews(
+            clock=clock, pauses=TELL_PAUSES, at_once=TOLD_AT_ONCE
+        )
         self._told_at: dict[Process, float] = {}
-        self._news = asyncio.Event()
         directory.on_change.append(self._forget_ended)
         if peers is not None:
             peers.on_rate_limits.append(self._hear_peer)
@@ -66,11 +63,10 @@
         age = self._clock.now() - asked_at if limit is None else 0.0
         is_news = self._take(TargetLimit(process=process, limit=limit, age=age))
         if is_news or self._is_told_long_ago(process):
-            self._due[process] = (self._clock.now() + TELL_PAUSES[0], 1)
-            self._news.set()
+            self._news.add(process)
 
     def _is_told_long_ago(self, process: Process) -> bool:
-        if process in self._due:
+        if process in self._news:
             return False
         told_at = self._told_at.setdefault(process, self._clock.now())
         return self._clock.now() - told_at > TELL_AGAIN_SECONDS
@@ -132,31 +128,18 @@
 
     async def run(self) -> None:
         """Tell other hosts what is new until cancelled."""
-        while True:
-            self._news.clear()
-            if not self._due:
-                await self._news.wait()
-                continue
-            seconds = min(at for at, _ in self._due.values()) - self._clock.now()
-            if seconds > 0.0:
-                await sleep_until_news(self._clock, seconds, self._news)
-                continue
-            self.tell_due()
-            await self._clock.sleep(TELL_SECONDS)
+        await self._news.run(self.tell_due)
 
     def tell_due(self) -> None:
         """Tell the other hosts what is due now."""
         now = self._clock.now()
-        due = [process for process, (at, _) in self._due.items() if at <= now]
         told = []
-        for process in due[:TOLD_AT_ONCE]:
-            times = self._due.pop(process)[1]
+        for process in self._news.take_due():
             word = self._shares.word(process, now)
             if word is None:
+                self._news.drop(process)
                 continue
             told.append(word)
             self._told_at[process] = now
-            if times < len(TELL_PAUSES):
-                self._due[process] = (now + TELL_PAUSES[times], times + 1)
         if told and self._peers is not None:
             self._peers.tell(RateLimitNews(node=self._name, limits=tuple(told)))
--- a/mallowpond/node/tests/test_rate_limits.py
+++ b/mallowpond/node/tests/test_rate_limits.py
@@ -101,7 +101,7 @@
     assert outcome == Answered(status=200, target="c0")
 
 
-async def test_waiting_streams_are_not_woken_for_a_limited_group():
+async def test_a_waiting_stream_gets_its_place_when_the_rate_leaves_room():
     rig = await rig_of("a")
     intake_of(rig).hear(head(rig, "a0"), NAMED, rig.clock.now())
     serving = asyncio.create_task(rig.service.serve(rig.work(FakeExchange())))
@@ -241,7 +241,7 @@
         rig.clock.time += pause
         mine.tell_due()
     assert other.seconds_until(head(rig, "a0")) > 0.0
-    assert mine._due == {}
+    assert len(mine._news) == 0
 
 
 async def test_news_of_an_unlisted_process_is_left_out():
