--- a/mallowpond/node/tests/test_rate_limits.py
+++ b/mallowpond/node/tests/test_rate_limits.py
@@ -293,3 +293,13 @@
     limits.hear(head(rig, "b0"), TargetNotice(), rig.clock.now())
     rig.service.placing.wake_all()
     assert await serving == Answered(status=200, target="b0")
+
+
+async def test_an_answer_asked_for_before_the_limit_was_named_does_not_end_it():
+    """Guards against answers that overtake each other and lift a limit in force."""
+    rig, _, (mine, _) = await pair()
+    mine.hear(head(rig, "a0"), NAMED, rig.clock.now())
+    asked_at = rig.clock.now() - 0.1
+    rig.clock.time += 0.1
+    mine.hear(head(rig, "a0"), TargetNotice(), asked_at)
+    assert mine.seconds_until(head(rig, "a0")) > 0.0
