--- a/mallowpond/node/tests/test_intake.py
+++ b/mallowpond/node/tests/test_intake.py
@@ -9,6 +9,8 @@
     FakeResponse,
     answer,
     event,
+    listing,
+    open_group,
     rig_of,
 )
 from mallowpond.node.tests.test_calls import IDEMPOTENT, reply, serve
@@ -96,3 +98,19 @@
     outcome, sends, _ = await serve(IDEMPOTENT, last, reply(200), targets=("a", "b"))
     assert outcome.status == 200
     assert sorted(sends) == ["a", "b"]
+
+
+async def test_what_a_target_asked_for_is_forgotten_with_the_target():
+    """Guards against memory that grows with every process that ever asked."""
+    rig = await rig_of("a", "b")
+    intake = rig.service._intake
+    notice = rig.targets.notice(shedding())
+    intake.hear(rig.directory.targets["a0"], notice, rig.clock.now())
+    rig.source.listed.append(listing(*open_group("b"), revision=2))
+    rig.clock.time += 20.0
+    await rig.directory.refresh()
+    rig.clock.time += 60.0
+    rig.source.listed.append(listing(*open_group("b"), revision=3))
+    await rig.directory.refresh()
+    assert "a0" not in rig.directory.targets
+    assert not intake.is_any
