--- a/soak/judge.py
+++ b/soak/judge.py
@@ -348,11 +348,17 @@
     for note in run.notes:
         if note.event == "arrival":
             arrived[note.engine, nodes.get(note.values["attempt"])].append(note.at)
+    starts: dict[str, list[float]] = defaultdict(list)
+    for note in run.notes:
+        if note.event == "start":
+            starts[note.engine].append(note.at)
     for note in run.notes:
         node = nodes.get(note.values.get("attempt", ""))
         if note.event != "turned away" or node is None:
             continue
-        end = note.at + note.values["seconds"]
+        # A process that starts anew under the id has asked for nothing.
+        later = [at for at in starts[note.engine] if at > note.at]
+        end = min([note.at + note.values["seconds"], *later])
         since = note.at + SLACK_SECONDS
         count = sum(since < at < end for at in arrived[note.engine, node])
         if count > BACKOFF_REQUESTS and not _was_disturbed(run, node, end):
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -360,3 +360,13 @@
     assert broken_promises(leaving(12.4)) == []
     killed = Disturbance(kind="node_kill", began_at=11.0, ended_at=12.0, node=0)
     assert broken_promises(leaving(13.0, disturbances=[killed])) == []
+
+
+def test_a_backoff_ends_with_the_process_that_asked_for_it():
+    run = turned_away(11.1, 11.2, 12.9)
+    restarted = note("start", at=11.0, engine="p0")
+    notes = tuple(sorted([*run.notes, restarted], key=lambda n: n.at))
+    assert broken_promises(replace(run, notes=notes)) == []
+    other = replace(restarted, engine="p1")
+    notes = tuple(sorted([*run.notes, other], key=lambda n: n.at))
+    assert broken_promises(replace(run, notes=notes)) != []
