Move engines to a model that is short of slots

Cause: groups are formed by declared shares, while the smaller model may have eight times the work of the larger one; its slots are full and the others idle. Change: state/model_demand.py averages the slots in use, state/rebalancing.py decides a swap, state/formation.py stages the weights on the members of a working group, closes it once all are staged, and forms the new groups.

--- a/bench/formation.py
+++ b/bench/formation.py
@@ -21,7 +21,7 @@
     Target,
     assemble_groups,
 )
-from mallowpond.state.formation import plan_steps
+from mallowpond.state.formation import plan_round
 from mallowpond.state.formation_view import (
     Close,
     Formation,
@@ -32,10 +32,18 @@
     Stage,
     Step,
 )
+from mallowpond.state.rebalancing import RebalancingView, SwapDecision
 
 
 def profile_of(
-    large: int, large_share: float, small: int, small_share: float
+    large: int,
+    large_share: float,
+    small: int,
+    small_share: float,
+    *,
+    slots: int = 13,
+    loads_per_second: float = 4.5,
+    loads_at_once: int = 6,
 ) -> EngineProfile:
     """Return a profile of engines that serve a large and a small model."""
     models = (
@@ -56,17 +64,17 @@
         ),
     )
     return EngineProfile(
-        slots=13,
+        slots=slots,
         models=models,
-        loads_per_second=4.5,
-        loads_at_once=6,
+        loads_per_second=loads_per_second,
+        loads_at_once=loads_at_once,
         cross_domain_factor=2.5,
     )
 
 
 @dataclass(frozen=True, kw_only=True)
 class Site:
-    """A site with two domains in each of three data centres.
+    """A site with the same number of domains in each of three data centres.
 
     `needed` is the number of groups that can carry the traffic of each model; with
     fewer, streams are delayed.
@@ -76,6 +84,7 @@
     domain_size: int
     profile: EngineProfile
     needed: dict[str, float]
+    domains: int = 2
 
 
 SITES = (
@@ -93,7 +102,6 @@
     ),
 )
 DATA_CENTRES = "abc"
-DOMAINS_PER_DATA_CENTRE = 2
 TICK_SECONDS = 0.1
 WARM_UP_SECONDS = 12.0
 DAY_SECONDS = 44.0
@@ -182,27 +190,28 @@
     loads_begun: list = field(default_factory=list)
     loads: int = 0
     orders: int = 0
+    day_seconds: float = DAY_SECONDS
 
     def run(self) -> Result:
         """Simulate the warm-up and the day."""
         rng = random.Random(self.seed)
         domain = self.site.domain_size
         for data_centre in DATA_CENTRES:
-            for number in range(DOMAINS_PER_DATA_CENTRE * domain):
+            for number in range(self.site.domains * domain):
                 self._add_engine(f"{data_centre}{number // domain}")
         self._draw_events(rng, DATA_CENTRES)
         served = defaultdict(list)
         cross_domain_groups = []
-        while self.now < DAY_SECONDS:
+        while self.now < self.day_seconds:
             while self.events and self.events[0][0] <= self.now:
                 _, kind, where = self.events.pop(0)
                 self._apply_event(kind, where, rng)
             self._advance()
             capacity = self._capacity()
             if self.now >= 0:
+                cross_domain_groups.append(capacity["far"])
                 for name, need in self.site.needed.items():
                     served[name].append(min(1.0, capacity[name] / need))
-                cross_domain_groups.append(capacity["far"])
             self._plan(capacity)
             self.now += TICK_SECONDS
         return Result(
@@ -354,12 +363,12 @@
             for key, known in self.formations.items()
             if key in groups or self.now - known.ordered_at < STALL_SECONDS
         }
-        utilization, running = {}, {}
-        profile, needed = self.site.profile, self.site.needed
+        running = {}
+        profile = self.site.profile
+        utilization = self._utilization(capacity)
         for model in profile.models:
-            full = min(1.08, 0.9 * needed[model.name] / max(0.1, capacity[model.name]))
-            utilization[model.name] = full
-            running[model.name] = model.size * full * 13 * capacity["open"][model.name]
+            slots = profile.slots * capacity["open"][model.name]
+            running[model.name] = model.size * utilization[model.name] * slots
         total = sum(running.values())
         demand = {
             m.name: 0.5 * m.share + 0.5 * running[m.name] / total
@@ -391,10 +400,26 @@
             loading={e.name: e.staging for e in self.engines.values() if e.staging},
             is_before_traffic=self.now < 0,
             newest_target_at=-WARM_UP_SECONDS,
+            rebalancing=self._rebalancing(),
         )
-        for step in plan_steps(view):
+        planned = plan_round(view)
+        self._record_swaps(planned.swaps)
+        for step in planned.steps:
             self._carry_out(step)
 
+    def _utilization(self, capacity: dict) -> dict[str, float]:
+        """Return the slots in use of each model, as a share of those of open groups."""
+        return {
+            name: min(1.08, 0.9 * needed / max(0.1, capacity[name]))
+            for name, needed in self.site.needed.items()
+        }
+
+    def _rebalancing(self) -> RebalancingView | None:
+        return None
+
+    def _record_swaps(self, swaps: tuple[SwapDecision, ...]) -> None:
+        """Do nothing."""
+
     def _carry_out(self, step: Step) -> None:
         engine = self.engines[step.target.id]
         self.orders += 1
@@ -465,10 +490,14 @@
 
 
 def run(*, smallest: bool) -> list[Report]:
-    """Measure the served share for each site and pattern."""
+    """Measure the served share for each site and pattern, and shifted demand."""
     seeds = range(1 if smallest else 20)
     patterns = PATTERNS[:1] if smallest else PATTERNS
-    return [_report(site, patterns, seeds) for site in SITES]
+    reports = [_report(site, patterns, seeds) for site in SITES]
+    # Imported here, as it builds on this module.
+    from bench import shifted_demand
+
+    return [*reports, *shifted_demand.run(seeds=range(1 if smallest else 3))]
 
 
 def _report(site: Site, patterns: tuple[Pattern, ...], seeds: range) -> Report:
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -24,6 +24,7 @@
         self.retries = counter("mallowpond_retries", "Sends once more", "reason")
         self.suspicions = counter("mallowpond_suspicions", "Groups suspected", "origin")
         self.orders = counter("mallowpond_orders", "Orders to engines", "kind", "end")
+        self.swaps = counter("mallowpond_swaps", "Groups moved to a model", "action")
         self.clients_gone = counter("mallowpond_clients_gone", "Callers that left")
         self.bad_input = counter("mallowpond_bad_input", "Unreadable", "reason")
         self.unreadable = counter(
--- a/mallowpond/node/model_summary.py
+++ b/mallowpond/node/model_summary.py
@@ -56,6 +56,15 @@
     return result
 
 
+def running(directory: Directory, profile: EngineProfile) -> dict[str, float]:
+    """Return the running streams of each model, those of closing groups included."""
+    totals = {model.name: 0.0 for model in profile.models}
+    for group in directory.groups.values():
+        if group.model in totals:
+            totals[group.model] += directory.loads.load(group.key).running
+    return totals
+
+
 def _open_groups(directory: Directory, model: str) -> list[Group]:
     return [
         group
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -22,7 +22,7 @@
 )
 from mallowpond.node.leadership import Leadership
 from mallowpond.node.metrics import NodeMetrics
-from mallowpond.node.model_summary import demand, log_summary, utilization
+from mallowpond.node.model_summary import demand, log_summary, running, utilization
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.ports import (
     OrderFenced,
@@ -45,7 +45,7 @@
     Process,
     Target,
 )
-from mallowpond.state.formation import plan_steps
+from mallowpond.state.formation import plan_round
 from mallowpond.state.formation_view import (
     Close,
     Formation,
@@ -56,8 +56,14 @@
     Stage,
     Step,
 )
+from mallowpond.state.model_demand import DemandTracker
 from mallowpond.state.order_book import OrderBook, loads_weights
 from mallowpond.state.processes import CurrentProcesses, has_restarted
+from mallowpond.state.rebalancing import (
+    RebalancingView,
+    SwapDecision,
+    SwapRecords,
+)
 
 log = structlog.get_logger()
 
@@ -116,7 +122,9 @@
         stall_seconds: float,
         traffic_seen: TrafficSeen,
         availability: TargetAvailability,
+        rebalance: bool = False,
     ) -> None:
+        self._rebalance = rebalance
         self._configuration = configuration
         self._directory = directory
         self._targets = targets
@@ -171,6 +179,9 @@
         self._last_plan_at = float("-inf")
         self._has_changes = True
         self._last_summary_at = float("-inf")
+        # By service. A new planner observes the demand before it moves engines.
+        self._demand: dict[str, DemandTracker] = {}
+        self._swaps: dict[str, SwapRecords] = {}
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -244,15 +255,65 @@
 
     def _plan_service(self, service: str, profile: EngineProfile) -> None:
         view = self._view(service, profile)
-        steps = plan_steps(view)
+        planned = plan_round(view)
         if view.now - self._last_summary_at > SUMMARY_SECONDS:
             self._last_summary_at = view.now
             log_summary(self._directory, view)
-        for step in steps:
+        for decision in planned.swaps:
+            self._record_swap(service, decision)
+        for step in planned.steps:
             if isinstance(step, Join):
                 self._record_formation(step)
             self._start_order(step)
 
+    def _rebalancing(
+        self, service: str, profile: EngineProfile
+    ) -> RebalancingView | None:
+        """Return the input for moving engines between models, None if that is off."""
+        if not self._rebalance:
+            return None
+        now = self._clock.now()
+        tracker = self._demand.setdefault(service, DemandTracker())
+        tracker.record(running(self._directory, profile), now)
+        records = self._swaps.setdefault(service, SwapRecords())
+        records.prune(self._directory.groups)
+        return RebalancingView(
+            demand={m.name: tracker.demand(m.name, now) for m in profile.models},
+            covers_wave=tracker.covers_wave(now),
+            under_way=records.under_way,
+            received_at=records.received_at,
+        )
+
+    def _record_swap(self, service: str, decision: SwapDecision) -> None:
+        now, swap = self._clock.now(), decision.swap
+        giver, taker = decision.giver, decision.taker
+        self._swaps[service].record(swap, now)
+        self._metrics.swaps.labels(decision.action).inc()
+        log.info(
+            "planner: swap",
+            action=decision.action,
+            giver=swap.giver,
+            taker=swap.taker,
+            domain=swap.domain,
+            group=swap.key[0] if swap.key else None,
+            loads=swap.loads,
+            makes=swap.groups,
+            running=[
+                round(value, 1)
+                for value in (
+                    taker.demand.short,
+                    taker.demand.long,
+                    taker.demand.wave,
+                )
+            ],
+            taker_groups=taker.groups,
+            giver_peak=giver.demand.peak,
+            giver_groups=len(giver.domains),
+            loading=len(self._book.loading),
+            load_age=self._directory.loads.load_age,
+            observed=round(self._demand[service].covered_seconds(now), 1),
+        )
+
     def _view(self, service: str, profile: EngineProfile) -> FormationView:
         now = self._clock.now()
         return FormationView(
@@ -283,6 +344,7 @@
             is_before_traffic=not self._traffic_seen.seen,
             is_settled=self._directory.is_settled,
             newest_target_at=self._directory.newest_target_at,
+            rebalancing=self._rebalancing(service, profile),
         )
 
     def _with_latest_state(self, target: Target) -> Target:
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -177,6 +177,7 @@
             stall_seconds=settings.bounds.stall,
             traffic_seen=self._traffic,
             availability=availability,
+            rebalance=settings.planning.rebalance,
         )
         self.fanout = Fanout(
             name=settings.name,
--- a/mallowpond/node/settings.py
+++ b/mallowpond/node/settings.py
@@ -26,6 +26,16 @@
     retry_slack: float = 100.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class NodePlanning:
+    """Choices of the group planner.
+
+    rebalance: whether engines move from a model with slack to one short of slots.
+    """
+
+    rebalance: bool = False
+
+
 @dataclass(frozen=True, kw_only=True)
 class NodeSettings:
     """Settings of one node.
@@ -49,6 +59,7 @@
     cpu_share: float = 1.0
     cpu_cores: float = 1.0
     bounds: NodeBounds = field(default_factory=NodeBounds)
+    planning: NodePlanning = field(default_factory=NodePlanning)
     log: LogSettings = field(default_factory=LogSettings)
 
     @property
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -10,11 +10,14 @@
 again from survivors and staged spares; keep spares staged; load what is left.
 """
 
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
 from math import ceil
 
 from mallowpond.state.fleet import (
+    Group,
+    GroupKey,
     GroupPhase,
     ModelSpec,
     Target,
@@ -28,6 +31,18 @@
     make_join,
     needs_load,
 )
+from mallowpond.state.model_demand import ModelDemand
+from mallowpond.state.rebalancing import (
+    Giver,
+    IdleTargets,
+    ModelState,
+    Swap,
+    SwapDecision,
+    can_give,
+    is_short,
+    loads_for_swaps,
+    plan_swap,
+)
 from mallowpond.state.upkeep import JOIN_PATIENCE_SECONDS, GroupUpkeep
 
 # Loads to order per second, as a share of the declared rate. The margin allows for
@@ -54,8 +69,22 @@
 
 def plan_steps(view: FormationView) -> tuple[Step, ...]:
     """Return the orders to give now; no target gets orders for two groups."""
+    return plan_round(view).steps
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlannedRound:
+    """The orders of one round, and the swaps that begin or go on with them."""
+
+    steps: tuple[Step, ...]
+    swaps: tuple[SwapDecision, ...] = ()
+
+
+def plan_round(view: FormationView) -> PlannedRound:
+    """Return the orders to give now, with the swaps that they belong to."""
     planner = _Planner(view)
-    return planner.plan()
+    steps = planner.plan()
+    return PlannedRound(steps=steps, swaps=tuple(planner.swaps))
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -98,6 +127,7 @@
         self._loads_left = _loads_allowed(view)
         self._loading = dict(view.loading)
         self._joining: dict[str, str] = {}
+        self.swaps: list[SwapDecision] = []
 
     def plan(self) -> tuple[Step, ...]:
         grouped = self._upkeep.reserved
@@ -106,12 +136,14 @@
                 grouped |= {member.id for member in group.members}
         for target in self._view.targets:
             if target.id not in grouped and self._upkeep.can_join(target):
-                self._free.setdefault(target.domain, []).append(target)
+                free = self._without_replaced_model(target)
+                self._free.setdefault(target.domain, []).append(free)
         if self._awaits_targets():
             return tuple(self._steps)
         self._form_groups()
         self._consolidate_groups()
         self._stage_weights()
+        self._rebalance()
         return tuple(self._steps)
 
     def _awaits_targets(self) -> bool:
@@ -160,7 +192,13 @@
         return (self._served[model.name] + 0.5) * model.size / max(share, 0.01)
 
     def _models_by_deficit(self) -> list[ModelSpec]:
-        return sorted(self._view.profile.models, key=self._engines_per_share)
+        return sorted(
+            self._view.profile.models,
+            key=lambda model: (
+                not self._is_short(model),
+                self._engines_per_share(model),
+            ),
+        )
 
     def _form_one(self, model: ModelSpec) -> bool:
         candidates = [self._candidate(domain, model) for domain in self._free]
@@ -317,7 +355,13 @@
         missing = model.size - len(available)
         if missing <= 0 or missing > len(available):
             return None
-        others = [t for t in free if t not in available and t.id not in self._loading]
+        others = [
+            t
+            for t in free
+            if t not in available
+            and t.id not in self._loading
+            and not self._serves_short_model(t, model)
+        ]
         others.sort(key=lambda t: (bool(t.staged), t.id))
         chosen = others[:missing]
         replaced = sum(bool(t.staged) for t in chosen)
@@ -346,6 +390,268 @@
         names = [model.name for model in self._view.profile.models]
         return min(names, key=lambda name: (-members[name], spares[name]))
 
+    # -- moving engines between models ------------------------------------------
+
+    def _without_replaced_model(self, target: Target) -> Target:
+        """Return a free target without its loaded model if another one is staged.
+
+        Its former group gave it up for the staged model, and must not be formed again
+        from it. This is seen from the list alone, so it holds for a new planner too.
+        """
+        if self._view.rebalancing is None or not target.staged:
+            return target
+        return target if target.model in target.staged else replace(target, model="")
+
+    def _is_short(self, model: ModelSpec) -> bool:
+        """Return whether a model is short of slots with the groups planned so far."""
+        if self._view.rebalancing is None:
+            return False
+        state = ModelState(
+            spec=model,
+            demand=self._demand(model),
+            groups=self._served[model.name],
+            domains=(),
+        )
+        return is_short(state, self._view.profile.slots)
+
+    def _demand(self, model: ModelSpec) -> ModelDemand:
+        assert self._view.rebalancing is not None
+        return self._view.rebalancing.demand.get(model.name, ModelDemand())
+
+    def _serves_short_model(self, target: Target, wanted: ModelSpec) -> bool:
+        """Return whether a target has the weights of a short model, not `wanted`."""
+        if self._is_short(wanted):
+            return False
+        return any(
+            self._is_short(model)
+            for model in self._view.profile.models
+            if model.name in target.staged
+        )
+
+    def _rebalance(self) -> None:
+        """Go on with the swaps under way, then begin another one if one is due.
+
+        This comes last: repairs and new targets have the first call on the loads.
+        """
+        view = self._view
+        known = view.rebalancing
+        if known is None or view.is_before_traffic or not view.is_settled:
+            return
+        under_way = self._swaps_under_way()
+        if not known.covers_wave:
+            return
+        for key in sorted(under_way):
+            self._continue_swap(self._groups[key], under_way)
+        states = self._model_states(under_way)
+        swap = plan_swap(
+            models=states.values(),
+            givers=self._givers(under_way),
+            idle=[self._idle_targets(domain) for domain in sorted(self._free)],
+            slots=view.profile.slots,
+            loads_at_once=view.profile.loads_at_once,
+            loading=len(self._loading),
+            under_way=Counter(self._groups[key].model for key in under_way),
+            received_at=known.received_at,
+            now=view.now,
+        )
+        if swap is None or self._loads_left < min(1, swap.loads):
+            return
+        self._record_swap("begin", swap, states)
+        if swap.key is not None:
+            self._stage_members(self._groups[swap.key], swap.taker)
+            return
+        idle = [
+            target
+            for target in sorted(self._free[swap.domain], key=lambda t: t.id)
+            if target.id not in self._loading
+            and _available_models(target, self._loading) == (swap.giver,)
+        ]
+        for target in idle[: min(swap.loads, self._loads_left)]:
+            self._stage(target, swap.taker)
+
+    def _record_swap(
+        self, action: str, swap: Swap, states: Mapping[str, ModelState]
+    ) -> None:
+        self.swaps.append(
+            SwapDecision(
+                action=action,
+                swap=swap,
+                giver=states[swap.giver],
+                taker=states[swap.taker],
+            )
+        )
+
+    def _swaps_under_way(self) -> dict[GroupKey, str]:
+        """Return the model that takes the engines of each group that is given up.
+
+        A group of which most members have another model staged was prepared by an
+        earlier planner.
+        """
+        assert self._view.rebalancing is not None
+        names = {model.name for model in self._view.profile.models}
+        recorded = self._view.rebalancing.under_way
+        found = {key: recorded[key] for key in recorded if key in self._groups}
+        for key, group in self._groups.items():
+            if key in found or group.model not in names or group.spans_domains:
+                continue
+            if group.phase not in (GroupPhase.OPEN, GroupPhase.CLOSING):
+                continue
+            staged = Counter(
+                name
+                for member in group.members
+                if group.model not in member.staged
+                for name in member.staged
+                if name in names
+            )
+            for name, count in staged.items():
+                if 2 * count > len(group.members):
+                    found[key] = name
+        return found
+
+    def _model_states(self, under_way: Mapping[GroupKey, str]) -> dict[str, ModelState]:
+        models = self._view.profile.models
+        given = Counter(
+            self._groups[key].model
+            for key in under_way
+            if self._groups[key].phase in (GroupPhase.OPEN, GroupPhase.CLOSING)
+        )
+        return {
+            model.name: ModelState(
+                spec=model,
+                demand=self._demand(model),
+                groups=self._served[model.name]
+                - given[model.name]
+                + self._groups_to_come(model, under_way),
+                domains=tuple(
+                    group.members[0].domain
+                    for key, group in self._groups.items()
+                    if group.model == model.name
+                    and key not in under_way
+                    and self._is_whole(group, model)
+                ),
+            )
+            for model in models
+        }
+
+    def _groups_to_come(
+        self, model: ModelSpec, under_way: Mapping[GroupKey, str]
+    ) -> int:
+        """Return how many groups the targets that change to a model will make.
+
+        These are members of groups that are given up for it, and free targets that
+        load it or have an order under way.
+        """
+        counts: Counter[str] = Counter()
+        for key, taker in under_way.items():
+            if taker == model.name:
+                counts.update(member.domain for member in self._groups[key].members)
+        ordered = set(self._joining) | self._upkeep.reserved
+        for formation in self._view.formations.values():
+            ordered.update(formation.members)
+        for target in self._view.targets:
+            if target.membership is not None or target.id in ordered:
+                continue
+            if target.id in self._view.lost or target.draining or target.lapsed:
+                continue
+            available = _available_models(target, self._loading)
+            counts[target.domain] += model.name in available
+        return sum(count // model.size for count in counts.values())
+
+    def _is_whole(self, group: Group, model: ModelSpec) -> bool:
+        """Return whether an open group in one domain is whole and stays so."""
+        view = self._view
+        return (
+            group.phase is GroupPhase.OPEN
+            and not group.spans_domains
+            and len(group.members) == model.size
+            and not group.is_leaving
+            and not any(m.lapsed or m.id in view.lost for m in group.members)
+            and group.key not in view.closed | view.repeatedly_suspected
+            and not self._upkeep.has_restarted(group.key)
+        )
+
+    def _givers(self, under_way: Mapping[GroupKey, str]) -> list[Giver]:
+        view = self._view
+        givers = []
+        for key, group in self._groups.items():
+            model = view.profile.model(group.model)
+            if model is None or key in under_way or not self._is_whole(group, model):
+                continue
+            if any(m.id in self._loading or m.id in view.busy for m in group.members):
+                continue
+            staged = Counter(name for m in group.members for name in m.staged)
+            givers.append(
+                Giver(
+                    key=key,
+                    model=group.model,
+                    domain=group.members[0].domain,
+                    staged=staged,
+                )
+            )
+        return givers
+
+    def _idle_targets(self, domain: str) -> IdleTargets:
+        free = self._free[domain]
+        return IdleTargets(
+            domain=domain,
+            available=Counter(
+                name for t in free for name in _available_models(t, self._loading)
+            ),
+            replaceable=Counter(
+                name
+                for t in free
+                if t.id not in self._loading
+                for name in _available_models(t, self._loading)
+            ),
+            spares_needed=frozenset(
+                t.model for t in self._in_domain[domain] if t.membership is not None
+            ),
+        )
+
+    def _continue_swap(self, group: Group, under_way: Mapping[GroupKey, str]) -> None:
+        """Stage what is missing, and close the group once all members are staged.
+
+        The decision is taken anew, with all other swaps counted: the group goes on
+        serving if its model needs it by now, or the other one no longer does.
+        """
+        view = self._view
+        taker, giver = under_way[group.key], view.profile.model(group.model)
+        if giver is None or not self._is_whole(group, giver):
+            return
+        others = {key: name for key, name in under_way.items() if key != group.key}
+        states, domain = self._model_states(others), group.members[0].domain
+        if taker not in states or not is_short(states[taker], view.profile.slots):
+            return
+        if not can_give(states[group.model], view.profile.slots, domain):
+            return
+        if not all(taker in member.staged for member in group.members):
+            self._stage_members(group, taker)
+            return
+        assert group.head is not None
+        if group.head.id in view.busy:
+            return
+        swap = Swap(
+            giver=group.model,
+            taker=taker,
+            domain=domain,
+            key=group.key,
+            loads=0,
+            groups=giver.size // states[taker].spec.size,
+        )
+        self._record_swap("close", swap, states)
+        self._upkeep.order_close(group, group.head, evict=False)
+
+    def _stage_members(self, group: Group, model: str) -> None:
+        profile = self._view.profile
+        for member in group.members:
+            budget = loads_for_swaps(profile.loads_at_once, len(self._loading))
+            if min(budget, self._loads_left) < 1:
+                return
+            if model in member.staged or member.id in self._loading:
+                continue
+            if member.id not in self._view.busy:
+                self._stage(member, model)
+
 
 def _take_from_parts(parts: list[list[Target]], size: int) -> list[Target] | None:
     """Return `size` targets taken from few parts, leaving large parts intact."""
--- a/mallowpond/state/formation_view.py
+++ b/mallowpond/state/formation_view.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from mallowpond.state.fleet import EngineProfile, ModelSpec, Process, Target
+from mallowpond.state.rebalancing import RebalancingView
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -116,6 +117,7 @@
     is_before_traffic: no request has arrived yet in this installation.
     is_settled: the list is complete; false during and just after a store outage.
     newest_target_at: time at which the last new target appeared.
+    rebalancing: what is known for moving engines between models; None if that is off.
     """
 
     profile: EngineProfile
@@ -138,6 +140,7 @@
     is_before_traffic: bool = False
     is_settled: bool = True
     newest_target_at: float = float("-inf")
+    rebalancing: RebalancingView | None = None
 
 
 def needs_load(target: Target, model: ModelSpec) -> bool:
