--- a/bench/shifted_demand.py
+++ b/bench/shifted_demand.py
@@ -98,7 +98,8 @@
     def _rebalancing(self) -> RebalancingView | None:
         if not self.rebalances or self.now < 0:
             return None
-        self.records.prune(self._groups())
+        if self.records.under_way:
+            self.records.prune(self._groups())
         return RebalancingView(
             demand={n: self.tracker.demand(n, self.now) for n in ("large", "small")},
             covers_wave=self.tracker.covers_wave(self.now),
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -404,7 +404,7 @@
 
     def _is_short(self, model: ModelSpec) -> bool:
         """Return whether a model is short of slots with the groups planned so far."""
-        if self._view.rebalancing is None:
+        if self._view.rebalancing is None or self._view.is_before_traffic:
             return False
         state = ModelState(
             spec=model,
@@ -440,6 +440,8 @@
         under_way = self._swaps_under_way()
         if not known.covers_wave:
             return
+        if not under_way and not any(map(self._is_short, view.profile.models)):
+            return
         for key in sorted(under_way):
             self._continue_swap(self._groups[key], under_way)
         states = self._model_states(under_way)
--- a/mallowpond/state/rebalancing.py
+++ b/mallowpond/state/rebalancing.py
@@ -94,8 +94,14 @@
 
 
 def is_short(model: ModelState, slots: int) -> bool:
-    """Return whether a model will be short of slots, with all that is under way."""
-    return model.demand.lasting > SHORT_UTILIZATION * max(0.0, model.groups) * slots
+    """Return whether a model will be short of slots, with all that is under way.
+
+    A model without a group runs no streams, so its demand cannot be observed; it is
+    short.
+    """
+    if model.groups <= 0:
+        return True
+    return model.demand.lasting > SHORT_UTILIZATION * model.groups * slots
 
 
 def can_give(model: ModelState, slots: int, domain: str | None) -> bool:
