Continue prepared swaps one after the other

Cause: two prepared groups each waited, as the gain of the other counted; and a group whose model lost its slack counted as given up while it served. Change: swaps under way are checked in order, each with only those before it counted. Result: a test with two prepared groups and need for one closes one; planner tests pass.

--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -442,9 +442,8 @@
             return
         if not under_way and not any(map(self._is_short, view.profile.models)):
             return
-        for key in sorted(under_way):
-            self._continue_swap(self._groups[key], under_way)
-        states = self._model_states(under_way)
+        going_on = self._continue_swaps(under_way)
+        states = self._model_states(going_on)
         swap = plan_swap(
             models=states.values(),
             givers=self._givers(under_way),
@@ -610,28 +609,52 @@
             ),
         )
 
-    def _continue_swap(self, group: Group, under_way: Mapping[GroupKey, str]) -> None:
+    def _continue_swaps(self, under_way: Mapping[GroupKey, str]) -> dict[GroupKey, str]:
+        """Go on with the swaps that are still due; return those and the closed ones.
+
+        The others wait: their groups serve, and do not count as given up. Of several
+        prepared groups only as many are closed as are needed.
+        """
+        going_on = {
+            key: taker
+            for key, taker in under_way.items()
+            if self._groups[key].phase is not GroupPhase.OPEN
+        }
+
+        def members_to_stage(key: GroupKey) -> int:
+            members = self._groups[key].members
+            return sum(under_way[key] not in member.staged for member in members)
+
+        for key in sorted(
+            under_way.keys() - going_on, key=lambda key: (members_to_stage(key), key)
+        ):
+            if self._continue_swap(self._groups[key], under_way[key], going_on):
+                going_on[key] = under_way[key]
+        return going_on
+
+    def _continue_swap(
+        self, group: Group, taker: str, going_on: Mapping[GroupKey, str]
+    ) -> bool:
         """Stage what is missing, and close the group once all members are staged.
 
-        The decision is taken anew, with all other swaps counted: the group goes on
-        serving if its model needs it by now, or the other one no longer does.
+        The decision is taken anew, with all other swaps counted. Return whether it
+        still holds.
         """
         view = self._view
-        taker, giver = under_way[group.key], view.profile.model(group.model)
+        giver = view.profile.model(group.model)
         if giver is None or not self._is_whole(group, giver):
-            return
-        others = {key: name for key, name in under_way.items() if key != group.key}
-        states, domain = self._model_states(others), group.members[0].domain
+            return False
+        states, domain = self._model_states(going_on), group.members[0].domain
         if taker not in states or not is_short(states[taker], view.profile.slots):
-            return
+            return False
         if not can_give(states[group.model], view.profile.slots, domain):
-            return
+            return False
         if not all(taker in member.staged for member in group.members):
             self._stage_members(group, taker)
-            return
+            return True
         assert group.head is not None
         if group.head.id in view.busy:
-            return
+            return True
         swap = Swap(
             giver=group.model,
             taker=taker,
@@ -642,6 +665,7 @@
         )
         self._record_swap("close", swap, states)
         self._upkeep.order_close(group, group.head, evict=False)
+        return True
 
     def _stage_members(self, group: Group, model: str) -> None:
         profile = self._view.profile
--- a/mallowpond/state/tests/test_rebalancing.py
+++ b/mallowpond/state/tests/test_rebalancing.py
@@ -316,6 +316,19 @@
     assert fleet.served("large") == 1.0
 
 
+def test_of_two_prepared_groups_only_the_needed_one_is_closed():
+    """Guards against prepared groups that each wait since the other's gain counts."""
+    fleet = small_site()
+    for group in fleet.open_groups("large")[:2]:
+        for member in group.members:
+            fleet._change(member.id, staged=("small",))
+    # Over 0.65 of the slots of 8 groups, under it with the two that one swap makes.
+    fleet.run(45, 10, 100)
+    assert [action for action, _ in fleet.swaps] == ["close"]
+    assert len(fleet.open_groups("small")) == 10
+    assert len(fleet.open_groups("large")) == 5
+
+
 @pytest.mark.parametrize("delay", [5, 13.5])
 def test_a_member_lost_in_a_swap_leaves_the_rest_to_the_other_model(delay):
     fleet = small_site()
