Check the rate of loads in the tests of swaps

Cause: the tests checked only how many loads run at once. Change: each planning round asserts the declared loads per second too.

--- a/mallowpond/state/tests/test_rebalancing.py
+++ b/mallowpond/state/tests/test_rebalancing.py
@@ -188,6 +188,8 @@
         for step in planned.steps:
             self._apply(step)
         assert len(self.loading) <= self.profile.loads_at_once
+        recent = [at for at in self.loads_begun if self.now - at < 1.0]
+        assert len(recent) <= self.profile.loads_per_second
 
     def _apply(self, step):
         name, target = step.target.id, self.engines[step.target.id]
