Evacuate data centres by rows of the store

Cause: operators have no way to stop traffic to the engines of a data centre. Change: rows op/evacuate/ZONE are read with the configuration, shared by digests, version answers, configuration parts and heartbeats (field left out until one was seen), and take effect in the directory, placement, calls, health checks and the planner. Requests with nothing else left are refused as not run (evacuated).

--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -164,10 +164,13 @@
         return min(left, key=rank, default=None)
 
     def _no_target_reason(self, work: CallWork) -> Reason:
-        return (
-            self._availability.refusal_reason(self._unsent_targets(work))
-            or Reason.NO_TARGET
-        )
+        reason = self._availability.refusal_reason(self._unsent_targets(work))
+        if reason is not None:
+            return reason
+        is_empty = not self._directory.usable_targets(work.service)
+        if is_empty and self._directory.has_evacuated_targets(work.service):
+            return Reason.EVACUATED
+        return Reason.NO_TARGET
 
     def _unsent_targets(self, work: CallWork) -> list[Target]:
         """Return the targets where the request provably did not run."""
--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -7,6 +7,7 @@
 
 from mallowpond.coordination.ports import Clock, Unavailable
 from mallowpond.coordination.tasks import sleep_until_event
+from mallowpond.node.evacuations import KnownEvacuations
 from mallowpond.node.ports import ConfigurationRead, HistoryLost, SiteSource
 from mallowpond.state.confirmation import Confirmation, may_admit, merge_confirmation
 from mallowpond.state.site_configuration import SiteConfiguration
@@ -60,6 +61,8 @@
         self._configuration: SiteConfiguration | None = None
         self._confirmation: Confirmation | None = None
         self.store_clock = StoreClock()
+        # Read with the configuration, and passed on to peers with it.
+        self.evacuations = KnownEvacuations()
         self._is_superseded = False
         self._question_number = 0
         self._asked_at = float("-inf")
@@ -214,6 +217,7 @@
         self._failures = 0
         self._unanswered = 0
         self._revision = answer.revision
+        self.evacuations.apply_read(answer.evacuations, answer.revision)
         self._apply_answer(answer, self._answered_at(answer, asked_at))
         return answer.configuration is not None or self._configuration is not None
 
--- a/mallowpond/node/configuration_sharing.py
+++ b/mallowpond/node/configuration_sharing.py
@@ -82,12 +82,16 @@
                 data=piece,
                 part=number,
                 parts=len(pieces),
+                evacuations=self._configuration.evacuations.to_share,
             )
             for number, piece in enumerate(pieces)
         ]
 
     def _on_part(self, message: ConfigurationPart) -> None:
         self._fanout.relay(message)
+        # Before the configuration: with that, a host that has just started would send
+        # requests.
+        self._configuration.evacuations.apply_received(message.evacuations)
         known = self._configuration.configuration
         if known is not None and message.version <= known.version:
             return
--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -18,11 +18,13 @@
 from mallowpond.node.ports import HistoryLost, SiteSource, TargetsRead
 from mallowpond.state.broken_groups import BrokenGroups
 from mallowpond.state.ended_processes import EndedProcesses
+from mallowpond.state.evacuations import can_form_group
 from mallowpond.state.fleet import (
     BreakCause,
     Group,
     GroupKey,
     GroupPhase,
+    ModelSpec,
     Process,
     Target,
     assemble_groups,
@@ -94,6 +96,7 @@
         self._awaiting_return: set[str] = set()
         self._healthy_at: dict[Process, float] = {}
         self._ended = EndedProcesses()
+        self._evacuated: frozenset[str] = frozenset()
         self._lapsed_at: dict[str, float] = {}
         self.newest_target_at = float("-inf")
         # Revision of the last change of the list, 0 before the first read.
@@ -142,8 +145,53 @@
             target
             for target in self._by_service.get(service, {}).values()
             if not (target.draining or target.lapsed)
+            and target.data_centre not in self._evacuated
         ]
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Return the data centres whose targets get nothing new."""
+        return self._evacuated
+
+    def evacuate(self, data_centres: frozenset[str]) -> None:
+        """Give nothing new to the targets of these data centres, and only of these.
+
+        Work in progress there goes on.
+        """
+        if data_centres == self._evacuated:
+            return
+        self._evacuated = data_centres
+        for notify in self.on_change:
+            notify()
+
+    def is_evacuated(self, group: Group) -> bool:
+        """Return whether any member of a group is in an evacuated data centre."""
+        return not self._evacuated.isdisjoint(group.data_centres)
+
+    def has_evacuated_targets(self, service: str) -> bool:
+        """Return whether a service has targets that only an evacuation excludes."""
+        return any(
+            target.data_centre in self._evacuated
+            and not (target.draining or target.lapsed)
+            for target in self._by_service.get(service, {}).values()
+        )
+
+    def is_model_evacuated(self, service: str, model: ModelSpec) -> bool:
+        """Return whether evacuations have left nothing that may serve a model.
+
+        Nothing is left if no group elsewhere serves it or is being formed, and none can
+        be formed from free targets without a load.
+        """
+        if not self._evacuated or not self.has_evacuated_targets(service):
+            return False
+        for group in self._groups.values():
+            if group.model != model.name or group.members[0].service != service:
+                continue
+            is_gone = group.phase in (None, GroupPhase.BROKEN)
+            if not (is_gone or group.key in self._broken or self.is_evacuated(group)):
+                return False
+        return not can_form_group(self.all_targets(service), model, self._evacuated)
+
     def drop_lapsed(self, identifier: str) -> None:
         """Drop a lapsed target that a probe found dead."""
         target = self._targets.get(identifier)
@@ -161,6 +209,7 @@
     def serving_groups(self, service: str, model: str) -> list[Group]:
         """Return the groups of a model that may get new streams."""
         now = self._clock.now()
+        evacuated = self._evacuated
         return [
             group
             for group in self._groups.values()
@@ -170,6 +219,7 @@
             and group.head.service == service
             and not group.head.draining
             and group.key not in self._broken
+            and (not evacuated or evacuated.isdisjoint(group.data_centres))
             and self.loads.work(group.key).excluded_until <= now
             and self._is_head_usable(group, now)
         ]
@@ -181,6 +231,7 @@
             and group.head is not None
             and group.head.service == service
             and group.key not in self._broken
+            and not self.is_evacuated(group)
             for group in self._groups.values()
         )
 
--- a/mallowpond/node/dispatcher_client.py
+++ b/mallowpond/node/dispatcher_client.py
@@ -74,6 +74,8 @@
         self._dispatching_host = dispatching_host
         self._last_number = 0
         self._answers: dict[int, asyncio.Queue[PlaceAnswer]] = {}
+        # The requests in `_answers` whose streams have not begun.
+        self._new_requests: dict[int, SlotRequest] = {}
         self._unresponsive_until = float("-inf")
         self._are_waits_ended = False
         # Number of the latest grant, published with this host's loads.
@@ -86,11 +88,20 @@
     def end_waits(self) -> None:
         """End the waits of all streams without a slot; later answers grant none."""
         self._are_waits_ended = True
-        for number, answers in self._answers.items():
-            refused = PlaceAnswer(
-                node=self._name, number=number, verdict=PlaceVerdict.REFUSED
-            )
-            answers.put_nowait(refused)
+        for number in self._answers:
+            self._reject(number)
+
+    def reject_new(self, service: str, model: str) -> None:
+        """End the waits for a model of streams that have not begun."""
+        for number, request in self._new_requests.items():
+            if request.service == service and request.model.name == model:
+                self._reject(number)
+
+    def _reject(self, number: int) -> None:
+        refused = PlaceAnswer(
+            node=self._name, number=number, verdict=PlaceVerdict.REFUSED
+        )
+        self._answers[number].put_nowait(refused)
 
     async def request_slot(
         self, request: SlotRequest, entry: QueueEntry
@@ -103,10 +114,13 @@
         self._last_number += 1
         request_id = RequestId(node=self._name, number=self._last_number)
         self._answers[request_id.number] = asyncio.Queue()
+        if not entry.has_begun:
+            self._new_requests[request_id.number] = request
         try:
             return await self._request(request_id, request, entry)
         finally:
             del self._answers[request_id.number]
+            self._new_requests.pop(request_id.number, None)
             self._dispatcher.cancel(request_id)
 
     async def _request(
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -5,7 +5,7 @@
 """
 
 import zlib
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from enum import Enum
 from typing import Any, get_args
 
@@ -22,6 +22,7 @@
     Unreadable,
     decode_compact,
 )
+from mallowpond.state.evacuations import Evacuations
 from mallowpond.state.fleet import BreakCause, GroupKey, Process, Target
 from mallowpond.state.rate_limit import TargetLimit
 
@@ -88,6 +89,7 @@
     loads: LoadColumns = LoadColumns()
     # Number of the last slot granted by the dispatcher whose stream `loads` includes.
     grant_number: int = 0
+    evacuations: Evacuations = Evacuations()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -171,6 +173,7 @@
     last_change: int
     loads: LoadColumns = LoadColumns()
     pass_on: bool = False
+    evacuations: Evacuations = Evacuations()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -277,6 +280,7 @@
     number: int
     version: int
     age: float
+    evacuations: Evacuations = Evacuations()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -293,6 +297,7 @@
     part: int = 0
     parts: Positive = 1
     pass_on: bool = False
+    evacuations: Evacuations = Evacuations()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -380,11 +385,22 @@
     | RateLimitNews
 )
 MESSAGE_CLASSES = {kind.__name__: kind for kind in get_args(Message)}
+# Messages that tell which data centres are evacuated. `evacuations` is their last field
+# and is left out of the datagram until an evacuation was seen, so that fleets without
+# one exchange the same datagrams as before.
+EVACUATION_MESSAGES = (Heartbeat, Digest, VersionAnswer, ConfigurationPart)
+FIELDS_WITHOUT_EVACUATIONS = {
+    kind.__name__: len(fields(kind)) - 1 for kind in EVACUATION_MESSAGES
+}
+NO_EVACUATIONS = to_compact(Evacuations())
 
 
 def write_message(message: Message) -> bytes:
     """Encode a message as a datagram."""
-    data = cbor2.dumps([type(message).__name__, to_compact(message)])
+    plain = to_compact(message)
+    if isinstance(message, EVACUATION_MESSAGES) and not message.evacuations.revision:
+        plain = plain[:-1]
+    data = cbor2.dumps([type(message).__name__, plain])
     return data if len(data) < COMPRESSION_THRESHOLD_BYTES else zlib.compress(data)
 
 
@@ -405,6 +421,8 @@
     name, plain = content
     if not isinstance(name, str) or name not in MESSAGE_CLASSES:
         return Unreadable(fault=DecodeFault.UNKNOWN)
+    if isinstance(plain, list) and len(plain) == FIELDS_WITHOUT_EVACUATIONS.get(name):
+        plain = [*plain, NO_EVACUATIONS]
     message = decode_compact(plain, MESSAGE_CLASSES[name])
     if isinstance(message, Heartbeat):
         if not 0.0 < message.interval <= MAX_INTERVAL_SECONDS:
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -49,6 +49,14 @@
             "Targets that named a rate limit",
             registry=self.registry,
         )
+        self.evacuated = Gauge(
+            "mallowpond_evacuated_data_centres",
+            "Data centres whose engines get nothing new",
+            registry=self.registry,
+        )
+        self.evacuation_changes = counter(
+            "mallowpond_evacuation_changes", "Evacuations begun or ended"
+        )
         self.endings = counter("mallowpond_targets_ended", "Broken off by their target")
         self.configuration_age = Gauge(
             "mallowpond_configuration_age_seconds",
--- a/mallowpond/node/model_summary.py
+++ b/mallowpond/node/model_summary.py
@@ -60,7 +60,9 @@
     return [
         group
         for group in directory.groups.values()
-        if group.model == model and group.phase is GroupPhase.OPEN
+        if group.model == model
+        and group.phase is GroupPhase.OPEN
+        and not directory.is_evacuated(group)
     ]
 
 
@@ -68,12 +70,18 @@
     """Log the groups, loads and targets, which explain later why no slot was free."""
     for model in view.profile.models:
         groups = [g for g in directory.groups.values() if g.model == model.name]
-        open_groups = [g for g in groups if g.phase is GroupPhase.OPEN]
+        evacuated = [g for g in groups if directory.is_evacuated(g)]
+        open_groups = [
+            g
+            for g in groups
+            if g.phase is GroupPhase.OPEN and not directory.is_evacuated(g)
+        ]
         loads = [directory.loads.load(g.key) for g in open_groups]
         log.info(
             "planner: model",
             model=model.name,
             open=len(open_groups),
+            evacuated=len(evacuated),
             far=sum(group.spans_domains for group in open_groups),
             others=[
                 f"{g.name}:{g.phase.value if g.phase else 'headless'}"
--- a/mallowpond/node/outcomes.py
+++ b/mallowpond/node/outcomes.py
@@ -30,6 +30,7 @@
     RATE_LIMITED = "rate_limited"
     BACKING_OFF = "backing_off"
     SLOW_TARGET = "slow_target"
+    EVACUATED = "evacuated"
     STOPPING = "stopping"
     INTERNAL = "internal_error"
 
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -283,6 +283,7 @@
             is_before_traffic=not self._traffic_seen.seen,
             is_settled=self._directory.is_settled,
             newest_target_at=self._directory.newest_target_at,
+            evacuated=self._directory.evacuated,
         )
 
     def _with_latest_state(self, target: Target) -> Target:
@@ -422,9 +423,10 @@
         or an open is also outdated if a member of its group has restarted, and a join
         if its formation has ended. The order may have waited for the target's report
         meanwhile; a group opened on the old plan would begin work with a member that
-        has no weights loaded.
+        has no weights loaded. An order that forms a group or stages weights is outdated
+        too if a data centre that it concerns was evacuated.
         """
-        if not self._is_current(step.target):
+        if not self._is_current(step.target) or self._is_evacuated(step):
             return True
         if not isinstance(step, Join | Open):
             return False
@@ -437,6 +439,13 @@
         current = {t.id: self._processes.current(t) for t in listed}
         return has_restarted(seen, current)
 
+    def _is_evacuated(self, step: Step) -> bool:
+        if not isinstance(step, Join | Open | Stage):
+            return False
+        identifiers = step.members if isinstance(step, Join) else (step.target.id,)
+        listed = map(self._directory.targets.get, identifiers)
+        return any(t and t.data_centre in self._directory.evacuated for t in listed)
+
     def _has_joined_elsewhere(self, step: Join) -> bool:
         """Return whether a target is in another formation, by the orders it accepted.
 
--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from mallowpond.coordination.ports import TableService, Unavailable
+from mallowpond.state.evacuations import EvacuationChanges
 from mallowpond.state.fingerprint import fingerprint
 from mallowpond.state.fleet import Target
 from mallowpond.state.formation_view import (
@@ -89,6 +90,7 @@
     answered_at: when the store answered, in seconds of its own monotonic clock; None if
     it does not say.
     document: the configuration as it is stored.
+    evacuations: what the same read says about evacuated data centres.
     """
 
     revision: int
@@ -97,6 +99,7 @@
     unreadable: bool = False
     answered_at: float | None = None
     document: bytes = b""
+    evacuations: EvacuationChanges = EvacuationChanges()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -253,6 +253,11 @@
         """Check a lapsed target: it may run, its entry not renewed, or shut down."""
         configuration = self._configuration.configuration
         service = configuration and configuration.services.get(target.service)
+        if target.data_centre in self._directory.evacuated:
+            # A health check is a request, which must not go there. A report is none,
+            # and shows whether the target is dead.
+            await self.probe(target)
+            return
         if not service or not self._availability.can_send(target):
             return
         async with self._gate.admit():
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -224,6 +224,7 @@
                 version=known.version,
                 last_change=self._directory.last_change,
                 loads=encode_loads(loads),
+                evacuations=self._configuration.evacuations.to_share,
             )
         )
 
@@ -302,6 +303,7 @@
 
     def _on_digest(self, digest: Digest) -> None:
         self._fanout.relay(digest)
+        self._configuration.evacuations.apply_received(digest.evacuations)
         self._directory.apply_digest(digest.last_change, decode_loads(digest))
         self._configuration.handle_version(digest.version)
         for notify in self.after_digest:
@@ -315,6 +317,7 @@
     # -- the configuration ---------------------------------------------------
 
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
+        self._configuration.evacuations.apply_received(heartbeat.evacuations)
         self._configuration.handle_version(heartbeat.version)
         state = (heartbeat.store, heartbeat.stopping)
         if self._peer_states.get(heartbeat.node) != state:
@@ -342,8 +345,10 @@
             number=question.number,
             version=confirmation.version,
             age=confirmation.age(self._clock.now()),
+            evacuations=self._configuration.evacuations.to_share,
         )
         self._peers.send_to(answer, (question.node,))
 
     def _on_version_answer(self, answer: VersionAnswer) -> None:
+        self._configuration.evacuations.apply_received(answer.evacuations)
         self._configuration.handle_answer(answer.number, answer.version, answer.age)
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -225,6 +225,7 @@
         )
         self.readers.after_digest.append(self.streams.placement.wake_all)
         self.configuration.on_new_version.append(self._publish_version)
+        self.configuration.evacuations.on_change.append(self._apply_evacuations)
         self.leadership.on_acquired.append(
             lambda: self.peers.broadcast(self._build_heartbeat())
         )
@@ -388,6 +389,7 @@
             cores=self._settings.cores,
             loads=encode_loads(self.directory.loads.own_loads()),
             grant_number=self.dispatcher_client.grant_number,
+            evacuations=self.configuration.evacuations.to_share,
         )
 
     def _find_model(self, service: str, model: str) -> ServedModel | None:
@@ -404,6 +406,21 @@
         self.readers.send_work_to_dispatcher()
         self.dispatcher.wake()
 
+    def _apply_evacuations(self, is_read: bool) -> None:
+        """Stop or resume sends to data centres, and tell peers at once.
+
+        In a large fleet only hosts that read the store do that. Their digests, and the
+        heartbeats of all hosts, repeat it.
+        """
+        evacuated = self.configuration.evacuations.data_centres
+        self.metrics.evacuated.set(len(evacuated))
+        self.metrics.evacuation_changes.inc()
+        self.directory.evacuate(evacuated)
+        if is_read or not self.peers.is_large_fleet:
+            self.peers.broadcast(self._build_heartbeat())
+        if is_read and self.readers.is_reader:
+            self.readers.step()
+
     def _publish_version(self) -> None:
         """Announce a newer version at once; in a large fleet only readers do."""
         if not self.peers.is_large_fleet:
--- a/mallowpond/node/stream_placement.py
+++ b/mallowpond/node/stream_placement.py
@@ -102,12 +102,14 @@
                 # If it were placed, it would crash one more group and with it every
                 # stream there; its caller may retry at any host.
                 return quarantined
-            refusal = self._refuse_unavailable(work)
+            refusal = self._refuse_evacuated(work) or self._refuse_unavailable(work)
             if refusal is not None:
                 return refusal
             match await self._request_slot(work):
                 case Rejected(wait=wait):
-                    return self.refuse(Reason.OVERLOADED, wait)
+                    return self._refuse_evacuated(work) or self.refuse(
+                        Reason.OVERLOADED, wait
+                    )
                 case WaitEnded():
                     return self._refuse_unplaced(work)
                 case Placed(group=group) if self._availability.unavailable_groups(
@@ -170,6 +172,27 @@
             return None
         return self.refuse(reason, self._availability.retry_seconds(heads))
 
+    def _refuse_evacuated(self, work: StreamWork) -> Refusal | None:
+        """Refuse a stream if evacuations have left nothing that may serve its model.
+
+        A stream that has begun waits on, as the evacuation may be withdrawn.
+        """
+        if work.has_begun:
+            return None
+        if not self._directory.is_model_evacuated(work.service, work.model):
+            return None
+        return self.refuse(Reason.EVACUATED, NO_GROUP_RETRY_SECONDS)
+
+    def refuse_evacuated_waits(self) -> None:
+        """End the waits of streams for whose model evacuations have left nothing."""
+        for name, (service, _, model, _) in self._models.items():
+            if not self._directory.is_model_evacuated(service, model):
+                continue
+            if name in self._queues:
+                self._queues[name].reject_new()
+            if self.dispatcher_client is not None:
+                self.dispatcher_client.reject_new(service, name)
+
     def _release_grant(self) -> None:
         """Report that a granted slot is not used."""
         if self.dispatcher_client is not None:
@@ -297,6 +320,9 @@
 
     def _refuse_unplaced(self, work: StreamWork) -> Refusal:
         """Refuse a stream that got no slot while it waited."""
+        evacuated = self._refuse_evacuated(work)
+        if evacuated is not None:
+            return evacuated
         groups = self._directory.serving_groups(work.service, work.model.name)
         reason = Reason.OVERLOADED if groups else Reason.NO_GROUP
         return self.refuse(reason, NO_GROUP_RETRY_SECONDS)
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -73,6 +73,7 @@
         # Set while any stream is served or waits on this host.
         self.has_streams = asyncio.Event()
         parts.directory.on_change.append(self.placement.wake_all)
+        parts.directory.on_change.append(self.placement.refuse_evacuated_waits)
 
     # -- one stream ----------------------------------------------------------
 
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -50,6 +50,7 @@
 from mallowpond.state.codec import to_compact
 from mallowpond.state.crash_ledger import CrashRecord, Ending
 from mallowpond.state.decoding import Unreadable
+from mallowpond.state.evacuations import Evacuations
 from mallowpond.state.fleet import (
     BreakCause,
     GroupPhase,
@@ -208,6 +209,7 @@
     endings=(Ending(process=Process(id="t", born=5), ran=0.1),),
     age=2.0,
 )
+EVACUATED = Evacuations(revision=7, data_centres=("a",))
 MESSAGES_OF_EACH_KIND = (
     heartbeat_of(),
     Suspicion(node="b", group="g", epoch=3),
@@ -261,7 +263,7 @@
         wait=0.5,
     ),
     VersionQuestion(node="b", number=3),
-    VersionAnswer(node="b", number=3, version=4, age=0.5),
+    VersionAnswer(node="b", number=3, version=4, age=0.5, evacuations=EVACUATED),
     ConfigurationPart(node="b", version=3, data=b"x", part=1, parts=2),
     ConfigurationQuestion(node="b"),
     LivenessQuestion(node="b", number=3, target="t"),
@@ -288,6 +290,7 @@
     PlaceVerdict: (7, None, True, [], "", "gone"),
     BreakCause: (7, None, True, [], "", "gone"),
     Process: (7, None, True, "x", [], ["t"], ["t", "5"], ["t", True], [None, 5]),
+    Evacuations: (7, None, True, "x", [], [-1, []], [7, "a"], [7, [""]], [7, [8]]),
 }
 
 
--- a/mallowpond/node/waiting.py
+++ b/mallowpond/node/waiting.py
@@ -80,6 +80,13 @@
         for waiter in waiters:
             waiter.future.set_result(False)
 
+    def reject_new(self) -> None:
+        """End the waits of streams that have not begun, without a slot."""
+        for waiter in self._pending():
+            if not waiter.has_begun:
+                self._waiters.remove(waiter)
+                waiter.future.set_result(False)
+
     def wake(self, has_capacity: Callable[[], bool], now: float) -> None:
         """Wake the first waiting stream if there is a free slot.
 
--- a/mallowpond/platform/store.py
+++ b/mallowpond/platform/store.py
@@ -30,6 +30,7 @@
     decode_conflicting_keys,
 )
 from mallowpond.state.decoding import DecodeFault, Unreadable, parse_json
+from mallowpond.state.evacuations import EvacuationChanges
 from mallowpond.state.fleet import Target
 from mallowpond.state.site_configuration import SiteConfiguration
 from mallowpond.transport.http_client import CallFailed, HttpClient
@@ -41,6 +42,8 @@
 PAGE_ROWS = 500
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
+# Each data centre that is evacuated has a row in that table: this prefix and its name.
+EVACUATION_PREFIX = "evacuate/"
 TARGETS_TABLE = "servers"
 
 JSON_HEADERS = (("content-type", "application/json"),)
@@ -86,15 +89,35 @@
             # so it must not be skipped.
             self._unreadable_log.record("configuration", "", answer.keyless_faults[0])
             return Unavailable(reason=f"row without a key: {answer.keyless_faults[0]}")
+        evacuations = self._evacuations(answer, is_whole=since == 0)
+        read = ConfigurationRead(
+            revision=answer.version, configuration=None, changed=False
+        )
         for row in answer.latest_rows:
             if row.key == CONFIGURATION_KEY and not row.removed:
                 read = self._configuration_read(answer.version, row)
-                return replace(read, answered_at=answer.answered_at)
-        return ConfigurationRead(
-            revision=answer.version,
-            configuration=None,
-            changed=False,
-            answered_at=answer.answered_at,
+        return replace(read, answered_at=answer.answered_at, evacuations=evacuations)
+
+    def _evacuations(self, answer: StoreAnswer, *, is_whole: bool) -> EvacuationChanges:
+        """Return the evacuations among the rows of an answer.
+
+        A row whose value cannot be read evacuates as well: its key says which data
+        centre.
+        """
+        begun, ended = [], []
+        for row in answer.latest_rows:
+            if not row.key.startswith(EVACUATION_PREFIX):
+                continue
+            name = row.key.removeprefix(EVACUATION_PREFIX)
+            if not name.strip():
+                fault = Unreadable(fault=DecodeFault.MISSING, field="key")
+                self._unreadable_log.record("evacuation", row.key, fault)
+                continue
+            if not row.removed and isinstance(row.document, Unreadable):
+                self._unreadable_log.record("evacuation", row.key, row.document)
+            (ended if row.removed else begun).append(name)
+        return EvacuationChanges(
+            begun=tuple(begun), ended=tuple(ended), is_whole=is_whole
         )
 
     def _configuration_read(self, revision: int, row: StoredRow) -> ConfigurationRead:
--- a/mallowpond/platform/tests/test_store.py
+++ b/mallowpond/platform/tests/test_store.py
@@ -5,6 +5,7 @@
 import json
 
 import pytest
+from prometheus_client import generate_latest
 
 from mallowpond.coordination.ports import (
     Check,
@@ -21,6 +22,7 @@
 from mallowpond.node.unreadable import UnreadableLog
 from mallowpond.platform.store import PlatformStore
 from mallowpond.platform.tests.test_entries import ENTRY
+from mallowpond.state.evacuations import EvacuationChanges
 from mallowpond.transport.http_client import HttpClient
 from mallowpond.transport.tests import scripted
 
@@ -350,3 +352,58 @@
     data = response(200, {"rows": [], "ver": 4, "now_ms": 51_230})
     found, _ = await call_store(data, lambda store: store.configuration(0, 0.0))
     assert found.answered_at == 51.23
+
+
+def evacuation_row(name, **more):
+    """Return a row that evacuates a data centre."""
+    return row(f"evacuate/{name}", {}, **more)
+
+
+def removed_row(key):
+    """Return the removal of a row as the store sends it."""
+    return {"table": "op", "part": "", "key": key, "ver": 1, "removed": True}
+
+
+def read_of(*rows, since=5):
+    """Return what the client reads from an answer of these rows."""
+    data = json.dumps({"rows": rows, "ver": 40}).encode()
+    store = PlatformStore(http=FixedHttp(data), address="")
+    return asyncio.run(store.configuration(since, 0.0))
+
+
+def test_evacuations_are_read_with_the_configuration():
+    rows = [
+        evacuation_row("a"),
+        row("config", {"version": 17}),
+        removed_row("evacuate/b"),
+    ]
+    read = read_of(*rows)
+    assert (read.revision, read.configuration.version) == (40, 17)
+    expected = EvacuationChanges(begun=("a",), ended=("b",))
+    assert read.evacuations == expected
+    whole = read_of(evacuation_row("a"), evacuation_row("b"), since=0)
+    assert whole.evacuations == EvacuationChanges(begun=("a", "b"), is_whole=True)
+    assert not whole.changed
+
+
+def test_the_last_of_a_removal_and_a_return_in_one_answer_counts():
+    """Guards against an evacuation lost because it was withdrawn and came again."""
+    rows = [removed_row("evacuate/a"), evacuation_row("a")]
+    assert read_of(*rows).evacuations == EvacuationChanges(begun=("a",))
+    assert read_of(*reversed(rows)).evacuations == EvacuationChanges(ended=("a",))
+
+
+@pytest.mark.parametrize("value", [{"value": "?"}, {"value": None}, {"value": ""}])
+def test_a_row_that_cannot_be_read_evacuates_by_its_key(value):
+    metrics = NodeMetrics()
+    data = json.dumps({"rows": [evacuation_row("a", **value)], "ver": 40}).encode()
+    log = UnreadableLog(counter=metrics.unreadable)
+    store = PlatformStore(http=FixedHttp(data), address="", unreadable_log=log)
+    read = asyncio.run(store.configuration(5, 0.0))
+    assert read.evacuations == EvacuationChanges(begun=("a",))
+    assert b'kind="evacuation"' in generate_latest(metrics.registry)
+
+
+def test_a_key_that_names_no_data_centre_evacuates_none():
+    rows = [evacuation_row(""), evacuation_row(" "), row("evacuate", {})]
+    assert read_of(*rows).evacuations == EvacuationChanges()
--- a/mallowpond/programs/explain.py
+++ b/mallowpond/programs/explain.py
@@ -34,6 +34,7 @@
 # the request must not run twice.
 HINTS = {
     "overloaded": "no place in time: compare `running` with `open` in planner: model",
+    "evacuated": "only evacuated data centres are left: see evacuation: begun",
     "no_group": "no group served the model: see planner: model and planner: forming",
     "configuration_unsure": "the store or the readers were away for this host",
     "no_configuration": "the host had started and not read a configuration yet",
--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -196,6 +196,11 @@
         """Return whether the members are in different fabric domains."""
         return len({member.domain for member in self.members}) > 1
 
+    @cached_property
+    def data_centres(self) -> frozenset[str]:
+        """Return the data centres of the members."""
+        return frozenset(member.data_centre for member in self.members)
+
     @cached_property
     def is_leaving(self) -> bool:
         """Return whether a member has announced that it will stop."""
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -145,7 +145,8 @@
         alive = all(m in listed and m not in view.lost for m in formation.members)
         if model is None or not alive or self._upkeep.has_restarted(formation.key):
             return
-        self._served[model.name] += 1.0
+        if not self._upkeep.has_evacuated(formation.members):
+            self._served[model.name] += 1.0
         members = frozenset(formation.members)
         for domain, free in self._free.items():
             self._free[domain] = [t for t in free if t.id not in members]
@@ -233,6 +234,7 @@
                 model is None
                 or group.phase is not GroupPhase.OPEN
                 or not group.spans_domains
+                or self._upkeep.is_evacuated(group)
             ):
                 continue
             alive = [t for t in group.members if t.id not in self._view.lost]
--- a/mallowpond/state/formation_view.py
+++ b/mallowpond/state/formation_view.py
@@ -116,6 +116,7 @@
     is_before_traffic: no request has arrived yet in this installation.
     is_settled: the list is complete; false during and just after a store outage.
     newest_target_at: time at which the last new target appeared.
+    evacuated: data centres in which nothing is formed, staged or repaired.
     """
 
     profile: EngineProfile
@@ -138,6 +139,7 @@
     is_before_traffic: bool = False
     is_settled: bool = True
     newest_target_at: float = float("-inf")
+    evacuated: frozenset[str] = frozenset()
 
 
 def needs_load(target: Target, model: ModelSpec) -> bool:
--- a/mallowpond/state/upkeep.py
+++ b/mallowpond/state/upkeep.py
@@ -1,5 +1,7 @@
 """Plan the orders that open, close or dissolve existing groups."""
 
+from collections.abc import Iterable
+
 from mallowpond.state.fleet import (
     Group,
     GroupKey,
@@ -54,6 +56,8 @@
         view = self._view
         if target.draining or target.lapsed or target.id in self._in_earlier_groups:
             return False
+        if target.data_centre in view.evacuated:
+            return False
         return target.id not in view.lost and target.id not in view.busy
 
     def _ids_in_earlier_groups(self) -> frozenset[str]:
@@ -93,8 +97,24 @@
             case None:
                 return self._maintain_headless(group)
 
+    def has_evacuated(self, identifiers: Iterable[str]) -> bool:
+        """Return whether any of these targets is in an evacuated data centre."""
+        listed = map(self._listed.get, identifiers)
+        return any(t and t.data_centre in self._view.evacuated for t in listed)
+
+    def is_evacuated(self, group: Group) -> bool:
+        """Return whether a member, listed or ordered, is in an evacuated data centre.
+
+        Such a group gets no work. It is kept as it is, so that it serves again at once
+        when the evacuation ends, but does not count as served until then.
+        """
+        if not self._view.evacuated.isdisjoint(group.data_centres):
+            return True
+        formation = self._view.formations.get(group.key)
+        return formation is not None and self.has_evacuated(formation.members)
+
     def _count_served(self, group: Group, model: ModelSpec) -> None:
-        if model.name in self.served:
+        if model.name in self.served and not self.is_evacuated(group):
             self.served[model.name] += 1.0
 
     def _maintain_open(self, group: Group, model: ModelSpec) -> bool:
@@ -208,6 +228,12 @@
         if lost or gone or group.is_leaving or unwanted:
             self._dissolve(group)
             return True
+        if self.is_evacuated(group) and not group.data_centres <= view.evacuated:
+            # It cannot be completed, and would hold its members elsewhere.
+            self._dissolve(group)
+            return True
+        if is_complete and self.is_evacuated(group):
+            return True
         if is_complete and all(_is_ready(t) for t in group.members):
             self._count_served(group, model)
             if head.id not in view.busy:
@@ -256,6 +282,8 @@
     ) -> None:
         """Repeat the joins of targets that are not listed as members and not busy."""
         view = self._view
+        if self.has_evacuated(formation.members):
+            return
         joined = {member.id for member in group.members}
         for target in view.targets:
             if target.id not in formation.members or target.id in joined:
