Evacuate data centres in the soak, and check what reaches them

Cause: the soak has one data centre and knows no evacuation. Change: domains and plain engines alternate between two data centres; draw 5 adds the fault evacuation; the check finds requests and health checks that reach engines there later than 5 s after the row was accepted. The engine stand-in journals its data centre and health checks.

--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -124,7 +124,11 @@
     async def start(self) -> None:
         """Listen, and start to publish the entry and to monitor the group."""
         await self.server.start(self._options.host, self._options.port)
-        self._write_journal("start", address=self._options.advertised)
+        self._write_journal(
+            "start",
+            address=self._options.advertised,
+            data_centre=self._options.data_centre,
+        )
         for coroutine in (self._run_heartbeats(), self._monitor_group()):
             self._tasks.append(asyncio.create_task(coroutine))
 
@@ -425,6 +429,7 @@
             self._write_journal("misdirected", wanted=expected_id)
             await exchange.respond(421, headers=(*common_headers, *NOT_RUN))
         elif request.path == "/healthz":
+            self._write_journal("health check")
             await exchange.respond(
                 503 if self._draining else 200, headers=common_headers
             )
--- a/mallowpond/standins/observatory_operator.py
+++ b/mallowpond/standins/observatory_operator.py
@@ -59,6 +59,16 @@
         row = {"table": "op", "part": "", "key": "config", "value": pack(document)}
         return await self._post("/-/rows-tx", {"writes": [row]})
 
+    async def evacuate(self, data_centre: str) -> bool:
+        """Write the row that evacuates a data centre; return whether it succeeded."""
+        row = {**_evacuation_key(data_centre), "value": pack({})}
+        return await self._post("/-/rows-tx", {"writes": [row]})
+
+    async def end_evacuation(self, data_centre: str) -> bool:
+        """Remove that row; return whether the store accepted the removal."""
+        row = _evacuation_key(data_centre)
+        return await self._post("/-/rows-tx", {"delete": [row]})
+
     async def drop_history(self) -> bool:
         """Let the store discard its history of changes; return whether it did."""
         return await self._post("/standin/drop-history", {})
@@ -108,6 +118,10 @@
         return not isinstance(answer, CallFailed) and answer[0] == 200
 
 
+def _evacuation_key(data_centre: str) -> dict[str, Any]:
+    return {"table": "op", "part": "", "key": f"evacuate/{data_centre}"}
+
+
 def _has_valid_group(entry: Any) -> bool:
     """Return whether an entry has a group that is an object or null.
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -90,6 +90,7 @@
         disturbances=(*injector.disturbances, *stalls.disturbances),
         revocations=tuple(injector.revocations),
         foreign=tuple(injector.foreign),
+        evacuations=tuple(injector.evacuations),
         longest_stall=stalls.longest,
     )
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,10 +12,16 @@
 from mallowpond.standins.observatory_engine import FATAL_BODY, new_engine_id
 from mallowpond.standins.observatory_operator import INVALID_IDS, foreign_values
 from soak.callers import Callers
-from soak.fleet import Fleet, ManagedProcess
-from soak.judge import BACKOFF_KIND, RATE_LIMIT_KIND
+from soak.fleet import DATA_CENTRES, Fleet, ManagedProcess
+from soak.judge import BACKOFF_KIND, EVACUATION_KIND, RATE_LIMIT_KIND
 from soak.proxy import LinkMode, Proxy
-from soak.records import Disturbance, ForeignEntry, RequestKind, Revocation
+from soak.records import (
+    Disturbance,
+    Evacuation,
+    ForeignEntry,
+    RequestKind,
+    Revocation,
+)
 
 log = structlog.get_logger()
 
@@ -56,11 +62,13 @@
 DRAW_3_KINDS = ("fatal_request",)
 # An engine that announces a rate limit in its answers; one that asks for backoff.
 DRAW_4_KINDS = (RATE_LIMIT_KIND, BACKOFF_KIND)
+# A data centre is evacuated for some time; two may be at once.
+DRAW_5_KINDS = (EVACUATION_KIND,)
 # From draw version 2 on, a seed chooses one of these probabilities, with which each
 # kind may occur in its run. With few kinds there are undisturbed periods, in which the
 # time limits are checked.
 KIND_SHARES = (0.15, 0.3, 0.6, 1.0)
-NEWEST_DRAW = 4
+NEWEST_DRAW = 5
 LINK_FAULTS = (LinkMode.SLOW, LinkMode.RESET, LinkMode.SILENT, LinkMode.ONE_WAY)
 SERIES_KINDS = ("node_stop_all", "node_stop_series")
 MAX_FAULT_SECONDS = 4.0
@@ -82,6 +90,9 @@
 # Minimum time for which an engine asks for fewer requests, in seconds: longer than the
 # delay until a rate limit is checked plus its window, and longer than two backoffs.
 MIN_REDUCED_LOAD_SECONDS = 8.0
+# Minimum time for which a data centre is evacuated, in seconds: longer than the limit
+# after which nothing may be sent there.
+MIN_EVACUATION_SECONDS = 7.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -108,6 +119,7 @@
     kinds = DRAW_1_KINDS + DRAW_2_KINDS
     kinds += DRAW_3_KINDS if draw > 2 else ()
     kinds += DRAW_4_KINDS if draw > 3 else ()
+    kinds += DRAW_5_KINDS if draw > 4 else ()
     return tuple(k for k in kinds if rng.random() < share) or DRAW_2_KINDS
 
 
@@ -139,6 +151,8 @@
     disturbances: list[Disturbance] = field(default_factory=list)
     revocations: list[Revocation] = field(default_factory=list)
     foreign: list[ForeignEntry] = field(default_factory=list)
+    evacuations: list[Evacuation] = field(default_factory=list)
+    _evacuated: set[str] = field(default_factory=set)
 
     async def run(self, faults: tuple[Fault, ...]) -> None:
         """Inject every fault at its time; return when the last has ended."""
@@ -162,6 +176,8 @@
                 await self._disturb_node(fault, self.fleet.nodes[number])
             case "fatal":
                 await self._send_fatal_request(fault)
+            case kind if kind == EVACUATION_KIND:
+                await self._evacuate(fault)
             case "engine":
                 number = fault.draw % len(self.fleet.engines)
                 await self._disturb_engine(fault, self.fleet.engines[number])
@@ -356,6 +372,25 @@
             self.foreign.append(entry)
             await asyncio.sleep(seconds)
 
+    async def _evacuate(self, fault: Fault) -> None:
+        data_centre = DATA_CENTRES[fault.draw % len(DATA_CENTRES)]
+        if data_centre in self._evacuated:
+            return
+        self._evacuated.add(data_centre)
+        accepted = await self.fleet.evacuate(data_centre)
+        accepted_at = time.monotonic()
+        await asyncio.sleep(max(MIN_EVACUATION_SECONDS, fault.seconds))
+        ended_at = time.monotonic()
+        while not await self.fleet.end_evacuation(data_centre):
+            await asyncio.sleep(0.1)
+        self._evacuated.discard(data_centre)
+        if accepted:
+            evacuation = Evacuation(
+                data_centre=data_centre, accepted_at=accepted_at, ended_at=ended_at
+            )
+            self.evacuations.append(evacuation)
+        await asyncio.sleep(SETTLE_SECONDS)
+
     async def _stop_series(self, fault: Fault) -> None:
         """Stop all nodes in turn, each before the earlier ones are back."""
         if fault.kind == "node_stop_all":
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -35,6 +35,8 @@
 LOAD_SECONDS = 0.3
 # Time of one event of a stream by the timing in the configuration, in seconds.
 EVENT_SECONDS = 0.02
+# Domains and plain engines are spread over these data centres in turn.
+DATA_CENTRES = ("a", "b")
 # Interval of the polls for the end of a killed process, in seconds.
 KILL_POLL_SECONDS = 0.005
 
@@ -217,6 +219,14 @@
         """
         return await self._operator.drop_history()
 
+    async def evacuate(self, data_centre: str) -> bool:
+        """Evacuate a data centre; return whether the store accepted it."""
+        return await self._operator.evacuate(data_centre)
+
+    async def end_evacuation(self, data_centre: str) -> bool:
+        """End an evacuation; return whether the store accepted it."""
+        return await self._operator.end_evacuation(data_centre)
+
     async def engine_entries(self) -> dict[str, dict[str, Any]]:
         """Return the store entries with a valid group, by engine id.
 
@@ -253,6 +263,7 @@
         link = await self._add_link(port)
         store_link = await self._add_link(self._store_port)
         is_plain = number >= self.grouped_engine_count
+        place = number if is_plain else number // self.shape.engines_per_domain
         # staged_file: keeps the model staged on local disk across restarts.
         name = f"engine{number}"
         options = {
@@ -262,7 +273,7 @@
             "store": f"127.0.0.1:{store_link.port}",
             "service": "plain" if is_plain else "engines",
             "domain": "" if is_plain else f"d{number // self.shape.engines_per_domain}",
-            "data_centre": "a",
+            "data_centre": DATA_CENTRES[place % len(DATA_CENTRES)],
             "journal": str(self.folder / f"{name}.journal"),
             "staged_file": str(self.folder / f"{name}.staged"),
             "id": new_engine_id(),
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -20,6 +20,10 @@
 # seconds.
 REVOKE_SECONDS = 2.0
 DRAIN_SECONDS = 2.0
+# Limit until no request or health check reaches an engine of an evacuated data centre,
+# in seconds, and the disturbances that keep a node from learning of the evacuation.
+EVACUATE_SECONDS = 5.0
+UNINFORMED_KINDS = ("node", "store", "stall", "engine_restart_unheard")
 # Time that links, timers and a busy machine may add to a limit, in seconds.
 SLACK_SECONDS = 0.5
 # Time by which a node may end an answer before its caller's deadline, in seconds: the
@@ -34,10 +38,18 @@
 # Fault kinds: an engine announces a rate limit; an engine asks its callers for backoff.
 RATE_LIMIT_KIND = "engine_need"
 BACKOFF_KIND = "engine_shedding"
+# A data centre is evacuated: its engines get nothing new.
+EVACUATION_KIND = "evacuation"
 # Disturbances that must not affect any request.
 NO_EFFECT_KINDS = ("reconfigure", "history", "foreign_entry")
 # Disturbances that must not cut off an answer in progress.
-NO_CUT_KINDS = ("node_stop", RATE_LIMIT_KIND, BACKOFF_KIND, *NO_EFFECT_KINDS)
+NO_CUT_KINDS = (
+    "node_stop",
+    RATE_LIMIT_KIND,
+    BACKOFF_KIND,
+    EVACUATION_KIND,
+    *NO_EFFECT_KINDS,
+)
 # Time after the last disturbance after which every request must be served, in seconds:
 # groups are formed again, and restarted nodes know the others.
 FULL_RECOVERY_SECONDS = 5.0
@@ -54,6 +66,7 @@
     "engine_restart_forming",
     RATE_LIMIT_KIND,
     BACKOFF_KIND,
+    EVACUATION_KIND,
     "foreign_entry_of_engine",
     "revoke",
     STALL_KIND,
@@ -112,6 +125,7 @@
             _check_rate_limits,
             _check_backoffs,
             _check_announced_stops,
+            _check_evacuations,
         )
     return [line for check in checks for line in check(run)]
 
@@ -449,6 +463,34 @@
             yield f"{record.attempt}: sent to {entry.engine}, which had said it leaves"
 
 
+def _check_evacuations(run: Run) -> Iterator[str]:
+    """Find what reached engines of a data centre long after it was evacuated."""
+    nodes = {record.attempt: record.node for record in run.callers}
+    data_centres = {
+        entry.engine: entry.values.get("data_centre")
+        for entry in run.notes
+        if entry.event == "start"
+    }
+    for entry in run.notes:
+        if entry.event not in ("arrival", "health check"):
+            continue
+        # A health check does not tell which node sent it.
+        node = nodes.get(entry.values.get("attempt", ""))
+        for evacuation in run.evacuations:
+            since = evacuation.accepted_at + EVACUATE_SECONDS + SLACK_SECONDS
+            if data_centres.get(entry.engine) != evacuation.data_centre:
+                continue
+            if since < entry.at < evacuation.ended_at and not any(
+                d.kind.startswith(UNINFORMED_KINDS)
+                and (node is None or d.node in (None, node))
+                and d.began_at < entry.at
+                and d.ended_at > evacuation.accepted_at - RECOVERY_SECONDS
+                for d in run.disturbances
+            ):
+                what = entry.values.get("attempt", entry.event)
+                yield f"{what}: reached {entry.engine}, whose data centre is evacuated"
+
+
 def _was_disturbed(run: Run, node: int, at: float) -> bool:
     """Return whether this node had a disturbance of its own just before a time.
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -93,6 +93,15 @@
     until: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class Evacuation:
+    """An evacuation, from when the store accepted it to the request to end it."""
+
+    data_centre: str
+    accepted_at: float
+    ended_at: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class Run:
     """All records of one run, as the checks read them."""
@@ -102,6 +111,7 @@
     disturbances: tuple[Disturbance, ...]
     revocations: tuple[Revocation, ...]
     foreign: tuple[ForeignEntry, ...] = ()
+    evacuations: tuple[Evacuation, ...] = ()
     longest_stall: float = 0.0
 
 
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -10,6 +10,7 @@
     CallerRecord,
     Disturbance,
     Ending,
+    Evacuation,
     ForeignEntry,
     JournalEntry,
     RequestKind,
@@ -390,3 +391,34 @@
     other = replace(restarted, engine="p1")
     notes = tuple(sorted([*run.notes, other], key=lambda n: n.at))
     assert find_violations(replace(run, notes=notes)) != []
+
+
+EVACUATED = Evacuation(data_centre="b", accepted_at=10.0, ended_at=18.0)
+
+
+@pytest.mark.parametrize(
+    ("at", "data_centre", "kind", "is_violation"),
+    [
+        (16.0, "b", "engine_kill", True),
+        (15.0, "b", "engine_kill", False),
+        (18.1, "b", "engine_kill", False),
+        (16.0, "a", "engine_kill", False),
+        (16.0, "b", "store_pause", False),
+    ],
+)
+@pytest.mark.parametrize("event", ["arrival", "health check"])
+def test_what_reaches_an_evacuated_data_centre_is_found(
+    at, data_centre, kind, is_violation, event
+):
+    run = Run(
+        callers=(),
+        notes=(
+            entry("start", 1.0, data_centre=data_centre),
+            entry(event, at, **({"attempt": "q"} if event == "arrival" else {})),
+        ),
+        disturbances=(Disturbance(kind=kind, began_at=11.0, ended_at=11.5),),
+        revocations=(),
+        evacuations=(EVACUATED,),
+    )
+    found = [line for line in find_violations(run) if "evacuated" in line]
+    assert bool(found) == is_violation
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -11,6 +11,7 @@
 from soak.judge import (
     BACKOFF_KIND,
     BYSTANDER_TEXT,
+    EVACUATION_KIND,
     FATAL_CRASHES,
     FATAL_KIND,
     RATE_LIMIT_KIND,
@@ -97,3 +98,21 @@
     run = asyncio.run(run_case(case, tmp_path))
     assert any(entry.event == "draining" for entry in run.notes)
     assert find_violations(run) == []
+
+
+def test_an_evacuated_data_centre_gets_nothing_and_serves_again(tmp_path):
+    """Guards against requests from any node to engines of an evacuated data centre."""
+    fault = Fault(at=0.5, kind=EVACUATION_KIND, seconds=8.0, draw=1)
+    case = Case(seed=1, seconds=0.0, faults=(fault,))
+    run = asyncio.run(run_case(case, tmp_path))
+    (evacuation,) = run.evacuations
+    engines = {
+        entry.engine
+        for entry in run.notes
+        if entry.event == "start"
+        and entry.values["data_centre"] == evacuation.data_centre
+    }
+    arrivals = [e.at for e in run.notes if e.event == "arrival" and e.engine in engines]
+    assert min(arrivals) < evacuation.accepted_at
+    assert max(arrivals) > evacuation.ended_at
+    assert find_violations(run) == []
