Test planning and datagram length beside an evacuation

Cause: only the node-level tests covered the planner. Change: orders of the formation planner with an evacuated group, open or ready, and with a dead member there; the field count of datagrams without an evacuation. Result: mallowpond/state/tests/test_formation.py and mallowpond/node/tests/test_evacuations.py pass.

--- a/mallowpond/node/tests/test_evacuations.py
+++ b/mallowpond/node/tests/test_evacuations.py
@@ -2,8 +2,9 @@
 
 import asyncio
 from collections import deque
-from dataclasses import replace
+from dataclasses import fields, replace
 
+import cbor2
 import pytest
 
 from mallowpond.coordination.ports import Unavailable
@@ -96,6 +97,8 @@
     told = replace(message, evacuations=EVACUATED)
     assert len(write_message(told)) > len(write_message(message)) + 4
     assert read_message(write_message(message)) == message
+    sent = cbor2.loads(write_message(message))[1]
+    assert len(sent) == len(fields(message)) - 1
     assert read_message(write_message(told)) == told
 
 
--- a/mallowpond/state/tests/test_formation.py
+++ b/mallowpond/state/tests/test_formation.py
@@ -446,3 +446,32 @@
     assert of_kind(plan(free, **fields), Join) == []
     joins = of_kind(plan([*free[:2], next_process(free[2])], **fields), Join)
     assert {join.epoch for join in joins} == {7}
+
+
+def in_data_centre(name, targets):
+    """Return these targets in another data centre."""
+    return [replace(target, data_centre=name) for target in targets]
+
+
+@pytest.mark.parametrize("phase", [GroupPhase.OPEN, GroupPhase.READY])
+def test_a_group_in_an_evacuated_data_centre_is_neither_changed_nor_counted(phase):
+    """Guards against capacity that is missing until the evacuation ends.
+
+    The evacuated group of the small model counted as served, so the free targets went
+    to the large one.
+    """
+    evacuated = in_data_centre("b", group("g", 1, 3, phase))
+    large = group("h", 2, 4, GroupPhase.OPEN, domain="d1", model="large")
+    free = [replace(target(f"t{i}", "d2"), staged=("small", "large")) for i in range(4)]
+    targets = [*evacuated, *large, *free]
+    steps = plan(targets, evacuated=frozenset("b"))
+    assert {type(step) for step in steps} == {Join}
+    assert {step.model for step in steps} == {"small"}
+    assert {step.target.domain for step in steps} == {"d2"}
+
+
+def test_a_dead_member_in_an_evacuated_data_centre_ends_its_group():
+    targets = in_data_centre("b", group("g", 1, 3, GroupPhase.OPEN))
+    steps = plan(targets, evacuated=frozenset("b"), lost=frozenset({"g2"}))
+    assert {type(step) for step in steps} == {Leave}
+    assert {step.target.id for step in steps} == {"g0", "g1"}
