--- a/mallowpond/state/formation_view.py
+++ b/mallowpond/state/formation_view.py
@@ -118,6 +118,7 @@
     is_settled: the list is complete; false during and just after a store outage.
     newest_target_at: time at which the last new target appeared.
     rebalancing: what is known for moving engines between models; None if that is off.
+    evacuated: data centres in which nothing is formed, staged or repaired.
     """
 
     profile: EngineProfile
@@ -141,6 +142,7 @@
     is_settled: bool = True
     newest_target_at: float = float("-inf")
     rebalancing: RebalancingView | None = None
+    evacuated: frozenset[str] = frozenset()
 
 
 def needs_load(target: Target, model: ModelSpec) -> bool:
