Count the service of each grant in the dispatcher's queue

Cause: the fair order needs to know what each workspace has received, also in slots that are granted at once.

Change: the dispatcher records each grant, before it removes the stream.

The new test fails without the record of grants at once.

--- a/mallowpond/node/dispatcher.py
+++ b/mallowpond/node/dispatcher.py
@@ -114,6 +114,7 @@
         if request_id not in queue:
             group = self._select_now(queue, request, entry)
             if group is not None:
+                queue.record_grant(entry)
                 return self._grant(request_id, request, group)
             wait = self._expected_wait(queue, request, entry)
             if wait > entry.patience or len(queue) >= MAX_WAITING:
@@ -159,6 +160,7 @@
             request = self._requests[request_id]
             group = self._selector.select_exact(request)
             if group is not None:
+                queue.record_grant(queue.entry_of(request_id))
                 self._remove(queue, request_id)
                 self._send(request_id, self._grant(request_id, request, group))
                 return True
--- a/mallowpond/node/tests/test_dispatcher.py
+++ b/mallowpond/node/tests/test_dispatcher.py
@@ -5,9 +5,10 @@
 import pytest
 
 from mallowpond.node import dispatcher_client
-from mallowpond.node.dispatcher import Dispatcher
+from mallowpond.node.dispatcher import Dispatcher, RequestId
 from mallowpond.node.dispatcher_client import UNRESPONSIVE_SECONDS, DispatcherClient
 from mallowpond.node.group_loads import GroupLoads
+from mallowpond.node.group_selector import SlotRequest
 from mallowpond.node.messages import (
     PlaceAnswer,
     PlaceQuestion,
@@ -27,6 +28,7 @@
     answer,
     make_rig,
 )
+from mallowpond.state.placement_queue import QueueEntry
 
 GROUP = ("a", 1)
 
@@ -310,3 +312,43 @@
     # Well before the caller's patience ends.
     async with asyncio.timeout(0.9):
         assert await serving == Answered(status=200, target="a0")
+
+
+async def test_slots_granted_at_once_count_as_service_of_their_workspace():
+    """Guard against a workspace that filled all slots and still goes before others."""
+    site = await two_hosts("a")
+    work = site.rig_b.work(FakeExchange())
+    request = SlotRequest(
+        service=work.service,
+        profile=PROFILE,
+        model=MODEL,
+        prompt_tokens=100.0,
+        objective=10.0,
+    )
+    now = site.rig_b.clock.now()
+
+    def ask(number, workspace):
+        entry = QueueEntry(
+            priority=1,
+            objective_deadline=now + 10.0,
+            queued_at=now,
+            deadline=now + 20.0,
+            workspace=workspace,
+            tokens=100.0,
+        )
+        request_id = RequestId(node="b", number=number)
+        return site.dispatcher.request_slot(request_id, request, entry).verdict
+
+    verdicts = {n: ask(n, "large") for n in range(PROFILE.slots + 2)}
+    waiting = [n for n, verdict in verdicts.items() if verdict is PlaceVerdict.WAITING]
+    assert verdicts[0] is verdicts[1] is PlaceVerdict.GRANTED and waiting
+    for number in waiting:
+        site.dispatcher.cancel(RequestId(node="b", number=number))
+    assert ask(100, "small") is PlaceVerdict.WAITING
+    # The newest of those on time, which would go first without workspaces.
+    assert ask(101, "large") is PlaceVerdict.WAITING
+    granted = []
+    site.dispatcher.on_own_answer.append(lambda answer: granted.append(answer.number))
+    site.rig_b.directory.loads.settle_grants("b", 1)
+    site.dispatcher.wake()
+    assert granted[0] == 100
