Add a bench of the placement queue, sorted and in bands

Cause: the cost of a grant at 5,000 waiting must be known beside the old one.

Change: `bin/bench queue_order` measures both queues in one run.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
     "formation": "Capacity that groups keep while engines die or are replaced.",
     "placing": "Late and lost streams and use beyond slots by slot assignment.",
     "routing": "Queueing tail, prefix hits and stragglers by routing policy.",
+    "queue_order": "Processor time of the placement queue, sorted and in bands.",
     "limits": "Goodput, refusals, retries, fairness and quota under overload.",
     "claims": "Claim latency and transactions, alone and grouped.",
     "membership": "Reads, writes and bytes per node; ownership moved.",
