Weigh workspaces by demand, so that a large one keeps a quarter

Cause: with equal shares a workspace that asks for ten times as much as each other one at 1.5 times the slots for 20 s had 0.14 to 0.16 of its streams served, and all together 0.71 to 0.74.

Change: tokens are divided by max(1, 0.35 x demand / mean demand), with the demand of the last seconds, which the dispatcher records for each new question. The sum of the weights stays under 1.35 n, so that both the quarter and half of an equal share hold.

--- a/mallowpond/node/dispatcher.py
+++ b/mallowpond/node/dispatcher.py
@@ -112,6 +112,7 @@
             (request.service, request.model.name), PlacementQueue()
         )
         if request_id not in queue:
+            queue.record_arrival(entry, self._clock.now())
             group = self._select_now(queue, request, entry)
             if group is not None:
                 queue.record_grant(entry)
--- a/mallowpond/state/placement_queue.py
+++ b/mallowpond/state/placement_queue.py
@@ -20,7 +20,7 @@
 from typing import Generic, TypeVar
 
 from mallowpond.state.queue_bands import Band, BandCursor, count_up_to
-from mallowpond.state.service_counters import ServiceCounters, charge_of
+from mallowpond.state.service_counters import ServiceCounters
 
 # Maximum number of streams in one queue: any more could not be served in time.
 MAX_WAITING = 5_000
@@ -159,6 +159,11 @@
         if len(self._deadlines) > 2 * len(self._by_number) + MAX_WAITING:
             self._drop_removed()
 
+    def record_arrival(self, entry: QueueEntry, now: float) -> None:
+        """Count a new stream, whether it is granted a slot, queued, or refused."""
+        counters = self._counters_of(entry.priority)
+        counters.record_arrival(entry.workspace, entry.tokens, now)
+
     def record_grant(self, entry: QueueEntry) -> None:
         """Count the service of a stream that gets a slot.
 
@@ -235,7 +240,9 @@
             entry.workspace, waiting.number, has_place=entry.has_place
         )
         turn = counters.of(entry.workspace)
-        turn += index * own.lanes[entry.workspace].average
+        turn += index * counters.charge_of(
+            entry.workspace, own.lanes[entry.workspace].average
+        )
         position = 0
         for (has_begun, state, priority), band in self._bands.items():
             if has_begun != entry.has_begun:
@@ -249,7 +256,12 @@
                 # Aged streams go before those on time up to the lead.
                 lead = counters.lead if state is WaitState.AGED else -counters.lead
                 position += sum(
-                    count_up_to(lane, counters.of(workspace), turn + lead)
+                    count_up_to(
+                        lane,
+                        counters.of(workspace),
+                        counters.weight_of(workspace),
+                        turn + lead,
+                    )
                     if workspace != entry.workspace
                     else lane.size * (state is WaitState.AGED)
                     for workspace, lane in band.lanes.items()
@@ -275,11 +287,12 @@
             counter = received[workspace]
             if workspace == entry.workspace or counter > turn + lead:
                 continue
-            ahead = band.count_before(lane, counter, turn, key)
+            weight = counters.weight_of(workspace)
+            ahead = band.count_before(lane, counter, weight, turn, key)
             if uses_place:
                 ahead = min(ahead, len(lane.placed))
             elif ahead < len(lane.placed):
-                placed = count_up_to(lane, counter, turn + lead)
+                placed = count_up_to(lane, counter, weight, turn + lead)
                 ahead = max(ahead, min(len(lane.placed), placed))
             total += ahead
         return total
@@ -307,7 +320,9 @@
             number = cursors[key].take(workspace)
             counts = received[key[2]]
             before = counts[workspace]
-            counts[workspace] += charge_of(self._tokens_of(number))
+            counts[workspace] += self._counters_of(key[2]).charge_of(
+                workspace, self._tokens_of(number)
+            )
             for state in STATES:
                 cursor = cursors.get((has_begun, state, key[2]))
                 if cursor is not None:
--- a/mallowpond/state/queue_bands.py
+++ b/mallowpond/state/queue_bands.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from math import ceil, floor, inf
 
-from mallowpond.state.service_counters import charge_of
+from mallowpond.state.service_counters import counted_tokens
 
 
 @dataclass(kw_only=True)
@@ -45,7 +45,7 @@
         """Add a stream."""
         lane = self.lanes.setdefault(workspace, Lane())
         insort(lane.placed if has_place else lane.others, number)
-        lane.tokens += charge_of(tokens)
+        lane.tokens += counted_tokens(tokens)
         lane.size += 1
         self.size += 1
 
@@ -56,7 +56,7 @@
         lane = self.lanes[workspace]
         numbers = lane.placed if has_place else lane.others
         del numbers[bisect_left(numbers, number)]
-        lane.tokens -= charge_of(tokens)
+        lane.tokens -= counted_tokens(tokens)
         lane.size -= 1
         self.size -= 1
         if lane.size == 0:
@@ -89,26 +89,31 @@
             yield from reversed(numbers) if self.newest_first else numbers
 
     def count_before(
-        self, lane: Lane, counter: float, target: float, target_key: int
+        self,
+        lane: Lane,
+        counter: float,
+        weight: float,
+        target: float,
+        target_key: int,
     ) -> int:
         """Return how many of a lane go before a stream whose turn is at `target`.
 
-        `counter` is that of the lane's workspace.
+        `counter` and `weight` are those of the lane's workspace.
         """
         if counter > target:
             return 0
-        turns = (target - counter) / lane.average
+        turns = (target - counter) * weight / lane.average
         count = min(lane.size, ceil(turns))
         if turns == count < lane.size:
             count += self.key(self.number_at(lane, count)) < target_key
         return count
 
 
-def count_up_to(lane: Lane, counter: float, target: float) -> int:
+def count_up_to(lane: Lane, counter: float, weight: float, target: float) -> int:
     """Return how many of a lane have their turn at `target` or before."""
     if counter > target:
         return 0
-    return min(lane.size, floor((target - counter) / lane.average) + 1)
+    return min(lane.size, floor((target - counter) * weight / lane.average) + 1)
 
 
 class BandCursor:
--- a/mallowpond/state/tests/sorted_queue.py
+++ b/mallowpond/state/tests/sorted_queue.py
@@ -34,6 +34,9 @@
         """Remove a stream if it waits."""
         self._entries.pop(asker, None)
 
+    def record_arrival(self, entry, now):
+        """Count nothing."""
+
     def record_grant(self, entry):
         """Count nothing."""
 
--- a/mallowpond/state/tests/test_queue_fairness.py
+++ b/mallowpond/state/tests/test_queue_fairness.py
@@ -40,6 +40,7 @@
                 expected = reference.has_entry_ahead_of(entry, now)
                 assert queue.has_entry_ahead_of(entry, now) == expected
                 assert queue.ahead_of(entry) == reference.ahead_of(entry)
+                queue.record_arrival(entry, now)
                 queue.add(asker, entry)
                 reference.add(asker, entry)
                 queue.add(asker, replace(entry, priority=0))
@@ -114,6 +115,7 @@
                 objective_deadline=now + on_time,
                 tokens=tokens,
             )
+            queue.record_arrival(entries[asker], now)
             queue.add(asker, entries[asker])
         served = Counter()
         waiting = len(queue)
@@ -291,6 +293,7 @@
                 deadline=next_arrival + 2.0,
             )
             asked[workspace] += 1
+            queue.record_arrival(entries[asker], next_arrival)
             queue.add(asker, entries[asker])
             next_arrival += rng.expovariate(rate)
         for asker in queue.expired(now):
@@ -316,5 +319,16 @@
     assert min(served[1:]) > min(before_served[1:])
     assert sum(on_time[1:]) > sum(before_on_time[1:])
     assert min(served[1:]) >= 0.95
-    # The sender of the burst still gets what the others leave.
     assert served[0] >= 0.25
+
+
+def test_a_lasting_excess_of_one_workspace_is_served_by_a_quarter_of_the_mean():
+    """Guard against equal shares that serve almost nothing of a large workspace.
+
+    With equal weights it had 0.15 of its streams served, and all together 0.72. The
+    others must keep their share all the same.
+    """
+    _, served = replay(PlacementQueue(), seconds=20.0)
+    mean = (10 * served[0] + sum(served[1:])) / 33
+    assert served[0] >= mean / 4
+    assert min(served[1:]) >= mean
