--- a/mallowpond/node/dispatcher.py
+++ b/mallowpond/node/dispatcher.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from itertools import islice
 
+import structlog
+
 from mallowpond.coordination.ports import Clock
 from mallowpond.node.directory import Directory
 from mallowpond.node.group_selector import GroupSelector, SlotRequest
@@ -22,6 +24,10 @@
 from mallowpond.state.fleet import EngineProfile, Group, ModelSpec
 from mallowpond.state.placement_queue import MAX_WAITING, PlacementQueue, QueueEntry
 
+log = structlog.get_logger()
+
+# Interval at which the workspaces that wait are logged, in seconds.
+LOG_SECONDS = 2.0
 # Longest time that a stream waits in the queue, in seconds: an upper bound on the
 # patience that a host may request.
 MAX_PATIENCE_SECONDS = 60.0
@@ -71,6 +77,7 @@
         self._requests: dict[RequestId, SlotRequest] = {}
         # Grants by host since this process started; they number the grants.
         self._grant_counts: Counter[str] = Counter()
+        self._logged_at = float("-inf")
         # Called with answers to this host's own requests that had to wait.
         self.on_own_answer: list[Callable[[PlaceAnswer], None]] = []
         peers.on_place_question.append(self._on_place_question)
@@ -152,6 +159,26 @@
         for queue in self._queues.values():
             while len(queue) and self._grant_one(queue):
                 pass
+        self._log_leads()
+
+    def _log_leads(self) -> None:
+        """Log which workspaces wait, if requests name any."""
+        now = self._clock.now()
+        if now < self._logged_at + LOG_SECONDS:
+            return
+        self._logged_at = now
+        for (service, model), queue in self._queues.items():
+            for urgency, leads in queue.leads().items():
+                if leads.keys() == {""}:
+                    continue
+                log.info(
+                    "placement: slots contested",
+                    service=service,
+                    model=model,
+                    urgency=urgency,
+                    waiting={w: count for w, (count, _) in leads.items()},
+                    lead={w: round(lead) for w, (_, lead) in leads.items()},
+                )
 
     def _grant_one(self, queue: PlacementQueue[RequestId]) -> bool:
         for request_id in queue.expired(self._clock.now()):
--- a/mallowpond/node/tests/test_dispatcher.py
+++ b/mallowpond/node/tests/test_dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from structlog.testing import capture_logs
 
 from mallowpond.node import dispatcher_client
 from mallowpond.node.dispatcher import Dispatcher, RequestId
@@ -349,6 +350,11 @@
     assert ask(101, "large") is PlaceVerdict.WAITING
     granted = []
     site.dispatcher.on_own_answer.append(lambda answer: granted.append(answer.number))
+    with capture_logs() as lines:
+        site.dispatcher.wake()
+    contested = [e for e in lines if e["event"] == "placement: slots contested"]
+    assert [e["waiting"] for e in contested] == [{"small": 1, "large": 1}]
+    assert contested[0]["lead"] == {"small": 0, "large": 100}
     site.rig_b.directory.loads.settle_grants("b", 1)
     site.dispatcher.wake()
     assert granted[0] == 100
--- a/mallowpond/state/placement_queue.py
+++ b/mallowpond/state/placement_queue.py
@@ -225,6 +225,22 @@
         for number in self._numbers_in_order():
             yield self._by_number[number].asker
 
+    def leads(self) -> dict[int, dict[str, tuple[int, float]]]:
+        """Return how many streams of each workspace wait, and its lead, by priority.
+
+        The lead is by how many tokens its counter is above the lowest that waits.
+        """
+        sizes: dict[int, Counter[str]] = {}
+        for (_, _, priority), band in self._bands.items():
+            counts = sizes.setdefault(priority, Counter())
+            counts.update({w: lane.size for w, lane in band.lanes.items()})
+        result = {}
+        for priority, counts in sizes.items():
+            received = self._counters_of(priority).received
+            lowest = min(received[w] for w in counts)
+            result[priority] = {w: (n, received[w] - lowest) for w, n in counts.items()}
+        return result
+
     def position_of(self, asker: Asker, now: float) -> int:
         """Return how many streams go before one that waits.
 
