Release grants that arrive as their wait ends

The client now records and releases every unread grant when a wait ends, and a grant that is read after end_waits.

--- a/mallowpond/node/dispatcher_client.py
+++ b/mallowpond/node/dispatcher_client.py
@@ -106,9 +106,17 @@
         try:
             return await self._request(request_id, request, entry)
         finally:
-            del self._answers[request_id.number]
+            self._release_unread(self._answers.pop(request_id.number))
             self._dispatcher.cancel(request_id)
 
+    def _release_unread(self, answers: asyncio.Queue[PlaceAnswer]) -> None:
+        """Release the slots of grants that arrived as their wait ended."""
+        while not answers.empty():
+            answer = answers.get_nowait()
+            if answer.verdict is PlaceVerdict.GRANTED:
+                self._record_grant(answer)
+                self.release_grant()
+
     async def _request(
         self, request_id: RequestId, request: SlotRequest, entry: QueueEntry
     ) -> PlacementOutcome | None:
@@ -125,6 +133,8 @@
             if answer is None:
                 return None
             if self._are_waits_ended:
+                if answer.verdict is PlaceVerdict.GRANTED:
+                    self.release_grant()
                 return WaitEnded()
             if answer.verdict is PlaceVerdict.REFUSED:
                 return Rejected(wait=answer.wait)
--- a/mallowpond/node/tests/test_dispatcher.py
+++ b/mallowpond/node/tests/test_dispatcher.py
@@ -192,6 +192,39 @@
     assert site.rig_b.directory.loads.load(GROUP).running == 0
 
 
+@pytest.mark.parametrize("ending", ["end_waits", "cancel"])
+async def test_a_grant_that_arrives_as_the_wait_ends_is_released(ending):
+    """A slot whose grant was received but not yet read stayed counted as used."""
+    site = await two_hosts("a")
+    site.dispatcher_client.on_unused_grant.append(site.report_loads)
+    full = {GROUP: (PROFILE.slots + 1, 0.0)}
+    site.rig_b.directory.loads.record_peer_loads("c", full)
+    serving = asyncio.create_task(
+        site.rig_a.service.serve(site.rig_a.work(FakeExchange()))
+    )
+    await run_pending_tasks()
+    if ending == "end_waits":
+        site.rig_a.service.placement.end_waits()
+    site.rig_b.directory.loads.record_peer_loads("c", {})
+    site.dispatcher.wake()
+    assert site.rig_b.directory.loads.load(GROUP).running == 1
+    if ending == "cancel":
+        serving.cancel()
+    await asyncio.gather(serving, return_exceptions=True)
+    assert site.rig_a.targets.sends == []
+    assert site.rig_b.directory.loads.load(GROUP).running == 0
+
+
+async def test_a_grant_at_a_host_that_has_ended_all_waits_is_released():
+    """A stopping host ended the wait of a stream whose slot it had just got."""
+    site = await two_hosts("a")
+    site.dispatcher_client.on_unused_grant.append(site.report_loads)
+    site.rig_a.service.placement.end_waits()
+    await site.rig_a.service.serve(site.rig_a.work(FakeExchange()))
+    assert site.network_b.sent[-1].verdict is PlaceVerdict.GRANTED
+    assert site.rig_b.directory.loads.load(GROUP).running == 0
+
+
 async def test_who_cannot_be_placed_in_time_is_refused_at_once():
     """Callers must not wait for a slot that the queue length rules out in time."""
     site = await two_hosts("a")
