Admit streams by a forecast of the slots, and choose when callers return

The estimate of today divides the queue by all slots: it ignores the pace of the groups, groups about to open, and new streams that go ahead of late ones. Callers of a burst are told the same wait and come back as a second burst.

It keeps the groups with free slots per model instead of looking up all groups for each question. PlaceQuestion and PlaceAnswer get optional fields, left out of datagrams while unused.

--- a/mallowpond/node/dispatcher.py
+++ b/mallowpond/node/dispatcher.py
@@ -12,12 +12,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import islice
+from math import inf
 
 from mallowpond.coordination.ports import Clock
 from mallowpond.node.directory import Directory
 from mallowpond.node.group_selector import GroupSelector, SlotRequest
 from mallowpond.node.messages import PlaceAnswer, PlaceQuestion, PlaceVerdict
 from mallowpond.node.peers import PeerNetwork
+from mallowpond.node.slot_admission import (
+    ForecastRefusal,
+    ModelLine,
+    SlotAdmission,
+    token_cost,
+)
 from mallowpond.state.admission import expected_wait
 from mallowpond.state.fleet import EngineProfile, Group, ModelSpec
 from mallowpond.state.placement_queue import MAX_WAITING, PlacementQueue, QueueEntry
@@ -58,6 +65,7 @@
         clock: Clock,
         find_model: Callable[[str, str], ServedModel | None],
         is_dispatcher: Callable[[], bool],
+        admission: SlotAdmission | None = None,
     ) -> None:
         self._name = name
         self._peers = peers
@@ -66,9 +74,13 @@
         self._clock = clock
         self._find_model = find_model
         self._is_dispatcher = is_dispatcher
+        # Decides by a forecast of the slots; None unless slots are contested.
+        self._admission = admission
         self._queues: dict[QueueKey, PlacementQueue[RequestId]] = {}
         # The queued requests.
         self._requests: dict[RequestId, SlotRequest] = {}
+        # Their entries, kept where slots are contested.
+        self._entries: dict[RequestId, QueueEntry] = {}
         # Grants by host since this process started; they number the grants.
         self._grant_counts: Counter[str] = Counter()
         # Called with answers to this host's own requests that had to wait.
@@ -89,6 +101,9 @@
             prompt_tokens=float(question.prompt_tokens),
             objective=question.objective,
             avoided=frozenset(question.avoided),
+            fingerprint=question.fingerprint,
+            answer_tokens=float(question.answer_tokens),
+            ends_at=now + question.seconds_left if question.seconds_left else inf,
         )
         entry = QueueEntry(
             priority=question.priority,
@@ -96,6 +111,8 @@
             queued_at=now,
             deadline=now + min(question.patience, MAX_PATIENCE_SECONDS),
             has_begun=question.has_begun,
+            workspace=question.workspace,
+            tokens=token_cost(question.prompt_tokens, question.answer_tokens),
         )
         request_id = RequestId(node=question.node, number=question.number)
         self._send(request_id, self.request_slot(request_id, request, entry))
@@ -112,6 +129,8 @@
             (request.service, request.model.name), PlacementQueue()
         )
         if request_id not in queue:
+            if self._admission is not None:
+                return self._admit(self._admission, queue, request_id, request, entry)
             group = self._select_now(queue, request, entry)
             if group is not None:
                 return self._grant(request_id, request, group)
@@ -122,6 +141,50 @@
         self._requests[request_id] = request
         return self._answer(request_id, PlaceVerdict.WAITING)
 
+    def _admit(
+        self,
+        admission: SlotAdmission,
+        queue: PlacementQueue[RequestId],
+        request_id: RequestId,
+        request: SlotRequest,
+        entry: QueueEntry,
+    ) -> PlaceAnswer:
+        """Grant, queue or refuse a new request by the forecast of its model's slots."""
+        line = admission.line(request)
+        repeated = line.refused_before(request, request_id)
+        if repeated is not None:
+            return self._refuse(request_id, repeated)
+        entry = line.arrive(request, entry)
+        now = self._clock.now()
+        if not queue.has_entry_ahead_of(entry, now):
+            group = line.select(request)
+            if group is not None:
+                queue.record_grant(entry)
+                return self._grant(request_id, request, group)
+        queue.add(request_id, entry)
+        refused = line.decide(
+            request_id,
+            request,
+            entry,
+            position=queue.position_of(request_id, now),
+            waiting=len(queue) - 1,
+            is_full=len(queue) > MAX_WAITING,
+        )
+        if refused is not None:
+            queue.discard(request_id)
+            return self._refuse(request_id, refused)
+        self._requests[request_id] = request
+        self._entries[request_id] = entry
+        return self._answer(request_id, PlaceVerdict.WAITING)
+
+    def _refuse(self, request_id: RequestId, refused: ForecastRefusal) -> PlaceAnswer:
+        return self._answer(
+            request_id,
+            PlaceVerdict.REFUSED,
+            wait=refused.wait,
+            retry_after=refused.retry_after,
+        )
+
     def _select_now(
         self, queue: PlacementQueue[RequestId], request: SlotRequest, entry: QueueEntry
     ) -> Group | None:
@@ -145,12 +208,70 @@
 
     def wake(self) -> None:
         """Grant free slots to queued requests."""
+        if self._admission is not None:
+            self._wake_by_forecast(self._admission)
+            return
         if not self._requests:
             return
         for queue in self._queues.values():
             while len(queue) and self._grant_one(queue):
                 pass
 
+    def _wake_by_forecast(self, admission: SlotAdmission) -> None:
+        """Grant free slots, and refuse queued requests that have lost their chance."""
+        admission.add_freed()
+        if not self._requests:
+            return
+        for key, queue in self._queues.items():
+            line = admission.known_line(key)
+            if line is None or not len(queue):
+                continue
+            if line.must_review(len(queue)):
+                self._review(line, queue)
+            while len(queue) and line.may_have_free and self._grant_first(line, queue):
+                pass
+
+    def _grant_first(self, line: ModelLine, queue: PlacementQueue[RequestId]) -> bool:
+        """Grant a slot to the first queued request that can use it."""
+        now = self._clock.now()
+        waiting = queue.in_order(now)
+        for request_id in list(islice(waiting, MAX_TRIED_REQUESTS)):
+            request, entry = self._requests[request_id], self._entries[request_id]
+            if entry.deadline <= now:
+                line.record_expired()
+                self._remove(queue, request_id)
+                return True
+            group = line.select(request)
+            if group is not None:
+                self._remove(queue, request_id)
+                queue.record_grant(entry)
+                self._send(request_id, self._grant(request_id, request, group))
+                return True
+        return False
+
+    def _review(self, line: ModelLine, queue: PlacementQueue[RequestId]) -> None:
+        """Refuse the queued requests that cannot be served any more."""
+        now = self._clock.now()
+        position = 0
+        for request_id in list(queue.in_order(now)):
+            request, entry = self._requests[request_id], self._entries[request_id]
+            if entry.deadline <= now:
+                line.record_expired()
+                self._remove(queue, request_id)
+                continue
+            refused = line.decide(
+                request_id,
+                request,
+                entry,
+                position=position,
+                waiting=len(queue) - 1,
+            )
+            if refused is None:
+                position += 1
+                continue
+            self._remove(queue, request_id)
+            self._send(request_id, self._refuse(request_id, refused))
+
     def _grant_one(self, queue: PlacementQueue[RequestId]) -> bool:
         for request_id in queue.expired(self._clock.now()):
             self._remove(queue, request_id)
@@ -172,6 +293,7 @@
     def _remove(self, queue: PlacementQueue[RequestId], request_id: RequestId) -> None:
         queue.discard(request_id)
         self._requests.pop(request_id, None)
+        self._entries.pop(request_id, None)
 
     def _grant(
         self, request_id: RequestId, request: SlotRequest, group: Group
--- a/mallowpond/node/dispatcher_client.py
+++ b/mallowpond/node/dispatcher_client.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from math import isfinite
 
 import structlog
 
@@ -40,9 +41,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Rejected:
-    """No slot comes free in time; the expected wait is `wait` seconds."""
+    """No slot comes free in time; the expected wait is `wait` seconds.
+
+    The caller comes back after `retry_after` seconds; if that is 0, this host decides.
+    """
 
     wait: float
+    retry_after: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -65,6 +70,7 @@
         dispatcher: Dispatcher,
         clock: Clock,
         dispatching_host: Callable[[], str | None],
+        contested_slots: bool = False,
     ) -> None:
         self._name = name
         self._peers = peers
@@ -72,6 +78,7 @@
         self._dispatcher = dispatcher
         self._clock = clock
         self._dispatching_host = dispatching_host
+        self._contested_slots = contested_slots
         self._last_number = 0
         self._answers: dict[int, asyncio.Queue[PlaceAnswer]] = {}
         self._unresponsive_until = float("-inf")
@@ -137,7 +144,7 @@
                     self.release_grant()
                 return WaitEnded()
             if answer.verdict is PlaceVerdict.REFUSED:
-                return Rejected(wait=answer.wait)
+                return Rejected(wait=answer.wait, retry_after=answer.retry_after)
             group = self._find_usable(answer, request)
             if group is not None:
                 return Placed(group=group)
@@ -172,6 +179,15 @@
             has_begun=entry.has_begun,
             avoided=tuple(sorted(self._with_avoided(request).avoided)),
         )
+        if self._contested_slots:
+            left = max(0.0, request.ends_at - now)
+            question = replace(
+                question,
+                fingerprint=request.fingerprint,
+                seconds_left=left if isfinite(left) else 0.0,
+                answer_tokens=round(request.answer_tokens),
+                workspace=entry.workspace,
+            )
         self._peers.send_to(question, (host,))
         answer = await self._next_answer(request_id, ANSWER_TIMEOUT_SECONDS)
         if answer is None:
--- a/mallowpond/node/group_loads.py
+++ b/mallowpond/node/group_loads.py
@@ -141,6 +141,10 @@
         now = self._clock.now()
         self._peers.grant(name, Grant(number=number, key=key, tokens=tokens, at=now))
 
+    def take_freed(self) -> set[GroupKey]:
+        """Return the groups where peers may run fewer streams since the last call."""
+        return self._peers.take_freed()
+
     def record_gap(self, key: GroupKey, seconds: float, predicted: float) -> None:
         """Update a group's slowness by an observed and a predicted event gap."""
         work = self._work[key]
--- a/mallowpond/node/group_selector.py
+++ b/mallowpond/node/group_selector.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, replace
+from math import inf
 
 from mallowpond.node.directory import Directory
 from mallowpond.node.quarantine import Quarantine
@@ -27,6 +28,9 @@
 # Groups with a free slot that are drawn at random where all load is known: the best of
 # so many is hardly worse than the best of all.
 DRAWN_GROUPS_EXACT = 10
+# The same where the groups drawn are known to have a free slot and each question to the
+# dispatcher must take under 0.1 ms.
+DRAWN_GROUPS_FREE = 4
 # Lower bound of the time for which a stream is expected to hold its slot, in seconds.
 MIN_HOLD_SECONDS = 0.1
 
@@ -36,7 +40,8 @@
     """Describes the slot that a stream needs.
 
     `objective` is the time allowed until the first event, in seconds; groups whose
-    names are in `avoided` are not selected.
+    names are in `avoided` are not selected. `answer_tokens` is the largest answer, 0 if
+    unknown; the caller waits until `ends_at`, on this host's clock.
     """
 
     service: str
@@ -45,6 +50,9 @@
     prompt_tokens: float
     objective: float
     avoided: frozenset[str] = frozenset()
+    fingerprint: str = ""
+    answer_tokens: float = 0.0
+    ends_at: float = inf
 
     def without(self, groups: Collection[str]) -> "SlotRequest":
         """Return a copy that avoids these groups too."""
@@ -102,6 +110,20 @@
             request, groups, self._draw(request, groups, DRAWN_GROUPS_EXACT)
         )
 
+    def select_from(self, request: SlotRequest, groups: list[Group]) -> Group | None:
+        """Select one of a few groups in random order; the load is known exactly."""
+        usable = [g for g in groups if g.name not in request.avoided]
+        usable.sort(key=self._has_ended)
+        candidates = draw_candidates(
+            request.profile,
+            request.model,
+            self._candidates(request, usable),
+            prompt_tokens=request.prompt_tokens,
+            limit_seconds=FIRST_EVENT_SHARE * request.objective,
+            count=DRAWN_GROUPS_FREE,
+        )
+        return self._select(request, usable, candidates)
+
     def hold_seconds(self, profile: EngineProfile, model: ModelSpec) -> float:
         """Return the typical time for which a stream holds its slot, in seconds."""
         load = GroupLoad(running=profile.slots)
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -5,7 +5,7 @@
 """
 
 import zlib
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from enum import Enum
 from typing import Any, get_args
 
@@ -214,6 +214,10 @@
     starts within `on_time` can still meet its latency `objective`; it waits for
     `patience` at most. `has_begun` marks one whose caller already has part of the
     answer. Groups in `avoided` must not be chosen.
+
+    Sent with contested slots only: the request's `fingerprint`, the time until the
+    caller's deadline in `seconds_left`, the largest answer in `answer_tokens`, and the
+    `workspace`.
     """
 
     node: Name
@@ -227,6 +231,10 @@
     priority: int
     has_begun: bool = False
     avoided: tuple[Name, ...] = ()
+    fingerprint: str = ""
+    seconds_left: float = 0.0
+    answer_tokens: int = 0
+    workspace: str = ""
 
 
 class PlaceVerdict(str, Enum):
@@ -243,7 +251,8 @@
 
     A granted slot is on `group`; `grant_number` counts the slots granted to that host
     so far. A waiting request is queued, and gets another answer with its grant. A
-    refused stream would have to wait for `wait` seconds.
+    refused stream would have to wait for `wait` seconds; its caller is to come back
+    after `retry_after` seconds. If that is 0, its host decides.
     """
 
     node: Name
@@ -253,6 +262,7 @@
     epoch: int = 0
     grant_number: int = 0
     wait: float = 0.0
+    retry_after: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -380,11 +390,19 @@
     | RateLimitNews
 )
 MESSAGE_CLASSES = {kind.__name__: kind for kind in get_args(Message)}
+# Number of last fields of a message that are left out of its datagram while they and
+# those after them have their defaults. Deployments that do not use them exchange the
+# same datagrams as before the fields were added.
+OMITTED_DEFAULTS: dict[type, int] = {PlaceQuestion: 4, PlaceAnswer: 1}
 
 
 def write_message(message: Message) -> bytes:
     """Encode a message as a datagram."""
-    data = cbor2.dumps([type(message).__name__, to_compact(message)])
+    values = list(to_compact(message))
+    defaults = _omitted_defaults(type(message))
+    while defaults and values[-1] == defaults.pop():
+        values.pop()
+    data = cbor2.dumps([type(message).__name__, values])
     return data if len(data) < COMPRESSION_THRESHOLD_BYTES else zlib.compress(data)
 
 
@@ -405,7 +423,13 @@
     name, plain = content
     if not isinstance(name, str) or name not in MESSAGE_CLASSES:
         return Unreadable(fault=DecodeFault.UNKNOWN)
-    message = decode_compact(plain, MESSAGE_CLASSES[name])
+    kind = MESSAGE_CLASSES[name]
+    if kind in OMITTED_DEFAULTS and isinstance(plain, list):
+        missing = len(fields(kind)) - len(plain)
+        defaults = _omitted_defaults(kind)
+        if 0 < missing <= len(defaults):
+            plain = plain + defaults[-missing:]
+    message = decode_compact(plain, kind)
     if isinstance(message, Heartbeat):
         if not 0.0 < message.interval <= MAX_INTERVAL_SECONDS:
             return Unreadable(fault=DecodeFault.RANGE, field="interval")
@@ -417,6 +441,12 @@
     return message
 
 
+def _omitted_defaults(kind: type) -> list[Any]:
+    """Return the defaults of the last fields that a datagram may leave out."""
+    count = OMITTED_DEFAULTS.get(kind, 0)
+    return [field.default for field in fields(kind)[len(fields(kind)) - count :]]
+
+
 def decompress(data: bytes, max_bytes: int) -> bytes | None:
     """Decompress zlib data; None if it is damaged or exceeds `max_bytes`."""
     decompressor = zlib.decompressobj()
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -32,6 +32,12 @@
         self.store_calls = counter(
             "mallowpond_store_calls", "Calls to the store", "table", "call"
         )
+        self.forecast_refusals = counter(
+            "mallowpond_forecast_refusals", "Streams without a chance", "when"
+        )
+        self.return_places = counter(
+            "mallowpond_return_places", "Times to come back", "place"
+        )
         self.first_event = histogram("mallowpond_first_event_seconds", "First event")
         self.event_gap = histogram("mallowpond_event_gap_seconds", "Gap between events")
         self.refusal_seconds = histogram("mallowpond_refuse_seconds", "Time to refuse")
--- a/mallowpond/node/peer_loads.py
+++ b/mallowpond/node/peer_loads.py
@@ -47,6 +47,13 @@
         self._grants: dict[str, deque[Grant]] = defaultdict(deque)
         # Time and host of each grant, oldest first.
         self._grant_times: deque[tuple[float, str]] = deque()
+        # Groups that run fewer streams than before; None while nobody asks for them.
+        self._freed: set[GroupKey] | None = None
+
+    def take_freed(self) -> set[GroupKey]:
+        """Return the groups that may run fewer streams since the last call."""
+        freed, self._freed = self._freed, set()
+        return freed or set()
 
     def total(self, key: GroupKey, now: float) -> tuple[int, float]:
         """Return the peers' running streams on a group and their tokens to prefill."""
@@ -98,6 +105,8 @@
                 self._add(key, -running, -prefill)
 
     def _add(self, key: GroupKey, running: int, prefill: float) -> None:
+        if running < 0 and self._freed is not None:
+            self._freed.add(key)
         self._running[key] += running
         self._prefill[key] += prefill
         if not self._running[key]:
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -32,6 +32,7 @@
 from mallowpond.node.readers import Readers
 from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.settings import NodeSettings
+from mallowpond.node.slot_admission import SlotAdmission
 from mallowpond.node.streams import StreamService
 from mallowpond.node.target_availability import TargetAvailability
 from mallowpond.node.traffic import TrafficSeen
@@ -195,6 +196,14 @@
             fanout=self.fanout,
             cores=settings.cores,
         )
+        if settings.contested_slots:
+            self.streams.placement.admission = SlotAdmission(
+                directory=self.directory,
+                selector=self.streams.placement.selector,
+                clock=clock,
+                metrics=self.metrics,
+                rng=self._rng,
+            )
         self.dispatcher = Dispatcher(
             name=settings.name,
             peers=self.peers,
@@ -203,6 +212,7 @@
             clock=clock,
             find_model=self._find_model,
             is_dispatcher=lambda: self.readers.dispatcher == settings.name,
+            admission=self.streams.placement.admission,
         )
         self.dispatcher_client = DispatcherClient(
             name=settings.name,
@@ -211,6 +221,7 @@
             dispatcher=self.dispatcher,
             clock=clock,
             dispatching_host=lambda: self.readers.dispatcher,
+            contested_slots=settings.contested_slots,
         )
         self.streams.placement.dispatcher_client = self.dispatcher_client
         self.streams.on_end.append(self._on_slot_freed)
@@ -402,6 +413,8 @@
     def _on_slot_freed(self) -> None:
         """Inform the dispatcher that this host uses one slot less."""
         self.readers.send_work_to_dispatcher()
+        if self.streams.placement.admission is not None:
+            self.streams.placement.admission.invalidate()
         self.dispatcher.wake()
 
     def _publish_version(self) -> None:
--- a/mallowpond/node/settings.py
+++ b/mallowpond/node/settings.py
@@ -34,6 +34,10 @@
     callers, readiness: addresses on which it serves callers and readiness checks.
     store: address of the platform's store, its table service.
     first_start: whether the installation starts for the first time, without traffic.
+    guarantees: the platform's words for the rules in force; its adapter sets what
+    depends on them, such as `contested_slots`.
+    contested_slots: whether streams are admitted by a forecast of the slots, and
+    refused callers get a time to come back each.
     """
 
     name: str
@@ -48,6 +52,8 @@
     # Share of a processor that the host may use, and the cores of that processor.
     cpu_share: float = 1.0
     cpu_cores: float = 1.0
+    guarantees: tuple[str, ...] = ()
+    contested_slots: bool = False
     bounds: NodeBounds = field(default_factory=NodeBounds)
     log: LogSettings = field(default_factory=LogSettings)
 
--- a/mallowpond/node/stream_placement.py
+++ b/mallowpond/node/stream_placement.py
@@ -2,6 +2,8 @@
 
 from math import inf
 
+import structlog
+
 from mallowpond.node.dispatcher_client import (
     DispatcherClient,
     Placed,
@@ -12,7 +14,8 @@
 from mallowpond.node.group_selector import FIRST_EVENT_SHARE, GroupSelector, SlotRequest
 from mallowpond.node.outcomes import Reason, Refusal
 from mallowpond.node.serving_parts import ServingParts
-from mallowpond.node.stream_work import StreamWork
+from mallowpond.node.slot_admission import SlotAdmission, token_cost
+from mallowpond.node.stream_work import ActiveStream, StreamWork
 from mallowpond.node.waiting import WaitQueue
 from mallowpond.state.admission import expected_wait, jittered_retry_after
 from mallowpond.state.first_event import FirstEventDelay
@@ -25,6 +28,9 @@
     pass_seconds,
 )
 from mallowpond.state.placement_queue import QueueEntry
+from mallowpond.state.slot_forecast import hold_seconds
+
+log = structlog.get_logger()
 
 # Share of a caller's patience, the silence after which it gives up, that a stream may
 # wait here for a slot: the rest is for prefill and the first pass.
@@ -67,6 +73,8 @@
         )
         # Without it this host places streams by load reports alone.
         self.dispatcher_client: DispatcherClient | None = None
+        # Forecasts of the slots; None unless slots are contested.
+        self.admission: SlotAdmission | None = None
         self.shutdown_at = inf
 
     def record_model(self, work: StreamWork) -> None:
@@ -106,6 +114,8 @@
             if refusal is not None:
                 return refusal
             match await self._request_slot(work):
+                case Rejected(retry_after=retry_after) as rejected if retry_after > 0.0:
+                    return self._refuse_by_forecast(work, rejected)
                 case Rejected(wait=wait):
                     return self.refuse(Reason.OVERLOADED, wait)
                 case WaitEnded():
@@ -121,6 +131,7 @@
                 case None:
                     group = self.choose(work)
             if group is not None and self._shuts_down_before(work):
+                self._release_grant()
                 self.wake(work.model.name)
                 return self.refuse(Reason.STOPPING, 0.0)
             if group is not None:
@@ -141,6 +152,9 @@
             prompt_tokens=work.prompt_tokens,
             objective=work.route.objective_seconds,
             avoided=self._avoided(work),
+            fingerprint=work.fingerprint if self.admission is not None else "",
+            answer_tokens=float(work.request.answer_tokens),
+            ends_at=work.deadline,
         )
 
     def _avoided(self, work: StreamWork) -> frozenset[str]:
@@ -187,6 +201,8 @@
             queued_at=now,
             deadline=now + patience,
             has_begun=work.has_begun,
+            workspace=work.workspace or "",
+            tokens=token_cost(work.prompt_tokens, work.request.answer_tokens),
         )
         self._metrics.waiting.inc()
         try:
@@ -204,13 +220,7 @@
             return Refusal(status=504, reason=Reason.TIMEOUT)
         groups = self._directory.serving_groups(work.service, work.model.name)
         queue = self._queues.setdefault(work.model.name, WaitQueue())
-        wait = expected_wait(
-            ahead=queue.ahead_of(work.priority, has_begun=work.has_begun),
-            slots=len(groups) * work.profile.slots,
-            # All hosts share the slots that come free.
-            service_seconds=self.selector.hold_seconds(work.profile, work.model)
-            * self._hosts(),
-        )
+        wait = self._own_wait(work, queue, groups)
         patience = min(self._patience(work), work.deadline - now)
         if not groups:
             wait = patience
@@ -235,6 +245,44 @@
             return self._refuse_unplaced(work)
         return None
 
+    def _own_wait(
+        self, work: StreamWork, queue: WaitQueue, groups: list[Group]
+    ) -> float:
+        """Return the expected wait in this host's queue, in seconds."""
+        ahead = queue.ahead_of(work.priority, has_begun=work.has_begun)
+        if self.admission is None:
+            return expected_wait(
+                ahead=ahead,
+                slots=len(groups) * work.profile.slots,
+                # All hosts share the slots that come free.
+                service_seconds=self.selector.hold_seconds(work.profile, work.model)
+                * self._hosts(),
+            )
+        line = self.admission.line_of(work.service, work.profile, work.model)
+        return line.forecast().wait_for(
+            (ahead + 1) * self._hosts() - 1, now=self._clock.now()
+        )
+
+    def record_answer(self, work: StreamWork, stream: ActiveStream) -> None:
+        """Learn the length and the pace of a complete answer of one send."""
+        if self.admission is None or stream.last_event_at is None:
+            return
+        line = self.admission.line_of(work.service, work.profile, work.model)
+        tokens = stream.events * work.profile.stride
+        predicted = hold_seconds(
+            work.profile,
+            work.model,
+            running=work.profile.slots,
+            slowness=stream.slowness,
+            prompt_tokens=work.prompt_tokens,
+            answer_tokens=tokens,
+        )
+        line.answers.record(
+            tokens=tokens,
+            seconds=self._clock.now() - stream.sent_at,
+            predicted=predicted,
+        )
+
     def _patience(self, work: StreamWork) -> float:
         """Return how long a stream may wait for a slot from now, in seconds.
 
@@ -301,6 +349,21 @@
         reason = Reason.OVERLOADED if groups else Reason.NO_GROUP
         return self.refuse(reason, NO_GROUP_RETRY_SECONDS)
 
+    def _refuse_by_forecast(self, work: StreamWork, rejected: Rejected) -> Refusal:
+        """Refuse a stream that has no chance, with its own time to come back."""
+        groups = self._directory.serving_groups(work.service, work.model.name)
+        reason = Reason.OVERLOADED if groups else Reason.NO_GROUP
+        log.info(
+            "placement: refused by forecast",
+            request=work.request.id,
+            model=work.model.name,
+            wait=round(rejected.wait, 3),
+            patience=round(self._patience(work), 3),
+            left=round(work.deadline - self._clock.now(), 3),
+            retry_after=round(rejected.retry_after, 3),
+        )
+        return Refusal(status=503, reason=reason, retry_after=rejected.retry_after)
+
     def refuse(self, reason: Reason, wait: float) -> Refusal:
         """Refuse a stream that did not run; it may retry after about `wait` seconds."""
         after = jittered_retry_after(wait, self._rng.random())
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -307,6 +307,7 @@
                     if not work.exchange.started:
                         await work.exchange.start(200, headers)
                     await work.exchange.end()
+                    self.placement.record_answer(work, stream)
                     return CompleteAnswer(status=200)
                 case CallFailed():
                     return Interrupted(reason=Reason.BROKEN_STREAM)
--- a/mallowpond/platform/program.py
+++ b/mallowpond/platform/program.py
@@ -20,6 +20,7 @@
 from mallowpond.platform.callers import PlatformCallerProtocol
 from mallowpond.platform.early_listener import settings_path
 from mallowpond.platform.engines import PlatformEngines
+from mallowpond.platform.features import apply_guarantees
 from mallowpond.platform.store import PlatformStore
 from mallowpond.protocol.declaration_file import Faults
 from mallowpond.settings import load_settings
@@ -44,6 +45,7 @@
         faults = [f"{fault.path}: {fault.message}" for fault in settings.faults]
         log.error("node: reload refused", path=str(path), faults=faults)
         return
+    settings = apply_guarantees(settings)
     set_up_node_logs(settings.log, BootClock())
     changed = [n for n, v in vars(settings).items() if v != getattr(running, n)]
     # Only the log settings take effect: addresses and the limits in `bounds` must not
@@ -105,6 +107,7 @@
         for fault in settings.faults:
             print(f"{path}: {fault.path}: {fault.message}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
+    settings = apply_guarantees(settings)
     set_up_node_logs(settings.log, BootClock())
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
--- a/mallowpond/platform/tests/test_program.py
+++ b/mallowpond/platform/tests/test_program.py
@@ -9,6 +9,7 @@
 
 from mallowpond.node.settings import NodeBounds, NodeSettings
 from mallowpond.platform import program
+from mallowpond.platform.features import apply_guarantees
 from mallowpond.protocol.declaration_file import Faults
 from mallowpond.settings import load_settings, parse_settings
 
@@ -22,6 +23,7 @@
     "port_range.0": 7340,
     "platform.address": "10.200.1.7:8223",
     "bootstrap": True,
+    "contracts": ["audit"],
     "bounds.revoke_ms": 5000,
     "bounds.grace_s": 8,
     "bounds.stall_ms": 4000,
@@ -78,6 +80,16 @@
     assert parse_settings(filled(), NodeSettings).cores == 1.0
 
 
+@pytest.mark.parametrize(
+    ("words", "contested"), [([], False), (["audit"], False), (["a", "pressure"], True)]
+)
+def test_contested_slots_follow_the_guarantees(words, contested):
+    """Admission by forecast must not start where the platform does not call for it."""
+    settings = parse_settings(filled(contracts=words), NodeSettings)
+    assert not settings.contested_slots
+    assert apply_guarantees(settings).contested_slots is contested
+
+
 def test_a_field_that_is_not_ours_is_a_fault():
     assert isinstance(parse_settings(filled() + "\nodd = 1\n", NodeSettings), Faults)
 
--- a/mallowpond/state/placement_queue.py
+++ b/mallowpond/state/placement_queue.py
@@ -26,7 +26,9 @@
     A slot after `objective_deadline` is too late for the stream's objective; at
     `deadline` it stops waiting. A lower `priority` goes first. A stream that
     `has_begun` needs a slot only for the rest of its answer: behind new streams it
-    would be cut off and the work on it lost.
+    would be cut off and the work on it lost. One that `has_place` came back at the time
+    that it was told, and goes before new streams of its urgency and state. `tokens` is
+    the work that its `workspace` asks for.
     """
 
     priority: int
@@ -34,13 +36,16 @@
     queued_at: float
     deadline: float
     has_begun: bool = False
+    workspace: str = ""
+    tokens: float = 0.0
+    has_place: bool = False
 
     @property
     def patience(self) -> float:
         """Return the maximum waiting time in seconds."""
         return self.deadline - self.queued_at
 
-    def rank(self, number: int, now: float) -> tuple[bool, int, int, int]:
+    def rank(self, number: int, now: float) -> tuple[bool, int, int, bool, int]:
         """Return the sort key of the entry that was added as `number`, lowest first.
 
         Streams that have begun go first. Within these and within the others, those come
@@ -48,9 +53,14 @@
         the newest first, then the other late ones.
         """
         if self.objective_deadline > now:
-            return (not self.has_begun, 1, self.priority, -number)
-        is_aged = self.deadline - now <= AGED_SHARE * self.patience
-        return (not self.has_begun, 0 if is_aged else 2, self.priority, number)
+            return (not self.has_begun, 1, self.priority, not self.has_place, -number)
+        state = 0 if self.is_aged(now) else 2
+        return (not self.has_begun, state, self.priority, not self.has_place, number)
+
+    def is_aged(self, now: float) -> bool:
+        """Return whether the stream is late and has little patience left."""
+        is_late = self.objective_deadline <= now
+        return is_late and self.deadline - now <= AGED_SHARE * self.patience
 
 
 @dataclass(kw_only=True)
@@ -92,6 +102,15 @@
             return sum(waiting.has_begun for waiting in entries)
         return sum(e.has_begun or e.priority <= entry.priority for e in entries)
 
+    def position_of(self, asker: Asker, now: float) -> int:
+        """Return how many waiting streams go before one that waits, as of now."""
+        number, entry = self._entries[asker]
+        own = entry.rank(number, now)
+        return sum(e.rank(n, now) < own for n, e in self._entries.values())
+
+    def record_grant(self, entry: QueueEntry) -> None:
+        """Record that a stream got a slot."""
+
     def in_order(self, now: float) -> Iterator[Asker]:
         """Yield who asked, in the order in which slots are granted."""
         ranked = sorted(
