Take in admission by forecast and return times

The queue in bands serves the forecast; the fields that datagrams leave out while they have their defaults are listed in one place for all messages.

--- a/mallowpond/node/dispatcher_client.py
+++ b/mallowpond/node/dispatcher_client.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from math import isfinite
 
 import structlog
 
@@ -40,9 +41,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Rejected:
-    """No slot comes free in time; the expected wait is `wait` seconds."""
+    """No slot comes free in time; the expected wait is `wait` seconds.
+
+    The caller comes back after `retry_after` seconds; if that is 0, this host decides.
+    """
 
     wait: float
+    retry_after: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -65,6 +70,7 @@
         dispatcher: Dispatcher,
         clock: Clock,
         dispatching_host: Callable[[], str | None],
+        contested_slots: bool = False,
     ) -> None:
         self._name = name
         self._peers = peers
@@ -72,6 +78,7 @@
         self._dispatcher = dispatcher
         self._clock = clock
         self._dispatching_host = dispatching_host
+        self._contested_slots = contested_slots
         self._last_number = 0
         self._answers: dict[int, asyncio.Queue[PlaceAnswer]] = {}
         # The requests in `_answers` whose streams have not begun.
@@ -119,10 +126,18 @@
         try:
             return await self._request(request_id, request, entry)
         finally:
-            del self._answers[request_id.number]
+            self._release_unread(self._answers.pop(request_id.number))
             self._new_requests.pop(request_id.number, None)
             self._dispatcher.cancel(request_id)
 
+    def _release_unread(self, answers: asyncio.Queue[PlaceAnswer]) -> None:
+        """Release the slots of grants that arrived as their wait ended."""
+        while not answers.empty():
+            answer = answers.get_nowait()
+            if answer.verdict is PlaceVerdict.GRANTED:
+                self._record_grant(answer)
+                self.release_grant()
+
     async def _request(
         self, request_id: RequestId, request: SlotRequest, entry: QueueEntry
     ) -> PlacementOutcome | None:
@@ -139,9 +154,11 @@
             if answer is None:
                 return None
             if self._are_waits_ended:
+                if answer.verdict is PlaceVerdict.GRANTED:
+                    self.release_grant()
                 return WaitEnded()
             if answer.verdict is PlaceVerdict.REFUSED:
-                return Rejected(wait=answer.wait)
+                return Rejected(wait=answer.wait, retry_after=answer.retry_after)
             group = self._find_usable(answer, request)
             if group is not None:
                 return Placed(group=group)
@@ -176,6 +193,15 @@
             has_begun=entry.has_begun,
             avoided=tuple(sorted(self._with_avoided(request).avoided)),
         )
+        if self._contested_slots:
+            left = max(0.0, request.ends_at - now)
+            question = replace(
+                question,
+                fingerprint=request.fingerprint,
+                seconds_left=left if isfinite(left) else 0.0,
+                answer_tokens=round(request.answer_tokens),
+                workspace=entry.workspace,
+            )
         self._peers.send_to(question, (host,))
         answer = await self._next_answer(request_id, ANSWER_TIMEOUT_SECONDS)
         if answer is None:
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -7,6 +7,7 @@
 import zlib
 from dataclasses import dataclass, fields
 from enum import Enum
+from functools import cache
 from typing import Any, get_args
 
 import cbor2
@@ -217,6 +218,10 @@
     starts within `on_time` can still meet its latency `objective`; it waits for
     `patience` at most. `has_begun` marks one whose caller already has part of the
     answer. Groups in `avoided` must not be chosen.
+
+    Sent with contested slots only: the request's `fingerprint`, the time until the
+    caller's deadline in `seconds_left`, the largest answer in `answer_tokens`, and the
+    `workspace`.
     """
 
     node: Name
@@ -230,6 +235,10 @@
     priority: int
     has_begun: bool = False
     avoided: tuple[Name, ...] = ()
+    fingerprint: str = ""
+    seconds_left: float = 0.0
+    answer_tokens: int = 0
+    workspace: str = ""
 
 
 class PlaceVerdict(str, Enum):
@@ -246,7 +255,8 @@
 
     A granted slot is on `group`; `grant_number` counts the slots granted to that host
     so far. A waiting request is queued, and gets another answer with its grant. A
-    refused stream would have to wait for `wait` seconds.
+    refused stream would have to wait for `wait` seconds; its caller is to come back
+    after `retry_after` seconds. If that is 0, its host decides.
     """
 
     node: Name
@@ -256,6 +266,7 @@
     epoch: int = 0
     grant_number: int = 0
     wait: float = 0.0
+    retry_after: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -385,22 +396,28 @@
     | RateLimitNews
 )
 MESSAGE_CLASSES = {kind.__name__: kind for kind in get_args(Message)}
-# Messages that tell which data centres are evacuated. `evacuations` is their last field
-# and is left out of the datagram until an evacuation was seen, so that fleets without
-# one exchange the same datagrams as before.
-EVACUATION_MESSAGES = (Heartbeat, Digest, VersionAnswer, ConfigurationPart)
-FIELDS_WITHOUT_EVACUATIONS = {
-    kind.__name__: len(fields(kind)) - 1 for kind in EVACUATION_MESSAGES
+# Number of last fields of a message that are left out of its datagram while they and
+# those after them have their defaults. Deployments that do not use them exchange the
+# same datagrams as before the fields were added.
+OMITTED_DEFAULTS: dict[type, int] = {
+    PlaceQuestion: 4,
+    PlaceAnswer: 1,
+    # The evacuated data centres, while no evacuation was ever seen.
+    Heartbeat: 1,
+    Digest: 1,
+    VersionAnswer: 1,
+    ConfigurationPart: 1,
 }
-NO_EVACUATIONS = to_compact(Evacuations())
 
 
 def write_message(message: Message) -> bytes:
     """Encode a message as a datagram."""
-    plain = to_compact(message)
-    if isinstance(message, EVACUATION_MESSAGES) and not message.evacuations.revision:
-        plain = plain[:-1]
-    data = cbor2.dumps([type(message).__name__, plain])
+    values = list(to_compact(message))
+    for default in reversed(_omitted_defaults(type(message))):
+        if values[-1] != default:
+            break
+        values.pop()
+    data = cbor2.dumps([type(message).__name__, values])
     return data if len(data) < COMPRESSION_THRESHOLD_BYTES else zlib.compress(data)
 
 
@@ -421,9 +438,13 @@
     name, plain = content
     if not isinstance(name, str) or name not in MESSAGE_CLASSES:
         return Unreadable(fault=DecodeFault.UNKNOWN)
-    if isinstance(plain, list) and len(plain) == FIELDS_WITHOUT_EVACUATIONS.get(name):
-        plain = [*plain, NO_EVACUATIONS]
-    message = decode_compact(plain, MESSAGE_CLASSES[name])
+    kind = MESSAGE_CLASSES[name]
+    if kind in OMITTED_DEFAULTS and isinstance(plain, list):
+        missing = len(fields(kind)) - len(plain)
+        defaults = _omitted_defaults(kind)
+        if 0 < missing <= len(defaults):
+            plain = [*plain, *defaults[-missing:]]
+    message = decode_compact(plain, kind)
     if isinstance(message, Heartbeat):
         if not 0.0 < message.interval <= MAX_INTERVAL_SECONDS:
             return Unreadable(fault=DecodeFault.RANGE, field="interval")
@@ -435,6 +456,14 @@
     return message
 
 
+@cache
+def _omitted_defaults(kind: type) -> tuple[Any, ...]:
+    """Return the encoded defaults of the last fields that a datagram may leave out."""
+    count = OMITTED_DEFAULTS.get(kind, 0)
+    last = fields(kind)[len(fields(kind)) - count :]
+    return tuple(to_compact(field.default) for field in last)
+
+
 def decompress(data: bytes, max_bytes: int) -> bytes | None:
     """Decompress zlib data; None if it is damaged or exceeds `max_bytes`."""
     decompressor = zlib.decompressobj()
--- a/mallowpond/state/placement_queue.py
+++ b/mallowpond/state/placement_queue.py
@@ -84,6 +84,10 @@
         is_aged = self.deadline - now <= AGED_SHARE * self.patience
         return WaitState.AGED if is_aged else WaitState.LATE
 
+    def is_aged(self, now: float) -> bool:
+        """Return whether the stream is late and has little patience left."""
+        return self.state(now) is WaitState.AGED
+
     def next_change(self, state: WaitState) -> float:
         """Return when the stream leaves a state, as far as rounding allows."""
         if state is WaitState.ON_TIME:
