Limit requests to cold targets on all hosts together

Cause: nothing bounded what hosts send to an engine that has just started.

Change: the adapter reads cold_left_ms, X-Mallowpond-Cold-Ms, cold_s, cold_per_s and bounds.cold_over and cold_slack. ColdLimits broadcasts what a host learns, and TargetAvailability asks it for streams, calls and probes. Warm groups and targets are preferred. It is off unless the service declares a rate and the settings hold the ratio. The cold time in a list entry is no change of a target and no field of a datagram, so a follower presumes a new process to be cold until it hears otherwise.

--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -155,11 +155,12 @@
             left = [t for t in targets if t.process not in work.sent_to]
         now = self._clock.now()
 
-        def rank(target: Target) -> tuple[bool, float]:
+        def rank(target: Target) -> tuple[bool, bool, float]:
             record = self._records[target.process]
             is_suspect = record.avoided_until > now
             is_suspect = is_suspect or self._quarantine.has_ended(target.process)
-            return (is_suspect, record.in_flight + self._rng.random())
+            is_cold = self._availability.is_cold(target)
+            return (is_suspect, is_cold, record.in_flight + self._rng.random())
 
         return min(left, key=rank, default=None)
 
--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -107,6 +107,9 @@
         self.is_standby: Callable[[], bool] = lambda: False
         self.on_change_read: list[Callable[[TargetsRead, int], None]] = []
         self.on_change: list[Callable[[], None]] = []
+        # Called with the entries of each read or change, before they are applied; the
+        # flag says whether they are the first that this host knows.
+        self.on_listed: list[Callable[[Collection[Target], bool], None]] = []
         self.on_broken: list[Callable[[Group, BreakCause, bool], None]] = []
 
     # -- queries -------------------------------------------------------------
@@ -459,6 +462,8 @@
         if read.whole:
             gone |= set(found) - set(listed)
         gone -= set(listed)
+        for notify in self.on_listed:
+            notify(listed.values(), not found)
         # Equal entries stay the same objects: changes are detected by identity.
         found.update({k: t for k, t in listed.items() if found.get(k) != t})
         for identifier in unreadable:
--- a/mallowpond/node/group_selector.py
+++ b/mallowpond/node/group_selector.py
@@ -8,7 +8,7 @@
 from mallowpond.node.directory import Directory
 from mallowpond.node.quarantine import Quarantine
 from mallowpond.state.first_event import FirstEventDelay
-from mallowpond.state.fleet import EngineProfile, Group, ModelSpec
+from mallowpond.state.fleet import EngineProfile, Group, ModelSpec, Target
 from mallowpond.state.placement import (
     DRAWN_GROUPS,
     UNREPORTED_STREAMS,
@@ -62,8 +62,10 @@
         budget: Callable[[str], RetryWindow],
         hosts: Callable[[], int],
         rng: random.Random,
+        is_cold: Callable[[Target], bool] = lambda target: False,
     ) -> None:
         self._directory = directory
+        self._is_target_cold = is_cold
         self._quarantine = quarantine
         self._budget = budget
         self._hosts = hosts
@@ -132,8 +134,8 @@
     ) -> list[Candidate]:
         """Return up to `limit` groups with a free slot, drawn at random."""
         shuffled = self._rng.sample(groups, len(groups))
-        # Groups whose head process has ended come last.
-        shuffled.sort(key=self._has_ended)
+        # Groups whose head process has ended come last, after those with a cold head.
+        shuffled.sort(key=lambda g: (self._has_ended(g), self._is_cold(g)))
         return draw_candidates(
             request.profile,
             request.model,
@@ -152,12 +154,17 @@
                 load=self._directory.loads.load_of(group, request.profile),
                 is_leaving=group.is_leaving,
                 has_ended=self._has_ended(group),
+                is_cold=self._is_cold(group),
             )
 
     def _has_ended(self, group: Group) -> bool:
         head = group.head
         return head is not None and self._quarantine.has_ended(head.process)
 
+    def _is_cold(self, group: Group) -> bool:
+        head = group.head
+        return head is not None and self._is_target_cold(head)
+
 
 def _key_of(group: Group) -> str:
     return f"{group.name}/{group.epoch}"
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -12,6 +12,7 @@
 import cbor2
 
 from mallowpond.state.codec import to_compact
+from mallowpond.state.cold_targets import ColdState
 from mallowpond.state.crash_ledger import CrashRecord
 from mallowpond.state.decoding import (
     DecodeFault,
@@ -357,6 +358,14 @@
     limits: tuple[TargetLimit, ...]
 
 
+@dataclass(frozen=True, kw_only=True)
+class ColdNews:
+    """Report targets that became cold, or warm again, before they were expected to."""
+
+    node: Name
+    states: tuple[ColdState, ...]
+
+
 Message = (
     Heartbeat
     | Suspicion
@@ -378,6 +387,7 @@
     | CrashRecords
     | CrashQuestion
     | RateLimitNews
+    | ColdNews
 )
 MESSAGE_CLASSES = {kind.__name__: kind for kind in get_args(Message)}
 
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -49,6 +49,12 @@
             "Targets that named a rate limit",
             registry=self.registry,
         )
+        self.cold = Gauge(
+            "mallowpond_cold_targets",
+            "Targets that have just started",
+            registry=self.registry,
+        )
+        self.cold_sends = counter("mallowpond_cold_sends", "Requests to cold targets")
         self.endings = counter("mallowpond_targets_ended", "Broken off by their target")
         self.configuration_age = Gauge(
             "mallowpond_configuration_age_seconds",
--- a/mallowpond/node/outcomes.py
+++ b/mallowpond/node/outcomes.py
@@ -29,6 +29,7 @@
     HELD_BACK = "held_back"
     RATE_LIMITED = "rate_limited"
     BACKING_OFF = "backing_off"
+    COLD = "cold"
     SLOW_TARGET = "slow_target"
     STOPPING = "stopping"
     INTERNAL = "internal_error"
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -21,6 +21,7 @@
 from mallowpond.node.messages import (
     HEARTBEAT_SECONDS,
     Advance,
+    ColdNews,
     ConfigurationPart,
     ConfigurationQuestion,
     CrashQuestion,
@@ -192,6 +193,8 @@
         self.on_crash_question: list[Callable[[CrashQuestion], None]] = []
         # Rate limits that targets announced or withdrew in answers to a peer.
         self.on_rate_limits: list[Callable[[RateLimitNews], None]] = []
+        # Targets that became cold or warm, as they told a peer.
+        self.on_cold_news: list[Callable[[ColdNews], None]] = []
         # A peer asks this node to probe a target that does not answer the peer.
         self.on_liveness_question: list[Callable[[LivenessQuestion], None]] = []
         # The result of a probe that this node asked a peer for.
@@ -463,6 +466,8 @@
                 _notify(self.on_crash_question, message)
             case RateLimitNews():
                 _notify(self.on_rate_limits, message)
+            case ColdNews():
+                _notify(self.on_cold_news, message)
             case LivenessQuestion():
                 _notify(self.on_liveness_question, message)
             case LivenessAnswer():
--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -5,6 +5,7 @@
 rows that nodes write.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -219,10 +220,16 @@
     async def report(self, target: Target) -> EngineReport | Unavailable:
         """Query an engine's state and the number of orders that it has begun."""
 
-    async def is_healthy(self, target: Target, path: str) -> bool | Unavailable:
+    async def is_healthy(
+        self,
+        target: Target,
+        path: str,
+        on_cold: Callable[[float], None] | None = None,
+    ) -> bool | Unavailable:
         """Query whether a target is healthy and not stopping.
 
-        False also if all of its slots are in use.
+        False also if all of its slots are in use. `on_cold` gets the seconds for which
+        it says that it stays cold.
         """
 
 
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -258,7 +258,14 @@
         async with self._gate.admit():
             # A health check takes up a slot like a request.
             self._availability.record_sent(target)
-            healthy = await self._targets.is_healthy(target, service.health_path)
+            sent_at = self._clock.now()
+            healthy = await self._targets.is_healthy(
+                target,
+                service.health_path,
+                lambda seconds: self._availability.record_cold(
+                    target, seconds, sent_at
+                ),
+            )
         if isinstance(healthy, Unavailable):
             await self.probe(target)
             return
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -13,6 +13,7 @@
 from mallowpond.coordination.store import new_id
 from mallowpond.coordination.tasks import cancel_task
 from mallowpond.node.calls import CallService
+from mallowpond.node.cold_limits import ColdLimits
 from mallowpond.node.configuration import ConfigurationFollower
 from mallowpond.node.configuration_sharing import ConfigurationSharing
 from mallowpond.node.directory import Directory
@@ -38,6 +39,7 @@
 from mallowpond.node.unreadable import UnreadableLog
 from mallowpond.node.watch import GroupWatch
 from mallowpond.state.retry_window import RetryWindow
+from mallowpond.state.site_configuration import Service
 from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
 
 log = structlog.get_logger()
@@ -119,8 +121,21 @@
             metrics=self.metrics,
             peers=self.peers,
         )
+        self.cold_limits = ColdLimits(
+            name=settings.name,
+            directory=self.directory,
+            clock=clock,
+            metrics=self.metrics,
+            bounds=settings.bounds,
+            find_service=self._find_service,
+            has_traffic=lambda: self._traffic.seen,
+            peers=self.peers,
+        )
         availability = TargetAvailability(
-            rate_limits=self.rate_limits, directory=self.directory, clock=clock
+            rate_limits=self.rate_limits,
+            directory=self.directory,
+            clock=clock,
+            cold_limits=self.cold_limits,
         )
         parts = ServingParts(
             directory=self.directory,
@@ -265,6 +280,7 @@
             self.readers.run(),
             self.planner.run(),
             self.rate_limits.run(),
+            self.cold_limits.run(),
             self.quarantine_sharing.run_sending(),
             self.quarantine_sharing.run_querying(),
             self.quarantine_sharing.run_writing(),
@@ -390,6 +406,10 @@
             grant_number=self.dispatcher_client.grant_number,
         )
 
+    def _find_service(self, service: str) -> Service | None:
+        known = self.configuration.configuration
+        return known.services.get(service) if known else None
+
     def _find_model(self, service: str, model: str) -> ServedModel | None:
         """Return a service's engine profile and one of its models, None if unknown."""
         known = self.configuration.configuration
--- a/mallowpond/node/settings.py
+++ b/mallowpond/node/settings.py
@@ -15,6 +15,9 @@
     checks_fencing: whether engines check fencing numbers.
     retry_ratio, retry_slack, retry_window: retry budget of all hosts together; repeats
     in a window of seconds may be a share of first sends plus a fixed number.
+    cold_ratio, cold_slack: a target that has just started must not get more requests in
+    any one second, from all hosts together, than the rate that its service tolerates
+    times a ratio plus a fixed number. A ratio of 0: no such bound is in force.
     """
 
     revoke: float = 5.0
@@ -24,6 +27,8 @@
     retry_ratio: float = 0.2
     retry_window: float = 10.0
     retry_slack: float = 100.0
+    cold_ratio: float = 0.0
+    cold_slack: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/mallowpond/node/stream_placement.py
+++ b/mallowpond/node/stream_placement.py
@@ -64,6 +64,7 @@
             budget=parts.budget,
             hosts=parts.hosts,
             rng=parts.rng,
+            is_cold=parts.availability.is_cold,
         )
         # Without it this host places streams by load reports alone.
         self.dispatcher_client: DispatcherClient | None = None
--- a/mallowpond/node/target_availability.py
+++ b/mallowpond/node/target_availability.py
@@ -1,4 +1,4 @@
-"""Decide which targets may be sent requests now, by what their answers announce."""
+"""Decide which targets may be sent requests now, by what they announce."""
 
 from collections.abc import Iterable
 from math import inf
@@ -6,6 +6,7 @@
 import structlog
 
 from mallowpond.coordination.ports import Clock
+from mallowpond.node.cold_limits import ColdLimits
 from mallowpond.node.directory import Directory
 from mallowpond.node.outcomes import Reason
 from mallowpond.node.rate_limits import RateLimits
@@ -18,11 +19,17 @@
 
 
 class TargetAvailability:
-    """Combines the rate limits, backoffs and coming stops that targets announced."""
+    """Combines the rate limits, backoffs, coming stops and cold times of targets."""
 
     def __init__(
-        self, *, rate_limits: RateLimits, directory: Directory, clock: Clock
+        self,
+        *,
+        rate_limits: RateLimits,
+        directory: Directory,
+        clock: Clock,
+        cold_limits: ColdLimits | None = None,
     ) -> None:
+        self._cold_limits = cold_limits
         self._rate_limits = rate_limits
         self._directory = directory
         self._clock = clock
@@ -34,6 +41,8 @@
     def has_restrictions(self) -> bool:
         """Return whether any announcement is recorded, also one that is over."""
         has_waits = self._rate_limits.has_limits or self._backoffs.has_entries
+        if self._cold_limits is not None:
+            has_waits = has_waits or self._cold_limits.has_entries
         return has_waits or len(self._leaving) > 0
 
     def record_notice(
@@ -41,6 +50,8 @@
     ) -> None:
         """Record what an answer announces; its request was sent at `sent_at`."""
         self._rate_limits.record_notice(target, notice, sent_at)
+        if notice.cold_seconds is not None:
+            self.record_cold(target, notice.cold_seconds, sent_at)
         if notice.is_leaving and self._leaving.add(target.process, self._clock.now()):
             log.info("target: leaves", target=target.id)
         if notice.backoff_seconds is not None:
@@ -53,6 +64,15 @@
                 seconds=notice.backoff_seconds,
             )
 
+    def record_cold(self, target: Target, seconds: float, sent_at: float) -> None:
+        """Record for how long a target says that it stays cold."""
+        if self._cold_limits is not None:
+            self._cold_limits.record_said(target, seconds, sent_at)
+
+    def is_cold(self, target: Target) -> bool:
+        """Return whether a target has just started and takes only few requests."""
+        return self._cold_limits is not None and self._cold_limits.is_cold(target)
+
     def can_send(self, target: Target) -> bool:
         """Return whether this host may send a target one more request now."""
         return self.seconds_until_available(target) <= 0.0
@@ -65,7 +85,10 @@
         if target.process in self._leaving:
             return inf
         backoff = self._backoffs.seconds_left(target.process, self._clock.now())
-        return max(backoff, self._rate_limits.seconds_until_available(target))
+        wait = max(backoff, self._rate_limits.seconds_until_available(target))
+        if self._cold_limits is None:
+            return wait
+        return max(wait, self._cold_limits.seconds_until_available(target))
 
     def is_leaving(self, target: Target) -> bool:
         """Return whether a target announced that it will stop soon."""
@@ -80,14 +103,17 @@
     def retry_seconds(self, targets: Iterable[Target]) -> float:
         """Return the seconds after which a refused request may be accepted at any host.
 
-        Zero where no target has a backoff or a rate limit in force.
+        Zero where no target has a backoff or a limit in force.
         """
         waits = [wait for target in targets if (wait := self._retry_seconds(target))]
         return min(waits, default=0.0)
 
     def _retry_seconds(self, target: Target) -> float:
         backoff = self._backoffs.seconds_left(target.process, self._clock.now())
-        return max(backoff, self._rate_limits.retry_seconds(target))
+        wait = max(backoff, self._rate_limits.retry_seconds(target))
+        if self._cold_limits is None:
+            return wait
+        return max(wait, self._cold_limits.retry_seconds(target))
 
     def refusal_reason(self, targets: Iterable[Target]) -> Reason | None:
         """Return why targets may not be sent requests now, None if all may be.
@@ -101,6 +127,8 @@
         now = self._clock.now()
         if any(self._backoffs.seconds_left(t.process, now) for t in unavailable):
             return Reason.BACKING_OFF
+        if all(self.is_cold(target) for target in unavailable):
+            return Reason.COLD
         return Reason.RATE_LIMITED
 
     def _prune(self) -> None:
@@ -111,5 +139,7 @@
         self._leaving.prune(listed, self._clock.now())
 
     def record_sent(self, target: Target) -> None:
-        """Count a request to a target against its rate limit."""
+        """Count a request to a target against its limits."""
         self._rate_limits.record_sent(target)
+        if self._cold_limits is not None:
+            self._cold_limits.record_sent(target)
--- a/mallowpond/node/tests/engine_model.py
+++ b/mallowpond/node/tests/engine_model.py
@@ -330,6 +330,6 @@
         self.fleet.pending_answers.append(future)
         await future
 
-    async def is_healthy(self, target, path):
+    async def is_healthy(self, target, path, on_cold=None):
         """Return whether an engine is not draining."""
         return not self.fleet.engines[target.id].draining
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -147,7 +147,7 @@
         """Return the report set for a target, by default one without orders."""
         return self.reports.get(target.id, EngineReport(orders=0, target=target))
 
-    async def is_healthy(self, target, path):
+    async def is_healthy(self, target, path, on_cold=None):
         """Return that a target is healthy."""
         return True
 
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -13,6 +13,7 @@
 from mallowpond.node.messages import (
     MESSAGE_CLASSES,
     Advance,
+    ColdNews,
     ConfigurationPart,
     ConfigurationQuestion,
     CrashQuestion,
@@ -48,6 +49,7 @@
 from mallowpond.node.tests.fakes import FakeClock
 from mallowpond.standins.platform import MemoryTable
 from mallowpond.state.codec import to_compact
+from mallowpond.state.cold_targets import ColdState
 from mallowpond.state.crash_ledger import CrashRecord, Ending
 from mallowpond.state.decoding import Unreadable
 from mallowpond.state.fleet import (
@@ -275,6 +277,10 @@
             TargetLimit(process=TARGET.process, limit=None, age=0.1),
         ),
     ),
+    ColdNews(
+        node="b",
+        states=(ColdState(process=TARGET.process, seconds=1.5, age=0.1),),
+    ),
 )
 # Invalid values of fields, by the type of the field.
 INVALID_VALUES = {
--- a/mallowpond/platform/documents.py
+++ b/mallowpond/platform/documents.py
@@ -111,6 +111,8 @@
     max_conns: float = 0.0
     health_path: Path = Path("")
     engine: _Engine | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -185,6 +187,8 @@
         max_connections=int(service.max_conns),
         health_path=service.health_path or "/",
         profile=None if engine is None else _profile(engine),
+        cold_seconds=service.cold_s,
+        cold_per_second=service.cold_per_s,
     )
 
 
@@ -343,6 +347,7 @@
         staged=entry.staged or (),
         membership=_membership(entry.group),
         born=entry.born,
+        cold_seconds=entry.cold_left_ms * SECONDS_PER_MILLISECOND,
     )
 
 
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -1,6 +1,7 @@
 """Send requests, orders and queries to the platform's engines over HTTP."""
 
 import json
+from collections.abc import Callable
 from math import isfinite
 from typing import Any
 
@@ -95,10 +96,12 @@
         """Return what an answer announces about the engine itself."""
         found = response.headers
         is_backoff = response.status == 503
+        cold = _cold_seconds(found)
         return TargetNotice(
             rate_limit=_number(found, names.RATE_LIMIT),
             backoff_seconds=_number(found, names.RETRY_AFTER) if is_backoff else None,
             is_leaving=found.get(names.LEAVING) == "1",
+            cold_seconds=cold,
         )
 
     async def order(self, step: Step, *, fence: int, expected: int) -> OrderResult:
@@ -158,11 +161,17 @@
             return Unavailable(reason=str(found))
         return found
 
-    async def is_healthy(self, target: Target, path: str) -> bool | Unavailable:
+    async def is_healthy(
+        self,
+        target: Target,
+        path: str,
+        on_cold: Callable[[float], None] | None = None,
+    ) -> bool | Unavailable:
         """Query whether a target is healthy.
 
         False if it answers otherwise, as a stopping or full one does; `Unavailable`
-        without an answer of the listed process.
+        without an answer of the listed process. `on_cold` gets the seconds for which
+        that process says that it stays cold.
         """
         answer = await self._http.fetch_response(
             target.address,
@@ -177,9 +186,15 @@
             case BufferedResponse(status=421):
                 return Unavailable(reason="another engine has this address")
             case BufferedResponse(status=200):
-                return self._check_process(target, answer)
+                healthy = self._check_process(target, answer)
             case _:
-                return False
+                healthy = False
+        is_process = answer.headers.get(names.INSTANCE) == target.id
+        cold = _cold_seconds(answer.headers)
+        if on_cold is not None and cold is not None and is_process:
+            if not isinstance(healthy, Unavailable):
+                on_cold(cold)
+        return healthy
 
     def _check_process(
         self, target: Target, answer: BufferedResponse
@@ -205,6 +220,12 @@
     return number if isfinite(number) and number >= 0.0 else None
 
 
+def _cold_seconds(headers: dict[str, str]) -> float | None:
+    """Return how much longer an engine stays cold, None if it does not say."""
+    milliseconds = _number(headers, names.COLD)
+    return None if milliseconds is None else milliseconds / 1000.0
+
+
 def _order_body(step: Step) -> dict[str, Any]:
     """Return the order as engines decode it, without fence and count."""
     match step:
--- a/mallowpond/platform/headers.py
+++ b/mallowpond/platform/headers.py
@@ -11,6 +11,9 @@
 RATE_LIMIT = "server-limit"
 # Sent with every answer of an engine that is about to stop.
 LEAVING = "server-leaving"
+# Sent with answers to health checks: how much longer the engine stays cold, in
+# milliseconds.
+COLD = "x-mallowpond-cold-ms"
 # Seconds for which a host must send no requests; an engine sends it with a refusal.
 RETRY_AFTER = "retry-after"
 WORKSPACE = "x-mallowpond-tenant"
--- a/mallowpond/platform/tests/test_documents.py
+++ b/mallowpond/platform/tests/test_documents.py
@@ -226,3 +226,11 @@
     tenants = [{"name": name, "api_keys": ["k"]}]
     found = documents.decode_configuration({**DOCUMENT, "tenants": tenants})
     assert isinstance(found, Unreadable)
+
+
+def test_a_service_declares_how_long_its_targets_stay_cold():
+    document = deepcopy(DOCUMENT)
+    document["services"][1] |= {"cold_s": 5.5, "cold_per_s": 3}
+    services = documents.decode_configuration(document).services
+    assert (services["t"].cold_seconds, services["t"].cold_per_second) == (5.5, 3.0)
+    assert (services["s"].cold_seconds, services["s"].cold_per_second) == (0.0, 0.0)
--- a/mallowpond/platform/tests/test_engines.py
+++ b/mallowpond/platform/tests/test_engines.py
@@ -396,3 +396,33 @@
         assert isinstance(found, Unavailable)
     else:
         assert found is healthy
+
+
+COLD_MS = "x-mallowpond-cold-ms: "
+
+
+@pytest.mark.parametrize(
+    ("data", "seconds"),
+    [
+        (answer_of(b"ok", 200, HEALTHY + COLD_MS + "2500\r\n"), [2.5]),
+        (answer_of(b"", 503, HEALTHY + COLD_MS + "2500\r\n"), [2.5]),
+        (answer_of(b"ok", 200, HEALTHY + COLD_MS + "0\r\n"), [0.0]),
+        (answer_of(b"ok", 200, HEALTHY), []),
+        (answer_of(b"ok", 200, HEALTHY + COLD_MS + "soon\r\n"), []),
+        (answer_of(b"ok", 200, HEALTHY + COLD_MS + "-1\r\n"), []),
+        (answer_of(b"ok", 200, COLD_MS + "2500\r\n"), []),
+        (answer_of(b"", 421, HEALTHY + COLD_MS + "2500\r\n"), []),
+        (answer_of(b'{"born": 6}', 200, HEALTHY + COLD_MS + "2500\r\n"), []),
+    ],
+)
+async def test_a_health_answer_says_how_long_its_engine_stays_cold(data, seconds):
+    """Guards against the cold time of another engine or process that answers."""
+    found = []
+
+    async def call(engines, target):
+        return await engines.is_healthy(
+            replace(target, born=5), "/healthz", found.append
+        )
+
+    await with_engine(answering(data), call)
+    assert found == seconds
--- a/mallowpond/platform/tests/test_entries.py
+++ b/mallowpond/platform/tests/test_entries.py
@@ -143,3 +143,13 @@
     assert isinstance(
         documents.decode_target("i-1", json.loads(json.dumps(entry))), Target
     )
+
+
+def test_a_cold_time_that_counts_down_changes_no_target():
+    """Guards against a change of the list at each refresh of a cold engine's entry."""
+    targets = [
+        documents.decode_target("i-1", {**ENTRY, "cold_left_ms": left})
+        for left in (5200, 4000.5, 0)
+    ]
+    assert [target.cold_seconds for target in targets] == [5.2, 4.0005, 0.0]
+    assert targets[0] == targets[1] == targets[2]
--- a/mallowpond/platform/tests/test_program.py
+++ b/mallowpond/platform/tests/test_program.py
@@ -78,6 +78,16 @@
     assert parse_settings(filled(), NodeSettings).cores == 1.0
 
 
+def test_a_platform_that_bounds_cold_targets_gives_both_values():
+    """Guards against a bound that a platform gives and that is not in force."""
+    text = filled(bounds__cold_over=1.5, bounds__cold_slack=3)
+    bounds = parse_settings(text, NodeSettings).bounds
+    assert (bounds.cold_ratio, bounds.cold_slack) == (1.5, 3)
+    bounds = parse_settings(filled(bounds__cold_over=2), NodeSettings).bounds
+    assert (bounds.cold_ratio, bounds.cold_slack) == (2, 0)
+    assert parse_settings(filled(), NodeSettings).bounds.cold_ratio == 0.0
+
+
 def test_a_field_that_is_not_ours_is_a_fault():
     assert isinstance(parse_settings(filled() + "\nodd = 1\n", NodeSettings), Faults)
 
--- a/mallowpond/state/codec.py
+++ b/mallowpond/state/codec.py
@@ -1,11 +1,15 @@
 """Convert data classes to plain values and JSON, and trusted values back."""
 
 import json
+from collections.abc import Callable
+from dataclasses import fields, is_dataclass
 from typing import Any, TypeVar
 
 from cattrs import Converter, UnstructureStrategy
 from cattrs.preconf.json import make_converter
 
+from mallowpond.state.decoding import compact_fields
+
 T = TypeVar("T")
 
 _converter = make_converter()
@@ -13,6 +17,18 @@
 _compact = Converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
 
 
+def _has_local_fields(kind: Any) -> bool:
+    return is_dataclass(kind) and len(compact_fields(kind)) < len(fields(kind))
+
+
+def _without_local_fields(kind: Any) -> Callable[[Any], tuple[Any, ...]]:
+    names = compact_fields(kind)
+    return lambda value: tuple(_compact.unstructure(getattr(value, n)) for n in names)
+
+
+_compact.register_unstructure_hook_factory(_has_local_fields, _without_local_fields)
+
+
 def to_plain(value: Any) -> Any:
     """Convert a data class to maps, lists, strings and numbers."""
     return _converter.unstructure(value)
--- a/mallowpond/state/decoding.py
+++ b/mallowpond/state/decoding.py
@@ -42,6 +42,9 @@
 # Enough for the addresses of several fleets.
 ADDRESS_CACHE_SIZE = 8192
 
+# Metadata of fields that only this host knows: compact values leave them out.
+LOCAL = {"local": True}
+
 # Types for fields of data classes that accept only some values of their base type.
 Name = NewType("Name", str)
 Identifier = NewType("Identifier", str)
@@ -291,9 +294,10 @@
 def _decoder_by_order(
     converter: Converter, kind: type[T]
 ) -> Callable[[Any, type[T]], T]:
-    decoders = _field_decoders(converter, kind)
-    names = tuple(decoders)
-    hooks = [(converter.get_structure_hook(h), h) for h in _hints(kind)]
+    hints = get_type_hints(kind)
+    names = compact_fields(kind)
+    decoders = {n: _field_decoder(converter, n, hints[n]) for n in names}
+    hooks = [(converter.get_structure_hook(hints[n]), hints[n]) for n in names]
 
     def build(values: Any, _: type[T]) -> T:
         if not isinstance(values, list | tuple):
@@ -312,6 +316,11 @@
     return build
 
 
+def compact_fields(kind: Any) -> tuple[str, ...]:
+    """Return the names of the fields that compact values of a class hold."""
+    return tuple(f.name for f in fields(kind) if not f.metadata.get("local"))
+
+
 def _has_default(field: Any) -> bool:
     return field.default is not MISSING or field.default_factory is not MISSING
 
@@ -323,10 +332,6 @@
     return {n: _field_decoder(converter, n, h) for n, h in get_type_hints(kind).items()}
 
 
-def _hints(kind: type) -> list[Any]:
-    return list(get_type_hints(kind).values())
-
-
 def _field_decoder(converter: Converter, name: str, hint: Any) -> Callable[[Any], Any]:
     structure = converter.get_structure_hook(hint)
 
--- a/mallowpond/state/fleet.py
+++ b/mallowpond/state/fleet.py
@@ -2,11 +2,11 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from functools import cached_property
 
-from mallowpond.state.decoding import Address, Identifier, Name, Positive
+from mallowpond.state.decoding import LOCAL, Address, Identifier, Name, Positive
 
 # Key of a formation: the group's name and epoch.
 GroupKey = tuple[str, int]
@@ -133,6 +133,9 @@
     domain: its fabric domain, within which a group runs at full speed.
     model: the model that the process has loaded or is loading, empty if none.
     staged: models whose weights are on its host, so that joining needs no load.
+    cold_seconds: how much longer it stays cold, as of the writing of its entry; None if
+        another host sent the entry. It counts down in each entry, so it is no change
+        of the target and is not sent to other hosts.
     """
 
     id: Identifier
@@ -147,6 +150,7 @@
     staged: tuple[str, ...] = ()
     membership: Membership | None = None
     born: int | None = None
+    cold_seconds: float | None = field(default=None, compare=False, metadata=LOCAL)
 
     # Cached: it is used for every target at each change of the list.
     @cached_property
--- a/mallowpond/state/placement.py
+++ b/mallowpond/state/placement.py
@@ -25,6 +25,9 @@
 # their streams to the one group that was best then.
 UNREPORTED_STREAMS = 1.0
 DRAWN_GROUPS = 2
+# Factor on the predicted time of a cold group, whose head has just started: streams
+# prefer warm groups, and still use a cold one where the others are far behind.
+COLD_SLOWNESS = 2.0
 # Assumed context of a running request in tokens, where no typical prompt is declared.
 DEFAULT_CONTEXT_TOKENS = 1000.0
 
@@ -51,6 +54,8 @@
     is_leaving: bool = False
     # Its head failed recently and has not been observed alive since.
     has_ended: bool = False
+    # Its head has just started, and takes only few requests a second.
+    is_cold: bool = False
 
 
 def pass_seconds(profile: EngineProfile, model: ModelSpec, load: GroupLoad) -> float:
@@ -205,6 +210,8 @@
         seconds = first_event_seconds(profile, model, candidate.load, prompt_tokens)
         seconds += pass_seconds(profile, model, candidate.load)
         seconds += scaled_delay(candidate.load, delay_seconds)
+        if candidate.is_cold:
+            seconds *= COLD_SLOWNESS
         return (candidate.has_ended, candidate.is_leaving, seconds)
 
     return min(available, key=rank)
--- a/mallowpond/state/site_configuration.py
+++ b/mallowpond/state/site_configuration.py
@@ -55,12 +55,18 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Service:
-    """A service; `profile` is set if its targets are model engines."""
+    """A service; `profile` is set if its targets are model engines.
+
+    cold_seconds: how long a target stays cold after its start.
+    cold_per_second: requests a second that a cold target tolerates; 0: it never is.
+    """
 
     name: str
     max_connections: int
     health_path: str = "/"
     profile: EngineProfile | None = None
+    cold_seconds: float = 0.0
+    cold_per_second: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
