Soak: engines that are cold after their start, or again

Cause: no run between processes covered what hosts send to cold engines.

Change: the stand-in engine says in its entry and health answers that it is cold, and a check counts the requests in any one second.

--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -61,6 +61,8 @@
         before its entry does.
     rate_limit: requests per second that it advertises while the limit is on.
     backoff_seconds: backoff that it requests from a host when it refuses a request.
+    cold_seconds: time for which it says that it is cold after its start.
+    cold_again_after: time after its start at which it is cold again, None for never.
     """
 
     host: str
@@ -81,6 +83,8 @@
     unannounced_seconds: float | None = None
     rate_limit: float = 1.0
     backoff_seconds: float = 3.0
+    cold_seconds: float = 0.0
+    cold_again_after: float | None = None
 
 
 @dataclass(kw_only=True)
@@ -115,6 +119,7 @@
         self._is_announced = False
         self._advertises_limit = False
         self._is_shedding = False
+        self._cold_until = 0.0
         self._stalled_at: float | None = None
         self._member_addresses: dict[str, str] = {}
         self._entry_changed = asyncio.Event()
@@ -125,6 +130,9 @@
         """Listen, and start to publish the entry and to monitor the group."""
         await self.server.start(self._options.host, self._options.port)
         self._write_journal("start", address=self._options.advertised)
+        self._become_cold()
+        if self._options.cold_again_after is not None:
+            self._call_later(self._options.cold_again_after, self._become_cold)
         for coroutine in (self._run_heartbeats(), self._monitor_group()):
             self._tasks.append(asyncio.create_task(coroutine))
 
@@ -153,6 +161,16 @@
         self._is_shedding = not self._is_shedding
         self._write_journal("shedding", on=self._is_shedding)
 
+    def _become_cold(self) -> None:
+        seconds = self._options.cold_seconds
+        if seconds > 0.0:
+            self._cold_until = time.monotonic() + seconds
+            self._write_journal("cold", seconds=seconds)
+            self._entry_changed.set()
+
+    def _cold_milliseconds(self) -> int:
+        return max(0, int(1000 * (self._cold_until - time.monotonic())))
+
     async def close(self) -> None:
         """Stop all tasks and close the server and the journal."""
         for task in self._tasks:
@@ -214,7 +232,7 @@
             "born": self._born,
             "slots": options.slots,
             "state": "draining" if self._is_announced else "ready",
-            "cold_left_ms": 0,
+            "cold_left_ms": self._cold_milliseconds(),
             "domain": options.domain,
             "models": [{"name": self._model, "version": 1}] if self._model else [],
             "staged": [self._staged] if self._staged else [],
@@ -425,8 +443,9 @@
             self._write_journal("misdirected", wanted=expected_id)
             await exchange.respond(421, headers=(*common_headers, *NOT_RUN))
         elif request.path == "/healthz":
+            cold = (names.COLD, str(self._cold_milliseconds()))
             await exchange.respond(
-                503 if self._draining else 200, headers=common_headers
+                503 if self._draining else 200, headers=(*common_headers, cold)
             )
         elif request.path == "/-/report":
             report = {
--- a/mallowpond/standins/observatory_operator.py
+++ b/mallowpond/standins/observatory_operator.py
@@ -139,9 +139,11 @@
     group_size: int,
     load_seconds: float,
     workspaces: dict[str, str | None],
+    cold: dict[str, float] | None = None,
 ) -> dict[str, Any]:
     """Return a configuration with a route of each kind.
 
+    cold: fields of each service on cold engines, None for none.
     workspaces: API key of each workspace by its name, None for no key. The document
         calls workspaces tenants.
     """
@@ -168,8 +170,13 @@
             _route("again", "idempotent", "plain", 1500),
         ],
         "services": [
-            {"name": "engines", "health_path": "/healthz", "engine": engine},
-            {"name": "plain", "health_path": "/healthz"},
+            {
+                "name": "engines",
+                "health_path": "/healthz",
+                "engine": engine,
+                **(cold or {}),
+            },
+            {"name": "plain", "health_path": "/healthz", **(cold or {})},
         ],
         "limits": {"header_timeout_ms": 2000, "idle_timeout_ms": 10000},
         "tenants": [
--- a/mallowpond/state/cold_targets.py
+++ b/mallowpond/state/cold_targets.py
@@ -12,7 +12,7 @@
 from math import floor, inf
 
 from mallowpond.state.fleet import Process
-from mallowpond.state.ownership import first_owners
+from mallowpond.state.ownership import HashRing
 
 # Requests a second for each host that shares a rate, and the minimum number of hosts:
 # the loss of one costs little, and each can send several requests.
@@ -112,9 +112,9 @@
     tokens: float = 0.0
     # No request is sent before this time.
     held_until: float = -inf
+    # The hosts that share its rate, and those among which they were determined.
     sharers: frozenset[str] | None = None
-    hosts: frozenset[str] = frozenset()
-    divided_at: float = -inf
+    ring: HashRing | None = None
 
     def refill(self, part: HostPart, now: float) -> None:
         """Add the tokens that have accrued since the last refill."""
@@ -148,6 +148,8 @@
         self._host = host
         self._started_at = started_at
         self._settle_seconds = settle_seconds
+        self._ring = HashRing(())
+        self._ring_at = -inf
         self._entries: dict[Process, _Entry] = {}
         self._listed: dict[Process, _Listed] = {}
         self._last_sent: dict[Process, float] = {}
@@ -307,9 +309,13 @@
         hosts: Callable[[], Collection[str]],
         now: float,
     ) -> HostPart:
-        if now - entry.divided_at >= RESHARE_SECONDS:
-            entry.divided_at = now
-            self._divide(process, entry, rule, frozenset(hosts()), now)
+        if now - self._ring_at >= RESHARE_SECONDS:
+            self._ring_at = now
+            members = frozenset(hosts())
+            if members != self._ring.members:
+                self._ring = HashRing(members)
+        if entry.ring is not self._ring:
+            self._divide(process, entry, rule, now)
         if entry.sharers is None or self._host not in entry.sharers:
             return NO_PART
         return host_part(rule)
@@ -319,14 +325,10 @@
         process: Process,
         entry: _Entry,
         rule: ColdRule,
-        hosts: frozenset[str],
         now: float,
     ) -> None:
-        if hosts == entry.hosts:
-            return
-        before, entry.hosts = entry.sharers, hosts
-        owners = first_owners(process.id, hosts, count_sharers(rule))
-        entry.sharers = frozenset(owners)
+        before, entry.ring = entry.sharers, self._ring
+        entry.sharers = self._ring.owners(process.id, count_sharers(rule))
         if self._host not in entry.sharers:
             return
         settle = max(SETTLE_SECONDS, self._settle_seconds())
--- a/mallowpond/state/ownership.py
+++ b/mallowpond/state/ownership.py
@@ -1,5 +1,6 @@
 """Rendezvous hashing: all hosts with the same members agree on who owns a key."""
 
+from bisect import bisect
 from collections.abc import Iterable, Mapping
 from functools import lru_cache
 from hashlib import blake2b
@@ -40,6 +41,28 @@
     return nlargest(count, members, key=lambda m: _score(m, key))
 
 
+class HashRing:
+    """Members in the order of their hashes, to find the owners of many keys.
+
+    A change of one member changes the owners of a few keys only, as with rendezvous
+    hashing, which takes one hash for each member and key: 0.5 ms a key in a fleet of
+    380 hosts.
+    """
+
+    def __init__(self, members: Iterable[str]) -> None:
+        self.members = frozenset(members)
+        self._points = sorted((_score(member, ""), member) for member in self.members)
+
+    def owners(self, key: str, count: int) -> frozenset[str]:
+        """Return the `count` members that follow the key, all if they are fewer."""
+        points = self._points
+        if not points:
+            return frozenset()
+        first = bisect(points, (_score("", key), ""))
+        following = range(first, first + min(count, len(points)))
+        return frozenset(points[index % len(points)][1] for index in following)
+
+
 def ranked_by_capacity(key: str, members: Mapping[str, float]) -> list[str]:
     """Return the members in descending order of capacity, then of score for `key`.
 
--- a/mallowpond/state/tests/test_cold_targets.py
+++ b/mallowpond/state/tests/test_cold_targets.py
@@ -12,7 +12,7 @@
     host_part,
 )
 from mallowpond.state.fleet import Process
-from mallowpond.state.ownership import first_owners
+from mallowpond.state.ownership import HashRing
 
 TARGET = Process(id="t", born=1)
 LONG_UP = -1000.0
@@ -92,7 +92,7 @@
 
 def test_a_host_without_a_part_waits_until_the_target_is_warm():
     names = fleet(87)
-    owners = first_owners(TARGET.id, names, count_sharers(RULE))
+    owners = HashRing(names).owners(TARGET.id, count_sharers(RULE))
     other = next(name for name in names if name not in owners)
     targets = ColdTargets(host=other, started_at=LONG_UP)
     targets.record_said(said(6.0), 10.0)
@@ -108,7 +108,7 @@
     shares sent before.
     """
     names = fleet(87)
-    owners = first_owners(TARGET.id, names, count_sharers(RULE))
+    owners = HashRing(names).owners(TARGET.id, count_sharers(RULE))
     hosts = make_hosts(owners)
     for targets in hosts.values():
         targets.record_said(said(6.0), 0.0)
@@ -140,7 +140,7 @@
     hosts = make_hosts(names)
     for targets in hosts.values():
         targets.record_said(said(20.0), 0.0)
-    dead = first_owners(TARGET.id, names, 1)[0]
+    dead = min(HashRing(names).owners(TARGET.id, 1))
     left = [name for name in names if name != dead]
     sent = []
     for step in range(18 * STEPS_PER_SECOND):
--- a/mallowpond/state/tests/test_ownership.py
+++ b/mallowpond/state/tests/test_ownership.py
@@ -1,6 +1,11 @@
 """Rendezvous hashing is stable and moves few keys when a member leaves."""
 
-from mallowpond.state.ownership import owner_of, ranked_by_capacity, ranked_owners
+from mallowpond.state.ownership import (
+    HashRing,
+    owner_of,
+    ranked_by_capacity,
+    ranked_owners,
+)
 
 KEYS = [f"deployment-{n}" for n in range(1000)]
 MEMBERS = [f"controller-{n}" for n in range(7)]
@@ -22,6 +27,21 @@
     assert len(moved) < 1000 / 7 * 1.3
 
 
+def test_a_ring_gives_keys_to_all_members_and_a_loss_moves_only_its_own():
+    """Guard against a loss that moves keys whose owners are all left."""
+    before = {k: HashRing(MEMBERS).owners(k, 3) for k in KEYS}
+    after = {k: HashRing(MEMBERS[1:]).owners(k, 3) for k in KEYS}
+    assert {len(owners) for owners in before.values()} == {3}
+    assert frozenset().union(*before.values()) == frozenset(MEMBERS)
+    for key in KEYS:
+        if MEMBERS[0] in before[key]:
+            assert before[key] - after[key] == {MEMBERS[0]}
+        else:
+            assert before[key] == after[key]
+    assert HashRing(MEMBERS[:2]).owners("a", 3) == frozenset(MEMBERS[:2])
+    assert HashRing(()).owners("a", 3) == frozenset()
+
+
 def test_ranked_owners_start_with_the_owner():
     assert ranked_owners("a", MEMBERS)[0] == owner_of("a", MEMBERS)
     assert sorted(ranked_owners("a", MEMBERS)) == MEMBERS
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -35,6 +35,11 @@
 LOAD_SECONDS = 0.3
 # Time of one event of a stream by the timing in the configuration, in seconds.
 EVENT_SECONDS = 0.02
+# Requests a second that a cold engine tolerates; the bound on those in any one second
+# is COLD_RATIO times as many plus COLD_SLACK.
+COLD_PER_SECOND = 2.0
+COLD_RATIO = 1.5
+COLD_SLACK = 1.0
 # Interval of the polls for the end of a killed process, in seconds.
 KILL_POLL_SECONDS = 0.005
 
@@ -55,6 +60,11 @@
     # Time for which a stopping engine announces its stop only in its answers and not
     # yet in the store, in seconds.
     unannounced_seconds: float | None = None
+    # Time for which an engine is cold after its start, and the time after its start at
+    # which it is cold again, in seconds. With `limits_cold` the nodes know the bound.
+    cold_seconds: float = 0.0
+    cold_again_after: float | None = None
+    limits_cold: bool = True
 
 
 @dataclass(kw_only=True)
@@ -207,9 +217,15 @@
                 name: key if key in self.active_keys else None
                 for key, name in WORKSPACES.items()
             },
+            cold=self._cold_fields(),
         )
         return await self._operator.configure(document)
 
+    def _cold_fields(self) -> dict[str, float] | None:
+        if not self.shape.cold_seconds:
+            return None
+        return {"cold_s": self.shape.cold_seconds, "cold_per_s": COLD_PER_SECOND}
+
     async def drop_history(self) -> bool:
         """Make the store discard its history of changes; return whether it did.
 
@@ -268,6 +284,10 @@
             "id": new_engine_id(),
             "event_seconds": EVENT_SECONDS * self.shape.slowness,
         }
+        if self.shape.cold_seconds:
+            options["cold_seconds"] = self.shape.cold_seconds
+        if self.shape.cold_again_after is not None:
+            options["cold_again_after"] = self.shape.cold_again_after
         if self.shape.unannounced_seconds is not None:
             options["unannounced_seconds"] = self.shape.unannounced_seconds
         if not is_plain:
@@ -289,7 +309,7 @@
             f'callers = "127.0.0.1:{callers}"\nreadiness = "127.0.0.1:{readiness}"\n'
             f'peer_port = {peers}\nstore = "127.0.0.1:{link.port}"\n'
             f"[bounds]\nrevoke = {REVOKE_SECONDS}\ngrace = {GRACE_SECONDS}\n"
-            "stall = 1.0\nchecks_fencing = true\n"
+            "stall = 1.0\nchecks_fencing = true\n" + self._cold_bounds()
         )
         self.nodes.append(
             ManagedProcess(
@@ -302,6 +322,11 @@
         self.store_links.append(link)
         self.node_ports.append((callers, readiness))
 
+    def _cold_bounds(self) -> str:
+        if not (self.shape.cold_seconds and self.shape.limits_cold):
+            return ""
+        return f"cold_ratio = {COLD_RATIO}\ncold_slack = {COLD_SLACK}\n"
+
     async def _add_link(self, port: int) -> Proxy:
         link = Proxy(target_port=port)
         await link.start()
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -77,6 +77,8 @@
 LIMIT_WINDOW_SECONDS = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_ALLOWANCE = 5
+# Requests that a cold engine may get in any one second, from all nodes together.
+COLD_BOUND = 4
 # Number of requests that a node may send to an engine that asked it for backoff.
 MAX_BACKOFF_REQUESTS = 2
 # Marks requests that were sent, and not served, while a fatal request was being sent.
@@ -111,6 +113,7 @@
             _check_unaffected_requests,
             _check_rate_limits,
             _check_backoffs,
+            _check_cold_engines,
             _check_announced_stops,
         )
     return [line for check in checks for line in check(run)]
@@ -427,6 +430,30 @@
             yield f"{entry.engine}: asked node {node} for backoff, got {count} requests"
 
 
+def _check_cold_engines(run: Run) -> Iterator[str]:
+    """Find cold engines that got more requests in one second than the bound.
+
+    An engine with a new id must never get more. Nodes hear of one that started again
+    under its id, or is cold again, from the list: they have PROPAGATION_SECONDS.
+    """
+    arrivals: dict[str, list[float]] = defaultdict(list)
+    known: set[str] = set()
+    for entry in run.notes:
+        if entry.event == "arrival":
+            arrivals[entry.engine].append(entry.at)
+    for entry in run.notes:
+        if entry.event != "cold":
+            continue
+        delay = PROPAGATION_SECONDS if entry.engine in known else 0.0
+        known.add(entry.engine)
+        end = entry.at + entry.values["seconds"]
+        times = [at for at in arrivals[entry.engine] if entry.at + delay < at < end]
+        counts = (sum(at <= t < at + 1.0 for t in times) for at in times)
+        most = max(counts, default=0)
+        if most > COLD_BOUND:
+            yield f"{entry.engine}: cold, got {most} requests in a second"
+
+
 def _check_announced_stops(run: Run) -> Iterator[str]:
     """Find requests from a node to an engine whose answers announced its stop."""
     by_attempt = {record.attempt: record for record in run.callers}
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -318,6 +318,28 @@
     )
 
 
+def cold_run(*arrivals, starts=(10.0,)):
+    """Return a run of an engine that is cold for 6 s after each of its starts."""
+    notes = [entry("cold", at=at, engine="p0", seconds=6.0) for at in starts]
+    notes += [
+        entry("arrival", at=at, engine="p0", attempt=f"q{number}")
+        for number, at in enumerate(arrivals)
+    ]
+    return run_of(notes=sorted(notes, key=lambda n: n.at))
+
+
+def test_requests_beyond_the_bound_of_a_cold_engine_are_seen():
+    for run in (cold_run(*[10.1] * 5), cold_run(*[13.0] * 5, starts=(8.0, 10.0))):
+        assert any("cold, got 5" in line for line in find_violations(run))
+
+
+def test_requests_that_a_cold_engine_takes_are_no_breach():
+    assert find_violations(cold_run(*[10.1] * 4, *[11.2] * 4)) == []
+    # Once it is warm, and before nodes can know that it started again.
+    assert find_violations(cold_run(*[16.1] * 30)) == []
+    assert find_violations(cold_run(*[11.0] * 30, starts=(1.0, 10.0))) == []
+
+
 def test_requests_that_a_rate_limit_allows_are_no_breach():
     assert find_violations(rate_limited_run(*[13.5] * 10)) == []
     # Before the limit is checked, and after it has ended.
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -88,6 +88,22 @@
     assert find_violations(run) == []
 
 
+@pytest.mark.parametrize(
+    ("kind", "cold_again_after"),
+    [("engine_kill", None), ("engine_restart", None), ("engine_kill", 12.0)],
+    ids=["new id", "same id", "cold again"],
+)
+def test_a_cold_engine_gets_no_more_than_its_bound(kind, cold_again_after, tmp_path):
+    """Guards against hosts that together exceed what a cold engine tolerates."""
+    plain = FleetShape().domains * FleetShape().engines_per_domain + 1
+    fault = Fault(at=7.0, kind=kind, seconds=8.0, draw=plain)
+    shape = FleetShape(cold_seconds=6.0, cold_again_after=cold_again_after)
+    case = Case(seed=1, seconds=0.0, faults=(fault,), shape=shape)
+    run = asyncio.run(run_case(case, tmp_path))
+    assert sum(entry.event == "cold" for entry in run.notes) > 10
+    assert find_violations(run) == []
+
+
 @pytest.mark.parametrize("draw", [0, 1], ids=["head", "plain"])
 def test_an_engine_that_says_that_it_leaves_gets_nothing_more(draw, tmp_path):
     """Guards against hosts that learn of the stop of an engine only from the list."""
