Ask anew which groups a waiting stream must avoid

Cause: a stream named the groups with unavailable heads once, with its first question to the dispatcher. A head that only had to wait for its next request stayed avoided, so a stream with only cold or limited groups waited in vain.

Groups that it was sent to stay avoided.

--- a/mallowpond/node/dispatcher_client.py
+++ b/mallowpond/node/dispatcher_client.py
@@ -93,10 +93,16 @@
             answers.put_nowait(refused)
 
     async def request_slot(
-        self, request: SlotRequest, entry: QueueEntry
+        self,
+        request: SlotRequest,
+        entry: QueueEntry,
+        unavailable: Callable[[], frozenset[str]] = frozenset,
     ) -> PlacementOutcome | None:
         """Request a slot and wait for it until the entry's deadline.
 
+        `unavailable` returns the names of more groups to avoid. It is asked anew each
+        time that the request is sent, as a group that must wait for its next request
+        may be the first one to become free.
         Return None when the caller has to place the stream by its own view: there is
         no dispatcher, it does not answer, or its grants are unusable here.
         """
@@ -104,17 +110,22 @@
         request_id = RequestId(node=self._name, number=self._last_number)
         self._answers[request_id.number] = asyncio.Queue()
         try:
-            return await self._request(request_id, request, entry)
+            return await self._request(request_id, request, entry, unavailable)
         finally:
             del self._answers[request_id.number]
             self._dispatcher.cancel(request_id)
 
     async def _request(
-        self, request_id: RequestId, request: SlotRequest, entry: QueueEntry
+        self,
+        request_id: RequestId,
+        request: SlotRequest,
+        entry: QueueEntry,
+        unavailable: Callable[[], frozenset[str]],
     ) -> PlacementOutcome | None:
         unusable = 0
         while unusable < MAX_UNUSABLE_GRANTS:
-            answer = await self._query(request_id, request, entry)
+            asked = request.without(unavailable())
+            answer = await self._query(request_id, asked, entry)
             if answer is not None and answer.verdict is PlaceVerdict.WAITING:
                 answer = await self._wait(request_id, entry)
                 if answer is None:
--- a/mallowpond/node/stream_placement.py
+++ b/mallowpond/node/stream_placement.py
@@ -132,7 +132,8 @@
 
     def choose(self, work: StreamWork) -> Group | None:
         """Return a group with a free slot by load reports, None if there is none."""
-        return self.selector.select_by_reports(self._slot_request(work))
+        request = self._slot_request(work).without(self._unavailable(work))
+        return self.selector.select_by_reports(request)
 
     def _slot_request(self, work: StreamWork) -> SlotRequest:
         return SlotRequest(
@@ -141,19 +142,24 @@
             model=work.model,
             prompt_tokens=work.prompt_tokens,
             objective=work.route.objective_seconds,
-            avoided=self._avoided(work),
+            avoided=self._used(work),
         )
 
-    def _avoided(self, work: StreamWork) -> frozenset[str]:
-        """Return the names of the groups that a stream must not be sent to now.
+    def _used(self, work: StreamWork) -> frozenset[str]:
+        """Return the names of the groups that a stream was sent to already."""
+        if not work.sent_to:
+            return frozenset()
+        groups = self._directory.serving_groups(work.service, work.model.name)
+        return frozenset(
+            g.name for g in groups if g.head and g.head.process in work.sent_to
+        )
 
-        Those are groups that it was sent to already or whose head is unavailable.
-        """
-        if not work.sent_to and not self._availability.has_restrictions:
+    def _unavailable(self, work: StreamWork) -> frozenset[str]:
+        """Return the names of the groups whose head may get no request now."""
+        if not self._availability.has_restrictions:
             return frozenset()
         groups = self._directory.serving_groups(work.service, work.model.name)
-        used = {g.name for g in groups if g.head and g.head.process in work.sent_to}
-        return self._availability.unavailable_groups(groups).union(used)
+        return self._availability.unavailable_groups(groups)
 
     def _refuse_unavailable(self, work: StreamWork) -> Refusal | None:
         """Refuse a stream if no group of its model is available within its patience.
@@ -192,7 +198,7 @@
         self._metrics.waiting.inc()
         try:
             return await self.dispatcher_client.request_slot(
-                self._slot_request(work), entry
+                self._slot_request(work), entry, lambda: self._unavailable(work)
             )
         finally:
             self._metrics.waiting.dec()
--- a/mallowpond/node/tests/test_cold_limits.py
+++ b/mallowpond/node/tests/test_cold_limits.py
@@ -8,6 +8,7 @@
 
 from mallowpond.node.cold_limits import SEND_DELAYS, ColdLimits
 from mallowpond.node.directory import Directory
+from mallowpond.node.dispatcher_client import RENEW_SECONDS
 from mallowpond.node.messages import ColdNews, ListChange, read_message, write_message
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, Reason
@@ -24,6 +25,10 @@
     make_rig,
     open_group,
 )
+from mallowpond.node.tests.test_dispatcher import run_pending_tasks
+from mallowpond.node.tests.test_dispatcher import (
+    two_hosts as two_hosts_with_dispatcher,
+)
 from mallowpond.state.codec import to_compact
 from mallowpond.state.site_configuration import Service
 
@@ -210,6 +215,14 @@
 async def cold_rig(*groups):
     """Return a rig whose head `a0` is cold, and its cold limits."""
     rig = await make_rig(*groups)
+    rig.clock.time += 100.0
+    limits = limit_cold(rig)
+    limits.record_said(rig.directory.targets["a0"], 20.0, rig.clock.now())
+    return rig, limits
+
+
+def limit_cold(rig):
+    """Return the cold limits of a rig, which has run for some time."""
     limits = ColdLimits(
         name="n0",
         directory=rig.directory,
@@ -218,10 +231,9 @@
         bounds=BOUNDS,
         find_service=lambda name: COLD_SERVICE,
     )
-    rig.clock.time += 100.0
+    limits._targets._started_at -= 100.0
     rig.service._availability._cold_limits = limits
-    limits.record_said(rig.directory.targets["a0"], 20.0, rig.clock.now())
-    return rig, limits
+    return limits
 
 
 async def test_a_stream_goes_to_a_warm_group():
@@ -278,3 +290,26 @@
     rig.clock.time += 30.0
     assert availability.can_send(head)
     assert not availability.is_cold(head)
+
+
+async def test_a_stream_that_waits_at_the_dispatcher_goes_to_a_group_once_it_may():
+    """Guards against groups that a waiting stream avoids for as long as it waits.
+
+    The groups whose heads had to wait for their next request were named once, with the
+    first question, so a stream with only cold groups always waited in vain.
+    """
+    site = await two_hosts_with_dispatcher("a")
+    rig = site.rig_a
+    rig.clock.time += 100.0
+    limits = limit_cold(rig)
+    limits.record_said(rig.directory.targets["a0"], 20.0, rig.clock.now())
+    rig.targets.script("a0", answer(1))
+    serving = asyncio.create_task(rig.service.serve(rig.work(FakeExchange())))
+    await run_pending_tasks()
+    assert rig.targets.sends == []
+    rig.clock.time += 0.9
+    await asyncio.sleep(RENEW_SECONDS + 0.1)
+    site.dispatcher.wake()
+    await run_pending_tasks()
+    assert serving.done()
+    assert await serving == Answered(status=200, target="a0")
