Start stand-in engines that are never cold

Cause: the settings loader refuses a number of 0, also as a default, so an engine without cold_seconds did not start. Runs of the soak without cold engines failed: test_a_short_seeded_run_keeps_every_promise, found by the whole suite.

Change: the default of cold_seconds is None.

--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -61,7 +61,7 @@
         before its entry does.
     rate_limit: requests per second that it advertises while the limit is on.
     backoff_seconds: backoff that it requests from a host when it refuses a request.
-    cold_seconds: time for which it says that it is cold after its start.
+    cold_seconds: time for which it says that it is cold after its start, None for none.
     cold_again_after: time after its start at which it is cold again, None for never.
     """
 
@@ -83,7 +83,7 @@
     unannounced_seconds: float | None = None
     rate_limit: float = 1.0
     backoff_seconds: float = 3.0
-    cold_seconds: float = 0.0
+    cold_seconds: float | None = None
     cold_again_after: float | None = None
 
 
@@ -163,7 +163,7 @@
 
     def _become_cold(self) -> None:
         seconds = self._options.cold_seconds
-        if seconds > 0.0:
+        if seconds is not None:
             self._cold_until = time.monotonic() + seconds
             self._write_journal("cold", seconds=seconds)
             self._entry_changed.set()
