Give refused callers of cold targets a time at which a host may send

Cause: the time between the sends of all hosts was sent, although a caller returns to one host, which in a large fleet rarely has a part. A host's part and a service's rule were worked out for each group at each placement.

Change: the mean time between the sends of one host is sent, at most the time until the target is warm. Part and rule are kept.

--- a/mallowpond/state/cold_targets.py
+++ b/mallowpond/state/cold_targets.py
@@ -115,6 +115,9 @@
     # The hosts that share its rate, and those among which they were determined.
     sharers: frozenset[str] | None = None
     ring: HashRing | None = None
+    # This host's part by the rule; kept, as it is read at each placement.
+    rule: ColdRule | None = None
+    part: HostPart = NO_PART
 
     def refill(self, part: HostPart, now: float) -> None:
         """Add the tokens that have accrued since the last refill."""
@@ -286,11 +289,17 @@
         wait = 0.0 if entry.tokens >= 1.0 else (1.0 - entry.tokens) / part.rate
         return min(left, max(wait, entry.held_until - now, 0.0))
 
-    def retry_seconds(self, process: Process, rule: ColdRule, now: float) -> float:
-        """Return the interval between sends of all hosts, at most until it is warm."""
+    def retry_seconds(
+        self, process: Process, rule: ColdRule, host_count: int, now: float
+    ) -> float:
+        """Return the mean interval between sends of a host, at most until it is warm.
+
+        A caller usually returns to another host, which rarely has a part in a large
+        fleet: there it is best to return when the target is warm.
+        """
         left = self.seconds_left(process, now)
         rate = host_part(rule).rate * count_sharers(rule)
-        return min(left, 1.0 / rate) if rate > 0.0 else left
+        return min(left, max(1, host_count) / rate) if rate > 0.0 else left
 
     def record_sent(self, process: Process, now: float) -> bool:
         """Count a request that this host sends; return whether the target is cold."""
@@ -314,11 +323,9 @@
             members = frozenset(hosts())
             if members != self._ring.members:
                 self._ring = HashRing(members)
-        if entry.ring is not self._ring:
+        if entry.ring is not self._ring or entry.rule is not rule:
             self._divide(process, entry, rule, now)
-        if entry.sharers is None or self._host not in entry.sharers:
-            return NO_PART
-        return host_part(rule)
+        return entry.part
 
     def _divide(
         self,
@@ -327,10 +334,12 @@
         rule: ColdRule,
         now: float,
     ) -> None:
-        before, entry.ring = entry.sharers, self._ring
+        before, entry.ring, entry.rule = entry.sharers, self._ring, rule
         entry.sharers = self._ring.owners(process.id, count_sharers(rule))
         if self._host not in entry.sharers:
+            entry.part = NO_PART
             return
+        entry.part = host_part(rule)
         settle = max(SETTLE_SECONDS, self._settle_seconds())
         if before is None:
             entry.held_until = max(entry.held_until, self._started_at + settle)
