--- a/mallowpond/node/dispatcher_client.py
+++ b/mallowpond/node/dispatcher_client.py
@@ -111,10 +111,16 @@
         self._answers[number].put_nowait(refused)
 
     async def request_slot(
-        self, request: SlotRequest, entry: QueueEntry
+        self,
+        request: SlotRequest,
+        entry: QueueEntry,
+        unavailable: Callable[[], frozenset[str]] = frozenset,
     ) -> PlacementOutcome | None:
         """Request a slot and wait for it until the entry's deadline.
 
+        `unavailable` returns the names of more groups to avoid. It is asked anew each
+        time that the request is sent, as a group that must wait for its next request
+        may be the first one to become free.
         Return None when the caller has to place the stream by its own view: there is
         no dispatcher, it does not answer, or its grants are unusable here.
         """
@@ -124,7 +130,7 @@
         if not entry.has_begun:
             self._new_requests[request_id.number] = request
         try:
-            return await self._request(request_id, request, entry)
+            return await self._request(request_id, request, entry, unavailable)
         finally:
             self._release_unread(self._answers.pop(request_id.number))
             self._new_requests.pop(request_id.number, None)
@@ -139,11 +145,16 @@
                 self.release_grant()
 
     async def _request(
-        self, request_id: RequestId, request: SlotRequest, entry: QueueEntry
+        self,
+        request_id: RequestId,
+        request: SlotRequest,
+        entry: QueueEntry,
+        unavailable: Callable[[], frozenset[str]],
     ) -> PlacementOutcome | None:
         unusable = 0
         while unusable < MAX_UNUSABLE_GRANTS:
-            answer = await self._query(request_id, request, entry)
+            asked = request.without(unavailable())
+            answer = await self._query(request_id, asked, entry)
             if answer is not None and answer.verdict is PlaceVerdict.WAITING:
                 answer = await self._wait(request_id, entry)
                 if answer is None:
