--- a/mallowpond/state/tests/test_rebalancing.py
+++ b/mallowpond/state/tests/test_rebalancing.py
@@ -447,6 +447,45 @@
     assert fleet.reasons["close", "urgent"] >= 1
 
 
+def test_a_new_planner_allows_for_a_crest_that_it_has_not_seen():
+    """Guards against a giver without slack at the crest of its wave.
+
+    Of the 42 streams at the peak that leave slack, the larger model has 31.
+    """
+    fleet = three_centres()
+    load = 0.15 * fleet.slots("large"), 0.6 * fleet.slots("small")
+    fleet.run(40, *load)
+    fleet.new_planner()
+    fleet.evacuated = frozenset("a")
+    fleet.run(14, *load)
+    assert fleet.actions()["close"] == 0
+    fleet.run(2, *load)
+    assert fleet.reasons["close", "urgent"] >= 1
+
+
+def test_a_model_that_received_engines_gives_none_for_a_while():
+    """Guards against engines that go to and fro between two models."""
+    fleet = three_centres()
+    load = 0.1 * fleet.slots("large"), 0.6 * fleet.slots("small")
+    fleet.run(40, *load)
+    assert fleet.records.received_at == {}
+    fleet.records.received_at["large"] = fleet.now
+    fleet.evacuated = frozenset("a")
+    fleet.run(29, *load)
+    assert fleet.actions()["close"] == 0
+    fleet.run(3, *load)
+    assert fleet.actions()["close"] >= 1
+
+
+def test_full_slots_count_as_short_at_once():
+    """Guards against waiting streams that the planner cannot see."""
+    full = ModelDemand(short=0.96 * SLOTS, long=0.5 * SLOTS, wave=0.3 * SLOTS)
+    model = ModelState(spec=SMALL, demand=full, groups=1, domains=("a",))
+    assert is_short(model, SLOTS)
+    model = replace(model, demand=replace(full, short=0.94 * SLOTS))
+    assert not is_short(model, SLOTS)
+
+
 def test_free_engines_of_an_evacuated_data_centre_are_no_groups_to_come():
     """Guards against a model that waits for groups that cannot be formed."""
     fleet = small_site()
@@ -472,10 +511,17 @@
 
 
 def test_a_lasting_need_closes_one_group_of_a_giver_at_a_time():
+    """Guards against more groups than needed given up for a need that can wait."""
     fleet = three_centres()
-    # 0.7 of 12 groups, so not urgent.
-    fleet.run(50, 20, 0.7 * fleet.slots("small"))
-    assert fleet.reasons["close", "lasting"] == 1
+    fleet.run(50, 20, 0.6 * fleet.slots("small"))
+    assert fleet.actions()["prepare"] >= 5
+    # 0.78 of 12 groups is not urgent, and takes 15 groups at under 0.65.
+    wanted = 0.78 * fleet.slots("small")
+    for _ in range(160):
+        fleet.run(TICK, 20, wanted)
+        groups = assemble_groups(fleet.engines.values()).values()
+        assert sum(group.phase is GroupPhase.CLOSING for group in groups) <= 1
+    assert fleet.reasons["close", "lasting"] == 2
     assert fleet.reasons["close", "urgent"] == 0
 
 
