Make two swaps due at once in the test of single closes

The average rose so slowly that the second swap was due only after the first one had ended, so the test passed without the limit. The giver is held back for 30 s now; the test fails without the limit and passes with it.

--- a/mallowpond/state/tests/test_rebalancing.py
+++ b/mallowpond/state/tests/test_rebalancing.py
@@ -517,7 +517,9 @@
     assert fleet.actions()["prepare"] >= 5
     # 0.78 of 12 groups is not urgent, and takes 15 groups at under 0.65.
     wanted = 0.78 * fleet.slots("small")
-    for _ in range(160):
+    # Held back for 30 s, both swaps are due at once.
+    fleet.records.received_at["large"] = fleet.now
+    for _ in range(200):
         fleet.run(TICK, 20, wanted)
         groups = assemble_groups(fleet.engines.values()).values()
         assert sum(group.phase is GroupPhase.CLOSING for group in groups) <= 1
