--- a/mallowpond/__main__.py
+++ b/mallowpond/__main__.py
@@ -1,9 +1,12 @@
 """Run the command line, or a node without importing the command line."""
 
+import gc
 import sys
 
 if __name__ == "__main__":
     if sys.argv[1:2] == ["node"]:
+        # What the imports create stays for good. `program.main` enables collection.
+        gc.disable()
         from mallowpond.platform.early_listener import listen_for_callers
 
         listener = listen_for_callers()
--- a/mallowpond/platform/program.py
+++ b/mallowpond/platform/program.py
@@ -111,4 +111,6 @@
     set_up_node_logs(settings.log, BootClock())
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
+    # The command disables collection during the imports.
+    gc.enable()
     asyncio.run(run_node(settings, path, listener))
--- a/mallowpond/platform/tests/test_program.py
+++ b/mallowpond/platform/tests/test_program.py
@@ -1,7 +1,10 @@
 """Settings from the platform's template, and their reload."""
 
 import json
+import os
 import re
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -9,6 +12,7 @@
 
 from mallowpond.node.settings import NodeBounds, NodeSettings
 from mallowpond.platform import program
+from mallowpond.platform.early_listener import SETTINGS_VARIABLE
 from mallowpond.platform.features import apply_guarantees
 from mallowpond.protocol.declaration_file import Faults
 from mallowpond.settings import load_settings, parse_settings
@@ -135,3 +139,31 @@
         program._reload(path, running)
     assert logs[0]["event"] == "node: reloaded"
     assert logs[0]["changed"] == ["log"]
+
+
+def test_a_node_collects_garbage_after_its_imports(tmp_path):
+    """Guards against a node that runs with collection off, as during its imports.
+
+    Its memory would grow by each reference cycle until the host runs out.
+    """
+    code = (
+        "import asyncio, gc, sys\n"
+        "def run(node):\n"
+        "    node.close()\n"
+        "    print(gc.isenabled(), gc.get_threshold())\n"
+        "asyncio.run = run\n"
+        "sys.argv[1:] = ['node']\n"
+        "import runpy; runpy.run_module('mallowpond', run_name='__main__')\n"
+    )
+    path = tmp_path / "settings.toml"
+    path.write_text(filled(listen__front="127.0.0.1:0"), encoding="utf-8")
+    found = subprocess.run(
+        [sys.executable, "-c", code],
+        cwd=TEMPLATE.parents[1],
+        env={**os.environ, SETTINGS_VARIABLE: str(path)},
+        stdout=subprocess.PIPE,
+        text=True,
+        check=True,
+        timeout=60,
+    )
+    assert found.stdout == f"True {program.GC_THRESHOLDS}\n"
