Let streams that can be on time go before late ones, where slots are contested

Change: with contested slots those on time go first, and late ones leave some slots free for the arrivals of the next 0.05 s.

--- a/mallowpond/node/dispatcher.py
+++ b/mallowpond/node/dispatcher.py
@@ -132,9 +132,11 @@
         It is refused when the expected wait exceeds its patience or the queue is full.
         A request that is queued already keeps its position.
         """
-        queue = self._queues.setdefault(
-            (request.service, request.model.name), PlacementQueue()
-        )
+        key = (request.service, request.model.name)
+        if key not in self._queues:
+            is_contested = self._admission is not None
+            self._queues[key] = PlacementQueue(on_time_first=is_contested)
+        queue = self._queues[key]
         if request_id not in queue:
             queue.record_arrival(entry, self._clock.now())
             if self._admission is not None:
@@ -166,7 +168,8 @@
             return self._refuse(request_id, repeated)
         entry = line.arrive(request, entry)
         now = self._clock.now()
-        if not queue.has_entry_ahead_of(entry, now):
+        may_take = self._may_take_slot(line, entry)
+        if may_take and not queue.has_entry_ahead_of(entry, now):
             group = line.select(request)
             if group is not None:
                 queue.record_grant(entry)
@@ -272,6 +275,8 @@
                 line.record_expired()
                 self._remove(queue, request_id)
                 return True
+            if not self._may_take_slot(line, entry):
+                continue
             group = line.select(request)
             if group is not None:
                 queue.record_grant(entry)
@@ -280,6 +285,17 @@
                 return True
         return False
 
+    def _may_take_slot(self, line: ModelLine, entry: QueueEntry) -> bool:
+        """Return whether a stream may take a free slot now.
+
+        A late one leaves some slots to new streams, unless its answer has begun or its
+        caller came back when it was told to.
+        """
+        is_late = entry.objective_deadline <= self._clock.now()
+        if not is_late or entry.has_begun or entry.has_place:
+            return True
+        return line.has_room_for_late()
+
     def _review(self, line: ModelLine, queue: PlacementQueue[RequestId]) -> None:
         """Refuse the queued requests that cannot be served any more."""
         now = self._clock.now()
--- a/mallowpond/node/slot_admission.py
+++ b/mallowpond/node/slot_admission.py
@@ -33,6 +33,10 @@
 # queued stream: some microseconds each, so that reviews take a few percent of a core.
 REVIEW_SECONDS = 0.1
 REVIEW_SECONDS_PER_STREAM = 0.0001
+# Late streams leave as many slots free as new streams take in this time, in seconds.
+# Without it each slot that becomes free goes to a late stream, and in a lasting overload
+# nearly all new streams become late in the queue.
+HEADROOM_SECONDS = 0.05
 # Least share of the slots that callers who come back may use, where new streams take
 # all of them: new streams can be on time, those that come back cannot.
 RETURN_SHARE = 0.05
@@ -166,6 +170,11 @@
         self.index.refresh_if_old(self.answers)
         return self.index.select(request)
 
+    def has_room_for_late(self) -> bool:
+        """Return whether a late stream leaves slots for the new ones to come."""
+        arrivals = self._arrivals.per_second(self._clock.now())
+        return self.index.free_slots > HEADROOM_SECONDS * arrivals
+
     def refused_before(
         self, request: SlotRequest, asker: object
     ) -> ForecastRefusal | None:
--- a/mallowpond/node/slot_index.py
+++ b/mallowpond/node/slot_index.py
@@ -89,6 +89,15 @@
         """Return the number of groups that may get streams."""
         return len(self._serving)
 
+    @property
+    def free_slots(self) -> int:
+        """Return how many slots are free, without room in the queues of engines."""
+        loads = self._directory.loads
+        return sum(
+            max(0, self._profile.slots - loads.load(group.key).running)
+            for group in self._free
+        )
+
     def invalidate(self) -> None:
         """Examine all groups at the next use: the list has changed."""
         self._refresh_at = -inf
--- a/mallowpond/node/tests/replay.py
+++ b/mallowpond/node/tests/replay.py
@@ -380,3 +380,18 @@
         replay.at(ready_at - 1.1, replay.form, fresh, GroupPhase.JOINING)
         replay.at(ready_at, replay.form, fresh, GroupPhase.OPEN)
     return await replay.run()
+
+
+async def replay_overload(*, contested, seed=1, groups=12):
+    """Replay arrivals that ask for 1.1 times the slots from 3 s to 23 s."""
+    names = [f"g{n}" for n in range(groups)]
+    rig = await make_rig(*names)
+    usual = usual_rate(groups)
+
+    def rate(now):
+        return usual / 0.78 * 1.1 if 3.0 <= now < 23.0 else usual
+
+    replay = Replay(
+        rig, contested=contested, groups=names, rate=rate, seconds=25.0, seed=seed
+    )
+    return await replay.run()
--- a/mallowpond/node/tests/test_slot_admission.py
+++ b/mallowpond/node/tests/test_slot_admission.py
@@ -22,7 +22,11 @@
     FakeExchange,
     answer,
 )
-from mallowpond.node.tests.replay import replay_burst, replay_lost_centre
+from mallowpond.node.tests.replay import (
+    replay_burst,
+    replay_lost_centre,
+    replay_overload,
+)
 from mallowpond.node.tests.test_dispatcher import GROUP, run_pending_tasks, two_hosts
 
 FULL = {GROUP: (PROFILE.slots + 1, 0.0)}
@@ -98,6 +102,16 @@
     assert all(late - at > 0.01 for at, late in zip(times, times[20:], strict=False))
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_new_streams_stay_on_time_in_a_lasting_overload(seed):
+    """Each slot that became free went to a late stream, and new ones became late."""
+    before = await replay_overload(contested=False, seed=seed)
+    after = await replay_overload(contested=True, seed=seed)
+    served = after.ends["on time"] + after.ends["late"]
+    assert after.ends["on time"] > 0.6 * served
+    assert after.value > 1.25 * before.value
+
+
 def test_messages_without_the_new_fields_are_as_before():
     """Deployments that do not use contested slots must exchange the same datagrams."""
     plain = replace(QUESTION, fingerprint="", seconds_left=0.0)
--- a/mallowpond/state/placement_queue.py
+++ b/mallowpond/state/placement_queue.py
@@ -6,6 +6,10 @@
 as there are slots. Late streams get the remaining slots, and go before all others once
 most of their patience is used, so that they are served rather than lost.
 
+Where slots are contested, streams that can be on time go before all late ones: an
+answer on time is worth several late ones, and the forecast refuses a late stream that
+would wait in vain.
+
 In a burst of one workspace its streams would take nearly all slots and delay those of
 the others. Among streams of equal state and urgency, the workspace that has received
 least goes first.
@@ -34,7 +38,7 @@
 
 
 class WaitState(IntEnum):
-    """What is left of a stream's time, in the order in which slots are granted."""
+    """What is left of a stream's time, in the usual order of grants."""
 
     AGED = 0
     ON_TIME = 1
@@ -107,9 +111,11 @@
 class PlacementQueue(Generic[Asker]):
     """The waiting streams of one model, keyed by who asked for a slot.
 
-    Times that are passed in do not decrease: an earlier one counts as the latest.
+    Times that are passed in do not decrease: an earlier one counts as the latest. With
+    `on_time_first` late streams go last, also with little patience left.
     """
 
+    on_time_first: bool = False
     _by_asker: dict[Asker, _Waiting[Asker]] = field(default_factory=dict)
     _by_number: dict[int, _Waiting[Asker]] = field(default_factory=dict)
     _bands: dict[_BandKey, Band] = field(default_factory=dict)
@@ -269,9 +275,10 @@
                 position += band.size if has_begun else 0
             elif band is own:
                 position += index + self._ahead_in_band(waiting, band, turn)
-            elif priority == entry.priority and WaitState.LATE not in (
-                state,
-                waiting.state,
+            elif (
+                not self.on_time_first
+                and priority == entry.priority
+                and WaitState.LATE not in (state, waiting.state)
             ):
                 # Aged streams go before those on time up to the lead.
                 lead = counters.lead if state is WaitState.AGED else -counters.lead
@@ -286,7 +293,9 @@
                     else lane.size * (state is WaitState.AGED)
                     for workspace, lane in band.lanes.items()
                 )
-            elif (state, priority) < (waiting.state, entry.priority):
+            elif self._rank(state, priority) < self._rank(
+                waiting.state, entry.priority
+            ):
                 position += band.size
         return position
 
@@ -317,12 +326,18 @@
             total += ahead
         return total
 
+    def _rank(self, state: WaitState, priority: int) -> tuple[bool, WaitState, int]:
+        """Return the key that orders bands, lowest first."""
+        is_last = self.on_time_first and state is not WaitState.ON_TIME
+        return (is_last, state, priority)
+
     def _numbers_in_order(self) -> Iterator[int]:
         return chain(self._order_of(has_begun=True), self._order_of(has_begun=False))
 
     def _order_of(self, *, has_begun: bool) -> Iterator[int]:
         """Yield the numbers of streams that have begun, or of the others."""
-        keys = sorted(key for key in self._bands if key[0] == has_begun)
+        keys = [key for key in self._bands if key[0] == has_begun]
+        keys.sort(key=lambda key: self._rank(key[1], key[2]))
         workspaces = {w for key in keys for w in self._bands[key].lanes}
         if len(workspaces) == 1:
             for key in keys:
@@ -376,7 +391,7 @@
             workspace = cursor.choose()
             if workspace is None:
                 continue
-            if state is WaitState.AGED:
+            if state is WaitState.AGED and not self.on_time_first:
                 on_time = (has_begun, WaitState.ON_TIME, priority)
                 if on_time in self._bands and self._is_too_far_ahead(
                     cursor, cursor_of(on_time), priority
--- a/mallowpond/state/slot_forecast.py
+++ b/mallowpond/state/slot_forecast.py
@@ -215,15 +215,13 @@
     """Return the seconds until a stream in the queue gets a slot.
 
     New streams, `arrivals` per second, can be on time and go ahead of a late one. They
-    count from shortly before a late stream has little patience left: it would then go
-    ahead of them and take the slot of one that can be on time. Until then it may wait,
-    as the burst may end: refused as soon as arrivals exceeded the slots, up to 8 % of
+    count from shortly before a late stream has little patience left. Until then it may
+    wait, as the burst may end: refused as soon as arrivals exceeded the slots, up to 8 % of
     the streams of a burst were refused although a slot came free in time.
     """
     is_overtaken = (
         entry.objective_deadline <= now
         and not entry.has_begun
-        and not entry.is_aged(now)
         and entry.is_aged(now + DECISION_SECONDS)
     )
     overtaking = arrivals if is_overtaken else 0.0
