--- a/mallowpond/state/placement.py
+++ b/mallowpond/state/placement.py
@@ -124,6 +124,13 @@
     return delay_seconds * max(1.0, load.slowness)
 
 
+def serves_late(
+    profile: EngineProfile, model: ModelSpec, load: GroupLoad, gap_limit: float
+) -> bool:
+    """Return whether one more stream's gaps would exceed the limit; 0: no limit."""
+    return gap_limit > 0.0 and pass_seconds(profile, model, load) > gap_limit
+
+
 def unreported_streams(
     *, own_per_second: float, hosts: int, age_seconds: float, groups: int
 ) -> float:
@@ -143,8 +150,9 @@
     prompt_tokens: float,
     limit_seconds: float,
     count: int = DRAWN_GROUPS,
+    gap_limit: float = 0.0,
 ) -> list[Candidate]:
-    """Return the first `count` candidates with capacity.
+    """Return the first `count` candidates with capacity, those on time first.
 
     The candidates must come in random order. The choice is made among those returned,
     so the others are not evaluated: in a large fleet that would cost more than all
@@ -161,7 +169,16 @@
             limit_seconds=limit_seconds,
         )
     )
-    return list(islice(with_capacity, count))
+    if gap_limit <= 0.0:
+        return list(islice(with_capacity, count))
+    on_time: list[Candidate] = []
+    late: list[Candidate] = []
+    for candidate in with_capacity:
+        is_late = serves_late(profile, model, candidate.load, gap_limit)
+        (late if is_late else on_time).append(candidate)
+        if len(on_time) == count:
+            return on_time
+    return [*on_time, *late][:count]
 
 
 def choose_group(
@@ -174,11 +191,14 @@
     delay_seconds: float = 0.0,
     unreported: float = 0.0,
     rng: random.Random | None = None,
+    gap_limit: float = 0.0,
 ) -> Candidate | None:
     """Return the group with the earliest predicted first event, None if all are full.
 
     A group with a member that is about to stop ranks after the others, as a stream
-    there may have to move again. One whose head has probably ended ranks last. With
+    there may have to move again. One whose gaps between events would exceed
+    `gap_limit` serves late for sure and ranks after those; one whose head has probably
+    ended ranks last. With
     many `unreported` streams the choice is between two groups drawn at random.
 
     `delay_seconds` is the delay of first events beyond the declared timing on a healthy
@@ -201,10 +221,11 @@
     if rng is not None and unreported >= UNREPORTED_STREAMS:
         available = rng.sample(available, min(DRAWN_GROUPS, len(available)))
 
-    def rank(candidate: Candidate) -> tuple[bool, bool, float]:
+    def rank(candidate: Candidate) -> tuple[bool, bool, bool, float]:
         seconds = first_event_seconds(profile, model, candidate.load, prompt_tokens)
         seconds += pass_seconds(profile, model, candidate.load)
         seconds += scaled_delay(candidate.load, delay_seconds)
-        return (candidate.has_ended, candidate.is_leaving, seconds)
+        is_late = serves_late(profile, model, candidate.load, gap_limit)
+        return (candidate.has_ended, is_late, candidate.is_leaving, seconds)
 
     return min(available, key=rank)
