Share the observed pace of groups between hosts

Hosts add a column of slowness to the loads in Work, Heartbeat and Digest while a group is slow, or in discussion because some host saw it slow; it is left out otherwise, so those datagrams stay as they are. PlaceQuestion carries the gap objective. The dispatcher gives a slow group one probe at a time, and waits 0.25 s for a group on pace before it grants a late one.

--- a/mallowpond/emulator/hosts.py
+++ b/mallowpond/emulator/hosts.py
@@ -16,6 +16,7 @@
     PlaceQuestion,
     Work,
     decode_loads,
+    decode_paces,
     encode_loads,
 )
 from mallowpond.node.metrics import NodeMetrics
@@ -180,7 +181,7 @@
         self.directory.loads.record_published(loads)
         work = Work(
             node=self.name,
-            loads=encode_loads(loads),
+            loads=encode_loads(loads, self.directory.loads.own_paces()),
             grant_number=self.dispatcher_client.grant_number,
         )
         self.datagrams.send_to(work, (host,))
@@ -188,4 +189,5 @@
     def _on_work(self, work: Work) -> None:
         loads = self.directory.loads
         loads.record_peer_loads(work.node, decode_loads(work), work.grant_number)
+        loads.record_peer_paces(work.node, decode_paces(work))
         self.dispatcher.wake()
--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -6,9 +6,10 @@
 to shut down; it need not be a member of a group.
 """
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import replace
 from math import inf
+from types import MappingProxyType
 
 import structlog
 
@@ -283,7 +284,7 @@
         self, group: Group, cause: BreakCause, *, is_known_to_peers: bool
     ) -> None:
         self._broken.add(group, self._clock.now())
-        self.loads.work(group.key).forget_pace()
+        self.loads.forget_pace(group.key)
         log.warning(
             "groups: broken",
             group=group.name,
@@ -353,8 +354,13 @@
             return self.poll_seconds
         return POLL_SECONDS if self.should_retry_often() else LOST_POLL_SECONDS
 
-    def apply_digest(self, last_change: int, loads: LoadsByGroup) -> None:
-        """Apply a reader's digest: its last change of the list, and the fleet's loads.
+    def apply_digest(
+        self,
+        last_change: int,
+        loads: LoadsByGroup,
+        paces: Mapping[GroupKey, tuple[float, int]] = MappingProxyType({}),
+    ) -> None:
+        """Apply a reader's digest: its last change, the fleet's loads and slow groups.
 
         A `last_change` above the known revision shows that a change is missing here.
         """
@@ -368,6 +374,9 @@
             self._behind_since = now
         if loads and not self.is_reader():
             self.loads.record_totals(loads)
+            self.loads.paces.record_published(
+                {key: slowness for key, (slowness, _) in paces.items()}, now
+            )
 
     def apply_change(self, read: TargetsRead, *, previous: int) -> None:
         """Apply the changes of the list after revision `previous`, sent by a reader.
--- a/mallowpond/node/dispatcher.py
+++ b/mallowpond/node/dispatcher.py
@@ -8,9 +8,9 @@
 streams by its own view, and no guarantee to callers depends on the dispatcher.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import islice
 
 import structlog
@@ -22,6 +22,7 @@
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.state.admission import expected_wait
 from mallowpond.state.fleet import EngineProfile, Group, ModelSpec
+from mallowpond.state.group_pace import LeastUrgent, PaceChange
 from mallowpond.state.placement_queue import MAX_WAITING, PlacementQueue, QueueEntry
 
 log = structlog.get_logger()
@@ -34,6 +35,10 @@
 # Maximum number of queued requests that are tried for a free slot: the first one may
 # avoid exactly the groups that have free slots.
 MAX_TRIED_REQUESTS = 4
+# Longest time that a stream waits for a group on pace while only groups that would
+# serve it late have free slots, in seconds, and the share of its patience.
+LATE_WAIT_SECONDS = 0.25
+LATE_WAIT_SHARE = 0.25
 
 ServedModel = tuple[EngineProfile, ModelSpec]
 QueueKey = tuple[str, str]
@@ -77,10 +82,12 @@
         self._requests: dict[RequestId, SlotRequest] = {}
         # Grants by host since this process started; they number the grants.
         self._grant_counts: Counter[str] = Counter()
+        self._least_urgent: dict[QueueKey, LeastUrgent] = defaultdict(LeastUrgent)
         self._logged_at = float("-inf")
         # Called with answers to this host's own requests that had to wait.
         self.on_own_answer: list[Callable[[PlaceAnswer], None]] = []
         peers.on_place_question.append(self._on_place_question)
+        directory.loads.paces.on_change.append(self._log_pace)
 
     def _on_place_question(self, question: PlaceQuestion) -> None:
         """Answer another host's request; ignore it unless this host dispatches."""
@@ -96,6 +103,7 @@
             prompt_tokens=float(question.prompt_tokens),
             objective=question.objective,
             avoided=frozenset(question.avoided),
+            gap_objective=question.gap_objective,
         )
         entry = QueueEntry(
             priority=question.priority,
@@ -120,17 +128,44 @@
         )
         if request_id not in queue:
             queue.record_arrival(entry, self._clock.now())
+            request = self._with_probe(request, entry)
             group = self._select_now(queue, request, entry)
             if group is not None:
                 queue.record_grant(entry)
                 return self._grant(request_id, request, group)
             wait = self._expected_wait(queue, request, entry)
             if wait > entry.patience or len(queue) >= MAX_WAITING:
+                # A late answer is better than none.
+                group = self._select_now(
+                    queue, replace(request, accepts_late=True), entry
+                )
+                if group is not None:
+                    queue.record_grant(entry)
+                    return self._grant(request_id, request, group)
                 return self._answer(request_id, PlaceVerdict.REFUSED, wait=wait)
         queue.add(request_id, entry)
         self._requests[request_id] = request
         return self._answer(request_id, PlaceVerdict.WAITING)
 
+    def _with_probe(self, request: SlotRequest, entry: QueueEntry) -> SlotRequest:
+        """Decide whether a new request may show the pace of a slow group.
+
+        Such a group serves late, so only the least urgent requests do. Others wait for
+        a group on pace for a short time.
+        """
+        if not self._directory.loads.paces.has_slow:
+            return request
+        now = self._clock.now()
+        least = self._least_urgent[(request.service, request.model.name)]
+        may_probe = least.may_probe(entry.priority, now) and not entry.has_begun
+        return replace(
+            request, may_probe=may_probe, accepts_late=self._accepts_late(entry)
+        )
+
+    def _accepts_late(self, entry: QueueEntry) -> bool:
+        wait = min(LATE_WAIT_SECONDS, LATE_WAIT_SHARE * entry.patience)
+        return self._clock.now() - entry.queued_at >= wait
+
     def _select_now(
         self, queue: PlacementQueue[RequestId], request: SlotRequest, entry: QueueEntry
     ) -> Group | None:
@@ -152,6 +187,20 @@
             service_seconds=self._selector.hold_seconds(request.profile, request.model),
         )
 
+    def _log_pace(self, change: PaceChange) -> None:
+        """Log that a group turned slow or recovered, with what the hosts observed."""
+        if not self._is_dispatcher():
+            return
+        log.info(
+            "pace: changed",
+            group=change.key[0],
+            epoch=change.key[1],
+            slow=change.is_slow,
+            slowness=round(change.slowness, 2),
+            observed=[round(slowness, 2) for slowness in change.observed],
+            age=round(change.age, 3),
+        )
+
     def wake(self) -> None:
         """Grant free slots to queued requests."""
         if not self._requests:
@@ -186,6 +235,9 @@
         waiting = queue.in_order(self._clock.now())
         for request_id in list(islice(waiting, MAX_TRIED_REQUESTS)):
             request = self._requests[request_id]
+            entry = queue.entry_of(request_id)
+            if not request.accepts_late and self._accepts_late(entry):
+                request = replace(request, accepts_late=True)
             group = self._selector.select_exact(request)
             if group is not None:
                 queue.record_grant(queue.entry_of(request_id))
--- a/mallowpond/node/dispatcher_client.py
+++ b/mallowpond/node/dispatcher_client.py
@@ -175,6 +175,7 @@
             priority=entry.priority,
             has_begun=entry.has_begun,
             avoided=tuple(sorted(self._with_avoided(request).avoided)),
+            gap_objective=request.gap_objective,
         )
         self._peers.send_to(question, (host,))
         answer = await self._next_answer(request_id, ANSWER_TIMEOUT_SECONDS)
--- a/mallowpond/node/group_loads.py
+++ b/mallowpond/node/group_loads.py
@@ -3,11 +3,18 @@
 from collections import defaultdict
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, replace
-from math import exp
 
 from mallowpond.coordination.ports import Clock
 from mallowpond.node.peer_loads import Grant, LoadsByGroup, PeerLoads
 from mallowpond.state.fleet import EngineProfile, Group, GroupKey
+from mallowpond.state.group_pace import (
+    FRESH_SECONDS,
+    SLOW,
+    GroupPaces,
+    clamped,
+    decayed,
+    is_fresh,
+)
 from mallowpond.state.placement import GroupLoad
 
 # Time for which the load totals that a reader published are used, in seconds.
@@ -18,9 +25,21 @@
 HEARTBEAT_AGE_SECONDS = 0.1
 # Weight of a new observation in the moving average of a group's slowness.
 SLOWNESS_SMOOTHING = 0.1
-# Time constant with which a group's slowness decays to 1 without events, in seconds.
-SLOWNESS_SECONDS = 3.0
-SLOWNESS_RANGE = (0.5, 30.0)
+# Consecutive gaps on pace after which a group's earlier slowness is forgotten. Gaps of
+# events that arrive in bursts are shorter than `ON_PACE` and do not count.
+ON_PACE_GAPS = 2
+ON_PACE = (0.7, 1.3)
+# Largest slowness that a late first event shows: it may have waited behind prompts
+# that this host does not know of.
+MAX_FIRST_EVENT_SLOWNESS = 6.0
+# Weight of a late first event in the moving average.
+FIRST_EVENT_SMOOTHING = 0.3
+# Number of gaps whose median is reported.
+RECENT_GAPS = 3
+# Shortest silence after which a group on pace may have turned slow, in seconds.
+MIN_QUIET_SECONDS = 0.06
+# Interval at which this host's own observations enter the agreed pace, in seconds.
+OWN_PACE_SECONDS = 0.05
 
 
 @dataclass(kw_only=True)
@@ -34,6 +53,13 @@
     running: int = 0
     prefill_tokens: float = 0.0
     slowness: float = 1.0
+    # When `slowness` was last observed, and the gaps on pace since the last other one.
+    observed_at: float = float("-inf")
+    gaps_on_pace: int = 0
+    # Slowness by each of the last gaps, and the latest one at the declared pace, in
+    # seconds.
+    recent: tuple[float, ...] = ()
+    declared_gap: float = 0.0
     last_event_at: float = 0.0
     excluded_until: float = 0.0
     suspicions: int = 0
@@ -43,10 +69,39 @@
     def forget_pace(self) -> None:
         """Reset what earlier engine processes showed; keep the stream counts."""
         self.slowness = 1.0
+        self.observed_at = float("-inf")
+        self.gaps_on_pace = 0
+        self.recent = ()
         self.excluded_until = 0.0
         self.suspicions = 0
         self.backoff_seconds = 0.0
 
+    @property
+    def reported_slowness(self) -> float:
+        """Return the slowness to report: at once near that of the last gaps.
+
+        One host has too few streams on a group for the moving average to follow a group
+        that is slow for 9 s; the median of the last gaps follows within two of them.
+        After a gap on pace, a slowness remembered from before is not reported.
+        """
+        if self.gaps_on_pace and len(self.recent) < RECENT_GAPS:
+            return self.recent[-1]
+        if len(self.recent) < RECENT_GAPS:
+            return self.slowness
+        return max(self.slowness, sorted(self.recent)[RECENT_GAPS // 2])
+
+    def has_fresh_pace(self, now: float) -> bool:
+        """Return whether the pace was observed lately.
+
+        A group that was on pace and has since been silent for longer than two gaps may
+        have turned slow.
+        """
+        slowness = self.reported_slowness
+        age = now - self.observed_at
+        if slowness < SLOW and age > max(MIN_QUIET_SECONDS, 2.0 * self.declared_gap):
+            return False
+        return is_fresh(slowness, age)
+
 
 class GroupLoads:
     """The load of each group: this host's own, and that reported by the other hosts."""
@@ -58,6 +113,12 @@
         self._totals: LoadsByGroup = {}
         self._totals_at = float("-inf")
         self._published: LoadsByGroup = {}
+        self.paces = GroupPaces()
+        self._own_pace_at = float("-inf")
+
+    def now(self) -> float:
+        """Return the time that loads and paces refer to."""
+        return self._clock.now()
 
     def work(self, key: GroupKey) -> GroupWork:
         """Return this host's own work on a group."""
@@ -73,13 +134,13 @@
             return GroupLoad(
                 running=running + others,
                 prefill_tokens=prefill + others_prefill,
-                slowness=self._slowness(own, now),
+                slowness=self._slowness(key, own, now),
             )
         others, others_prefill = self._peers.total(key, now)
         return GroupLoad(
             running=running + others,
             prefill_tokens=prefill + others_prefill,
-            slowness=self._slowness(own, now),
+            slowness=self._slowness(key, own, now),
         )
 
     @property
@@ -95,14 +156,72 @@
         own_running, own_prefill = self._published.get(key, (0, 0.0))
         return max(0, running - own_running), max(0.0, prefill - own_prefill)
 
-    def _slowness(self, work: GroupWork, now: float) -> float:
-        """Return a group's slowness, which decays while the group sends no events.
+    def _slowness(self, key: GroupKey, work: GroupWork, now: float) -> float:
+        """Return a group's slowness for this host's own streams.
 
-        A slow group gets no streams, so without the decay nothing would ever show that
-        it has recovered.
+        What this host observes itself counts while it is fresh, as its own link may be
+        slow; else what the hosts agree on; else what it observed last. A group that is
+        slow here may be slower than this host has learnt so far.
         """
-        age = max(0.0, now - work.last_event_at)
-        return 1.0 + (work.slowness - 1.0) * exp(-age / SLOWNESS_SECONDS)
+        # A first event shows no pace, so it must not end the decay.
+        known_at = work.last_event_at
+        if work.observed_at > 0.0:
+            known_at = min(known_at, work.observed_at)
+        own = decayed(work.slowness, now - known_at)
+        if not self.paces.has_slow:
+            return own
+        agreed = self.paces.value(key, now)
+        if agreed is None:
+            return own
+        if work.has_fresh_pace(now):
+            return max(own, agreed) if work.slowness >= SLOW else own
+        return agreed
+
+    def shared_load_of(self, group: Group, profile: EngineProfile) -> GroupLoad:
+        """Return a group's load with the pace that the hosts agree on, if any."""
+        load = self.load_of(group, profile)
+        if not self.paces.has_slow:
+            return load
+        agreed = self.paces.value(group.key, self._clock.now())
+        if agreed is None:
+            return load
+        factor = profile.cross_domain_factor if group.spans_domains else 1.0
+        return replace(load, slowness=agreed * factor)
+
+    def own_paces(self) -> dict[GroupKey, float]:
+        """Return the slowness that this host observed lately, by group, to be reported.
+
+        It is empty unless a group is slow, or faster here than some host reported.
+        """
+        now = self._clock.now()
+        paces, is_needed = {}, False
+        for key, work in self._work.items():
+            if not work.running or not work.has_fresh_pace(now):
+                continue
+            paces[key] = work.reported_slowness
+            if paces[key] >= SLOW or self.paces.is_discussed(key, now):
+                is_needed = True
+        return paces if is_needed else {}
+
+    def all_paces(self, groups: Iterable[GroupKey]) -> dict[GroupKey, float]:
+        """Return the agreed slowness of these groups, as a reader publishes it."""
+        self._record_own_paces()
+        return self.paces.to_publish(groups, self._clock.now())
+
+    def record_peer_paces(
+        self, name: str, paces: dict[GroupKey, tuple[float, int]]
+    ) -> None:
+        """Record the slowness that a peer observed, and its streams, by group."""
+        self.paces.record(name, paces, self._clock.now())
+
+    def _record_own_paces(self) -> None:
+        """Count this host as one observer of the groups that some host reported."""
+        now = self._clock.now()
+        if now - self._own_pace_at < OWN_PACE_SECONDS:
+            return
+        self._own_pace_at = now
+        own = {k: (v, self._work[k].running) for k, v in self.own_paces().items()}
+        self.paces.record("", own, now)
 
     def load_of(self, group: Group, profile: EngineProfile) -> GroupLoad:
         """Return the load of a group, with a higher slowness if it spans domains."""
@@ -143,11 +262,53 @@
 
     def record_gap(self, key: GroupKey, seconds: float, predicted: float) -> None:
         """Update a group's slowness by an observed and a predicted event gap."""
-        work = self._work[key]
-        low, high = SLOWNESS_RANGE
-        ratio = min(high, max(low, seconds / max(predicted, 1e-4)))
-        work.slowness += SLOWNESS_SMOOTHING * (ratio * work.slowness - work.slowness)
-        work.slowness = min(high, max(low, work.slowness))
+        work, now = self._work[key], self._clock.now()
+        # The prediction holds for the slowness that was assumed.
+        assumed = self._slowness(key, work, now)
+        observed = clamped(seconds / max(predicted, 1e-4) * assumed)
+        self._begin_observation(work, assumed, now)
+        low, high = ON_PACE
+        work.recent = (*work.recent[1 - RECENT_GAPS :], observed)
+        work.declared_gap = predicted / assumed
+        work.gaps_on_pace = work.gaps_on_pace + 1 if low <= observed <= high else 0
+        weight = SLOWNESS_SMOOTHING
+        if work.slowness >= SLOW and work.gaps_on_pace >= ON_PACE_GAPS:
+            weight = 1.0
+        self._observe(work, observed, weight)
+
+    def record_first_event(
+        self, key: GroupKey, seconds: float, predicted: float
+    ) -> None:
+        """Update a group's slowness by the delay of a first event, or by its lack.
+
+        It counts only where no gap was observed lately: the delay may come from prompts
+        that other hosts sent meanwhile, so it is bounded.
+        """
+        work, now = self._work[key], self._clock.now()
+        if now - work.observed_at <= FRESH_SECONDS:
+            return
+        ratio = seconds / max(predicted, 1e-4)
+        observed = min(MAX_FIRST_EVENT_SLOWNESS, ratio)
+        assumed = self._slowness(key, work, now)
+        if observed >= max(SLOW, assumed):
+            self._begin_observation(work, assumed, now)
+            work.gaps_on_pace = 0
+            self._observe(work, observed, FIRST_EVENT_SMOOTHING)
+
+    def _begin_observation(self, work: GroupWork, assumed: float, now: float) -> None:
+        """Begin with what other hosts know if this one observed nothing lately.
+
+        Else the first stream on a slow group would report it faster than it is.
+        """
+        if now - work.observed_at > FRESH_SECONDS:
+            work.slowness, work.recent, work.gaps_on_pace = assumed, (), 0
+
+    def _observe(self, work: GroupWork, observed: float, weight: float) -> None:
+        work.slowness += weight * (observed - work.slowness)
+        work.slowness = clamped(work.slowness)
+        work.observed_at = self._clock.now()
+        if work.reported_slowness >= SLOW or self.paces.has_slow:
+            self._record_own_paces()
 
     def settle_grants(self, name: str, number: int) -> None:
         """Stop counting a host's grants up to a number: its loads include them."""
@@ -158,6 +319,11 @@
         self._totals = loads
         self._totals_at = self._clock.now()
 
+    def forget_pace(self, key: GroupKey) -> None:
+        """Forget the pace that a group's earlier processes showed."""
+        self._work[key].forget_pace()
+        self.paces.forget(key)
+
     def all_work(self) -> Iterable[GroupWork]:
         """Return this host's own work on every group."""
         return self._work.values()
@@ -171,3 +337,4 @@
         ]
         for key in idle:
             del self._work[key]
+            self.paces.forget(key)
--- a/mallowpond/node/group_selector.py
+++ b/mallowpond/node/group_selector.py
@@ -17,6 +17,7 @@
     choose_group,
     draw_candidates,
     pass_seconds,
+    serves_late,
     unreported_streams,
 )
 from mallowpond.state.retry_window import RetryWindow
@@ -36,7 +37,10 @@
     """Describes the slot that a stream needs.
 
     `objective` is the time allowed until the first event, in seconds; groups whose
-    names are in `avoided` are not selected.
+    names are in `avoided` are not selected. `gap_objective` is the longest gap between
+    events with which it is on time, 0 if not known. Unless it `accepts_late`, it goes
+    only to groups that keep that gap, while any does; with `may_probe` it may go to a
+    slow group to show its pace.
     """
 
     service: str
@@ -45,6 +49,9 @@
     prompt_tokens: float
     objective: float
     avoided: frozenset[str] = frozenset()
+    gap_objective: float = 0.0
+    accepts_late: bool = True
+    may_probe: bool = False
 
     def without(self, groups: Collection[str]) -> "SlotRequest":
         """Return a copy that avoids these groups too."""
@@ -98,10 +105,42 @@
     def select_exact(self, request: SlotRequest) -> Group | None:
         """Select a group where the load of all hosts is known exactly."""
         groups = self._groups(request)
-        return self._select(
-            request, groups, self._draw(request, groups, DRAWN_GROUPS_EXACT)
+        candidates = self._draw(request, groups, DRAWN_GROUPS_EXACT)
+        if request.gap_objective and self._directory.loads.paces.has_slow:
+            on_time = [c for c in candidates if not self._serves_late(request, c)]
+            probe = self._find_probe(request, groups) if on_time else None
+            if probe is not None:
+                return probe
+            if on_time or (not request.accepts_late and self._any_on_time(request)):
+                candidates = on_time
+        return self._select(request, groups, candidates)
+
+    def _serves_late(self, request: SlotRequest, candidate: Candidate) -> bool:
+        return serves_late(
+            request.profile, request.model, candidate.load, request.gap_objective
         )
 
+    def _any_on_time(self, request: SlotRequest) -> bool:
+        """Return whether some group keeps the gap objective, full or not."""
+        groups = self._groups(request)
+        candidates = self._candidates(request, groups, is_shared=True)
+        return any(not self._serves_late(request, c) for c in candidates)
+
+    def _find_probe(self, request: SlotRequest, groups: list[Group]) -> Group | None:
+        """Return a slow group without streams whose pace was not observed lately."""
+        paces, now = self._directory.loads.paces, self._directory.loads.now()
+        if not request.may_probe:
+            return None
+        for group in groups:
+            if not paces.is_probe_due(group.key, now):
+                continue
+            if group.is_leaving or self._has_ended(group):
+                continue
+            if self._directory.loads.load(group.key).running == 0:
+                paces.record_probe(group.key, now)
+                return group
+        return None
+
     def hold_seconds(self, profile: EngineProfile, model: ModelSpec) -> float:
         """Return the typical time for which a stream holds its slot, in seconds."""
         load = GroupLoad(running=profile.slots)
@@ -122,6 +161,7 @@
             prompt_tokens=request.prompt_tokens,
             limit_seconds=FIRST_EVENT_SHARE * request.objective,
             delay_seconds=self.delay(request.service, request.model.name).typical,
+            gap_limit=request.gap_objective,
         )
         if chosen is None:
             return None
@@ -137,19 +177,22 @@
         return draw_candidates(
             request.profile,
             request.model,
-            self._candidates(request, shuffled),
+            self._candidates(request, shuffled, is_shared=True),
             prompt_tokens=request.prompt_tokens,
             limit_seconds=FIRST_EVENT_SHARE * request.objective,
             count=limit,
+            gap_limit=request.gap_objective,
         )
 
     def _candidates(
-        self, request: SlotRequest, groups: list[Group]
+        self, request: SlotRequest, groups: list[Group], *, is_shared: bool = False
     ) -> Iterator[Candidate]:
+        loads = self._directory.loads
+        load_of = loads.shared_load_of if is_shared else loads.load_of
         for group in groups:
             yield Candidate(
                 key=_key_of(group),
-                load=self._directory.loads.load_of(group, request.profile),
+                load=load_of(group, request.profile),
                 is_leaving=group.is_leaving,
                 has_ended=self._has_ended(group),
             )
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -5,6 +5,7 @@
 """
 
 import zlib
+from collections.abc import Mapping
 from dataclasses import dataclass, fields
 from enum import Enum
 from typing import Any, get_args
@@ -49,18 +50,22 @@
 
     `running` counts streams; `prefill_tokens` counts prompt tokens that are still to
     be processed. One data class per group would take several times as long to decode.
+    `slowness`, in tenths, is what the sender lately observed, 0 where it observed
+    nothing. The column is empty, and left out of the datagram, while no group is slow.
     """
 
     groups: tuple[Name, ...] = ()
     epochs: tuple[int, ...] = ()
     running: tuple[int, ...] = ()
     prefill_tokens: tuple[int, ...] = ()
+    slowness: tuple[int, ...] = ()
 
     @property
     def has_equal_columns(self) -> bool:
         """Return whether every column has one entry per group."""
         columns = (self.groups, self.epochs, self.running, self.prefill_tokens)
-        return len(set(map(len, columns))) == 1
+        has_slowness = len(self.slowness) in (0, len(self.groups))
+        return has_slowness and len(set(map(len, columns))) == 1
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -230,6 +235,9 @@
     priority: int
     has_begun: bool = False
     avoided: tuple[Name, ...] = ()
+    # Longest gap between events with which the stream is on time, in seconds; 0: not
+    # known, and left out of the datagram.
+    gap_objective: float = 0.0
 
 
 class PlaceVerdict(str, Enum):
@@ -393,6 +401,15 @@
     kind.__name__: len(fields(kind)) - 1 for kind in EVACUATION_MESSAGES
 }
 NO_EVACUATIONS = to_compact(Evacuations())
+# Position of the loads in the messages that carry them, and the columns that every
+# sender fills. The column of slowness is left out while it is empty.
+LOADS_INDEX = {
+    kind.__name__: [field.name for field in fields(kind)].index("loads")
+    for kind in (Heartbeat, Digest, Work)
+}
+FULL_COLUMNS = len(fields(LoadColumns)) - 1
+# Fields of `PlaceQuestion` without its optional one.
+PLACE_FIELDS = len(fields(PlaceQuestion)) - 1
 
 
 def write_message(message: Message) -> bytes:
@@ -400,6 +417,11 @@
     plain = to_compact(message)
     if isinstance(message, EVACUATION_MESSAGES) and not message.evacuations.revision:
         plain = plain[:-1]
+    if isinstance(message, Heartbeat | Digest | Work) and not message.loads.slowness:
+        index = LOADS_INDEX[type(message).__name__]
+        plain = [*plain[:index], plain[index][:FULL_COLUMNS], *plain[index + 1 :]]
+    if isinstance(message, PlaceQuestion) and not message.gap_objective:
+        plain = plain[:PLACE_FIELDS]
     data = cbor2.dumps([type(message).__name__, plain])
     return data if len(data) < COMPRESSION_THRESHOLD_BYTES else zlib.compress(data)
 
@@ -423,6 +445,8 @@
         return Unreadable(fault=DecodeFault.UNKNOWN)
     if isinstance(plain, list) and len(plain) == FIELDS_WITHOUT_EVACUATIONS.get(name):
         plain = [*plain, NO_EVACUATIONS]
+    if isinstance(plain, list):
+        _complete(name, plain)
     message = decode_compact(plain, MESSAGE_CLASSES[name])
     if isinstance(message, Heartbeat):
         if not 0.0 < message.interval <= MAX_INTERVAL_SECONDS:
@@ -435,6 +459,17 @@
     return message
 
 
+def _complete(name: str, plain: list[Any]) -> None:
+    """Add the optional fields that a sender left out."""
+    index = LOADS_INDEX.get(name)
+    if index is not None and index < len(plain):
+        columns = plain[index]
+        if isinstance(columns, list) and len(columns) == FULL_COLUMNS:
+            columns.append([])
+    if name == PlaceQuestion.__name__ and len(plain) == PLACE_FIELDS:
+        plain.append(0.0)
+
+
 def decompress(data: bytes, max_bytes: int) -> bytes | None:
     """Decompress zlib data; None if it is damaged or exceeds `max_bytes`."""
     decompressor = zlib.decompressobj()
@@ -455,17 +490,42 @@
 
 def encode_loads(
     loads: dict[GroupKey, tuple[int, float]],
+    paces: Mapping[GroupKey, float] | None = None,
 ) -> LoadColumns:
-    """Convert loads by group (running streams, tokens to prefill) to columns."""
+    """Convert loads by group (running streams, tokens to prefill) to columns.
+
+    `paces` is the slowness of those groups that was observed lately, empty if none is
+    to be reported.
+    """
     return LoadColumns(
         groups=tuple(group for group, _ in loads),
         epochs=tuple(epoch for _, epoch in loads),
         running=tuple(running for running, _ in loads.values()),
         # Sums of partial amounts may end just below zero, which peers would reject.
         prefill_tokens=tuple(max(0, round(tokens)) for _, tokens in loads.values()),
+        slowness=tuple(round(10 * paces.get(key, 0.0)) for key in loads)
+        if paces
+        else (),
     )
 
 
+def decode_paces(
+    message: Heartbeat | Work | Digest,
+) -> dict[GroupKey, tuple[float, int]]:
+    """Return the reported slowness and the running streams, by group."""
+    columns = message.loads
+    if not columns.slowness:
+        return {}
+    keys = zip(columns.groups, columns.epochs, strict=True)
+    return {
+        key: (tenths / 10.0, running)
+        for key, tenths, running in zip(
+            keys, columns.slowness, columns.running, strict=True
+        )
+        if tenths
+    }
+
+
 def decode_loads(
     message: Heartbeat | Work | Digest,
 ) -> dict[GroupKey, tuple[int, float]]:
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -58,6 +58,14 @@
         self.evacuation_changes = counter(
             "mallowpond_evacuation_changes", "Evacuations begun or ended"
         )
+        self.slow_groups = Gauge(
+            "mallowpond_slow_groups",
+            "Groups that the hosts agree to be slow",
+            registry=self.registry,
+        )
+        self.pace_changes = counter(
+            "mallowpond_pace_changes", "Groups that turned slow or recovered", "to"
+        )
         self.endings = counter("mallowpond_targets_ended", "Broken off by their target")
         self.configuration_age = Gauge(
             "mallowpond_configuration_age_seconds",
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -24,6 +24,7 @@
     VersionQuestion,
     Work,
     decode_loads,
+    decode_paces,
     encode_loads,
 )
 from mallowpond.node.peer_loads import LoadsByGroup
@@ -223,7 +224,7 @@
                 node=self._name,
                 version=known.version,
                 last_change=self._directory.last_change,
-                loads=encode_loads(loads),
+                loads=encode_loads(loads, self._directory.loads.all_paces(loads)),
                 evacuations=self._configuration.evacuations.to_share,
             )
         )
@@ -231,7 +232,12 @@
     def _publish_work(self) -> None:
         loads = self._directory.loads.own_loads()
         self._work_turn += 1
-        if loads == self._last_sent_work and self._work_turn % UNCHANGED_WORK_TURNS:
+        has_slow = bool(self._directory.loads.own_paces())
+        if (
+            loads == self._last_sent_work
+            and not has_slow
+            and self._work_turn % UNCHANGED_WORK_TURNS
+        ):
             return
         self._last_sent_work = loads
         self._directory.loads.record_published(loads)
@@ -250,7 +256,9 @@
 
     def _send_work(self, loads: LoadsByGroup, hosts: set[str]) -> None:
         work = Work(
-            node=self._name, loads=encode_loads(loads), grant_number=self.grant_number()
+            node=self._name,
+            loads=encode_loads(loads, self._directory.loads.own_paces()),
+            grant_number=self.grant_number(),
         )
         self._peers.send_to(work, hosts - {self._name})
 
@@ -304,7 +312,9 @@
     def _on_digest(self, digest: Digest) -> None:
         self._fanout.relay(digest)
         self._configuration.evacuations.apply_received(digest.evacuations)
-        self._directory.apply_digest(digest.last_change, decode_loads(digest))
+        self._directory.apply_digest(
+            digest.last_change, decode_loads(digest), decode_paces(digest)
+        )
         self._configuration.handle_version(digest.version)
         for notify in self.after_digest:
             notify()
@@ -313,6 +323,7 @@
         self._directory.loads.record_peer_loads(
             work.node, decode_loads(work), work.grant_number
         )
+        self._directory.loads.record_peer_paces(work.node, decode_paces(work))
 
     # -- the configuration ---------------------------------------------------
 
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -21,7 +21,12 @@
 from mallowpond.node.fanout import Fanout
 from mallowpond.node.ingress import Ingress
 from mallowpond.node.leadership import Leadership
-from mallowpond.node.messages import Heartbeat, decode_loads, encode_loads
+from mallowpond.node.messages import (
+    Heartbeat,
+    decode_loads,
+    decode_paces,
+    encode_loads,
+)
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.planner import GroupPlanner
@@ -37,6 +42,7 @@
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.unreadable import UnreadableLog
 from mallowpond.node.watch import GroupWatch
+from mallowpond.state.group_pace import PaceChange
 from mallowpond.state.retry_window import RetryWindow
 from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
 
@@ -233,6 +239,7 @@
             lambda: self.peers.broadcast(self._build_heartbeat())
         )
         self.peers.on_heartbeat.append(self._on_heartbeat)
+        self.directory.loads.paces.on_change.append(self._count_pace_change)
         self.peers.on_target_healthy.append(self.directory.record_healthy)
         self.peers.on_work.append(lambda work: self.dispatcher.wake())
         self.directory.on_change.append(self.dispatcher.wake)
@@ -390,7 +397,9 @@
             interval=self.peers.interval,
             data_centre=self._settings.data_centre,
             cores=self._settings.cores,
-            loads=encode_loads(self.directory.loads.own_loads()),
+            loads=encode_loads(
+                self.directory.loads.own_loads(), self.directory.loads.own_paces()
+            ),
             grant_number=self.dispatcher_client.grant_number,
             evacuations=self.configuration.evacuations.to_share,
         )
@@ -409,6 +418,10 @@
         self.readers.send_work_to_dispatcher()
         self.dispatcher.wake()
 
+    def _count_pace_change(self, change: PaceChange) -> None:
+        self.metrics.slow_groups.set(len(self.directory.loads.paces.slow))
+        self.metrics.pace_changes.labels("slow" if change.is_slow else "well").inc()
+
     def _apply_evacuations(self, is_read: bool) -> None:
         """Stop or resume sends to data centres, and tell peers at once.
 
@@ -436,6 +449,7 @@
         self.directory.loads.record_peer_loads(
             heartbeat.node, decode_loads(heartbeat), heartbeat.grant_number
         )
+        self.directory.loads.record_peer_paces(heartbeat.node, decode_paces(heartbeat))
         # Only heartbeats show slots freed by other hosts' streams. Without this wake,
         # a stream waited until one of this host's own streams ended.
         self.streams.placement.wake_all()
--- a/mallowpond/node/stream_placement.py
+++ b/mallowpond/node/stream_placement.py
@@ -143,6 +143,7 @@
             prompt_tokens=work.prompt_tokens,
             objective=work.route.objective_seconds,
             avoided=self._avoided(work),
+            gap_objective=work.route.gap_objective_seconds,
         )
 
     def _avoided(self, work: StreamWork) -> frozenset[str]:
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -350,6 +350,9 @@
                 predicted=stream.predicted,
                 slowness=stream.slowness,
             )
+            self._directory.loads.record_first_event(
+                stream.key, now - stream.sent_at, self.allowed_first_event(stream)
+            )
             own.prefill_tokens -= stream.prefill_tokens
             stream.prefill_tokens = 0.0
             self.placement.wake(work.model.name)
@@ -366,6 +369,15 @@
         own.last_event_at = now
         own.backoff_seconds = 0.0
 
+    def allowed_first_event(self, stream: ActiveStream) -> float:
+        """Return the time of a first event at a group's declared pace, in seconds."""
+        work = stream.work
+        pace = stream.slowness
+        if stream.group.spans_domains:
+            pace /= work.profile.cross_domain_factor
+        delay = self.placement.delay(work.service, work.model.name).upper_bound
+        return stream.predicted / max(1.0, pace) + delay
+
     def _record_broken(self, work: StreamWork, group: Group, reason: Reason) -> None:
         """Record that a head's process ended; back off if it ended before the send."""
         assert group.head is not None
--- a/mallowpond/node/tests/test_directory.py
+++ b/mallowpond/node/tests/test_directory.py
@@ -10,7 +10,6 @@
     RELISTING_SECONDS,
     Directory,
 )
-from mallowpond.node.group_loads import SLOWNESS_SECONDS
 from mallowpond.node.ports import HistoryLost, TargetsRead
 from mallowpond.node.tests.fakes import (
     FakeClock,
@@ -21,6 +20,7 @@
 )
 from mallowpond.state.broken_groups import STALE_ENTRY_SECONDS
 from mallowpond.state.fleet import BreakCause, GroupPhase
+from mallowpond.state.group_pace import SLOWNESS_SECONDS
 
 
 async def directory_of(*answers):
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -240,6 +240,12 @@
         unreadable=("v",),
     ),
     Work(node="b", loads=encode_loads(LOADS), grant_number=2),
+    Digest(
+        node="b",
+        version=3,
+        last_change=4,
+        loads=encode_loads(LOADS, dict.fromkeys(LOADS, 2.5)),
+    ),
     PlaceQuestion(
         node="b",
         number=3,
@@ -252,6 +258,7 @@
         priority=1,
         has_begun=True,
         avoided=("g",),
+        gap_objective=0.1,
     ),
     PlaceAnswer(
         node="b",
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -107,6 +107,7 @@
         # An earlier query does not apply to streams that were sent since.
         self._queries = {k: q for k, q in self._queries.items() if k in by_group}
         for key, streams in by_group.items():
+            self._record_late(key, streams, now)
             silence = self._measure_silence(key, streams, now)
             if self._is_excluded(key):
                 self._move_from_slow(streams)
@@ -116,6 +117,15 @@
         self._interval = max(self._interval, MIN_CHECK_INTERVAL_SECONDS)
         self._due_at = now + self._interval
 
+    def _record_late(
+        self, key: GroupKey, streams: list[ActiveStream], now: float
+    ) -> None:
+        """Record that no first event came although it is long overdue."""
+        oldest = min(streams, key=lambda stream: stream.sent_at)
+        allowed = self._streams.allowed_first_event(oldest)
+        if oldest.last_event_at is None and now - oldest.sent_at > 2.0 * allowed:
+            self._directory.loads.record_first_event(key, now - oldest.sent_at, allowed)
+
     def _evaluate(
         self, key: GroupKey, streams: list[ActiveStream], silence: GroupSilence
     ) -> None:
