--- a/mallowpond/node/group_selector.py
+++ b/mallowpond/node/group_selector.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, replace
+from math import inf
 
 from mallowpond.node.directory import Directory
 from mallowpond.node.quarantine import Quarantine
@@ -28,6 +29,9 @@
 # Groups with a free slot that are drawn at random where all load is known: the best of
 # so many is hardly worse than the best of all.
 DRAWN_GROUPS_EXACT = 10
+# The same where the groups drawn are known to have a free slot and each question to the
+# dispatcher must take under 0.1 ms.
+DRAWN_GROUPS_FREE = 4
 # Lower bound of the time for which a stream is expected to hold its slot, in seconds.
 MIN_HOLD_SECONDS = 0.1
 
@@ -40,7 +44,9 @@
     names are in `avoided` are not selected. `gap_objective` is the longest gap between
     events with which it is on time, 0 if not known. Unless it `accepts_late`, it goes
     only to groups that keep that gap, while any does; with `may_probe` it may go to a
-    slow group to show its pace.
+    slow group to show its pace. `answer_tokens` is the
+    largest answer, 0 if unknown; the caller waits until `ends_at`, on this host's
+    clock.
     """
 
     service: str
@@ -52,6 +58,9 @@
     gap_objective: float = 0.0
     accepts_late: bool = True
     may_probe: bool = False
+    fingerprint: str = ""
+    answer_tokens: float = 0.0
+    ends_at: float = inf
 
     def without(self, groups: Collection[str]) -> "SlotRequest":
         """Return a copy that avoids these groups too."""
@@ -108,7 +117,7 @@
         candidates = self._draw(request, groups, DRAWN_GROUPS_EXACT)
         if request.gap_objective and self._directory.loads.paces.has_slow:
             on_time = [c for c in candidates if not self._serves_late(request, c)]
-            probe = self._find_probe(request, groups) if on_time else None
+            probe = self.find_probe(request, groups) if on_time else None
             if probe is not None:
                 return probe
             if on_time or (not request.accepts_late and self._any_on_time(request)):
@@ -122,11 +131,15 @@
 
     def _any_on_time(self, request: SlotRequest) -> bool:
         """Return whether some group keeps the gap objective, full or not."""
-        groups = self._groups(request)
+        return bool(self.without_late(request, self._groups(request)))
+
+    def without_late(self, request: SlotRequest, groups: list[Group]) -> list[Group]:
+        """Return the groups that keep the gap objective."""
         candidates = self._candidates(request, groups, is_shared=True)
-        return any(not self._serves_late(request, c) for c in candidates)
+        pairs = zip(groups, candidates, strict=True)
+        return [group for group, c in pairs if not self._serves_late(request, c)]
 
-    def _find_probe(self, request: SlotRequest, groups: list[Group]) -> Group | None:
+    def find_probe(self, request: SlotRequest, groups: list[Group]) -> Group | None:
         """Return a slow group without streams whose pace was not observed lately."""
         paces, now = self._directory.loads.paces, self._directory.loads.now()
         if not request.may_probe:
@@ -136,11 +149,28 @@
                 continue
             if group.is_leaving or self._has_ended(group):
                 continue
+            if group.name in request.avoided:
+                continue
             if self._directory.loads.load(group.key).running == 0:
                 paces.record_probe(group.key, now)
                 return group
         return None
 
+    def select_from(self, request: SlotRequest, groups: list[Group]) -> Group | None:
+        """Select one of a few groups in random order; the load is known exactly."""
+        usable = [g for g in groups if g.name not in request.avoided]
+        usable.sort(key=self._has_ended)
+        candidates = draw_candidates(
+            request.profile,
+            request.model,
+            self._candidates(request, usable, is_shared=True),
+            prompt_tokens=request.prompt_tokens,
+            limit_seconds=FIRST_EVENT_SHARE * request.objective,
+            count=DRAWN_GROUPS_FREE,
+            gap_limit=request.gap_objective,
+        )
+        return self._select(request, usable, candidates)
+
     def hold_seconds(self, profile: EngineProfile, model: ModelSpec) -> float:
         """Return the typical time for which a stream holds its slot, in seconds."""
         load = GroupLoad(running=profile.slots)
--- a/mallowpond/node/tests/test_dispatcher.py
+++ b/mallowpond/node/tests/test_dispatcher.py
@@ -1,6 +1,7 @@
 """How hosts get slots from the dispatcher, and place streams without its answer."""
 
 import asyncio
+import random
 
 import pytest
 from structlog.testing import capture_logs
@@ -18,8 +19,10 @@
     decode_loads,
     encode_loads,
 )
+from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered, Reason
 from mallowpond.node.peer_loads import GRANT_TTL_SECONDS, PEER_LOAD_TTL_SECONDS
+from mallowpond.node.slot_admission import SlotAdmission
 from mallowpond.node.tests.fakes import (
     MODEL,
     PROFILE,
@@ -59,14 +62,25 @@
 class TwoHosts:
     """Two hosts, of which `b` is the dispatcher."""
 
-    def __init__(self, rig_a, rig_b):
+    def __init__(self, rig_a, rig_b, *, is_contested=False):
+        self.is_contested = is_contested
+        self.dispatching = "b"
         self.rig_a, self.rig_b = rig_a, rig_b
         self.network_a, self.network_b = FakeNetwork("a"), FakeNetwork("b")
         self.network_a.other, self.network_b.other = self.network_b, self.network_a
         self.dispatcher, self.dispatcher_client_b = self._host(rig_b, self.network_b)
-        _, self.dispatcher_client = self._host(rig_a, self.network_a)
+        self.dispatcher_a, self.dispatcher_client = self._host(rig_a, self.network_a)
 
     def _host(self, rig, network):
+        placement = rig.service.placement
+        if self.is_contested:
+            placement.admission = SlotAdmission(
+                directory=rig.directory,
+                selector=placement.selector,
+                clock=rig.clock,
+                metrics=NodeMetrics(),
+                rng=random.Random(1),
+            )
         dispatcher = Dispatcher(
             name=network.name,
             peers=network,
@@ -74,7 +88,8 @@
             selector=rig.service.placement.selector,
             clock=rig.clock,
             find_model=lambda service, model: (PROFILE, MODEL),
-            is_dispatcher=lambda: network.name == "b",
+            is_dispatcher=lambda: network.name == self.dispatching,
+            admission=placement.admission,
         )
         dispatcher_client = DispatcherClient(
             name=network.name,
@@ -82,7 +97,8 @@
             directory=rig.directory,
             dispatcher=dispatcher,
             clock=rig.clock,
-            dispatching_host=lambda: "b",
+            dispatching_host=lambda: self.dispatching,
+            contested_slots=self.is_contested,
         )
         rig.service.placement.dispatcher_client = dispatcher_client
         return dispatcher, dispatcher_client
@@ -101,11 +117,11 @@
         self.dispatcher.wake()
 
 
-async def two_hosts(*groups):
+async def two_hosts(*groups, is_contested=False):
     """Return two hosts that know these open groups."""
     rig_a, rig_b = await make_rig(*groups), await make_rig(*groups)
     rig_b.clock = rig_a.clock
-    return TwoHosts(rig_a, rig_b)
+    return TwoHosts(rig_a, rig_b, is_contested=is_contested)
 
 
 async def run_pending_tasks():
@@ -195,6 +211,39 @@
     assert site.rig_b.directory.loads.load(GROUP).running == 0
 
 
+@pytest.mark.parametrize("ending", ["end_waits", "cancel"])
+async def test_a_grant_that_arrives_as_the_wait_ends_is_released(ending):
+    """A slot whose grant was received but not yet read stayed counted as used."""
+    site = await two_hosts("a")
+    site.dispatcher_client.on_unused_grant.append(site.report_loads)
+    full = {GROUP: (PROFILE.slots + 1, 0.0)}
+    site.rig_b.directory.loads.record_peer_loads("c", full)
+    serving = asyncio.create_task(
+        site.rig_a.service.serve(site.rig_a.work(FakeExchange()))
+    )
+    await run_pending_tasks()
+    if ending == "end_waits":
+        site.rig_a.service.placement.end_waits()
+    site.rig_b.directory.loads.record_peer_loads("c", {})
+    site.dispatcher.wake()
+    assert site.rig_b.directory.loads.load(GROUP).running == 1
+    if ending == "cancel":
+        serving.cancel()
+    await asyncio.gather(serving, return_exceptions=True)
+    assert site.rig_a.targets.sends == []
+    assert site.rig_b.directory.loads.load(GROUP).running == 0
+
+
+async def test_a_grant_at_a_host_that_has_ended_all_waits_is_released():
+    """A stopping host ended the wait of a stream whose slot it had just got."""
+    site = await two_hosts("a")
+    site.dispatcher_client.on_unused_grant.append(site.report_loads)
+    site.rig_a.service.placement.end_waits()
+    await site.rig_a.service.serve(site.rig_a.work(FakeExchange()))
+    assert site.network_b.sent[-1].verdict is PlaceVerdict.GRANTED
+    assert site.rig_b.directory.loads.load(GROUP).running == 0
+
+
 async def test_who_cannot_be_placed_in_time_is_refused_at_once():
     """Callers must not wait for a slot that the queue length rules out in time."""
     site = await two_hosts("a")
--- a/mallowpond/state/group_pace.py
+++ b/mallowpond/state/group_pace.py
@@ -127,6 +127,10 @@
         """Return the groups that count as slow, as of the last report or sweep."""
         return frozenset(self._slow)
 
+    def is_slow(self, key: GroupKey) -> bool:
+        """Return whether a group counts as slow, as of the last report or sweep."""
+        return key in self._slow
+
     @property
     def has_slow(self) -> bool:
         """Return whether any group may be slow."""
