--- a/mallowpond/node/tests/test_group_pace.py
+++ b/mallowpond/node/tests/test_group_pace.py
@@ -131,7 +131,8 @@
         self.site.dispatcher.wake()
         answers, self.site.network_b.sent = self.site.network_b.sent, []
         for answer in answers:
-            self.start(answer.number % HOSTS, answer.group)
+            if answer.verdict is PlaceVerdict.GRANTED:
+                self.start(answer.number % HOSTS, answer.group)
 
     def _deliver(self, stream):
         loads, now = self.loads[stream.host], self.clock.time
@@ -152,9 +153,9 @@
             self.ask()
 
 
-async def replay(*, shares, lost=0):
+async def replay(*, shares, lost=0, is_contested=False):
     """Replay two in five groups that turn 12 times slow for 9 s."""
-    site = await two_hosts(*GROUPS)
+    site = await two_hosts(*GROUPS, is_contested=is_contested)
     run = Replay(site, shares, lost)
     while run.time < END:
         for _ in range(4):
@@ -170,12 +171,14 @@
     return sum(name in SLOW_GROUPS for name in names) / len(names)
 
 
-async def test_streams_avoid_slow_groups_and_return_within_two_seconds():
+@pytest.mark.parametrize("is_contested", [False, True])
+async def test_streams_avoid_slow_groups_and_return_within_two_seconds(is_contested):
     """Guard against late streams as the dispatcher has none of its own to learn from.
 
     Two in five groups turn 12 times slow for 9 s.
     """
-    alone, shared = await replay(shares=False), await replay(shares=True)
+    alone = await replay(shares=False, is_contested=is_contested)
+    shared = await replay(shares=True, is_contested=is_contested)
     assert to_slow(alone, SLOW_FROM + 1.0, SLOW_UNTIL) > 0.15
     assert to_slow(shared, SLOW_FROM + 1.0, SLOW_UNTIL) < 0.07
     for name in SLOW_GROUPS:
@@ -192,9 +195,9 @@
     assert to_slow(shared, SLOW_UNTIL + 2.0, END) > 0.2
 
 
-async def slow_group(*groups):
+async def slow_group(*groups, is_contested=False):
     """Return two hosts, and a report by a third that group `a` is slow."""
-    site = await two_hosts(*groups)
+    site = await two_hosts(*groups, is_contested=is_contested)
     site.rig_b.directory.loads.record_peer_paces("c", {("a", 1): (12.0, 2)})
     return site
 
@@ -216,12 +219,15 @@
     return RequestId(node="a", number=number), request, entry
 
 
-async def test_a_stream_waits_a_short_time_rather_than_go_where_it_is_late():
+@pytest.mark.parametrize("is_contested", [False, True])
+async def test_a_stream_waits_a_short_time_rather_than_go_where_it_is_late(
+    is_contested,
+):
     """Guard against late streams while a slot on pace may come free, and lost ones.
 
     The only group on pace is full. After a short wait, late is better than lost.
     """
-    site = await slow_group("a", "b")
+    site = await slow_group("a", "b", is_contested=is_contested)
     full = {OTHER: (PROFILE.slots + 1, 0.0)}
     site.rig_b.directory.loads.record_peer_loads("c", full)
     answer = site.dispatcher.request_slot(*question(site))
