--- a/mallowpond/node/dispatcher_client.py
+++ b/mallowpond/node/dispatcher_client.py
@@ -192,7 +192,7 @@
             priority=entry.priority,
             has_begun=entry.has_begun,
             avoided=tuple(sorted(self._with_avoided(request).avoided)),
-            gap_objective=request.gap_objective,
+            gap_objective=self._told_gap(request),
         )
         if self._contested_slots:
             left = max(0.0, request.ends_at - now)
@@ -210,6 +210,15 @@
             log.info("placement: dispatcher unresponsive", dispatcher=host)
         return answer
 
+    def _told_gap(self, request: SlotRequest) -> float:
+        """Return the gap objective if it may matter: else datagrams stay as they were.
+
+        It matters where a group may be slow, and where slots are contested, which
+        requests with a fingerprint show.
+        """
+        matters = request.fingerprint or self._directory.loads.paces.has_slow
+        return request.gap_objective if matters else 0.0
+
     def _with_avoided(self, request: SlotRequest) -> SlotRequest:
         """Add the open groups that this host knows not to be usable."""
         serving = self._directory.serving_groups(request.service, request.model.name)
