--- a/mallowpond/node/group_selector.py
+++ b/mallowpond/node/group_selector.py
@@ -120,7 +120,10 @@
             probe = self.find_probe(request, groups) if on_time else None
             if probe is not None:
                 return probe
-            if on_time or (not request.accepts_late and self._any_on_time(request)):
+            slow = self._directory.loads.paces.slow
+            if on_time or (
+                not request.accepts_late and any(g.key not in slow for g in groups)
+            ):
                 candidates = on_time
         return self._select(request, groups, candidates)
 
@@ -129,10 +132,6 @@
             request.profile, request.model, candidate.load, request.gap_objective
         )
 
-    def _any_on_time(self, request: SlotRequest) -> bool:
-        """Return whether some group keeps the gap objective, full or not."""
-        return bool(self.without_late(request, self._groups(request)))
-
     def without_late(self, request: SlotRequest, groups: list[Group]) -> list[Group]:
         """Return the groups that keep the gap objective."""
         candidates = self._candidates(request, groups, is_shared=True)
--- a/mallowpond/node/slot_index.py
+++ b/mallowpond/node/slot_index.py
@@ -110,7 +110,8 @@
                 return probe
             if on_pace:
                 drawn = on_pace
-            elif not request.accepts_late and self._on_pace(self._serving.values()):
+            elif not request.accepts_late and self._has_on_pace():
+                drawn = drawn[:EXAMINED_GROUPS]
                 drawn = self._selector.without_late(request, drawn)
         found = (
             group
@@ -125,8 +126,11 @@
 
     def _on_pace(self, groups: Iterable[Group]) -> list[Group]:
         """Return the groups that the hosts do not agree to be slow."""
-        paces = self._directory.loads.paces
-        return [group for group in groups if not paces.is_slow(group.key)]
+        slow = self._directory.loads.paces.slow
+        return [group for group in groups if group.key not in slow]
+
+    def _has_on_pace(self) -> bool:
+        return not self._serving.keys() <= self._directory.loads.paces.slow
 
     def refresh_if_old(self, answers: AnswerLengths) -> None:
         """Examine all groups if that was not done for long."""
--- a/mallowpond/state/group_pace.py
+++ b/mallowpond/state/group_pace.py
@@ -5,7 +5,7 @@
 so it knows only from other hosts that a group is slow, and that it has recovered.
 """
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass
 from math import exp
 from typing import NamedTuple
@@ -123,13 +123,9 @@
         self.on_change: list[Callable[[PaceChange], None]] = []
 
     @property
-    def slow(self) -> frozenset[GroupKey]:
+    def slow(self) -> Set[GroupKey]:
         """Return the groups that count as slow, as of the last report or sweep."""
-        return frozenset(self._slow)
-
-    def is_slow(self, key: GroupKey) -> bool:
-        """Return whether a group counts as slow, as of the last report or sweep."""
-        return key in self._slow
+        return self._slow
 
     @property
     def has_slow(self) -> bool:
