--- a/mallowpond/node/group_selector.py
+++ b/mallowpond/node/group_selector.py
@@ -9,7 +9,7 @@
 from mallowpond.node.directory import Directory
 from mallowpond.node.quarantine import Quarantine
 from mallowpond.state.first_event import FirstEventDelay
-from mallowpond.state.fleet import EngineProfile, Group, ModelSpec
+from mallowpond.state.fleet import EngineProfile, Group, ModelSpec, Target
 from mallowpond.state.placement import (
     DRAWN_GROUPS,
     UNREPORTED_STREAMS,
@@ -78,8 +78,10 @@
         budget: Callable[[str], RetryWindow],
         hosts: Callable[[], int],
         rng: random.Random,
+        is_cold: Callable[[Target], bool] = lambda target: False,
     ) -> None:
         self._directory = directory
+        self._is_target_cold = is_cold
         self._quarantine = quarantine
         self._budget = budget
         self._hosts = hosts
@@ -146,7 +148,7 @@
         for group in groups:
             if not paces.is_probe_due(group.key, now):
                 continue
-            if group.is_leaving or self._has_ended(group):
+            if group.is_leaving or self._has_ended(group) or self._is_cold(group):
                 continue
             if group.name in request.avoided:
                 continue
@@ -201,8 +203,8 @@
     ) -> list[Candidate]:
         """Return up to `limit` groups with a free slot, drawn at random."""
         shuffled = self._rng.sample(groups, len(groups))
-        # Groups whose head process has ended come last.
-        shuffled.sort(key=self._has_ended)
+        # Groups whose head process has ended come last, after those with a cold head.
+        shuffled.sort(key=lambda g: (self._has_ended(g), self._is_cold(g)))
         return draw_candidates(
             request.profile,
             request.model,
@@ -224,12 +226,17 @@
                 load=load_of(group, request.profile),
                 is_leaving=group.is_leaving,
                 has_ended=self._has_ended(group),
+                is_cold=self._is_cold(group),
             )
 
     def _has_ended(self, group: Group) -> bool:
         head = group.head
         return head is not None and self._quarantine.has_ended(head.process)
 
+    def _is_cold(self, group: Group) -> bool:
+        head = group.head
+        return head is not None and self._is_target_cold(head)
+
 
 def _key_of(group: Group) -> str:
     return f"{group.name}/{group.epoch}"
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -14,6 +14,7 @@
 import cbor2
 
 from mallowpond.state.codec import to_compact
+from mallowpond.state.cold_targets import ColdState
 from mallowpond.state.crash_ledger import CrashRecord
 from mallowpond.state.decoding import (
     DecodeFault,
@@ -382,6 +383,14 @@
     limits: tuple[TargetLimit, ...]
 
 
+@dataclass(frozen=True, kw_only=True)
+class ColdNews:
+    """Report targets that became cold, or warm again, before they were expected to."""
+
+    node: Name
+    states: tuple[ColdState, ...]
+
+
 Message = (
     Heartbeat
     | Suspicion
@@ -403,6 +412,7 @@
     | CrashRecords
     | CrashQuestion
     | RateLimitNews
+    | ColdNews
 )
 MESSAGE_CLASSES = {kind.__name__: kind for kind in get_args(Message)}
 # Number of last fields of a message that are left out of its datagram while they and
--- a/mallowpond/state/decoding.py
+++ b/mallowpond/state/decoding.py
@@ -42,6 +42,9 @@
 # Enough for the addresses of several fleets.
 ADDRESS_CACHE_SIZE = 8192
 
+# Metadata of fields that only this host knows: compact values leave them out.
+LOCAL = {"local": True}
+
 # Types for fields of data classes that accept only some values of their base type.
 Name = NewType("Name", str)
 Identifier = NewType("Identifier", str)
@@ -324,9 +327,10 @@
 def _decoder_by_order(
     converter: Converter, kind: type[T]
 ) -> Callable[[Any, type[T]], T]:
-    decoders = _field_decoders(converter, kind)
-    names = tuple(decoders)
-    hooks = [(converter.get_structure_hook(h), h) for h in _hints(kind)]
+    hints = get_type_hints(kind)
+    names = compact_fields(kind)
+    decoders = {n: _field_decoder(converter, n, hints[n]) for n in names}
+    hooks = [(converter.get_structure_hook(hints[n]), hints[n]) for n in names]
     construct = _constructor(kind)
 
     def build(values: Any, _: type[T]) -> T:
@@ -347,7 +351,7 @@
 
 
 def _constructor(kind: type[T]) -> Callable[[dict[str, Any]], T]:
-    """Return a function that builds a data class from the values of all its fields.
+    """Return a function that builds a data class from the values of its compact fields.
 
     The generated constructor of a frozen class sets each field by a call. A class that
     does nothing else when it is built gets all fields at once.
@@ -356,15 +360,21 @@
     if not is_plain or hasattr(kind, "__slots__"):
         return lambda values: kind(**values)
     new = object.__new__
+    others = {f.name: f.default for f in fields(kind) if f.metadata.get("local")}
 
     def construct(values: dict[str, Any]) -> T:
         instance = new(kind)
-        instance.__dict__.update(values)
+        instance.__dict__.update(values, **others)
         return instance
 
     return construct
 
 
+def compact_fields(kind: Any) -> tuple[str, ...]:
+    """Return the names of the fields that compact values of a class hold."""
+    return tuple(f.name for f in fields(kind) if not f.metadata.get("local"))
+
+
 def _has_default(field: Any) -> bool:
     return field.default is not MISSING or field.default_factory is not MISSING
 
@@ -376,10 +386,6 @@
     return {n: _field_decoder(converter, n, h) for n, h in get_type_hints(kind).items()}
 
 
-def _hints(kind: type) -> list[Any]:
-    return list(get_type_hints(kind).values())
-
-
 def _field_decoder(converter: Converter, name: str, hint: Any) -> Callable[[Any], Any]:
     structure = converter.get_structure_hook(hint)
 
