--- a/mallowpond/node/tests/test_group_pace.py
+++ b/mallowpond/node/tests/test_group_pace.py
@@ -27,7 +27,7 @@
 
 GROUPS = tuple("abcdefghij")
 SLOW_GROUPS = frozenset("abcd")
-SLOW_FROM, SLOW_UNTIL, END = 2.0, 11.0, 15.0
+SLOW_FROM, SLOW_UNTIL, END = 2.0, 11.0, 20.0
 STEP = 0.025
 HOSTS = 8
 OTHER = ("b", 1)
