--- a/mallowpond/node/slot_admission.py
+++ b/mallowpond/node/slot_admission.py
@@ -34,8 +34,8 @@
 REVIEW_SECONDS = 0.1
 REVIEW_SECONDS_PER_STREAM = 0.0001
 # Late streams leave as many slots free as new streams take in this time, in seconds.
-# Without it each slot that becomes free goes to a late stream, and in a lasting overload
-# nearly all new streams become late in the queue.
+# Without it each slot that becomes free goes to a late stream, and in a lasting
+# overload nearly all new streams become late in the queue.
 HEADROOM_SECONDS = 0.05
 # Least share of the slots that callers who come back may use, where new streams take
 # all of them: new streams can be on time, those that come back cannot.
