Take the pace of an engine from its report

Cause: engines say when they work slowly, and the adapter dropped it. Change: EngineReport.pace, decoded from the report; 1 where it is absent.

--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -180,10 +180,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class EngineReport:
-    """State that an engine reports; `orders` is the number of orders it has begun."""
+    """State that an engine reports; `orders` is the number of orders it has begun.
+
+    `pace` is the time of its steps, as a multiple of the declared one; it may be some
+    hundred milliseconds old.
+    """
 
     orders: int
     target: Target
+    pace: float = 1.0
 
 
 class Targets(Protocol):
--- a/mallowpond/platform/documents.py
+++ b/mallowpond/platform/documents.py
@@ -358,6 +358,7 @@
     # In a report `sequence` counts orders; in the list it counts heartbeats.
     return EngineReport(
         orders=decoded.sequence,
+        pace=decoded.pace,
         target=replace(
             listed,
             model=_first_model(decoded.models),
--- a/mallowpond/platform/tests/test_engines.py
+++ b/mallowpond/platform/tests/test_engines.py
@@ -309,6 +309,7 @@
 async def test_a_report_tells_what_an_engine_holds_and_which_process_it_is():
     found = await report_of(json.dumps(REPORT).encode())
     assert found.orders == 2
+    assert found.pace == 1.5
     assert found.target.process == Process(id="i-1", born=1_733_184_000_000)
     assert (found.target.model, found.target.staged) == ("m", ("m",))
     assert found.target.membership.group == "g"
