Count no ending of a process when a closing group breaks off a stream

Cause: a head that is ordered to close with eviction breaks its streams off as a crash does. Three such ends would have quarantined the request. Change: for the stall time after a closing, ends of the group's streams are not recorded as endings of its head's process. Result: groups can be closed with eviction without harm to their requests.

--- a/mallowpond/node/group_loads.py
+++ b/mallowpond/node/group_loads.py
@@ -36,6 +36,8 @@
     slowness: float = 1.0
     last_event_at: float = 0.0
     excluded_until: float = 0.0
+    # Until then its head may end streams, as the planner closes or dissolves it.
+    closing_until: float = 0.0
     suspicions: int = 0
     # Last backoff after the group rejected a stream; an event resets it to 0.
     backoff_seconds: float = 0.0
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -369,6 +369,11 @@
     def _record_broken(self, work: StreamWork, group: Group, reason: Reason) -> None:
         """Record that a head's process ended; back off if it ended before the send."""
         assert group.head is not None
+        own = self._directory.loads.work(group.key)
+        if own.closing_until > self._clock.now():
+            # The head ended the stream by order, as when a group is formed anew around
+            # a slow member: neither did its process end, nor did the request cause it.
+            return
         process = group.head.process
         if not self._quarantine.record_ending(work.fingerprint, process, work.sent_at):
             self._back_off(work, group)
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -482,3 +482,19 @@
     outcome = await rig.service.serve(rig.work(FakeExchange(), route))
     assert outcome == Refusal(status=502, reason=Reason.MAYBE_RUN)
     assert rig.directory.serving_groups("engines", "m") == []
+
+
+async def test_a_stream_that_a_closing_group_ended_is_no_ending_of_its_process():
+    """Guards against requests held back since their groups were formed anew.
+
+    A head that is ordered to end its streams breaks them off as a crash does. Counted
+    as crashes, three such ends would quarantine a request.
+    """
+    rig = await make_rig("a", "b")
+    rig.targets.script("a0", FakeResponse(script=[event(1), BROKEN]))
+    rig.targets.script("b0", answer(2))
+    for group in rig.directory.groups.values():
+        rig.directory.loads.work(group.key).closing_until = rig.clock.now() + 4.0
+    outcome = await rig.service.serve(rig.work(FakeExchange()))
+    assert outcome == Answered(status=200, target="b0")
+    assert rig.service._metrics.endings._value.get() == 0
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -312,7 +312,9 @@
         The list shows that up to one poll later, and each stream sent meanwhile would
         be rejected and have to be placed again.
         """
-        self._exclude(key, self._stall_seconds)
+        until = self._clock.now() + self._stall_seconds
+        self._directory.loads.work(key).closing_until = until
+        self._directory.exclude_group(key, until)
 
     def _exclude(self, key: GroupKey, seconds: float) -> None:
         self._directory.exclude_group(key, self._clock.now() + seconds)
