Decide which groups to form anew around slow members

Cause: with 40 % of the engines 12 times as slow, 13 % of the groups of 4 are sound and none of 8 or 16, although 60 % of the engines are. Change: state/slow_members.py keeps the paces that members reported and decides which groups of a domain to dissolve for one sound group more; the formation planner keeps slow targets out of new groups, and upkeep carries a dissolution through.

--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -13,6 +13,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
+from functools import cached_property
 from math import ceil
 
 from mallowpond.state.fleet import (
@@ -43,6 +44,7 @@
     loads_for_swaps,
     plan_swap,
 )
+from mallowpond.state.slow_members import Regrouping, SlowGroup, plan_regroupings
 from mallowpond.state.upkeep import JOIN_PATIENCE_SECONDS, GroupUpkeep
 
 # Loads to order per second, as a share of the declared rate. The margin allows for
@@ -74,17 +76,22 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PlannedRound:
-    """The orders of one round, and the swaps that begin or go on with them."""
+    """The orders of one round, and the decisions that begin or go on with them."""
 
     steps: tuple[Step, ...]
     swaps: tuple[SwapDecision, ...] = ()
+    regroupings: tuple[Regrouping, ...] = ()
 
 
 def plan_round(view: FormationView) -> PlannedRound:
     """Return the orders to give now, with the swaps that they belong to."""
     planner = _Planner(view)
     steps = planner.plan()
-    return PlannedRound(steps=steps, swaps=tuple(planner.swaps))
+    return PlannedRound(
+        steps=steps,
+        swaps=tuple(planner.swaps),
+        regroupings=tuple(planner.regroupings),
+    )
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -128,6 +135,10 @@
         self._loading = dict(view.loading)
         self._joining: dict[str, str] = {}
         self.swaps: list[SwapDecision] = []
+        # Free targets that are slow, by domain; they are not in `_free`.
+        self._slow_free: dict[str, list[Target]] = {}
+        self._dissolving = set(view.dissolving)
+        self.regroupings: list[Regrouping] = []
 
     def plan(self) -> tuple[Step, ...]:
         grouped = self._upkeep.reserved
@@ -137,10 +148,13 @@
         for target in self._view.targets:
             if target.id not in grouped and self._upkeep.can_join(target):
                 free = self._without_replaced_model(target)
-                self._free.setdefault(target.domain, []).append(free)
+                is_slow = self._view.is_slow(target.id)
+                kept = self._slow_free if is_slow else self._free
+                kept.setdefault(target.domain, []).append(free)
         if self._awaits_targets():
             return tuple(self._steps)
         self._form_groups()
+        self._regroup_around_slow()
         self._consolidate_groups()
         self._stage_weights()
         self._rebalance()
@@ -180,8 +194,9 @@
         if not self._upkeep.has_evacuated(formation.members):
             self._served[model.name] += 1.0
         members = frozenset(formation.members)
-        for domain, free in self._free.items():
-            self._free[domain] = [t for t in free if t.id not in members]
+        for kept in (self._free, self._slow_free):
+            for domain, free in kept.items():
+                kept[domain] = [t for t in free if t.id not in members]
 
     def _engines_per_share(self, model: ModelSpec) -> float:
         """Return how well a model is served: its engines per unit of its share.
@@ -254,7 +269,8 @@
             return False
         parts = [
             [t for t in free if t.id not in self._loading and not needs_load(t, model)]
-            for free in self._free.values()
+            for domain, free in self._free.items()
+            if domain not in self._slow_domains
         ]
         chosen = _take_from_parts(parts, model.size)
         return chosen is not None and self._join_all(model, chosen)
@@ -342,7 +358,9 @@
 
     def _best_load_plan(self) -> "_LoadPlan | None":
         best: _LoadPlan | None = None
-        for free in self._free.values():
+        for domain, free in self._free.items():
+            # Slow targets are used again before a load in their place would end.
+            free = [*free, *self._slow_free.get(domain, ())]
             for model in self._view.profile.models:
                 found = self._load_plan(free, model)
                 if found is not None and (best is None or found.cost < best.cost):
@@ -392,6 +410,154 @@
         names = [model.name for model in self._view.profile.models]
         return min(names, key=lambda name: (-members[name], spares[name]))
 
+    # -- forming groups anew around slow members --------------------------------
+
+    @cached_property
+    def _slow_domains(self) -> frozenset[str]:
+        """Return the domains in which a group has a slow member.
+
+        Their free targets stay there, to make sound groups with the other members.
+        """
+        if self._view.regrouping is None:
+            return frozenset()
+        return frozenset(
+            group.members[0].domain
+            for group in self._groups.values()
+            if any(self._view.is_slow(member.id) for member in group.members)
+        )
+
+    def _regroup_around_slow(self) -> None:
+        """Dissolve groups with slow members where that yields a sound group.
+
+        This comes after the free targets have formed groups, so those left over are
+        free for the next sound group.
+        """
+        view = self._view
+        known = view.regrouping
+        if known is None or view.is_before_traffic or not view.is_settled:
+            return
+        swapped = set(self._swaps_under_way()) if view.rebalancing else set()
+        for model in view.profile.models:
+            self._form_from_slow(model)
+            decided = plan_regroupings(
+                model=model.name,
+                size=model.size,
+                slow=self._slow_groups(model, swapped),
+                free=self._sound_free(model),
+                open_groups=sum(
+                    group.model == model.name
+                    and group.phase is GroupPhase.OPEN
+                    and not self._upkeep.is_evacuated(group)
+                    for group in self._groups.values()
+                ),
+                recent=known.recent.get(model.name, 0),
+                interrupted=known.interrupted
+                + sum(regrouping.streams for regrouping in self.regroupings),
+                busy_domains={
+                    self._groups[key].members[0].domain
+                    for key in known.dissolving
+                    if key in self._groups
+                },
+            )
+            for regrouping in decided:
+                self.regroupings.append(regrouping)
+                for group in regrouping.groups:
+                    self._dissolving.add(group.key)
+                    self._upkeep.dissolve_slow(self._groups[group.key])
+
+    def _slow_groups(self, model: ModelSpec, swapped: set[GroupKey]) -> list[SlowGroup]:
+        """Return the groups of a model that may be dissolved for a slow member."""
+        view = self._view
+        known = view.regrouping
+        assert known is not None
+        found = []
+        for key, group in self._groups.items():
+            if group.model != model.name or key in swapped:
+                continue
+            paces = [known.paces.get(member.id) for member in group.members]
+            slow = [pace.pace for pace in paces if pace and pace.is_slow(view.now)]
+            if not slow or not self._is_whole(group, model):
+                continue
+            if any(m.id in known.regrouped or m.id in view.busy for m in group.members):
+                continue
+            streams = known.streams.get(key, 0)
+            if streams and not known.can_evict:
+                continue
+            found.append(
+                SlowGroup(
+                    key=key,
+                    domain=group.members[0].domain,
+                    pace=max(slow),
+                    sound=sum(
+                        pace is not None
+                        and pace.is_sound(view.now)
+                        and self._is_kept_for(member, model)
+                        for member, pace in zip(group.members, paces, strict=True)
+                    ),
+                    streams=streams,
+                )
+            )
+        return found
+
+    def _is_kept_for(self, target: Target, model: ModelSpec) -> bool:
+        """Return whether a target, once free, joins a group of a model without load."""
+        freed = self._without_replaced_model(target)
+        return target.id not in self._loading and not needs_load(freed, model)
+
+    def _sound_free(self, model: ModelSpec) -> dict[str, int]:
+        """Return the free targets for a model that said they are sound, by domain."""
+        view = self._view
+        assert view.regrouping is not None
+        counts: Counter[str] = Counter()
+        for domain, free in self._free.items():
+            for target in free:
+                pace = view.regrouping.paces.get(target.id)
+                is_sound = pace is not None and pace.is_sound(view.now)
+                counts[domain] += is_sound and self._is_kept_for(target, model)
+        return counts
+
+    def _form_from_slow(self, model: ModelSpec) -> None:
+        """Form groups of slow targets if a model has no group without one.
+
+        None is formed while groups are being dissolved: their sound members come next.
+        """
+        if self._dissolving or not self._slow_free or self._has_sound_group(model):
+            return
+        for free in self._slow_free.values():
+            while True:
+                idle = [
+                    target
+                    for target in free
+                    if target.id not in self._loading and not needs_load(target, model)
+                ]
+                chosen = _cheapest_members(idle, model, 0)
+                if chosen is None:
+                    break
+                for target in chosen:
+                    free.remove(target)
+                    self._free.setdefault(target.domain, []).append(target)
+                self._join_all(model, chosen)
+
+    def _has_sound_group(self, model: ModelSpec) -> bool:
+        """Return whether a group of a model has no slow member, or is to form so."""
+        if model.name in self._joining.values():
+            return True
+        view = self._view
+        serving = (GroupPhase.OPEN, GroupPhase.READY, GroupPhase.JOINING)
+        members = [
+            [member.id for member in group.members]
+            for group in self._groups.values()
+            if group.model == model.name
+            and group.phase in serving
+            and not self._upkeep.is_evacuated(group)
+        ]
+        members += [
+            list(formation.members)
+            for formation in view.formations.values()
+            if formation.model == model.name and formation.key not in self._groups
+        ]
+        return any(not any(map(view.is_slow, ids)) for ids in members)
+
     # -- moving engines between models ------------------------------------------
 
     def _without_replaced_model(self, target: Target) -> Target:
@@ -570,6 +736,7 @@
             and not group.is_leaving
             and not any(m.lapsed or m.id in view.lost for m in group.members)
             and group.key not in view.closed | view.repeatedly_suspected
+            and group.key not in self._dissolving
             and not self._upkeep.has_restarted(group.key)
             and not self._upkeep.is_evacuated(group)
         )
--- a/mallowpond/state/formation_view.py
+++ b/mallowpond/state/formation_view.py
@@ -5,10 +5,12 @@
 list" is the platform's list of targets, see `Target`.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from mallowpond.state.fleet import EngineProfile, ModelSpec, Process, Target
 from mallowpond.state.rebalancing import RebalancingView
+from mallowpond.state.slow_members import RegroupingView
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -119,6 +121,8 @@
     newest_target_at: time at which the last new target appeared.
     rebalancing: what is known for moving engines between models; None if that is off.
     evacuated: data centres in which nothing is formed, staged or repaired.
+    regrouping: what is known for forming groups anew around slow members; None if that
+        is off.
     """
 
     profile: EngineProfile
@@ -143,6 +147,18 @@
     newest_target_at: float = float("-inf")
     rebalancing: RebalancingView | None = None
     evacuated: frozenset[str] = frozenset()
+    regrouping: RegroupingView | None = None
+
+    @property
+    def dissolving(self) -> Mapping[tuple[str, int], float]:
+        """Return the groups dissolved for their slow members, and since when."""
+        return {} if self.regrouping is None else self.regrouping.dissolving
+
+    def is_slow(self, identifier: str) -> bool:
+        """Return whether a target is slow and stays out of new groups."""
+        known = self.regrouping
+        pace = None if known is None else known.paces.get(identifier)
+        return pace is not None and pace.is_avoided(self.now)
 
 
 def needs_load(target: Target, model: ModelSpec) -> bool:
--- a/mallowpond/state/upkeep.py
+++ b/mallowpond/state/upkeep.py
@@ -31,6 +31,9 @@
 JOIN_PATIENCE_SECONDS = 4.0
 # Time for which an incomplete group of unknown origin may look ready, in seconds.
 INCOMPLETE_SECONDS = 2.0
+# Time within which a head that was ordered to end its streams does so, in seconds.
+# After it, all members leave; at a twelfth of their pace the streams take too long.
+EVICTION_SECONDS = 1.0
 
 
 class GroupUpkeep:
@@ -79,6 +82,9 @@
         model = self._view.profile.model(group.model)
         if model is None:
             return True
+        if self._is_dissolved_for_slowness(group):
+            self.dissolve_slow(group)
+            return True
         match group.phase:
             case GroupPhase.OPEN:
                 return self._maintain_open(group, model)
@@ -184,6 +190,7 @@
             and target.membership is None
             and self.can_join(target)
             and not needs_load(target, model)
+            and not self._view.is_slow(target.id)
         ]
         staying = sum(not member.draining for member in group.members)
         return len(ready) >= model.size - staying
@@ -208,6 +215,29 @@
                     Leave(target=member, group=group.name, epoch=group.epoch)
                 )
 
+    def _is_dissolved_for_slowness(self, group: Group) -> bool:
+        """Return whether a group with slow members needs orders to be dissolved."""
+        since = self._view.dissolving.get(group.key)
+        if since is None or group.phase is GroupPhase.BROKEN:
+            return False
+        is_closing = group.phase is GroupPhase.CLOSING
+        return not is_closing or self._view.now - since > EVICTION_SECONDS
+
+    def dissolve_slow(self, group: Group) -> None:
+        """Dissolve a group with slow members, once its head has ended its streams.
+
+        Its streams go on at other groups. A head that leaves with streams would end
+        them too, but the list shows a closing head to a planner that takes over.
+        """
+        known = self._view.regrouping
+        has_streams = known is not None and known.streams.get(group.key, 0) > 0
+        head = group.head
+        is_open = group.phase is GroupPhase.OPEN and not self._has_lost(group)
+        if head is not None and is_open and has_streams:
+            self.order_close(group, head, evict=True)
+        else:
+            self._dissolve(group)
+
     def _maintain_forming(self, group: Group, model: ModelSpec) -> bool:
         view = self._view
         head = group.head
