Ask members in doubt for their pace, and regroup around slow ones

Cause: a group's learnt slowness does not tell which member is slow. Change: node/pace_probes.py asks the members of slow groups once a second through the call gate; the planner passes their paces to the decision, logs and counts each regrouping. Setting planning.regroup_slow, off by default, on in the template. Result: a group with a slow member is closed, and its sound members join anew with a free target (test over fakes).

--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -25,6 +25,9 @@
         self.suspicions = counter("mallowpond_suspicions", "Groups suspected", "origin")
         self.orders = counter("mallowpond_orders", "Orders to engines", "kind", "end")
         self.swaps = counter("mallowpond_swaps", "Groups moved to a model", "action")
+        self.regroupings = counter(
+            "mallowpond_regroupings", "Groups dissolved for slow members", "model"
+        )
         self.clients_gone = counter("mallowpond_clients_gone", "Callers that left")
         self.bad_input = counter("mallowpond_bad_input", "Unreadable", "reason")
         self.unreadable = counter(
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -23,6 +23,7 @@
 from mallowpond.node.leadership import Leadership
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.model_summary import demand, log_summary, running, utilization
+from mallowpond.node.pace_probes import PaceProbes
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.ports import (
     OrderFenced,
@@ -64,6 +65,11 @@
     SwapDecision,
     SwapRecords,
 )
+from mallowpond.state.slow_members import (
+    Regrouping,
+    RegroupingRecords,
+    RegroupingView,
+)
 
 log = structlog.get_logger()
 
@@ -123,8 +129,10 @@
         traffic_seen: TrafficSeen,
         availability: TargetAvailability,
         rebalance: bool = False,
+        regroup_slow: bool = False,
     ) -> None:
         self._rebalance = rebalance
+        self._regroup_slow = regroup_slow
         self._configuration = configuration
         self._directory = directory
         self._targets = targets
@@ -156,6 +164,13 @@
             is_report_current=self._is_report_current,
             spawn=self._spawn,
         )
+        self._pace_probes = PaceProbes(
+            directory=directory,
+            probes=self._probes,
+            gate=self._gate,
+            clock=clock,
+            spawn=self._spawn,
+        )
         self._reset()
         leadership.on_acquired.append(self._reset)
         directory.on_change.append(self._record_members)
@@ -163,6 +178,7 @@
 
     def _reset(self) -> None:
         self._probes.reset()
+        self._pace_probes.reset()
         self._book.reset()
         self._has_fresh_list = False
         self._last_round_at = self._clock.now()
@@ -182,6 +198,7 @@
         # By service. A new planner observes the demand before it moves engines.
         self._demand: dict[str, DemandTracker] = {}
         self._swaps: dict[str, SwapRecords] = {}
+        self._regroupings: dict[str, RegroupingRecords] = {}
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -254,6 +271,8 @@
     # -- planning ------------------------------------------------------------
 
     def _plan_service(self, service: str, profile: EngineProfile) -> None:
+        if self._regroup_slow and self._traffic_seen.seen:
+            self._pace_probes.ask_due(service, profile)
         view = self._view(service, profile)
         planned = plan_round(view)
         if view.now - self._last_summary_at > SUMMARY_SECONDS:
@@ -261,6 +280,8 @@
             log_summary(self._directory, view)
         for decision in planned.swaps:
             self._record_swap(service, decision)
+        for regrouping in planned.regroupings:
+            self._record_regrouping(service, regrouping, view)
         for step in planned.steps:
             if isinstance(step, Join):
                 self._record_formation(step)
@@ -314,6 +335,78 @@
             observed=round(self._demand[service].covered_seconds(now), 1),
         )
 
+    def _regrouping(
+        self, service: str, profile: EngineProfile
+    ) -> RegroupingView | None:
+        """Return the input for forming groups around slow members, None if off."""
+        if not self._regroup_slow:
+            return None
+        now = self._clock.now()
+        records = self._regroupings.setdefault(service, RegroupingRecords())
+        records.prune(self._directory.groups, now)
+        readings = {
+            target.id: self._probes.paces.get(self._processes.current(target).process)
+            for target in self._directory.all_targets(service)
+        }
+        paces = {name: pace for name, pace in readings.items() if pace is not None}
+        slow = {name for name, pace in paces.items() if pace.is_slow(now)}
+        return RegroupingView(
+            paces=paces,
+            streams={
+                key: self._directory.loads.load(key).running
+                for key, group in self._directory.groups.items()
+                if key in records.dissolving
+                or not slow.isdisjoint(member.id for member in group.members)
+            },
+            dissolving=records.dissolving,
+            recent=records.recent(now),
+            interrupted=records.interrupted(now),
+            regrouped=records.regrouped(now),
+            can_evict=self._can_evict(service),
+        )
+
+    def _can_evict(self, service: str) -> bool:
+        """Return whether the streams of all routes to a service can go on elsewhere."""
+        configuration = self._configuration.configuration
+        return configuration is not None and all(
+            route.resumable and route.max_attempts > 1
+            for route in configuration.routes
+            if any(backend.service == service for backend in route.backends)
+        )
+
+    def _record_regrouping(
+        self, service: str, decision: Regrouping, view: FormationView
+    ) -> None:
+        assert view.regrouping is not None
+        now, paces = self._clock.now(), view.regrouping.paces
+        groups = [self._directory.groups[group.key] for group in decision.groups]
+        members = [member.id for group in groups for member in group.members]
+        for group, chosen in zip(groups, decision.groups, strict=True):
+            self._regroupings[service].record(
+                group.key,
+                decision.model,
+                [member.id for member in group.members],
+                chosen.streams,
+                now,
+            )
+        self._metrics.regroupings.labels(decision.model).inc(len(groups))
+        known = {name: paces[name] for name in members if name in paces}
+        log.info(
+            "planner: regrouping",
+            model=decision.model,
+            domain=decision.domain,
+            groups=[group.name for group in groups],
+            slow={n: p.pace for n, p in known.items() if p.is_slow(now)},
+            sound=sum(group.sound for group in decision.groups),
+            free=decision.free,
+            oldest=round(max(now - pace.at for pace in known.values()), 3),
+            streams=decision.streams,
+            load_age=self._directory.loads.load_age,
+            open=decision.open_groups,
+            slow_groups=decision.slow_groups,
+            recent=decision.recent,
+        )
+
     def _view(self, service: str, profile: EngineProfile) -> FormationView:
         now = self._clock.now()
         return FormationView(
@@ -346,6 +439,7 @@
             newest_target_at=self._directory.newest_target_at,
             rebalancing=self._rebalancing(service, profile),
             evacuated=self._directory.evacuated,
+            regrouping=self._regrouping(service, profile),
         )
 
     def _with_latest_state(self, target: Target) -> Target:
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -24,6 +24,7 @@
 from mallowpond.state.observer_health import ObserverHealth
 from mallowpond.state.order_book import OrderBook
 from mallowpond.state.processes import CurrentProcesses
+from mallowpond.state.slow_members import PaceReadings
 
 log = structlog.get_logger()
 
@@ -80,6 +81,8 @@
         self._lapsed_probed_at: dict[Process, float] = {}
         self._unhealthy: dict[Process, int] = {}  # consecutive failed health checks
         self._observer_health = ObserverHealth()
+        # What every report says of its process's pace, whatever it was asked for.
+        self.paces = PaceReadings()
         self._indirect_probe = IndirectProbe(
             peers=peers, probe=self._probe_for_peer, spawn=spawn
         )
@@ -190,8 +193,18 @@
                 asked=target.born,
                 answered=report.target.born,
             )
+        self._record_pace(report)
         return report
 
+    def _record_pace(self, report: EngineReport) -> None:
+        known = self.paces.get(report.target.process)
+        was_slow = known is not None and known.was_slow
+        pace = self.paces.record(report.target.process, report.pace, self._clock.now())
+        if pace.was_slow and not was_slow:
+            log.info("planner: target slow", target=report.target.id, pace=pace.pace)
+        elif was_slow and not pace.was_slow:
+            log.info("planner: target sound", target=report.target.id, pace=pace.pace)
+
     async def _probe(self, target: Target) -> bool:
         reason = ""
         for _ in range(PROBE_ATTEMPTS):
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -180,6 +180,7 @@
             traffic_seen=self._traffic,
             availability=availability,
             rebalance=settings.planning.rebalance,
+            regroup_slow=settings.planning.regroup_slow,
         )
         self.fanout = Fanout(
             name=settings.name,
--- a/mallowpond/node/settings.py
+++ b/mallowpond/node/settings.py
@@ -31,9 +31,11 @@
     """Choices of the group planner.
 
     rebalance: whether engines move from a model with slack to one short of slots.
+    regroup_slow: whether groups are formed anew around members that become slow.
     """
 
     rebalance: bool = False
+    regroup_slow: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -33,7 +33,7 @@
     ModelSpec,
     Target,
 )
-from mallowpond.state.formation_view import Join, Leave, Open, Stage
+from mallowpond.state.formation_view import Close, Join, Leave, Open, Stage
 from mallowpond.state.order_book import REPORT_LAG_SECONDS
 from mallowpond.state.site_configuration import Service, SiteConfiguration
 from mallowpond.state.target_notice import TargetNotice
@@ -113,7 +113,7 @@
 class Rig:
     """Runs a planner step by step over fakes and a fake clock."""
 
-    def __init__(self, *targets, profile=PROFILE, rebalance=False):
+    def __init__(self, *targets, profile=PROFILE, rebalance=False, **more):
         self.clock, self.targets = FakeClock(), FakeTargets()
         self.source = FakeSource(listed=deque([listing(*targets)] * 2))
         service = Service(name="engines", max_connections=10, profile=profile)
@@ -140,6 +140,7 @@
             traffic_seen=TrafficSeen(seen=True),
             availability=self.availability,
             rebalance=rebalance,
+            **more,
         )
 
     async def steps(self, count=1):
@@ -1005,3 +1006,55 @@
     rig = swap_rig(rebalance=False)
     await rig.steps(170)
     assert rig.targets.orders == []
+
+
+def slow_rig(**more):
+    """Return a rig with a group of two, one of them slow, and a free target."""
+    rig = Rig(*open_group("g"), free("a"), **more)
+    rig.source.listed.extend([rig.source.listed[0]] * 100)
+    slow = replace(open_group("g")[1])
+    rig.targets.reports = {"g1": EngineReport(orders=0, target=slow, pace=12.0)}
+    work = rig.directory.loads.work(("g", 1))
+    work.slowness, work.last_event_at, work.running = 12.0, 1002.0, 3
+    return rig
+
+
+async def test_a_group_with_a_slow_member_is_closed_for_a_sound_one():
+    """Nearly every caller was late while a free target could replace the member."""
+    rig = slow_rig(regroup_slow=True)
+    with structlog.testing.capture_logs() as logs:
+        await rig.steps(25)
+    (close, *_) = rig.orders_of(Close)
+    assert (close.target.id, close.evict) == ("g0", True)
+    (line,) = [entry for entry in logs if entry["event"] == "planner: regrouping"]
+    assert (line["groups"], line["slow"], line["streams"]) == (["g"], {"g1": 12.0}, 3)
+    assert line["oldest"] <= 1.5
+    assert [e["target"] for e in logs if e["event"] == "planner: target slow"] == ["g1"]
+    assert rig.planner._metrics.regroupings.labels("m")._value.get() == 1
+    # The head has ended its streams: all members leave, and the sound ones join anew.
+    ready = replace(member("g0", "g", 0).membership, phase=GroupPhase.READY)
+    await rig.update_list(replace(member("g0", "g", 0), membership=ready))
+    await rig.steps(10)
+    assert {order.target.id for order in rig.orders_of(Leave)} == {"g0", "g1"}
+    assert {order.target.id for order in rig.orders_of(Join)} == {"g0", "a"}
+
+
+async def test_each_member_in_doubt_is_asked_once_a_second():
+    """Guards against probes that take up the time of slow engines."""
+    rig = slow_rig(regroup_slow=True)
+    asked = []
+    report = rig.targets.report
+
+    async def counted(target):
+        asked.append(target.id)
+        return await report(target)
+
+    rig.targets.report = counted
+    await rig.steps(10)
+    assert sorted(asked) == ["a", "g0", "g1"]
+
+
+async def test_no_group_is_formed_anew_where_that_is_off():
+    rig = slow_rig()
+    await rig.steps(30)
+    assert rig.targets.orders == []
--- a/mallowpond/platform/tests/test_program.py
+++ b/mallowpond/platform/tests/test_program.py
@@ -57,6 +57,7 @@
     assert (settings.name, settings.peer_port) == ("front-1", 7340)
     assert settings.first_start
     assert settings.planning.rebalance
+    assert settings.planning.regroup_slow
     assert settings.bounds == NodeBounds(
         revoke=5.0,
         grace=8,
