Keep the members of a slow group with the decision

Cause: the record of a regrouping looked its groups up in the directory, which the planner's view need not match. Change: SlowGroup.members. Result: no lookup; tests of both parts pass.

--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -379,15 +379,11 @@
     ) -> None:
         assert view.regrouping is not None
         now, paces = self._clock.now(), view.regrouping.paces
-        groups = [self._directory.groups[group.key] for group in decision.groups]
-        members = [member.id for group in groups for member in group.members]
-        for group, chosen in zip(groups, decision.groups, strict=True):
+        groups = decision.groups
+        members = [member for group in groups for member in group.members]
+        for group in groups:
             self._regroupings[service].record(
-                group.key,
-                decision.model,
-                [member.id for member in group.members],
-                chosen.streams,
-                now,
+                group.key, decision.model, group.members, group.streams, now
             )
         self._metrics.regroupings.labels(decision.model).inc(len(groups))
         known = {name: paces[name] for name in members if name in paces}
@@ -395,9 +391,9 @@
             "planner: regrouping",
             model=decision.model,
             domain=decision.domain,
-            groups=[group.name for group in groups],
+            groups=[group.key[0] for group in groups],
             slow={n: p.pace for n, p in known.items() if p.is_slow(now)},
-            sound=sum(group.sound for group in decision.groups),
+            sound=sum(group.sound for group in groups),
             free=decision.free,
             oldest=round(max(now - pace.at for pace in known.values()), 3),
             streams=decision.streams,
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -487,6 +487,7 @@
                 SlowGroup(
                     key=key,
                     domain=group.members[0].domain,
+                    members=tuple(member.id for member in group.members),
                     pace=max(slow),
                     sound=sum(
                         pace is not None
--- a/mallowpond/state/slow_members.py
+++ b/mallowpond/state/slow_members.py
@@ -119,11 +119,12 @@
     """An open group, whole and in one domain, with a member proven to be slow.
 
     pace: that of its slowest member. sound: members that said they are sound.
-    streams: streams that run on it.
+    streams: streams that run on it. members: ids of its members.
     """
 
     key: GroupKey
     domain: str
+    members: tuple[str, ...]
     pace: float
     sound: int
     streams: int
--- a/mallowpond/state/tests/test_slow_members.py
+++ b/mallowpond/state/tests/test_slow_members.py
@@ -211,8 +211,7 @@
         for decision in planned.regroupings:
             self.decisions.append((self.now, decision))
             for group in decision.groups:
-                members = groups[group.key].members
-                ids = [member.id for member in members]
+                ids = group.members
                 self.records.record(group.key, "m", ids, group.streams, self.now)
                 self.dissolved_at.append((self.now, group.key, ids))
         assert max(Counter(s.target.id for s in planned.steps).values(), default=0) <= 1
@@ -463,7 +462,15 @@
 def slow_group(number, domain="d", sound=3, streams=5, pace=12.0):
     """Return a group of 4 with slow members."""
     key = ("g", number)
-    return SlowGroup(key=key, domain=domain, pace=pace, sound=sound, streams=streams)
+    members = tuple(f"e{number}{rank}" for rank in range(4))
+    return SlowGroup(
+        key=key,
+        domain=domain,
+        members=members,
+        pace=pace,
+        sound=sound,
+        streams=streams,
+    )
 
 
 def decide(slow, *, free=None, open_groups=9, recent=0, interrupted=0, busy=()):
