Test regroupings under restarts, lost and late orders and two planners

Cause: a regrouping moves engines that serve, so it must keep the rule that no engine is in two groups under every fault of the stateful test. Change: engines of the model report a pace; two rules slow them down and up.

--- a/mallowpond/node/tests/engine_model.py
+++ b/mallowpond/node/tests/engine_model.py
@@ -58,6 +58,7 @@
     members: tuple[str, ...] = ()
     phase: GroupPhase | None = None
     draining: bool = False
+    pace: float = 1.0
 
     @property
     def process(self):
@@ -294,7 +295,9 @@
     async def report(self, target):
         """Return an engine's state, which may lag if the process is the same."""
         engine = self.fleet.engines[target.id]
-        now = EngineReport(orders=engine.count, target=engine.target())
+        now = EngineReport(
+            orders=engine.count, target=engine.target(), pace=engine.pace
+        )
         asked_at, before = self.earlier_reports.get(target.id, (self.clock.now(), now))
         self.earlier_reports[target.id] = (self.clock.now(), now)
         is_recent = self.clock.now() - asked_at < REPORT_LAG_SECONDS
--- a/mallowpond/node/tests/test_planner_restarts.py
+++ b/mallowpond/node/tests/test_planner_restarts.py
@@ -83,6 +83,7 @@
             stall_seconds=4.0,
             traffic_seen=TrafficSeen(seen=True),
             availability=make_availability(self.directory, clock),
+            regroup_slow=True,
         )
         self.planner.failed = fleet.violations
         self.targets.listed = self._listed
@@ -252,6 +253,28 @@
             for index in (0, 1):
                 self.plan([], index, wait)
 
+    @rule(
+        name=st.sampled_from(NAMES),
+        running=st.integers(0, 1),
+        rounds=st.integers(0, 3),
+    )
+    def slow_down(self, name, running, rounds):
+        """Have an engine become slow, and the planners learn it of its group."""
+        self.fleet.engines[name].pace = 12.0
+        for _ in range(rounds):
+            for node in self.nodes:
+                for key in node.directory.groups:
+                    work = node.directory.loads.work(key)
+                    work.slowness, work.last_event_at = 12.0, self.clock.now()
+                    work.running = running
+            self.advance_without_faults(0.6)
+
+    @rule()
+    def speed_up(self):
+        """Have all engines work at their pace again."""
+        for engine in self.fleet.engines.values():
+            engine.pace = 1.0
+
     @rule()
     def advance(self):
         self.fleet.advance()
