Test which groups are asked for their pace

Cause: groups without streams show no slowness, and were covered by no test. Change: a test with few and with many groups in doubt of six.

--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -1058,3 +1058,31 @@
     rig = slow_rig()
     await rig.steps(30)
     assert rig.targets.orders == []
+
+
+@pytest.mark.parametrize(("doubted", "asked"), [(2, 4), (3, 12)])
+async def test_with_many_groups_in_doubt_all_groups_of_the_model_are_asked(
+    doubted, asked
+):
+    """Groups without streams show no slowness, whatever their members' pace is."""
+    names = [f"g{number}" for number in range(6)]
+    engines = [engine for name in names for engine in open_group(name)]
+    rig = Rig(*engines, regroup_slow=True)
+    rig.source.listed.extend([rig.source.listed[0]] * 100)
+    for name in names[:doubted]:
+        work = rig.directory.loads.work((name, 1))
+        work.slowness, work.last_event_at = 12.0, 1002.0
+    seen, per_round = [], []
+
+    async def report(target):
+        seen.append(target.id)
+        return EngineReport(orders=0, target=target)
+
+    rig.targets.report = report
+    for _ in range(9):
+        before = len(seen)
+        await rig.steps()
+        per_round.append(len(seen) - before)
+    assert len(seen) == len(set(seen)) == asked
+    # The doubted come first, the others one by one.
+    assert sorted(per_round)[-2:] == [1 if asked > 4 else 0, 2 * doubted + (asked > 4)]
