--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -36,6 +36,12 @@
         self.store_calls = counter(
             "mallowpond_store_calls", "Calls to the store", "table", "call"
         )
+        self.forecast_refusals = counter(
+            "mallowpond_forecast_refusals", "Streams without a chance", "when"
+        )
+        self.return_places = counter(
+            "mallowpond_return_places", "Times to come back", "place"
+        )
         self.first_event = histogram("mallowpond_first_event_seconds", "First event")
         self.event_gap = histogram("mallowpond_event_gap_seconds", "Gap between events")
         self.refusal_seconds = histogram("mallowpond_refuse_seconds", "Time to refuse")
@@ -61,6 +67,12 @@
         self.evacuation_changes = counter(
             "mallowpond_evacuation_changes", "Evacuations begun or ended"
         )
+        self.cold = Gauge(
+            "mallowpond_cold_targets",
+            "Targets that have just started",
+            registry=self.registry,
+        )
+        self.cold_sends = counter("mallowpond_cold_sends", "Requests to cold targets")
         self.endings = counter("mallowpond_targets_ended", "Broken off by their target")
         self.configuration_age = Gauge(
             "mallowpond_configuration_age_seconds",
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -13,6 +13,7 @@
 from mallowpond.coordination.store import new_id
 from mallowpond.coordination.tasks import cancel_task
 from mallowpond.node.calls import CallService
+from mallowpond.node.cold_limits import ColdLimits
 from mallowpond.node.configuration import ConfigurationFollower
 from mallowpond.node.configuration_sharing import ConfigurationSharing
 from mallowpond.node.directory import Directory
@@ -32,12 +33,14 @@
 from mallowpond.node.readers import Readers
 from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.settings import NodeSettings
+from mallowpond.node.slot_admission import SlotAdmission
 from mallowpond.node.streams import StreamService
 from mallowpond.node.target_availability import TargetAvailability
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.unreadable import UnreadableLog
 from mallowpond.node.watch import GroupWatch
 from mallowpond.state.retry_window import RetryWindow
+from mallowpond.state.site_configuration import Service
 from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
 
 log = structlog.get_logger()
@@ -121,8 +124,21 @@
             metrics=self.metrics,
             peers=self.peers,
         )
+        self.cold_limits = ColdLimits(
+            name=settings.name,
+            directory=self.directory,
+            clock=clock,
+            metrics=self.metrics,
+            bounds=settings.bounds,
+            find_service=self._find_service,
+            has_traffic=lambda: self._traffic.seen,
+            peers=self.peers,
+        )
         availability = TargetAvailability(
-            rate_limits=self.rate_limits, directory=self.directory, clock=clock
+            rate_limits=self.rate_limits,
+            directory=self.directory,
+            clock=clock,
+            cold_limits=self.cold_limits,
         )
         parts = ServingParts(
             directory=self.directory,
@@ -199,6 +215,14 @@
             fanout=self.fanout,
             cores=settings.cores,
         )
+        if settings.contested_slots:
+            self.streams.placement.admission = SlotAdmission(
+                directory=self.directory,
+                selector=self.streams.placement.selector,
+                clock=clock,
+                metrics=self.metrics,
+                rng=self._rng,
+            )
         self.dispatcher = Dispatcher(
             name=settings.name,
             peers=self.peers,
@@ -207,6 +231,7 @@
             clock=clock,
             find_model=self._find_model,
             is_dispatcher=lambda: self.readers.dispatcher == settings.name,
+            admission=self.streams.placement.admission,
         )
         self.dispatcher_client = DispatcherClient(
             name=settings.name,
@@ -215,6 +240,7 @@
             dispatcher=self.dispatcher,
             clock=clock,
             dispatching_host=lambda: self.readers.dispatcher,
+            contested_slots=settings.contested_slots,
         )
         self.streams.placement.dispatcher_client = self.dispatcher_client
         self.streams.on_end.append(self._on_slot_freed)
@@ -270,6 +296,7 @@
             self.readers.run(),
             self.planner.run(),
             self.rate_limits.run(),
+            self.cold_limits.run(),
             self.quarantine_sharing.run_sending(),
             self.quarantine_sharing.run_querying(),
             self.quarantine_sharing.run_writing(),
@@ -396,6 +423,10 @@
             evacuations=self.configuration.evacuations.to_share,
         )
 
+    def _find_service(self, service: str) -> Service | None:
+        known = self.configuration.configuration
+        return known.services.get(service) if known else None
+
     def _find_model(self, service: str, model: str) -> ServedModel | None:
         """Return a service's engine profile and one of its models, None if unknown."""
         known = self.configuration.configuration
@@ -408,6 +439,8 @@
     def _on_slot_freed(self) -> None:
         """Inform the dispatcher that this host uses one slot less."""
         self.readers.send_work_to_dispatcher()
+        if self.streams.placement.admission is not None:
+            self.streams.placement.admission.invalidate()
         self.dispatcher.wake()
 
     def _apply_evacuations(self, is_read: bool) -> None:
--- a/mallowpond/node/settings.py
+++ b/mallowpond/node/settings.py
@@ -15,6 +15,9 @@
     checks_fencing: whether engines check fencing numbers.
     retry_ratio, retry_slack, retry_window: retry budget of all hosts together; repeats
     in a window of seconds may be a share of first sends plus a fixed number.
+    cold_ratio, cold_slack: a target that has just started must not get more requests in
+    any one second, from all hosts together, than the rate that its service tolerates
+    times a ratio plus a fixed number. A ratio of 0: no such bound is in force.
     """
 
     revoke: float = 5.0
@@ -24,6 +27,8 @@
     retry_ratio: float = 0.2
     retry_window: float = 10.0
     retry_slack: float = 100.0
+    cold_ratio: float = 0.0
+    cold_slack: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -46,6 +51,10 @@
     callers, readiness: addresses on which it serves callers and readiness checks.
     store: address of the platform's store, its table service.
     first_start: whether the installation starts for the first time, without traffic.
+    guarantees: the platform's words for the rules in force; its adapter sets what
+    depends on them, such as `contested_slots`.
+    contested_slots: whether streams are admitted by a forecast of the slots, and
+    refused callers get a time to come back each.
     """
 
     name: str
@@ -60,6 +69,8 @@
     # Share of a processor that the host may use, and the cores of that processor.
     cpu_share: float = 1.0
     cpu_cores: float = 1.0
+    guarantees: tuple[str, ...] = ()
+    contested_slots: bool = False
     bounds: NodeBounds = field(default_factory=NodeBounds)
     planning: NodePlanning = field(default_factory=NodePlanning)
     log: LogSettings = field(default_factory=LogSettings)
--- a/mallowpond/platform/tests/test_program.py
+++ b/mallowpond/platform/tests/test_program.py
@@ -1,7 +1,10 @@
 """Settings from the platform's template, and their reload."""
 
 import json
+import os
 import re
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -9,6 +12,8 @@
 
 from mallowpond.node.settings import NodeBounds, NodeSettings
 from mallowpond.platform import program
+from mallowpond.platform.early_listener import SETTINGS_VARIABLE
+from mallowpond.platform.features import apply_guarantees
 from mallowpond.protocol.declaration_file import Faults
 from mallowpond.settings import load_settings, parse_settings
 
@@ -22,6 +27,7 @@
     "port_range.0": 7340,
     "platform.address": "10.200.1.7:8223",
     "bootstrap": True,
+    "contracts": ["audit"],
     "bounds.revoke_ms": 5000,
     "bounds.grace_s": 8,
     "bounds.stall_ms": 4000,
@@ -80,6 +86,26 @@
     assert parse_settings(filled(), NodeSettings).cores == 1.0
 
 
+@pytest.mark.parametrize(
+    ("words", "contested"), [([], False), (["audit"], False), (["a", "pressure"], True)]
+)
+def test_contested_slots_follow_the_guarantees(words, contested):
+    """Admission by forecast must not start where the platform does not call for it."""
+    settings = parse_settings(filled(contracts=words), NodeSettings)
+    assert not settings.contested_slots
+    assert apply_guarantees(settings).contested_slots is contested
+
+
+def test_a_platform_that_bounds_cold_targets_gives_both_values():
+    """Guards against a bound that a platform gives and that is not in force."""
+    text = filled(bounds__cold_over=1.5, bounds__cold_slack=3)
+    bounds = parse_settings(text, NodeSettings).bounds
+    assert (bounds.cold_ratio, bounds.cold_slack) == (1.5, 3)
+    bounds = parse_settings(filled(bounds__cold_over=2), NodeSettings).bounds
+    assert (bounds.cold_ratio, bounds.cold_slack) == (2, 0)
+    assert parse_settings(filled(), NodeSettings).bounds.cold_ratio == 0.0
+
+
 def test_a_field_that_is_not_ours_is_a_fault():
     assert isinstance(parse_settings(filled() + "\nodd = 1\n", NodeSettings), Faults)
 
@@ -114,3 +140,31 @@
         program._reload(path, running)
     assert logs[0]["event"] == "node: reloaded"
     assert logs[0]["changed"] == ["log"]
+
+
+def test_a_node_collects_garbage_after_its_imports(tmp_path):
+    """Guards against a node that runs with collection off, as during its imports.
+
+    Its memory would grow by each reference cycle until the host runs out.
+    """
+    code = (
+        "import asyncio, gc, sys\n"
+        "def run(node):\n"
+        "    node.close()\n"
+        "    print(gc.isenabled(), gc.get_threshold())\n"
+        "asyncio.run = run\n"
+        "sys.argv[1:] = ['node']\n"
+        "import runpy; runpy.run_module('mallowpond', run_name='__main__')\n"
+    )
+    path = tmp_path / "settings.toml"
+    path.write_text(filled(listen__front="127.0.0.1:0"), encoding="utf-8")
+    found = subprocess.run(
+        [sys.executable, "-c", code],
+        cwd=TEMPLATE.parents[1],
+        env={**os.environ, SETTINGS_VARIABLE: str(path)},
+        stdout=subprocess.PIPE,
+        text=True,
+        check=True,
+        timeout=60,
+    )
+    assert found.stdout == f"True {program.GC_THRESHOLDS}\n"
