--- a/mallowpond/state/slot_forecast.py
+++ b/mallowpond/state/slot_forecast.py
@@ -216,8 +216,8 @@
 
     New streams, `arrivals` per second, can be on time and go ahead of a late one. They
     count from shortly before a late stream has little patience left. Until then it may
-    wait, as the burst may end: refused as soon as arrivals exceeded the slots, up to 8 %
-    of the streams of a burst were refused although a slot came free in time.
+    wait, as the burst may end: refused as soon as arrivals exceeded the slots, 8 % of
+    the streams of a burst were refused although a slot came free in time.
     """
     is_overtaken = (
         entry.objective_deadline <= now
