--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -5,6 +5,7 @@
 """
 
 import zlib
+from collections.abc import Mapping
 from dataclasses import dataclass, fields
 from enum import Enum
 from functools import cache
@@ -51,18 +52,22 @@
 
     `running` counts streams; `prefill_tokens` counts prompt tokens that are still to
     be processed. One data class per group would take several times as long to decode.
+    `slowness`, in tenths, is what the sender lately observed, 0 where it observed
+    nothing. The column is empty, and left out of the datagram, while no group is slow.
     """
 
     groups: tuple[Name, ...] = ()
     epochs: tuple[int, ...] = ()
     running: tuple[int, ...] = ()
     prefill_tokens: tuple[int, ...] = ()
+    slowness: tuple[int, ...] = ()
 
     @property
     def has_equal_columns(self) -> bool:
         """Return whether every column has one entry per group."""
         columns = (self.groups, self.epochs, self.running, self.prefill_tokens)
-        return len(set(map(len, columns))) == 1
+        has_slowness = len(self.slowness) in (0, len(self.groups))
+        return has_slowness and len(set(map(len, columns))) == 1
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -220,6 +225,9 @@
     `patience` at most. `has_begun` marks one whose caller already has part of the
     answer. Groups in `avoided` must not be chosen.
 
+    `gap_objective` is the longest gap between events with which the stream is on time,
+    in seconds, 0 if it has none.
+
     Sent with contested slots only: the request's `fingerprint`, the time until the
     caller's deadline in `seconds_left`, the largest answer in `answer_tokens`, and the
     `workspace`.
@@ -240,6 +248,7 @@
     seconds_left: float = 0.0
     answer_tokens: int = 0
     workspace: str = ""
+    gap_objective: float = 0.0
 
 
 class PlaceVerdict(str, Enum):
@@ -410,7 +419,7 @@
 # those after them have their defaults. Deployments that do not use them exchange the
 # same datagrams as before the fields were added.
 OMITTED_DEFAULTS: dict[type, int] = {
-    PlaceQuestion: 4,
+    PlaceQuestion: 5,
     PlaceAnswer: 1,
     # The evacuated data centres, while no evacuation was ever seen.
     Heartbeat: 1,
@@ -418,6 +427,13 @@
     VersionAnswer: 1,
     ConfigurationPart: 1,
 }
+# Position of the loads in the messages that carry them, and the columns that every
+# sender fills. The column of slowness is left out while it is empty.
+LOADS_INDEX = {
+    kind: [field.name for field in fields(kind)].index("loads")
+    for kind in (Heartbeat, Digest, Work)
+}
+FULL_COLUMNS = len(fields(LoadColumns)) - 1
 
 
 def write_message(message: Message) -> bytes:
@@ -427,6 +443,9 @@
         if values[-1] != default:
             break
         values.pop()
+    if isinstance(message, Heartbeat | Digest | Work) and not message.loads.slowness:
+        index = LOADS_INDEX[type(message)]
+        values[index] = values[index][:FULL_COLUMNS]
     data = cbor2.dumps([type(message).__name__, values])
     return data if len(data) < COMPRESSION_THRESHOLD_BYTES else zlib.compress(data)
 
@@ -454,6 +473,8 @@
         defaults = _omitted_defaults(kind)
         if 0 < missing <= len(defaults):
             plain = [*plain, *defaults[-missing:]]
+    if kind in LOADS_INDEX and isinstance(plain, list):
+        _add_slowness(plain, LOADS_INDEX[kind])
     message = decode_compact(plain, kind)
     if isinstance(message, Heartbeat):
         if not 0.0 < message.interval <= MAX_INTERVAL_SECONDS:
@@ -466,6 +487,13 @@
     return message
 
 
+def _add_slowness(plain: list[Any], index: int) -> None:
+    """Add the column of slowness to the loads if the sender left it out."""
+    columns = plain[index] if index < len(plain) else None
+    if isinstance(columns, list) and len(columns) == FULL_COLUMNS:
+        columns.append([])
+
+
 @cache
 def _omitted_defaults(kind: type) -> tuple[Any, ...]:
     """Return the encoded defaults of the last fields that a datagram may leave out."""
@@ -494,17 +522,42 @@
 
 def encode_loads(
     loads: dict[GroupKey, tuple[int, float]],
+    paces: Mapping[GroupKey, float] | None = None,
 ) -> LoadColumns:
-    """Convert loads by group (running streams, tokens to prefill) to columns."""
+    """Convert loads by group (running streams, tokens to prefill) to columns.
+
+    `paces` is the slowness of those groups that was observed lately, empty if none is
+    to be reported.
+    """
     return LoadColumns(
         groups=tuple(group for group, _ in loads),
         epochs=tuple(epoch for _, epoch in loads),
         running=tuple(running for running, _ in loads.values()),
         # Sums of partial amounts may end just below zero, which peers would reject.
         prefill_tokens=tuple(max(0, round(tokens)) for _, tokens in loads.values()),
+        slowness=tuple(round(10 * paces.get(key, 0.0)) for key in loads)
+        if paces
+        else (),
     )
 
 
+def decode_paces(
+    message: Heartbeat | Work | Digest,
+) -> dict[GroupKey, tuple[float, int]]:
+    """Return the reported slowness and the running streams, by group."""
+    columns = message.loads
+    if not columns.slowness:
+        return {}
+    keys = zip(columns.groups, columns.epochs, strict=True)
+    return {
+        key: (tenths / 10.0, running)
+        for key, tenths, running in zip(
+            keys, columns.slowness, columns.running, strict=True
+        )
+        if tenths
+    }
+
+
 def decode_loads(
     message: Heartbeat | Work | Digest,
 ) -> dict[GroupKey, tuple[int, float]]:
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -25,6 +25,9 @@
         self.suspicions = counter("mallowpond_suspicions", "Groups suspected", "origin")
         self.orders = counter("mallowpond_orders", "Orders to engines", "kind", "end")
         self.swaps = counter("mallowpond_swaps", "Groups moved to a model", "action")
+        self.regroupings = counter(
+            "mallowpond_regroupings", "Groups dissolved for slow members", "model"
+        )
         self.clients_gone = counter("mallowpond_clients_gone", "Callers that left")
         self.bad_input = counter("mallowpond_bad_input", "Unreadable", "reason")
         self.unreadable = counter(
@@ -64,6 +67,14 @@
         self.evacuation_changes = counter(
             "mallowpond_evacuation_changes", "Evacuations begun or ended"
         )
+        self.slow_groups = Gauge(
+            "mallowpond_slow_groups",
+            "Groups that the hosts agree to be slow",
+            registry=self.registry,
+        )
+        self.pace_changes = counter(
+            "mallowpond_pace_changes", "Groups that turned slow or recovered", "to"
+        )
         self.cold = Gauge(
             "mallowpond_cold_targets",
             "Targets that have just started",
--- a/mallowpond/node/slot_index.py
+++ b/mallowpond/node/slot_index.py
@@ -89,6 +89,15 @@
         """Return the number of groups that may get streams."""
         return len(self._serving)
 
+    @property
+    def free_slots(self) -> int:
+        """Return how many slots are free, without room in the queues of engines."""
+        loads = self._directory.loads
+        return sum(
+            max(0, self._profile.slots - loads.load(group.key).running)
+            for group in self._free
+        )
+
     def invalidate(self) -> None:
         """Examine all groups at the next use: the list has changed."""
         self._refresh_at = -inf
@@ -102,8 +111,17 @@
 
     def select(self, request: SlotRequest) -> Group | None:
         """Return a group with a free slot, drawn at random; None if none is found."""
-        count = min(DRAWN_GROUPS, len(self._free))
-        drawn = self._rng.sample(self._free, count)
+        drawn = self._draw(self._free)
+        if request.gap_objective and self._directory.loads.paces.has_slow:
+            on_pace = self._on_pace(drawn) or self._draw(self._on_pace(self._free))
+            probe = self._selector.find_probe(request, drawn) if on_pace else None
+            if probe is not None:
+                return probe
+            if on_pace:
+                drawn = on_pace
+            elif not request.accepts_late and self._has_on_pace():
+                drawn = drawn[:EXAMINED_GROUPS]
+                drawn = self._selector.without_late(request, drawn)
         found = (
             group
             for group in drawn
@@ -112,6 +130,17 @@
         usable = list(islice(found, EXAMINED_GROUPS))
         return self._selector.select_from(request, usable) if usable else None
 
+    def _draw(self, groups: list[Group]) -> list[Group]:
+        return self._rng.sample(groups, min(DRAWN_GROUPS, len(groups)))
+
+    def _on_pace(self, groups: Iterable[Group]) -> list[Group]:
+        """Return the groups that the hosts do not agree to be slow."""
+        slow = self._directory.loads.paces.slow
+        return [group for group in groups if group.key not in slow]
+
+    def _has_on_pace(self) -> bool:
+        return not self._serving.keys() <= self._directory.loads.paces.slow
+
     def refresh_if_old(self, answers: AnswerLengths) -> None:
         """Examine all groups if that was not done for long."""
         age = self._clock.now() - self.forecast.at
@@ -133,7 +162,7 @@
         self._free, self._free_at = [], {}
         open_slots = []
         for group in groups:
-            load = self._directory.loads.load_of(group, self._profile)
+            load = self._directory.loads.shared_load_of(group, self._profile)
             if load.running < self._capacity:
                 self._add_free(group)
             if not group.is_leaving:
--- a/mallowpond/node/stream_placement.py
+++ b/mallowpond/node/stream_placement.py
@@ -156,6 +156,7 @@
             prompt_tokens=work.prompt_tokens,
             objective=work.route.objective_seconds,
             avoided=self._used(work),
+            gap_objective=work.route.gap_objective_seconds,
             fingerprint=work.fingerprint if self.admission is not None else "",
             answer_tokens=float(work.request.answer_tokens),
             ends_at=work.deadline,
