--- a/mallowpond/state/tests/test_rebalancing.py
+++ b/mallowpond/state/tests/test_rebalancing.py
@@ -417,7 +417,11 @@
     without, _ = served_after_loss(kind, data_centre, rebalances=False)
     share, fleet = served_after_loss(kind, data_centre)
     assert fleet.reasons["close", "urgent"] >= 1
-    assert share > without + 0.02
+    # The callers ask for 1.08 times the slots that are left. A closed group drains for
+    # 4 s, its engines join in 1.1 s, and the new groups open in 0.3 s: from then on
+    # none is short. Half of that is asked for, as several groups change one by one.
+    shortage = 1.0 - 1.0 / 1.08
+    assert share > without + 0.5 * shortage * (12.0 - 5.4) / 12.0
     closed = [swap for action, swap in fleet.swaps if action == "close"]
     outside = {e.domain for e in fleet.engines.values() if e.data_centre != data_centre}
     assert {swap.domain for swap in closed} <= outside
