--- a/mallowpond/node/ingress.py
+++ b/mallowpond/node/ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from dataclasses import replace
 
 import structlog
 
@@ -148,6 +149,7 @@
                 log.warning(
                     "ingress: cut off",
                     request=caller_request.id,
+                    fingerprint=outcome.fingerprint,
                     reason=reason.value,
                     seconds=round(seconds, 3),
                 )
@@ -198,7 +200,7 @@
                 )
                 if self.is_stopping and not self._can_finish(work):
                     return self._unavailable(Reason.STOPPING)
-                return await self._streams.serve(work)
+                return _identified(await self._streams.serve(work), work.fingerprint)
         call = CallWork(
             request=request,
             route=route,
@@ -210,7 +212,7 @@
         if deadline > self.shutdown_at:
             # Calls are short: each one is answered or refused by its deadline.
             return self._unavailable(Reason.STOPPING)
-        return await self._calls.serve(call)
+        return _identified(await self._calls.serve(call), call.fingerprint)
 
     def _can_finish(self, work: StreamWork) -> bool:
         """Return whether a stream that starts now ends before this host shuts down."""
@@ -246,6 +248,7 @@
         log.info(
             "ingress: refused",
             request=request,
+            fingerprint=refusal.fingerprint or None,
             status=refusal.status,
             reason=refusal.reason.value,
             retry_after=refusal.retry_after,
@@ -266,6 +269,15 @@
         await exchange.respond(bad.status, json.dumps({"error": bad.reason}).encode())
 
 
+def _identified(outcome: ServeOutcome, fingerprint: str) -> ServeOutcome:
+    """Return the outcome with the fingerprint that retries of the request share."""
+    match outcome:
+        case Refusal() | CutOff():
+            return replace(outcome, fingerprint=fingerprint)
+        case _:
+            return outcome
+
+
 def _requested_seconds(request: CallerRequest) -> float:
     left = request.seconds_left
     return DEFAULT_TIMEOUT_SECONDS if left is None else left
--- a/mallowpond/node/outcomes.py
+++ b/mallowpond/node/outcomes.py
@@ -46,11 +46,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Refusal:
-    """The caller got no answer; `status` is 503 only if the request did not run."""
+    """The caller got no answer; `status` is 503 only if the request did not run.
+
+    `fingerprint` is empty for a request that was refused before it was routed.
+    """
 
     status: int
     reason: Reason
     retry_after: float | None = None
+    fingerprint: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -58,6 +62,7 @@
     """The answer had begun and cannot be completed; the connection is closed."""
 
     reason: Reason
+    fingerprint: str = ""
 
 
 ServeOutcome = Answered | Refusal | CutOff
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -659,6 +659,7 @@
             kind=kind,
             target=target.id,
             group=getattr(step, "group", None),
+            cause=getattr(step, "cause", None),
             end=type(result).__name__,
             fence=self._leadership.fence,
             late=is_process_gone,
--- a/mallowpond/node/stream_placement.py
+++ b/mallowpond/node/stream_placement.py
@@ -118,8 +118,8 @@
                 case Rejected(retry_after=retry_after) as rejected if retry_after > 0.0:
                     return self._refuse_by_forecast(work, rejected)
                 case Rejected(wait=wait):
-                    return self._refuse_evacuated(work) or self.refuse(
-                        Reason.OVERLOADED, wait
+                    return self._refuse_evacuated(work) or self._refuse_without_slot(
+                        work, wait
                     )
                 case WaitEnded():
                     return self._refuse_unplaced(work)
@@ -257,7 +257,7 @@
         if not groups:
             wait = patience
         if wait > patience:
-            return self.refuse(Reason.OVERLOADED, wait)
+            return self._refuse_without_slot(work, wait)
         self._metrics.waiting.inc()
         is_woken = False
         try:
@@ -380,9 +380,25 @@
         evacuated = self._refuse_evacuated(work)
         if evacuated is not None:
             return evacuated
+        return self._refuse_without_slot(work, NO_GROUP_RETRY_SECONDS)
+
+    def _refuse_without_slot(self, work: StreamWork, wait: float) -> Refusal:
+        """Refuse a stream for which no slot comes free in time."""
         groups = self._directory.serving_groups(work.service, work.model.name)
         reason = Reason.OVERLOADED if groups else Reason.NO_GROUP
-        return self.refuse(reason, NO_GROUP_RETRY_SECONDS)
+        log.info(
+            "placement: no slot",
+            request=work.request.id,
+            model=work.model.name,
+            wait=round(wait, 3),
+            waited=round(work.waited, 3),
+            patience=round(self._patience(work), 3),
+            groups=len(groups),
+            load_age=round(self._directory.loads.load_age, 3),
+            priority=work.priority,
+            sends=work.sends,
+        )
+        return self.refuse(reason, wait)
 
     def _refuse_by_forecast(self, work: StreamWork, rejected: Rejected) -> Refusal:
         """Refuse a stream that has no chance, with its own time to come back."""
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -1040,6 +1040,16 @@
     assert {order.target.id for order in rig.orders_of(Join)} == {"g0", "a"}
 
 
+async def test_an_order_that_ends_a_group_is_logged_with_its_cause():
+    """Guards against closed groups whose log does not tell which rule closed them."""
+    rig = slow_rig(regroup_slow=True)
+    with structlog.testing.capture_logs() as logs:
+        await rig.steps(25)
+    orders = [entry for entry in logs if entry["event"] == "planner: order"]
+    causes = {entry["kind"]: entry["cause"] for entry in orders}
+    assert causes["close"] == "slow_member"
+
+
 async def test_each_member_in_doubt_is_asked_once_a_second():
     """Guards against probes that take up the time of slow engines."""
     rig = slow_rig(regroup_slow=True)
--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 
 import pytest
+import structlog
 
 from mallowpond.coordination.clock import MonotonicClock
 from mallowpond.node.messages import Heartbeat, Work, encode_loads
@@ -27,7 +28,7 @@
     open_group,
 )
 from mallowpond.standins.platform import MemoryTable
-from mallowpond.state.site_configuration import SiteConfiguration
+from mallowpond.state.site_configuration import RepeatPolicy, SiteConfiguration
 from mallowpond.transport import http_server
 from mallowpond.transport.http_server import HttpRequest
 
@@ -420,3 +421,19 @@
     rig = rig_over(node, clock, targets, source)
     await node.streams.serve(rig.work(FakeExchange()))
     assert sent == [{}]
+
+
+async def test_a_refusal_is_logged_with_the_fingerprint_of_its_request():
+    """Guards against refusals that cannot be joined with the retries of a request."""
+    route = replace(ROUTE, repeat=RepeatPolicy.IDEMPOTENT)
+    site = replace(SITE, routes=(route,))
+    node = node_over(FakeClock(), source=FakeSource(configurations=deque([site])))
+    await node.configuration.step()
+    bodies = [b"first", b"first", b"other"]
+    with structlog.testing.capture_logs() as logs:
+        for body in bodies:
+            request = HttpRequest(method="POST", target="/x", headers={}, body=body)
+            await node.ingress._handle(request, FakeExchange())
+    lines = [line for line in logs if line["event"] == "ingress: refused"]
+    first, again, other = [line["fingerprint"] for line in lines]
+    assert first == again != other
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -25,6 +25,7 @@
     assemble_groups,
 )
 from mallowpond.state.formation_view import (
+    EndCause,
     Formation,
     FormationView,
     Stage,
@@ -313,7 +314,9 @@
                 ]
                 if len(members) + len(free) >= model.size:
                     assert group.head is not None
-                    self._upkeep.order_close(group, group.head, evict=False)
+                    self._upkeep.order_close(
+                        group, group.head, evict=False, cause=EndCause.SPANS_DOMAINS
+                    )
                     return
 
     def _join_all(self, model: ModelSpec, chosen: Sequence[Target]) -> bool:
@@ -981,7 +984,9 @@
             groups=giver.size // states[taker].spec.size,
         )
         self._record_swap("close", reason, swap, states)
-        self._upkeep.order_close(group, group.head, evict=False)
+        self._upkeep.order_close(
+            group, group.head, evict=False, cause=EndCause.REBALANCED
+        )
         return True
 
     def _stage_members(self, group: Group, model: str) -> None:
--- a/mallowpond/state/formation_view.py
+++ b/mallowpond/state/formation_view.py
@@ -7,12 +7,29 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 
 from mallowpond.state.fleet import EngineProfile, ModelSpec, Process, Target
 from mallowpond.state.rebalancing import RebalancingView
 from mallowpond.state.slow_members import RegroupingView
 
 
+class EndCause(str, Enum):
+    """Why a group gets no more work."""
+
+    LOST_MEMBER = "lost_member"
+    MISSING_MEMBER = "missing_member"
+    LEAVING_MEMBER = "leaving_member"
+    SUSPECTED = "suspected"
+    HEADLESS = "headless"
+    INCOMPLETE = "incomplete"
+    CLOSED = "closed"
+    EVACUATED = "evacuated"
+    SLOW_MEMBER = "slow_member"
+    SPANS_DOMAINS = "spans_domains"
+    REBALANCED = "rebalanced"
+
+
 @dataclass(frozen=True, kw_only=True)
 class Join:
     """Order a target to become a member of a group; `loads` if it must load weights."""
@@ -42,6 +59,7 @@
     group: str
     epoch: int
     evict: bool
+    cause: EndCause | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -55,6 +73,7 @@
     target: Target
     group: str
     epoch: int
+    cause: EndCause | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/mallowpond/state/upkeep.py
+++ b/mallowpond/state/upkeep.py
@@ -11,6 +11,7 @@
 )
 from mallowpond.state.formation_view import (
     Close,
+    EndCause,
     Formation,
     FormationView,
     Leave,
@@ -92,7 +93,7 @@
                 if self._has_lost(group):
                     # Its work never ends, so it would keep its members until the
                     # stall timeout.
-                    self._dissolve(group)
+                    self._dissolve(group, EndCause.LOST_MEMBER)
                 else:
                     self._count_served(group, model)
                 return True
@@ -141,9 +142,11 @@
             self._count_served(group, model)
             return True
         if not lost and group.key not in view.repeatedly_suspected:
-            self.order_close(group, head, evict=False)
+            cause = EndCause.MISSING_MEMBER if missing else EndCause.LEAVING_MEMBER
+            self.order_close(group, head, evict=False, cause=cause)
             return True
-        self._dissolve(group)
+        cause = EndCause.LOST_MEMBER if lost else EndCause.SUSPECTED
+        self._dissolve(group, cause)
         return True
 
     def _must_close_soon(self, group: Group) -> bool:
@@ -195,13 +198,22 @@
         staying = sum(not member.draining for member in group.members)
         return len(ready) >= model.size - staying
 
-    def order_close(self, group: Group, head: Target, *, evict: bool) -> None:
+    def order_close(
+        self, group: Group, head: Target, *, evict: bool, cause: EndCause
+    ) -> None:
         """Order a group to close, unless its head is lost or has an order under way."""
         if head.id not in self._view.busy and head.id not in self._view.lost:
-            step = Close(target=head, group=group.name, epoch=group.epoch, evict=evict)
-            self.steps.append(step)
+            self.steps.append(
+                Close(
+                    target=head,
+                    group=group.name,
+                    epoch=group.epoch,
+                    evict=evict,
+                    cause=cause,
+                )
+            )
 
-    def _dissolve(self, group: Group) -> None:
+    def _dissolve(self, group: Group, cause: EndCause) -> None:
         """Order every member to leave; each is free once it has left.
 
         While the list shows a head as ready, or not at all, it may be opening, or open
@@ -212,7 +224,12 @@
         for member in group.members:
             if member.id not in view.busy and member.id not in view.lost:
                 self.steps.append(
-                    Leave(target=member, group=group.name, epoch=group.epoch)
+                    Leave(
+                        target=member,
+                        group=group.name,
+                        epoch=group.epoch,
+                        cause=cause,
+                    )
                 )
 
     def _is_dissolved_for_slowness(self, group: Group) -> bool:
@@ -234,9 +251,9 @@
         head = group.head
         is_open = group.phase is GroupPhase.OPEN and not self._has_lost(group)
         if head is not None and is_open and has_streams:
-            self.order_close(group, head, evict=True)
+            self.order_close(group, head, evict=True, cause=EndCause.SLOW_MEMBER)
         else:
-            self._dissolve(group)
+            self._dissolve(group, EndCause.SLOW_MEMBER)
 
     def _maintain_forming(self, group: Group, model: ModelSpec) -> bool:
         view = self._view
@@ -256,11 +273,12 @@
         )
         unwanted = group.key in view.repeatedly_suspected | view.closed
         if lost or gone or group.is_leaving or unwanted:
-            self._dissolve(group)
+            cause = EndCause.LEAVING_MEMBER if group.is_leaving else EndCause.CLOSED
+            self._dissolve(group, EndCause.LOST_MEMBER if lost or gone else cause)
             return True
         if self.is_evacuated(group) and not group.data_centres <= view.evacuated:
             # It cannot be completed, and would hold its members elsewhere.
-            self._dissolve(group)
+            self._dissolve(group, EndCause.EVACUATED)
             return True
         if is_complete and self.is_evacuated(group):
             return True
@@ -280,7 +298,7 @@
         if formation is None and all(_is_ready(t) for t in group.members):
             patience = INCOMPLETE_SECONDS
         if view.now - started > patience:
-            self._dissolve(group)
+            self._dissolve(group, EndCause.INCOMPLETE)
             return True
         self._count_served(group, model)
         if formation is not None:
@@ -337,7 +355,7 @@
                     self.reserved |= set(formation.members)
                     self._order_missing_joins(group, formation, model)
                     return True
-        self._dissolve(group)
+        self._dissolve(group, EndCause.HEADLESS)
         return True
 
 
