--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -114,6 +114,14 @@
     closing: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class EndedHeads:
+    """Report to the planner that heads closed connections and were silent since."""
+
+    node: Name
+    heads: tuple[Process, ...]
+
+
 @dataclass(frozen=True, kw_only=True)
 class SilenceQuestion:
     """Ask peers whether a group makes progress for them, before it is suspected.
@@ -413,6 +421,7 @@
     | CrashQuestion
     | RateLimitNews
     | ColdNews
+    | EndedHeads
 )
 MESSAGE_CLASSES = {kind.__name__: kind for kind in get_args(Message)}
 # Number of last fields of a message that are left out of its datagram while they and
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -27,6 +27,7 @@
     CrashQuestion,
     CrashRecords,
     Digest,
+    EndedHeads,
     GroupBroken,
     Heartbeat,
     ListChange,
@@ -199,6 +200,8 @@
         self.on_liveness_question: list[Callable[[LivenessQuestion], None]] = []
         # The result of a probe that this node asked a peer for.
         self.on_liveness_answer: list[Callable[[LivenessAnswer], None]] = []
+        # A peer reports heads that ended to the planner.
+        self.on_ended_heads: list[Callable[[EndedHeads], None]] = []
 
     @property
     def live(self) -> list[Peer]:
@@ -472,6 +475,8 @@
                 _notify(self.on_liveness_question, message)
             case LivenessAnswer():
                 _notify(self.on_liveness_answer, message)
+            case EndedHeads():
+                _notify(self.on_ended_heads, message)
 
     def error_received(self, exc: Exception) -> None:
         """Log that a peer's port is closed; missing heartbeats show its failure."""
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -724,6 +724,13 @@
 
     # -- probes --------------------------------------------------------------
 
+    def probe_head(self, process: Process, reporter: str) -> None:
+        """Probe a head that a host reports as ended, if this node plans."""
+        target = self._directory.targets.get(process.id)
+        if not self._leadership.fence or target is None or target.process != process:
+            return
+        self._probes.probe_reported(target, reporter)
+
     def _on_suspicion(self, key: GroupKey) -> None:
         if not self._leadership.fence:
             return
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -34,6 +34,9 @@
 PROBE_ATTEMPTS = 2
 # Interval between two checks of a group member whose list entry lapsed, in seconds.
 LAPSED_PROBE_INTERVAL_SECONDS = 1.0
+# Interval between two probes of a head that hosts report as ended, in seconds: many
+# hosts report it, and one that lost only connections is reported again and again.
+REPORTED_PROBE_INTERVAL_SECONDS = 0.5
 # Consecutive failed health checks after which a lapsed target counts as leaving, that
 # is, as about to shut down. One is not enough: a head (the member that takes a group's
 # requests) whose slots are all in use refuses a health check like a request.
@@ -79,6 +82,7 @@
         self._replaced: dict[Process, float] = {}  # time of the refused order
         self._running_probes: dict[Process, asyncio.Task[bool]] = {}
         self._lapsed_probed_at: dict[Process, float] = {}
+        self._reported_probed_at: dict[Process, float] = {}
         self._unhealthy: dict[Process, int] = {}  # consecutive failed health checks
         self._observer_health = ObserverHealth()
         # What every report says of its process's pace, whatever it was asked for.
@@ -104,6 +108,7 @@
         self._lost.clear()
         self._replaced.clear()
         self._lapsed_probed_at.clear()
+        self._reported_probed_at.clear()
         self._unhealthy.clear()
 
     def probe_due(self) -> None:
@@ -115,6 +120,7 @@
             self._lost,
             self._replaced,
             self._lapsed_probed_at,
+            self._reported_probed_at,
             self._unhealthy,
         ):
             for process in [p for p in known if p not in listed]:
@@ -143,6 +149,16 @@
         if process not in self._running_probes and process not in self._lost:
             self._spawn(self.probe(target))
 
+    def probe_reported(self, target: Target, reporter: str) -> None:
+        """Start a probe of a target that a host reports as ended, if one is due."""
+        now, process = self._clock.now(), target.process
+        probed_at = self._reported_probed_at.get(process, float("-inf"))
+        if process in self._lost or now - probed_at < REPORTED_PROBE_INTERVAL_SECONDS:
+            return
+        self._reported_probed_at[process] = now
+        log.info("planner: head reported ended", target=target.id, reporter=reporter)
+        self.start_probe(target)
+
     def mark_replaced(self, target: Target) -> None:
         """Record that another process at a target's address refused its order.
 
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -19,6 +19,7 @@
 from mallowpond.node.directory import Directory
 from mallowpond.node.dispatcher import Dispatcher, ServedModel
 from mallowpond.node.dispatcher_client import DispatcherClient
+from mallowpond.node.ended_heads import EndedHeadReports
 from mallowpond.node.fanout import Fanout
 from mallowpond.node.ingress import Ingress
 from mallowpond.node.leadership import Leadership
@@ -204,6 +205,15 @@
             rebalance=settings.planning.rebalance,
             regroup_slow=settings.planning.regroup_slow,
         )
+        self.ended_heads = EndedHeadReports(
+            name=settings.name,
+            directory=self.directory,
+            peers=self.peers,
+            clock=clock,
+            is_planning=lambda: self.leadership.fence > 0,
+            probe=self.planner.probe_head,
+        )
+        self.streams.on_head_ended.append(self.ended_heads.record)
         self.fanout = Fanout(
             name=settings.name,
             data_centre=settings.data_centre,
@@ -304,6 +314,7 @@
             self.planner.run(),
             self.rate_limits.run(),
             self.cold_limits.run(),
+            self.ended_heads.run(),
             self.quarantine_sharing.run_sending(),
             self.quarantine_sharing.run_querying(),
             self.quarantine_sharing.run_writing(),
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -36,6 +36,7 @@
     CallFailed,
     Chunk,
     End,
+    FailurePhase,
     HttpResponse,
 )
 
@@ -70,6 +71,8 @@
         self._serving = 0
         # Called when a send has ended with any outcome, so that its slot is free.
         self.on_end: list[Callable[[], None]] = []
+        # Called with a group whose head closed or refused a connection unexpectedly.
+        self.on_head_ended: list[Callable[[Group], None]] = []
         # Set while any stream is served or waits on this host.
         self.has_streams = asyncio.Event()
         parts.directory.on_change.append(self.placement.wake_all)
@@ -274,6 +277,8 @@
                 return Interrupted(reason=Reason.BROKEN_STREAM)
             self._back_off(work, stream.group)
             self._log_rejected(work, stream.group, Reason.CONNECT)
+            if response.phase is FailurePhase.CONNECT:
+                self._notify_head_ended(stream.group)
             return NotRun(reason=Reason.CONNECT)
         try:
             return await self._read(stream, response)
@@ -387,11 +392,16 @@
             # The head ended the stream by order, as when a group is formed anew around
             # a slow member: neither did its process end, nor did the request cause it.
             return
+        self._notify_head_ended(group)
         process = group.head.process
         if not self._quarantine.record_ending(work.fingerprint, process, work.sent_at):
             self._back_off(work, group)
             self._log_rejected(work, group, reason)
 
+    def _notify_head_ended(self, group: Group) -> None:
+        for notify in self.on_head_ended:
+            notify(group)
+
     def _back_off(self, work: StreamWork, group: Group) -> None:
         """Exclude a group after it rejected a stream, with exponential backoff.
 
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -19,6 +19,7 @@
     CrashQuestion,
     CrashRecords,
     Digest,
+    EndedHeads,
     GroupBroken,
     Heartbeat,
     ListChange,
@@ -277,6 +278,7 @@
     ConfigurationQuestion(node="b"),
     LivenessQuestion(node="b", number=3, target="t"),
     LivenessAnswer(node="b", number=3, alive=True),
+    EndedHeads(node="b", heads=(TARGET.process, Process(id="t", born=None))),
     CrashRecords(node="b", records=(CRASHED,), answer=True),
     CrashQuestion(node="b"),
     RateLimitNews(
