--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -28,6 +28,9 @@
         self.regroupings = counter(
             "mallowpond_regroupings", "Groups dissolved for slow members", "model"
         )
+        self.consolidations = counter(
+            "mallowpond_consolidations", "Groups across domains closed", "reason"
+        )
         self.clients_gone = counter("mallowpond_clients_gone", "Callers that left")
         self.bad_input = counter("mallowpond_bad_input", "Unreadable", "reason")
         self.unreadable = counter(
--- a/mallowpond/node/model_summary.py
+++ b/mallowpond/node/model_summary.py
@@ -3,7 +3,13 @@
 import structlog
 
 from mallowpond.node.directory import Directory
-from mallowpond.state.fleet import EngineProfile, Group, GroupPhase, Target
+from mallowpond.state.fleet import (
+    EngineProfile,
+    Group,
+    GroupKey,
+    GroupPhase,
+    Target,
+)
 from mallowpond.state.formation_view import FormationView
 
 log = structlog.get_logger()
@@ -56,6 +62,15 @@
     return result
 
 
+def streams(directory: Directory) -> dict[GroupKey, int]:
+    """Return the running streams of each open group."""
+    return {
+        key: directory.loads.load(key).running
+        for key, group in directory.groups.items()
+        if group.phase is GroupPhase.OPEN
+    }
+
+
 def running(directory: Directory, profile: EngineProfile) -> dict[str, float]:
     """Return the running streams of each model, those of closing groups included."""
     totals = {model.name: 0.0 for model in profile.models}
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -22,7 +22,13 @@
 )
 from mallowpond.node.leadership import Leadership
 from mallowpond.node.metrics import NodeMetrics
-from mallowpond.node.model_summary import demand, log_summary, running, utilization
+from mallowpond.node.model_summary import (
+    demand,
+    log_summary,
+    running,
+    streams,
+    utilization,
+)
 from mallowpond.node.pace_probes import PaceProbes
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.ports import (
@@ -38,6 +44,7 @@
 from mallowpond.node.target_availability import TargetAvailability
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.watch import GroupWatch
+from mallowpond.state.consolidation import Consolidation
 from mallowpond.state.fleet import (
     EngineProfile,
     Group,
@@ -282,6 +289,8 @@
             self._record_swap(service, decision)
         for regrouping in planned.regroupings:
             self._record_regrouping(service, regrouping, view)
+        if planned.consolidation is not None:
+            self._log_consolidation(planned.consolidation)
         for step in planned.steps:
             if isinstance(step, Join):
                 self._record_formation(step)
@@ -404,6 +413,21 @@
             recent=decision.recent,
         )
 
+    def _log_consolidation(self, decision: Consolidation) -> None:
+        group = decision.group
+        self._metrics.consolidations.labels(decision.reason).inc()
+        log.info(
+            "planner: consolidation",
+            group=group.key[0],
+            model=decision.model,
+            reason=decision.reason,
+            running=group.running,
+            open_seconds=round(group.open_seconds, 3),
+            other_groups=group.other_groups,
+            other_streams=group.other_streams,
+            load_age=self._directory.loads.load_age,
+        )
+
     def _view(self, service: str, profile: EngineProfile) -> FormationView:
         now = self._clock.now()
         return FormationView(
@@ -414,6 +438,7 @@
             ),
             now=now,
             demand=demand(self._directory, profile),
+            streams=streams(self._directory),
             utilization=utilization(self._directory, profile),
             next_epoch=self._next_epoch,
             lost=self._probes.lost,
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -16,6 +16,11 @@
 from functools import cached_property
 from math import ceil
 
+from mallowpond.state.consolidation import (
+    Consolidation,
+    SpanningGroup,
+    plan_consolidation,
+)
 from mallowpond.state.fleet import (
     Group,
     GroupKey,
@@ -90,6 +95,7 @@
     steps: tuple[Step, ...]
     swaps: tuple[SwapDecision, ...] = ()
     regroupings: tuple[Regrouping, ...] = ()
+    consolidation: Consolidation | None = None
 
 
 def plan_round(view: FormationView) -> PlannedRound:
@@ -100,6 +106,7 @@
         steps=steps,
         swaps=tuple(planner.swaps),
         regroupings=tuple(planner.regroupings),
+        consolidation=planner.consolidation,
     )
 
 
@@ -151,6 +158,7 @@
         self._slow_free: dict[str, list[Target]] = {}
         self._dissolving = set(view.dissolving)
         self.regroupings: list[Regrouping] = []
+        self.consolidation: Consolidation | None = None
 
     def plan(self) -> tuple[Step, ...]:
         grouped = self._upkeep.reserved
@@ -294,30 +302,63 @@
         """
         if any(g.phase is GroupPhase.CLOSING for g in self._groups.values()):
             return
+        profile = self._view.profile
         for group in self._groups.values():
-            model = self._view.profile.model(group.model)
+            model = profile.model(group.model)
             if (
                 model is None
                 or group.phase is not GroupPhase.OPEN
                 or not group.spans_domains
                 or self._upkeep.is_evacuated(group)
+                or not self._can_form_within(group, model)
             ):
                 continue
-            alive = [t for t in group.members if t.id not in self._view.lost]
-            domains = {t.domain for t in alive}
-            for domain in domains:
-                members = [t for t in alive if t.domain == domain]
-                free = [
-                    t
-                    for t in self._free.get(domain, ())
-                    if t.id not in self._loading and not needs_load(t, model)
-                ]
-                if len(members) + len(free) >= model.size:
-                    assert group.head is not None
-                    self._upkeep.order_close(
-                        group, group.head, evict=False, cause=EndCause.SPANS_DOMAINS
-                    )
-                    return
+            decision = plan_consolidation(self._spanning(group), profile, model)
+            head = group.head
+            if decision is None or head is None:
+                continue
+            if head.id in self._view.busy or head.id in self._view.lost:
+                continue
+            self.consolidation = decision
+            self._upkeep.order_close(
+                group, head, evict=False, cause=EndCause.SPANS_DOMAINS
+            )
+            return
+
+    def _can_form_within(self, group: Group, model: ModelSpec) -> bool:
+        """Return whether members and free targets of one domain would make a group."""
+        alive = [t for t in group.members if t.id not in self._view.lost]
+        for domain in {t.domain for t in alive}:
+            members = [t for t in alive if t.domain == domain]
+            free = [
+                t
+                for t in self._free.get(domain, ())
+                if t.id not in self._loading and not needs_load(t, model)
+            ]
+            if len(members) + len(free) >= model.size:
+                return True
+        return False
+
+    def _spanning(self, group: Group) -> SpanningGroup:
+        view = self._view
+        others = [
+            other
+            for other in self._groups.values()
+            if other.model == group.model
+            and other.key != group.key
+            and other.phase is GroupPhase.OPEN
+            and other.key not in view.closed | view.repeatedly_suspected
+            and not any(member.id in view.lost for member in other.members)
+            and not self._upkeep.has_restarted(other.key)
+            and not self._upkeep.is_evacuated(other)
+        ]
+        return SpanningGroup(
+            key=group.key,
+            running=view.streams.get(group.key, 0),
+            open_seconds=view.now - view.first_seen.get(group.key, view.now),
+            other_groups=len(others),
+            other_streams=sum(view.streams.get(other.key, 0) for other in others),
+        )
 
     def _join_all(self, model: ModelSpec, chosen: Sequence[Target]) -> bool:
         loads = sum(needs_load(t, model) for t in chosen)
--- a/mallowpond/state/formation_view.py
+++ b/mallowpond/state/formation_view.py
@@ -118,6 +118,7 @@
 
     demand: estimated share of all work per model, in the unit of `ModelSpec.share`,
         which applies where a model is absent.
+    streams: running streams of each open group.
     utilization: requests per slot of each model's open groups; above 1 they queue.
     lost: ids of targets that do not answer probes, or that another process replaced.
     busy: ids of targets with an order under way.
@@ -149,6 +150,7 @@
     now: float
     next_epoch: int
     demand: dict[str, float] = field(default_factory=dict)
+    streams: Mapping[tuple[str, int], int] = field(default_factory=dict)
     utilization: dict[str, float] = field(default_factory=dict)
     lost: frozenset[str] = frozenset()
     busy: frozenset[str] = frozenset()
