--- a/mallowpond/node/model_summary.py
+++ b/mallowpond/node/model_summary.py
@@ -63,11 +63,11 @@
 
 
 def streams(directory: Directory) -> dict[GroupKey, int]:
-    """Return the running streams of each open group."""
+    """Return the running streams of each group that is listed open and not broken."""
     return {
         key: directory.loads.load(key).running
         for key, group in directory.groups.items()
-        if group.phase is GroupPhase.OPEN
+        if group.phase is GroupPhase.OPEN and not directory.is_broken(key)
     }
 
 
@@ -86,6 +86,7 @@
         for group in directory.groups.values()
         if group.model == model
         and group.phase is GroupPhase.OPEN
+        and not directory.is_broken(group.key)
         and not directory.is_evacuated(group)
     ]
 
--- a/mallowpond/node/tests/test_model_summary.py
+++ b/mallowpond/node/tests/test_model_summary.py
@@ -3,9 +3,9 @@
 from collections import deque
 
 from mallowpond.node.directory import Directory
-from mallowpond.node.model_summary import demand, utilization
+from mallowpond.node.model_summary import demand, streams, utilization
 from mallowpond.node.tests.fakes import FakeClock, FakeSource, listing, open_group
-from mallowpond.state.fleet import EngineProfile, ModelSpec
+from mallowpond.state.fleet import BreakCause, EngineProfile, ModelSpec
 
 PROFILE = EngineProfile(
     slots=4,
@@ -41,3 +41,18 @@
     directory = await directory_of(*open_group("g"))
     directory.loads.work(("g", 1)).running = 20
     assert demand(directory, PROFILE) == {}
+
+
+async def test_a_group_that_a_refusal_broke_counts_as_no_group_of_its_model():
+    """Guards against a model that looks idle while its only group refuses every stream.
+
+    Until the entry of its head lapsed, the planner counted the slots of the group as
+    free, and formed no group across domains.
+    """
+    directory = await directory_of(*open_group("g"), *open_group("h"))
+    directory.loads.work(("h", 1)).running = 3
+    directory.mark_broken(directory.groups[("g", 1)], BreakCause.REFUSED)
+    assert utilization(directory, PROFILE)["m"] == 0.75
+    assert streams(directory) == {("h", 1): 3}
+    directory.mark_broken(directory.groups[("h", 1)], BreakCause.REFUSED)
+    assert utilization(directory, PROFILE)["m"] == 1.0
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -346,7 +346,7 @@
             for other in self._groups.values()
             if other.model == group.model
             and other.key != group.key
-            and other.phase is GroupPhase.OPEN
+            and other.key in view.streams
             and other.key not in view.closed | view.repeatedly_suspected
             and not any(member.id in view.lost for member in other.members)
             and not self._upkeep.has_restarted(other.key)
@@ -357,7 +357,7 @@
             running=view.streams.get(group.key, 0),
             open_seconds=view.now - view.first_seen.get(group.key, view.now),
             other_groups=len(others),
-            other_streams=sum(view.streams.get(other.key, 0) for other in others),
+            other_streams=sum(view.streams[other.key] for other in others),
         )
 
     def _join_all(self, model: ModelSpec, chosen: Sequence[Target]) -> bool:
--- a/mallowpond/state/formation_view.py
+++ b/mallowpond/state/formation_view.py
@@ -118,7 +118,7 @@
 
     demand: estimated share of all work per model, in the unit of `ModelSpec.share`,
         which applies where a model is absent.
-    streams: running streams of each open group.
+    streams: running streams of each open group that serves.
     utilization: requests per slot of each model's open groups; above 1 they queue.
     lost: ids of targets that do not answer probes, or that another process replaced.
     busy: ids of targets with an order under way.
--- a/mallowpond/state/tests/test_consolidation.py
+++ b/mallowpond/state/tests/test_consolidation.py
@@ -111,15 +111,17 @@
     assert of_kind(planned.steps, Join) == []
 
 
-@pytest.mark.parametrize("change", ["lost", "closed", "evacuated"])
+@pytest.mark.parametrize("change", ["lost", "closed", "evacuated", "broken"])
 def test_a_group_that_is_about_to_end_has_no_room(change):
     """Guards against closing a group as the only other one breaks."""
     more = {
         "lost": dict(lost=frozenset({"h1"})),
         "closed": dict(closed=frozenset({("h", 2)})),
         "evacuated": dict(evacuated=frozenset({"b"})),
+        # Streams are counted for groups that serve only.
+        "broken": dict(streams={("g", 1): 3}),
     }[change]
-    view = consolidating_view(streams={("g", 1): 3, ("h", 2): 2}, **more)
+    view = consolidating_view(**{"streams": {("g", 1): 3, ("h", 2): 2}, **more})
     if change == "evacuated":
         moved = [
             replace(t, data_centre="b") if t.id[0] == "h" else t for t in view.targets
