--- a/mallowpond/node/quarantine.py
+++ b/mallowpond/node/quarantine.py
@@ -49,16 +49,28 @@
         """Return whether a target ended recently, as far as this host knows."""
         return self._ledger.has_ended(process, self._clock.now())
 
-    def record_ending(self, fingerprint: str, process: Process, sent_at: float) -> bool:
+    def record_ending(
+        self,
+        fingerprint: str,
+        process: Process,
+        sent_at: float,
+        *,
+        ran: float | None = None,
+    ) -> bool:
         """Record that a target ended while it ran a request sent at `sent_at`.
 
-        False if it had ended before the send, so that the request did not run there.
+        `ran` is for how long it was seen to run there, in seconds; by default since it
+        was sent. False if the target had ended before the send, so that the request did
+        not run there.
         """
         if self._ledger.had_ended_before(process, sent_at):
             return False
         now = self._clock.now()
-        ending = Ending(process=process, ran=now - sent_at)
-        record = self._ledger.record_ending(fingerprint, ending, now)
+        if ran is None:
+            ran = now - sent_at
+        record = self._ledger.record_ending(
+            fingerprint, Ending(process=process, ran=ran), now, sent_at=sent_at
+        )
         if record is None:
             return True
         self._metrics.endings.inc()
@@ -66,7 +78,7 @@
             "quarantine: target ended",
             fingerprint=fingerprint,
             target=process.id,
-            ran=round(ending.ran, 3),
+            ran=round(ran, 3),
             endings=len(record.endings),
         )
         self.refresh()
--- a/mallowpond/node/stream_work.py
+++ b/mallowpond/node/stream_work.py
@@ -41,6 +41,8 @@
     not_run_sends: int = 0
     sends: int = 0
     sent_at: float = 0.0
+    # Events of the answer before the current send.
+    earlier_events: int = 0
     waited: float = 0.0
     started_at: float = 0.0
     first_event_at: float | None = None
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -27,6 +27,7 @@
 )
 from mallowpond.state.fleet import BreakCause, Group
 from mallowpond.state.placement import (
+    GroupLoad,
     first_event_seconds,
     pass_seconds,
     scaled_delay,
@@ -224,6 +225,7 @@
         self._availability.record_sent(group.head)
         work.sent_to.append(group.head.process)
         work.sent_at = now
+        work.earlier_events = work.progress.events
         work.sends += 1
         log.info(
             "stream: sent",
@@ -394,7 +396,9 @@
             return
         self._notify_head_ended(group)
         process = group.head.process
-        if not self._quarantine.record_ending(work.fingerprint, process, work.sent_at):
+        if not self._quarantine.record_ending(
+            work.fingerprint, process, work.sent_at, ran=_seconds_run(work)
+        ):
             self._back_off(work, group)
             self._log_rejected(work, group, reason)
 
@@ -431,6 +435,17 @@
         )
 
 
+def _seconds_run(work: StreamWork) -> float:
+    """Return for how long the current send ran, by the events that came of it.
+
+    Events are counted by the engine's clock. Times observed here include the delays of
+    the queue, the prefill, the network and this host.
+    """
+    events = work.progress.events - work.earlier_events
+    load = GroupLoad(running=work.profile.slots)
+    return events * pass_seconds(work.profile, work.model, load)
+
+
 def _is_cancelling() -> bool:
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
--- a/mallowpond/node/tests/test_quarantine.py
+++ b/mallowpond/node/tests/test_quarantine.py
@@ -33,6 +33,7 @@
     FakeExchange,
     FakeResponse,
     answer,
+    event,
     make_rig,
 )
 from mallowpond.node.unreadable import UnreadableLog
@@ -362,3 +363,26 @@
     record = rig.service._quarantine.record(work.fingerprint)
     assert [e.process for e in record.endings] == [stream.group.head.process]
     await cancel_task(serving)
+
+
+async def test_a_stream_ran_for_as_long_as_its_events_tell():
+    """Guards against times that include the queue, and point at a bystander.
+
+    The cause ends its target after the same number of events each time, however long
+    the stream waited there before the first one.
+    """
+    rig = await make_rig("a", "b")
+    gate = asyncio.get_running_loop().create_future()
+    rig.targets.script("a0", FakeResponse(script=[event(1), event(2), BROKEN]))
+    rig.targets.script("b0", FakeResponse(script=[gate, event(3), BROKEN]))
+    rig.directory.loads.work(("b", 1)).running = 1
+    work = rig.work(FakeExchange())
+    serving = asyncio.create_task(rig.service.serve(work))
+    while len(rig.targets.sends) < 2:
+        await asyncio.sleep(0)
+    rig.clock.time += 0.5
+    gate.set_result(None)
+    await serving
+    record = rig.service._quarantine.record(work.fingerprint)
+    first, second = [ending.ran for ending in record.endings]
+    assert first == 2 * second > 0.0
--- a/mallowpond/state/crash_ledger.py
+++ b/mallowpond/state/crash_ledger.py
@@ -40,10 +40,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Ending:
-    """The end of a target while it ran a request, `ran` seconds after the send.
+    """The end of a target while it ran a request, `ran` seconds after it began to.
 
-    With `refuted` the request has been answered completely since, so the ending is no
-    evidence against it any more.
+    For a stream these are told by the events that came, 0 if none did; for a call they
+    count from the send. With `refuted` the request has been answered completely since,
+    so the ending is no evidence against it any more.
     """
 
     process: Process
@@ -126,14 +127,16 @@
         return ended_at is not None and ended_at < sent_at <= ended_at + ENDED_SECONDS
 
     def record_ending(
-        self, request: str, ending: Ending, now: float
+        self, request: str, ending: Ending, now: float, *, sent_at: float | None = None
     ) -> CrashRecord | None:
         """Add an ending that this host observed, and return the request's record.
 
-        None if the target had ended before the send: until the list of targets shows
-        that, requests are still sent there, and none of them caused the end.
+        The request was sent at `sent_at`, by default as it began to run. None if the
+        target had ended before the send: until the list of targets shows that, requests
+        are still sent there, and none of them caused the end.
         """
-        sent_at = now - ending.ran
+        if sent_at is None:
+            sent_at = now - ending.ran
         if self.had_ended_before(ending.process, sent_at):
             return None
         self._record_observed_end(ending.process, sent_at, now)
@@ -250,8 +253,9 @@
         A bystander's endings are a subset of those of the request that caused them.
         Among requests with the same endings, the one whose run times vary least is the
         likeliest cause: it crashes each target the same time after it starts there,
-        while a bystander may start at any time. If the choice is wrong, the cause ends
-        one more target and from then on explains more endings than the bystander.
+        while a bystander may start at any time. One that was never seen to run comes
+        last. If the choice is wrong, the cause ends one more target and from then on
+        explains more endings than the bystander.
         """
         explained: set[Process] = set()
         quarantined = []
@@ -262,10 +266,10 @@
                 explained |= evidence
         self._quarantined = frozenset(quarantined)
 
-    def _rank(self, request: str) -> tuple[int, float, float, str]:
+    def _rank(self, request: str) -> tuple[int, bool, float, float, str]:
         ran = self._entries[request].ran
         spread, mean = max(ran) - min(ran), sum(ran) / len(ran)
-        return (-len(ran), spread, mean, request)
+        return (-len(ran), max(ran) == 0.0, spread, mean, request)
 
     def _drop_expired(self, now: float) -> None:
         """Drop the records that are too old, the least recently changed first."""
--- a/mallowpond/state/tests/test_crash_ledger.py
+++ b/mallowpond/state/tests/test_crash_ledger.py
@@ -261,3 +261,44 @@
         ledger.merge(record(f"r{number}", *(f"{number}.{n}" for n in range(3))), 0.0)
     assert ledger.record_ending("new", ending("x"), 0.0) is None
     assert len(ledger.quarantined(0.0)) == most
+
+
+def test_the_time_in_the_queue_does_not_hide_the_cause():
+    """Guards against a bystander that is quarantined as the cause waited for its slot.
+
+    Measured from the send, the cause ran for 0.11 to 0.17 s, and a request beside it
+    for 0.11 to 0.14 s. By its events the cause ran for 0.08 s each time.
+    """
+    ledger = CrashLedger()
+    sent = {"bad": (0.108, 0.111, 0.171), "beside": (0.109, 0.105, 0.138)}
+    ran = {"bad": (0.08, 0.08, 0.08), "beside": (0.0, 0.08, 0.06)}
+    for number in range(ENDINGS_TO_QUARANTINE):
+        now = 10.0 * number
+        for request in ("beside", "bad"):
+            ledger.record_ending(
+                request,
+                ending(number, ran[request][number]),
+                now,
+                sent_at=now - sent[request][number],
+            )
+    assert ledger.quarantined(20.0) == {"bad"}
+
+
+def test_a_request_that_was_never_seen_to_run_is_the_last_to_be_blamed():
+    """Guards against a bystander without events, whose times of 0 are all alike."""
+    ledger = ledger_of(
+        record("beside", "a", "b", "c", ran=0.0),
+        CrashRecord(
+            request="bad",
+            endings=tuple(ending(n, ran) for n, ran in zip("abc", (0.08, 0.07, 0.09))),
+        ),
+    )
+    assert ledger.quarantined(0.0) == {"bad"}
+
+
+def test_a_send_to_a_target_that_had_ended_is_recognized_by_its_own_time():
+    """Guards against the time for which it ran in place of that since the send."""
+    ledger = CrashLedger()
+    ledger.record_ending("first", ending("a", 0.1), 5.0, sent_at=4.0)
+    assert ledger.record_ending("late", ending("a", 0.0), 5.2, sent_at=5.1) is None
+    assert ledger.record_ending("beside", ending("a", 0.0), 5.2, sent_at=4.9)
