--- a/bench/formation.py
+++ b/bench/formation.py
@@ -382,6 +382,11 @@
             next_epoch=self.epoch,
             demand=demand,
             utilization=utilization if self.now > 0 else {},
+            streams={
+                key: round(min(1.0, utilization[group.model]) * profile.slots)
+                for key, group in groups.items()
+                if group.phase is GroupPhase.OPEN
+            },
             lost=frozenset(
                 e.name
                 for e in self.engines.values()
