--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -422,7 +422,6 @@
             model=decision.model,
             reason=decision.reason,
             running=group.running,
-            open_seconds=round(group.open_seconds, 3),
             other_groups=group.other_groups,
             other_streams=group.other_streams,
             load_age=self._directory.loads.load_age,
--- a/mallowpond/state/consolidation.py
+++ b/mallowpond/state/consolidation.py
@@ -6,40 +6,35 @@
 streams have ended, and until then its slots are missing. Where the other groups are
 full, that refuses callers for several seconds.
 
-So a group is closed if the others have room for its work. Under lasting load it is
-closed only where its slots are a small part of the model's, once it has served for so
-long that the faster group makes up for the slots lost.
+So a group is closed if the others have room for its work, or if its slots are a small
+part of theirs. In a model of several groups it must not wait for less load: groups
+across domains are what keeps the slots full, and they leave no domain enough engines
+for a faster one.
 """
 
 from dataclasses import dataclass
 from math import sqrt
 
-from mallowpond.state.fleet import EngineProfile, GroupKey, ModelSpec
-from mallowpond.state.slot_forecast import hold_seconds
+from mallowpond.state.fleet import EngineProfile, GroupKey
 
 # Standard deviations of the number of streams for which the other groups must have
 # room: arrivals vary like independent ones, so their number by its square root.
 ROOM_DEVIATIONS = 2.0
 # Largest part of the other groups' slots that closing may take away under load: with
-# more, a caller that returns within its patience may be refused each time. With less,
-# a model with a few groups keeps its slow ones, which alone keep its slots full.
+# more, a caller that returns within its patience may be refused each time.
 MAX_LOST_SHARE = 0.25
-# Time from the end of a group's last stream until its members serve again in another
-# group, in seconds: leaving, joining, opening, and the list that shows each of them.
-FORMING_SECONDS = 0.9
 
 
 @dataclass(frozen=True, kw_only=True)
 class SpanningGroup:
     """An open group across domains that a group within one of them can replace.
 
-    `running` counts its streams, and `open_seconds` is how long it has been known.
-    `other_groups` and `other_streams` count those of its model that stay open.
+    `running` counts its streams, `other_groups` and `other_streams` those of its model
+    that stay open.
     """
 
     key: GroupKey
     running: int
-    open_seconds: float
     other_groups: int
     other_streams: int
 
@@ -48,8 +43,8 @@
 class Consolidation:
     """A group across domains that is closed, and why.
 
-    reason: "room" if the other groups can take its work, "lasting" if it has served
-        for so long that closing pays off under load.
+    reason: "room" if the other groups can take its work, "share" if its slots are a
+        small part of theirs.
     """
 
     group: SpanningGroup
@@ -58,16 +53,16 @@
 
 
 def plan_consolidation(
-    group: SpanningGroup, profile: EngineProfile, model: ModelSpec
+    group: SpanningGroup, profile: EngineProfile, model: str
 ) -> Consolidation | None:
     """Return the decision to close a group across domains, None to keep it."""
     if _others_have_room(group, profile):
         reason = "room"
-    elif _pays_off(group, profile, model):
-        reason = "lasting"
+    elif _is_small_part(group, profile):
+        reason = "share"
     else:
         return None
-    return Consolidation(group=group, model=model.name, reason=reason)
+    return Consolidation(group=group, model=model, reason=reason)
 
 
 def _slowdown(profile: EngineProfile) -> float:
@@ -84,21 +79,7 @@
     return work + ROOM_DEVIATIONS * sqrt(work) <= room
 
 
-def _pays_off(group: SpanningGroup, profile: EngineProfile, model: ModelSpec) -> bool:
-    """Return whether the faster group makes up for the slots lost while closing.
-
-    The group is expected to serve for as long again as it has served.
-    """
-    lost = profile.slots / _slowdown(profile)
-    if lost > MAX_LOST_SHARE * group.other_groups * profile.slots:
-        return False
-    closing_seconds = FORMING_SECONDS + hold_seconds(
-        profile,
-        model,
-        running=profile.slots,
-        slowness=_slowdown(profile),
-        prompt_tokens=profile.typical_prompt_tokens,
-        answer_tokens=profile.typical_answer_tokens,
-    )
-    gained = profile.slots - lost
-    return gained * group.open_seconds >= lost * closing_seconds
+def _is_small_part(group: SpanningGroup, profile: EngineProfile) -> bool:
+    """Return whether closing takes away few of the slots, and yields a faster group."""
+    slowdown = _slowdown(profile)
+    return slowdown > 1.0 and 1.0 / slowdown <= MAX_LOST_SHARE * group.other_groups
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -313,7 +313,7 @@
                 or not self._can_form_within(group, model)
             ):
                 continue
-            decision = plan_consolidation(self._spanning(group), profile, model)
+            decision = plan_consolidation(self._spanning(group), profile, model.name)
             head = group.head
             if decision is None or head is None:
                 continue
@@ -355,7 +355,6 @@
         return SpanningGroup(
             key=group.key,
             running=view.streams.get(group.key, 0),
-            open_seconds=view.now - view.first_seen.get(group.key, view.now),
             other_groups=len(others),
             other_streams=sum(view.streams[other.key] for other in others),
         )
