--- a/mallowpond/state/consolidation.py
+++ b/mallowpond/state/consolidation.py
@@ -7,9 +7,8 @@
 full, that refuses callers for several seconds.
 
 So a group is closed if the others have room for its work, or if its slots are a small
-part of theirs. In a model of several groups it must not wait for less load: groups
-across domains are what keeps the slots full, and they leave no domain enough engines
-for a faster one.
+part of theirs. In a model of several groups it does not wait for less load: groups
+across domains hold each stream for longer, and so keep the slots full themselves.
 """
 
 from dataclasses import dataclass
