Log how connections to targets fail, and how many targets a host reaches

Callers of hosts without links to the engines were refused, and no log line showed whether connections hung or were reset, nor whether a few engines or all links had failed. Connections to targets now go through a component that counts targets and domains by outcome; the client for the store is a separate one. No decision changes. Tests of node, transport, platform and emulator pass.

--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -18,6 +18,7 @@
 )
 from mallowpond.state.site_configuration import SiteConfiguration
 from mallowpond.state.target_notice import TargetNotice
+from mallowpond.transport.connector import Connector
 from mallowpond.transport.http_client import CallFailed, HttpResponse
 from mallowpond.transport.http_server import HttpRequest
 
@@ -195,6 +196,9 @@
 class Targets(Protocol):
     """Sends requests, orders and queries to targets."""
 
+    def use_connector(self, connector: Connector) -> None:
+        """Open new connections to targets through `connector`."""
+
     async def send(
         self,
         target: Target,
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -42,16 +42,21 @@
 from mallowpond.node.slot_admission import SlotAdmission
 from mallowpond.node.streams import StreamService
 from mallowpond.node.target_availability import TargetAvailability
+from mallowpond.node.target_links import TargetLinks
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.unreadable import UnreadableLog
 from mallowpond.node.watch import GroupWatch
 from mallowpond.state.group_pace import PaceChange
 from mallowpond.state.retry_window import RetryWindow
 from mallowpond.state.site_configuration import Service
+from mallowpond.transport.connector import DirectConnector
 from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
 
 log = structlog.get_logger()
 
+# Timeout for opening a connection to a target, in seconds: some tens of round trips. A
+# host that is down does not answer at all.
+CONNECT_TIMEOUT_SECONDS = 0.25
 # Time after the start of a drain in which new requests are still served, in seconds:
 # the load balancer checks the readiness once a second, and sends a node no more callers
 # after two failed checks.
@@ -104,6 +109,15 @@
             source=ports.source, clock=clock, revoke_seconds=settings.bounds.revoke
         )
         self.directory = Directory(source=ports.source, clock=clock)
+        self.links = TargetLinks(
+            directory=self.directory,
+            clock=clock,
+            direct=DirectConnector(
+                connect_seconds=CONNECT_TIMEOUT_SECONDS,
+                source=settings.address if settings.binds_source else "",
+            ),
+        )
+        ports.targets.use_connector(self.links)
         self.peers = PeerNetwork(
             name=settings.name,
             incarnation=self._incarnation,
--- a/mallowpond/node/settings.py
+++ b/mallowpond/node/settings.py
@@ -64,6 +64,8 @@
     readiness: str
     peer_port: int
     store: str
+    # Whether connections to targets leave from `address`, for hosts with several.
+    binds_source: bool = False
     first_start: bool = False
     metrics_port: int = 0
     # Share of a processor that the host may use, and the cores of that processor.
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -278,7 +278,9 @@
             if response.may_have_sent:
                 return Interrupted(reason=Reason.BROKEN_STREAM)
             self._back_off(work, stream.group)
-            self._log_rejected(work, stream.group, Reason.CONNECT)
+            self._log_rejected(
+                work, stream.group, Reason.CONNECT, failure=response.reason
+            )
             if response.phase is FailurePhase.CONNECT:
                 self._notify_head_ended(stream.group)
             return NotRun(reason=Reason.CONNECT)
@@ -426,12 +428,16 @@
             own.backoff_seconds = backoff
         self._directory.exclude_group(group.key, now + backoff)
 
-    def _log_rejected(self, work: StreamWork, group: Group, reason: Reason) -> None:
+    def _log_rejected(
+        self, work: StreamWork, group: Group, reason: Reason, failure: str = ""
+    ) -> None:
         log.info(
             "stream: rejected",
             request=work.request.id,
             group=group.name,
             reason=reason.value,
+            failure=failure or None,
+            seconds=round(self._clock.now() - work.sent_at, 3),
         )
 
 
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -116,6 +116,9 @@
         """Set the answers of a target, in their order."""
         self.answers[target] = deque(answers)
 
+    def use_connector(self, connector):
+        """Do nothing, as no connection is opened."""
+
     async def send(self, target, request, *, workspace, seconds_left, last_event):
         """Record the send, and return the target's next answer."""
         self.sends.append((target.id, last_event))
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -30,6 +30,7 @@
     Step,
 )
 from mallowpond.state.target_notice import TargetNotice
+from mallowpond.transport.connector import Connector
 from mallowpond.transport.http_client import (
     BufferedResponse,
     CallFailed,
@@ -53,6 +54,10 @@
         self._http = http
         self._unreadable_log = unreadable_log or UnreadableLog()
 
+    def use_connector(self, connector: Connector) -> None:
+        """Open new connections to engines through `connector`."""
+        self._http.use_connector(connector)
+
     async def send(
         self,
         target: Target,
--- a/mallowpond/platform/program.py
+++ b/mallowpond/platform/program.py
@@ -27,8 +27,8 @@
 from mallowpond.transport.http_client import HttpClient
 
 log = structlog.get_logger()
-# Timeout for opening a connection to an engine or the store, in seconds: some tens of
-# round trips. A host that is down does not answer at all.
+# Timeout for opening a connection to the store, in seconds: some tens of round trips.
+# A host that is down does not answer at all.
 CONNECT_TIMEOUT_SECONDS = 0.25
 EXIT_USAGE = 2
 # Thresholds of the three garbage collector generations. The program and the list of
@@ -61,6 +61,9 @@
     `listener` is the callers' socket if it is already open.
     """
     http = HttpClient(connect_seconds=CONNECT_TIMEOUT_SECONDS)
+    # Only connections to engines may lead through other hosts, so these have a client
+    # of their own.
+    engines = HttpClient()
     metrics = NodeMetrics()
     unreadable_log = UnreadableLog(counter=metrics.unreadable)
     counts = CallCounts(clock=BootClock(), metric=metrics.store_calls)
@@ -72,7 +75,7 @@
     ports = NodePorts(
         callers=PlatformCallerProtocol(),
         source=store,
-        targets=PlatformEngines(http=http, unreadable_log=unreadable_log),
+        targets=PlatformEngines(http=engines, unreadable_log=unreadable_log),
         table=store,
     )
     node = build(
@@ -93,6 +96,7 @@
         await node.drain()
     finally:
         await node.close()
+        await engines.close()
         await http.close()
 
 
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -10,6 +10,11 @@
 
 import h11
 
+from mallowpond.transport.connector import (
+    ConnectFailed,
+    Connector,
+    DirectConnector,
+)
 from mallowpond.transport.headers import decode_headers, list_headers
 from mallowpond.transport.timeouts import lag_tolerant_timeout
 
@@ -235,11 +240,17 @@
 class HttpClient:
     """HTTP client with a pool of idle connections for each server."""
 
-    def __init__(self, *, connect_seconds: float = 1.0) -> None:
-        self._connect_seconds = connect_seconds
+    def __init__(
+        self, *, connect_seconds: float = 1.0, connector: Connector | None = None
+    ) -> None:
+        self._connector = connector or DirectConnector(connect_seconds=connect_seconds)
         self._idle: dict[str, list[_Connection]] = defaultdict(list)
         self._closed = False
 
+    def use_connector(self, connector: Connector) -> None:
+        """Open new connections through `connector`."""
+        self._connector = connector
+
     async def send(
         self,
         address: str,
@@ -365,14 +376,10 @@
         return None
 
     async def _connect(self, address: str) -> _Connection | CallFailed:
-        host, _, port = address.rpartition(":")
-        try:
-            async with lag_tolerant_timeout(self._connect_seconds):
-                reader, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError) as error:
-            reason = str(error) or "connect timeout"
-            return CallFailed(phase=FailurePhase.CONNECT, reason=reason)
-        return _Connection(address=address, reader=reader, writer=writer)
+        opened = await self._connector.connect(address)
+        if isinstance(opened, ConnectFailed):
+            return CallFailed(phase=FailurePhase.CONNECT, reason=opened.reason)
+        return _Connection(address=address, reader=opened.reader, writer=opened.writer)
 
 
 def _reusable_until(headers: dict[str, str]) -> float:
