Show hosts without engine links in the soak, which refuse their callers (red)

Callers of a host that has lost its links to all engines are refused while the other hosts serve. The soak can now cut nodes from the engines: each node has a loopback address of its own, by which the links tell its connections. Links fall silent, are reset, or only refuse new connections; for the planner's host, a data centre or one host.

--- a/mallowpond/standins/observatory_operator.py
+++ b/mallowpond/standins/observatory_operator.py
@@ -95,16 +95,24 @@
 
         Foreign values that have such a group are included.
         """
+        rows = await self._read(ENGINES_TABLE)
+        return {key: e for key, e in rows.items() if _has_valid_group(e)}
+
+    async def planner(self) -> str | None:
+        """Return the name of the node that plans groups, None if unknown."""
+        lease = (await self._read("leases")).get("planner") or {}
+        return lease.get("holder")
+
+    async def _read(self, table: str) -> dict[str, Any]:
         answer = await self._http.fetch(
             self._address,
             "GET",
-            f"/-/rows-get?table={ENGINES_TABLE}&part=",
+            f"/-/rows-get?table={table}&part=",
             timeout=CALL_SECONDS,
         )
         if isinstance(answer, CallFailed) or answer[0] != 200:
             return {}
-        decoded = {r["key"]: unpack(r["value"]) for r in json.loads(answer[1])["rows"]}
-        return {key: e for key, e in decoded.items() if _has_valid_group(e)}
+        return {r["key"]: unpack(r["value"]) for r in json.loads(answer[1])["rows"]}
 
     async def _post(self, target: str, document: dict[str, Any]) -> bool:
         answer = await self._http.fetch(
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -91,6 +91,7 @@
         revocations=tuple(injector.revocations),
         foreign=tuple(injector.foreign),
         evacuations=tuple(injector.evacuations),
+        cuts=tuple(injector.cuts),
         longest_stall=stalls.longest,
     )
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,7 @@
     Disturbance,
     Evacuation,
     ForeignEntry,
+    LinkCut,
     RequestKind,
     Revocation,
 )
@@ -64,12 +65,17 @@
 DRAW_4_KINDS = (RATE_LIMIT_KIND, BACKOFF_KIND)
 # A data centre is evacuated for some time; two may be at once.
 DRAW_5_KINDS = (EVACUATION_KIND,)
+# Nodes lose their links to all engines, while the store, peers and callers reach them:
+# some nodes, all of a data centre, or the planner's and others.
+DRAW_6_KINDS = ("links_some", "links_data_centre", "links_planner")
 # From draw version 2 on, a seed chooses one of these probabilities, with which each
 # kind may occur in its run. With few kinds there are undisturbed periods, in which the
 # time limits are checked.
 KIND_SHARES = (0.15, 0.3, 0.6, 1.0)
-NEWEST_DRAW = 5
+NEWEST_DRAW = 6
 LINK_FAULTS = (LinkMode.SLOW, LinkMode.RESET, LinkMode.SILENT, LinkMode.ONE_WAY)
+# How nodes lose their links to the engines, chosen by `Fault.draw`.
+CUT_MODES = (LinkMode.SILENT, LinkMode.RESET, LinkMode.NO_NEW)
 SERIES_KINDS = ("node_stop_all", "node_stop_series")
 MAX_FAULT_SECONDS = 4.0
 MEAN_PAUSE_SECONDS = 1.2
@@ -90,6 +96,9 @@
 # Minimum time for which an engine asks for fewer requests, in seconds: longer than the
 # delay until a rate limit is checked plus its window, and longer than two backoffs.
 MIN_REDUCED_LOAD_SECONDS = 8.0
+# Minimum time for which nodes lose their links to the engines, in seconds: longer than
+# the limit after which their callers must be served.
+MIN_CUT_SECONDS = 6.0
 # Minimum time for which a data centre is evacuated, in seconds: longer than the limit
 # after which nothing may be sent there.
 MIN_EVACUATION_SECONDS = 7.0
@@ -120,6 +129,7 @@
     kinds += DRAW_3_KINDS if draw > 2 else ()
     kinds += DRAW_4_KINDS if draw > 3 else ()
     kinds += DRAW_5_KINDS if draw > 4 else ()
+    kinds += DRAW_6_KINDS if draw > 5 else ()
     return tuple(k for k in kinds if rng.random() < share) or DRAW_2_KINDS
 
 
@@ -152,6 +162,7 @@
     revocations: list[Revocation] = field(default_factory=list)
     foreign: list[ForeignEntry] = field(default_factory=list)
     evacuations: list[Evacuation] = field(default_factory=list)
+    cuts: list[LinkCut] = field(default_factory=list)
     _evacuated: set[str] = field(default_factory=set)
 
     async def run(self, faults: tuple[Fault, ...]) -> None:
@@ -178,6 +189,9 @@
                 await self._send_fatal_request(fault)
             case kind if kind == EVACUATION_KIND:
                 await self._evacuate(fault)
+            case "links":
+                await self._cut_engine_links(fault)
+                return
             case "engine":
                 number = fault.draw % len(self.fleet.engines)
                 await self._disturb_engine(fault, self.fleet.engines[number])
@@ -249,6 +263,32 @@
             case kind if kind == BACKOFF_KIND:
                 await self._reduce_load(fault, signal.SIGUSR2)
 
+    async def _cut_engine_links(self, fault: Fault) -> None:
+        """Cut nodes, but never all, from the engines; `node` means the nodes' links."""
+        fleet, began = self.fleet, time.monotonic()
+        nodes = list(range(len(fleet.nodes)))
+        match fault.kind:
+            case "links_data_centre":
+                first = fault.draw % len(DATA_CENTRES)
+                cut = nodes[first :: len(DATA_CENTRES)]
+            case "links_planner":
+                planner = await fleet.planner()
+                cut = [planner] if planner is not None else nodes[:1]
+            case _:
+                cut = [nodes[fault.draw % len(nodes)]]
+        if len(cut) == len(nodes):
+            cut = cut[1:]
+        mode = CUT_MODES[fault.draw // 7 % len(CUT_MODES)]
+        log.info("soak: nodes cut from engines", nodes=cut, mode=mode.value)
+        fleet.cut_engine_links(cut, mode)
+        await asyncio.sleep(MIN_CUT_SECONDS + fault.seconds)
+        healed_at = time.monotonic()
+        fleet.cut_engine_links(cut, LinkMode.SOUND)
+        self.cuts.append(LinkCut(nodes=tuple(cut), began_at=began, ended_at=healed_at))
+        await asyncio.sleep(SETTLE_SECONDS)
+        for node in cut:
+            self._record_disturbance(fault.kind, began, node)
+
     async def _disturb_store(self, fault: Fault, number: int) -> None:
         fleet = self.fleet
         match fault.kind:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,7 +11,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from itertools import islice
@@ -27,7 +27,7 @@
 )
 from mallowpond.transport.http_client import HttpClient
 from soak.judge import GROUP_SIZE, REVOKE_SECONDS, WORKSPACES
-from soak.proxy import Proxy
+from soak.proxy import LinkMode, Proxy
 
 ROOT = Path(__file__).resolve().parent.parent
 GRACE_SECONDS = 8.0
@@ -37,6 +37,9 @@
 EVENT_SECONDS = 0.02
 # Domains and plain engines are spread over these data centres in turn.
 DATA_CENTRES = ("a", "b")
+# Each node has a loopback address of its own, by which links tell its connections from
+# those of other nodes. The first one has this number.
+FIRST_NODE_ADDRESS = 11
 # Requests a second that a cold engine tolerates; the bound on those in any one second
 # is COLD_RATIO times as many plus COLD_SLACK.
 COLD_PER_SECOND = 2.0
@@ -126,6 +129,7 @@
     engine_links: list[Proxy] = field(default_factory=list)
     engine_store_links: list[Proxy] = field(default_factory=list)
     node_ports: list[tuple[int, int]] = field(default_factory=list)
+    node_addresses: list[str] = field(default_factory=list)
     version: int = 0
     active_keys: set[str] = field(default_factory=lambda: set(WORKSPACES))
     _store: ManagedProcess | None = None
@@ -258,6 +262,17 @@
         """
         return await self._operator.write_foreign(key, value, seconds)
 
+    async def planner(self) -> int | None:
+        """Return the number of the node that plans groups, None if unknown."""
+        name = await self._operator.planner()
+        return None if name is None else int(name.removeprefix("node-"))
+
+    def cut_engine_links(self, nodes: Iterable[int], mode: LinkMode) -> None:
+        """Set the mode of the links from these nodes to all engines."""
+        for number in nodes:
+            for link in self.engine_links:
+                link.set_mode(mode, self.node_addresses[number])
+
     def signal_store(self, number: signal.Signals) -> None:
         """Send a signal to the store."""
         if self._store is not None:
@@ -315,8 +330,11 @@
         # revoke: limit until a revoked API key stops working. stall: time after which a
         # group without progress is reported as failed. Both in seconds.
         path = self.folder / f"node{number}.toml"
+        address = f"127.0.0.{FIRST_NODE_ADDRESS + number}"
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         path.write_text(
-            f'name = "node-{number}"\ndata_centre = "a"\naddress = "127.0.0.1"\n'
+            f'name = "node-{number}"\ndata_centre = "{data_centre}"\n'
+            f'address = "{address}"\nbinds_source = true\n'
             f'callers = "127.0.0.1:{callers}"\nreadiness = "127.0.0.1:{readiness}"\n'
             f'peer_port = {peers}\nstore = "127.0.0.1:{link.port}"\n'
             f"[bounds]\nrevoke = {REVOKE_SECONDS}\ngrace = {GRACE_SECONDS}\n"
@@ -332,6 +350,7 @@
         )
         self.store_links.append(link)
         self.node_ports.append((callers, readiness))
+        self.node_addresses.append(address)
 
     def _cold_bounds(self) -> str:
         if not (self.shape.cold_seconds and self.shape.limits_cold):
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -40,6 +40,8 @@
 BACKOFF_KIND = "engine_shedding"
 # A data centre is evacuated: its engines get nothing new.
 EVACUATION_KIND = "evacuation"
+# Nodes lose their links to the engines.
+CUT_KINDS = ("links_some", "links_data_centre", "links_planner")
 # Disturbances that must not affect any request.
 NO_EFFECT_KINDS = ("reconfigure", "history", "foreign_entry")
 # Disturbances that must not cut off an answer in progress.
@@ -96,6 +98,13 @@
 MAX_BACKOFF_REQUESTS = 2
 # Marks requests that were sent, and not served, while a fatal request was being sent.
 BYSTANDER_TEXT = "beside a fatal request"
+# Time after nodes have lost their links to the engines from which their callers must be
+# served, in seconds, and the share of the other nodes' rate of served requests at which
+# they must be. Below it, so many failures are allowed, and one in so many requests.
+CUT_SECONDS = 3.0
+CUT_SERVED_SHARE = 2.0 / 3.0
+CUT_ALLOWED_FAILURES = 10
+CUT_ALLOWED_FAILURE_EVERY = 50
 WORKSPACES = {"key-a": "a", "key-b": "b"}
 
 
@@ -129,6 +138,7 @@
             _check_cold_engines,
             _check_announced_stops,
             _check_evacuations,
+            _check_cut_nodes,
         )
     return [line for check in checks for line in check(run)]
 
@@ -584,6 +594,35 @@
             yield f"{record.attempt}: cut off by a planned stop"
 
 
+def _check_cut_nodes(run: Run) -> Iterator[str]:
+    """Find cuts in which the callers of cut nodes were served far less than others."""
+    for cut in run.cuts:
+        start, end = cut.began_at + CUT_SECONDS, cut.ended_at
+        sent = [
+            r
+            for r in run.callers
+            if start < r.sent_at < end
+            and _is_node_undisturbed(
+                run, r.node, r.sent_at - RECOVERY_SECONDS, r.ended_at, CUT_KINDS
+            )
+        ]
+        served = {True: 0, False: 0}
+        count = {True: 0, False: 0}
+        for record in sent:
+            is_cut = record.node in cut.nodes
+            count[is_cut] += 1
+            served[is_cut] += record.status == 200 and record.ending is Ending.WHOLE
+        failed = count[True] - served[True]
+        allowed = CUT_ALLOWED_FAILURES + len(sent) / CUT_ALLOWED_FAILURE_EVERY
+        expected = CUT_SERVED_SHARE * served[False] / max(1, count[False])
+        if failed > allowed and served[True] < expected * count[True]:
+            yield (
+                f"nodes {list(cut.nodes)} without links to the engines served "
+                f"{served[True]} of {count[True]}, the others {served[False]} of "
+                f"{count[False]}"
+            )
+
+
 def _is_without_cuts(run: Run, start: float, end: float) -> bool:
     """Return whether the interval has only disturbances that must not cut answers."""
     return not _is_disturbed(run, start, end, except_for=NO_CUT_KINDS)
@@ -594,7 +633,9 @@
     return not _is_disturbed(run, start, end, except_for=NO_EFFECT_KINDS)
 
 
-def _is_node_undisturbed(run: Run, node: int, start: float, end: float) -> bool:
+def _is_node_undisturbed(
+    run: Run, node: int, start: float, end: float, except_for: tuple[str, ...] = ()
+) -> bool:
     """Return whether the node had no disturbance, nor the fleet one that may affect it.
 
     Stalls and kinds that cut off no answer count only if they are of this node. All
@@ -604,6 +645,7 @@
         d.began_at < end and d.ended_at > start
         for d in run.disturbances
         if d.node in (None, node)
+        and d.kind not in except_for
         and (d.kind not in (STALL_KIND, *NO_CUT_KINDS) or d.node == node)
     )
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -12,7 +12,8 @@
     """How a link treats connections and their bytes.
 
     SOUND relays them. SLOW delays every chunk. RESET resets all connections. SILENT
-    discards bytes in both directions, ONE_WAY only replies.
+    discards bytes in both directions, ONE_WAY only replies. NO_NEW relays on open
+    connections and resets new ones.
     """
 
     SOUND = "sound"
@@ -20,16 +21,21 @@
     RESET = "reset"
     SILENT = "silent"
     ONE_WAY = "one_way"
+    NO_NEW = "no_new"
 
 
 class Proxy:
-    """Relays connections from one loopback port to another."""
+    """Relays connections from one loopback port to another.
+
+    Connections from one source address may be in another mode than the others.
+    """
 
     def __init__(self, *, target_port: int) -> None:
         self._target_port = target_port
         self._mode = LinkMode.SOUND
+        self._source_modes: dict[str, LinkMode] = {}
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._writers: dict[asyncio.StreamWriter, str] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -51,50 +57,63 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def set_mode(self, mode: LinkMode) -> None:
-        """Change the mode; reset connections that lost bytes in the earlier one."""
-        was_silent = self._mode in (LinkMode.SILENT, LinkMode.ONE_WAY)
-        self._mode = mode
+    def set_mode(self, mode: LinkMode, source: str | None = None) -> None:
+        """Change the mode of all connections, or of those from one source address.
+
+        Connections that lost bytes in the earlier mode are reset.
+        """
+        earlier = self._mode
+        if source is None:
+            self._mode = mode
+        else:
+            earlier = self._mode_of(source)
+            self._source_modes[source] = mode
+        was_silent = earlier in (LinkMode.SILENT, LinkMode.ONE_WAY)
         if mode is LinkMode.RESET or was_silent:
             # Bytes were discarded, so that these connections cannot be continued.
-            self._abort_all()
+            self._abort_all(source)
 
-    def _abort_all(self) -> None:
-        for writer in list(self._writers):
-            writer.transport.abort()
+    def _mode_of(self, source: str) -> LinkMode:
+        return self._source_modes.get(source, self._mode)
+
+    def _abort_all(self, source: str | None = None) -> None:
+        for writer, origin in list(self._writers.items()):
+            if source in (None, origin):
+                writer.transport.abort()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         task = asyncio.current_task()
         assert task is not None
+        source = writer.get_extra_info("peername")[0]
         self._tasks.add(task)
-        self._writers.add(writer)
+        self._writers[writer] = source
         try:
-            await self._relay(reader, writer)
+            await self._relay(reader, writer, source)
         except (OSError, asyncio.CancelledError):
             writer.transport.abort()
         finally:
-            self._writers.discard(writer)
+            self._writers.pop(writer, None)
             self._tasks.discard(task)
 
     async def _relay(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, source: str
     ) -> None:
-        if self._mode is LinkMode.RESET:
+        if self._mode_of(source) in (LinkMode.RESET, LinkMode.NO_NEW):
             writer.transport.abort()
             return
         upstream_reader, upstream_writer = await asyncio.open_connection(
             "127.0.0.1", self._target_port
         )
-        self._writers.add(upstream_writer)
+        self._writers[upstream_writer] = source
         try:
             await asyncio.gather(
-                self._pump(reader, upstream_writer, is_reply=False),
-                self._pump(upstream_reader, writer, is_reply=True),
+                self._pump(reader, upstream_writer, source, is_reply=False),
+                self._pump(upstream_reader, writer, source, is_reply=True),
             )
         finally:
-            self._writers.discard(upstream_writer)
+            self._writers.pop(upstream_writer, None)
             upstream_writer.transport.abort()
             writer.transport.abort()
 
@@ -102,20 +121,20 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        source: str,
         *,
         is_reply: bool,
     ) -> None:
         while data := await reader.read(READ_SIZE):
-            if self._mode is LinkMode.SLOW:
+            mode = self._mode_of(source)
+            if mode is LinkMode.SLOW:
                 await asyncio.sleep(SLOW_SECONDS)
-            if self._mode is LinkMode.SILENT or (
-                self._mode is LinkMode.ONE_WAY and is_reply
-            ):
+            if mode is LinkMode.SILENT or (mode is LinkMode.ONE_WAY and is_reply):
                 # Discard the bytes without closing either side.
                 continue
             writer.write(data)
             await writer.drain()
-        if self._mode in (LinkMode.SILENT, LinkMode.ONE_WAY):
+        if self._mode_of(source) in (LinkMode.SILENT, LinkMode.ONE_WAY):
             await asyncio.Event().wait()
         # The end of one direction ends both: no peer here half-closes a connection.
         raise ConnectionResetError
--- a/soak/records.py
+++ b/soak/records.py
@@ -102,6 +102,15 @@
     ended_at: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class LinkCut:
+    """The interval for which nodes had no links to any engine."""
+
+    nodes: tuple[int, ...]
+    began_at: float
+    ended_at: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class Run:
     """All records of one run, as the checks read them."""
@@ -112,6 +121,7 @@
     revocations: tuple[Revocation, ...]
     foreign: tuple[ForeignEntry, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
+    cuts: tuple[LinkCut, ...] = ()
     longest_stall: float = 0.0
 
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -132,3 +132,19 @@
     assert min(arrivals) < evacuation.accepted_at
     assert max(arrivals) > evacuation.ended_at
     assert find_violations(run) == []
+
+
+# The quotient of `Fault.draw` by 7 chooses how links fail: silent, reset, or only new
+# connections.
+@pytest.mark.parametrize(
+    ("kind", "draw"),
+    [("links_planner", 0), ("links_data_centre", 7), ("links_some", 14)],
+    ids=["planner silent", "data centre reset", "one without new connections"],
+)
+def test_callers_of_nodes_without_engine_links_are_served(kind, draw, tmp_path):
+    """Guards against hosts whose only way to the engines is their own link."""
+    fault = Fault(at=0.5, kind=kind, seconds=2.0, draw=draw)
+    run = asyncio.run(run_case(Case(seed=1, seconds=0.0, faults=(fault,)), tmp_path))
+    (cut,) = run.cuts
+    assert any(r.node in cut.nodes and r.sent_at > cut.began_at for r in run.callers)
+    assert find_violations(run) == []
