--- a/mallowpond/transport/connector.py
+++ b/mallowpond/transport/connector.py
@@ -1,19 +1,71 @@
-"""Open TCP connections for the HTTP client."""
+"""Open TCP connections for the HTTP client, and observe when servers are silent."""
 
 import asyncio
-from dataclasses import dataclass
+import time
+from collections.abc import Callable, Hashable
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from mallowpond.transport.timeouts import lag_tolerant_timeout
 
 
+@dataclass(frozen=True, kw_only=True)
+class Silence:
+    """How long a server has been silent while a read from it waits, in seconds."""
+
+    address: str
+    seconds: float
+
+
+@dataclass(kw_only=True)
+class LinkActivity:
+    """Reads that wait on direct connections, and when any of them last got bytes."""
+
+    _heard_at: float = field(default_factory=time.monotonic)
+    _waiting: dict[Hashable, tuple[str, float]] = field(default_factory=dict)
+
+    def begin_wait(self, key: Hashable, address: str) -> None:
+        """Record that a read of bytes from a server begins to wait."""
+        self._waiting[key] = (address, time.monotonic())
+
+    def end_wait(self, key: Hashable, *, is_heard: bool) -> None:
+        """Record that a read ended, and whether it got bytes."""
+        self._waiting.pop(key, None)
+        if is_heard:
+            self._heard_at = time.monotonic()
+
+    @property
+    def seconds_since_heard(self) -> float:
+        """Return the time since bytes came over any direct connection."""
+        return time.monotonic() - self._heard_at
+
+    def longest_silence(self) -> Silence | None:
+        """Return the longest wait during which no server at all was heard."""
+        if not self._waiting:
+            return None
+        address, since = min(self._waiting.values(), key=lambda wait: wait[1])
+        seconds = time.monotonic() - max(since, self._heard_at)
+        return Silence(address=address, seconds=seconds)
+
+
+def _always() -> bool:
+    return True
+
+
 @dataclass(frozen=True, kw_only=True)
 class Connected:
-    """An open connection; `proxy` is the host that it leads through, "" if direct."""
+    """An open connection.
+
+    proxy: name of the host that it leads through, "" if it is direct.
+    activity: record of the silence of its kind of connections.
+    may_reuse: returns whether another request may be sent on it.
+    """
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     proxy: str = ""
+    activity: LinkActivity = field(default_factory=LinkActivity)
+    may_reuse: Callable[[], bool] = _always
 
 
 @dataclass(frozen=True, kw_only=True)
