Open connections to targets through a peer where this host's own links fail

Cause: a host had no path to a target but its own, and could not tell lost links from dead engines. Now a connection that is refused or slow to open is opened through a peer, which also shows whose fault it is; LinkHealth decides from such outcomes in several domains. The host that took the request still sends it, so that claims, slots, rates, budget, deadline and the checks of answers stay where they were. The soak's link no longer accepts connections and resets them for a cut node, as that looks like a link that works: a packet filter leaves them unanswered.

--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -97,6 +97,8 @@
     # Number of the last slot granted by the dispatcher whose stream `loads` includes.
     grant_number: int = 0
     evacuations: Evacuations = Evacuations()
+    # Whether the node has lost its links to the targets.
+    without_links: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -430,8 +432,8 @@
 OMITTED_DEFAULTS: dict[type, int] = {
     PlaceQuestion: 5,
     PlaceAnswer: 1,
-    # The evacuated data centres, while no evacuation was ever seen.
-    Heartbeat: 1,
+    # The evacuated data centres, while no evacuation was ever seen, and lost links.
+    Heartbeat: 2,
     Digest: 1,
     VersionAnswer: 1,
     ConfigurationPart: 1,
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -84,6 +84,19 @@
             registry=self.registry,
         )
         self.cold_sends = counter("mallowpond_cold_sends", "Requests to cold targets")
+        self.links_lost = Gauge(
+            "mallowpond_links_lost",
+            "Whether this host has lost its links to the targets",
+            registry=self.registry,
+        )
+        self.tunnels = counter(
+            "mallowpond_tunnels", "Connections to targets asked of peers", "end"
+        )
+        self.carried_tunnels = Gauge(
+            "mallowpond_carried_tunnels",
+            "Connections to targets carried for peers",
+            registry=self.registry,
+        )
         self.endings = counter("mallowpond_targets_ended", "Broken off by their target")
         self.configuration_age = Gauge(
             "mallowpond_configuration_age_seconds",
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -147,6 +147,7 @@
         self._make_heartbeat = make_heartbeat
         self._transport: asyncio.DatagramTransport | None = None
         self._addresses: dict[str, str] = {}
+        self._known_hosts: set[str] = set()
         self._peers: dict[str, Peer] = {}
         self._live: list[Peer] = []
         self._live_at = float("-inf")
@@ -244,6 +245,21 @@
         peer = self._peers.get(node)
         return peer is not None and self._clock.now() - peer.heard_at <= seconds
 
+    def live_heartbeat(self, node: str) -> Heartbeat | None:
+        """Return the last heartbeat of a peer, None if it is not live."""
+        peer = self._peers.get(node)
+        if peer is None or not peer.is_live(self._clock.now()):
+            return None
+        return peer.heartbeat
+
+    def address_of(self, node: str) -> str | None:
+        """Return the address of a known peer, `host:port`."""
+        return self._addresses.get(node)
+
+    def is_known_host(self, ip: str) -> bool:
+        """Return whether a known peer has this IP address."""
+        return ip in self._known_hosts
+
     @property
     def is_large_fleet(self) -> bool:
         """Return whether heartbeats are too rare to rely on the loads in them."""
@@ -493,7 +509,7 @@
         if known is None or known.heartbeat.incarnation != heartbeat.incarnation:
             self._log_discovered(heartbeat, now)
             is_new = True
-        self._addresses[heartbeat.node] = heartbeat.address
+        self._record_address(heartbeat.node, heartbeat.address)
         if known is None:
             self._peers[heartbeat.node] = Peer(heartbeat=heartbeat, heard_at=now)
         else:
@@ -538,10 +554,14 @@
             node = decode(row.value, NodeRow)
             if isinstance(node, Unreadable):
                 self._unreadable_log.record("node", name, node)
-            elif name != self._name:
-                self._addresses.setdefault(name, node.address)
+            elif name != self._name and name not in self._addresses:
+                self._record_address(name, node.address)
         return True
 
+    def _record_address(self, node: str, address: str) -> None:
+        self._addresses[node] = address
+        self._known_hosts.add(address.rpartition(":")[0])
+
 
 T = TypeVar("T")
 
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -42,7 +42,7 @@
 from mallowpond.node.slot_admission import SlotAdmission
 from mallowpond.node.streams import StreamService
 from mallowpond.node.target_availability import TargetAvailability
-from mallowpond.node.target_links import TargetLinks
+from mallowpond.node.target_links import CONNECT_SECONDS, TargetLinks
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.unreadable import UnreadableLog
 from mallowpond.node.watch import GroupWatch
@@ -51,12 +51,10 @@
 from mallowpond.state.site_configuration import Service
 from mallowpond.transport.connector import DirectConnector
 from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
+from mallowpond.transport.tunnel import TunnelServer
 
 log = structlog.get_logger()
 
-# Timeout for opening a connection to a target, in seconds: some tens of round trips. A
-# host that is down does not answer at all.
-CONNECT_TIMEOUT_SECONDS = 0.25
 # Time after the start of a drain in which new requests are still served, in seconds:
 # the load balancer checks the readiness once a second, and sends a node no more callers
 # after two failed checks.
@@ -109,15 +107,6 @@
             source=ports.source, clock=clock, revoke_seconds=settings.bounds.revoke
         )
         self.directory = Directory(source=ports.source, clock=clock)
-        self.links = TargetLinks(
-            directory=self.directory,
-            clock=clock,
-            direct=DirectConnector(
-                connect_seconds=CONNECT_TIMEOUT_SECONDS,
-                source=settings.address if settings.binds_source else "",
-            ),
-        )
-        ports.targets.use_connector(self.links)
         self.peers = PeerNetwork(
             name=settings.name,
             incarnation=self._incarnation,
@@ -127,6 +116,27 @@
             make_heartbeat=self._build_heartbeat,
             unreadable_log=unreadable_log,
         )
+        self.links = TargetLinks(
+            directory=self.directory,
+            peers=self.peers,
+            clock=clock,
+            metrics=self.metrics,
+            rng=self._rng,
+            direct=DirectConnector(
+                connect_seconds=CONNECT_SECONDS,
+                source=settings.address if settings.binds_source else "",
+            ),
+        )
+        ports.targets.use_connector(self.links)
+        self.tunnels = TunnelServer(
+            connect=self.links.connect_directly,
+            may_connect=self._may_tunnel,
+            has_links=lambda: not self.links.is_lost,
+        )
+        self.metrics.carried_tunnels.set_function(lambda: self.tunnels.count)
+        self.links.on_change.append(
+            lambda: self.peers.broadcast(self._build_heartbeat())
+        )
         quarantine = Quarantine(clock=clock, metrics=self.metrics)
         self.quarantine_sharing = QuarantineSharing(
             name=settings.name,
@@ -311,6 +321,7 @@
         self._stack.push_async_callback(self.planner.close)
         self._stack.callback(self.peers.close)
         await self.peers.start(self._settings.peer_port)
+        await self._start_tunnels()
         await self._listen(self._readiness, self._settings.readiness)
         await self._start_metrics_server()
         self._spawn(self.configuration.run())
@@ -319,6 +330,8 @@
             await self._await_first_read()
         await self._listen(self.ingress.server, self._settings.callers, self._listener)
         for work in (
+            self.links.run(),
+            self.tunnels.run(),
             self.peers.run_heartbeats(),
             self.peers.run_candidate_heartbeats(),
             self.peers.run_node_rows(),
@@ -377,9 +390,10 @@
         # The balancer now sends new connections to other hosts, but connections opened
         # before the drain still bring requests.
         self.ingress.server.disable_keep_alive()
+        self.tunnels.drain()
         # The server is checked instead of `in_flight`, which does not count a request
         # that was just read: one such request was forwarded and cut off 3 ms later.
-        while self.ingress.server.is_busy and self._clock.now() < limit:
+        while self._is_busy and self._clock.now() < limit:
             if self._clock.now() >= limit - REFUSE_WAITING_SECONDS:
                 self.streams.placement.end_waits()
             await self._clock.sleep(DRAIN_CHECK_SECONDS)
@@ -387,6 +401,11 @@
         self.ingress.server.refuse_new_requests()
         log.info("node: drained", in_flight=self.ingress.in_flight)
 
+    @property
+    def _is_busy(self) -> bool:
+        """Return whether requests of callers or peers are in progress."""
+        return self.ingress.server.is_busy or self.tunnels.is_busy
+
     async def _release_lease(self) -> None:
         """Stop planning if another node can take over.
 
@@ -422,6 +441,20 @@
             # Serving callers has priority over monitoring.
             log.warning("node: metrics server not started", error=str(error))
 
+    async def _start_tunnels(self) -> None:
+        """Listen for peers without links, on the port number of the datagrams."""
+        self._stack.callback(self.tunnels.close)
+        port = self._settings.peer_port
+        try:
+            await self.tunnels.start(self._settings.address, port)
+        except OSError as error:
+            # This host serves its own callers without it.
+            log.warning("node: tunnels not started", error=str(error))
+
+    def _may_tunnel(self, ip: str, address: str) -> bool:
+        """Return whether a host may have a tunnel to an address."""
+        return self.peers.is_known_host(ip) and self.links.is_listed(address)
+
     def _can_plan(self) -> bool:
         return self.configuration.is_store_reachable and not self.ingress.is_stopping
 
@@ -455,6 +488,7 @@
             ),
             grant_number=self.dispatcher_client.grant_number,
             evacuations=self.configuration.evacuations.to_share,
+            without_links=self.links.is_lost,
         )
 
     def _find_service(self, service: str) -> Service | None:
--- a/mallowpond/node/target_links.py
+++ b/mallowpond/node/target_links.py
@@ -1,85 +1,422 @@
-"""Open this host's connections to the targets, and judge its links by them."""
+"""Open this host's connections to the targets, through peers where its links fail.
+
+A link is the network path between this host and a target. A connection through a peer,
+the proxy, is a tunnel.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from functools import partial
 
 import structlog
 
 from mallowpond.coordination.ports import Clock
 from mallowpond.node.directory import Directory
+from mallowpond.node.messages import Heartbeat
+from mallowpond.node.metrics import NodeMetrics
+from mallowpond.node.peers import PeerNetwork
 from mallowpond.state.fleet import Target
-from mallowpond.state.link_health import FleetSize, LinkHealth
-from mallowpond.transport.connector import Connected, ConnectFailed, Connector
+from mallowpond.state.link_health import (
+    MIN_TARGETS,
+    FleetSize,
+    LinkHealth,
+    LinkSummary,
+)
+from mallowpond.state.proxy_choice import rank_proxies
+from mallowpond.transport.connect_race import Attempt, ConnectRace, abort_opened
+from mallowpond.transport.connector import (
+    Connected,
+    ConnectFailed,
+    Connector,
+    LinkActivity,
+)
+from mallowpond.transport.tunnel import TunnelAnswer, TunnelConnector, open_through
 
 log = structlog.get_logger()
 
+# Timeout for opening a connection to a target by all ways together, in seconds: some
+# tens of round trips. A host that is down does not answer at all.
+CONNECT_SECONDS = 0.25
+# Time for which a direct connection may take to open before a peer is asked, and the
+# time after which the next peer is asked, in seconds: several round trips each.
+HEAD_START_SECONDS = 0.05
+STAGGER_SECONDS = 0.03
+# Time for which a target that only peers reach is asked for at once by both ways, and
+# for which one that no peer reaches is not asked for again, in seconds.
+ONLY_BY_PROXY_SECONDS = 1.0
+UNREACHED_SECONDS = 1.0
+# Number of peers that must not reach a target before they are not asked again.
+MIN_REFUSALS = 2
+# Time for which a peer that opened no tunnel is not asked again, in seconds.
+AVOIDED_SECONDS = 1.0
+# Silence on all direct connections, while a request waits, after which the links are
+# checked, in seconds; the interval between two looks at it; and the minimum pause
+# between two checks: a single request may wait that long for its first byte.
+SILENCE_SECONDS = 0.15
+MONITOR_SECONDS = 0.05
+CHECK_PAUSE_SECONDS = 1.0
+# Interval between two checks whether lost links are restored, in seconds.
+RESTORE_SECONDS = 0.5
 # Interval between two log lines about failed connections, in seconds.
 LOG_SECONDS = 1.0
 
 
 class TargetLinks:
-    """Opens connections to targets, and tracks which of them this host reaches."""
+    """Opens connections to targets, and judges this host's links by their outcomes.
+
+    `direct` opens connections to targets and peers without a proxy.
+    """
 
     def __init__(
-        self, *, directory: Directory, clock: Clock, direct: Connector
+        self,
+        *,
+        directory: Directory,
+        peers: PeerNetwork,
+        clock: Clock,
+        metrics: NodeMetrics,
+        rng: random.Random,
+        direct: Connector,
     ) -> None:
         self._directory = directory
+        self._peers = peers
         self._clock = clock
+        self._metrics = metrics
+        self._rng = rng
         self._direct = direct
         self._health = LinkHealth()
+        self._was_lost = False
+        self._confirming: asyncio.Future[bool] | None = None
+        self._checked_at = float("-inf")
         self._logged_at = float("-inf")
-        # Listed targets by address; None while the list has changed since.
+        # Times until which targets, by id, and peers, by name, are in these states.
+        self._only_by_proxy: dict[str, float] = {}
+        self._unreached: dict[str, float] = {}
+        self._avoided: dict[str, float] = {}
+        # Listed targets by address and by domain; None while the list has changed.
         self._by_address: dict[str, Target] | None = None
+        self._by_domain: dict[str, list[Target]] = {}
         self._fleet = FleetSize(targets=0, domains=0)
-        directory.on_change.append(self._forget_addresses)
+        self._tunnel_activity = LinkActivity()
+        # Of the direct connections.
+        self.activity = LinkActivity()
+        # Called when the links were lost or restored.
+        self.on_change: list[Callable[[], None]] = []
+        directory.on_change.append(self._forget_targets)
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether this host has lost its links to the targets."""
+        return self._health.is_lost
+
+    def is_listed(self, address: str) -> bool:
+        """Return whether a listed target has this address."""
+        return self._find(address) is not None
+
+    def heard_within(self, seconds: float) -> bool:
+        """Return whether a target was heard directly in the last `seconds`."""
+        return self.activity.seconds_since_heard < seconds
+
+    async def run(self) -> None:
+        """Check the links when they are silent or lost, until cancelled."""
+        while True:
+            if self.is_lost:
+                await self._clock.sleep(RESTORE_SECONDS)
+                await self._try_direct()
+                continue
+            await self._clock.sleep(MONITOR_SECONDS)
+            silence = self.activity.longest_silence()
+            if silence is None or silence.seconds < SILENCE_SECONDS:
+                continue
+            if self._clock.now() - self._checked_at >= CHECK_PAUSE_SECONDS:
+                await self.confirm()
+
+    # -- connections ---------------------------------------------------------
 
     async def connect(self, address: str) -> Connected | ConnectFailed:
-        """Open a connection to a target, and record the outcome."""
-        began = self._clock.now()
-        opened = await self._direct.connect(address)
+        """Open a connection to a target, directly or through a peer."""
         target = self._find(address)
         if target is None:
+            return await self._direct.connect(address)
+        if self.is_lost:
+            proxies = self._choose_proxies(target)
+            return await self._race(target, proxies, is_direct=not proxies)
+        return await self._race(target, None, is_direct=True)
+
+    async def connect_directly(self, address: str) -> Connected | ConnectFailed:
+        """Open a connection to a target for a peer, without a proxy."""
+        opened = await self._direct.connect(address)
+        target = self._find(address)
+        if target is not None:
+            self._record(target, opened, by_peer=False)
+        return opened
+
+    async def _race(
+        self, target: Target, proxies: list[str] | None, *, is_direct: bool
+    ) -> Connected | ConnectFailed:
+        """Try the ways one after the other, each a little later than the one before.
+
+        The peers to ask are chosen only when one is needed, if they are not given.
+        """
+        race, began = ConnectRace(), self._clock.now()
+        ends_at, pause = began + CONNECT_SECONDS, 0.0
+        direct: Attempt | None = None
+        proxy_of: dict[Attempt, str] = {}
+        winner: Attempt | None = None
+        refusals = 0
+        if is_direct:
+            direct = race.start(self._direct.connect(target.address))
+            if self._only_by_proxy.get(target.id, 0.0) <= began:
+                pause = HEAD_START_SECONDS
+        try:
+            while True:
+                for attempt in await race.wait(pause):
+                    if isinstance(attempt.result(), Connected):
+                        winner = winner or attempt
+                    elif attempt is not direct:
+                        refusals += self._is_refusal(attempt, proxy_of[attempt])
+                if winner is not None:
+                    break
+                if proxies is None:
+                    proxies = self._choose_proxies(target)
+                left = ends_at - self._clock.now()
+                if left > 0.0 and proxies:
+                    name = proxies.pop(0)
+                    proxy_of[race.start(self._open_tunnel(name, target, left))] = name
+                    pause = min(left, STAGGER_SECONDS)
+                elif left > 0.0 and race.is_pending:
+                    pause = left
+                elif direct is not None and not direct.done():
+                    # Its own timeout does not end it because this process was blocked.
+                    pause = CONNECT_SECONDS
+                else:
+                    break
+        except BaseException:
+            race.close()
+            raise
+        race.close(winner, direct)
+        if refusals >= MIN_REFUSALS and winner is None:
+            self._unreached[target.id] = self._clock.now() + UNREACHED_SECONDS
+        return self._settle(target, direct, winner, began)
+
+    def _settle(
+        self,
+        target: Target,
+        direct: Attempt | None,
+        winner: Attempt | None,
+        began: float,
+    ) -> Connected | ConnectFailed:
+        """Record the outcome of a race, and return it."""
+        is_proxied = winner is not None and winner is not direct
+        if direct is not None and direct.done():
+            self._record(target, direct.result(), by_peer=is_proxied)
+        elif direct is not None:
+            # A tunnel overtook it; its outcome shows later whether the link works.
+            direct.add_done_callback(
+                partial(self._record_late, target, by_peer=is_proxied)
+            )
+        if winner is not None and not is_proxied:
+            return replace(
+                winner.result(),
+                activity=self.activity,
+                may_reuse=self._may_reuse_direct,
+            )
+        if winner is not None:
+            opened = winner.result()
+            if direct is not None:
+                until = self._clock.now() + ONLY_BY_PROXY_SECONDS
+                self._only_by_proxy[target.id] = until
+            self._metrics.tunnels.labels("opened").inc()
+            self._log_failure(target, direct, opened.proxy, began)
             return opened
+        self._log_failure(target, direct, None, began)
+        if direct is not None and direct.done():
+            return direct.result()
+        return ConnectFailed(reason="connect timeout")
+
+    def _record_late(self, target: Target, direct: Attempt, *, by_peer: bool) -> None:
+        abort_opened(direct)
+        if not direct.cancelled() and direct.exception() is None:
+            self._record(target, direct.result(), by_peer=by_peer)
+
+    def _is_refusal(self, attempt: Attempt, name: str) -> bool:
+        """Return whether a peer with links did not reach the target either."""
+        match attempt.result():
+            case TunnelAnswer.UNREACHED:
+                self._metrics.tunnels.labels("unreached").inc()
+                return True
+            case _:
+                self._metrics.tunnels.labels("failed").inc()
+                self._avoided[name] = self._clock.now() + AVOIDED_SECONDS
+                return False
+
+    async def _open_tunnel(
+        self, name: str, target: Target, seconds: float
+    ) -> Connected | ConnectFailed | TunnelAnswer:
+        address = self._peers.address_of(name)
+        if address is None:
+            return ConnectFailed(reason="unknown peer")
+        connector = TunnelConnector(
+            name=name,
+            proxy=address,
+            connector=self._direct,
+            activity=self._tunnel_activity,
+        )
+        opened = await open_through(connector, target.address, seconds)
+        if isinstance(opened, Connected):
+            may_reuse = partial(self._may_reuse_tunnel, name, target.id)
+            return replace(opened, may_reuse=may_reuse)
+        return opened
+
+    def _choose_proxies(self, target: Target) -> list[str]:
+        now = self._clock.now()
+        if self._unreached.get(target.id, 0.0) > now:
+            return []
+        peers = {
+            peer.heartbeat.node: peer.heartbeat.data_centre
+            for peer in self._peers.live
+            if self._can_carry(peer.heartbeat)
+            and self._avoided.get(peer.heartbeat.node, 0.0) <= now
+        }
+        return rank_proxies(peers, target.data_centre, self._rng)
+
+    @staticmethod
+    def _can_carry(heartbeat: Heartbeat) -> bool:
+        return not (heartbeat.stopping or heartbeat.without_links)
+
+    def _may_reuse_direct(self) -> bool:
+        """Return whether direct connections still work, as far as is known.
+
+        Where only new ones fail, those that are open live on.
+        """
+        return not self.is_lost or self.heard_within(SILENCE_SECONDS)
+
+    def _may_reuse_tunnel(self, name: str, target: str) -> bool:
+        """Return whether a tunnel is still the best way to a target."""
+        proxied_until = self._only_by_proxy.get(target, 0.0)
+        if not (self.is_lost or proxied_until > self._clock.now()):
+            return False
+        heartbeat = self._peers.live_heartbeat(name)
+        return heartbeat is not None and self._can_carry(heartbeat)
+
+    # -- the state of the links ----------------------------------------------
+
+    async def confirm(self) -> bool:
+        """Return whether this host reaches targets itself; concurrent calls share."""
+        if self.is_lost:
+            return False
+        if self._confirming is None or self._confirming.done():
+            self._confirming = asyncio.ensure_future(self._confirm())
+        return await asyncio.shield(self._confirming)
+
+    async def _confirm(self) -> bool:
+        self._checked_at = self._clock.now()
+        sample = self._draw_targets()
+        opened = await asyncio.gather(*(self.connect(t.address) for t in sample))
+        connections = [each for each in opened if isinstance(each, Connected)]
+        for connection in connections:
+            connection.writer.transport.abort()
+        return any(not connection.proxy for connection in connections)
+
+    async def _try_direct(self) -> None:
+        """Open direct connections to a few targets while the links are lost."""
+        sample = self._draw_targets()
+        opened = await asyncio.gather(
+            *(self.connect_directly(target.address) for target in sample)
+        )
+        for each in opened:
+            if isinstance(each, Connected):
+                each.writer.transport.abort()
+
+    def _draw_targets(self) -> list[Target]:
+        """Return a few random targets, each of another domain where possible."""
+        self._index_targets()
+        domains = self._rng.sample(sorted(self._by_domain), len(self._by_domain))
+        drawn: dict[str, Target] = {}
+        while domains and len(drawn) < min(MIN_TARGETS, self._fleet.targets):
+            for domain in domains:
+                target = self._rng.choice(self._by_domain[domain])
+                drawn[target.id] = target
+        return list(drawn.values())[:MIN_TARGETS]
+
+    def _record(
+        self, target: Target, opened: Connected | ConnectFailed, *, by_peer: bool
+    ) -> None:
+        """Record the outcome of a direct connection."""
         now, domain = self._clock.now(), domain_of(target)
+        self._index_targets()
         match opened:
             case Connected():
+                self._only_by_proxy.pop(target.id, None)
                 self._health.record_reached(target.id, domain, now, self._fleet)
             case ConnectFailed():
                 self._health.record_unreached(
-                    target.id, domain, now, self._fleet, by_peer=False
+                    target.id, domain, now, self._fleet, by_peer=by_peer
                 )
-                self._log_failure(target, opened, now - began)
-        return opened
+        if self.is_lost is not self._was_lost:
+            self._was_lost = self.is_lost
+            self._log_change()
+            for notify in self.on_change:
+                notify()
 
     def _find(self, address: str) -> Target | None:
-        if self._by_address is None:
-            targets = self._directory.targets.values()
-            self._by_address = {target.address: target for target in targets}
-            domains = {domain_of(target) for target in targets}
-            self._fleet = FleetSize(targets=len(targets), domains=len(domains))
-        return self._by_address.get(address)
-
-    def _forget_addresses(self) -> None:
+        self._index_targets()
+        return self._by_address.get(address) if self._by_address is not None else None
+
+    def _index_targets(self) -> None:
+        if self._by_address is not None:
+            return
+        targets = self._directory.targets.values()
+        self._by_address = {target.address: target for target in targets}
+        self._by_domain = {}
+        for target in targets:
+            self._by_domain.setdefault(domain_of(target), []).append(target)
+        self._fleet = FleetSize(targets=len(targets), domains=len(self._by_domain))
+
+    def _forget_targets(self) -> None:
         self._by_address = None
 
+    def _log_change(self) -> None:
+        summary = self._health.summary(self._clock.now())
+        self._metrics.links_lost.set(self.is_lost)
+        heard = round(self.activity.seconds_since_heard, 3)
+        if self.is_lost:
+            log.warning("links: lost", heard=heard, **_counts(summary))
+        else:
+            log.info("links: restored", heard=heard, **_counts(summary))
+
     def _log_failure(
-        self, target: Target, failed: ConnectFailed, seconds: float
+        self, target: Target, direct: Attempt | None, proxy: str | None, began: float
     ) -> None:
         now = self._clock.now()
         if now - self._logged_at < LOG_SECONDS:
             return
         self._logged_at = now
-        summary = self._health.summary(now)
+        reason = "not tried"
+        if direct is not None:
+            reason = direct.result().reason if direct.done() else "silent"
         log.info(
             "links: target unreached",
             target=target.id,
-            reason=failed.reason,
-            refused=failed.is_refused,
-            seconds=round(seconds, 3),
-            unreached=summary.unreached,
-            unreached_domains=summary.unreached_domains,
-            reached=summary.reached,
-            reached_domains=summary.reached_domains,
+            direct=reason,
+            proxy=proxy,
+            seconds=round(now - began, 3),
+            lost=self.is_lost,
+            **_counts(self._health.summary(now)),
         )
 
 
+def _counts(summary: LinkSummary) -> dict[str, int]:
+    return {
+        "unreached": summary.unreached,
+        "unreached_domains": summary.unreached_domains,
+        "reached_by_peers": summary.reached_by_peers,
+        "reached": summary.reached,
+        "reached_domains": summary.reached_domains,
+    }
+
+
 def domain_of(target: Target) -> str:
     """Return the failure domain of a target, its data centre if it names none."""
     return target.domain or target.data_centre
--- a/mallowpond/state/link_health.py
+++ b/mallowpond/state/link_health.py
@@ -73,12 +73,13 @@
         self, target: str, domain: str, now: float, fleet: FleetSize, *, by_peer: bool
     ) -> None:
         """Record a failed connection; `by_peer`: another host opened one meanwhile."""
-        self._reached.clear()
         self._add(self._failed, target, domain, now)
         if not by_peer:
             return
         self._add(self._only_by_peers, target, domain, now)
-        self._is_lost = self._is_lost or _suffices(self._only_by_peers, fleet)
+        if not self._is_lost and _suffices(self._only_by_peers, fleet):
+            self._is_lost = True
+            self._reached.clear()
 
     def summary(self, now: float) -> LinkSummary:
         """Return the counts of the recent outcomes."""
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -11,6 +11,7 @@
 import h11
 
 from mallowpond.transport.connector import (
+    Connected,
     ConnectFailed,
     Connector,
     DirectConnector,
@@ -79,11 +80,28 @@
 @dataclass(kw_only=True)
 class _Connection:
     address: str
-    reader: asyncio.StreamReader
-    writer: asyncio.StreamWriter
+    opened: Connected
     state: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     reusable_until: float = float("inf")
 
+    @property
+    def reader(self) -> asyncio.StreamReader:
+        return self.opened.reader
+
+    @property
+    def writer(self) -> asyncio.StreamWriter:
+        return self.opened.writer
+
+    async def read(self) -> bytes:
+        """Return the next bytes of the server, b"" at the end of the connection."""
+        activity, data = self.opened.activity, b""
+        activity.begin_wait(id(self), self.address)
+        try:
+            data = await self.reader.read(READ_SIZE)
+        finally:
+            activity.end_wait(id(self), is_heard=bool(data))
+        return data
+
     @property
     def is_usable(self) -> bool:
         if self.reader.at_eof() or self.writer.is_closing():
@@ -170,7 +188,7 @@
             watch.close()
 
     async def _events(self, watch: "_SilenceWatch") -> AsyncIterator[BodyEvent]:
-        state, reader = self._connection.state, self._connection.reader
+        state = self._connection.state
         pending = bytearray()
         while True:
             try:
@@ -183,7 +201,7 @@
                     continue
                 case h11.NEED_DATA if not pending:
                     try:
-                        state.receive_data(await reader.read(READ_SIZE))
+                        state.receive_data(await self._connection.read())
                     except ConnectionError as error:
                         yield CallFailed(phase=FailurePhase.BODY, reason=str(error))
                         return
@@ -333,6 +351,8 @@
                     return response
                 data = await response.read()
         except TimeoutError:
+            # Idle connections to the server may be silent for the same reason.
+            self._discard_idle(address)
             # The phase is not known here. Bytes of the request may have left, unless
             # `timeout` is too short for connecting.
             return CallFailed(phase=FailurePhase.BEFORE_HEAD, reason="timeout")
@@ -370,16 +390,20 @@
         idle = self._idle[address]
         while idle:
             connection = idle.pop()
-            if connection.is_usable:
+            if connection.is_usable and connection.opened.may_reuse():
                 return connection
             connection.abort()
         return None
 
+    def _discard_idle(self, address: str) -> None:
+        for connection in self._idle.pop(address, ()):
+            connection.abort()
+
     async def _connect(self, address: str) -> _Connection | CallFailed:
         opened = await self._connector.connect(address)
         if isinstance(opened, ConnectFailed):
             return CallFailed(phase=FailurePhase.CONNECT, reason=opened.reason)
-        return _Connection(address=address, reader=opened.reader, writer=opened.writer)
+        return _Connection(address=address, opened=opened)
 
 
 def _reusable_until(headers: dict[str, str]) -> float:
@@ -454,8 +478,7 @@
         event = connection.state.next_event()
         match event:
             case h11.NEED_DATA:
-                data = await connection.reader.read(READ_SIZE)
-                connection.state.receive_data(data)
+                connection.state.receive_data(await connection.read())
             case h11.EndOfMessage():
                 return connection.state.trailing_data[0]
 
@@ -465,7 +488,7 @@
         event = connection.state.next_event()
         match event:
             case h11.NEED_DATA:
-                connection.state.receive_data(await connection.reader.read(READ_SIZE))
+                connection.state.receive_data(await connection.read())
             case h11.Response():
                 return event
             case h11.ConnectionClosed():
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 from enum import Enum
 
+from soak.packet_filter import drop_packets_from
+
 READ_SIZE = 65536
 # Delay of every chunk on a slow link, in seconds; several times the usual answer time.
 SLOW_SECONDS = 0.3
@@ -13,7 +15,8 @@
 
     SOUND relays them. SLOW delays every chunk. RESET resets all connections. SILENT
     discards bytes in both directions, ONE_WAY only replies. NO_NEW relays on open
-    connections and resets new ones.
+    connections. From a single source, new connections do not open in RESET, SILENT and
+    NO_NEW.
     """
 
     SOUND = "sound"
@@ -24,6 +27,9 @@
     NO_NEW = "no_new"
 
 
+NO_CONNECT_MODES = (LinkMode.RESET, LinkMode.SILENT, LinkMode.NO_NEW)
+
+
 class Proxy:
     """Relays connections from one loopback port to another.
 
@@ -68,11 +74,18 @@
         else:
             earlier = self._mode_of(source)
             self._source_modes[source] = mode
+            self._filter_new_connections()
         was_silent = earlier in (LinkMode.SILENT, LinkMode.ONE_WAY)
         if mode is LinkMode.RESET or was_silent:
             # Bytes were discarded, so that these connections cannot be continued.
             self._abort_all(source)
 
+    def _filter_new_connections(self) -> None:
+        assert self._server is not None
+        modes = self._source_modes.items()
+        cut = [source for source, mode in modes if mode in NO_CONNECT_MODES]
+        drop_packets_from(self._server.sockets[0], cut)
+
     def _mode_of(self, source: str) -> LinkMode:
         return self._source_modes.get(source, self._mode)
 
@@ -100,7 +113,7 @@
     async def _relay(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, source: str
     ) -> None:
-        if self._mode_of(source) in (LinkMode.RESET, LinkMode.NO_NEW):
+        if self._mode_of(source) is LinkMode.RESET:
             writer.transport.abort()
             return
         upstream_reader, upstream_writer = await asyncio.open_connection(
