Keep a planner without links from dissolving groups, and have it hand over

It kept the lease, as only the store and stopping counted. Now a target's silence counts only if the planner reaches other targets after it began, a planner whose links are lost plans nothing and steps down when a peer can plan, a host without links takes no lease and reports no ended heads, and a host that cannot judge gives no answer to a liveness question. Links count as restored by a check of five targets, of which one may fail: three targets of a small service that was in reach had made a host flap three times in ten seconds. Tests of the decision, the lease and the planner failed before.

--- a/mallowpond/node/ended_heads.py
+++ b/mallowpond/node/ended_heads.py
@@ -27,7 +27,8 @@
     """Reports the heads that ended for this host's streams; passes on others' reports.
 
     `probe` starts the planner's probe of a head, and `is_planning` returns whether this
-    host is the planner.
+    host is the planner. Without links to the targets, which `has_links` returns, this
+    host reports none: its connections end for another reason.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         clock: Clock,
         is_planning: Callable[[], bool],
         probe: Callable[[Process, str], None],
+        has_links: Callable[[], bool] = lambda: True,
     ) -> None:
         self._name = name
         self._directory = directory
@@ -46,6 +48,7 @@
         self._clock = clock
         self._is_planning = is_planning
         self._probe = probe
+        self._has_links = has_links
         self._schedule: ResendSchedule[Process] = ResendSchedule(
             clock=clock, delays=REPORT_DELAYS, max_batch=MAX_HEADS_PER_MESSAGE
         )
@@ -67,7 +70,11 @@
     def send_due(self) -> None:
         """Report the heads that are due and showed no sign of life since they ended."""
         due = self._schedule.take_due()
-        silent = [process for process in due if not self._has_advanced(process)]
+        silent = [
+            process
+            for process in due
+            if self._has_links() and not self._has_advanced(process)
+        ]
         for process in set(due).difference(silent):
             self._schedule.drop(process)
         self._ended = {p: e for p, e in self._ended.items() if p in self._schedule}
--- a/mallowpond/node/indirect_probe.py
+++ b/mallowpond/node/indirect_probe.py
@@ -51,7 +51,8 @@
         return None
 
     def _others(self) -> list[str]:
-        available = [p.heartbeat for p in self._peers.live if not p.heartbeat.stopping]
+        heartbeats = [peer.heartbeat for peer in self._peers.live]
+        available = [h for h in heartbeats if not (h.stopping or h.without_links)]
         return ranked_by_capacity("opinion", {h.node: h.cores for h in available})
 
     async def _ask(self, node: str, target: str) -> bool | None:
--- a/mallowpond/node/leadership.py
+++ b/mallowpond/node/leadership.py
@@ -20,6 +20,7 @@
     new_id,
     transaction,
 )
+from mallowpond.node.messages import Heartbeat
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.unreadable import UnreadableLog
 from mallowpond.state.decoding import DecodeFault, Unreadable, decode
@@ -55,7 +56,8 @@
     A node acquires the lease when none of its live peers plans and it ranks first by
     capacity. Each new holder writes a higher fencing number. Engines that check fencing
     refuse the orders of earlier holders; without such checks the lease has to expire
-    before another node acquires it.
+    before another node acquires it. `has_links` returns whether this node has links to
+    the targets; a node without them hands over to one that has.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         rng: random.Random,
         checks_fencing: bool,
         can_plan: Callable[[], bool],
+        has_links: Callable[[], bool] = lambda: True,
         cores: float = 0.0,
         unreadable_log: UnreadableLog | None = None,
     ) -> None:
@@ -82,6 +85,7 @@
         self._rng = rng
         self._checks_fencing = checks_fencing
         self._can_plan = can_plan
+        self._has_links = has_links
         self._fence = 0
         self._version = 0
         self._renewed_at = float("-inf")
@@ -117,6 +121,8 @@
         if self._fence:
             if self._is_superseded():
                 self.step_down("a peer plans with a higher fencing number")
+            elif not self._has_links() and self._planning_candidates():
+                self.step_down("this node has no links to the targets")
             elif now - self._renewed_at >= RENEW_SECONDS:
                 await self.renew()
             return
@@ -139,15 +145,21 @@
         return any(p.heartbeat.planning > self._fence for p in self._peers.live)
 
     def _should_acquire(self, now: float) -> bool:
-        if not self._can_plan() or now - self._started_at < DISCOVERY_SECONDS:
+        if not self._can_plan() or not self._has_links():
             return False
-        candidates = [p.heartbeat for p in self._peers.live]
-        candidates = [h for h in candidates if h.store and not h.stopping]
+        if now - self._started_at < DISCOVERY_SECONDS:
+            return False
+        candidates = self._planning_candidates()
         if any(heartbeat.planning for heartbeat in candidates):
             return False
         cores = {self._name: self._cores, **{h.node: h.cores for h in candidates}}
         return ranked_by_capacity(LEASE_NAME, cores)[0] == self._name
 
+    def _planning_candidates(self) -> list[Heartbeat]:
+        """Return the heartbeats of the live peers that could plan."""
+        heartbeats = (peer.heartbeat for peer in self._peers.live)
+        return [heartbeat for heartbeat in heartbeats if heartbeat.can_plan]
+
     async def _acquire(self) -> None:
         row = await self._table.read(LEASE_KEY)
         if isinstance(row, Unavailable):
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -100,6 +100,11 @@
     # Whether the node has lost its links to the targets.
     without_links: bool = False
 
+    @property
+    def can_plan(self) -> bool:
+        """Return whether the node could hold the planner's lease."""
+        return self.store and not (self.stopping or self.without_links)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Suspicion:
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -216,16 +216,15 @@
     def has_stopped_planning(self, node: str, incarnation: str) -> bool:
         """Return whether a known node cannot be planning under this incarnation.
 
-        That is so if it restarted, cannot reach the store, is stopping, or is not live.
-        A node from which no heartbeat arrived may still plan.
+        That is so if it restarted, cannot reach the store or the targets, is stopping,
+        or is not live. A node from which no heartbeat arrived may still plan.
         """
         peer = self._peers.get(node)
         if peer is None:
             return False
         heartbeat = peer.heartbeat
-        can_plan = heartbeat.store and not heartbeat.stopping
         return heartbeat.incarnation != incarnation or not (
-            can_plan and peer.is_live(self._clock.now())
+            heartbeat.can_plan and peer.is_live(self._clock.now())
         )
 
     @property
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -42,6 +42,7 @@
 )
 from mallowpond.node.probes import TargetProbes
 from mallowpond.node.target_availability import TargetAvailability
+from mallowpond.node.target_links import TargetLinks
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.watch import GroupWatch
 from mallowpond.state.consolidation import Consolidation
@@ -137,7 +138,9 @@
         availability: TargetAvailability,
         rebalance: bool = False,
         regroup_slow: bool = False,
+        links: TargetLinks | None = None,
     ) -> None:
+        self._links = links
         self._rebalance = rebalance
         self._regroup_slow = regroup_slow
         self._configuration = configuration
@@ -170,6 +173,7 @@
             availability=availability,
             is_report_current=self._is_report_current,
             spawn=self._spawn,
+            links=links,
         )
         self._pace_probes = PaceProbes(
             directory=directory,
@@ -228,6 +232,10 @@
         self._directory.poll_seconds = (
             PLANNER_POLL_SECONDS if self._has_pending_effects else POLL_SECONDS
         )
+        if self._links is not None and self._links.is_lost:
+            # What this host knows of the targets may be wrong, and no other host can
+            # plan: whatever serves goes on.
+            return
         if not await self._is_lease_confirmed():
             return
         self._last_round_at = self._clock.now()
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -19,6 +19,7 @@
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.ports import EngineReport, Targets
 from mallowpond.node.target_availability import TargetAvailability
+from mallowpond.node.target_links import TargetLinks
 from mallowpond.state.broken_groups import STALE_ENTRY_SECONDS
 from mallowpond.state.fleet import Process, Target
 from mallowpond.state.observer_health import ObserverHealth
@@ -64,7 +65,9 @@
         availability: TargetAvailability,
         is_report_current: Callable[[Target], bool],
         spawn: Callable[[Coroutine[Any, Any, Any]], None],
+        links: TargetLinks | None = None,
     ) -> None:
+        self._links = links
         self._configuration = configuration
         self._directory = directory
         self._targets = targets
@@ -222,7 +225,7 @@
             log.info("planner: target sound", target=report.target.id, pace=pace.pace)
 
     async def _probe(self, target: Target) -> bool:
-        reason = ""
+        reason, began = "", self._clock.now()
         for _ in range(PROBE_ATTEMPTS):
             report = await self.fetch_report(target)
             if isinstance(report, Unavailable):
@@ -233,7 +236,7 @@
             if self._lost.pop(target.process, None) is not None:
                 log.info("planner: target regained", target=target.id)
             return report.target.process == target.process
-        if not await self._is_confirmed_silent(target):
+        if not await self._is_confirmed_silent(target, began):
             return False
         listed = self._directory.targets.get(target.id)
         if listed is None or listed.process != target.process:
@@ -243,12 +246,16 @@
         self._lost[target.process] = self._clock.now()
         return False
 
-    async def _is_confirmed_silent(self, target: Target) -> bool:
-        """Return whether a target's silence is not caused by this host.
+    async def _is_confirmed_silent(self, target: Target, since: float) -> bool:
+        """Return whether a target's silence since a time is not caused by this host.
 
-        When so many targets are silent that this host itself may be at fault, another
-        host probes the target indirectly. If none can answer, the silence counts.
+        It counts only if this host reaches other targets itself. When so many targets
+        are silent that this host itself may be at fault, another host probes the target
+        indirectly. If none can answer, the silence counts.
         """
+        if self._links is not None and not await self._links.confirm(since):
+            log.warning("planner: silence not counted", target=target.id)
+            return False
         now = self._clock.now()
         self._observer_health.record_silence(target.id, target.domain, now)
         if not self._observer_health.is_suspect(now):
@@ -259,13 +266,19 @@
         return False
 
     async def _probe_for_peer(self, identifier: str) -> bool | None:
-        """Probe a target for another host; return None if it is not listed here."""
+        """Probe a target for another host.
+
+        Return None if it is not listed here, or if this host cannot judge its silence.
+        """
         target = self._directory.targets.get(identifier)
         if target is None:
             return None
+        began = self._clock.now()
         for _ in range(PROBE_ATTEMPTS):
             if not isinstance(await self.fetch_report(target), Unavailable):
                 return True
+        if self._links is not None and not await self._links.confirm(began):
+            return None
         return False
 
     def _check_lapsed(self, target: Target, now: float) -> None:
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -212,6 +212,7 @@
             checks_fencing=settings.bounds.checks_fencing,
             cores=settings.cores,
             can_plan=self._can_plan,
+            has_links=lambda: not self.links.is_lost,
             unreadable_log=unreadable_log,
         )
         self.planner = GroupPlanner(
@@ -228,6 +229,7 @@
             availability=availability,
             rebalance=settings.planning.rebalance,
             regroup_slow=settings.planning.regroup_slow,
+            links=self.links,
         )
         self.ended_heads = EndedHeadReports(
             name=settings.name,
@@ -236,6 +238,7 @@
             clock=clock,
             is_planning=lambda: self.leadership.fence > 0,
             probe=self.planner.probe_head,
+            has_links=lambda: not self.links.is_lost,
         )
         self.streams.on_head_ended.append(self.ended_heads.record)
         self.fanout = Fanout(
--- a/mallowpond/node/target_links.py
+++ b/mallowpond/node/target_links.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
+from itertools import zip_longest
 
 import structlog
 
@@ -19,6 +20,7 @@
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.state.fleet import Target
 from mallowpond.state.link_health import (
+    CHECKED_TARGETS,
     MIN_TARGETS,
     FleetSize,
     LinkHealth,
@@ -302,17 +304,22 @@
 
     # -- the state of the links ----------------------------------------------
 
-    async def confirm(self) -> bool:
-        """Return whether this host reaches targets itself; concurrent calls share."""
+    async def confirm(self, since: float = float("inf")) -> bool:
+        """Return whether this host reaches targets itself.
+
+        The result of a check that began after `since` is used again, as is one that is
+        running.
+        """
         if self.is_lost:
             return False
-        if self._confirming is None or self._confirming.done():
+        is_running = self._confirming is not None and not self._confirming.done()
+        if self._confirming is None or not (is_running or self._checked_at >= since):
             self._confirming = asyncio.ensure_future(self._confirm())
         return await asyncio.shield(self._confirming)
 
     async def _confirm(self) -> bool:
         self._checked_at = self._clock.now()
-        sample = self._draw_targets()
+        sample = self._draw_targets(MIN_TARGETS)
         opened = await asyncio.gather(*(self.connect(t.address) for t in sample))
         connections = [each for each in opened if isinstance(each, Connected)]
         for connection in connections:
@@ -321,24 +328,27 @@
 
     async def _try_direct(self) -> None:
         """Open direct connections to a few targets while the links are lost."""
-        sample = self._draw_targets()
+        sample = self._draw_targets(CHECKED_TARGETS)
         opened = await asyncio.gather(
             *(self.connect_directly(target.address) for target in sample)
         )
-        for each in opened:
-            if isinstance(each, Connected):
-                each.writer.transport.abort()
+        connections = [each for each in opened if isinstance(each, Connected)]
+        for connection in connections:
+            connection.writer.transport.abort()
+        reached = len(connections)
+        self._health.record_check(reached=reached, failed=len(sample) - reached)
+        self._notify_change()
 
-    def _draw_targets(self) -> list[Target]:
+    def _draw_targets(self, count: int) -> list[Target]:
         """Return a few random targets, each of another domain where possible."""
         self._index_targets()
         domains = self._rng.sample(sorted(self._by_domain), len(self._by_domain))
-        drawn: dict[str, Target] = {}
-        while domains and len(drawn) < min(MIN_TARGETS, self._fleet.targets):
-            for domain in domains:
-                target = self._rng.choice(self._by_domain[domain])
-                drawn[target.id] = target
-        return list(drawn.values())[:MIN_TARGETS]
+        columns = [
+            self._rng.sample(targets, min(count, len(targets)))
+            for targets in (self._by_domain[domain] for domain in domains)
+        ]
+        rows = zip_longest(*columns)
+        return [target for row in rows for target in row if target is not None][:count]
 
     def _record(
         self, target: Target, opened: Connected | ConnectFailed, *, by_peer: bool
@@ -349,16 +359,21 @@
         match opened:
             case Connected():
                 self._only_by_proxy.pop(target.id, None)
-                self._health.record_reached(target.id, domain, now, self._fleet)
+                self._health.record_reached(target.id, domain, now)
             case ConnectFailed():
                 self._health.record_unreached(
                     target.id, domain, now, self._fleet, by_peer=by_peer
                 )
-        if self.is_lost is not self._was_lost:
-            self._was_lost = self.is_lost
-            self._log_change()
-            for notify in self.on_change:
-                notify()
+        self._notify_change()
+
+    def _notify_change(self) -> None:
+        """Log and announce that the links were lost or restored, if they were."""
+        if self.is_lost is self._was_lost:
+            return
+        self._was_lost = self.is_lost
+        self._log_change()
+        for notify in self.on_change:
+            notify()
 
     def _find(self, address: str) -> Target | None:
         self._index_targets()
--- a/mallowpond/node/tests/test_leadership.py
+++ b/mallowpond/node/tests/test_leadership.py
@@ -33,7 +33,7 @@
         return node not in self.unknown
 
 
-def make_peer(name, planning=0, store=True, stopping=False):
+def make_peer(name, planning=0, store=True, stopping=False, without_links=False):
     """Return a peer that sent such a heartbeat."""
     heartbeat = Heartbeat(
         node=name,
@@ -44,11 +44,12 @@
         store=store,
         stopping=stopping,
         planning=planning,
+        without_links=without_links,
     )
     return Peer(heartbeat=heartbeat, heard_at=0.0)
 
 
-def leadership_of(name, table, clock, peers=None, checks_fencing=True):
+def leadership_of(name, table, clock, peers=None, checks_fencing=True, **more):
     """Build a node's leadership and let its discovery time pass."""
     leadership = Leadership(
         name=name,
@@ -59,6 +60,7 @@
         rng=random.Random(1),
         checks_fencing=checks_fencing,
         can_plan=lambda: True,
+        **more,
     )
     clock.time += DISCOVERY_SECONDS
     return leadership
@@ -328,3 +330,25 @@
     clock.time += UNRENEWED_SECONDS + 0.1
     await other.step()
     assert other.fence == 2
+
+
+async def test_a_planner_without_links_hands_over_to_a_node_that_has_them():
+    """Guards against a planner that dissolves the groups that it cannot reach."""
+    clock, table = FakeClock(), MemoryTable()
+    has_links = True
+    peers = FakePeers(live=[make_peer("b", without_links=True)])
+    holder = leadership_of("a", table, clock, peers, has_links=lambda: has_links)
+    await holder.step()
+    has_links = False
+    await holder.step()
+    assert holder.fence > 0
+    peers.live = [make_peer("c")]
+    await holder.step()
+    assert holder.fence == 0
+
+
+async def test_a_node_without_links_takes_no_lease():
+    clock, table = FakeClock(), MemoryTable()
+    node = leadership_of("a", table, clock, has_links=lambda: False)
+    await node.step()
+    assert node.fence == 0
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -1097,3 +1097,40 @@
     assert len(seen) == len(set(seen)) == asked
     # The doubted come first, the others one by one.
     assert sorted(per_round)[-2:] == [1 if asked > 4 else 0, 2 * doubted + (asked > 4)]
+
+
+class FakeLinks:
+    """Links of a host that reaches targets itself, or does not."""
+
+    def __init__(self):
+        self.is_lost = False
+        self.is_confirmed = True
+
+    async def confirm(self, since):
+        """Return whether the links are sound."""
+        return self.is_confirmed
+
+
+async def test_silence_counts_only_while_the_planner_reaches_other_targets():
+    """Guards against groups dissolved by a planner that has lost its own links."""
+    links = FakeLinks()
+    rig = Rig(*open_group("g"), links=links)
+    await rig.steps(2)
+    rig.targets.reports = {"g0": Unavailable(reason="timeout")}
+    links.is_confirmed = False
+    rig.planner.probe_head(rig.directory.targets["g0"].process, "n1")
+    await rig.steps(6)
+    assert rig.orders_of(Leave) == []
+    links.is_confirmed = True
+    rig.planner.probe_head(rig.directory.targets["g0"].process, "n1")
+    await rig.steps(3)
+    assert {step.target.id for step in rig.orders_of(Leave)} == {"g1"}
+
+
+async def test_a_planner_without_links_plans_nothing():
+    """Guards against orders that rest on what an isolated host believes."""
+    links = FakeLinks()
+    links.is_lost = True
+    rig = Rig(free("a"), free("b"), links=links)
+    await rig.steps(3)
+    assert rig.targets.orders == []
--- a/mallowpond/state/link_health.py
+++ b/mallowpond/state/link_health.py
@@ -10,10 +10,13 @@
 from dataclasses import dataclass
 
 # Numbers of targets, and of their domains, that only other hosts must reach before the
-# links count as lost, and for which a new connection must succeed before they count as
-# restored. In a smaller fleet all targets suffice.
+# links count as lost. In a smaller fleet all targets suffice.
 MIN_TARGETS = 3
 MIN_DOMAINS = 2
+# Number of targets that a check of lost links tries, and how many of them may fail, as
+# they may be dead: links to a part of the targets are not restored links.
+CHECKED_TARGETS = 5
+MAX_CHECK_FAILURES = 1
 # Time for which a failed or opened connection counts, in seconds.
 WINDOW_SECONDS = 2.0
 
@@ -57,17 +60,12 @@
         """Return whether this host has lost its links to the targets."""
         return self._is_lost
 
-    def record_reached(
-        self, target: str, domain: str, now: float, fleet: FleetSize
-    ) -> None:
+    def record_reached(self, target: str, domain: str, now: float) -> None:
         """Record that this host opened a connection to a target itself."""
         self._failed.pop(target, None)
         self._add(self._reached, target, domain, now)
         if not self._is_lost:
             self._only_by_peers.clear()
-        elif _suffices(self._reached, fleet):
-            self._is_lost = False
-            self._only_by_peers.clear()
 
     def record_unreached(
         self, target: str, domain: str, now: float, fleet: FleetSize, *, by_peer: bool
@@ -79,7 +77,12 @@
         self._add(self._only_by_peers, target, domain, now)
         if not self._is_lost and _suffices(self._only_by_peers, fleet):
             self._is_lost = True
-            self._reached.clear()
+
+    def record_check(self, *, reached: int, failed: int) -> None:
+        """Record how many of a few targets a check of lost links reached."""
+        if reached and failed <= min(MAX_CHECK_FAILURES, reached - 1):
+            self._is_lost = False
+            self._only_by_peers.clear()
 
     def summary(self, now: float) -> LinkSummary:
         """Return the counts of the recent outcomes."""
