Move streams off lost links, and report no suspicion that rests on them

Cut hosts also excluded each group that fell silent with their links for a second, and reported suspicions to all hosts. A repeated send now opens a new connection; idle connections are not used after a reset until a target is heard again; when the links are lost, streams that hang on direct connections move at once and all groups are used again. A suspicion is reported only if another target was heard meanwhile or this host reaches targets.

--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -224,6 +224,7 @@
             workspace=work.workspace,
             seconds_left=left,
             last_event=None,
+            is_repeat=len(work.sent_to) + len(work.rejected_by) > 1,
         )
         if isinstance(response, CallFailed):
             reason = Reason.MAYBE_RUN if response.may_have_sent else Reason.CONNECT
--- a/mallowpond/node/outcomes.py
+++ b/mallowpond/node/outcomes.py
@@ -24,6 +24,7 @@
     BUDGET_USED = "budget_used"
     BROKEN_STREAM = "broken_stream"
     SILENT_GROUP = "silent_group"
+    LINKS_LOST = "links_lost"
     TARGET_FAILED = "target_failed"
     CONNECT = "connect"
     HELD_BACK = "held_back"
--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -207,10 +207,15 @@
         workspace: str | None,
         seconds_left: float,
         last_event: str | None,
+        is_repeat: bool = False,
+        on_connected: Callable[[str], None] | None = None,
     ) -> HttpResponse | CallFailed:
         """Send a request and return once the header of its answer has arrived.
 
-        With `last_event` a stream resumes after the event of that id.
+        With `last_event` a stream resumes after the event of that id. A repeat is sent
+        on a new connection, as idle ones may fail for the same reason as the first
+        send. `on_connected` gets the name of the peer that the connection leads
+        through, "" if it is direct.
         """
 
     def is_not_run(self, response: HttpResponse) -> bool:
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -201,6 +201,7 @@
             clock=clock,
             metrics=self.metrics,
             stall_seconds=settings.bounds.stall,
+            links=self.links,
         )
         self.leadership = Leadership(
             name=settings.name,
--- a/mallowpond/node/stream_work.py
+++ b/mallowpond/node/stream_work.py
@@ -83,6 +83,12 @@
     prefill_tokens: float = 0.0
     last_event_at: float | None = None
     events: int = 0
+    # Whether it was sent on a direct connection; None while none is open.
+    is_direct: bool | None = None
+
+    def record_connected(self, proxy: str) -> None:
+        """Record through which peer the stream was sent, "" for a direct connection."""
+        self.is_direct = not proxy
 
     @property
     def key(self) -> GroupKey:
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -273,6 +273,8 @@
             workspace=work.workspace,
             seconds_left=work.deadline - self._clock.now(),
             last_event=work.last_event_id,
+            is_repeat=work.sends > 1,
+            on_connected=stream.record_connected,
         )
         if isinstance(response, CallFailed):
             if response.may_have_sent:
--- a/mallowpond/node/target_links.py
+++ b/mallowpond/node/target_links.py
@@ -292,6 +292,8 @@
 
         Where only new ones fail, those that are open live on.
         """
+        if self.activity.is_reset:
+            return False
         return not self.is_lost or self.heard_within(SILENCE_SECONDS)
 
     def _may_reuse_tunnel(self, name: str, target: str) -> bool:
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -119,7 +119,9 @@
     def use_connector(self, connector):
         """Do nothing, as no connection is opened."""
 
-    async def send(self, target, request, *, workspace, seconds_left, last_event):
+    async def send(
+        self, target, request, *, workspace, seconds_left, last_event, **more
+    ):
         """Record the send, and return the target's next answer."""
         self.sends.append((target.id, last_event))
         return self.answers[target.id].popleft()
--- a/mallowpond/node/tests/test_calls.py
+++ b/mallowpond/node/tests/test_calls.py
@@ -103,7 +103,7 @@
     await directory.refresh()
     budget = RetryWindow(ratio=0.0, slack=slack, window_seconds=10.0)
 
-    async def send(target, request, *, workspace, seconds_left, last_event):
+    async def send(target, request, *, workspace, seconds_left, last_event, **more):
         fakes.sends.append(target.id)
         return remaining.popleft()
 
--- a/mallowpond/node/tests/test_watch.py
+++ b/mallowpond/node/tests/test_watch.py
@@ -49,7 +49,25 @@
         self.broadcasts.append(key)
 
 
-async def make_watched_rig(*groups):
+class FakeLinks:
+    """Links of a host, of which the tests set the state."""
+
+    def __init__(self, *, is_heard=False, is_confirmed=True):
+        self.is_lost = False
+        self.is_heard = is_heard
+        self.is_confirmed = is_confirmed
+        self.on_change = []
+
+    def heard_within(self, seconds):
+        """Return whether any target was heard."""
+        return self.is_heard
+
+    async def confirm(self):
+        """Return whether this host reaches targets."""
+        return self.is_confirmed
+
+
+async def make_watched_rig(*groups, links=None):
     """Return a rig with a watch and one stream that got its first event from `a`."""
     rig = await make_rig(*groups)
     peers = FakePeers()
@@ -60,6 +78,7 @@
         clock=rig.clock,
         metrics=NodeMetrics(),
         stall_seconds=STALL_SECONDS,
+        links=links,
     )
     blocker = asyncio.get_running_loop().create_future()
     rig.targets.script("a0", FakeResponse(script=[event(1), blocker]))
@@ -376,3 +395,28 @@
     advance_time(rig, watch, 0.3)
     assert stream.move_reason is Reason.SILENT_GROUP
     await cancel(task)
+
+
+@pytest.mark.parametrize("is_confirmed", [True, False])
+async def test_a_suspicion_is_reported_only_with_working_links(is_confirmed):
+    """Guards against groups that all hosts avoid since one host lost its links."""
+    links = FakeLinks(is_confirmed=is_confirmed)
+    rig, watch, peers, task, _ = await make_watched_rig("a", "b", links=links)
+    advance_time(rig, watch, 0.3)
+    assert await task == Answered(status=200, target="b0")
+    await asyncio.sleep(0.01)
+    assert peers.broadcasts == ([("a", 1)] if is_confirmed else [])
+
+
+async def test_streams_move_when_the_links_are_lost_and_all_groups_are_used():
+    """Guards against streams that wait on silent connections until callers leave."""
+    links = FakeLinks()
+    rig, watch, peers, task, _ = await make_watched_rig("a", "b", links=links)
+    (stream,) = rig.service.active
+    stream.record_connected("")
+    watch._exclude_unreached(("b", 1))
+    links.is_lost = True
+    for notify in links.on_change:
+        notify()
+    assert await task == Answered(status=200, target="b0")
+    assert peers.broadcasts == []
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -1,5 +1,6 @@
 """Detect failed and slow groups by their streams, and move the streams away."""
 
+import asyncio
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import replace
@@ -14,6 +15,7 @@
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.stream_work import ActiveStream
 from mallowpond.node.streams import StreamService
+from mallowpond.node.target_links import TargetLinks
 from mallowpond.state.fleet import BreakCause, Group, GroupKey
 from mallowpond.state.placement import pass_seconds, silent_seconds
 from mallowpond.state.silence import (
@@ -44,6 +46,10 @@
 UNREACHABLE_SECONDS = 1.0
 
 
+# Time within which bytes of any target show that open connections live on, in seconds.
+LIVE_SECONDS = 0.15
+
+
 class GroupWatch:
     """Failure detector for groups: suspects those on which all streams are silent.
 
@@ -63,7 +69,9 @@
         clock: Clock,
         metrics: NodeMetrics,
         stall_seconds: float,
+        links: TargetLinks | None = None,
     ) -> None:
+        self._links = links
         self._streams = streams
         self._directory = directory
         self._peers = peers
@@ -74,6 +82,9 @@
         self._interval = MIN_CHECK_INTERVAL_SECONDS
         self._silence_counts_from = clock.now()
         self._queries: dict[GroupKey, PeerQuery] = {}
+        # Groups that only this host did not reach, and until when it excludes them.
+        self._unreached: dict[GroupKey, float] = {}
+        self._confirmations: set[asyncio.Task[None]] = set()
         # Called when a group is suspected or broken.
         self.on_suspect: list[Callable[[GroupKey], None]] = []
         directory.on_broken.append(self._on_broken)
@@ -81,6 +92,8 @@
         peers.on_group_broken.append(self._on_group_broken)
         peers.on_silence_question.append(self._on_silence_question)
         peers.on_advance.append(self._on_advance)
+        if links is not None:
+            links.on_change.append(self._on_links_changed)
 
     async def run(self) -> None:
         """Check the groups until cancelled."""
@@ -137,6 +150,9 @@
             case SilenceVerdict.ASK:
                 self._queries[key] = PeerQuery(asked_at=now)
                 self._peers.ask_group_progress(key, silence.silent_seconds)
+            case SilenceVerdict.SUSPECT if self._is_isolated:
+                del self._queries[key]
+                self._leave_unreachable(key, streams, silence)
             case SilenceVerdict.SUSPECT:
                 del self._queries[key]
                 self._suspect(key, streams, silence)
@@ -197,7 +213,44 @@
         )
         self._exclude_suspected(key)
         self._move(streams)
-        self._peers.broadcast_suspicion(key)
+        if self._links is None or self._links.heard_within(silence.silent_seconds):
+            self._peers.broadcast_suspicion(key)
+            return
+        # All targets are as silent as this one, so the links may be at fault.
+        task = asyncio.ensure_future(self._confirm_suspicion(key, self._links))
+        self._confirmations.add(task)
+        task.add_done_callback(self._confirmations.discard)
+
+    async def _confirm_suspicion(self, key: GroupKey, links: TargetLinks) -> None:
+        """Report a suspicion to the peers if this host reaches targets itself."""
+        if await links.confirm():
+            self._peers.broadcast_suspicion(key)
+        else:
+            self._exclude_unreached(key)
+
+    @property
+    def _is_isolated(self) -> bool:
+        """Return whether this host has lost its links to the targets."""
+        return self._links is not None and self._links.is_lost
+
+    def _on_links_changed(self) -> None:
+        """Move silent streams when the links are lost, and use all groups again.
+
+        The groups that were left as unreached are reached through peers, as are those
+        that fell silent with the links.
+        """
+        if not self._is_isolated:
+            return
+        for key in self._unreached:
+            self.clear(key)
+        self._unreached.clear()
+        assert self._links is not None
+        if self._links.heard_within(LIVE_SECONDS):
+            # Only new connections fail.
+            return
+        for stream in list(self._streams.active):
+            if stream.is_direct and self._streams.can_resume(stream):
+                stream.move(Reason.LINKS_LOST)
 
     def _leave_unreachable(
         self, key: GroupKey, streams: list[ActiveStream], silence: GroupSilence
@@ -211,9 +264,18 @@
             predicted=round(silence.predicted_gap, 3),
             streams=len(streams),
         )
-        self._exclude(key, UNREACHABLE_SECONDS)
+        if not self._is_isolated or any(s.is_direct is False for s in streams):
+            self._exclude_unreached(key)
         self._move(streams)
 
+    def _exclude_unreached(self, key: GroupKey) -> None:
+        """Exclude a group for a short time, or until the links are known to be lost."""
+        now = self._clock.now()
+        self._unreached = {k: at for k, at in self._unreached.items() if at > now}
+        self._unreached[key] = now + UNREACHABLE_SECONDS
+        self._directory.readmit_group(key)
+        self._exclude(key, UNREACHABLE_SECONDS)
+
     def _move(self, streams: list[ActiveStream]) -> None:
         """Move the streams that another group can take now; the others stay.
 
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -66,6 +66,8 @@
         workspace: str | None,
         seconds_left: float,
         last_event: str | None,
+        is_repeat: bool = False,
+        on_connected: Callable[[str], None] | None = None,
     ) -> HttpResponse | CallFailed:
         """Send a request and return once the header of its answer has arrived.
 
@@ -86,7 +88,9 @@
             request.target,
             headers=headers,
             body=request.body,
+            new_connection=is_repeat,
             echo=(names.ATTEMPT, request.id),
+            on_connected=on_connected,
         )
 
     def is_not_run(self, response: HttpResponse) -> bool:
--- a/mallowpond/transport/connector.py
+++ b/mallowpond/transport/connector.py
@@ -22,17 +22,25 @@
     """Reads that wait on direct connections, and when any of them last got bytes."""
 
     _heard_at: float = field(default_factory=time.monotonic)
+    _reset_at: float = float("-inf")
     _waiting: dict[Hashable, tuple[str, float]] = field(default_factory=dict)
 
     def begin_wait(self, key: Hashable, address: str) -> None:
         """Record that a read of bytes from a server begins to wait."""
         self._waiting[key] = (address, time.monotonic())
 
-    def end_wait(self, key: Hashable, *, is_heard: bool) -> None:
-        """Record that a read ended, and whether it got bytes."""
+    def end_wait(self, key: Hashable, *, is_heard: bool, is_reset: bool) -> None:
+        """Record that a read ended, and whether it got bytes or a reset."""
         self._waiting.pop(key, None)
         if is_heard:
             self._heard_at = time.monotonic()
+        if is_reset:
+            self._reset_at = time.monotonic()
+
+    @property
+    def is_reset(self) -> bool:
+        """Return whether a connection was reset and no bytes have come since."""
+        return self._reset_at > self._heard_at
 
     @property
     def seconds_since_heard(self) -> float:
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -4,7 +4,7 @@
 import re
 import time
 from collections import defaultdict
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -94,12 +94,15 @@
 
     async def read(self) -> bytes:
         """Return the next bytes of the server, b"" at the end of the connection."""
-        activity, data = self.opened.activity, b""
+        activity, data, is_reset = self.opened.activity, b"", False
         activity.begin_wait(id(self), self.address)
         try:
             data = await self.reader.read(READ_SIZE)
+        except ConnectionError:
+            is_reset = True
+            raise
         finally:
-            activity.end_wait(id(self), is_heard=bool(data))
+            activity.end_wait(id(self), is_heard=bool(data), is_reset=is_reset)
         return data
 
     @property
@@ -279,6 +282,7 @@
         body: bytes = b"",
         new_connection: bool = False,
         echo: tuple[str, str] | None = None,
+        on_connected: Callable[[str], None] | None = None,
     ) -> HttpResponse | CallFailed:
         """Send a request and return when the head of the response has arrived.
 
@@ -288,6 +292,9 @@
 
         With `new_connection` no idle connection is reused: a server may close one
         while the request is being sent; it is then unknown whether the request ran.
+
+        `on_connected` gets the name of the host that the connection leads through, ""
+        if it is direct, just before the request is sent.
         """
         connection = None if new_connection else self._take_idle(address)
         if connection is None:
@@ -295,6 +302,8 @@
             if isinstance(connected, CallFailed):
                 return connected
             connection = connected
+        if on_connected is not None:
+            on_connected(connection.opened.proxy)
         try:
             data = _start_request(connection, method, target, headers, body)
             response = await _exchange(connection, data)
@@ -307,6 +316,8 @@
             raise
         if isinstance(response, CallFailed):
             connection.abort()
+            # Idle connections to the server may have failed with this one.
+            self._discard_idle(address)
             return response
         return HttpResponse(head=response, connection=connection, client=self)
 
