Forget the paces that a host saw as its links fell silent, and silent idle connections

A host forgets its own observations when its links are lost. A caller that gives up on a reused connection after 0.3 s has the other idle ones to that server closed: where single targets are cut, each later call would take the next silent one.

--- a/mallowpond/node/group_loads.py
+++ b/mallowpond/node/group_loads.py
@@ -68,12 +68,16 @@
     # Last backoff after the group rejected a stream; an event resets it to 0.
     backoff_seconds: float = 0.0
 
-    def forget_pace(self) -> None:
-        """Reset what earlier engine processes showed; keep the stream counts."""
+    def forget_observations(self) -> None:
+        """Reset the observed pace."""
         self.slowness = 1.0
         self.observed_at = float("-inf")
         self.gaps_on_pace = 0
         self.recent = ()
+
+    def forget_pace(self) -> None:
+        """Reset what earlier engine processes showed; keep the stream counts."""
+        self.forget_observations()
         self.excluded_until = 0.0
         self.suspicions = 0
         self.backoff_seconds = 0.0
@@ -330,6 +334,12 @@
         self._work[key].forget_pace()
         self.paces.forget(key)
 
+    def forget_own_paces(self) -> None:
+        """Forget what this host itself observed of the pace of all groups."""
+        for work in self._work.values():
+            work.forget_observations()
+        self.paces.record("", {}, self._clock.now())
+
     def all_work(self) -> Iterable[GroupWork]:
         """Return this host's own work on every group."""
         return self._work.values()
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -134,9 +134,7 @@
             has_links=lambda: not self.links.is_lost,
         )
         self.metrics.carried_tunnels.set_function(lambda: self.tunnels.count)
-        self.links.on_change.append(
-            lambda: self.peers.broadcast(self._build_heartbeat())
-        )
+        self.links.on_change.append(self._on_links_changed)
         quarantine = Quarantine(clock=clock, metrics=self.metrics)
         self.quarantine_sharing = QuarantineSharing(
             name=settings.name,
@@ -515,6 +513,13 @@
             self.streams.placement.admission.invalidate()
         self.dispatcher.wake()
 
+    def _on_links_changed(self) -> None:
+        """Tell the peers at once whether this host has links to the targets."""
+        if self.links.is_lost:
+            # The silence of the links looked like slow groups.
+            self.directory.loads.forget_own_paces()
+        self.peers.broadcast(self._build_heartbeat())
+
     def _count_pace_change(self, change: PaceChange) -> None:
         self.metrics.slow_groups.set(len(self.directory.loads.paces.slow))
         self.metrics.pace_changes.labels("slow" if change.is_slow else "well").inc()
--- a/mallowpond/node/target_links.py
+++ b/mallowpond/node/target_links.py
@@ -393,6 +393,10 @@
 
     def _forget_targets(self) -> None:
         self._by_address = None
+        now = self._clock.now()
+        for until in (self._only_by_proxy, self._unreached, self._avoided):
+            for name in [name for name, at in until.items() if at <= now]:
+                del until[name]
 
     def _log_change(self) -> None:
         summary = self._health.summary(self._clock.now())
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -225,6 +225,9 @@
         """Report a suspicion to the peers if this host reaches targets itself."""
         if await links.confirm():
             self._peers.broadcast_suspicion(key)
+        elif links.is_lost:
+            # Peers reach the group for this host.
+            self.clear(key)
         else:
             self._exclude_unreached(key)
 
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -26,6 +26,9 @@
 KEEP_ALIVE_FRACTION = 0.75
 # Number of responses to earlier requests at which a request fails.
 MAX_STALE_RESPONSES = 4
+# Time without an answer on a reused connection after which a caller that gives up has
+# the other idle ones to that server closed, in seconds: all may be silent.
+SILENT_SECONDS = 0.3
 METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE"})
 # Longer numbers may overflow a float, so the header then counts as absent.
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,9})(?![0-9])")
@@ -297,6 +300,7 @@
         if it is direct, just before the request is sent.
         """
         connection = None if new_connection else self._take_idle(address)
+        is_reused, began = connection is not None, time.monotonic()
         if connection is None:
             connected = await self._connect(address)
             if isinstance(connected, CallFailed):
@@ -313,6 +317,8 @@
                 )
         except BaseException:
             connection.abort()
+            if is_reused and time.monotonic() - began > SILENT_SECONDS:
+                self._discard_idle(address)
             raise
         if isinstance(response, CallFailed):
             connection.abort()
