--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
     "claims": "Claim latency and transactions, alone and grouped.",
     "membership": "Reads, writes and bytes per node; ownership moved.",
     "request_path": "Processor time and memory per request, chunk and stream.",
+    "tunnels": "Cost of connections to targets through a peer.",
     "control": "Processor time and memory of processes at rest.",
     "bounds": "Seconds from faults and changes to their answer.",
 }
--- a/mallowpond/node/target_links.py
+++ b/mallowpond/node/target_links.py
@@ -53,6 +53,8 @@
 MIN_REFUSALS = 2
 # Time for which a peer that opened no tunnel is not asked again, in seconds.
 AVOIDED_SECONDS = 1.0
+# Time for which the peers that may be asked are listed, in seconds.
+PEERS_SECONDS = 0.1
 # Silence on all direct connections, while a request waits, after which the links are
 # checked, in seconds; the interval between two looks at it; and the minimum pause
 # between two checks: a single request may wait that long for its first byte.
@@ -96,6 +98,9 @@
         self._only_by_proxy: dict[str, float] = {}
         self._unreached: dict[str, float] = {}
         self._avoided: dict[str, float] = {}
+        # Peers that may be asked, by data centre, and when they were listed.
+        self._usable_peers: dict[str, list[str]] = {}
+        self._peers_at = float("-inf")
         # Listed targets by address and by domain; None while the list has changed.
         self._by_address: dict[str, Target] | None = None
         self._by_domain: dict[str, list[Target]] = {}
@@ -251,6 +256,7 @@
             case _:
                 self._metrics.tunnels.labels("failed").inc()
                 self._avoided[name] = self._clock.now() + AVOIDED_SECONDS
+                self._peers_at = float("-inf")
                 return False
 
     async def _open_tunnel(
@@ -275,13 +281,16 @@
         now = self._clock.now()
         if self._unreached.get(target.id, 0.0) > now:
             return []
-        peers = {
-            peer.heartbeat.node: peer.heartbeat.data_centre
-            for peer in self._peers.live
-            if self._can_carry(peer.heartbeat)
-            and self._avoided.get(peer.heartbeat.node, 0.0) <= now
-        }
-        return rank_proxies(peers, target.data_centre, self._rng)
+        if now - self._peers_at > PEERS_SECONDS:
+            self._peers_at, self._usable_peers = now, {}
+            for peer in self._peers.live:
+                heartbeat = peer.heartbeat
+                if self._avoided.get(heartbeat.node, 0.0) > now:
+                    continue
+                if self._can_carry(heartbeat):
+                    names = self._usable_peers.setdefault(heartbeat.data_centre, [])
+                    names.append(heartbeat.node)
+        return rank_proxies(self._usable_peers, target.data_centre, self._rng)
 
     @staticmethod
     def _can_carry(heartbeat: Heartbeat) -> bool:
--- a/mallowpond/state/tests/test_link_health.py
+++ b/mallowpond/state/tests/test_link_health.py
@@ -70,11 +70,11 @@
 
 def test_peers_of_two_data_centres_are_asked_first():
     """Guards against requests that fail as all hosts of a data centre are cut."""
-    peers = {f"{zone}-{n}": zone for zone in "abc" for n in range(3)}
+    peers = {zone: [f"{zone}-{n}" for n in range(3)] for zone in "abc"}
     for seed in range(20):
         ranked = rank_proxies(peers, "b", random.Random(seed))
-        assert peers[ranked[0]] == "b"
-        assert peers[ranked[1]] != "b"
-        assert len(ranked) == MAX_PROXIES
-    assert rank_proxies({"a-1": "a"}, "b", random.Random(1)) == ["a-1"]
+        assert ranked[0] in peers["b"]
+        assert ranked[1] not in peers["b"]
+        assert len(ranked) == len(set(ranked)) == MAX_PROXIES
+    assert rank_proxies({"a": ["a-1"]}, "b", random.Random(1)) == ["a-1"]
     assert rank_proxies({}, "b", random.Random(1)) == []
