End a check of the links with the first target that is reached; let cuts overlap in the soak

A check waited for all of its targets, 0.25 s if one of them was dark. The soak removed a packet filter twice where two cuts overlapped, and stopped with an error; nodes that are cut already are left out of a second cut, and of the nodes that a cut is compared with.

--- a/mallowpond/node/target_links.py
+++ b/mallowpond/node/target_links.py
@@ -331,11 +331,18 @@
     async def _confirm(self) -> bool:
         self._checked_at = self._clock.now()
         sample = self._draw_targets(MIN_TARGETS)
-        opened = await asyncio.gather(*(self.connect(t.address) for t in sample))
-        connections = [each for each in opened if isinstance(each, Connected)]
-        for connection in connections:
-            connection.writer.transport.abort()
-        return any(not connection.proxy for connection in connections)
+        race = ConnectRace()
+        for target in sample:
+            race.start(self.connect(target.address))
+        try:
+            while race.is_pending:
+                for attempt in await race.wait(CONNECT_SECONDS):
+                    opened = attempt.result()
+                    if isinstance(opened, Connected) and not opened.proxy:
+                        return True
+            return False
+        finally:
+            race.close()
 
     async def _try_direct(self) -> None:
         """Open direct connections to a few targets while the links are lost."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -164,6 +164,8 @@
     evacuations: list[Evacuation] = field(default_factory=list)
     cuts: list[LinkCut] = field(default_factory=list)
     _evacuated: set[str] = field(default_factory=set)
+    # Nodes that have no links to the engines now.
+    _cut: set[int] = field(default_factory=set)
 
     async def run(self, faults: tuple[Fault, ...]) -> None:
         """Inject every fault at its time; return when the last has ended."""
@@ -276,14 +278,19 @@
                 cut = [planner] if planner is not None else nodes[:1]
             case _:
                 cut = [nodes[fault.draw % len(nodes)]]
-        if len(cut) == len(nodes):
+        cut = [node for node in cut if node not in self._cut]
+        if len(cut) + len(self._cut) == len(nodes):
             cut = cut[1:]
+        if not cut:
+            return
+        self._cut.update(cut)
         mode = CUT_MODES[fault.draw // 7 % len(CUT_MODES)]
         log.info("soak: nodes cut from engines", nodes=cut, mode=mode.value)
         fleet.cut_engine_links(cut, mode)
         await asyncio.sleep(MIN_CUT_SECONDS + fault.seconds)
         healed_at = time.monotonic()
         fleet.cut_engine_links(cut, LinkMode.SOUND)
+        self._cut.difference_update(cut)
         self.cuts.append(LinkCut(nodes=tuple(cut), began_at=began, ended_at=healed_at))
         await asyncio.sleep(SETTLE_SECONDS)
         for node in cut:
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -610,6 +610,8 @@
         count = {True: 0, False: 0}
         for record in sent:
             is_cut = record.node in cut.nodes
+            if not is_cut and _is_cut(run, record):
+                continue
             count[is_cut] += 1
             served[is_cut] += record.status == 200 and record.ending is Ending.WHOLE
         failed = count[True] - served[True]
@@ -623,6 +625,16 @@
             )
 
 
+def _is_cut(run: Run, record: CallerRecord) -> bool:
+    """Return whether a request's node had no links to the engines meanwhile."""
+    return any(
+        record.node in cut.nodes
+        and cut.began_at < record.ended_at
+        and cut.ended_at > record.sent_at
+        for cut in run.cuts
+    )
+
+
 def _is_without_cuts(run: Run, start: float, end: float) -> bool:
     """Return whether the interval has only disturbances that must not cut answers."""
     return not _is_disturbed(run, start, end, except_for=NO_CUT_KINDS)
--- a/soak/packet_filter.py
+++ b/soak/packet_filter.py
@@ -23,7 +23,10 @@
 
 
 def drop_packets_from(listener: socket.socket, sources: Collection[str]) -> None:
-    """Drop all packets from these addresses, and no others."""
+    """Drop all packets from these addresses, and no others.
+
+    Without addresses, the filter that was set before is removed.
+    """
     if not sources:
         listener.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
         return
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -40,6 +40,8 @@
         self._target_port = target_port
         self._mode = LinkMode.SOUND
         self._source_modes: dict[str, LinkMode] = {}
+        # Sources whose new connections are not answered.
+        self._filtered: tuple[str, ...] = ()
         self._server: asyncio.Server | None = None
         self._writers: dict[asyncio.StreamWriter, str] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -83,8 +85,10 @@
     def _filter_new_connections(self) -> None:
         assert self._server is not None
         modes = self._source_modes.items()
-        cut = [source for source, mode in modes if mode in NO_CONNECT_MODES]
-        drop_packets_from(self._server.sockets[0], cut)
+        cut = tuple(source for source, mode in modes if mode in NO_CONNECT_MODES)
+        if cut != self._filtered:
+            self._filtered = cut
+            drop_packets_from(self._server.sockets[0], cut)
 
     def _mode_of(self, source: str) -> LinkMode:
         return self._source_modes.get(source, self._mode)
