Keep what is known of the peers that carry connections in a component of its own

Also close the direct connection if it opens in the same moment as a tunnel that is used; it would have stayed open until it was collected.

--- a/mallowpond/node/target_links.py
+++ b/mallowpond/node/target_links.py
@@ -15,9 +15,9 @@
 
 from mallowpond.coordination.ports import Clock
 from mallowpond.node.directory import Directory
-from mallowpond.node.messages import Heartbeat
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.peers import PeerNetwork
+from mallowpond.node.proxy_peers import ProxyPeers
 from mallowpond.state.fleet import Target
 from mallowpond.state.link_health import (
     CHECKED_TARGETS,
@@ -26,7 +26,6 @@
     LinkHealth,
     LinkSummary,
 )
-from mallowpond.state.proxy_choice import rank_proxies
 from mallowpond.transport.connect_race import Attempt, ConnectRace, abort_opened
 from mallowpond.transport.connector import (
     Connected,
@@ -51,10 +50,6 @@
 UNREACHED_SECONDS = 1.0
 # Number of peers that must not reach a target before they are not asked again.
 MIN_REFUSALS = 2
-# Time for which a peer that opened no tunnel is not asked again, in seconds.
-AVOIDED_SECONDS = 1.0
-# Time for which the peers that may be asked are listed, in seconds.
-PEERS_SECONDS = 0.1
 # Silence on all direct connections, while a request waits, after which the links are
 # checked, in seconds; the interval between two looks at it; and the minimum pause
 # between two checks: a single request may wait that long for its first byte.
@@ -84,7 +79,7 @@
         direct: Connector,
     ) -> None:
         self._directory = directory
-        self._peers = peers
+        self._proxies = ProxyPeers(peers=peers, clock=clock, rng=rng)
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
@@ -94,13 +89,9 @@
         self._confirming: asyncio.Future[bool] | None = None
         self._checked_at = float("-inf")
         self._logged_at = float("-inf")
-        # Times until which targets, by id, and peers, by name, are in these states.
+        # Times until which targets, by id, are in these states.
         self._only_by_proxy: dict[str, float] = {}
         self._unreached: dict[str, float] = {}
-        self._avoided: dict[str, float] = {}
-        # Peers that may be asked, by data centre, and when they were listed.
-        self._usable_peers: dict[str, list[str]] = {}
-        self._peers_at = float("-inf")
         # Listed targets by address and by domain; None while the list has changed.
         self._by_address: dict[str, Target] | None = None
         self._by_domain: dict[str, list[Target]] = {}
@@ -180,7 +171,8 @@
             while True:
                 for attempt in await race.wait(pause):
                     if isinstance(attempt.result(), Connected):
-                        winner = winner or attempt
+                        if winner is None or attempt is direct:
+                            winner = attempt
                     elif attempt is not direct:
                         refusals += self._is_refusal(attempt, proxy_of[attempt])
                 if winner is not None:
@@ -217,6 +209,8 @@
         """Record the outcome of a race, and return it."""
         is_proxied = winner is not None and winner is not direct
         if direct is not None and direct.done():
+            if is_proxied:
+                abort_opened(direct)
             self._record(target, direct.result(), by_peer=is_proxied)
         elif direct is not None:
             # A tunnel overtook it; its outcome shows later whether the link works.
@@ -255,14 +249,13 @@
                 return True
             case _:
                 self._metrics.tunnels.labels("failed").inc()
-                self._avoided[name] = self._clock.now() + AVOIDED_SECONDS
-                self._peers_at = float("-inf")
+                self._proxies.avoid(name)
                 return False
 
     async def _open_tunnel(
         self, name: str, target: Target, seconds: float
     ) -> Connected | ConnectFailed | TunnelAnswer:
-        address = self._peers.address_of(name)
+        address = self._proxies.address_of(name)
         if address is None:
             return ConnectFailed(reason="unknown peer")
         connector = TunnelConnector(
@@ -278,23 +271,10 @@
         return opened
 
     def _choose_proxies(self, target: Target) -> list[str]:
-        now = self._clock.now()
-        if self._unreached.get(target.id, 0.0) > now:
+        """Return the peers to ask, none if they lately did not reach the target."""
+        if self._unreached.get(target.id, 0.0) > self._clock.now():
             return []
-        if now - self._peers_at > PEERS_SECONDS:
-            self._peers_at, self._usable_peers = now, {}
-            for peer in self._peers.live:
-                heartbeat = peer.heartbeat
-                if self._avoided.get(heartbeat.node, 0.0) > now:
-                    continue
-                if self._can_carry(heartbeat):
-                    names = self._usable_peers.setdefault(heartbeat.data_centre, [])
-                    names.append(heartbeat.node)
-        return rank_proxies(self._usable_peers, target.data_centre, self._rng)
-
-    @staticmethod
-    def _can_carry(heartbeat: Heartbeat) -> bool:
-        return not (heartbeat.stopping or heartbeat.without_links)
+        return self._proxies.choose(target.data_centre)
 
     def _may_reuse_direct(self) -> bool:
         """Return whether direct connections still work, as far as is known.
@@ -310,8 +290,7 @@
         proxied_until = self._only_by_proxy.get(target, 0.0)
         if not (self.is_lost or proxied_until > self._clock.now()):
             return False
-        heartbeat = self._peers.live_heartbeat(name)
-        return heartbeat is not None and self._can_carry(heartbeat)
+        return self._proxies.can_carry(name)
 
     # -- the state of the links ----------------------------------------------
 
@@ -410,7 +389,7 @@
     def _forget_targets(self) -> None:
         self._by_address = None
         now = self._clock.now()
-        for until in (self._only_by_proxy, self._unreached, self._avoided):
+        for until in (self._only_by_proxy, self._unreached):
             for name in [name for name, at in until.items() if at <= now]:
                 del until[name]
 
