--- a/bench/tunnels.py
+++ b/bench/tunnels.py
@@ -68,7 +68,7 @@
         server = TunnelServer(
             connect=DirectConnector().connect,
             may_connect=lambda peer, address: True,
-            has_links=lambda: True,
+            has_link=lambda address: True,
             max_tunnels=4096,
         )
         ports.put(await server.start(HOST, 0))
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -97,8 +97,8 @@
     # Number of the last slot granted by the dispatcher whose stream `loads` includes.
     grant_number: int = 0
     evacuations: Evacuations = Evacuations()
-    # Whether the node has lost its links to the targets.
-    without_links: bool = False
+    # Services to whose targets the node has lost its links.
+    without_links: tuple[Name, ...] = ()
 
     @property
     def can_plan(self) -> bool:
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -86,7 +86,8 @@
         self.cold_sends = counter("mallowpond_cold_sends", "Requests to cold targets")
         self.links_lost = Gauge(
             "mallowpond_links_lost",
-            "Whether this host has lost its links to the targets",
+            "Whether this host has lost its links to the targets of a service",
+            ("service",),
             registry=self.registry,
         )
         self.tunnels = counter(
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -232,10 +232,6 @@
         self._directory.poll_seconds = (
             PLANNER_POLL_SECONDS if self._has_pending_effects else POLL_SECONDS
         )
-        if self._links is not None and self._links.is_lost:
-            # What this host knows of the targets may be wrong, and no other host can
-            # plan: whatever serves goes on.
-            return
         if not await self._is_lease_confirmed():
             return
         self._last_round_at = self._clock.now()
@@ -250,6 +246,10 @@
         self._last_plan_at, self._has_changes = self._last_round_at, False
         self._refresh_records()
         for service in configuration.services.values():
+            if self._links is not None and self._links.is_lost(service.name):
+                # What this host knows of the targets may be wrong, and no other host
+                # can plan: whatever serves goes on.
+                continue
             if service.profile is not None and service.profile.models:
                 self._plan_service(service.name, service.profile)
 
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -253,7 +253,7 @@
         are silent that this host itself may be at fault, another host probes the target
         indirectly. If none can answer, the silence counts.
         """
-        if self._links is not None and not await self._links.confirm(since):
+        if not await self._are_links_sound(target, since):
             log.warning("planner: silence not counted", target=target.id)
             return False
         now = self._clock.now()
@@ -265,6 +265,12 @@
         log.warning("planner: target alive by indirect probe", target=target.id)
         return False
 
+    async def _are_links_sound(self, target: Target, since: float) -> bool:
+        """Return whether this host reaches other targets of the same service."""
+        if self._links is None:
+            return True
+        return await self._links.confirm(target.service, since)
+
     async def _probe_for_peer(self, identifier: str) -> bool | None:
         """Probe a target for another host.
 
@@ -277,7 +283,7 @@
         for _ in range(PROBE_ATTEMPTS):
             if not isinstance(await self.fetch_report(target), Unavailable):
                 return True
-        if self._links is not None and not await self._links.confirm(began):
+        if not await self._are_links_sound(target, began):
             return None
         return False
 
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -131,7 +131,7 @@
         self.tunnels = TunnelServer(
             connect=self.links.connect_directly,
             may_connect=self._may_tunnel,
-            has_links=lambda: not self.links.is_lost,
+            has_link=self.links.has_link,
         )
         self.metrics.carried_tunnels.set_function(lambda: self.tunnels.count)
         self.links.on_change.append(self._on_links_changed)
@@ -211,7 +211,7 @@
             checks_fencing=settings.bounds.checks_fencing,
             cores=settings.cores,
             can_plan=self._can_plan,
-            has_links=lambda: not self.links.is_lost,
+            has_links=lambda: not self.links.lost,
             unreadable_log=unreadable_log,
         )
         self.planner = GroupPlanner(
@@ -237,7 +237,7 @@
             clock=clock,
             is_planning=lambda: self.leadership.fence > 0,
             probe=self.planner.probe_head,
-            has_links=lambda: not self.links.is_lost,
+            has_links=lambda: not self.links.lost,
         )
         self.streams.on_head_ended.append(self.ended_heads.record)
         self.fanout = Fanout(
@@ -490,7 +490,7 @@
             ),
             grant_number=self.dispatcher_client.grant_number,
             evacuations=self.configuration.evacuations.to_share,
-            without_links=self.links.is_lost,
+            without_links=tuple(sorted(self.links.lost)),
         )
 
     def _find_service(self, service: str) -> Service | None:
@@ -515,7 +515,7 @@
 
     def _on_links_changed(self) -> None:
         """Tell the peers at once whether this host has links to the targets."""
-        if self.links.is_lost:
+        if self.links.lost:
             # The silence of the links looked like slow groups.
             self.directory.loads.forget_own_paces()
         self.peers.broadcast(self._build_heartbeat())
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -147,7 +147,11 @@
             return Refusal(status=502, reason=Reason.ATTEMPTS_USED)
         if now + MIN_SEND_SECONDS > work.deadline:
             return Refusal(status=504, reason=Reason.TIMEOUT)
-        if not self._budget(work.service).try_repeat(now, self._hosts()):
+        # A connection that was not opened brought no request to a target.
+        is_free = isinstance(end, NotRun) and reason is Reason.CONNECT
+        if not is_free and not self._budget(work.service).try_repeat(
+            now, self._hosts()
+        ):
             return Refusal(status=502, reason=Reason.BUDGET_USED)
         return None
 
--- a/mallowpond/node/target_links.py
+++ b/mallowpond/node/target_links.py
@@ -6,8 +6,9 @@
 
 import asyncio
 import random
+from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from functools import partial
 from itertools import zip_longest
 
@@ -21,7 +22,6 @@
 from mallowpond.state.fleet import Target
 from mallowpond.state.link_health import (
     CHECKED_TARGETS,
-    MIN_TARGETS,
     FleetSize,
     LinkHealth,
     LinkSummary,
@@ -56,8 +56,10 @@
 SILENCE_SECONDS = 0.15
 MONITOR_SECONDS = 0.05
 CHECK_PAUSE_SECONDS = 1.0
+# Number of targets that a check must reach directly before silence of another counts.
+MIN_CONFIRMED = 2
 # Interval between two checks whether lost links are restored, in seconds.
-RESTORE_SECONDS = 0.5
+RESTORE_SECONDS = 1.0
 # Interval between two log lines about failed connections, in seconds.
 LOG_SECONDS = 1.0
 
@@ -84,51 +86,57 @@
         self._metrics = metrics
         self._rng = rng
         self._direct = direct
-        self._health = LinkHealth()
-        self._was_lost = False
-        self._confirming: asyncio.Future[bool] | None = None
-        self._checked_at = float("-inf")
+        # By service: a host may lose its links to the targets of some services only.
+        self._services: dict[str, _ServiceLinks] = defaultdict(_ServiceLinks)
+        self._lost: frozenset[str] = frozenset()
         self._logged_at = float("-inf")
         # Times until which targets, by id, are in these states.
         self._only_by_proxy: dict[str, float] = {}
         self._unreached: dict[str, float] = {}
-        # Listed targets by address and by domain; None while the list has changed.
+        # Listed targets by address; None while the list has changed.
         self._by_address: dict[str, Target] | None = None
-        self._by_domain: dict[str, list[Target]] = {}
-        self._fleet = FleetSize(targets=0, domains=0)
         self._tunnel_activity = LinkActivity()
-        # Of the direct connections.
-        self.activity = LinkActivity()
         # Called when the links were lost or restored.
         self.on_change: list[Callable[[], None]] = []
         directory.on_change.append(self._forget_targets)
 
     @property
-    def is_lost(self) -> bool:
-        """Return whether this host has lost its links to the targets."""
-        return self._health.is_lost
+    def lost(self) -> frozenset[str]:
+        """Return the services to whose targets this host has lost its links."""
+        return self._lost
+
+    def is_lost(self, service: str) -> bool:
+        """Return whether this host has lost its links to the targets of a service."""
+        return service in self._lost
 
     def is_listed(self, address: str) -> bool:
         """Return whether a listed target has this address."""
         return self._find(address) is not None
 
-    def heard_within(self, seconds: float) -> bool:
+    def has_link(self, address: str) -> bool:
+        """Return whether this host has links to the service of a listed target."""
+        target = self._find(address)
+        return target is not None and not self.is_lost(target.service)
+
+    def heard_within(self, service: str, seconds: float) -> bool:
         """Return whether a target was heard directly in the last `seconds`."""
-        return self.activity.seconds_since_heard < seconds
+        return self._services[service].activity.seconds_since_heard < seconds
 
     async def run(self) -> None:
         """Check the links when they are silent or lost, until cancelled."""
         while True:
-            if self.is_lost:
-                await self._clock.sleep(RESTORE_SECONDS)
-                await self._try_direct()
-                continue
             await self._clock.sleep(MONITOR_SECONDS)
-            silence = self.activity.longest_silence()
-            if silence is None or silence.seconds < SILENCE_SECONDS:
-                continue
-            if self._clock.now() - self._checked_at >= CHECK_PAUSE_SECONDS:
-                await self.confirm()
+            now = self._clock.now()
+            for service, links in list(self._services.items()):
+                if self.is_lost(service):
+                    if now - links.checked_at >= RESTORE_SECONDS:
+                        await self._try_direct(service)
+                    continue
+                silence = links.activity.longest_silence()
+                if silence is None or silence.seconds < SILENCE_SECONDS:
+                    continue
+                if now - links.checked_at >= CHECK_PAUSE_SECONDS:
+                    await self.confirm(service)
 
     # -- connections ---------------------------------------------------------
 
@@ -137,7 +145,7 @@
         target = self._find(address)
         if target is None:
             return await self._direct.connect(address)
-        if self.is_lost:
+        if self.is_lost(target.service):
             proxies = self._choose_proxies(target)
             return await self._race(target, proxies, is_direct=not proxies)
         return await self._race(target, None, is_direct=True)
@@ -220,8 +228,8 @@
         if winner is not None and not is_proxied:
             return replace(
                 winner.result(),
-                activity=self.activity,
-                may_reuse=self._may_reuse_direct,
+                activity=self._services[target.service].activity,
+                may_reuse=partial(self._may_reuse_direct, target.service),
             )
         if winner is not None:
             opened = winner.result()
@@ -266,7 +274,7 @@
         )
         opened = await open_through(connector, target.address, seconds)
         if isinstance(opened, Connected):
-            may_reuse = partial(self._may_reuse_tunnel, name, target.id)
+            may_reuse = partial(self._may_reuse_tunnel, name, target)
             return replace(opened, may_reuse=may_reuse)
         return opened
 
@@ -274,58 +282,62 @@
         """Return the peers to ask, none if they lately did not reach the target."""
         if self._unreached.get(target.id, 0.0) > self._clock.now():
             return []
-        return self._proxies.choose(target.data_centre)
+        return self._proxies.choose(target.service, target.data_centre)
 
-    def _may_reuse_direct(self) -> bool:
+    def _may_reuse_direct(self, service: str) -> bool:
         """Return whether direct connections still work, as far as is known.
 
         Where only new ones fail, those that are open live on.
         """
-        if self.activity.is_reset:
+        if self._services[service].activity.is_reset:
             return False
-        return not self.is_lost or self.heard_within(SILENCE_SECONDS)
+        return not self.is_lost(service) or self.heard_within(service, SILENCE_SECONDS)
 
-    def _may_reuse_tunnel(self, name: str, target: str) -> bool:
+    def _may_reuse_tunnel(self, name: str, target: Target) -> bool:
         """Return whether a tunnel is still the best way to a target."""
-        proxied_until = self._only_by_proxy.get(target, 0.0)
-        if not (self.is_lost or proxied_until > self._clock.now()):
+        proxied_until = self._only_by_proxy.get(target.id, 0.0)
+        if not (self.is_lost(target.service) or proxied_until > self._clock.now()):
             return False
-        return self._proxies.can_carry(name)
+        return self._proxies.can_carry(target.service, name)
 
     # -- the state of the links ----------------------------------------------
 
-    async def confirm(self, since: float = float("inf")) -> bool:
-        """Return whether this host reaches targets itself.
+    async def confirm(self, service: str, since: float = float("inf")) -> bool:
+        """Return whether this host reaches targets of a service itself.
 
         The result of a check that began after `since` is used again, as is one that is
         running.
         """
-        if self.is_lost:
+        if self.is_lost(service):
             return False
-        is_running = self._confirming is not None and not self._confirming.done()
-        if self._confirming is None or not (is_running or self._checked_at >= since):
-            self._confirming = asyncio.ensure_future(self._confirm())
-        return await asyncio.shield(self._confirming)
-
-    async def _confirm(self) -> bool:
-        self._checked_at = self._clock.now()
-        sample = self._draw_targets(MIN_TARGETS)
-        race = ConnectRace()
+        links = self._services[service]
+        running = links.confirming
+        if running is None or (running.done() and links.checked_at < since):
+            running = links.confirming = asyncio.ensure_future(self._confirm(service))
+        return await asyncio.shield(running)
+
+    async def _confirm(self, service: str) -> bool:
+        """Return whether enough targets of a small sample are reached directly."""
+        links, race = self._services[service], ConnectRace()
+        links.checked_at = self._clock.now()
+        sample = self._draw_targets(service, CHECKED_TARGETS)
+        missing = min(MIN_CONFIRMED, len(sample))
         for target in sample:
             race.start(self.connect(target.address))
         try:
-            while race.is_pending:
+            while race.is_pending and missing:
                 for attempt in await race.wait(CONNECT_SECONDS):
                     opened = attempt.result()
-                    if isinstance(opened, Connected) and not opened.proxy:
-                        return True
-            return False
+                    missing -= isinstance(opened, Connected) and not opened.proxy
+            return missing <= 0
         finally:
             race.close()
 
-    async def _try_direct(self) -> None:
+    async def _try_direct(self, service: str) -> None:
         """Open direct connections to a few targets while the links are lost."""
-        sample = self._draw_targets(CHECKED_TARGETS)
+        links = self._services[service]
+        links.checked_at = self._clock.now()
+        sample = self._draw_targets(service, CHECKED_TARGETS)
         opened = await asyncio.gather(
             *(self.connect_directly(target.address) for target in sample)
         )
@@ -333,16 +345,17 @@
         for connection in connections:
             connection.writer.transport.abort()
         reached = len(connections)
-        self._health.record_check(reached=reached, failed=len(sample) - reached)
+        links.health.record_check(reached=reached, failed=len(sample) - reached)
         self._notify_change()
 
-    def _draw_targets(self, count: int) -> list[Target]:
+    def _draw_targets(self, service: str, count: int) -> list[Target]:
         """Return a few random targets, each of another domain where possible."""
         self._index_targets()
-        domains = self._rng.sample(sorted(self._by_domain), len(self._by_domain))
+        by_domain = self._services[service].by_domain
+        domains = self._rng.sample(sorted(by_domain), len(by_domain))
         columns = [
             self._rng.sample(targets, min(count, len(targets)))
-            for targets in (self._by_domain[domain] for domain in domains)
+            for targets in (by_domain[domain] for domain in domains)
         ]
         rows = zip_longest(*columns)
         return [target for row in rows for target in row if target is not None][:count]
@@ -353,22 +366,25 @@
         """Record the outcome of a direct connection."""
         now, domain = self._clock.now(), domain_of(target)
         self._index_targets()
+        links = self._services[target.service]
         match opened:
             case Connected():
                 self._only_by_proxy.pop(target.id, None)
-                self._health.record_reached(target.id, domain, now)
+                links.health.record_reached(target.id, domain, now)
             case ConnectFailed():
-                self._health.record_unreached(
-                    target.id, domain, now, self._fleet, by_peer=by_peer
+                links.health.record_unreached(
+                    target.id, domain, now, links.size, by_peer=by_peer
                 )
         self._notify_change()
 
     def _notify_change(self) -> None:
-        """Log and announce that the links were lost or restored, if they were."""
-        if self.is_lost is self._was_lost:
+        """Log and announce that links were lost or restored, if any were."""
+        lost = frozenset(s for s, links in self._services.items() if links.is_lost)
+        if lost == self._lost:
             return
-        self._was_lost = self.is_lost
-        self._log_change()
+        changed, self._lost = lost ^ self._lost, lost
+        for service in sorted(changed):
+            self._log_change(service)
         for notify in self.on_change:
             notify()
 
@@ -381,10 +397,11 @@
             return
         targets = self._directory.targets.values()
         self._by_address = {target.address: target for target in targets}
-        self._by_domain = {}
+        for links in self._services.values():
+            links.by_domain.clear()
         for target in targets:
-            self._by_domain.setdefault(domain_of(target), []).append(target)
-        self._fleet = FleetSize(targets=len(targets), domains=len(self._by_domain))
+            by_domain = self._services[target.service].by_domain
+            by_domain.setdefault(domain_of(target), []).append(target)
 
     def _forget_targets(self) -> None:
         self._by_address = None
@@ -393,14 +410,15 @@
             for name in [name for name, at in until.items() if at <= now]:
                 del until[name]
 
-    def _log_change(self) -> None:
-        summary = self._health.summary(self._clock.now())
-        self._metrics.links_lost.set(self.is_lost)
-        heard = round(self.activity.seconds_since_heard, 3)
-        if self.is_lost:
-            log.warning("links: lost", heard=heard, **_counts(summary))
+    def _log_change(self, service: str) -> None:
+        links = self._services[service]
+        counts = _counts(links.health.summary(self._clock.now()))
+        self._metrics.links_lost.labels(service).set(links.is_lost)
+        heard = round(links.activity.seconds_since_heard, 3)
+        if links.is_lost:
+            log.warning("links: lost", service=service, heard=heard, **counts)
         else:
-            log.info("links: restored", heard=heard, **_counts(summary))
+            log.info("links: restored", service=service, heard=heard, **counts)
 
     def _log_failure(
         self, target: Target, direct: Attempt | None, proxy: str | None, began: float
@@ -418,8 +436,33 @@
             direct=reason,
             proxy=proxy,
             seconds=round(now - began, 3),
-            lost=self.is_lost,
-            **_counts(self._health.summary(now)),
+            lost=self.is_lost(target.service),
+            **_counts(self._services[target.service].health.summary(now)),
+        )
+
+
+@dataclass(kw_only=True)
+class _ServiceLinks:
+    """The links to the targets of one service.
+
+    `activity` is that of its direct connections; `checked_at` is when a check of the
+    links last began.
+    """
+
+    health: LinkHealth = field(default_factory=LinkHealth)
+    activity: LinkActivity = field(default_factory=LinkActivity)
+    by_domain: dict[str, list[Target]] = field(default_factory=dict)
+    confirming: asyncio.Future[bool] | None = None
+    checked_at: float = float("-inf")
+
+    @property
+    def is_lost(self) -> bool:
+        return self.health.is_lost
+
+    @property
+    def size(self) -> FleetSize:
+        return FleetSize(
+            targets=sum(map(len, self.by_domain.values())), domains=len(self.by_domain)
         )
 
 
--- a/mallowpond/node/tests/test_leadership.py
+++ b/mallowpond/node/tests/test_leadership.py
@@ -33,7 +33,7 @@
         return node not in self.unknown
 
 
-def make_peer(name, planning=0, store=True, stopping=False, without_links=False):
+def make_peer(name, planning=0, store=True, stopping=False, without_links=()):
     """Return a peer that sent such a heartbeat."""
     heartbeat = Heartbeat(
         node=name,
@@ -336,7 +336,7 @@
     """Guards against a planner that dissolves the groups that it cannot reach."""
     clock, table = FakeClock(), MemoryTable()
     has_links = True
-    peers = FakePeers(live=[make_peer("b", without_links=True)])
+    peers = FakePeers(live=[make_peer("b", without_links=("engines",))])
     holder = leadership_of("a", table, clock, peers, has_links=lambda: has_links)
     await holder.step()
     has_links = False
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -1103,10 +1103,14 @@
     """Links of a host that reaches targets itself, or does not."""
 
     def __init__(self):
-        self.is_lost = False
+        self.lost = set()
         self.is_confirmed = True
 
-    async def confirm(self, since):
+    def is_lost(self, service):
+        """Return whether the links to a service are lost."""
+        return service in self.lost
+
+    async def confirm(self, service, since):
         """Return whether the links are sound."""
         return self.is_confirmed
 
@@ -1130,7 +1134,7 @@
 async def test_a_planner_without_links_plans_nothing():
     """Guards against orders that rest on what an isolated host believes."""
     links = FakeLinks()
-    links.is_lost = True
+    links.lost = {"engines"}
     rig = Rig(free("a"), free("b"), links=links)
     await rig.steps(3)
     assert rig.targets.orders == []
--- a/mallowpond/node/tests/test_target_links.py
+++ b/mallowpond/node/tests/test_target_links.py
@@ -131,9 +131,9 @@
     opened = await links.connect("t0:1")
     assert opened.proxy in PEERS
     assert asyncio.get_running_loop().time() - began < 0.15
-    assert not await links.confirm()
+    assert not await links.confirm("engines")
     await asyncio.sleep(HANGING_SECONDS + 0.1)
-    assert links.is_lost
+    assert links.lost == {"engines"}
 
 
 async def test_dead_targets_leave_the_links_as_they_are():
@@ -142,24 +142,24 @@
     network.dead = {target.address for target in TARGETS[:5]}
     for target in TARGETS[:5]:
         assert isinstance(await links.connect(target.address), ConnectFailed)
-    assert not links.is_lost
+    assert not links.lost
     assert isinstance(await links.connect("t5:1"), Connected)
 
 
 async def test_lost_links_ask_peers_at_once_and_are_restored_by_connections():
     links, network = await make_links(*PEERS)
     changes = []
-    links.on_change.append(lambda: changes.append(links.is_lost))
+    links.on_change.append(lambda: changes.append(bool(links.lost)))
     network.mode = "refused"
     for target in TARGETS:
         await links.connect(target.address)
     network.tried.clear()
     tunnel = await links.connect("t0:1")
-    assert links.is_lost
+    assert links.lost == {"engines"}
     assert network.tried == []
     assert tunnel.proxy in PEERS
     network.mode = "sound"
-    await links._try_direct()
+    await links._try_direct("engines")
     assert changes == [True, False]
 
 
@@ -177,8 +177,8 @@
     network.mode, network.peers_without_links = "refused", set(PEERS)
     for target in TARGETS:
         assert isinstance(await links.connect(target.address), ConnectFailed)
-    assert not links.is_lost
-    assert not await links.confirm()
+    assert not links.lost
+    assert not await links.confirm("engines")
 
 
 async def test_a_caller_that_leaves_ends_the_attempts():
--- a/mallowpond/node/tests/test_watch.py
+++ b/mallowpond/node/tests/test_watch.py
@@ -53,16 +53,20 @@
     """Links of a host, of which the tests set the state."""
 
     def __init__(self, *, is_heard=False, is_confirmed=True):
-        self.is_lost = False
+        self.lost = set()
         self.is_heard = is_heard
         self.is_confirmed = is_confirmed
         self.on_change = []
 
-    def heard_within(self, seconds):
+    def is_lost(self, service):
+        """Return whether the links to a service are lost."""
+        return service in self.lost
+
+    def heard_within(self, service, seconds):
         """Return whether any target was heard."""
         return self.is_heard
 
-    async def confirm(self):
+    async def confirm(self, service):
         """Return whether this host reaches targets."""
         return self.is_confirmed
 
@@ -415,7 +419,7 @@
     (stream,) = rig.service.active
     stream.record_connected("")
     watch._exclude_unreached(("b", 1))
-    links.is_lost = True
+    links.lost = {"engines"}
     for notify in links.on_change:
         notify()
     assert await task == Answered(status=200, target="b0")
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -150,7 +150,7 @@
             case SilenceVerdict.ASK:
                 self._queries[key] = PeerQuery(asked_at=now)
                 self._peers.ask_group_progress(key, silence.silent_seconds)
-            case SilenceVerdict.SUSPECT if self._is_isolated:
+            case SilenceVerdict.SUSPECT if self._is_isolated(streams[0].work.service):
                 del self._queries[key]
                 self._leave_unreachable(key, streams, silence)
             case SilenceVerdict.SUSPECT:
@@ -213,28 +213,31 @@
         )
         self._exclude_suspected(key)
         self._move(streams)
-        if self._links is None or self._links.heard_within(silence.silent_seconds):
+        service = streams[0].work.service
+        links = self._links
+        if links is None or links.heard_within(service, silence.silent_seconds):
             self._peers.broadcast_suspicion(key)
             return
         # All targets are as silent as this one, so the links may be at fault.
-        task = asyncio.ensure_future(self._confirm_suspicion(key, self._links))
+        task = asyncio.ensure_future(self._confirm_suspicion(key, service, links))
         self._confirmations.add(task)
         task.add_done_callback(self._confirmations.discard)
 
-    async def _confirm_suspicion(self, key: GroupKey, links: TargetLinks) -> None:
+    async def _confirm_suspicion(
+        self, key: GroupKey, service: str, links: TargetLinks
+    ) -> None:
         """Report a suspicion to the peers if this host reaches targets itself."""
-        if await links.confirm():
+        if await links.confirm(service):
             self._peers.broadcast_suspicion(key)
-        elif links.is_lost:
+        elif links.is_lost(service):
             # Peers reach the group for this host.
             self.clear(key)
         else:
             self._exclude_unreached(key)
 
-    @property
-    def _is_isolated(self) -> bool:
-        """Return whether this host has lost its links to the targets."""
-        return self._links is not None and self._links.is_lost
+    def _is_isolated(self, service: str) -> bool:
+        """Return whether this host has lost its links to the targets of a service."""
+        return self._links is not None and self._links.is_lost(service)
 
     def _on_links_changed(self) -> None:
         """Move silent streams when the links are lost, and use all groups again.
@@ -242,17 +245,18 @@
         The groups that were left as unreached are reached through peers, as are those
         that fell silent with the links.
         """
-        if not self._is_isolated:
+        if self._links is None or not self._links.lost:
             return
         for key in self._unreached:
             self.clear(key)
         self._unreached.clear()
-        assert self._links is not None
-        if self._links.heard_within(LIVE_SECONDS):
-            # Only new connections fail.
-            return
         for stream in list(self._streams.active):
-            if stream.is_direct and self._streams.can_resume(stream):
+            service = stream.work.service
+            if not stream.is_direct or not self._is_isolated(service):
+                continue
+            # If any target is heard, only new connections fail.
+            is_silent = not self._links.heard_within(service, LIVE_SECONDS)
+            if is_silent and self._streams.can_resume(stream):
                 stream.move(Reason.LINKS_LOST)
 
     def _leave_unreachable(
@@ -267,7 +271,8 @@
             predicted=round(silence.predicted_gap, 3),
             streams=len(streams),
         )
-        if not self._is_isolated or any(s.is_direct is False for s in streams):
+        is_isolated = self._is_isolated(streams[0].work.service)
+        if not is_isolated or any(s.is_direct is False for s in streams):
             self._exclude_unreached(key)
         self._move(streams)
 
--- a/mallowpond/transport/tests/test_tunnel.py
+++ b/mallowpond/transport/tests/test_tunnel.py
@@ -31,7 +31,7 @@
         self.proxy = TunnelServer(
             connect=DirectConnector().connect,
             may_connect=lambda peer, address: allowed,
-            has_links=lambda: has_links,
+            has_link=lambda address: has_links,
             max_tunnels=max_tunnels,
         )
 
--- a/mallowpond/transport/tunnel.py
+++ b/mallowpond/transport/tunnel.py
@@ -53,7 +53,8 @@
     connect: opens a direct connection to a target's address.
     may_connect: returns whether a peer, by its IP address, may have a tunnel to an
         address.
-    has_links: returns whether this host has links to the targets.
+    has_link: returns whether this host has links to the targets of an address's
+        service.
     """
 
     def __init__(
@@ -61,12 +62,12 @@
         *,
         connect: Callable[[str], Awaitable[Connected | ConnectFailed]],
         may_connect: Callable[[str, str], bool],
-        has_links: Callable[[], bool],
+        has_link: Callable[[str], bool],
         max_tunnels: int = MAX_TUNNELS,
     ) -> None:
         self.connect = connect
         self._may_connect = may_connect
-        self._has_links = has_links
+        self._has_link = has_link
         self._max_tunnels = max_tunnels
         self._server: asyncio.Server | None = None
         self._tunnels: set[_PeerSide] = set()
@@ -116,7 +117,7 @@
         """Return why a peer gets no tunnel to an address, None if it may have one."""
         if not self._may_connect(peer, address):
             return TunnelAnswer.DENIED
-        if not self._has_links():
+        if not self._has_link(address):
             return TunnelAnswer.NO_LINKS
         if self._is_draining or len(self._tunnels) > self._max_tunnels:
             return TunnelAnswer.BUSY
