--- a/mallowpond/emulator/engines.py
+++ b/mallowpond/emulator/engines.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 from mallowpond.node.ports import CallerRequest
@@ -149,6 +149,8 @@
         workspace: str | None,
         seconds_left: float,
         last_event: str | None,
+        is_repeat: bool = False,
+        on_connected: Callable[[str], None] | None = None,
     ) -> EmulatedResponse:
         """Submit a request to the group of a target, after the one-way delay."""
         await asyncio.sleep(self._one_way_seconds)
