Count no links as lost to a service that has no targets

A host that had lost its links to a service, which was removed before they were restored, would have counted as without links for ever, and taken no lease: read from the code, the test failed before.

--- a/mallowpond/node/target_links.py
+++ b/mallowpond/node/target_links.py
@@ -457,7 +457,8 @@
 
     @property
     def is_lost(self) -> bool:
-        return self.health.is_lost
+        # A service without targets has no links to lose.
+        return self.health.is_lost and bool(self.by_domain)
 
     @property
     def size(self) -> FleetSize:
--- a/mallowpond/node/tests/test_target_links.py
+++ b/mallowpond/node/tests/test_target_links.py
@@ -163,6 +163,18 @@
     assert changes == [True, False]
 
 
+async def test_a_service_that_is_removed_has_no_lost_links():
+    """Guards against a host that never plans again after a service was removed."""
+    links, network = await make_links(*PEERS)
+    network.mode = "refused"
+    for target in TARGETS:
+        await links.connect(target.address)
+    assert links.lost == {"engines"}
+    links._directory._replace_targets({})
+    await links._try_direct("engines")
+    assert not links.lost
+
+
 async def test_peers_without_links_are_passed_over():
     """Guards against failing while most hosts are cut off with this one."""
     links, network = await make_links(*PEERS)
