--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -37,6 +37,8 @@
     seconds_left: time until the caller's deadline.
     prompt_tokens, answer_tokens: token counts that the caller sent, 0 if unknown.
     last_event: id of the last event of a stream that the caller has received.
+    shared_parts: ids of the parts of its prompt that other requests may share, in
+        their order; the last part is its own and left out.
     """
 
     id: str
@@ -51,6 +53,7 @@
     prompt_tokens: int = 0
     answer_tokens: int = 0
     last_event: str | None = None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/mallowpond/platform/callers.py
+++ b/mallowpond/platform/callers.py
@@ -1,5 +1,6 @@
 """Decode callers' requests from the headers of the platform's protocol."""
 
+import re
 from math import isfinite
 
 from mallowpond.node.ports import CallerRequest, Headers, InvalidRequest
@@ -11,6 +12,11 @@
 # Larger token counts are invalid. This is a thousand times the largest context in use;
 # sums of counts are sent to other nodes, which decode integers up to 2**53.
 MAX_TOKENS = 2**31
+# Number of a prompt's parts that are told apart; further ones are ignored. Each part
+# whose request a target ends under costs memory and a record for other hosts.
+MAX_SHARED_PARTS = 16
+# Ids of parts are hexadecimal; others are ignored, since they go into keys and logs.
+PART_ID = re.compile(r"[0-9a-fA-F]{1,32}")
 
 
 class PlatformCallerProtocol:
@@ -36,6 +42,7 @@
             prompt_tokens=prompt,
             answer_tokens=answer,
             last_event=headers.get(names.LAST_EVENT),
+            shared_parts=_parse_shared_parts(headers.get(names.PROMPT_PARTS, "")),
         )
 
     def answer_headers(self, response: HttpResponse) -> Headers:
@@ -87,3 +94,11 @@
     except ValueError:
         return 0, 0
     return counts if all(0 <= count <= MAX_TOKENS for count in counts) else (0, 0)
+
+
+def _parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the valid ids of all parts but the last, without duplicates."""
+    # A caller's header may list thousands of parts, of which only the first are split.
+    entries = text.split(",", MAX_SHARED_PARTS)[:-1]
+    ids = (entry.partition(":")[0].strip() for entry in entries)
+    return tuple(dict.fromkeys(i.lower() for i in ids if PART_ID.fullmatch(i)))
--- a/mallowpond/platform/headers.py
+++ b/mallowpond/platform/headers.py
@@ -20,6 +20,8 @@
 MODEL = "x-mallowpond-model"
 # Prompt tokens and maximum output tokens, separated by a comma.
 TOKEN_COUNTS = "x-mallowpond-token-counts"
+# Parts of the prompt as comma-separated ID:TOKENS entries, in their order.
+PROMPT_PARTS = "x-mallowpond-prompt-prefix"
 LAST_EVENT = "last-event-id"
 AUTHORIZATION = "authorization"
 
--- a/mallowpond/platform/tests/test_callers.py
+++ b/mallowpond/platform/tests/test_callers.py
@@ -3,7 +3,11 @@
 import pytest
 
 from mallowpond.node.ports import InvalidRequest
-from mallowpond.platform.callers import MAX_TOKENS, PlatformCallerProtocol
+from mallowpond.platform.callers import (
+    MAX_SHARED_PARTS,
+    MAX_TOKENS,
+    PlatformCallerProtocol,
+)
 from mallowpond.transport.http_server import HttpRequest
 
 ALL_HEADERS = (
@@ -102,3 +106,26 @@
         ("host", "a"), ("x-mallowpond-attempt-id", "q"), ("authorization", value)
     )
     assert found.key == key
+
+
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("", ()),
+        ("5c:800", ()),
+        ("5C1e:800,91bd:410,e4:250", ("5c1e", "91bd")),
+        (" a1:1 , b2 , a1:9,c3:1", ("a1", "b2")),
+        ("a1:1,not-hex:1,,b2:1,c3:1", ("a1", "b2")),
+        (f"{'a' * 33}:1,b2:1,c3:1", ("b2",)),
+    ],
+)
+def test_the_parts_that_requests_share_leave_out_the_last(text, parts):
+    found = read(("x-mallowpond-attempt-id", "q"), ("x-mallowpond-prompt-prefix", text))
+    assert found.shared_parts == parts
+
+
+def test_a_caller_that_lists_thousands_of_parts_costs_no_more_than_a_few():
+    """Guards against memory and records in the number of parts that a caller sends."""
+    text = ",".join(f"{number:x}:1" for number in range(5000))
+    found = read(("x-mallowpond-attempt-id", "q"), ("x-mallowpond-prompt-prefix", text))
+    assert len(found.shared_parts) == MAX_SHARED_PARTS
--- a/mallowpond/programs/cli.py
+++ b/mallowpond/programs/cli.py
@@ -15,6 +15,7 @@
     LogFiles,
     explain_fingerprint,
     explain_group,
+    explain_part,
     explain_request,
     explain_version,
     render,
@@ -285,13 +286,18 @@
     fingerprint: Annotated[
         str, typer.Option(help="A request's fingerprint, in place of ID.")
     ] = "",
+    part: Annotated[
+        str, typer.Option(help="The id of a part of prompts, in place of ID.")
+    ] = "",
 ) -> None:
     """Tell what happened to a request, a group or a configuration, from logs."""
     names = list(words or ())
-    has_option = group or version or fingerprint
-    request = "" if has_option else names.pop(0) if names else ""
-    if sum(map(bool, (request, group, version, fingerprint))) != 1:
-        typer.echo("Say one of ID, --group, --version and --fingerprint.", err=True)
+    options = (group, version, fingerprint, part)
+    request = "" if any(options) else names.pop(0) if names else ""
+    if sum(map(bool, (request, *options))) != 1:
+        typer.echo(
+            "Say one of ID, --group, --version, --fingerprint and --part.", err=True
+        )
         raise typer.Exit(EXIT_USAGE)
     logs = _read_logs([Path(name) for name in names])
     if request:
@@ -300,6 +306,8 @@
         explanation = explain_group(logs.lines, group)
     elif fingerprint:
         explanation = explain_fingerprint(logs.lines, fingerprint)
+    elif part:
+        explanation = explain_part(logs.lines, part)
     else:
         explanation = explain_version(logs.lines, version)
     if logs.unreadable:
--- a/mallowpond/programs/explain.py
+++ b/mallowpond/programs/explain.py
@@ -185,6 +185,35 @@
     return Explanation(lines=selected, summary=summary)
 
 
+def explain_part(lines: Iterable[LogLine], part: str) -> Explanation | None:
+    """Return the lines of all requests whose prompts contain a part.
+
+    They show the sends of these requests and the targets that ended under them. None if
+    no request with the part was sent.
+    """
+    lines = tuple(lines)
+    sent = [line for line in lines if part in (line.fields.get("parts") or ())]
+    if not sent:
+        return None
+    fingerprints = {line.fields.get("fingerprint") for line in sent}
+    requests = {line.fields.get("request") for line in sent}
+    selected = tuple(
+        line
+        for line in lines
+        if line.fields.get("fingerprint") in fingerprints
+        or line.fields.get("request") in requests
+    )
+    ended = {
+        line.fields.get("target")
+        for line in selected
+        if line.event == "quarantine: target ended"
+    }
+    served = sum(line.event == "stream: served" for line in selected)
+    summary = f"{len(sent)} sends of {len(fingerprints)} requests, "
+    summary += f"{len(ended)} targets ended, {served} streams answered completely"
+    return Explanation(lines=selected, summary=summary)
+
+
 def explain_version(lines: Iterable[LogLine], version: int) -> Explanation | None:
     """Return the lines of events "configuration: ..." that name a version.
 
