Show that parts shared by different requests end engine after engine

The engines' stand-in crashes under a deadly part, first or in the middle of a prompt, and the soak sends such streams, no two alike, six times a second at any node, beside sound ones that share key, first and second part.

--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -38,8 +38,10 @@
 STORE_SECONDS = 1.0
 NOT_RUN = ((names.NOT_RUN, "1"),)
 # A request whose body starts with FATAL_BODY crashes the process that runs it,
-# FATAL_SECONDS after the run starts.
+# FATAL_SECONDS after the run starts, and so does one of which a part of the prompt,
+# except the last, has an id that starts with FATAL_PART.
 FATAL_BODY = b"fatal "
+FATAL_PART = "dead"
 FATAL_SECONDS = 0.1
 
 
@@ -504,7 +506,7 @@
                 (names.SERVER_STAMP, f"{self._id}.{attempt}"),
                 *common_headers,
             )
-            is_fatal = request.body.startswith(FATAL_BODY)
+            is_fatal = _is_fatal(request)
             if is_fatal:
                 self._call_later(FATAL_SECONDS, lambda: self._crash(attempt))
             if membership is None:
@@ -556,6 +558,13 @@
     return f"i-{secrets.token_hex(5)}"
 
 
+def _is_fatal(request: HttpRequest) -> bool:
+    """Return whether a request crashes the process that runs it."""
+    parts = request.headers.get(names.PROMPT_PARTS, "").split(",")[:-1]
+    has_fatal_part = any(part.startswith(FATAL_PART) for part in parts)
+    return has_fatal_part or request.body.startswith(FATAL_BODY)
+
+
 def _read_staged(path: str) -> str:
     try:
         return Path(path).read_text() if path else ""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,7 +17,7 @@
 from soak.cases import REGRESSIONS, Case
 from soak.faults import NEWEST_DRAW, Injector, draw_faults, draw_kinds
 from soak.fleet import Fleet, FleetShape
-from soak.judge import find_violations
+from soak.judge import FATAL_KINDS, find_violations
 from soak.records import Disturbance, Run, read_journals, write_run
 
 REQUESTS_PER_SECOND = 40.0
@@ -61,7 +61,7 @@
     fleet = Fleet(folder=folder, shape=case.shape)
     kinds = case.only or draw_kinds(rng, case.draw)
     faults = (*case.faults, *draw_faults(rng, case.seconds, kinds))
-    is_fatal = any(fault.kind == "fatal_request" for fault in faults)
+    is_fatal = any(fault.kind in FATAL_KINDS for fault in faults)
     ends_in = max([case.seconds, *(f.at + f.seconds for f in case.faults)])
     callers = Callers(
         ports=fleet.node_ports,
@@ -92,6 +92,7 @@
         foreign=tuple(injector.foreign),
         evacuations=tuple(injector.evacuations),
         cuts=tuple(injector.cuts),
+        fatal_parts=tuple(injector.fatal_parts),
         longest_stall=stalls.longest,
     )
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import h11
 
@@ -37,10 +37,28 @@
 # answer, and before it sends a fatal request again.
 MAX_RETRY_PAUSE_SECONDS = 0.8
 MAX_RESEND_PAUSE_SECONDS = 0.4
+# Parts that streams share: one of the first and one of the second kind each. Few
+# streams have a rare second part.
+FIRST_PARTS = ("a0", "a1", "a2")
+SECOND_PARTS = ("b0", "b1")
+RARE_PARTS = tuple(f"c{number:02x}" for number in range(30))
+RARE_SHARE = 0.1
+# Requests per second with a part that crashes engines, and the number of retries of
+# each by its caller.
+FATAL_PARTS_PER_SECOND = 6.0
+FATAL_PART_RETRIES = 1
 # Events of a stream that crashes its engine: the engine ends before the stream would.
 FATAL_EVENTS = 30
 
 
+@dataclass(frozen=True, kw_only=True)
+class FatalChoice:
+    """Shared parts of a stream that crashes engines, and its key, "" for any."""
+
+    parts: tuple[str, ...]
+    key: str = ""
+
+
 class Callers:
     """Generates requests at random times, on reused and on new connections.
 
@@ -89,6 +107,22 @@
             await self._send(record, None)
             await asyncio.sleep(self._rng.uniform(0.0, MAX_RESEND_PAUSE_SECONDS))
 
+    async def send_with_parts(self, choices: list[FatalChoice], until: float) -> None:
+        """Send streams with one of these choices, no two alike, to any node."""
+        tasks = []
+        while time.monotonic() < until:
+            await asyncio.sleep(self._rng.expovariate(FATAL_PARTS_PER_SECOND))
+            choice = self._rng.choice(choices)
+            first = self._new_record(
+                RequestKind.STREAM, FATAL_EVENTS, DEADLINES[RequestKind.STREAM]
+            )
+            parts = (*choice.parts, first.attempt)
+            record = replace(first, parts=parts, key=choice.key or first.key)
+            self.records.append(record)
+            sending = self._send_with_retries(record, None, FATAL_PART_RETRIES)
+            tasks.append(asyncio.create_task(sending))
+        await asyncio.gather(*tasks)
+
     async def _poll_readiness(self) -> None:
         while True:
             for node, (_, port) in enumerate(self._ports):
@@ -127,22 +161,32 @@
             sent_at=now,
             deadline=now + seconds,
             content=attempt,
+            parts=_draw_parts(attempt) if kind is RequestKind.STREAM else (),
         )
 
     async def _send_with_retries(
-        self, record: CallerRecord, connection: "_Connection | None"
+        self,
+        record: CallerRecord,
+        connection: "_Connection | None",
+        max_retries: int | None = None,
     ) -> None:
         """Send a request and retry it, at any node, while it may be repeated."""
         seconds = record.deadline - record.sent_at
         await self._send(record, connection)
-        for _ in range(self._max_retries):
+        for _ in range(self._max_retries if max_retries is None else max_retries):
             is_whole = record.status == 200 and record.ending is Ending.WHOLE
             may_have_run = record.kind is RequestKind.ONCE and record.status != 503
             if is_whole or may_have_run:
                 return
             await asyncio.sleep(self._rng.uniform(0.0, MAX_RETRY_PAUSE_SECONDS))
             again = self._new_record(record.kind, record.events, seconds)
-            record = replace(again, content=record.content, key=record.key)
+            record = replace(
+                again,
+                content=record.content,
+                key=record.key,
+                parts=record.parts,
+                is_first_attempt=False,
+            )
             self.records.append(record)
             await self._send(record, None)
 
@@ -214,6 +258,7 @@
         if record.kind is RequestKind.STREAM:
             headers += [
                 (names.MODEL, "m"),
+                (names.PROMPT_PARTS, ",".join(f"{part}:30" for part in record.parts)),
                 (names.TOKEN_COUNTS, f"100,{TOKENS_PER_EVENT * record.events}"),
             ]
         head = h11.Request(method="POST", target=PATHS[record.kind], headers=headers)
@@ -246,6 +291,15 @@
             self.is_reusable = True
 
 
+def _draw_parts(attempt: str) -> tuple[str, ...]:
+    """Draw the parts of a sound stream; the last one is its own."""
+    # Seeded by the attempt, so that the seeds of the runs draw the same requests as
+    # without parts.
+    rng = random.Random(attempt)
+    second = RARE_PARTS if rng.random() < RARE_SHARE else SECOND_PARTS
+    return (rng.choice(FIRST_PARTS), rng.choice(second), attempt)
+
+
 async def _is_ready(port: int) -> bool:
     try:
         async with asyncio.timeout(READINESS_POLL_SECONDS):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,15 +9,25 @@
 
 import structlog
 
-from mallowpond.standins.observatory_engine import FATAL_BODY, new_engine_id
+from mallowpond.standins.observatory_engine import (
+    FATAL_BODY,
+    FATAL_PART,
+    new_engine_id,
+)
 from mallowpond.standins.observatory_operator import INVALID_IDS, foreign_values
-from soak.callers import Callers
+from soak.callers import FIRST_PARTS, SECOND_PARTS, Callers, FatalChoice
 from soak.fleet import DATA_CENTRES, Fleet, ManagedProcess
-from soak.judge import BACKOFF_KIND, EVACUATION_KIND, RATE_LIMIT_KIND
+from soak.judge import (
+    BACKOFF_KIND,
+    EVACUATION_KIND,
+    FATAL_PART_KIND,
+    RATE_LIMIT_KIND,
+)
 from soak.proxy import LinkMode, Proxy
 from soak.records import (
     Disturbance,
     Evacuation,
+    FatalParts,
     ForeignEntry,
     LinkCut,
     RequestKind,
@@ -68,11 +78,14 @@
 # Nodes lose their links to all engines, while the store, peers and callers reach them:
 # some nodes, all of a data centre, or the planner's and others.
 DRAW_6_KINDS = ("links_some", "links_data_centre", "links_planner")
+# Streams with parts that crash engines, no two of them alike. `Fault.draw` chooses
+# between the first part, one in the middle, and two such parts in different streams.
+DRAW_7_KINDS = (FATAL_PART_KIND,)
 # From draw version 2 on, a seed chooses one of these probabilities, with which each
 # kind may occur in its run. With few kinds there are undisturbed periods, in which the
 # time limits are checked.
 KIND_SHARES = (0.15, 0.3, 0.6, 1.0)
-NEWEST_DRAW = 6
+NEWEST_DRAW = 7
 LINK_FAULTS = (LinkMode.SLOW, LinkMode.RESET, LinkMode.SILENT, LinkMode.ONE_WAY)
 # How nodes lose their links to the engines, chosen by `Fault.draw`.
 CUT_MODES = (LinkMode.SILENT, LinkMode.RESET, LinkMode.NO_NEW)
@@ -93,6 +106,9 @@
 # Minimum time for which a request that crashes its engines is sent repeatedly, in
 # seconds: longer than the time after which it may reach only a few more engines.
 MIN_FATAL_SECONDS = 6.0
+# Minimum time for which streams with parts that crash engines are sent, in seconds:
+# longer than the time after which they may reach only a few more engines.
+MIN_FATAL_PART_SECONDS = 8.0
 # Minimum time for which an engine asks for fewer requests, in seconds: longer than the
 # delay until a rate limit is checked plus its window, and longer than two backoffs.
 MIN_REDUCED_LOAD_SECONDS = 8.0
@@ -130,6 +146,7 @@
     kinds += DRAW_4_KINDS if draw > 3 else ()
     kinds += DRAW_5_KINDS if draw > 4 else ()
     kinds += DRAW_6_KINDS if draw > 5 else ()
+    kinds += DRAW_7_KINDS if draw > 6 else ()
     return tuple(k for k in kinds if rng.random() < share) or DRAW_2_KINDS
 
 
@@ -163,6 +180,7 @@
     foreign: list[ForeignEntry] = field(default_factory=list)
     evacuations: list[Evacuation] = field(default_factory=list)
     cuts: list[LinkCut] = field(default_factory=list)
+    fatal_parts: list[FatalParts] = field(default_factory=list)
     _evacuated: set[str] = field(default_factory=set)
     # Nodes that have no links to the engines now.
     _cut: set[int] = field(default_factory=set)
@@ -187,6 +205,8 @@
                 return
             case "node":
                 await self._disturb_node(fault, self.fleet.nodes[number])
+            case _ if fault.kind == FATAL_PART_KIND:
+                await self._send_fatal_parts(fault)
             case "fatal":
                 await self._send_fatal_request(fault)
             case kind if kind == EVACUATION_KIND:
@@ -211,6 +231,23 @@
         )
         await asyncio.sleep(SETTLE_SECONDS)
 
+    async def _send_fatal_parts(self, fault: Fault) -> None:
+        choices = _fatal_choices(fault.draw)
+        parts = {p for c in choices for p in c.parts if p.startswith(FATAL_PART)}
+        others = {p for c in choices for p in (*c.parts, c.key)} - parts - {""}
+        began = time.monotonic()
+        seconds = max(MIN_FATAL_PART_SECONDS, fault.seconds)
+        await self.callers.send_with_parts(choices, began + seconds)
+        self.fatal_parts.append(
+            FatalParts(
+                parts=tuple(sorted(parts)),
+                companions=frozenset(others),
+                began_at=began,
+                ended_at=time.monotonic(),
+            )
+        )
+        await asyncio.sleep(SETTLE_SECONDS)
+
     async def _disturb_node(self, fault: Fault, node: ManagedProcess) -> None:
         match fault.kind:
             case "node_kill":
@@ -501,5 +538,24 @@
         )
 
 
+def _fatal_choices(draw: int) -> list[FatalChoice]:
+    """Choose the shared parts of streams that crash engines.
+
+    Each stream has sound parts beside the deadly one, and all of a choice share a key.
+    """
+    fatal = f"{FATAL_PART}{draw:06x}"
+    first, second = FIRST_PARTS[draw // 3 % 3], SECOND_PARTS[draw // 9 % 2]
+    begin = FatalChoice(parts=(fatal, second), key="key-a")
+    middle = FatalChoice(parts=(first, fatal, second), key="key-a")
+    match draw % 3:
+        case 0:
+            return [begin]
+        case 1:
+            return [middle]
+        case _:
+            other = f"{FATAL_PART}{draw + 1:06x}"
+            return [middle, FatalChoice(parts=(other, second))]
+
+
 def _group_state(entry: dict[str, Any] | None) -> str | None:
     return ((entry or {}).get("group") or {}).get("state")
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -12,7 +12,12 @@
 from collections.abc import Iterator
 
 from mallowpond.platform import headers as names
-from mallowpond.standins.observatory_engine import FATAL_BODY, call_body, event_bytes
+from mallowpond.standins.observatory_engine import (
+    FATAL_BODY,
+    FATAL_PART,
+    call_body,
+    event_bytes,
+)
 from soak.records import CallerRecord, Ending, JournalEntry, RequestKind, Run
 
 GROUP_SIZE = 3
@@ -85,6 +90,19 @@
 FATAL_CRASHES = 3
 MAX_FATAL_SENDS = 3
 FATAL_KIND = "fatal_request"
+# Number of engines that requests with one part may crash before it is quarantined, and
+# the time after that in which further ones may still be sent, in seconds. Then as many
+# may reach engines as of one request.
+PART_CRASHES = 5
+PART_SECONDS = 3.0
+FATAL_PART_KIND = "fatal_part"
+FATAL_KINDS = (FATAL_KIND, FATAL_PART_KIND)
+# Time after the quarantine of a part from which sound streams that share other parts
+# or the key of its requests are served as on a calm day, in seconds, the share of them
+# that must be, and the number of them from which this is checked.
+PART_BYSTANDER_SECONDS = 6.0
+PART_SERVED_SHARE = 0.9
+MIN_PART_BYSTANDERS = 20
 # Time after an engine announces a rate limit until it is checked, and the window in
 # which its requests are counted, both in seconds. Nodes that know the limit may send up
 # to a multiple of it, and a fixed number of requests more.
@@ -122,6 +140,8 @@
         _check_single_group,
         _check_misdirected,
         _check_containment,
+        _check_part_containment,
+        _check_part_bystanders,
         _check_bystanders,
     )
     if timed:
@@ -379,6 +399,74 @@
             )
 
 
+def _part_crashes(run: Run) -> dict[str, list[float]]:
+    """Return the times at which engines crashed under requests with each fatal part."""
+    parts = {r.attempt: r.parts[:-1] for r in run.callers}
+    fatal = {part for sent in run.fatal_parts for part in sent.parts}
+    crashes: dict[str, list[float]] = defaultdict(list)
+    for entry in run.notes:
+        if entry.event == "crash":
+            for part in fatal.intersection(parts[entry.values["attempt"]]):
+                crashes[part].append(entry.at)
+    return crashes
+
+
+def _check_part_containment(run: Run) -> Iterator[str]:
+    """Find fatal parts that still reach engines long after they crashed several."""
+    by_attempt = {record.attempt: record for record in run.callers}
+    for part, times in _part_crashes(run).items():
+        if len(times) < PART_CRASHES:
+            continue
+        since = sorted(times)[PART_CRASHES - 1] + PART_SECONDS
+        late_sends = [
+            entry.values["attempt"]
+            for entry in run.notes
+            if entry.event == "arrival"
+            and (record := by_attempt.get(entry.values["attempt"])) is not None
+            and part in record.parts
+            and record.sent_at > since
+            and not _was_disturbed(run, record.node, record.sent_at)
+        ]
+        if len(late_sends) > MAX_FATAL_SENDS:
+            yield (
+                f"part {part}: ended {len(times)} engines, "
+                f"sent {len(late_sends)} times more"
+            )
+
+
+def _check_part_bystanders(run: Run) -> Iterator[str]:
+    """Find sound streams that are not served beside a quarantined part.
+
+    They share a key or sound parts with the requests that crash engines.
+    """
+    crashes = _part_crashes(run)
+    for sent in run.fatal_parts:
+        times = [at for p in sent.parts for at in sorted(crashes[p])[:PART_CRASHES]]
+        since = max(times, default=sent.began_at) + PART_BYSTANDER_SECONDS
+        beside = [
+            record
+            for record in run.callers
+            if since < record.sent_at < sent.ended_at
+            and record.kind is RequestKind.STREAM
+            and record.is_first_attempt
+            and not any(part.startswith(FATAL_PART) for part in record.parts[:-1])
+            and sent.companions.intersection((*record.parts, record.key))
+            and not _is_disturbed(
+                run,
+                record.sent_at - FULL_RECOVERY_SECONDS,
+                record.ended_at,
+                except_for=(FATAL_PART_KIND, *NO_EFFECT_KINDS),
+            )
+        ]
+        served = sum(r.status == 200 and r.ending is Ending.WHOLE for r in beside)
+        if len(beside) >= MIN_PART_BYSTANDERS:
+            if served < PART_SERVED_SHARE * len(beside):
+                yield (
+                    f"beside parts {list(sent.parts)}: served {served} of "
+                    f"{len(beside)} sound streams at the first attempt"
+                )
+
+
 def _check_rate_limits(run: Run) -> Iterator[str]:
     """Find engines that got more requests than their announced rate limit."""
     for engine in {entry.engine for entry in run.notes if entry.event == "rate limit"}:
--- a/soak/records.py
+++ b/soak/records.py
@@ -40,8 +40,11 @@
     sent_at: float
     deadline: float
     is_kept: bool = False
+    is_first_attempt: bool = True
     # Request body; the retries of a request have the same one.
     content: str = ""
+    # Ids of the parts of the prompt; the last one is the request's own.
+    parts: tuple[str, ...] = ()
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
@@ -111,6 +114,19 @@
     ended_at: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class FatalParts:
+    """The interval for which requests with parts that crash engines were sent.
+
+    `companions` are the sound parts and the keys that some of these requests have.
+    """
+
+    parts: tuple[str, ...]
+    companions: frozenset[str]
+    began_at: float
+    ended_at: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class Run:
     """All records of one run, as the checks read them."""
@@ -122,6 +138,7 @@
     foreign: tuple[ForeignEntry, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
     cuts: tuple[LinkCut, ...] = ()
+    fatal_parts: tuple[FatalParts, ...] = ()
     longest_stall: float = 0.0
 
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -14,12 +14,17 @@
     EVACUATION_KIND,
     FATAL_CRASHES,
     FATAL_KIND,
+    FATAL_PART_KIND,
     RATE_LIMIT_KIND,
     find_violations,
 )
 from soak.records import Ending
 
 SECONDS = 4.0
+# Engines that may end under one part while it is found: as many as one request that is
+# sent again and again ends at the same rate, with what is in flight.
+MIN_PART_CRASHES = 2
+MAX_PART_CRASHES = 8
 
 
 # Each seed with its draw of faults.
@@ -68,6 +73,19 @@
     assert [line for line in broken if BYSTANDER_TEXT in line] == []
 
 
+# The remainder of `Fault.draw` chooses the place of the part.
+@pytest.mark.parametrize("draw", [0, 1, 2], ids=["first", "middle", "two"])
+def test_a_part_that_ends_its_engines_is_held_back(draw, tmp_path):
+    """Guards against engines that end under requests which share only one part."""
+    fault = Fault(at=0.5, kind=FATAL_PART_KIND, seconds=16.0, draw=draw)
+    case = Case(seed=1, seconds=0.0, faults=(fault,))
+    run = asyncio.run(run_case(case, tmp_path))
+    (sent,) = run.fatal_parts
+    crashes = [entry for entry in run.notes if entry.event == "crash"]
+    assert MIN_PART_CRASHES <= len(crashes) <= MAX_PART_CRASHES * len(sent.parts)
+    assert find_violations(run, timed=False) == []
+
+
 # The remainder of `Fault.draw` chooses between a head and a plain engine.
 @pytest.mark.parametrize("draw", [0, 1], ids=["head", "plain"])
 def test_an_engine_that_names_a_rate_limit_gets_no_more(draw, tmp_path):
