Weigh the ways to find parts that end their targets, and replay the decision

What callers saw: engine after engine ended under requests that share one part of their prompts. The quarantine knows whole requests only.

The ledger of parts is not used by any process yet.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,6 +20,7 @@
     "request_path": "Processor time and memory per request, chunk and stream.",
     "tunnels": "Cost of connections to targets through a peer.",
     "control": "Processor time and memory of processes at rest.",
+    "quarantine": "Engines lost and streams refused by ways to quarantine parts.",
     "bounds": "Seconds from faults and changes to their answer.",
 }
 
--- a/mallowpond/state/ownership.py
+++ b/mallowpond/state/ownership.py
@@ -41,6 +41,11 @@
     return nlargest(count, members, key=lambda m: _score(m, key))
 
 
+def uniform_score(member: str, key: str) -> float:
+    """Return a fixed number from 0 to below 1 for a member and a rarely used key."""
+    return _score(member, key) / 2.0**64
+
+
 class HashRing:
     """Members in the order of their hashes, to find the owners of many keys.
 
