Quarantine parts of prompts that end the targets of different requests

Cause: evidence was kept by the whole request's fingerprint. Each deadly request was new, ended three engines by its resends and its caller's retry, was held back, and the next one began anew. Class: evidence that is kept by a key narrower than the cause.

Change: each end of a target accuses the shared parts of the requests it ran, each complete answer clears those of its request (state/part_ledger.py). A part is held back with the parts that came with it; streams and calls ask before each send, also when a stream gets its slot after a wait. Records of parts go to six owners, to all hosts once held back, and to the store; a host whose answers refute one tells the owners, and they tell all.

--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -68,6 +68,11 @@
         """Return the fingerprint that the request shares with its retries."""
         return self.request.fingerprint(self.workspace)
 
+    @cached_property
+    def parts(self) -> tuple[str, ...]:
+        """Return the keys of the parts of its prompt that other requests share."""
+        return self.request.part_keys(self.service)
+
 
 @dataclass(frozen=True, kw_only=True)
 class CompleteReply:
@@ -109,7 +114,7 @@
         An answer is sent to the caller here; a returned refusal is not.
         """
         self._budget(work.service).record_first_send(self._clock.now())
-        refusal = self._quarantine.refuse(work.fingerprint, work.request.id)
+        refusal = self._quarantine.refuse(work.fingerprint, work.request.id, work.parts)
         if refusal is not None:
             return refusal
         failed: CompleteReply | None = None
@@ -120,7 +125,7 @@
             reply = await self._send(work, target)
             match reply:
                 case CompleteReply(status=status) if status < 500:
-                    self._quarantine.record_answer(work.fingerprint)
+                    self._quarantine.record_answer(work.fingerprint, work.parts)
                     await _respond(work, reply)
                     return Answered(status=status, target=target.id)
                 case CompleteReply():
@@ -212,7 +217,9 @@
         finally:
             record.in_flight -= 1
         if isinstance(reply, NoReply) and reply.reason is Reason.MAYBE_RUN:
-            self._quarantine.record_ending(work.fingerprint, target.process, now)
+            self._quarantine.record_ending(
+                work.fingerprint, target.process, now, parts=work.parts
+            )
         elif isinstance(reply, CompleteReply):
             self._quarantine.record_alive(target.process)
         self._record_failure(work, target, reply)
@@ -284,7 +291,7 @@
         now = self._clock.now()
         if work.deadline - now < MIN_SECONDS_LEFT:
             return False
-        if self._quarantine.refusal(work.fingerprint) is not None:
+        if self._quarantine.refusal(work.fingerprint, work.parts) is not None:
             return False
         if isinstance(reply, NoReply) and not reply.may_have_run:
             if len(work.rejected_by) > MAX_NOT_RUN_REPEATS:
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -27,6 +27,7 @@
 )
 from mallowpond.state.evacuations import Evacuations
 from mallowpond.state.fleet import BreakCause, GroupKey, Process, Target
+from mallowpond.state.part_ledger import PartRecord
 from mallowpond.state.rate_limit import TargetLimit
 
 # Interval between heartbeats, in seconds. The loads known of a peer are at most as old
@@ -380,6 +381,18 @@
     answer: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class PartRecords:
+    """Report parts of prompts whose requests were running on targets that ended.
+
+    With `answer` the message answers a `CrashQuestion`.
+    """
+
+    node: Name
+    records: tuple[PartRecord, ...]
+    answer: bool = False
+
+
 @dataclass(frozen=True, kw_only=True)
 class CrashQuestion:
     """Ask a peer for its crash records, after a start."""
@@ -425,6 +438,7 @@
     | ConfigurationPart
     | ConfigurationQuestion
     | CrashRecords
+    | PartRecords
     | CrashQuestion
     | RateLimitNews
     | ColdNews
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -57,6 +57,11 @@
         self.quarantined = Gauge(
             "mallowpond_held_back", "Requests held back", registry=self.registry
         )
+        self.quarantined_parts = Gauge(
+            "mallowpond_held_back_parts",
+            "Parts of prompts whose requests are held back",
+            registry=self.registry,
+        )
         self.rate_limited = Gauge(
             "mallowpond_rate_limited_targets",
             "Targets that named a rate limit",
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -34,6 +34,7 @@
     LivenessAnswer,
     LivenessQuestion,
     Message,
+    PartRecords,
     PlaceAnswer,
     PlaceQuestion,
     RateLimitNews,
@@ -189,8 +190,8 @@
         self.on_configuration_question: list[
             Callable[[ConfigurationQuestion], None]
         ] = []
-        # Requests that were running on targets whose processes ended.
-        self.on_crash_records: list[Callable[[CrashRecords], None]] = []
+        # Requests that were running on targets whose processes ended, or their parts.
+        self.on_crash_records: list[Callable[[CrashRecords | PartRecords], None]] = []
         # A peer that has started asks for this node's records of such requests.
         self.on_crash_question: list[Callable[[CrashQuestion], None]] = []
         # Rate limits that targets announced or withdrew in answers to a peer.
@@ -478,7 +479,7 @@
                 _notify(self.on_configuration_part, message)
             case ConfigurationQuestion():
                 _notify(self.on_configuration_question, message)
-            case CrashRecords():
+            case CrashRecords() | PartRecords():
                 _notify(self.on_crash_records, message)
             case CrashQuestion():
                 _notify(self.on_crash_question, message)
--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -11,7 +11,7 @@
 
 from mallowpond.coordination.ports import TableService, Unavailable
 from mallowpond.state.evacuations import EvacuationChanges
-from mallowpond.state.fingerprint import fingerprint
+from mallowpond.state.fingerprint import fingerprint, part_key
 from mallowpond.state.fleet import Target
 from mallowpond.state.formation_view import (
     Step,
@@ -60,6 +60,13 @@
         """Return the request target without its query."""
         return self.target.partition("?")[0]
 
+    def part_keys(self, service: str, model: str = "") -> tuple[str, ...]:
+        """Return the keys of its shared parts at a model of a service."""
+        return tuple(
+            part_key(service=service, model=model, part=part)
+            for part in self.shared_parts
+        )
+
     def fingerprint(self, workspace: str | None) -> str:
         """Return a hash that this request shares with its retries by one workspace."""
         return fingerprint(
--- a/mallowpond/node/quarantine_sharing.py
+++ b/mallowpond/node/quarantine_sharing.py
@@ -1,10 +1,11 @@
-"""Share crash records among hosts, and store those of quarantined requests.
-
-A request that crashes each target may be retried at any host. The crash records of one
-host go to a few owners of that request, which merge the records of several hosts; once
-the request is quarantined, its record goes to every host. So an ordinary crash costs a
-few datagrams, however many hosts there are. Quarantined requests are also stored, as
-all hosts may restart at the same moment.
+"""Share crash records among hosts, and store those of quarantined requests and parts.
+
+A request that crashes each target may be retried at any host, and others with the same
+deadly part of a prompt may come there. The records of one host go to a few owners of
+that request or part, which merge the records of several hosts; once it is quarantined,
+its record goes to every host. A host whose answers refute it tells the owners, which
+tell all. So an ordinary crash costs a few datagrams, however many hosts there are.
+What is quarantined is also stored, as all hosts may restart at the same moment.
 """
 
 import asyncio
@@ -24,22 +25,28 @@
     Unknown,
 )
 from mallowpond.coordination.store import new_id
-from mallowpond.node.messages import CrashQuestion, CrashRecords
+from mallowpond.node.messages import CrashQuestion, CrashRecords, PartRecords
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.quarantine import Quarantine
 from mallowpond.node.resend_schedule import ResendSchedule
 from mallowpond.node.unreadable import UnreadableLog
 from mallowpond.state.codec import to_plain
 from mallowpond.state.crash_ledger import QUARANTINE_SECONDS, CrashRecord, Ending
-from mallowpond.state.decoding import Unreadable, decode
+from mallowpond.state.decoding import Identifier, Unreadable, decode
+from mallowpond.state.fingerprint import is_part_key
 from mallowpond.state.ownership import first_owners
+from mallowpond.state.part_ledger import (
+    MAX_QUARANTINE_SECONDS,
+    PartEnding,
+    PartRecord,
+)
 from mallowpond.state.store_clock import StoreClock
 
 log = structlog.get_logger()
 
-# Hosts that merge the records of one request: all of a small fleet, and in a large one
-# enough that some are left when a data centre is lost.
-OWNERS_PER_REQUEST = 6
+# Hosts that merge the records of one request or part: all of a small fleet, and in a
+# large one enough that some are left when a data centre is lost.
+OWNERS_PER_RECORD = 6
 # Delays before each send of a record, in seconds: datagrams get lost, and hosts that
 # have just started know few others. The first one collects the requests that one target
 # ran, so that they share messages.
@@ -65,6 +72,10 @@
 # per call.
 MAX_DELETED_ROWS = 100
 PREFIX = "quarantine/"
+PARTS_PREFIX = "quarantine_parts/"
+# Time after the last ending for which the row of a part is kept, in seconds: the spread
+# of quarantines doubles the longest one.
+PART_ROW_SECONDS = 2.0 * MAX_QUARANTINE_SECONDS
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -78,6 +89,17 @@
     ended_at: float | None = None
 
 
+@dataclass(frozen=True, kw_only=True)
+class PartRow:
+    """Stored record of a part; ages count from `written_at` on the store's clock.
+
+    Without `written_at` they count from when the row is read.
+    """
+
+    endings: tuple[PartEnding, ...]
+    written_at: float | None = None
+
+
 class QuarantineSharing:
     """Sends changes of this host's quarantine to others, and merges theirs."""
 
@@ -104,32 +126,39 @@
         self._resends: ResendSchedule[str] = ResendSchedule(
             clock=clock, delays=SEND_DELAYS, max_batch=MAX_RECORDS_PER_MESSAGE
         )
-        # Requests whose quarantine was sent to every host, and whose later changes are
-        # sent to every host too.
+        # Keys of records whose quarantine was sent to every host, and whose later
+        # changes are sent to every host too.
         self._sent_to_all: set[str] = set()
         self._unwritten: set[str] = set()
         self._write_requested = asyncio.Event()
         self._is_answered = False
         quarantine.on_observed.append(self._on_observed)
         quarantine.on_quarantined_by_merge.append(self._on_quarantined_by_merge)
+        quarantine.on_refuted_by_merge.append(self._schedule_send)
+        quarantine.on_released_by_merge.append(self._on_released_by_merge)
         peers.on_crash_records.append(self._on_records)
         peers.on_crash_question.append(self._on_question)
 
     # -- sending -------------------------------------------------------------
 
-    def _on_observed(self, fingerprint: str) -> None:
-        self._schedule_send(fingerprint)
-        if self._quarantine.is_quarantined(fingerprint):
-            self._schedule_write(fingerprint)
+    def _on_observed(self, key: str) -> None:
+        self._schedule_send(key)
+        if self._quarantine.is_quarantined(key):
+            self._schedule_write(key)
 
-    def _on_quarantined_by_merge(self, fingerprint: str) -> None:
+    def _on_quarantined_by_merge(self, key: str) -> None:
         # Written even though this host observed no ending of it: the records of other
         # hosts may have been merged only here.
-        self._schedule_send(fingerprint)
-        self._schedule_write(fingerprint)
+        self._schedule_send(key)
+        self._schedule_write(key)
 
-    def _schedule_send(self, fingerprint: str) -> None:
-        self._resends.add(fingerprint)
+    def _on_released_by_merge(self, key: str) -> None:
+        if key in self._sent_to_all:
+            # Not every host gets what refutes it: that goes to the owners.
+            self._schedule_send(key)
+
+    def _schedule_send(self, key: str) -> None:
+        self._resends.add(key)
 
     async def run_sending(self) -> None:
         """Send records when they are due, until cancelled."""
@@ -137,30 +166,36 @@
 
     def send_due(self) -> None:
         """Send the records that are due now."""
-        by_receivers: dict[frozenset[str], list[CrashRecord]] = {}
-        for fingerprint in self._resends.take_due():
-            record = self._quarantine.record(fingerprint)
-            if record is None:
-                self._resends.drop(fingerprint)
-                self._sent_to_all.discard(fingerprint)
-                continue
-            by_receivers.setdefault(self._receivers(fingerprint), []).append(record)
-        for receivers, records in by_receivers.items():
+        requests: dict[frozenset[str], list[CrashRecord]] = {}
+        parts: dict[frozenset[str], list[PartRecord]] = {}
+        for key in self._resends.take_due():
+            match self._quarantine.record(key):
+                case None:
+                    self._resends.drop(key)
+                    self._sent_to_all.discard(key)
+                case CrashRecord() as record:
+                    requests.setdefault(self._receivers(key), []).append(record)
+                case PartRecord() as record:
+                    parts.setdefault(self._receivers(key), []).append(record)
+        for receivers, records in requests.items():
             message = CrashRecords(node=self._name, records=tuple(records))
             self._peers.send_to(message, receivers)
+        for receivers, part_records in parts.items():
+            message = PartRecords(node=self._name, records=tuple(part_records))
+            self._peers.send_to(message, receivers)
 
-    def _receivers(self, fingerprint: str) -> frozenset[str]:
+    def _receivers(self, key: str) -> frozenset[str]:
         """Return who gets a record: its owners, or all hosts after a quarantine."""
         live = [peer.heartbeat.node for peer in self._peers.live]
-        if self._quarantine.is_quarantined(fingerprint):
-            self._sent_to_all.add(fingerprint)
-        if fingerprint in self._sent_to_all:
+        if self._quarantine.is_quarantined(key):
+            self._sent_to_all.add(key)
+        if key in self._sent_to_all:
             return frozenset(live)
-        return frozenset(first_owners(fingerprint, live, OWNERS_PER_REQUEST))
+        return frozenset(first_owners(key, live, OWNERS_PER_RECORD))
 
     # -- receiving and querying ----------------------------------------------
 
-    def _on_records(self, message: CrashRecords) -> None:
+    def _on_records(self, message: CrashRecords | PartRecords) -> None:
         self._is_answered = self._is_answered or message.answer
         for record in message.records:
             self._quarantine.merge(record)
@@ -169,8 +204,13 @@
         records = self._quarantine.records()[:MAX_ANSWER_RECORDS]
         # An empty answer says that there are no records.
         for at in range(0, max(1, len(records)), MAX_RECORDS_PER_MESSAGE):
-            part = tuple(records[at : at + MAX_RECORDS_PER_MESSAGE])
-            answer = CrashRecords(node=self._name, records=part, answer=True)
+            some = tuple(records[at : at + MAX_RECORDS_PER_MESSAGE])
+            answer = CrashRecords(node=self._name, records=some, answer=True)
+            self._peers.send_to(answer, (question.node,))
+        parts = self._quarantine.part_records()[:MAX_ANSWER_RECORDS]
+        for at in range(0, len(parts), MAX_RECORDS_PER_MESSAGE):
+            some_parts = tuple(parts[at : at + MAX_RECORDS_PER_MESSAGE])
+            answer = PartRecords(node=self._name, records=some_parts, answer=True)
             self._peers.send_to(answer, (question.node,))
 
     async def run_querying(self) -> None:
@@ -190,12 +230,12 @@
 
     # -- the store -----------------------------------------------------------
 
-    def _schedule_write(self, fingerprint: str) -> None:
-        self._unwritten.add(fingerprint)
+    def _schedule_write(self, key: str) -> None:
+        self._unwritten.add(key)
         self._write_requested.set()
 
     async def run_writing(self) -> None:
-        """Write records of quarantined requests to the store until cancelled."""
+        """Write records of what is quarantined to the store until cancelled."""
         while True:
             await self._write_requested.wait()
             self._write_requested.clear()
@@ -205,31 +245,40 @@
 
     async def write(self) -> bool:
         """Write the records that are due; return False if the store did not answer."""
-        for fingerprint in sorted(self._unwritten):
-            if not await self._write(fingerprint):
+        for key in sorted(self._unwritten):
+            if not await self._write(key):
                 return False
         return True
 
-    async def _write(self, fingerprint: str) -> bool:
-        record = self._quarantine.record(fingerprint)
-        if record is None:
-            self._unwritten.discard(fingerprint)
+    async def _write(self, key: str) -> bool:
+        put = self._put(key)
+        if put is None:
+            self._unwritten.discard(key)
             return True
-        ended_at = self._clock.now() - record.age
-        row = QuarantineRow(
-            endings=record.endings,
-            ended_at=self._store_clock.to_store_time(ended_at),
-        )
-        put = Put(key=PREFIX + fingerprint, value=to_plain(row))
         change = Transaction(transaction=new_id(self._rng), puts=(put,))
         outcome = await self._table.commit(change)
         match outcome:
             case Unavailable(reason=reason) | Unknown(reason=reason):
                 log.warning("quarantine: row write failed", reason=reason)
                 return False
-        self._unwritten.discard(fingerprint)
+        self._unwritten.discard(key)
         return True
 
+    def _put(self, key: str) -> Put | None:
+        """Return the row of a record, None if the record is gone."""
+        now = self._clock.now()
+        match self._quarantine.record(key):
+            case CrashRecord(endings=endings, age=age):
+                ended_at = self._store_clock.to_store_time(now - age)
+                row = QuarantineRow(endings=endings, ended_at=ended_at)
+                return Put(key=PREFIX + key, value=to_plain(row))
+            case PartRecord(endings=endings):
+                written_at = self._store_clock.to_store_time(now)
+                part_row = PartRow(endings=endings, written_at=written_at)
+                return Put(key=PARTS_PREFIX + key, value=to_plain(part_row))
+            case None:
+                return None
+
     async def run_reading(self) -> None:
         """Read the stored records at intervals until cancelled."""
         await self._clock.sleep(INITIAL_DELAY_SECONDS)
@@ -242,15 +291,16 @@
 
     async def read(self) -> bool:
         """Merge the stored records; return False if the store did not answer."""
-        read = await self._table.scan(PREFIX)
-        if isinstance(read, Unavailable):
-            log.warning("quarantine: rows read failed", reason=read.reason)
-            return False
-        await self._merge_rows(read)
+        for prefix in (PREFIX, PARTS_PREFIX):
+            read = await self._table.scan(prefix)
+            if isinstance(read, Unavailable):
+                log.warning("quarantine: rows read failed", reason=read.reason)
+                return False
+            await self._merge_rows(read)
         return True
 
     async def _merge_rows(self, read: Scanned) -> None:
-        """Merge every row, and delete those whose request is no longer quarantined."""
+        """Merge every row, and delete those that are no longer needed."""
         ended = [row.key for row in read.rows if not self._merge_row(row)]
         if not ended:
             return
@@ -260,26 +310,49 @@
         log.info("quarantine: rows dropped", rows=len(ended), outcome=repr(outcome))
 
     def _merge_row(self, row: Row) -> bool:
-        """Merge a row; return whether its request is still quarantined.
+        """Merge a row; return whether it is still needed.
 
         True also for a row that cannot be decoded, so that it is not deleted.
         """
-        fingerprint = row.key.removeprefix(PREFIX)
-        found = decode(row.value, QuarantineRow)
-        if isinstance(found, Unreadable):
-            self._unreadable_log.record("quarantine", fingerprint, found)
+        key = row.key.partition("/")[2]
+        was_quarantined = self._quarantine.is_quarantined(key)
+        record = (self._decode_part if is_part_key(key) else self._decode)(key, row)
+        if isinstance(record, Unreadable):
+            self._unreadable_log.record("quarantine", key, record)
             return True
-        age = 0.0
-        if found.ended_at is not None:
-            ended_at = self._store_clock.from_store_time(found.ended_at)
-            if ended_at is not None:
-                age = max(0.0, self._clock.now() - ended_at)
-        was_quarantined = self._quarantine.is_quarantined(fingerprint)
-        if age < QUARANTINE_SECONDS:
-            record = CrashRecord(request=fingerprint, endings=found.endings, age=age)
+        if record is not None:
             self._quarantine.merge(record)
-        is_quarantined = self._quarantine.is_quarantined(fingerprint)
+        is_quarantined = self._quarantine.is_quarantined(key)
         if is_quarantined and not was_quarantined:
             # Hosts that do not read the store get it from those that do.
-            self._schedule_send(fingerprint)
+            self._schedule_send(key)
+        if isinstance(record, PartRecord):
+            # Its endings still count when its quarantine is over.
+            known = self._quarantine.record(key)
+            return known is not None and known.has_enough_evidence
         return is_quarantined
+
+    def _decode(self, key: str, row: Row) -> CrashRecord | Unreadable | None:
+        """Return the record of a request, None if its quarantine is over."""
+        found = decode(row.value, QuarantineRow)
+        if isinstance(found, Unreadable):
+            return found
+        age = self._seconds_since(found.ended_at)
+        if age >= QUARANTINE_SECONDS:
+            return None
+        return CrashRecord(request=Identifier(key), endings=found.endings, age=age)
+
+    def _decode_part(self, key: str, row: Row) -> PartRecord | Unreadable | None:
+        """Return the record of a part, None if its quarantine is over."""
+        found = decode(row.value, PartRow)
+        if isinstance(found, Unreadable):
+            return found
+        record = PartRecord(part=Identifier(key), endings=found.endings)
+        record = record.aged(self._seconds_since(found.written_at))
+        youngest = min((e.age for e in record.endings), default=PART_ROW_SECONDS)
+        return record if youngest < PART_ROW_SECONDS else None
+
+    def _seconds_since(self, stored_at: float | None) -> float:
+        """Return the seconds since a time of the store's clock, 0 if unknown."""
+        at = None if stored_at is None else self._store_clock.from_store_time(stored_at)
+        return 0.0 if at is None else max(0.0, self._clock.now() - at)
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -135,7 +135,7 @@
         )
         self.metrics.carried_tunnels.set_function(lambda: self.tunnels.count)
         self.links.on_change.append(self._on_links_changed)
-        quarantine = Quarantine(clock=clock, metrics=self.metrics)
+        quarantine = Quarantine(clock=clock, metrics=self.metrics, host=settings.name)
         self.quarantine_sharing = QuarantineSharing(
             name=settings.name,
             quarantine=quarantine,
--- a/mallowpond/node/stream_placement.py
+++ b/mallowpond/node/stream_placement.py
@@ -106,10 +106,8 @@
     async def place(self, work: StreamWork) -> Group | Refusal:
         """Return the group for a stream, waiting for a slot if needed, or a refusal."""
         while True:
-            quarantined = self._quarantine.refuse(work.fingerprint, work.request.id)
+            quarantined = self._refuse_quarantined(work)
             if quarantined is not None:
-                # If it were placed, it would crash one more group and with it every
-                # stream there; its caller may retry at any host.
                 return quarantined
             refusal = self._refuse_evacuated(work) or self._refuse_unavailable(work)
             if refusal is not None:
@@ -133,6 +131,12 @@
                     pass
                 case None:
                     group = self.choose(work)
+            quarantined = self._refuse_quarantined(work)
+            if quarantined is not None:
+                # It was quarantined while the stream waited for its slot.
+                self._release_grant()
+                self.wake(work.model.name)
+                return quarantined
             if group is not None and self._shuts_down_before(work):
                 self._release_grant()
                 self.wake(work.model.name)
@@ -143,6 +147,10 @@
             if refusal is not None:
                 return refusal
 
+    def _refuse_quarantined(self, work: StreamWork) -> Refusal | None:
+        """Refuse a stream that would crash one more group and every stream there."""
+        return self._quarantine.refuse(work.fingerprint, work.request.id, work.parts)
+
     def choose(self, work: StreamWork) -> Group | None:
         """Return a group with a free slot by load reports, None if there is none."""
         request = self._slot_request(work).without(self._unavailable(work))
--- a/mallowpond/node/stream_work.py
+++ b/mallowpond/node/stream_work.py
@@ -54,6 +54,11 @@
         """Return the fingerprint that the request shares with its retries."""
         return self.request.fingerprint(self.workspace)
 
+    @cached_property
+    def parts(self) -> tuple[str, ...]:
+        """Return the keys of the parts of its prompt that other requests share."""
+        return self.request.part_keys(self.service, self.model.name)
+
     @property
     def has_begun(self) -> bool:
         """Return whether the caller has part of the answer."""
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -105,7 +105,7 @@
             end = await self._send(work, group)
             match end:
                 case CompleteAnswer(status=status):
-                    self._quarantine.record_answer(work.fingerprint)
+                    self._quarantine.record_answer(work.fingerprint, work.parts)
                     self._log_served(work)
                     return Answered(status=status, target=work.sent_to[-1].id)
                 case FailedAnswer():
@@ -133,7 +133,7 @@
     ) -> Refusal | None:
         """Return the refusal of a stream that must not be sent again, else None."""
         now = self._clock.now()
-        quarantined = self._quarantine.refusal(work.fingerprint)
+        quarantined = self._quarantine.refusal(work.fingerprint, work.parts)
         if quarantined is not None:
             return quarantined
         if isinstance(end, NotRun):
@@ -408,7 +408,11 @@
         self._notify_head_ended(group)
         process = group.head.process
         if not self._quarantine.record_ending(
-            work.fingerprint, process, work.sent_at, ran=_seconds_run(work)
+            work.fingerprint,
+            process,
+            work.sent_at,
+            ran=_seconds_run(work),
+            parts=work.parts,
         ):
             self._back_off(work, group)
             self._log_rejected(work, group, reason)
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -26,6 +26,7 @@
     LivenessAnswer,
     LivenessQuestion,
     LoadColumns,
+    PartRecords,
     PlaceAnswer,
     PlaceQuestion,
     PlaceVerdict,
@@ -61,6 +62,7 @@
     Process,
     Target,
 )
+from mallowpond.state.part_ledger import PartEnding, PartRecord
 from mallowpond.state.rate_limit import TargetLimit
 
 LOADS = {("g", 3): (4, 500)}
@@ -212,6 +214,18 @@
     endings=(Ending(process=Process(id="t", born=5), ran=0.1),),
     age=2.0,
 )
+ACCUSED = PartRecord(
+    part="1f2e3d4c:5c1e07a2",
+    endings=(
+        PartEnding(
+            process=Process(id="t", born=None),
+            request="f1",
+            companions=("1f2e3d4c:91bd",),
+            age=0.5,
+            early=True,
+        ),
+    ),
+)
 EVACUATED = Evacuations(revision=7, data_centres=("a",))
 MESSAGES_OF_EACH_KIND = (
     heartbeat_of(),
@@ -280,6 +294,7 @@
     LivenessAnswer(node="b", number=3, alive=True),
     EndedHeads(node="b", heads=(TARGET.process, Process(id="t", born=None))),
     CrashRecords(node="b", records=(CRASHED,), answer=True),
+    PartRecords(node="b", records=(ACCUSED,), answer=True),
     CrashQuestion(node="b"),
     RateLimitNews(
         node="b",
--- a/mallowpond/node/tests/test_quarantine.py
+++ b/mallowpond/node/tests/test_quarantine.py
@@ -21,7 +21,8 @@
 from mallowpond.node.quarantine_sharing import (
     MAX_ANSWER_RECORDS,
     MAX_RECORDS_PER_MESSAGE,
-    OWNERS_PER_REQUEST,
+    OWNERS_PER_RECORD,
+    PARTS_PREFIX,
     PREFIX,
     SEND_DELAYS,
     QuarantineSharing,
@@ -42,6 +43,9 @@
 from mallowpond.state.fleet import Process
 from mallowpond.state.store_clock import StoreClock
 
+# Keys of parts of prompts.
+BAD, SOUND = "0:bad", "0:a1"
+
 
 def target(number):
     """Return the process of a target."""
@@ -60,7 +64,9 @@
     def start(self):
         """Start as a new process without any records."""
         fleet = self.fleet
-        self.quarantine = Quarantine(clock=fleet.clock, metrics=self.metrics)
+        self.quarantine = Quarantine(
+            clock=fleet.clock, metrics=self.metrics, host=self.name
+        )
         self.peers = PeerNetwork(
             name=self.name,
             incarnation="1",
@@ -108,6 +114,15 @@
         sent_at = self.fleet.clock.now() - seconds_ran
         self.quarantine.record_ending("bad", target(number), sent_at)
 
+    def record_part_crash(self, number, *parts):
+        """Record that a target ended under a new request with the part `BAD`."""
+        self.quarantine.record_ending(
+            f"r{number}",
+            target(number),
+            self.fleet.clock.now() - 0.3,
+            parts=(BAD, *parts),
+        )
+
 
 class Fleet:
     """Hosts and their network, which loses some datagrams and cuts some hosts off."""
@@ -278,7 +293,7 @@
     assert received < 3_000 * sum(SEND_DELAYS)
     assert {len(h.quarantine.records()) for h in fleet.hosts} <= set(range(60))
     receivers = {r for s, r, _ in fleet.sent if s == "n1"}
-    assert len(receivers) <= 3 * OWNERS_PER_REQUEST
+    assert len(receivers) <= 3 * OWNERS_PER_RECORD
 
 
 def test_what_one_host_tells_at_once_is_bounded():
@@ -298,6 +313,140 @@
     assert answered == MAX_ANSWER_RECORDS
 
 
+@pytest.mark.parametrize("count", [1, 2, 7, 195])
+def test_a_part_that_ends_targets_at_any_hosts_is_held_back_at_all(count):
+    """Guards against targets that end under requests which share only one part."""
+    fleet = Fleet(count)
+    for number in range(ENDINGS_TO_QUARANTINE):
+        assert fleet.hosts_with_quarantine(BAD) == []
+        fleet.hosts[number % count].record_part_crash(number)
+        fleet.advance(0.2)
+    assert fleet.hosts_with_quarantine(BAD) == fleet.names
+    for host in fleet.hosts:
+        refusal = host.quarantine.refusal("new", (SOUND, BAD))
+        assert refusal.status == 503 and refusal.retry_after > 0.0
+        assert host.quarantine.refusal("new", (SOUND,)) is None
+
+
+def test_lost_datagrams_do_not_lose_a_part():
+    fleet = Fleet(65, loss_rate=0.3)
+    for number in range(ENDINGS_TO_QUARANTINE):
+        fleet.hosts[number].record_part_crash(number)
+    fleet.advance()
+    assert len(fleet.hosts_with_quarantine(BAD)) > 0.9 * 65
+
+
+@pytest.mark.parametrize("count", [7, 195])
+def test_a_part_that_one_host_has_answered_is_released_at_all(count):
+    """Guards against hosts that refuse a sound part which others have just served."""
+    fleet = Fleet(count)
+    fleet.hosts[-1].quarantine.record_answer("sound", (BAD,))
+    for number in range(ENDINGS_TO_QUARANTINE):
+        fleet.hosts[number].record_part_crash(number)
+    fleet.advance()
+    assert fleet.hosts_with_quarantine(BAD) == []
+
+
+@pytest.mark.parametrize("count", [7, 195])
+def test_a_part_whose_next_request_is_answered_is_released_at_all(count):
+    """Guards against a sound part that is refused until its quarantine is over."""
+    fleet = Fleet(count)
+    for number in range(ENDINGS_TO_QUARANTINE):
+        fleet.hosts[number].record_part_crash(number)
+    fleet.advance()
+    assert fleet.hosts_with_quarantine(BAD) == fleet.names
+    fleet.hosts[-1].quarantine.record_answer("sound", (BAD,))
+    fleet.advance()
+    assert fleet.hosts_with_quarantine(BAD) == []
+
+
+def test_refuting_a_part_costs_a_large_fleet_few_datagrams():
+    """Guards against hosts that all tell all others of a common part's answers."""
+    fleet = Fleet(195)
+    for host in fleet.hosts[10:]:
+        host.quarantine.record_answer("sound", (BAD,))
+    for number in range(ENDINGS_TO_QUARANTINE):
+        fleet.hosts[number].record_part_crash(number)
+    fleet.advance()
+    assert fleet.hosts_with_quarantine(BAD) == []
+    received = [
+        sum(len(data) + 28 for _, name, data in fleet.sent if name == host.name)
+        for host in fleet.hosts
+    ]
+    # The budget is 3 KB per second, over the time in which records are sent; owners
+    # hear each host that refutes.
+    assert sorted(received)[len(received) // 2] < 3_000 * sum(SEND_DELAYS)
+
+
+def test_a_host_that_starts_anew_learns_of_parts():
+    fleet = Fleet(7)
+    for number in range(ENDINGS_TO_QUARANTINE):
+        fleet.hosts[number].record_part_crash(number)
+    fleet.advance()
+    fleet.hosts[6].start()
+    fleet.exchange_heartbeats()
+    fleet.hosts[6].sharing.query_peers()
+    assert fleet.hosts[6].quarantine.is_quarantined(BAD)
+
+
+async def test_parts_are_kept_in_the_store_while_their_endings_count():
+    """Guards against deadly parts that all hosts forget as they start at once."""
+    fleet = Fleet(7)
+    for number in range(ENDINGS_TO_QUARANTINE):
+        fleet.hosts[number].record_part_crash(number)
+    fleet.advance(0.3)
+    for host in fleet.hosts:
+        assert await host.sharing.write()
+    for host in fleet.hosts:
+        host.start()
+    fleet.exchange_heartbeats()
+    assert await fleet.hosts[0].sharing.read()
+    fleet.advance(0.5)
+    assert fleet.hosts_with_quarantine(BAD) == fleet.names
+    fleet.hosts[0].quarantine.record_answer("sound", (BAD,))
+    assert await fleet.hosts[0].sharing.read()
+    assert (await fleet.table.scan(PARTS_PREFIX)).rows == ()
+
+
+async def test_a_stream_with_a_held_part_gives_its_slot_back_unsent():
+    """Guards against a stream that is sent as its part was found while it waited."""
+    rig = await make_rig("a")
+    work = rig.work(FakeExchange())
+    work.request = replace(work.request, shared_parts=("bad",))
+    placement = rig.service.placement
+    quarantine = rig.service._quarantine
+
+    def choose(waiting):
+        now = rig.clock.now()
+        for number in range(ENDINGS_TO_QUARANTINE):
+            quarantine.record_ending(
+                f"r{number}", target(number), now - 0.3, parts=waiting.parts
+            )
+        return next(iter(rig.directory.groups.values()))
+
+    placement.choose = choose
+    refusal = await rig.service.serve(work)
+    assert (refusal.status, refusal.reason) == (503, Reason.HELD_BACK)
+    assert rig.targets.sends == []
+
+
+async def test_a_sound_stream_with_the_first_part_of_a_deadly_one_is_served():
+    """Guards against refusing the caller or the first part of deadly requests."""
+    rig = await make_rig("d")
+    rig.targets.script("d0", answer(1, 2))
+    quarantine, now = rig.service._quarantine, rig.clock.now()
+    sound, deadly = rig.work(FakeExchange()), rig.work(FakeExchange())
+    sound.request = replace(sound.request, shared_parts=("a1", "b1"))
+    deadly.request = replace(deadly.request, shared_parts=("a1", "bad"))
+    for number in range(ENDINGS_TO_QUARANTINE):
+        quarantine.record_ending(
+            f"r{number}", target(number), now - 0.3, parts=deadly.parts
+        )
+    refused = await rig.service.serve(deadly)
+    assert (refused.status, refused.reason) == (503, Reason.HELD_BACK)
+    assert await rig.service.serve(sound) == Answered(status=200, target="d0")
+
+
 async def test_a_stream_that_is_held_back_is_refused_and_not_sent():
     """One request crashed an engine each time its caller retried it.
 
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -11,6 +11,7 @@
     Disturbance,
     Ending,
     Evacuation,
+    FatalParts,
     ForeignEntry,
     JournalEntry,
     RequestKind,
@@ -124,7 +125,57 @@
     return record(RequestKind.AGAIN, content="c", **times, **more)
 
 
+FATAL_PARTS = FatalParts(
+    parts=("dead1",),
+    companions=frozenset({"a0", "key-a"}),
+    began_at=10.0,
+    ended_at=60.0,
+)
+
+
+def part_run(*times, served=0, failed=0, beside=30.0, **more):
+    """Return a run with streams of a part that crash engines at `times`.
+
+    Sound streams that share another part are sent from `beside` seconds on.
+    """
+    records = [
+        record(
+            RequestKind.STREAM,
+            **FAILED,
+            attempt=f"f{at}",
+            parts=("a0", "dead1", f"f{at}"),
+            sent_at=at,
+            ended_at=at,
+            deadline=at + 1.5,
+        )
+        for at in times
+    ]
+    notes = [entry("arrival", at, attempt=f"f{at}") for at in times]
+    notes += [entry("crash", at + 0.1, attempt=f"f{at}") for at in times]
+    for number in range(served + failed):
+        at = beside + number / 10.0
+        sound = record(
+            RequestKind.STREAM,
+            attempt=f"s{number}",
+            parts=("a0", f"s{number}"),
+            sent_at=at,
+            ended_at=at + 0.2,
+            deadline=at + 1.5,
+            headers={"x-mallowpond-attempt-id": f"s{number}"},
+            body=event_bytes(f"s{number}", 1) + event_bytes(f"s{number}", 2),
+        )
+        records.append(sound if number < served else replace(sound, **REFUSED))
+    run = run_of(*records, notes=notes, **more)
+    return replace(run, fatal_parts=(FATAL_PARTS,))
+
+
 VALID_RUNS = [
+    # Found at the fifth end, and tried a few times later.
+    part_run(10.0, 11.0, 12.0, 12.5, 13.0, 13.5, 14.0, 30.0, 40.0, 50.0),
+    part_run(10.0, 11.0, 12.0, 12.5, 30.0, 31.0, 32.0, 33.0),
+    part_run(10.0, 11.0, 12.0, served=28, failed=2),
+    part_run(10.0, 11.0, 12.0, served=10, failed=9),
+    part_run(10.0, 11.0, 12.0, failed=30, beside=13.0),
     # Sent until the hosts know that it crashes engines, and a few times after.
     fatal_run(10.0, 11.0, 12.0, 12.5, 13.0, 14.0, 15.0, 20.0, 20.1, 20.2),
     fatal_run(10.0, 11.0, 20.0, 20.1, 20.2),
@@ -195,6 +246,9 @@
 ]
 VIOLATIONS = [
     ("4 times more", fatal_run(10.0, 11.0, 12.0, *(20.0 + n / 10 for n in range(4)))),
+    ("sent 4 times more", part_run(*(10.0 + n / 5 for n in range(5)), 20, 30, 40, 50)),
+    ("served 26 of 30", part_run(10.0, 11.0, 12.0, served=26, failed=4)),
+    ("served 0 of 20", part_run(10.0, failed=20)),
     (
         "beside a fatal request",
         run_of(
