Take an unframed stream without an event as broken, and let no unframed answer clear parts

Tests of such answers, direct and through a tunnel, for streams and calls: a close after an event is whole, a reset and a close inside an event are broken, as before. Two failed: a stream that closed before its first event was passed on as a complete empty answer, and an unframed answer cleared the parts of its request although the target may have crashed there.

Change: responses tell whether a length or chunks mark their end; a stream without that and without an event is broken and resumed, and only marked ends count as answers for the quarantine.

--- a/mallowpond/emulator/engines.py
+++ b/mallowpond/emulator/engines.py
@@ -111,6 +111,7 @@
 
     status = 200
     header_list: tuple[tuple[str, str], ...] = ()
+    has_marked_end = True
 
     def __init__(self, *, group: EmulatedGroup, stream: EngineStream) -> None:
         self._group = group
--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -76,11 +76,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class CompleteReply:
-    """Complete answer of a target."""
+    """Complete answer of a target.
+
+    Without a marked end, by a length or chunks, the target may have crashed there.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    has_marked_end: bool
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -125,7 +129,8 @@
             reply = await self._send(work, target)
             match reply:
                 case CompleteReply(status=status) if status < 500:
-                    self._quarantine.record_answer(work.fingerprint, work.parts)
+                    if reply.has_marked_end:
+                        self._quarantine.record_answer(work.fingerprint, work.parts)
                     await _respond(work, reply)
                     return Answered(status=status, target=target.id)
                 case CompleteReply():
@@ -252,7 +257,12 @@
         if isinstance(body, CallFailed):
             return NoReply(reason=Reason.MAYBE_RUN, may_have_run=True)
         headers = self._callers.answer_headers(response)
-        return CompleteReply(status=response.status, headers=headers, body=body)
+        return CompleteReply(
+            status=response.status,
+            headers=headers,
+            body=body,
+            has_marked_end=response.has_marked_end,
+        )
 
     def _record_failure(
         self, work: CallWork, target: Target, reply: CompleteReply | NoReply
--- a/mallowpond/node/stream_work.py
+++ b/mallowpond/node/stream_work.py
@@ -117,9 +117,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class CompleteAnswer:
-    """The group's answer ended normally."""
+    """The group's answer ended normally.
+
+    Without a marked end, by a length or chunks, the target may have crashed there.
+    """
 
     status: int
+    has_marked_end: bool
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -105,7 +105,8 @@
             end = await self._send(work, group)
             match end:
                 case CompleteAnswer(status=status):
-                    self._quarantine.record_answer(work.fingerprint, work.parts)
+                    if end.has_marked_end:
+                        self._quarantine.record_answer(work.fingerprint, work.parts)
                     self._log_served(work)
                     return Answered(status=status, target=work.sent_to[-1].id)
                 case FailedAnswer():
@@ -322,12 +323,18 @@
                     await self._forward(stream, headers, data)
                 case End() if work.progress.has_partial_event:
                     return Interrupted(reason=Reason.BROKEN_STREAM)
+                case End() if not (response.has_marked_end or stream.events):
+                    # A target that crashes before its first event closes the
+                    # connection too.
+                    return Interrupted(reason=Reason.BROKEN_STREAM)
                 case End():
                     if not work.exchange.started:
                         await work.exchange.start(200, headers)
                     await work.exchange.end()
                     self.placement.record_answer(work, stream)
-                    return CompleteAnswer(status=200)
+                    return CompleteAnswer(
+                        status=200, has_marked_end=response.has_marked_end
+                    )
                 case CallFailed():
                     return Interrupted(reason=Reason.BROKEN_STREAM)
         return Interrupted(reason=Reason.BROKEN_STREAM)
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -75,6 +75,7 @@
     script: list
     status: int = 200
     headers: dict = field(default_factory=dict)
+    has_marked_end: bool = True
 
     @property
     def header_list(self):
--- a/mallowpond/node/tests/test_calls.py
+++ b/mallowpond/node/tests/test_calls.py
@@ -283,3 +283,15 @@
         await service.serve(make_work(clock, ONCE, FakeExchange())) for _ in range(9)
     ]
     assert [outcome.target for outcome in outcomes] == ["d"] * 9
+
+
+async def test_an_unframed_answer_to_a_call_is_whole_unless_it_is_reset():
+    """Guards against a part of an answer without a length that is taken as whole."""
+    whole = FakeResponse(script=[Chunk(data=b"ok"), End()], has_marked_end=False)
+    outcome, _, exchange = await serve(ONCE, whole)
+    assert isinstance(outcome, Answered) and exchange.body == b"ok"
+    reset = FakeResponse(script=[Chunk(data=b"o"), BROKEN], has_marked_end=False)
+    outcome, _, _ = await serve(ONCE, reset)
+    assert outcome == Refusal(status=502, reason=Reason.MAYBE_RUN)
+    outcome, sends, exchange = await serve(IDEMPOTENT, reset, reply(200))
+    assert (exchange.body, len(sends)) == (b"ok", 2)
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -23,6 +23,7 @@
 )
 from mallowpond.state.crash_ledger import CrashRecord, Ending
 from mallowpond.state.fleet import Process
+from mallowpond.transport.http_client import Chunk, End
 
 
 def event_bytes(*numbers):
@@ -498,3 +499,49 @@
     outcome = await rig.service.serve(rig.work(FakeExchange()))
     assert outcome == Answered(status=200, target="b0")
     assert rig.service._metrics.endings._value.get() == 0
+
+
+def unframed(*script):
+    """Return a response that ends with its connection."""
+    return FakeResponse(script=list(script), has_marked_end=False)
+
+
+async def test_an_unframed_stream_that_closes_after_an_event_is_whole():
+    rig = await make_rig("a", "b")
+    rig.targets.script("a0", unframed(event(1), event(2), End()))
+    rig.targets.script("b0", unframed(event(1), event(2), End()))
+    exchange = FakeExchange()
+    outcome = await rig.service.serve(rig.work(exchange))
+    assert isinstance(outcome, Answered) and exchange.finished
+
+
+@pytest.mark.parametrize(
+    "script",
+    [(Chunk(data=b"id: 1\nda"), End()), (End(),), (event(1), BROKEN)],
+    ids=["inside an event", "without an event", "reset"],
+)
+async def test_an_unframed_stream_that_breaks_off_is_resumed(script):
+    """Guards against a crash of the target that looks like a complete answer."""
+    rig = await make_rig("a", "b")
+    rig.targets.script("a0", unframed(*script))
+    rig.targets.script("b0", answer(2))
+    rig.directory.loads.work(("b", 1)).running = 1
+    exchange = FakeExchange()
+    outcome = await rig.service.serve(rig.work(exchange))
+    assert isinstance(outcome, Answered) and exchange.finished
+    assert len(rig.targets.sends) == 2
+
+
+async def test_an_unframed_stream_clears_no_part_that_it_had():
+    """Guards against a target's crash that is taken for the answer of a deadly part."""
+    rig = await make_rig("a", "b")
+    rig.targets.script("a0", unframed(event(1), End()), answer(1))
+    rig.targets.script("b0", unframed(event(1), End()), answer(1))
+    quarantine, now = rig.service._quarantine, rig.clock.now()
+    work = rig.work(FakeExchange())
+    work.request = replace(work.request, shared_parts=("p",))
+    process = Process(id="t", born=1)
+    quarantine.record_ending("r", process, now - 0.3, parts=work.parts)
+    await rig.service.serve(work)
+    (ending,) = quarantine.record(work.parts[0]).endings
+    assert not ending.refuted
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -177,6 +177,14 @@
         self.headers = decode_headers(head.headers)
         self.header_list = list_headers(head.headers)
 
+    @property
+    def has_marked_end(self) -> bool:
+        """Return whether a length or chunks tell where the body ends.
+
+        Otherwise the close of the connection ends it, as a crash of the server does.
+        """
+        return "content-length" in self.headers or "transfer-encoding" in self.headers
+
     async def events(
         self, silence_seconds: float | None = None
     ) -> AsyncIterator[BodyEvent]:
