Emulate most new connections at one node, and the loss of a domain

No code changes: the soak sends nine of ten new connections to one node and reuses two of ten, all the while or until that node is stopped, and asks for three quarters of the rate before. Runs also draw these, deadly parts, and the kill of all engines of a domain.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -93,6 +93,7 @@
         evacuations=tuple(injector.evacuations),
         cuts=tuple(injector.cuts),
         fatal_parts=tuple(injector.fatal_parts),
+        skews=tuple(injector.skews),
         longest_stall=stalls.longest,
     )
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -28,6 +28,10 @@
 # Share of requests that reuse an idle connection if there is one, even if its node is
 # no longer ready: callers use connections until they close.
 REUSE_SHARE = 0.7
+# While new connections are skewed: the share of them that goes to one node, and the
+# share of requests that reuse an idle connection.
+SKEWED_SHARE = 0.9
+SKEWED_REUSE_SHARE = 0.2
 # Share of streams that last for seconds, so that many nodes are stopped while they run;
 # range of their number of events, and their deadline in seconds.
 LONG_SHARE = 0.04
@@ -81,6 +85,8 @@
         self._ready_nodes: set[int] = set()
         self._idle: list[_Connection] = []
         self._tasks: set[asyncio.Task[None]] = set()
+        # Node that gets most new connections while it is ready, None for any.
+        self.favoured_node: int | None = None
         self.records: list[CallerRecord] = []
 
     async def run(self, until: float) -> None:
@@ -192,7 +198,8 @@
 
     def _take_idle_connection(self) -> "_Connection | None":
         self._idle = [c for c in self._idle if c.is_open]
-        if not self._idle or self._rng.random() > REUSE_SHARE:
+        share = REUSE_SHARE if self.favoured_node is None else SKEWED_REUSE_SHARE
+        if not self._idle or self._rng.random() > share:
             return None
         return self._idle.pop(self._rng.randrange(len(self._idle)))
 
@@ -200,8 +207,15 @@
         nodes = list(range(len(self._ports)))
         if self._ready_nodes and self._rng.random() > NOT_READY_SHARE:
             nodes = sorted(self._ready_nodes)
+        if self.favoured_node is not None and self._rng.random() < SKEWED_SHARE:
+            # The load balancer skews to another node once this one is not ready.
+            following = sorted(self._ready_nodes, key=self._distance_from_favoured)
+            return following[0] if following else self.favoured_node
         return self._rng.choice(nodes)
 
+    def _distance_from_favoured(self, node: int) -> int:
+        return (node - (self.favoured_node or 0)) % len(self._ports)
+
     async def _send(
         self, record: CallerRecord, connection: "_Connection | None"
     ) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,7 @@
     EVACUATION_KIND,
     FATAL_PART_KIND,
     RATE_LIMIT_KIND,
+    SKEW_KIND,
 )
 from soak.proxy import LinkMode, Proxy
 from soak.records import (
@@ -32,6 +33,7 @@
     LinkCut,
     RequestKind,
     Revocation,
+    Skew,
 )
 
 log = structlog.get_logger()
@@ -80,7 +82,9 @@
 DRAW_6_KINDS = ("links_some", "links_data_centre", "links_planner")
 # Streams with parts that crash engines, no two of them alike. `Fault.draw` chooses
 # between the first part, one in the middle, and two such parts in different streams.
-DRAW_7_KINDS = (FATAL_PART_KIND,)
+# Most new connections go to one node; in half of the draws it stops meanwhile. All
+# engines of a domain are killed.
+DRAW_7_KINDS = (FATAL_PART_KIND, SKEW_KIND, "engine_kill_domain")
 # From draw version 2 on, a seed chooses one of these probabilities, with which each
 # kind may occur in its run. With few kinds there are undisturbed periods, in which the
 # time limits are checked.
@@ -109,6 +113,9 @@
 # Minimum time for which streams with parts that crash engines are sent, in seconds:
 # longer than the time after which they may reach only a few more engines.
 MIN_FATAL_PART_SECONDS = 8.0
+# Minimum time for which most new connections go to one node, in seconds: longer than
+# the time after which its callers must be served as before.
+MIN_SKEW_SECONDS = 6.0
 # Minimum time for which an engine asks for fewer requests, in seconds: longer than the
 # delay until a rate limit is checked plus its window, and longer than two backoffs.
 MIN_REDUCED_LOAD_SECONDS = 8.0
@@ -181,6 +188,7 @@
     evacuations: list[Evacuation] = field(default_factory=list)
     cuts: list[LinkCut] = field(default_factory=list)
     fatal_parts: list[FatalParts] = field(default_factory=list)
+    skews: list[Skew] = field(default_factory=list)
     _evacuated: set[str] = field(default_factory=set)
     # Nodes that have no links to the engines now.
     _cut: set[int] = field(default_factory=set)
@@ -205,6 +213,9 @@
                 return
             case "node":
                 await self._disturb_node(fault, self.fleet.nodes[number])
+            case _ if fault.kind == SKEW_KIND:
+                await self._skew_connections(fault)
+                return
             case _ if fault.kind == FATAL_PART_KIND:
                 await self._send_fatal_parts(fault)
             case "fatal":
@@ -248,6 +259,23 @@
         )
         await asyncio.sleep(SETTLE_SECONDS)
 
+    async def _skew_connections(self, fault: Fault) -> None:
+        """Send most new connections to one node, which stops in half of the draws."""
+        number = fault.draw // 2 % len(self.fleet.nodes)
+        seconds = max(MIN_SKEW_SECONDS, fault.seconds)
+        began = time.monotonic()
+        self.callers.favoured_node = number
+        await asyncio.sleep(seconds / 2.0)
+        if fault.draw % 2:
+            self.fleet.stop(self.fleet.nodes[number])
+            stopped_at = time.monotonic()
+        await asyncio.sleep(seconds / 2.0)
+        self.callers.favoured_node = None
+        self.skews.append(Skew(began_at=began, ended_at=time.monotonic()))
+        if fault.draw % 2:
+            await self._wait_until_restarted(self.fleet.nodes[number])
+            self._record_disturbance("node_stop", stopped_at, number)
+
     async def _disturb_node(self, fault: Fault, node: ManagedProcess) -> None:
         match fault.kind:
             case "node_kill":
@@ -273,6 +301,12 @@
                 for managed in (engine, engines[fault.draw // 7 % len(engines)]):
                     managed.signal(signal.SIGKILL)
                 await asyncio.sleep(SETTLE_SECONDS)
+            case "engine_kill_domain":
+                count = self.fleet.shape.engines_per_domain
+                first = fault.draw % self.fleet.shape.domains * count
+                for managed in engines[first : first + count]:
+                    managed.signal(signal.SIGKILL)
+                await asyncio.sleep(SETTLE_SECONDS)
             case "engine_stop":
                 self.fleet.stop(engine)
                 await self._wait_until_restarted(engine)
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -47,6 +47,14 @@
 EVACUATION_KIND = "evacuation"
 # Nodes lose their links to the engines.
 CUT_KINDS = ("links_some", "links_data_centre", "links_planner")
+# Most new connections go to one node.
+SKEW_KIND = "skew"
+# Time after the start of a skew from which as many requests must be served as before,
+# in seconds, the share of the rate before, and the number of requests from which this
+# is checked in both intervals.
+SKEW_SECONDS = 3.0
+SKEW_SERVED_SHARE = 0.75
+MIN_SKEW_REQUESTS = 20
 # Disturbances that must not affect any request.
 NO_EFFECT_KINDS = ("reconfigure", "history", "foreign_entry")
 # Disturbances that must not cut off an answer in progress.
@@ -67,6 +75,7 @@
 LIST_READABLE_KINDS = (
     "engine_kill",
     "engine_kill_pair",
+    "engine_kill_domain",
     "engine_stop",
     "engine_restart",
     "engine_restart_twice",
@@ -159,6 +168,7 @@
             _check_announced_stops,
             _check_evacuations,
             _check_cut_nodes,
+            _check_skews,
         )
     return [line for check in checks for line in check(run)]
 
@@ -458,7 +468,7 @@
                 except_for=(FATAL_PART_KIND, *NO_EFFECT_KINDS),
             )
         ]
-        served = sum(r.status == 200 and r.ending is Ending.WHOLE for r in beside)
+        served = sum(_is_served(record) for record in beside)
         if len(beside) >= MIN_PART_BYSTANDERS:
             if served < PART_SERVED_SHARE * len(beside):
                 yield (
@@ -713,6 +723,46 @@
             )
 
 
+def _check_skews(run: Run) -> Iterator[str]:
+    """Find intervals in which requests failed as most came to one node."""
+    for skew in run.skews:
+        before = _first_attempts(run, skew.began_at - RECOVERY_SECONDS, skew.began_at)
+        during = _first_attempts(run, skew.began_at + SKEW_SECONDS, skew.ended_at)
+        if min(len(before), len(during)) < MIN_SKEW_REQUESTS:
+            continue
+        served = [sum(_is_served(r) for r in records) for records in (before, during)]
+        expected = SKEW_SERVED_SHARE * served[0] / len(before)
+        if served[1] < expected * len(during):
+            yield (
+                f"most connections at one node: served {served[1]} of {len(during)} "
+                f"at the first attempt, {served[0]} of {len(before)} before"
+            )
+
+
+def _first_attempts(run: Run, start: float, end: float) -> list[CallerRecord]:
+    """Return the first attempts of an interval that a node has read.
+
+    Without those beside disturbances other than a planned stop.
+    """
+    return [
+        record
+        for record in run.callers
+        if start < record.sent_at < end
+        and record.is_first_attempt
+        and not (record.status == 0 and record.ending is Ending.NONE)
+        and not _is_disturbed(
+            run,
+            record.sent_at - FULL_RECOVERY_SECONDS,
+            record.ended_at,
+            except_for=("node_stop", *NO_EFFECT_KINDS),
+        )
+    ]
+
+
+def _is_served(record: CallerRecord) -> bool:
+    return record.status == 200 and record.ending is Ending.WHOLE
+
+
 def _is_cut(run: Run, record: CallerRecord) -> bool:
     """Return whether a request's node had no links to the engines meanwhile."""
     return any(
--- a/soak/records.py
+++ b/soak/records.py
@@ -114,6 +114,14 @@
     ended_at: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class Skew:
+    """The interval in which most new connections went to one node."""
+
+    began_at: float
+    ended_at: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class FatalParts:
     """The interval for which requests with parts that crash engines were sent.
@@ -139,6 +147,7 @@
     evacuations: tuple[Evacuation, ...] = ()
     cuts: tuple[LinkCut, ...] = ()
     fatal_parts: tuple[FatalParts, ...] = ()
+    skews: tuple[Skew, ...] = ()
     longest_stall: float = 0.0
 
 
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -17,6 +17,7 @@
     RequestKind,
     Revocation,
     Run,
+    Skew,
 )
 
 MEMBERS = ["e0", "e1", "e2"]
@@ -78,6 +79,7 @@
 LEAVING = entry("draining accepted", 5.0, "p0")
 STOPPED = Disturbance(kind="node_stop", began_at=9.9, ended_at=14.0, node=0)
 REFUSED = {"status": 503, "headers": {}, "body": b""}
+UNREAD = {"status": 0, "headers": {}, "body": b"", "ending": Ending.NONE}
 CUT = {"ending": Ending.CUT, "body": event_bytes("q", 1)}
 RECONFIGURED = Disturbance(kind="reconfigure", began_at=9.8, ended_at=9.9)
 KILLED = Disturbance(kind="engine_kill", began_at=9.0, ended_at=11.0)
@@ -169,7 +171,22 @@
     return replace(run, fatal_parts=(FATAL_PARTS,))
 
 
+def skewed_run(*, served, failed, unread=0):
+    """Return a run whose requests were all served before a skew, then only some."""
+
+    def sent(at, **more):
+        return record(sent_at=at, ended_at=at + 0.1, deadline=at + 1.5, **more)
+
+    kinds = [{}] * served + [REFUSED] * failed + [UNREAD] * unread
+    records = [sent(10.0 + n / 10) for n in range(25)]
+    records += [sent(16.0 + n / 10, **kind) for n, kind in enumerate(kinds)]
+    skew = Skew(began_at=12.7, ended_at=30.0)
+    return replace(run_of(*records), skews=(skew,))
+
+
 VALID_RUNS = [
+    skewed_run(served=24, failed=7),
+    skewed_run(served=24, failed=0, unread=30),
     # Found at the fifth end, and tried a few times later.
     part_run(10.0, 11.0, 12.0, 12.5, 13.0, 13.5, 14.0, 30.0, 40.0, 50.0),
     part_run(10.0, 11.0, 12.0, 12.5, 30.0, 31.0, 32.0, 33.0),
@@ -249,6 +266,7 @@
     ("sent 4 times more", part_run(*(10.0 + n / 5 for n in range(5)), 20, 30, 40, 50)),
     ("served 26 of 30", part_run(10.0, 11.0, 12.0, served=26, failed=4)),
     ("served 0 of 20", part_run(10.0, failed=20)),
+    ("served 20 of 30 at the first", skewed_run(served=20, failed=10)),
     (
         "beside a fatal request",
         run_of(
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -16,6 +16,7 @@
     FATAL_KIND,
     FATAL_PART_KIND,
     RATE_LIMIT_KIND,
+    SKEW_KIND,
     find_violations,
 )
 from soak.records import Ending
@@ -166,3 +167,20 @@
     (cut,) = run.cuts
     assert any(r.node in cut.nodes and r.sent_at > cut.began_at for r in run.callers)
     assert find_violations(run) == []
+
+
+# An odd `Fault.draw` stops the node meanwhile.
+@pytest.mark.parametrize("draw", [0, 1], ids=["all the while", "until it stops"])
+def test_callers_are_served_while_most_connect_to_one_node(draw, tmp_path):
+    """Guards against refusals where one node takes nearly all requests."""
+    fault = Fault(at=4.0, kind=SKEW_KIND, seconds=9.0, draw=draw)
+    run = asyncio.run(run_case(Case(seed=1, seconds=0.0, faults=(fault,)), tmp_path))
+    (skew,) = run.skews
+    taken = [
+        record.node
+        for record in run.callers
+        if skew.began_at < record.sent_at < skew.ended_at and not record.is_kept
+    ]
+    assert len(set(taken)) > 1
+    assert max(map(taken.count, set(taken))) > len(taken) * (0.4 if draw else 0.8)
+    assert find_violations(run) == []
