Quarantine shared messages of chats on the own interface too

A message in the history of different chats, such as a system text, that crashes the engine broke 13 groups in 14 requests through two gateways.

Cause: the same; reports of gateways name whole requests only.

Change: all messages of a chat but the last are parts, named by their digests. Gateways report their endings and refutations, controllers merge them with rows of their own kind and publish them beside those of requests. Reports and routes carry them in new fields with defaults.

Measured: test_a_message_that_ends_its_groups_is_held_back_at_every_gateway had 13 groups where at most 6 may end; passes now, and a chat with the same first message is answered at both gateways meanwhile.

--- a/mallowpond/controller/links.py
+++ b/mallowpond/controller/links.py
@@ -40,6 +40,7 @@
     Withdrawn,
 )
 from mallowpond.state.crash_ledger import CrashRecord
+from mallowpond.state.part_ledger import PartRecord
 from mallowpond.state.rows import ClaimRow, ClaimState
 from mallowpond.transport.peer_link import PeerLink
 
@@ -64,7 +65,7 @@
         quotas: QuotaLeaser,
         metrics: ControllerMetrics,
         on_suspect: Callable[[], None],
-        on_crash: Callable[[tuple[CrashRecord, ...]], None],
+        on_crash: Callable[[tuple[CrashRecord | PartRecord, ...]], None],
     ) -> None:
         self._routes = routes
         self._view = view
@@ -112,8 +113,8 @@
         match message:
             case SuspectGroup():
                 self._on_suspect()
-            case CrashReport(records=records):
-                self._on_crash(records)
+            case CrashReport(records=records, parts=parts):
+                self._on_crash((*records, *parts))
             case QuotaAsk():
                 await link.send(await self._lease_quota(message))
             case ClaimAsk():
--- a/mallowpond/controller/quarantine.py
+++ b/mallowpond/controller/quarantine.py
@@ -1,19 +1,19 @@
 """Merge the crash reports of all gateways and persist them in the table.
 
-A gateway sees only the retries of a request that arrive at it. Each report becomes a
-row that every controller reads with the shared rows and sends to its gateways with the
-routes, so that a request which crashes its targets is quarantined at every gateway.
-Requests are identified by their fingerprints, which all retries of a request share. An
-ending is the end of a target's process while it ran the request.
+A gateway sees only the requests that arrive at it. Each report becomes a row that every
+controller reads with the shared rows and sends to its gateways with the routes, so that
+what crashes its targets is quarantined at every gateway. Requests are identified by
+their fingerprints, which all retries of a request share, and parts of prompts by their
+keys. An ending is the end of a target's process while it ran a request.
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
 import structlog
 
-from mallowpond.coordination.keys import QUARANTINE, SHARED
+from mallowpond.coordination.keys import QUARANTINE, QUARANTINED_PARTS, SHARED
 from mallowpond.coordination.ports import Clock, Committed, TableService
 from mallowpond.coordination.store import TableView, TypedPut, Versioned, transaction
 from mallowpond.state.crash_ledger import (
@@ -23,6 +23,13 @@
     Ending,
 )
 from mallowpond.state.decoding import Identifier
+from mallowpond.state.fingerprint import is_part_key
+from mallowpond.state.part_ledger import (
+    MAX_QUARANTINE_SECONDS,
+    PartEnding,
+    PartLedger,
+    PartRecord,
+)
 
 log = structlog.get_logger()
 
@@ -31,9 +38,11 @@
 MAX_ROWS_PER_STEP = 50
 # Maximum rows in the table: every controller keeps all of them in memory.
 MAX_ROWS = 1_000
-# Time for which a row of a request that is not quarantined is kept after its last
-# ending, in seconds: by then each controller has merged it.
+# Time for which a row of what is not quarantined is kept after its last ending, in
+# seconds: by then each controller has merged it. That of a quarantined part is kept
+# while its endings count, twice the longest quarantine.
 ROW_RETENTION_SECONDS = 30.0
+PART_ROW_SECONDS = 2.0 * MAX_QUARANTINE_SECONDS
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -44,6 +53,18 @@
     ended_at: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class PartRow:
+    """The endings of a part; their ages count from `ended_at`, as wall time."""
+
+    endings: tuple[PartEnding, ...]
+    ended_at: float
+
+
+StoredRow = QuarantineRow | PartRow
+Rows = dict[str, Versioned[StoredRow]]
+
+
 class ControllerQuarantine:
     """Merges the reports of gateways with the rows of the table."""
 
@@ -62,10 +83,12 @@
         self._draw_id = draw_id
         self._wall_time = wall_time
         self._ledger = CrashLedger()
+        self._parts = PartLedger()
+        # Keys of records, as for the rest of the attributes.
         self._reported: set[str] = set()
         self._versions: dict[str, int] = {}
         self._quarantined: frozenset[str] = frozenset()
-        # Every request quarantined here so far: later changes of its record are
+        # All that was quarantined here so far: later changes of its record are
         # published too, such as a complete answer, which refutes earlier endings.
         self._published: set[str] = set()
         self._version = 1
@@ -76,63 +99,81 @@
         return self._version
 
     def published(self) -> tuple[CrashRecord, ...]:
-        """Return the records that are sent to every gateway."""
-        now = self._clock.now()
-        records = (
-            self._ledger.record(request, now) for request in sorted(self._published)
-        )
-        return tuple(record for record in records if record is not None)
+        """Return the records of requests that are sent to every gateway."""
+        return tuple(r for r in self._published_records() if isinstance(r, CrashRecord))
+
+    def published_parts(self) -> tuple[PartRecord, ...]:
+        """Return the records of parts that are sent to every gateway."""
+        return tuple(r for r in self._published_records() if isinstance(r, PartRecord))
 
-    def on_report(self, records: tuple[CrashRecord, ...]) -> None:
+    def _published_records(self) -> Iterator[CrashRecord | PartRecord]:
+        for key in sorted(self._published):
+            record = self._record(key)
+            if record is not None:
+                yield record
+
+    def on_report(self, records: tuple[CrashRecord | PartRecord, ...]) -> None:
         """Merge the records of a gateway's report."""
         for record in records:
             if self._merge(record):
-                self._reported.add(record.request)
+                self._reported.add(record.key)
 
     async def step(self) -> None:
         """Merge changed rows, write reported records and delete expired rows."""
-        rows = self._shared.with_prefix(QUARANTINE, QuarantineRow)
-        for request, row in rows.items():
-            if self._versions.get(request) != row.version:
-                self._versions[request] = row.version
-                self._merge(self._record(request, row.value))
-        self._versions = {r: v for r, v in self._versions.items() if r in rows}
+        rows: Rows = {
+            **self._shared.with_prefix(QUARANTINE, QuarantineRow),
+            **self._shared.with_prefix(QUARANTINED_PARTS, PartRow),
+        }
+        for key, row in rows.items():
+            if self._versions.get(key) != row.version:
+                self._versions[key] = row.version
+                self._merge(self._stored_record(key, row.value))
+        self._versions = {k: v for k, v in self._versions.items() if k in rows}
         await self._write_reported(rows)
         await self._delete_expired(rows)
 
-    def _record(self, request: str, row: QuarantineRow) -> CrashRecord:
-        age = max(0.0, self._wall_time() - row.ended_at)
-        return CrashRecord(request=Identifier(request), endings=row.endings, age=age)
+    def _record(self, key: str) -> CrashRecord | PartRecord | None:
+        ledger = self._parts if is_part_key(key) else self._ledger
+        return ledger.record(key, self._clock.now())
 
-    def _merge(self, record: CrashRecord) -> bool:
+    def _stored_record(self, key: str, row: StoredRow) -> CrashRecord | PartRecord:
+        age = max(0.0, self._wall_time() - row.ended_at)
+        match row:
+            case QuarantineRow(endings=endings):
+                return CrashRecord(request=Identifier(key), endings=endings, age=age)
+            case PartRow(endings=part_endings):
+                record = PartRecord(part=Identifier(key), endings=part_endings)
+                return record.aged(age)
+
+    def _merge(self, record: CrashRecord | PartRecord) -> bool:
         now = self._clock.now()
-        is_new = self._ledger.merge(record, now)
-        quarantined = self._ledger.quarantined(now)
-        for request in sorted(quarantined - self._quarantined):
-            log.warning("controller: request quarantined", fingerprint=request)
+        match record:
+            case CrashRecord():
+                is_new = self._ledger.merge(record, now)
+            case PartRecord():
+                is_new = self._parts.merge(record, now)
+        quarantined = self._ledger.quarantined(now) | self._parts.quarantined(now)
+        for key in sorted(quarantined - self._quarantined):
+            log.warning("controller: request quarantined", fingerprint=key)
         if quarantined != self._quarantined or (
-            is_new and record.request in self._published
+            is_new and record.key in self._published
         ):
             self._quarantined = quarantined
             self._published |= quarantined
             self._version += 1
         return is_new
 
-    async def _write_reported(self, rows: dict[str, Versioned[QuarantineRow]]) -> None:
-        now = self._clock.now()
+    async def _write_reported(self, rows: Rows) -> None:
         batch = sorted(self._reported)[:MAX_ROWS_PER_STEP]
         puts = []
-        for request in batch:
-            record = self._ledger.record(request, now)
-            if record is None:
-                self._reported.discard(request)
+        for key in batch:
+            row = self._row(key)
+            if row is None:
+                self._reported.discard(key)
                 continue
-            row = QuarantineRow(
-                endings=record.endings, ended_at=self._wall_time() - record.age
-            )
-            known = rows.get(request)
+            known = rows.get(key)
             put = TypedPut(
-                key=SHARED + QUARANTINE + request,
+                key=_row_key(key),
                 value=row,
                 # Fails if another controller has changed the row. The change is merged
                 # in the next step and the row written again.
@@ -152,20 +193,29 @@
                 "controller: quarantine rows not written", outcome=repr(outcome)
             )
 
-    async def _delete_expired(self, rows: dict[str, Versioned[QuarantineRow]]) -> None:
+    def _row(self, key: str) -> StoredRow | None:
+        """Return the row of a record, None if the record is gone."""
+        wall_time = self._wall_time()
+        match self._record(key):
+            case CrashRecord(endings=endings, age=age):
+                return QuarantineRow(endings=endings, ended_at=wall_time - age)
+            case PartRecord(endings=endings):
+                age = min(ending.age for ending in endings)
+                aged = PartRecord(part=Identifier(key), endings=endings).aged(-age)
+                return PartRow(endings=aged.endings, ended_at=wall_time - age)
+            case None:
+                return None
+
+    async def _delete_expired(self, rows: Rows) -> None:
         now = self._wall_time()
-        retention = {
-            r: QUARANTINE_SECONDS if r in self._quarantined else ROW_RETENTION_SECONDS
-            for r in rows
-        }
         expired = [
-            r for r, row in rows.items() if now - row.value.ended_at > retention[r]
+            key
+            for key, row in rows.items()
+            if now - row.value.ended_at > self._retention_seconds(key)
         ]
         if not expired:
             return
-        keys = tuple(
-            SHARED + QUARANTINE + request for request in expired[:MAX_ROWS_PER_STEP]
-        )
+        keys = tuple(_row_key(key) for key in expired[:MAX_ROWS_PER_STEP])
         change = transaction(self._draw_id())
         outcome = await self._table.commit(replace(change, deletes=keys))
         log.info(
@@ -174,3 +224,15 @@
             outcome=repr(outcome),
         )
         self._published -= set(expired)
+
+    def _retention_seconds(self, key: str) -> float:
+        if is_part_key(key):
+            record = self._parts.record(key, self._clock.now())
+            counts = record is not None and record.has_enough_evidence
+            return PART_ROW_SECONDS if counts else ROW_RETENTION_SECONDS
+        is_quarantined = key in self._quarantined
+        return QUARANTINE_SECONDS if is_quarantined else ROW_RETENTION_SECONDS
+
+
+def _row_key(key: str) -> str:
+    return SHARED + (QUARANTINED_PARTS if is_part_key(key) else QUARANTINE) + key
--- a/mallowpond/controller/service.py
+++ b/mallowpond/controller/service.py
@@ -377,6 +377,7 @@
             leaving=self._leaving,
             held_version=self.quarantine.version,
             held=None if knows_quarantine else self.quarantine.published(),
+            held_parts=() if knows_quarantine else self.quarantine.published_parts(),
         )
 
     def _refresh_routes(self) -> None:
--- a/mallowpond/controller/tests/test_quarantine.py
+++ b/mallowpond/controller/tests/test_quarantine.py
@@ -14,6 +14,7 @@
 from mallowpond.standins.platform import MemoryTable
 from mallowpond.state.crash_ledger import QUARANTINE_SECONDS, CrashRecord, Ending
 from mallowpond.state.fleet import Process
+from mallowpond.state.part_ledger import PartEnding, PartRecord
 
 
 class QuarantineReplica:
@@ -103,3 +104,37 @@
     for _ in range(40):
         await replica.step()
     assert len(table._rows) == MAX_ROWS
+
+
+def part_record(part, *numbers, refuted=False):
+    """Return the record of a part as a gateway reports it."""
+    endings = tuple(
+        PartEnding(
+            process=Process(id=f"t{n}", born=None), request=f"r{n}", refuted=refuted
+        )
+        for n in numbers
+    )
+    return PartRecord(part=part, endings=endings)
+
+
+async def test_parts_of_two_controllers_are_put_together_and_refuted():
+    """Guards against a part whose endings each controller counts for itself."""
+    table, clock = MemoryTable(), FakeClock()
+    first, second = QuarantineReplica(table, clock), QuarantineReplica(table, clock)
+    first.quarantine.on_report((part_record("0:bad", 1, 2),))
+    second.quarantine.on_report((part_record("0:bad", 3),))
+    for _ in range(3):
+        await first.step()
+        await second.step()
+    for replica in (first, second):
+        (published,) = replica.quarantine.published_parts()
+        assert published.has_enough_evidence
+    first.quarantine.on_report((part_record("0:bad", 1, 2, 3, refuted=True),))
+    for _ in range(2):
+        await first.step()
+        await second.step()
+    (published,) = second.quarantine.published_parts()
+    assert not published.has_enough_evidence
+    clock.time += ROW_RETENTION_SECONDS + 1.0
+    await second.step()
+    assert table._rows == {}
--- a/mallowpond/coordination/keys.py
+++ b/mallowpond/coordination/keys.py
@@ -15,6 +15,7 @@
 LEASES = "lease/"
 MEMBERS = "member/"
 QUARANTINE = "quarantine/"
+QUARANTINED_PARTS = "quarantine_parts/"
 HEARTBEATS = "beat/"
 
 
--- a/mallowpond/gateway/link.py
+++ b/mallowpond/gateway/link.py
@@ -25,6 +25,7 @@
     VoidAsk,
 )
 from mallowpond.state.crash_ledger import CrashRecord
+from mallowpond.state.part_ledger import PartRecord
 from mallowpond.transport.peer_link import LinkClosed, PeerLink, open_link
 
 log = structlog.get_logger()
@@ -49,7 +50,9 @@
         clock: Clock,
         poll_seconds: float,
         on_change: Callable[[], None],
-        on_quarantine: Callable[[tuple[CrashRecord, ...]], None],
+        on_quarantine: Callable[
+            [tuple[CrashRecord, ...], tuple[PartRecord, ...]], None
+        ],
     ) -> None:
         self._gateway = gateway
         self._controllers = controllers
@@ -60,7 +63,7 @@
         self._on_quarantine = on_quarantine
         self._quarantine_version = 0
         # Records that were not sent to any controller yet, newest last.
-        self._unreported: dict[str, CrashRecord] = {}
+        self._unreported: dict[str, CrashRecord | PartRecord] = {}
         self._link: PeerLink | None = None
         self._attached = asyncio.Event()
         self._pending_calls: dict[int, asyncio.Future] = {}
@@ -113,10 +116,10 @@
         except LinkClosed:
             return
 
-    def report_crash(self, record: CrashRecord) -> None:
+    def report_crash(self, record: CrashRecord | PartRecord) -> None:
         """Queue a crash record, which is sent before the next poll."""
-        self._unreported.pop(record.request, None)
-        self._unreported[record.request] = record
+        self._unreported.pop(record.key, None)
+        self._unreported[record.key] = record
         if len(self._unreported) > MAX_UNREPORTED:
             del self._unreported[next(iter(self._unreported))]
 
@@ -191,7 +194,11 @@
         records = tuple(self._unreported.values())
         if not records:
             return
-        await link.send(CrashReport(records=records))
+        report = CrashReport(
+            records=tuple(r for r in records if isinstance(r, CrashRecord)),
+            parts=tuple(r for r in records if isinstance(r, PartRecord)),
+        )
+        await link.send(report)
         self._unreported = {
             request: record
             for request, record in self._unreported.items()
@@ -210,7 +217,7 @@
                     self._routes.update(message, asked_at)
                     if message.held is not None:
                         self._quarantine_version = message.held_version
-                        self._on_quarantine(message.held)
+                        self._on_quarantine(message.held, message.held_parts)
                     self._on_change()
                     if message.leaving:
                         self._leave_controller()
--- a/mallowpond/gateway/request_parser.py
+++ b/mallowpond/gateway/request_parser.py
@@ -16,7 +16,7 @@
 )
 from mallowpond.protocol.problems import Problem
 from mallowpond.state.declarations import Declaration, PlainService, Workspace
-from mallowpond.state.fingerprint import fingerprint
+from mallowpond.state.fingerprint import fingerprint, part_key
 from mallowpond.transport.http_server import HttpRequest
 
 
@@ -25,7 +25,7 @@
     """A valid request of a known workspace.
 
     `units` are charged to the workspace's budget. `deadline` is in seconds on the
-    gateway's clock.
+    gateway's clock. `parts` are the keys of what its prompt may share with others.
     """
 
     request_id: str
@@ -36,6 +36,7 @@
     units: int
     pool: TargetPool
     deadline: float
+    parts: tuple[str, ...] = ()
 
     @cached_property
     def fingerprint(self) -> str:
@@ -178,9 +179,19 @@
             units=completion.max_tokens if completion else 1,
             pool=pool,
             deadline=deadline,
+            parts=_part_keys(completion),
         )
 
 
+def _part_keys(completion: CompletionRequest | None) -> tuple[str, ...]:
+    if completion is None:
+        return ()
+    return tuple(
+        part_key(service="", model=completion.model, part=part)
+        for part in completion.shared_parts
+    )
+
+
 def _key_required() -> Problem:
     return Problem(
         status=400,
--- a/mallowpond/gateway/service.py
+++ b/mallowpond/gateway/service.py
@@ -66,7 +66,9 @@
         self._http = HttpClient(connect_seconds=settings.timings.connect)
         self.routes = RouteTable(permit_seconds=settings.timings.permit)
         self._quarantine = GatewayQuarantine(
-            clock=clock, report=lambda record: self._link.report_crash(record)
+            clock=clock,
+            report=lambda record: self._link.report_crash(record),
+            gateway=self._incarnation,
         )
         self._link = ControllerLink(
             gateway=self._incarnation,
@@ -238,7 +240,7 @@
     async def _admit_and_run(
         self, parsed: ParsedRequest, exchange: Exchange
     ) -> Problem | None:
-        quarantined = self._quarantine.problem(parsed.fingerprint)
+        quarantined = self._quarantine.problem(parsed.fingerprint, parsed.parts)
         if quarantined is not None:
             return quarantined
         refused = await self._quotas.spend(parsed.workspace, parsed.units)
@@ -295,6 +297,7 @@
             pool=parsed.pool,
             attempt=parsed.attempt,
             fingerprint=parsed.fingerprint,
+            parts=parsed.parts,
             quarantine=self._quarantine,
             exchange=exchange,
             stream=parsed.stream,
--- a/mallowpond/gateway/serving.py
+++ b/mallowpond/gateway/serving.py
@@ -106,6 +106,7 @@
     pool: TargetPool
     attempt: Attempt
     fingerprint: str
+    parts: tuple[str, ...]
     quarantine: GatewayQuarantine
     exchange: Exchange
     stream: bool
@@ -133,10 +134,12 @@
             sent_at, instance = self.clock.now(), self.pool.instance_id(slot)
             reason = await self._attempt(slot)
             if reason is None:
-                self.quarantine.record_answer(self.fingerprint, instance)
+                self.quarantine.record_answer(self.fingerprint, instance, self.parts)
                 return Served()
             if reason in TARGET_ENDED_REASONS:
-                self.quarantine.record_ending(self.fingerprint, instance, sent_at)
+                self.quarantine.record_ending(
+                    self.fingerprint, instance, sent_at, self.parts
+                )
             if not self._may_retry(number):
                 return self._give_up(reason)
             self.metrics.retries.labels(reason=reason).inc()
@@ -148,7 +151,9 @@
         return self._give_up("attempts_spent")
 
     def _may_retry(self, number: int) -> bool:
-        if number >= MAX_ATTEMPTS or self.quarantine.is_quarantined(self.fingerprint):
+        if number >= MAX_ATTEMPTS:
+            return False
+        if self.quarantine.is_quarantined(self.fingerprint, self.parts):
             return False
         # A request that may not be repeated is sent again only if no attempt may have
         # run.
--- a/mallowpond/gateway/tests/callers.py
+++ b/mallowpond/gateway/tests/callers.py
@@ -103,6 +103,17 @@
     )
 
 
+async def ask_chat(
+    site: Site, *contents: str, gateway: int = 0, token: str = API_KEY
+) -> Reply:
+    """Request a chat completion for messages with these contents."""
+    messages = [{"role": "user", "content": content} for content in contents]
+    asked = {"model": "meteor-7b", "messages": messages, "max_tokens": 4}
+    address = f"127.0.0.1:{site.gateways[gateway].port}"
+    path, headers = "/v1/chat/completions", (("authorization", f"Bearer {token}"),)
+    return await send(address, "POST", path, json.dumps(asked).encode(), headers)
+
+
 async def send(
     address: str,
     method: str,
--- a/mallowpond/gateway/tests/test_quarantine.py
+++ b/mallowpond/gateway/tests/test_quarantine.py
@@ -2,7 +2,13 @@
 
 import asyncio
 
-from mallowpond.gateway.tests.callers import ask, runs, serving_site, set_faults
+from mallowpond.gateway.tests.callers import (
+    ask,
+    ask_chat,
+    runs,
+    serving_site,
+    set_faults,
+)
 from mallowpond.state.crash_ledger import ENDINGS_TO_QUARANTINE, QUARANTINE_SECONDS
 
 FATAL = "fatal"
@@ -67,3 +73,30 @@
         reply = await send_when_serving(site, 1)
         assert (reply.status, reply.reason) == (503, "held_back")
         assert len(runs(site)) == ended
+
+
+async def test_a_message_that_ends_its_groups_is_held_back_at_every_gateway():
+    """Guards against groups that break under chats which share only one message."""
+    async with serving_site(controllers=2, gateways=2) as site:
+        set_faults(site, fatal_message=FATAL)
+        for number in range(MAX_RESENDS):
+            gateway = number % 2
+            routes = site.gateways[gateway].routes
+            await site.until(lambda r=routes: r.serving("meteor", site.clock.now()))
+            reply = await ask_chat(
+                site, "be brief", FATAL, f"q{number}", gateway=gateway
+            )
+            if reply.status == 503 and reply.reason == "held_back":
+                break
+        ended = len(runs(site))
+        assert ENDINGS_TO_QUARANTINE <= ended <= 2 * ENDINGS_TO_QUARANTINE
+        await asyncio.sleep(0.5)
+        for gateway in (0, 1):
+            routes = site.gateways[gateway].routes
+            await site.until(lambda r=routes: r.serving("meteor", site.clock.now()))
+            reply = await ask_chat(site, "be brief", FATAL, "new", gateway=gateway)
+            assert (reply.status, reply.reason) == (503, "held_back")
+            assert (
+                await ask_chat(site, "be brief", "new", gateway=gateway)
+            ).status == 200
+        assert len(runs(site)) == ended + 2
--- a/mallowpond/protocol/caller.py
+++ b/mallowpond/protocol/caller.py
@@ -10,6 +10,8 @@
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS_LIMIT = 131072
 PREFIX_CHARACTERS = 256
+# Number of a chat's messages that are told apart from the first on.
+MAX_SHARED_PARTS = 16
 MAX_IDEMPOTENCY_KEY_CHARACTERS = 200
 MAX_TIMEOUT_SECONDS = 3600.0
 KIND_HEADER = "mallowpond-kind"
@@ -22,13 +24,15 @@
     """The fields of a completion request that the gateway uses.
 
     `prefix` is a hash of the start of the prompt or of the first message; requests with
-    the same one may share a cached prefix.
+    the same one may share a cached prefix. `shared_parts` are hashes of all messages of
+    a chat but the last.
     """
 
     model: str
     stream: bool
     max_tokens: int
     prefix: str
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -98,6 +102,7 @@
         stream=bool(document.get("stream")),
         max_tokens=tokens,
         prefix=prefix,
+        shared_parts=_shared_parts(document) if is_chat else (),
     )
 
 
@@ -145,6 +150,13 @@
     return _prefix_digest(json.dumps(messages[0]))
 
 
+def _shared_parts(document: dict[str, Any]) -> tuple[str, ...]:
+    earlier = document["messages"][:-1][:MAX_SHARED_PARTS]
+    texts = (json.dumps(message, sort_keys=True) for message in earlier)
+    hashes = (blake2b(text.encode(), digest_size=8).hexdigest() for text in texts)
+    return tuple(dict.fromkeys(hashes))
+
+
 def _prompt_prefix(document: dict[str, Any]) -> str | None:
     prompt = document.get("prompt")
     if not isinstance(prompt, str) or not prompt:
--- a/mallowpond/protocol/peer.py
+++ b/mallowpond/protocol/peer.py
@@ -12,6 +12,7 @@
 from cattrs.strategies import configure_tagged_union
 
 from mallowpond.state.crash_ledger import CrashRecord
+from mallowpond.state.part_ledger import PartRecord
 from mallowpond.state.rows import CellRow, GroupRow
 
 
@@ -76,9 +77,9 @@
     in force, counted from its answer; None if it is not sure. Each group was confirmed
     by all its members at most `seen_age` seconds ago, except for the `exceptions`:
     an age for every group in every answer would exceed the budget for control traffic.
-    `held` holds the crash records of requests that are or were in quarantine because
-    targets end under them, and `held_version` is its version. `leaving` tells the
-    gateway to change to another controller.
+    `held` and `held_parts` hold the crash records of requests and of parts of prompts
+    that are or were in quarantine because targets end under them, and `held_version` is
+    their version. `leaving` tells the gateway to change to another controller.
     """
 
     sequence: int
@@ -93,6 +94,7 @@
     leaving: bool = False
     held_version: int = 0
     held: tuple[CrashRecord, ...] | None = None
+    held_parts: tuple[PartRecord, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -176,9 +178,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class CrashReport:
-    """Report requests during which targets ended, and those answered since."""
+    """Report requests during which targets ended, and those answered since.
+
+    `parts` are the parts of their prompts that other requests share.
+    """
 
     records: tuple[CrashRecord, ...]
+    parts: tuple[PartRecord, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/mallowpond/standins/engine.py
+++ b/mallowpond/standins/engine.py
@@ -8,6 +8,7 @@
 import json
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
+from typing import Any
 
 from mallowpond.coordination.ports import (
     EngineStatus,
@@ -48,6 +49,8 @@
     refuse_start: completions are refused.
     fatal_prompt: value of the field `prompt` that crashes the engine that runs the
         request, empty for none. The prompt of a chat message is not compared.
+    fatal_message: content of any message but the last of a chat that crashes the
+        engine that runs the request, empty for none.
     """
 
     paused: bool = False
@@ -59,6 +62,7 @@
     ignore_fencing: bool = False
     refuse_start: bool = False
     fatal_prompt: str = ""
+    fatal_message: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -244,7 +248,7 @@
             return
         headers = self._answer_headers(request, order)
         parameters = json.loads(request.body)
-        if faults.fatal_prompt and parameters.get("prompt") == faults.fatal_prompt:
+        if _is_fatal(parameters, faults):
             await self._crash()
         words = _words(parameters, int(request.headers.get(RESUME_HEADER, "0")))
         is_chat = request.path.endswith("chat/completions")
@@ -301,6 +305,16 @@
             yield word
 
 
+def _is_fatal(parameters: dict[str, Any], faults: EngineFaults) -> bool:
+    """Return whether a request crashes the engine that runs it."""
+    if faults.fatal_prompt and parameters.get("prompt") == faults.fatal_prompt:
+        return True
+    earlier = parameters.get("messages", [])[:-1]
+    return bool(faults.fatal_message) and any(
+        message.get("content") == faults.fatal_message for message in earlier
+    )
+
+
 def _is_loaded_member(status: EngineStatus | Unavailable, order: Order) -> bool:
     if isinstance(status, Unavailable):
         return False
--- a/mallowpond/state/crash_ledger.py
+++ b/mallowpond/state/crash_ledger.py
@@ -60,6 +60,11 @@
     endings: tuple[Ending, ...]
     age: float = 0.0
 
+    @property
+    def key(self) -> str:
+        """Return the fingerprint of the request."""
+        return self.request
+
     @property
     def has_enough_evidence(self) -> bool:
         """Return whether this record alone suffices to suspect the request."""
--- a/mallowpond/state/part_ledger.py
+++ b/mallowpond/state/part_ledger.py
@@ -76,6 +76,11 @@
     part: Identifier
     endings: tuple[PartEnding, ...]
 
+    @property
+    def key(self) -> str:
+        """Return the key of the part."""
+        return self.part
+
     @property
     def has_enough_evidence(self) -> bool:
         """Return whether this record alone suffices to suspect the part."""
