Forget which ends may be disproved some seconds after the last one

What callers saw: nothing; cost. Once any target had ended, each event of each stream looked its process up among the ended ones for as long as the host ran.

Change: after ten seconds without an end none is disproved any more.

Measured: 79 tests of the ledger and of the fleet's quarantine pass.

--- a/mallowpond/state/part_ledger.py
+++ b/mallowpond/state/part_ledger.py
@@ -40,8 +40,10 @@
 # Of these, how many a host keeps to itself: most parts are answered all the time.
 UNREPORTED_ENDINGS = 1
 # Time after a supposed end from which an event of the target disproves it, in seconds:
-# earlier ones may have been sent before the end and read later.
+# earlier ones may have been sent before the end and read later. Time after the last
+# end from which none is disproved any more, as that costs a look-up for each event.
 DISPROVED_AFTER_SECONDS = 0.5
+DISPROVED_BEFORE_SECONDS = 10.0
 # Time after which a part's endings expire, in seconds.
 RECORD_EXPIRY_SECONDS = 3600.0
 # Maximum numbers that one host keeps: parts with endings, endings of each part,
@@ -146,6 +148,7 @@
         self._entries: dict[str, _Entry] = {}
         self._answered: dict[str, _Answer] = {}
         self._ended: dict[Process, float] = {}
+        self._last_end_at = float("-inf")
         self._suspects: dict[str, _Suspect] = {}
         # Quarantines of the suspects, None after a change of them.
         self._selected: dict[str, PartQuarantine] | None = {}
@@ -243,7 +246,7 @@
             self._answered[part] = _Answer(at=now)
             entry = self._entries.get(part)
             if entry is not None and entry.evidence:
-                self._refute(entry, lambda ending: True)
+                self._refute(entry, set(entry.endings))
                 self._update_suspect(part)
                 refuted.append(part)
         while len(self._answered) > MAX_ANSWERED:
@@ -257,6 +260,9 @@
         """
         if not self._ended:
             return []
+        if now - self._last_end_at > DISPROVED_BEFORE_SECONDS:
+            self._ended.clear()
+            return []
         ended_at = self._ended.get(process)
         if ended_at is None or now - ended_at < DISPROVED_AFTER_SECONDS:
             return []
@@ -265,7 +271,7 @@
         for part, entry in list(self._entries.items()):
             ending = entry.endings.get(process)
             if ending is not None and not ending.refuted:
-                self._refute(entry, lambda found: found.process == process)
+                self._refute(entry, {process})
                 self._update_suspect(part)
                 changed.append(part)
         return changed
@@ -325,14 +331,14 @@
         """Return the companions of a part that may be the cause in its place."""
         return frozenset(c for c in companions if not self._is_cleared(c, now))
 
-    def _refute(self, entry: _Entry, applies) -> None:
-        entry.endings = {
-            process: replace(ending, refuted=True) if applies(ending) else ending
-            for process, ending in entry.endings.items()
-        }
+    def _refute(self, entry: _Entry, processes: set[Process]) -> None:
+        """Mark the ends of these processes as no evidence."""
+        for process in processes:
+            entry.endings[process] = replace(entry.endings[process], refuted=True)
 
     def _record_end(self, process: Process, now: float) -> None:
         self._ended.setdefault(process, now)
+        self._last_end_at = now
         if len(self._ended) > MAX_ENDED:
             del self._ended[next(iter(self._ended))]
 
