Bound the endings of a part so that its records fit in a datagram

What callers saw: nothing; found by reading. Twenty records of parts with sixteen endings, each with fifteen long companions, made a datagram of 108,874 bytes, which no host can send: a caller's long lists of parts would have kept all records of that round from the other hosts.

Change: eight endings of a part are kept, which suffice for the longest quarantine.

--- a/mallowpond/node/tests/test_quarantine.py
+++ b/mallowpond/node/tests/test_quarantine.py
@@ -9,8 +9,10 @@
 
 from mallowpond.coordination.tasks import cancel_task
 from mallowpond.node.messages import (
+    MAX_DATAGRAM_BYTES,
     CrashRecords,
     Heartbeat,
+    PartRecords,
     read_message,
     write_message,
 )
@@ -38,9 +40,11 @@
     make_rig,
 )
 from mallowpond.node.unreadable import UnreadableLog
+from mallowpond.platform.callers import MAX_SHARED_PARTS
 from mallowpond.standins.platform import MemoryTable, PlatformFaults
 from mallowpond.state.crash_ledger import ENDINGS_TO_QUARANTINE, QUARANTINE_SECONDS
 from mallowpond.state.fleet import Process
+from mallowpond.state.part_ledger import MAX_ENDINGS, PartEnding, PartRecord
 from mallowpond.state.store_clock import StoreClock
 
 # Keys of parts of prompts.
@@ -378,6 +382,31 @@
     assert sorted(received)[len(received) // 2] < 3_000 * sum(SEND_DELAYS)
 
 
+def test_the_largest_records_of_parts_fit_in_a_datagram():
+    """Guards against callers that make records too large by many long parts."""
+    rng = random.Random(3)
+
+    def new_part():
+        return f"1f2e3d4c:{rng.getrandbits(128):032x}"
+
+    def largest_record():
+        endings = tuple(
+            PartEnding(
+                process=Process(id=f"i-{rng.getrandbits(40):010x}", born=10**12),
+                request=f"{rng.getrandbits(64):016x}",
+                companions=tuple(new_part() for _ in range(MAX_SHARED_PARTS - 1)),
+                age=rng.random(),
+            )
+            for _ in range(MAX_ENDINGS)
+        )
+        return PartRecord(part=new_part(), endings=endings)
+
+    records = tuple(largest_record() for _ in range(MAX_RECORDS_PER_MESSAGE))
+    data = write_message(PartRecords(node="n0", records=records))
+    assert len(data) < MAX_DATAGRAM_BYTES
+    assert read_message(data).records == records
+
+
 def test_a_host_that_starts_anew_learns_of_parts():
     fleet = Fleet(7)
     for number in range(ENDINGS_TO_QUARANTINE):
--- a/mallowpond/state/part_ledger.py
+++ b/mallowpond/state/part_ledger.py
@@ -47,9 +47,10 @@
 # Time after which a part's endings expire, in seconds.
 RECORD_EXPIRY_SECONDS = 3600.0
 # Maximum numbers that one host keeps: parts with endings, endings of each part,
-# answered parts, and processes whose end may be disproved.
+# answered parts, and processes whose end may be disproved. The endings suffice for the
+# longest quarantine, and 20 records with 15 companions each fit in a datagram.
 MAX_PARTS = 1_000
-MAX_ENDINGS = 16
+MAX_ENDINGS = 8
 MAX_ANSWERED = 4_000
 MAX_ENDED = 500
 
