Hold no request back for ends that a quarantined part explains

Cause: the ledgers of whole requests and of parts did not know of each other.

Change: the ends that a quarantined part explains count against no request that ran there; they count again if the part is refuted.

Measured: the test holds the bystander back before, not now.

--- a/mallowpond/node/quarantine.py
+++ b/mallowpond/node/quarantine.py
@@ -193,6 +193,7 @@
     def refresh(self) -> None:
         """Log what was quarantined or released since the last call; set the metrics."""
         now = self._clock.now()
+        self._ledger.explain(self._parts.explained_processes())
         requests, parts = self._ledger.quarantined(now), self._parts.quarantined(now)
         quarantined = requests | parts
         for key in sorted(quarantined - self._quarantined):
--- a/mallowpond/node/tests/test_quarantine.py
+++ b/mallowpond/node/tests/test_quarantine.py
@@ -437,6 +437,21 @@
     assert (await fleet.table.scan(PARTS_PREFIX)).rows == ()
 
 
+def test_who_ran_beside_a_held_part_is_not_held_back():
+    """Guards against bystanders of a deadly part that are refused for ten minutes."""
+    quarantine = Fleet(1).hosts[0].quarantine
+    now = quarantine._clock.now()
+    for number in range(ENDINGS_TO_QUARANTINE):
+        quarantine.record_ending("beside", target(number), now - 0.4)
+    assert quarantine.is_quarantined("beside")
+    for number in range(ENDINGS_TO_QUARANTINE):
+        quarantine.record_ending(f"r{number}", target(number), now - 0.3, parts=(BAD,))
+    assert quarantine.is_quarantined(BAD)
+    assert not quarantine.is_quarantined("beside")
+    quarantine.record_answer("sound", (BAD,))
+    assert quarantine.is_quarantined("beside")
+
+
 async def test_a_stream_with_a_held_part_gives_its_slot_back_unsent():
     """Guards against a stream that is sent as its part was found while it waited."""
     rig = await make_rig("a")
--- a/mallowpond/state/crash_ledger.py
+++ b/mallowpond/state/crash_ledger.py
@@ -99,6 +99,8 @@
         # Requests with enough endings for a quarantine, explained or not.
         self._suspects: set[str] = set()
         self._quarantined: frozenset[str] = frozenset()
+        # Processes that ended under requests with a quarantined part.
+        self._explained: frozenset[Process] = frozenset()
 
     def quarantined(self, now: float) -> frozenset[str]:
         """Return the requests that are quarantined."""
@@ -112,6 +114,15 @@
             return 0.0
         return max(0.0, self._entries[request].last_at + QUARANTINE_SECONDS - now)
 
+    def explain(self, processes: frozenset[Process]) -> None:
+        """Set the processes whose ends a quarantined part of prompts explains.
+
+        Requests that ran there beside it are bystanders.
+        """
+        if processes != self._explained:
+            self._explained = processes
+            self._select_quarantined()
+
     def record_alive(self, process: Process) -> None:
         """Record that a target is alive: at most a connection to it was lost."""
         # Called for each event of a stream; usually no target has ended, and a lookup
@@ -262,7 +273,7 @@
         last. If the choice is wrong, the cause ends one more target and from then on
         explains more endings than the bystander.
         """
-        explained: set[Process] = set()
+        explained = set(self._explained)
         quarantined = []
         for request in sorted(self._suspects, key=self._rank):
             evidence = self._entries[request].evidence
--- a/mallowpond/state/part_ledger.py
+++ b/mallowpond/state/part_ledger.py
@@ -184,6 +184,11 @@
         found = self._quarantined.get(part)
         return found if found is not None and found.until > now else None
 
+    def explained_processes(self) -> frozenset[Process]:
+        """Return the processes whose ends the parts explain, held back or not."""
+        suspects = (self._suspects[part] for part in self._quarantined)
+        return frozenset().union(*(suspect.processes for suspect in suspects))
+
     def record(self, part: str, now: float) -> PartRecord | None:
         """Return the record of one part, None if there is none."""
         entry = self._entries.get(part)
