Take nothing of the retry budget for calls whose connection was not opened

Measured: the test refuses the call before, with no repeat left; it is answered now, and one that may have run is still refused.

--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -306,6 +306,9 @@
         if isinstance(reply, NoReply) and not reply.may_have_run:
             if len(work.rejected_by) > MAX_NOT_RUN_REPEATS:
                 return False
+            if reply.reason is Reason.CONNECT:
+                # A connection that was not opened brought no request to a target.
+                return True
         elif not self._is_repeatable(work):
             return False
         elif self._directory.count_present(work.sent_to) >= self._max_attempts(work):
--- a/mallowpond/node/tests/test_calls.py
+++ b/mallowpond/node/tests/test_calls.py
@@ -295,3 +295,11 @@
     assert outcome == Refusal(status=502, reason=Reason.MAYBE_RUN)
     outcome, sends, exchange = await serve(IDEMPOTENT, reset, reply(200))
     assert (exchange.body, len(sends)) == (b"ok", 2)
+
+
+async def test_a_call_whose_connection_was_not_opened_takes_no_repeat():
+    """Guards against a retry budget that hosts without links to targets use up."""
+    outcome, sends, _ = await serve(ONCE, UNREACHABLE, reply(200), slack=0.0)
+    assert isinstance(outcome, Answered) and len(sends) == 2
+    outcome, sends, _ = await serve(IDEMPOTENT, BROKEN, reply(200), slack=0.0)
+    assert isinstance(outcome, Refusal) and len(sends) == 1
