Log the store's era, versions that go back, and where reads of the configuration begin

What callers saw: a confirmed change of the configuration not in force. A feed that skips a change leaves no trace: no line named the version from which a read began, the one that it reached, or the era of the store.

Change: the store's client logs an era that changes and a version below one that was known before the question; the configuration's lines name both revisions. No decision reads them.

--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -213,7 +213,12 @@
                 self._revision = FROM_START
                 return True
         if self._failures:
-            log.info("configuration: store regained", failures=self._failures)
+            log.info(
+                "configuration: store regained",
+                failures=self._failures,
+                since=self._revision,
+                revision=answer.revision,
+            )
         self._failures = 0
         self._unanswered = 0
         self._revision = answer.revision
@@ -306,7 +311,11 @@
             )
             return
         if known is None or configuration.version > known.version:
-            log.info("configuration: in force", version=configuration.version)
+            log.info(
+                "configuration: in force",
+                version=configuration.version,
+                revision=self._revision,
+            )
             self._configuration = configuration
         self._confirmation = merge_confirmation(
             self._confirmation,
--- a/mallowpond/platform/headers.py
+++ b/mallowpond/platform/headers.py
@@ -24,6 +24,8 @@
 PROMPT_PARTS = "x-mallowpond-prompt-prefix"
 LAST_EVENT = "last-event-id"
 AUTHORIZATION = "authorization"
+# Sent with every answer of the store: how often it came back from an older copy.
+STORE_ERA = "store-era"
 
 HOP_BY_HOP = frozenset(
     {
--- a/mallowpond/platform/store.py
+++ b/mallowpond/platform/store.py
@@ -6,6 +6,8 @@
 from typing import Any
 from urllib.parse import quote
 
+import structlog
+
 from mallowpond.coordination.clock import BootClock
 from mallowpond.coordination.ports import (
     CommitOutcome,
@@ -21,6 +23,7 @@
 from mallowpond.node.ports import ConfigurationRead, HistoryLost, TargetsRead
 from mallowpond.node.unreadable import UnreadableLog
 from mallowpond.platform import documents
+from mallowpond.platform import headers as names
 from mallowpond.platform.call_counts import CallCounts
 from mallowpond.platform.configuration_decoder import ConfigurationDecoder
 from mallowpond.platform.rows import (
@@ -34,7 +37,9 @@
 from mallowpond.state.evacuations import EvacuationChanges
 from mallowpond.state.fleet import Target
 from mallowpond.state.site_configuration import SiteConfiguration
-from mallowpond.transport.http_client import CallFailed, HttpClient
+from mallowpond.transport.http_client import BufferedResponse, CallFailed, HttpClient
+
+log = structlog.get_logger()
 
 # Timeout of a call beyond the time that it asks the store to wait, in seconds. The
 # store may be some tens of times slower than its usual 4 ms.
@@ -70,6 +75,9 @@
         self._address = address
         self._unreadable_log = unreadable_log or UnreadableLog()
         self._configurations = ConfigurationDecoder()
+        # The newest version of the store in any answer, and the era of the last answer.
+        self._newest_version = 0
+        self._era: str | None = None
 
     # -- the configuration and the list of targets --------------------------
 
@@ -311,19 +319,46 @@
     async def _get(
         self, target: str, wait_seconds: float = 0.0
     ) -> StoreAnswer | HistoryLost | Unavailable:
-        answer = await self._http.fetch(
+        newest = self._newest_version
+        response = await self._http.fetch_response(
             self._address, "GET", target, timeout=wait_seconds + CALL_TIMEOUT_SECONDS
         )
-        match answer:
-            case CallFailed(reason=reason):
-                return Unavailable(reason=reason)
-            case (200, data):
-                return self._reject_unreadable(decode_answer(data))
-            case (410, _):
+        if isinstance(response, CallFailed):
+            return Unavailable(reason=response.reason)
+        self._record_era(response)
+        match response:
+            case BufferedResponse(status=200, body=data):
+                answer = self._reject_unreadable(decode_answer(data))
+                self._record_version(answer, newest, target)
+                return answer
+            case BufferedResponse(status=410):
                 return HistoryLost()
-            case (status, _):
+            case BufferedResponse(status=status):
                 return Unavailable(reason=f"status {status}")
 
+    def _record_era(self, response: BufferedResponse) -> None:
+        era = response.headers.get(names.STORE_ERA)
+        if era != self._era:
+            log.warning("store: era changed", era=era, previous=self._era)
+            self._era = era
+
+    def _record_version(
+        self, answer: StoreAnswer | Unavailable, newest: int, target: str
+    ) -> None:
+        """Log an answer of a lower version than one known before it was asked for."""
+        if isinstance(answer, Unavailable):
+            return
+        if answer.version < newest:
+            log.warning(
+                "store: version went back",
+                version=answer.version,
+                known=newest,
+                era=self._era,
+                query=target,
+            )
+            self._newest_version = answer.version
+        self._newest_version = max(self._newest_version, answer.version)
+
     def _reject_unreadable(
         self, answer: StoreAnswer | Unreadable
     ) -> StoreAnswer | Unavailable:
--- a/mallowpond/platform/tests/test_store.py
+++ b/mallowpond/platform/tests/test_store.py
@@ -6,6 +6,7 @@
 
 import pytest
 from prometheus_client import generate_latest
+from structlog.testing import capture_logs
 
 from mallowpond.coordination.ports import (
     Check,
@@ -23,7 +24,7 @@
 from mallowpond.platform.store import PlatformStore
 from mallowpond.platform.tests.test_entries import ENTRY
 from mallowpond.state.evacuations import EvacuationChanges
-from mallowpond.transport.http_client import HttpClient
+from mallowpond.transport.http_client import BufferedResponse, HttpClient
 from mallowpond.transport.tests import scripted
 
 CHANGE = Transaction(
@@ -56,14 +57,17 @@
 
 
 class FixedHttp:
-    """Answers every call with the same bytes."""
+    """Answers each call with the next of some bodies, the last one repeatedly."""
 
-    def __init__(self, data):
-        self._data = data
+    def __init__(self, *bodies, eras=()):
+        self._bodies = list(bodies)
+        self._eras = list(eras)
 
-    async def fetch(self, address, method, target, **more):
+    async def fetch_response(self, address, method, target, **more):
         """Return status 200 and the bytes."""
-        return 200, self._data
+        body = self._bodies.pop(0) if len(self._bodies) > 1 else self._bodies[0]
+        headers = {"store-era": self._eras.pop(0)} if self._eras else {}
+        return BufferedResponse(status=200, headers=headers, body=body)
 
 
 def parsed_targets(data):
@@ -407,3 +411,18 @@
 def test_a_key_that_names_no_data_centre_evacuates_none():
     rows = [evacuation_row(""), evacuation_row(" "), row("evacuate", {})]
     assert read_of(*rows).evacuations == EvacuationChanges()
+
+
+def test_a_store_that_comes_back_from_a_copy_is_seen_in_the_log():
+    """Guards against versions that go back without a trace in the log."""
+    bodies = [json.dumps({"rows": [], "ver": ver}).encode() for ver in (40, 17)]
+    store = PlatformStore(http=FixedHttp(*bodies, eras=("1", "2")), address="")
+    with capture_logs() as lines:
+        for _ in bodies:
+            asyncio.run(store.targets(5))
+    assert [line["event"] for line in lines] == [
+        "store: era changed",
+        "store: era changed",
+        "store: version went back",
+    ]
+    assert (lines[2]["known"], lines[2]["version"], lines[2]["era"]) == (40, 17, "2")
