Log what each repeated send takes of the retry budget

What callers saw: nothing by itself; engines got more repeated sends than all hosts together may make. The lines of resent requests did not say whether the send took a part of the budget, how much was left or by how many hosts the fixed part was divided, so parts that are given out twice could not be told from sends that take nothing.

Change: RetryBudgets holds the windows of a host and logs each decision with its inputs (budget: repeat), counted by its end.

--- a/mallowpond/emulator/hosts.py
+++ b/mallowpond/emulator/hosts.py
@@ -23,11 +23,12 @@
 from mallowpond.node.ports import TargetsRead
 from mallowpond.node.quarantine import Quarantine
 from mallowpond.node.rate_limits import RateLimits
+from mallowpond.node.retry_budgets import RetryBudgets
 from mallowpond.node.serving_parts import ServingParts
+from mallowpond.node.settings import NodeBounds
 from mallowpond.node.streams import StreamService
 from mallowpond.node.target_availability import TargetAvailability
 from mallowpond.state.fleet import Target
-from mallowpond.state.retry_window import RetryWindow
 
 PeerMessage = PlaceQuestion | PlaceAnswer | Work
 
@@ -117,6 +118,18 @@
             handle(message)
 
 
+class EmulatedPeers:
+    """The number of emulated hosts, all of which are live."""
+
+    def __init__(self, fleet: FleetContext) -> None:
+        self._fleet = fleet
+
+    @property
+    def host_count(self) -> int:
+        """Return the number of hosts."""
+        return len(self._fleet.hosts) or 1
+
+
 class Host:
     """One entry host that places and serves streams with the node's own services."""
 
@@ -125,7 +138,6 @@
         self._fleet = fleet
         clock = VirtualClock()
         self.directory = Directory(source=fleet.target_source, clock=clock)
-        budget = RetryWindow(ratio=0.2, slack=248.0, window_seconds=10.0)
         metrics = NodeMetrics()
         rate_limits = RateLimits(
             name=self.name, directory=self.directory, clock=clock, metrics=metrics
@@ -137,7 +149,12 @@
                 callers=EmptyCallerHeaders(),
                 clock=clock,
                 metrics=metrics,
-                budget=lambda service: budget,
+                budgets=RetryBudgets(
+                    bounds=NodeBounds(retry_slack=248.0),
+                    peers=EmulatedPeers(fleet),
+                    clock=clock,
+                    metrics=metrics,
+                ),
                 hosts=lambda: len(fleet.hosts) or 1,
                 rng=random.Random(fleet.rng.random()),
                 quarantine=Quarantine(clock=clock, metrics=metrics),
--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -104,8 +104,7 @@
         self._callers = parts.callers
         self._clock = parts.clock
         self._metrics = parts.metrics
-        self._budget = parts.budget
-        self._hosts = parts.hosts
+        self._budgets = parts.budgets
         self._rng = parts.rng
         self._quarantine = parts.quarantine
         self._availability = parts.availability
@@ -117,7 +116,7 @@
 
         An answer is sent to the caller here; a returned refusal is not.
         """
-        self._budget(work.service).record_first_send(self._clock.now())
+        self._budgets.record_first_send(work.service)
         refusal = self._quarantine.refuse(work.fingerprint, work.request.id, work.parts)
         if refusal is not None:
             return refusal
@@ -137,7 +136,7 @@
                     failed, reason = reply, Reason.TARGET_FAILED
                 case NoReply(reason=reason):
                     pass
-            if not self._can_retry(work, reply):
+            if not self._can_retry(work, reply, reason):
                 return await self._finish(work, failed, reason)
             self._metrics.retries.labels(reason.value).inc()
             log.info(
@@ -297,7 +296,9 @@
     def _max_attempts(self, work: CallWork) -> int:
         return max(1, work.route.max_attempts)
 
-    def _can_retry(self, work: CallWork, reply: CompleteReply | NoReply) -> bool:
+    def _can_retry(
+        self, work: CallWork, reply: CompleteReply | NoReply, reason: Reason
+    ) -> bool:
         now = self._clock.now()
         if work.deadline - now < MIN_SECONDS_LEFT:
             return False
@@ -313,7 +314,9 @@
             return False
         elif self._directory.count_present(work.sent_to) >= self._max_attempts(work):
             return False
-        return self._budget(work.service).try_repeat(now, self._hosts())
+        return self._budgets.try_repeat(
+            work.service, request=work.request.id, reason=reason
+        )
 
     async def _finish(
         self, work: CallWork, failed: CompleteReply | None, reason: Reason
--- a/mallowpond/node/group_selector.py
+++ b/mallowpond/node/group_selector.py
@@ -8,6 +8,7 @@
 
 from mallowpond.node.directory import Directory
 from mallowpond.node.quarantine import Quarantine
+from mallowpond.node.retry_budgets import RetryBudgets
 from mallowpond.state.first_event import FirstEventDelay
 from mallowpond.state.fleet import EngineProfile, Group, ModelSpec, Target
 from mallowpond.state.placement import (
@@ -21,7 +22,6 @@
     serves_late,
     unreported_streams,
 )
-from mallowpond.state.retry_window import RetryWindow
 
 # Share of the objective that a group's predicted first event may take. Less makes
 # streams wait although groups that span domains could serve them in time.
@@ -75,7 +75,7 @@
         *,
         directory: Directory,
         quarantine: Quarantine,
-        budget: Callable[[str], RetryWindow],
+        budgets: RetryBudgets,
         hosts: Callable[[], int],
         rng: random.Random,
         is_cold: Callable[[Target], bool] = lambda target: False,
@@ -83,7 +83,7 @@
         self._directory = directory
         self._is_target_cold = is_cold
         self._quarantine = quarantine
-        self._budget = budget
+        self._budgets = budgets
         self._hosts = hosts
         self._rng = rng
         self._delays: dict[tuple[str, str], FirstEventDelay] = defaultdict(
@@ -101,7 +101,7 @@
         groups drawn at random, so that not all hosts pick the same one.
         """
         unreported = unreported_streams(
-            own_per_second=self._budget(request.service).first_sends_per_second,
+            own_per_second=self._budgets.first_sends_per_second(request.service),
             hosts=self._hosts(),
             age_seconds=self._directory.loads.load_age,
             groups=self._directory.count_open_groups(request.service),
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -22,6 +22,7 @@
         self.requests = counter("mallowpond_requests", "Requests by end", "end")
         self.refusals = counter("mallowpond_refusals", "Refusals", "reason")
         self.retries = counter("mallowpond_retries", "Sends once more", "reason")
+        self.budget = counter("mallowpond_retry_budget", "Repeats asked for", "end")
         self.suspicions = counter("mallowpond_suspicions", "Groups suspected", "origin")
         self.orders = counter("mallowpond_orders", "Orders to engines", "kind", "end")
         self.swaps = counter("mallowpond_swaps", "Groups moved to a model", "action")
--- /dev/null
+++ b/mallowpond/node/retry_budgets.py
@@ -0,0 +1,76 @@
+"""Keep this host's part of the retry budget of each service, and log what it grants."""
+
+from typing import Protocol
+
+import structlog
+
+from mallowpond.coordination.ports import Clock
+from mallowpond.node.metrics import NodeMetrics
+from mallowpond.node.outcomes import Reason
+from mallowpond.node.settings import NodeBounds
+from mallowpond.state.retry_window import RetryWindow
+
+log = structlog.get_logger()
+
+
+class BudgetPeers(Protocol):
+    """What the budget needs to know of the other hosts."""
+
+    @property
+    def host_count(self) -> int:
+        """Return the number of live hosts, this one included."""
+
+
+class RetryBudgets:
+    """Grants repeated sends of this host from the budgets that all hosts share."""
+
+    def __init__(
+        self,
+        *,
+        bounds: NodeBounds,
+        peers: BudgetPeers,
+        clock: Clock,
+        metrics: NodeMetrics,
+    ) -> None:
+        self._bounds = bounds
+        self._peers = peers
+        self._clock = clock
+        self._metrics = metrics
+        self._windows: dict[str, RetryWindow] = {}
+
+    def record_first_send(self, service: str) -> None:
+        """Count the first send of a request to a service."""
+        self._window(service).record_first_send(self._clock.now())
+
+    def first_sends_per_second(self, service: str) -> float:
+        """Return the rate of first sends to a service over the last window."""
+        return self._window(service).first_sends_per_second
+
+    def try_repeat(self, service: str, *, request: str, reason: Reason) -> bool:
+        """Take one repeated send of a request, False if this host's part is used up."""
+        window, now = self._window(service), self._clock.now()
+        hosts = self._peers.host_count
+        is_granted = window.try_repeat(now, hosts)
+        end = "granted" if is_granted else "used_up"
+        self._metrics.budget.labels(end).inc()
+        log.info(
+            "budget: repeat",
+            request=request,
+            service=service,
+            reason=reason.value,
+            granted=is_granted,
+            repeats=window.repeats,
+            allowed=round(window.allowed(hosts), 1),
+            hosts=hosts,
+        )
+        return is_granted
+
+    def _window(self, service: str) -> RetryWindow:
+        window = self._windows.get(service)
+        if window is None:
+            window = self._windows[service] = RetryWindow(
+                ratio=self._bounds.retry_ratio,
+                slack=self._bounds.retry_slack,
+                window_seconds=self._bounds.retry_window,
+            )
+        return window
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -37,6 +37,7 @@
 from mallowpond.node.quarantine_sharing import QuarantineSharing
 from mallowpond.node.rate_limits import RateLimits
 from mallowpond.node.readers import Readers
+from mallowpond.node.retry_budgets import RetryBudgets
 from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.settings import NodeSettings
 from mallowpond.node.slot_admission import SlotAdmission
@@ -47,7 +48,6 @@
 from mallowpond.node.unreadable import UnreadableLog
 from mallowpond.node.watch import GroupWatch
 from mallowpond.state.group_pace import PaceChange
-from mallowpond.state.retry_window import RetryWindow
 from mallowpond.state.site_configuration import Service
 from mallowpond.transport.connector import DirectConnector
 from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
@@ -99,7 +99,6 @@
         self._rng = random.Random(seed or None)
         self._incarnation = new_id(self._rng)
         self._stack = AsyncExitStack()
-        self._retry_budgets: dict[str, RetryWindow] = {}
         self._traffic = TrafficSeen(seen=not settings.first_start)
         self.metrics = metrics or NodeMetrics()
         unreadable_log = UnreadableLog(counter=self.metrics.unreadable)
@@ -175,7 +174,12 @@
             callers=ports.callers,
             clock=clock,
             metrics=self.metrics,
-            budget=self._retry_budget,
+            budgets=RetryBudgets(
+                bounds=settings.bounds,
+                peers=self.peers,
+                clock=clock,
+                metrics=self.metrics,
+            ),
             hosts=lambda: self.peers.host_count,
             rng=self._rng,
             quarantine=quarantine,
@@ -460,16 +464,6 @@
     def _can_plan(self) -> bool:
         return self.configuration.is_store_reachable and not self.ingress.is_stopping
 
-    def _retry_budget(self, service: str) -> RetryWindow:
-        bounds = self._settings.bounds
-        if service not in self._retry_budgets:
-            self._retry_budgets[service] = RetryWindow(
-                ratio=bounds.retry_ratio,
-                slack=bounds.retry_slack,
-                window_seconds=bounds.retry_window,
-            )
-        return self._retry_budgets[service]
-
     def _build_heartbeat(self) -> Heartbeat:
         known = self.configuration.configuration
         return Heartbeat(
--- a/mallowpond/node/serving_parts.py
+++ b/mallowpond/node/serving_parts.py
@@ -9,16 +9,15 @@
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.ports import CallerProtocol, Targets
 from mallowpond.node.quarantine import Quarantine
+from mallowpond.node.retry_budgets import RetryBudgets
 from mallowpond.node.target_availability import TargetAvailability
-from mallowpond.state.retry_window import RetryWindow
 
 
 @dataclass(frozen=True, kw_only=True)
 class ServingParts:
     """Dependencies of a service that serves requests.
 
-    budget: returns the retry budget of a service by its name.
-    hosts: returns the number of entry hosts that share each retry budget.
+    hosts: returns the number of live entry hosts.
     """
 
     directory: Directory
@@ -26,7 +25,7 @@
     callers: CallerProtocol
     clock: Clock
     metrics: NodeMetrics
-    budget: Callable[[str], RetryWindow]
+    budgets: RetryBudgets
     hosts: Callable[[], int]
     rng: random.Random
     quarantine: Quarantine
--- a/mallowpond/node/stream_placement.py
+++ b/mallowpond/node/stream_placement.py
@@ -57,7 +57,6 @@
         self._directory = parts.directory
         self._clock = parts.clock
         self._metrics = parts.metrics
-        self._budget = parts.budget
         self._hosts = parts.hosts
         self._rng = parts.rng
         self._quarantine = parts.quarantine
@@ -67,7 +66,7 @@
         self.selector = GroupSelector(
             directory=parts.directory,
             quarantine=parts.quarantine,
-            budget=parts.budget,
+            budgets=parts.budgets,
             hosts=parts.hosts,
             rng=parts.rng,
             is_cold=parts.availability.is_cold,
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -63,8 +63,7 @@
         self._callers = parts.callers
         self._clock = parts.clock
         self._metrics = parts.metrics
-        self._budget = parts.budget
-        self._hosts = parts.hosts
+        self._budgets = parts.budgets
         self._quarantine = parts.quarantine
         self._availability = parts.availability
         self.placement = StreamPlacement(parts=parts)
@@ -96,7 +95,7 @@
         work.started_at = self._clock.now()
         work.last_event_id = work.request.last_event
         self.placement.record_model(work)
-        self._budget(work.service).record_first_send(work.started_at)
+        self._budgets.record_first_send(work.service)
         failed: FailedAnswer | None = None
         while True:
             group = await self.placement.place(work)
@@ -150,8 +149,8 @@
             return Refusal(status=504, reason=Reason.TIMEOUT)
         # A connection that was not opened brought no request to a target.
         is_free = isinstance(end, NotRun) and reason is Reason.CONNECT
-        if not is_free and not self._budget(work.service).try_repeat(
-            now, self._hosts()
+        if not is_free and not self._budgets.try_repeat(
+            work.service, request=work.request.id, reason=reason
         ):
             return Refusal(status=502, reason=Reason.BUDGET_USED)
         return None
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -17,7 +17,9 @@
 )
 from mallowpond.node.quarantine import Quarantine
 from mallowpond.node.rate_limits import RateLimits
+from mallowpond.node.retry_budgets import RetryBudgets
 from mallowpond.node.serving_parts import ServingParts
+from mallowpond.node.settings import NodeBounds
 from mallowpond.node.stream_work import StreamWork
 from mallowpond.node.streams import StreamService
 from mallowpond.node.target_availability import TargetAvailability
@@ -28,7 +30,6 @@
     ModelSpec,
     Target,
 )
-from mallowpond.state.retry_window import RetryWindow
 from mallowpond.state.site_configuration import (
     Backend,
     RepeatPolicy,
@@ -348,13 +349,29 @@
     return TargetAvailability(rate_limits=limits, directory=directory, clock=clock)
 
 
+@dataclass(frozen=True, kw_only=True)
+class LonePeers:
+    """Peers of a host that is the only one."""
+
+    host_count: int = 1
+
+
+def make_budgets(clock, metrics, *, ratio=1.0, slack=100.0):
+    """Return the retry budgets of a host without peers."""
+    return RetryBudgets(
+        bounds=NodeBounds(retry_ratio=ratio, retry_slack=slack),
+        peers=LonePeers(),
+        clock=clock,
+        metrics=metrics,
+    )
+
+
 async def make_rig(*groups, slack=100.0):
     """Return a stream service whose list has these open groups."""
     clock, targets = FakeClock(), FakeTargets()
     members = [target for group in groups for target in open_group(group)]
     source = FakeSource(listed=deque([listing(*members)]))
     directory = Directory(source=source, clock=clock)
-    budget = RetryWindow(ratio=1.0, slack=slack, window_seconds=10.0)
     metrics = NodeMetrics()
     parts = ServingParts(
         directory=directory,
@@ -362,7 +379,7 @@
         callers=FakeCallers(),
         clock=clock,
         metrics=metrics,
-        budget=lambda service: budget,
+        budgets=make_budgets(clock, metrics, slack=slack),
         hosts=lambda: 1,
         rng=random.Random(1),
         quarantine=Quarantine(clock=clock, metrics=metrics),
--- a/mallowpond/node/tests/test_calls.py
+++ b/mallowpond/node/tests/test_calls.py
@@ -22,10 +22,10 @@
     FakeTargets,
     listing,
     make_availability,
+    make_budgets,
 )
 from mallowpond.state.crash_ledger import ENDINGS_TO_QUARANTINE, CrashRecord, Ending
 from mallowpond.state.fleet import Process, Target
-from mallowpond.state.retry_window import RetryWindow
 from mallowpond.state.site_configuration import Backend, RepeatPolicy, Route
 from mallowpond.transport.http_client import Chunk, End
 
@@ -61,7 +61,7 @@
     )
 
 
-def make_call_service(directory, fakes, clock, budget):
+def make_call_service(directory, fakes, clock, budgets):
     """Return a service for calls over fakes."""
     metrics = NodeMetrics()
     parts = ServingParts(
@@ -70,7 +70,7 @@
         callers=FakeCallers(),
         clock=clock,
         metrics=metrics,
-        budget=lambda service: budget,
+        budgets=budgets,
         hosts=lambda: 1,
         rng=random.Random(1),
         quarantine=Quarantine(clock=clock, metrics=metrics),
@@ -101,14 +101,14 @@
     source = FakeSource(listed=deque([listing(*map(plain, targets))]))
     directory = Directory(source=source, clock=clock)
     await directory.refresh()
-    budget = RetryWindow(ratio=0.0, slack=slack, window_seconds=10.0)
+    budgets = make_budgets(clock, NodeMetrics(), ratio=0.0, slack=slack)
 
     async def send(target, request, *, workspace, seconds_left, last_event, **more):
         fakes.sends.append(target.id)
         return remaining.popleft()
 
     fakes.send = send
-    service = make_call_service(directory, fakes, clock, budget)
+    service = make_call_service(directory, fakes, clock, budgets)
     exchange = FakeExchange()
     work = make_work(clock, route, exchange)
     return await service.serve(work), fakes.sends, exchange
@@ -202,8 +202,8 @@
     source = FakeSource(listed=deque([listing(a)]))
     directory = Directory(source=source, clock=clock)
     await directory.refresh()
-    budget = RetryWindow(ratio=0.0, slack=9.0, window_seconds=10.0)
-    service = make_call_service(directory, fakes, clock, budget)
+    budgets = make_budgets(clock, NodeMetrics(), ratio=0.0, slack=9.0)
+    service = make_call_service(directory, fakes, clock, budgets)
     fakes.script("a", BROKEN, reply(200))
     outcome = await service.serve(make_work(clock, ONCE, FakeExchange()))
     assert outcome == Refusal(status=502, reason=Reason.MAYBE_RUN)
@@ -226,8 +226,8 @@
     source = FakeSource(listed=deque([listing(plain("a"))]))
     directory = Directory(source=source, clock=clock)
     await directory.refresh()
-    budget = RetryWindow(ratio=0.0, slack=9.0, window_seconds=10.0)
-    service = make_call_service(directory, fakes, clock, budget)
+    budgets = make_budgets(clock, NodeMetrics(), ratio=0.0, slack=9.0)
+    service = make_call_service(directory, fakes, clock, budgets)
     sends = []
 
     async def crash(target, request, **more):
@@ -254,8 +254,8 @@
     await directory.refresh()
     for name in "abcd":
         fakes.script(name, BROKEN)
-    budget = RetryWindow(ratio=0.0, slack=9.0, window_seconds=10.0)
-    service = make_call_service(directory, fakes, clock, budget)
+    budgets = make_budgets(clock, NodeMetrics(), ratio=0.0, slack=9.0)
+    service = make_call_service(directory, fakes, clock, budgets)
     ends = []
     for _ in range(ENDINGS_TO_QUARANTINE + 1):
         clock.time += 0.5
@@ -274,8 +274,8 @@
     for name in "abc":
         fakes.script(name, BROKEN)
     fakes.script("d", *(reply(200) for _ in range(9)))
-    budget = RetryWindow(ratio=0.0, slack=9.0, window_seconds=10.0)
-    service = make_call_service(directory, fakes, clock, budget)
+    budgets = make_budgets(clock, NodeMetrics(), ratio=0.0, slack=9.0)
+    service = make_call_service(directory, fakes, clock, budgets)
     endings = (Ending(process=Process(id=n, born=None), ran=0.1) for n in "abc")
     record = CrashRecord(request="bad", endings=tuple(endings))
     service._quarantine.merge(record)
--- a/mallowpond/node/tests/test_evacuations.py
+++ b/mallowpond/node/tests/test_evacuations.py
@@ -366,7 +366,7 @@
     for target in targets:
         rig.targets.script(target.id, reply(200))
     service = make_call_service(
-        rig.directory, rig.targets, rig.clock, rig.service._budget("plain")
+        rig.directory, rig.targets, rig.clock, rig.service._budgets
     )
     rig.directory.evacuate(frozenset(evacuated))
     return await service.serve(make_work(rig.clock, route, FakeExchange()))
--- a/mallowpond/node/tests/test_rate_limits.py
+++ b/mallowpond/node/tests/test_rate_limits.py
@@ -22,6 +22,7 @@
     answer,
     event,
     listing,
+    make_budgets,
     make_rig,
 )
 from mallowpond.node.tests.test_calls import (
@@ -34,7 +35,6 @@
 )
 from mallowpond.node.tests.test_dispatcher import run_pending_tasks, two_hosts
 from mallowpond.state.fleet import BreakCause
-from mallowpond.state.retry_window import RetryWindow
 from mallowpond.state.target_notice import TargetNotice
 
 ONE_PER_SECOND = TargetNotice(rate_limit=1.0)
@@ -181,8 +181,8 @@
     source = FakeSource(listed=deque([listing(plain("a"))]))
     directory = Directory(source=source, clock=clock)
     await directory.refresh()
-    budget = RetryWindow(ratio=0.0, slack=10.0, window_seconds=10.0)
-    service = make_call_service(directory, fakes, clock, budget)
+    budgets = make_budgets(clock, NodeMetrics(), ratio=0.0, slack=10.0)
+    service = make_call_service(directory, fakes, clock, budgets)
     target = directory.targets["a"]
     service._availability.record_notice(target, ONE_PER_SECOND, clock.now())
     clock.time += 1.0
--- a/mallowpond/state/retry_window.py
+++ b/mallowpond/state/retry_window.py
@@ -49,12 +49,21 @@
         known = max(MIN_RATE_SECONDS, self._firsts[-1] - self._since)
         return len(self._firsts) / min(self.window_seconds, known)
 
+    @property
+    def repeats(self) -> int:
+        """Return the repeated sends that were counted at the last one."""
+        return len(self._repeats)
+
+    def allowed(self, hosts: int) -> float:
+        """Return how many repeated sends this host may make in one window."""
+        part = self.ratio * len(self._firsts) + self.slack / max(1, hosts)
+        return USED_SHARE * part
+
     def try_repeat(self, now: float, hosts: int) -> bool:
         """Take one repeated send from this host's part, False if none is left."""
         _drop_before(self._firsts, now - self.window_seconds)
         _drop_before(self._repeats, now - self.window_seconds)
-        part = self.ratio * len(self._firsts) + self.slack / max(1, hosts)
-        if len(self._repeats) + 1 > USED_SHARE * part:
+        if len(self._repeats) + 1 > self.allowed(hosts):
             return False
         self._repeats.append(now)
         return True
