Show that a change is never read whose version the store gives out again

What callers saw: a confirmed change of the configuration not in force.

The store's stand-in learns the drill: it goes away, comes back from a copy some seconds old, gives versions out again, answers 410 to reads from one that it does not have, names its era, and writes again what the operator wrote and engines removed. The soak draws six kinds of it (draw 8): once, twice in a row, with the nodes' links cut meanwhile, with changes or an end of an evacuation in the lost seconds, with the planner killed just before. The judge checks what the nodes had known long before as if the store had not gone, and that no formation is ordered with two lists of members.

--- a/mallowpond/standins/observatory_operator.py
+++ b/mallowpond/standins/observatory_operator.py
@@ -73,6 +73,21 @@
         """Let the store discard its history of changes; return whether it did."""
         return await self._post("/standin/drop-history", {})
 
+    async def restore(
+        self, *, age: float, away_seconds: float, rewrite_seconds: float
+    ) -> bool:
+        """Let the store come back from a copy; return whether it accepted that.
+
+        Times in seconds: the age of the copy, until the store is back, and from then
+        until what the operator wrote since the copy is written again.
+        """
+        document = {
+            "age": age,
+            "away_seconds": away_seconds,
+            "rewrite_seconds": rewrite_seconds,
+        }
+        return await self._post("/standin/restore", document)
+
     async def write_foreign(self, key: str, value: bytes, seconds: float) -> bool:
         """Let the store hold a foreign value as the entry of an engine for `seconds`.
 
--- a/mallowpond/standins/observatory_store.py
+++ b/mallowpond/standins/observatory_store.py
@@ -4,10 +4,12 @@
 import base64
 import json
 import time
+from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs
 
+from mallowpond.platform import headers as names
 from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
 
 ENGINES_TABLE = "servers"
@@ -18,6 +20,8 @@
 # Time after an engine's last write until its entry is removed, in seconds.
 EXPIRY_SECONDS = 1.5
 EXPIRY_CHECK_SECONDS = 0.2
+# Time for which states of the store are kept to come back to, in seconds.
+MAX_COPY_AGE_SECONDS = 10.0
 
 # Table, part and key of a row.
 RowKey = tuple[str, str, str]
@@ -59,11 +63,24 @@
     until: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class Copy:
+    """State of the store at a monotonic time."""
+
+    taken_at: float
+    version: int
+    rows: dict[RowKey, StoredRow]
+
+
 @dataclass(kw_only=True)
 class ObservatoryStore:
     """In-memory server of the platform's store protocol."""
 
     version: int = 0
+    era: int = 1
+    _copies: deque[Copy] = field(default_factory=deque)
+    _is_away: bool = False
+    _restoring: set[asyncio.Task[None]] = field(default_factory=set)
     _rows: dict[RowKey, StoredRow] = field(default_factory=dict)
     _history: list[StoredRow] = field(default_factory=list)
     _compacted_version: int = 0
@@ -95,8 +112,55 @@
         self._foreign[row_key] = ForeignEntry(value=value, until=until)
         self._apply({row_key: value}, [])
 
+    def restore(
+        self, *, age: float, away_seconds: float, rewrite_seconds: float
+    ) -> None:
+        """Go away, and come back from a copy that is `age` seconds old.
+
+        What the operator wrote since, and what engines removed, is written again
+        `rewrite_seconds` after the return; engines repeat their own entries.
+        """
+        limit = time.monotonic() - age
+        copies = [copy for copy in self._copies if copy.taken_at <= limit]
+        found = copies[-1] if copies else self._copies[0]
+        task = asyncio.create_task(self._restore(found, away_seconds, rewrite_seconds))
+        self._restoring.add(task)
+        task.add_done_callback(self._restoring.discard)
+
+    async def _restore(
+        self, copy: Copy, away_seconds: float, rewrite_seconds: float
+    ) -> None:
+        self._is_away = True
+        self._notify_changed()
+        await asyncio.sleep(away_seconds)
+        lost = {
+            row.row_key: row
+            for row in self._history
+            if row.version > copy.version and row.row_key[0] in READ_ONLY_TABLES
+        }
+        self._history = [row for row in self._history if row.version <= copy.version]
+        self._compacted_version = min(self._compacted_version, copy.version)
+        self._rows, self.version = dict(copy.rows), copy.version
+        self.era += 1
+        now = time.monotonic()
+        self._copies = deque([Copy(taken_at=now, version=self.version, rows=copy.rows)])
+        self._last_write_at = {k: now for k in self._rows if k[0] == ENGINES_TABLE}
+        self._is_away = False
+        await asyncio.sleep(rewrite_seconds)
+        for row_key, row in lost.items():
+            if self._version_of(row_key) > copy.version:
+                continue
+            if row.value is None:
+                self._apply({}, [row_key])
+            elif row_key[0] != ENGINES_TABLE:
+                self._apply({row_key: row.value}, [])
+
     async def _answer(self, request: HttpRequest, exchange: Exchange) -> None:
         path, _, query = request.target.partition("?")
+        is_control = path.startswith("/standin/")
+        if self._is_away and not is_control:
+            # Without an answer the connection closes.
+            return
         query_fields = {name: values[0] for name, values in parse_qs(query).items()}
         match (request.method, path):
             case ("POST", "/-/rows-tx"):
@@ -112,9 +176,15 @@
             case ("POST", "/standin/foreign"):
                 self.write_foreign(**json.loads(request.body))
                 status, document = 200, {}
+            case ("POST", "/standin/restore"):
+                self.restore(**json.loads(request.body))
+                status, document = 200, {}
             case _:
                 status, document = 404, {}
-        await exchange.respond(status, json.dumps(document).encode())
+        if self._is_away and not is_control:
+            return
+        era = ((names.STORE_ERA, str(self.era)),)
+        await exchange.respond(status, json.dumps(document).encode(), era)
 
     def _commit(
         self, body: dict[str, Any], is_platform: bool
@@ -153,6 +223,15 @@
             if self._rows.pop(row_key, None) is not None:
                 tombstone = StoredRow(row_key=row_key, value=None, version=self.version)
                 self._history.append(tombstone)
+        now = time.monotonic()
+        self._copies.append(
+            Copy(taken_at=now, version=self.version, rows=dict(self._rows))
+        )
+        while self._copies[0].taken_at < now - MAX_COPY_AGE_SECONDS:
+            self._copies.popleft()
+        self._notify_changed()
+
+    def _notify_changed(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -188,7 +267,7 @@
         )
         deadline = time.monotonic() + int(query_fields.get("wait_ms", 0)) / 1000.0
         while True:
-            if since < self._compacted_version:
+            if not self._compacted_version <= since <= self.version:
                 return 410, {}
             rows = [
                 row.as_document()
@@ -196,7 +275,7 @@
                 if row.version > since and row.row_key[0] == table
             ]
             left = deadline - time.monotonic()
-            if rows or left <= 0:
+            if rows or left <= 0 or self._is_away:
                 return 200, {"rows": rows, **self._version_and_time()}
             try:
                 async with asyncio.timeout(left):
--- a/mallowpond/standins/tests/test_observatory.py
+++ b/mallowpond/standins/tests/test_observatory.py
@@ -12,8 +12,8 @@
     ObservatoryOperator,
     foreign_values,
 )
-from mallowpond.standins.observatory_store import ObservatoryStore
-from mallowpond.transport.http_client import HttpClient
+from mallowpond.standins.observatory_store import ObservatoryStore, unpack
+from mallowpond.transport.http_client import CallFailed, HttpClient
 
 LOOPBACK = "127.0.0.1"
 JOIN = {
@@ -134,3 +134,24 @@
     values = foreign_values(entry)
     assert len(set(values)) == len(values) > 30
     assert json.dumps(entry).encode() not in values
+
+
+async def test_a_store_that_comes_back_from_a_copy_gives_versions_out_again():
+    async with _store() as (address, operator, http):
+        await operator.configure({"version": 1})
+        await asyncio.sleep(0.2)
+        await operator.configure({"version": 2})
+        query = "/-/rows-get?table=op&part="
+        newest = json.loads((await http.fetch(address, "GET", query))[1])["ver"]
+        await operator.restore(age=0.1, away_seconds=0.1, rewrite_seconds=0.1)
+        assert isinstance(await http.fetch(address, "GET", query), CallFailed)
+        await asyncio.sleep(0.15)
+        feed = f"/-/rows-feed?table=op&since_rev={newest}&wait_ms=0"
+        assert (await http.fetch(address, "GET", feed))[0] == 410
+        answer = await http.fetch_response(address, "GET", query)
+        (row,) = json.loads(answer.body)["rows"]
+        assert answer.headers["store-era"] == "2"
+        assert row["ver"] < newest and unpack(row["value"]) == {"version": 1}
+        await asyncio.sleep(0.15)
+        (row,) = json.loads((await http.fetch(address, "GET", query))[1])["rows"]
+        assert row["ver"] == newest and unpack(row["value"]) == {"version": 2}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,7 +4,7 @@
 import random
 import signal
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import structlog
@@ -15,6 +15,7 @@
     new_engine_id,
 )
 from mallowpond.standins.observatory_operator import INVALID_IDS, foreign_values
+from soak import restores
 from soak.callers import FIRST_PARTS, SECOND_PARTS, Callers, FatalChoice
 from soak.fleet import DATA_CENTRES, Fleet, ManagedProcess
 from soak.judge import (
@@ -22,6 +23,12 @@
     EVACUATION_KIND,
     FATAL_PART_KIND,
     RATE_LIMIT_KIND,
+    RESTORED_ENDED_KIND,
+    RESTORED_KINDS,
+    RESTORED_LOST_KIND,
+    RESTORED_PLANNER_KIND,
+    RESTORED_TWICE_KIND,
+    RESTORED_UNHEARD_KIND,
     SKEW_KIND,
 )
 from soak.proxy import LinkMode, Proxy
@@ -85,11 +92,13 @@
 # Most new connections go to one node; in half of the draws it stops meanwhile. All
 # engines of a domain are killed.
 DRAW_7_KINDS = (FATAL_PART_KIND, SKEW_KIND, "engine_kill_domain")
+# The store comes back from a copy that is some seconds old.
+DRAW_8_KINDS = RESTORED_KINDS
 # From draw version 2 on, a seed chooses one of these probabilities, with which each
 # kind may occur in its run. With few kinds there are undisturbed periods, in which the
 # time limits are checked.
 KIND_SHARES = (0.15, 0.3, 0.6, 1.0)
-NEWEST_DRAW = 7
+NEWEST_DRAW = 8
 LINK_FAULTS = (LinkMode.SLOW, LinkMode.RESET, LinkMode.SILENT, LinkMode.ONE_WAY)
 # How nodes lose their links to the engines, chosen by `Fault.draw`.
 CUT_MODES = (LinkMode.SILENT, LinkMode.RESET, LinkMode.NO_NEW)
@@ -154,6 +163,7 @@
     kinds += DRAW_5_KINDS if draw > 4 else ()
     kinds += DRAW_6_KINDS if draw > 5 else ()
     kinds += DRAW_7_KINDS if draw > 6 else ()
+    kinds += DRAW_8_KINDS if draw > 7 else ()
     return tuple(k for k in kinds if rng.random() < share) or DRAW_2_KINDS
 
 
@@ -225,6 +235,10 @@
             case "links":
                 await self._cut_engine_links(fault)
                 return
+            case _ if fault.kind in RESTORED_KINDS:
+                await self._restore_store(fault)
+                self._record_disturbance(fault.kind, began, None)
+                return
             case "engine":
                 number = fault.draw % len(self.fleet.engines)
                 await self._disturb_engine(fault, self.fleet.engines[number])
@@ -388,6 +402,51 @@
                 engine = fleet.engines[fault.draw % len(fleet.engines)]
                 await self._write_foreign_entry(fault, engine)
 
+    async def _restore_store(self, fault: Fault) -> None:
+        """Let the store come back from a copy, with what the kind of fault adds."""
+        fleet, draw = self.fleet, fault.draw
+        match fault.kind:
+            case kind if kind == RESTORED_UNHEARD_KIND:
+                restores.cut_store_links(fleet, fault.link)
+                await restores.restore_once(fleet, draw)
+                revoking = asyncio.create_task(
+                    self._revoke(restores.UNHEARD_SECONDS + fault.seconds)
+                )
+                await asyncio.sleep(restores.UNHEARD_SECONDS)
+                restores.cut_store_links(fleet, LinkMode.SOUND)
+                await revoking
+            case kind if kind == RESTORED_LOST_KIND:
+                changes = [
+                    asyncio.create_task(change)
+                    for change in (
+                        self._revoke(fault.seconds),
+                        self._evacuate(fault),
+                        self._disturb_engine(
+                            replace(fault, kind="engine_stop"),
+                            self._choose_plain_or_grouped(draw),
+                        ),
+                    )
+                ]
+                await asyncio.sleep(restores.LOST_SECONDS)
+                await restores.restore_once(fleet, draw)
+                await asyncio.gather(*changes)
+            case kind if kind == RESTORED_ENDED_KIND:
+                evacuating = asyncio.create_task(self._evacuate(fault))
+                await asyncio.sleep(max(MIN_EVACUATION_SECONDS, fault.seconds))
+                await asyncio.sleep(restores.LOST_SECONDS)
+                await restores.restore_once(fleet, draw)
+                await evacuating
+            case kind if kind == RESTORED_PLANNER_KIND:
+                await restores.kill_planner_and_head(fleet, draw)
+                await restores.restore_once(fleet, draw)
+            case kind if kind == RESTORED_TWICE_KIND:
+                await restores.restore_once(fleet, draw)
+                await asyncio.sleep(fault.seconds / 4.0)
+                await restores.restore_once(fleet, draw // 9)
+            case _:
+                await restores.restore_once(fleet, draw)
+        await asyncio.sleep(SETTLE_SECONDS)
+
     async def _impair_link(self, link: Proxy, fault: Fault) -> None:
         link.set_mode(fault.link)
         await asyncio.sleep(fault.seconds)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -239,6 +239,14 @@
         """
         return await self._operator.drop_history()
 
+    async def restore_store(
+        self, *, age: float, away_seconds: float, rewrite_seconds: float
+    ) -> bool:
+        """Let the store come back from a copy; return whether it accepted that."""
+        return await self._operator.restore(
+            age=age, away_seconds=away_seconds, rewrite_seconds=rewrite_seconds
+        )
+
     async def evacuate(self, data_centre: str) -> bool:
         """Evacuate a data centre; return whether the store accepted it."""
         return await self._operator.evacuate(data_centre)
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -49,6 +49,25 @@
 CUT_KINDS = ("links_some", "links_data_centre", "links_planner")
 # Most new connections go to one node.
 SKEW_KIND = "skew"
+# Kinds of faults in which the store comes back from a copy. `twice`: two times in a
+# row. `unheard`: the nodes' links to the store are cut meanwhile, and a key is revoked
+# before they return. `lost`: a revocation, an evacuation and the stop of an engine are
+# in the lost seconds. `ended`: the end of an evacuation is. `planner`: the planner is
+# killed just before, and the members of a group in the lost seconds.
+RESTORED_KIND = "store_restored"
+RESTORED_TWICE_KIND = "store_restored_twice"
+RESTORED_UNHEARD_KIND = "store_restored_unheard"
+RESTORED_LOST_KIND = "store_restored_lost"
+RESTORED_ENDED_KIND = "store_restored_ended"
+RESTORED_PLANNER_KIND = "store_restored_planner"
+RESTORED_KINDS = (
+    RESTORED_KIND,
+    RESTORED_TWICE_KIND,
+    RESTORED_UNHEARD_KIND,
+    RESTORED_LOST_KIND,
+    RESTORED_ENDED_KIND,
+    RESTORED_PLANNER_KIND,
+)
 # Time after the start of a skew from which as many requests must be served as before,
 # in seconds, the share of the rate before, and the number of requests from which this
 # is checked in both intervals.
@@ -147,6 +166,7 @@
         _check_workspaces,
         _check_complete_groups,
         _check_single_group,
+        _check_formations,
         _check_misdirected,
         _check_containment,
         _check_part_containment,
@@ -296,6 +316,16 @@
                 )
 
 
+def _check_formations(run: Run) -> Iterator[str]:
+    """Find two formations under one name and epoch, which two planners ordered."""
+    members: dict[tuple[str, int], list[str]] = {}
+    for entry in run.notes:
+        if entry.event == "join" and entry.group_key is not None:
+            known = members.setdefault(entry.group_key, entry.values["members"])
+            if known != entry.values["members"]:
+                yield f"{entry.engine}: {entry.group_key} ordered with other members"
+
+
 def _is_active_after(run: Run, engine: str, at: float) -> bool:
     """Return whether the journal of an engine has entries after a time."""
     return any(entry.engine == engine and entry.at > at for entry in run.notes)
@@ -319,7 +349,13 @@
         if (
             record
             and is_late
-            and _is_node_undisturbed(run, record.node, undisturbed_from, entry.at)
+            and _is_node_undisturbed(
+                run,
+                record.node,
+                undisturbed_from,
+                entry.at,
+                known_since=since + DRAIN_SECONDS,
+            )
         ):
             yield f"{record.attempt}: sent to an engine that leaves"
 
@@ -617,6 +653,7 @@
                 continue
             if since < entry.at < evacuation.ended_at and not any(
                 d.kind.startswith(UNINFORMED_KINDS)
+                and not (d.kind in RESTORED_KINDS and d.began_at > since)
                 and (node is None or d.node in (None, node))
                 and d.began_at < entry.at
                 and d.ended_at > evacuation.accepted_at - RECOVERY_SECONDS
@@ -784,18 +821,25 @@
 
 
 def _is_node_undisturbed(
-    run: Run, node: int, start: float, end: float, except_for: tuple[str, ...] = ()
+    run: Run,
+    node: int,
+    start: float,
+    end: float,
+    except_for: tuple[str, ...] = (),
+    known_since: float = float("inf"),
 ) -> bool:
     """Return whether the node had no disturbance, nor the fleet one that may affect it.
 
     Stalls and kinds that cut off no answer count only if they are of this node. All
-    others without a node count, such as engine faults.
+    others without a node count, such as engine faults. What the node has known since a
+    time holds also when the store comes back from a copy after that.
     """
     return not any(
         d.began_at < end and d.ended_at > start
         for d in run.disturbances
         if d.node in (None, node)
         and d.kind not in except_for
+        and not (d.kind in RESTORED_KINDS and d.began_at > known_since)
         and (d.kind not in (STALL_KIND, *NO_CUT_KINDS) or d.node == node)
     )
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -16,9 +16,12 @@
     FATAL_KIND,
     FATAL_PART_KIND,
     RATE_LIMIT_KIND,
+    RESTORED_UNHEARD_KIND,
+    REVOKE_SECONDS,
     SKEW_KIND,
     find_violations,
 )
+from soak.proxy import LinkMode
 from soak.records import Ending
 
 SECONDS = 4.0
@@ -184,3 +187,22 @@
     assert len(set(taken)) > 1
     assert max(map(taken.count, set(taken))) > len(taken) * (0.4 if draw else 0.8)
     assert find_violations(run) == []
+
+
+@pytest.mark.parametrize("nodes", [1, 3])
+def test_a_key_that_is_revoked_after_the_store_was_restored_is_refused(nodes, tmp_path):
+    """Guards against a change that is never read as its version is given out again."""
+    fault = Fault(
+        at=2.0, kind=RESTORED_UNHEARD_KIND, seconds=3.0, draw=3, link=LinkMode.RESET
+    )
+    case = Case(seed=6, seconds=0.0, faults=(fault,), shape=FleetShape(nodes=nodes))
+    run = asyncio.run(run_case(case, tmp_path))
+    (revocation,) = run.revocations
+    sent = [
+        r
+        for r in run.callers
+        if revocation.accepted_at + REVOKE_SECONDS < r.sent_at < revocation.restored_at
+    ]
+    assert any(record.key == revocation.key for record in sent)
+    assert any(record.status == 200 for record in sent)
+    assert find_violations(run) == []
