Keep what a host knows of targets when the store's list is a copy

What callers saw: nothing yet; requests would go to targets that had said that they leave, or were gone, as the copy lists them ready.

Cause: the list of a restored store was taken for newer than what had been read, and dropped as older or applied by the chance of its versions; followers compared revisions of two eras.

Change: the first read of a later era is merged (state/restored_list.py): a known process keeps its entry and leaves if either says so, one that was removed lately stays out, missing entries are kept as in an outage, broken groups are not readmitted; if any entry was overridden the list is read whole once more after 2.2 s. The reader publishes its difference, even an empty one, and only hosts that stand in the era from which it was made apply it. A lost history is followed by a whole read at once: 0.5 s less of an old list.

Evidence: read only, no run of processes showed it.

--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -31,6 +31,8 @@
     assemble_groups,
     ids_without_start_time,
 )
+from mallowpond.state.restored_list import RemovedProcesses, merge_restored
+from mallowpond.state.revision import era_of, is_later_era, version_of
 
 log = structlog.get_logger()
 
@@ -56,6 +58,8 @@
 # Interval between full reads of the list, in seconds: a feed of changes may have missed
 # one.
 FULL_READ_SECONDS = 10.0
+# Revision that reads the whole list.
+FROM_START = 0
 # The same for a follower, in seconds. The readers make full reads themselves and
 # broadcast what they find, and a read of a large list takes several calls to the store.
 FOLLOWER_FULL_READ_SECONDS = 120.0
@@ -99,6 +103,9 @@
         self._ended = EndedProcesses()
         self._evacuated: frozenset[str] = frozenset()
         self._lapsed_at: dict[str, float] = {}
+        self._removed = RemovedProcesses()
+        # Whether entries of a restored store were overridden by known ones.
+        self._is_restored_doubtful = False
         self.newest_target_at = float("-inf")
         # Revision of the last change of the list, 0 before the first read.
         self.last_change = 0
@@ -385,11 +392,16 @@
         """Apply the changes of the list after revision `previous`, sent by a reader.
 
         They are ignored if this host lacks earlier changes; it then reads the list.
+        Changes that lead to a later era of the store are those to the reader's list.
         """
         if previous > self._revision or read.revision <= self._revision:
             return
         if self._full_read_at == float("-inf"):
             return
+        if is_later_era(read.revision, previous):
+            if era_of(previous) != era_of(self._revision):
+                return
+            self._regained_at = self._clock.now()
         self._apply_read(read)
         self._revision = read.revision
         self.last_change = max(self.last_change, read.revision)
@@ -401,7 +413,12 @@
         self._drop_missing()
         limit = FULL_READ_SECONDS if self.is_reader() else FOLLOWER_FULL_READ_SECONDS
         due = now - self._full_read_at > limit
-        answer = await self._source.targets(0 if due else self._revision)
+        due = due or (self._is_restored_doubtful and self.is_settled)
+        answer = await self._source.targets(FROM_START if due else self._revision)
+        if isinstance(answer, HistoryLost):
+            log.warning("targets: history lost", revision=self._revision)
+            self._regained_at = now
+            answer = await self._source.targets(FROM_START)
         match answer:
             case Unavailable(reason=reason):
                 if self._lost_at is None:
@@ -409,9 +426,6 @@
                     log.warning("targets: list lost", reason=reason)
                 return False
             case HistoryLost():
-                log.warning("targets: history lost", revision=self._revision)
-                self._full_read_at = float("-inf")
-                self._regained_at = now
                 return False
         self._record_regained(now)
         if answer.revision < self._revision:
@@ -420,12 +434,18 @@
             return True
         if answer.whole:
             self._full_read_at = now
+            self._is_restored_doubtful = False
         before = self._targets
-        self._apply_read(answer)
+        is_restored = is_later_era(answer.revision, self._revision)
+        if is_restored:
+            answer = self._merge_restored(answer, now)
+        self._apply_read(answer, is_copy=is_restored)
         self._revision = answer.revision
         self._behind_since = None
         if answer.whole:
             is_change = self._targets != before or not self.last_change
+            # Followers compare their revisions with that of the last change.
+            is_change = is_change or is_restored
         else:
             is_change = bool(answer.targets or answer.removed or answer.unreadable)
         if is_change:
@@ -434,6 +454,22 @@
             )
         return True
 
+    def _merge_restored(self, answer: TargetsRead, now: float) -> TargetsRead:
+        """Merge the list of a store that came back from a copy with the known one."""
+        self._regained_at = now
+        merged = merge_restored(self._targets, answer.targets, self._removed)
+        self._is_restored_doubtful = merged.is_doubtful
+        log.warning(
+            "targets: list restored",
+            era=era_of(answer.revision),
+            version=version_of(answer.revision),
+            known=len(self._targets),
+            copied=len(answer.targets),
+            kept=len(merged.targets),
+            doubtful=merged.is_doubtful,
+        )
+        return replace(answer, targets=merged.targets)
+
     def _record_regained(self, now: float) -> None:
         if self._lost_at is not None:
             log.info("targets: list regained", away=round(now - self._lost_at, 3))
@@ -508,7 +544,7 @@
         gone, self._awaiting_return = self._awaiting_return, set()
         self._replace_targets({k: t for k, t in self._targets.items() if k not in gone})
 
-    def _apply_read(self, read: TargetsRead) -> None:
+    def _apply_read(self, read: TargetsRead, *, is_copy: bool = False) -> None:
         found = dict(self._targets)
         listed = {target.id: target for target in read.targets}
         incomplete = ids_without_start_time(
@@ -542,7 +578,8 @@
         for identifier in gone:
             self._remove(found, identifier)
         self._replace_targets(found)
-        self._reinstate_groups(listed.values(), is_change=not read.whole)
+        if not is_copy:
+            self._reinstate_groups(listed.values(), is_change=not read.whole)
 
     def _reinstate_groups(self, listed: Collection[Target], *, is_change: bool) -> None:
         """Readmit broken groups whose heads the list shows open again.
@@ -595,6 +632,7 @@
         if not changed and not gone:
             return
         self._log_changes(found, changed, gone)
+        self._removed.record([known[k].process for k in gone], self._clock.now())
         restarted = [
             (known[k], found[k])
             for k in changed
