Hold evacuations that the copy of a restored store lacks

What callers saw: nothing yet; traffic would go to a data centre that operators have emptied, until the row is written again.

Cause: a read of the copy, and any message of a host that had read only the copy, replaced what was known: the copy's revision was taken for a later state of the same rows.

Change: with a new era the known evacuations hold beside the copy until the store names their end, or for 5 s; a second era holds them anew.

--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -71,7 +71,7 @@
         self._confirmation: Confirmation | None = None
         self.store_clock = StoreClock()
         # Read with the configuration, and passed on to peers with it.
-        self.evacuations = KnownEvacuations()
+        self.evacuations = KnownEvacuations(clock=clock)
         self._question_number = 0
         self._asked_at = float("-inf")
         self._unanswered = 0
--- a/mallowpond/node/tests/test_evacuations.py
+++ b/mallowpond/node/tests/test_evacuations.py
@@ -48,9 +48,14 @@
 from mallowpond.node.tests.test_planner import free
 from mallowpond.node.tests.test_readers import Host, follower, heartbeat_of
 from mallowpond.node.tests.test_service import node_over
-from mallowpond.state.evacuations import EvacuationChanges, Evacuations
+from mallowpond.state.evacuations import (
+    HELD_SECONDS,
+    EvacuationChanges,
+    Evacuations,
+)
 from mallowpond.state.fleet import GroupPhase
 from mallowpond.state.formation_view import Join, Leave, Stage
+from mallowpond.state.revision import make_revision
 
 # The time within which every host in contact must stop sending, in seconds.
 BOUND_SECONDS = 5.0
@@ -469,3 +474,71 @@
     rig.directory.evacuate(frozenset("a"))
     await rig.steps(2)
     assert {step.target.id for step in rig.orders_of(Leave)} == {"g0", "g1"}
+
+
+BEFORE = make_revision(1, 90)
+COPY = make_revision(2, 40)
+
+
+async def host_after(*reads):
+    """Return a host that has read these answers of the store."""
+    host = Host()
+    host.source.reads.extend(reads)
+    for _ in reads:
+        await host.configuration.step()
+    return host
+
+
+async def test_an_evacuation_that_the_copy_of_a_restored_store_lacks_holds():
+    """Guards against traffic to a data centre evacuated in the lost seconds."""
+    host = await host_after(
+        read(BEFORE, "a", is_whole=True), HistoryLost(), read(COPY, is_whole=True)
+    )
+    assert host.configuration.evacuations.data_centres == {"a"}
+    host.source.reads.append(read(COPY + 5, "a"))
+    await host.configuration.step()
+    host.clock.time += HELD_SECONDS
+    host.source.reads.append(read(COPY + 9))
+    await host.configuration.step()
+    assert host.configuration.evacuations.data_centres == {"a"}
+
+
+async def test_an_evacuation_that_is_not_written_again_ends():
+    """Guards against a data centre that stays empty for good."""
+    host = await host_after(
+        read(BEFORE, "a", is_whole=True), HistoryLost(), read(COPY, is_whole=True)
+    )
+    host.clock.time += HELD_SECONDS
+    host.source.reads.append(read(COPY + 9))
+    await host.configuration.step()
+    assert host.configuration.evacuations.data_centres == frozenset()
+
+
+async def test_an_end_that_the_restored_store_names_counts_at_once():
+    host = await host_after(
+        read(BEFORE, "a", "b", is_whole=True),
+        HistoryLost(),
+        read(COPY, "a", is_whole=True),
+        read(COPY + 5, ended=("a", "b")),
+    )
+    assert host.configuration.evacuations.data_centres == frozenset()
+
+
+async def test_a_peer_that_has_read_a_copy_ends_no_evacuation():
+    """Guards against a host that starts, knows the copy only and tells all others."""
+    host = await host_after(read(BEFORE, "a", is_whole=True))
+    host.receive(heartbeat_of("n0", evacuations=Evacuations(revision=COPY)))
+    host.receive(heartbeat_of("n0", evacuations=Evacuations(revision=COPY + 9)))
+    assert host.configuration.evacuations.data_centres == {"a"}
+
+
+async def test_an_evacuation_holds_while_the_store_is_restored_twice():
+    again = make_revision(3, 10)
+    host = await host_after(read(BEFORE, "a", is_whole=True), read(COPY, is_whole=True))
+    host.clock.time += HELD_SECONDS - 0.1
+    host.source.reads.append(read(again, is_whole=True))
+    await host.configuration.step()
+    host.clock.time += HELD_SECONDS - 0.1
+    host.source.reads.append(read(again + 1))
+    await host.configuration.step()
+    assert host.configuration.evacuations.data_centres == {"a"}
--- a/mallowpond/state/evacuations.py
+++ b/mallowpond/state/evacuations.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from mallowpond.state.decoding import Name
 from mallowpond.state.fleet import ModelSpec, Target
@@ -52,6 +52,30 @@
         return other if other.revision > self.revision else self
 
 
+# Time for which evacuations known before the store was restored hold although its copy
+# lacks them, in seconds: operators write theirs again within that.
+HELD_SECONDS = 5.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class HeldEvacuations:
+    """Evacuations that were known before the store came back from a copy.
+
+    They hold until the store names their ends, or until a time at most.
+    """
+
+    data_centres: frozenset[str] = frozenset()
+    until: float = float("-inf")
+
+    def at(self, now: float) -> frozenset[str]:
+        """Return the data centres for which they hold at a time."""
+        return self.data_centres if now < self.until else frozenset()
+
+    def after(self, changes: EvacuationChanges) -> "HeldEvacuations":
+        """Return those that hold after changes that the restored store names."""
+        return replace(self, data_centres=self.data_centres.difference(changes.ended))
+
+
 def can_form_group(
     targets: Iterable[Target], model: ModelSpec, evacuated: frozenset[str]
 ) -> bool:
