Number planners by the era of the store, and check leases within one era only

What callers saw: nothing yet; two planners of one number would order the same engines, so that members of an open group join another one.

Cause: the lease row's version served as a check although the same version may stand on another holder's row after a restore, and the next number was the restored row's plus one, though engines had seen it; epochs follow from it.

Change: each era has fencing numbers of its own (state/fences.py). A planner stops its orders when the era rises, and takes the row of the new era while its lease is valid, with what it knows of its groups; a write that met a later era than its row does not count. Hosts hear of an era from the store or from digests.

--- a/mallowpond/node/leadership.py
+++ b/mallowpond/node/leadership.py
@@ -22,9 +22,12 @@
 )
 from mallowpond.node.messages import Heartbeat
 from mallowpond.node.peers import PeerNetwork
+from mallowpond.node.store_era import KnownEra
 from mallowpond.node.unreadable import UnreadableLog
 from mallowpond.state.decoding import DecodeFault, Unreadable, decode
+from mallowpond.state.fences import highest_fence, next_fence
 from mallowpond.state.ownership import ranked_by_capacity
+from mallowpond.state.revision import era_of
 from mallowpond.state.rows import LeaseRow
 
 log = structlog.get_logger()
@@ -73,6 +76,7 @@
         can_plan: Callable[[], bool],
         has_links: Callable[[], bool] = lambda: True,
         cores: float = 0.0,
+        era: KnownEra | None = None,
         unreadable_log: UnreadableLog | None = None,
     ) -> None:
         self._unreadable_log = unreadable_log or UnreadableLog()
@@ -86,18 +90,24 @@
         self._checks_fencing = checks_fencing
         self._can_plan = can_plan
         self._has_links = has_links
+        self._era = era or KnownEra()
+        self._era.on_restored.append(self._suspend)
         self._fence = 0
+        # Whether the store was restored since this node wrote its lease.
+        self._is_suspended = False
         self._version = 0
         self._renewed_at = float("-inf")
         self._started_at = clock.now()
         # The lease row's version, and the time at which it was first seen.
         self._unchanged_since: tuple[int, float] | None = None
         self.on_acquired: list[Callable[[], None]] = []
+        # Called when this node goes on planning with another fencing number.
+        self.on_reclaimed: list[Callable[[], None]] = []
 
     @property
     def fence(self) -> int:
         """Return the fencing number for orders, 0 while this node may not plan."""
-        if self._fence == 0:
+        if self._fence == 0 or self._is_suspended:
             return 0
         age = self._clock.now() - self._renewed_at
         if age < LEASE_SECONDS or self._checks_fencing:
@@ -123,7 +133,7 @@
                 self.step_down("a peer plans with a higher fencing number")
             elif not self._has_links() and self._planning_candidates():
                 self.step_down("this node has no links to the targets")
-            elif now - self._renewed_at >= RENEW_SECONDS:
+            elif self._is_suspended or now - self._renewed_at >= RENEW_SECONDS:
                 await self.renew()
             return
         if self._should_acquire(now):
@@ -134,6 +144,11 @@
         if self._fence:
             log.warning("planner: stepped down", fence=self._fence, reason=reason)
         self._fence = 0
+        self._is_suspended = False
+
+    def _suspend(self) -> None:
+        """Stop orders until the lease stands in the restored store, too."""
+        self._is_suspended = self._fence > 0
 
     async def release(self) -> None:
         """Stop planning, so that another node can take over without delay."""
@@ -165,18 +180,51 @@
         if isinstance(row, Unavailable):
             log.warning("planner: lease read failed", reason=row.reason)
             return
-        fence, version = 1, 0
-        if row is not None:
-            lease = _decode_lease(row)
-            if not self._can_take_over(row.version, lease):
-                return
-            fence, version = _next_fence(row.version, lease), row.version
+        if row is not None and not self._can_take_over(row.version, _decode_lease(row)):
+            return
+        fence, version = self._next_fence(row), row.version if row else 0
         if await self._write(fence, version):
             self._fence = fence
             self._log_acquired(fence)
             for notify in self.on_acquired:
                 notify()
 
+    def _next_fence(self, row: Row | UnreadableRow | None) -> int:
+        """Return a fencing number that is higher than all earlier ones.
+
+        A peer's number counts only if the row may be older than its lease: datagrams
+        may name any number.
+        """
+        if row is None:
+            return next_fence(last=self._fence, era=self._era.current)
+        lease, limit = _decode_lease(row), highest_fence(row.version)
+        last = limit if isinstance(lease, Unreadable) else lease.fence
+        planner = self._peers.last_planner
+        if planner is not None and planner.heartbeat.planning <= limit:
+            last = max(last, planner.heartbeat.planning)
+        return next_fence(last=max(last, self._fence), era=era_of(row.version))
+
+    async def _reclaim(self) -> None:
+        """Write the lease into the restored store, with a number of its era.
+
+        Only as long as the lease is valid: until then no other node has taken it, and
+        a row of the copy tells at most of an earlier holder.
+        """
+        if self.renewal_age > LEASE_SECONDS:
+            self.step_down("the lease expired before the store was restored")
+            return
+        row = await self._table.read(LEASE_KEY)
+        if isinstance(row, Unavailable):
+            log.warning("planner: lease read failed", reason=row.reason)
+            return
+        previous, fence = self._fence, self._next_fence(row)
+        if not await self._write(fence, row.version if row else 0):
+            return
+        self._fence, self._is_suspended = fence, False
+        log.info("planner: lease reclaimed", fence=fence, previous=previous)
+        for notify in self.on_reclaimed:
+            notify()
+
     def _log_acquired(self, fence: int) -> None:
         """Log the lease's new holder and the last heartbeat of the previous planner."""
         last = self._peers.last_planner
@@ -226,18 +274,26 @@
 
         Without fencing checks, this node also steps down when its lease has expired.
         """
+        if self._is_suspended:
+            await self._reclaim()
+            return
         if not await self._write(self._fence, self._version):
             age = self._clock.now() - self._renewed_at
             if age > LEASE_SECONDS and not self._checks_fencing:
                 self.step_down("the lease could not be renewed")
 
     async def _write(self, fence: int, expect: int) -> bool:
-        sent_at = self._clock.now()
+        sent_at, era = self._clock.now(), self._era.current
         lease = LeaseRow(holder=self._name, incarnation=self._incarnation, fence=fence)
         put = TypedPut(key=LEASE_KEY, value=lease, expect=expect)
         change = transaction(new_id(self._rng), put)
         outcome = await commit_and_resolve(self._table, change)
         match outcome:
+            case Committed(version=version) if era_of(version) != era:
+                # The check was that of a row which another node may have replaced.
+                log.warning("planner: store restored during a write", fence=fence)
+            case Conflict() if self._is_suspended and self._era.current != era:
+                log.warning("planner: store restored during a write", fence=fence)
             case Committed(version=version):
                 self._version = version
                 self._renewed_at = sent_at
@@ -253,17 +309,6 @@
     if isinstance(row, UnreadableRow):
         return Unreadable(fault=DecodeFault.BYTES)
     lease = decode(row.value, LeaseRow)
-    if isinstance(lease, LeaseRow) and lease.fence > row.version:
-        # Each holder writes the next number in a transaction of its own, which also
-        # raises the version, so no holder can have written a higher number than that.
+    if isinstance(lease, LeaseRow) and lease.fence > highest_fence(row.version):
         return Unreadable(fault=DecodeFault.RANGE, field="fence")
     return lease
-
-
-def _next_fence(version: int, lease: LeaseRow | Unreadable) -> int:
-    """Return a fencing number that is higher than all earlier ones.
-
-    If the last number is unreadable, the row's version is used in its place: a number
-    is never higher than the version at which it was written.
-    """
-    return version + 1 if isinstance(lease, Unreadable) else lease.fence + 1
--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -184,6 +184,7 @@
         )
         self._reset()
         leadership.on_acquired.append(self._reset)
+        leadership.on_reclaimed.append(self._renumber)
         directory.on_change.append(self._record_members)
         watch.on_suspect.append(self._on_suspicion)
 
@@ -194,7 +195,7 @@
         self._has_fresh_list = False
         self._last_round_at = self._clock.now()
         self._last_lease_check_at = float("-inf")
-        self._next_epoch = self._leadership.fence * EPOCHS_PER_FENCE + 1
+        self._renumber()
         self._closed: set[GroupKey] = set()
         self._restarted_groups: set[GroupKey] = set()
         self._leaving_since: dict[Process, float] = {}
@@ -211,6 +212,10 @@
         self._swaps: dict[str, SwapRecords] = {}
         self._regroupings: dict[str, RegroupingRecords] = {}
 
+    def _renumber(self) -> None:
+        """Number the next groups by the fencing number in force."""
+        self._next_epoch = self._leadership.fence * EPOCHS_PER_FENCE + 1
+
     async def run(self) -> None:
         """Plan until cancelled."""
         while True:
--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -137,7 +137,14 @@
 
 
 class SiteSource(Protocol):
-    """Reads the configuration and the list of targets from the platform's store."""
+    """Reads the configuration and the list of targets from the platform's store.
+
+    Revisions are those of `state.revision`.
+    """
+
+    @property
+    def on_newer_era(self) -> list[Callable[[int], None]]:
+        """Return the listeners that are called with each newer era of the store."""
 
     async def configuration(
         self, since: int, wait_seconds: float
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -30,7 +30,9 @@
 from mallowpond.node.peer_loads import LoadsByGroup
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.ports import TargetsRead
+from mallowpond.node.store_era import KnownEra
 from mallowpond.state.ownership import ranked_by_capacity
+from mallowpond.state.revision import era_of
 
 log = structlog.get_logger()
 
@@ -80,10 +82,12 @@
         is_planning: Callable[[], bool],
         fanout: Fanout,
         cores: float = 0.0,
+        era: KnownEra | None = None,
     ) -> None:
         self._name = name
         self._fanout = fanout
         self._cores = cores
+        self._era = era or KnownEra()
         self._ranking: list[str] = []
         self._ranked_at = float("-inf")
         self._ranked_for: tuple[bool, bool] | None = None
@@ -311,6 +315,7 @@
 
     def _on_digest(self, digest: Digest) -> None:
         self._fanout.relay(digest)
+        self._era.observe(era_of(digest.last_change), source=digest.node)
         self._configuration.evacuations.apply_received(digest.evacuations)
         self._directory.apply_digest(
             digest.last_change, decode_loads(digest), decode_paces(digest)
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -41,6 +41,7 @@
 from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.settings import NodeSettings
 from mallowpond.node.slot_admission import SlotAdmission
+from mallowpond.node.store_era import KnownEra
 from mallowpond.node.streams import StreamService
 from mallowpond.node.target_availability import TargetAvailability
 from mallowpond.node.target_links import CONNECT_SECONDS, TargetLinks
@@ -99,6 +100,8 @@
         self._rng = random.Random(seed or None)
         self._incarnation = new_id(self._rng)
         self._stack = AsyncExitStack()
+        self.era = KnownEra()
+        ports.source.on_newer_era.append(self.era.observe)
         self._traffic = TrafficSeen(seen=not settings.first_start)
         self.metrics = metrics or NodeMetrics()
         unreadable_log = UnreadableLog(counter=self.metrics.unreadable)
@@ -216,6 +219,7 @@
             cores=settings.cores,
             can_plan=self._can_plan,
             has_links=lambda: not self.links.lost,
+            era=self.era,
             unreadable_log=unreadable_log,
         )
         self.planner = GroupPlanner(
@@ -260,6 +264,7 @@
             is_planning=lambda: self.leadership.fence > 0,
             fanout=self.fanout,
             cores=settings.cores,
+            era=self.era,
         )
         if settings.contested_slots:
             self.streams.placement.admission = SlotAdmission(
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -187,6 +187,7 @@
     listed: deque = field(default_factory=deque)
     is_cut_off: bool = False
     requested_revisions: list = field(default_factory=list)
+    on_newer_era: list = field(default_factory=list)
     waits: list = field(default_factory=list)
 
     async def configuration(self, since, wait_seconds):
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -46,6 +46,7 @@
         self.fence = 3
         self.renewal_age = 0.0
         self.on_acquired = []
+        self.on_reclaimed = []
         self.holds_lease = True
         self.confirm_count = 0
 
