Write rows again that the copy of a restored store may lack

What callers saw: nothing yet; hosts that start after a restore would not find those that had started just before it, and after a restart of all hosts a request that ends its targets would end them again.

Change: with a new era each host writes its row again if it is younger than a minute, spread over the fleet, and the candidates write what is quarantined; a reader reads the list without waiting for its interval.

Evidence: read only; the three new tests call what was not there.

--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -340,6 +340,11 @@
                 await self.refresh()
             await self._clock.sleep(CHECK_SECONDS)
 
+    def read_soon(self) -> None:
+        """Make a host that reads the list for others read it without delay."""
+        if self.is_reader():
+            self._read_at = float("-inf")
+
     def _must_read(self) -> bool:
         """Return whether this host is due to read the list from the store."""
         now = self._clock.now()
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import zlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import TypeVar
@@ -18,6 +19,7 @@
     Unavailable,
     Unknown,
 )
+from mallowpond.coordination.tasks import sleep_until_event
 from mallowpond.node.messages import (
     HEARTBEAT_SECONDS,
     Advance,
@@ -84,6 +86,10 @@
 ORDINARY_ROWS_SECONDS = 120.0
 # Pause before the rows are written or read again after a failure, in seconds.
 ROWS_RETRY_SECONDS = 0.5
+# Largest age of a copy from which the store may come back, in seconds: rows that are
+# older need not be written again. The hosts of a fleet spread their writes.
+MAX_COPY_AGE_SECONDS = 60.0
+ROW_WRITES_PER_SECOND = 100.0
 # Time for which the list of live peers is cached, in seconds: each request asks for
 # their number, and several loops for the list.
 LIVE_CACHE_SECONDS = 0.2
@@ -154,6 +160,8 @@
         self._live_at = float("-inf")
         self._discovered_count = 0
         self._discovered_logged_at = float("-inf")
+        self._row_written_at: float | None = None
+        self._rows_due = asyncio.Event()
         self.is_candidate = True
         self.candidates: frozenset[str] = frozenset()
         # A node is live, and in this state.
@@ -325,19 +333,29 @@
 
     async def run_node_rows(self) -> None:
         """Write this node's row, then read the others' at intervals until cancelled."""
-        written = False
         while True:
-            written = written or await self._write_row()
+            self._rows_due.clear()
+            written = self._row_written_at is not None or await self._write_row()
             read = await self._read_rows()
             if not (written and read):
                 await self._clock.sleep(ROWS_RETRY_SECONDS)
                 continue
             waited = 0.0
-            while waited < (
+            while not self._rows_due.is_set() and waited < (
                 ROWS_SECONDS if self.is_candidate else ORDINARY_ROWS_SECONDS
             ):
-                await self._clock.sleep(ROWS_SECONDS)
+                await sleep_until_event(self._clock, ROWS_SECONDS, self._rows_due)
                 waited += ROWS_SECONDS
+            if self._row_written_at is None:
+                share = zlib.crc32(self._name.encode()) / 2.0**32
+                await self._clock.sleep(share * self.host_count / ROW_WRITES_PER_SECOND)
+
+    def rewrite_row(self) -> None:
+        """Write this node's row again soon, if a copy of the store may lack it."""
+        written_at = self._row_written_at
+        if written_at is None or self._clock.now() - written_at < MAX_COPY_AGE_SECONDS:
+            self._row_written_at = None
+            self._rows_due.set()
 
     def broadcast_suspicion(
         self, key: tuple[str, int], *, cleared: bool = False, closing: bool = False
@@ -537,11 +555,13 @@
         row = NodeRow(address=self._address, incarnation=self._incarnation)
         put = Put(key=NODES_PREFIX + self._name, value=to_plain(row))
         change = Transaction(transaction=self._incarnation, puts=(put,))
+        sent_at = self._clock.now()
         outcome = await self._table.commit(change)
         match outcome:
             case Unavailable(reason=reason) | Unknown(reason=reason):
                 log.warning("peers: row write failed", reason=reason)
                 return False
+        self._row_written_at = sent_at
         return True
 
     async def _read_rows(self) -> bool:
--- a/mallowpond/node/quarantine_sharing.py
+++ b/mallowpond/node/quarantine_sharing.py
@@ -269,6 +269,14 @@
         self._unwritten.add(key)
         self._write_requested.set()
 
+    def rewrite(self) -> None:
+        """Write what is quarantined again, as a restored store may lack it."""
+        if not self._peers.is_candidate:
+            return
+        for record in (*self._quarantine.records(), *self._quarantine.part_records()):
+            if self._quarantine.is_quarantined(record.key):
+                self._schedule_write(record.key)
+
     async def run_writing(self) -> None:
         """Write records of what is quarantined to the store until cancelled."""
         while True:
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -304,6 +304,9 @@
             fanout=self.fanout,
             configuration=self.configuration,
         )
+        self.era.on_restored.append(self.peers.rewrite_row)
+        self.era.on_restored.append(self.quarantine_sharing.rewrite)
+        self.era.on_restored.append(self.directory.read_soon)
         self.readers.after_digest.append(self.streams.placement.wake_all)
         self.configuration.on_new_version.append(self._publish_version)
         self.configuration.evacuations.on_change.append(self._apply_evacuations)
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Tests of the messages between nodes, valid and malformed, and of their exchange."""
 
+import asyncio
 import zlib
 from dataclasses import dataclass, fields, replace
 from typing import get_origin, get_type_hints
@@ -10,6 +11,8 @@
 from hypothesis import strategies as st
 
 from mallowpond.coordination.ports import Put, Transaction
+from mallowpond.coordination.tasks import cancel_task
+from mallowpond.emulator.virtual_time import VirtualClock, run_in_virtual_time
 from mallowpond.node.messages import (
     MESSAGE_CLASSES,
     Advance,
@@ -167,6 +170,31 @@
     assert second._addresses == {"a": "127.0.0.1:8"}
 
 
+@pytest.mark.parametrize(("age", "is_written"), [(20.0, True), (90.0, False)])
+def test_a_row_that_a_copy_may_lack_is_written_again(age, is_written):
+    """Guards against hosts that those that start after a restore cannot find."""
+
+    async def run():
+        table = MemoryTable()
+        node = PeerNetwork(
+            name="a",
+            incarnation="1",
+            address="127.0.0.1:8",
+            table=table,
+            clock=VirtualClock(),
+            make_heartbeat=heartbeat_of,
+        )
+        task = asyncio.create_task(node.run_node_rows())
+        await asyncio.sleep(age)
+        table._rows.clear()
+        node.rewrite_row()
+        await asyncio.sleep(1.0)
+        await cancel_task(task)
+        return list(table._rows)
+
+    assert run_in_virtual_time(run()) == (["nodes/a"] if is_written else [])
+
+
 def test_in_a_large_fleet_each_peer_hears_less_often():
     """Guard against nodes that spend most of their bandwidth on heartbeats.
 
--- a/mallowpond/node/tests/test_quarantine.py
+++ b/mallowpond/node/tests/test_quarantine.py
@@ -579,3 +579,17 @@
     record = rig.service._quarantine.record(work.fingerprint)
     first, second = [ending.ran for ending in record.endings]
     assert first == 2 * second > 0.0
+
+
+async def test_what_is_quarantined_is_written_again_into_a_restored_store():
+    """Guards against a request that ends targets again after all hosts restarted."""
+    fleet = Fleet(3)
+    for number in range(3):
+        fleet.hosts[number].record_crash(0.3, number)
+    fleet.advance()
+    fleet.table._rows.clear()
+    for host in fleet.hosts:
+        host.sharing._unwritten.clear()
+        host.sharing.rewrite()
+        assert await host.sharing.write()
+    assert list(fleet.table._rows) == ["quarantine/bad"]
