Excuse a revoked key whose request a stall of the callers kept until its return

The trace: it was noted as sent 4 ms before the key was restored, the soak process stood still for 0.38 s right after, and the node admitted it 0.39 s later by the configuration that had the key again. The check asked for the time of sending; it is narrowed to a stall that begins within 0.5 s of a request noted at most 0.5 s before the key's return. Without a stall the same case is still reported, with a test, and so are the new checks over a restored store.

--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -75,7 +75,10 @@
 OPEN = entry("state", 9.1, group="g", epoch=1, state="open", members=MEMBERS)
 IN_GROUP = {"group": "g", "epoch": 1, "members": MEMBERS, "engine": "e0"}
 REVOKED = Revocation(key="key-a", accepted_at=5.0, restored_at=20.0)
+RESTORED_KEY = replace(REVOKED, restored_at=10.02)
+STORE_RESTORED = Disturbance(kind="store_restored", began_at=8.0, ended_at=9.0)
 JOINED = entry("join", 10.0, "e1", group="h", epoch=2, members=["e1"], before=["g", 1])
+OTHER_MEMBERS = {**JOINED.values, "members": ["e2"]}
 LEAVING = entry("draining accepted", 5.0, "p0")
 STOPPED = Disturbance(kind="node_stop", began_at=9.9, ended_at=14.0, node=0)
 REFUSED = {"status": 503, "headers": {}, "body": b""}
@@ -260,6 +263,19 @@
     ),
     run_of(record(**REFUSED), disturbances=(NO_ENGINE, KILLED)),
     run_of(notes=[entry("start", 1.0, "e9"), entry("misdirected", wanted="e9")]),
+    # The key may have been valid again when the stalled caller's bytes left.
+    run_of(
+        record(),
+        notes=[run_entry()],
+        revocations=(RESTORED_KEY,),
+        disturbances=(STALLED,),
+    ),
+    # The store lost the announcement before the nodes had to know it.
+    run_of(
+        record(),
+        notes=[LEAVING, run_entry()],
+        disturbances=(replace(STORE_RESTORED, began_at=6.5),),
+    ),
 ]
 VIOLATIONS = [
     ("4 times more", fatal_run(10.0, 11.0, 12.0, *(20.0 + n / 10 for n in range(4)))),
@@ -285,6 +301,17 @@
     ("key was passed", run_of(record(), notes=[run_entry(has_key=True)])),
     ("held beyond", run_of(record(ended_at=14.0), notes=[run_entry()])),
     ("taken away", run_of(record(), notes=[run_entry()], revocations=(REVOKED,))),
+    ("taken away", run_of(record(), notes=[run_entry()], revocations=(RESTORED_KEY,))),
+    (
+        "that leaves",
+        run_of(record(), notes=[LEAVING, run_entry()], disturbances=(STORE_RESTORED,)),
+    ),
+    (
+        "with other members",
+        run_of(
+            notes=[JOINED, replace(JOINED, values={**JOINED.values, "members": []})]
+        ),
+    ),
     ("not whole", run_of(record(), notes=[*READY[:2], OPEN, run_entry(**IN_GROUP)])),
     (
         "while",
