Ask a peer for a newer configuration that the store does not show

What callers saw: nothing yet; a host that starts while the store is back from a copy serves by the older configuration for as long as the operator has not written the newer one again.

Cause: a reader took only the store's word for the newest version, and the others only the readers'. A host that starts in that moment is a reader until it has heard of others, and knows nothing else.

Evidence: read only; the new test fails without the question (no message is sent).

--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -77,6 +77,8 @@
         self._unanswered = 0
         self._is_behind = asyncio.Event()
         self._is_store_back = asyncio.Event()
+        # Since when, or since which question to a peer, a peer has a newer version.
+        self._behind_since: float | None = None
         self._document_received = asyncio.Event()
         # Set once a version was confirmed, or the store did not answer.
         self._is_first_settled = asyncio.Event()
@@ -86,6 +88,7 @@
         self.should_retry_often: Callable[[], bool] = lambda: True
         self.ask_readers: Callable[[int], None] = lambda number: None
         self.request_document: Callable[[], None] = lambda: None
+        self.request_document_of: Callable[[str], None] = lambda node: None
 
     @property
     def configuration(self) -> SiteConfiguration | None:
@@ -179,13 +182,26 @@
         if self._failures:
             self._is_store_back.set()
 
-    def handle_version(self, version: int) -> None:
-        """Start to fetch a version that a peer has, if it is newer."""
-        known = self._configuration
-        if known is not None and version > known.version and not self.is_reader():
-            self._is_behind.set()
+    def handle_version(self, version: int, node: str) -> None:
+        """Start to fetch a version that a peer has, if it is newer.
 
-    def handle_answer(self, number: int, version: int, age: float) -> None:
+        Readers have it from the store, and the others from them. A restored store may
+        lack it, and a host that started since then never knew it: after a short time
+        it is asked of the peer.
+        """
+        known, now = self._configuration, self._clock.now()
+        if known is None or version <= known.version:
+            return
+        if not self.is_reader():
+            self._is_behind.set()
+        if self._behind_since is None:
+            self._behind_since = now
+        elif now - self._behind_since > DOCUMENT_WAIT_SECONDS:
+            self._behind_since = now
+            log.info("configuration: asked of a peer", version=version, peer=node)
+            self.request_document_of(node)
+
+    def handle_answer(self, number: int, version: int, age: float, node: str) -> None:
         """Apply a reader's answer to the version question `number`.
 
         The age counts from the time when the question was sent: this host may have
@@ -197,7 +213,7 @@
             log.info("configuration: readers answer")
         self._unanswered = 0
         self.confirm(version, self._asked_at - age)
-        self.handle_version(version)
+        self.handle_version(version, node)
 
     async def step(self) -> bool:
         """Poll the store once; return whether it answered and a version is known."""
@@ -334,6 +350,7 @@
                 revision=self._revision,
             )
             self._configuration = configuration
+            self._behind_since = None
         self._confirmation = merge_confirmation(
             self._confirmation,
             version=configuration.version,
--- a/mallowpond/node/configuration_sharing.py
+++ b/mallowpond/node/configuration_sharing.py
@@ -49,6 +49,7 @@
         self._parts = PartCollector()
         configuration.on_new_version.append(self._broadcast)
         configuration.request_document = self._request_document
+        configuration.request_document_of = self._request_document_of
         peers.on_configuration_part.append(self._on_part)
         peers.on_configuration_question.append(self._on_question)
 
@@ -62,6 +63,10 @@
         question = ConfigurationQuestion(node=self._name)
         self._peers.send_to(question, self._readers.top_ranked_peers)
 
+    def _request_document_of(self, node: str) -> None:
+        """Ask a host for the newer configuration that it has."""
+        self._peers.send_to(ConfigurationQuestion(node=self._name), (node,))
+
     def _on_question(self, question: ConfigurationQuestion) -> None:
         for part in self._split():
             self._peers.send_to(part, (question.node,))
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -320,7 +320,7 @@
         self._directory.apply_digest(
             digest.last_change, decode_loads(digest), decode_paces(digest)
         )
-        self._configuration.handle_version(digest.version)
+        self._configuration.handle_version(digest.version, digest.node)
         for notify in self.after_digest:
             notify()
 
@@ -334,7 +334,7 @@
 
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._configuration.evacuations.apply_received(heartbeat.evacuations)
-        self._configuration.handle_version(heartbeat.version)
+        self._configuration.handle_version(heartbeat.version, heartbeat.node)
         state = (heartbeat.store, heartbeat.stopping)
         if self._peer_states.get(heartbeat.node) != state:
             self._peer_states[heartbeat.node] = state
@@ -367,4 +367,6 @@
 
     def _on_version_answer(self, answer: VersionAnswer) -> None:
         self._configuration.evacuations.apply_received(answer.evacuations)
-        self._configuration.handle_answer(answer.number, answer.version, answer.age)
+        self._configuration.handle_answer(
+            answer.number, answer.version, answer.age, answer.node
+        )
--- a/mallowpond/node/tests/test_readers.py
+++ b/mallowpond/node/tests/test_readers.py
@@ -9,6 +9,7 @@
 from mallowpond.coordination.ports import Unavailable
 from mallowpond.coordination.tasks import cancel_task
 from mallowpond.node.configuration import (
+    DOCUMENT_WAIT_SECONDS,
     FROM_START,
     MAX_UNANSWERED_QUESTIONS,
     SLOW_RETRY_SECONDS,
@@ -747,3 +748,22 @@
     host.readers.step()
     assert isinstance(host.sent[-1][0], Work)
     assert host.sent[-1][0].loads.running == (2,)
+
+
+async def test_a_reader_that_has_read_a_copy_takes_a_newer_version_of_a_peer():
+    """Guards against a host that starts as the store is restored and goes back."""
+    host = Host()
+    host.source.configurations.append(configuration_of(3))
+    await host.configuration.step()
+    assert host.readers.is_reader
+    host.receive(heartbeat_of("n0", version=5))
+    assert not host.outbox_of(ConfigurationQuestion)
+    host.clock.time += DOCUMENT_WAIT_SECONDS + 0.1
+    host.receive(heartbeat_of("n0", version=5))
+    assert len(host.outbox_of(ConfigurationQuestion)) == 1
+    document = zlib.compress(b"5")
+    host.receive(ConfigurationPart(node="n0", version=5, data=document))
+    assert host.configuration.configuration.version == 5
+    age = host.configuration.confirmation.age(host.clock.time)
+    await host.configuration.step()
+    assert host.configuration.confirmation.age(host.clock.time) == age > 0.0
