--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -21,6 +21,7 @@
     "tunnels": "Cost of connections to targets through a peer.",
     "control": "Processor time and memory of processes at rest.",
     "quarantine": "Engines lost and streams refused by ways to quarantine parts.",
+    "retry_budget": "Use of the retry budget by ways to divide it among hosts.",
     "bounds": "Seconds from faults and changes to their answer.",
 }
 
