Divide the retry budget by all hosts that may be at work

What callers saw: nothing by itself; engines of one service got more repeated sends than all hosts together may make.

Cause: a host's part of the fixed number was that of the hosts it heard of now, and what it had used was known to its process only. Each host that stopped, started or was cut off gave parts out again within one window. Class: a share of a common bound that follows from what a host happens to see.

Change: the fixed number is divided by every host with a heartbeat or a renewed row in the last half hour (state/host_registry.py); hosts renew their rows, and one that could not for twenty minutes, or has not read the rows since its start, takes none of it. A process takes none for a window from its start.

--- a/mallowpond/emulator/hosts.py
+++ b/mallowpond/emulator/hosts.py
@@ -29,6 +29,7 @@
 from mallowpond.node.streams import StreamService
 from mallowpond.node.target_availability import TargetAvailability
 from mallowpond.state.fleet import Target
+from mallowpond.state.host_registry import HostRegistry
 
 PeerMessage = PlaceQuestion | PlaceAnswer | Work
 
@@ -119,15 +120,19 @@
 
 
 class EmulatedPeers:
-    """The number of emulated hosts, all of which are live."""
+    """The emulated hosts, all of which are at work."""
 
     def __init__(self, fleet: FleetContext) -> None:
         self._fleet = fleet
 
     @property
-    def host_count(self) -> int:
-        """Return the number of hosts."""
-        return len(self._fleet.hosts) or 1
+    def registry(self) -> HostRegistry:
+        """Return a registry of all hosts but one."""
+        now = VirtualClock().now()
+        registry = HostRegistry()
+        registry.record_rows({h.name: 1 for h in self._fleet.hosts[1:]}, now)
+        registry.record_written(now)
+        return registry
 
 
 class Host:
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -12,6 +12,7 @@
 import structlog
 
 from mallowpond.coordination.ports import (
+    Check,
     Clock,
     Put,
     TableService,
@@ -57,6 +58,7 @@
     decode,
 )
 from mallowpond.state.fleet import BreakCause, Group, GroupKey
+from mallowpond.state.host_registry import HostRegistry
 
 log = structlog.get_logger()
 
@@ -160,6 +162,7 @@
         self._live_at = float("-inf")
         self._discovered_count = 0
         self._discovered_logged_at = float("-inf")
+        self.registry = HostRegistry()
         self._row_written_at: float | None = None
         self._rows_due = asyncio.Event()
         self.is_candidate = True
@@ -335,7 +338,7 @@
         """Write this node's row, then read the others' at intervals until cancelled."""
         while True:
             self._rows_due.clear()
-            written = self._row_written_at is not None or await self._write_row()
+            written = not self._is_row_due or await self._write_row()
             read = await self._read_rows()
             if not (written and read):
                 await self._clock.sleep(ROWS_RETRY_SECONDS)
@@ -350,6 +353,11 @@
                 share = zlib.crc32(self._name.encode()) / 2.0**32
                 await self._clock.sleep(share * self.host_count / ROW_WRITES_PER_SECOND)
 
+    @property
+    def _is_row_due(self) -> bool:
+        is_lost = self._row_written_at is None
+        return is_lost or self.registry.is_renewal_due(self._clock.now())
+
     def rewrite_row(self) -> None:
         """Write this node's row again soon, if a copy of the store may lack it."""
         written_at = self._row_written_at
@@ -532,6 +540,7 @@
             self._peers[heartbeat.node] = Peer(heartbeat=heartbeat, heard_at=now)
         else:
             known.heartbeat, known.heard_at = heartbeat, now
+        self.registry.record_heard(heartbeat.node, now)
         _notify(self.on_heartbeat, heartbeat)
         if is_new and self._sends_candidate_heartbeats:
             # A host that has just started must learn which hosts read and plan before
@@ -562,6 +571,7 @@
                 log.warning("peers: row write failed", reason=reason)
                 return False
         self._row_written_at = sent_at
+        self.registry.record_written(sent_at)
         return True
 
     async def _read_rows(self) -> bool:
@@ -569,6 +579,10 @@
         if isinstance(found, Unavailable):
             log.warning("peers: rows read failed", reason=found.reason)
             return False
+        now = self._clock.now()
+        versions = {r.key.removeprefix(NODES_PREFIX): r.version for r in found.rows}
+        versions.pop(self._name, None)
+        self.registry.record_rows(versions, now)
         for row in found.rows:
             name = row.key.removeprefix(NODES_PREFIX)
             node = decode(row.value, NodeRow)
@@ -576,8 +590,28 @@
                 self._unreadable_log.record("node", name, node)
             elif name != self._name and name not in self._addresses:
                 self._record_address(name, node.address)
+        await self._drop_stale(versions, now)
         return True
 
+    async def _drop_stale(self, versions: dict[str, int], now: float) -> None:
+        """Forget hosts without a sign of life for long; candidates delete their rows.
+
+        A row that was renewed meanwhile stays.
+        """
+        for name in self.registry.take_stale(now):
+            log.info("peers: host forgotten", peer=name)
+            self._addresses.pop(name, None)
+            if not self.is_candidate or name not in versions:
+                continue
+            key = NODES_PREFIX + name
+            change = Transaction(
+                transaction=self._incarnation,
+                checks=(Check(key=key, version=versions[name]),),
+                deletes=(key,),
+            )
+            outcome = await self._table.commit(change)
+            log.info("peers: row deleted", peer=name, outcome=repr(outcome))
+
     def _record_address(self, node: str, address: str) -> None:
         self._addresses[node] = address
         self._known_hosts.add(address.rpartition(":")[0])
--- a/mallowpond/node/retry_budgets.py
+++ b/mallowpond/node/retry_budgets.py
@@ -8,6 +8,7 @@
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Reason
 from mallowpond.node.settings import NodeBounds
+from mallowpond.state.host_registry import HostRegistry
 from mallowpond.state.retry_window import RetryWindow
 
 log = structlog.get_logger()
@@ -17,8 +18,8 @@
     """What the budget needs to know of the other hosts."""
 
     @property
-    def host_count(self) -> int:
-        """Return the number of live hosts, this one included."""
+    def registry(self) -> HostRegistry:
+        """Return the hosts that may be at work."""
 
 
 class RetryBudgets:
@@ -36,6 +37,7 @@
         self._peers = peers
         self._clock = clock
         self._metrics = metrics
+        self._started_at = clock.now()
         self._windows: dict[str, RetryWindow] = {}
 
     def record_first_send(self, service: str) -> None:
@@ -49,7 +51,7 @@
     def try_repeat(self, service: str, *, request: str, reason: Reason) -> bool:
         """Take one repeated send of a request, False if this host's part is used up."""
         window, now = self._window(service), self._clock.now()
-        hosts = self._peers.host_count
+        hosts = self._sharing_hosts(window, now)
         is_granted = window.try_repeat(now, hosts)
         end = "granted" if is_granted else "used_up"
         self._metrics.budget.labels(end).inc()
@@ -65,6 +67,13 @@
         )
         return is_granted
 
+    def _sharing_hosts(self, window: RetryWindow, now: float) -> int:
+        """Return by how many hosts the slack is divided, 0 if this one takes none."""
+        registry = self._peers.registry
+        if now - self._started_at < window.start_seconds:
+            return 0
+        return registry.count(now) if registry.is_registered(now) else 0
+
     def _window(self, service: str) -> RetryWindow:
         window = self._windows.get(service)
         if window is None:
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -65,6 +65,7 @@
     Process,
     Target,
 )
+from mallowpond.state.host_registry import COUNTED_SECONDS
 from mallowpond.state.part_ledger import PartEnding, PartRecord
 from mallowpond.state.rate_limit import TargetLimit
 
@@ -170,6 +171,34 @@
     assert second._addresses == {"a": "127.0.0.1:8"}
 
 
+def test_the_row_of_a_host_that_is_gone_for_good_is_deleted():
+    """Guards against parts of the retry budget that lie idle for good."""
+
+    async def run():
+        table = MemoryTable()
+        row = {"address": "127.0.0.1:9", "incarnation": "1"}
+        put = Put(key="nodes/gone", value=row)
+        table.apply(Transaction(transaction="t", puts=(put,)))
+        node = PeerNetwork(
+            name="a",
+            incarnation="1",
+            address="127.0.0.1:8",
+            table=table,
+            clock=VirtualClock(),
+            make_heartbeat=heartbeat_of,
+        )
+        task = asyncio.create_task(node.run_node_rows())
+        counts = []
+        for _ in range(2):
+            await asyncio.sleep(COUNTED_SECONDS - 20.0)
+            counts.append(node.registry.count(node._clock.now()))
+        await cancel_task(task)
+        return counts, list(table._rows), list(node._addresses)
+
+    counts, rows, addresses = run_in_virtual_time(run())
+    assert (counts, rows, addresses) == ([2, 1], ["nodes/a"], [])
+
+
 @pytest.mark.parametrize(("age", "is_written"), [(20.0, True), (90.0, False)])
 def test_a_row_that_a_copy_may_lack_is_written_again(age, is_written):
     """Guards against hosts that those that start after a restore cannot find."""
--- a/mallowpond/state/retry_window.py
+++ b/mallowpond/state/retry_window.py
@@ -3,7 +3,9 @@
 When a group or a data centre fails, every host moves its streams at once. Together they
 may resend no more than a share of the recent requests plus a fixed number. Each host
 takes an equal part of that number, as asking the others would take longer than the
-streams can wait.
+streams can wait. The number is divided by all hosts that may be at work: if only those
+counted that a host hears of, parts would be given out again when hosts stop or lose
+each other.
 """
 
 from collections import deque
@@ -12,8 +14,11 @@
 # Minimum time over which a rate is computed, in seconds: over less, a single request
 # would give a high rate.
 MIN_RATE_SECONDS = 0.5
-# Share of the budget that is used, since the windows of hosts are not aligned.
+# Share of the budget that is used: hosts may start that others do not count yet.
 USED_SHARE = 0.8
+# Time for which a repeat counts beyond the window, in seconds: it may arrive this much
+# later than one that was granted after it.
+ARRIVAL_SECONDS = 1.0
 
 
 @dataclass(kw_only=True)
@@ -54,15 +59,26 @@
         """Return the repeated sends that were counted at the last one."""
         return len(self._repeats)
 
+    @property
+    def start_seconds(self) -> float:
+        """Return the time after a start in which a process takes nothing of the slack.
+
+        Until then the repeats of the process before it may count.
+        """
+        return self.window_seconds + ARRIVAL_SECONDS
+
     def allowed(self, hosts: int) -> float:
-        """Return how many repeated sends this host may make in one window."""
-        part = self.ratio * len(self._firsts) + self.slack / max(1, hosts)
-        return USED_SHARE * part
+        """Return how many repeated sends this host may make in one window.
+
+        The slack is divided by `hosts`; with 0 this host takes nothing of it.
+        """
+        slack = self.slack / hosts if hosts else 0.0
+        return USED_SHARE * (self.ratio * len(self._firsts) + slack)
 
     def try_repeat(self, now: float, hosts: int) -> bool:
         """Take one repeated send from this host's part, False if none is left."""
         _drop_before(self._firsts, now - self.window_seconds)
-        _drop_before(self._repeats, now - self.window_seconds)
+        _drop_before(self._repeats, now - self.window_seconds - ARRIVAL_SECONDS)
         if len(self._repeats) + 1 > self.allowed(hosts):
             return False
         self._repeats.append(now)
