Let the soak's engines serve on for their drain time

The stand-in of an engine ended with a TypeError as soon as the store had accepted that it leaves: the time of the acceptance was not returned. The new test failed before (the drain ended at once).

--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -59,6 +59,7 @@
     slots, stride: values that the engine's profile declares.
     event_seconds: time per event of a stream.
     drain_seconds: time for which a draining engine serves once its entry says so.
+    names_leaving: whether answers of a draining engine say so, as its entry does.
     unannounced_seconds: time for which only the answers of a draining engine say so,
         before its entry does.
     rate_limit: requests per second that it advertises while the limit is on.
@@ -82,6 +83,7 @@
     stride: int = 7
     event_seconds: float = 0.02
     drain_seconds: float = 2.0
+    names_leaving: bool = True
     unannounced_seconds: float | None = None
     rate_limit: float = 1.0
     backoff_seconds: float = 3.0
@@ -188,10 +190,12 @@
 
     # -- the store -----------------------------------------------------------
 
-    async def _announce_until_accepted(self) -> None:
+    async def _announce_until_accepted(self) -> float:
+        """Return the monotonic time at which the store accepted the announcement."""
         while not await self._write_entry():
             await asyncio.sleep(HEARTBEAT_SECONDS)
         self._write_journal("draining accepted")
+        return time.monotonic()
 
     async def _run_heartbeats(self) -> None:
         while True:
@@ -440,7 +444,7 @@
         if attempt:
             common_headers += ((names.ATTEMPT, attempt),)
             self._write_journal("arrival", attempt=attempt)
-        if self._draining:
+        if self._draining and self._options.names_leaving:
             common_headers += ((names.LEAVING, "1"),)
         if self._advertises_limit:
             common_headers += ((names.RATE_LIMIT, str(self._options.rate_limit)),)
--- a/mallowpond/standins/tests/test_observatory.py
+++ b/mallowpond/standins/tests/test_observatory.py
@@ -155,3 +155,18 @@
         await asyncio.sleep(0.15)
         (row,) = json.loads((await http.fetch(address, "GET", query))[1])["rows"]
         assert row["ver"] == newest and unpack(row["value"]) == {"version": 2}
+
+
+async def test_an_engine_that_leaves_serves_on_for_its_drain_time(tmp_path):
+    """Guards against soaks in which no engine is left that may be sent to too late."""
+    async with _store() as (address, operator, http):
+        options = _options(address, tmp_path, drain_seconds=0.3)
+        engine = ObservatoryEngine(options=options)
+        await engine.start()
+        draining = asyncio.create_task(engine.drain())
+        await asyncio.sleep(0.2)
+        assert not draining.done()
+        assert (await operator.entries())["i-fixed"]["state"] == "draining"
+        await draining
+        assert "i-fixed" not in await operator.entries()
+        await engine.close()
