Show that a leaving target is used on by hosts that drop its announcement

What callers saw: requests reached a target 2.2 and 2.4 s after it had said that it leaves.

Cause: after the store came back from a copy, the versions of its changes were below those that some hosts had read before; a reader's change and digest counted as old there until the counter had passed theirs.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -65,6 +65,10 @@
     # Time for which a stopping engine announces its stop only in its answers and not
     # yet in the store, in seconds.
     unannounced_seconds: float | None = None
+    # Time for which a draining engine serves, in seconds, and whether its answers say
+    # that it stops, too.
+    drain_seconds: float = 2.0
+    names_leaving: bool = True
     # Time for which an engine is cold after its start, and the time after its start at
     # which it is cold again, in seconds. With `limits_cold` the nodes know the bound.
     cold_seconds: float = 0.0
@@ -317,6 +321,8 @@
             "staged_file": str(self.folder / f"{name}.staged"),
             "id": new_engine_id(),
             "event_seconds": EVENT_SECONDS * self.shape.slowness,
+            "drain_seconds": self.shape.drain_seconds,
+            "names_leaving": self.shape.names_leaving,
         }
         if self.shape.cold_seconds:
             options["cold_seconds"] = self.shape.cold_seconds
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -11,11 +11,13 @@
 from soak.judge import (
     BACKOFF_KIND,
     BYSTANDER_TEXT,
+    DRAIN_SECONDS,
     EVACUATION_KIND,
     FATAL_CRASHES,
     FATAL_KIND,
     FATAL_PART_KIND,
     RATE_LIMIT_KIND,
+    RESTORED_KIND,
     RESTORED_UNHEARD_KIND,
     REVOKE_SECONDS,
     SKEW_KIND,
@@ -206,3 +208,25 @@
     assert any(record.key == revocation.key for record in sent)
     assert any(record.status == 200 for record in sent)
     assert find_violations(run) == []
+
+
+@pytest.mark.parametrize("draw", [0, 1], ids=["head", "plain"])
+def test_an_engine_that_leaves_after_the_store_was_restored_gets_nothing(
+    draw, tmp_path
+):
+    """Guards against hosts that drop a change as its version is below their own."""
+    restored = Fault(at=6.0, kind=RESTORED_KIND, seconds=1.0, draw=3 * draw + 2)
+    leaving = Fault(at=7.5, kind="engine_stop_head_or_plain", seconds=1.0, draw=draw)
+    shape = FleetShape(drain_seconds=6.0, names_leaving=False)
+    case = Case(seed=1, seconds=0.0, faults=(restored, leaving), shape=shape)
+    run = asyncio.run(run_case(case, tmp_path))
+    (stopped,) = [n for n in run.notes if n.event == "draining accepted"]
+    late = [
+        entry.values["attempt"]
+        for entry in run.notes
+        if entry.event == "arrival"
+        and entry.engine == stopped.engine
+        and entry.at > stopped.at + DRAIN_SECONDS
+    ]
+    assert late == []
+    assert find_violations(run) == []
