Deny keys and routes only by a configuration that was confirmed lately

What callers saw: 401 for keys that were in force at all other hosts.

Cause: a host that is cut off went by the confirmation of its version for as long as revoked keys may still work, five seconds, also to deny keys and routes that it lacks; newer versions add them within two. Class: one bound for two promises.

Change: what the version in force lacks is refused as not run, with a time to come back, once the confirmation is 2.2 s old or a peer has named a newer version.

--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -9,7 +9,12 @@
 from mallowpond.coordination.tasks import sleep_until_event
 from mallowpond.node.evacuations import KnownEvacuations
 from mallowpond.node.ports import ConfigurationRead, HistoryLost, SiteSource
-from mallowpond.state.confirmation import Confirmation, may_admit, merge_confirmation
+from mallowpond.state.confirmation import (
+    Confirmation,
+    may_admit,
+    may_deny,
+    merge_confirmation,
+)
 from mallowpond.state.revision import is_later_era
 from mallowpond.state.site_configuration import SiteConfiguration
 from mallowpond.state.store_clock import StoreClock
@@ -119,6 +124,17 @@
             bound_seconds=self._revoke_seconds,
         )
 
+    @property
+    def may_deny(self) -> bool:
+        """Return whether what the version in force lacks may be refused for good."""
+        is_behind = self._behind_since is not None
+        now = self._clock.now()
+        return (
+            self.is_confirmed
+            and not is_behind
+            and may_deny(self._confirmation, now=now)
+        )
+
     async def wait_for_first_version(self, seconds: float) -> None:
         """Wait until a first version is confirmed or the store fails to answer.
 
--- a/mallowpond/node/ingress.py
+++ b/mallowpond/node/ingress.py
@@ -170,7 +170,7 @@
         self._apply_limits(configuration)
         route = configuration.find_route(request.host, request.path)
         if route is None:
-            if not self._configuration.is_confirmed:
+            if not self._configuration.may_deny:
                 # A newer configuration version may define the route.
                 return self._unavailable(Reason.UNSURE)
             return Refusal(status=404, reason=Reason.NO_ROUTE)
@@ -180,6 +180,9 @@
                 return self._unavailable(Reason.UNSURE)
             holder = configuration.keys.get(request.key or "")
             if holder is None:
+                if not self._configuration.may_deny:
+                    # A newer configuration version may add the key.
+                    return self._unavailable(Reason.UNSURE)
                 return Refusal(status=401, reason=Reason.UNKNOWN_KEY)
             workspace, priority = holder.workspace, holder.priority
         service = choose_backend(route, self._rng.random())
--- a/mallowpond/node/tests/test_configuration.py
+++ b/mallowpond/node/tests/test_configuration.py
@@ -10,7 +10,7 @@
 )
 from mallowpond.node.ports import ConfigurationRead, HistoryLost
 from mallowpond.node.tests.fakes import FakeClock, FakeSource
-from mallowpond.state.confirmation import ADMISSION_MARGIN_SECONDS
+from mallowpond.state.confirmation import ADMISSION_MARGIN_SECONDS, DENIAL_SECONDS
 from mallowpond.state.revision import make_revision
 from mallowpond.state.site_configuration import SiteConfiguration
 
@@ -203,3 +203,22 @@
     clock.time += REWRITE_SECONDS
     await follower.step()
     assert follower.confirmation.age(clock.time) == 0.0
+
+
+async def test_a_host_that_was_cut_off_does_not_deny_what_a_newer_version_may_add():
+    """Guards against 401 and 404 for keys and routes in force at all other hosts."""
+    follower, source, clock = follower_of(3)
+    await follower.step()
+    assert follower.may_deny
+    source.is_cut_off = True
+    clock.time += DENIAL_SECONDS
+    assert follower.is_confirmed and not follower.may_deny
+
+
+async def test_a_host_that_knows_of_a_newer_version_denies_nothing():
+    follower, _, _ = follower_of(3)
+    await follower.step()
+    follower.handle_version(4, "b")
+    assert not follower.may_deny
+    follower.handle_document(4, b"4")
+    assert follower.may_deny
--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -28,6 +28,7 @@
     open_group,
 )
 from mallowpond.standins.platform import MemoryTable
+from mallowpond.state.confirmation import DENIAL_SECONDS
 from mallowpond.state.site_configuration import RepeatPolicy, SiteConfiguration
 from mallowpond.transport import http_server
 from mallowpond.transport.http_server import HttpRequest
@@ -388,6 +389,18 @@
     assert exchange.status == 404
 
 
+async def test_a_host_that_was_cut_off_refuses_an_unknown_route_as_not_run():
+    """Guards against a route that is in force elsewhere and is denied here."""
+    clock = FakeClock()
+    node = node_over(clock, source=FakeSource(configurations=deque([SITE])))
+    await node.configuration.step()
+    clock.time += DENIAL_SECONDS
+    request = HttpRequest(method="GET", target="/x", headers={}, body=b"")
+    exchange = FakeExchange()
+    await node.ingress._handle(request, exchange)
+    assert exchange.status == 503
+
+
 async def test_a_place_that_another_host_frees_goes_to_who_waits_at_the_dispatcher():
     """Guards against a queue that only the end of this host's own streams wakes."""
     clock, targets = FakeClock(), FakeTargets()
--- a/mallowpond/state/confirmation.py
+++ b/mallowpond/state/confirmation.py
@@ -11,6 +11,9 @@
 # Margin below the revocation bound, in seconds: the time between the check and the
 # moment at which the request counts as sent, and clock drift.
 ADMISSION_MARGIN_SECONDS = 0.3
+# Age of a confirmation from which a newer version may be in force elsewhere, in
+# seconds: more than it becomes while a host hears from the store or a reader.
+DENIAL_SECONDS = 2.2
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -37,6 +40,15 @@
     return confirmation.age(now) < bound_seconds - ADMISSION_MARGIN_SECONDS
 
 
+def may_deny(confirmation: Confirmation | None, *, now: float) -> bool:
+    """Return whether a key or route that the version lacks may be refused for good.
+
+    Newer versions add keys and routes within a shorter time than revoked keys stop
+    working, so this ends sooner than the admission of known keys.
+    """
+    return confirmation is not None and confirmation.age(now) < DENIAL_SECONDS
+
+
 def merge_confirmation(
     known: Confirmation | None, *, version: int, confirmed_at: float
 ) -> Confirmation:
