Take the first era for known also if it is 0 or unnamed

What callers saw: nothing yet; where eras begin at 0, or are named only once there was a restore, the first restore would have left the planner's lease, the rows and the interval of the list as they were.

Cause: 0 stood for an unknown era and for the first one. The new test failed for a first answer without an era and for one of 0.

--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -315,7 +315,8 @@
 
     def _on_digest(self, digest: Digest) -> None:
         self._fanout.relay(digest)
-        self._era.observe(era_of(digest.last_change), source=digest.node)
+        if digest.last_change:
+            self._era.observe(era_of(digest.last_change), source=digest.node)
         self._configuration.evacuations.apply_received(digest.evacuations)
         self._directory.apply_digest(
             digest.last_change, decode_loads(digest), decode_paces(digest)
--- a/mallowpond/platform/store_eras.py
+++ b/mallowpond/platform/store_eras.py
@@ -11,11 +11,12 @@
 
 
 class StoreEras:
-    """The newest era that an answer of the store named, 0 before one did."""
+    """The newest era that an answer of the store named, 0 while none names one."""
 
     def __init__(self) -> None:
         self._newest = 0
-        # Called with each era that is newer than the known one.
+        self._is_known = False
+        # Called with the era of the first answer, and with each newer one.
         self.on_newer: list[Callable[[int], None]] = []
 
     @property
@@ -36,9 +37,9 @@
             era = known
         if era < self._newest:
             return None
-        if era > self._newest:
-            log.warning("store: era changed", era=era, previous=self._newest)
-            self._newest = era
+        if era > self._newest or not self._is_known:
+            log.info("store: era", era=era, previous=self._newest)
+            self._newest, self._is_known = era, True
             for notify in self.on_newer:
                 notify(era)
         return era
--- a/mallowpond/platform/tests/test_store.py
+++ b/mallowpond/platform/tests/test_store.py
@@ -21,6 +21,7 @@
 )
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.ports import HistoryLost
+from mallowpond.node.store_era import KnownEra
 from mallowpond.node.unreadable import UnreadableLog
 from mallowpond.platform.store import PlatformStore
 from mallowpond.platform.tests.test_entries import ENTRY
@@ -434,14 +435,27 @@
         for _ in bodies:
             asyncio.run(store.targets(0))
     assert [line["event"] for line in lines] == [
-        "store: era changed",
-        "store: era changed",
+        "store: era",
+        "store: era",
         "store: version went back",
     ]
     assert (lines[1]["previous"], lines[1]["era"]) == (1, 2)
     assert (lines[2]["known"], lines[2]["version"], lines[2]["era"]) == (17, 9, 2)
 
 
+@pytest.mark.parametrize("first", [None, "0", "7"])
+def test_each_era_is_told_whatever_the_first_one_is(first):
+    """Guards against a first restore that is missed as the era before was 0."""
+    later = str(int(first or 0) + 1)
+    store, known, restored = store_in_eras(first, later), KnownEra(), []
+    store.on_newer_era.append(known.observe)
+    known.on_restored.append(lambda: restored.append(known.current))
+    asyncio.run(store.targets(0))
+    assert restored == []
+    asyncio.run(store.targets(0))
+    assert restored == [int(later)]
+
+
 def test_a_read_of_changes_does_not_go_on_in_a_later_era():
     """Guards against changes that are skipped as their versions are given out again."""
     store = store_in_eras("1", "2")
