Leave the whole read after a lost history to the readers at first

What callers saw: nothing yet. While the store is away the readers send no digests, and each other host tries the store itself; after a restore every one of them would read the whole list, nine calls each at 4,300 targets.

--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -104,6 +104,8 @@
         self._evacuated: frozenset[str] = frozenset()
         self._lapsed_at: dict[str, float] = {}
         self._removed = RemovedProcesses()
+        # Whether this host leaves it to the readers to read the list whole.
+        self._awaits_difference = False
         # Whether entries of a restored store were overridden by known ones.
         self._is_restored_doubtful = False
         self.newest_target_at = float("-inf")
@@ -408,6 +410,7 @@
                 return
             self._regained_at = self._clock.now()
         self._apply_read(read)
+        self._awaits_difference = False
         self._revision = read.revision
         self.last_change = max(self.last_change, read.revision)
 
@@ -423,6 +426,10 @@
         if isinstance(answer, HistoryLost):
             log.warning("targets: history lost", revision=self._revision)
             self._regained_at = now
+            if not (self.is_reader() or self._awaits_difference):
+                # If every host of a large fleet read it, the store would refuse most.
+                self._awaits_difference, self._digest_at = True, now
+                return False
             answer = await self._source.targets(FROM_START)
         match answer:
             case Unavailable(reason=reason):
@@ -439,6 +446,7 @@
             return True
         if answer.whole:
             self._full_read_at = now
+            self._awaits_difference = False
             self._is_restored_doubtful = False
         before = self._targets
         is_restored = is_later_era(answer.revision, self._revision)
--- a/mallowpond/node/tests/test_restored_list.py
+++ b/mallowpond/node/tests/test_restored_list.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from mallowpond.node.directory import MISSED_CHANGE_SECONDS, RELISTING_SECONDS
+from mallowpond.node.directory import (
+    MISSED_CHANGE_SECONDS,
+    READERS_SILENCE_SECONDS,
+    RELISTING_SECONDS,
+)
 from mallowpond.node.ports import HistoryLost
 from mallowpond.node.tests.fakes import listing, member, open_group
 from mallowpond.node.tests.test_directory import directory_of, serving
@@ -149,3 +153,29 @@
     clock.time += MISSED_CHANGE_SECONDS + 0.1
     directory.apply_digest(COPY, {})
     assert directory._must_read()
+
+
+async def test_a_follower_leaves_the_whole_read_to_the_readers_at_first():
+    """Guards against a fleet of which each host reads the whole list at once."""
+    directory, source, clock = await directory_of(listing(PLAIN, revision=BEFORE))
+    directory.is_reader = lambda: False
+    source.listed.extend([HistoryLost(), HistoryLost(), listing(PLAIN, revision=COPY)])
+    assert not await directory.refresh()
+    assert not directory._must_read()
+    clock.time += READERS_SILENCE_SECONDS + 0.1
+    assert directory._must_read()
+    await directory.refresh()
+    assert directory.revision == COPY
+
+
+async def test_a_follower_that_got_the_difference_reads_nothing():
+    directory, source, _ = await directory_of(listing(PLAIN, revision=BEFORE))
+    directory.is_reader = lambda: False
+    source.listed.append(HistoryLost())
+    await directory.refresh()
+    directory.apply_change(
+        listing(LEAVING, revision=COPY, whole=False), previous=BEFORE
+    )
+    directory.apply_digest(COPY, {})
+    assert (usable(directory), directory.revision) == (set(), COPY)
+    assert not directory._must_read()
