Read the change as a newcomer: one builder of test networks, plainer names of what is a revision

No behaviour changes. The test rig no longer advances its clock to give its host a part of the retry budget, which a check of an immediate refusal had noticed.

--- a/mallowpond/coordination/ports.py
+++ b/mallowpond/coordination/ports.py
@@ -9,7 +9,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Row:
-    """A row as read, with its version and the transaction that wrote it."""
+    """A row as read, with its version and the transaction that wrote it.
+
+    On the platform, whose store may be restored from a copy, the versions of rows,
+    checks and outcomes are revisions (`state.revision`).
+    """
 
     key: str
     value: dict[str, Any]
--- a/mallowpond/node/evacuations.py
+++ b/mallowpond/node/evacuations.py
@@ -67,10 +67,8 @@
                 data_centres=self._data_centres, until=now + HELD_SECONDS
             )
         self._known = found
-        before, self._data_centres = (
-            self._data_centres,
-            self._held.at(now).union(found.data_centres),
-        )
+        before = self._data_centres
+        self._data_centres = self._held.at(now).union(found.data_centres)
         if self._data_centres == before:
             return
         source = "store" if is_read else "peer"
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -360,10 +360,12 @@
 
 
 def make_budgets(clock, metrics, *, ratio=1.0, slack=100.0):
-    """Return the retry budgets of a host without peers."""
+    """Return the retry budgets of a host without peers that started long ago."""
     peers, bounds = LonePeers(), NodeBounds(retry_ratio=ratio, retry_slack=slack)
+    started_for = bounds.retry_window + ARRIVAL_SECONDS
+    clock.time -= started_for
     budgets = RetryBudgets(bounds=bounds, peers=peers, clock=clock, metrics=metrics)
-    clock.time += bounds.retry_window + ARRIVAL_SECONDS
+    clock.time += started_for
     peers.registry.record_written(clock.now())
     peers.registry.record_rows({}, clock.now())
     return budgets
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -105,9 +105,9 @@
     return cbor2.dumps([type(message).__name__, to_compact(message)])
 
 
-def network(table=None):
+def network(table=None, clock=None):
     """Build a peer network that is not bound to a port."""
-    clock = FakeClock()
+    clock = clock or FakeClock()
     peers = PeerNetwork(
         name="a",
         incarnation="1",
@@ -179,14 +179,7 @@
         row = {"address": "127.0.0.1:9", "incarnation": "1"}
         put = Put(key="nodes/gone", value=row)
         table.apply(Transaction(transaction="t", puts=(put,)))
-        node = PeerNetwork(
-            name="a",
-            incarnation="1",
-            address="127.0.0.1:8",
-            table=table,
-            clock=VirtualClock(),
-            make_heartbeat=heartbeat_of,
-        )
+        node, _ = network(table, clock=VirtualClock())
         task = asyncio.create_task(node.run_node_rows())
         counts = []
         for _ in range(2):
@@ -205,14 +198,7 @@
 
     async def run():
         table = MemoryTable()
-        node = PeerNetwork(
-            name="a",
-            incarnation="1",
-            address="127.0.0.1:8",
-            table=table,
-            clock=VirtualClock(),
-            make_heartbeat=heartbeat_of,
-        )
+        node, _ = network(table, clock=VirtualClock())
         task = asyncio.create_task(node.run_node_rows())
         await asyncio.sleep(age)
         table._rows.clear()
