Log what a silence and a send that is given up look like

The logs could not tell a group that died alone from a silence of all groups, nor a send that its engine ended from one that the host ended, nor a target that was lost alone from one of many. No logic is changed.

--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -242,7 +242,15 @@
         if listed is None or listed.process != target.process:
             return False
         if target.process not in self._lost:
-            log.warning("planner: target lost", target=target.id, reason=reason)
+            silent, domains = self._observer_health.count_silent(self._clock.now())
+            log.warning(
+                "planner: target lost",
+                target=target.id,
+                reason=reason,
+                silent=silent,
+                silent_domains=domains,
+                listed=len(self._directory.targets),
+            )
         self._lost[target.process] = self._clock.now()
         return False
 
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -257,6 +257,7 @@
         except asyncio.CancelledError:
             if stream.move_reason is None or _is_cancelling():
                 raise
+            self._log_given_up(stream, stream.move_reason)
             return Interrupted(reason=stream.move_reason)
         except TimeoutError:
             return Interrupted(reason=Reason.TIMEOUT)
@@ -447,6 +448,19 @@
             own.backoff_seconds = backoff
         self._directory.exclude_group(group.key, now + backoff)
 
+    def _log_given_up(self, stream: ActiveStream, reason: Reason) -> None:
+        """Log that this host ended a send that its target had not ended."""
+        now, last_event_at = self._clock.now(), stream.last_event_at
+        log.info(
+            "stream: given up",
+            request=stream.work.request.id,
+            group=stream.group.name,
+            reason=reason.value,
+            events=stream.events,
+            silent=round(now - (last_event_at or stream.sent_at), 3),
+            left=round(stream.work.deadline - now, 3),
+        )
+
     def _log_rejected(
         self, work: StreamWork, group: Group, reason: Reason, failure: str = ""
     ) -> None:
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -203,6 +203,7 @@
         self, key: GroupKey, streams: list[ActiveStream], silence: GroupSilence
     ) -> None:
         self._metrics.suspicions.labels("own").inc()
+        watched = {stream.key for stream in self._streams.active}
         log.info(
             "groups: suspected",
             group=key[0],
@@ -210,6 +211,8 @@
             predicted=round(silence.predicted_gap, 3),
             allowed=silence.allowed_gap,
             streams=len(streams),
+            watched=len(watched),
+            silent_groups=self._count_silent(watched, silence.silent_seconds),
         )
         self._exclude_suspected(key)
         self._move(streams)
@@ -223,6 +226,16 @@
         self._confirmations.add(task)
         task.add_done_callback(self._confirmations.discard)
 
+    def _count_silent(self, groups: set[GroupKey], seconds: float) -> int:
+        """Count the groups without a recent event here, given one group's silence."""
+        now, work = self._clock.now(), self._directory.loads.work
+        return sum(
+            not has_advanced(
+                own_silence=now - work(key).last_event_at, peer_silence=seconds
+            )
+            for key in groups
+        )
+
     async def _confirm_suspicion(
         self, key: GroupKey, service: str, links: TargetLinks
     ) -> None:
--- a/mallowpond/state/observer_health.py
+++ b/mallowpond/state/observer_health.py
@@ -29,8 +29,13 @@
 
     def is_suspect(self, now: float) -> bool:
         """Return whether the recent silence suggests a fault of the observer."""
+        targets, domains = self.count_silent(now)
+        return targets >= MIN_SILENT_TARGETS and domains >= MIN_SILENT_DOMAINS
+
+    def count_silent(self, now: float) -> tuple[int, int]:
+        """Return the numbers of the recently silent targets and of their domains."""
         while self._silent and now - self._silent[0][0] > SILENCE_WINDOW_SECONDS:
             self._silent.popleft()
         targets = {target for _, target, _ in self._silent}
         domains = {domain for _, _, domain in self._silent}
-        return len(targets) >= MIN_SILENT_TARGETS and len(domains) >= MIN_SILENT_DOMAINS
+        return len(targets), len(domains)
