Show streams that are given up while their engines are silent

Eleven tests without a bench or processes show it: a send is cancelled before another group, the budget or a slot is there, in place of a slow group a silent one is taken, and a silence of all groups is held against each of them.

--- a/mallowpond/node/tests/test_watch.py
+++ b/mallowpond/node/tests/test_watch.py
@@ -30,6 +30,7 @@
 
     def __init__(self):
         self.broadcasts = []
+        self.cleared = []
         self.queried_groups = []
         self.on_suspicion = []
         self.on_silence_question = []
@@ -45,8 +46,8 @@
         self.broadcasts.append((group.key, cause))
 
     def broadcast_suspicion(self, key, *, cleared=False, closing=False):
-        """Record a suspicion."""
-        self.broadcasts.append(key)
+        """Record a suspicion, or the end of one."""
+        (self.cleared if cleared else self.broadcasts).append(key)
 
 
 class FakeLinks:
@@ -71,9 +72,8 @@
         return self.is_confirmed
 
 
-async def make_watched_rig(*groups, links=None):
-    """Return a rig with a watch and one stream that got its first event from `a`."""
-    rig = await make_rig(*groups)
+def make_watch(rig, *, links=None):
+    """Return the peers and the watch of a rig."""
     peers = FakePeers()
     watch = GroupWatch(
         streams=rig.service,
@@ -84,6 +84,13 @@
         stall_seconds=STALL_SECONDS,
         links=links,
     )
+    return peers, watch
+
+
+async def make_watched_rig(*groups, links=None):
+    """Return a rig with a watch and one stream that got its first event from `a`."""
+    rig = await make_rig(*groups)
+    peers, watch = make_watch(rig, links=links)
     blocker = asyncio.get_running_loop().create_future()
     rig.targets.script("a0", FakeResponse(script=[event(1), blocker]))
     rig.targets.script("b0", answer(2))
