--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -22,6 +22,7 @@
     "control": "Processor time and memory of processes at rest.",
     "quarantine": "Engines lost and streams refused by ways to quarantine parts.",
     "retry_budget": "Use of the retry budget by ways to divide it among hosts.",
+    "silence": "Streams lost, moved and refused by ways to treat silent groups.",
     "bounds": "Seconds from faults and changes to their answer.",
 }
 
