--- a/bench/silence.py
+++ b/bench/silence.py
@@ -122,11 +122,6 @@
     name: str
     silences: tuple[Silence, ...]
 
-    @property
-    def is_deadly(self) -> bool:
-        """Return whether groups die."""
-        return any(silence.seconds is None for silence in self.silences)
-
     @property
     def seconds(self) -> float:
         """Return the time after which all streams of interest have ended."""
@@ -306,7 +301,6 @@
     left: int = 0
     refused: int = 0
     repeats: int = 0
-    allowed: float = 0.0
     stuck: int = 0
     moved: list[float] = field(default_factory=list)
     accusers: set[int] = field(default_factory=set)
@@ -367,9 +361,6 @@
                 if (step + host.number) % CHECK_STEPS == 0 and self.way.suspects:
                     self._check(host)
                 self._serve(host)
-        self.result.allowed = sum(
-            h.window.allowed(len(self._hosts)) for h in self._hosts
-        )
         self.result.dead_used = [
             max(0.0, group.last_sent_at - group.died_at)
             for group in self._groups
@@ -741,10 +732,11 @@
 
 def _waking_cell(results: list[Result]) -> str:
     lost = sum(result.lost for result in results)
+    left = _mean(result.left for result in results)
     refused = _mean(result.refused for result in results)
     repeats = _mean(result.repeats for result in results)
     accusers = _mean(len(result.accusers) for result in results)
-    return f"{lost} / {refused} / {repeats} / {accusers}"
+    return f"{lost} / {left} / {refused} / {repeats} / {accusers}"
 
 
 def _deadly_cell(results: list[Result]) -> str:
@@ -786,8 +778,8 @@
     return [
         Report(
             title=(
-                f"{site.name}, groups wake: streams lost / requests refused / repeated "
-                "sends / hosts that suspect a living group"
+                f"{site.name}, groups wake: streams lost / left by callers / requests "
+                "refused / repeated sends / hosts that suspect a living group"
             ),
             columns=columns,
             rows=rows(waking, _waking_cell),
@@ -795,8 +787,8 @@
         ),
         Report(
             title=(
-                f"{site.name}, groups die: share of their streams that moved / median / "
-                "worst seconds / longest use of a dead group in seconds"
+                f"{site.name}, groups die: share of their streams that moved / median "
+                "/ worst seconds / longest use of a dead group in seconds"
             ),
             columns=columns,
             rows=rows(deadly, _deadly_cell),
@@ -839,6 +831,28 @@
     )
 
 
+def _ending_report(site: Site) -> Report:
+    scenes = (ALL_WAKE, RANDOM_WAKE, IN_SERIES)
+    return Report(
+        title=(
+            f"{site.name}, {POOLED.name}, by the end of a common silence: streams lost "
+            "/ left by callers / requests refused / repeated sends / hosts that "
+            "suspect a living group"
+        ),
+        columns=("end", *(scene.name for scene in scenes)),
+        rows=tuple(
+            (
+                ending.value,
+                *(
+                    _waking_cell(_results(site, scene, replace(POOLED, ending=ending)))
+                    for scene in scenes
+                ),
+            )
+            for ending in Ending
+        ),
+    )
+
+
 def run(*, smallest: bool) -> list[Report]:
     """Replay every scene by every way, or a few on the small site."""
     if smallest:
@@ -848,4 +862,4 @@
         reports += _scene_reports(site, WAYS, WAKING, DEADLY)
     for site, thirds in ((SMALL, THIRDS), (LARGE, LARGE_THIRDS)):
         reports += [_sweep_report(site, thirds, way) for way in (COMMON, POOLED)]
-    return reports
+    return reports + [_ending_report(site) for site in (SMALL, LARGE)]
