Keep a send in doubt until another group delivers an event

Cause: a host that doubted a group cancelled the send first and asked for attempts, the retry budget and a slot afterwards. What it found missing then ended a stream whose engine lived, and nothing led back to it. Class: a belief that ends what only the other side can end.

Change: doubt (a silent, slow or restarted group, lost links) no longer ends a send. Another group is looked for beside it, and the stream is sent there too if attempts, time, budget and a slot are there; each is asked before the send. Whichever of the two delivers an event first goes on, and the other is cancelled. A slow group's events wait for the time that the other one's first event may take. If the second send fails the first one goes on; after a quarter of a second another group is looked for again. What cannot be sent a second time stays where it is until its engine or its time limit ends it. A second send counts as attempt, repeat, slot and load like any other; a stream that may run once has none.

--- a/mallowpond/node/retry_budgets.py
+++ b/mallowpond/node/retry_budgets.py
@@ -48,6 +48,11 @@
         """Return the rate of first sends to a service over the last window."""
         return self._window(service).first_sends_per_second
 
+    def can_repeat(self, service: str) -> bool:
+        """Return whether a repeated send to a service would be granted now."""
+        window, now = self._window(service), self._clock.now()
+        return window.can_repeat(now, self._sharing_hosts(window, now))
+
     def try_repeat(self, service: str, *, request: str, reason: Reason) -> bool:
         """Take one repeated send of a request, False if this host's part is used up."""
         window, now = self._window(service), self._clock.now()
--- a/mallowpond/node/stream_placement.py
+++ b/mallowpond/node/stream_placement.py
@@ -124,7 +124,7 @@
                     [group]
                 ):
                     # Its head became unavailable while the stream waited.
-                    self._release_grant()
+                    self.release_grant()
                     continue
                 case Placed(group=group):
                     pass
@@ -133,11 +133,11 @@
             quarantined = self._refuse_quarantined(work)
             if quarantined is not None:
                 # It was quarantined while the stream waited for its slot.
-                self._release_grant()
+                self.release_grant()
                 self.wake(work.model.name)
                 return quarantined
             if group is not None and self._shuts_down_before(work):
-                self._release_grant()
+                self.release_grant()
                 self.wake(work.model.name)
                 return self.refuse(Reason.STOPPING, 0.0)
             if group is not None:
@@ -222,7 +222,7 @@
             if self.dispatcher_client is not None:
                 self.dispatcher_client.reject_new(service, name)
 
-    def _release_grant(self) -> None:
+    def release_grant(self) -> None:
         """Report that a granted slot is not used."""
         if self.dispatcher_client is not None:
             self.dispatcher_client.release_grant()
--- a/mallowpond/node/stream_work.py
+++ b/mallowpond/node/stream_work.py
@@ -1,11 +1,15 @@
-"""State of a stream while it is served, of each send of it, and how a send ended."""
+"""State of a stream while it is served, of each send of it, and how a send ended.
+
+While the group of a send is in doubt, the stream may be sent to another group too. The
+first of both sends that delivers an event goes on.
+"""
 
 import asyncio
 from dataclasses import dataclass, field
 from functools import cached_property
 
 from mallowpond.gateway.relay import StreamProgress
-from mallowpond.node.outcomes import Reason
+from mallowpond.node.outcomes import Reason, Refusal
 from mallowpond.node.ports import CallerRequest
 from mallowpond.state.fleet import (
     EngineProfile,
@@ -35,14 +39,19 @@
     priority: int
     deadline: float
     exchange: Exchange
-    progress: StreamProgress = field(default_factory=StreamProgress)
+    # Complete events that were forwarded to the caller.
+    events: int = 0
     last_event_id: str | None = None
     sent_to: list[Process] = field(default_factory=list)
     not_run_sends: int = 0
     sends: int = 0
-    sent_at: float = 0.0
-    # Events of the answer before the current send.
-    earlier_events: int = 0
+    # At most two, of which the first one is in doubt.
+    in_progress: list["ActiveStream"] = field(default_factory=list)
+    # Wait for a slot of another group while the only send is in doubt.
+    placing: asyncio.Task[Group | Refusal] | None = None
+    # Set when a send has ended or is in doubt, and when a wait for a slot has ended.
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    failed: "FailedAnswer | None" = None
     waited: float = 0.0
     started_at: float = 0.0
     first_event_at: float | None = None
@@ -67,7 +76,7 @@
     @property
     def prompt_tokens(self) -> float:
         """Return the tokens to prefill: the prompt and the answer written so far."""
-        written = self.progress.events * self.profile.stride
+        written = self.events * self.profile.stride
         return float(self.request.prompt_tokens + written)
 
 
@@ -83,7 +92,19 @@
     # Slowness of the group when the stream was sent, at least 1.
     slowness: float = 1.0
     task: asyncio.Task["AttemptEnd"] | None = None
+    # Why another group should go on with the stream, None while there is no doubt.
     move_reason: Reason | None = None
+    # Whether another group may be looked for now; False for a while after that failed.
+    is_move_due: bool = False
+    # Whether the end of its head's process was recorded.
+    is_end_recorded: bool = False
+    # Whether it was cancelled as another send delivers the answer.
+    is_dropped: bool = False
+    progress: StreamProgress = field(default_factory=StreamProgress)
+    # Complete events that wait until it is known whether this send goes on.
+    held: list[bytes] = field(default_factory=list)
+    # Whether it waits for the caller to read.
+    is_forwarding: bool = False
     # Counted in the group's load until the first event.
     prefill_tokens: float = 0.0
     last_event_at: float | None = None
@@ -108,11 +129,30 @@
             return route.objective_seconds
         return route.gap_objective_seconds or route.objective_seconds
 
+    @property
+    def yields(self) -> bool:
+        """Return whether events of this send do not end the doubt.
+
+        A slow group sends events too, and one that has lost a member may have sent its
+        last ones before that.
+        """
+        return self.move_reason in (Reason.SLOW_TARGET, Reason.RESTARTED)
+
     def move(self, reason: Reason) -> None:
-        """Cancel the send, so that the stream resumes on another group."""
-        if self.move_reason is None and self.task is not None:
+        """Let another group go on with the stream if that delivers first."""
+        if self.move_reason is None:
             self.move_reason = reason
-            self.task.cancel()
+            self.look_for_group()
+
+    def look_for_group(self) -> None:
+        """Let another group be looked for while this send is in doubt."""
+        self.is_move_due = self.move_reason is not None
+        self.work.changed.set()
+
+    def end_doubt(self) -> None:
+        """Let the stream go on at this group alone."""
+        self.move_reason = None
+        self.is_move_due = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -123,6 +163,7 @@
     """
 
     status: int
+    target: str
     has_marked_end: bool
 
 
@@ -135,7 +176,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Interrupted:
-    """The answer broke off or failed, or the stream was moved to another group."""
+    """The answer broke off or failed, or the time limit came."""
 
     reason: Reason
 
@@ -145,6 +186,7 @@
     """The engine ran the request and answered with an error status."""
 
     status: int
+    target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
 
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -1,7 +1,8 @@
 """Serve streams: place each, forward its events, resume on another group if needed.
 
 A stream is a request of which a group of engines sends the answer as events. It is sent
-to the head of one group at a time; each such send is an attempt.
+to the head of a group; each such send is an attempt. A send that is in doubt goes on
+until another group delivers an event, as only its engine can tell that it has ended.
 """
 
 import asyncio
@@ -9,6 +10,7 @@
 
 import structlog
 
+from mallowpond.gateway.relay import EVENT_END
 from mallowpond.node.outcomes import Answered, CutOff, Reason, Refusal, ServeOutcome
 from mallowpond.node.serving_parts import ServingParts
 from mallowpond.node.stream_placement import (
@@ -48,9 +50,9 @@
 # Longest backoff after a group rejected a stream, in seconds: as long as a group that
 # only this host cannot reach is excluded, and shorter than any caller waits.
 MAX_BACKOFF_SECONDS = 1.0
-# Reasons with which a send ends when the head's process has ended: the connection
-# closed, or the process was found to be replaced by another one before that.
-PROCESS_ENDED_REASONS = (Reason.BROKEN_STREAM, Reason.RESTARTED)
+# Time after which another group is looked for again for a stream in doubt, in seconds:
+# a part of the time for which callers wait without an event.
+MOVE_PAUSE_SECONDS = 0.25
 EVENT_ID = b"id:"
 
 
@@ -96,65 +98,74 @@
         work.last_event_id = work.request.last_event
         self.placement.record_model(work)
         self._budgets.record_first_send(work.service)
-        failed: FailedAnswer | None = None
         while True:
             group = await self.placement.place(work)
             if isinstance(group, Refusal):
-                return await self._end_unserved(work, group, failed)
-            end = await self._send(work, group)
-            match end:
-                case CompleteAnswer(status=status):
-                    if end.has_marked_end:
+                return await self._end_unserved(work, group)
+            match await self._send(work, group):
+                case CompleteAnswer(status=status, target=target) as answer:
+                    if answer.has_marked_end:
                         self._quarantine.record_answer(work.fingerprint, work.parts)
                     self._log_served(work)
-                    return Answered(status=status, target=work.sent_to[-1].id)
-                case FailedAnswer():
-                    failed = end
+                    return Answered(status=status, target=target)
+                case FailedAnswer() as end:
                     reason = Reason.TARGET_FAILED
-                case NotRun(reason=reason) | Interrupted(reason=reason):
-                    if reason is Reason.MISDIRECTED:
-                        self._directory.mark_broken(group, BreakCause.REFUSED)
-            if reason in PROCESS_ENDED_REASONS:
-                self._record_broken(work, group, reason)
+                case NotRun(reason=reason) | Interrupted(reason=reason) as end:
+                    pass
             refusal = self._refuse_retry(work, end, reason)
             if refusal is not None:
-                return await self._end_unserved(work, refusal, failed)
-            self._metrics.retries.labels(reason.value).inc()
-            log.info(
-                "stream: resent",
-                request=work.request.id,
-                reason=reason.value,
-                events=work.progress.events,
-                group=group.name,
-            )
+                return await self._end_unserved(work, refusal)
+            self._log_resent(work, reason, group)
 
     def _refuse_retry(
         self, work: StreamWork, end: AttemptEnd, reason: Reason
     ) -> Refusal | None:
         """Return the refusal of a stream that must not be sent again, else None."""
-        now = self._clock.now()
+        refusal = self._refuse_attempt(work, not_run=isinstance(end, NotRun))
+        if refusal is not None:
+            return refusal
+        # A connection that was not opened brought no request to a target.
+        is_free = isinstance(end, NotRun) and reason is Reason.CONNECT
+        if is_free or self._take_repeat(work, reason):
+            return None
+        return Refusal(status=502, reason=Reason.BUDGET_USED)
+
+    def _refuse_attempt(self, work: StreamWork, *, not_run: bool) -> Refusal | None:
+        """Return the refusal of a stream that no group may run again, else None.
+
+        With `not_run` the last send provably did not run.
+        """
         quarantined = self._quarantine.refusal(work.fingerprint, work.parts)
         if quarantined is not None:
             return quarantined
-        if isinstance(end, NotRun):
-            work.not_run_sends += 1
-            work.sent_to.pop()
-            if work.not_run_sends > MAX_NOT_RUN_REPEATS:
-                return self.placement.refuse(Reason.NO_GROUP, NO_GROUP_RETRY_SECONDS)
-        elif not work.route.resumable:
+        if work.not_run_sends > MAX_NOT_RUN_REPEATS:
+            return self.placement.refuse(Reason.NO_GROUP, NO_GROUP_RETRY_SECONDS)
+        if not not_run and not work.route.resumable:
             return Refusal(status=502, reason=Reason.MAYBE_RUN)
-        elif self._attempts(work) >= work.route.max_attempts:
+        if not not_run and self._attempts(work) >= work.route.max_attempts:
             return Refusal(status=502, reason=Reason.ATTEMPTS_USED)
-        if now + MIN_SEND_SECONDS > work.deadline:
+        if self._clock.now() + MIN_SEND_SECONDS > work.deadline:
             return Refusal(status=504, reason=Reason.TIMEOUT)
-        # A connection that was not opened brought no request to a target.
-        is_free = isinstance(end, NotRun) and reason is Reason.CONNECT
-        if not is_free and not self._budgets.try_repeat(
-            work.service, request=work.request.id, reason=reason
-        ):
-            return Refusal(status=502, reason=Reason.BUDGET_USED)
         return None
 
+    def _take_repeat(self, work: StreamWork, reason: Reason) -> bool:
+        return self._budgets.try_repeat(
+            work.service, request=work.request.id, reason=reason
+        )
+
+    def _log_resent(
+        self, work: StreamWork, reason: Reason, group: Group, *, beside: bool = False
+    ) -> None:
+        self._metrics.retries.labels(reason.value).inc()
+        log.info(
+            "stream: resent",
+            request=work.request.id,
+            reason=reason.value,
+            events=work.events,
+            group=group.name,
+            beside=beside,
+        )
+
     def _log_served(self, work: StreamWork) -> None:
         """Log the delays that decide whether the answer was on time."""
         first = (work.first_event_at or self._clock.now()) - work.started_at
@@ -175,28 +186,31 @@
         work = stream.work
         if not work.route.resumable or stream.move_reason is not None:
             return False
+        if len(work.in_progress) > 1:
+            return False
         return self._attempts(work) < work.route.max_attempts
 
     def can_move(self, stream: ActiveStream) -> bool:
         """Return whether a stream could be resumed on another group now."""
         return (
-            self.can_resume(stream) and self.placement.choose(stream.work) is not None
+            self.can_resume(stream)
+            and self._budgets.can_repeat(stream.work.service)
+            and self.placement.choose(stream.work) is not None
         )
 
     def _attempts(self, work: StreamWork) -> int:
         """Count the engine processes that may have run the request and still exist."""
         return self._directory.count_present(work.sent_to)
 
-    async def _end_unserved(
-        self, work: StreamWork, refusal: Refusal, failed: FailedAnswer | None
-    ) -> ServeOutcome:
+    async def _end_unserved(self, work: StreamWork, refusal: Refusal) -> ServeOutcome:
         if work.exchange.started:
             return CutOff(reason=refusal.reason)
+        failed = work.failed
         if failed is not None:
             await work.exchange.respond(
                 failed.status, failed.body, failed.headers, content_type=None
             )
-            return Answered(status=failed.status, target=work.sent_to[-1].id)
+            return Answered(status=failed.status, target=failed.target)
         if work.sent_to and refusal.status == 503:
             # An engine may have run the request, but 503 means that none did.
             return Refusal(status=502, reason=refusal.reason)
@@ -206,9 +220,136 @@
             return self.placement.refuse(refusal.reason, NO_GROUP_RETRY_SECONDS)
         return refusal
 
-    # -- one send ------------------------------------------------------------
+    # -- the sends of a stream -----------------------------------------------
 
     async def _send(self, work: StreamWork, group: Group) -> AttemptEnd:
+        """Send a stream to a group, and to another one too while that is in doubt.
+
+        Return the end of the send that completed the answer, or of the last one.
+        """
+        try:
+            async with asyncio.timeout(max(0.001, work.deadline - self._clock.now())):
+                self._begin(work, group)
+                while True:
+                    await work.changed.wait()
+                    work.changed.clear()
+                    end = self._collect_ends(work)
+                    if end is not None:
+                        return end
+                    self._update_standby(work)
+        except TimeoutError:
+            return Interrupted(reason=Reason.TIMEOUT)
+        finally:
+            await self._end_sends(work)
+
+    def _collect_ends(self, work: StreamWork) -> AttemptEnd | None:
+        """Return the end that decides on a stream, None while a send is in progress."""
+        for stream in list(work.in_progress):
+            if stream.task is None or not stream.task.done():
+                continue
+            self._finish(stream)
+            if stream.is_dropped:
+                continue
+            end = stream.task.result()
+            self._record_end(stream, end)
+            others = [s for s in work.in_progress if not s.is_dropped]
+            if isinstance(end, CompleteAnswer) or not others:
+                return end
+            for other in others:
+                if other.move_reason is not None:
+                    self._pause_move(other)
+        return None
+
+    def _record_end(self, stream: ActiveStream, end: AttemptEnd) -> None:
+        """Record what the end of a send says of its group."""
+        work, group = stream.work, stream.group
+        match end:
+            case FailedAnswer():
+                work.failed = end
+            case NotRun(reason=reason):
+                assert group.head is not None
+                work.not_run_sends += 1
+                work.sent_to.remove(group.head.process)
+                if reason is Reason.MISDIRECTED:
+                    self._directory.mark_broken(group, BreakCause.REFUSED)
+            case Interrupted(reason=Reason.BROKEN_STREAM):
+                self._record_broken(stream, Reason.BROKEN_STREAM)
+
+    def _update_standby(self, work: StreamWork) -> None:
+        """Look for another group, or send the stream there, while one is in doubt."""
+        if len(work.in_progress) > 1:
+            return
+        (stream,) = work.in_progress
+        reason, placing = stream.move_reason, work.placing
+        if reason is None:
+            return
+        if placing is None:
+            if stream.is_move_due:
+                stream.is_move_due = False
+                self._start_placing(stream)
+            return
+        if not placing.done():
+            return
+        work.placing, group = None, placing.result()
+        if isinstance(group, Refusal):
+            self._pause_move(stream)
+        elif self._may_stand_by(work) and self._take_repeat(work, reason):
+            self._log_resent(work, reason, stream.group, beside=True)
+            self._begin(work, group)
+        else:
+            self.placement.release_grant()
+            self._pause_move(stream)
+
+    def _start_placing(self, stream: ActiveStream) -> None:
+        work = stream.work
+        if stream.move_reason is Reason.RESTARTED:
+            self._record_broken(stream, Reason.RESTARTED)
+        if not (self._may_stand_by(work) and self._budgets.can_repeat(work.service)):
+            self._pause_move(stream)
+            return
+        work.placing = asyncio.create_task(self.placement.place(work))
+        work.placing.add_done_callback(lambda _: work.changed.set())
+
+    def _may_stand_by(self, work: StreamWork) -> bool:
+        return self._refuse_attempt(work, not_run=False) is None
+
+    def _pause_move(self, stream: ActiveStream) -> None:
+        """Look for another group for a stream in doubt again after a short time."""
+
+        def renew() -> None:
+            if stream.move_reason is Reason.SLOW_TARGET:
+                # Its group may be on pace again; the watch knows.
+                stream.end_doubt()
+            stream.look_for_group()
+
+        asyncio.get_running_loop().call_later(MOVE_PAUSE_SECONDS, renew)
+
+    async def _cancel_placing(self, work: StreamWork) -> None:
+        placing, work.placing = work.placing, None
+        if placing is None:
+            return
+        placing.cancel()
+        (group,) = await asyncio.gather(placing, return_exceptions=True)
+        if isinstance(group, Group):
+            self.placement.release_grant()
+
+    async def _end_sends(self, work: StreamWork) -> None:
+        """Cancel what is in progress of a stream."""
+        streams = list(work.in_progress)
+        tasks = [stream.task for stream in streams if stream.task is not None]
+        for task in tasks:
+            task.cancel()
+        try:
+            await asyncio.gather(*tasks, return_exceptions=True)
+        finally:
+            for stream in streams:
+                self._finish(stream)
+        await self._cancel_placing(work)
+
+    # -- one send ------------------------------------------------------------
+
+    def _begin(self, work: StreamWork, group: Group) -> None:
+        """Start a send of a stream to a group."""
         assert group.head is not None
         now = self._clock.now()
         own = self._directory.loads.work(group.key)
@@ -228,8 +369,6 @@
         own.prefill_tokens += stream.prefill_tokens
         self._availability.record_sent(group.head)
         work.sent_to.append(group.head.process)
-        work.sent_at = now
-        work.earlier_events = work.progress.events
         work.sends += 1
         log.info(
             "stream: sent",
@@ -249,28 +388,39 @@
             resume=work.last_event_id,
         )
         stream.task = asyncio.create_task(self._attempt(stream))
+        stream.task.add_done_callback(lambda _: work.changed.set())
+        work.in_progress.append(stream)
         self.active.add(stream)
         self.placement.wake(work.model.name)
-        try:
-            async with asyncio.timeout(max(0.001, work.deadline - now)):
-                return await stream.task
-        except asyncio.CancelledError:
-            if stream.move_reason is None or _is_cancelling():
-                raise
-            self._log_given_up(stream, stream.move_reason)
-            return Interrupted(reason=stream.move_reason)
-        except TimeoutError:
-            return Interrupted(reason=Reason.TIMEOUT)
-        finally:
-            self.active.discard(stream)
-            stream.task.cancel()
-            await asyncio.gather(stream.task, return_exceptions=True)
-            own.running -= 1
-            own.prefill_tokens -= stream.prefill_tokens
-            work.progress.discard_partial_event()
-            self.placement.wake(work.model.name)
-            for notify in self.on_end:
-                notify()
+
+    def _finish(self, stream: ActiveStream) -> None:
+        """Count back the load of a send that has ended."""
+        work, own = stream.work, self._directory.loads.work(stream.key)
+        work.in_progress.remove(stream)
+        self.active.discard(stream)
+        own.running -= 1
+        own.prefill_tokens -= stream.prefill_tokens
+        self.placement.wake(work.model.name)
+        for notify in self.on_end:
+            notify()
+
+    def _drop(self, stream: ActiveStream, winner: ActiveStream) -> None:
+        """Cancel a send as another one of its stream delivers the answer."""
+        assert stream.task is not None
+        stream.is_dropped = True
+        stream.task.cancel()
+        now, last_event_at = self._clock.now(), stream.last_event_at
+        reason = stream.move_reason or winner.move_reason
+        log.info(
+            "stream: given up",
+            request=stream.work.request.id,
+            group=stream.group.name,
+            reason=reason.value if reason else None,
+            events=stream.events,
+            silent=round(now - (last_event_at or stream.sent_at), 3),
+            left=round(stream.work.deadline - now, 3),
+            winner=winner.group.name,
+        )
 
     async def _attempt(self, stream: ActiveStream) -> AttemptEnd:
         work, head = stream.work, stream.group.head
@@ -288,9 +438,7 @@
             if response.may_have_sent:
                 return Interrupted(reason=Reason.BROKEN_STREAM)
             self._back_off(work, stream.group)
-            self._log_rejected(
-                work, stream.group, Reason.CONNECT, failure=response.reason
-            )
+            self._log_rejected(stream, Reason.CONNECT, failure=response.reason)
             if response.phase is FailurePhase.CONNECT:
                 self._notify_head_ended(stream.group)
             return NotRun(reason=Reason.CONNECT)
@@ -300,7 +448,8 @@
             response.close()
 
     async def _read(self, stream: ActiveStream, response: HttpResponse) -> AttemptEnd:
-        work = stream.work
+        work, head = stream.work, stream.group.head
+        assert head is not None
         if self._targets.is_not_run(response):
             await response.read()
             if self._targets.is_misdirected(response):
@@ -308,7 +457,7 @@
             notice = self._record_notice(stream, response)
             if notice.backoff_seconds is None:
                 self._back_off(work, stream.group)
-            self._log_rejected(work, stream.group, Reason.NOT_RUN)
+            self._log_rejected(stream, Reason.NOT_RUN)
             return NotRun(reason=Reason.NOT_RUN)
         self._record_notice(stream, response)
         headers = self._callers.answer_headers(response)
@@ -316,24 +465,29 @@
             body = await response.read()
             if isinstance(body, CallFailed):
                 return Interrupted(reason=Reason.BROKEN_STREAM)
-            return FailedAnswer(status=response.status, headers=headers, body=body)
+            return FailedAnswer(
+                status=response.status, target=head.id, headers=headers, body=body
+            )
         async for event in response.events():
             match event:
                 case Chunk(data=data):
                     await self._forward(stream, headers, data)
-                case End() if work.progress.has_partial_event:
+                case End() if stream.progress.has_partial_event:
                     return Interrupted(reason=Reason.BROKEN_STREAM)
                 case End() if not (response.has_marked_end or stream.events):
                     # A target that crashes before its first event closes the
                     # connection too.
                     return Interrupted(reason=Reason.BROKEN_STREAM)
                 case End():
+                    await self._release_held(stream, headers)
                     if not work.exchange.started:
                         await work.exchange.start(200, headers)
                     await work.exchange.end()
                     self.placement.record_answer(work, stream)
                     return CompleteAnswer(
-                        status=200, has_marked_end=response.has_marked_end
+                        status=200,
+                        target=head.id,
+                        has_marked_end=response.has_marked_end,
                     )
                 case CallFailed():
                     return Interrupted(reason=Reason.BROKEN_STREAM)
@@ -351,25 +505,58 @@
     async def _forward(
         self, stream: ActiveStream, headers: tuple[tuple[str, str], ...], data: bytes
     ) -> None:
-        work = stream.work
-        complete = work.progress.complete_events(data)
+        complete = stream.progress.complete_events(data)
         if not complete:
             return
         self._record_event(stream)
-        work.last_event_id = _last_event_id(complete) or work.last_event_id
-        if not work.exchange.started:
-            await work.exchange.start(200, headers)
-        await work.exchange.send(complete)
+        stream.held.append(complete)
+        if not self._must_hold(stream):
+            await self._release_held(stream, headers)
+
+    def _must_hold(self, stream: ActiveStream) -> bool:
+        """Return whether the events of a send wait for those of another one."""
+        others = [s for s in stream.work.in_progress if s is not stream]
+        return stream.yields and any(
+            self._clock.now() - other.sent_at < self.allowed_first_event(other)
+            for other in others
+        )
 
-    def _record_event(self, stream: ActiveStream) -> None:
+    async def _release_held(
+        self, stream: ActiveStream, headers: tuple[tuple[str, str], ...]
+    ) -> None:
+        """Forward the events of the send that goes on, and cancel the other one."""
+        work = stream.work
+        for other in work.in_progress:
+            if other is not stream and not other.is_dropped:
+                self._drop(other, stream)
+        if not stream.yields:
+            stream.end_doubt()
+            await self._cancel_placing(work)
+        if stream.held and not work.exchange.started:
+            await work.exchange.start(200, headers)
+        stream.is_forwarding = True
+        while stream.held:
+            events = stream.held.pop(0)
+            self._record_forwarded(work, events)
+            await work.exchange.send(events)
+        stream.is_forwarding = False
+
+    def _record_forwarded(self, work: StreamWork, events: bytes) -> None:
+        """Record complete events as they are forwarded to the caller."""
         now = self._clock.now()
-        work, own = stream.work, self._directory.loads.work(stream.key)
+        work.events += events.count(EVENT_END)
+        work.last_event_id = _last_event_id(events) or work.last_event_id
         if work.first_event_at is None:
             work.first_event_at = now
             self._metrics.first_event.observe(now - work.started_at)
         if work.last_event_at is not None:
             work.longest_gap = max(work.longest_gap, now - work.last_event_at)
         work.last_event_at = now
+
+    def _record_event(self, stream: ActiveStream) -> None:
+        """Record what an event says of its group."""
+        now = self._clock.now()
+        work, own = stream.work, self._directory.loads.work(stream.key)
         if stream.last_event_at is None:
             self.placement.delay(work.service, work.model.name).record(
                 observed=now - stream.sent_at,
@@ -404,8 +591,12 @@
         delay = self.placement.delay(work.service, work.model.name).upper_bound
         return stream.predicted / max(1.0, pace) + delay
 
-    def _record_broken(self, work: StreamWork, group: Group, reason: Reason) -> None:
+    def _record_broken(self, stream: ActiveStream, reason: Reason) -> None:
         """Record that a head's process ended; back off if it ended before the send."""
+        if stream.is_end_recorded:
+            return
+        stream.is_end_recorded = True
+        work, group = stream.work, stream.group
         assert group.head is not None
         own = self._directory.loads.work(group.key)
         if own.closing_until > self._clock.now():
@@ -417,12 +608,12 @@
         if not self._quarantine.record_ending(
             work.fingerprint,
             process,
-            work.sent_at,
-            ran=_seconds_run(work),
+            stream.sent_at,
+            ran=_seconds_run(stream),
             parts=work.parts,
         ):
             self._back_off(work, group)
-            self._log_rejected(work, group, reason)
+            self._log_rejected(stream, reason)
 
     def _notify_head_ended(self, group: Group) -> None:
         for notify in self.on_head_ended:
@@ -448,46 +639,29 @@
             own.backoff_seconds = backoff
         self._directory.exclude_group(group.key, now + backoff)
 
-    def _log_given_up(self, stream: ActiveStream, reason: Reason) -> None:
-        """Log that this host ended a send that its target had not ended."""
-        now, last_event_at = self._clock.now(), stream.last_event_at
-        log.info(
-            "stream: given up",
-            request=stream.work.request.id,
-            group=stream.group.name,
-            reason=reason.value,
-            events=stream.events,
-            silent=round(now - (last_event_at or stream.sent_at), 3),
-            left=round(stream.work.deadline - now, 3),
-        )
-
     def _log_rejected(
-        self, work: StreamWork, group: Group, reason: Reason, failure: str = ""
+        self, stream: ActiveStream, reason: Reason, failure: str = ""
     ) -> None:
         log.info(
             "stream: rejected",
-            request=work.request.id,
-            group=group.name,
+            request=stream.work.request.id,
+            group=stream.group.name,
             reason=reason.value,
             failure=failure or None,
-            seconds=round(self._clock.now() - work.sent_at, 3),
+            seconds=round(self._clock.now() - stream.sent_at, 3),
         )
 
 
-def _seconds_run(work: StreamWork) -> float:
-    """Return for how long the current send ran, by the events that came of it.
+def _seconds_run(stream: ActiveStream) -> float:
+    """Return for how long a send ran, by the events that came of it.
 
     Events are counted by the engine's clock. Times observed here include the delays of
     the queue, the prefill, the network and this host.
     """
-    events = work.progress.events - work.earlier_events
+    work = stream.work
     load = GroupLoad(running=work.profile.slots)
-    return events * pass_seconds(work.profile, work.model, load)
-
-
-def _is_cancelling() -> bool:
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
+    one_pass = pass_seconds(work.profile, work.model, load)
+    return stream.progress.events * one_pass
 
 
 def _last_event_id(events: bytes) -> str | None:
--- a/mallowpond/state/retry_window.py
+++ b/mallowpond/state/retry_window.py
@@ -75,11 +75,15 @@
         slack = self.slack / hosts if hosts else 0.0
         return USED_SHARE * (self.ratio * len(self._firsts) + slack)
 
-    def try_repeat(self, now: float, hosts: int) -> bool:
-        """Take one repeated send from this host's part, False if none is left."""
+    def can_repeat(self, now: float, hosts: int) -> bool:
+        """Return whether this host's part has a repeated send left."""
         _drop_before(self._firsts, now - self.window_seconds)
         _drop_before(self._repeats, now - self.window_seconds - ARRIVAL_SECONDS)
-        if len(self._repeats) + 1 > self.allowed(hosts):
+        return len(self._repeats) + 1 <= self.allowed(hosts)
+
+    def try_repeat(self, now: float, hosts: int) -> bool:
+        """Take one repeated send from this host's part, False if none is left."""
+        if not self.can_repeat(now, hosts):
             return False
         self._repeats.append(now)
         return True
