Hold a silence that nearly all groups share against none of them

Cause: each group was judged by its own silence and its own limit. That nearly all groups fell silent in the same moment was asked for the links only, and after the streams had been moved.

While it lasts no group is suspected or excluded and none is reported; groups that still are silent when it ends are judged from then on. A group that advances for other hosts is still left, and after 1.5 s streams may be sent to a second group. A host that holds back adopts the suspicions of those peers only that see other groups advance, which their message now says. What groups took meanwhile teaches no pace and no delay. A suspected group that sends an event is used again at once and all hosts are told; before, it was excluded for the stall time unless the planner's probes cleared it.

--- a/mallowpond/node/directory.py
+++ b/mallowpond/node/directory.py
@@ -248,6 +248,16 @@
             for group in self._groups.values()
         )
 
+    def domains_of_groups(self, service: str) -> set[str]:
+        """Return the domains of the heads of a service's open groups."""
+        return {
+            group.head.domain or group.head.data_centre
+            for group in self._groups.values()
+            if group.phase is GroupPhase.OPEN
+            and group.head is not None
+            and group.head.service == service
+        }
+
     def exclude_group(self, key: GroupKey, until: float) -> None:
         """Exclude a group from new streams until the time `until`."""
         work = self.loads.work(key)
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -111,8 +111,9 @@
 class Suspicion:
     """Report that a group makes no progress, so that peers send it no new streams.
 
-    With `cleared` the suspicion is over: all members answered probes. With `closing`
-    the planner is closing the group; streams that run there may finish.
+    With `cleared` the suspicion is over: the group sent an event, or all members
+    answered probes. With `closing` the planner is closing the group; streams that run
+    there may finish. With `others_advance` the sender sees other groups make progress.
     """
 
     node: Name
@@ -120,6 +121,7 @@
     epoch: int
     cleared: bool = False
     closing: bool = False
+    others_advance: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -24,6 +24,11 @@
         self.retries = counter("mallowpond_retries", "Sends once more", "reason")
         self.budget = counter("mallowpond_retry_budget", "Repeats asked for", "end")
         self.suspicions = counter("mallowpond_suspicions", "Groups suspected", "origin")
+        self.common_silences = counter(
+            "mallowpond_common_silences",
+            "Times that nearly all groups fell silent together",
+            "service",
+        )
         self.orders = counter("mallowpond_orders", "Orders to engines", "kind", "end")
         self.swaps = counter("mallowpond_swaps", "Groups moved to a model", "action")
         self.regroupings = counter(
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -366,7 +366,12 @@
             self._rows_due.set()
 
     def broadcast_suspicion(
-        self, key: tuple[str, int], *, cleared: bool = False, closing: bool = False
+        self,
+        key: tuple[str, int],
+        *,
+        cleared: bool = False,
+        closing: bool = False,
+        others_advance: bool = False,
     ) -> None:
         """Report to every peer that a group is suspected, cleared, or closing."""
         self.broadcast(
@@ -376,6 +381,7 @@
                 epoch=key[1],
                 cleared=cleared,
                 closing=closing,
+                others_advance=others_advance,
             )
         )
 
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -71,6 +71,8 @@
         self.placement = StreamPlacement(parts=parts)
         self.active: set[ActiveStream] = set()
         self._serving = 0
+        # Silences that began before these times say nothing of a group's pace.
+        self._ignored_before: dict[str, float] = {}
         # Called when a send has ended with any outcome, so that its slot is free.
         self.on_end: list[Callable[[], None]] = []
         # Called with a group whose head closed or refused a connection unexpectedly.
@@ -80,6 +82,10 @@
         parts.directory.on_change.append(self.placement.wake_all)
         parts.directory.on_change.append(self.placement.refuse_evacuated_waits)
 
+    def ignore_silence(self, service: str, until: float) -> None:
+        """Learn no pace from gaps and first events that were due before a time."""
+        self._ignored_before[service] = until
+
     # -- one stream ----------------------------------------------------------
 
     async def serve(self, work: StreamWork) -> ServeOutcome:
@@ -557,24 +563,16 @@
         """Record what an event says of its group."""
         now = self._clock.now()
         work, own = stream.work, self._directory.loads.work(stream.key)
-        if stream.last_event_at is None:
-            self.placement.delay(work.service, work.model.name).record(
-                observed=now - stream.sent_at,
-                predicted=stream.predicted,
-                slowness=stream.slowness,
-            )
-            self._directory.loads.record_first_event(
-                stream.key, now - stream.sent_at, self.allowed_first_event(stream)
-            )
+        is_first, since = stream.last_event_at is None, stream.last_event_at
+        since = stream.sent_at if since is None else since
+        if since > self._ignored_before.get(work.service, float("-inf")):
+            self._learn_pace(stream, now - since, is_first=is_first)
+        if is_first:
             own.prefill_tokens -= stream.prefill_tokens
             stream.prefill_tokens = 0.0
             self.placement.wake(work.model.name)
         else:
-            gap = now - stream.last_event_at
-            self._metrics.event_gap.observe(gap)
-            load = self._directory.loads.load_of(stream.group, stream.work.profile)
-            predicted = pass_seconds(work.profile, work.model, load)
-            self._directory.loads.record_gap(stream.key, gap, predicted)
+            self._metrics.event_gap.observe(now - since)
         if stream.group.head is not None:
             self._quarantine.record_alive(stream.group.head.process)
         stream.last_event_at = now
@@ -582,6 +580,22 @@
         own.last_event_at = now
         own.backoff_seconds = 0.0
 
+    def _learn_pace(
+        self, stream: ActiveStream, seconds: float, *, is_first: bool
+    ) -> None:
+        """Learn a group's pace from the time that an event took, in seconds."""
+        work, loads = stream.work, self._directory.loads
+        if is_first:
+            self.placement.delay(work.service, work.model.name).record(
+                observed=seconds, predicted=stream.predicted, slowness=stream.slowness
+            )
+            allowed = self.allowed_first_event(stream)
+            loads.record_first_event(stream.key, seconds, allowed)
+        else:
+            load = loads.load_of(stream.group, work.profile)
+            predicted = pass_seconds(work.profile, work.model, load)
+            loads.record_gap(stream.key, seconds, predicted)
+
     def allowed_first_event(self, stream: ActiveStream) -> float:
         """Return the time of a first event at a group's declared pace, in seconds."""
         work = stream.work
--- a/mallowpond/node/tests/test_silent_groups.py
+++ b/mallowpond/node/tests/test_silent_groups.py
@@ -200,8 +200,10 @@
         for work in others:
             work.running += 10
         wakes.append(asyncio.get_running_loop().create_future())
-        script = [event(1), wakes[-1], event(2), End()]
-        rig.targets.script(f"{name}0", FakeResponse(script=script))
+        first = FakeResponse(script=[event(1), wakes[-1], event(2), End()])
+        never = asyncio.get_running_loop().create_future()
+        silent = [FakeResponse(script=[never]) for _ in groups]
+        rig.targets.script(f"{name}0", first, *silent)
         exchange = FakeExchange()
         tasks.append(asyncio.create_task(rig.service.serve(rig.work(exchange))))
         while not exchange.body:
--- a/mallowpond/node/tests/test_watch.py
+++ b/mallowpond/node/tests/test_watch.py
@@ -45,7 +45,7 @@
         """Record a broken group."""
         self.broadcasts.append((group.key, cause))
 
-    def broadcast_suspicion(self, key, *, cleared=False, closing=False):
+    def broadcast_suspicion(self, key, *, cleared=False, **more):
         """Record a suspicion, or the end of one."""
         (self.cleared if cleared else self.broadcasts).append(key)
 
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -8,6 +8,7 @@
 import structlog
 
 from mallowpond.coordination.ports import Clock
+from mallowpond.node.common_silences import CommonSilences, SilentGroup
 from mallowpond.node.directory import Directory
 from mallowpond.node.messages import GroupBroken, SilenceQuestion, Suspicion
 from mallowpond.node.metrics import NodeMetrics
@@ -46,6 +47,9 @@
 UNREACHABLE_SECONDS = 1.0
 
 
+# Time for which a silence that nearly all groups share moves no stream, in seconds.
+# After it a stream has little to lose by a second send to any group.
+MAX_COMMON_SECONDS = 1.5
 # Time within which bytes of any target show that open connections live on, in seconds.
 LIVE_SECONDS = 0.15
 
@@ -82,6 +86,9 @@
         self._interval = MIN_CHECK_INTERVAL_SECONDS
         self._silence_counts_from = clock.now()
         self._queries: dict[GroupKey, PeerQuery] = {}
+        self._common = CommonSilences(directory=directory, metrics=metrics)
+        # When the groups that are excluded on a suspicion were suspected.
+        self._suspected: dict[GroupKey, float] = {}
         # Groups that only this host did not reach, and until when it excludes them.
         self._unreached: dict[GroupKey, float] = {}
         self._confirmations: set[asyncio.Task[None]] = set()
@@ -119,9 +126,22 @@
                 by_group[stream.key].append(stream)
         # An earlier query does not apply to streams that were sent since.
         self._queries = {k: q for k, q in self._queries.items() if k in by_group}
+        self._readmit_advancing(now)
+        silences = {
+            key: self._measure_silence(key, streams, now)
+            for key, streams in by_group.items()
+        }
+        if self._update_common(by_group, silences, now):
+            # Groups that are still silent are judged from now on.
+            self._silence_counts_from = now
+            self._queries.clear()
+            return
         for key, streams in by_group.items():
+            silence = silences[key]
+            if self._common.is_common(streams[0].work.service):
+                self._evaluate_common(key, streams, silence)
+                continue
             self._record_late(key, streams, now)
-            silence = self._measure_silence(key, streams, now)
             if self._is_excluded(key):
                 self._move_from_slow(streams)
             else:
@@ -130,6 +150,38 @@
         self._interval = max(self._interval, MIN_CHECK_INTERVAL_SECONDS)
         self._due_at = now + self._interval
 
+    def _update_common(
+        self,
+        by_group: dict[GroupKey, list[ActiveStream]],
+        silences: dict[GroupKey, GroupSilence],
+        now: float,
+    ) -> bool:
+        """Find silences that nearly all groups share; return whether one has ended."""
+        watched = [
+            SilentGroup(
+                group=streams[0].group,
+                service=streams[0].work.service,
+                silence=silences[key],
+            )
+            for key, streams in by_group.items()
+        ]
+        has_ended = self._common.update(watched, now)
+        for service in {group.service for group in watched}:
+            if self._common.is_common(service):
+                self._streams.ignore_silence(service, now)
+        return has_ended
+
+    def _readmit_advancing(self, now: float) -> None:
+        """Use suspected groups again that have sent an event since."""
+        for key, suspected_at in list(self._suspected.items()):
+            work = self._directory.loads.work(key)
+            if work.excluded_until <= now:
+                del self._suspected[key]
+            elif work.last_event_at > suspected_at:
+                log.info("groups: suspicion ended by event", group=key[0])
+                self.clear(key)
+                self._peers.broadcast_suspicion(key, cleared=True)
+
     def _record_late(
         self, key: GroupKey, streams: list[ActiveStream], now: float
     ) -> None:
@@ -160,6 +212,26 @@
                 del self._queries[key]
                 self._leave_unreachable(key, streams, silence)
 
+    def _evaluate_common(
+        self, key: GroupKey, streams: list[ActiveStream], silence: GroupSilence
+    ) -> None:
+        """Judge a group that is silent as nearly all others are.
+
+        That says nothing against it. It is left if it advances for other hosts, and
+        after a long silence any group may serve its streams.
+        """
+        now, service = self._clock.now(), streams[0].work.service
+        query = self._queries.get(key)
+        match classify_silence(silence, query, now):
+            case SilenceVerdict.ASK:
+                self._queries[key] = PeerQuery(asked_at=now)
+                self._peers.ask_group_progress(key, silence.silent_seconds)
+            case SilenceVerdict.LEAVE:
+                del self._queries[key]
+                self._leave_unreachable(key, streams, silence)
+        if self._common.seconds(service, now) > MAX_COMMON_SECONDS:
+            self._move(streams)
+
     def _on_silence_question(self, question: SilenceQuestion) -> bool:
         """Return whether this host saw progress of a group that is silent at a peer."""
         key = (question.group, question.epoch)
@@ -219,7 +291,7 @@
         service = streams[0].work.service
         links = self._links
         if links is None or links.heard_within(service, silence.silent_seconds):
-            self._peers.broadcast_suspicion(key)
+            self._broadcast_suspicion(key, service)
             return
         # All targets are as silent as this one, so the links may be at fault.
         task = asyncio.ensure_future(self._confirm_suspicion(key, service, links))
@@ -241,13 +313,18 @@
     ) -> None:
         """Report a suspicion to the peers if this host reaches targets itself."""
         if await links.confirm(service):
-            self._peers.broadcast_suspicion(key)
+            self._broadcast_suspicion(key, service)
         elif links.is_lost(service):
             # Peers reach the group for this host.
             self.clear(key)
         else:
             self._exclude_unreached(key)
 
+    def _broadcast_suspicion(self, key: GroupKey, service: str) -> None:
+        self._peers.broadcast_suspicion(
+            key, others_advance=self._common.has_advancing(service)
+        )
+
     def _is_isolated(self, service: str) -> bool:
         """Return whether this host has lost its links to the targets of a service."""
         return self._links is not None and self._links.is_lost(service)
@@ -337,6 +414,7 @@
         # would get new streams.
         work = self._directory.loads.work(key)
         work.suspicions += 1
+        self._suspected[key] = self._clock.now()
         self._directory.exclude_group(key, self._clock.now() + self._stall_seconds)
         for notify in self.on_suspect:
             notify(key)
@@ -351,8 +429,11 @@
             self.exclude_closing(key)
             return
         streams = self._streams_on(key)
-        if self._is_making_progress(key, streams):
-            log.info("groups: peer suspicion ignored", group=key[0])
+        is_common = any(self._common.is_common(s.work.service) for s in streams)
+        if self._is_making_progress(key, streams) or (
+            is_common and not suspicion.others_advance
+        ):
+            log.info("groups: peer suspicion ignored", group=key[0], common=is_common)
             return
         self._metrics.suspicions.labels("peer").inc()
         self._exclude_suspected(key)
@@ -413,5 +494,7 @@
         self._directory.exclude_group(key, self._clock.now() + seconds)
 
     def clear(self, key: GroupKey) -> None:
-        """Clear the suspicion of a group whose members were all found alive."""
-        self._directory.readmit_group(key)
+        """End the suspicion of a group that was found alive."""
+        self._suspected.pop(key, None)
+        if self._directory.loads.work(key).closing_until <= self._clock.now():
+            self._directory.readmit_group(key)
--- a/mallowpond/state/silence.py
+++ b/mallowpond/state/silence.py
@@ -99,7 +99,7 @@
     host's streams off it. SUSPECT: treat it as dead.
     """
     limit = silence_limit(silence)
-    if silence.silent_seconds <= ASK_SHARE * limit:
+    if not is_due(silence):
         return SilenceVerdict.SOUND
     if query is None:
         return SilenceVerdict.ASK
@@ -116,6 +116,11 @@
     return SilenceVerdict.SUSPECT
 
 
+def is_due(silence: GroupSilence) -> bool:
+    """Return whether a group should have sent an event by now."""
+    return silence.silent_seconds > ASK_SHARE * silence_limit(silence)
+
+
 def seconds_until_due(silence: GroupSilence) -> float:
     """Return the seconds until a group without further events is no longer SOUND."""
     return ASK_SHARE * silence_limit(silence) - silence.silent_seconds
