Send a stream on when its own connection is silent in a group that advances

Callers saw a stream hang until its time limit when its open connection had fallen silent for good while new ones worked: the group's silence was judged over all streams, so the events of streams that came later spoke for it. A running stream gets an event with each pass, so one without any for four times the group's limit gets a second send beside the first. One whose caller does not read is left out.

--- a/mallowpond/node/tests/test_silent_groups.py
+++ b/mallowpond/node/tests/test_silent_groups.py
@@ -261,3 +261,31 @@
     advance_time(rig, watch, 0.02)
     assert len(rig.directory.serving_groups("engines", "m")) == 2
     assert peers.cleared == [("a", 1)]
+
+
+async def test_a_stream_leaves_a_connection_that_is_silent_in_an_advancing_group():
+    """Guards against streams that hang as new ones show that their group lives."""
+    rig = await make_rig("a", "b")
+    peers, watch = make_watch(rig)
+    silent = SilentStream(rig)
+    stream = await silent.start()
+    rig.targets.script("b0", answer(2))
+    for _ in range(30):
+        rig.directory.loads.work(("a", 1)).last_event_at = rig.clock.time
+        advance_time(rig, watch, 0.02)
+    assert stream.move_reason is Reason.SILENT_GROUP
+    assert await silent.task == Answered(status=200, target="b0")
+    assert peers.broadcasts == []
+
+
+async def test_a_stream_whose_caller_does_not_read_is_not_taken_for_silent():
+    rig = await make_rig("a", "b")
+    _, watch = make_watch(rig)
+    silent = SilentStream(rig)
+    stream = await silent.start()
+    stream.is_forwarding = True
+    for _ in range(30):
+        rig.directory.loads.work(("a", 1)).last_event_at = rig.clock.time
+        advance_time(rig, watch, 0.02)
+    assert stream.move_reason is None
+    await cancel(silent.task)
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -20,12 +20,14 @@
 from mallowpond.state.fleet import BreakCause, Group, GroupKey
 from mallowpond.state.placement import pass_seconds, silent_seconds
 from mallowpond.state.silence import (
+    OWN_SILENCE_FACTOR,
     GroupSilence,
     PeerQuery,
     SilenceVerdict,
     classify_silence,
     has_advanced,
     seconds_until_due,
+    silence_limit,
 )
 
 log = structlog.get_logger()
@@ -199,6 +201,7 @@
             case SilenceVerdict.SOUND:
                 self._queries.pop(key, None)
                 self._move_from_slow(streams)
+                self._move_from_silent_connections(streams, silence)
             case SilenceVerdict.ASK:
                 self._queries[key] = PeerQuery(asked_at=now)
                 self._peers.ask_group_progress(key, silence.silent_seconds)
@@ -406,6 +409,30 @@
                 )
                 stream.move(Reason.SLOW_TARGET)
 
+    def _move_from_silent_connections(
+        self, streams: list[ActiveStream], silence: GroupSilence
+    ) -> None:
+        """Move streams that get no events although their group advances here.
+
+        Each pass has an event for every running stream, so their connection is dead,
+        or the target has set them aside.
+        """
+        now = self._clock.now()
+        limit = OWN_SILENCE_FACTOR * silence_limit(silence)
+        for stream in streams:
+            if stream.last_event_at is None or stream.is_forwarding:
+                continue
+            silent_since = max(stream.last_event_at, self._silence_counts_from)
+            if now - silent_since > limit and self._streams.can_move(stream):
+                log.info(
+                    "groups: connection silent",
+                    request=stream.work.request.id,
+                    group=stream.group.name,
+                    silent=round(now - silent_since, 3),
+                    limit=round(limit, 3),
+                )
+                stream.move(Reason.SILENT_GROUP)
+
     def _is_excluded(self, key: GroupKey) -> bool:
         return self._directory.loads.work(key).excluded_until > self._clock.now()
 
