Judge the groups of one check in one place, and release a slot that came too late

A check that found the end of a common silence left its interval unset, and a slot that was granted just after a doubt had ended stayed counted.

--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -288,6 +288,7 @@
         (stream,) = work.in_progress
         reason, placing = stream.move_reason, work.placing
         if reason is None:
+            self._release_unused(work)
             return
         if placing is None:
             if stream.is_move_due:
@@ -306,6 +307,13 @@
             self.placement.release_grant()
             self._pause_move(stream)
 
+    def _release_unused(self, work: StreamWork) -> None:
+        """Release a slot that was granted after the doubt had ended."""
+        if work.placing is not None and work.placing.done():
+            if isinstance(work.placing.result(), Group):
+                self.placement.release_grant()
+            work.placing = None
+
     def _start_placing(self, stream: ActiveStream) -> None:
         work = stream.work
         if stream.move_reason is Reason.RESTARTED:
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -137,18 +137,9 @@
             # Groups that are still silent are judged from now on.
             self._silence_counts_from = now
             self._queries.clear()
-            return
-        for key, streams in by_group.items():
-            silence = silences[key]
-            if self._common.is_common(streams[0].work.service):
-                self._evaluate_common(key, streams, silence)
-                continue
-            self._record_late(key, streams, now)
-            if self._is_excluded(key):
-                self._move_from_slow(streams)
-            else:
-                self._evaluate(key, streams, silence)
-                self._interval = min(self._interval, seconds_until_due(silence))
+        else:
+            for key, streams in by_group.items():
+                self._evaluate(key, streams, silences[key])
         self._interval = max(self._interval, MIN_CHECK_INTERVAL_SECONDS)
         self._due_at = now + self._interval
 
@@ -196,6 +187,21 @@
     def _evaluate(
         self, key: GroupKey, streams: list[ActiveStream], silence: GroupSilence
     ) -> None:
+        """Judge one group by its silence and its pace."""
+        if self._common.is_common(streams[0].work.service):
+            self._evaluate_common(key, streams, silence)
+            return
+        self._record_late(key, streams, self._clock.now())
+        if self._is_excluded(key):
+            self._move_from_slow(streams)
+        else:
+            self._evaluate_alone(key, streams, silence)
+            self._interval = min(self._interval, seconds_until_due(silence))
+
+    def _evaluate_alone(
+        self, key: GroupKey, streams: list[ActiveStream], silence: GroupSilence
+    ) -> None:
+        """Judge a group that others do not share the silence of."""
         now = self._clock.now()
         match classify_silence(silence, self._queries.get(key), now):
             case SilenceVerdict.SOUND:
