Dissolve a group that is suspected again and again only if that lasts

A group is now formed anew after suspicions that went on for 2 s without a second's pause. A group whose members answer but no longer reach one another is left by its streams as before; only its re-forming comes that much later.

test_a_group_that_only_pauses_is_not_dissolved failed before, with leave orders for both members, in both cases.

--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -45,6 +45,7 @@
 from mallowpond.node.target_links import TargetLinks
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.watch import GroupWatch
+from mallowpond.state.cleared_suspicions import ClearedSuspicions
 from mallowpond.state.consolidation import Consolidation
 from mallowpond.state.fleet import (
     EngineProfile,
@@ -107,10 +108,6 @@
 LEASE_CHECK_SECONDS = 0.3
 # Number of epochs reserved for the groups of one fencing number.
 EPOCHS_PER_FENCE = 1_000_000
-# A group is formed again after this many suspicions that were cleared by probes, within
-# this time in seconds: its members answer but cannot reach one another.
-CLEARED_SUSPICIONS = 4
-CLEARED_SECONDS = 2.0
 
 
 class GroupPlanner:
@@ -201,7 +198,7 @@
         self._leaving_since: dict[Process, float] = {}
         self._formations: dict[GroupKey, Formation] = {}
         self._first_seen: dict[GroupKey, float] = {}
-        self._cleared_at: dict[GroupKey, list[float]] = {}
+        self._cleared: dict[GroupKey, ClearedSuspicions] = {}
         self._loads_begun: list[float] = []
         self._last_pending_probe_at = float("-inf")
         self._last_plan_at = float("-inf")
@@ -461,8 +458,8 @@
             seen={key: frozenset(seen) for key, seen in self._seen_processes.items()},
             repeatedly_suspected=frozenset(
                 key
-                for key, times in self._cleared_at.items()
-                if sum(now - at < CLEARED_SECONDS for at in times) >= CLEARED_SUSPICIONS
+                for key, cleared in self._cleared.items()
+                if cleared.is_repeated(now)
             ),
             closed=frozenset(self._closed),
             leaving_since={p.id: at for p, at in self._leaving_since.items()},
@@ -544,7 +541,7 @@
             for target in targets.values()
             if target.draining or self._probes.is_leaving(target)
         }
-        for known in (self._first_seen, self._cleared_at):
+        for known in (self._first_seen, self._cleared):
             for key in [k for k in known if k not in groups]:
                 del known[key]
         self._formations = {
@@ -784,12 +781,9 @@
         # A listed member reported that it is not in this formation.
         if group.key in self._processes.disclaimed:
             return
-        self._cleared_at.setdefault(group.key, []).append(self._clock.now())
-        log.info(
-            "planner: suspicion cleared",
-            group=group.name,
-            times=len(self._cleared_at[group.key]),
-        )
+        cleared = self._cleared.setdefault(group.key, ClearedSuspicions())
+        cleared.record(self._clock.now())
+        log.info("planner: suspicion cleared", group=group.name, times=cleared.count)
         self._watch.clear(group.key)
         self._peers.broadcast_suspicion(group.key, cleared=True)
 
