Judge a common silence by what peers watch too

As soon as a group is due, a host asks up to eight peers for the silences of the groups that they watch, and judges by the shortest silence of each group. A group's silence counts from its last event, not from a send after it. While the silence lasts, its share is taken over the silence since its beginning. Nearly all groups are now 0.85 of them.

Both new tests fail without the change.

--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -113,7 +113,7 @@
 
     With `cleared` the suspicion is over: the group sent an event, or all members
     answered probes. With `closing` the planner is closing the group; streams that run
-    there may finish. With `others_advance` the sender sees other groups make progress.
+    there may finish. The sender had seen no event of the group for `silent` seconds.
     """
 
     node: Name
@@ -121,7 +121,7 @@
     epoch: int
     cleared: bool = False
     closing: bool = False
-    others_advance: bool = False
+    silent: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -155,6 +155,30 @@
     epoch: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class SilencesQuestion:
+    """Ask a peer for the silences of the groups that it watches."""
+
+    node: Name
+
+
+@dataclass(frozen=True, kw_only=True)
+class WatchedSilence:
+    """The time since a host's last event of a group, in seconds."""
+
+    group: Name
+    epoch: int
+    silent: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class SilencesAnswer:
+    """Answer a `SilencesQuestion`; groups that are not due to send are left out."""
+
+    node: Name
+    silences: tuple[WatchedSilence, ...]
+
+
 @dataclass(frozen=True, kw_only=True)
 class GroupBroken:
     """Report that one formation (epoch) of a group no longer serves.
@@ -428,6 +452,8 @@
     | Vouch
     | SilenceQuestion
     | Advance
+    | SilencesQuestion
+    | SilencesAnswer
     | Digest
     | ListChange
     | Work
@@ -453,6 +479,7 @@
 OMITTED_DEFAULTS: dict[type, int] = {
     PlaceQuestion: 5,
     PlaceAnswer: 1,
+    Suspicion: 1,
     # The evacuated data centres, while no evacuation was ever seen, and lost links.
     Heartbeat: 2,
     Digest: 1,
--- a/mallowpond/node/peers.py
+++ b/mallowpond/node/peers.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import random
 import zlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
@@ -42,10 +43,13 @@
     PlaceQuestion,
     RateLimitNews,
     SilenceQuestion,
+    SilencesAnswer,
+    SilencesQuestion,
     Suspicion,
     VersionAnswer,
     VersionQuestion,
     Vouch,
+    WatchedSilence,
     Work,
     read_message,
     write_message,
@@ -62,6 +66,11 @@
 
 log = structlog.get_logger()
 
+# Number of peers that are asked for the silences that they see: a few of them watch
+# most groups. Number of groups in one answer, which must fit in a datagram.
+MAX_ASKED_SILENCES = 8
+MAX_TOLD_SILENCES = 40
+
 # A fleet counts as large if a node would send more heartbeats per second than this to
 # reach every peer at the usual interval. In a large fleet a node sends at the rates
 # below, so that its traffic does not grow with the fleet.
@@ -180,6 +189,9 @@
         self.on_silence_question: list[Callable[[SilenceQuestion], bool]] = []
         # A peer sees this group make progress: the answer to `ask_group_progress`.
         self.on_advance: list[Callable[[GroupKey], None]] = []
+        # A peer asks for the silences of the groups that this node watches.
+        self.on_silences_question: list[Callable[[], tuple[WatchedSilence, ...]]] = []
+        self.on_silences_answer: list[Callable[[SilencesAnswer], None]] = []
         # A reader's summary: newest configuration version, last change of the target
         # list, load of all hosts by group.
         self.on_digest: list[Callable[[Digest], None]] = []
@@ -371,7 +383,7 @@
         *,
         cleared: bool = False,
         closing: bool = False,
-        others_advance: bool = False,
+        silent: float = 0.0,
     ) -> None:
         """Report to every peer that a group is suspected, cleared, or closing."""
         self.broadcast(
@@ -381,7 +393,7 @@
                 epoch=key[1],
                 cleared=cleared,
                 closing=closing,
-                others_advance=others_advance,
+                silent=silent,
             )
         )
 
@@ -410,6 +422,15 @@
             SilenceQuestion(node=self._name, group=key[0], epoch=key[1], silent=silent)
         )
 
+    def ask_silences(self) -> None:
+        """Ask a few peers for the silences of the groups that they watch.
+
+        Their answers call the `on_silences_answer` listeners.
+        """
+        names = [peer.heartbeat.node for peer in self.live]
+        asked = random.sample(names, min(MAX_ASKED_SILENCES, len(names)))
+        self.send_to(SilencesQuestion(node=self._name), asked)
+
     def ask_liveness(self, node: str, number: int, target: str) -> None:
         """Ask a peer to probe a target; `number` identifies the answer."""
         question = LivenessQuestion(node=self._name, number=number, target=target)
@@ -489,6 +510,13 @@
             case Advance(group=group, epoch=epoch):
                 for notify in self.on_advance:
                     notify((group, epoch))
+            case SilencesQuestion(node=asker):
+                for list_silences in self.on_silences_question:
+                    silences = list_silences()[:MAX_TOLD_SILENCES]
+                    answer = SilencesAnswer(node=self._name, silences=silences)
+                    self.send_to(answer, (asker,))
+            case SilencesAnswer():
+                _notify(self.on_silences_answer, message)
             case Digest():
                 _notify(self.on_digest, message)
             case ListChange():
--- a/mallowpond/node/tests/test_peers.py
+++ b/mallowpond/node/tests/test_peers.py
@@ -35,10 +35,13 @@
     PlaceVerdict,
     RateLimitNews,
     SilenceQuestion,
+    SilencesAnswer,
+    SilencesQuestion,
     Suspicion,
     VersionAnswer,
     VersionQuestion,
     Vouch,
+    WatchedSilence,
     Work,
     decode_loads,
     encode_loads,
@@ -290,6 +293,10 @@
     Vouch(node="b", targets=("t",)),
     SilenceQuestion(node="b", group="g", epoch=3, silent=0.5),
     Advance(node="b", group="g", epoch=3),
+    SilencesQuestion(node="b"),
+    SilencesAnswer(
+        node="b", silences=(WatchedSilence(group="g", epoch=3, silent=0.5),)
+    ),
     Digest(node="b", version=3, last_change=4, loads=encode_loads(LOADS)),
     ListChange(
         node="b",
--- a/mallowpond/node/tests/test_silent_groups.py
+++ b/mallowpond/node/tests/test_silent_groups.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mallowpond.node.messages import SilencesAnswer, Suspicion, WatchedSilence
 from mallowpond.node.outcomes import Answered, CutOff, Reason
 from mallowpond.node.tests.fakes import (
     BROKEN,
@@ -289,3 +290,45 @@
         advance_time(rig, watch, 0.02)
     assert stream.move_reason is None
     await cancel(silent.task)
+
+
+async def test_a_host_with_few_streams_asks_others_for_the_silences_they_see():
+    """Guards against hosts that judge the whole fleet by the few groups they use."""
+    rig = await make_rig("a", "b", "c", "d")
+    peers, watch = make_watch(rig)
+    tasks, _ = await start_streams(rig, "a")
+    (on_answer,) = peers.on_silences_answer
+
+    def tell(seconds):
+        silences = [WatchedSilence(group=g, epoch=1, silent=seconds) for g in "bcd"]
+        on_answer(SilencesAnswer(node="n", silences=tuple(silences)))
+
+    for number in range(20):
+        tell(0.02 * number)
+        advance_time(rig, watch, 0.02)
+    assert peers.broadcasts == []
+    for _ in range(20):
+        tell(0.0)
+        advance_time(rig, watch, 0.02)
+    assert peers.broadcasts == [("a", 1)]
+    for task in tasks:
+        await cancel(task)
+
+
+async def test_a_suspicion_that_includes_a_common_silence_is_ignored():
+    """Guards against one late host whose suspicion all others adopt."""
+    rig = await make_rig("a", "b", "c")
+    peers, watch = make_watch(rig)
+    tasks, _ = await start_streams(rig, "abc")
+    advance_time(rig, watch, 0.6)
+    for group in "bc":
+        rig.directory.loads.work((group, 1)).last_event_at = rig.clock.time
+    advance_time(rig, watch, 0.02)
+    (on_suspicion,) = peers.on_suspicion
+    on_suspicion(Suspicion(node="n", group="a", epoch=1, silent=0.5))
+    assert len(rig.directory.serving_groups("engines", "m")) == 3
+    advance_time(rig, watch, 0.06)
+    on_suspicion(Suspicion(node="n", group="a", epoch=1, silent=0.05))
+    assert len(rig.directory.serving_groups("engines", "m")) == 2
+    for task in tasks:
+        await cancel(task)
--- a/mallowpond/node/tests/test_watch.py
+++ b/mallowpond/node/tests/test_watch.py
@@ -36,6 +36,11 @@
         self.on_silence_question = []
         self.on_advance = []
         self.on_group_broken = []
+        self.on_silences_question = []
+        self.on_silences_answer = []
+
+    def ask_silences(self):
+        """Ask nobody, as there is no peer."""
 
     def ask_group_progress(self, key, silent):
         """Record a query."""
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -88,7 +88,9 @@
         self._interval = MIN_CHECK_INTERVAL_SECONDS
         self._silence_counts_from = clock.now()
         self._queries: dict[GroupKey, PeerQuery] = {}
-        self._common = CommonSilences(directory=directory, metrics=metrics)
+        self._common = CommonSilences(
+            directory=directory, peers=peers, clock=clock, metrics=metrics
+        )
         # When the groups that are excluded on a suspicion were suspected.
         self._suspected: dict[GroupKey, float] = {}
         # Groups that only this host did not reach, and until when it excludes them.
@@ -133,7 +135,7 @@
             key: self._measure_silence(key, streams, now)
             for key, streams in by_group.items()
         }
-        if self._update_common(by_group, silences, now):
+        if self._update_common(by_group, silences):
             # Groups that are still silent are judged from now on.
             self._silence_counts_from = now
             self._queries.clear()
@@ -147,18 +149,21 @@
         self,
         by_group: dict[GroupKey, list[ActiveStream]],
         silences: dict[GroupKey, GroupSilence],
-        now: float,
     ) -> bool:
         """Find silences that nearly all groups share; return whether one has ended."""
-        watched = [
-            SilentGroup(
+        now, loads = self._clock.now(), self._directory.loads
+        watched = []
+        for key, streams in by_group.items():
+            last_event_at = loads.work(key).last_event_at
+            since = max(last_event_at, self._silence_counts_from)
+            group = SilentGroup(
                 group=streams[0].group,
                 service=streams[0].work.service,
                 silence=silences[key],
+                heard_seconds=now - since if last_event_at else None,
             )
-            for key, streams in by_group.items()
-        ]
-        has_ended = self._common.update(watched, now)
+            watched.append(group)
+        has_ended = self._common.update(watched)
         for service in {group.service for group in watched}:
             if self._common.is_common(service):
                 self._streams.ignore_silence(service, now)
@@ -238,7 +243,7 @@
             case SilenceVerdict.LEAVE:
                 del self._queries[key]
                 self._leave_unreachable(key, streams, silence)
-        if self._common.seconds(service, now) > MAX_COMMON_SECONDS:
+        if self._common.seconds(service) > MAX_COMMON_SECONDS:
             self._move(streams)
 
     def _on_silence_question(self, question: SilenceQuestion) -> bool:
@@ -284,7 +289,8 @@
         self, key: GroupKey, streams: list[ActiveStream], silence: GroupSilence
     ) -> None:
         self._metrics.suspicions.labels("own").inc()
-        watched = {stream.key for stream in self._streams.active}
+        service = streams[0].work.service
+        summary = self._common.summary(service)
         log.info(
             "groups: suspected",
             group=key[0],
@@ -292,48 +298,36 @@
             predicted=round(silence.predicted_gap, 3),
             allowed=silence.allowed_gap,
             streams=len(streams),
-            watched=len(watched),
-            silent_groups=self._count_silent(watched, silence.silent_seconds),
+            watched=summary.groups,
+            silent_groups=summary.silent,
         )
         self._exclude_suspected(key)
         self._move(streams)
-        service = streams[0].work.service
         links = self._links
         if links is None or links.heard_within(service, silence.silent_seconds):
-            self._broadcast_suspicion(key, service)
+            self._peers.broadcast_suspicion(key, silent=silence.silent_seconds)
             return
         # All targets are as silent as this one, so the links may be at fault.
-        task = asyncio.ensure_future(self._confirm_suspicion(key, service, links))
+        since = self._clock.now() - silence.silent_seconds
+        task = asyncio.ensure_future(
+            self._confirm_suspicion(key, service, links, since)
+        )
         self._confirmations.add(task)
         task.add_done_callback(self._confirmations.discard)
 
-    def _count_silent(self, groups: set[GroupKey], seconds: float) -> int:
-        """Count the groups without a recent event here, given one group's silence."""
-        now, work = self._clock.now(), self._directory.loads.work
-        return sum(
-            not has_advanced(
-                own_silence=now - work(key).last_event_at, peer_silence=seconds
-            )
-            for key in groups
-        )
-
     async def _confirm_suspicion(
-        self, key: GroupKey, service: str, links: TargetLinks
+        self, key: GroupKey, service: str, links: TargetLinks, silent_since: float
     ) -> None:
         """Report a suspicion to the peers if this host reaches targets itself."""
         if await links.confirm(service):
-            self._broadcast_suspicion(key, service)
+            silent = self._clock.now() - silent_since
+            self._peers.broadcast_suspicion(key, silent=silent)
         elif links.is_lost(service):
             # Peers reach the group for this host.
             self.clear(key)
         else:
             self._exclude_unreached(key)
 
-    def _broadcast_suspicion(self, key: GroupKey, service: str) -> None:
-        self._peers.broadcast_suspicion(
-            key, others_advance=self._common.has_advancing(service)
-        )
-
     def _is_isolated(self, service: str) -> bool:
         """Return whether this host has lost its links to the targets of a service."""
         return self._links is not None and self._links.is_lost(service)
@@ -463,10 +457,17 @@
             return
         streams = self._streams_on(key)
         is_common = any(self._common.is_common(s.work.service) for s in streams)
-        if self._is_making_progress(key, streams) or (
-            is_common and not suspicion.others_advance
-        ):
-            log.info("groups: peer suspicion ignored", group=key[0], common=is_common)
+        began_at = self._clock.now() - suspicion.silent
+        # A silence that began in a common one, or while this process stood still, is no
+        # evidence.
+        is_old = suspicion.silent > 0.0 and began_at < self._silence_counts_from
+        if is_common or is_old or self._is_making_progress(key, streams):
+            log.info(
+                "groups: peer suspicion ignored",
+                group=key[0],
+                common=is_common,
+                silent=round(suspicion.silent, 3),
+            )
             return
         self._metrics.suspicions.labels("peer").inc()
         self._exclude_suspected(key)
--- a/mallowpond/state/common_silence.py
+++ b/mallowpond/state/common_silence.py
@@ -17,7 +17,7 @@
 MIN_DOMAINS = 2
 # Share of the watched groups that must be silent: more than die together when half of
 # the domains fail, or two of three.
-COMMON_SHARE = 0.8
+COMMON_SHARE = 0.85
 
 
 @dataclass(frozen=True, kw_only=True)
