--- a/mallowpond/node/tests/test_silent_groups.py
+++ b/mallowpond/node/tests/test_silent_groups.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mallowpond.node.messages import SilencesAnswer, Suspicion, WatchedSilence
 from mallowpond.node.outcomes import Answered, CutOff, Reason
 from mallowpond.node.tests.fakes import (
     BROKEN,
@@ -200,8 +201,10 @@
         for work in others:
             work.running += 10
         wakes.append(asyncio.get_running_loop().create_future())
-        script = [event(1), wakes[-1], event(2), End()]
-        rig.targets.script(f"{name}0", FakeResponse(script=script))
+        first = FakeResponse(script=[event(1), wakes[-1], event(2), End()])
+        never = asyncio.get_running_loop().create_future()
+        silent = [FakeResponse(script=[never]) for _ in groups]
+        rig.targets.script(f"{name}0", first, *silent)
         exchange = FakeExchange()
         tasks.append(asyncio.create_task(rig.service.serve(rig.work(exchange))))
         while not exchange.body:
@@ -259,3 +262,73 @@
     advance_time(rig, watch, 0.02)
     assert len(rig.directory.serving_groups("engines", "m")) == 2
     assert peers.cleared == [("a", 1)]
+
+
+async def test_a_stream_leaves_a_connection_that_is_silent_in_an_advancing_group():
+    """Guards against streams that hang as new ones show that their group lives."""
+    rig = await make_rig("a", "b")
+    peers, watch = make_watch(rig)
+    silent = SilentStream(rig)
+    stream = await silent.start()
+    rig.targets.script("b0", answer(2))
+    for _ in range(30):
+        rig.directory.loads.work(("a", 1)).last_event_at = rig.clock.time
+        advance_time(rig, watch, 0.02)
+    assert stream.move_reason is Reason.SILENT_GROUP
+    assert await silent.task == Answered(status=200, target="b0")
+    assert peers.broadcasts == []
+
+
+async def test_a_stream_whose_caller_does_not_read_is_not_taken_for_silent():
+    rig = await make_rig("a", "b")
+    _, watch = make_watch(rig)
+    silent = SilentStream(rig)
+    stream = await silent.start()
+    stream.is_forwarding = True
+    for _ in range(30):
+        rig.directory.loads.work(("a", 1)).last_event_at = rig.clock.time
+        advance_time(rig, watch, 0.02)
+    assert stream.move_reason is None
+    await cancel(silent.task)
+
+
+async def test_a_host_with_few_streams_asks_others_for_the_silences_they_see():
+    """Guards against hosts that judge the whole fleet by the few groups they use."""
+    rig = await make_rig("a", "b", "c", "d")
+    peers, watch = make_watch(rig)
+    tasks, _ = await start_streams(rig, "a")
+    (on_answer,) = peers.on_silences_answer
+
+    def tell(seconds):
+        silences = [WatchedSilence(group=g, epoch=1, silent=seconds) for g in "bcd"]
+        on_answer(SilencesAnswer(node="n", silences=tuple(silences)))
+
+    for number in range(20):
+        tell(0.02 * number)
+        advance_time(rig, watch, 0.02)
+    assert peers.broadcasts == []
+    for _ in range(20):
+        tell(0.0)
+        advance_time(rig, watch, 0.02)
+    assert peers.broadcasts == [("a", 1)]
+    for task in tasks:
+        await cancel(task)
+
+
+async def test_a_suspicion_that_includes_a_common_silence_is_ignored():
+    """Guards against one late host whose suspicion all others adopt."""
+    rig = await make_rig("a", "b", "c")
+    peers, watch = make_watch(rig)
+    tasks, _ = await start_streams(rig, "abc")
+    advance_time(rig, watch, 0.6)
+    for group in "bc":
+        rig.directory.loads.work((group, 1)).last_event_at = rig.clock.time
+    advance_time(rig, watch, 0.02)
+    (on_suspicion,) = peers.on_suspicion
+    on_suspicion(Suspicion(node="n", group="a", epoch=1, silent=0.5))
+    assert len(rig.directory.serving_groups("engines", "m")) == 3
+    advance_time(rig, watch, 0.06)
+    on_suspicion(Suspicion(node="n", group="a", epoch=1, silent=0.05))
+    assert len(rig.directory.serving_groups("engines", "m")) == 2
+    for task in tasks:
+        await cancel(task)
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -8,6 +8,7 @@
 import structlog
 
 from mallowpond.coordination.ports import Clock
+from mallowpond.node.common_silences import CommonSilences, SilentGroup
 from mallowpond.node.directory import Directory
 from mallowpond.node.messages import GroupBroken, SilenceQuestion, Suspicion
 from mallowpond.node.metrics import NodeMetrics
@@ -19,12 +20,14 @@
 from mallowpond.state.fleet import BreakCause, Group, GroupKey
 from mallowpond.state.placement import pass_seconds, silent_seconds
 from mallowpond.state.silence import (
+    OWN_SILENCE_FACTOR,
     GroupSilence,
     PeerQuery,
     SilenceVerdict,
     classify_silence,
     has_advanced,
     seconds_until_due,
+    silence_limit,
 )
 
 log = structlog.get_logger()
@@ -46,6 +49,9 @@
 UNREACHABLE_SECONDS = 1.0
 
 
+# Time for which a silence that nearly all groups share moves no stream, in seconds.
+# After it a stream has little to lose by a second send to any group.
+MAX_COMMON_SECONDS = 1.5
 # Time within which bytes of any target show that open connections live on, in seconds.
 LIVE_SECONDS = 0.15
 
@@ -82,6 +88,11 @@
         self._interval = MIN_CHECK_INTERVAL_SECONDS
         self._silence_counts_from = clock.now()
         self._queries: dict[GroupKey, PeerQuery] = {}
+        self._common = CommonSilences(
+            directory=directory, peers=peers, clock=clock, metrics=metrics
+        )
+        # When the groups that are excluded on a suspicion were suspected.
+        self._suspected: dict[GroupKey, float] = {}
         # Groups that only this host did not reach, and until when it excludes them.
         self._unreached: dict[GroupKey, float] = {}
         self._confirmations: set[asyncio.Task[None]] = set()
@@ -119,17 +130,56 @@
                 by_group[stream.key].append(stream)
         # An earlier query does not apply to streams that were sent since.
         self._queries = {k: q for k, q in self._queries.items() if k in by_group}
-        for key, streams in by_group.items():
-            self._record_late(key, streams, now)
-            silence = self._measure_silence(key, streams, now)
-            if self._is_excluded(key):
-                self._move_from_slow(streams)
-            else:
-                self._evaluate(key, streams, silence)
-                self._interval = min(self._interval, seconds_until_due(silence))
+        self._readmit_advancing(now)
+        silences = {
+            key: self._measure_silence(key, streams, now)
+            for key, streams in by_group.items()
+        }
+        if self._update_common(by_group, silences):
+            # Groups that are still silent are judged from now on.
+            self._silence_counts_from = now
+            self._queries.clear()
+        else:
+            for key, streams in by_group.items():
+                self._evaluate(key, streams, silences[key])
         self._interval = max(self._interval, MIN_CHECK_INTERVAL_SECONDS)
         self._due_at = now + self._interval
 
+    def _update_common(
+        self,
+        by_group: dict[GroupKey, list[ActiveStream]],
+        silences: dict[GroupKey, GroupSilence],
+    ) -> bool:
+        """Find silences that nearly all groups share; return whether one has ended."""
+        now, loads = self._clock.now(), self._directory.loads
+        watched = []
+        for key, streams in by_group.items():
+            last_event_at = loads.work(key).last_event_at
+            since = max(last_event_at, self._silence_counts_from)
+            group = SilentGroup(
+                group=streams[0].group,
+                service=streams[0].work.service,
+                silence=silences[key],
+                heard_seconds=now - since if last_event_at else None,
+            )
+            watched.append(group)
+        has_ended = self._common.update(watched)
+        for service in {group.service for group in watched}:
+            if self._common.is_common(service):
+                self._streams.ignore_silence(service, now)
+        return has_ended
+
+    def _readmit_advancing(self, now: float) -> None:
+        """Use suspected groups again that have sent an event since."""
+        for key, suspected_at in list(self._suspected.items()):
+            work = self._directory.loads.work(key)
+            if work.excluded_until <= now:
+                del self._suspected[key]
+            elif work.last_event_at > suspected_at:
+                log.info("groups: suspicion ended by event", group=key[0])
+                self.clear(key)
+                self._peers.broadcast_suspicion(key, cleared=True)
+
     def _record_late(
         self, key: GroupKey, streams: list[ActiveStream], now: float
     ) -> None:
@@ -142,11 +192,27 @@
     def _evaluate(
         self, key: GroupKey, streams: list[ActiveStream], silence: GroupSilence
     ) -> None:
+        """Judge one group by its silence and its pace."""
+        if self._common.is_common(streams[0].work.service):
+            self._evaluate_common(key, streams, silence)
+            return
+        self._record_late(key, streams, self._clock.now())
+        if self._is_excluded(key):
+            self._move_from_slow(streams)
+        else:
+            self._evaluate_alone(key, streams, silence)
+            self._interval = min(self._interval, seconds_until_due(silence))
+
+    def _evaluate_alone(
+        self, key: GroupKey, streams: list[ActiveStream], silence: GroupSilence
+    ) -> None:
+        """Judge a group that others do not share the silence of."""
         now = self._clock.now()
         match classify_silence(silence, self._queries.get(key), now):
             case SilenceVerdict.SOUND:
                 self._queries.pop(key, None)
                 self._move_from_slow(streams)
+                self._move_from_silent_connections(streams, silence)
             case SilenceVerdict.ASK:
                 self._queries[key] = PeerQuery(asked_at=now)
                 self._peers.ask_group_progress(key, silence.silent_seconds)
@@ -160,6 +226,26 @@
                 del self._queries[key]
                 self._leave_unreachable(key, streams, silence)
 
+    def _evaluate_common(
+        self, key: GroupKey, streams: list[ActiveStream], silence: GroupSilence
+    ) -> None:
+        """Judge a group that is silent as nearly all others are.
+
+        That says nothing against it. It is left if it advances for other hosts, and
+        after a long silence any group may serve its streams.
+        """
+        now, service = self._clock.now(), streams[0].work.service
+        query = self._queries.get(key)
+        match classify_silence(silence, query, now):
+            case SilenceVerdict.ASK:
+                self._queries[key] = PeerQuery(asked_at=now)
+                self._peers.ask_group_progress(key, silence.silent_seconds)
+            case SilenceVerdict.LEAVE:
+                del self._queries[key]
+                self._leave_unreachable(key, streams, silence)
+        if self._common.seconds(service) > MAX_COMMON_SECONDS:
+            self._move(streams)
+
     def _on_silence_question(self, question: SilenceQuestion) -> bool:
         """Return whether this host saw progress of a group that is silent at a peer."""
         key = (question.group, question.epoch)
@@ -203,7 +289,8 @@
         self, key: GroupKey, streams: list[ActiveStream], silence: GroupSilence
     ) -> None:
         self._metrics.suspicions.labels("own").inc()
-        watched = {stream.key for stream in self._streams.active}
+        service = streams[0].work.service
+        summary = self._common.summary(service)
         log.info(
             "groups: suspected",
             group=key[0],
@@ -211,37 +298,30 @@
             predicted=round(silence.predicted_gap, 3),
             allowed=silence.allowed_gap,
             streams=len(streams),
-            watched=len(watched),
-            silent_groups=self._count_silent(watched, silence.silent_seconds),
+            watched=summary.groups,
+            silent_groups=summary.silent,
         )
         self._exclude_suspected(key)
         self._move(streams)
-        service = streams[0].work.service
         links = self._links
         if links is None or links.heard_within(service, silence.silent_seconds):
-            self._peers.broadcast_suspicion(key)
+            self._peers.broadcast_suspicion(key, silent=silence.silent_seconds)
             return
         # All targets are as silent as this one, so the links may be at fault.
-        task = asyncio.ensure_future(self._confirm_suspicion(key, service, links))
+        since = self._clock.now() - silence.silent_seconds
+        task = asyncio.ensure_future(
+            self._confirm_suspicion(key, service, links, since)
+        )
         self._confirmations.add(task)
         task.add_done_callback(self._confirmations.discard)
 
-    def _count_silent(self, groups: set[GroupKey], seconds: float) -> int:
-        """Count the groups without a recent event here, given one group's silence."""
-        now, work = self._clock.now(), self._directory.loads.work
-        return sum(
-            not has_advanced(
-                own_silence=now - work(key).last_event_at, peer_silence=seconds
-            )
-            for key in groups
-        )
-
     async def _confirm_suspicion(
-        self, key: GroupKey, service: str, links: TargetLinks
+        self, key: GroupKey, service: str, links: TargetLinks, silent_since: float
     ) -> None:
         """Report a suspicion to the peers if this host reaches targets itself."""
         if await links.confirm(service):
-            self._peers.broadcast_suspicion(key)
+            silent = self._clock.now() - silent_since
+            self._peers.broadcast_suspicion(key, silent=silent)
         elif links.is_lost(service):
             # Peers reach the group for this host.
             self.clear(key)
@@ -329,6 +409,30 @@
                 )
                 stream.move(Reason.SLOW_TARGET)
 
+    def _move_from_silent_connections(
+        self, streams: list[ActiveStream], silence: GroupSilence
+    ) -> None:
+        """Move streams that get no events although their group advances here.
+
+        Each pass has an event for every running stream, so their connection is dead,
+        or the target has set them aside.
+        """
+        now = self._clock.now()
+        limit = OWN_SILENCE_FACTOR * silence_limit(silence)
+        for stream in streams:
+            if stream.last_event_at is None or stream.is_forwarding:
+                continue
+            silent_since = max(stream.last_event_at, self._silence_counts_from)
+            if now - silent_since > limit and self._streams.can_move(stream):
+                log.info(
+                    "groups: connection silent",
+                    request=stream.work.request.id,
+                    group=stream.group.name,
+                    silent=round(now - silent_since, 3),
+                    limit=round(limit, 3),
+                )
+                stream.move(Reason.SILENT_GROUP)
+
     def _is_excluded(self, key: GroupKey) -> bool:
         return self._directory.loads.work(key).excluded_until > self._clock.now()
 
@@ -337,6 +441,7 @@
         # would get new streams.
         work = self._directory.loads.work(key)
         work.suspicions += 1
+        self._suspected[key] = self._clock.now()
         self._directory.exclude_group(key, self._clock.now() + self._stall_seconds)
         for notify in self.on_suspect:
             notify(key)
@@ -351,8 +456,18 @@
             self.exclude_closing(key)
             return
         streams = self._streams_on(key)
-        if self._is_making_progress(key, streams):
-            log.info("groups: peer suspicion ignored", group=key[0])
+        is_common = any(self._common.is_common(s.work.service) for s in streams)
+        began_at = self._clock.now() - suspicion.silent
+        # A silence that began in a common one, or while this process stood still, is no
+        # evidence.
+        is_old = suspicion.silent > 0.0 and began_at < self._silence_counts_from
+        if is_common or is_old or self._is_making_progress(key, streams):
+            log.info(
+                "groups: peer suspicion ignored",
+                group=key[0],
+                common=is_common,
+                silent=round(suspicion.silent, 3),
+            )
             return
         self._metrics.suspicions.labels("peer").inc()
         self._exclude_suspected(key)
@@ -413,5 +528,7 @@
         self._directory.exclude_group(key, self._clock.now() + seconds)
 
     def clear(self, key: GroupKey) -> None:
-        """Clear the suspicion of a group whose members were all found alive."""
-        self._directory.readmit_group(key)
+        """End the suspicion of a group that was found alive."""
+        self._suspected.pop(key, None)
+        if self._directory.loads.work(key).closing_until <= self._clock.now():
+            self._directory.readmit_group(key)
