Tell a silent target from one that refuses or closes

A timeout and a refused, closed or reset connection came back as the same failure with another text, so whoever wants to know whether a target may yet live had to compare texts. CallFailed and Unavailable now carry is_silent, which only a timeout sets. Nothing reads it yet.

--- a/mallowpond/coordination/ports.py
+++ b/mallowpond/coordination/ports.py
@@ -75,9 +75,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Unavailable:
-    """The call failed and certainly had no effect."""
+    """The call failed and certainly had no effect.
+
+    `is_silent`: no answer came in time, so the server may live and only be slow.
+    """
 
     reason: str
+    is_silent: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -154,8 +154,8 @@
             timeout=QUERY_TIMEOUT_SECONDS,
         )
         match answer:
-            case CallFailed(reason=reason):
-                return Unavailable(reason=reason)
+            case CallFailed(reason=reason, is_silent=is_silent):
+                return Unavailable(reason=reason, is_silent=is_silent)
             case (200, data):
                 return self._report(target, data)
             case (status, _):
@@ -190,8 +190,8 @@
             timeout=QUERY_TIMEOUT_SECONDS,
         )
         match answer:
-            case CallFailed(reason=reason):
-                return Unavailable(reason=reason)
+            case CallFailed(reason=reason, is_silent=is_silent):
+                return Unavailable(reason=reason, is_silent=is_silent)
             case BufferedResponse(status=421):
                 return Unavailable(reason="another engine has this address")
             case BufferedResponse(status=200):
--- a/mallowpond/platform/tests/test_engines.py
+++ b/mallowpond/platform/tests/test_engines.py
@@ -99,6 +99,40 @@
     assert await with_engine(answering(data), call) == result
 
 
+@pytest.mark.parametrize(
+    ("script", "is_silent"),
+    [
+        (scripted.stay_silent, True),
+        (scripted.close_after_request, False),
+        (scripted.answer_garbage, False),
+        (answering(b"HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n"), False),
+    ],
+)
+@pytest.mark.parametrize("query", ["report", "health"])
+async def test_only_a_timeout_of_a_query_is_silence(
+    script, is_silent, query, monkeypatch
+):
+    """Guards against an engine that closes connections and counts as slow."""
+    if is_silent:
+        monkeypatch.setattr(engines_module, "QUERY_TIMEOUT_SECONDS", 0.1)
+
+    async def call(engines, target):
+        if query == "report":
+            return await engines.report(target)
+        return await engines.is_healthy(target, "/health")
+
+    found = await with_engine(script, call)
+    assert isinstance(found, Unavailable)
+    assert found.is_silent == is_silent
+
+
+async def test_a_refused_connection_is_no_silence():
+    """Guards against a dead engine that counts as slow."""
+    found = await PlatformEngines(http=HttpClient()).report(target_at("127.0.0.1:1"))
+    assert isinstance(found, Unavailable)
+    assert not found.is_silent
+
+
 async def test_an_order_without_an_answer_may_have_been_taken():
     async def call(engines, target):
         return await engines.order(
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -51,10 +51,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class CallFailed:
-    """Describe a failed call: the phase it failed in and the reason."""
+    """Describe a failed call: the phase it failed in and the reason.
+
+    `is_silent` tells a timeout from a refused, closed or reset connection.
+    """
 
     phase: FailurePhase
     reason: str
+    is_silent: bool = False
 
     @property
     def may_have_sent(self) -> bool:
@@ -380,7 +384,9 @@
             self._discard_idle(address)
             # The phase is not known here. Bytes of the request may have left, unless
             # `timeout` is too short for connecting.
-            return CallFailed(phase=FailurePhase.BEFORE_HEAD, reason="timeout")
+            return CallFailed(
+                phase=FailurePhase.BEFORE_HEAD, reason="timeout", is_silent=True
+            )
         finally:
             if isinstance(response, HttpResponse):
                 response.close()
@@ -427,7 +433,11 @@
     async def _connect(self, address: str) -> _Connection | CallFailed:
         opened = await self._connector.connect(address)
         if isinstance(opened, ConnectFailed):
-            return CallFailed(phase=FailurePhase.CONNECT, reason=opened.reason)
+            return CallFailed(
+                phase=FailurePhase.CONNECT,
+                reason=opened.reason,
+                is_silent=not opened.is_refused,
+            )
         return _Connection(address=address, opened=opened)
 
 
