Show engines that the planner loses while they only pause

In virtual time, with three and twelve domains: pauses of all engines (0.4, 1.2, 3 s), of 0.6 of them in every domain, and of one after the other.

--- a/mallowpond/node/tests/engine_model.py
+++ b/mallowpond/node/tests/engine_model.py
@@ -49,6 +49,7 @@
 
     id: str
     born: int
+    domain: str = "d0"
     staged: tuple[str, ...] = ("m",)
     count: int = 0
     fence: int = 0
@@ -86,7 +87,7 @@
             address=f"{self.id}:1",
             data_centre="a",
             slots=4,
-            domain="d0",
+            domain=self.domain,
             draining=self.draining,
             model=self.model,
             staged=self.staged,
@@ -124,9 +125,9 @@
     ever_ready: dict = field(default_factory=lambda: defaultdict(set))
     _starts: int = 0
 
-    def add(self, name, staged=("m",)):
+    def add(self, name, staged=("m",), domain="d0"):
         """Start an engine for the first time."""
-        self.engines[name] = Engine(id=name, born=1000, staged=staged)
+        self.engines[name] = Engine(id=name, born=1000, domain=domain, staged=staged)
         self.publish(name)
 
     def restart(self, name):
@@ -135,7 +136,9 @@
         steps = -1 if self._starts % 2 else 1
         old = self.engines[name]
         born = 1000 + steps * self._starts
-        self.engines[name] = Engine(id=name, born=born, staged=old.staged)
+        self.engines[name] = Engine(
+            id=name, born=born, domain=old.domain, staged=old.staged
+        )
 
     def publish(self, name):
         """Publish the present state of an engine in the list."""
