Hold a silence that nearly all targets share against none of them

Callers saw streams that ended although their engines lived: when all or most engines paused for a second, the planner took those of the suspected groups for lost and ordered the other members elsewhere. It probed only what was suspected, so it could not know that all the others were silent too, and the peer that it asked found the same.

Beside the second attempt of a probe the planner now asks a random sample over the domains. A refused connection counts as before, and so does the silence of a target whose entry has lapsed while most are listed.

test_targets_that_another_host_finds_silent_too_are_lost had all of the fleet silent and lost within a second, which is what is mended. It has 10 of 32 silent now, where the peer's finding still decides; that all of a silent fleet is lost is asked after the hold, and that none is before it.

--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import Awaitable
 from dataclasses import replace
 
@@ -139,6 +140,7 @@
         rebalance: bool = False,
         regroup_slow: bool = False,
         links: TargetLinks | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         self._links = links
         self._rebalance = rebalance
@@ -173,6 +175,7 @@
             availability=availability,
             is_report_current=self._is_report_current,
             spawn=self._spawn,
+            rng=rng or random.Random(),
             links=links,
         )
         self._pace_probes = PaceProbes(
@@ -259,9 +262,11 @@
                 self._plan_service(service.name, service.profile)
 
     def _is_due(self) -> bool:
-        """Return whether a plan may have steps to take."""
+        """Return whether a plan may have steps to take, or a probe is due."""
         if self._has_changes or self._has_pending_effects:
             return True
+        if self._probes.surveys.is_any_held:
+            return True
         return self._clock.now() - self._last_plan_at >= IDLE_PLAN_SECONDS
 
     @property
--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -18,6 +19,7 @@
 from mallowpond.node.indirect_probe import IndirectProbe
 from mallowpond.node.peers import PeerNetwork
 from mallowpond.node.ports import EngineReport, Targets
+from mallowpond.node.silence_surveys import SilenceSurveys
 from mallowpond.node.target_availability import TargetAvailability
 from mallowpond.node.target_links import TargetLinks
 from mallowpond.state.broken_groups import STALE_ENTRY_SECONDS
@@ -65,6 +67,7 @@
         availability: TargetAvailability,
         is_report_current: Callable[[Target], bool],
         spawn: Callable[[Coroutine[Any, Any, Any]], None],
+        rng: random.Random,
         links: TargetLinks | None = None,
     ) -> None:
         self._links = links
@@ -87,7 +90,16 @@
         self._lapsed_probed_at: dict[Process, float] = {}
         self._reported_probed_at: dict[Process, float] = {}
         self._unhealthy: dict[Process, int] = {}  # consecutive failed health checks
+        # Silent targets whose silence was not counted, as it was common to nearly all.
+        self._held: set[Process] = set()
         self._observer_health = ObserverHealth()
+        self.surveys = SilenceSurveys(
+            directory=directory,
+            ask=self._fetch_report,
+            is_lost=lambda target: target.process in self._lost,
+            clock=clock,
+            rng=rng,
+        )
         # What every report says of its process's pace, whatever it was asked for.
         self.paces = PaceReadings()
         self._indirect_probe = IndirectProbe(
@@ -113,9 +125,11 @@
         self._lapsed_probed_at.clear()
         self._reported_probed_at.clear()
         self._unhealthy.clear()
+        self._held.clear()
+        self.surveys.reset()
 
     def probe_due(self) -> None:
-        """Start the probes of lost targets and lapsed group members that are due."""
+        """Start the probes of lost, held and lapsed targets that are due."""
         now = self._clock.now()
         targets = self._directory.targets
         listed = {target.process: target for target in targets.values()}
@@ -128,6 +142,8 @@
         ):
             for process in [p for p in known if p not in listed]:
                 del known[process]
+        self._held &= listed.keys()
+        self._probe_held(listed)
         # An entry that is listed for this long was renewed by its process, so the
         # conclusion that another process had taken its address was wrong.
         for process, at in list(self._replaced.items()):
@@ -143,6 +159,17 @@
             ):
                 self._spawn(self.probe(listed[process]))
 
+    def _probe_held(self, listed: dict[Process, Target]) -> None:
+        """Go on with the surveys, and probe targets once their silence counts again."""
+        for service in {target.service for target in listed.values()}:
+            if self.surveys.is_due(service):
+                self._spawn(self.surveys.complete(service, self._clock.now()))
+        for process in list(self._held):
+            target = listed[process]
+            if not self.surveys.is_held(target.service):
+                self._held.discard(process)
+                self.start_probe(target)
+
     def start_probe(self, target: Target) -> None:
         """Start a probe of a target that did not answer, if none is running.
 
@@ -225,22 +252,62 @@
             log.info("planner: target sound", target=report.target.id, pace=pace.pace)
 
     async def _probe(self, target: Target) -> bool:
-        reason, began = "", self._clock.now()
+        failures: list[Unavailable] = []
+        surveys: list[asyncio.Future[None]] = []
+        began = self._clock.now()
         for _ in range(PROBE_ATTEMPTS):
-            report = await self.fetch_report(target)
-            if isinstance(report, Unavailable):
-                reason = report.reason
-                continue
-            if self._is_report_current(report.target):
-                self._directory.apply_report(report.target)
-            if self._lost.pop(target.process, None) is not None:
-                log.info("planner: target regained", target=target.id)
-            return report.target.process == target.process
+            async with self._gate.admit():
+                began = began if failures else self._clock.now()
+                report = await self._fetch_report(target)
+            if not isinstance(report, Unavailable):
+                return self._record_alive(target, report)
+            failures.append(report)
+            if report.is_silent and not surveys:
+                # It runs beside the next attempt, so that it delays no finding.
+                survey = self.surveys.complete(target.service, began)
+                surveys.append(asyncio.ensure_future(survey))
+        await asyncio.gather(*surveys)
+        if all(failure.is_silent for failure in failures):
+            if not self._is_evidence(target, began):
+                return False
+            if self.surveys.has_late_answers(target.service):
+                report = await self.fetch_report(target)
+                if not isinstance(report, Unavailable):
+                    return self._record_alive(target, report)
         if not await self._is_confirmed_silent(target, began):
             return False
+        self._record_lost(target, failures[-1].reason)
+        return False
+
+    def _record_alive(self, target: Target, report: EngineReport) -> bool:
+        """Record a target's report; return whether its listed process answered."""
+        if self._is_report_current(report.target):
+            self._directory.apply_report(report.target)
+        self._held.discard(target.process)
+        if self._lost.pop(target.process, None) is not None:
+            log.info("planner: target regained", target=target.id)
+        return report.target.process == target.process
+
+    def _is_evidence(self, target: Target, since: float) -> bool:
+        """Return whether a silence since a time counts; the target is held if not."""
+        listed = self._directory.targets.get(target.id, target)
+        if self.surveys.is_evidence(listed, since):
+            return True
+        if target.process not in self._held:
+            self._held.add(target.process)
+            log.info(
+                "planner: silence not counted",
+                target=target.id,
+                cause="common",
+                **self.surveys.counts(target.service),
+            )
+        return False
+
+    def _record_lost(self, target: Target, reason: str) -> None:
         listed = self._directory.targets.get(target.id)
         if listed is None or listed.process != target.process:
-            return False
+            return
+        self._held.discard(target.process)
         if target.process not in self._lost:
             silent, domains = self._observer_health.count_silent(self._clock.now())
             log.warning(
@@ -250,9 +317,9 @@
                 silent=silent,
                 silent_domains=domains,
                 listed=len(self._directory.targets),
+                **self.surveys.counts(target.service),
             )
         self._lost[target.process] = self._clock.now()
-        return False
 
     async def _is_confirmed_silent(self, target: Target, since: float) -> bool:
         """Return whether a target's silence since a time is not caused by this host.
@@ -262,7 +329,7 @@
         indirectly. If none can answer, the silence counts.
         """
         if not await self._are_links_sound(target, since):
-            log.warning("planner: silence not counted", target=target.id)
+            log.warning("planner: silence not counted", target=target.id, cause="links")
             return False
         now = self._clock.now()
         self._observer_health.record_silence(target.id, target.domain, now)
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -237,6 +237,7 @@
             rebalance=settings.planning.rebalance,
             regroup_slow=settings.planning.regroup_slow,
             links=self.links,
+            rng=self._rng,
         )
         self.ended_heads = EndedHeadReports(
             name=settings.name,
