Count the suspicions of several hosts in one silence once

After four suspicions within 2 s that its members' answers cleared, a group is formed anew, as its members cannot reach one another then. Each host that sees a pause suspects the group, and each of these suspicions had its own clearing when the members woke: with four hosts a single pause of 0.25 s dissolved all groups.

Suspicions that wait for the same probe now count once, and clearings in and just after a common silence not at all.

--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -205,6 +205,7 @@
         self._formations: dict[GroupKey, Formation] = {}
         self._first_seen: dict[GroupKey, float] = {}
         self._cleared_at: dict[GroupKey, list[float]] = {}
+        self._probed_groups: set[GroupKey] = set()
         self._loads_begun: list[float] = []
         self._last_pending_probe_at = float("-inf")
         self._last_plan_at = float("-inf")
@@ -777,10 +778,18 @@
         if not self._leadership.fence:
             return
         group = self._directory.groups.get(key)
-        if group is not None:
+        # Suspicions by several hosts of one silence are one suspicion.
+        if group is not None and key not in self._probed_groups:
+            self._probed_groups.add(key)
             self._spawn(self._probe_group(group))
 
     async def _probe_group(self, group: Group) -> None:
+        try:
+            await self._clear_if_alive(group)
+        finally:
+            self._probed_groups.discard(group.key)
+
+    async def _clear_if_alive(self, group: Group) -> None:
         """Clear the suspicion of a group if all of its members answer."""
         members = [m for m in group.members if m.id not in self._probes.lost]
         answers = await asyncio.gather(*(self._probes.probe(m) for m in members))
@@ -789,12 +798,11 @@
         # A listed member reported that it is not in this formation.
         if group.key in self._processes.disclaimed:
             return
-        self._cleared_at.setdefault(group.key, []).append(self._clock.now())
-        log.info(
-            "planner: suspicion cleared",
-            group=group.name,
-            times=len(self._cleared_at[group.key]),
-        )
+        cleared_at = self._cleared_at.setdefault(group.key, [])
+        service = group.members[0].service
+        if not self._probes.surveys.was_held_within(service, CLEARED_SECONDS):
+            cleared_at.append(self._clock.now())
+        log.info("planner: suspicion cleared", group=group.name, times=len(cleared_at))
         self._watch.clear(group.key)
         self._peers.broadcast_suspicion(group.key, cleared=True)
 
--- a/mallowpond/node/tests/test_planner_silence.py
+++ b/mallowpond/node/tests/test_planner_silence.py
@@ -255,7 +255,7 @@
 
 
 @pytest.mark.parametrize("fleet", FLEETS)
-@pytest.mark.parametrize("seconds", [0.4, 1.2, 3.0])
+@pytest.mark.parametrize("seconds", [0.25, 0.4, 1.2, 3.0])
 def test_a_pause_of_all_engines_loses_none(fleet, seconds):
     """Guards against live groups that are dissolved after a pause of all engines."""
 
@@ -299,6 +299,21 @@
     assert rig.orders == []
 
 
+def test_a_group_whose_members_answer_but_which_stays_silent_is_formed_anew():
+    """Guards against a group whose members cannot reach one another."""
+
+    async def run(rig):
+        for _ in range(6):
+            for _ in range(HOSTS):
+                rig.watch.on_suspect[0](("d1g0", 1))
+            await rig.run(0.3)
+
+    rig = scene(run)
+    assert rig.lost == {}
+    leaves = {step.target.id for step in rig.orders if isinstance(step, Leave)}
+    assert leaves == {"d1g0a", "d1g0b"}
+
+
 @pytest.mark.parametrize("fleet", FLEETS)
 def test_one_silent_engine_is_lost_at_once(fleet):
     async def run(rig):
