Probe a held target again as soon as the others answer

A target that had died in a common silence was lost 1.0 s after the others woke, in virtual time: a probe under way at the end of the silence did not count, and the next one waited for a planning round.

--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -167,7 +167,6 @@
         for process in list(self._held):
             target = listed[process]
             if not self.surveys.is_held(target.service):
-                self._held.discard(process)
                 self.start_probe(target)
 
     def start_probe(self, target: Target) -> None:
@@ -252,6 +251,14 @@
             log.info("planner: target sound", target=report.target.id, pace=pace.pace)
 
     async def _probe(self, target: Target) -> bool:
+        is_answered = await self._probe_once(target)
+        if is_answered is None and not self.surveys.is_held(target.service):
+            # A common silence has just ended, so the target's own counts anew.
+            is_answered = await self._probe_once(target)
+        return bool(is_answered)
+
+    async def _probe_once(self, target: Target) -> bool | None:
+        """Return whether the listed process answers, None if its silence is held."""
         failures: list[Unavailable] = []
         surveys: list[asyncio.Future[None]] = []
         began = self._clock.now()
@@ -269,11 +276,12 @@
         await asyncio.gather(*surveys)
         if all(failure.is_silent for failure in failures):
             if not self._is_evidence(target, began):
-                return False
+                return None
             if self.surveys.has_late_answers(target.service):
                 report = await self.fetch_report(target)
                 if not isinstance(report, Unavailable):
                     return self._record_alive(target, report)
+        self._held.discard(target.process)
         if not await self._is_confirmed_silent(target, began):
             return False
         self._record_lost(target, failures[-1].reason)
@@ -307,7 +315,6 @@
         listed = self._directory.targets.get(target.id)
         if listed is None or listed.process != target.process:
             return
-        self._held.discard(target.process)
         if target.process not in self._lost:
             silent, domains = self._observer_health.count_silent(self._clock.now())
             log.warning(
--- a/mallowpond/node/silence_surveys.py
+++ b/mallowpond/node/silence_surveys.py
@@ -150,21 +150,22 @@
             domains=len({*silent, *answered}),
             silent_domains=len({*silent}),
         )
-        surveys.has_late_answers = any(
-            a.is_answered and a.seconds > LATE_ANSWER_SECONDS for a in answers
-        )
-        self._record(service, surveys, surveys.last, began)
+        last_answer = max((a.seconds for a in answers if a.is_answered), default=0.0)
+        surveys.has_late_answers = last_answer > LATE_ANSWER_SECONDS
+        self._record(service, surveys, asked_at=began, answered_at=began + last_answer)
 
     def _record(
         self,
         service: str,
         surveys: _ServiceSurveys,
-        survey: SilenceSurvey,
+        *,
         asked_at: float,
+        answered_at: float,
     ) -> None:
         now, silence = self._clock.now(), surveys.silence
         before = silence.began_at
-        silence.record(survey, asked_at=asked_at, now=now)
+        assert surveys.last is not None
+        silence.record(surveys.last, asked_at=asked_at, answered_at=answered_at)
         if (before is None) == (silence.began_at is None):
             return
         counts = self.counts(service)
--- a/mallowpond/state/fleet_silence.py
+++ b/mallowpond/state/fleet_silence.py
@@ -86,13 +86,15 @@
         """Return when the common silence began that surveys still show, if any."""
         return self._began_at
 
-    def record(self, survey: SilenceSurvey, *, asked_at: float, now: float) -> None:
-        """Record a survey whose questions were sent at `asked_at`."""
+    def record(
+        self, survey: SilenceSurvey, *, asked_at: float, answered_at: float
+    ) -> None:
+        """Record a survey, the time of its questions and that of its last answer."""
         if survey.is_common:
             if self._began_at is None:
                 self._began_at = asked_at
         elif self._began_at is not None:
-            self._began_at, self._ended_at = None, now
+            self._began_at, self._ended_at = None, answered_at
 
     def is_held(self, now: float) -> bool:
         """Return whether silence is held against no target now."""
--- a/mallowpond/state/tests/test_fleet_silence.py
+++ b/mallowpond/state/tests/test_fleet_silence.py
@@ -98,7 +98,7 @@
 def test_silence_counts_against_no_target_while_it_is_common():
     silence = FleetSilence()
     assert silence.is_evidence(since=0.9, now=1.2)
-    silence.record(ALL_SILENT, asked_at=1.0, now=1.2)
+    silence.record(ALL_SILENT, asked_at=1.0, answered_at=1.2)
     assert not silence.is_evidence(since=0.9, now=1.2)
     assert silence.was_held_within(0.0, 1.2)
 
@@ -106,8 +106,8 @@
 def test_silence_counts_anew_once_the_others_answer():
     """Guards against a target that is lost for a probe from before it could wake."""
     silence = FleetSilence()
-    silence.record(ALL_SILENT, asked_at=1.0, now=1.2)
-    silence.record(ONE_SILENT, asked_at=1.9, now=2.0)
+    silence.record(ALL_SILENT, asked_at=1.0, answered_at=1.2)
+    silence.record(ONE_SILENT, asked_at=1.9, answered_at=2.0)
     assert not silence.is_evidence(since=1.9, now=2.2)
     assert silence.is_evidence(since=2.0, now=2.3)
     assert silence.was_held_within(0.5, 2.4)
@@ -118,7 +118,7 @@
     """Guards against a dead fleet that never counts as dead."""
     silence = FleetSilence()
     for second in range(1, 9):
-        silence.record(ALL_SILENT, asked_at=float(second), now=second + 0.2)
+        silence.record(ALL_SILENT, asked_at=float(second), answered_at=second + 0.2)
     assert not silence.is_evidence(since=0.9, now=0.9 + MAX_HOLD_SECONDS)
     assert silence.is_evidence(since=6.0, now=1.0 + MAX_HOLD_SECONDS)
     assert silence.began_at == 1.0
@@ -126,8 +126,8 @@
 
 def test_the_next_common_silence_is_held_again():
     silence = FleetSilence()
-    silence.record(ALL_SILENT, asked_at=1.0, now=1.2)
-    silence.record(ONE_SILENT, asked_at=2.0, now=2.2)
-    silence.record(ALL_SILENT, asked_at=6.5, now=6.7)
+    silence.record(ALL_SILENT, asked_at=1.0, answered_at=1.2)
+    silence.record(ONE_SILENT, asked_at=2.0, answered_at=2.2)
+    silence.record(ALL_SILENT, asked_at=6.5, answered_at=6.7)
     assert not silence.is_evidence(since=6.4, now=6.7)
     assert silence.began_at == 6.5
