Plan no orders on what a common silence shows of the targets

While nearly all targets paused, the planner went on planning: free engines were ordered into new groups, and orders that engines carry out when they wake rested on a list and on loads from before or in the pause.

--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -55,9 +55,11 @@
     Process,
     Target,
 )
+from mallowpond.state.fleet_silence import RELISTING_SECONDS
 from mallowpond.state.formation import plan_round
 from mallowpond.state.formation_view import (
     Close,
+    EndCause,
     Formation,
     FormationView,
     Join,
@@ -446,8 +448,12 @@
             load_age=self._directory.loads.load_age,
         )
 
+    def _is_silent(self, service: str) -> bool:
+        """Return whether the list need not show the targets' state, as they paused."""
+        return self._probes.surveys.was_held_within(service, RELISTING_SECONDS)
+
     def _view(self, service: str, profile: EngineProfile) -> FormationView:
-        now = self._clock.now()
+        now, is_silent = self._clock.now(), self._is_silent(service)
         return FormationView(
             profile=profile,
             targets=tuple(
@@ -477,9 +483,11 @@
             is_before_traffic=not self._traffic_seen.seen,
             is_settled=self._directory.is_settled,
             newest_target_at=self._directory.newest_target_at,
-            rebalancing=self._rebalancing(service, profile),
+            # The work of targets that pause tells nothing of the demand.
+            rebalancing=None if is_silent else self._rebalancing(service, profile),
             evacuated=self._directory.evacuated,
-            regrouping=self._regrouping(service, profile),
+            regrouping=None if is_silent else self._regrouping(service, profile),
+            is_silent=is_silent,
         )
 
     def _with_latest_state(self, target: Target) -> Target:
@@ -540,9 +548,11 @@
         now = self._clock.now()
         targets, groups = self._directory.targets, self._directory.groups
         current = self._current_targets
-        # During an outage of the store and just after it, the list need not show the
-        # effects of recent orders.
-        self._book.reconcile(current, now=now, is_settled=self._directory.is_settled)
+        # During an outage of the store, a common silence of targets, and just after it,
+        # the list need not show the effects of recent orders.
+        silent = any(map(self._is_silent, {t.service for t in targets.values()}))
+        is_settled = self._directory.is_settled and not silent
+        self._book.reconcile(current, now=now, is_settled=is_settled)
         for key in groups:
             self._first_seen.setdefault(key, now)
         self._leaving_since = {
@@ -605,7 +615,8 @@
         # lease again: the records that it was planned on were discarded in between.
         async with self._gate.admit():
             holds_lease = fence and fence == self._leadership.fence
-            if not holds_lease or self._has_paused or self._is_outdated(step):
+            is_withheld = self._is_outdated(step) or self._is_held(step)
+            if not holds_lease or self._has_paused or is_withheld:
                 self._release_later(step)
                 return
             result = await self._targets.order(step, fence=fence, expected=order_count)
@@ -635,6 +646,14 @@
         current = {t.id: self._processes.current(t) for t in listed}
         return has_restarted(seen, current)
 
+    def _is_held(self, step: Step) -> bool:
+        """Return whether targets fell silent in common since an order was planned."""
+        match step:
+            case Leave(cause=EndCause.LOST_MEMBER):
+                return False
+            case _:
+                return self._is_silent(step.target.service)
+
     def _is_evacuated(self, step: Step) -> bool:
         if not isinstance(step, Join | Open | Stage):
             return False
--- a/mallowpond/state/formation.py
+++ b/mallowpond/state/formation.py
@@ -161,6 +161,9 @@
         self.consolidation: Consolidation | None = None
 
     def plan(self) -> tuple[Step, ...]:
+        if self._view.is_silent:
+            self._upkeep.dissolve_lost()
+            return tuple(self._steps)
         grouped = self._upkeep.reserved
         for group in self._groups.values():
             if self._upkeep.maintain(group):
--- a/mallowpond/state/formation_view.py
+++ b/mallowpond/state/formation_view.py
@@ -143,6 +143,8 @@
     evacuated: data centres in which nothing is formed, staged or repaired.
     regrouping: what is known for forming groups anew around slow members; None if that
         is off.
+    is_silent: nearly all targets are silent for a cause that they share, or were just
+        before: the list need not show their state.
     """
 
     profile: EngineProfile
@@ -169,6 +171,7 @@
     rebalancing: RebalancingView | None = None
     evacuated: frozenset[str] = frozenset()
     regrouping: RegroupingView | None = None
+    is_silent: bool = False
 
     @property
     def dissolving(self) -> Mapping[tuple[str, int], float]:
--- a/mallowpond/state/tests/test_formation.py
+++ b/mallowpond/state/tests/test_formation.py
@@ -475,3 +475,29 @@
     steps = plan(targets, evacuated=frozenset("b"), lost=frozenset({"g2"}))
     assert {type(step) for step in steps} == {Leave}
     assert {step.target.id for step in steps} == {"g0", "g1"}
+
+
+@pytest.mark.parametrize("lost", ["a1", None])
+def test_while_nearly_all_targets_are_silent_only_lost_members_end_their_groups(lost):
+    """Guards against groups that are opened, closed or formed because of a pause."""
+    leaving = group("b", 3, 3, GroupPhase.OPEN)
+    leaving[0] = replace(leaving[0], draining=True)
+    targets = [
+        *group("a", 2, 3, GroupPhase.OPEN),
+        *leaving,
+        *group("c", 4, 3, GroupPhase.READY),
+        *group("d", 5, 3, GroupPhase.OPEN, model="unknown"),
+        *[target(f"f{i}", staged="small") for i in range(6)],
+        *[target(f"e{i}") for i in range(6)],
+    ]
+    more = {
+        "lost": frozenset({lost, "d1"} - {None}),
+        "repeatedly_suspected": frozenset({("b", 3)}),
+    }
+    steps = plan(targets, is_silent=True, **more)
+    assert of_kind(steps, Leave) == list(steps)
+    survivors = {"a0", "a2"} if lost else set()
+    assert {step.target.id for step in steps} == survivors
+    # The same targets get orders once they answer.
+    kinds = {type(step) for step in plan(targets, **more)}
+    assert kinds >= {Join, Leave, Open}
--- a/mallowpond/state/upkeep.py
+++ b/mallowpond/state/upkeep.py
@@ -104,6 +104,14 @@
             case None:
                 return self._maintain_headless(group)
 
+    def dissolve_lost(self) -> None:
+        """Dissolve the groups that have lost a member, and order nothing else."""
+        for group in self._groups.values():
+            is_known = self._view.profile.model(group.model) is not None
+            is_whole = group.phase is GroupPhase.BROKEN or not self._has_lost(group)
+            if is_known and not is_whole:
+                self._dissolve(group, EndCause.LOST_MEMBER)
+
     def has_evacuated(self, identifiers: Iterable[str]) -> bool:
         """Return whether any of these targets is in an evacuated data centre."""
         listed = map(self._listed.get, identifiers)
