--- a/mallowpond/node/planner.py
+++ b/mallowpond/node/planner.py
@@ -46,6 +46,7 @@
 from mallowpond.node.target_links import TargetLinks
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.node.watch import GroupWatch
+from mallowpond.state.cleared_suspicions import ClearedSuspicions
 from mallowpond.state.consolidation import Consolidation
 from mallowpond.state.fleet import (
     EngineProfile,
@@ -110,10 +111,6 @@
 LEASE_CHECK_SECONDS = 0.3
 # Number of epochs reserved for the groups of one fencing number.
 EPOCHS_PER_FENCE = 1_000_000
-# A group is formed again after this many suspicions that were cleared by probes, within
-# this time in seconds: its members answer but cannot reach one another.
-CLEARED_SUSPICIONS = 4
-CLEARED_SECONDS = 2.0
 
 
 class GroupPlanner:
@@ -206,8 +203,7 @@
         self._leaving_since: dict[Process, float] = {}
         self._formations: dict[GroupKey, Formation] = {}
         self._first_seen: dict[GroupKey, float] = {}
-        self._cleared_at: dict[GroupKey, list[float]] = {}
-        self._probed_groups: set[GroupKey] = set()
+        self._cleared: dict[GroupKey, ClearedSuspicions] = {}
         self._loads_begun: list[float] = []
         self._last_pending_probe_at = float("-inf")
         self._last_plan_at = float("-inf")
@@ -473,8 +469,8 @@
             seen={key: frozenset(seen) for key, seen in self._seen_processes.items()},
             repeatedly_suspected=frozenset(
                 key
-                for key, times in self._cleared_at.items()
-                if sum(now - at < CLEARED_SECONDS for at in times) >= CLEARED_SUSPICIONS
+                for key, cleared in self._cleared.items()
+                if cleared.is_repeated(now)
             ),
             closed=frozenset(self._closed),
             leaving_since={p.id: at for p, at in self._leaving_since.items()},
@@ -560,7 +556,7 @@
             for target in targets.values()
             if target.draining or self._probes.is_leaving(target)
         }
-        for known in (self._first_seen, self._cleared_at):
+        for known in (self._first_seen, self._cleared):
             for key in [k for k in known if k not in groups]:
                 del known[key]
         self._formations = {
@@ -797,18 +793,10 @@
         if not self._leadership.fence:
             return
         group = self._directory.groups.get(key)
-        # Suspicions by several hosts of one silence are one suspicion.
-        if group is not None and key not in self._probed_groups:
-            self._probed_groups.add(key)
+        if group is not None:
             self._spawn(self._probe_group(group))
 
     async def _probe_group(self, group: Group) -> None:
-        try:
-            await self._clear_if_alive(group)
-        finally:
-            self._probed_groups.discard(group.key)
-
-    async def _clear_if_alive(self, group: Group) -> None:
         """Clear the suspicion of a group if all of its members answer."""
         members = [m for m in group.members if m.id not in self._probes.lost]
         answers = await asyncio.gather(*(self._probes.probe(m) for m in members))
@@ -817,11 +805,10 @@
         # A listed member reported that it is not in this formation.
         if group.key in self._processes.disclaimed:
             return
-        cleared_at = self._cleared_at.setdefault(group.key, [])
-        service = group.members[0].service
-        if not self._probes.surveys.was_held_within(service, CLEARED_SECONDS):
-            cleared_at.append(self._clock.now())
-        log.info("planner: suspicion cleared", group=group.name, times=len(cleared_at))
+        cleared = self._cleared.setdefault(group.key, ClearedSuspicions())
+        if not self._is_silent(group.members[0].service):
+            cleared.record(self._clock.now())
+        log.info("planner: suspicion cleared", group=group.name, times=cleared.count)
         self._watch.clear(group.key)
         self._peers.broadcast_suspicion(group.key, cleared=True)
 
