Show calls that are given up while their targets are silent

A repeatable call leaves its first target after a share of its time, before another one is asked, and ends by 502 where the budget or the targets are used up by then.

--- a/mallowpond/node/tests/test_calls.py
+++ b/mallowpond/node/tests/test_calls.py
@@ -1,9 +1,13 @@
 """Tests of plain services: how often a request is sent, and what its caller gets."""
 
+import asyncio
 import random
 from collections import deque
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 
+import pytest
+
+from mallowpond.gateway.tests.virtual_clock import VirtualClock, run_with_clock
 from mallowpond.node.calls import CallService, CallWork
 from mallowpond.node.directory import Directory
 from mallowpond.node.metrics import NodeMetrics
@@ -303,3 +307,195 @@
     assert isinstance(outcome, Answered) and len(sends) == 2
     outcome, sends, _ = await serve(IDEMPOTENT, BROKEN, reply(200), slack=0.0)
     assert isinstance(outcome, Refusal) and len(sends) == 1
+
+
+NEVER = 1000.0
+
+
+@dataclass(kw_only=True)
+class TimedTargets(FakeTargets):
+    """Targets that answer the sends in their order, each after a time in seconds."""
+
+    clock: VirtualClock
+    timed: deque
+    began: list = field(default_factory=list)
+    cancelled: list = field(default_factory=list)
+
+    async def send(self, target, request, **more):
+        """Wait for as long as the script says, and return its answer."""
+        seconds, answer = self.timed.popleft()
+        self.sends.append(target.id)
+        self.began.append(round(self.clock.now() - self.clock.start, 2))
+        try:
+            await asyncio.sleep(seconds)
+        except asyncio.CancelledError:
+            self.cancelled.append(target.id)
+            raise
+        return answer
+
+
+@dataclass(kw_only=True)
+class TimedCall:
+    """One call to targets that take their time, and what came of it."""
+
+    clock: VirtualClock
+    fakes: TimedTargets
+    service: CallService
+    exchange: FakeExchange = field(default_factory=FakeExchange)
+    outcome: object = None
+    seconds: float = 0.0
+
+    @property
+    def running(self):
+        """Return how many sends count as in flight."""
+        return sum(record.in_flight for record in self.service._records.values())
+
+    def record(self, name):
+        """Return the record of a target."""
+        return self.service._records[Process(id=name, born=None)]
+
+
+class StartedClock(VirtualClock):
+    """A virtual clock that knows when it began."""
+
+    start = VirtualClock.time
+
+
+def call_timed(route, *timed, targets="abc", slack=100.0, during=None):
+    """Serve one call with a second to its deadline, on virtual time."""
+    clock = StartedClock()
+    calls = []
+
+    async def run():
+        fakes = TimedTargets(clock=clock, timed=deque(timed))
+        source = FakeSource(listed=deque([listing(*map(plain, targets))]))
+        directory = Directory(source=source, clock=clock)
+        await directory.refresh()
+        budgets = make_budgets(clock, NodeMetrics(), ratio=0.0, slack=slack)
+        service = make_call_service(directory, fakes, clock, budgets)
+        call = TimedCall(clock=clock, fakes=fakes, service=service)
+        calls.append(call)
+        serving = asyncio.create_task(
+            service.serve(make_work(clock, route, call.exchange))
+        )
+        if during is not None:
+            await during(call, serving)
+        (call.outcome,) = await asyncio.gather(serving, return_exceptions=True)
+        call.seconds = round(clock.now() - clock.start, 2)
+
+    run_with_clock(clock, run())
+    return calls[0]
+
+
+@pytest.mark.parametrize("lacking", ["budget", "target", "attempt"])
+def test_a_silent_target_answers_when_no_other_may_be_asked(lacking):
+    """Guards against answers that are given up before another target is asked."""
+    route = replace(IDEMPOTENT, max_attempts=1 if lacking == "attempt" else 2)
+    call = call_timed(
+        route,
+        (0.8, reply(200)),
+        targets="a" if lacking == "target" else "abc",
+        slack=0.0 if lacking == "budget" else 100.0,
+    )
+    assert isinstance(call.outcome, Answered)
+    assert (call.seconds, len(call.fakes.sends)) == (0.8, 1)
+    assert call.running == 0
+
+
+def test_the_first_target_answers_while_the_second_is_silent():
+    """Guards against answers that are given up before another target delivers."""
+    call = call_timed(IDEMPOTENT, (0.6, reply(200, b"first")), (NEVER, None))
+    assert call.outcome == Answered(status=200, target=call.fakes.sends[0])
+    assert (call.seconds, call.exchange.body) == (0.6, b"first")
+    assert call.fakes.began == [0.0, 0.45]
+    assert call.fakes.cancelled == call.fakes.sends[1:]
+    assert call.running == 0
+
+
+def test_the_second_target_answers_while_the_first_is_silent():
+    """Guards against a target that is taken for ended as another one answered."""
+    call = call_timed(IDEMPOTENT, (NEVER, None), (0.1, reply(200, b"second")))
+    first, second = call.fakes.sends
+    assert call.outcome == Answered(status=200, target=second)
+    assert (call.seconds, call.exchange.body) == (0.55, b"second")
+    assert call.fakes.cancelled == [first]
+    assert call.running == 0
+    assert not call.service._quarantine.has_ended(Process(id=first, born=None))
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [reply(500), BROKEN, reply(503, **{"not-run": "1"}), UNREACHABLE],
+    ids=["failed", "broken", "not_run", "unreached"],
+)
+def test_the_first_target_answers_after_the_second_has_failed(failure):
+    """Guards against calls that end with the failure of a second target."""
+    failures = [(0.01, failure)] * 9
+    call = call_timed(IDEMPOTENT, (0.8, reply(200, b"first")), *failures)
+    assert call.outcome == Answered(status=200, target=call.fakes.sends[0])
+    assert (call.seconds, call.exchange.body) == (0.8, b"first")
+    assert call.running == 0
+
+
+@pytest.mark.parametrize("failure", [reply(500), BROKEN], ids=["failed", "broken"])
+def test_the_second_target_answers_after_the_first_has_failed(failure):
+    """Guards against calls that end while their second target is at work."""
+    call = call_timed(IDEMPOTENT, (0.5, failure), (0.2, reply(200, b"second")))
+    assert (call.seconds, call.exchange.body) == (0.65, b"second")
+    first = Process(id=call.fakes.sends[0], born=None)
+    assert call.service._quarantine.has_ended(first) is (failure is BROKEN)
+    assert call.running == 0
+
+
+def test_a_kept_failure_is_delivered_when_both_targets_fail():
+    """Guards against a failure that is told as another target's."""
+    call = call_timed(IDEMPOTENT, (0.5, reply(500, b"first")), (0.2, BROKEN))
+    assert call.outcome == Answered(status=500, target=call.fakes.sends[0])
+    assert (call.seconds, call.exchange.body) == (0.65, b"first")
+    assert len(call.fakes.sends) == 2
+
+
+def test_a_call_whose_targets_are_all_silent_ends_at_its_deadline():
+    call = call_timed(IDEMPOTENT, (NEVER, None), (NEVER, None))
+    assert call.outcome == Refusal(status=504, reason=Reason.TIMEOUT)
+    assert (call.seconds, len(call.fakes.sends)) == (1.0, 2)
+    assert call.running == 0
+
+
+def test_a_call_that_may_run_once_waits_for_its_silent_target():
+    call = call_timed(ONCE, (0.9, reply(200)))
+    assert isinstance(call.outcome, Answered)
+    assert (call.seconds, len(call.fakes.sends)) == (0.9, 1)
+
+
+def test_both_sends_end_when_the_caller_leaves():
+    """Guards against targets that go on for a caller who left."""
+
+    async def leave(call, serving):
+        await asyncio.sleep(0.6)
+        assert call.running == 2
+        serving.cancel()
+
+    call = call_timed(IDEMPOTENT, (NEVER, None), (NEVER, None), during=leave)
+    assert isinstance(call.outcome, asyncio.CancelledError)
+    assert (call.seconds, call.running) == (0.6, 0)
+    assert sorted(call.fakes.cancelled) == sorted(call.fakes.sends)
+
+
+def test_a_silent_target_is_chosen_last_until_it_answers():
+    """Guards against calls to a target that does not answer, while others do."""
+    chosen = []
+
+    async def choose(call, serving):
+        for wait in (asyncio.sleep(0.5), serving):
+            await wait
+            first, second = call.fakes.sends
+            work = make_work(call.clock, IDEMPOTENT, FakeExchange())
+            work.sent_to.append(Process(id=second, born=None))
+            (busy,) = set("abc") - {first, second}
+            call.record(busy).in_flight = 5
+            chosen.append(call.service._choose_target(work).id == first)
+            call.record(busy).in_flight = 0
+
+    call_timed(IDEMPOTENT, (0.6, reply(200)), (NEVER, None), during=choose)
+    assert chosen == [False, True]
