Keep a call at its silent target until another one answers

A repeatable call was given up on its first target after 0.45 of its time, before another target, the budget or an attempt was there for it. Now the call is sent to another target beside the first: the first good answer of either is delivered and the other send cancelled, a failure is kept until both have failed, and without a second send the first one goes on until the deadline. The next target is chosen before the budget is asked, so that no repeat is taken where there is none. A silent target is chosen last, as before, but only until its next answer. A kept failure is logged as the answer of the target that gave it, and not of the last one.

--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from mallowpond.coordination.task_race import TaskRace
 from mallowpond.node.outcomes import Answered, Reason, Refusal, ServeOutcome
 from mallowpond.node.ports import CallerRequest, Headers
 from mallowpond.node.serving_parts import ServingParts
@@ -24,8 +25,8 @@
 # Time for which a target that failed is chosen only when there is no other, in seconds:
 # a target that fails part of its requests mostly fails the next one too.
 AVOID_SECONDS = 2.0
-# Share of the time left that a send of an idempotent request may take, unless it is the
-# last one allowed, before the request is sent to another target.
+# Share of the time left at a send of an idempotent request after which its target
+# counts as silent, and the request is sent to another one as well.
 FIRST_SEND_SHARE = 0.45
 # Time left below which a request is no longer sent, in seconds.
 MIN_SECONDS_LEFT = 0.01
@@ -37,10 +38,14 @@
 
 @dataclass(kw_only=True)
 class TargetRecord:
-    """Requests in flight from this host to a target's process, and its failures."""
+    """Requests in flight from this host to a target's process, and its failures.
+
+    silent_until: until when it is chosen last after a silence; an answer ends this.
+    """
 
     in_flight: int = 0
     avoided_until: float = 0.0
+    silent_until: float = 0.0
     # The listed entry at whose address another target answered.
     misdirected: Target | None = None
 
@@ -95,6 +100,27 @@
     may_have_run: bool
 
 
+Reply = CompleteReply | NoReply
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Answer:
+    """A complete answer, and the target that gave it."""
+
+    reply: CompleteReply
+    target: Target
+
+
+@dataclass(kw_only=True, eq=False)
+class _Send:
+    """A send in progress, whose target counts as silent from `silent_at` on."""
+
+    target: Target
+    task: asyncio.Task[Reply]
+    silent_at: float
+    is_silent: bool = False
+
+
 class CallService:
     """Serves requests on the targets of plain services."""
 
@@ -120,31 +146,93 @@
         refusal = self._quarantine.refuse(work.fingerprint, work.request.id, work.parts)
         if refusal is not None:
             return refusal
-        failed: CompleteReply | None = None
+        target = self._choose_target(work)
+        if target is None:
+            return self._refuse(work, self._no_target_reason(work))
+        if work.deadline - self._clock.now() < MIN_SECONDS_LEFT:
+            return self._refuse(work, Reason.TIMEOUT)
+        async with TaskRace[Reply]() as race:
+            answer = await self._race(work, target, race)
+        if not isinstance(answer, _Answer):
+            return self._refuse(work, answer)
+        reply = answer.reply
+        if reply.status < 500 and reply.has_marked_end:
+            self._quarantine.record_answer(work.fingerprint, work.parts)
+        await work.exchange.respond(
+            reply.status, reply.body, reply.headers, content_type=None
+        )
+        return Answered(status=reply.status, target=answer.target.id)
+
+    async def _race(
+        self, work: CallWork, target: Target, race: TaskRace[Reply]
+    ) -> _Answer | Reason:
+        """Send until a target answers well; return the best answer, or why none came.
+
+        The send to a silent target goes on, and the request is sent to another target
+        beside it. At most two sends are in progress.
+        """
+        failed: _Answer | None = None
+        sends = [self._start_send(work, target, race)]
         while True:
-            target = self._choose_target(work)
-            if target is None:
-                return await self._finish(work, failed, self._no_target_reason(work))
-            reply = await self._send(work, target)
+            ended = await race.wait(self._seconds_until_silent(work, sends))
+            if ended is None:
+                (send,) = sends
+                reply = self._record_silence(send)
+            else:
+                (send,) = (each for each in sends if each.task is ended)
+                sends.remove(send)
+                reply = ended.result()
             match reply:
-                case CompleteReply(status=status) if status < 500:
-                    if reply.has_marked_end:
-                        self._quarantine.record_answer(work.fingerprint, work.parts)
-                    await _respond(work, reply)
-                    return Answered(status=status, target=target.id)
-                case CompleteReply():
-                    failed, reason = reply, Reason.TARGET_FAILED
+                case CompleteReply(status=status):
+                    answer = _Answer(reply=reply, target=send.target)
+                    if status < 500:
+                        return answer
+                    failed, reason = answer, Reason.TARGET_FAILED
                 case NoReply(reason=reason):
                     pass
-            if not self._can_retry(work, reply, reason):
-                return await self._finish(work, failed, reason)
-            self._metrics.retries.labels(reason.value).inc()
-            log.info(
-                "call: resent",
-                request=work.request.id,
-                reason=reason.value,
-                target=target.id,
-            )
+            if any(not each.is_silent for each in sends):
+                continue
+            chosen = self._choose_next(work, reply, reason)
+            if isinstance(chosen, Target):
+                self._metrics.retries.labels(reason.value).inc()
+                log.info(
+                    "call: resent",
+                    request=work.request.id,
+                    reason=reason.value,
+                    target=send.target.id,
+                )
+                sends.append(self._start_send(work, chosen, race))
+            elif not sends:
+                return failed or chosen
+
+    def _seconds_until_silent(self, work: CallWork, sends: list[_Send]) -> float | None:
+        """Return when the only send's target will count as silent, None if it won't."""
+        match sends:
+            case [_Send(is_silent=False) as send] if self._is_repeatable(work):
+                return send.silent_at - self._clock.now()
+        return None
+
+    def _record_silence(self, send: _Send) -> NoReply:
+        send.is_silent = True
+        record = self._records[send.target.process]
+        record.silent_until = self._clock.now() + AVOID_SECONDS
+        return NoReply(reason=Reason.SLOW_TARGET, may_have_run=True)
+
+    def _choose_next(
+        self, work: CallWork, reply: Reply, reason: Reason
+    ) -> Target | Reason:
+        """Return the target of the next send, or why there is none."""
+        if not self._may_retry(work, reply):
+            return reason
+        target = self._choose_target(work)
+        if target is None:
+            return self._no_target_reason(work)
+        # A connection that was not opened brought no request to a target.
+        if reason is not Reason.CONNECT and not self._budgets.try_repeat(
+            work.service, request=work.request.id, reason=reason
+        ):
+            return reason
+        return target
 
     def _choose_target(self, work: CallWork) -> Target | None:
         """Return the least loaded usable target, None if there is none.
@@ -166,7 +254,7 @@
 
         def rank(target: Target) -> tuple[bool, bool, float]:
             record = self._records[target.process]
-            is_suspect = record.avoided_until > now
+            is_suspect = max(record.avoided_until, record.silent_until) > now
             is_suspect = is_suspect or self._quarantine.has_ended(target.process)
             is_cold = self._availability.is_cold(target)
             return (is_suspect, is_cold, record.in_flight + self._rng.random())
@@ -187,16 +275,11 @@
         targets = self._directory.usable_targets(work.service)
         return [target for target in targets if target.process not in work.sent_to]
 
-    async def _send(self, work: CallWork, target: Target) -> CompleteReply | NoReply:
+    def _start_send(
+        self, work: CallWork, target: Target, race: TaskRace[Reply]
+    ) -> _Send:
         now = self._clock.now()
         left = work.deadline - now
-        if left < MIN_SECONDS_LEFT:
-            return NoReply(reason=Reason.TIMEOUT, may_have_run=False)
-        limit = left
-        if self._is_repeatable(work) and len(work.sent_to) + 1 < self._max_attempts(
-            work
-        ):
-            limit = FIRST_SEND_SHARE * left
         record = self._records[target.process]
         record.in_flight += 1
         self._availability.record_sent(target)
@@ -212,26 +295,36 @@
             running=record.in_flight,
             left=round(left, 3),
         )
+        task = race.start(self._send(work, target, left, now))
+
+        def end(_: asyncio.Task[Reply]) -> None:
+            record.in_flight -= 1
+
+        # Not within the task: one that is cancelled before its first step never runs.
+        task.add_done_callback(end)
+        return _Send(target=target, task=task, silent_at=now + FIRST_SEND_SHARE * left)
+
+    async def _send(
+        self, work: CallWork, target: Target, left: float, sent_at: float
+    ) -> Reply:
         try:
-            async with asyncio.timeout(limit):
-                reply = await self._exchange(work, target, left, now)
+            async with asyncio.timeout(left):
+                reply = await self._exchange(work, target, left, sent_at)
         except TimeoutError:
-            reason = Reason.TIMEOUT if limit == left else Reason.SLOW_TARGET
-            reply = NoReply(reason=reason, may_have_run=True)
-        finally:
-            record.in_flight -= 1
+            reply = NoReply(reason=Reason.TIMEOUT, may_have_run=True)
         if isinstance(reply, NoReply) and reply.reason is Reason.MAYBE_RUN:
             self._quarantine.record_ending(
-                work.fingerprint, target.process, now, parts=work.parts
+                work.fingerprint, target.process, sent_at, parts=work.parts
             )
         elif isinstance(reply, CompleteReply):
             self._quarantine.record_alive(target.process)
+            self._records[target.process].silent_until = 0.0
         self._record_failure(work, target, reply)
         return reply
 
     async def _exchange(
         self, work: CallWork, target: Target, left: float, sent_at: float
-    ) -> CompleteReply | NoReply:
+    ) -> Reply:
         response = await self._targets.send(
             target,
             work.request,
@@ -263,9 +356,7 @@
             has_marked_end=response.has_marked_end,
         )
 
-    def _record_failure(
-        self, work: CallWork, target: Target, reply: CompleteReply | NoReply
-    ) -> None:
+    def _record_failure(self, work: CallWork, target: Target, reply: Reply) -> None:
         if not isinstance(reply, NoReply):
             return
         record = self._records[target.process]
@@ -296,34 +387,19 @@
     def _max_attempts(self, work: CallWork) -> int:
         return max(1, work.route.max_attempts)
 
-    def _can_retry(
-        self, work: CallWork, reply: CompleteReply | NoReply, reason: Reason
-    ) -> bool:
+    def _may_retry(self, work: CallWork, reply: Reply) -> bool:
         now = self._clock.now()
         if work.deadline - now < MIN_SECONDS_LEFT:
             return False
         if self._quarantine.refusal(work.fingerprint, work.parts) is not None:
             return False
         if isinstance(reply, NoReply) and not reply.may_have_run:
-            if len(work.rejected_by) > MAX_NOT_RUN_REPEATS:
-                return False
-            if reply.reason is Reason.CONNECT:
-                # A connection that was not opened brought no request to a target.
-                return True
-        elif not self._is_repeatable(work):
-            return False
-        elif self._directory.count_present(work.sent_to) >= self._max_attempts(work):
+            return len(work.rejected_by) <= MAX_NOT_RUN_REPEATS
+        if not self._is_repeatable(work):
             return False
-        return self._budgets.try_repeat(
-            work.service, request=work.request.id, reason=reason
-        )
+        return self._directory.count_present(work.sent_to) < self._max_attempts(work)
 
-    async def _finish(
-        self, work: CallWork, failed: CompleteReply | None, reason: Reason
-    ) -> ServeOutcome:
-        if failed is not None:
-            await _respond(work, failed)
-            return Answered(status=failed.status, target=work.sent_to[-1].id)
+    def _refuse(self, work: CallWork, reason: Reason) -> Refusal:
         if work.sent_to:
             status = 504 if reason is Reason.TIMEOUT else 502
             return Refusal(status=status, reason=reason)
@@ -331,9 +407,3 @@
         wait = wait or NO_TARGET_RETRY_SECONDS
         after = jittered_retry_after(wait, self._rng.random())
         return Refusal(status=503, reason=reason, retry_after=after)
-
-
-async def _respond(work: CallWork, reply: CompleteReply) -> None:
-    await work.exchange.respond(
-        reply.status, reply.body, reply.headers, content_type=None
-    )
