Keep a request of the own interface at its silent target until another delivers

A gap of between_chunks closed the connection; that was taken for the crash of the target (cut_body), which revoked the group's permit, was reported to the controllers and counted towards the quarantine of the request. Only then a retry, a slot and the budget were asked for.

Now silence ends nothing before the request's deadline. A repeatable request or resumable stream whose target is silent for first_byte or between_chunks is sent to another one beside it, from a slot that is free at once and out of the retry budget; the first that delivers an event or a whole answer goes on, the other send is cancelled. A stream that speaks again goes on where it was, and the second send starts after the last forwarded event. A failure of one is kept while the other is in progress. One that may run once waits. At the deadline, or a gap later if it still advanced then, the silent send is given up as 'silent', without blame of its target and without a further retry. A failure that answers a resumed stream is no longer appended to it.

--- a/mallowpond/gateway/admission.py
+++ b/mallowpond/gateway/admission.py
@@ -78,10 +78,9 @@
         now = self._clock.now()
         if not self._serving():
             return Refused(reason="no_group", retry_after=NO_GROUP_RETRY_AFTER_SECONDS)
-        if len(self._queue) == 0:
-            group = self._choose(prefix, avoid)
-            if group is not None:
-                return self._occupy(group)
+        group = self.try_acquire(prefix=prefix, avoid=avoid)
+        if group is not None:
+            return group
         refused = refuse_if_late(
             ahead=self._queue.ahead_of(workspace, share),
             slots=len(self._serving()) * self._group_limit,
@@ -92,6 +91,15 @@
             return refused
         return await self._wait(workspace, share, deadline, prefix)
 
+    def try_acquire(
+        self, *, prefix: str | None, avoid: frozenset[str]
+    ) -> GroupRow | None:
+        """Acquire a free slot on a group not in `avoid`, None if any request waits."""
+        if len(self._queue):
+            return None
+        group = self._choose(prefix, avoid)
+        return None if group is None else self._occupy(group)
+
     def release(
         self, group: str, *, held_seconds: float, latency: float | None
     ) -> None:
--- a/mallowpond/gateway/dispatch.py
+++ b/mallowpond/gateway/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from mallowpond.coordination.ports import Clock
 from mallowpond.protocol.engine import (
     KEY_HEADER,
     NOT_STARTED,
@@ -20,6 +21,26 @@
 )
 
 
+@dataclass(frozen=True, kw_only=True)
+class ResponseTimeout:
+    """Time limit for the headers of an answer.
+
+    An answer that is not streamed sends its first byte when it is complete, and a
+    slightly late answer is worth more to its caller than an unknown outcome. The
+    deadline therefore only ever lengthens the wait; requests that cannot be served in
+    time are refused at admission.
+    """
+
+    clock: Clock
+    deadline: float
+    first_byte_seconds: float
+
+    @property
+    def seconds(self) -> float:
+        """Return the seconds left from now."""
+        return max(self.first_byte_seconds, self.deadline - self.clock.now())
+
+
 @dataclass(frozen=True, kw_only=True)
 class Attempt:
     """One attempt of a request; a `repeatable` one may run more than once.
--- a/mallowpond/gateway/pools.py
+++ b/mallowpond/gateway/pools.py
@@ -11,6 +11,7 @@
     Attempt,
     AttemptOutcome,
     NotStarted,
+    ResponseTimeout,
     dispatch,
     dispatch_to_service,
 )
@@ -27,26 +28,6 @@
 SERVICE_RETRY_AFTER_SECONDS = 1.0
 
 
-@dataclass(frozen=True, kw_only=True)
-class ResponseTimeout:
-    """Time limit for the headers of an answer.
-
-    An answer that is not streamed sends its first byte when it is complete, and a
-    slightly late answer is worth more to its caller than an unknown outcome. The
-    deadline therefore only ever lengthens the wait; requests that cannot be served in
-    time are refused at admission.
-    """
-
-    clock: Clock
-    deadline: float
-    first_byte_seconds: float
-
-    @property
-    def seconds(self) -> float:
-        """Return the seconds left from now."""
-        return max(self.first_byte_seconds, self.deadline - self.clock.now())
-
-
 @dataclass(frozen=True, kw_only=True)
 class GroupPool:
     """The groups of a deployment as targets of one request."""
@@ -72,6 +53,11 @@
         )
         return group if isinstance(group, Refused) else Slot(target=group.group)
 
+    def try_acquire(self, avoid: frozenset[str]) -> Slot | None:
+        """Acquire a slot on a group if one is free and no request waits for one."""
+        group = self.admission.try_acquire(prefix=self.prefix, avoid=avoid)
+        return None if group is None else Slot(target=group.group)
+
     def release(self, slot: Slot, held_seconds: float, latency: float | None) -> None:
         """Release the slot."""
         self.admission.release(slot.target, held_seconds=held_seconds, latency=latency)
@@ -123,11 +109,18 @@
 
     async def acquire(self, avoid: frozenset[str]) -> Slot | Refused:
         """Acquire a slot on an address, without queueing."""
+        slot = self.try_acquire(avoid)
+        if slot is not None:
+            return slot
+        return Refused(reason="overloaded", retry_after=SERVICE_RETRY_AFTER_SECONDS)
+
+    def try_acquire(self, avoid: frozenset[str]) -> Slot | None:
+        """Acquire a slot on an address that is not in `avoid`, if one is free."""
         targets = [t for t in self.service.targets if t not in avoid]
         limit = self.service.requests_per_target
         chosen = self.balancer.choose(targets, now=self.clock.now(), limit=limit)
         if chosen is None:
-            return Refused(reason="overloaded", retry_after=SERVICE_RETRY_AFTER_SECONDS)
+            return None
         self.balancer.start(chosen)
         return Slot(target=chosen)
 
--- a/mallowpond/gateway/relay.py
+++ b/mallowpond/gateway/relay.py
@@ -1,13 +1,9 @@
 """Relaying of answers to callers."""
 
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
-from mallowpond.transport.http_client import (
-    CallFailed,
-    Chunk,
-    End,
-    HttpResponse,
-)
+from mallowpond.transport.http_client import BodyEvent, CallFailed, Chunk, End
 from mallowpond.transport.http_server import Exchange
 
 EVENT_END = b"\n\n"
@@ -59,9 +55,9 @@
         self.chunks += 1
         return complete
 
-    def discard_partial_event(self) -> None:
-        """Discard the partial event that an interrupted stream has left."""
-        self._partial.clear()
+    def resumed(self) -> "StreamProgress":
+        """Return the progress of a send that goes on after the complete events."""
+        return StreamProgress(events=self.events, chunks=self.chunks)
 
     @property
     def has_partial_event(self) -> bool:
@@ -70,55 +66,49 @@
 
 
 async def relay_stream(
-    response: HttpResponse,
+    parts: AsyncIterator[BodyEvent],
     exchange: Exchange,
     progress: StreamProgress,
     *,
     headers: tuple[tuple[str, str], ...],
-    silence_seconds: float,
+    on_deliver: Callable[[], None],
 ) -> RelayResult:
-    """Send complete events to the caller as they arrive.
+    """Send complete events to the caller as they arrive, and end the answer.
 
-    Starts the exchange if needed and does not end it. The stream is incomplete after
-    `silence_seconds` without data.
+    `on_deliver` is called before each time that something is sent to the caller.
     """
-    try:
-        async for part in response.events(silence_seconds):
-            match part:
-                case Chunk(data=data):
-                    complete = progress.complete_events(data)
-                    if not complete:
-                        continue
-                    if not exchange.started:
-                        await exchange.start(200, headers)
-                    await exchange.send(complete)
-                case End():
-                    return (
-                        Incomplete(reason="cut_event")
-                        if progress.has_partial_event
-                        else Complete()
-                    )
-                case CallFailed(phase=phase):
-                    return Incomplete(reason=f"cut_{phase.value}")
-    finally:
-        response.close()
+    async for part in parts:
+        match part:
+            case Chunk(data=data):
+                complete = progress.complete_events(data)
+                if not complete:
+                    continue
+                on_deliver()
+                if not exchange.started:
+                    await exchange.start(200, headers)
+                await exchange.send(complete)
+            case End():
+                if progress.has_partial_event:
+                    return Incomplete(reason="cut_event")
+                on_deliver()
+                if not exchange.started:
+                    await exchange.start(200, headers)
+                await exchange.end()
+                return Complete()
+            case CallFailed(phase=phase):
+                return Incomplete(reason=f"cut_{phase.value}")
     return Incomplete(reason="cut_body")
 
 
-async def read_body(
-    response: HttpResponse, silence_seconds: float
-) -> bytes | Incomplete:
+async def read_body(parts: AsyncIterator[BodyEvent]) -> bytes | Incomplete:
     """Read an answer to its end before any of it is sent to the caller."""
     body = bytearray()
-    try:
-        async for part in response.events(silence_seconds):
-            match part:
-                case Chunk(data=data):
-                    body += data
-                case End():
-                    return bytes(body)
-                case CallFailed(phase=phase):
-                    return Incomplete(reason=f"cut_{phase.value}")
-    finally:
-        response.close()
+    async for part in parts:
+        match part:
+            case Chunk(data=data):
+                body += data
+            case End():
+                return bytes(body)
+            case CallFailed(phase=phase):
+                return Incomplete(reason=f"cut_{phase.value}")
     return Incomplete(reason="cut_body")
--- a/mallowpond/gateway/tests/test_silent_targets.py
+++ b/mallowpond/gateway/tests/test_silent_targets.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from mallowpond.gateway.dispatch import Attempt
+from mallowpond.gateway.dispatch import Attempt, ResponseTimeout
 from mallowpond.gateway.metrics import GatewayMetrics
-from mallowpond.gateway.pools import ResponseTimeout, ServicePool
+from mallowpond.gateway.pools import ServicePool
 from mallowpond.gateway.quarantine import GatewayQuarantine
 from mallowpond.gateway.serving import (
     RefusedRequest,
--- a/mallowpond/gateway/tests/test_whole_answers.py
+++ b/mallowpond/gateway/tests/test_whole_answers.py
@@ -11,6 +11,7 @@
     serving_site,
     set_faults,
 )
+from mallowpond.gateway.tests.virtual_clock import VirtualClock, run_with_clock
 from mallowpond.standins.engine import EngineFaults
 
 
@@ -113,3 +114,26 @@
             assert done.events == [f"star.{n} " for n in range(30)] + [""]
         else:
             assert b"broken_stream" in done.body
+
+
+def test_a_stream_is_whole_while_all_engines_are_slow():
+    """Guards against engines that are taken for crashed as all of them are slow."""
+    clock = VirtualClock()
+
+    async def ask_slow_engines():
+        async with serving_site(clock=clock) as site:
+            # Three seconds between two tokens, more than `between_chunks`.
+            set_faults(site, slow_factor=1500.0)
+            reply = await ask(site, stream=True)
+            assert reply.is_complete
+            assert reply.events == [f"star.{n} " for n in range(4)] + [""]
+            assert len(runs(site)) <= 3
+            assert not site.controllers[0].quarantine.published()
+            routes = site.gateways[0].routes
+            assert not routes._revoked_at
+            # A slot that was not released would keep its group from new requests.
+            set_faults(site)
+            replies = [await ask(site, f"p{n}") for n in range(20)]
+            assert {r.status for r in replies} == {200}
+
+    run_with_clock(clock, ask_slow_engines())
--- a/mallowpond/settings.py
+++ b/mallowpond/settings.py
@@ -76,8 +76,10 @@
     after all its members last confirmed it. `request` is the default timeout of a
     caller's request. A stopping gateway waits up to `drain_limit` for requests in
     progress.
-    `claim` bounds claim and quota calls, `connect` connecting, `first_byte` the wait
-    for a response's head and `between_chunks` gaps in its body.
+    `claim` bounds claim and quota calls, and `connect` connecting. A target counts as
+    silent after a wait of `first_byte` for a response's head and of `between_chunks`
+    for more of its body. Another one may then be asked beside it; it is given up only
+    if it is silent for so long when the caller's time is over.
     """
 
     routes: float = 0.25
