Decide on silent sends of the own interface in a module of its own

When a send is doubted, when another target is sought and when it is given up stands in state/send_wait.py with tests, without input or output; the gateway's logic is unchanged. bin/test of test_send_wait, test_silent_targets and test_whole_answers: 32 tests, passed.

--- a/mallowpond/gateway/serving.py
+++ b/mallowpond/gateway/serving.py
@@ -33,6 +33,7 @@
 from mallowpond.protocol.problems import Outcome, Problem
 from mallowpond.state.admission import Refused
 from mallowpond.state.retry import RetryBudget
+from mallowpond.state.send_wait import SendWait
 from mallowpond.transport.http_client import BodyEvent, HttpResponse
 from mallowpond.transport.http_server import Exchange
 
@@ -227,31 +228,29 @@
 
     # -- silence ---------------------------------------------------------------
 
-    def _silence_limit(self, send: _Send) -> float:
-        if send.has_head:
-            return self.silence_seconds
-        return self.pool.response_timeout.first_byte_seconds
-
-    def _is_silent(self, send: _Send) -> bool:
+    def _wait(self, send: _Send) -> SendWait | None:
+        """Return a send's wait for its target, None while what came is passed on."""
         if send.waits_since is None:
-            return False
-        return self.clock.now() - send.waits_since >= self._silence_limit(send)
+            return None
+        limit = self.pool.response_timeout.first_byte_seconds
+        return SendWait(
+            since=send.waits_since,
+            limit=self.silence_seconds if send.has_head else limit,
+            sought_at=send.sought_at,
+        )
 
-    def _due_at(self, send: _Send) -> float:
-        """Return when a target that stays silent is to be dealt with."""
-        if send.waits_since is None:
-            return float("inf")
-        limit = self._silence_limit(send)
-        silent_at = send.waits_since + limit
-        ends_at = max(silent_at, self.pool.response_timeout.deadline)
-        if len(self._sends) > 1 or not self._may_run_again:
-            return ends_at
-        return min(ends_at, max(silent_at, send.sought_at + limit))
+    def _is_silent(self, send: _Send) -> bool:
+        wait = self._wait(send)
+        return wait is not None and wait.silent_at <= self.clock.now()
 
     def _seconds_until_due(self) -> float:
-        # No more than the shortest limit, as the state of a send may change meanwhile.
-        due_at = min(map(self._due_at, self._sends))
-        return min(self.silence_seconds, due_at - self.clock.now())
+        may_seek = len(self._sends) == 1 and self._may_run_again
+        deadline = self.pool.response_timeout.deadline
+        waits = [wait for send in self._sends if (wait := self._wait(send))]
+        due_at = [wait.due_at(deadline, may_seek=may_seek) for wait in waits]
+        # At most this limit, within which the state of a send may change.
+        seconds = [self.silence_seconds, *(at - self.clock.now() for at in due_at)]
+        return min(seconds)
 
     def _handle_silence(self, race: TaskRace[str | None]) -> None:
         """End what has reached its time limit, or ask another target beside it."""
