Soak: pause engines in series, and find the answers that are lost beside it

Two faults may pause one process, which goes on when the last of its pauses ends. The judge finds requests that failed 0.3 s or more before their limit although an engine that had begun them lived and had not ended them itself, and streams that only an order ended.

A stream ends now also when its engine has joined another group in the meantime; before, it went on there if leave and join came between two events, as they do when an engine wakes.

Three tests run in each of four scenes: all or 0.6 of 14 engines, one node or three.

--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -23,7 +23,12 @@
     unpack,
 )
 from mallowpond.transport.http_client import CallFailed, HttpClient
-from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
+from mallowpond.transport.http_server import (
+    ClientDisconnected,
+    Exchange,
+    HttpRequest,
+    HttpServer,
+)
 
 log = structlog.get_logger()
 
@@ -517,7 +522,12 @@
                 await asyncio.sleep(2 * FATAL_SECONDS if is_fatal else CALL_SECONDS)
                 await exchange.respond(200, call_body(attempt), stamped_headers)
             else:
-                await self._stream(request, exchange, attempt, stamped_headers)
+                await self._stream(
+                    request, exchange, attempt, stamped_headers, membership
+                )
+        except (asyncio.CancelledError, ClientDisconnected):
+            self._write_journal("disconnected", attempt=attempt)
+            raise
         finally:
             self._running_requests -= 1
 
@@ -527,6 +537,7 @@
         exchange: Exchange,
         attempt: str,
         stamped_headers: Any,
+        membership: GroupMembership,
     ) -> None:
         tokens = int(request.headers.get(names.TOKEN_COUNTS, "0,7").partition(",")[2])
         first = int(request.headers.get(names.LAST_EVENT, 0)) + 1
@@ -536,7 +547,17 @@
             await asyncio.sleep(self._options.event_seconds)
             while self._stalled_at is not None:
                 await asyncio.sleep(PING_SECONDS)
-            if self._membership is None or self._membership.state == "broken":
+            if self._membership is not membership or membership.state == "broken":
+                is_broken = self._membership is membership
+                self._write_journal(
+                    "broken off",
+                    attempt=attempt,
+                    reason="member lost" if is_broken else "order",
+                    group=membership.group,
+                    epoch=membership.epoch,
+                    members=membership.members,
+                    sent=number - 1,
+                )
                 return
             await exchange.send(event_bytes(attempt, number))
         await exchange.end()
--- a/mallowpond/standins/observatory_operator.py
+++ b/mallowpond/standins/observatory_operator.py
@@ -6,6 +6,7 @@
 
 import base64
 import json
+from dataclasses import dataclass
 from typing import Any
 
 from mallowpond.standins.observatory_store import (
@@ -46,6 +47,15 @@
 INVALID_IDS = ("", " ", "i-", "no id", "i-\u2603", "../op/config", "x" * 200)
 
 
+@dataclass(frozen=True, kw_only=True)
+class SoakSettings:
+    """Values of the soak's configuration that change while it runs."""
+
+    idle_timeout_ms: int = 10000
+    stream_timeout_ms: int = 6000
+    added_routes: int = 0
+
+
 class ObservatoryOperator:
     """Client of the Observatory store's stand-in with the operator's permissions."""
 
@@ -177,8 +187,9 @@
     load_seconds: float,
     workspaces: dict[str, str | None],
     cold: dict[str, float] | None = None,
+    settings: SoakSettings = SoakSettings(),
 ) -> dict[str, Any]:
-    """Return a configuration with a route of each kind.
+    """Return a configuration with a route of each kind, and any added ones.
 
     cold: fields of each service on cold engines, None for none.
     workspaces: API key of each workspace by its name, None for no key. The document
@@ -199,12 +210,18 @@
         "far_x": 2.0,
     }
     # gap_target_ms: objective for the longest time between two events.
+    stream_fields = {"can_resume": True, "gap_target_ms": 300}
+    stream_timeout = settings.stream_timeout_ms
     return {
         "version": version,
         "routes": [
-            _route("s", "stream", "engines", 6000, can_resume=True, gap_target_ms=300),
+            _route("s", "stream", "engines", stream_timeout, **stream_fields),
             _route("once", "non_idempotent", "plain", 1500),
             _route("again", "idempotent", "plain", 1500),
+            *(
+                _route(f"added{number}", "idempotent", "plain", 1500)
+                for number in range(settings.added_routes)
+            ),
         ],
         "services": [
             {
@@ -215,7 +232,10 @@
             },
             {"name": "plain", "health_path": "/healthz", **(cold or {})},
         ],
-        "limits": {"header_timeout_ms": 2000, "idle_timeout_ms": 10000},
+        "limits": {
+            "header_timeout_ms": 2000,
+            "idle_timeout_ms": settings.idle_timeout_ms,
+        },
         "tenants": [
             {"name": name, "api_keys": [] if key is None else [key]}
             for name, key in workspaces.items()
--- a/mallowpond/standins/tests/test_observatory.py
+++ b/mallowpond/standins/tests/test_observatory.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from mallowpond.platform import headers as names
 from mallowpond.standins.observatory_engine import EngineOptions, ObservatoryEngine
 from mallowpond.standins.observatory_operator import (
     ObservatoryOperator,
@@ -170,3 +171,37 @@
         await draining
         assert "i-fixed" not in await operator.entries()
         await engine.close()
+
+
+async def test_a_stream_that_an_order_ends_is_in_the_journal(tmp_path):
+    """Guards against a stream that goes on in the group its engine joined next."""
+    async with _store() as (store, operator, http):
+        options = _options(store, tmp_path, event_seconds=0.05)
+        async with _engine(options) as address:
+
+            async def order(operation: str) -> int:
+                body = json.dumps({**JOIN, "operation": operation}).encode()
+                return (await http.fetch(address, "POST", "/-/order", body=body))[0]
+
+            async def is_open() -> bool:
+                return (await _report(http, address))["group"]["state"] == "open"
+
+            async def opens() -> bool:
+                return await order("open") == 200
+
+            assert await order("join") == 202
+            await _until(opens)
+            await _until(is_open)
+            headers = ((names.ATTEMPT, "q"), (names.TOKEN_COUNTS, "1,7000"))
+            stream = asyncio.create_task(
+                http.fetch(address, "POST", "/s/x", headers=headers, timeout=5.0)
+            )
+            await asyncio.sleep(0.2)
+            assert await order("leave") == 200
+            assert await order("join") == 202
+            assert isinstance(await stream, CallFailed)
+    entries = [
+        json.loads(line) for line in (tmp_path / "journal").read_text().splitlines()
+    ]
+    (end,) = [entry for entry in entries if entry["event"] == "broken off"]
+    assert (end["attempt"], end["reason"], end["group"]) == ("q", "order", "g")
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -94,6 +94,8 @@
         cuts=tuple(injector.cuts),
         fatal_parts=tuple(injector.fatal_parts),
         skews=tuple(injector.skews),
+        pauses=tuple(injector.pauses),
+        engine_ends=tuple(fleet.engine_ends),
         longest_stall=stalls.longest,
     )
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,8 @@
 import random
 import signal
 import time
+from collections.abc import Sequence
+from contextlib import ExitStack
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -15,7 +17,7 @@
     new_engine_id,
 )
 from mallowpond.standins.observatory_operator import INVALID_IDS, foreign_values
-from soak import restores
+from soak import pauses, restores
 from soak.callers import FIRST_PARTS, SECOND_PARTS, Callers, FatalChoice
 from soak.fleet import DATA_CENTRES, Fleet, ManagedProcess
 from soak.judge import (
@@ -31,9 +33,11 @@
     RESTORED_UNHEARD_KIND,
     SKEW_KIND,
 )
+from soak.losses import PAUSE_KINDS
 from soak.proxy import LinkMode, Proxy
 from soak.records import (
     Disturbance,
+    EnginePause,
     Evacuation,
     FatalParts,
     ForeignEntry,
@@ -94,11 +98,13 @@
 DRAW_7_KINDS = (FATAL_PART_KIND, SKEW_KIND, "engine_kill_domain")
 # The store comes back from a copy that is some seconds old.
 DRAW_8_KINDS = RESTORED_KINDS
+# All engines, or a share of them, pause repeatedly beside new configurations.
+DRAW_9_KINDS = PAUSE_KINDS
 # From draw version 2 on, a seed chooses one of these probabilities, with which each
 # kind may occur in its run. With few kinds there are undisturbed periods, in which the
 # time limits are checked.
 KIND_SHARES = (0.15, 0.3, 0.6, 1.0)
-NEWEST_DRAW = 8
+NEWEST_DRAW = 9
 LINK_FAULTS = (LinkMode.SLOW, LinkMode.RESET, LinkMode.SILENT, LinkMode.ONE_WAY)
 # How nodes lose their links to the engines, chosen by `Fault.draw`.
 CUT_MODES = (LinkMode.SILENT, LinkMode.RESET, LinkMode.NO_NEW)
@@ -164,6 +170,7 @@
     kinds += DRAW_6_KINDS if draw > 5 else ()
     kinds += DRAW_7_KINDS if draw > 6 else ()
     kinds += DRAW_8_KINDS if draw > 7 else ()
+    kinds += DRAW_9_KINDS if draw > 8 else ()
     return tuple(k for k in kinds if rng.random() < share) or DRAW_2_KINDS
 
 
@@ -199,6 +206,7 @@
     cuts: list[LinkCut] = field(default_factory=list)
     fatal_parts: list[FatalParts] = field(default_factory=list)
     skews: list[Skew] = field(default_factory=list)
+    pauses: list[EnginePause] = field(default_factory=list)
     _evacuated: set[str] = field(default_factory=set)
     # Nodes that have no links to the engines now.
     _cut: set[int] = field(default_factory=set)
@@ -239,6 +247,10 @@
                 await self._restore_store(fault)
                 self._record_disturbance(fault.kind, began, None)
                 return
+            case _ if fault.kind in PAUSE_KINDS:
+                # Each pause of the series is recorded on its own.
+                await self._pause_engines(fault)
+                return
             case "engine":
                 number = fault.draw % len(self.fleet.engines)
                 await self._disturb_engine(fault, self.fleet.engines[number])
@@ -299,10 +311,10 @@
                 self.fleet.stop(node)
                 await self._wait_until_restarted(node)
             case "node_pause":
-                await self._pause(node, fault.seconds)
+                await self._pause([node], fault.seconds)
             case "node_stop_and_pause":
                 self.fleet.stop(node)
-                await self._pause(node, fault.seconds)
+                await self._pause([node], fault.seconds)
                 await self._wait_until_restarted(node)
 
     async def _disturb_engine(self, fault: Fault, engine: ManagedProcess) -> None:
@@ -325,7 +337,7 @@
                 self.fleet.stop(engine)
                 await self._wait_until_restarted(engine)
             case "engine_pause":
-                await self._pause(engine, fault.seconds)
+                await self._pause([engine], fault.seconds)
             case "engine_link":
                 link = self.fleet.engine_links[engines.index(engine)]
                 await self._impair_link(link, fault)
@@ -598,10 +610,38 @@
         numbers = range(len(self.fleet.nodes))
         await asyncio.gather(*(stop(number) for number in numbers))
 
-    async def _pause(self, managed: ManagedProcess, seconds: float) -> None:
-        managed.signal(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        managed.signal(signal.SIGCONT)
+    async def _pause(self, paused: Sequence[ManagedProcess], seconds: float) -> None:
+        engines = frozenset(managed.id for managed in paused if managed.id)
+        began = time.monotonic()
+        with ExitStack() as stack:
+            for managed in paused:
+                stack.enter_context(managed.paused())
+            await asyncio.sleep(seconds)
+        if engines:
+            pause = EnginePause(
+                engines=engines, began_at=began, ended_at=time.monotonic()
+            )
+            self.pauses.append(pause)
+
+    async def _pause_engines(self, fault: Fault) -> None:
+        """Pause engines several times, each time just after a new configuration."""
+        fleet = self.fleet
+        series = pauses.draw_series(
+            kind=fault.kind,
+            draw=fault.draw,
+            seconds=fault.seconds,
+            engines=len(fleet.engines),
+        )
+        for number, pause in enumerate(series):
+            ends_at = time.monotonic() + pause.interval
+            changing = asyncio.create_task(pauses.change_configuration(fleet, number))
+            await asyncio.sleep(pauses.CHANGE_LEAD_SECONDS)
+            began = time.monotonic()
+            await self._pause([fleet.engines[n] for n in pause.engines], pause.seconds)
+            self._record_disturbance(fault.kind, began, None)
+            await changing
+            await asyncio.sleep(max(0.0, ends_at - time.monotonic()))
+        await pauses.restore_configuration(fleet)
 
     async def _wait_until_restarted(self, managed: ManagedProcess) -> None:
         while managed.stopping_since is not None and managed.should_run:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,8 +11,9 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from collections.abc import Iterable, Iterator
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, contextmanager
 from dataclasses import dataclass, field
 from itertools import islice
 from pathlib import Path
@@ -23,11 +24,13 @@
 from mallowpond.standins.observatory_engine import new_engine_id
 from mallowpond.standins.observatory_operator import (
     ObservatoryOperator,
+    SoakSettings,
     soak_configuration,
 )
 from mallowpond.transport.http_client import HttpClient
 from soak.judge import GROUP_SIZE, REVOKE_SECONDS, WORKSPACES
 from soak.proxy import LinkMode, Proxy
+from soak.records import EngineEnd
 
 ROOT = Path(__file__).resolve().parent.parent
 GRACE_SECONDS = 8.0
@@ -91,6 +94,8 @@
     process: subprocess.Popen[bytes] | None = None
     should_run: bool = True
     stopping_since: float | None = None
+    # Number of pauses that hold each process.
+    _pauses: Counter[subprocess.Popen[bytes]] = field(default_factory=Counter)
 
     def start(self) -> None:
         """Start the process; append its output to its log."""
@@ -119,6 +124,23 @@
         if self.is_running and self.process is not None:
             self.process.send_signal(number)
 
+    @contextmanager
+    def paused(self) -> Iterator[None]:
+        """Pause the current process until the last of its pauses has ended."""
+        process = self.process
+        if process is None:
+            yield
+            return
+        self._pauses[process] += 1
+        process.send_signal(signal.SIGSTOP)
+        try:
+            yield
+        finally:
+            self._pauses[process] -= 1
+            if not self._pauses[process]:
+                del self._pauses[process]
+                process.send_signal(signal.SIGCONT)
+
 
 @dataclass(kw_only=True)
 class Fleet:
@@ -136,6 +158,8 @@
     node_addresses: list[str] = field(default_factory=list)
     version: int = 0
     active_keys: set[str] = field(default_factory=lambda: set(WORKSPACES))
+    settings: SoakSettings = SoakSettings()
+    engine_ends: list[EngineEnd] = field(default_factory=list)
     _store: ManagedProcess | None = None
     _store_port: int = 0
     _http: HttpClient = field(default_factory=HttpClient)
@@ -190,6 +214,7 @@
                     managed.signal(signal.SIGKILL)
                 if managed.should_run and not managed.is_running:
                     if managed.options is not None:
+                        self._record_end(managed)
                         self._write_options(managed, {"id": new_engine_id()})
                     managed.start()
 
@@ -202,9 +227,13 @@
             await asyncio.sleep(KILL_POLL_SECONDS)
         # Another fault may have restarted it already; two processes would share a port.
         if engine.process is process:
+            self._record_end(engine)
             engine.start()
         engine.should_run = True
 
+    def _record_end(self, engine: ManagedProcess) -> None:
+        self.engine_ends.append(EngineEnd(engine=engine.id, at=time.monotonic()))
+
     @property
     def grouped_engine_count(self) -> int:
         """Return the number of engines that may join groups; plain ones follow."""
@@ -228,6 +257,7 @@
                 for key, name in WORKSPACES.items()
             },
             cold=self._cold_fields(),
+            settings=self.settings,
         )
         return await self._operator.configure(document)
 
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -18,6 +18,7 @@
     call_body,
     event_bytes,
 )
+from soak.losses import find_lost_answers, find_ordered_ends
 from soak.records import CallerRecord, Ending, JournalEntry, RequestKind, Run
 
 GROUP_SIZE = 3
@@ -189,6 +190,8 @@
             _check_evacuations,
             _check_cut_nodes,
             _check_skews,
+            find_lost_answers,
+            find_ordered_ends,
         )
     return [line for check in checks for line in check(run)]
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -122,6 +122,23 @@
     ended_at: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class EnginePause:
+    """The interval for which these engines' processes were stopped by a signal."""
+
+    engines: frozenset[str]
+    began_at: float
+    ended_at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class EngineEnd:
+    """The end of an engine's process, noticed at `at`, up to a poll after it."""
+
+    engine: str
+    at: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class FatalParts:
     """The interval for which requests with parts that crash engines were sent.
@@ -148,6 +165,8 @@
     cuts: tuple[LinkCut, ...] = ()
     fatal_parts: tuple[FatalParts, ...] = ()
     skews: tuple[Skew, ...] = ()
+    pauses: tuple[EnginePause, ...] = ()
+    engine_ends: tuple[EngineEnd, ...] = ()
     longest_stall: float = 0.0
 
 
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -10,10 +10,13 @@
     CallerRecord,
     Disturbance,
     Ending,
+    EngineEnd,
+    EnginePause,
     Evacuation,
     FatalParts,
     ForeignEntry,
     JournalEntry,
+    LinkCut,
     RequestKind,
     Revocation,
     Run,
@@ -545,3 +548,132 @@
     )
     found = [line for line in find_violations(run) if "evacuated" in line]
     assert bool(found) == is_violation
+
+
+MEMBERS_PAUSED = EnginePause(engines=frozenset(MEMBERS), began_at=10.2, ended_at=11.1)
+LONG_PAUSE = replace(MEMBERS_PAUSED, ended_at=11.3)
+# The pauses of two members, which together last longer than a head tolerates.
+MEMBER_PAUSES = (
+    EnginePause(engines=frozenset({"e1", "e9"}), began_at=10.0, ended_at=10.8),
+    EnginePause(engines=frozenset({"e2", "e9"}), began_at=10.7, ended_at=11.2),
+)
+HEAD_RUNS = run_entry(**IN_GROUP)
+BROKEN_OFF = entry(
+    "broken off", 11.35, attempt="q", reason="member lost", group="g", epoch=1
+)
+BROKEN_OFF = replace(BROKEN_OFF, values={**BROKEN_OFF.values, "members": MEMBERS})
+ORDERED_OFF = replace(BROKEN_OFF, values={**BROKEN_OFF.values, "reason": "order"})
+JOINED_OTHER = entry(
+    "join", 11.2, "e1", group="h", epoch=2, members=["e1"], before=["g", 1]
+)
+HEAD_LEFT = entry("leave", 11.3, group="g", epoch=1)
+FAILED_EARLY = {**FAILED, "ending": Ending.WHOLE}
+REFUSED_EARLY = {**REFUSED, "ending": Ending.WHOLE}
+ENDS_EARLY = {"kind": RequestKind.STREAM, "deadline": 13.0, "ended_at": 11.5}
+
+
+def paused_run(*notes, pause=MEMBERS_PAUSED, disturbances=(), more=None, **fields):
+    """Return a run of one request, which is cut off, beside a pause of engines.
+
+    `more` replaces fields of the run, `fields` those of the request.
+    """
+    request = record(**{**CUT, **ENDS_EARLY, **fields})
+    notes = sorted([*READY, OPEN, *notes], key=lambda note: note.at)
+    run = run_of(request, notes=notes, disturbances=disturbances)
+    return replace(run, **{"pauses": (pause,), **(more or {})})
+
+
+def node_disturbance(kind, node=0):
+    """Return a disturbance of a node while the request of `paused_run` runs."""
+    return Disturbance(kind=kind, began_at=10.5, ended_at=12.0, node=node)
+
+
+LOST_RUNS = [
+    paused_run(HEAD_RUNS),
+    paused_run(HEAD_RUNS, **FAILED_EARLY),
+    paused_run(HEAD_RUNS, **{**FAILED_EARLY, "status": 504}),
+    paused_run(HEAD_RUNS, **UNREAD),
+    paused_run(HEAD_RUNS, ended_at=12.7),
+    paused_run(run_entry(), **FAILED_EARLY, kind=RequestKind.ONCE),
+    paused_run(run_entry(), **FAILED_EARLY, kind=RequestKind.AGAIN),
+    # The second engine ended the stream, while the first one lived.
+    paused_run(
+        HEAD_RUNS,
+        run_entry(at=10.9, engine="e5", group="h", epoch=1, members=["e5"]),
+        replace(BROKEN_OFF, engine="e5"),
+    ),
+    # The head marked its group as broken once the stream had left it.
+    paused_run(HEAD_RUNS, replace(BROKEN_OFF, at=11.6)),
+    paused_run(HEAD_RUNS, disturbances=(node_disturbance("node_kill", node=1),)),
+    paused_run(HEAD_RUNS, disturbances=(node_disturbance("node_stop"),)),
+    paused_run(HEAD_RUNS, disturbances=(node_disturbance("store_pause", None),)),
+    # Processes of other groups, or of this one before the request.
+    paused_run(HEAD_RUNS, more={"engine_ends": (EngineEnd(engine="e5", at=11.0),)}),
+    paused_run(HEAD_RUNS, more={"engine_ends": (EngineEnd(engine="e0", at=9.0),)}),
+]
+KEPT_RUNS = [
+    paused_run(),
+    paused_run(**REFUSED_EARLY),
+    paused_run(HEAD_RUNS, **REFUSED_EARLY),
+    paused_run(HEAD_RUNS, ended_at=12.75),
+    paused_run(HEAD_RUNS, deadline=20.0, ended_at=15.3),
+    paused_run(HEAD_RUNS, BROKEN_OFF, pause=LONG_PAUSE),
+    paused_run(HEAD_RUNS, more={"engine_ends": (EngineEnd(engine="e0", at=11.0),)}),
+    paused_run(HEAD_RUNS, more={"engine_ends": (EngineEnd(engine="e2", at=11.9),)}),
+    paused_run(HEAD_RUNS, disturbances=(node_disturbance("node_kill"),)),
+    paused_run(HEAD_RUNS, disturbances=(node_disturbance("node_pause"),)),
+    paused_run(HEAD_RUNS, disturbances=(node_disturbance("engine_link", None),)),
+    paused_run(
+        HEAD_RUNS, more={"cuts": (LinkCut(nodes=(0,), began_at=11.0, ended_at=14.0),)}
+    ),
+    paused_run(HEAD_RUNS, more={"revocations": (REVOKED,)}),
+    paused_run(HEAD_RUNS, content="fatal 1"),
+    paused_run(HEAD_RUNS, parts=("a0", "dead1", "q")),
+    # Only one engine pauses, or the pause is long over.
+    paused_run(HEAD_RUNS, pause=replace(MEMBERS_PAUSED, engines=frozenset({"e0"}))),
+    paused_run(HEAD_RUNS, pause=replace(MEMBERS_PAUSED, began_at=6.0, ended_at=6.9)),
+]
+ORDERED_RUNS = [
+    paused_run(HEAD_RUNS, HEAD_LEFT, ORDERED_OFF),
+    paused_run(HEAD_RUNS, JOINED_OTHER, BROKEN_OFF),
+    paused_run(HEAD_RUNS, JOINED_OTHER, BROKEN_OFF, **FAILED_EARLY),
+]
+UNORDERED_RUNS = [
+    # No order, another reason for it, or a stream that has a whole answer.
+    paused_run(HEAD_RUNS, BROKEN_OFF),
+    paused_run(HEAD_RUNS, replace(JOINED_OTHER, engine="e5"), BROKEN_OFF),
+    paused_run(HEAD_RUNS, JOINED_OTHER, BROKEN_OFF, pause=LONG_PAUSE),
+    paused_run(HEAD_RUNS, HEAD_LEFT, ORDERED_OFF, pause=LONG_PAUSE),
+    paused_run(HEAD_RUNS, JOINED_OTHER, BROKEN_OFF, more={"pauses": MEMBER_PAUSES}),
+    paused_run(
+        HEAD_RUNS,
+        JOINED_OTHER,
+        BROKEN_OFF,
+        more={"engine_ends": (EngineEnd(engine="e2", at=9.9),)},
+    ),
+    paused_run(HEAD_RUNS, HEAD_LEFT, ORDERED_OFF, ended_at=12.75),
+    run_of(record(RequestKind.STREAM), notes=[*READY, OPEN, HEAD_RUNS, ORDERED_OFF]),
+]
+
+
+@pytest.mark.parametrize("run", LOST_RUNS)
+def test_an_answer_that_ends_while_its_engine_lives_is_found(run):
+    assert sum("q: lost" in line for line in find_violations(run)) == 1
+
+
+@pytest.mark.parametrize("run", KEPT_RUNS)
+def test_an_answer_that_its_engine_or_another_fault_ends_is_no_loss(run):
+    assert not any("q: lost" in line for line in find_violations(run))
+
+
+@pytest.mark.parametrize("run", ORDERED_RUNS)
+def test_a_stream_that_an_order_ends_is_found(run):
+    lines = find_violations(run)
+    assert sum("q: ended by an order" in line for line in lines) == 1
+    assert not any("q: lost" in line for line in lines)
+
+
+@pytest.mark.parametrize("run", UNORDERED_RUNS)
+def test_a_stream_whose_group_lost_a_member_is_not_ended_by_an_order(run):
+    lines = find_violations(run)
+    assert not any("by an order" in line or "q: lost" in line for line in lines)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Tests that the real programs keep their guarantees under short series of faults."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -23,14 +24,24 @@
     SKEW_KIND,
     find_violations,
 )
+from soak.losses import (
+    PAUSE_ALL_KIND,
+    PAUSE_SHARE_KIND,
+    find_lost_answers,
+    find_ordered_ends,
+)
 from soak.proxy import LinkMode
-from soak.records import Ending
+from soak.records import Ending, RequestKind
 
 SECONDS = 4.0
 # Engines that may end under one part while it is found: as many as one request that is
 # sent again and again ends at the same rate, with what is in flight.
 MIN_PART_CRASHES = 2
 MAX_PART_CRASHES = 8
+# Draws three pauses over 1 s and one below it, of 0.6 of the engines if not of all.
+PAUSE_DRAW = 193
+PAUSE_SERIES_SECONDS = 9.0
+PAUSE_REQUESTS_PER_SECOND = 50.0
 
 
 # Each seed with its draw of faults.
@@ -230,3 +241,40 @@
     ]
     assert late == []
     assert find_violations(run) == []
+
+
+@pytest.fixture(
+    scope="module",
+    params=[(k, n) for k in (PAUSE_ALL_KIND, PAUSE_SHARE_KIND) for n in (1, 3)],
+    ids=["all-1", "all-3", "share-1", "share-3"],
+)
+def pause_run(request, tmp_path_factory):
+    """Run a case in which all or 0.6 of the engines pause, with one node or three."""
+    kind, nodes = request.param
+    fault = Fault(at=0.5, kind=kind, seconds=PAUSE_SERIES_SECONDS, draw=PAUSE_DRAW)
+    shape = FleetShape(nodes=nodes, domains=3)
+    case = Case(seed=1, seconds=0.0, faults=(fault,), shape=shape)
+    folder = tmp_path_factory.mktemp("pauses")
+    run = asyncio.run(run_case(case, folder, rate=PAUSE_REQUESTS_PER_SECOND))
+    assert len(run.pauses) == 4 and run.engine_ends == ()
+    return run
+
+
+def test_no_stream_is_lost_while_engines_pause(pause_run):
+    """Guards against streams that are ended although their silent engine lives."""
+    streams = [r for r in pause_run.callers if r.kind is RequestKind.STREAM]
+    run = replace(pause_run, callers=tuple(streams))
+    assert list(find_lost_answers(run)) == []
+    assert list(find_ordered_ends(run)) == []
+
+
+def test_no_call_is_lost_while_engines_pause(pause_run):
+    """Guards against calls that are ended although their silent engine lives."""
+    calls = [r for r in pause_run.callers if r.kind is not RequestKind.STREAM]
+    assert list(find_lost_answers(replace(pause_run, callers=tuple(calls)))) == []
+
+
+def test_an_engine_pause_breaks_no_other_guarantee(pause_run):
+    """Guards against answers that are mixed, doubled or late once engines go on."""
+    lost = {*find_lost_answers(pause_run), *find_ordered_ends(pause_run)}
+    assert [line for line in find_violations(pause_run) if line not in lost] == []
