--- a/soak/losses.py
+++ b/soak/losses.py
@@ -72,7 +72,7 @@
                 entry.at <= record.ended_at
                 and not _has_ended(run, entry, entry.at, since)
                 and _longest_pause(run, entry, since) <= STALL_SECONDS
-                and (entry.values["reason"] == "order" or _was_ordered(run, entry))
+                and _was_ordered(run, entry)
             ):
                 yield (
                     f"{record.attempt}: ended by an order ({record.kind.value}, node "
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -557,6 +557,10 @@
     EnginePause(engines=frozenset({"e1", "e9"}), began_at=10.0, ended_at=10.8),
     EnginePause(engines=frozenset({"e2", "e9"}), began_at=10.7, ended_at=11.2),
 )
+NESTED_PAUSES = (
+    EnginePause(engines=frozenset({"e1", "e9"}), began_at=10.0, ended_at=11.2),
+    EnginePause(engines=frozenset({"e2", "e9"}), began_at=10.3, ended_at=10.8),
+)
 HEAD_RUNS = run_entry(**IN_GROUP)
 BROKEN_OFF = entry(
     "broken off", 11.35, attempt="q", reason="member lost", group="g", epoch=1
@@ -645,6 +649,7 @@
     paused_run(HEAD_RUNS, JOINED_OTHER, BROKEN_OFF, pause=LONG_PAUSE),
     paused_run(HEAD_RUNS, HEAD_LEFT, ORDERED_OFF, pause=LONG_PAUSE),
     paused_run(HEAD_RUNS, JOINED_OTHER, BROKEN_OFF, more={"pauses": MEMBER_PAUSES}),
+    paused_run(HEAD_RUNS, JOINED_OTHER, BROKEN_OFF, more={"pauses": NESTED_PAUSES}),
     paused_run(
         HEAD_RUNS,
         JOINED_OTHER,
