--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -39,7 +39,7 @@
 MIN_PART_CRASHES = 2
 MAX_PART_CRASHES = 8
 # Draws three pauses over 1 s and one below it, of 0.6 of the engines if not of all.
-PAUSE_DRAW = 193
+PAUSE_DRAW = 178
 PAUSE_SERIES_SECONDS = 9.0
 PAUSE_REQUESTS_PER_SECOND = 50.0
 
