Let the sends of a stream in doubt follow each other safely

- One last event of a head that was about to end gave up the second group at once, and the stream was cut.
A group that was in doubt must send events for 20 ms before another send is cancelled for it; an answer that ends wins at once.
- With two sends neither was left again, whatever became of their groups.
Another group is looked for as soon as all sends are in doubt, within the route's attempts, and a restarted process counts also for a send that is in doubt already.
- Events that were held back were forwarded one at a time, so that a send that began while the caller did not read resumed before the rest of them: they came twice.
They are forwarded at once, and no send begins meanwhile.
- A slow group whose second send came too late stayed in doubt for good and was not watched any more.
- After 1.5 s of a common silence its streams were in doubt, so that no group was due and the silence counted as over: living groups were suspected.
Streams in doubt count as evidence.
- Rejected second sends used up the repeats of a stream that goes on.
- A wait for a slot could outlive its stream if the caller left while it was cancelled.

--- a/mallowpond/node/stream_work.py
+++ b/mallowpond/node/stream_work.py
@@ -1,7 +1,7 @@
 """State of a stream while it is served, of each send of it, and how a send ended.
 
-While the group of a send is in doubt, the stream may be sent to another group too. The
-first of both sends that delivers an event goes on.
+While the group of each send is in doubt, the stream may be sent to another group too.
+The first of them that delivers goes on.
 """
 
 import asyncio
@@ -45,9 +45,9 @@
     sent_to: list[Process] = field(default_factory=list)
     not_run_sends: int = 0
     sends: int = 0
-    # At most two, of which the first one is in doubt.
+    # In the order of their start; all but the last one are in doubt.
     in_progress: list["ActiveStream"] = field(default_factory=list)
-    # Wait for a slot of another group while the only send is in doubt.
+    # Wait for a slot of another group while all sends are in doubt.
     placing: asyncio.Task[Group | Refusal] | None = None
     # Set when a send has ended or is in doubt, and when a wait for a slot has ended.
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -68,6 +68,11 @@
         """Return the keys of the parts of its prompt that other requests share."""
         return self.request.part_keys(self.service, self.model.name)
 
+    @property
+    def live_sends(self) -> list["ActiveStream"]:
+        """Return the sends in progress that were not cancelled for another one."""
+        return [stream for stream in self.in_progress if not stream.is_dropped]
+
     @property
     def has_begun(self) -> bool:
         """Return whether the caller has part of the answer."""
@@ -101,6 +106,8 @@
     # Whether it was cancelled as another send delivers the answer.
     is_dropped: bool = False
     progress: StreamProgress = field(default_factory=StreamProgress)
+    # When its group, which was in doubt, has sent events for long enough.
+    recovers_at: float | None = None
     # Complete events that wait until it is known whether this send goes on.
     held: list[bytes] = field(default_factory=list)
     # Whether it waits for the caller to read.
@@ -140,7 +147,8 @@
 
     def move(self, reason: Reason) -> None:
         """Let another group go on with the stream if that delivers first."""
-        if self.move_reason is None:
+        is_certain = reason is Reason.RESTARTED and self.move_reason is not reason
+        if self.move_reason is None or is_certain:
             self.move_reason = reason
             self.look_for_group()
 
@@ -153,6 +161,7 @@
         """Let the stream go on at this group alone."""
         self.move_reason = None
         self.is_move_due = False
+        self.recovers_at = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -50,6 +50,9 @@
 # Longest backoff after a group rejected a stream, in seconds: as long as a group that
 # only this host cannot reach is excluded, and shorter than any caller waits.
 MAX_BACKOFF_SECONDS = 1.0
+# Time for which a group that was in doubt must send events before another send is
+# cancelled for it, in seconds: more than a head takes to flush what it has and end.
+MIN_RECOVERY_SECONDS = 0.02
 # Time after which another group is looked for again for a stream in doubt, in seconds:
 # a part of the time for which callers wait without an event.
 MOVE_PAUSE_SECONDS = 0.25
@@ -130,6 +133,8 @@
         refusal = self._refuse_attempt(work, not_run=isinstance(end, NotRun))
         if refusal is not None:
             return refusal
+        if work.not_run_sends > MAX_NOT_RUN_REPEATS:
+            return self.placement.refuse(Reason.NO_GROUP, NO_GROUP_RETRY_SECONDS)
         # A connection that was not opened brought no request to a target.
         is_free = isinstance(end, NotRun) and reason is Reason.CONNECT
         if is_free or self._take_repeat(work, reason):
@@ -144,8 +149,6 @@
         quarantined = self._quarantine.refusal(work.fingerprint, work.parts)
         if quarantined is not None:
             return quarantined
-        if work.not_run_sends > MAX_NOT_RUN_REPEATS:
-            return self.placement.refuse(Reason.NO_GROUP, NO_GROUP_RETRY_SECONDS)
         if not not_run and not work.route.resumable:
             return Refusal(status=502, reason=Reason.MAYBE_RUN)
         if not not_run and self._attempts(work) >= work.route.max_attempts:
@@ -192,7 +195,8 @@
         work = stream.work
         if not work.route.resumable or stream.move_reason is not None:
             return False
-        if len(work.in_progress) > 1:
+        others = [s for s in work.live_sends if s is not stream]
+        if any(other.move_reason is None for other in others):
             return False
         return self._attempts(work) < work.route.max_attempts
 
@@ -258,12 +262,11 @@
                 continue
             end = stream.task.result()
             self._record_end(stream, end)
-            others = [s for s in work.in_progress if not s.is_dropped]
+            others = work.live_sends
             if isinstance(end, CompleteAnswer) or not others:
                 return end
-            for other in others:
-                if other.move_reason is not None:
-                    self._pause_move(other)
+            if others[-1].move_reason is not None:
+                self._pause_move(others[-1])
         return None
 
     def _record_end(self, stream: ActiveStream, end: AttemptEnd) -> None:
@@ -274,7 +277,7 @@
                 work.failed = end
             case NotRun(reason=reason):
                 assert group.head is not None
-                work.not_run_sends += 1
+                work.not_run_sends += not work.live_sends
                 work.sent_to.remove(group.head.process)
                 if reason is Reason.MISDIRECTED:
                     self._directory.mark_broken(group, BreakCause.REFUSED)
@@ -282,17 +285,21 @@
                 self._record_broken(stream, Reason.BROKEN_STREAM)
 
     def _update_standby(self, work: StreamWork) -> None:
-        """Look for another group, or send the stream there, while one is in doubt."""
-        if len(work.in_progress) > 1:
-            return
-        (stream,) = work.in_progress
-        reason, placing = stream.move_reason, work.placing
-        if reason is None:
+        """Look for another group, or send the stream there, while all are in doubt."""
+        sends = work.live_sends
+        for stream in sends:
+            if stream.move_reason is Reason.RESTARTED:
+                self._record_broken(stream, Reason.RESTARTED)
+        if not sends or any(stream.move_reason is None for stream in sends):
             self._release_unused(work)
             return
+        stream, placing = sends[-1], work.placing
+        reason = stream.move_reason
+        assert reason is not None
         if placing is None:
-            if stream.is_move_due:
-                stream.is_move_due = False
+            if any(each.is_move_due for each in sends):
+                for each in sends:
+                    each.is_move_due = False
                 self._start_placing(stream)
             return
         if not placing.done():
@@ -300,6 +307,10 @@
         work.placing, group = None, placing.result()
         if isinstance(group, Refusal):
             self._pause_move(stream)
+        elif any(each.is_forwarding for each in sends):
+            # The next send would resume before what is being forwarded.
+            self.placement.release_grant()
+            self._pause_move(stream)
         elif self._may_stand_by(work) and self._take_repeat(work, reason):
             self._log_resent(work, reason, stream.group, beside=True)
             self._begin(work, group)
@@ -310,14 +321,11 @@
     def _release_unused(self, work: StreamWork) -> None:
         """Release a slot that was granted after the doubt had ended."""
         if work.placing is not None and work.placing.done():
-            if isinstance(work.placing.result(), Group):
-                self.placement.release_grant()
+            self._release_granted(work.placing)
             work.placing = None
 
     def _start_placing(self, stream: ActiveStream) -> None:
         work = stream.work
-        if stream.move_reason is Reason.RESTARTED:
-            self._record_broken(stream, Reason.RESTARTED)
         if not (self._may_stand_by(work) and self._budgets.can_repeat(work.service)):
             self._pause_move(stream)
             return
@@ -338,17 +346,22 @@
 
         asyncio.get_running_loop().call_later(MOVE_PAUSE_SECONDS, renew)
 
-    async def _cancel_placing(self, work: StreamWork) -> None:
+    def _cancel_placing(self, work: StreamWork) -> None:
         placing, work.placing = work.placing, None
-        if placing is None:
+        if placing is not None:
+            placing.add_done_callback(self._release_granted)
+            placing.cancel()
+
+    def _release_granted(self, placing: asyncio.Task[Group | Refusal]) -> None:
+        """Release the slot that an ended wait was granted, if any."""
+        if placing.cancelled() or placing.exception() is not None:
             return
-        placing.cancel()
-        (group,) = await asyncio.gather(placing, return_exceptions=True)
-        if isinstance(group, Group):
+        if isinstance(placing.result(), Group):
             self.placement.release_grant()
 
     async def _end_sends(self, work: StreamWork) -> None:
         """Cancel what is in progress of a stream."""
+        self._cancel_placing(work)
         streams = list(work.in_progress)
         tasks = [stream.task for stream in streams if stream.task is not None]
         for task in tasks:
@@ -358,7 +371,6 @@
         finally:
             for stream in streams:
                 self._finish(stream)
-        await self._cancel_placing(work)
 
     # -- one send ------------------------------------------------------------
 
@@ -528,29 +540,41 @@
             await self._release_held(stream, headers)
 
     def _must_hold(self, stream: ActiveStream) -> bool:
-        """Return whether the events of a send wait for those of another one."""
-        others = [s for s in stream.work.in_progress if s is not stream]
-        return stream.yields and any(
-            self._clock.now() - other.sent_at < self.allowed_first_event(other)
-            for other in others
-        )
+        """Return whether the events of a send wait until it is known to go on.
+
+        The first event after a doubt may be the last one of a head that ends. A send
+        that yields waits for as long as the newest one may take to its first event.
+        """
+        newest, now = stream.work.live_sends[-1], self._clock.now()
+        if stream.move_reason is None or newest is stream:
+            return False
+        if stream.yields:
+            return now - newest.sent_at < self.allowed_first_event(newest)
+        if stream.recovers_at is None:
+            stream.recovers_at = now + MIN_RECOVERY_SECONDS
+        return now < stream.recovers_at
 
     async def _release_held(
         self, stream: ActiveStream, headers: tuple[tuple[str, str], ...]
     ) -> None:
         """Forward the events of the send that goes on, and cancel the other one."""
         work = stream.work
-        for other in work.in_progress:
-            if other is not stream and not other.is_dropped:
-                self._drop(other, stream)
-        if not stream.yields:
-            stream.end_doubt()
-            await self._cancel_placing(work)
+        stream.is_forwarding = True
         if stream.held and not work.exchange.started:
             await work.exchange.start(200, headers)
-        stream.is_forwarding = True
-        while stream.held:
-            events = stream.held.pop(0)
+        others = [s for s in work.live_sends if s is not stream]
+        for other in others:
+            self._drop(other, stream)
+        if stream.yields and others:
+            self._pause_move(stream)
+        elif not stream.yields:
+            stream.end_doubt()
+            self._cancel_placing(work)
+        # Forwarded at once: a send that begins while the caller does not read must
+        # resume after all of them.
+        events = b"".join(stream.held)
+        stream.held.clear()
+        if events:
             self._record_forwarded(work, events)
             await work.exchange.send(events)
         stream.is_forwarding = False
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -126,7 +126,7 @@
             self._streams.placement.wake_all()
         by_group: dict[GroupKey, list[ActiveStream]] = defaultdict(list)
         for stream in self._streams.active:
-            if stream.move_reason is None:
+            if not stream.is_dropped:
                 by_group[stream.key].append(stream)
         # An earlier query does not apply to streams that were sent since.
         self._queries = {k: q for k, q in self._queries.items() if k in by_group}
@@ -141,7 +141,9 @@
             self._queries.clear()
         else:
             for key, streams in by_group.items():
-                self._evaluate(key, streams, silences[key])
+                settled = [s for s in streams if s.move_reason is None]
+                if settled:
+                    self._evaluate(key, settled, silences[key])
         self._interval = max(self._interval, MIN_CHECK_INTERVAL_SECONDS)
         self._due_at = now + self._interval
 
@@ -504,8 +506,9 @@
         """
         streams = self._streams_on(group.key)
         if cause is BreakCause.RESTARTED:
-            for stream in filter(self._streams.can_resume, streams):
-                stream.move(Reason.RESTARTED)
+            for stream in [s for s in self._streams.active if s.key == group.key]:
+                if stream.move_reason is not None or self._streams.can_resume(stream):
+                    stream.move(Reason.RESTARTED)
         elif not self._is_making_progress(group.key, streams):
             self._move(streams)
         if not is_known_to_peers:
