Survey the fleet for new losses only

Each probe of a lost target, one every 2 s, that timed out had a sample of up to 40 others asked. What is lost already needs no second opinion. Also tested: an engine that wakes 50 ms after the others is not lost for the difference.

--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -260,7 +260,7 @@
     async def _probe_once(self, target: Target) -> bool | None:
         """Return whether the listed process answers, None if its silence is held."""
         failures: list[Unavailable] = []
-        surveys: list[asyncio.Future[None]] = []
+        survey: asyncio.Future[None] | None = None
         began = self._clock.now()
         for _ in range(PROBE_ATTEMPTS):
             async with self._gate.admit():
@@ -269,12 +269,14 @@
             if not isinstance(report, Unavailable):
                 return self._record_alive(target, report)
             failures.append(report)
-            if report.is_silent and not surveys:
+            is_news = report.is_silent and target.process not in self._lost
+            if is_news and survey is None:
                 # It runs beside the next attempt, so that it delays no finding.
-                survey = self.surveys.complete(target.service, began)
-                surveys.append(asyncio.ensure_future(survey))
-        await asyncio.gather(*surveys)
-        if all(failure.is_silent for failure in failures):
+                complete = self.surveys.complete(target.service, began)
+                survey = asyncio.ensure_future(complete)
+        if survey is not None:
+            await survey
+        if survey is not None and all(failure.is_silent for failure in failures):
             if not self._is_evidence(target, began):
                 return None
             if self.surveys.has_late_answers(target.service):
--- a/mallowpond/node/tests/test_planner_silence.py
+++ b/mallowpond/node/tests/test_planner_silence.py
@@ -51,6 +51,7 @@
         self.fleet = fleet
         self.awake_at = defaultdict(float)
         self.refusing = set()
+        self.asked = []
         self.orders = []
 
     def pause(self, names, seconds):
@@ -77,6 +78,7 @@
 
     async def report(self, target):
         """Return an engine's state if it answers in time."""
+        self.asked.append(target.id)
         failure = await self._await_answer(target.id, QUERY_SECONDS)
         if failure is not None:
             return failure
@@ -326,6 +328,19 @@
     assert {step.target.id for step in leaves} == {"d1g0a"}
 
 
+def test_lost_engines_are_probed_on_without_the_others():
+    """Guards against queries to the fleet for as long as an engine stays dead."""
+
+    async def run(rig):
+        rig.targets.pause(["d1g0b"], FOREVER)
+        await rig.run(2.0)
+        rig.targets.asked.clear()
+        await rig.run(5.0)
+
+    rig = scene(run)
+    assert set(rig.lost) == set(rig.targets.asked) == {"d1g0b"}
+
+
 def test_a_silent_engine_in_every_domain_is_lost_at_once():
     dead = [f"d{number}g0b" for number in range(3)]
 
@@ -379,6 +394,20 @@
     assert set(ended) == {"d1g0"}
 
 
+@pytest.mark.parametrize("seconds", [0.42, 0.47, 0.49])
+def test_an_engine_that_wakes_a_little_after_the_others_is_not_lost(seconds):
+    """Guards against an engine that is lost for the last moment of a pause."""
+
+    async def run(rig):
+        rig.targets.pause(rig.names, seconds)
+        rig.targets.pause(["d1g0b"], seconds + 0.05)
+        await rig.run(3.0)
+
+    rig = scene(run)
+    assert rig.lost == {}
+    assert rig.orders == []
+
+
 def test_an_engine_that_refuses_connections_is_lost_in_a_pause_of_all():
     """Guards against a known death that is held for a silence."""
 
