--- a/mallowpond/node/tests/test_watch.py
+++ b/mallowpond/node/tests/test_watch.py
@@ -36,6 +36,11 @@
         self.on_silence_question = []
         self.on_advance = []
         self.on_group_broken = []
+        self.on_silences_question = []
+        self.on_silences_answer = []
+
+    def ask_silences(self):
+        """Ask nobody, as there is no peer."""
 
     def ask_group_progress(self, key, silent):
         """Record a query."""
@@ -45,7 +50,7 @@
         """Record a broken group."""
         self.broadcasts.append((group.key, cause))
 
-    def broadcast_suspicion(self, key, *, cleared=False, closing=False):
+    def broadcast_suspicion(self, key, *, cleared=False, **more):
         """Record a suspicion, or the end of one."""
         (self.cleared if cleared else self.broadcasts).append(key)
 
