Wait for a target that accepts connections before it counts as lost

Callers were cut by an order of the planner: where fewer than two fifths of the engines paused, each was lost after two timeouts, and its group dissolved while it lived.

A host accepts connections for a process that stands still, and one that is down or cut off does not. A silent target that accepts them now counts as lost after 1.5 s of silence; one that does not is lost as before, a connection's timeout later. A lost target is asked again every 0.3 s for 5 s. Hosts that ignored their peers' suspicions after a stall of their own do so only for those that began in a common silence.

test_a_head_that_only_pauses_is_not_lost[pauses] failed before, with leave orders for the member that lived.

--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -28,11 +28,19 @@
 from mallowpond.state.order_book import OrderBook
 from mallowpond.state.processes import CurrentProcesses
 from mallowpond.state.slow_members import PaceReadings
+from mallowpond.transport.connector import Connected
 
 log = structlog.get_logger()
 
-# Interval between two probes of a target that did not answer, in seconds.
+# Interval between two probes of a target that did not answer, in seconds: short at
+# first, as it counts as lost until it is asked again.
 PROBE_INTERVAL_SECONDS = 2.0
+FIRST_PROBE_INTERVAL_SECONDS = 0.3
+FIRST_PROBES_SECONDS = 5.0
+# Time of silence after which a target that accepts connections counts as lost, in
+# seconds: longer than engines pause. Interval between two probes meanwhile, in seconds.
+MAX_PAUSE_SECONDS = 1.5
+PAUSED_PROBE_SECONDS = 0.1
 # Consecutive requests without an answer after which a target counts as lost.
 PROBE_ATTEMPTS = 2
 # Interval between two checks of a group member whose list entry lapsed, in seconds.
@@ -85,6 +93,7 @@
         # Keyed by process, not by target id: a target that has just restarted would
         # otherwise count as lost, or share the answer of its earlier process.
         self._lost: dict[Process, float] = {}  # time of the last failed probe
+        self._lost_since: dict[Process, float] = {}
         self._replaced: dict[Process, float] = {}  # time of the refused order
         self._running_probes: dict[Process, asyncio.Task[bool]] = {}
         self._lapsed_probed_at: dict[Process, float] = {}
@@ -121,6 +130,7 @@
     def reset(self) -> None:
         """Drop the findings of this node's earlier term as planner."""
         self._lost.clear()
+        self._lost_since.clear()
         self._replaced.clear()
         self._lapsed_probed_at.clear()
         self._reported_probed_at.clear()
@@ -135,6 +145,7 @@
         listed = {target.process: target for target in targets.values()}
         for known in (
             self._lost,
+            self._lost_since,
             self._replaced,
             self._lapsed_probed_at,
             self._reported_probed_at,
@@ -153,10 +164,11 @@
             if target.lapsed and target.membership is not None:
                 self._check_lapsed(target, now)
         for process, at in self._lost.items():
-            if (
-                now - at > PROBE_INTERVAL_SECONDS
-                and process not in self._running_probes
-            ):
+            lost_for = now - self._lost_since.get(process, now)
+            interval = PROBE_INTERVAL_SECONDS
+            if lost_for < FIRST_PROBES_SECONDS:
+                interval = FIRST_PROBE_INTERVAL_SECONDS
+            if now - at > interval and process not in self._running_probes:
                 self._spawn(self.probe(listed[process]))
 
     def _probe_held(self, listed: dict[Process, Target]) -> None:
@@ -283,17 +295,51 @@
                 report = await self.fetch_report(target)
                 if not isinstance(report, Unavailable):
                     return self._record_alive(target, report)
+            report = await self._await_late_report(target, began)
+            if report is not None:
+                return self._record_alive(target, report)
         self._held.discard(target.process)
         if not await self._is_confirmed_silent(target, began):
             return False
         self._record_lost(target, failures[-1].reason)
         return False
 
+    async def _await_late_report(
+        self, target: Target, since: float
+    ) -> EngineReport | None:
+        """Return the report of a target that only pauses, None if none comes.
+
+        The host of a process that stands still accepts connections for it, and one that
+        is down or cut off does not.
+        """
+        if target.process in self._lost:
+            return None
+        while self._clock.now() - since < MAX_PAUSE_SECONDS:
+            if not await self._accepts_connections(target):
+                return None
+            await self._clock.sleep(PAUSED_PROBE_SECONDS)
+            report = await self.fetch_report(target)
+            if not isinstance(report, Unavailable):
+                return report
+            if not report.is_silent:
+                return None
+        return None
+
+    async def _accepts_connections(self, target: Target) -> bool:
+        if self._links is None:
+            return False
+        opened = await self._links.connect_directly(target.address)
+        if not isinstance(opened, Connected):
+            return False
+        opened.writer.transport.abort()
+        return True
+
     def _record_alive(self, target: Target, report: EngineReport) -> bool:
         """Record a target's report; return whether its listed process answered."""
         if self._is_report_current(report.target):
             self._directory.apply_report(report.target)
         self._held.discard(target.process)
+        self._lost_since.pop(target.process, None)
         if self._lost.pop(target.process, None) is not None:
             log.info("planner: target regained", target=target.id)
         return report.target.process == target.process
@@ -328,7 +374,8 @@
                 listed=len(self._directory.targets),
                 **self.surveys.counts(target.service),
             )
-        self._lost[target.process] = self._clock.now()
+        self._lost[target.process] = now = self._clock.now()
+        self._lost_since.setdefault(target.process, now)
 
     async def _is_confirmed_silent(self, target: Target, since: float) -> bool:
         """Return whether a target's silence since a time is not caused by this host.
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -38,6 +38,7 @@
 from mallowpond.state.order_book import REPORT_LAG_SECONDS
 from mallowpond.state.site_configuration import Service, SiteConfiguration
 from mallowpond.state.target_notice import TargetNotice
+from mallowpond.transport.connector import Connected, ConnectFailed
 
 
 class FakeLeadership:
@@ -1115,12 +1116,31 @@
     assert sorted(per_round)[-2:] == [1 if asked > 4 else 0, 2 * doubted + (asked > 4)]
 
 
+class FakeWriter:
+    """Writer of a connection that is aborted at once."""
+
+    @property
+    def transport(self):
+        """Return the transport."""
+        return self
+
+    def abort(self):
+        """Do nothing."""
+
+
 class FakeLinks:
     """Links of a host that reaches targets itself, or does not."""
 
     def __init__(self):
         self.lost = set()
         self.is_confirmed = True
+        self.accepts = False
+
+    async def connect_directly(self, address):
+        """Return a connection, or a failure as to a host that is down."""
+        if not self.accepts:
+            return ConnectFailed(reason="connect timeout")
+        return Connected(reader=None, writer=FakeWriter())
 
     def is_lost(self, service):
         """Return whether the links to a service are lost."""
@@ -1154,3 +1174,25 @@
     rig = Rig(free("a"), free("b"), links=links)
     await rig.steps(3)
     assert rig.targets.orders == []
+
+
+@pytest.mark.parametrize("accepts", [True, False], ids=["pauses", "host is down"])
+async def test_a_head_that_only_pauses_is_not_lost(accepts):
+    """Guards against groups dissolved as one of their members pauses for 1.3 s."""
+    links = FakeLinks()
+    links.accepts = accepts
+    rig = Rig(*open_group("g"), links=links)
+    await rig.steps(2)
+    began = rig.clock.time
+
+    async def report(target):
+        if target.id == "g0" and rig.clock.time - began < 1.3:
+            return Unavailable(reason="timeout", is_silent=True)
+        return EngineReport(orders=0, target=target)
+
+    rig.targets.report = report
+    rig.planner.probe_head(rig.directory.targets["g0"].process, "n1")
+    while rig.clock.time - began < 1.3:
+        await rig.steps()
+    await rig.steps(4)
+    assert bool(rig.orders_of(Leave)) != accepts
--- a/mallowpond/node/tests/test_sends_in_doubt.py
+++ b/mallowpond/node/tests/test_sends_in_doubt.py
@@ -196,7 +196,7 @@
 
 
 async def test_a_last_event_does_not_give_up_the_second_group():
-    """Guards against answers that end with a group that speaks once and is dissolved."""
+    """Guards against answers that end with a group that speaks once more."""
     rig = await make_rig("a", "b")
     silent = SilentStream(rig, event(2), BROKEN)
     stream = await silent.start()
--- a/mallowpond/node/watch.py
+++ b/mallowpond/node/watch.py
@@ -91,6 +91,7 @@
         self._common = CommonSilences(
             directory=directory, peers=peers, clock=clock, metrics=metrics
         )
+        self._common_ended_at = float("-inf")
         # When the groups that are excluded on a suspicion were suspected.
         self._suspected: dict[GroupKey, float] = {}
         # Groups that only this host did not reach, and until when it excludes them.
@@ -137,7 +138,7 @@
         }
         if self._update_common(by_group, silences):
             # Groups that are still silent are judged from now on.
-            self._silence_counts_from = now
+            self._silence_counts_from = self._common_ended_at = now
             self._queries.clear()
         else:
             for key, streams in by_group.items():
@@ -460,9 +461,7 @@
         streams = self._streams_on(key)
         is_common = any(self._common.is_common(s.work.service) for s in streams)
         began_at = self._clock.now() - suspicion.silent
-        # A silence that began in a common one, or while this process stood still, is no
-        # evidence.
-        is_old = suspicion.silent > 0.0 and began_at < self._silence_counts_from
+        is_old = suspicion.silent > 0.0 and began_at < self._common_ended_at
         if is_common or is_old or self._is_making_progress(key, streams):
             log.info(
                 "groups: peer suspicion ignored",
