Soak: write a revocation until the restored store accepts it

The drill `store_restored_unheard` revokes a key once the store is back. The injector slept for as long as the store was told to be away and wrote once. On a busy machine that write can come before the store is back, or its answer can be later than the operator's timeout: it counts as refused, and the run records no revocation, so that the regression test of the drill has none to judge.

The write is now repeated until the store accepts it, in this drill only. This is as strict as before: a revocation counts from the write that was accepted, later than any that was not, as before; the writes of the other kinds, which test what a single write during a fault does, are unchanged; and a run that had nothing to judge is judged now.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -410,7 +410,9 @@
                 restores.cut_store_links(fleet, fault.link)
                 await restores.restore_once(fleet, draw)
                 revoking = asyncio.create_task(
-                    self._revoke(restores.UNHEARD_SECONDS + fault.seconds)
+                    self._revoke(
+                        restores.UNHEARD_SECONDS + fault.seconds, repeats_write=True
+                    )
                 )
                 await asyncio.sleep(restores.UNHEARD_SECONDS)
                 restores.cut_store_links(fleet, LinkMode.SOUND)
@@ -608,11 +610,14 @@
             await asyncio.sleep(0.1)
         await asyncio.sleep(SETTLE_SECONDS)
 
-    async def _revoke(self, seconds: float) -> None:
+    async def _revoke(self, seconds: float, *, repeats_write: bool = False) -> None:
         if "key-b" not in self.fleet.active_keys:
             return
         self.fleet.active_keys.discard("key-b")
         accepted = await self.fleet.configure()
+        while repeats_write and not accepted:
+            await asyncio.sleep(0.1)
+            accepted = await self.fleet.configure()
         accepted_at = time.monotonic()
         await asyncio.sleep(seconds + 2.0)
         self.fleet.active_keys.add("key-b")
