Confirm a version as soon as a restored store may, at every host

Callers saw keyed requests refused with 503 for up to two seconds after the store was back from a copy and reachable, where the rule asks for one.

Cause: in the first second of an era no answer confirms a version, but polls went on as usual. A poll that began in that second confirmed nothing, and the next answer without a change came when the store's wait was over, which is 0.6 s with a bound of 2 s for revoked keys, and 1.5 s with one of 5 s or more. Hosts that follow readers heard of it with their next question, up to 0.5 s after that.

Change: the store holds a poll no longer than that second lasts, so that the next answer is the first that may confirm. A reader that was asked before the restored store confirmed a version answers the last question of each host once more when it does; the same holds when the copy lacks the version in force and the operator writes it again later. Messages are unchanged.

The new tests, in virtual time, failed on:

--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -69,8 +69,10 @@
         # Revision of the last answer, and when the store first answered in its era.
         self._answered_revision = FROM_START
         self._restored_at = float("-inf")
-        # Version of the newest configuration that the store has shown in this era.
+        # Version of the newest configuration that the store has shown in this era, and
+        # whether it has confirmed one since it was restored.
         self._shown_version: int | None = None
+        self._is_era_confirmed = True
         self._failures = 0
         self._configuration: SiteConfiguration | None = None
         self._confirmation: Confirmation | None = None
@@ -89,6 +91,8 @@
         self._is_first_settled = asyncio.Event()
         self._document = b""
         self.on_new_version: list[Callable[[], None]] = []
+        # Called when a restored store confirms a version for the first time.
+        self.on_era_confirmed: list[Callable[[], None]] = []
         self.is_reader: Callable[[], bool] = lambda: True
         self.should_retry_often: Callable[[], bool] = lambda: True
         self.ask_readers: Callable[[int], None] = lambda number: None
@@ -110,6 +114,11 @@
         """Return when the version in force was last confirmed; None if never."""
         return self._confirmation
 
+    @property
+    def is_era_confirmed(self) -> bool:
+        """Return whether the store has confirmed a version since it was restored."""
+        return self._is_era_confirmed
+
     @property
     def is_store_reachable(self) -> bool:
         """Return whether the last call to the store was answered."""
@@ -239,11 +248,7 @@
             # A follower's revision is usually older than the store's history.
             self._is_behind.clear()
             self._revision = FROM_START
-        wait = min(LONG_POLL_SECONDS, LONG_POLL_SHARE * self._revoke_seconds)
-        if self._failures:
-            # After a failure, confirming the version comes before waiting for changes.
-            wait = 0.0
-        answer = await self._source.configuration(self._revision, wait)
+        answer = await self._source.configuration(self._revision, self._poll_wait())
         match answer:
             case Unavailable(reason=reason):
                 self._record_failure(reason)
@@ -264,6 +269,7 @@
         if is_later_era(answer.revision, self._answered_revision):
             self._restored_at = self._clock.now()
             self._shown_version = None
+            self._is_era_confirmed = False
             self.store_clock.reset()
             log.warning("configuration: store restored", revision=answer.revision)
         self._revision = self._answered_revision = answer.revision
@@ -271,6 +277,20 @@
         self._apply_answer(answer, self._answered_at(answer, asked_at))
         return answer.configuration is not None or self._configuration is not None
 
+    def _poll_wait(self) -> float:
+        """Return how long the store may hold the next poll, in seconds."""
+        if self._failures:
+            # After a failure, confirming the version comes before waiting for changes.
+            return 0.0
+        wait = min(LONG_POLL_SECONDS, LONG_POLL_SHARE * self._revoke_seconds)
+        # The answer at the end of the rewrite time is the first that may confirm.
+        rewrite_left = self._rewrite_left()
+        return min(wait, rewrite_left) if rewrite_left > 0.0 else wait
+
+    def _rewrite_left(self) -> float:
+        """Return the seconds for which answers confirm nothing, if positive."""
+        return self._restored_at + REWRITE_SECONDS - self._clock.now()
+
     def handle_document(self, version: int, document: bytes) -> None:
         """Adopt a newer configuration that a peer read from the store.
 
@@ -332,7 +352,8 @@
         version although a later one was accepted that is not written again yet.
         """
         known = self._configuration
-        if self._clock.now() - self._restored_at < REWRITE_SECONDS:
+        is_rewriting = self._rewrite_left() > 0.0
+        if is_rewriting:
             confirmation = self._confirmation
             answered_at = confirmation.confirmed_at if confirmation else answered_at
         if answer.configuration is not None:
@@ -349,6 +370,18 @@
             )
         elif self._shown_version is not None:
             self.confirm(self._shown_version, answered_at)
+        if not is_rewriting:
+            self._record_era_confirmed()
+
+    def _record_era_confirmed(self) -> None:
+        """Notify listeners if the store shows the version in force again."""
+        known = self._configuration
+        if self._is_era_confirmed or known is None:
+            return
+        if self._shown_version == known.version:
+            self._is_era_confirmed = True
+            for notify in self.on_era_confirmed:
+                notify()
 
     def _install(self, configuration: SiteConfiguration, confirmed_at: float) -> None:
         known = self._configuration
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -104,12 +104,16 @@
         self._work_turn = 0
         self._last_sent_work: LoadsByGroup = {}
         self._was_store_reached = True
+        # Last question of each host since the store was restored, while it confirms no
+        # version.
+        self._unconfirmed_questions: dict[str, VersionQuestion] = {}
         # Returns the number of the last slot granted to this host whose stream its
         # load includes.
         self.grant_number: Callable[[], int] = lambda: 0
         self.after_digest: list[Callable[[], None]] = []
         configuration.is_reader = lambda: self.is_reader
         configuration.ask_readers = self._ask_reader
+        configuration.on_era_confirmed.append(self._answer_again)
         directory.is_reader = lambda: self.is_reader
         configuration.should_retry_often = lambda: self.should_retry_often
         directory.should_retry_often = lambda: self.should_retry_often
@@ -354,6 +358,21 @@
         self._peers.send_to(question, receivers)
 
     def _on_version_question(self, question: VersionQuestion) -> None:
+        if not self._configuration.is_era_confirmed:
+            self._unconfirmed_questions[question.node] = question
+        self._answer(question)
+
+    def _answer_again(self) -> None:
+        """Send the hosts that asked too early what they would get only by asking again.
+
+        A host accepts several answers to its last question.
+        """
+        questions = self._unconfirmed_questions
+        self._unconfirmed_questions = {}
+        for question in questions.values():
+            self._answer(question)
+
+    def _answer(self, question: VersionQuestion) -> None:
         confirmation = self._configuration.confirmation
         if confirmation is None:
             return
--- a/mallowpond/node/tests/test_configuration.py
+++ b/mallowpond/node/tests/test_configuration.py
@@ -3,7 +3,10 @@
 import asyncio
 from collections import deque
 
+import pytest
+
 from mallowpond.node.configuration import (
+    LONG_POLL_SHARE,
     QUESTION_INTERVAL_SECONDS,
     REWRITE_SECONDS,
     ConfigurationFollower,
@@ -205,6 +208,44 @@
     assert follower.confirmation.age(clock.time) == 0.0
 
 
+# Duration of an exchange with the store beside its wait, in seconds.
+EXCHANGE_SECONDS = 0.001
+
+
+def hold_answers(source, clock):
+    """Let the store hold each poll for its wait, in whole milliseconds."""
+    answer_at_once = source.configuration
+
+    async def answer(since, wait_seconds):
+        await clock.sleep(EXCHANGE_SECONDS + int(wait_seconds * 1000) / 1000)
+        return await answer_at_once(since, wait_seconds)
+
+    source.configuration = answer
+
+
+@pytest.mark.parametrize("bound", [1.0, 2.0, 5.0, 60.0])
+async def test_a_restored_store_confirms_as_soon_as_it_was_written_again(bound):
+    """Guards against keys that are refused until a poll of the first second ends."""
+    clock = FakeClock()
+    source = FakeSource()
+    source.reads.append(read_in_era(1, 90, configuration_of(4)))
+    follower = ConfigurationFollower(source=source, clock=clock, revoke_seconds=bound)
+    await follower.step()
+    clock.time += bound
+    assert not follower.is_confirmed
+    source.reads.append(read_in_era(2, 40, configuration_of(4)))
+    await follower.step()
+    restored_at = clock.time
+    hold_answers(source, clock)
+    calls = 0
+    while not follower.is_confirmed:
+        await follower.step()
+        calls += 1
+    late = clock.time - restored_at - REWRITE_SECONDS
+    assert 0.0 <= late <= 2.0 * EXCHANGE_SECONDS
+    assert calls <= REWRITE_SECONDS / (LONG_POLL_SHARE * bound) + 2
+
+
 async def test_a_host_that_was_cut_off_does_not_deny_what_a_newer_version_may_add():
     """Guards against 401 and 404 for keys and routes in force at all other hosts."""
     follower, source, clock = follower_of(3)
--- a/mallowpond/node/tests/test_readers.py
+++ b/mallowpond/node/tests/test_readers.py
@@ -12,6 +12,7 @@
     DOCUMENT_WAIT_SECONDS,
     FROM_START,
     MAX_UNANSWERED_QUESTIONS,
+    REWRITE_SECONDS,
     SLOW_RETRY_SECONDS,
     ConfigurationFollower,
 )
@@ -50,7 +51,7 @@
     member,
     open_group,
 )
-from mallowpond.node.tests.test_configuration import configuration_of
+from mallowpond.node.tests.test_configuration import configuration_of, read_in_era
 from mallowpond.standins.platform import MemoryTable
 from mallowpond.state.ownership import ranked_owners
 
@@ -530,6 +531,63 @@
     assert host.configuration.confirmation.confirmed_at == confirmed_at
 
 
+async def restored_reader(copied):
+    """Build a reader of version 4 whose store came back with this version."""
+    host = Host("n0")
+    host.source.reads.extend(
+        [
+            read_in_era(1, 90, configuration_of(4)),
+            read_in_era(2, 40, configuration_of(copied)),
+        ]
+    )
+    await host.configuration.step()
+    host.clock.time += 6.0
+    await host.configuration.step()
+    return host
+
+
+def ask(follower, reader):
+    """Let a follower ask a reader, and return the question."""
+    follower.configuration._ask()
+    question = follower.outbox_of(VersionQuestion)[-1]
+    reader.receive(question)
+    return question
+
+
+async def test_followers_hear_at_once_when_a_restored_store_confirms_again():
+    """Guards against keys that are refused until a follower asks again."""
+    reader = await restored_reader(copied=4)
+    other = await follower()
+    other.configuration.handle_document(4, b"4")
+    other.clock.time = reader.clock.time
+    for _ in range(2):
+        ask(other, reader)
+    (first, second) = reader.outbox_of(VersionAnswer)
+    other.receive(first, second)
+    assert not other.configuration.is_confirmed
+    reader.clock.time += REWRITE_SECONDS
+    other.clock.time += REWRITE_SECONDS
+    await reader.configuration.step()
+    (*_, again) = reader.outbox_of(VersionAnswer)
+    other.receive(again)
+    assert other.configuration.is_confirmed
+    assert other.configuration.confirmation.age(other.clock.time) == REWRITE_SECONDS
+    await reader.configuration.step()
+    assert reader.outbox_of(VersionAnswer) == [first, second, again]
+
+
+async def test_followers_hear_at_once_when_a_lost_version_is_written_again():
+    reader = await restored_reader(copied=3)
+    reader.clock.time += REWRITE_SECONDS
+    await reader.configuration.step()
+    reader.receive(VersionQuestion(node="b", number=5))
+    reader.source.reads.append(read_in_era(2, 50, configuration_of(4)))
+    await reader.configuration.step()
+    early, again = reader.outbox_of(VersionAnswer)
+    assert (early.number, again.number) == (5, 5)
+    assert (early.age, again.age) == (6.0 + REWRITE_SECONDS, 0.0)
+
+
 async def test_a_follower_that_hears_of_a_newer_version_reads_it():
     host = await follower()
     assert host.configuration._may_ask_readers()
