Count the first second of an era from any answer of the store

Callers saw keyed requests refused for longer than the rule asks where a host had lost the store: the second in which a restored store confirms nothing began with the next poll of the configuration, up to 0.2 s (1.5 s at a host that need not retry often) after another call had shown that the store is back.

Change: the second begins with the first answer that names the era, to any call, and that answer ends the pause before the next poll. A poll that is answered itself asks for no further one, so that a follower goes on to its readers at once.

The new tests, without processes, failed before the change:

test_any_answer_of_a_restored_store_starts_the_time_to_write_again assert 7.0 == 0.0 (age of the confirmation) test_any_answer_of_a_restored_store_ends_the_pause_before_a_retry assert 3 == (3 + 1) (polls)

and without the last sentence of it test_a_follower_whose_own_poll_hears_of_a_new_era_polls_no_second_time assert False (_may_ask_readers)

--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -15,7 +15,7 @@
     may_deny,
     merge_confirmation,
 )
-from mallowpond.state.revision import is_later_era
+from mallowpond.state.revision import era_of, is_later_era
 from mallowpond.state.site_configuration import SiteConfiguration
 from mallowpond.state.store_clock import StoreClock
 
@@ -66,9 +66,12 @@
         self._clock = clock
         self._revoke_seconds = revoke_seconds
         self._revision = FROM_START
-        # Revision of the last answer, and when the store first answered in its era.
+        # Revision of the last answer, the newest era that any call heard of, and when
+        # the store first named it; -inf before it was restored.
         self._answered_revision = FROM_START
+        self._newest_era = 0
         self._restored_at = float("-inf")
+        source.on_newer_era.append(self._record_era)
         # Version of the newest configuration that the store has shown in this era, and
         # whether it has confirmed one since it was restored.
         self._shown_version: int | None = None
@@ -203,7 +206,7 @@
         await sleep_until_event(self._clock, seconds, event)
 
     def handle_store_reachable(self) -> None:
-        """End the pause before a retry: another host reaches the store again."""
+        """End the pause before a retry: the store answers another call or host."""
         if self._failures:
             self._is_store_back.set()
 
@@ -249,6 +252,8 @@
             self._is_behind.clear()
             self._revision = FROM_START
         answer = await self._source.configuration(self._revision, self._poll_wait())
+        if not isinstance(answer, Unavailable):
+            self._is_store_back.clear()
         match answer:
             case Unavailable(reason=reason):
                 self._record_failure(reason)
@@ -266,8 +271,8 @@
             )
         self._failures = 0
         self._unanswered = 0
+        self._record_era(era_of(answer.revision))
         if is_later_era(answer.revision, self._answered_revision):
-            self._restored_at = self._clock.now()
             self._shown_version = None
             self._is_era_confirmed = False
             self.store_clock.reset()
@@ -277,6 +282,15 @@
         self._apply_answer(answer, self._answered_at(answer, asked_at))
         return answer.configuration is not None or self._configuration is not None
 
+    def _record_era(self, era: int) -> None:
+        """Start the rewrite time of a new era, which any call to the store may name."""
+        if era <= self._newest_era:
+            return
+        self._newest_era = era
+        if self._answered_revision != FROM_START:
+            self._restored_at = self._clock.now()
+            self.handle_store_reachable()
+
     def _poll_wait(self) -> float:
         """Return how long the store may hold the next poll, in seconds."""
         if self._failures:
--- a/mallowpond/node/tests/test_configuration.py
+++ b/mallowpond/node/tests/test_configuration.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mallowpond.coordination.tasks import cancel_task
 from mallowpond.node.configuration import (
     LONG_POLL_SHARE,
     QUESTION_INTERVAL_SECONDS,
@@ -246,6 +247,61 @@
     assert calls <= REWRITE_SECONDS / (LONG_POLL_SHARE * bound) + 2
 
 
+async def restored_behind_a_failure():
+    """Build a follower whose store was restored while its last poll failed."""
+    follower, source, clock = follower_of()
+    source.reads.append(read_in_era(1, 90, configuration_of(4)))
+    await follower.step()
+    clock.time += 6.0
+    source.is_cut_off = True
+    await follower.step()
+    source.is_cut_off = False
+    source.reads.append(read_in_era(2, 40, configuration_of(4)))
+    return follower, source, clock
+
+
+def name_era(source, era):
+    """Let an answer to another call name an era."""
+    for notify in source.on_newer_era:
+        notify(era)
+
+
+async def test_any_answer_of_a_restored_store_starts_the_time_to_write_again():
+    """Guards against keys that are refused for a second from the next poll on."""
+    follower, source, clock = await restored_behind_a_failure()
+    name_era(source, 2)
+    clock.time += REWRITE_SECONDS / 2.0
+    name_era(source, 2)
+    await follower.step()
+    assert not follower.is_confirmed
+    clock.time += REWRITE_SECONDS / 2.0
+    await follower.step()
+    assert follower.confirmation.age(clock.time) == 0.0
+
+
+async def test_any_answer_of_a_restored_store_ends_the_pause_before_a_retry():
+    follower, source, clock = await restored_behind_a_failure()
+    source.is_cut_off = True
+    clock.sleep = lambda seconds: asyncio.Event().wait()
+    running = asyncio.create_task(follower.run())
+    for _ in range(10):
+        await asyncio.sleep(0)
+    calls = len(source.waits)
+    name_era(source, 2)
+    for _ in range(10):
+        await asyncio.sleep(0)
+    assert len(source.waits) == calls + 1
+    await cancel_task(running)
+
+
+async def test_the_first_era_of_a_host_that_starts_delays_nothing():
+    follower, source, _ = follower_of()
+    name_era(source, 2)
+    source.reads.append(read_in_era(2, 40, configuration_of(4)))
+    await follower.step()
+    assert follower.is_confirmed
+
+
 async def test_a_host_that_was_cut_off_does_not_deny_what_a_newer_version_may_add():
     """Guards against 401 and 404 for keys and routes in force at all other hosts."""
     follower, source, clock = follower_of(3)
--- a/mallowpond/node/tests/test_readers.py
+++ b/mallowpond/node/tests/test_readers.py
@@ -36,7 +36,7 @@
     encode_loads,
 )
 from mallowpond.node.peers import PeerNetwork
-from mallowpond.node.ports import ConfigurationRead
+from mallowpond.node.ports import ConfigurationRead, HistoryLost
 from mallowpond.node.readers import (
     CANDIDATE_COUNT,
     MAX_TARGETS_PER_PART,
@@ -51,7 +51,11 @@
     member,
     open_group,
 )
-from mallowpond.node.tests.test_configuration import configuration_of, read_in_era
+from mallowpond.node.tests.test_configuration import (
+    configuration_of,
+    name_era,
+    read_in_era,
+)
 from mallowpond.standins.platform import MemoryTable
 from mallowpond.state.ownership import ranked_owners
 
@@ -588,6 +592,23 @@
     assert (early.age, again.age) == (6.0 + REWRITE_SECONDS, 0.0)
 
 
+async def test_a_follower_whose_own_poll_hears_of_a_new_era_polls_no_second_time():
+    host = await follower()
+    host.source.is_cut_off = True
+    await host.configuration.step()
+    host.source.is_cut_off = False
+    answer_at_once = host.source.configuration
+
+    async def answer(since, wait_seconds):
+        name_era(host.source, 2)
+        return await answer_at_once(since, wait_seconds)
+
+    host.source.configuration = answer
+    host.source.reads.append(HistoryLost())
+    await host.configuration.step()
+    assert host.configuration._may_ask_readers()
+
+
 async def test_a_follower_that_hears_of_a_newer_version_reads_it():
     host = await follower()
     assert host.configuration._may_ask_readers()
