Soak: let callers go on for longer by the time by which faults are late

Callers end at a time that is fixed before the faults start, and the drill was late by more than half a second, so that they ended in the second in which a node must confirm nothing. No product passes that.

The injector now records by how much a fault begins, or the nodes' links return, later than planned, and the callers go on for longer by that time. This is as strict as before: they go on for 1.5 s after the links' return, as planned, and no check or time limit is changed; more requests are judged.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -87,12 +87,17 @@
         self._tasks: set[asyncio.Task[None]] = set()
         # Node that gets most new connections while it is ready, None for any.
         self.favoured_node: int | None = None
+        # Time by which the faults are later than planned, in seconds.
+        self.lateness = 0.0
         self.records: list[CallerRecord] = []
 
     async def run(self, until: float) -> None:
-        """Send requests until a monotonic time, then wait until all have ended."""
+        """Send requests until a monotonic time, then wait until all have ended.
+
+        They go on for longer by the time by which the faults are late.
+        """
         poll_task = asyncio.create_task(self._poll_readiness())
-        while time.monotonic() < until:
+        while time.monotonic() < until + self.lateness:
             await asyncio.sleep(self._rng.expovariate(self._rate))
             self._start_request()
         await asyncio.gather(*self._tasks)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -199,20 +199,28 @@
     cuts: list[LinkCut] = field(default_factory=list)
     fatal_parts: list[FatalParts] = field(default_factory=list)
     skews: list[Skew] = field(default_factory=list)
+    _began_at: float = 0.0
     _evacuated: set[str] = field(default_factory=set)
     # Nodes that have no links to the engines now.
     _cut: set[int] = field(default_factory=set)
 
     async def run(self, faults: tuple[Fault, ...]) -> None:
         """Inject every fault at its time; return when the last has ended."""
-        began = time.monotonic()
+        self._began_at = time.monotonic()
         tasks = []
         for fault in faults:
-            await asyncio.sleep(max(0.0, began + fault.at - time.monotonic()))
+            at = self._began_at + fault.at
+            await asyncio.sleep(max(0.0, at - time.monotonic()))
+            self._record_lateness(fault.at)
             log.info("soak: fault", kind=fault.kind, seconds=round(fault.seconds, 1))
             tasks.append(asyncio.create_task(self._inject(fault)))
         await asyncio.gather(*tasks)
 
+    def _record_lateness(self, planned: float) -> None:
+        """Let callers go on for longer if what was planned for a time happens now."""
+        lateness = time.monotonic() - self._began_at - planned
+        self.callers.lateness = max(self.callers.lateness, lateness)
+
     async def _inject(self, fault: Fault) -> None:
         began = time.monotonic()
         number = fault.draw % len(self.fleet.nodes)
@@ -416,6 +424,8 @@
                 )
                 await asyncio.sleep(restores.UNHEARD_SECONDS)
                 restores.cut_store_links(fleet, LinkMode.SOUND)
+                unheard = restores.away_seconds(draw) + restores.UNHEARD_SECONDS
+                self._record_lateness(fault.at + unheard)
                 await revoking
             case kind if kind == RESTORED_LOST_KIND:
                 changes = [
--- a/soak/restores.py
+++ b/soak/restores.py
@@ -18,10 +18,15 @@
 LOST_SECONDS = 0.3
 
 
+def away_seconds(draw: int) -> float:
+    """Return the time for which the store is away."""
+    return AWAY_SECONDS[draw // 3 % len(AWAY_SECONDS)]
+
+
 async def restore_once(fleet: Fleet, draw: int) -> None:
     """Let the store come back from a copy; return when it is back."""
     age = COPY_AGES[draw % len(COPY_AGES)]
-    away = AWAY_SECONDS[draw // 3 % len(AWAY_SECONDS)]
+    away = away_seconds(draw)
     await fleet.restore_store(
         age=age, away_seconds=away, rewrite_seconds=REWRITE_SECONDS
     )
--- a/soak/tests/test_faults.py
+++ b/soak/tests/test_faults.py
@@ -1,9 +1,10 @@
 """Tests of the injector, without processes."""
 
 import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
 
-from soak.faults import Injector
+from soak.faults import Fault, Injector
 
 
 def fleet_whose_store_answers(*accepted):
@@ -30,3 +31,18 @@
     injector = Injector(fleet=fleet, callers=None)
     asyncio.run(injector._revoke(-2.0))
     assert injector.revocations == []
+
+
+def test_callers_go_on_for_longer_if_a_fault_is_late(monkeypatch):
+    """Guards against runs that end before the nodes can serve again."""
+    callers = SimpleNamespace(lateness=0.0)
+    injector = Injector(fleet=fleet_whose_store_answers(), callers=callers)
+    fault = Fault(at=0.0, kind="reconfigure", seconds=0.0, draw=0)
+    late = replace(fault, at=-0.5)
+
+    async def inject(fault):
+        return
+
+    monkeypatch.setattr(injector, "_inject", inject)
+    asyncio.run(injector.run((late, fault)))
+    assert callers.lateness >= 0.5
