Ask whether a silent target accepts connections beside its second probe

The planner took a dark engine for lost 0.25 to 0.5 s later, as it opened a connection to it after both timeouts, and asked lost ones every 0.3 s (899 probes for 200).

The connection is now opened beside the second probe, so that a target whose host does not accept one within that time is lost as before, and only targets that accepted a connection are asked again every 0.3 s.

--- a/mallowpond/node/probes.py
+++ b/mallowpond/node/probes.py
@@ -32,11 +32,10 @@
 
 log = structlog.get_logger()
 
-# Interval between two probes of a target that did not answer, in seconds: short at
-# first, as it counts as lost until it is asked again.
+# Interval between two probes of a target that did not answer, in seconds; and of one
+# that accepted connections, as it counts as lost until it is asked again.
 PROBE_INTERVAL_SECONDS = 2.0
-FIRST_PROBE_INTERVAL_SECONDS = 0.3
-FIRST_PROBES_SECONDS = 5.0
+PAUSED_PROBE_INTERVAL_SECONDS = 0.3
 # Time of silence after which a target that accepts connections counts as lost, in
 # seconds: longer than engines pause. Interval between two probes meanwhile, in seconds.
 MAX_PAUSE_SECONDS = 1.5
@@ -93,7 +92,8 @@
         # Keyed by process, not by target id: a target that has just restarted would
         # otherwise count as lost, or share the answer of its earlier process.
         self._lost: dict[Process, float] = {}  # time of the last failed probe
-        self._lost_since: dict[Process, float] = {}
+        # Silent targets whose hosts accepted connections: they may go on at any moment.
+        self._paused: set[Process] = set()
         self._replaced: dict[Process, float] = {}  # time of the refused order
         self._running_probes: dict[Process, asyncio.Task[bool]] = {}
         self._lapsed_probed_at: dict[Process, float] = {}
@@ -130,7 +130,7 @@
     def reset(self) -> None:
         """Drop the findings of this node's earlier term as planner."""
         self._lost.clear()
-        self._lost_since.clear()
+        self._paused.clear()
         self._replaced.clear()
         self._lapsed_probed_at.clear()
         self._reported_probed_at.clear()
@@ -145,7 +145,6 @@
         listed = {target.process: target for target in targets.values()}
         for known in (
             self._lost,
-            self._lost_since,
             self._replaced,
             self._lapsed_probed_at,
             self._reported_probed_at,
@@ -154,6 +153,7 @@
             for process in [p for p in known if p not in listed]:
                 del known[process]
         self._held &= listed.keys()
+        self._paused &= listed.keys()
         self._probe_held(listed)
         # An entry that is listed for this long was renewed by its process, so the
         # conclusion that another process had taken its address was wrong.
@@ -164,10 +164,9 @@
             if target.lapsed and target.membership is not None:
                 self._check_lapsed(target, now)
         for process, at in self._lost.items():
-            lost_for = now - self._lost_since.get(process, now)
             interval = PROBE_INTERVAL_SECONDS
-            if lost_for < FIRST_PROBES_SECONDS:
-                interval = FIRST_PROBE_INTERVAL_SECONDS
+            if process in self._paused:
+                interval = PAUSED_PROBE_INTERVAL_SECONDS
             if now - at > interval and process not in self._running_probes:
                 self._spawn(self.probe(listed[process]))
 
@@ -273,6 +272,7 @@
         """Return whether the listed process answers, None if its silence is held."""
         failures: list[Unavailable] = []
         survey: asyncio.Future[None] | None = None
+        connecting: asyncio.Future[bool] | None = None
         began = self._clock.now()
         for _ in range(PROBE_ATTEMPTS):
             async with self._gate.admit():
@@ -283,9 +283,10 @@
             failures.append(report)
             is_news = report.is_silent and target.process not in self._lost
             if is_news and survey is None:
-                # It runs beside the next attempt, so that it delays no finding.
+                # Both run beside the next attempt, so that they delay no finding.
                 complete = self.surveys.complete(target.service, began)
                 survey = asyncio.ensure_future(complete)
+                connecting = asyncio.ensure_future(self._accepts_connections(target))
         if survey is not None:
             await survey
         if survey is not None and all(failure.is_silent for failure in failures):
@@ -295,9 +296,11 @@
                 report = await self.fetch_report(target)
                 if not isinstance(report, Unavailable):
                     return self._record_alive(target, report)
-            report = await self._await_late_report(target, began)
-            if report is not None:
-                return self._record_alive(target, report)
+            if connecting is not None and connecting.done() and connecting.result():
+                self._paused.add(target.process)
+                report = await self._await_late_report(target, began)
+                if report is not None:
+                    return self._record_alive(target, report)
         self._held.discard(target.process)
         if not await self._is_confirmed_silent(target, began):
             return False
@@ -307,16 +310,8 @@
     async def _await_late_report(
         self, target: Target, since: float
     ) -> EngineReport | None:
-        """Return the report of a target that only pauses, None if none comes.
-
-        The host of a process that stands still accepts connections for it, and one that
-        is down or cut off does not.
-        """
-        if target.process in self._lost:
-            return None
+        """Return the report of a target that only pauses, None if none comes."""
         while self._clock.now() - since < MAX_PAUSE_SECONDS:
-            if not await self._accepts_connections(target):
-                return None
             await self._clock.sleep(PAUSED_PROBE_SECONDS)
             report = await self.fetch_report(target)
             if not isinstance(report, Unavailable):
@@ -326,6 +321,11 @@
         return None
 
     async def _accepts_connections(self, target: Target) -> bool:
+        """Return whether connections to a target open.
+
+        Its host accepts them while its process stands still, unless the host is down or
+        cut off.
+        """
         if self._links is None:
             return False
         opened = await self._links.connect_directly(target.address)
@@ -339,7 +339,7 @@
         if self._is_report_current(report.target):
             self._directory.apply_report(report.target)
         self._held.discard(target.process)
-        self._lost_since.pop(target.process, None)
+        self._paused.discard(target.process)
         if self._lost.pop(target.process, None) is not None:
             log.info("planner: target regained", target=target.id)
         return report.target.process == target.process
@@ -374,8 +374,7 @@
                 listed=len(self._directory.targets),
                 **self.surveys.counts(target.service),
             )
-        self._lost[target.process] = now = self._clock.now()
-        self._lost_since.setdefault(target.process, now)
+        self._lost[target.process] = self._clock.now()
 
     async def _is_confirmed_silent(self, target: Target, since: float) -> bool:
         """Return whether a target's silence since a time is not caused by this host.
