--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,9 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 export PYTHONPATH="target/deps:review" PYTHONDONTWRITEBYTECODE=1
-exec timeout 115 python3 -S -P "$here/case.py" "$here"
+timeout 115 python3 -S -P "$here/case.py" "$here"
+case $? in
+    0) exit 0 ;;
+    10) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/rig.py
+++ b/review/rig.py
@@ -30,8 +30,11 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "h.example"
 READ_SIZE = 65536
-# Result codes of a script: the rule held, was broken, or the case could not run.
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Results of a case: the rule held, was broken, or the case could not run. `run.sh`
+# turns BROKEN into 1; an error of the script itself, which also ends with 1, becomes 2.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
+# Longest time of a case, in seconds: its processes must be ended within 120 s.
+LIMIT_SECONDS = 100.0
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -419,7 +422,8 @@
         rig = Rig(Path(folder) / "record.txt")
         rig.write("begin", trouble=HAS_TROUBLE)
         try:
-            code = await case(rig)
+            async with asyncio.timeout(LIMIT_SECONDS):
+                code = await case(rig)
         except Exception as error:
             # An error of the script itself says nothing of the rule.
             traceback.print_exc()
