Review: show streams cut by a stopping node that had them wait for a slot

What breaks: LOST around a planned stop. Streams that a node took 3.5 s after its SIGTERM are cut in the midst of their answers as it ends.

Order of events: all slots are taken; two of three nodes of a zone are stopped in turn; streams come to the first one, wait 1.1 s for a slot and are sent on; the engines fall silent for a second and go on; the node's grace time ends.

Code path: can_finish keeps 1.3 s in reserve at arrival; the wait for the slot spends them, and StreamPlacement._shuts_down_before asks for no reserve.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,99 +1,180 @@
-"""An engine's answers have a header with bytes beyond ASCII; they reach no caller."""
+"""A stopping node takes a stream that has to wait, and cuts it as it ends."""
 
 import asyncio
+import signal
 import sys
 import time
 from typing import Any
 
 import rig
 
-CONNECTIONS = 8
-PLAIN_NAME = b'inline; filename="gunluk-ozet.txt"'
-# The same name as its author spells it, in UTF-8.
-SPELLED_NAME = 'inline; filename="günlük-özet.txt"'.encode()
-
-
-def change(request: bytes, data: bytes) -> bytes:
-    """Add the name of the file to an engine's answer under /once/named."""
-    if not request.startswith(b"POST /once/named ") or b" 200 " not in data[:15]:
-        return data
-    name = SPELLED_NAME if rig.HAS_TROUBLE else PLAIN_NAME
-    status, end, rest = data.partition(b"\r\n")
-    return status + end + b"content-disposition: " + name + end + rest
+EVENT_SECONDS = 0.1
+# Events of the streams that hold the slots, and of those that wait for one.
+HOLDING_EVENTS, WAITING_EVENTS = 40, 20
+# Events of a stream that keeps the first node at work after its SIGTERM.
+LONG_EVENTS = 60
+SLOTS = 4
+# Times after the first SIGTERM, in seconds: the next SIGTERM, the streams that hold the
+# slots, those that wait, and the silence of the engines, which lasts about a second.
+NEXT_STOP = 1.3
+HOLD_AT, SEND_AT, SILENT_AT = 0.6, 3.5, 5.2
+SILENT_SECONDS = 1.0
+GRACE_SECONDS = 8.0
+CLIENT_SECONDS = 7.5
 
 
 def configuration() -> dict[str, Any]:
-    """Return one route of calls that run at most once."""
+    """Return one route of streams to groups of two engines with a few slots."""
+    engine = {
+        "slots": SLOTS,
+        "stride": 7,
+        "models": [{"name": "m", "size": 2, "load_s": 0.3}],
+        "step_ms": 1000.0 * EVENT_SECONDS / 7,
+        "read_per_s": 50000.0,
+        "loads_per_s": 10.0,
+        "loads_at_once": 6,
+        "usual": {"prompt": 100, "answer": 7 * WAITING_EVENTS},
+        "far_x": 2.0,
+    }
     route = {
-        "name": "once",
+        "name": "s",
         "host": rig.HOST,
-        "prefix": "/once/",
-        "kind": "non_idempotent",
-        "service": "plain",
-        "timeout_ms": 1500,
+        "prefix": "/s/",
+        "kind": "stream",
+        "service": "engines",
+        "timeout_ms": 8000,
         "slo_ms": 300,
         "priority": 1,
-        "max_attempts": 1,
+        "max_attempts": 2,
+        "can_resume": True,
+        "gap_target_ms": 300,
     }
     return {
         "version": 1,
         "routes": [route],
-        "services": [{"name": "plain", "health_path": "/healthz"}],
+        "services": [{"name": "engines", "health_path": "/healthz", "engine": engine}],
         "limits": {"header_timeout_ms": 2000, "idle_timeout_ms": 10000},
         "tenants": [{"name": "t", "api_keys": ["key-a"]}],
     }
 
 
+class Streams:
+    """Sends streams on new connections."""
+
+    def __init__(self, deployment: rig.Rig) -> None:
+        self._deployment = deployment
+        self._number = 0
+
+    async def send(self, node: rig.NodeProcess, events: int) -> rig.Answer:
+        """Send one stream and record its answer."""
+        self._number += 1
+        attempt = f"{self._number:04x}{int(time.time() * 1000) & 0xFFFFFFFF:08x}"
+        client = rig.Client(node)
+        answer = await client.send(
+            attempt,
+            "/s/x",
+            seconds=CLIENT_SECONDS,
+            headers=[
+                ("authorization", "Bearer key-a"),
+                ("x-mallowpond-model", "m"),
+                ("x-mallowpond-token-counts", f"100,{7 * events}"),
+                ("x-mallowpond-prompt-prefix", f"a0:30,{attempt}:70"),
+            ],
+            body=attempt.encode(),
+        )
+        client.close()
+        self._deployment.write(
+            "answered",
+            attempt=attempt,
+            node=node.name,
+            events=events,
+            sent=round(answer.sent_at - self._deployment.began, 3),
+            ended=round(answer.ended_at - self._deployment.began, 3),
+            status=answer.status,
+            ending=answer.ending,
+            got=answer.body.count(b"\n\n"),
+        )
+        return answer
+
+
 async def case(deployment: rig.Rig) -> int:
-    """Send two calls on each connection; the second gets an answer with the name."""
+    """Stop two of three nodes in turn, and send streams to the first one meanwhile."""
     await deployment.start_store()
     await deployment.operator.configure(configuration())
     for _ in range(2):
-        await deployment.add_engine("plain", front={"change": change})
-    for _ in range(2):
+        await deployment.add_engine(
+            "engines", domain="d0", models={"m": 0.3}, event_seconds=EVENT_SECONDS
+        )
+    for _ in range(3):
         deployment.add_node().start()
+    first, second, third = deployment.nodes
 
-    async def is_up() -> bool:
-        return all([await deployment.is_ready(node) for node in deployment.nodes])
+    async def is_open() -> bool:
+        ready = [await deployment.is_ready(node) for node in deployment.nodes]
+        return all(ready) and await deployment.operator.count_open_groups() >= 1
 
-    await deployment.wait_for(is_up, "ready nodes")
-    # The machines are in touch only contact_ms after their start.
+    await deployment.wait_for(is_open, "an open group")
     await asyncio.sleep(4.0)
-    lost, whole = [], 0
-    for number in range(CONNECTIONS):
-        node = deployment.nodes[number % len(deployment.nodes)]
-        client = rig.Client(node)
-        for path in ("/once/plain", "/once/named"):
-            attempt = f"{number:02x}{len(path):02x}{time.monotonic_ns() & 2**40 - 1:x}"
-            answer = await client.send(
-                attempt,
-                path,
-                seconds=1.5,
-                headers=[("authorization", "Bearer key-a")],
-                body=b"once",
-            )
-            is_whole = answer.status == 200 and answer.ending == "whole"
-            whole += is_whole
-            if answer.ending == "none":
-                lost.append(attempt)
-            deployment.write(
-                "answered",
-                attempt=attempt,
-                path=path,
-                node=node.name,
-                status=answer.status,
-                ending=answer.ending,
-                body=answer.body.decode("latin-1"),
-            )
-        client.close()
-    # LOST: passed on from a kept connection to a sound engine, and the connection is
-    # closed without an answer, more than three times at one machine.
+    streams = Streams(deployment)
+    for node in deployment.nodes:
+        await streams.send(node, 5)
+    holding = [asyncio.create_task(streams.send(first, LONG_EVENTS))]
+    await asyncio.sleep(0.3)
+    began = time.monotonic()
+
+    async def until(seconds: float) -> None:
+        await asyncio.sleep(began + seconds - time.monotonic())
+
+    first.signal(signal.SIGTERM)
+    deployment.write("SIGTERM", node=first.name)
+    await until(HOLD_AT)
+    holding += [
+        asyncio.create_task(streams.send(third, HOLDING_EVENTS))
+        for _ in range(SLOTS - 1)
+    ]
+    await until(NEXT_STOP)
+    second.signal(signal.SIGTERM)
+    deployment.write("SIGTERM", node=second.name)
+    await until(SEND_AT)
+    ready = [await deployment.is_ready(node) for node in deployment.nodes]
+    deployment.write("readiness", ready=ready)
+    waiting = []
+    for _ in range(SLOTS - 1):
+        waiting.append(asyncio.create_task(streams.send(first, WAITING_EVENTS)))
+        await asyncio.sleep(0.02)
+    await until(SILENT_AT)
+    if rig.HAS_TROUBLE:
+        deployment.write("engines silent", seconds=SILENT_SECONDS)
+        for front in deployment.fronts:
+            front.moves.clear()
+    await asyncio.sleep(SILENT_SECONDS)
+    for front in deployment.fronts:
+        front.moves.set()
+    deployment.write("engines go on")
+    held = await asyncio.gather(*holding)
+    answers = await asyncio.gather(*waiting)
+    await until(GRACE_SECONDS)
     ran = {line["attempt"] for line in deployment.journal() if line["event"] == "run"}
-    counted = [attempt for attempt in lost if attempt in ran]
-    deployment.write("judged", whole=whole, lost_after_run=counted)
-    if len(counted) > 3 * len(deployment.nodes):
+    broken_off = {
+        line["attempt"]
+        for line in deployment.journal()
+        if line["event"] in ("broken off", "crash")
+    }
+    lost = [
+        answer.attempt
+        for answer in answers
+        if answer.ending != "whole"
+        and answer.attempt in ran - broken_off
+        and answer.sent_at - began > 3.0
+        and answer.ended_at - answer.sent_at < CLIENT_SECONDS
+    ]
+    whole = sum(answer.status == 200 and answer.ending == "whole" for answer in answers)
+    deployment.write("judged", lost=lost, whole=whole)
+    if lost:
         return rig.BROKEN
-    return rig.HELD if whole == 2 * CONNECTIONS else rig.NOT_RUN
+    if any(answer.status != 200 for answer in held) or not whole:
+        return rig.NOT_RUN
+    return rig.HELD
 
 
 if __name__ == "__main__":
--- a/review/rig.py
+++ b/review/rig.py
@@ -67,6 +67,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self.port = 0
+        # Cleared while the engine stands still: what it gets and says waits.
+        self.moves = asyncio.Event()
+        self.moves.set()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -105,6 +108,7 @@
 
         async def forward() -> None:
             while data := await reader.read(READ_SIZE):
+                await self.moves.wait()
                 state["request"] = data
                 if self._before is not None:
                     extra = self._before(state, data)
@@ -114,6 +118,7 @@
 
         async def back() -> None:
             while data := await behind.read(READ_SIZE):
+                await self.moves.wait()
                 request = state.get("request", b"")
                 if self._after is not None:
                     self._after(state, request, data)
@@ -280,7 +285,7 @@
         self._record = record.open("w", encoding="utf-8")
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = Path(self._folder.name)
-        self._began = time.monotonic()
+        self.began = time.monotonic()
         self.store = ObservatoryStore()
         self.store_port = free_port()
         self._http = HttpClient()
@@ -294,7 +299,7 @@
 
     def write(self, event: str, **values: Any) -> None:
         """Write a line of the record."""
-        at = round(time.monotonic() - self._began, 3)
+        at = round(time.monotonic() - self.began, 3)
         line = {"at": at, "event": event, **values}
         self._record.write(json.dumps(line, ensure_ascii=True) + "\n")
         self._record.flush()
@@ -393,7 +398,7 @@
         for line in self.journal():
             if line["event"] in ("run", "disconnected", "broken off", "crash"):
                 kept = {k: line.get(k) for k in ("engine", "attempt", "tenant")}
-                at = round(line["at"] - self._began, 3)
+                at = round(line["at"] - self.began, 3)
                 self.write("engine", what=line["event"], engine_at=at, **kept)
 
     async def close(self) -> None:
