Review: let one engine process stand still in the third case

The proxies held back the bytes of both engines; only the group's failure detector made that a delay. Now the head alone, a process, is stopped for 1.0 s.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,7 +15,7 @@
 LONG_EVENTS = 60
 SLOTS = 4
 # Times after the first SIGTERM, in seconds: the next SIGTERM, the streams that hold the
-# slots, those that wait, and the silence of the engines, which lasts about a second.
+# slots, those that wait, and the silence of one engine, which lasts a second.
 NEXT_STOP = 1.3
 HOLD_AT, SEND_AT, SILENT_AT = 0.6, 3.5, 5.2
 SILENT_SECONDS = 1.0
@@ -97,12 +97,25 @@
         return answer
 
 
+async def head_number(deployment: rig.Rig) -> int:
+    """Return the number of the engine whose entry says that it heads an open group."""
+    entries = (await deployment.operator.entries()).values()
+    addresses = [
+        entry["address"]
+        for entry in entries
+        if (entry.get("group") or {}).get("state") == "open"
+    ]
+    if not addresses:
+        return -1
+    return deployment.engine_ports.index(int(addresses[0].rpartition(":")[2]))
+
+
 async def case(deployment: rig.Rig) -> int:
     """Stop two of three nodes in turn, and send streams to the first one meanwhile."""
     await deployment.start_store()
     await deployment.operator.configure(configuration())
     for _ in range(2):
-        await deployment.add_engine(
+        deployment.add_engine_process(
             "engines", domain="d0", models={"m": 0.3}, event_seconds=EVENT_SECONDS
         )
     for _ in range(3):
@@ -115,6 +128,9 @@
 
     await deployment.wait_for(is_open, "an open group")
     await asyncio.sleep(4.0)
+    head = await head_number(deployment)
+    if head < 0:
+        return rig.NOT_RUN
     streams = Streams(deployment)
     for node in deployment.nodes:
         await streams.send(node, 5)
@@ -144,13 +160,11 @@
         await asyncio.sleep(0.02)
     await until(SILENT_AT)
     if rig.HAS_TROUBLE:
-        deployment.write("engines silent", seconds=SILENT_SECONDS)
-        for front in deployment.fronts:
-            front.moves.clear()
+        deployment.write("engine silent", seconds=SILENT_SECONDS)
+        deployment.engine_processes[head].send_signal(signal.SIGSTOP)
     await asyncio.sleep(SILENT_SECONDS)
-    for front in deployment.fronts:
-        front.moves.set()
-    deployment.write("engines go on")
+    deployment.engine_processes[head].send_signal(signal.SIGCONT)
+    deployment.write("engine goes on")
     held = await asyncio.gather(*holding)
     answers = await asyncio.gather(*waiting)
     await until(GRACE_SECONDS)
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,4 +6,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PYTHONPATH="target/deps:review" PYTHONDONTWRITEBYTECODE=1
-python3 -S -P -c "import rig"
+python3 -S -P -c "import engine, rig"
--- a/review/rig.py
+++ b/review/rig.py
@@ -67,9 +67,6 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self.port = 0
-        # Cleared while the engine stands still: what it gets and says waits.
-        self.moves = asyncio.Event()
-        self.moves.set()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -108,7 +105,6 @@
 
         async def forward() -> None:
             while data := await reader.read(READ_SIZE):
-                await self.moves.wait()
                 state["request"] = data
                 if self._before is not None:
                     extra = self._before(state, data)
@@ -118,7 +114,6 @@
 
         async def back() -> None:
             while data := await behind.read(READ_SIZE):
-                await self.moves.wait()
                 request = state.get("request", b"")
                 if self._after is not None:
                     self._after(state, request, data)
@@ -295,6 +290,8 @@
         self.engines: list[ObservatoryEngine] = []
         self.fronts: list[Front] = []
         self.nodes: list[NodeProcess] = []
+        self.engine_processes: list[subprocess.Popen[bytes]] = []
+        self.engine_ports: list[int] = []
         self._expiry: asyncio.Task[None] | None = None
 
     def write(self, event: str, **values: Any) -> None:
@@ -335,6 +332,26 @@
         self.engines.append(engine)
         return engine
 
+    def add_engine_process(self, service: str, **options: Any) -> None:
+        """Start the stand-in of an engine as a process, which may be stopped."""
+        number, port = len(self.engine_processes), free_port()
+        path = self.folder / f"engine{number}.json"
+        document = {
+            "host": "127.0.0.1",
+            "port": port,
+            "advertised": f"127.0.0.1:{port}",
+            "store": f"127.0.0.1:{self.store_port}",
+            "service": service,
+            "data_centre": "a",
+            "journal": str(self.folder / f"engine{number}.journal"),
+            **options,
+        }
+        path.write_text(json.dumps(document))
+        program = str(ROOT / "review" / "engine.py")
+        process = subprocess.Popen([sys.executable, "-S", "-P", program, str(path)])
+        self.engine_processes.append(process)
+        self.engine_ports.append(port)
+
     def add_node(self, *, first_start: bool = True) -> NodeProcess:
         """Write the settings of a node as the deploy file's template does."""
         number = len(self.nodes)
@@ -405,6 +422,9 @@
         """End all processes that were started."""
         for node in self.nodes:
             node.kill()
+        for process in self.engine_processes:
+            process.kill()
+            process.wait()
         for front in self.fronts:
             await front.close()
         for engine in self.engines:
