Review: a node runs out of descriptors as engines are replaced

Requests on new connections have no answer at their time limit nor half a second later, while the node says that it is ready; kept connections get 503.

Order of events: engines of a service are replaced one after the other. Each drains in order and closes its connections. The node's idle connections to it stay open on its side, up to 32 for each address, until no descriptor is left.

Code path: HttpClient._idle is looked at only for a request to the same address, or after one that failed; a drained engine gets none. eof_received leaves the socket open.

--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,172 @@
+"""Replace engines one after the other, and see whether a node goes on serving."""
+
+import asyncio
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from lab import (
+    BROKEN,
+    HELD,
+    HOST,
+    TROUBLE,
+    Answer,
+    Connection,
+    Lab,
+    call,
+    new_attempt,
+    run_case,
+)
+from plain_engines import PlainEngines
+
+KEY = "n2ctnfzs989anu6wsjnb"
+MAX_FILES = 1535
+ENGINES = 3
+WORK_SECONDS = 0.09
+# Together they fill the places and the queues of all engines.
+BUSY_CLIENTS = 84
+RELEASE_SECONDS, GAP_SECONDS = 64.0, 1.0
+CONTACT_SECONDS = 3.0
+TIMEOUT_SECONDS = 0.8
+SLACK_SECONDS = 0.5
+# Rounds of requests on new connections, a second apart, and the clients in each.
+ROUNDS, NEWCOMERS = 6, 8
+
+
+def document() -> dict[str, Any]:
+    """Return a configuration with one plain service."""
+    route = {
+        "name": "sighting-log",
+        "host": HOST,
+        "prefix": "/log/",
+        "kind": "non_idempotent",
+        "service": "station-archive",
+        "timeout_ms": int(1000 * TIMEOUT_SECONDS),
+        "slo_ms": 150,
+        "priority": 2,
+        "max_attempts": 1,
+    }
+    return {
+        "version": 3,
+        "routes": [route],
+        "services": [
+            {"name": "station-archive", "health_path": "/healthz", "max_conns": 100}
+        ],
+        "limits": {"header_timeout_ms": 2000, "idle_timeout_ms": 10000},
+        "tenants": [{"name": "hule930", "api_keys": [KEY]}],
+    }
+
+
+def headers() -> dict[str, str]:
+    """Return the headers of a new request."""
+    return {
+        "X-Mallowpond-Attempt-Id": new_attempt(),
+        "X-Mallowpond-Deadline-Ms": "1500",
+        "Authorization": f"Bearer {KEY}",
+    }
+
+
+async def be_busy(address: tuple[str, int], seen: Counter[str]) -> None:
+    """Send requests on one kept connection until cancelled."""
+    connection = Connection(address)
+    while True:
+        answer = await connection.call(
+            "POST", "/log/x", headers(), b"a sighting", timeout=1.5
+        )
+        seen[str(answer.status) if answer.status else answer.error[:30]] += 1
+        if answer.status != 200:
+            await asyncio.sleep(0.1)
+
+
+async def ask_readiness(lab: Lab, address: tuple[str, int], answers: list[int]) -> None:
+    """Ask for the readiness once a second on one kept connection until cancelled."""
+    connection = Connection(address)
+    while True:
+        answer = await connection.call("GET", "/-/readyz", {}, timeout=1.0)
+        answers.append(answer.status)
+        lab.log(f"readyz -> {answer.status} {answer.error}")
+        await asyncio.sleep(1.0)
+
+
+async def replace_engines(lab: Lab, engines: PlainEngines, seen: Counter[str]) -> None:
+    """Replace one engine after the other: a new one starts, the oldest one drains."""
+    ends, leaving = time.monotonic() + RELEASE_SECONDS, []
+    while time.monotonic() < ends:
+        if TROUBLE:
+            oldest = next(each for each in engines.live if not each.is_draining)
+            await engines.add()
+            leaving.append(asyncio.create_task(engines.drain(oldest)))
+        await asyncio.sleep(GAP_SECONDS)
+        lab.log(f"{engines.ended} engines replaced, clients saw {dict(seen)}")
+        seen.clear()
+    await asyncio.gather(*leaving)
+
+
+async def newcome(lab: Lab, address: tuple[str, int]) -> Answer:
+    """Send one request on a new connection, and wait a bit over its time limit."""
+    answer = await call(
+        address,
+        "POST",
+        "/log/x",
+        headers(),
+        b"a sighting",
+        timeout=TIMEOUT_SECONDS + SLACK_SECONDS,
+    )
+    lab.log(
+        f"new connection: {answer.attempt} -> {answer.status} {answer.error}"
+        f" after {answer.seconds:.3f} s"
+    )
+    return answer
+
+
+async def main(lab: Lab) -> int:
+    """Play the case."""
+    await lab.start_store(document())
+    engines = PlainEngines(
+        store=lab.store, service="station-archive", work_seconds=WORK_SECONDS
+    )
+    for _ in range(ENGINES):
+        await engines.add()
+    tasks = [asyncio.create_task(engines.run())]
+    node = lab.start_node(0, max_files=MAX_FILES)
+    await lab.wait_until_ready()
+
+    async def is_served() -> bool:
+        return (await call(node.callers, "POST", "/log/x", headers())).status == 200
+
+    await lab.wait_for(is_served, "a served request")
+    readiness: list[int] = []
+    tasks.append(asyncio.create_task(ask_readiness(lab, node.readiness, readiness)))
+    seen: Counter[str] = Counter()
+    for _ in range(BUSY_CLIENTS):
+        tasks.append(asyncio.create_task(be_busy(node.callers, seen)))
+    await replace_engines(lab, engines, seen)
+    lab.log(f"the release is over, {engines.ended} engines were replaced")
+    await asyncio.sleep(CONTACT_SECONDS)
+    readiness.clear()
+    seen.clear()
+    answers: list[Answer] = []
+    for _ in range(ROUNDS):
+        sending = [newcome(lab, node.callers) for _ in range(NEWCOMERS)]
+        answers += await asyncio.gather(*sending)
+    lab.log(f"on kept connections clients saw {dict(seen)}")
+    lab.log(f"readyz on a new connection says ready: {await lab.is_ready(node)}")
+    running = node.process.poll() is None
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await engines.close()
+    late = [each for each in answers if each.seconds >= TIMEOUT_SECONDS]
+    unanswered = [each for each in late if not each.is_complete]
+    lab.log(
+        f"node runs: {running}, says it is ready: {readiness}; {len(answers)} requests"
+        f" on new connections, {len(late)} unanswered at their time limit,"
+        f" {len(unanswered)} of these half a second later"
+    )
+    is_broken = len(unanswered) >= 8 and 2 * len(unanswered) > len(late)
+    return BROKEN if is_broken else HELD
+
+
+if __name__ == "__main__":
+    run_case(main, Path(__file__).resolve().parent)
--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Exit 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+if [ ! -f target/deps/.node ] || [ ! -f target/review-2/.built ]; then
+    echo "run deploy/build, then review/build-2.sh" >&2
+    exit 2
+fi
+PYTHONPATH=target/review-2:target/deps exec python3 -S -P review/6/case.py
