Review: the first case also sends the key that was taken away first

Nothing showed yet that a version without one tenant of two is applied: the script now sends that key, which gets 401 three seconds after the ack. A script that fails for any other reason than the rule now exits with 2, and ends its processes on SIGTERM too.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -83,7 +83,8 @@
         names = [tenant["name"] for tenant in tenants]
         lab.log(f"operator: version {version}, tenants {names}, acked={accepted}")
         await asyncio.sleep(3.0)
-        await send(lab, KEY_B, early)
+        for key in (KEY_A, KEY_B, NEVER_HELD):
+            await send(lab, key, early)
     await asyncio.sleep(
         max(0.0, acked_at + REVOKE_SECONDS + MARGIN_SECONDS - time.monotonic())
     )
@@ -106,6 +107,7 @@
         if key == NEVER_HELD or (attempt in late and key not in held):
             wrong += 1
     judged = sum(key is not None for key in late.values())
+    judged += sum(key == NEVER_HELD for key in early.values())
     lab.log(f"{wrong} of {judged} requests ran with a key that is not in force")
     return BROKEN if wrong else HELD
 
--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -8,6 +8,7 @@
 import json
 import os
 import secrets
+import signal
 import socket
 import subprocess
 import sys
@@ -32,6 +33,9 @@
 STALL_SECONDS = 4.0
 FIRST_NODE_ADDRESS = 31
 READY_SECONDS = 25.0
+# Time for a case without the end of its processes, in seconds.
+LIMIT_SECONDS = 112.0
+RESULTS = {HELD: "held", BROKEN: "broken"}
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -205,7 +209,7 @@
         kept = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         command = [sys.executable, "-S", "-P", *arguments]
         if max_files is not None:
-            limit = f"ulimit -n {max_files}; exec "
+            limit = f"ulimit -n {max_files} && exec "
             command = ["sh", "-c", limit + '"$@"', "sh", *command]
         with (self.folder / f"{name}.log").open("ab") as output:
             process = subprocess.Popen(
@@ -319,19 +323,25 @@
 
 
 def run_case(main: Any, folder: Path) -> None:
-    """Run a case, and exit with its result: 0 held, 1 broken, 2 could not run."""
+    """Run a case, and exit with its result: 0 held, 1 broken, 2 could not run.
+
+    Only a case that judged exits with 0 or 1, and its record then ends with the result;
+    whatever else goes wrong, also SIGTERM, ends with 2.
+    """
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         lab = Lab(folder / "record.txt")
         try:
-            async with asyncio.timeout(112):
+            async with asyncio.timeout(LIMIT_SECONDS):
                 result = await main(lab)
-        except (CannotRun, TimeoutError) as error:
+            lab.log(f"result: {RESULTS[result]}")
+        except (Exception, asyncio.CancelledError) as error:
             lab.log(f"could not run: {error!r}")
             result = NOT_RUN
         finally:
-            if os.environ.get("KEEP_LOGS"):
-                subprocess.run(["cp", "-r", lab.folder, os.environ["KEEP_LOGS"]])
             await lab.close()
         return result
 
