--- a/review/common-2/plain_engines.py
+++ b/review/common-2/plain_engines.py
@@ -127,7 +127,7 @@
 
     def __init__(self, *, store: str, service: str, work_seconds: float) -> None:
         self._store = store
-        self._service = service
+        self.service = service
         self._work_seconds = work_seconds
         self._http = HttpClient()
         self._entry_tasks: set[asyncio.Task[None]] = set()
@@ -136,7 +136,7 @@
 
     async def add(self) -> PlainEngine:
         """Start an engine and write its entry."""
-        engine = PlainEngine(service=self._service, work_seconds=self._work_seconds)
+        engine = PlainEngine(service=self.service, work_seconds=self._work_seconds)
         await engine.start()
         self.live.append(engine)
         await self._write([engine])
