Configuration: log how old the knowledge is as a reader fails or takes over

'store lost' now names the duration of the call and the age of its connection, 'readers: changed' the age of the confirmation, 'in force' for how long the version was known, and 'answers too old' the age that a reader names.

--- a/mallowpond/coordination/ports.py
+++ b/mallowpond/coordination/ports.py
@@ -78,10 +78,12 @@
     """The call failed and certainly had no effect.
 
     `is_silent`: no answer came in time, so the server may live and only be slow.
+    `connection_age`: seconds since its connection was opened, None if not known.
     """
 
     reason: str
     is_silent: bool = False
+    connection_age: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -10,6 +10,7 @@
 from mallowpond.node.evacuations import KnownEvacuations
 from mallowpond.node.ports import ConfigurationRead, HistoryLost, SiteSource
 from mallowpond.state.confirmation import (
+    DENIAL_SECONDS,
     Confirmation,
     may_admit,
     may_deny,
@@ -85,6 +86,8 @@
         self._question_number = 0
         self._asked_at = float("-inf")
         self._unanswered = 0
+        # Whether the answers of the readers confirm nothing recent.
+        self._are_answers_old = False
         self._is_behind = asyncio.Event()
         self._is_store_back = asyncio.Event()
         # Since when, or since which question to a peer, a peer has a newer version.
@@ -117,6 +120,13 @@
         """Return when the version in force was last confirmed; None if never."""
         return self._confirmation
 
+    @property
+    def confirmation_age(self) -> float | None:
+        """Return the rounded seconds since the last confirmation, None if never."""
+        if self._confirmation is None:
+            return None
+        return round(self._confirmation.age(self._clock.now()), 3)
+
     @property
     def is_era_confirmed(self) -> bool:
         """Return whether the store has confirmed a version since it was restored."""
@@ -242,6 +252,19 @@
         self._unanswered = 0
         self.confirm(version, self._asked_at - age)
         self.handle_version(version, node)
+        self._log_old_answers(node, age)
+
+    def _log_old_answers(self, node: str, age: float) -> None:
+        """Log when the answers of the readers begin and cease to be too old."""
+        are_old = age > DENIAL_SECONDS
+        if are_old == self._are_answers_old:
+            return
+        self._are_answers_old = are_old
+        ages = {"age": round(age, 3), "own_age": self.confirmation_age}
+        if are_old:
+            log.warning("configuration: answers too old", reader=node, **ages)
+        else:
+            log.info("configuration: answers recent", reader=node, **ages)
 
     async def step(self) -> bool:
         """Poll the store once; return whether it answered and a version is known."""
@@ -255,8 +278,8 @@
         if not isinstance(answer, Unavailable):
             self._is_store_back.clear()
         match answer:
-            case Unavailable(reason=reason):
-                self._record_failure(reason)
+            case Unavailable():
+                self._record_failure(answer, self._clock.now() - asked_at)
                 return False
             case HistoryLost():
                 log.warning("configuration: history lost", revision=self._revision)
@@ -348,14 +371,21 @@
             asked_at=asked_at, answered_at=store_time, received_at=self._clock.now()
         )
 
-    def _record_failure(self, reason: str) -> None:
+    def _record_failure(self, answer: Unavailable, seconds: float) -> None:
         self._failures += 1
         self._is_first_settled.set()
         self.store_clock.reset()
         if self._configuration is None:
             self.request_document()
         if self._failures == 1:
-            log.warning("configuration: store lost", reason=reason)
+            log.warning(
+                "configuration: store lost",
+                reason=answer.reason,
+                seconds=round(seconds, 3),
+                connection_age=answer.connection_age
+                and round(answer.connection_age, 3),
+                confirmed_age=self.confirmation_age,
+            )
 
     def _apply_answer(self, answer: ConfigurationRead, answered_at: float) -> None:
         """Apply a store's answer, without confirming a version that was replaced.
@@ -411,6 +441,9 @@
                 "configuration: in force",
                 version=configuration.version,
                 revision=self._revision,
+                previous_age=self.confirmation_age,
+                known_for=self._behind_since
+                and round(self._clock.now() - self._behind_since, 3),
             )
             self._configuration = configuration
             self._behind_since = None
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -205,7 +205,12 @@
         self._peers.candidates = frozenset(candidates) - {self._name}
         if self.is_reader != self._acts_as_reader:
             self._acts_as_reader = not self._acts_as_reader
-            log.info("readers: changed", reads=self._acts_as_reader, readers=self.names)
+            log.info(
+                "readers: changed",
+                reads=self._acts_as_reader,
+                readers=self.names,
+                confirmed_age=self._configuration.confirmation_age,
+            )
         if not self._acts_as_reader:
             if self._peers.is_large_fleet:
                 self._publish_work()
--- a/mallowpond/platform/store.py
+++ b/mallowpond/platform/store.py
@@ -357,11 +357,20 @@
         self, target: str, wait_seconds: float = 0.0
     ) -> StoreAnswer | HistoryLost | Unavailable:
         known, newest = self._eras.newest, self._newest_revision
+        ages: list[float] = []
         response = await self._http.fetch_response(
-            self._address, "GET", target, timeout=wait_seconds + CALL_TIMEOUT_SECONDS
+            self._address,
+            "GET",
+            target,
+            timeout=wait_seconds + CALL_TIMEOUT_SECONDS,
+            on_connection_age=ages.append,
         )
         if isinstance(response, CallFailed):
-            return Unavailable(reason=response.reason)
+            return Unavailable(
+                reason=response.reason,
+                is_silent=response.is_silent,
+                connection_age=ages[-1] if ages else None,
+            )
         era = self._eras.record(response.headers, known)
         if era is None:
             return Unavailable(reason="answer of an earlier era")
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -90,6 +90,7 @@
     opened: Connected
     state: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     reusable_until: float = float("inf")
+    opened_at: float = field(default_factory=time.monotonic)
 
     @property
     def reader(self) -> asyncio.StreamReader:
@@ -298,6 +299,7 @@
         new_connection: bool = False,
         echo: tuple[str, str] | None = None,
         on_connected: Callable[[str], None] | None = None,
+        on_connection_age: Callable[[float], None] | None = None,
     ) -> HttpResponse | CallFailed:
         """Send a request and return when the head of the response has arrived.
 
@@ -309,7 +311,8 @@
         while the request is being sent; it is then unknown whether the request ran.
 
         `on_connected` gets the name of the host that the connection leads through, ""
-        if it is direct, just before the request is sent.
+        if it is direct, just before the request is sent. `on_connection_age` gets the
+        seconds since the connection was opened.
         """
         connection = None if new_connection else self._take_idle(address)
         is_reused, began = connection is not None, time.monotonic()
@@ -320,6 +323,8 @@
             connection = connected
         if on_connected is not None:
             on_connected(connection.opened.proxy)
+        if on_connection_age is not None:
+            on_connection_age(time.monotonic() - connection.opened_at)
         try:
             data = _start_request(connection, method, target, headers, body)
             response = await _exchange(connection, data)
@@ -368,13 +373,19 @@
         headers: Headers = (),
         body: bytes = b"",
         timeout: float = 5.0,
+        on_connection_age: Callable[[float], None] | None = None,
     ) -> BufferedResponse | CallFailed:
         """Send a request; return the whole response within `timeout` seconds."""
         response: HttpResponse | CallFailed | None = None
         try:
             async with lag_tolerant_timeout(timeout):
                 response = await self.send(
-                    address, method, target, headers=headers, body=body
+                    address,
+                    method,
+                    target,
+                    headers=headers,
+                    body=body,
+                    on_connection_age=on_connection_age,
                 )
                 if isinstance(response, CallFailed):
                     return response
