--- a/mallowpond/emulator/configuration_fleet.py
+++ b/mallowpond/emulator/configuration_fleet.py
@@ -31,6 +31,8 @@
 # Latency of an answer of the store, and of a datagram between hosts, in seconds.
 STORE_SECONDS = 0.004
 ONE_WAY_SECONDS = 0.001
+# How far the clock of the store is ahead of those of the hosts, in seconds.
+CLOCK_AHEAD_SECONDS = 1000.0
 DATA_CENTRES = ("a", "b", "c")
 
 
@@ -69,12 +71,14 @@
                     await self._changed.wait()
             except TimeoutError:
                 break
-        await asyncio.sleep(self.seconds)
         is_newer = self.version > since
+        answered_at = loop.time() + CLOCK_AHEAD_SECONDS
+        await asyncio.sleep(self.seconds)
         return ConfigurationRead(
             revision=self.version,
             configuration=configuration_of(self.version) if is_newer else None,
             changed=is_newer,
+            answered_at=answered_at,
             document=str(self.version).encode() if is_newer else b"",
         )
 
@@ -260,11 +264,13 @@
         self.stack = AsyncExitStack()
         self.rng = Random(seed)
         self.loss = 0.0
-        self.hosts = [
-            EmulatedHost(self, f"h{number}", DATA_CENTRES[number % 3])
-            for number in range(host_count)
-        ]
-        self._by_name = {host.name: host for host in self.hosts}
+        self._host_count = host_count
+        self._by_name: dict[str, EmulatedHost] = {}
+
+    @property
+    def hosts(self) -> list[EmulatedHost]:
+        """Return all hosts, also those that ended or are cut off."""
+        return list(self._by_name.values())
 
     @property
     def readers(self) -> list[EmulatedHost]:
@@ -273,6 +279,10 @@
 
     async def start(self) -> None:
         """Start all hosts, which know of each other."""
+        for number in range(self._host_count):
+            name = f"h{number}"
+            centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+            self._by_name[name] = EmulatedHost(self, name, centre)
         for host in self.hosts:
             heartbeat = host._build_heartbeat()
             for other in self.hosts:
--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -6,30 +6,26 @@
 import structlog
 
 from mallowpond.coordination.ports import Clock, Unavailable
-from mallowpond.coordination.tasks import sleep_until_event
+from mallowpond.coordination.tasks import cancel_task, sleep_until_event
 from mallowpond.node.evacuations import KnownEvacuations
 from mallowpond.node.ports import ConfigurationRead, HistoryLost, SiteSource
+from mallowpond.node.settings import NodeBounds
+from mallowpond.state.configuration_reading import PeerClocks, ReadingPace
 from mallowpond.state.confirmation import (
-    DENIAL_SECONDS,
+    STORE,
     Confirmation,
     may_admit,
     may_deny,
+    may_run,
     merge_confirmation,
 )
+from mallowpond.state.evacuations import EvacuationChanges
 from mallowpond.state.revision import era_of, is_later_era
 from mallowpond.state.site_configuration import SiteConfiguration
 from mallowpond.state.store_clock import StoreClock
 
 log = structlog.get_logger()
 
-# Longest time that a call waits at the store for a change, in seconds, and the largest
-# share of the bound for revoked keys that it may take. An answer confirms the version
-# as of the time when it left the store, so the age of a reader's confirmation stays
-# roughly below the wait; when the store is lost, the bound is shorter by that age.
-# Shorter waits make more calls. If the wait is too long for the bound, hosts that ask a
-# reader reject keys although the store answers.
-LONG_POLL_SECONDS = 1.5
-LONG_POLL_SHARE = 0.3
 # Pause after a failed call to the store, in seconds: a store that is down gets few
 # calls, and a node recovers well within the bound for a change.
 RETRY_SECONDS = 0.2
@@ -37,10 +33,8 @@
 # store, frequent retries of a whole fleet only add load, and the first host that gets
 # an answer informs the others.
 SLOW_RETRY_SECONDS = 1.5
-# Interval between version questions to the readers, in seconds, and the number of
-# consecutive unanswered ones after which this host asks the store itself.
-QUESTION_INTERVAL_SECONDS = 0.5
-MAX_UNANSWERED_QUESTIONS = 3
+# Shortest pause between two checks whether the knowledge is too old, in seconds.
+MIN_CHECK_SECONDS = 0.02
 # Time for which a host that learns of a newer version waits for the readers to send it,
 # in seconds: long enough for a few datagrams, and a small part of the bound for a
 # change. Without it, each host would read each version from the store.
@@ -55,17 +49,29 @@
 class ConfigurationFollower:
     """Newest configuration that this process has seen; its version never decreases.
 
-    A reader polls the store. A follower asks a reader at intervals whether its version
-    is still the newest, takes newer ones from the readers, and polls the store itself
-    when they do not answer.
+    A reader polls the store. A follower takes confirmations and newer versions from the
+    readers, by their digests and by their answers to its questions, and reads the store
+    itself as soon as what it knows grows old, whatever the readers still answer.
     """
 
-    def __init__(
-        self, *, source: SiteSource, clock: Clock, revoke_seconds: float
-    ) -> None:
+    def __init__(self, *, source: SiteSource, clock: Clock, bounds: NodeBounds) -> None:
         self._source = source
         self._clock = clock
-        self._revoke_seconds = revoke_seconds
+        self._bounds = bounds
+        self._pace = ReadingPace.for_bounds(apply=bounds.apply, revoke=bounds.revoke)
+        self._started_at = clock.now()
+        # When this host last read the store itself, and how long the store took beyond
+        # the wait; a path that has not answered for the time of a poll is in doubt.
+        self._read_at = float("-inf")
+        self._answer_seconds = 0.0
+        # Attempts without an answer since the last one that had one.
+        self._silent_attempts = 0
+        # Newest version for which a poll was given up, as a peer had it.
+        self._version_polled_again = 0
+        self._peer_clocks = PeerClocks()
+        # When each other reader last read the store, by this host's clock.
+        self._peer_reads: dict[str, float] = {}
+        self._is_outdated = False
         self._revision = FROM_START
         # Revision of the last answer, the newest era that any call heard of, and when
         # the store first named it; -inf before it was restored.
@@ -85,10 +91,12 @@
         self.evacuations = KnownEvacuations(clock=clock)
         self._question_number = 0
         self._asked_at = float("-inf")
-        self._unanswered = 0
-        # Whether the answers of the readers confirm nothing recent.
-        self._are_answers_old = False
         self._is_behind = asyncio.Event()
+        # Set when a host that waits for its next check has something to do.
+        self._wake = asyncio.Event()
+        self._is_current = asyncio.Event()
+        self._newer_version = 0
+        self._read_confirmed_at = float("-inf")
         self._is_store_back = asyncio.Event()
         # Since when, or since which question to a peer, a peer has a newer version.
         self._behind_since: float | None = None
@@ -97,9 +105,15 @@
         self._is_first_settled = asyncio.Event()
         self._document = b""
         self.on_new_version: list[Callable[[], None]] = []
+        # Called when this host has read the store.
+        self.on_read: list[Callable[[], None]] = []
         # Called when a restored store confirms a version for the first time.
         self.on_era_confirmed: list[Callable[[], None]] = []
         self.is_reader: Callable[[], bool] = lambda: True
+        self.is_standby: Callable[[], bool] = lambda: False
+        # Number of hosts, and this host's place in their order, from 0 to 1.
+        self.host_count: Callable[[], int] = lambda: 1
+        self.host_share = 0.0
         self.should_retry_often: Callable[[], bool] = lambda: True
         self.ask_readers: Callable[[int], None] = lambda number: None
         self.request_document: Callable[[], None] = lambda: None
@@ -143,20 +157,51 @@
         return may_admit(
             self._confirmation,
             now=self._clock.now(),
-            bound_seconds=self._revoke_seconds,
+            bound_seconds=self._bounds.revoke,
+        )
+
+    @property
+    def may_run(self) -> bool:
+        """Return whether requests may be run as the version in force says."""
+        return may_run(
+            self._confirmation,
+            now=self._clock.now(),
+            bound_seconds=self._bounds.apply,
+            is_store_lost=not self.is_store_reachable,
         )
 
     @property
     def may_deny(self) -> bool:
         """Return whether what the version in force lacks may be refused for good."""
         is_behind = self._behind_since is not None
-        now = self._clock.now()
         return (
             self.is_confirmed
             and not is_behind
-            and may_deny(self._confirmation, now=now)
+            and may_deny(
+                self._confirmation,
+                now=self._clock.now(),
+                bound_seconds=self._bounds.apply,
+            )
         )
 
+    @property
+    def own_read_at(self) -> float:
+        """Return when this host last confirmed the version in force by its own read.
+
+        In seconds since this object was made, so that peers can compare it with the
+        time in `answered_at`; 0 if it has not.
+        """
+        if self._shown_version is None or self._configuration is None:
+            return 0.0
+        if self._shown_version != self._configuration.version:
+            return 0.0
+        return max(0.0, self._read_confirmed_at - self._started_at)
+
+    @property
+    def process_time(self) -> float:
+        """Return the seconds since this object was made."""
+        return self._clock.now() - self._started_at
+
     async def wait_for_first_version(self, seconds: float) -> None:
         """Wait until a first version is confirmed or the store fails to answer.
 
@@ -172,42 +217,151 @@
                 "configuration: timed out waiting for first version", seconds=seconds
             )
 
+    async def wait_until_current(self, seconds: float) -> None:
+        """Wait until requests may be run by the version in force, if they may not.
+
+        A host that stood still learns within milliseconds whether its version is still
+        the newest. Returns after `seconds` in any case.
+        """
+        if self.may_run and (self.is_confirmed or not self.is_store_reachable):
+            return
+        self._is_current.clear()
+        self._wake.set()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._is_current.wait()
+        except TimeoutError:
+            log.info(
+                "configuration: timed out waiting for a confirmation",
+                seconds=seconds,
+                age=self.confirmation_age,
+            )
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
+            self._wake.clear()
             if self._may_ask_readers():
-                self._ask()
-                await self._pause(QUESTION_INTERVAL_SECONDS, self._is_behind)
+                self._ask_if_due()
+                await self._pause(self._seconds_until_check(), self._wake)
                 continue
             if self._expects_document():
                 self._document_received.clear()
-                await self._pause(DOCUMENT_WAIT_SECONDS, self._document_received)
+                await self._pause(
+                    min(DOCUMENT_WAIT_SECONDS, self._bounds.rollback_slack),
+                    self._document_received,
+                )
                 if not self._is_behind.is_set():
                     continue
-            if not await self.step():
+            if not await self._read():
+                if self._silent_attempts and not self._failures:
+                    # The connection may be silent: a new one is tried at once.
+                    continue
                 seconds = (
                     RETRY_SECONDS if self.should_retry_often() else SLOW_RETRY_SECONDS
                 )
                 await self._pause(seconds, self._is_store_back)
 
+    async def _read(self) -> bool:
+        """Poll the store once, and give a poll up that is in doubt."""
+        if self._poll_wait() <= 0.0:
+            return await self.step()
+        poll = asyncio.ensure_future(self.step())
+        try:
+            while not poll.done():
+                sleep = asyncio.ensure_future(
+                    self._clock.sleep(self._seconds_until_check())
+                )
+                await asyncio.wait({poll, sleep}, return_when=asyncio.FIRST_COMPLETED)
+                await cancel_task(sleep)
+                if poll.done():
+                    break
+                self._ask_if_due()
+                if self._is_poll_doubtful():
+                    self._read_at = float("-inf")
+                    return True
+            return poll.result()
+        finally:
+            await cancel_task(poll)
+
+    def _is_poll_doubtful(self) -> bool:
+        """Return whether a poll in progress should have told something by now.
+
+        Its connection may be silent if nobody has confirmed the version for long, or if
+        a peer has a newer one.
+        """
+        known, now = self._configuration, self._clock.now()
+        newer, since = self._newer_version, self._behind_since
+        if known is not None and newer > max(known.version, self._version_polled_again):
+            if since is not None and now - since >= self._bounds.rollback_slack:
+                self._version_polled_again = newer
+                log.warning(
+                    "configuration: poll given up", newer=newer, version=known.version
+                )
+                return True
+        if not self._is_knowledge_old():
+            return False
+        log.warning("configuration: poll given up", confirmed_age=self.confirmation_age)
+        return True
+
+    def _is_knowledge_old(self) -> bool:
+        """Return whether the last confirmation is too old to rely on its source."""
+        return self._seconds_until_old() <= 0.0
+
+    def _seconds_until_old(self) -> float:
+        if self._confirmation is None:
+            return 0.0
+        limit = self._pace.old_after(
+            is_reader=self.is_reader(),
+            is_standby=self.is_standby(),
+            host_count=self.host_count(),
+            share=self.host_share,
+        )
+        return limit - self._confirmation.age(self._clock.now())
+
+    def _seconds_until_check(self) -> float:
+        """Return the time until a question is due or the knowledge is old."""
+        now = self._clock.now()
+        due = min(self._asked_at + self._pace.question - now, self._seconds_until_old())
+        return max(MIN_CHECK_SECONDS, due)
+
     def _may_ask_readers(self) -> bool:
-        """Return whether to ask the readers instead of the store now."""
+        """Return whether to rely on the readers instead of reading the store now."""
         if self._configuration is None or self._is_behind.is_set():
             return False
-        if self._is_store_back.is_set():
+        if self._is_store_back.is_set() or self.is_reader():
             return False
-        return not self.is_reader() and self._unanswered < MAX_UNANSWERED_QUESTIONS
+        is_old = self._is_knowledge_old()
+        if is_old != self._is_outdated:
+            self._is_outdated = is_old
+            self._log_outdated()
+        return not is_old
+
+    def _log_outdated(self) -> None:
+        known = self._confirmation
+        fields = {
+            "age": self.confirmation_age,
+            "source": known.source if known else None,
+        }
+        if self._is_outdated:
+            log.warning("configuration: readers outdated", **fields)
+        else:
+            log.info("configuration: readers recent", **fields)
 
     def _expects_document(self) -> bool:
         """Return whether the readers are about to send a newer version."""
         has_one = self._configuration is not None
         return has_one and self._is_behind.is_set() and not self.is_reader()
 
+    def _ask_if_due(self) -> None:
+        if (
+            self._clock.now() - self._asked_at
+            >= self._pace.question - MIN_CHECK_SECONDS
+        ):
+            self._ask()
+
     def _ask(self) -> None:
         self._question_number += 1
-        self._unanswered += 1
-        if self._unanswered == MAX_UNANSWERED_QUESTIONS:
-            log.warning("configuration: readers silent", questions=self._unanswered)
         self._asked_at = self._clock.now()
         self.ask_readers(self._question_number)
 
@@ -232,14 +386,28 @@
             return
         if not self.is_reader():
             self._is_behind.set()
+            self._wake.set()
+        self._newer_version = max(self._newer_version, version)
         if self._behind_since is None:
             self._behind_since = now
-        elif now - self._behind_since > DOCUMENT_WAIT_SECONDS:
+            if self._is_knowledge_old():
+                # The readers, from which it would come, are outdated themselves.
+                self.request_document_of(node)
+        elif now - self._behind_since > min(
+            DOCUMENT_WAIT_SECONDS, self._bounds.rollback_slack
+        ):
             self._behind_since = now
             log.info("configuration: asked of a peer", version=version, peer=node)
             self.request_document_of(node)
 
-    def handle_answer(self, number: int, version: int, age: float, node: str) -> None:
+    def handle_answer(
+        self,
+        number: int,
+        version: int,
+        age: float,
+        node: str,
+        answered_at: float = 0.0,
+    ) -> None:
         """Apply a reader's answer to the version question `number`.
 
         The age counts from the time when the question was sent: this host may have
@@ -247,34 +415,42 @@
         """
         if number != self._question_number:
             return
-        if self._unanswered >= MAX_UNANSWERED_QUESTIONS:
-            log.info("configuration: readers answer")
-        self._unanswered = 0
-        self.confirm(version, self._asked_at - age)
+        if answered_at:
+            self._peer_clocks.record(
+                node, asked_at=self._asked_at, answered_at=answered_at
+            )
+        self.confirm(version, self._asked_at - age, source=node)
         self.handle_version(version, node)
-        self._log_old_answers(node, age)
 
-    def _log_old_answers(self, node: str, age: float) -> None:
-        """Log when the answers of the readers begin and cease to be too old."""
-        are_old = age > DENIAL_SECONDS
-        if are_old == self._are_answers_old:
+    def handle_peer_read(self, version: int, read_at: float, node: str) -> None:
+        """Apply when a reader last confirmed a version, by the clock of its process.
+
+        Nothing follows from it before the reader has answered a question of this host.
+        """
+        now = self._clock.now()
+        at = self._peer_clocks.convert(node, read_at, now=now) if read_at else None
+        if at is None:
             return
-        self._are_answers_old = are_old
-        ages = {"age": round(age, 3), "own_age": self.confirmation_age}
-        if are_old:
-            log.warning("configuration: answers too old", reader=node, **ages)
-        else:
-            log.info("configuration: answers recent", reader=node, **ages)
+        self._peer_reads[node] = max(at, self._peer_reads.get(node, float("-inf")))
+        self.confirm(version, at, source=node)
 
     async def step(self) -> bool:
         """Poll the store once; return whether it answered and a version is known."""
         asked_at = self._clock.now()
         self._is_store_back.clear()
+        wait = self._poll_wait()
         if self._is_behind.is_set():
             # A follower's revision is usually older than the store's history.
             self._is_behind.clear()
             self._revision = FROM_START
-        answer = await self._source.configuration(self._revision, self._poll_wait())
+        answer = await self._source.configuration(
+            self._revision,
+            wait,
+            timeout_seconds=self._pace.attempt_timeout(
+                attempts=self._silent_attempts, last_seconds=self._answer_seconds
+            ),
+            new_connection=self._is_path_doubtful,
+        )
         if not isinstance(answer, Unavailable):
             self._is_store_back.clear()
         match answer:
@@ -285,6 +461,11 @@
                 log.warning("configuration: history lost", revision=self._revision)
                 self._revision = FROM_START
                 return True
+        self._read_at = now = self._clock.now()
+        # An answer without rows came only once the wait was over.
+        is_empty = not (answer.changed or answer.evacuations != EvacuationChanges())
+        self._answer_seconds = max(0.0, now - asked_at - (wait if is_empty else 0.0))
+        self._silent_attempts = 0
         if self._failures:
             log.info(
                 "configuration: store regained",
@@ -293,7 +474,6 @@
                 revision=answer.revision,
             )
         self._failures = 0
-        self._unanswered = 0
         self._record_era(era_of(answer.revision))
         if is_later_era(answer.revision, self._answered_revision):
             self._shown_version = None
@@ -303,6 +483,8 @@
         self._revision = self._answered_revision = answer.revision
         self.evacuations.apply_read(answer.evacuations, answer.revision)
         self._apply_answer(answer, self._answered_at(answer, asked_at))
+        for notify in self.on_read:
+            notify()
         return answer.configuration is not None or self._configuration is not None
 
     def _record_era(self, era: int) -> None:
@@ -316,13 +498,25 @@
 
     def _poll_wait(self) -> float:
         """Return how long the store may hold the next poll, in seconds."""
-        if self._failures:
-            # After a failure, confirming the version comes before waiting for changes.
+        if self._is_path_doubtful or not self.is_reader():
+            # Confirming the version comes before waiting for changes.
             return 0.0
-        wait = min(LONG_POLL_SECONDS, LONG_POLL_SHARE * self._revoke_seconds)
         # The answer at the end of the rewrite time is the first that may confirm.
         rewrite_left = self._rewrite_left()
-        return min(wait, rewrite_left) if rewrite_left > 0.0 else wait
+        if rewrite_left > 0.0:
+            return min(self._pace.poll, rewrite_left)
+        return self._pace.poll_wait(
+            now=self._clock.now(),
+            other_read_at=max(self._peer_reads.values(), default=None),
+            is_standby=self.is_standby(),
+        )
+
+    @property
+    def _is_path_doubtful(self) -> bool:
+        """Return whether the connections to the store have not proved sound lately."""
+        if self._failures or self._silent_attempts:
+            return True
+        return self._clock.now() - self._read_at > self._pace.poll
 
     def _rewrite_left(self) -> float:
         """Return the seconds for which answers confirm nothing, if positive."""
@@ -351,17 +545,25 @@
         if previous is None:
             self._ask()
 
-    def confirm(self, version: int, confirmed_at: float) -> None:
+    def confirm(
+        self, version: int, confirmed_at: float, *, source: str = STORE
+    ) -> None:
         """Record that `version` was the newest at a time, if it is the one in force."""
         if self._configuration and self._configuration.version == version:
             self._confirmation = merge_confirmation(
-                self._confirmation, version=version, confirmed_at=confirmed_at
+                self._confirmation,
+                version=version,
+                confirmed_at=confirmed_at,
+                era=self._newest_era,
+                source=source,
             )
             self._check_confirmed()
 
     def _check_confirmed(self) -> None:
         if self.is_confirmed:
             self._is_first_settled.set()
+            if self.may_run:
+                self._is_current.set()
 
     def _answered_at(self, answer: ConfigurationRead, asked_at: float) -> float:
         """Return the time when the answer left the store, or slightly earlier."""
@@ -372,7 +574,21 @@
         )
 
     def _record_failure(self, answer: Unavailable, seconds: float) -> None:
+        is_first = not (self._silent_attempts or self._failures)
+        self._silent_attempts += 1
+        self._read_at = float("-inf")
+        if is_first and answer.is_silent and self._confirmation is not None:
+            # One silent connection does not show that the store is lost.
+            log.warning(
+                "configuration: connection silent",
+                seconds=round(seconds, 3),
+                connection_age=answer.connection_age
+                and round(answer.connection_age, 3),
+                confirmed_age=self.confirmation_age,
+            )
+            return
         self._failures += 1
+        self._is_current.set()
         self._is_first_settled.set()
         self.store_clock.reset()
         if self._configuration is None:
@@ -414,6 +630,7 @@
             )
         elif self._shown_version is not None:
             self.confirm(self._shown_version, answered_at)
+        self._read_confirmed_at = answered_at
         if not is_rewriting:
             self._record_era_confirmed()
 
@@ -451,6 +668,7 @@
             self._confirmation,
             version=configuration.version,
             confirmed_at=confirmed_at,
+            era=self._newest_era,
         )
         self._check_confirmed()
         if known is None or configuration.version > known.version:
--- a/mallowpond/node/ingress.py
+++ b/mallowpond/node/ingress.py
@@ -46,6 +46,9 @@
 # first attempt failed when all hosts were lost retry only once.
 CONFIGURATION_WAIT_SECONDS = 1.5
 CONFIGURATION_WAIT_SHARE = 0.3
+# Longest time that requests wait for the confirmation of a configuration that may have
+# been replaced, in seconds. A host that stood still gets it within milliseconds.
+CURRENT_WAIT_SECONDS = 0.2
 # Timeout of requests that name none, in seconds.
 DEFAULT_TIMEOUT_SECONDS = 30.0
 
@@ -167,6 +170,10 @@
         configuration = self._configuration.configuration
         if configuration is None:
             return self._unavailable(Reason.NO_CONFIGURATION)
+        await self._configuration.wait_until_current(
+            min(CURRENT_WAIT_SECONDS, wait_seconds)
+        )
+        configuration = self._configuration.configuration or configuration
         self._apply_limits(configuration)
         route = configuration.find_route(request.host, request.path)
         if route is None:
@@ -174,6 +181,9 @@
                 # A newer configuration version may define the route.
                 return self._unavailable(Reason.UNSURE)
             return Refusal(status=404, reason=Reason.NO_ROUTE)
+        if not self._configuration.may_run:
+            # A newer configuration version may route the request elsewhere.
+            return self._unavailable(Reason.UNSURE)
         workspace, priority = None, route.priority
         if configuration.uses_keys and route.needs_key:
             if not self._configuration.is_confirmed:
--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -223,6 +223,9 @@
     loads: LoadColumns = LoadColumns()
     pass_on: bool = False
     evacuations: Evacuations = Evacuations()
+    # When the sender itself last confirmed that version by a read of the store, by the
+    # clock of its process; 0 if it has not.
+    read_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -336,7 +339,8 @@
 class VersionAnswer:
     """Answer the `VersionQuestion` with the same `number`.
 
-    `version` was confirmed as the newest `age` seconds before this was sent.
+    `version` was confirmed as the newest `age` seconds before this was sent, which was
+    at `answered_at` by the clock of the sender's process; 0 if it does not say.
     """
 
     node: Name
@@ -344,6 +348,7 @@
     version: int
     age: float
     evacuations: Evacuations = Evacuations()
+    answered_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -482,8 +487,8 @@
     Suspicion: 1,
     # The evacuated data centres, while no evacuation was ever seen, and lost links.
     Heartbeat: 2,
-    Digest: 1,
-    VersionAnswer: 1,
+    Digest: 2,
+    VersionAnswer: 2,
     ConfigurationPart: 1,
 }
 # Position of the loads in the messages that carry them, and the columns that every
--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -147,11 +147,17 @@
         """Return the listeners that are called with each newer era of the store."""
 
     async def configuration(
-        self, since: int, wait_seconds: float
+        self,
+        since: int,
+        wait_seconds: float,
+        *,
+        timeout_seconds: float = 1.0,
+        new_connection: bool = False,
     ) -> ConfigurationRead | HistoryLost | Unavailable:
         """Wait up to `wait_seconds` for a configuration after revision `since`.
 
-        With `since` 0 return the newest one at once.
+        With `since` 0 return the newest one at once. The call fails if no answer has
+        arrived `timeout_seconds` after the wait; `new_connection` uses no idle one.
         """
 
     def parse_configuration(self, document: bytes) -> SiteConfiguration | None:
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -7,12 +7,15 @@
 is missed. The second reader is the standby.
 """
 
+import asyncio
+import zlib
 from collections.abc import Callable
 from math import ceil
 
 import structlog
 
 from mallowpond.coordination.ports import Clock
+from mallowpond.coordination.tasks import sleep_until_event
 from mallowpond.node.configuration import ConfigurationFollower
 from mallowpond.node.directory import Directory
 from mallowpond.node.fanout import MAX_PARTS, Fanout, PartCollector
@@ -112,8 +115,14 @@
         self.grant_number: Callable[[], int] = lambda: 0
         self.after_digest: list[Callable[[], None]] = []
         configuration.is_reader = lambda: self.is_reader
+        configuration.is_standby = lambda: self.is_standby
+        configuration.host_count = lambda: self._peers.host_count
+        configuration.host_share = zlib.crc32(name.encode()) / 2.0**32
         configuration.ask_readers = self._ask_reader
         configuration.on_era_confirmed.append(self._answer_again)
+        # Set when a digest is due as this host has read the store.
+        self._has_read = asyncio.Event()
+        configuration.on_read.append(self._has_read.set)
         directory.is_reader = lambda: self.is_reader
         configuration.should_retry_often = lambda: self.should_retry_often
         directory.should_retry_often = lambda: self.should_retry_often
@@ -196,7 +205,8 @@
         """Send digests as a reader, or loads as a follower, until cancelled."""
         while True:
             self.step()
-            await self._clock.sleep(DIGEST_SECONDS)
+            self._has_read.clear()
+            await sleep_until_event(self._clock, DIGEST_SECONDS, self._has_read)
 
     def step(self) -> None:
         """Update this host's role, and send its digest or load once if due."""
@@ -223,6 +233,7 @@
             self.is_standby
             and self._peers.is_large_fleet
             and self._turn % STANDBY_TURNS
+            and not self._has_read.is_set()
         ):
             return
         # Only the first reader sends the loads; both would send twice the bytes.
@@ -239,6 +250,7 @@
                 last_change=self._directory.last_change,
                 loads=encode_loads(loads, self._directory.loads.all_paces(loads)),
                 evacuations=self._configuration.evacuations.to_share,
+                read_at=self._configuration.own_read_at,
             )
         )
 
@@ -331,6 +343,9 @@
             digest.last_change, decode_loads(digest), decode_paces(digest)
         )
         self._configuration.handle_version(digest.version, digest.node)
+        self._configuration.handle_peer_read(
+            digest.version, digest.read_at, digest.node
+        )
         for notify in self.after_digest:
             notify()
 
@@ -358,7 +373,7 @@
         question = VersionQuestion(node=self._name, number=number)
         # Readers are asked in turn. If one does not answer, every second question is
         # lost; asking both would double the datagrams of each host.
-        names = self.names
+        names = [name for name in self.names if name != self._name]
         receivers = [names[number % len(names)]] if names else []
         self._peers.send_to(question, receivers)
 
@@ -387,11 +402,16 @@
             version=confirmation.version,
             age=confirmation.age(self._clock.now()),
             evacuations=self._configuration.evacuations.to_share,
+            answered_at=self._configuration.process_time,
         )
         self._peers.send_to(answer, (question.node,))
 
     def _on_version_answer(self, answer: VersionAnswer) -> None:
         self._configuration.evacuations.apply_received(answer.evacuations)
         self._configuration.handle_answer(
-            answer.number, answer.version, answer.age, answer.node
+            answer.number,
+            answer.version,
+            answer.age,
+            answer.node,
+            answer.answered_at,
         )
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -106,7 +106,7 @@
         self.metrics = metrics or NodeMetrics()
         unreadable_log = UnreadableLog(counter=self.metrics.unreadable)
         self.configuration = ConfigurationFollower(
-            source=ports.source, clock=clock, revoke_seconds=settings.bounds.revoke
+            source=ports.source, clock=clock, bounds=settings.bounds
         )
         self.directory = Directory(source=ports.source, clock=clock)
         self.peers = PeerNetwork(
--- a/mallowpond/node/settings.py
+++ b/mallowpond/node/settings.py
@@ -9,7 +9,10 @@
 class NodeBounds:
     """Bounds that the deployment requires or guarantees.
 
+    apply: seconds within which a change of the configuration must be in force.
     revoke: seconds after its revocation from which a key must be refused.
+    rollback_slack: seconds after the first request by a newer version from which a host
+    handles none by an older one.
     grace: seconds from the request to stop until the process is killed.
     stall: seconds after which a group that makes no progress reports its failure.
     checks_fencing: whether engines check fencing numbers.
@@ -20,7 +23,9 @@
     times a ratio plus a fixed number. A ratio of 0: no such bound is in force.
     """
 
+    apply: float = 3.0
     revoke: float = 5.0
+    rollback_slack: float = 0.3
     grace: float = 8.0
     stall: float = 4.0
     checks_fencing: bool = False
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -192,7 +192,7 @@
     on_newer_era: list = field(default_factory=list)
     waits: list = field(default_factory=list)
 
-    async def configuration(self, since, wait_seconds):
+    async def configuration(self, since, wait_seconds, **_):
         """Return the next queued answer or configuration."""
         self.waits.append(wait_seconds)
         if self.is_cut_off:
--- a/mallowpond/node/tests/test_configuration.py
+++ b/mallowpond/node/tests/test_configuration.py
@@ -7,14 +7,17 @@
 
 from mallowpond.coordination.tasks import cancel_task
 from mallowpond.node.configuration import (
-    LONG_POLL_SHARE,
-    QUESTION_INTERVAL_SECONDS,
     REWRITE_SECONDS,
     ConfigurationFollower,
 )
 from mallowpond.node.ports import ConfigurationRead, HistoryLost
+from mallowpond.node.settings import NodeBounds
 from mallowpond.node.tests.fakes import FakeClock, FakeSource
-from mallowpond.state.confirmation import ADMISSION_MARGIN_SECONDS, DENIAL_SECONDS
+from mallowpond.state.configuration_reading import (
+    LONG_POLL_SHARE,
+    QUESTION_INTERVAL_SECONDS,
+)
+from mallowpond.state.confirmation import ADMISSION_MARGIN_SECONDS
 from mallowpond.state.revision import make_revision
 from mallowpond.state.site_configuration import SiteConfiguration
 
@@ -29,7 +32,9 @@
     clock = FakeClock()
     source = FakeSource()
     source.configurations.extend(map(configuration_of, versions))
-    follower = ConfigurationFollower(source=source, clock=clock, revoke_seconds=5.0)
+    follower = ConfigurationFollower(
+        source=source, clock=clock, bounds=NodeBounds(revoke=5.0)
+    )
     return follower, source, clock
 
 
@@ -115,7 +120,7 @@
     for bound in (1.0, 2.0, 5.0, 60.0):
         source = FakeSource(configurations=deque([configuration_of(3)]))
         follower = ConfigurationFollower(
-            source=source, clock=FakeClock(), revoke_seconds=bound
+            source=source, clock=FakeClock(), bounds=NodeBounds(revoke=bound)
         )
         for _ in range(2):
             await follower.step()
@@ -217,7 +222,7 @@
     """Let the store hold each poll for its wait, in whole milliseconds."""
     answer_at_once = source.configuration
 
-    async def answer(since, wait_seconds):
+    async def answer(since, wait_seconds, **_):
         await clock.sleep(EXCHANGE_SECONDS + int(wait_seconds * 1000) / 1000)
         return await answer_at_once(since, wait_seconds)
 
@@ -230,7 +235,9 @@
     clock = FakeClock()
     source = FakeSource()
     source.reads.append(read_in_era(1, 90, configuration_of(4)))
-    follower = ConfigurationFollower(source=source, clock=clock, revoke_seconds=bound)
+    follower = ConfigurationFollower(
+        source=source, clock=clock, bounds=NodeBounds(revoke=bound)
+    )
     await follower.step()
     clock.time += bound
     assert not follower.is_confirmed
@@ -308,7 +315,7 @@
     await follower.step()
     assert follower.may_deny
     source.is_cut_off = True
-    clock.time += DENIAL_SECONDS
+    clock.time += NodeBounds().apply - ADMISSION_MARGIN_SECONDS
     assert follower.is_confirmed and not follower.may_deny
 
 
--- a/mallowpond/node/tests/test_configuration_fleet.py
+++ b/mallowpond/node/tests/test_configuration_fleet.py
@@ -7,6 +7,7 @@
 from mallowpond.emulator.configuration_fleet import ConfigurationFleet
 from mallowpond.emulator.virtual_time import run_in_virtual_time
 from mallowpond.node.configuration import ConfigurationFollower
+from mallowpond.node.settings import NodeBounds
 
 # Share of the bound for a change within which every host with a path must have it.
 SHARE = 0.6
@@ -14,16 +15,18 @@
 SMALL_BOUNDS = (2.0, 5.0)
 LARGE_BOUNDS = (3.0, 5.0)
 SETTLE_SECONDS = 4.0
+# A tenth more than two readers with polls of 1.5 s make.
+CALM_READS_PER_SECOND = 1.1 * 2.0 / 1.5
 WATCHED_SECONDS = 6.0
 
 
 def fleet_of(host_count, bounds):
     """Build a fleet whose hosts have these bounds."""
 
+    node_bounds = NodeBounds(apply=bounds[0], revoke=bounds[1])
+
     def build_follower(source, clock):
-        return ConfigurationFollower(
-            source=source, clock=clock, revoke_seconds=bounds[1]
-        )
+        return ConfigurationFollower(source=source, clock=clock, bounds=node_bounds)
 
     return ConfigurationFleet(host_count=host_count, build_follower=build_follower)
 
@@ -144,3 +147,65 @@
     fleet = fleet_of(host_count, bounds)
     late = latest_arrival(fleet, [disrupt, disrupt], gap=gap)
     assert late <= SHARE * bounds[0]
+
+
+def reads_between(fleet, start, end):
+    """Count the reads of the configuration in an interval after the start."""
+    return sum(start <= at < end for at in fleet.store.reads_at)
+
+
+@pytest.mark.parametrize(
+    ("host_count", "bounds"),
+    [(3, SMALL_BOUNDS), (7, SMALL_BOUNDS), (124, LARGE_BOUNDS)],
+)
+def test_a_calm_fleet_reads_no_more_often_than_two_readers_need(host_count, bounds):
+    """Guards against hosts that take recent knowledge for old."""
+
+    async def play():
+        await fleet.start()
+        await asyncio.sleep(25.0)
+        await fleet.close()
+
+    fleet = fleet_of(host_count, bounds)
+    run_in_virtual_time(play())
+    assert reads_between(fleet, 5.0, 25.0) <= 20.0 * CALM_READS_PER_SECOND
+
+
+@pytest.mark.parametrize("host_count", [7, 124])
+def test_few_hosts_read_as_all_connections_fall_silent(host_count):
+    """Guards against a store that every host calls at once and again."""
+    bounds = SMALL_BOUNDS if host_count == 7 else LARGE_BOUNDS
+    fleet = fleet_of(host_count, bounds)
+    latest_arrival(fleet, [silence_all])
+    began = SETTLE_SECONDS
+    assert reads_between(fleet, began, began + bounds[0]) <= 20
+
+
+@pytest.mark.parametrize("host_count", [7, 124])
+def test_a_change_is_in_force_in_time_while_datagrams_are_lost(host_count):
+    """Guards against hosts that wait for a datagram that does not come."""
+    bounds = SMALL_BOUNDS if host_count == 7 else LARGE_BOUNDS
+    fleet = fleet_of(host_count, bounds)
+    late = latest_arrival(fleet, [silence_all], moment=0.5, loss=0.05)
+    assert late <= SHARE * bounds[0]
+
+
+def test_a_host_may_serve_all_the_while_the_store_is_down():
+    """Guards against requests that are refused as the store does not answer."""
+
+    async def play():
+        await fleet.start()
+        await asyncio.sleep(SETTLE_SECONDS)
+        fleet.store.is_down = is_refusing
+        for host in fleet.hosts:
+            host.source.is_cut = not is_refusing
+        refusing = 0
+        for _ in range(200):
+            await asyncio.sleep(0.05)
+            refusing += sum(not host.configuration.may_run for host in fleet.hosts)
+        await fleet.close()
+        return refusing
+
+    for is_refusing in (True, False):
+        fleet = fleet_of(7, SMALL_BOUNDS)
+        assert run_in_virtual_time(play()) == 0
--- a/mallowpond/node/tests/test_evacuations.py
+++ b/mallowpond/node/tests/test_evacuations.py
@@ -8,7 +8,6 @@
 import pytest
 
 from mallowpond.coordination.ports import Unavailable
-from mallowpond.node.configuration import QUESTION_INTERVAL_SECONDS
 from mallowpond.node.messages import (
     ConfigurationPart,
     ConfigurationQuestion,
@@ -48,6 +47,7 @@
 from mallowpond.node.tests.test_planner import free
 from mallowpond.node.tests.test_readers import Host, follower, heartbeat_of
 from mallowpond.node.tests.test_service import node_over
+from mallowpond.state.configuration_reading import QUESTION_INTERVAL_SECONDS
 from mallowpond.state.evacuations import (
     HELD_SECONDS,
     EvacuationChanges,
@@ -133,7 +133,7 @@
     asked = []
     answer_read = host.source.configuration
 
-    async def record(since, wait_seconds):
+    async def record(since, wait_seconds, **_):
         asked.append(since)
         return await answer_read(since, wait_seconds)
 
--- a/mallowpond/node/tests/test_planner.py
+++ b/mallowpond/node/tests/test_planner.py
@@ -15,6 +15,7 @@
 from mallowpond.node.peers import Peer
 from mallowpond.node.planner import GroupPlanner
 from mallowpond.node.ports import EngineReport, OrderLost, OrderMisdirected
+from mallowpond.node.settings import NodeBounds
 from mallowpond.node.tests.fakes import (
     PROFILE,
     FakeClock,
@@ -125,7 +126,7 @@
         )
         self.directory = Directory(source=self.source, clock=self.clock)
         self.configuration = ConfigurationFollower(
-            source=self.source, clock=self.clock, revoke_seconds=5.0
+            source=self.source, clock=self.clock, bounds=NodeBounds(revoke=5.0)
         )
         self.watch, self.peers = FakeWatch(), FakePeers()
         self.leadership = FakeLeadership()
--- a/mallowpond/node/tests/test_planner_silence.py
+++ b/mallowpond/node/tests/test_planner_silence.py
@@ -14,6 +14,7 @@
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.planner import GroupPlanner
 from mallowpond.node.ports import EngineReport, OrderLost
+from mallowpond.node.settings import NodeBounds
 from mallowpond.node.tests.engine_model import Fleet, ModelSource
 from mallowpond.node.tests.fakes import PROFILE, FakeSource, make_availability
 from mallowpond.node.tests.test_planner import (
@@ -122,7 +123,7 @@
         self.configuration = ConfigurationFollower(
             source=FakeSource(configurations=deque([configuration])),
             clock=self.clock,
-            revoke_seconds=5.0,
+            bounds=NodeBounds(revoke=5.0),
         )
         source = ModelSource(self.fleet)
         self.directory = Directory(source=source, clock=self.clock)
--- a/mallowpond/node/tests/test_readers.py
+++ b/mallowpond/node/tests/test_readers.py
@@ -11,7 +11,6 @@
 from mallowpond.node.configuration import (
     DOCUMENT_WAIT_SECONDS,
     FROM_START,
-    MAX_UNANSWERED_QUESTIONS,
     REWRITE_SECONDS,
     SLOW_RETRY_SECONDS,
     ConfigurationFollower,
@@ -44,6 +43,7 @@
     READERS_KEY,
     Readers,
 )
+from mallowpond.node.settings import NodeBounds
 from mallowpond.node.tests.fakes import (
     FakeClock,
     FakeSource,
@@ -59,6 +59,8 @@
 from mallowpond.standins.platform import MemoryTable
 from mallowpond.state.ownership import ranked_owners
 
+BOUNDS = NodeBounds(apply=3.0, revoke=5.0)
+
 
 def heartbeat_of(node, **changes):
     """Build a heartbeat of a host that reaches the store."""
@@ -90,7 +92,7 @@
         self.outbox = []
         self.peers._send = lambda message, addresses: self.outbox.append(message)
         self.configuration = ConfigurationFollower(
-            source=self.source, clock=self.clock, revoke_seconds=5.0
+            source=self.source, clock=self.clock, bounds=BOUNDS
         )
         self.directory = Directory(source=self.source, clock=self.clock)
         self.fanout = Fanout(
@@ -142,6 +144,12 @@
     return host
 
 
+def pass_time(host, seconds):
+    """Let time pass while the peers of a host are live."""
+    host.clock.time += seconds
+    host.receive(*(replace(p.heartbeat) for p in host.peers._peers.values()))
+
+
 def digest(*, last_change, version=1):
     """Build a reader's digest."""
     return Digest(node="n0", version=version, last_change=last_change)
@@ -479,7 +487,7 @@
     asked = []
     read = host.source.configuration
 
-    async def recorded(since, wait_seconds):
+    async def recorded(since, wait_seconds, **_):
         asked.append(since)
         return await read(since, wait_seconds)
 
@@ -599,7 +607,7 @@
     host.source.is_cut_off = False
     answer_at_once = host.source.configuration
 
-    async def answer(since, wait_seconds):
+    async def answer(since, wait_seconds, **_):
         name_era(host.source, 2)
         return await answer_at_once(since, wait_seconds)
 
@@ -622,14 +630,26 @@
 
 async def test_a_follower_without_answers_asks_the_store():
     host = await follower()
-    for _ in range(MAX_UNANSWERED_QUESTIONS):
+    for _ in range(2):
         assert host.configuration._may_ask_readers()
-        host.configuration._ask()
+        pass_time(host, 0.3 * BOUNDS.apply)
     assert not host.configuration._may_ask_readers()
     await host.configuration.step()
     assert host.configuration._may_ask_readers()
 
 
+async def test_a_follower_leaves_a_reader_whose_knowledge_grows_old():
+    """Guards against answers without news that count as contact."""
+    host = await follower()
+    for _ in range(3):
+        pass_time(host, 0.2 * BOUNDS.apply)
+        host.configuration._ask()
+        number = host.outbox_of(VersionQuestion)[-1].number
+        age = host.configuration.confirmation.age(host.clock.time)
+        host.receive(VersionAnswer(node="n0", number=number, version=1, age=age))
+    assert not host.configuration._may_ask_readers()
+
+
 async def test_a_reader_answers_with_the_age_of_its_own_certainty():
     host = Host()
     host.source.configurations.append(configuration_of(3))
@@ -645,7 +665,7 @@
     """Count the calls of one host during an outage of the store for all hosts."""
     asked = 0
 
-    async def configuration(since, wait_seconds):
+    async def configuration(since, wait_seconds, **_):
         nonlocal asked
         asked += 1
         host.receive(*heartbeats)
--- a/mallowpond/node/tests/test_service.py
+++ b/mallowpond/node/tests/test_service.py
@@ -28,7 +28,6 @@
     open_group,
 )
 from mallowpond.standins.platform import MemoryTable
-from mallowpond.state.confirmation import DENIAL_SECONDS
 from mallowpond.state.site_configuration import RepeatPolicy, SiteConfiguration
 from mallowpond.transport import http_server
 from mallowpond.transport.http_server import HttpRequest
@@ -337,7 +336,7 @@
     read = asyncio.Event()
     unread = source.configuration
 
-    async def configuration(after, wait_seconds):
+    async def configuration(after, wait_seconds, **_):
         await read.wait()
         await asyncio.sleep(0.01)
         return await unread(after, wait_seconds)
@@ -394,7 +393,7 @@
     clock = FakeClock()
     node = node_over(clock, source=FakeSource(configurations=deque([SITE])))
     await node.configuration.step()
-    clock.time += DENIAL_SECONDS
+    clock.time += SETTINGS.bounds.apply
     request = HttpRequest(method="GET", target="/x", headers={}, body=b"")
     exchange = FakeExchange()
     await node.ingress._handle(request, exchange)
--- a/mallowpond/platform/store.py
+++ b/mallowpond/platform/store.py
@@ -3,7 +3,7 @@
 import base64
 import json
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import quote
 
@@ -57,6 +57,14 @@
 JSON_HEADERS = (("content-type", "application/json"),)
 
 
+@dataclass(frozen=True, kw_only=True)
+class CallPath:
+    """How a call reaches the store, and how long it waits for a prompt answer."""
+
+    timeout_seconds: float = CALL_TIMEOUT_SECONDS
+    new_connection: bool = False
+
+
 class PlatformStore:
     """Reads and changes rows of the store; keys have the form TABLE/KEY.
 
@@ -88,16 +96,25 @@
     # -- the configuration and the list of targets --------------------------
 
     async def configuration(
-        self, since: int, wait_seconds: float
+        self,
+        since: int,
+        wait_seconds: float,
+        *,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+        new_connection: bool = False,
     ) -> ConfigurationRead | HistoryLost | Unavailable:
         """Wait up to `wait_seconds` for a configuration after revision `since`.
 
-        With `since` 0 return the newest one at once.
+        With `since` 0 return the newest one at once. The call fails if no answer has
+        arrived `timeout_seconds` after the wait; `new_connection` uses no idle one.
         """
+        path = CallPath(timeout_seconds=timeout_seconds, new_connection=new_connection)
         if since == 0:
-            answer = await self._read_table(CONFIGURATION_TABLE)
+            answer = await self._read_table(CONFIGURATION_TABLE, path)
         else:
-            answer = await self._read_changes(CONFIGURATION_TABLE, since, wait_seconds)
+            answer = await self._read_changes(
+                CONFIGURATION_TABLE, since, wait_seconds, path
+            )
         if isinstance(answer, HistoryLost | Unavailable):
             return answer
         if answer.keyless_faults:
@@ -311,7 +328,9 @@
 
     # -- calls ---------------------------------------------------------------
 
-    async def _read_table(self, table: str) -> StoreAnswer | HistoryLost | Unavailable:
+    async def _read_table(
+        self, table: str, path: CallPath = CallPath()
+    ) -> StoreAnswer | HistoryLost | Unavailable:
         """Read a whole table page by page; later pages may be newer than the first.
 
         A page of a later era begins the read again.
@@ -321,7 +340,7 @@
         while True:
             self._counts.count(table, "whole")
             query = f"table={quote(table)}&part=&from={quote(start)}&limit={PAGE_ROWS}"
-            answer = await self._get(f"/-/rows-get?{query}")
+            answer = await self._get(f"/-/rows-get?{query}", path=path)
             if isinstance(answer, HistoryLost | Unavailable):
                 return answer
             if pages and answer.era != pages[0].era:
@@ -339,7 +358,11 @@
             start = following
 
     async def _read_changes(
-        self, table: str, since: int, wait_seconds: float
+        self,
+        table: str,
+        since: int,
+        wait_seconds: float,
+        path: CallPath = CallPath(),
     ) -> StoreAnswer | HistoryLost | Unavailable:
         """Read the changes after a revision, which must be of the present era."""
         if era_of(since) < self._eras.newest:
@@ -348,13 +371,16 @@
         wait = int(wait_seconds * 1000)
         version = version_of(since)
         query = f"table={quote(table)}&since_rev={version}&wait_ms={wait}"
-        answer = await self._get(f"/-/rows-feed?{query}", wait_seconds)
+        answer = await self._get(f"/-/rows-feed?{query}", wait_seconds, path)
         if isinstance(answer, StoreAnswer) and answer.era != era_of(since):
             return HistoryLost()
         return answer
 
     async def _get(
-        self, target: str, wait_seconds: float = 0.0
+        self,
+        target: str,
+        wait_seconds: float = 0.0,
+        path: CallPath = CallPath(),
     ) -> StoreAnswer | HistoryLost | Unavailable:
         known, newest = self._eras.newest, self._newest_revision
         ages: list[float] = []
@@ -362,7 +388,8 @@
             self._address,
             "GET",
             target,
-            timeout=wait_seconds + CALL_TIMEOUT_SECONDS,
+            timeout=wait_seconds + path.timeout_seconds,
+            new_connection=path.new_connection,
             on_connection_age=ages.append,
         )
         if isinstance(response, CallFailed):
--- a/mallowpond/platform/tests/test_ingress.py
+++ b/mallowpond/platform/tests/test_ingress.py
@@ -13,6 +13,7 @@
 from mallowpond.node.ingress import Ingress
 from mallowpond.node.metrics import NodeMetrics
 from mallowpond.node.outcomes import Answered
+from mallowpond.node.settings import NodeBounds
 from mallowpond.node.tests.fakes import FakeClock, FakeSource
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.platform.callers import PlatformCallerProtocol
@@ -75,7 +76,9 @@
     """Run an ingress with these configurations, too old to rely on unless `sure`."""
     clock, source = FakeClock(), FakeSource()
     source.configurations.extend(configurations)
-    follower = ConfigurationFollower(source=source, clock=clock, revoke_seconds=5.0)
+    follower = ConfigurationFollower(
+        source=source, clock=clock, bounds=NodeBounds(revoke=5.0)
+    )
     if configurations:
         await follower.step()
     if not sure:
@@ -164,6 +167,35 @@
         assert calls.served == []
 
 
+WITHOUT_KEYS = replace(SITE, uses_keys=False, keys={})
+
+
+async def test_a_request_without_a_key_is_not_run_by_a_version_that_may_be_replaced():
+    """Guards against sends to the service that a route named before."""
+    async with ingress_of(WITHOUT_KEYS, sure=False) as (ingress, calls):
+        answer = await send_bytes(ingress, request(key=""))
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert calls.served == []
+
+
+async def test_a_host_that_stood_still_serves_once_its_version_is_confirmed():
+    """Guards against refusals by a host that could know more within milliseconds."""
+    async with ingress_of(WITHOUT_KEYS, sure=False) as (ingress, calls):
+        answering = asyncio.create_task(send_bytes(ingress, request(key="")))
+        await asyncio.sleep(0.05)
+        await ingress._configuration.step()
+        assert (await answering).startswith(b"HTTP/1.1 200 ")
+
+
+async def test_a_host_that_lost_the_store_serves_by_the_version_that_it_has():
+    """Guards against refusing all requests for as long as the store is away."""
+    async with ingress_of(WITHOUT_KEYS, sure=False) as (ingress, calls):
+        ingress._configuration._source.is_cut_off = True
+        await ingress._configuration.step()
+        answer = await send_bytes(ingress, request(key=""))
+        assert answer.startswith(b"HTTP/1.1 200 ")
+
+
 async def test_a_stopping_node_serves_and_says_that_it_closes():
     async with ingress_of(SITE) as (ingress, calls):
         ingress.is_stopping = True
--- a/mallowpond/platform/tests/test_program.py
+++ b/mallowpond/platform/tests/test_program.py
@@ -28,7 +28,9 @@
     "platform.address": "10.200.1.7:8223",
     "bootstrap": True,
     "contracts": ["audit"],
+    "bounds.config_apply_ms": 2000,
     "bounds.revoke_ms": 5000,
+    "bounds.rollback_slack_ms": 250,
     "bounds.grace_s": 8,
     "bounds.stall_ms": 4000,
     "bounds.enforce_fencing": True,
@@ -65,7 +67,9 @@
     assert settings.planning.rebalance
     assert settings.planning.regroup_slow
     assert settings.bounds == NodeBounds(
+        apply=2.0,
         revoke=5.0,
+        rollback_slack=0.25,
         grace=8,
         stall=4.0,
         checks_fencing=True,
--- a/mallowpond/state/confirmation.py
+++ b/mallowpond/state/confirmation.py
@@ -1,27 +1,32 @@
-"""Track how recently a node's configuration version was confirmed as the newest.
+"""Decide what a node may do by its configuration, from the age of its confirmation.
 
-A revoked API key must stop working everywhere within a bound, also at a node that lost
-the table service. So a node takes the age of the last answer that confirmed its
-version, counted from before the query was sent, and admits requests with a key only
-while that age is below the bound.
+A change must be in force everywhere within a bound, and a revoked API key must stop
+working within another one, also at a node that lost the table service. So a node takes
+the age of the last answer that confirmed its version, counted from before the query was
+sent, and compares it with the bound of each decision.
 """
 
 from dataclasses import dataclass
 
-# Margin below the revocation bound, in seconds: the time between the check and the
-# moment at which the request counts as sent, and clock drift.
+# Margin below the bounds, in seconds: the time between the check and the moment at
+# which the request counts as sent, and clock drift.
 ADMISSION_MARGIN_SECONDS = 0.3
-# Age of a confirmation from which a newer version may be in force elsewhere, in
-# seconds: more than it becomes while a host hears from the store or a reader.
-DENIAL_SECONDS = 2.2
+# Source of what this node itself read from the table service.
+STORE = "store"
 
 
 @dataclass(frozen=True, kw_only=True)
 class Confirmation:
-    """A version and the time at which it is known to have been the newest."""
+    """What a node knows of the configuration in force.
+
+    `version` is known to have been the newest at `confirmed_at`, by the node `source`
+    or an own read, in this era of the table service.
+    """
 
     version: int
     confirmed_at: float
+    era: int = 0
+    source: str = STORE
 
     def age(self, now: float) -> float:
         """Return the seconds since the version is known to have been the newest."""
@@ -40,22 +45,53 @@
     return confirmation.age(now) < bound_seconds - ADMISSION_MARGIN_SECONDS
 
 
-def may_deny(confirmation: Confirmation | None, *, now: float) -> bool:
+def may_run(
+    confirmation: Confirmation | None,
+    *,
+    now: float,
+    bound_seconds: float,
+    is_store_lost: bool,
+) -> bool:
+    """Return whether requests may be run as the version says.
+
+    `bound_seconds` is the time within which a change must be in force. A node that has
+    just failed to read the table service goes on with the version that it has: there
+    is no other while the service is away.
+    """
+    if is_store_lost:
+        return True
+    if confirmation is None:
+        return False
+    return confirmation.age(now) < bound_seconds - ADMISSION_MARGIN_SECONDS
+
+
+def may_deny(
+    confirmation: Confirmation | None, *, now: float, bound_seconds: float
+) -> bool:
     """Return whether a key or route that the version lacks may be refused for good.
 
-    Newer versions add keys and routes within a shorter time than revoked keys stop
-    working, so this ends sooner than the admission of known keys.
+    `bound_seconds` is the time within which a change must be in force: newer versions
+    add keys and routes.
     """
-    return confirmation is not None and confirmation.age(now) < DENIAL_SECONDS
+    if confirmation is None:
+        return False
+    return confirmation.age(now) < bound_seconds - ADMISSION_MARGIN_SECONDS
 
 
 def merge_confirmation(
-    known: Confirmation | None, *, version: int, confirmed_at: float
+    known: Confirmation | None,
+    *,
+    version: int,
+    confirmed_at: float,
+    era: int = 0,
+    source: str = STORE,
 ) -> Confirmation:
     """Return the newer of two confirmations; the version never decreases."""
+    found = Confirmation(
+        version=version, confirmed_at=confirmed_at, era=era, source=source
+    )
     if known is None or version > known.version:
-        return Confirmation(version=version, confirmed_at=confirmed_at)
-    if version < known.version:
+        return found
+    if version < known.version or confirmed_at <= known.confirmed_at:
         return known
-    latest = max(known.confirmed_at, confirmed_at)
-    return Confirmation(version=version, confirmed_at=latest)
+    return found
--- a/mallowpond/state/tests/test_confirmation.py
+++ b/mallowpond/state/tests/test_confirmation.py
@@ -1,6 +1,14 @@
 """How long a node may admit requests by a version after its confirmation."""
 
-from mallowpond.state.confirmation import Confirmation, may_admit, merge_confirmation
+import pytest
+
+from mallowpond.state.confirmation import (
+    Confirmation,
+    may_admit,
+    may_deny,
+    may_run,
+    merge_confirmation,
+)
 
 BOUND = 5.0
 
@@ -35,3 +43,21 @@
 def test_an_older_confirmation_of_the_same_version_changes_nothing():
     known = Confirmation(version=3, confirmed_at=100.0)
     assert merge_confirmation(known, version=3, confirmed_at=99.0) == known
+
+
+@pytest.mark.parametrize("bound", [2.0, 3.0, 8.0])
+def test_what_may_have_been_replaced_is_neither_run_nor_refused_for_good(bound):
+    """Guards against a decision by a version that was replaced the bound before."""
+    known = Confirmation(version=3, confirmed_at=100.0)
+    for age, expected in ((0.5 * bound, True), (bound, False)):
+        now = 100.0 + age
+        ran = may_run(known, now=now, bound_seconds=bound, is_store_lost=False)
+        denied = may_deny(known, now=now, bound_seconds=bound)
+        assert ran is denied is expected
+
+
+def test_a_host_that_lost_the_store_goes_on_with_what_it_knows():
+    known = Confirmation(version=3, confirmed_at=100.0)
+    assert may_run(known, now=900.0, bound_seconds=2.0, is_store_lost=True)
+    assert not may_deny(known, now=900.0, bound_seconds=2.0)
+    assert not may_run(None, now=900.0, bound_seconds=2.0, is_store_lost=False)
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -373,6 +373,7 @@
         headers: Headers = (),
         body: bytes = b"",
         timeout: float = 5.0,
+        new_connection: bool = False,
         on_connection_age: Callable[[float], None] | None = None,
     ) -> BufferedResponse | CallFailed:
         """Send a request; return the whole response within `timeout` seconds."""
@@ -385,6 +386,7 @@
                     target,
                     headers=headers,
                     body=body,
+                    new_connection=new_connection,
                     on_connection_age=on_connection_age,
                 )
                 if isinstance(response, CallFailed):
