Configuration: an empty list of tenants leaves every key unknown

Cause: whether keys are asked for was read off the tenants found, so that an empty list counted as a missing one. Change: it is read off the field. The rule for a configuration without the field stays: no keys are asked for.

--- a/mallowpond/platform/documents.py
+++ b/mallowpond/platform/documents.py
@@ -137,7 +137,8 @@
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
-    tenants: tuple[_Tenant, ...] = ()
+    # With an empty list every key is unknown; without the field no keys are asked for.
+    tenants: tuple[_Tenant, ...] | None = None
 
 
 def decode_configuration(document: Any) -> SiteConfiguration | Unreadable:
@@ -150,8 +151,8 @@
         version=decoded.version,
         routes=tuple(_route(route) for route in decoded.routes),
         services={service.name: _service(service) for service in decoded.services},
-        keys=_keys(decoded.tenants),
-        uses_keys=bool(decoded.tenants),
+        keys=_keys(decoded.tenants or ()),
+        uses_keys=decoded.tenants is not None,
         limits=CallerLimits(
             header_bytes=int(limits.max_header_bytes),
             body_bytes=int(limits.max_body_bytes),
--- a/mallowpond/platform/tests/test_documents.py
+++ b/mallowpond/platform/tests/test_documents.py
@@ -96,6 +96,13 @@
     assert not site.uses_keys
 
 
+def test_an_empty_list_of_tenants_leaves_every_key_unknown():
+    """Guards against revoked keys that run once the last tenant is removed."""
+    site = documents.decode_configuration({"version": 1, "tenants": []})
+    assert site.uses_keys
+    assert site.keys == {}
+
+
 def test_an_entry_of_the_list_is_decoded():
     row = {
         "service": "s",
