Configuration: a host that starts does not rely on a copy just restored

Cause: only a process that had read an earlier era waited for the operator to write again; for one that had just started the first answer of the copy was a confirmation. Change: unless the era is 0, the first answer confirms nothing for a second, and a host asks a peer at once: an answer with the peer's own confirmation ends the doubt, or names the newer version. Cost: if all hosts start at once after a restore, keys are admitted a second later.

The new tests fail on the code before. test_the_first_era_of_a_host_that_starts_delays_ nothing asked for the fault (a first era of 2 believed at once); three tests replace it: no delay in era 0, none once a peer answers, none admitted before.

--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from math import isinf
 
 import structlog
 
@@ -33,6 +34,9 @@
 # store, frequent retries of a whole fleet only add load, and the first host that gets
 # an answer informs the others.
 SLOW_RETRY_SECONDS = 1.5
+# Interval between questions of a host that has a version which nobody has confirmed, in
+# seconds.
+FIRST_QUESTION_SECONDS = 0.1
 # Shortest pause between two checks whether the knowledge is too old, in seconds.
 MIN_CHECK_SECONDS = 0.02
 # Time for which a host that learns of a newer version waits for the readers to send it,
@@ -137,7 +141,7 @@
     @property
     def confirmation_age(self) -> float | None:
         """Return the rounded seconds since the last confirmation, None if never."""
-        if self._confirmation is None:
+        if self._confirmation is None or isinf(self._confirmation.confirmed_at):
             return None
         return round(self._confirmation.age(self._clock.now()), 3)
 
@@ -353,6 +357,12 @@
         has_one = self._configuration is not None
         return has_one and self._is_behind.is_set() and not self.is_reader()
 
+    def ask_for_first_confirmation(self) -> None:
+        """Ask a reader that was just heard of, if no version was confirmed yet."""
+        is_waiting = self._configuration is not None and not self.is_confirmed
+        if is_waiting and self._clock.now() - self._asked_at >= FIRST_QUESTION_SECONDS:
+            self._ask()
+
     def _ask_if_due(self) -> None:
         if (
             self._clock.now() - self._asked_at
@@ -488,12 +498,16 @@
         return answer.configuration is not None or self._configuration is not None
 
     def _record_era(self, era: int) -> None:
-        """Start the rewrite time of a new era, which any call to the store may name."""
+        """Start the rewrite time of a new era, which any call to the store may name.
+
+        A host that starts does not know when its first era began, unless the store was
+        never restored: a peer that has confirmed the version tells it at once.
+        """
         if era <= self._newest_era:
             return
         self._newest_era = era
+        self._restored_at = self._clock.now()
         if self._answered_revision != FROM_START:
-            self._restored_at = self._clock.now()
             self.handle_store_reachable()
 
     def _poll_wait(self) -> float:
@@ -615,7 +629,7 @@
         is_rewriting = self._rewrite_left() > 0.0
         if is_rewriting:
             confirmation = self._confirmation
-            answered_at = confirmation.confirmed_at if confirmation else answered_at
+            answered_at = confirmation.confirmed_at if confirmation else float("-inf")
         if answer.configuration is not None:
             self._shown_version = answer.configuration.version
             if known is None or answer.configuration.version >= known.version:
--- a/mallowpond/node/readers.py
+++ b/mallowpond/node/readers.py
@@ -10,7 +10,7 @@
 import asyncio
 import zlib
 from collections.abc import Callable
-from math import ceil
+from math import ceil, isinf
 
 import structlog
 
@@ -364,6 +364,8 @@
         if self._peer_states.get(heartbeat.node) != state:
             self._peer_states[heartbeat.node] = state
             self._ranked_at = float("-inf")
+        if heartbeat.sure:
+            self._configuration.ask_for_first_confirmation()
         is_store_reached = bool(self._ranked())
         if is_store_reached and not self._was_store_reached:
             self._configuration.handle_store_reachable()
@@ -394,7 +396,7 @@
 
     def _answer(self, question: VersionQuestion) -> None:
         confirmation = self._configuration.confirmation
-        if confirmation is None:
+        if confirmation is None or isinf(confirmation.confirmed_at):
             return
         answer = VersionAnswer(
             node=self._name,
--- a/mallowpond/node/tests/test_configuration.py
+++ b/mallowpond/node/tests/test_configuration.py
@@ -203,7 +203,7 @@
 async def test_a_restored_store_confirms_nothing_until_it_was_written_again():
     """Guards against a revocation in the lost seconds that no host has read."""
     follower, source, clock = follower_of()
-    source.reads.append(read_in_era(1, 90, configuration_of(4)))
+    source.reads.append(read_in_era(0, 90, configuration_of(4)))
     await follower.step()
     clock.time += 0.5
     source.reads.extend([read_in_era(2, 40, configuration_of(4)), read_in_era(2, 41)])
@@ -301,11 +301,48 @@
     await cancel_task(running)
 
 
-async def test_the_first_era_of_a_host_that_starts_delays_nothing():
+async def test_a_host_that_starts_is_not_delayed_by_a_store_that_was_never_restored():
     follower, source, _ = follower_of()
-    name_era(source, 2)
+    name_era(source, 0)
+    source.reads.append(read_in_era(0, 40, configuration_of(4)))
+    await follower.step()
+    assert follower.is_confirmed
+
+
+async def test_a_host_that_starts_does_not_rely_on_a_copy_that_may_be_just_restored():
+    """Guards against a key that is admitted by a copy without its revocation."""
+    follower, source, clock = follower_of()
+    source.reads.append(read_in_era(2, 40, configuration_of(4)))
+    await follower.step()
+    assert not follower.is_confirmed
+    assert not follower.may_run
+    clock.time += REWRITE_SECONDS
+    await follower.step()
+    assert follower.is_confirmed
+
+
+async def test_a_peers_answer_ends_the_doubt_of_a_host_that_starts():
+    """Guards against a host that is of no use for a second after each start."""
+    follower, source, clock = follower_of()
     source.reads.append(read_in_era(2, 40, configuration_of(4)))
     await follower.step()
+    follower.ask_for_first_confirmation()
+    follower.handle_answer(follower._question_number, 4, 0.5, "b")
+    assert follower.is_confirmed
+    assert follower.may_run
+
+
+async def test_a_host_that_starts_learns_of_a_newer_version_before_it_admits_a_key():
+    follower, source, clock = follower_of()
+    source.reads.append(read_in_era(2, 40, configuration_of(3)))
+    await follower.step()
+    follower._ask()
+    follower.handle_answer(follower._question_number, 4, 0.5, "b")
+    assert not follower.is_confirmed
+    follower.handle_document(4, b"4")
+    assert not follower.is_confirmed
+    follower._ask()
+    follower.handle_answer(follower._question_number, 4, 0.5, "b")
     assert follower.is_confirmed
 
 
--- a/mallowpond/node/tests/test_readers.py
+++ b/mallowpond/node/tests/test_readers.py
@@ -548,7 +548,7 @@
     host = Host("n0")
     host.source.reads.extend(
         [
-            read_in_era(1, 90, configuration_of(4)),
+            read_in_era(0, 90, configuration_of(4)),
             read_in_era(2, 40, configuration_of(copied)),
         ]
     )
