Engines: a late answer without an id is not a caller's

Cause: orders and reports carry no id and share connections with callers' requests. An answer without the echoed id counted as the own one, also as a proof that the request had not run, after which a request that may run once was sent again; and a success without the engine's stamp was passed on.

Change: on a connection that has carried a request without an id, an answer without one is skipped, whatever its status, and the next one is awaited, also if no byte of it has arrived yet. An unsigned success of an engine is none.

--- a/mallowpond/emulator/engines.py
+++ b/mallowpond/emulator/engines.py
@@ -167,6 +167,10 @@
         """Return whether the target declined to run the request, here always False."""
         return False
 
+    def is_signed(self, response: EmulatedResponse) -> bool:
+        """Return whether the target signed a response, here always True."""
+        return True
+
     def notice(self, response: EmulatedResponse) -> TargetNotice:
         """Return what a response announces about its target: here nothing."""
         return TargetNotice()
--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -346,7 +346,8 @@
         self._availability.record_notice(target, notice, sent_at)
         if self._targets.is_not_run(response):
             return NoReply(reason=Reason.NOT_RUN, may_have_run=False)
-        if isinstance(body, CallFailed):
+        is_unsigned = response.status < 300 and not self._targets.is_signed(response)
+        if isinstance(body, CallFailed) or is_unsigned:
             return NoReply(reason=Reason.MAYBE_RUN, may_have_run=True)
         headers = self._callers.answer_headers(response)
         return CompleteReply(
--- a/mallowpond/node/ports.py
+++ b/mallowpond/node/ports.py
@@ -247,6 +247,9 @@
     def is_misdirected(self, response: HttpResponse) -> bool:
         """Return whether another engine answered, or one without an open group."""
 
+    def is_signed(self, response: HttpResponse) -> bool:
+        """Return whether the target signed an answer; an unsigned success is none."""
+
     def notice(self, response: HttpResponse) -> TargetNotice:
         """Return what an answer announces of its target: limits, backoff, a stop."""
 
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -486,6 +486,9 @@
             self._log_rejected(stream, Reason.NOT_RUN)
             return NotRun(reason=Reason.NOT_RUN)
         self._record_notice(stream, response)
+        if response.status < 300 and not self._targets.is_signed(response):
+            self._log_rejected(stream, Reason.BROKEN_STREAM, failure="unsigned")
+            return Interrupted(reason=Reason.BROKEN_STREAM)
         headers = self._callers.answer_headers(response)
         if response.status != 200:
             body = await response.read()
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -79,6 +79,7 @@
     status: int = 200
     headers: dict = field(default_factory=dict)
     has_marked_end: bool = True
+    is_signed: bool = True
 
     @property
     def header_list(self):
@@ -134,6 +135,10 @@
         """Return whether an answer proves that the request did not run."""
         return response.status == 421 or "not-run" in response.headers
 
+    def is_signed(self, response):
+        """Return whether the target signed an answer."""
+        return response.is_signed
+
     def is_misdirected(self, response):
         """Return whether an answer comes from another engine than the one meant."""
         return response.status == 421
--- a/mallowpond/node/tests/test_calls.py
+++ b/mallowpond/node/tests/test_calls.py
@@ -152,6 +152,15 @@
     assert len(sends) == 1
 
 
+async def test_an_unsigned_success_of_a_call_never_reaches_the_caller():
+    """Guards against an answer to another request that counts as the call's own."""
+    late = replace(reply(202), is_signed=False)
+    outcome, sends, exchange = await serve(ONCE, late)
+    assert outcome == Refusal(status=502, reason=Reason.MAYBE_RUN)
+    assert not exchange.started
+    assert len(sends) == 1
+
+
 async def test_a_proof_of_not_run_allows_another_target():
     full = reply(503, **{"not-run": "1"})
     outcome, sends, _ = await serve(ONCE, full, UNREACHABLE, reply(200))
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -74,6 +74,19 @@
     assert len(rig.targets.sends) == 1
 
 
+@pytest.mark.parametrize("status", [200, 202])
+async def test_an_unsigned_success_never_reaches_the_caller(status):
+    """Guards against an engine's answer to another request that ends a stream."""
+    rig = await make_rig("a")
+    late = FakeResponse(script=[event(1), End()], status=status, is_signed=False)
+    rig.targets.script("a0", late)
+    exchange = FakeExchange()
+    work = rig.work(exchange, replace(ROUTE, resumable=False))
+    outcome = await rig.service.serve(work)
+    assert outcome == Refusal(status=502, reason=Reason.MAYBE_RUN)
+    assert not exchange.started
+
+
 async def test_a_proof_of_not_run_allows_another_send():
     rig = await make_rig("a", "b")
     refused = FakeResponse(script=[], status=503, headers={"not-run": "1"})
--- a/mallowpond/platform/engines.py
+++ b/mallowpond/platform/engines.py
@@ -101,6 +101,10 @@
         """Return whether another engine answered, or one without an open group."""
         return response.status == 421
 
+    def is_signed(self, response: HttpResponse) -> bool:
+        """Return whether an engine signed an answer, as it does each that counts."""
+        return names.SERVER_STAMP in response.headers
+
     def notice(self, response: HttpResponse) -> TargetNotice:
         """Return what an answer announces about the engine itself."""
         found = response.headers
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -90,6 +90,8 @@
     opened: Connected
     state: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     reusable_until: float = float("inf")
+    # Whether a request without an echoed header was sent on it.
+    had_unmarked_request: bool = False
     opened_at: float = field(default_factory=time.monotonic)
 
     @property
@@ -304,8 +306,8 @@
         """Send a request and return when the head of the response has arrived.
 
         `echo` is a header name and value that the server copies from the request. A
-        response with another value belongs to an earlier request and is skipped. The
-        call fails if no byte of the next response has arrived with its end.
+        response with another value belongs to an earlier request and is skipped; so is
+        one without the header if a request without it was sent on the connection.
 
         With `new_connection` no idle connection is reused: a server may close one
         while the request is being sent; it is then unknown whether the request ran.
@@ -328,7 +330,9 @@
         try:
             data = _start_request(connection, method, target, headers, body)
             response = await _exchange(connection, data)
-            if echo is not None:
+            if echo is None:
+                connection.had_unmarked_request = True
+            else:
                 response = await _skip_stale_responses(
                     connection, response, method, target, headers, body, echo
                 )
@@ -499,21 +503,22 @@
     """Skip responses to earlier requests that arrive late on a reused connection.
 
     After each of them a new h11 state is given the request, so that it can parse the
-    next response; nothing is sent to the server again. The call fails if no byte of the
-    next response was read with the end of the skipped one: h11 takes empty data as the
-    end of the connection.
+    next response; nothing is sent to the server again.
     """
     name, value = echo
     for _ in range(MAX_STALE_RESPONSES):
         if isinstance(response, CallFailed):
             return response
-        if decode_headers(response.headers).get(name, value) == value:
+        found = decode_headers(response.headers).get(name)
+        if found == value or (found is None and not connection.had_unmarked_request):
             return response
         try:
             rest = await _skip_body(connection)
             connection.state = h11.Connection(h11.CLIENT)
             _start_request(connection, method, target, headers, body)
-            connection.state.receive_data(rest)
+            if rest:
+                # h11 takes empty data as the end of the connection.
+                connection.state.receive_data(rest)
             response = await _read_head(connection)
         except (ConnectionError, h11.ProtocolError) as error:
             return CallFailed(phase=FailurePhase.BEFORE_HEAD, reason=str(error))
--- a/mallowpond/transport/tests/test_http_client.py
+++ b/mallowpond/transport/tests/test_http_client.py
@@ -143,3 +143,59 @@
 
     async with scripted.scripted_server(script) as address:
         assert await call(address) == b"ok"
+
+
+def answer_of(status, body, echo=b""):
+    """Return an answer with these headers."""
+    return b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s" % (
+        status,
+        echo,
+        len(body),
+        body,
+    )
+
+
+@pytest.mark.parametrize("late_status", [200, 202, 421, 503])
+async def test_a_late_answer_to_a_request_without_an_id_is_not_taken_for_another(
+    late_status,
+):
+    """Guards against an order's second answer that a caller gets for its own."""
+
+    async def repeat_first_answer(reader, writer):
+        await scripted.read_request(reader)
+        writer.write(answer_of(late_status, b"{}"))
+        request = await scripted.read_request(reader)
+        writer.write(answer_of(late_status, b"{}"))
+        await asyncio.sleep(0.02)
+        writer.write(answer_of(200, b"own", scripted.echo_of(request)))
+        await reader.read()
+
+    http = HttpClient()
+    async with scripted.scripted_server(repeat_first_answer) as address:
+        assert (await http.fetch(address, "POST", "/order"))[0] == late_status
+        response = await http.send(
+            address,
+            "POST",
+            "/x",
+            headers=(("mallowpond-attempt", "a1"),),
+            echo=("mallowpond-attempt", "a1"),
+        )
+        assert (response.status, await response.read()) == (200, b"own")
+        response.close()
+    await http.close()
+
+
+async def test_an_answer_without_an_id_counts_where_no_other_can_be_due():
+    """Guards against waiting in vain for a server that copies no header."""
+
+    async def answer_without_id(reader, writer):
+        await scripted.read_request(reader)
+        writer.write(answer_of(200, b"own"))
+        await reader.read()
+
+    http = HttpClient()
+    async with scripted.scripted_server(answer_without_id) as address:
+        response = await http.send(address, "POST", "/x", echo=("mallowpond-a", "1"))
+        assert await response.read() == b"own"
+        response.close()
+    await http.close()
