Connections: close idle ones to servers that are gone, and limit them in all

Cause: only a later request to the same address looked at its idle connections, and an engine that drained gets none. Up to 32 were kept for each address, without a limit over all: the same would come in front of thousands of engines.

Change: once a second in use, idle connections that their server closed or that were not used for a minute are closed, and beyond 1,024 the least recently used. The two new tests fail on the code before.

--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -3,7 +3,6 @@
 import asyncio
 import re
 import time
-from collections import defaultdict
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -21,6 +20,13 @@
 
 READ_SIZE = 65536
 MAX_IDLE_PER_SERVER = 32
+# Idle connections to all servers together: a fraction of the descriptors that a host
+# gives to a process, whatever the number of servers.
+MAX_IDLE_CONNECTIONS = 1024
+# Interval between looks for idle connections that nobody will use again, in seconds,
+# and the time without use after which a connection is one of them.
+SWEEP_SECONDS = 1.0
+MAX_IDLE_SECONDS = 60.0
 # Fraction of a server's announced keep-alive timeout during which an idle connection
 # is reused.
 KEEP_ALIVE_FRACTION = 0.75
@@ -84,7 +90,7 @@
 BodyEvent = Chunk | End | CallFailed
 
 
-@dataclass(kw_only=True)
+@dataclass(kw_only=True, eq=False)
 class _Connection:
     address: str
     opened: Connected
@@ -93,6 +99,7 @@
     # Whether a request without an echoed header was sent on it.
     had_unmarked_request: bool = False
     opened_at: float = field(default_factory=time.monotonic)
+    released_at: float = 0.0
 
     @property
     def reader(self) -> asyncio.StreamReader:
@@ -283,7 +290,10 @@
         self, *, connect_seconds: float = 1.0, connector: Connector | None = None
     ) -> None:
         self._connector = connector or DirectConnector(connect_seconds=connect_seconds)
-        self._idle: dict[str, list[_Connection]] = defaultdict(list)
+        # By server, in the order of their last use.
+        self._idle: dict[str, list[_Connection]] = {}
+        self._idle_count = 0
+        self._swept_at = time.monotonic()
         self._closed = False
 
     def use_connector(self, connector: Connector) -> None:
@@ -415,7 +425,11 @@
 
     def release(self, connection: _Connection) -> None:
         """Return a connection to the pool for the next request to its server."""
-        idle = self._idle[connection.address]
+        now = time.monotonic()
+        if now - self._swept_at > SWEEP_SECONDS:
+            self._sweep(now)
+        idle = self._idle.pop(connection.address, [])
+        self._idle[connection.address] = idle
         if self._closed or len(idle) >= MAX_IDLE_PER_SERVER:
             connection.abort()
             return
@@ -424,7 +438,37 @@
         except h11.LocalProtocolError:
             connection.abort()
             return
+        connection.released_at = now
         idle.append(connection)
+        self._idle_count += 1
+        if self._idle_count > MAX_IDLE_CONNECTIONS:
+            self._evict_oldest()
+
+    def _sweep(self, now: float) -> None:
+        """Close idle connections that their server closed or that are out of use.
+
+        A server that is gone gets no further request, which would find them.
+        """
+        self._swept_at = now
+        for address, connections in list(self._idle.items()):
+            kept = []
+            for connection in connections:
+                is_recent = now - connection.released_at < MAX_IDLE_SECONDS
+                if is_recent and connection.is_usable:
+                    kept.append(connection)
+                else:
+                    connection.abort()
+            self._idle_count -= len(connections) - len(kept)
+            if kept:
+                connections[:] = kept
+            else:
+                del self._idle[address]
+
+    def _evict_oldest(self) -> None:
+        """Close an idle connection to the server that was used least recently."""
+        connections = next(found for found in self._idle.values() if found)
+        connections.pop(0).abort()
+        self._idle_count -= 1
 
     async def close(self) -> None:
         """Close every idle connection."""
@@ -433,18 +477,22 @@
             for connection in connections:
                 connection.abort()
         self._idle.clear()
+        self._idle_count = 0
 
     def _take_idle(self, address: str) -> _Connection | None:
-        idle = self._idle[address]
+        idle = self._idle.get(address, [])
         while idle:
             connection = idle.pop()
+            self._idle_count -= 1
             if connection.is_usable and connection.opened.may_reuse():
                 return connection
             connection.abort()
         return None
 
     def _discard_idle(self, address: str) -> None:
-        for connection in self._idle.pop(address, ()):
+        connections = self._idle.pop(address, [])
+        self._idle_count -= len(connections)
+        for connection in connections:
             connection.abort()
 
     async def _connect(self, address: str) -> _Connection | CallFailed:
--- a/mallowpond/transport/tests/scripted.py
+++ b/mallowpond/transport/tests/scripted.py
@@ -41,6 +41,16 @@
     return b"".join(l + b"\r\n" for l in lines if l.startswith(b"mallowpond-"))
 
 
+async def answer_requests(reader, writer):
+    """Answer each request with a short body."""
+    while True:
+        try:
+            await read_request(reader)
+        except asyncio.IncompleteReadError:
+            return
+        writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok")
+
+
 async def close_at_once(reader, writer):
     """Accept and close without reading."""
 
--- a/mallowpond/transport/tests/test_http_client.py
+++ b/mallowpond/transport/tests/test_http_client.py
@@ -1,9 +1,11 @@
 """The client reports in which phase a call failed, and reuses connections safely."""
 
 import asyncio
+from contextlib import AsyncExitStack
 
 import pytest
 
+from mallowpond.transport import http_client
 from mallowpond.transport.http_client import (
     CallFailed,
     Chunk,
@@ -199,3 +201,58 @@
         assert await response.read() == b"own"
         response.close()
     await http.close()
+
+
+async def use_once(http, address):
+    """Send a request and leave its connection idle."""
+    status, _ = await http.fetch(address, "GET", "/x")
+    assert status == 200
+
+
+async def close_when_told(told, closed):
+    """Return a script that answers once, and closes the connection when told."""
+
+    async def script(reader, writer):
+        await scripted.read_request(reader)
+        writer.write(answer_of(200, b"ok"))
+        await told.wait()
+        writer.write_eof()
+        # The end comes once the client has closed its side as well.
+        await reader.read()
+        closed.append(1)
+
+    return script
+
+
+async def test_idle_connections_to_servers_that_are_gone_are_closed(monkeypatch):
+    """Guards against a host without descriptors once many engines were replaced."""
+    monkeypatch.setattr(http_client, "SWEEP_SECONDS", 0.0)
+    http, told, closed = HttpClient(), asyncio.Event(), []
+    async with scripted.scripted_server(await close_when_told(told, closed)) as gone:
+        await use_once(http, gone)
+        told.set()
+        await asyncio.sleep(0.02)
+        async with scripted.scripted_server(scripted.answer_requests) as other:
+            await use_once(http, other)
+            await asyncio.sleep(0.02)
+            assert closed
+            assert list(http._idle) == [other]
+    await http.close()
+
+
+async def test_idle_connections_have_a_limit_over_all_servers(monkeypatch):
+    """Guards against descriptors that run out in front of thousands of engines."""
+    monkeypatch.setattr(http_client, "MAX_IDLE_CONNECTIONS", 3)
+    http = HttpClient()
+    async with AsyncExitStack() as stack:
+        addresses = [
+            await stack.enter_async_context(
+                scripted.scripted_server(scripted.answer_requests)
+            )
+            for _ in range(5)
+        ]
+        for address in addresses:
+            await use_once(http, address)
+        assert [a for a in addresses if http._idle[a]] == addresses[2:]
+        assert http._idle_count == 3
+    await http.close()
