Server: refuse bodies that exceed the memory together

Cause: each body had a limit, all together had none, and a body was copied up to four times on its way. A large body is no longer joined with its headers.

--- a/mallowpond/node/ingress.py
+++ b/mallowpond/node/ingress.py
@@ -32,6 +32,7 @@
     HttpRequest,
     HttpServer,
     ServerLimits,
+    retry_headers,
 )
 
 log = structlog.get_logger()
@@ -279,7 +280,8 @@
     async def _answer_bad_input(self, bad: BadInput, exchange: Exchange) -> None:
         self._metrics.bad_input.labels(bad.reason).inc()
         log.info("ingress: unreadable", status=bad.status, reason=bad.reason)
-        await exchange.respond(bad.status, json.dumps({"error": bad.reason}).encode())
+        body = json.dumps({"error": bad.reason}).encode()
+        await exchange.respond(bad.status, body, retry_headers(bad))
 
 
 def _identified(outcome: ServeOutcome, fingerprint: str) -> ServeOutcome:
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -35,6 +35,8 @@
 # Time without an answer on a reused connection after which a caller that gives up has
 # the other idle ones to that server closed, in seconds: all may be silent.
 SILENT_SECONDS = 0.3
+# Largest body that is sent in one write with its headers.
+MAX_JOINED_BODY_BYTES = 16 * 1024
 METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE"})
 # Longer numbers may overflow a float, so the header then counts as absent.
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,9})(?![0-9])")
@@ -338,8 +340,8 @@
         if on_connection_age is not None:
             on_connection_age(time.monotonic() - connection.opened_at)
         try:
-            data = _start_request(connection, method, target, headers, body)
-            response = await _exchange(connection, data)
+            parts = _start_request(connection, method, target, headers, body)
+            response = await _exchange(connection, parts)
             if echo is None:
                 connection.had_unmarked_request = True
             else:
@@ -515,24 +517,34 @@
 
 def _start_request(
     connection: _Connection, method: str, target: str, headers: Headers, body: bytes
-) -> bytes:
+) -> list[bytes]:
+    """Return the bytes of a request; a large body is not copied into others."""
     names = {name for name, _ in headers}
     fixed = () if "host" in names else (("host", connection.address),)
     if body or method not in METHODS_WITHOUT_BODY:
         fixed = (*fixed, ("content-length", str(len(body))))
     request = h11.Request(method=method, target=target, headers=fixed + headers)
     state = connection.state
-    data = state.send(request) or b""
-    data += state.send(h11.Data(data=body)) or b""
-    return data + (state.send(h11.EndOfMessage()) or b"")
-
-
-async def _exchange(connection: _Connection, data: bytes) -> h11.Response | CallFailed:
+    parts = [
+        state.send(request) or b"",
+        state.send(h11.Data(data=body)) or b"",
+        state.send(h11.EndOfMessage()) or b"",
+    ]
+    if len(body) <= MAX_JOINED_BODY_BYTES:
+        return [b"".join(parts)]
+    return [part for part in parts if part]
+
+
+async def _exchange(
+    connection: _Connection, parts: list[bytes]
+) -> h11.Response | CallFailed:
     if not connection.is_usable:
         return CallFailed(phase=FailurePhase.CLOSED_BEFORE_SEND, reason="closed")
     # No drain: a server may answer before it has read a long body, and waiting for
     # the body to go out would delay that response until the timeout.
-    connection.writer.write(data)
+    for part in parts:
+        connection.writer.write(part)
+    parts.clear()
     try:
         return await _read_head(connection)
     except (ConnectionError, h11.RemoteProtocolError) as error:
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -10,10 +10,18 @@
 
 import h11
 
+from mallowpond.state.body_memory import BodyMemory
 from mallowpond.transport.headers import decode_headers, list_headers
 
 READ_SIZE = 65536
 MAX_HEADER_BYTES = 16384
+# Time after which a request that was refused for its body may be sent again, in
+# seconds.
+BODY_RETRY_SECONDS = 0.3
+# Statuses that refuse a body before it has arrived.
+EARLY_STATUSES = (413, 503)
+# Longest time for which the rest of a refused request is discarded, in seconds.
+LINGER_SECONDS = 2.0
 # Time for complete responses to leave the send buffers when the server closes, in
 # seconds: less than the 0.7 s that a stopping node reserves for closing.
 FLUSH_SECONDS = 0.5
@@ -58,6 +66,7 @@
     status: int
     reason: str
     detail: str
+    retry_after: float | None = None
 
 
 class ClientDisconnected(Exception):
@@ -149,8 +158,17 @@
 BadInputHandler = Callable[[BadInput, Exchange], Awaitable[None]]
 
 
+def retry_headers(bad: BadInput) -> Headers:
+    """Return the headers that say when to send unreadable input again, if ever."""
+    if bad.retry_after is None:
+        return ()
+    return (("retry-after", f"{bad.retry_after:.2f}"),)
+
+
 async def _respond_bad_input(bad: BadInput, exchange: Exchange) -> None:
-    await exchange.respond(bad.status, bad.detail.encode(), content_type="text/plain")
+    await exchange.respond(
+        bad.status, bad.detail.encode(), retry_headers(bad), content_type="text/plain"
+    )
 
 
 class _UnreadableRequest(Exception):
@@ -168,7 +186,9 @@
         handler: Handler,
         limits: ServerLimits = ServerLimits(),
         on_bad_input: BadInputHandler = _respond_bad_input,
+        body_memory: BodyMemory | None = None,
     ) -> None:
+        self._body_memory = body_memory or BodyMemory()
         self._handler = handler
         self._limits = limits
         self._on_bad_input = on_bad_input
@@ -300,22 +320,31 @@
                 _send_seconds=self._limits.send_seconds,
                 previous_requests=previous_requests,
             )
-            try:
-                request = await self._receive(
-                    connection, reader, writer, is_reused=previous_requests > 0
-                )
-            except _UnreadableRequest as unreadable:
-                await self._on_bad_input(unreadable.bad, exchange)
-                return
-            if request is None or self._refuses_requests:
-                return
-            task = asyncio.current_task()
-            assert task is not None
-            self._busy[task] = exchange
-            try:
-                await self._handle(request, exchange, connection, reader)
-            finally:
-                del self._busy[task]
+            with _HeldBody(memory=self._body_memory) as held:
+                try:
+                    request = await self._receive(
+                        connection,
+                        reader,
+                        writer,
+                        held,
+                        is_reused=previous_requests > 0,
+                    )
+                except _UnreadableRequest as unreadable:
+                    await self._on_bad_input(unreadable.bad, exchange)
+                    if unreadable.bad.status in EARLY_STATUSES:
+                        await _discard_rest(reader, writer, self._limits.body_bytes)
+                    return
+                if request is None or self._refuses_requests:
+                    return
+                task = asyncio.current_task()
+                assert task is not None
+                self._busy[task] = exchange
+                try:
+                    await self._handle(request, exchange, connection, reader)
+                finally:
+                    del self._busy[task]
+                # While an idle connection waits, it must not keep the body.
+                del request
             if not exchange.finished or connection.our_state is not h11.DONE:
                 # Without a final chunk the client sees that the response is incomplete.
                 return
@@ -357,6 +386,7 @@
         connection: h11.Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        held: "_HeldBody",
         *,
         is_reused: bool,
     ) -> HttpRequest | None:
@@ -367,7 +397,7 @@
             connection.receive_data(first_bytes)
         try:
             async with asyncio.timeout(self._limits.receive_seconds):
-                return await self._read_request(connection, reader, writer)
+                return await self._read_request(connection, reader, writer, held)
         except TimeoutError:
             raise _UnreadableRequest(
                 BadInput(
@@ -402,6 +432,7 @@
         connection: h11.Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        held: "_HeldBody",
     ) -> HttpRequest | None:
         head: h11.Request | None = None
         body = bytearray()
@@ -418,9 +449,11 @@
                     connection.receive_data(await reader.read(READ_SIZE))
                 case h11.Request():
                     head = event
-                    self._check_headers(head)
+                    self._check_head(head)
+                    held.reserve(min(_content_length(head), self._limits.body_bytes))
                 case h11.Data():
                     body += event.data
+                    held.reserve(len(body))
                     if len(body) > self._limits.body_bytes:
                         raise _UnreadableRequest(
                             BadInput(
@@ -435,13 +468,51 @@
                 case _:
                     return None
 
-    def _check_headers(self, head: h11.Request) -> None:
+    def _check_head(self, head: h11.Request) -> None:
         # h11 limits only headers that arrive in parts.
         size = sum(len(name) + len(value) for name, value in head.headers)
         if size > self._limits.header_bytes:
             raise _UnreadableRequest(_too_large_headers())
 
 
+class _HeldBody:
+    """The memory that the body of one request takes until it has been answered."""
+
+    def __init__(self, *, memory: BodyMemory) -> None:
+        self._memory = memory
+        self._bytes = 0
+
+    def __enter__(self) -> "_HeldBody":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._memory.release(self._bytes)
+
+    def reserve(self, size: int) -> None:
+        """Reserve memory for a body of `size` bytes, or refuse its request."""
+        more = size - self._bytes
+        if more <= 0:
+            return
+        if not self._memory.try_reserve(more, held_before=self._bytes):
+            raise _UnreadableRequest(
+                BadInput(
+                    status=503,
+                    reason="bodies_exceed_memory",
+                    detail="Too many large requests are in progress.",
+                    retry_after=BODY_RETRY_SECONDS,
+                )
+            )
+        self._bytes = size
+
+
+def _content_length(head: h11.Request) -> int:
+    """Return the announced length of a body, 0 if there is none."""
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
 def _too_large_headers() -> BadInput:
     return BadInput(
         status=431, reason="headers_too_large", detail="The headers are too large."
@@ -477,6 +548,20 @@
         return b""
 
 
+async def _discard_rest(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, limit: int
+) -> None:
+    """Discard what a client still sends of a request that was refused early.
+
+    A close with unread bytes resets the connection, and the client may lose the answer.
+    """
+    with contextlib.suppress(TimeoutError, OSError):
+        writer.write_eof()
+        async with asyncio.timeout(LINGER_SECONDS):
+            while limit > 0 and (data := await reader.read(READ_SIZE)):
+                limit -= len(data)
+
+
 async def _watch_disconnect(
     connection: h11.Connection, reader: asyncio.StreamReader
 ) -> None:
--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from mallowpond.state.body_memory import BodyMemory
 from mallowpond.transport import http_server
 from mallowpond.transport.http_server import HttpServer, ServerLimits
 
@@ -53,6 +54,42 @@
     assert answer.startswith(b"HTTP/1.1 " + status)
 
 
+async def test_bodies_that_exceed_the_memory_together_are_refused_at_once():
+    """Guards against a process that is killed for the sum of allowed bodies."""
+    release, served = asyncio.Event(), []
+
+    async def hold(request, exchange):
+        served.append(len(request.body))
+        await release.wait()
+        await exchange.respond(200, b"ok")
+
+    memory = BodyMemory(max_bytes=400_000)
+    limits = ServerLimits(body_bytes=100_000)
+    server = HttpServer(handler=hold, limits=limits, body_memory=memory)
+    await server.start("127.0.0.1", 0)
+    head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 100000\r\n\r\n"
+    opened = []
+    for _ in range(3):
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(head + b"x" * 100_000)
+        opened.append((reader, writer))
+    while len(served) < 3:
+        await asyncio.sleep(0.01)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(head)
+    refusal = await reader.read()
+    assert refusal.startswith(b"HTTP/1.1 503 ")
+    assert b"retry-after: " in refusal.lower()
+    opened.append((reader, writer))
+    release.set()
+    for reader, _ in opened[:3]:
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+    for _, writer in opened:
+        writer.close()
+    await server.close()
+    assert memory.held_bytes == 0
+
+
 async def test_two_requests_on_one_connection_are_answered_in_order():
     answer = await answer_to(OK + OK, end=True)
     assert answer.count(b"HTTP/1.1 200") == 2
