Server: refuse CONNECT, and end where h11 has no more events

Cause: after an answer to CONNECT h11 pauses and returns the same event for ever; the client's loops had no case for it and never waited. Change: the server answers 405, and the loops of the client end at a pause. On the code before the new client test did not end within 20 s and was killed; with the change all pass.

--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -248,7 +248,7 @@
                 case CallFailed():
                     yield event
                     return
-                case h11.ConnectionClosed():
+                case h11.ConnectionClosed() | h11.PAUSED:
                     yield CallFailed(phase=FailurePhase.BODY, reason="closed early")
                     return
 
@@ -594,6 +594,8 @@
                 connection.state.receive_data(await connection.read())
             case h11.EndOfMessage():
                 return connection.state.trailing_data[0]
+            case h11.ConnectionClosed() | h11.PAUSED:
+                raise ConnectionResetError("no further response")
 
 
 async def _read_head(connection: _Connection) -> h11.Response | CallFailed:
@@ -606,3 +608,6 @@
                 return event
             case h11.ConnectionClosed():
                 return CallFailed(phase=FailurePhase.BEFORE_HEAD, reason="closed")
+            case h11.PAUSED:
+                # No more events would come, and the loop would never wait.
+                return CallFailed(phase=FailurePhase.BEFORE_HEAD, reason="paused")
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -469,6 +469,14 @@
                     return None
 
     def _check_head(self, head: h11.Request) -> None:
+        if head.method == b"CONNECT":
+            raise _UnreadableRequest(
+                BadInput(
+                    status=405,
+                    reason="method_not_allowed",
+                    detail="This is no proxy for connections.",
+                )
+            )
         # h11 limits only headers that arrive in parts.
         size = sum(len(name) + len(value) for name, value in head.headers)
         if size > self._limits.header_bytes:
--- a/mallowpond/transport/tests/test_http_client.py
+++ b/mallowpond/transport/tests/test_http_client.py
@@ -256,3 +256,22 @@
         assert [a for a in addresses if http._idle[a]] == addresses[2:]
         assert http._idle_count == 3
     await http.close()
+
+
+@pytest.mark.parametrize("status", [200, 404])
+async def test_an_answer_to_connect_ends_and_blocks_nothing(status):
+    """Guards against a process that hangs on a request with this method."""
+
+    async def script(reader, writer):
+        await scripted.read_request(reader)
+        writer.write(answer_of(status, b"ok"))
+        await reader.read()
+
+    http = HttpClient()
+    async with scripted.scripted_server(script) as address:
+        async with asyncio.timeout(2.0):
+            response = await http.send(address, "CONNECT", address)
+            if not isinstance(response, CallFailed):
+                await response.read()
+                response.close()
+    await http.close()
--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -47,6 +47,7 @@
         (BIG, b"413"),
         (b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nslow", b"408"),
         (b"GET / HT", b"408"),
+        (b"CONNECT x:443 HTTP/1.1\r\nhost: x:443\r\n\r\n", b"405"),
     ],
 )
 async def test_bad_input_gets_a_clear_status_and_the_connection_ends(data, status):
