Engines: bytes without end end the call, not the host

A body was read up to 64 MiB for each call, several at once exceed the memory of a host; an event of a stream without an end was collected, and searched anew with each chunk, until the route's time was over.

Heads were bounded by h11 already.

--- a/mallowpond/gateway/relay.py
+++ b/mallowpond/gateway/relay.py
@@ -7,6 +7,10 @@
 from mallowpond.transport.http_server import Exchange
 
 EVENT_END = b"\n\n"
+# Largest event of a stream, and largest answer that is read whole, in bytes: a server
+# may send bytes without end.
+MAX_EVENT_BYTES = 1024 * 1024
+MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -37,6 +41,8 @@
 
     events: int = 0
     chunks: int = 0
+    # Whether an event is too large: the rest of the stream must not be read.
+    is_overlong: bool = False
     _partial: bytearray = field(default_factory=bytearray)
 
     def complete_events(self, data: bytes) -> bytes:
@@ -46,6 +52,8 @@
         and a partial event of the interrupted stream would corrupt it.
         """
         self._partial += data
+        if len(self._partial) > MAX_EVENT_BYTES and EVENT_END not in data:
+            self.is_overlong = True
         last_end = self._partial.rfind(EVENT_END)
         if last_end < 0:
             return b""
@@ -81,6 +89,8 @@
         match part:
             case Chunk(data=data):
                 complete = progress.complete_events(data)
+                if progress.is_overlong:
+                    return Incomplete(reason="overlong_event")
                 if not complete:
                     continue
                 on_deliver()
@@ -107,6 +117,8 @@
         match part:
             case Chunk(data=data):
                 body += data
+                if len(body) > MAX_BODY_BYTES:
+                    return Incomplete(reason="too_large")
             case End():
                 return bytes(body)
             case CallFailed(phase=phase):
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -501,6 +501,11 @@
             match event:
                 case Chunk(data=data):
                     await self._forward(stream, headers, data)
+                    if stream.progress.is_overlong:
+                        self._log_rejected(
+                            stream, Reason.BROKEN_STREAM, failure="overlong event"
+                        )
+                        return Interrupted(reason=Reason.BROKEN_STREAM)
                 case End() if stream.progress.has_partial_event:
                     return Interrupted(reason=Reason.BROKEN_STREAM)
                 case End() if not (response.has_marked_end or stream.events):
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -87,6 +87,19 @@
     assert not exchange.started
 
 
+async def test_an_event_without_an_end_breaks_the_stream_off():
+    """Guards against a host whose memory an engine fills with bytes without end."""
+    rig = await make_rig("a")
+    endless = [event(1), *[Chunk(data=b"x" * 65536)] * 100, event(2), End()]
+    rig.targets.script("a0", FakeResponse(script=endless))
+    exchange = FakeExchange()
+    outcome = await rig.service.serve(
+        rig.work(exchange, replace(ROUTE, max_attempts=1))
+    )
+    assert isinstance(outcome, CutOff)
+    assert exchange.body == event(1).data
+
+
 async def test_a_proof_of_not_run_allows_another_send():
     rig = await make_rig("a", "b")
     refused = FakeResponse(script=[], status=503, headers={"not-run": "1"})
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from mallowpond.state.body_memory import BodyMemory
 from mallowpond.transport.connector import (
     Connected,
     ConnectFailed,
@@ -35,6 +36,8 @@
 # Time without an answer on a reused connection after which a caller that gives up has
 # the other idle ones to that server closed, in seconds: all may be silent.
 SILENT_SECONDS = 0.3
+# Largest body that is read whole: a server may send bytes without end.
+MAX_BODY_BYTES = 16 * 1024 * 1024
 # Largest body that is sent in one write with its headers.
 MAX_JOINED_BODY_BYTES = 16 * 1024
 METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE"})
@@ -252,18 +255,32 @@
                     yield CallFailed(phase=FailurePhase.BODY, reason="closed early")
                     return
 
-    async def read(self, limit: int = 64 * 1024 * 1024) -> bytes | CallFailed:
-        """Return the whole body; it fails above `limit` bytes."""
+    async def read(self, limit: int = MAX_BODY_BYTES) -> bytes | CallFailed:
+        """Return the whole body.
+
+        It fails above `limit` bytes, or if the bodies that this client reads exceed the
+        memory for them together.
+        """
         body = bytearray()
-        async for event in self.events():
-            match event:
-                case Chunk(data=data):
-                    body += data
-                    if len(body) > limit:
-                        return CallFailed(phase=FailurePhase.BODY, reason="too large")
-                case CallFailed():
-                    return event
-        return bytes(body)
+        memory = self._client.body_memory
+        try:
+            async for event in self.events():
+                match event:
+                    case Chunk(data=data):
+                        held = len(body)
+                        is_admitted = memory.try_reserve(len(data), held_before=held)
+                        if not is_admitted or held + len(data) > limit:
+                            if is_admitted:
+                                memory.release(len(data))
+                            return CallFailed(
+                                phase=FailurePhase.BODY, reason="too large"
+                            )
+                        body += data
+                    case CallFailed():
+                        return event
+            return bytes(body)
+        finally:
+            memory.release(len(body))
 
     def close(self) -> None:
         """Release the connection for reuse; abort it if the response is incomplete."""
@@ -292,6 +309,7 @@
         self, *, connect_seconds: float = 1.0, connector: Connector | None = None
     ) -> None:
         self._connector = connector or DirectConnector(connect_seconds=connect_seconds)
+        self.body_memory = BodyMemory()
         # By server, in the order of their last use.
         self._idle: dict[str, list[_Connection]] = {}
         self._idle_count = 0
--- a/mallowpond/transport/tests/test_http_client.py
+++ b/mallowpond/transport/tests/test_http_client.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mallowpond.state.body_memory import BodyMemory
 from mallowpond.transport import http_client
 from mallowpond.transport.http_client import (
     CallFailed,
@@ -275,3 +276,52 @@
                 await response.read()
                 response.close()
     await http.close()
+
+
+ENDLESS_HEADS = [
+    b"HTTP/1.1 200 X\r\n\r\n",
+    b"HTTP/1.1 200 X\r\nContent-Length: 99999999999\r\n\r\n",
+    b"HTTP/1.1 200 X\r\nEndless: ",
+    b"no answer at all ",
+]
+
+
+@pytest.mark.parametrize("head", ENDLESS_HEADS)
+async def test_bytes_without_end_end_the_call_and_its_connection(head):
+    """Guards against a host whose memory a server fills until it is killed."""
+    written = []
+
+    async def send_without_end(reader, writer):
+        await scripted.read_request(reader)
+        writer.write(head)
+        while True:
+            writer.write(b"x" * 65536)
+            await writer.drain()
+            written.append(65536)
+
+    http = HttpClient()
+    async with scripted.scripted_server(send_without_end) as address:
+        found = await http.fetch(address, "GET", "/x", timeout=10.0)
+        assert isinstance(found, CallFailed)
+        assert sum(written) < 2 * http_client.MAX_BODY_BYTES
+    assert http.body_memory.held_bytes == 0
+    await http.close()
+
+
+async def test_bodies_that_are_read_at_once_have_a_limit_together():
+    """Guards against many servers that send bytes without end at once."""
+
+    async def send_much(reader, writer):
+        await scripted.read_request(reader)
+        writer.write(answer_of(200, b"x" * 300_000))
+        await reader.read()
+
+    http = HttpClient()
+    http.body_memory = BodyMemory(max_bytes=1_000_000)
+    async with scripted.scripted_server(send_much) as address:
+        calls = [http.fetch(address, "GET", "/x") for _ in range(9)]
+        found = await asyncio.gather(*calls)
+    whole = [answer for answer in found if not isinstance(answer, CallFailed)]
+    assert 1 <= len(whole) < 9
+    assert http.body_memory.held_bytes == 0
+    await http.close()
