Soak: connections to the store that fall silent, beside a revoked key

The proxy between a node and the store can discard all bytes of the connections that are open, for good, while new ones work. The draw has this kind from version 10 on; three cases run it at all nodes, all but one, and three times in a row, with real processes. The judge checks that no request runs by a configuration replaced longer than the bound for a change before.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -31,6 +31,7 @@
     RESTORED_PLANNER_KIND,
     RESTORED_TWICE_KIND,
     RESTORED_UNHEARD_KIND,
+    SILENCE_KIND,
     SKEW_KIND,
 )
 from soak.losses import PAUSE_KINDS
@@ -100,11 +101,13 @@
 DRAW_8_KINDS = RESTORED_KINDS
 # All engines, or a share of them, pause repeatedly beside new configurations.
 DRAW_9_KINDS = PAUSE_KINDS
+# Open connections to the store fall silent for good, repeatedly, as a key is revoked.
+DRAW_10_KINDS = (SILENCE_KIND,)
 # From draw version 2 on, a seed chooses one of these probabilities, with which each
 # kind may occur in its run. With few kinds there are undisturbed periods, in which the
 # time limits are checked.
 KIND_SHARES = (0.15, 0.3, 0.6, 1.0)
-NEWEST_DRAW = 9
+NEWEST_DRAW = 10
 LINK_FAULTS = (LinkMode.SLOW, LinkMode.RESET, LinkMode.SILENT, LinkMode.ONE_WAY)
 # How nodes lose their links to the engines, chosen by `Fault.draw`.
 CUT_MODES = (LinkMode.SILENT, LinkMode.RESET, LinkMode.NO_NEW)
@@ -137,6 +140,8 @@
 # Minimum time for which nodes lose their links to the engines, in seconds: longer than
 # the limit after which their callers must be served.
 MIN_CUT_SECONDS = 6.0
+# Pause between two silences of the connections to the store, in seconds.
+SILENCE_PAUSE_SECONDS = 0.4
 # Minimum time for which a data centre is evacuated, in seconds: longer than the limit
 # after which nothing may be sent there.
 MIN_EVACUATION_SECONDS = 7.0
@@ -171,6 +176,7 @@
     kinds += DRAW_7_KINDS if draw > 6 else ()
     kinds += DRAW_8_KINDS if draw > 7 else ()
     kinds += DRAW_9_KINDS if draw > 8 else ()
+    kinds += DRAW_10_KINDS if draw > 9 else ()
     return tuple(k for k in kinds if rng.random() < share) or DRAW_2_KINDS
 
 
@@ -406,6 +412,8 @@
         match fault.kind:
             case "store_link":
                 await self._impair_link(fleet.store_links[number], fault)
+            case kind if kind == SILENCE_KIND:
+                await self._silence_store_connections(fault)
             case "store_pause":
                 fleet.signal_store(signal.SIGSTOP)
                 await asyncio.sleep(fault.seconds)
@@ -422,6 +430,20 @@
                 engine = fleet.engines[fault.draw % len(fleet.engines)]
                 await self._write_foreign_entry(fault, engine)
 
+    async def _silence_store_connections(self, fault: Fault) -> None:
+        """Silence connections of all nodes but one, or of all, as a key is revoked."""
+        links = list(self.fleet.store_links)
+        if fault.draw % 2:
+            links.pop(fault.draw // 2 % len(links))
+        for link in links:
+            link.silence_open_connections()
+        revoking = asyncio.create_task(self._revoke(fault.seconds))
+        for _ in range(fault.draw // 8 % 3):
+            await asyncio.sleep(SILENCE_PAUSE_SECONDS)
+            for link in links:
+                link.silence_open_connections()
+        await revoking
+
     async def _restore_store(self, fault: Fault) -> None:
         """Let the store come back from a copy, with what the kind of fault adds."""
         fleet, draw = self.fleet, fault.draw
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -28,7 +28,7 @@
     soak_configuration,
 )
 from mallowpond.transport.http_client import HttpClient
-from soak.judge import GROUP_SIZE, REVOKE_SECONDS, WORKSPACES
+from soak.judge import APPLY_SECONDS, GROUP_SIZE, REVOKE_SECONDS, WORKSPACES
 from soak.proxy import LinkMode, Proxy
 from soak.records import EngineEnd
 
@@ -381,7 +381,8 @@
             f'address = "{address}"\nbinds_source = true\n'
             f'callers = "127.0.0.1:{callers}"\nreadiness = "127.0.0.1:{readiness}"\n'
             f'peer_port = {peers}\nstore = "127.0.0.1:{link.port}"\n'
-            f"[bounds]\nrevoke = {REVOKE_SECONDS}\ngrace = {GRACE_SECONDS}\n"
+            f"[bounds]\napply = {APPLY_SECONDS}\nrevoke = {REVOKE_SECONDS}\n"
+            f"grace = {GRACE_SECONDS}\n"
             "stall = 1.0\nchecks_fencing = true\n" + self._cold_bounds()
         )
         self.nodes.append(
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -26,6 +26,8 @@
 # seconds.
 REVOKE_SECONDS = 2.0
 DRAIN_SECONDS = 2.0
+# Limit until a change of the configuration is in force at every node, in seconds.
+APPLY_SECONDS = 1.5
 # Limit until no request or health check reaches an engine of an evacuated data centre,
 # in seconds, and the disturbances that keep a node from learning of the evacuation.
 EVACUATE_SECONDS = 5.0
@@ -61,6 +63,8 @@
 RESTORED_LOST_KIND = "store_restored_lost"
 RESTORED_ENDED_KIND = "store_restored_ended"
 RESTORED_PLANNER_KIND = "store_restored_planner"
+# Open connections to the store fall silent for good.
+SILENCE_KIND = "store_silence"
 RESTORED_KINDS = (
     RESTORED_KIND,
     RESTORED_TWICE_KIND,
@@ -178,6 +182,7 @@
         checks += (
             _check_deadlines,
             _check_revoked_keys,
+            _check_changes_in_time,
             _check_draining_targets,
             _check_graceful_stops,
             _check_group_openings,
@@ -279,6 +284,26 @@
                 yield f"{record.attempt}: ran with a key that was taken away"
 
 
+def _check_changes_in_time(run: Run) -> Iterator[str]:
+    """Find requests that ran by a configuration replaced long before.
+
+    Connections to the store that fall silent excuse nothing, as new ones work.
+    """
+    by_attempt = {r.attempt: r for r in run.callers}
+    for revocation in run.revocations:
+        begins = revocation.accepted_at + APPLY_SECONDS + SLACK_SECONDS
+        known_kinds = (SILENCE_KIND, *NO_EFFECT_KINDS)
+        start = revocation.accepted_at - RECOVERY_SECONDS
+        if _is_disturbed(run, start, begins, except_for=known_kinds):
+            continue
+        for entry in _run_entries(run):
+            record = by_attempt.get(entry.values["attempt"])
+            if record is None or record.key != revocation.key:
+                continue
+            if begins < record.sent_at < revocation.restored_at:
+                yield f"{record.attempt}: ran by a replaced configuration"
+
+
 def _check_complete_groups(run: Run) -> Iterator[str]:
     """Find requests that ran in a group of which a member was not ready."""
     ready: set[tuple[str, tuple[str, int]]] = set()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -44,6 +44,8 @@
         self._filtered: tuple[str, ...] = ()
         self._server: asyncio.Server | None = None
         self._writers: dict[asyncio.StreamWriter, str] = {}
+        # Connections whose bytes are discarded for good.
+        self._silenced: set[asyncio.Task[None]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -82,6 +84,10 @@
             # Bytes were discarded, so that these connections cannot be continued.
             self._abort_all(source)
 
+    def silence_open_connections(self) -> None:
+        """Discard all bytes of the open connections for good; new ones work."""
+        self._silenced |= self._tasks
+
     def _filter_new_connections(self) -> None:
         assert self._server is not None
         modes = self._source_modes.items()
@@ -113,6 +119,7 @@
         finally:
             self._writers.pop(writer, None)
             self._tasks.discard(task)
+            self._silenced.discard(task)
 
     async def _relay(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, source: str
@@ -124,10 +131,21 @@
             "127.0.0.1", self._target_port
         )
         self._writers[upstream_writer] = source
+        task = asyncio.current_task()
+        assert task is not None
+
+        async def pump(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+            *,
+            is_reply: bool,
+        ) -> None:
+            await self._pump(reader, writer, source, task, is_reply=is_reply)
+
         try:
             await asyncio.gather(
-                self._pump(reader, upstream_writer, source, is_reply=False),
-                self._pump(upstream_reader, writer, source, is_reply=True),
+                pump(reader, upstream_writer, is_reply=False),
+                pump(upstream_reader, writer, is_reply=True),
             )
         finally:
             self._writers.pop(upstream_writer, None)
@@ -139,6 +157,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         source: str,
+        task: asyncio.Task[None],
         *,
         is_reply: bool,
     ) -> None:
@@ -146,7 +165,8 @@
             mode = self._mode_of(source)
             if mode is LinkMode.SLOW:
                 await asyncio.sleep(SLOW_SECONDS)
-            if mode is LinkMode.SILENT or (mode is LinkMode.ONE_WAY and is_reply):
+            is_silent = mode is LinkMode.SILENT or task in self._silenced
+            if is_silent or (mode is LinkMode.ONE_WAY and is_reply):
                 # Discard the bytes without closing either side.
                 continue
             writer.write(data)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -10,6 +10,7 @@
 from soak.faults import Fault
 from soak.fleet import FleetShape
 from soak.judge import (
+    APPLY_SECONDS,
     BACKOFF_KIND,
     BYSTANDER_TEXT,
     DRAIN_SECONDS,
@@ -21,6 +22,7 @@
     RESTORED_KIND,
     RESTORED_UNHEARD_KIND,
     REVOKE_SECONDS,
+    SILENCE_KIND,
     SKEW_KIND,
     find_violations,
 )
@@ -202,6 +204,24 @@
     assert find_violations(run) == []
 
 
+# An odd `Fault.draw` spares one node; its quotient by 8 chooses the number of silences.
+@pytest.mark.parametrize("draw", [0, 1, 16], ids=["all", "all but one", "three times"])
+def test_a_change_is_in_force_in_time_while_connections_to_the_store_are_silent(
+    draw, tmp_path
+):
+    """Guards against nodes that rely on readers whose connections are silent."""
+    fault = Fault(at=4.0, kind=SILENCE_KIND, seconds=3.0, draw=draw)
+    case = Case(seed=1, seconds=0.0, faults=(fault,))
+    run = asyncio.run(run_case(case, tmp_path))
+    (revocation,) = run.revocations
+    late = revocation.accepted_at + APPLY_SECONDS
+    sent = [r for r in run.callers if late < r.sent_at < revocation.restored_at]
+    assert any(record.key == revocation.key for record in sent)
+    others = [r for r in sent if r.key != revocation.key]
+    assert sum(r.status == 200 for r in others) >= 0.9 * len(others) > 0.0
+    assert find_violations(run) == []
+
+
 @pytest.mark.parametrize("nodes", [1, 3])
 def test_a_key_that_is_revoked_after_the_store_was_restored_is_refused(nodes, tmp_path):
     """Guards against a change that is never read as its version is given out again."""
