--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -78,6 +78,7 @@
 OPEN = entry("state", 9.1, group="g", epoch=1, state="open", members=MEMBERS)
 IN_GROUP = {"group": "g", "epoch": 1, "members": MEMBERS, "engine": "e0"}
 REVOKED = Revocation(key="key-a", accepted_at=5.0, restored_at=20.0)
+SILENCED = Disturbance(kind="store_silence", began_at=4.0, ended_at=7.0)
 RESTORED_KEY = replace(REVOKED, restored_at=10.02)
 STORE_RESTORED = Disturbance(kind="store_restored", began_at=8.0, ended_at=9.0)
 JOINED = entry("join", 10.0, "e1", group="h", epoch=2, members=["e1"], before=["g", 1])
@@ -299,6 +300,16 @@
     ("key was passed", run_of(record(), notes=[run_entry(has_key=True)])),
     ("held beyond", run_of(record(ended_at=14.0), notes=[run_entry()])),
     ("taken away", run_of(record(), notes=[run_entry()], revocations=(REVOKED,))),
+    ("by a replaced", run_of(record(), notes=[run_entry()], revocations=(REVOKED,))),
+    (
+        "by a replaced",
+        run_of(
+            record(sent_at=7.2),
+            notes=[run_entry()],
+            revocations=(REVOKED,),
+            disturbances=(SILENCED,),
+        ),
+    ),
     (
         "taken away",
         run_of(record(), notes=[run_entry(at=10.01)], revocations=(RESTORED_KEY,)),
