Streams: a stopping host keeps the time for a move as streams wait for a slot

Cause: the time of one move was asked for at arrival and then used up by the wait; once a slot was granted only the longest answer was asked for. Change: until its first send a stream needs both; else it is refused as not run. One that moves may use the time.

--- a/mallowpond/node/stream_placement.py
+++ b/mallowpond/node/stream_placement.py
@@ -29,6 +29,7 @@
 )
 from mallowpond.state.placement_queue import QueueEntry
 from mallowpond.state.slot_forecast import hold_seconds
+from mallowpond.state.stopping import can_finish
 
 log = structlog.get_logger()
 
@@ -376,11 +377,15 @@
         """Return whether this host may shut down before a new stream ends.
 
         Checked at arrival only, a stream that had waited got a slot just before the
-        shutdown and was cut off; refused, its caller can retry at another host.
+        shutdown and was cut off; refused, its caller can retry at another host. The
+        time of a move is left for a move, and not used up by the wait.
         """
         if self.shutdown_at == inf or work.has_begun:
             return False
-        return self._clock.now() + self.longest_seconds(work) > self.shutdown_at
+        left, longest = self.shutdown_at - self._clock.now(), self.longest_seconds(work)
+        if work.sends:
+            return longest > left
+        return not can_finish(longest_seconds=longest, seconds_left=left)
 
     def _refuse_unplaced(self, work: StreamWork) -> Refusal:
         """Refuse a stream that got no slot while it waited."""
--- a/mallowpond/node/tests/test_streams.py
+++ b/mallowpond/node/tests/test_streams.py
@@ -248,6 +248,20 @@
     assert slow >= work.route.objective_seconds + 4.9 * passes
 
 
+@pytest.mark.parametrize(("reserve", "is_sent"), [(0.5, False), (1.5, True)])
+async def test_a_wait_for_a_slot_does_not_use_up_the_time_for_a_move(reserve, is_sent):
+    """Guards against streams that a stopping host cuts after one short silence."""
+    rig = await make_rig("a")
+    rig.targets.script("a0", answer(1))
+    work = rig.work(FakeExchange())
+    placement = rig.service.placement
+    longest = placement.longest_seconds(work)
+    placement.shutdown_at = rig.clock.now() + longest + reserve
+    outcome = await rig.service.serve(work)
+    assert isinstance(outcome, Answered) is is_sent
+    assert bool(rig.targets.sends) is is_sent
+
+
 async def test_a_stopping_host_takes_no_stream_for_which_it_has_no_group():
     """A caller waited on a stopping host for a group, and its answer was cut off.
 
