--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 from math import isinf
 
 import structlog
@@ -50,6 +51,17 @@
 REWRITE_SECONDS = 1.0
 
 
+class Doubt(str, Enum):
+    """Why a host leaves a source of the configuration for another one.
+
+    `POLL` tells nothing, `CONNECTION` has no answer, `READERS` have old knowledge.
+    """
+
+    POLL = "poll"
+    CONNECTION = "connection"
+    READERS = "readers"
+
+
 class ConfigurationFollower:
     """Newest configuration that this process has seen; its version never decreases.
 
@@ -111,6 +123,8 @@
         self.on_new_version: list[Callable[[], None]] = []
         # Called when this host has read the store.
         self.on_read: list[Callable[[], None]] = []
+        # Called when a source of the configuration is left: which doubt it was.
+        self.on_doubt: list[Callable[[Doubt], None]] = []
         # Called when a restored store confirms a version for the first time.
         self.on_era_confirmed: list[Callable[[], None]] = []
         self.is_reader: Callable[[], bool] = lambda: True
@@ -282,12 +296,17 @@
                     break
                 self._ask_if_due()
                 if self._is_poll_doubtful():
+                    self._notify_doubt(Doubt.POLL)
                     self._read_at = float("-inf")
                     return True
             return poll.result()
         finally:
             await cancel_task(poll)
 
+    def _notify_doubt(self, doubt: Doubt) -> None:
+        for notify in self.on_doubt:
+            notify(doubt)
+
     def _is_poll_doubtful(self) -> bool:
         """Return whether a poll in progress should have told something by now.
 
@@ -348,6 +367,7 @@
             "source": known.source if known else None,
         }
         if self._is_outdated:
+            self._notify_doubt(Doubt.READERS)
             log.warning("configuration: readers outdated", **fields)
         else:
             log.info("configuration: readers recent", **fields)
@@ -593,6 +613,7 @@
         self._read_at = float("-inf")
         if is_first and answer.is_silent and self._confirmation is not None:
             # One silent connection does not show that the store is lost.
+            self._notify_doubt(Doubt.CONNECTION)
             log.warning(
                 "configuration: connection silent",
                 seconds=round(seconds, 3),
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -110,6 +110,11 @@
             registry=self.registry,
         )
         self.endings = counter("mallowpond_targets_ended", "Broken off by their target")
+        self.configuration_doubts = counter(
+            "mallowpond_configuration_doubts",
+            "Times that a source of the configuration was left",
+            "source",
+        )
         self.configuration_age = Gauge(
             "mallowpond_configuration_age_seconds",
             "Age of the last confirmation",
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -310,6 +310,9 @@
         self.era.on_restored.append(self.directory.read_soon)
         self.readers.after_digest.append(self.streams.placement.wake_all)
         self.configuration.on_new_version.append(self._publish_version)
+        self.configuration.on_doubt.append(
+            lambda doubt: self.metrics.configuration_doubts.labels(doubt.value).inc()
+        )
         self.configuration.evacuations.on_change.append(self._apply_evacuations)
         self.leadership.on_acquired.append(
             lambda: self.peers.broadcast(self._build_heartbeat())
