Configuration: a read that confirms nothing is not repeated at once

Now an own answered read counts as the store's last word where a host decides whether to read again; what it may do is still decided by the confirmation alone. The new test (1 and 7 hosts) fails on the commit before.

--- a/mallowpond/emulator/configuration_fleet.py
+++ b/mallowpond/emulator/configuration_fleet.py
@@ -49,6 +49,7 @@
 
     version: int = 1
     is_down: bool = False
+    is_unreadable: bool = False
     seconds: float = STORE_SECONDS
     reads_at: list[float] = field(default_factory=list)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -72,12 +73,14 @@
             except TimeoutError:
                 break
         is_newer = self.version > since
+        is_readable = is_newer and not self.is_unreadable
         answered_at = loop.time() + CLOCK_AHEAD_SECONDS
         await asyncio.sleep(self.seconds)
         return ConfigurationRead(
             revision=self.version,
-            configuration=configuration_of(self.version) if is_newer else None,
+            configuration=configuration_of(self.version) if is_readable else None,
             changed=is_newer,
+            unreadable=is_newer and self.is_unreadable,
             answered_at=answered_at,
             document=str(self.version).encode() if is_newer else b"",
         )
--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -241,7 +241,9 @@
         A host that stood still learns within milliseconds whether its version is still
         the newest. Returns after `seconds` in any case.
         """
-        if self.may_run and (self.is_confirmed or not self.is_store_reachable):
+        is_known = self.may_run and (self.is_confirmed or not self.is_store_reachable)
+        if is_known or not self._is_knowledge_old():
+            # After a read that confirmed nothing, waiting would not help.
             return
         self._is_current.clear()
         self._wake.set()
@@ -328,19 +330,24 @@
         return True
 
     def _is_knowledge_old(self) -> bool:
-        """Return whether the last confirmation is too old to rely on its source."""
+        """Return whether the last word of the store is too old to rely on."""
         return self._seconds_until_old() <= 0.0
 
     def _seconds_until_old(self) -> float:
-        if self._confirmation is None:
-            return 0.0
+        """Return the time until this host looks for another path to the store."""
+        # An own read counts even if it confirms nothing, as while the store is written
+        # again, or the newest configuration is unreadable: reading at once again would
+        # tell the same.
+        heard_at = self._read_at
+        if self._confirmation is not None:
+            heard_at = max(heard_at, self._confirmation.confirmed_at)
         limit = self._pace.old_after(
             is_reader=self.is_reader(),
             is_standby=self.is_standby(),
             host_count=self.host_count(),
             share=self.host_share,
         )
-        return limit - self._confirmation.age(self._clock.now())
+        return limit - (self._clock.now() - heard_at)
 
     def _seconds_until_check(self) -> float:
         """Return the time until a question is due or the knowledge is old."""
--- a/mallowpond/node/tests/test_configuration_fleet.py
+++ b/mallowpond/node/tests/test_configuration_fleet.py
@@ -209,3 +209,21 @@
     for is_refusing in (True, False):
         fleet = fleet_of(7, SMALL_BOUNDS)
         assert run_in_virtual_time(play()) == 0
+
+
+@pytest.mark.parametrize("host_count", [1, 7])
+def test_a_configuration_that_cannot_be_read_is_not_read_over_and_over(host_count):
+    """Guards against hosts that call the store without a pause for what stays old."""
+
+    async def play():
+        await fleet.start()
+        await asyncio.sleep(SETTLE_SECONDS)
+        fleet.store.is_unreadable = True
+        fleet.store.apply()
+        await asyncio.sleep(10.0)
+        await fleet.close()
+
+    fleet = fleet_of(host_count, SMALL_BOUNDS)
+    run_in_virtual_time(play())
+    calls = reads_between(fleet, SETTLE_SECONDS, SETTLE_SECONDS + 10.0)
+    assert calls <= 10.0 * (CALM_READS_PER_SECOND + host_count)
