--- a/mallowpond/node/configuration.py
+++ b/mallowpond/node/configuration.py
@@ -12,7 +12,11 @@
 from mallowpond.node.evacuations import KnownEvacuations
 from mallowpond.node.ports import ConfigurationRead, HistoryLost, SiteSource
 from mallowpond.node.settings import NodeBounds
-from mallowpond.state.configuration_reading import PeerClocks, ReadingPace
+from mallowpond.state.configuration_reading import (
+    MAX_ATTEMPT_SECONDS,
+    PeerClocks,
+    ReadingPace,
+)
 from mallowpond.state.confirmation import (
     STORE,
     Confirmation,
@@ -483,9 +487,7 @@
         answer = await self._source.configuration(
             self._revision,
             wait,
-            timeout_seconds=self._pace.attempt_timeout(
-                attempts=self._silent_attempts, last_seconds=self._answer_seconds
-            ),
+            timeout_seconds=self._attempt_timeout(),
             new_connection=self._is_path_doubtful,
         )
         if not isinstance(answer, Unavailable):
@@ -524,6 +526,15 @@
             notify()
         return answer.configuration is not None or self._configuration is not None
 
+    def _attempt_timeout(self) -> float:
+        """Return the time for an answer beyond the wait at the store, in seconds."""
+        if self._confirmation is None:
+            # When many hosts start at once, the first read takes long.
+            return MAX_ATTEMPT_SECONDS
+        return self._pace.attempt_timeout(
+            attempts=self._silent_attempts, last_seconds=self._answer_seconds
+        )
+
     def _record_era(self, era: int) -> None:
         """Start the rewrite time of a new era, which any call to the store may name.
 
--- a/mallowpond/node/tests/test_configuration.py
+++ b/mallowpond/node/tests/test_configuration.py
@@ -363,3 +363,21 @@
     assert not follower.may_deny
     follower.handle_document(4, b"4")
     assert follower.may_deny
+
+
+async def test_the_first_read_of_a_host_that_starts_may_take_long():
+    """Guards against hosts that start together and give up the reads of each other."""
+    follower, source, _ = follower_of(3)
+    timeouts = []
+    answer = source.configuration
+
+    async def record(since, wait_seconds, *, timeout_seconds, **more):
+        timeouts.append(timeout_seconds)
+        return await answer(since, wait_seconds, **more)
+
+    source.configuration = record
+    await follower.step()
+    await follower.step()
+    first, later = timeouts
+    assert first == 1.0
+    assert later < 0.5
