Settings: a node learns its memory and its descriptors

What a process may hold was bounded by constants (48 MiB of bodies, 1,024 idle connections), whatever the host has: deployments give 300, 200 and 152 MB and 4,100 to 2,870 descriptors.

--- a/mallowpond/node/settings.py
+++ b/mallowpond/node/settings.py
@@ -76,6 +76,10 @@
     # Share of a processor that the host may use, and the cores of that processor.
     cpu_share: float = 1.0
     cpu_cores: float = 1.0
+    # Memory above which the process is killed, in units of 10^6 bytes, and the number
+    # of descriptors that it may have open.
+    memory_mb: float = 300.0
+    descriptors: int = 1024
     guarantees: tuple[str, ...] = ()
     contested_slots: bool = False
     bounds: NodeBounds = field(default_factory=NodeBounds)
--- a/mallowpond/platform/tests/test_program.py
+++ b/mallowpond/platform/tests/test_program.py
@@ -90,6 +90,14 @@
     assert parse_settings(filled(), NodeSettings).cores == 1.0
 
 
+@pytest.mark.parametrize(("memory", "descriptors"), [(300, 4100), (152.5, 2870)])
+def test_a_host_knows_its_memory_and_descriptors(memory, descriptors):
+    """Guards against limits of a host that are not those of its deployment."""
+    text = filled(limits__memory_mb=memory, limits__max_fds=descriptors)
+    settings = parse_settings(text, NodeSettings)
+    assert (settings.memory_mb, settings.descriptors) == (memory, descriptors)
+
+
 @pytest.mark.parametrize(
     ("words", "contested"), [([], False), (["audit"], False), (["a", "pressure"], True)]
 )
