Limits: what a process holds is one ledger, sized by its settings

Cause: a limit for each body and each address, none for their sum, and then a sum that is a constant. What was counted nowhere: an answer that is kept whole from the end of its read until its caller has read it; a send beside a silent one; bytes of an event without an end, and events that wait for a doubt to end; connections of callers, which could take all descriptors; tunnels, of which 512 take 1,024 descriptors of 2,870.

Change: state/process_limits.py divides the memory and descriptors from the settings among bodies, callers' connections, idle ones and tunnels. state/payload_memory.py counts request bodies, answers and waiting events of all clients and servers of the process, each twice, as received and as being sent. Idle connections of callers make room for new ones; beyond, a request is refused as not run. Send and read buffers of a connection are 16 KiB. A body above its limit is refused before it arrives.

Reserved by announcement: a slow sender of a large body kept its room for up to header_timeout, 3 s on the users' deployments. One whose pace cannot finish in time is now ended with 408 as soon as another body needs the room, 0.5 s after its first byte. Refused callers get the time at which room is expected, by the pace of each body and the mean time of serving one, at least 0.3 s.

One constant is left, MAX_BODY_BYTES of an answer read whole; the ledger bounds the sum.

--- a/mallowpond/gateway/relay.py
+++ b/mallowpond/gateway/relay.py
@@ -67,6 +67,11 @@
         """Return the progress of a send that goes on after the complete events."""
         return StreamProgress(events=self.events, chunks=self.chunks)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the number of bytes of an incomplete event."""
+        return len(self._partial)
+
     @property
     def has_partial_event(self) -> bool:
         """Return whether there are bytes of an incomplete event."""
--- a/mallowpond/node/calls.py
+++ b/mallowpond/node/calls.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections import defaultdict
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from functools import cached_property
 
@@ -16,6 +17,7 @@
 from mallowpond.node.serving_parts import ServingParts
 from mallowpond.state.admission import jittered_retry_after
 from mallowpond.state.fleet import Process, Target
+from mallowpond.state.payload_memory import Hold
 from mallowpond.state.site_configuration import RepeatPolicy, Route
 from mallowpond.transport.http_client import CallFailed
 from mallowpond.transport.http_server import Exchange
@@ -67,6 +69,8 @@
     exchange: Exchange
     sent_to: list[Process] = field(default_factory=list)
     rejected_by: list[Process] = field(default_factory=list)
+    # Memory of the answers that are read for it.
+    hold: Hold | None = None
 
     @cached_property
     def fingerprint(self) -> str:
@@ -134,6 +138,7 @@
         self._rng = parts.rng
         self._quarantine = parts.quarantine
         self._availability = parts.availability
+        self._memory = parts.memory
         self._records: dict[Process, TargetRecord] = defaultdict(TargetRecord)
         parts.directory.on_change.append(self._drop_ended)
 
@@ -151,6 +156,13 @@
             return self._refuse(work, self._no_target_reason(work))
         if work.deadline - self._clock.now() < MIN_SECONDS_LEFT:
             return self._refuse(work, Reason.TIMEOUT)
+        with ExitStack() as stack:
+            # An answer takes memory until its caller has read it.
+            work.hold = hold = self._memory.open(now=self._clock.now())
+            stack.callback(lambda: hold.release(self._clock.now()))
+            return await self._send_and_answer(work, target)
+
+    async def _send_and_answer(self, work: CallWork, target: Target) -> ServeOutcome:
         async with TaskRace[Reply]() as race:
             answer = await self._race(work, target, race)
         if not isinstance(answer, _Answer):
@@ -227,6 +239,8 @@
         target = self._choose_target(work)
         if target is None:
             return self._no_target_reason(work)
+        if reason is Reason.SLOW_TARGET and not self._has_room(work):
+            return reason
         # A connection that was not opened brought no request to a target.
         if reason is not Reason.CONNECT and not self._budgets.try_repeat(
             work.service, request=work.request.id, reason=reason
@@ -234,6 +248,11 @@
             return reason
         return target
 
+    def _has_room(self, work: CallWork) -> bool:
+        """Count a send beside another one, if its body fits."""
+        hold = work.hold
+        return hold is None or hold.try_reserve(hold.size + len(work.request.body))
+
     def _choose_target(self, work: CallWork) -> Target | None:
         """Return the least loaded usable target, None if there is none.
 
@@ -337,7 +356,7 @@
             reason = Reason.MAYBE_RUN if response.may_have_sent else Reason.CONNECT
             return NoReply(reason=reason, may_have_run=response.may_have_sent)
         try:
-            body = await response.read()
+            body = await response.read(hold=work.hold)
         finally:
             response.close()
         if self._targets.is_misdirected(response):
--- a/mallowpond/node/ingress.py
+++ b/mallowpond/node/ingress.py
@@ -18,6 +18,8 @@
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.state.admission import jittered_retry_after
 from mallowpond.state.fleet import EngineProfile, ModelSpec
+from mallowpond.state.payload_memory import PayloadMemory
+from mallowpond.state.process_limits import DEFAULT_LIMITS, ProcessLimits
 from mallowpond.state.site_configuration import (
     RepeatPolicy,
     Route,
@@ -73,6 +75,8 @@
         metrics: NodeMetrics,
         rng: random.Random,
         traffic: TrafficSeen,
+        memory: PayloadMemory | None = None,
+        process_limits: ProcessLimits = DEFAULT_LIMITS,
     ) -> None:
         self._callers = callers
         self._configuration = configuration
@@ -87,7 +91,10 @@
         self.shutdown_at = float("inf")
         self.in_flight = 0
         self.server = HttpServer(
-            handler=self._handle, on_bad_input=self._answer_bad_input
+            handler=self._handle,
+            on_bad_input=self._answer_bad_input,
+            memory=memory,
+            process_limits=process_limits,
         )
 
     async def _handle(self, request: HttpRequest, exchange: Exchange) -> None:
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -95,6 +95,16 @@
             registry=self.registry,
         )
         self.cold_sends = counter("mallowpond_cold_sends", "Requests to cold targets")
+        self.payload_bytes = Gauge(
+            "mallowpond_payload_bytes",
+            "Bytes of bodies that are held",
+            registry=self.registry,
+        )
+        self.payload_limit = Gauge(
+            "mallowpond_payload_limit_bytes",
+            "Bytes of bodies that may be held",
+            registry=self.registry,
+        )
         self.links_lost = Gauge(
             "mallowpond_links_lost",
             "Whether this host has lost its links to the targets of a service",
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -49,6 +49,7 @@
 from mallowpond.node.unreadable import UnreadableLog
 from mallowpond.node.watch import GroupWatch
 from mallowpond.state.group_pace import PaceChange
+from mallowpond.state.payload_memory import PayloadMemory
 from mallowpond.state.site_configuration import Service
 from mallowpond.transport.connector import DirectConnector
 from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
@@ -91,8 +92,11 @@
         seed: int = 0,
         metrics: NodeMetrics | None = None,
         listener: socket.socket | None = None,
+        memory: PayloadMemory | None = None,
     ) -> None:
         self._settings = settings
+        limits = settings.process_limits
+        memory = memory or PayloadMemory(max_bytes=limits.payload_bytes)
         self._listener = listener
         self._clock = clock
         # Seeded once by the system: with a call to the system for each random number,
@@ -134,6 +138,7 @@
             connect=self.links.connect_directly,
             may_connect=self._may_tunnel,
             has_link=self.links.has_link,
+            max_tunnels=limits.tunnels,
         )
         self.metrics.carried_tunnels.set_function(lambda: self.tunnels.count)
         self.links.on_change.append(self._on_links_changed)
@@ -187,6 +192,7 @@
             rng=self._rng,
             quarantine=quarantine,
             availability=availability,
+            memory=memory,
         )
         self.streams = StreamService(parts=parts)
         self.ingress = Ingress(
@@ -198,7 +204,11 @@
             metrics=self.metrics,
             rng=self._rng,
             traffic=self._traffic,
+            memory=memory,
+            process_limits=limits,
         )
+        self.metrics.payload_bytes.set_function(lambda: memory.held_bytes)
+        self.metrics.payload_limit.set(memory.max_bytes)
         self.watch = GroupWatch(
             streams=self.streams,
             directory=self.directory,
@@ -591,11 +601,13 @@
     seed: int = 0,
     metrics: NodeMetrics | None = None,
     listener: socket.socket | None = None,
+    memory: PayloadMemory | None = None,
 ) -> Node:
     """Build a node from its settings and ports, without starting it.
 
     With a `seed` other than 0 its random choices are reproducible. `listener` is an
     already bound socket for callers, to use in place of the configured address.
+    `memory` counts the bodies that other components of the process hold, too.
     """
     return Node(
         settings=settings,
@@ -604,4 +616,5 @@
         seed=seed,
         metrics=metrics,
         listener=listener,
+        memory=memory,
     )
--- a/mallowpond/node/settings.py
+++ b/mallowpond/node/settings.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass, field
 
 from mallowpond.settings import LogSettings
+from mallowpond.state.process_limits import ProcessLimits, divide_limits
+
+MEGABYTE = 10**6
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -90,3 +93,10 @@
     def cores(self) -> float:
         """Return the processor capacity that the host may use, in cores."""
         return self.cpu_share * self.cpu_cores
+
+    @property
+    def process_limits(self) -> ProcessLimits:
+        """Return what the process may hold and have open."""
+        return divide_limits(
+            memory_bytes=MEGABYTE * self.memory_mb, descriptors=self.descriptors
+        )
--- a/mallowpond/node/stream_work.py
+++ b/mallowpond/node/stream_work.py
@@ -18,6 +18,7 @@
     ModelSpec,
     Process,
 )
+from mallowpond.state.payload_memory import Hold
 from mallowpond.state.site_configuration import Route
 from mallowpond.transport.http_server import Exchange
 
@@ -57,6 +58,8 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_gap: float = 0.0
+    # Memory of the bytes that wait to be forwarded, and of a failed answer.
+    hold: Hold | None = None
 
     @cached_property
     def fingerprint(self) -> str:
@@ -119,6 +122,11 @@
     # Whether it was sent on a direct connection; None while none is open.
     is_direct: bool | None = None
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the bytes that were received and are not forwarded yet."""
+        return self.progress.partial_bytes + sum(map(len, self.held))
+
     def record_connected(self, proxy: str) -> None:
         """Record through which peer the stream was sent, "" for a direct connection."""
         self.is_direct = not proxy
--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -34,6 +34,7 @@
     pass_seconds,
     scaled_delay,
 )
+from mallowpond.state.process_limits import CONNECTION_READ_BYTES
 from mallowpond.state.target_notice import TargetNotice
 from mallowpond.transport.http_client import (
     CallFailed,
@@ -71,6 +72,7 @@
         self._budgets = parts.budgets
         self._quarantine = parts.quarantine
         self._availability = parts.availability
+        self._memory = parts.memory
         self.placement = StreamPlacement(parts=parts)
         self.active: set[ActiveStream] = set()
         self._serving = 0
@@ -95,9 +97,11 @@
         """Serve one stream to its end, and return its outcome."""
         self._serving += 1
         self.has_streams.set()
+        work.hold = self._memory.open(now=self._clock.now())
         try:
             return await self._serve(work)
         finally:
+            work.hold.release(self._clock.now())
             self._serving -= 1
             if not self._serving:
                 self.has_streams.clear()
@@ -491,7 +495,7 @@
             return Interrupted(reason=Reason.BROKEN_STREAM)
         headers = self._callers.answer_headers(response)
         if response.status != 200:
-            body = await response.read()
+            body = await response.read(hold=work.hold)
             if isinstance(body, CallFailed):
                 return Interrupted(reason=Reason.BROKEN_STREAM)
             return FailedAnswer(
@@ -540,13 +544,24 @@
         self, stream: ActiveStream, headers: tuple[tuple[str, str], ...], data: bytes
     ) -> None:
         complete = stream.progress.complete_events(data)
+        if complete:
+            self._record_event(stream)
+            stream.held.append(complete)
+        if not self._has_room(stream):
+            stream.progress.is_overlong = True
+            return
         if not complete:
             return
-        self._record_event(stream)
-        stream.held.append(complete)
         if not self._must_hold(stream):
             await self._release_held(stream, headers)
 
+    def _has_room(self, stream: ActiveStream) -> bool:
+        """Count the bytes that wait to be forwarded; return whether there is room."""
+        buffered, hold = stream.buffered_bytes, stream.work.hold
+        if hold is None or buffered <= CONNECTION_READ_BYTES:
+            return True
+        return hold.try_reserve(buffered)
+
     def _must_hold(self, stream: ActiveStream) -> bool:
         """Return whether the events of a send wait until it is known to go on.
 
--- a/mallowpond/node/tests/fakes.py
+++ b/mallowpond/node/tests/fakes.py
@@ -94,7 +94,7 @@
                 continue
             yield event
 
-    async def read(self, limit=0):
+    async def read(self, limit=0, hold=None):
         """Return the complete body, or the failure in the script."""
         body = b""
         for event in self.script:
--- a/mallowpond/platform/program.py
+++ b/mallowpond/platform/program.py
@@ -24,6 +24,7 @@
 from mallowpond.platform.store import PlatformStore
 from mallowpond.protocol.declaration_file import Faults
 from mallowpond.settings import load_settings
+from mallowpond.state.payload_memory import PayloadMemory
 from mallowpond.transport.http_client import HttpClient
 
 log = structlog.get_logger()
@@ -60,10 +61,15 @@
 
     `listener` is the callers' socket if it is already open.
     """
-    http = HttpClient(connect_seconds=CONNECT_TIMEOUT_SECONDS)
+    limits = settings.process_limits
+    memory = PayloadMemory(max_bytes=limits.payload_bytes)
+    log.info("node: limits", memory_mb=settings.memory_mb, **vars(limits))
+    http = HttpClient(
+        connect_seconds=CONNECT_TIMEOUT_SECONDS, memory=memory, process_limits=limits
+    )
     # Only connections to engines may lead through other hosts, so these have a client
     # of their own.
-    engines = HttpClient()
+    engines = HttpClient(memory=memory, process_limits=limits)
     metrics = NodeMetrics()
     unreadable_log = UnreadableLog(counter=metrics.unreadable)
     counts = CallCounts(clock=BootClock(), metric=metrics.store_calls)
@@ -84,6 +90,7 @@
         clock=BootClock(),
         metrics=metrics,
         listener=listener,
+        memory=memory,
     )
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -22,6 +22,7 @@
     pack,
     unpack,
 )
+from mallowpond.state.payload_memory import PayloadMemory
 from mallowpond.transport.http_client import CallFailed, HttpClient
 from mallowpond.transport.http_server import (
     ClientDisconnected,
@@ -96,6 +97,10 @@
     cold_again_after: float | None = None
 
 
+# Bytes of requests that an engine holds at one time: more than its callers send.
+MAX_HELD_BYTES = 1024 * 1024 * 1024
+
+
 @dataclass(kw_only=True)
 class GroupMembership:
     """Membership of an engine in a group."""
@@ -133,7 +138,9 @@
         self._member_addresses: dict[str, str] = {}
         self._entry_changed = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self.server = HttpServer(handler=self._handle)
+        self.server = HttpServer(
+            handler=self._handle, memory=PayloadMemory(max_bytes=MAX_HELD_BYTES)
+        )
 
     async def start(self) -> None:
         """Listen, and start to publish the entry and to monitor the group."""
--- a/mallowpond/transport/connector.py
+++ b/mallowpond/transport/connector.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from mallowpond.state.process_limits import CONNECTION_READ_BYTES
 from mallowpond.transport.timeouts import lag_tolerant_timeout
 
 
@@ -107,7 +108,10 @@
         try:
             async with lag_tolerant_timeout(self._connect_seconds):
                 reader, writer = await asyncio.open_connection(
-                    host, int(port), local_addr=self._local
+                    host,
+                    int(port),
+                    local_addr=self._local,
+                    limit=CONNECTION_READ_BYTES,
                 )
         except TimeoutError:
             return ConnectFailed(reason="connect timeout")
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -9,7 +9,8 @@
 
 import h11
 
-from mallowpond.state.body_memory import BodyMemory
+from mallowpond.state.payload_memory import Hold, PayloadMemory
+from mallowpond.state.process_limits import DEFAULT_LIMITS, ProcessLimits
 from mallowpond.transport.connector import (
     Connected,
     ConnectFailed,
@@ -21,9 +22,6 @@
 
 READ_SIZE = 65536
 MAX_IDLE_PER_SERVER = 32
-# Idle connections to all servers together: a fraction of the descriptors that a host
-# gives to a process, whatever the number of servers.
-MAX_IDLE_CONNECTIONS = 1024
 # Interval between looks for idle connections that nobody will use again, in seconds,
 # and the time without use after which a connection is one of them.
 SWEEP_SECONDS = 1.0
@@ -255,23 +253,23 @@
                     yield CallFailed(phase=FailurePhase.BODY, reason="closed early")
                     return
 
-    async def read(self, limit: int = MAX_BODY_BYTES) -> bytes | CallFailed:
+    async def read(
+        self, limit: int = MAX_BODY_BYTES, *, hold: Hold | None = None
+    ) -> bytes | CallFailed:
         """Return the whole body.
 
-        It fails above `limit` bytes, or if the bodies that this client reads exceed the
-        memory for them together.
+        It fails above `limit` bytes, or without room for it. A caller that keeps the
+        body passes the `hold` that its bytes are counted in until it is released.
         """
-        body = bytearray()
-        memory = self._client.body_memory
+        now = time.monotonic()
+        counted = hold or self._client.memory.open(now=now)
+        before, body = counted.size, bytearray()
         try:
             async for event in self.events():
                 match event:
                     case Chunk(data=data):
-                        held = len(body)
-                        is_admitted = memory.try_reserve(len(data), held_before=held)
-                        if not is_admitted or held + len(data) > limit:
-                            if is_admitted:
-                                memory.release(len(data))
+                        size = len(body) + len(data)
+                        if size > limit or not counted.try_reserve(before + size):
                             return CallFailed(
                                 phase=FailurePhase.BODY, reason="too large"
                             )
@@ -280,7 +278,8 @@
                         return event
             return bytes(body)
         finally:
-            memory.release(len(body))
+            if hold is None:
+                counted.release(time.monotonic())
 
     def close(self) -> None:
         """Release the connection for reuse; abort it if the response is incomplete."""
@@ -306,10 +305,16 @@
     """HTTP client with a pool of idle connections for each server."""
 
     def __init__(
-        self, *, connect_seconds: float = 1.0, connector: Connector | None = None
+        self,
+        *,
+        connect_seconds: float = 1.0,
+        connector: Connector | None = None,
+        memory: PayloadMemory | None = None,
+        process_limits: ProcessLimits = DEFAULT_LIMITS,
     ) -> None:
         self._connector = connector or DirectConnector(connect_seconds=connect_seconds)
-        self.body_memory = BodyMemory()
+        self.memory = memory or PayloadMemory(max_bytes=process_limits.payload_bytes)
+        self._max_idle = process_limits.idle_connections
         # By server, in the order of their last use.
         self._idle: dict[str, list[_Connection]] = {}
         self._idle_count = 0
@@ -461,7 +466,7 @@
         connection.released_at = now
         idle.append(connection)
         self._idle_count += 1
-        if self._idle_count > MAX_IDLE_CONNECTIONS:
+        if self._idle_count > self._max_idle:
             self._evict_oldest()
 
     def _sweep(self, now: float) -> None:
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -10,14 +10,22 @@
 
 import h11
 
-from mallowpond.state.body_memory import BodyMemory
+from mallowpond.state.payload_memory import Hold, PayloadMemory
+from mallowpond.state.process_limits import (
+    CONNECTION_READ_BYTES,
+    DEFAULT_LIMITS,
+    WRITE_BUFFER_BYTES,
+    ProcessLimits,
+)
 from mallowpond.transport.headers import decode_headers, list_headers
 
 READ_SIZE = 65536
 MAX_HEADER_BYTES = 16384
-# Time after which a request that was refused for its body may be sent again, in
-# seconds.
-BODY_RETRY_SECONDS = 0.3
+# Shortest time after which a request that found no room may be sent again, in seconds.
+MIN_RETRY_SECONDS = 0.3
+# Connections beyond the limit that get a refusal, as a part of it; further ones are
+# closed at once.
+REFUSED_SHARE = 0.1
 # Statuses that refuse a body before it has arrived.
 EARLY_STATUSES = (413, 503)
 # Longest time for which the rest of a refused request is discarded, in seconds.
@@ -109,6 +117,10 @@
         if content_type is not None:
             fixed = (("content-type", content_type), *fixed)
         data = self._head(status, headers + fixed)
+        if len(body) > WRITE_BUFFER_BYTES:
+            # Joined with the head, a large body would take its size once more.
+            self._writer.write(data)
+            data = b""
         data += self._connection.send(h11.Data(data=body)) or b""
         data += self._connection.send(h11.EndOfMessage()) or b""
         self.finished = True
@@ -186,16 +198,23 @@
         handler: Handler,
         limits: ServerLimits = ServerLimits(),
         on_bad_input: BadInputHandler = _respond_bad_input,
-        body_memory: BodyMemory | None = None,
+        memory: PayloadMemory | None = None,
+        process_limits: ProcessLimits = DEFAULT_LIMITS,
     ) -> None:
-        self._body_memory = body_memory or BodyMemory()
+        self._memory = memory or PayloadMemory(max_bytes=process_limits.payload_bytes)
+        self._max_connections = process_limits.caller_connections
         self._handler = handler
         self._limits = limits
         self._on_bad_input = on_bad_input
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
         self._busy: dict[asyncio.Task[None], Exchange] = {}
-        self._idle: set[asyncio.Task[None]] = set()
+        # Tasks of connections that wait for another request, longest wait first.
+        self._idle: dict[asyncio.Task[None], None] = {}
+        # Idle connections that are being closed for others.
+        self._evicted: set[asyncio.Task[None]] = set()
+        # Time limits of the bodies that are arriving.
+        self._receiving: dict[Hold, asyncio.Timeout] = {}
         self._flushing: set[asyncio.Task[None]] = set()
         self._aborting: set[asyncio.Task[None]] = set()
         self._refuses_requests = False
@@ -225,7 +244,10 @@
             {"host": host, "port": port} if listener is None else {"sock": listener}
         )
         self._server = await asyncio.start_server(
-            self._on_connection, limit=READ_SIZE, backlog=1024, **endpoint
+            self._on_connection,
+            limit=CONNECTION_READ_BYTES,
+            backlog=1024,
+            **endpoint,
         )
 
     def disable_keep_alive(self) -> None:
@@ -274,13 +296,30 @@
         task = asyncio.current_task()
         assert task is not None
         self._connections.add(task)
+        writer.transport.set_write_buffer_limits(
+            high=WRITE_BUFFER_BYTES, low=WRITE_BUFFER_BYTES
+        )
+        excess = self._evict_idle()
+        if excess > REFUSED_SHARE * self._max_connections:
+            writer.transport.abort()
         try:
-            await self._serve_connection(reader, writer)
+            await self._serve_connection(reader, writer, is_refused=excess > 0)
         except (ConnectionError, asyncio.CancelledError, ClientDisconnected):
             pass
         finally:
             await self._flush_and_close(task, writer)
             self._connections.discard(task)
+            self._evicted.discard(task)
+
+    def _evict_idle(self) -> int:
+        """Close idle connections beyond the limit; return how many are still beyond."""
+        excess = len(self._connections) - len(self._evicted) - self._max_connections
+        for task in list(itertools.islice(self._idle, max(0, excess))):
+            del self._idle[task]
+            self._evicted.add(task)
+            task.cancel()
+            excess -= 1
+        return excess
 
     async def _flush_and_close(
         self, task: asyncio.Task[None], writer: asyncio.StreamWriter
@@ -304,8 +343,14 @@
             self._flushing.discard(task)
 
     async def _serve_connection(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        is_refused: bool,
     ) -> None:
+        """Serve the requests of a connection, or refuse its first one."""
+        loop = asyncio.get_running_loop()
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
@@ -320,20 +365,18 @@
                 _send_seconds=self._limits.send_seconds,
                 previous_requests=previous_requests,
             )
-            with _HeldBody(memory=self._body_memory) as held:
-                try:
-                    request = await self._receive(
-                        connection,
-                        reader,
-                        writer,
-                        held,
-                        is_reused=previous_requests > 0,
-                    )
-                except _UnreadableRequest as unreadable:
-                    await self._on_bad_input(unreadable.bad, exchange)
-                    if unreadable.bad.status in EARLY_STATUSES:
-                        await _discard_rest(reader, writer, self._limits.body_bytes)
-                    return
+            hold = self._memory.open(
+                now=loop.time(), limit_seconds=self._limits.receive_seconds
+            )
+            try:
+                request = await self._receive(
+                    connection,
+                    reader,
+                    writer,
+                    hold,
+                    is_reused=previous_requests > 0,
+                    is_refused=is_refused,
+                )
                 if request is None or self._refuses_requests:
                     return
                 task = asyncio.current_task()
@@ -345,6 +388,15 @@
                     del self._busy[task]
                 # While an idle connection waits, it must not keep the body.
                 del request
+            except _UnreadableRequest as unreadable:
+                # Nothing of the body is kept while its rest is discarded.
+                hold.release(loop.time())
+                await self._on_bad_input(unreadable.bad, exchange)
+                if unreadable.bad.status in EARLY_STATUSES:
+                    await _discard_rest(reader, writer, self._limits.body_bytes)
+                return
+            finally:
+                hold.release(loop.time())
             if not exchange.finished or connection.our_state is not h11.DONE:
                 # Without a final chunk the client sees that the response is incomplete.
                 return
@@ -386,18 +438,23 @@
         connection: h11.Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        held: "_HeldBody",
+        hold: Hold,
         *,
         is_reused: bool,
+        is_refused: bool,
     ) -> HttpRequest | None:
         if not connection.trailing_data[0]:
             first_bytes = await self._read_first_bytes(reader, is_reused=is_reused)
             if first_bytes == b"":
                 return None
             connection.receive_data(first_bytes)
+        hold.record_begin(asyncio.get_running_loop().time())
         try:
-            async with asyncio.timeout(self._limits.receive_seconds):
-                return await self._read_request(connection, reader, writer, held)
+            async with asyncio.timeout(self._limits.receive_seconds) as limit:
+                self._receiving[hold] = limit
+                return await self._read_request(
+                    connection, reader, writer, hold, is_refused=is_refused
+                )
         except TimeoutError:
             raise _UnreadableRequest(
                 BadInput(
@@ -406,6 +463,8 @@
                     detail="The request did not arrive in time.",
                 )
             ) from None
+        finally:
+            self._receiving.pop(hold, None)
 
     async def _read_first_bytes(
         self, reader: asyncio.StreamReader, *, is_reused: bool
@@ -413,7 +472,7 @@
         task = asyncio.current_task()
         assert task is not None
         if is_reused:
-            self._idle.add(task)
+            self._idle[task] = None
         try:
             async with asyncio.timeout(self._limits.idle_seconds):
                 return await reader.read(READ_SIZE)
@@ -423,16 +482,21 @@
             if self._refuses_requests or self._is_closing:
                 raise
             task.uncancel()
-            return await _read_buffered(reader)
+            buffered = await _read_buffered(reader)
+            if buffered:
+                self._evicted.discard(task)
+            return buffered
         finally:
-            self._idle.discard(task)
+            self._idle.pop(task, None)
 
     async def _read_request(
         self,
         connection: h11.Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        held: "_HeldBody",
+        hold: Hold,
+        *,
+        is_refused: bool,
     ) -> HttpRequest | None:
         head: h11.Request | None = None
         body = bytearray()
@@ -450,24 +514,42 @@
                 case h11.Request():
                     head = event
                     self._check_head(head)
-                    held.reserve(min(_content_length(head), self._limits.body_bytes))
+                    if is_refused:
+                        raise _no_room("too_many_connections", MIN_RETRY_SECONDS)
+                    hold.announced = _content_length(head)
+                    self._reserve(hold, hold.announced)
                 case h11.Data():
                     body += event.data
-                    held.reserve(len(body))
-                    if len(body) > self._limits.body_bytes:
-                        raise _UnreadableRequest(
-                            BadInput(
-                                status=413,
-                                reason="body_too_large",
-                                detail=f"At most {self._limits.body_bytes} bytes.",
-                            )
-                        )
+                    hold.record_received(len(body))
+                    self._reserve(hold, len(body))
                 case h11.EndOfMessage():
                     assert head is not None
+                    hold.record_end(asyncio.get_running_loop().time())
                     return _build_request(head, bytes(body))
                 case _:
                     return None
 
+    def _reserve(self, hold: Hold, size: int) -> None:
+        """Reserve memory for a body of `size` bytes, or refuse its request.
+
+        Bodies that arrive too slowly to be whole in time make room for others.
+        """
+        if size > self._limits.body_bytes:
+            detail = f"At most {self._limits.body_bytes} bytes."
+            raise _UnreadableRequest(
+                BadInput(status=413, reason="body_too_large", detail=detail)
+            )
+        if hold.try_reserve(size):
+            return
+        now = asyncio.get_running_loop().time()
+        for hopeless in self._memory.hopeless_holds(now):
+            if hopeless is not hold and hopeless in self._receiving:
+                self._receiving.pop(hopeless).reschedule(now)
+                hopeless.release(now)
+        if not hold.try_reserve(size):
+            wait = self._memory.seconds_until_room(size - hold.size, now)
+            raise _no_room("bodies_exceed_memory", wait)
+
     def _check_head(self, head: h11.Request) -> None:
         if head.method == b"CONNECT":
             raise _UnreadableRequest(
@@ -483,34 +565,15 @@
             raise _UnreadableRequest(_too_large_headers())
 
 
-class _HeldBody:
-    """The memory that the body of one request takes until it has been answered."""
-
-    def __init__(self, *, memory: BodyMemory) -> None:
-        self._memory = memory
-        self._bytes = 0
-
-    def __enter__(self) -> "_HeldBody":
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._memory.release(self._bytes)
-
-    def reserve(self, size: int) -> None:
-        """Reserve memory for a body of `size` bytes, or refuse its request."""
-        more = size - self._bytes
-        if more <= 0:
-            return
-        if not self._memory.try_reserve(more, held_before=self._bytes):
-            raise _UnreadableRequest(
-                BadInput(
-                    status=503,
-                    reason="bodies_exceed_memory",
-                    detail="Too many large requests are in progress.",
-                    retry_after=BODY_RETRY_SECONDS,
-                )
-            )
-        self._bytes = size
+def _no_room(reason: str, retry_after: float) -> _UnreadableRequest:
+    return _UnreadableRequest(
+        BadInput(
+            status=503,
+            reason=reason,
+            detail="Too many requests are in progress.",
+            retry_after=max(MIN_RETRY_SECONDS, retry_after),
+        )
+    )
 
 
 def _content_length(head: h11.Request) -> int:
--- a/mallowpond/transport/tests/test_http_client.py
+++ b/mallowpond/transport/tests/test_http_client.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from contextlib import AsyncExitStack
+from dataclasses import replace
 
 import pytest
 
-from mallowpond.state.body_memory import BodyMemory
+from mallowpond.state.payload_memory import COPIES, PayloadMemory
+from mallowpond.state.process_limits import DEFAULT_LIMITS
 from mallowpond.transport import http_client
 from mallowpond.transport.http_client import (
     CallFailed,
@@ -241,10 +243,9 @@
     await http.close()
 
 
-async def test_idle_connections_have_a_limit_over_all_servers(monkeypatch):
+async def test_idle_connections_have_a_limit_over_all_servers():
     """Guards against descriptors that run out in front of thousands of engines."""
-    monkeypatch.setattr(http_client, "MAX_IDLE_CONNECTIONS", 3)
-    http = HttpClient()
+    http = HttpClient(process_limits=replace(DEFAULT_LIMITS, idle_connections=3))
     async with AsyncExitStack() as stack:
         addresses = [
             await stack.enter_async_context(
@@ -304,7 +305,7 @@
         found = await http.fetch(address, "GET", "/x", timeout=10.0)
         assert isinstance(found, CallFailed)
         assert sum(written) < 2 * http_client.MAX_BODY_BYTES
-    assert http.body_memory.held_bytes == 0
+    assert http.memory.held_bytes == 0
     await http.close()
 
 
@@ -317,11 +318,11 @@
         await reader.read()
 
     http = HttpClient()
-    http.body_memory = BodyMemory(max_bytes=1_000_000)
+    http.memory = PayloadMemory(max_bytes=COPIES * 1_000_000)
     async with scripted.scripted_server(send_much) as address:
         calls = [http.fetch(address, "GET", "/x") for _ in range(9)]
         found = await asyncio.gather(*calls)
     whole = [answer for answer in found if not isinstance(answer, CallFailed)]
     assert 1 <= len(whole) < 9
-    assert http.body_memory.held_bytes == 0
+    assert http.memory.held_bytes == 0
     await http.close()
--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -3,10 +3,12 @@
 import asyncio
 import socket
 import time
+from dataclasses import replace
 
 import pytest
 
-from mallowpond.state.body_memory import BodyMemory
+from mallowpond.state.payload_memory import COPIES, PayloadMemory
+from mallowpond.state.process_limits import DEFAULT_LIMITS
 from mallowpond.transport import http_server
 from mallowpond.transport.http_server import HttpServer, ServerLimits
 
@@ -64,9 +66,9 @@
         await release.wait()
         await exchange.respond(200, b"ok")
 
-    memory = BodyMemory(max_bytes=400_000)
+    memory = PayloadMemory(max_bytes=COPIES * 400_000)
     limits = ServerLimits(body_bytes=100_000)
-    server = HttpServer(handler=hold, limits=limits, body_memory=memory)
+    server = HttpServer(handler=hold, limits=limits, memory=memory)
     await server.start("127.0.0.1", 0)
     head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 100000\r\n\r\n"
     opened = []
@@ -91,6 +93,91 @@
     assert memory.held_bytes == 0
 
 
+async def test_a_slow_sender_of_a_large_body_makes_room_for_others():
+    """Guards against announced bodies that keep others out until their limit."""
+    memory = PayloadMemory(max_bytes=COPIES * 400_000)
+    limits = ServerLimits(body_bytes=300_000, receive_seconds=20.0)
+
+    async def hello(request, exchange):
+        await exchange.respond(200, b"hello")
+
+    server = HttpServer(handler=hello, limits=limits, memory=memory)
+    await server.start("127.0.0.1", 0)
+    head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 250000\r\n\r\n"
+    slow_reader, slow_writer = await asyncio.open_connection("127.0.0.1", server.port)
+    slow_writer.write(head + b"x")
+    await asyncio.sleep(0.7)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(head + b"x" * 250_000)
+    assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+    assert (await slow_reader.readline()).startswith(b"HTTP/1.1 408 ")
+    for each in (slow_writer, writer):
+        each.close()
+    await server.close()
+    assert memory.held_bytes == 0
+
+
+async def test_a_body_above_the_limit_is_refused_before_it_arrives():
+    answer = await answer_to(BIG[:-150])
+    assert answer.startswith(b"HTTP/1.1 413 ")
+
+
+async def ask(reader, writer):
+    """Send a request and return the status line of its answer."""
+    writer.write(OK)
+    async with asyncio.timeout(2.0):
+        answer = await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(int(answer.split(b"content-length: ")[1].split()[0]))
+    return answer
+
+
+async def test_idle_connections_make_room_for_new_ones():
+    """Guards against callers without an answer as idle ones hold all descriptors."""
+
+    async def hello(request, exchange):
+        await exchange.respond(200, b"hello ")
+
+    limits = replace(DEFAULT_LIMITS, caller_connections=20)
+    server = HttpServer(handler=hello, process_limits=limits)
+    await server.start("127.0.0.1", 0)
+    opened = []
+    for _ in range(40):
+        connection = await asyncio.open_connection("127.0.0.1", server.port)
+        assert (await ask(*connection)).startswith(b"HTTP/1.1 200 ")
+        opened.append(connection)
+    await asyncio.sleep(0.05)
+    closed = [reader.at_eof() for reader, _ in opened]
+    assert closed == 20 * [True] + 20 * [False]
+    for _, writer in opened:
+        writer.close()
+    await server.close()
+
+
+async def test_a_connection_beyond_the_limit_is_refused_as_not_run():
+    """Guards against callers without an answer while others hold all descriptors."""
+    release = asyncio.Event()
+
+    async def hold(request, exchange):
+        await release.wait()
+        await exchange.respond(200, b"hello ")
+
+    limits = replace(DEFAULT_LIMITS, caller_connections=20)
+    server = HttpServer(handler=hold, process_limits=limits)
+    await server.start("127.0.0.1", 0)
+    opened = [
+        await asyncio.open_connection("127.0.0.1", server.port) for _ in range(21)
+    ]
+    held = [asyncio.create_task(ask(*connection)) for connection in opened[:20]]
+    refusal = await ask(*opened[20])
+    assert refusal.startswith(b"HTTP/1.1 503 ") and b"retry-after: " in refusal
+    release.set()
+    for answer in await asyncio.gather(*held):
+        assert answer.startswith(b"HTTP/1.1 200 ")
+    for _, writer in opened:
+        writer.close()
+    await server.close()
+
+
 async def test_two_requests_on_one_connection_are_answered_in_order():
     answer = await answer_to(OK + OK, end=True)
     assert answer.count(b"HTTP/1.1 200") == 2
--- a/mallowpond/transport/tunnel.py
+++ b/mallowpond/transport/tunnel.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 from enum import Enum
 
+from mallowpond.state.process_limits import DEFAULT_LIMITS
 from mallowpond.transport.connector import (
     Connected,
     ConnectFailed,
@@ -33,8 +34,6 @@
 IDLE_CHECK_SECONDS = 1.0
 # Time after the target's last byte for which a tunnel counts as in use, in seconds.
 ACTIVE_SECONDS = 1.0
-# Maximum number of tunnels of one proxy, which bounds their buffers to some tens of MB.
-MAX_TUNNELS = 512
 
 
 class TunnelAnswer(bytes, Enum):
@@ -63,7 +62,7 @@
         connect: Callable[[str], Awaitable[Connected | ConnectFailed]],
         may_connect: Callable[[str, str], bool],
         has_link: Callable[[str], bool],
-        max_tunnels: int = MAX_TUNNELS,
+        max_tunnels: int = DEFAULT_LIMITS.tunnels,
     ) -> None:
         self.connect = connect
         self._may_connect = may_connect
