Configuration: without workspaces no key is valid where callers have keys

Cause: a missing field ended the check of keys, as it does where no key ever existed. The two cannot be told apart by the configuration, nor by a host that has just started.

Change: the deployment's contracts say whether callers have keys. Where they do, a key that a request carries must be one of the version in force; without workspaces there is none, so the request gets 401, and one without a key runs, as PROTOCOL.md has it. Elsewhere the header means nothing, as before.

--- a/mallowpond/node/ingress.py
+++ b/mallowpond/node/ingress.py
@@ -77,6 +77,7 @@
         traffic: TrafficSeen,
         memory: PayloadMemory | None = None,
         process_limits: ProcessLimits = DEFAULT_LIMITS,
+        checks_keys: bool = False,
     ) -> None:
         self._callers = callers
         self._configuration = configuration
@@ -86,6 +87,7 @@
         self._metrics = metrics
         self._rng = rng
         self._traffic = traffic
+        self._checks_keys = checks_keys
         self._limits_version = 0
         self.is_stopping = False
         self.shutdown_at = float("inf")
@@ -193,7 +195,10 @@
             # A newer configuration version may route the request elsewhere.
             return self._unavailable(Reason.UNSURE)
         workspace, priority = None, route.priority
-        if configuration.uses_keys and route.needs_key:
+        # Without workspaces no key is asked for, but one that was taken away, or was
+        # never held, must not run either.
+        has_key_to_check = self._checks_keys and request.key is not None
+        if route.needs_key and (configuration.uses_keys or has_key_to_check):
             if not self._configuration.is_confirmed:
                 return self._unavailable(Reason.UNSURE)
             holder = configuration.keys.get(request.key or "")
--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -206,6 +206,7 @@
             traffic=self._traffic,
             memory=memory,
             process_limits=limits,
+            checks_keys=settings.checks_keys,
         )
         self.metrics.payload_bytes.set_function(lambda: memory.held_bytes)
         self.metrics.payload_limit.set(memory.max_bytes)
--- a/mallowpond/node/settings.py
+++ b/mallowpond/node/settings.py
@@ -63,6 +63,8 @@
     depends on them, such as `contested_slots`.
     contested_slots: whether streams are admitted by a forecast of the slots, and
     refused callers get a time to come back each.
+    checks_keys: whether a key must be one of the configuration's even if that names no
+    workspaces; otherwise keys then mean nothing.
     """
 
     name: str
@@ -85,6 +87,7 @@
     descriptors: int = 1024
     guarantees: tuple[str, ...] = ()
     contested_slots: bool = False
+    checks_keys: bool = False
     bounds: NodeBounds = field(default_factory=NodeBounds)
     planning: NodePlanning = field(default_factory=NodePlanning)
     log: LogSettings = field(default_factory=LogSettings)
--- a/mallowpond/platform/features.py
+++ b/mallowpond/platform/features.py
@@ -4,8 +4,10 @@
 
 from mallowpond.node.settings import NodeSettings
 
-# Word for a deployment whose streams contend for slots.
+# Word for a deployment whose streams contend for slots, and for one whose callers have
+# keys.
 PRESSURE = "pressure"
+TENANTS = "tenants"
 
 
 def apply_guarantees(settings: NodeSettings) -> NodeSettings:
@@ -13,6 +15,8 @@
 
     Words that this version does not know change nothing.
     """
-    if PRESSURE not in settings.guarantees:
-        return settings
-    return replace(settings, contested_slots=True)
+    return replace(
+        settings,
+        contested_slots=settings.contested_slots or PRESSURE in settings.guarantees,
+        checks_keys=settings.checks_keys or TENANTS in settings.guarantees,
+    )
--- a/mallowpond/platform/tests/test_ingress.py
+++ b/mallowpond/platform/tests/test_ingress.py
@@ -72,7 +72,7 @@
 
 
 @asynccontextmanager
-async def ingress_of(*configurations, sure=True):
+async def ingress_of(*configurations, sure=True, **more):
     """Run an ingress with these configurations, too old to rely on unless `sure`."""
     clock, source = FakeClock(), FakeSource()
     source.configurations.extend(configurations)
@@ -93,6 +93,7 @@
         metrics=NodeMetrics(),
         rng=random.Random(1),
         traffic=TrafficSeen(),
+        **more,
     )
     await ingress.server.start("127.0.0.1", 0)
     try:
@@ -170,6 +171,20 @@
 WITHOUT_KEYS = replace(SITE, uses_keys=False, keys={})
 
 
+@pytest.mark.parametrize(
+    ("key", "checks_keys", "status"),
+    [("good", True, 401), ("", True, 200), ("good", False, 200), ("", False, 200)],
+)
+async def test_a_version_that_names_no_workspaces_admits_no_key(
+    key, checks_keys, status
+):
+    """Guards against revoked keys that run once the field of workspaces is gone."""
+    async with ingress_of(WITHOUT_KEYS, checks_keys=checks_keys) as (ingress, calls):
+        answer = await send_bytes(ingress, request(key=key))
+        assert answer.startswith(b"HTTP/1.1 %d " % status)
+        assert len(calls.served) == (status == 200)
+
+
 async def test_a_request_without_a_key_is_not_run_by_a_version_that_may_be_replaced():
     """Guards against sends to the service that a route named before."""
     async with ingress_of(WITHOUT_KEYS, sure=False) as (ingress, calls):
--- a/mallowpond/platform/tests/test_program.py
+++ b/mallowpond/platform/tests/test_program.py
@@ -108,6 +108,13 @@
     assert apply_guarantees(settings).contested_slots is contested
 
 
+@pytest.mark.parametrize("words", [[], ["audit"], ["a", "tenants"]])
+def test_keys_are_checked_where_callers_have_them(words):
+    """Guards against headers of callers that are taken for keys where none exist."""
+    settings = parse_settings(filled(contracts=words), NodeSettings)
+    assert apply_guarantees(settings).checks_keys is ("tenants" in words)
+
+
 def test_a_platform_that_bounds_cold_targets_gives_both_values():
     """Guards against a bound that a platform gives and that is not in force."""
     text = filled(bounds__cold_over=1.5, bounds__cold_slack=3)
