Soak: large bodies, no keys left, starts on a copy, silence beside a stop

A watch kills a node that exceeds its memory or descriptors, those of the users' smallest hosts, and the judge reports it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,7 @@
 from soak.faults import NEWEST_DRAW, Injector, draw_faults, draw_kinds
 from soak.fleet import Fleet, FleetShape
 from soak.judge import FATAL_KINDS, find_violations
+from soak.memory import ResourceWatch
 from soak.records import Disturbance, Run, read_journals, write_run
 
 REQUESTS_PER_SECOND = 40.0
@@ -75,6 +76,8 @@
         restart_task = asyncio.create_task(fleet.run_restarts())
         stalls = StallDetector()
         watch_task = asyncio.create_task(stalls.watch())
+        resources = ResourceWatch(fleet=fleet)
+        resource_task = asyncio.create_task(resources.watch())
         callers_task = asyncio.create_task(
             callers.run(time.monotonic() + ends_in + TRAILING_SECONDS)
         )
@@ -82,6 +85,7 @@
         await callers_task
         await cancel_task(restart_task)
         await cancel_task(watch_task)
+        await cancel_task(resource_task)
     finally:
         await fleet.close()
     return Run(
@@ -96,6 +100,9 @@
         skews=tuple(injector.skews),
         pauses=tuple(injector.pauses),
         engine_ends=tuple(fleet.engine_ends),
+        exhaustions=tuple(resources.exhaustions),
+        peak_bytes=resources.peak_bytes,
+        peak_descriptors=resources.peak_descriptors,
         longest_stall=stalls.longest,
     )
 
@@ -179,6 +186,10 @@
     typer.echo(f"seed {case.seed}: {len(run.callers)} requests {dict(statuses)}")
     kinds = Counter(d.kind for d in run.disturbances)
     typer.echo(f"  {dict(kinds)}, at planned stops: {_count_at_stops(run)}")
+    typer.echo(
+        f"  at most {run.peak_bytes / 1e6:.0f} MB and {run.peak_descriptors}"
+        " descriptors of a node"
+    )
     typer.echo(f"  longest stall of this process {run.longest_stall:.2f} s")
     for line in lines:
         typer.echo(f"  BROKEN {line}")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,10 +3,13 @@
 import asyncio
 import random
 import time
+from collections.abc import Sequence
+from contextlib import AsyncExitStack, suppress
 from dataclasses import dataclass, replace
 
 import h11
 
+from mallowpond.coordination.tasks import cancel_task
 from mallowpond.platform import headers as names
 from soak.records import CallerRecord, Ending, RequestKind
 
@@ -54,6 +57,12 @@
 # Events of a stream that crashes its engine: the engine ends before the stream would.
 FATAL_EVENTS = 30
 
+# Size of a large body, which is the largest that the configuration allows, and the
+# deadline of its request in seconds.
+LARGE_BODY_BYTES = 4 * 1024 * 1024
+LARGE_SECONDS = 6.0
+PADDING = b"x" * READ_SIZE
+
 
 @dataclass(frozen=True, kw_only=True)
 class FatalChoice:
@@ -134,6 +143,21 @@
             tasks.append(asyncio.create_task(sending))
         await asyncio.gather(*tasks)
 
+    async def send_large(self, node: int, sending_seconds: Sequence[float]) -> None:
+        """Send requests with large bodies to one node at once, and await the answers.
+
+        Each takes one of these times to send its body.
+        """
+        kind = RequestKind.AGAIN
+        records = []
+        for seconds in sending_seconds:
+            record = self._new_record(kind, 1, LARGE_SECONDS, node)
+            record.padding = LARGE_BODY_BYTES - len(record.content)
+            record.sending_seconds = seconds
+            records.append(record)
+        self.records += records
+        await asyncio.gather(*(self._send(record, None) for record in records))
+
     async def _poll_readiness(self) -> None:
         while True:
             for node, (_, port) in enumerate(self._ports):
@@ -272,7 +296,7 @@
             (names.AUTHORIZATION, f"Bearer {record.key}"),
             (names.ATTEMPT, record.attempt),
             (names.DEADLINE, str(max(1, remaining_ms))),
-            ("content-length", str(len(record.content))),
+            ("content-length", str(len(record.content) + record.padding)),
         ]
         if record.kind is RequestKind.STREAM:
             headers += [
@@ -283,9 +307,24 @@
         head = h11.Request(method="POST", target=PATHS[record.kind], headers=headers)
         data = self._h11.send(head)
         data += self._h11.send(h11.Data(data=record.content.encode()))
-        data += self._h11.send(h11.EndOfMessage())
         self._writer.write(data)
-        await self._read_answer(record)
+        async with AsyncExitStack() as stack:
+            # An answer may come before the whole body was sent.
+            padding = asyncio.create_task(self._send_padding(record))
+            stack.push_async_callback(cancel_task, padding)
+            await self._read_answer(record)
+
+    async def _send_padding(self, record: CallerRecord) -> None:
+        left = record.padding
+        pieces = -(-left // len(PADDING))
+        with suppress(ConnectionError, h11.LocalProtocolError):
+            while left:
+                piece = PADDING[:left]
+                left -= len(piece)
+                self._writer.write(self._h11.send(h11.Data(data=piece)) or b"")
+                await self._writer.drain()
+                await asyncio.sleep(record.sending_seconds / pieces)
+            self._writer.write(self._h11.send(h11.EndOfMessage()) or b"")
 
     async def _read_answer(self, record: CallerRecord) -> None:
         while True:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,7 +16,11 @@
     FATAL_PART,
     new_engine_id,
 )
-from mallowpond.standins.observatory_operator import INVALID_IDS, foreign_values
+from mallowpond.standins.observatory_operator import (
+    INVALID_IDS,
+    WorkspaceForm,
+    foreign_values,
+)
 from soak import pauses, restores
 from soak.callers import FIRST_PARTS, SECOND_PARTS, Callers, FatalChoice
 from soak.fleet import DATA_CENTRES, Fleet, ManagedProcess
@@ -24,15 +28,19 @@
     BACKOFF_KIND,
     EVACUATION_KIND,
     FATAL_PART_KIND,
+    LARGE_BODIES_KIND,
     RATE_LIMIT_KIND,
     RESTORED_ENDED_KIND,
     RESTORED_KINDS,
     RESTORED_LOST_KIND,
     RESTORED_PLANNER_KIND,
+    RESTORED_START_KIND,
     RESTORED_TWICE_KIND,
     RESTORED_UNHEARD_KIND,
+    REVOKE_SECONDS,
     SILENCE_KIND,
     SKEW_KIND,
+    WORKSPACES,
 )
 from soak.losses import PAUSE_KINDS
 from soak.proxy import LinkMode, Proxy
@@ -98,16 +106,26 @@
 # engines of a domain are killed.
 DRAW_7_KINDS = (FATAL_PART_KIND, SKEW_KIND, "engine_kill_domain")
 # The store comes back from a copy that is some seconds old.
-DRAW_8_KINDS = RESTORED_KINDS
+DRAW_8_KINDS = tuple(k for k in RESTORED_KINDS if k != RESTORED_START_KIND)
 # All engines, or a share of them, pause repeatedly beside new configurations.
 DRAW_9_KINDS = PAUSE_KINDS
 # Open connections to the store fall silent for good, repeatedly, as a key is revoked.
 DRAW_10_KINDS = (SILENCE_KIND,)
+# Many large bodies at once, some of them sent slowly or to a node that stops. A node
+# starts as the store comes back from a copy that lacks a revocation. No workspace, or
+# none with a key, is left, or the configuration does not name workspaces. The head of a
+# group is silent for a moment as a node stops.
+DRAW_11_KINDS = (
+    LARGE_BODIES_KIND,
+    RESTORED_START_KIND,
+    "revoke_all",
+    "node_stop_and_silence",
+)
 # From draw version 2 on, a seed chooses one of these probabilities, with which each
 # kind may occur in its run. With few kinds there are undisturbed periods, in which the
 # time limits are checked.
 KIND_SHARES = (0.15, 0.3, 0.6, 1.0)
-NEWEST_DRAW = 10
+NEWEST_DRAW = 11
 LINK_FAULTS = (LinkMode.SLOW, LinkMode.RESET, LinkMode.SILENT, LinkMode.ONE_WAY)
 # How nodes lose their links to the engines, chosen by `Fault.draw`.
 CUT_MODES = (LinkMode.SILENT, LinkMode.RESET, LinkMode.NO_NEW)
@@ -122,6 +140,17 @@
 # Timeout and interval of the polls for an engine that joins a group, in seconds.
 MAX_FORMING_SECONDS = 3.0
 FORMING_POLL_SECONDS = 0.02
+# Number of large bodies that are sent at once, and the time that each takes, in
+# seconds; in half of the draws every third one arrives later than is allowed.
+LARGE_BODIES = 44
+BODY_SECONDS = 1.0
+SLOW_BODY_SECONDS = 6.0
+# Time from the first large body to the stop of their node, in seconds.
+STOP_AMID_BODIES_SECONDS = 0.3
+# Time after the stop of a node in which streams still come, and then the silence of a
+# head, in seconds: a moment that no rule takes for a failure.
+SILENCE_LEAD_SECONDS = 4.5
+HEAD_SILENCE_SECONDS = 1.0
 # Minimum lifetime of a foreign entry, in seconds: longer than the limit after which
 # nothing may be sent to the engine whose entry it replaces.
 MIN_FOREIGN_SECONDS = 3.5
@@ -177,6 +206,7 @@
     kinds += DRAW_8_KINDS if draw > 7 else ()
     kinds += DRAW_9_KINDS if draw > 8 else ()
     kinds += DRAW_10_KINDS if draw > 9 else ()
+    kinds += DRAW_11_KINDS if draw > 10 else ()
     return tuple(k for k in kinds if rng.random() < share) or DRAW_2_KINDS
 
 
@@ -254,6 +284,9 @@
                 await self._send_fatal_request(fault)
             case kind if kind == EVACUATION_KIND:
                 await self._evacuate(fault)
+            case _ if fault.kind == LARGE_BODIES_KIND:
+                await self._send_large_bodies(fault, number)
+                return
             case "links":
                 await self._cut_engine_links(fault)
                 return
@@ -299,6 +332,24 @@
         )
         await asyncio.sleep(SETTLE_SECONDS)
 
+    async def _send_large_bodies(self, fault: Fault, number: int) -> None:
+        """Send large bodies to one node; in a third of the draws it stops meanwhile."""
+        variant = fault.draw // len(self.fleet.nodes)
+        seconds = [
+            SLOW_BODY_SECONDS if variant % 2 and place % 3 == 0 else BODY_SECONDS
+            for place in range(LARGE_BODIES)
+        ]
+        began = time.monotonic()
+        sending = asyncio.create_task(self.callers.send_large(number, seconds))
+        if variant % 3 == 2:
+            node = self.fleet.nodes[number]
+            await asyncio.sleep(STOP_AMID_BODIES_SECONDS)
+            self.fleet.stop(node)
+            await self._wait_until_restarted(node)
+            self._record_disturbance("node_stop", began, number)
+        await sending
+        self._record_disturbance(fault.kind, began, None)
+
     async def _skew_connections(self, fault: Fault) -> None:
         """Send most new connections to one node, which stops in half of the draws."""
         number = fault.draw // 2 % len(self.fleet.nodes)
@@ -326,6 +377,12 @@
                 await self._wait_until_restarted(node)
             case "node_pause":
                 await self._pause([node], fault.seconds)
+            case "node_stop_and_silence":
+                self.fleet.stop(node)
+                await asyncio.sleep(min(SILENCE_LEAD_SECONDS, fault.seconds))
+                head = await self._choose_head_or_plain(2 * fault.draw)
+                await self._pause([head], HEAD_SILENCE_SECONDS)
+                await self._wait_until_restarted(node)
             case "node_stop_and_pause":
                 self.fleet.stop(node)
                 await self._pause([node], fault.seconds)
@@ -422,6 +479,8 @@
                 await fleet.drop_history()
             case "revoke":
                 await self._revoke(fault.seconds)
+            case "revoke_all":
+                await self._revoke_all(fault)
             case "reconfigure":
                 await fleet.configure()
             case "foreign_entry":
@@ -482,6 +541,8 @@
                 await asyncio.sleep(restores.LOST_SECONDS)
                 await restores.restore_once(fleet, draw)
                 await evacuating
+            case kind if kind == RESTORED_START_KIND:
+                await self._start_as_store_returns(fault)
             case kind if kind == RESTORED_PLANNER_KIND:
                 await restores.kill_planner_and_head(fleet, draw)
                 await restores.restore_once(fleet, draw)
@@ -493,6 +554,29 @@
                 await restores.restore_once(fleet, draw)
         await asyncio.sleep(SETTLE_SECONDS)
 
+    async def _start_as_store_returns(self, fault: Fault) -> None:
+        """Start a node as the store comes back from a copy that lacks a revocation."""
+        node = self.fleet.nodes[fault.draw // 2 % len(self.fleet.nodes)]
+        began = time.monotonic()
+        revoking = asyncio.create_task(
+            self._revoke(restores.START_SECONDS + fault.seconds, repeats_write=True)
+        )
+        await asyncio.sleep(REVOKE_SECONDS - restores.MAX_AWAY_SECONDS)
+        node.should_run = False
+        node.signal(signal.SIGKILL)
+        await restores.restore_once(
+            self.fleet,
+            fault.draw,
+            age=restores.START_AGE,
+            rewrite_seconds=restores.START_REWRITE_SECONDS,
+        )
+        await asyncio.sleep(restores.START_DELAY_SECONDS)
+        node.start()
+        node.should_run = True
+        await revoking
+        number = self.fleet.nodes.index(node)
+        self._record_disturbance("node_kill", began, number)
+
     async def _impair_link(self, link: Proxy, fault: Fault) -> None:
         link.set_mode(fault.link)
         await asyncio.sleep(fault.seconds)
@@ -702,6 +786,28 @@
             )
             self.revocations.append(revocation)
 
+    async def _revoke_all(self, fault: Fault) -> None:
+        """Take all keys away, or all workspaces, or the field that names them."""
+        fleet = self.fleet
+        if fleet.active_keys != set(WORKSPACES):
+            return
+        form = tuple(WorkspaceForm)[fault.draw % len(WorkspaceForm)]
+        fleet.active_keys.clear()
+        fleet.settings = replace(fleet.settings, workspaces=form)
+        accepted = await fleet.configure()
+        accepted_at = time.monotonic()
+        await asyncio.sleep(fault.seconds + REVOKE_SECONDS)
+        fleet.active_keys.update(WORKSPACES)
+        fleet.settings = replace(fleet.settings, workspaces=WorkspaceForm.LISTED)
+        restored_at = time.monotonic()
+        while not await fleet.configure():
+            await asyncio.sleep(0.1)
+        if accepted:
+            self.revocations += [
+                Revocation(key=key, accepted_at=accepted_at, restored_at=restored_at)
+                for key in WORKSPACES
+            ]
+
     def _record_disturbance(self, kind: str, began: float, node: int | None) -> None:
         self.disturbances.append(
             Disturbance(kind=kind, began_at=began, ended_at=time.monotonic(), node=node)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -77,6 +77,10 @@
     cold_seconds: float = 0.0
     cold_again_after: float | None = None
     limits_cold: bool = True
+    # Memory above which a node is killed, in units of 10^6 bytes, and its descriptors:
+    # those of the smallest hosts that the users have.
+    memory_mb: float = 152.0
+    descriptors: int = 2870
 
 
 @dataclass(kw_only=True)
@@ -381,6 +385,9 @@
             f'address = "{address}"\nbinds_source = true\n'
             f'callers = "127.0.0.1:{callers}"\nreadiness = "127.0.0.1:{readiness}"\n'
             f'peer_port = {peers}\nstore = "127.0.0.1:{link.port}"\n'
+            'guarantees = ["tenants"]\n'
+            f"memory_mb = {self.shape.memory_mb}\n"
+            f"descriptors = {self.shape.descriptors}\n"
             f"[bounds]\napply = {APPLY_SECONDS}\nrevoke = {REVOKE_SECONDS}\n"
             f"grace = {GRACE_SECONDS}\n"
             "stall = 1.0\nchecks_fencing = true\n" + self._cold_bounds()
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -70,6 +70,7 @@
 RESTORED_LOST_KIND = "store_restored_lost"
 RESTORED_ENDED_KIND = "store_restored_ended"
 RESTORED_PLANNER_KIND = "store_restored_planner"
+RESTORED_START_KIND = "store_restored_start"
 # Open connections to the store fall silent for good.
 SILENCE_KIND = "store_silence"
 RESTORED_KINDS = (
@@ -79,7 +80,13 @@
     RESTORED_LOST_KIND,
     RESTORED_ENDED_KIND,
     RESTORED_PLANNER_KIND,
+    RESTORED_START_KIND,
 )
+# Many large bodies are sent to one node at the same time.
+LARGE_BODIES_KIND = "large_bodies"
+# Statuses and reason of requests that find no room.
+NO_ROOM_STATUSES = (408, 503)
+NO_ROOM_TEXT = b"bodies_exceed_memory"
 # Time after the start of a skew from which as many requests must be served as before,
 # in seconds, the share of the rate before, and the number of requests from which this
 # is checked in both intervals.
@@ -94,6 +101,7 @@
     RATE_LIMIT_KIND,
     BACKOFF_KIND,
     EVACUATION_KIND,
+    LARGE_BODIES_KIND,
     *NO_EFFECT_KINDS,
 )
 # Time after the last disturbance after which every request must be served, in seconds:
@@ -116,6 +124,7 @@
     EVACUATION_KIND,
     "foreign_entry_of_engine",
     "revoke",
+    "revoke_all",
     STALL_KIND,
     *NO_EFFECT_KINDS,
 )
@@ -184,6 +193,8 @@
         _check_part_containment,
         _check_part_bystanders,
         _check_bystanders,
+        _check_exhaustion,
+        _check_large_bodies,
     )
     if timed:
         checks += (
@@ -448,6 +459,29 @@
             yield f"{record.attempt}: not served beside an entry of no engine"
 
 
+def _check_exhaustion(run: Run) -> Iterator[str]:
+    """Find nodes that exceeded their memory or their descriptors."""
+    for found in run.exhaustions:
+        yield f"node {found.node}: {found.what} exceeded, {found.used} used"
+
+
+def _check_large_bodies(run: Run) -> Iterator[str]:
+    """Find large requests without an answer, and small ones refused for them."""
+    for record in run.callers:
+        if not record.padding:
+            if NO_ROOM_TEXT in record.body:
+                yield f"{record.attempt}: refused for large ones"
+            continue
+        if record.status in NO_ROOM_STATUSES and record.ending is Ending.WHOLE:
+            if record.status == 503 and names.RETRY_AFTER not in record.headers:
+                yield f"{record.attempt}: refused without a time to come back"
+            continue
+        start = record.sent_at - RECOVERY_SECONDS
+        is_calm = _is_node_undisturbed(run, record.node, start, record.ended_at)
+        if is_calm and record.ending is not Ending.WHOLE:
+            yield f"{record.attempt}: a large request got no whole answer"
+
+
 def _check_misdirected(run: Run) -> Iterator[str]:
     """Find requests meant for an engine that exists only in a foreign entry."""
     engines = {entry.engine for entry in run.notes}
--- a/soak/records.py
+++ b/soak/records.py
@@ -43,6 +43,9 @@
     is_first_attempt: bool = True
     # Request body; the retries of a request have the same one.
     content: str = ""
+    # Bytes that follow it in the body, and the time over which these are sent.
+    padding: int = 0
+    sending_seconds: float = 0.0
     # Ids of the parts of the prompt; the last one is the request's own.
     parts: tuple[str, ...] = ()
     status: int = 0
@@ -152,6 +155,16 @@
     ended_at: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class Exhaustion:
+    """A node exceeded what its host gives it of `what`, and was killed."""
+
+    node: int
+    what: str
+    used: int
+    at: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class Run:
     """All records of one run, as the checks read them."""
@@ -167,7 +180,10 @@
     skews: tuple[Skew, ...] = ()
     pauses: tuple[EnginePause, ...] = ()
     engine_ends: tuple[EngineEnd, ...] = ()
+    exhaustions: tuple[Exhaustion, ...] = ()
     longest_stall: float = 0.0
+    peak_bytes: int = 0
+    peak_descriptors: int = 0
 
 
 def write_run(run: Run, path: Path) -> None:
--- a/soak/restores.py
+++ b/soak/restores.py
@@ -14,6 +14,14 @@
 # Time from the return of the store to that of the nodes' links, in seconds: the store
 # has then given out as many versions as it had lost.
 UNHEARD_SECONDS = 4.0
+# Age of the copy, delay of the start of a node after the return of the store, time
+# until the operator writes again, and time from the revocation that the copy lacks to
+# the end of all that, in seconds: the node serves before the revocation is back.
+START_AGE = 4.0
+START_REWRITE_SECONDS = 2.0
+START_DELAY_SECONDS = 0.1
+START_SECONDS = 4.0
+MAX_AWAY_SECONDS = max(AWAY_SECONDS)
 # Time between a change and the drill that loses it, in seconds.
 LOST_SECONDS = 0.3
 
@@ -23,12 +31,18 @@
     return AWAY_SECONDS[draw // 3 % len(AWAY_SECONDS)]
 
 
-async def restore_once(fleet: Fleet, draw: int) -> None:
+async def restore_once(
+    fleet: Fleet,
+    draw: int,
+    *,
+    age: float | None = None,
+    rewrite_seconds: float = REWRITE_SECONDS,
+) -> None:
     """Let the store come back from a copy; return when it is back."""
-    age = COPY_AGES[draw % len(COPY_AGES)]
+    age = COPY_AGES[draw % len(COPY_AGES)] if age is None else age
     away = away_seconds(draw)
     await fleet.restore_store(
-        age=age, away_seconds=away, rewrite_seconds=REWRITE_SECONDS
+        age=age, away_seconds=away, rewrite_seconds=rewrite_seconds
     )
     await asyncio.sleep(away)
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -18,12 +18,15 @@
     FATAL_CRASHES,
     FATAL_KIND,
     FATAL_PART_KIND,
+    LARGE_BODIES_KIND,
     RATE_LIMIT_KIND,
     RESTORED_KIND,
+    RESTORED_START_KIND,
     RESTORED_UNHEARD_KIND,
     REVOKE_SECONDS,
     SILENCE_KIND,
     SKEW_KIND,
+    WORKSPACES,
     find_violations,
 )
 from soak.losses import (
@@ -222,6 +225,63 @@
     assert find_violations(run) == []
 
 
+# The quotient of `Fault.draw` by the number of nodes chooses: at once, every third one
+# slowly, or as the node stops.
+@pytest.mark.parametrize(
+    ("draw", "memory_mb"),
+    [(0, 152.0), (0, 60.0), (3, 152.0), (6, 152.0)],
+    ids=["at once", "less memory", "some slow", "as it stops"],
+)
+def test_large_bodies_together_do_not_exhaust_a_node(draw, memory_mb, tmp_path):
+    """Guards against a node that is killed for the sum of allowed bodies."""
+    fault = Fault(at=1.0, kind=LARGE_BODIES_KIND, seconds=4.0, draw=draw)
+    shape = FleetShape(memory_mb=memory_mb)
+    case = Case(seed=1, seconds=0.0, faults=(fault,), shape=shape)
+    run = asyncio.run(run_case(case, tmp_path))
+    assert run.exhaustions == ()
+    assert find_violations(run) == []
+    large = [record for record in run.callers if record.padding]
+    assert any(r.status == 200 and r.ending is Ending.WHOLE for r in large)
+
+
+# The remainder of `Fault.draw` chooses how the keys go.
+@pytest.mark.parametrize("draw", [0, 1, 2], ids=["no keys", "no workspaces", "unnamed"])
+def test_no_revoked_key_runs_when_no_key_is_left(draw, tmp_path):
+    """Guards against a configuration without keys that ends the check of keys."""
+    fault = Fault(at=3.5, kind="revoke_all", seconds=3.0, draw=draw)
+    run = asyncio.run(run_case(Case(seed=1, seconds=0.0, faults=(fault,)), tmp_path))
+    assert {revocation.key for revocation in run.revocations} == set(WORKSPACES)
+    late = run.revocations[0].accepted_at + REVOKE_SECONDS
+    assert any(late < r.sent_at < run.revocations[0].restored_at for r in run.callers)
+    assert find_violations(run) == []
+
+
+@pytest.mark.parametrize("draw", [0, 2, 4])
+def test_a_node_that_starts_as_the_store_returns_admits_no_revoked_key(draw, tmp_path):
+    """Guards against a node that relies on a copy as it has read nothing else."""
+    fault = Fault(at=3.5, kind=RESTORED_START_KIND, seconds=3.0, draw=draw)
+    run = asyncio.run(run_case(Case(seed=1, seconds=0.0, faults=(fault,)), tmp_path))
+    (revocation,) = run.revocations
+    late = revocation.accepted_at + REVOKE_SECONDS
+    sent = [r for r in run.callers if late < r.sent_at < revocation.restored_at]
+    assert any(record.key == revocation.key for record in sent)
+    assert any(record.status == 200 for record in sent)
+    assert find_violations(run) == []
+
+
+@pytest.mark.parametrize("draw", [0, 1, 2])
+def test_a_node_that_stops_cuts_no_stream_of_a_head_that_is_silent(draw, tmp_path):
+    """Guards against streams whose reserve for a silence was used up by a wait."""
+    fault = Fault(at=1.0, kind="node_stop_and_silence", seconds=4.0, draw=draw)
+    case = Case(seed=1, seconds=0.0, faults=(fault,))
+    run = asyncio.run(run_case(case, tmp_path, rate=PAUSE_REQUESTS_PER_SECOND))
+    began, ended = run.disturbances[0].began_at, run.disturbances[0].ended_at
+    ran = {entry.values["attempt"] for entry in run.notes if entry.event == "run"}
+    sent = [r for r in run.callers if began < r.sent_at < ended and r.attempt in ran]
+    assert [r.attempt for r in sent if r.ending is not Ending.WHOLE] == []
+    assert find_violations(run) == []
+
+
 @pytest.mark.parametrize("nodes", [1, 3])
 def test_a_key_that_is_revoked_after_the_store_was_restored_is_refused(nodes, tmp_path):
     """Guards against a change that is never read as its version is given out again."""
