Messages: a host skips the fields that a later version adds

Cause: a datagram with more fields than the reader knows counted as unreadable; only missing fields had defaults. Change: fields after the known ones are skipped, for every message.

--- a/mallowpond/node/messages.py
+++ b/mallowpond/node/messages.py
@@ -1,7 +1,8 @@
 """Define the messages that nodes exchange, and encode and decode their datagrams.
 
 Datagrams may be lost or duplicated. Every message is complete by itself, and the next
-heartbeat repeats the state that peers depend on.
+heartbeat repeats the state that peers depend on. New fields are added at the end of a
+message and have a default, so that hosts of two versions understand each other.
 """
 
 import zlib
@@ -532,6 +533,9 @@
     if not isinstance(name, str) or name not in MESSAGE_CLASSES:
         return Unreadable(fault=DecodeFault.UNKNOWN)
     kind = MESSAGE_CLASSES[name]
+    if isinstance(plain, list):
+        # Hosts of a later version add fields at the end.
+        del plain[len(fields(kind)) :]
     if kind in OMITTED_DEFAULTS and isinstance(plain, list):
         missing = len(fields(kind)) - len(plain)
         defaults = _omitted_defaults(kind)
