--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -97,6 +97,9 @@
     cold_again_after: float | None = None
 
 
+# Start of the body of a request that is answered at length, and that length in bytes.
+LARGE_ANSWER = b"answer at length"
+LARGE_ANSWER_BYTES = 3 * 1024 * 1024
 # Bytes of requests that an engine holds at one time: more than its callers send.
 MAX_HELD_BYTES = 1024 * 1024 * 1024
 
@@ -527,7 +530,10 @@
                 self._call_later(FATAL_SECONDS, lambda: self._crash(attempt))
             if membership is None:
                 await asyncio.sleep(2 * FATAL_SECONDS if is_fatal else CALL_SECONDS)
-                await exchange.respond(200, call_body(attempt), stamped_headers)
+                body = call_body(
+                    attempt, is_large=request.body.startswith(LARGE_ANSWER)
+                )
+                await exchange.respond(200, body, stamped_headers)
             else:
                 await self._stream(
                     request, exchange, attempt, stamped_headers, membership
@@ -604,9 +610,10 @@
         return ""
 
 
-def call_body(attempt: str) -> bytes:
+def call_body(attempt: str, *, is_large: bool = False) -> bytes:
     """Return the body of a plain service's answer to an attempt."""
-    return f"answer to {attempt}".encode()
+    body = f"answer to {attempt}".encode()
+    return body + b"x" * LARGE_ANSWER_BYTES if is_large else body
 
 
 def event_bytes(attempt: str, number: int) -> bytes:
--- a/mallowpond/state/payload_memory.py
+++ b/mallowpond/state/payload_memory.py
@@ -128,14 +128,12 @@
     def try_add(self, hold: Hold, size: int) -> bool:
         """Count `size` more bytes of a hold; return whether there is room.
 
-        The only large body is always admitted, as its own limit holds, and small ones
-        beside it have the memory that large ones may not use.
+        The oldest large body is always admitted, as its own limit holds and others wait
+        for it; small ones beside it have the memory that large ones may not use.
         """
         is_large = hold.size + size > SMALL_BODY_BYTES
         if is_large:
-            has_room = not self._large or (
-                len(self._large) == 1 and hold in self._large
-            )
+            has_room = next(iter(self._large), hold) is hold
         else:
             reserved = (1.0 - LARGE_BODY_SHARE) * self._max_bytes
             small_bytes = self._held_bytes - self._large_bytes
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -34,6 +34,8 @@
 # Time without an answer on a reused connection after which a caller that gives up has
 # the other idle ones to that server closed, in seconds: all may be silent.
 SILENT_SECONDS = 0.3
+# Interval between looks for memory while an answer waits for it, in seconds.
+ROOM_POLL_SECONDS = 0.02
 # Largest body that is read whole: a server may send bytes without end.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # Largest body that is sent in one write with its headers.
@@ -258,8 +260,9 @@
     ) -> bytes | CallFailed:
         """Return the whole body.
 
-        It fails above `limit` bytes, or without room for it. A caller that keeps the
-        body passes the `hold` that its bytes are counted in until it is released.
+        It fails above `limit` bytes, and waits for room if other bodies use the memory;
+        the server then waits, too. A caller that keeps the body passes the `hold` that
+        its bytes are counted in until it is released.
         """
         now = time.monotonic()
         counted = hold or self._client.memory.open(now=now)
@@ -269,10 +272,12 @@
                 match event:
                     case Chunk(data=data):
                         size = len(body) + len(data)
-                        if size > limit or not counted.try_reserve(before + size):
+                        if size > limit:
                             return CallFailed(
                                 phase=FailurePhase.BODY, reason="too large"
                             )
+                        while not counted.try_reserve(before + size):
+                            await asyncio.sleep(ROOM_POLL_SECONDS)
                         body += data
                     case CallFailed():
                         return event
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,7 @@
 
 from mallowpond.coordination.tasks import cancel_task
 from mallowpond.platform import headers as names
+from mallowpond.standins.observatory_engine import LARGE_ANSWER
 from soak.records import CallerRecord, Ending, RequestKind
 
 READ_SIZE = 65536
@@ -158,6 +159,18 @@
         self.records += records
         await asyncio.gather(*(self._send(record, None) for record in records))
 
+    async def read_slowly(self, node: int, delays: Sequence[float]) -> None:
+        """Ask one node for large answers at once, and read each after its delay."""
+        records = []
+        for delay in delays:
+            record = self._new_record(RequestKind.AGAIN, 1, LARGE_SECONDS, node)
+            record.content = f"{LARGE_ANSWER.decode()} {record.attempt}"
+            record.is_answer_large = True
+            record.reading_delay = delay
+            records.append(record)
+        self.records += records
+        await asyncio.gather(*(self._send(record, None) for record in records))
+
     async def _poll_readiness(self) -> None:
         while True:
             for node, (_, port) in enumerate(self._ports):
@@ -312,6 +325,7 @@
             # An answer may come before the whole body was sent.
             padding = asyncio.create_task(self._send_padding(record))
             stack.push_async_callback(cancel_task, padding)
+            await asyncio.sleep(record.reading_delay)
             await self._read_answer(record)
 
     async def _send_padding(self, record: CallerRecord) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -40,6 +40,7 @@
     REVOKE_SECONDS,
     SILENCE_KIND,
     SKEW_KIND,
+    SLOW_READERS_KIND,
     WORKSPACES,
 )
 from soak.losses import PAUSE_KINDS
@@ -111,12 +112,14 @@
 DRAW_9_KINDS = PAUSE_KINDS
 # Open connections to the store fall silent for good, repeatedly, as a key is revoked.
 DRAW_10_KINDS = (SILENCE_KIND,)
-# Many large bodies at once, some of them sent slowly or to a node that stops. A node
-# starts as the store comes back from a copy that lacks a revocation. No workspace, or
-# none with a key, is left, or the configuration does not name workspaces. The head of a
-# group is silent for a moment as a node stops.
+# Many large bodies at once, some of them sent slowly or to a node that stops. Many
+# large answers at once, read slowly. A node starts as the store comes back from a copy
+# that lacks a revocation. No workspace, or none with a key, is left, or the
+# configuration does not name workspaces. The head of a group is silent for a moment as
+# a node stops.
 DRAW_11_KINDS = (
     LARGE_BODIES_KIND,
+    SLOW_READERS_KIND,
     RESTORED_START_KIND,
     "revoke_all",
     "node_stop_and_silence",
@@ -145,6 +148,9 @@
 LARGE_BODIES = 44
 BODY_SECONDS = 1.0
 SLOW_BODY_SECONDS = 6.0
+# Number of callers that read slowly, and the time before they read, in seconds.
+SLOW_READERS = 24
+READING_DELAY_SECONDS = 0.5
 # Time from the first large body to the stop of their node, in seconds.
 STOP_AMID_BODIES_SECONDS = 0.3
 # Time after the stop of a node in which streams still come, and then the silence of a
@@ -287,6 +293,9 @@
             case _ if fault.kind == LARGE_BODIES_KIND:
                 await self._send_large_bodies(fault, number)
                 return
+            case _ if fault.kind == SLOW_READERS_KIND:
+                delays = SLOW_READERS * [READING_DELAY_SECONDS]
+                await self.callers.read_slowly(number, delays)
             case "links":
                 await self._cut_engine_links(fault)
                 return
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -84,6 +84,8 @@
 )
 # Many large bodies are sent to one node at the same time.
 LARGE_BODIES_KIND = "large_bodies"
+# Many callers of one node read large answers slowly.
+SLOW_READERS_KIND = "slow_readers"
 # Statuses and reason of requests that find no room.
 NO_ROOM_STATUSES = (408, 503)
 NO_ROOM_TEXT = b"bodies_exceed_memory"
@@ -102,6 +104,7 @@
     BACKOFF_KIND,
     EVACUATION_KIND,
     LARGE_BODIES_KIND,
+    SLOW_READERS_KIND,
     *NO_EFFECT_KINDS,
 )
 # Time after the last disturbance after which every request must be served, in seconds:
@@ -221,7 +224,7 @@
 
 def _expected_body(record: CallerRecord) -> bytes:
     if record.kind is not RequestKind.STREAM:
-        return call_body(record.attempt)
+        return call_body(record.attempt, is_large=record.is_answer_large)
     numbers = range(1, record.events + 1)
     return b"".join(event_bytes(record.attempt, number) for number in numbers)
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -45,6 +45,9 @@
     content: str = ""
     # Bytes that follow it in the body, and the time over which these are sent.
     padding: int = 0
+    # Whether the answer is large, and the time before any of it is read.
+    is_answer_large: bool = False
+    reading_delay: float = 0.0
     sending_seconds: float = 0.0
     # Ids of the parts of the prompt; the last one is the request's own.
     parts: tuple[str, ...] = ()
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -26,6 +26,7 @@
     REVOKE_SECONDS,
     SILENCE_KIND,
     SKEW_KIND,
+    SLOW_READERS_KIND,
     WORKSPACES,
     find_violations,
 )
@@ -244,6 +245,17 @@
     assert any(r.status == 200 and r.ending is Ending.WHOLE for r in large)
 
 
+def test_answers_that_callers_read_slowly_do_not_exhaust_a_node(tmp_path):
+    """Guards against a node that is killed for the sum of answers not read yet."""
+    fault = Fault(at=1.0, kind=SLOW_READERS_KIND, seconds=4.0, draw=0)
+    case = Case(seed=1, seconds=0.0, faults=(fault,), shape=FleetShape(memory_mb=60.0))
+    run = asyncio.run(run_case(case, tmp_path))
+    assert run.exhaustions == ()
+    assert find_violations(run) == []
+    large = [record for record in run.callers if record.is_answer_large]
+    assert any(r.status == 200 and r.ending is Ending.WHOLE for r in large)
+
+
 # The remainder of `Fault.draw` chooses how the keys go.
 @pytest.mark.parametrize("draw", [0, 1, 2], ids=["no keys", "no workspaces", "unnamed"])
 def test_no_revoked_key_runs_when_no_key_is_left(draw, tmp_path):
