--- a/mallowpond/node/ingress.py
+++ b/mallowpond/node/ingress.py
@@ -92,10 +92,11 @@
         self.is_stopping = False
         self.shutdown_at = float("inf")
         self.in_flight = 0
+        self._memory = memory or PayloadMemory(max_bytes=process_limits.payload_bytes)
         self.server = HttpServer(
             handler=self._handle,
             on_bad_input=self._answer_bad_input,
-            memory=memory,
+            memory=self._memory,
             process_limits=process_limits,
         )
 
@@ -291,7 +292,15 @@
 
     async def _answer_bad_input(self, bad: BadInput, exchange: Exchange) -> None:
         self._metrics.bad_input.labels(bad.reason).inc()
-        log.info("ingress: unreadable", status=bad.status, reason=bad.reason)
+        log.info(
+            "ingress: unreadable",
+            status=bad.status,
+            reason=bad.reason,
+            retry_after=bad.retry_after and round(bad.retry_after, 3),
+            held_bytes=self._memory.held_bytes,
+            max_bytes=self._memory.max_bytes,
+            connections=self.server.connection_count,
+        )
         body = json.dumps({"error": bad.reason}).encode()
         await exchange.respond(bad.status, body, retry_headers(bad))
 
--- a/mallowpond/standins/observatory_engine.py
+++ b/mallowpond/standins/observatory_engine.py
@@ -97,6 +97,10 @@
     cold_again_after: float | None = None
 
 
+# Start of the body of a request that is answered without end, and the size of each
+# part of that answer in bytes.
+ENDLESS_ANSWER = b"answer without end"
+ENDLESS_PART_BYTES = 64 * 1024
 # Start of the body of a request that is answered at length, and that length in bytes.
 LARGE_ANSWER = b"answer at length"
 LARGE_ANSWER_BYTES = 3 * 1024 * 1024
@@ -528,6 +532,10 @@
             is_fatal = _is_fatal(request)
             if is_fatal:
                 self._call_later(FATAL_SECONDS, lambda: self._crash(attempt))
+            if request.body.startswith(ENDLESS_ANSWER):
+                await exchange.start(200, stamped_headers)
+                while True:
+                    await exchange.send(b"x" * ENDLESS_PART_BYTES)
             if membership is None:
                 await asyncio.sleep(2 * FATAL_SECONDS if is_fatal else CALL_SECONDS)
                 body = call_body(
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -232,6 +232,11 @@
         """Return whether a complete request still awaits the end of its response."""
         return bool(self._busy or self._flushing)
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
     def set_limits(self, limits: ServerLimits) -> None:
         """Apply new limits from now on; open connections keep their limit in h11."""
         self._limits = limits
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,7 +11,7 @@
 
 from mallowpond.coordination.tasks import cancel_task
 from mallowpond.platform import headers as names
-from mallowpond.standins.observatory_engine import LARGE_ANSWER
+from mallowpond.standins.observatory_engine import ENDLESS_ANSWER, LARGE_ANSWER
 from soak.records import CallerRecord, Ending, RequestKind
 
 READ_SIZE = 65536
@@ -171,6 +171,27 @@
         self.records += records
         await asyncio.gather(*(self._send(record, None) for record in records))
 
+    async def ask_without_end(self, node: int, count: int) -> None:
+        """Send requests to one node that its engines answer without end."""
+        records = []
+        for _ in range(count):
+            kind = RequestKind.AGAIN
+            record = self._new_record(kind, 1, DEADLINES[kind], node)
+            record.content = f"{ENDLESS_ANSWER.decode()} {record.attempt}"
+            records.append(record)
+        self.records += records
+        await asyncio.gather(*(self._send(record, None) for record in records))
+
+    async def send_connect(self, node: int) -> None:
+        """Ask a node for a tunnel, and wait until it answers or closes."""
+        with suppress(OSError, TimeoutError):
+            async with asyncio.timeout(READ_GRACE_SECONDS):
+                port = self._ports[node][0]
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(b"CONNECT x:443 HTTP/1.1\r\nHost: x:443\r\n\r\n")
+                await reader.readline()
+                writer.transport.abort()
+
     async def _poll_readiness(self) -> None:
         while True:
             for node, (_, port) in enumerate(self._ports):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,6 +26,8 @@
 from soak.fleet import DATA_CENTRES, Fleet, ManagedProcess
 from soak.judge import (
     BACKOFF_KIND,
+    CONNECT_KIND,
+    ENDLESS_KIND,
     EVACUATION_KIND,
     FATAL_PART_KIND,
     LARGE_BODIES_KIND,
@@ -116,13 +118,15 @@
 # large answers at once, read slowly. A node starts as the store comes back from a copy
 # that lacks a revocation. No workspace, or none with a key, is left, or the
 # configuration does not name workspaces. The head of a group is silent for a moment as
-# a node stops.
+# a node stops. Engines answer without end. A caller asks for a tunnel.
 DRAW_11_KINDS = (
     LARGE_BODIES_KIND,
     SLOW_READERS_KIND,
     RESTORED_START_KIND,
     "revoke_all",
     "node_stop_and_silence",
+    ENDLESS_KIND,
+    CONNECT_KIND,
 )
 # From draw version 2 on, a seed chooses one of these probabilities, with which each
 # kind may occur in its run. With few kinds there are undisturbed periods, in which the
@@ -148,6 +152,8 @@
 LARGE_BODIES = 44
 BODY_SECONDS = 1.0
 SLOW_BODY_SECONDS = 6.0
+# Number of answers without end that are asked for at once.
+ENDLESS_ANSWERS = 8
 # Number of callers that read slowly, and the time before they read, in seconds.
 SLOW_READERS = 24
 READING_DELAY_SECONDS = 0.5
@@ -296,6 +302,10 @@
             case _ if fault.kind == SLOW_READERS_KIND:
                 delays = SLOW_READERS * [READING_DELAY_SECONDS]
                 await self.callers.read_slowly(number, delays)
+            case _ if fault.kind == ENDLESS_KIND:
+                await self.callers.ask_without_end(number, ENDLESS_ANSWERS)
+            case _ if fault.kind == CONNECT_KIND:
+                await self.callers.send_connect(number)
             case "links":
                 await self._cut_engine_links(fault)
                 return
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -86,6 +86,9 @@
 LARGE_BODIES_KIND = "large_bodies"
 # Many callers of one node read large answers slowly.
 SLOW_READERS_KIND = "slow_readers"
+# Engines answer some requests of a node without end. A caller asks a node for a tunnel.
+ENDLESS_KIND = "endless_answers"
+CONNECT_KIND = "connect"
 # Statuses and reason of requests that find no room.
 NO_ROOM_STATUSES = (408, 503)
 NO_ROOM_TEXT = b"bodies_exceed_memory"
@@ -105,6 +108,8 @@
     EVACUATION_KIND,
     LARGE_BODIES_KIND,
     SLOW_READERS_KIND,
+    ENDLESS_KIND,
+    CONNECT_KIND,
     *NO_EFFECT_KINDS,
 )
 # Time after the last disturbance after which every request must be served, in seconds:
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -13,7 +13,9 @@
     APPLY_SECONDS,
     BACKOFF_KIND,
     BYSTANDER_TEXT,
+    CONNECT_KIND,
     DRAIN_SECONDS,
+    ENDLESS_KIND,
     EVACUATION_KIND,
     FATAL_CRASHES,
     FATAL_KIND,
@@ -256,6 +258,17 @@
     assert any(r.status == 200 and r.ending is Ending.WHOLE for r in large)
 
 
+@pytest.mark.parametrize("kind", [ENDLESS_KIND, CONNECT_KIND])
+def test_a_node_serves_others_beside_a_request_that_never_ends(kind, tmp_path):
+    """Guards against a node that hangs, or that bytes without end exhaust."""
+    fault = Fault(at=1.0, kind=kind, seconds=3.0, draw=0)
+    run = asyncio.run(run_case(Case(seed=1, seconds=0.0, faults=(fault,)), tmp_path))
+    assert find_violations(run) == []
+    after = run.disturbances[0].began_at
+    served = [r for r in run.callers if r.node == 0 and r.sent_at > after]
+    assert any(r.status == 200 and r.ending is Ending.WHOLE for r in served)
+
+
 # The remainder of `Fault.draw` chooses how the keys go.
 @pytest.mark.parametrize("draw", [0, 1, 2], ids=["no keys", "no workspaces", "unnamed"])
 def test_no_revoked_key_runs_when_no_key_is_left(draw, tmp_path):
