Calls: one answer has no more than the memory for bodies

The oldest large body is always admitted, so one answer could take 32 MiB with its copy on a host that has 10 MB for all. Its size is bounded by the ledger now, besides the 16 MiB. The new test fails on the commit before: the answer of 300 kB is whole with 200 kB allowed.

--- a/mallowpond/state/payload_memory.py
+++ b/mallowpond/state/payload_memory.py
@@ -114,6 +114,11 @@
         """Return the bytes that may be held."""
         return self._max_bytes
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Return the size of a body that takes all of the memory."""
+        return self._max_bytes // COPIES
+
     def open(
         self, *, now: float, limit_seconds: float = inf, announced: int = 0
     ) -> Hold:
--- a/mallowpond/transport/http_client.py
+++ b/mallowpond/transport/http_client.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 
 import h11
 
@@ -256,15 +257,16 @@
                     return
 
     async def read(
-        self, limit: int = MAX_BODY_BYTES, *, hold: Hold | None = None
+        self, limit: int | None = None, *, hold: Hold | None = None
     ) -> bytes | CallFailed:
         """Return the whole body.
 
-        It fails above `limit` bytes, and waits for room if other bodies use the memory;
-        the server then waits, too. A caller that keeps the body passes the `hold` that
-        its bytes are counted in until it is released.
+        It fails above `limit` bytes, or what the memory allows at most, and waits for
+        room if other bodies use it; the server then waits, too. A caller that keeps the
+        body passes the `hold` that its bytes are counted in until it is released.
         """
         now = time.monotonic()
+        limit = min(MAX_BODY_BYTES, self._client.memory.max_body_bytes, limit or inf)
         counted = hold or self._client.memory.open(now=now)
         before, body = counted.size, bytearray()
         try:
--- a/mallowpond/transport/tests/test_http_client.py
+++ b/mallowpond/transport/tests/test_http_client.py
@@ -309,6 +309,21 @@
     await http.close()
 
 
+async def test_an_answer_has_no_more_than_the_memory_for_it():
+    """Guards against one answer that exceeds what a small host has for all."""
+
+    async def send_much(reader, writer):
+        await scripted.read_request(reader)
+        writer.write(answer_of(200, b"x" * 300_000))
+        await reader.read()
+
+    http = HttpClient(memory=PayloadMemory(max_bytes=COPIES * 200_000))
+    async with scripted.scripted_server(send_much) as address:
+        assert isinstance(await http.fetch(address, "GET", "/x"), CallFailed)
+    assert http.memory.held_bytes == 0
+    await http.close()
+
+
 async def test_bodies_that_are_read_at_once_have_a_limit_together():
     """Guards against many servers that send bytes without end at once."""
 
