--- a/soak/memory.py
+++ b/soak/memory.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import time
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -15,6 +16,8 @@
 log = structlog.get_logger()
 
 POLL_SECONDS = 0.02
+# State of a socket that listens, in the list of the kernel.
+LISTENING = "0A"
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -39,8 +42,7 @@
     def _check(self, number: int, pid: int) -> None:
         shape = self.fleet.shape
         try:
-            memory = private_bytes(pid)
-            descriptors = len(os.listdir(f"/proc/{pid}/fd"))
+            memory, descriptors = resources_of(pid)
         except (OSError, ValueError):
             # It has just ended.
             return
@@ -59,6 +61,37 @@
             self.fleet.nodes[number].signal(signal.SIGKILL)
 
 
+def resources_of(pid: int) -> tuple[int, int]:
+    """Return the bytes that count as a process's memory, and its open descriptors.
+
+    Raises OSError or ValueError if it has ended.
+    """
+    inodes = open_inodes(pid)
+    return private_bytes(pid) + unread_bytes(inodes), len(inodes)
+
+
+def open_inodes(pid: int) -> list[str]:
+    """Return what each descriptor of a process refers to, sockets by their inode."""
+    folder = f"/proc/{pid}/fd"
+    found = []
+    for name in os.listdir(folder):
+        with suppress(FileNotFoundError):
+            # It may have been closed since.
+            found.append(os.readlink(f"{folder}/{name}"))
+    return found
+
+
+def unread_bytes(inodes: list[str]) -> int:
+    """Return the bytes that sockets of TCP have received and nobody has read."""
+    sockets = {n[len("socket:[") : -1] for n in inodes if n.startswith("socket:[")}
+    unread = 0
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        fields = line.split()
+        if fields[9] in sockets and fields[3] != LISTENING:
+            unread += int(fields[4].partition(":")[2], 16)
+    return unread
+
+
 def private_bytes(pid: int) -> int:
     """Return the resident memory of a process without the pages of its files."""
     fields = Path(f"/proc/{pid}/statm").read_text().split()
