Server: a refused body is freed before its rest is discarded

What callers saw: 40 clients that send chunks of 64 KiB and stop short end a node of 112 MB; all of its callers get no answer.

Cause: the exception that refuses a body in its midst keeps the frames it came through, and these the bytes that had arrived, while the rest is discarded for up to 2 s. The memory for bodies counts them no more, so further bodies are admitted.

Evidence: the new test sees 2 MB kept after the refusal on the code before, and nothing now.

--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -373,6 +373,7 @@
             hold = self._memory.open(
                 now=loop.time(), limit_seconds=self._limits.receive_seconds
             )
+            bad: BadInput | None = None
             try:
                 request = await self._receive(
                     connection,
@@ -394,14 +395,15 @@
                 # While an idle connection waits, it must not keep the body.
                 del request
             except _UnreadableRequest as unreadable:
-                # Nothing of the body is kept while its rest is discarded.
+                # The traceback keeps what has arrived of the body until it is gone.
+                bad = unreadable.bad
+            finally:
                 hold.release(loop.time())
-                await self._on_bad_input(unreadable.bad, exchange)
-                if unreadable.bad.status in EARLY_STATUSES:
+            if bad is not None:
+                await self._on_bad_input(bad, exchange)
+                if bad.status in EARLY_STATUSES:
                     await _discard_rest(reader, writer, self._limits.body_bytes)
                 return
-            finally:
-                hold.release(loop.time())
             if not exchange.finished or connection.our_state is not h11.DONE:
                 # Without a final chunk the client sees that the response is incomplete.
                 return
--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -1,8 +1,10 @@
 """Bad input, incomplete responses, and stops with requests in progress."""
 
 import asyncio
+import contextlib
 import socket
 import time
+import tracemalloc
 from dataclasses import replace
 
 import pytest
@@ -178,6 +180,38 @@
     await server.close()
 
 
+async def test_a_refused_body_is_not_kept_while_its_rest_is_discarded():
+    """Guards against refused bodies that no limit counts any more."""
+    size = 2_000_000
+    memory = PayloadMemory(max_bytes=COPIES * 2 * size)
+    limits = ServerLimits(body_bytes=size)
+    server = HttpServer(handler=None, limits=limits, memory=memory)
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    chunk = b"2710\r\n" + b"x" * 10_000 + b"\r\n"
+    head = b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+    with tracing_memory() as traced:
+        writer.write(head)
+        for _ in range(size // 10_000 + 1):
+            writer.write(chunk)
+            await writer.drain()
+        assert (await reader.readline()).startswith(b"HTTP/1.1 413 ")
+        await asyncio.sleep(0.1)
+        assert (memory.held_bytes, traced() < size // 4) == (0, True)
+    writer.close()
+    await server.close()
+
+
+@contextlib.contextmanager
+def tracing_memory():
+    """Yield a function that returns the bytes allocated since and not freed."""
+    tracemalloc.start()
+    try:
+        yield lambda: tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+
+
 async def test_two_requests_on_one_connection_are_answered_in_order():
     answer = await answer_to(OK + OK, end=True)
     assert answer.count(b"HTTP/1.1 200") == 2
