Server: a connection holds no more than it is asked to read

What callers saw: 20 clients that send requests ahead and read no answer end a node of 112 MB, 40 one of 300 MB; so do 100 and 400 that send POSTs of 60,000 bytes ahead, and 40 with bodies of 4 MiB, whole or one byte short, as unread bytes count.

Cause: while a request was served, up to 128 KiB of what followed it went into the parser's buffer, anew for each request; a read of a socket may bring 256 KiB; and nothing bounded the kernel's receive buffers, which grow by themselves.

Change: a protocol of its own reads what it is told to expect into one shared buffer: a head, the rest of a body, or 8 KiB of a request that nobody waits for. The parser gets exactly one head, and chunks are decoded beside it, since it cannot give back what follows a body. The kernel's buffer of each connection is set (16 KiB; it then held up to 24 KiB unread, measured), and larger for a few connections with large bodies, whose number the settings give. It is never made smaller again: a client then stood still for over two seconds in a trial. 32 connections are accepted in a pass of the event loop, so that those to be refused do not take all descriptors. A connection counts as 48 KiB in place of 32.

--- a/mallowpond/node/streams.py
+++ b/mallowpond/node/streams.py
@@ -27,6 +27,7 @@
     NotRun,
     StreamWork,
 )
+from mallowpond.state.buffer_sizes import CONNECTION_READ_BYTES
 from mallowpond.state.fleet import BreakCause, Group
 from mallowpond.state.placement import (
     GroupLoad,
@@ -34,7 +35,6 @@
     pass_seconds,
     scaled_delay,
 )
-from mallowpond.state.process_limits import CONNECTION_READ_BYTES
 from mallowpond.state.target_notice import TargetNotice
 from mallowpond.transport.http_client import (
     CallFailed,
--- a/mallowpond/platform/early_listener.py
+++ b/mallowpond/platform/early_listener.py
@@ -11,6 +11,8 @@
 import socket
 import tomllib
 
+from mallowpond.state.buffer_sizes import RECEIVE_BUFFER_BYTES
+
 # Environment variable with the path of the settings file that the node starts with.
 SETTINGS_VARIABLE = "MALLOWPOND_BOOT"
 DEFAULT_SETTINGS_PATH = "/etc/mallowpond/local.conf"
@@ -41,6 +43,8 @@
     listener = socket.socket()
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Connections inherit it, so it bounds what waits there unread.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         listener.bind((host, port))
         listener.listen(BACKLOG)
         listener.setblocking(False)
--- a/mallowpond/state/process_limits.py
+++ b/mallowpond/state/process_limits.py
@@ -15,11 +15,14 @@
 PAYLOAD_MEMORY_SHARE = 2.0 / 3.0
 CALLER_MEMORY_SHARE = 0.25
 TUNNEL_MEMORY_SHARE = 1.0 - PAYLOAD_MEMORY_SHARE - CALLER_MEMORY_SHARE
-# Bytes that a connection takes beside bodies: its objects, and the send buffer of a
-# client that reads slowly; a tunnel has two, with larger buffers.
-CONNECTION_BYTES = 32 * 1024
-WRITE_BUFFER_BYTES = 16 * 1024
-CONNECTION_READ_BYTES = 16 * 1024
+# Bytes that a connection of a caller takes beside bodies: its objects, what was read of
+# a request that is not awaited, and what its buffers hold.
+CONNECTION_BYTES = 48 * 1024
+# What the larger receive buffer of a connection adds, and the part of the memory for
+# connections of callers for these.
+WIDE_BYTES = 192 * 1024
+WIDE_MEMORY_SHARE = 0.1
+# A tunnel has two connections, with larger buffers.
 TUNNEL_BYTES = 128 * 1024
 # Parts of the descriptors. A tunnel takes two, and the rest is for requests to targets
 # in progress, the store and files.
@@ -35,12 +38,14 @@
     payload_bytes: bodies of requests and of answers that are kept whole, with copies.
     caller_connections, idle_connections, tunnels: connections from callers, unused ones
     to targets, and those that are carried for other hosts.
+    wide_connections: those of callers whose receive buffers may be larger than usual.
     """
 
     payload_bytes: int
     caller_connections: int
     idle_connections: int
     tunnels: int
+    wide_connections: int
 
 
 def divide_limits(*, memory_bytes: float, descriptors: int) -> ProcessLimits:
@@ -48,11 +53,12 @@
     load_bytes = max(MIN_LOAD_SHARE * memory_bytes, memory_bytes - PROGRAM_BYTES)
     caller_bytes = CALLER_MEMORY_SHARE * load_bytes
     tunnel_bytes = TUNNEL_MEMORY_SHARE * load_bytes
+    wide_connections = int(WIDE_MEMORY_SHARE * caller_bytes / WIDE_BYTES)
+    by_memory = (caller_bytes - WIDE_BYTES * wide_connections) / CONNECTION_BYTES
     return ProcessLimits(
         payload_bytes=int(PAYLOAD_MEMORY_SHARE * load_bytes),
-        caller_connections=int(
-            min(CALLER_SHARE * descriptors, caller_bytes / CONNECTION_BYTES)
-        ),
+        caller_connections=int(min(CALLER_SHARE * descriptors, by_memory)),
+        wide_connections=wide_connections,
         idle_connections=int(IDLE_SHARE * descriptors),
         tunnels=int(min(TUNNEL_SHARE * descriptors, tunnel_bytes / TUNNEL_BYTES)),
     )
--- a/mallowpond/state/tests/test_payload_memory.py
+++ b/mallowpond/state/tests/test_payload_memory.py
@@ -12,6 +12,7 @@
     CONNECTION_BYTES,
     PROGRAM_BYTES,
     TUNNEL_BYTES,
+    WIDE_BYTES,
     divide_limits,
 )
 
@@ -96,6 +97,7 @@
     used = (
         limits.payload_bytes
         + CONNECTION_BYTES * limits.caller_connections
+        + WIDE_BYTES * limits.wide_connections
         + TUNNEL_BYTES * limits.tunnels
     )
     assert used <= memory - PROGRAM_BYTES
--- a/mallowpond/transport/connector.py
+++ b/mallowpond/transport/connector.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from mallowpond.state.process_limits import CONNECTION_READ_BYTES
+from mallowpond.state.buffer_sizes import CONNECTION_READ_BYTES
 from mallowpond.transport.timeouts import lag_tolerant_timeout
 
 
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 server on h11 and asyncio streams."""
+"""HTTP/1.1 server on h11 and asyncio, within the limits of its process."""
 
 import asyncio
 import contextlib
@@ -10,19 +10,25 @@
 
 import h11
 
+from mallowpond.state.buffer_sizes import (
+    RECEIVE_BUFFER_BYTES,
+    WRITE_BUFFER_BYTES,
+)
 from mallowpond.state.payload_memory import Hold, PayloadMemory
 from mallowpond.state.process_limits import (
-    CONNECTION_READ_BYTES,
     DEFAULT_LIMITS,
-    WRITE_BUFFER_BYTES,
     ProcessLimits,
 )
-from mallowpond.transport.headers import decode_headers, list_headers
+from mallowpond.transport.caller_connection import READ_SIZE, CallerConnection
+from mallowpond.transport.http_messages import (
+    BadInput,
+    Headers,
+    HttpRequest,
+    ServerLimits,
+)
+from mallowpond.transport.listening import accept_connections, open_listener
+from mallowpond.transport.request_reader import RequestReader
 
-READ_SIZE = 65536
-MAX_HEADER_BYTES = 16384
-# Shortest time after which a request that found no room may be sent again, in seconds.
-MIN_RETRY_SECONDS = 0.3
 # Connections beyond the limit that get a refusal, as a part of it; further ones are
 # closed at once.
 REFUSED_SHARE = 0.1
@@ -33,48 +39,6 @@
 # Time for complete responses to leave the send buffers when the server closes, in
 # seconds: less than the 0.7 s that a stopping node reserves for closing.
 FLUSH_SECONDS = 0.5
-Headers = tuple[tuple[str, str], ...]
-
-
-@dataclass(frozen=True, kw_only=True)
-class ServerLimits:
-    """Limits on the memory and time that one client may take.
-
-    `idle_seconds` bounds the wait for a request's first byte, `receive_seconds` the
-    time from there to its end, `send_seconds` each wait for the send buffer to drain.
-    """
-
-    header_bytes: int = MAX_HEADER_BYTES
-    body_bytes: int = 4 * 1024 * 1024
-    receive_seconds: float = 10.0
-    idle_seconds: float = 60.0
-    send_seconds: float = 30.0
-
-
-@dataclass(frozen=True, kw_only=True)
-class HttpRequest:
-    """A request with its complete body."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    header_list: Headers = ()
-
-    @property
-    def path(self) -> str:
-        """Return the target without the query string."""
-        return self.target.partition("?")[0]
-
-
-@dataclass(frozen=True, kw_only=True)
-class BadInput:
-    """Why a request could not be read, and the status to answer it with."""
-
-    status: int
-    reason: str
-    detail: str
-    retry_after: float | None = None
 
 
 class ClientDisconnected(Exception):
@@ -90,8 +54,8 @@
     the same connection.
     """
 
-    _connection: h11.Connection
-    _writer: asyncio.StreamWriter
+    _state: h11.Connection
+    _connection: CallerConnection
     _send_seconds: float
     previous_requests: int = 0
     started: bool = field(default=False, init=False)
@@ -119,10 +83,10 @@
         data = self._head(status, headers + fixed)
         if len(body) > WRITE_BUFFER_BYTES:
             # Joined with the head, a large body would take its size once more.
-            self._writer.write(data)
+            self._connection.write(data)
             data = b""
-        data += self._connection.send(h11.Data(data=body)) or b""
-        data += self._connection.send(h11.EndOfMessage()) or b""
+        data += self._state.send(h11.Data(data=body)) or b""
+        data += self._state.send(h11.EndOfMessage()) or b""
         self.finished = True
         await self._write(data)
 
@@ -132,12 +96,12 @@
 
     async def send(self, data: bytes) -> None:
         """Send one part of a chunked response."""
-        await self._write(self._connection.send(h11.Data(data=data)) or b"")
+        await self._write(self._state.send(h11.Data(data=data)) or b"")
 
     async def end(self) -> None:
         """End a chunked response."""
         self.finished = True
-        await self._write(self._connection.send(h11.EndOfMessage()) or b"")
+        await self._write(self._state.send(h11.EndOfMessage()) or b"")
 
     def _head(self, status: int, headers: Headers) -> bytes:
         self.started = True
@@ -148,20 +112,21 @@
         except ValueError:
             reason = ""
         head = h11.Response(status_code=status, headers=headers, reason=reason)
-        return self._connection.send(head) or b""
+        return self._state.send(head) or b""
 
     async def _write(self, data: bytes) -> None:
-        if self._writer.is_closing():
+        connection = self._connection
+        if connection.is_closing:
             raise ClientDisconnected
-        self._writer.write(data)
-        if self._writer.transport.get_write_buffer_size() == 0:
+        connection.write(data)
+        if connection.unsent_bytes == 0:
             # Nothing is left to send; draining would only cost time on every chunk.
             return
         try:
             # A client that stops reading would otherwise keep its stream's memory and
             # its group's slot for ever.
             async with asyncio.timeout(self._send_seconds):
-                await self._writer.drain()
+                await connection.drain()
         except (ConnectionError, TimeoutError) as error:
             raise ClientDisconnected from error
 
@@ -183,12 +148,6 @@
     )
 
 
-class _UnreadableRequest(Exception):
-    def __init__(self, bad: BadInput) -> None:
-        super().__init__(bad.detail)
-        self.bad = bad
-
-
 class HttpServer:
     """Runs a handler for each request that arrives on one address."""
 
@@ -202,21 +161,26 @@
         process_limits: ProcessLimits = DEFAULT_LIMITS,
     ) -> None:
         self._memory = memory or PayloadMemory(max_bytes=process_limits.payload_bytes)
-        self._max_connections = process_limits.caller_connections
         self._handler = handler
         self._limits = limits
         self._on_bad_input = on_bad_input
         self._server: asyncio.Server | None = None
-        self._connections: set[asyncio.Task[None]] = set()
-        self._busy: dict[asyncio.Task[None], Exchange] = {}
-        # Tasks of connections that wait for another request, longest wait first.
-        self._idle: dict[asyncio.Task[None], None] = {}
+        # Connections that a task serves, until they are closed.
+        self._connections: set[CallerConnection] = set()
+        self._max_connections = process_limits.caller_connections
+        # Requests that are arriving, and their memory.
+        self._receiving: dict[CallerConnection, tuple[RequestReader, Hold]] = {}
+        self._busy: dict[CallerConnection, Exchange] = {}
+        # Connections that wait for another request, longest wait first.
+        self._idle: dict[CallerConnection, None] = {}
         # Idle connections that are being closed for others.
-        self._evicted: set[asyncio.Task[None]] = set()
-        # Time limits of the bodies that are arriving.
-        self._receiving: dict[Hold, asyncio.Timeout] = {}
-        self._flushing: set[asyncio.Task[None]] = set()
-        self._aborting: set[asyncio.Task[None]] = set()
+        self._evicted: set[CallerConnection] = set()
+        self._flushing: set[CallerConnection] = set()
+        self._aborting: set[CallerConnection] = set()
+        # Connections whose receive buffers are larger than usual.
+        self._max_wide = process_limits.wide_connections
+        self._wide_count = 0
+        self._scratch = memoryview(bytearray(READ_SIZE))
         self._refuses_requests = False
         self._keeps_alive = True
         self._is_closing = False
@@ -238,21 +202,17 @@
         return len(self._connections)
 
     def set_limits(self, limits: ServerLimits) -> None:
-        """Apply new limits from now on; open connections keep their limit in h11."""
+        """Apply new limits to the requests that begin to arrive from now on."""
         self._limits = limits
 
     async def start(
         self, host: str, port: int, listener: socket.socket | None = None
     ) -> None:
         """Listen on an address or serve `listener`; port 0 takes a free port."""
-        endpoint = (
-            {"host": host, "port": port} if listener is None else {"sock": listener}
-        )
-        self._server = await asyncio.start_server(
-            self._on_connection,
-            limit=CONNECTION_READ_BYTES,
-            backlog=1024,
-            **endpoint,
+        self._server = await accept_connections(
+            listener or open_listener(host, port),
+            lambda: CallerConnection(scratch=self._scratch, on_open=self._on_open),
+            receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
         )
 
     def disable_keep_alive(self) -> None:
@@ -263,8 +223,8 @@
         its end, which would cut them off, while new connections went elsewhere.
         """
         self._keeps_alive = False
-        for task in list(self._idle):
-            task.cancel()
+        for connection in self._idle:
+            connection.evict()
 
     def refuse_new_requests(self) -> None:
         """Stop listening and serve no further request; those in progress go on.
@@ -276,8 +236,8 @@
         if self._server is not None:
             self._server.close()
         # A connection that is flushing would drop the end of its response if cancelled.
-        for task in self._connections - self._busy.keys() - self._flushing:
-            task.cancel()
+        for connection in self._connections - self._busy.keys() - self._flushing:
+            connection.cancel()
 
     async def close(self) -> None:
         """Stop listening, abort responses in progress and flush complete ones."""
@@ -285,148 +245,177 @@
             self._server.close()
         self._is_closing = True
         self._aborting = {
-            task for task, each in self._busy.items() if not each.finished
+            connection for connection, each in self._busy.items() if not each.finished
         }
-        for task in self._connections - self._flushing:
-            task.cancel()
-        if self._connections:
-            await asyncio.wait(self._connections, timeout=FLUSH_SECONDS)
-        for task in self._connections:
-            task.cancel()
-        await asyncio.gather(*self._connections, return_exceptions=True)
-
-    async def _on_connection(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._connections.add(task)
-        writer.transport.set_write_buffer_limits(
-            high=WRITE_BUFFER_BYTES, low=WRITE_BUFFER_BYTES
-        )
+        tasks = [connection.task for connection in self._connections]
+        for connection in self._connections - self._flushing:
+            connection.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=FLUSH_SECONDS)
+        for connection in self._connections:
+            connection.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _on_open(self, connection: CallerConnection) -> None:
+        """Serve a new connection, refuse its first request, or close it at once."""
+        self._connections.add(connection)
         excess = self._evict_idle()
-        if excess > REFUSED_SHARE * self._max_connections:
-            writer.transport.abort()
-        try:
-            await self._serve_connection(reader, writer, is_refused=excess > 0)
-        except (ConnectionError, asyncio.CancelledError, ClientDisconnected):
-            pass
-        finally:
-            await self._flush_and_close(task, writer)
-            self._connections.discard(task)
-            self._evicted.discard(task)
+        if self._is_closing or excess > REFUSED_SHARE * self._max_connections:
+            self._connections.discard(connection)
+            connection.abort()
+            return
+        loop = asyncio.get_running_loop()
+        connection.task = loop.create_task(self._run(connection, is_refused=excess > 0))
 
     def _evict_idle(self) -> int:
         """Close idle connections beyond the limit; return how many are still beyond."""
         excess = len(self._connections) - len(self._evicted) - self._max_connections
-        for task in list(itertools.islice(self._idle, max(0, excess))):
-            del self._idle[task]
-            self._evicted.add(task)
-            task.cancel()
+        for connection in list(itertools.islice(self._idle, max(0, excess))):
+            del self._idle[connection]
+            self._evicted.add(connection)
+            connection.evict()
             excess -= 1
         return excess
 
-    async def _flush_and_close(
-        self, task: asyncio.Task[None], writer: asyncio.StreamWriter
-    ) -> None:
+    def _widen(self, connection: CallerConnection) -> None:
+        if not connection.is_wide and self._wide_count < self._max_wide:
+            self._wide_count += 1
+            connection.widen()
+
+    async def _run(self, connection: CallerConnection, *, is_refused: bool) -> None:
+        try:
+            await self._serve(connection, is_refused=is_refused)
+        except (ConnectionError, asyncio.CancelledError, ClientDisconnected):
+            pass
+        finally:
+            await self._flush_and_close(connection)
+            self._connections.discard(connection)
+            self._evicted.discard(connection)
+            self._wide_count -= connection.is_wide
+
+    async def _flush_and_close(self, connection: CallerConnection) -> None:
         """Close a connection after its send buffer has been flushed.
 
         When a handler ends, up to 64 KiB of its response may still be in the buffer.
         If they were dropped, a caller on a slow link would get a part of the response.
         """
-        if task in self._aborting:
-            writer.transport.abort()
+        if connection in self._aborting:
+            connection.abort()
             return
-        self._flushing.add(task)
-        writer.close()
+        self._flushing.add(connection)
         try:
             async with asyncio.timeout(self._limits.send_seconds):
-                await writer.wait_closed()
+                await connection.close()
         except (ConnectionError, TimeoutError, asyncio.CancelledError):
-            writer.transport.abort()
+            connection.abort()
         finally:
-            self._flushing.discard(task)
+            self._flushing.discard(connection)
 
-    async def _serve_connection(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        *,
-        is_refused: bool,
-    ) -> None:
+    async def _serve(self, connection: CallerConnection, *, is_refused: bool) -> None:
         """Serve the requests of a connection, or refuse its first one."""
         loop = asyncio.get_running_loop()
-        connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        reader = RequestReader(
+            connection=connection,
+            make_room=self._make_room,
+            widen=self._widen,
         )
         for previous_requests in itertools.count():
             if self._refuses_requests or self._is_closing:
                 # A connection accepted in the last pass of the event loop is not among
                 # those that `close` ended; its request would be served afterwards.
                 return
+            if not await self._wait_for_request(
+                connection, reader, is_reused=previous_requests > 0
+            ):
+                return
             exchange = Exchange(
+                _state=reader.state,
                 _connection=connection,
-                _writer=writer,
                 _send_seconds=self._limits.send_seconds,
                 previous_requests=previous_requests,
             )
             hold = self._memory.open(
                 now=loop.time(), limit_seconds=self._limits.receive_seconds
             )
-            bad: BadInput | None = None
             try:
                 request = await self._receive(
-                    connection,
-                    reader,
-                    writer,
-                    hold,
-                    is_reused=previous_requests > 0,
-                    is_refused=is_refused,
+                    connection, reader, hold, is_refused=is_refused
                 )
-                if request is None or self._refuses_requests:
+                if isinstance(request, BadInput):
+                    # Nothing is kept of a request while its rest is discarded.
+                    hold.release(loop.time())
+                    await self._refuse(connection, request, exchange)
                     return
-                task = asyncio.current_task()
-                assert task is not None
-                self._busy[task] = exchange
+                if self._refuses_requests:
+                    return
+                self._busy[connection] = exchange
                 try:
-                    await self._handle(request, exchange, connection, reader)
+                    await self._handle(request, exchange, connection)
                 finally:
-                    del self._busy[task]
+                    del self._busy[connection]
                 # While an idle connection waits, it must not keep the body.
                 del request
-            except _UnreadableRequest as unreadable:
-                # The traceback keeps what has arrived of the body until it is gone.
-                bad = unreadable.bad
             finally:
                 hold.release(loop.time())
-            if bad is not None:
-                await self._on_bad_input(bad, exchange)
-                if bad.status in EARLY_STATUSES:
-                    await _discard_rest(reader, writer, self._limits.body_bytes)
-                return
-            if not exchange.finished or connection.our_state is not h11.DONE:
+            if not exchange.finished or reader.state.our_state is not h11.DONE:
                 # Without a final chunk the client sees that the response is incomplete.
                 return
-            if connection.their_state is not h11.DONE:
+            if reader.state.their_state is not h11.DONE:
                 return
-            connection.start_next_cycle()
-            if not self._keeps_alive and not connection.trailing_data[0]:
-                pending = await _read_buffered(reader)
-                if not pending:
+            reader.state.start_next_cycle()
+            if not self._keeps_alive:
+                await connection.wait_for_pending_read()
+                if not connection.received:
                     return
-                connection.receive_data(pending)
 
-    async def _handle(
+    async def _wait_for_request(
+        self, connection: CallerConnection, reader: RequestReader, *, is_reused: bool
+    ) -> bool:
+        """Wait for the first bytes of a request; return whether it is to be served."""
+        if not is_reused:
+            return await reader.wait(self._limits.idle_seconds)
+        self._idle[connection] = None
+        try:
+            is_there = await reader.wait(self._limits.idle_seconds)
+            # A request that arrived before its connection was to end is served.
+            connection.is_evicted = False
+            self._evicted.discard(connection)
+            return is_there
+        finally:
+            self._idle.pop(connection, None)
+
+    async def _receive(
         self,
-        request: HttpRequest,
-        exchange: Exchange,
-        connection: h11.Connection,
-        reader: asyncio.StreamReader,
+        connection: CallerConnection,
+        reader: RequestReader,
+        hold: Hold,
+        *,
+        is_refused: bool,
+    ) -> HttpRequest | BadInput:
+        self._receiving[connection] = (reader, hold)
+        try:
+            return await reader.read(hold, limits=self._limits, is_refused=is_refused)
+        finally:
+            del self._receiving[connection]
+
+    async def _refuse(
+        self, connection: CallerConnection, bad: BadInput, exchange: Exchange
+    ) -> None:
+        """Answer a request that was not read, and take what is left of it."""
+        await self._on_bad_input(bad, exchange)
+        if bad.status in EARLY_STATUSES and not connection.is_closing:
+            # A close with unread bytes resets the connection, and the client may lose
+            # the answer.
+            connection.write_eof()
+            await connection.discard(self._limits.body_bytes, LINGER_SECONDS)
+
+    async def _handle(
+        self, request: HttpRequest, exchange: Exchange, connection: CallerConnection
     ) -> None:
         # A client that disconnects must free its group's slot at once, so the socket is
         # watched while the handler runs, and the handler is cancelled.
         handler_task = asyncio.ensure_future(self._handler(request, exchange))
-        disconnect_task = asyncio.ensure_future(_watch_disconnect(connection, reader))
+        disconnect_task = asyncio.ensure_future(_watch_disconnect(connection))
         try:
             await asyncio.wait(
                 {handler_task, disconnect_task}, return_when=asyncio.FIRST_COMPLETED
@@ -440,218 +429,23 @@
             disconnect_task.cancel()
             await asyncio.gather(handler_task, disconnect_task, return_exceptions=True)
 
-    async def _receive(
-        self,
-        connection: h11.Connection,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        hold: Hold,
-        *,
-        is_reused: bool,
-        is_refused: bool,
-    ) -> HttpRequest | None:
-        if not connection.trailing_data[0]:
-            first_bytes = await self._read_first_bytes(reader, is_reused=is_reused)
-            if first_bytes == b"":
-                return None
-            connection.receive_data(first_bytes)
-        hold.record_begin(asyncio.get_running_loop().time())
-        try:
-            async with asyncio.timeout(self._limits.receive_seconds) as limit:
-                self._receiving[hold] = limit
-                return await self._read_request(
-                    connection, reader, writer, hold, is_refused=is_refused
-                )
-        except TimeoutError:
-            raise _UnreadableRequest(
-                BadInput(
-                    status=408,
-                    reason="slow_sender",
-                    detail="The request did not arrive in time.",
-                )
-            ) from None
-        finally:
-            self._receiving.pop(hold, None)
-
-    async def _read_first_bytes(
-        self, reader: asyncio.StreamReader, *, is_reused: bool
-    ) -> bytes:
-        task = asyncio.current_task()
-        assert task is not None
-        if is_reused:
-            self._idle[task] = None
-        try:
-            async with asyncio.timeout(self._limits.idle_seconds):
-                return await reader.read(READ_SIZE)
-        except TimeoutError:
-            return await _read_buffered(reader)
-        except asyncio.CancelledError:
-            if self._refuses_requests or self._is_closing:
-                raise
-            task.uncancel()
-            buffered = await _read_buffered(reader)
-            if buffered:
-                self._evicted.discard(task)
-            return buffered
-        finally:
-            self._idle.pop(task, None)
+    def _make_room(self, hold: Hold, size: int) -> float | None:
+        """End requests that arrive too slowly until `size` bytes find room in a hold.
 
-    async def _read_request(
-        self,
-        connection: h11.Connection,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        hold: Hold,
-        *,
-        is_refused: bool,
-    ) -> HttpRequest | None:
-        head: h11.Request | None = None
-        body = bytearray()
-        while True:
-            try:
-                event = connection.next_event()
-            except h11.RemoteProtocolError as error:
-                raise _UnreadableRequest(_describe_protocol_error(error)) from error
-            match event:
-                case h11.NEED_DATA:
-                    if connection.they_are_waiting_for_100_continue:
-                        proceed = h11.InformationalResponse(status_code=100, headers=[])
-                        writer.write(connection.send(proceed) or b"")
-                    connection.receive_data(await reader.read(READ_SIZE))
-                case h11.Request():
-                    head = event
-                    self._check_head(head)
-                    if is_refused:
-                        raise _no_room("too_many_connections", MIN_RETRY_SECONDS)
-                    hold.announced = _content_length(head)
-                    self._reserve(hold, hold.announced)
-                case h11.Data():
-                    body += event.data
-                    hold.record_received(len(body))
-                    self._reserve(hold, len(body))
-                case h11.EndOfMessage():
-                    assert head is not None
-                    hold.record_end(asyncio.get_running_loop().time())
-                    return _build_request(head, bytes(body))
-                case _:
-                    return None
-
-    def _reserve(self, hold: Hold, size: int) -> None:
-        """Reserve memory for a body of `size` bytes, or refuse its request.
-
-        Bodies that arrive too slowly to be whole in time make room for others.
+        Returns the time after which room is expected, in seconds, None if there is now.
         """
-        if size > self._limits.body_bytes:
-            detail = f"At most {self._limits.body_bytes} bytes."
-            raise _UnreadableRequest(
-                BadInput(status=413, reason="body_too_large", detail=detail)
-            )
-        if hold.try_reserve(size):
-            return
         now = asyncio.get_running_loop().time()
-        for hopeless in self._memory.hopeless_holds(now):
-            if hopeless is not hold and hopeless in self._receiving:
-                self._receiving.pop(hopeless).reschedule(now)
-                hopeless.release(now)
-        if not hold.try_reserve(size):
-            wait = self._memory.seconds_until_room(size - hold.size, now)
-            raise _no_room("bodies_exceed_memory", wait)
-
-    def _check_head(self, head: h11.Request) -> None:
-        if head.method == b"CONNECT":
-            raise _UnreadableRequest(
-                BadInput(
-                    status=405,
-                    reason="method_not_allowed",
-                    detail="This is no proxy for connections.",
-                )
-            )
-        # h11 limits only headers that arrive in parts.
-        size = sum(len(name) + len(value) for name, value in head.headers)
-        if size > self._limits.header_bytes:
-            raise _UnreadableRequest(_too_large_headers())
-
-
-def _no_room(reason: str, retry_after: float) -> _UnreadableRequest:
-    return _UnreadableRequest(
-        BadInput(
-            status=503,
-            reason=reason,
-            detail="Too many requests are in progress.",
-            retry_after=max(MIN_RETRY_SECONDS, retry_after),
-        )
-    )
-
-
-def _content_length(head: h11.Request) -> int:
-    """Return the announced length of a body, 0 if there is none."""
-    for name, value in head.headers:
-        if name == b"content-length":
-            return int(value)
-    return 0
-
-
-def _too_large_headers() -> BadInput:
-    return BadInput(
-        status=431, reason="headers_too_large", detail="The headers are too large."
-    )
-
-
-def _build_request(head: h11.Request, body: bytes) -> HttpRequest:
-    return HttpRequest(
-        method=head.method.decode("latin-1"),
-        target=head.target.decode("latin-1"),
-        headers=decode_headers(head.headers),
-        body=body,
-        header_list=list_headers(head.headers),
-    )
-
-
-def _describe_protocol_error(error: h11.RemoteProtocolError) -> BadInput:
-    if error.error_status_hint == 431:
-        return _too_large_headers()
-    return BadInput(status=400, reason="malformed_http", detail=str(error))
-
-
-async def _read_buffered(reader: asyncio.StreamReader) -> bytes:
-    """Return the bytes that were already received, without waiting for more.
-
-    They may be a request that arrived in the same pass of the event loop in which the
-    connection was to close, or after its last response; it must still be answered.
-    """
-    try:
-        async with asyncio.timeout(0):
-            return await reader.read(READ_SIZE)
-    except TimeoutError:
-        return b""
-
+        hopeless = self._memory.hopeless_holds(now)
+        for connection, (reader, other) in list(self._receiving.items()):
+            if other is not hold and other in hopeless:
+                connection.evict()
+                reader.drop_body()
+                other.release(now)
+        if hold.try_reserve(size):
+            return None
+        return self._memory.seconds_until_room(size - hold.size, now)
 
-async def _discard_rest(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, limit: int
-) -> None:
-    """Discard what a client still sends of a request that was refused early.
 
-    A close with unread bytes resets the connection, and the client may lose the answer.
-    """
-    with contextlib.suppress(TimeoutError, OSError):
-        writer.write_eof()
-        async with asyncio.timeout(LINGER_SECONDS):
-            while limit > 0 and (data := await reader.read(READ_SIZE)):
-                limit -= len(data)
-
-
-async def _watch_disconnect(
-    connection: h11.Connection, reader: asyncio.StreamReader
-) -> None:
-    """Return when the client disconnects; buffer a bounded part of its next request."""
-    buffered = 0
-    while buffered < READ_SIZE:
-        try:
-            data = await reader.read(READ_SIZE)
-        except ConnectionError:
-            return
-        if not data:
-            return
-        buffered += len(data)
-        connection.receive_data(data)
-    await asyncio.Event().wait()
+def _watch_disconnect(connection: CallerConnection) -> asyncio.Future[None]:
+    """Return a future that is done when the client has left."""
+    return connection.watch_disconnect()
--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -12,6 +12,7 @@
 from mallowpond.state.payload_memory import COPIES, PayloadMemory
 from mallowpond.state.process_limits import DEFAULT_LIMITS
 from mallowpond.transport import http_server
+from mallowpond.transport.caller_connection import READ_AHEAD_BYTES
 from mallowpond.transport.http_server import HttpServer, ServerLimits
 
 LIMITS = ServerLimits(header_bytes=500, body_bytes=100, receive_seconds=0.2)
@@ -180,6 +181,31 @@
     await server.close()
 
 
+async def test_requests_sent_ahead_are_not_read_while_one_is_served():
+    """Guards against buffers that grow with each request that was sent ahead."""
+    release = asyncio.Event()
+
+    async def hold(request, exchange):
+        await release.wait()
+        await exchange.respond(200, b"hello")
+
+    server = HttpServer(handler=hold)
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    count = 20_000
+    writer.write(OK * count)
+    await asyncio.sleep(0.1)
+    (connection,) = server._connections
+    assert 0 < len(connection.received) <= READ_AHEAD_BYTES
+    release.set()
+    answers = b""
+    while answers.count(b"hello") < 1000:
+        answers += await reader.read(65536)
+        assert len(connection.received) <= READ_AHEAD_BYTES
+    writer.close()
+    await server.close()
+
+
 async def test_a_refused_body_is_not_kept_while_its_rest_is_discarded():
     """Guards against refused bodies that no limit counts any more."""
     size = 2_000_000
@@ -212,6 +238,34 @@
         tracemalloc.stop()
 
 
+@pytest.mark.parametrize(
+    ("trailer", "status"),
+    [(b"\r\n", b"200"), (b"a: b\r\n\r\n", b"200"), (b"a b\r\n\r\n", b"400")],
+)
+async def test_a_chunked_body_ends_with_its_trailer(trailer, status):
+    body = b"5\r\nwhole\r\n0\r\n" + trailer
+    data = b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n" + body
+    answer = await answer_to(data + OK, end=True)
+    assert answer.startswith(b"HTTP/1.1 " + status)
+    if status == b"200":
+        assert answer.count(b"HTTP/1.1 200") == 2
+        assert b"hello whole" in answer
+
+
+async def test_a_large_body_is_taken_whole_whatever_follows_it():
+    """Guards against a body that takes bytes of the request behind it, or loses any."""
+    body = bytes(range(256)) * 4096
+
+    async def echo_length(request, exchange):
+        is_whole = request.body in (b"", body)
+        await exchange.respond(200, b"whole" if is_whole else b"other")
+
+    head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n" % len(body)
+    data = 2 * (head + body + OK)
+    answer = await answer_to(data, echo_length, limits=ServerLimits(), end=True)
+    assert answer.count(b"whole") == 4
+
+
 async def test_two_requests_on_one_connection_are_answered_in_order():
     answer = await answer_to(OK + OK, end=True)
     assert answer.count(b"HTTP/1.1 200") == 2
