Server: a head counts by its fields, and long ones take turns

What callers saw: 300 clients that send a head of 2,500 short fields, and no body, end a node of 112 MB.

Cause: a parsed field takes some 400 bytes beside its text, so a head of 15 KB takes a megabyte, which the request keeps while its body is awaited. Nothing counted it. Parsing one takes longer than ten usual requests.

Change: what a head takes beyond a usual one is reserved with its body, and a head of over 2 KiB waits for its turn.

--- a/mallowpond/state/payload_memory.py
+++ b/mallowpond/state/payload_memory.py
@@ -32,12 +32,14 @@
     began_at: when its first byte arrived.
     limit_seconds: time within which the body must arrive.
     size: bytes of bodies; announced: length of the body, 0 if it is not known.
+    head_bytes: what its head takes, as so many bytes of a body.
     """
 
     memory: "PayloadMemory"
     began_at: float
     limit_seconds: float = inf
     announced: int = 0
+    head_bytes: int = 0
     size: int = field(default=0, init=False)
     _received: int = field(default=0, init=False)
     _received_at: float | None = field(default=None, init=False)
--- a/mallowpond/transport/request_reader.py
+++ b/mallowpond/transport/request_reader.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from mallowpond.state.payload_memory import Hold
+from mallowpond.state.payload_memory import COPIES, Hold
 from mallowpond.transport.caller_connection import (
     READ_AHEAD_BYTES,
     READ_SIZE,
@@ -25,6 +25,12 @@
 HEAD_END = re.compile(rb"\n\r?\n")
 # Smallest byte that a request may begin with.
 FIRST_VISIBLE = 0x21
+# Memory of a parsed header field beside its text, and of a head that needs no room of
+# its own, as it counts as a part of its connection, in bytes.
+FIELD_BYTES = 400
+USUAL_HEAD_BYTES = 8192
+# Size of a head from which on it is costly to parse, in bytes.
+COSTLY_HEAD_BYTES = 2048
 # Bytes of a chunked body that are read at one time, and the chunks, decoded one by one,
 # after which others take their turn.
 CHUNKED_READ_BYTES = 16384
@@ -130,7 +136,10 @@
             if searched >= READ_AHEAD_BYTES:
                 connection.expect(limits.header_bytes + HEAD_SLACK_BYTES + 1)
             await self._wait_for_more()
-        data = connection.take(len(received) if match is None else match.end())
+        end = len(received) if match is None else match.end()
+        if end > COSTLY_HEAD_BYTES:
+            await self._turns.take()
+        data = connection.take(end)
         self.state.receive_data(data)
         head = self.state.next_event()
         if not isinstance(head, h11.Request):
@@ -138,6 +147,7 @@
         _check_head(head, limits)
         if is_refused:
             raise _Refused(no_room("too_many_connections", MIN_RETRY_SECONDS))
+        hold.head_bytes = _excess_head_bytes(data, head) // COPIES
         hold.announced = _content_length(head)
         self._reserve(hold, hold.announced, limits)
         return head
@@ -229,6 +239,7 @@
         if size > limits.body_bytes:
             detail = f"At most {limits.body_bytes} bytes."
             raise _Refused(BadInput(status=413, reason="body_too_large", detail=detail))
+        size += hold.head_bytes
         if hold.try_reserve(size):
             return
         wait = self._make_room(hold, size)
@@ -260,6 +271,13 @@
         raise _Refused(_too_large_headers())
 
 
+def _excess_head_bytes(data: bytes, head: h11.Request) -> int:
+    """Return the memory that a parsed head takes beyond that of a usual one."""
+    # The fields are kept as they came and decoded.
+    size = 2 * len(data) + FIELD_BYTES * len(head.headers)
+    return max(0, size - USUAL_HEAD_BYTES)
+
+
 def _is_chunked(head: h11.Request) -> bool:
     return any(name == b"transfer-encoding" for name, _ in head.headers)
 
--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -14,6 +14,7 @@
 from mallowpond.transport import http_server
 from mallowpond.transport.caller_connection import READ_AHEAD_BYTES
 from mallowpond.transport.http_server import HttpServer, ServerLimits
+from mallowpond.transport.request_reader import FIELD_BYTES
 
 LIMITS = ServerLimits(header_bytes=500, body_bytes=100, receive_seconds=0.2)
 OK = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
@@ -238,6 +239,28 @@
         tracemalloc.stop()
 
 
+async def test_a_head_of_many_fields_counts_as_what_it_takes():
+    """Guards against parsed heads, many times their size, that no limit counts."""
+    release = asyncio.Event()
+
+    async def hold(request, exchange):
+        await release.wait()
+        await exchange.respond(200, b"hello")
+
+    memory = PayloadMemory(max_bytes=COPIES * 1_000_000)
+    server = HttpServer(handler=hold, memory=memory)
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(b"GET / HTTP/1.1\r\nhost: x\r\n" + 2000 * b"a:b\r\n" + b"\r\n")
+    while not server._busy:
+        await asyncio.sleep(0.01)
+    assert memory.held_bytes >= 2000 * FIELD_BYTES
+    release.set()
+    assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+    writer.close()
+    await server.close()
+
+
 @pytest.mark.parametrize(
     ("trailer", "status"),
     [(b"\r\n", b"200"), (b"a: b\r\n\r\n", b"200"), (b"a b\r\n\r\n", b"400")],
