Server: the connection with the least progress ends when there are too many

What callers saw: beside 800 connections that send nothing, 500 with half a head or 500 that send a byte at a time, ordinary callers of a node of 112 MB got no answer in three tries: reset, closed or 503.

Cause: only connections that had had an answer made room for others. One that had sent nothing, or a part of a request, kept its place until its time limit.

Change: state/caller_places orders connections by what they do and by their last progress. With too many, these end first: refused ones whose rest is discarded; unfinished requests without 1 KiB of progress in 0.5 s; idle ones; answers of which nothing was read for 2 s. A request that is being served may have reached a target, so its connection stays. Up to a tenth more may wait for their first request, which gets the place of the oldest one that has no complete request; without such a place it is refused as before.

The test of a connection beyond the limit opened 21 connections and then sent a request on the last one first: it asked that it be refused for 20 that had sent nothing, which is the fault. It now waits until the 20 requests are being served, and asks the same.

Counted as mallowpond_ended_for_others_total, logged as "ingress: connection ended for others".

--- a/mallowpond/node/ingress.py
+++ b/mallowpond/node/ingress.py
@@ -17,6 +17,7 @@
 from mallowpond.node.streams import StreamService
 from mallowpond.node.traffic import TrafficSeen
 from mallowpond.state.admission import jittered_retry_after
+from mallowpond.state.caller_places import Activity
 from mallowpond.state.fleet import EngineProfile, ModelSpec
 from mallowpond.state.payload_memory import PayloadMemory
 from mallowpond.state.process_limits import DEFAULT_LIMITS, ProcessLimits
@@ -96,6 +97,7 @@
         self.server = HttpServer(
             handler=self._handle,
             on_bad_input=self._answer_bad_input,
+            on_ended_for_others=self._record_ended_for_others,
             memory=self._memory,
             process_limits=process_limits,
         )
@@ -290,6 +292,14 @@
         body = json.dumps({"error": refusal.reason.value}).encode()
         await exchange.respond(refusal.status, body, headers)
 
+    def _record_ended_for_others(self, activity: Activity) -> None:
+        self._metrics.ended_for_others.labels(activity.value).inc()
+        log.info(
+            "ingress: connection ended for others",
+            activity=activity.value,
+            connections=self.server.connection_count,
+        )
+
     async def _answer_bad_input(self, bad: BadInput, exchange: Exchange) -> None:
         self._metrics.bad_input.labels(bad.reason).inc()
         log.info(
--- a/mallowpond/node/metrics.py
+++ b/mallowpond/node/metrics.py
@@ -39,6 +39,11 @@
         )
         self.clients_gone = counter("mallowpond_clients_gone", "Callers that left")
         self.bad_input = counter("mallowpond_bad_input", "Unreadable", "reason")
+        self.ended_for_others = counter(
+            "mallowpond_ended_for_others",
+            "Connections of callers that made room for others",
+            "activity",
+        )
         self.unreadable = counter(
             "mallowpond_unreadable", "Documents left out", "kind", "fault"
         )
--- a/mallowpond/state/payload_memory.py
+++ b/mallowpond/state/payload_memory.py
@@ -15,6 +15,9 @@
 # few large ones do not have the small ones refused.
 SMALL_BODY_BYTES = 64 * 1024
 LARGE_BODY_SHARE = 0.75
+# Time without progress after which a request that arrives makes room for others, in
+# seconds.
+STALLED_SECONDS = 0.5
 # Time after its first byte from which the pace of a body is judged, in seconds, and the
 # factor by which its forecast may exceed its limit: the pace of a link varies.
 MIN_PACE_SECONDS = 0.5
--- a/mallowpond/transport/caller_connection.py
+++ b/mallowpond/transport/caller_connection.py
@@ -14,6 +14,8 @@
 # Bytes of a request that is not awaited which are read at most: the next one, as a
 # connection that is not read does not show that its client has left.
 READ_AHEAD_BYTES = 8192
+# Interval at which an answer that waits for its reader is looked at, in seconds.
+DRAIN_POLL_SECONDS = 0.5
 
 
 class CallerConnection(asyncio.BufferedProtocol):
@@ -147,27 +149,33 @@
         if self.transport.can_write_eof():
             self.transport.write_eof()
 
-    async def drain(self) -> None:
-        """Wait until little is left to send.
+    async def drain(self, on_progress: Callable[[], None]) -> None:
+        """Wait until little is left to send; call back while some of it is sent.
 
         Raises ConnectionResetError if the connection is lost.
         """
-        if not (self._can_write or self._closed.done()):
+        unsent = self.unsent_bytes
+        while not (self._can_write or self._closed.done()):
             waiter = self._drain_waiter = self._loop.create_future()
+            timer = self._loop.call_later(DRAIN_POLL_SECONDS, _finish, waiter)
             try:
                 await waiter
             finally:
+                timer.cancel()
                 self._drain_waiter = None
+            if self.unsent_bytes < unsent:
+                unsent = self.unsent_bytes
+                on_progress()
         if self._closed.done() and not self._can_write:
             raise ConnectionResetError("connection lost")
 
-    async def close(self) -> None:
+    async def close(self, on_progress: Callable[[], None]) -> None:
         """Send what is left, close, and wait until that is done.
 
         Raises ConnectionResetError if the connection is lost before.
         """
         self.transport.close()
-        await self.drain()
+        await self.drain(on_progress)
         await asyncio.shield(self._closed)
 
     def cancel(self) -> None:
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -14,6 +14,7 @@
     RECEIVE_BUFFER_BYTES,
     WRITE_BUFFER_BYTES,
 )
+from mallowpond.state.caller_places import Activity, CallerPlaces
 from mallowpond.state.payload_memory import Hold, PayloadMemory
 from mallowpond.state.process_limits import (
     DEFAULT_LIMITS,
@@ -30,9 +31,9 @@
 from mallowpond.transport.request_reader import RequestReader
 from mallowpond.transport.turns import Turns
 
-# Connections beyond the limit that get a refusal, as a part of it; further ones are
-# closed at once.
-REFUSED_SHARE = 0.1
+# Connections beyond the limit, as a part of it, that may wait for their first request,
+# which then gets a place or a refusal. Further ones are closed at once.
+SPARE_SHARE = 0.1
 # Statuses that refuse a body before it has arrived.
 EARLY_STATUSES = (413, 503)
 # Longest time for which the rest of a refused request is discarded, in seconds.
@@ -58,6 +59,7 @@
     _state: h11.Connection
     _connection: CallerConnection
     _send_seconds: float
+    _record: Callable[[CallerConnection, Activity], None]
     previous_requests: int = 0
     started: bool = field(default=False, init=False)
     finished: bool = field(default=False, init=False)
@@ -123,13 +125,18 @@
         if connection.unsent_bytes == 0:
             # Nothing is left to send; draining would only cost time on every chunk.
             return
+        self._record_sending()
         try:
             # A client that stops reading would otherwise keep its stream's memory and
             # its group's slot for ever.
             async with asyncio.timeout(self._send_seconds):
-                await connection.drain()
+                await connection.drain(self._record_sending)
         except (ConnectionError, TimeoutError) as error:
             raise ClientDisconnected from error
+        self._record(connection, Activity.BUSY)
+
+    def _record_sending(self) -> None:
+        self._record(self._connection, Activity.SENDING)
 
 
 Handler = Callable[[HttpRequest, Exchange], Awaitable[None]]
@@ -158,6 +165,7 @@
         handler: Handler,
         limits: ServerLimits = ServerLimits(),
         on_bad_input: BadInputHandler = _respond_bad_input,
+        on_ended_for_others: Callable[[Activity], None] = lambda activity: None,
         memory: PayloadMemory | None = None,
         process_limits: ProcessLimits = DEFAULT_LIMITS,
     ) -> None:
@@ -165,17 +173,18 @@
         self._handler = handler
         self._limits = limits
         self._on_bad_input = on_bad_input
+        self._on_ended_for_others = on_ended_for_others
         self._server: asyncio.Server | None = None
         # Connections that a task serves, until they are closed.
         self._connections: set[CallerConnection] = set()
-        self._max_connections = process_limits.caller_connections
+        self._places: CallerPlaces[CallerConnection] = CallerPlaces(
+            max_places=process_limits.caller_connections
+        )
         # Requests that are arriving, and their memory.
         self._receiving: dict[CallerConnection, tuple[RequestReader, Hold]] = {}
         self._busy: dict[CallerConnection, Exchange] = {}
-        # Connections that wait for another request, longest wait first.
-        self._idle: dict[CallerConnection, None] = {}
-        # Idle connections that are being closed for others.
-        self._evicted: set[CallerConnection] = set()
+        # Connections that wait for another request.
+        self._idle: set[CallerConnection] = set()
         self._flushing: set[CallerConnection] = set()
         self._aborting: set[CallerConnection] = set()
         # Connections whose receive buffers are larger than usual.
@@ -259,40 +268,58 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _on_open(self, connection: CallerConnection) -> None:
-        """Serve a new connection, refuse its first request, or close it at once."""
-        self._connections.add(connection)
-        excess = self._evict_idle()
-        if self._is_closing or excess > REFUSED_SHARE * self._max_connections:
-            self._connections.discard(connection)
+        """Serve a new connection, or close it at once if there are far too many."""
+        loop = asyncio.get_running_loop()
+        self._record(connection, Activity.UNFINISHED)
+        spare = int(SPARE_SHARE * self._places.max_places)
+        self._make_places(connection, spare=spare)
+        if self._is_closing or self._places.excess > spare:
+            self._places.remove(connection)
             connection.abort()
             return
-        loop = asyncio.get_running_loop()
-        connection.task = loop.create_task(self._run(connection, is_refused=excess > 0))
-
-    def _evict_idle(self) -> int:
-        """Close idle connections beyond the limit; return how many are still beyond."""
-        excess = len(self._connections) - len(self._evicted) - self._max_connections
-        for connection in list(itertools.islice(self._idle, max(0, excess))):
-            del self._idle[connection]
-            self._evicted.add(connection)
-            connection.evict()
-            excess -= 1
-        return excess
+        self._connections.add(connection)
+        has_place = self._places.excess <= 0
+        connection.task = loop.create_task(self._run(connection, has_place=has_place))
+
+    def _make_places(self, connection: CallerConnection, *, spare: int = 0) -> None:
+        """End connections until the limit holds for another one.
+
+        spare: number of connections beyond the limit for which no request that still
+            makes progress is ended.
+        """
+        stuck = self._places.take_stuck(asyncio.get_running_loop().time())
+        unfinished = self._places.take_unfinished(
+            self._places.excess - spare, but=connection
+        )
+        for ended, activity in stuck + unfinished:
+            self._on_ended_for_others(activity)
+            if ended in self._busy or ended in self._flushing:
+                # Its client does not read, so it would be told nothing anyway.
+                ended.abort()
+            else:
+                ended.evict()
+
+    def _record(self, connection: CallerConnection, activity: Activity) -> None:
+        now = asyncio.get_running_loop().time()
+        self._places.record(connection, activity, now)
+
+    def _record_progress(self, connection: CallerConnection) -> None:
+        self._record(connection, Activity.UNFINISHED)
 
     def _widen(self, connection: CallerConnection) -> None:
         if not connection.is_wide and self._wide_count < self._max_wide:
             self._wide_count += 1
             connection.widen()
 
-    async def _run(self, connection: CallerConnection, *, is_refused: bool) -> None:
+    async def _run(self, connection: CallerConnection, *, has_place: bool) -> None:
         try:
-            await self._serve(connection, is_refused=is_refused)
+            await self._serve(connection, has_place=has_place)
         except (ConnectionError, asyncio.CancelledError, ClientDisconnected):
             pass
         finally:
             await self._flush_and_close(connection)
             self._connections.discard(connection)
-            self._evicted.discard(connection)
+            self._places.remove(connection)
             self._wide_count -= connection.is_wide
 
     async def _flush_and_close(self, connection: CallerConnection) -> None:
@@ -305,21 +332,26 @@
             connection.abort()
             return
         self._flushing.add(connection)
+        if connection.unsent_bytes:
+            self._record(connection, Activity.SENDING)
         try:
             async with asyncio.timeout(self._limits.send_seconds):
-                await connection.close()
+                await connection.close(
+                    lambda: self._record(connection, Activity.SENDING)
+                )
         except (ConnectionError, TimeoutError, asyncio.CancelledError):
             connection.abort()
         finally:
             self._flushing.discard(connection)
 
-    async def _serve(self, connection: CallerConnection, *, is_refused: bool) -> None:
+    async def _serve(self, connection: CallerConnection, *, has_place: bool) -> None:
         """Serve the requests of a connection, or refuse its first one."""
         loop = asyncio.get_running_loop()
         reader = RequestReader(
             connection=connection,
             turns=self._turns,
             make_room=self._make_room,
+            on_progress=self._record_progress,
             widen=self._widen,
         )
         for previous_requests in itertools.count():
@@ -331,10 +363,14 @@
                 connection, reader, is_reused=previous_requests > 0
             ):
                 return
+            if not has_place:
+                self._make_places(connection)
+                has_place = self._places.excess <= 0
             exchange = Exchange(
                 _state=reader.state,
                 _connection=connection,
                 _send_seconds=self._limits.send_seconds,
+                _record=self._record,
                 previous_requests=previous_requests,
             )
             hold = self._memory.open(
@@ -342,7 +378,7 @@
             )
             try:
                 request = await self._receive(
-                    connection, reader, hold, is_refused=is_refused
+                    connection, reader, hold, is_refused=not has_place
                 )
                 if isinstance(request, BadInput):
                     # Nothing is kept of a request while its rest is discarded.
@@ -352,6 +388,7 @@
                 if self._refuses_requests:
                     return
                 self._busy[connection] = exchange
+                self._record(connection, Activity.BUSY)
                 try:
                     await self._handle(request, exchange, connection)
                 finally:
@@ -377,7 +414,8 @@
         """Wait for the first bytes of a request; return whether it is to be served."""
         if not is_reused:
             return await reader.wait(self._limits.idle_seconds)
-        self._idle[connection] = None
+        self._record(connection, Activity.IDLE)
+        self._idle.add(connection)
         try:
             if not connection.received:
                 is_there = await reader.wait(self._limits.idle_seconds)
@@ -387,10 +425,9 @@
                 is_there = not (connection.is_evicted and self._keeps_alive)
             # A request that arrived before its connection was to end is served.
             connection.is_evicted = False
-            self._evicted.discard(connection)
             return is_there
         finally:
-            self._idle.pop(connection, None)
+            self._idle.discard(connection)
 
     async def _receive(
         self,
@@ -400,6 +437,7 @@
         *,
         is_refused: bool,
     ) -> HttpRequest | BadInput:
+        self._record(connection, Activity.UNFINISHED)
         self._receiving[connection] = (reader, hold)
         try:
             return await reader.read(hold, limits=self._limits, is_refused=is_refused)
@@ -414,6 +452,7 @@
         if bad.status in EARLY_STATUSES and not connection.is_closing:
             # A close with unread bytes resets the connection, and the client may lose
             # the answer.
+            self._record(connection, Activity.REFUSED)
             connection.write_eof()
             await connection.discard(self._limits.body_bytes, LINGER_SECONDS)
 
--- a/mallowpond/transport/request_reader.py
+++ b/mallowpond/transport/request_reader.py
@@ -29,6 +29,8 @@
 # its own, as it counts as a part of its connection, in bytes.
 FIELD_BYTES = 400
 USUAL_HEAD_BYTES = 8192
+# Bytes that arrive between two records of progress, unless a request is complete.
+PROGRESS_BYTES = 1024
 # Size of a head from which on it is costly to parse, in bytes.
 COSTLY_HEAD_BYTES = 2048
 # Bytes of a chunked body that are read at one time, and the chunks, decoded one by one,
@@ -50,6 +52,7 @@
 
     make_room: ends slower requests for one that finds no room for so many more bytes;
         returns the time after which room is expected if there is none now, in seconds.
+    on_progress: called as a request arrives that is not complete yet.
     widen: lets the kernel buffer more of a large body if that is possible.
     """
 
@@ -59,15 +62,18 @@
         connection: CallerConnection,
         turns: Turns,
         make_room: Callable[[Hold, int], float | None],
+        on_progress: Callable[[CallerConnection], None],
         widen: Callable[[CallerConnection], None],
     ) -> None:
         self._connection = connection
         self._turns = turns
         self._make_room = make_room
+        self._on_progress = on_progress
         self._widen = widen
         self._loop = asyncio.get_running_loop()
         self._body = bytearray()
         self._deadline = 0.0
+        self._unreported_bytes = 0
         # State of the requests, from the first one on.
         self._h11: h11.Connection | None = None
 
@@ -233,6 +239,10 @@
             raise _Refused(_slow_sender())
         if more == 0:
             raise _Refused(_malformed("The request ended early."))
+        self._unreported_bytes += more
+        if self._unreported_bytes >= PROGRESS_BYTES:
+            self._unreported_bytes = 0
+            self._on_progress(connection)
 
     def _reserve(self, hold: Hold, size: int, limits: ServerLimits) -> None:
         """Reserve memory for a body of `size` bytes, or refuse its request."""
--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -159,9 +159,10 @@
 
 async def test_a_connection_beyond_the_limit_is_refused_as_not_run():
     """Guards against callers without an answer while others hold all descriptors."""
-    release = asyncio.Event()
+    release, held_requests = asyncio.Event(), []
 
     async def hold(request, exchange):
+        held_requests.append(request)
         await release.wait()
         await exchange.respond(200, b"hello ")
 
@@ -172,6 +173,8 @@
         await asyncio.open_connection("127.0.0.1", server.port) for _ in range(21)
     ]
     held = [asyncio.create_task(ask(*connection)) for connection in opened[:20]]
+    while len(held_requests) < 20:
+        await asyncio.sleep(0.01)
     refusal = await ask(*opened[20])
     assert refusal.startswith(b"HTTP/1.1 503 ") and b"retry-after: " in refusal
     release.set()
@@ -182,6 +185,26 @@
     await server.close()
 
 
+async def test_connections_that_send_nothing_make_room_for_new_ones():
+    """Guards against silent connections that keep callers out until their limit."""
+
+    async def hello(request, exchange):
+        await exchange.respond(200, b"hello ")
+
+    limits = replace(DEFAULT_LIMITS, caller_connections=20)
+    server = HttpServer(handler=hello, process_limits=limits)
+    await server.start("127.0.0.1", 0)
+    silent = [
+        await asyncio.open_connection("127.0.0.1", server.port) for _ in range(60)
+    ]
+    connection = await asyncio.open_connection("127.0.0.1", server.port)
+    assert (await ask(*connection)).startswith(b"HTTP/1.1 200 ")
+    assert server.connection_count <= 22
+    for _, writer in (*silent, connection):
+        writer.close()
+    await server.close()
+
+
 async def test_requests_sent_ahead_are_not_read_while_one_is_served():
     """Guards against buffers that grow with each request that was sent ahead."""
     release = asyncio.Event()
