Server: stalled bodies of any size make room, and usual ones keep some

What callers saw: beside 400 clients that send 64 KiB but for the last byte, an ordinary caller of a node of 112 MB got 503 or no answer.

Cause: small bodies could take all of the memory for bodies, so nothing was left for a usual request; and only large ones that came too slowly made room. The pace of a body that misses one byte says that it will be whole at once.

Change: bodies up to 4 KiB and those up to 64 KiB keep an eighth of the memory each; a body without room ends those that have stalled for 0.5 s, whatever their size (408).

--- a/mallowpond/state/payload_memory.py
+++ b/mallowpond/state/payload_memory.py
@@ -11,10 +11,17 @@
 
 # Number of times that a body is in memory: as it was received, and in a send buffer.
 COPIES = 2
-# Bodies up to this size may use all of the memory, larger ones a share of it, so that a
-# few large ones do not have the small ones refused.
+# Bodies up to the first size may use all of the memory, larger ones a share of it, so
+# that a few large ones, or many of middle size, do not have the usual ones refused.
+USUAL_BODY_BYTES = 4 * 1024
 SMALL_BODY_BYTES = 64 * 1024
+SMALL_BODY_SHARE = 0.875
 LARGE_BODY_SHARE = 0.75
+# Shares of the memory by size, and the part that larger bodies may not use, with zero
+# for the largest.
+SHARES = (1.0, SMALL_BODY_SHARE, LARGE_BODY_SHARE)
+OWN_SHARES = (1.0 - SMALL_BODY_SHARE, SMALL_BODY_SHARE - LARGE_BODY_SHARE, 0.0)
+LARGE = len(SHARES) - 1
 # Time without progress after which a request that arrives makes room for others, in
 # seconds.
 STALLED_SECONDS = 0.5
@@ -105,9 +112,10 @@
         self._max_bytes = max_bytes
         self._held_bytes = 0
         self._served_seconds = DEFAULT_SERVED_SECONDS
-        # Holds of large bodies, in the order of their start, and their bytes.
+        # Holds of large bodies, in the order of their start.
         self._large: dict[Hold, None] = {}
-        self._large_bytes = 0
+        # Bytes held by bodies of each size.
+        self._bytes_by_size = [0] * len(SHARES)
 
     @property
     def held_bytes(self) -> int:
@@ -139,33 +147,35 @@
         """Count `size` more bytes of a hold; return whether there is room.
 
         The oldest large body is always admitted, as its own limit holds and others wait
-        for it; small ones beside it have the memory that large ones may not use.
+        for it; smaller ones beside it have the memory that larger ones may not use.
         """
-        is_large = hold.size + size > SMALL_BODY_BYTES
-        if is_large:
-            has_room = next(iter(self._large), hold) is hold
-        else:
-            reserved = (1.0 - LARGE_BODY_SHARE) * self._max_bytes
-            small_bytes = self._held_bytes - self._large_bytes
-            has_room = small_bytes + COPIES * size <= reserved
-        if not has_room and self._missing_bytes(hold.size + size, size) > 0:
+        before, after = _size_class(hold.size), _size_class(hold.size + size)
+        if not self._has_room(hold, before, after, size):
             return False
-        if is_large:
-            self._large_bytes += COPIES * (
-                size if hold in self._large else hold.size + size
-            )
-            self._large[hold] = None
+        self._bytes_by_size[before] -= COPIES * hold.size
         hold.size += size
+        self._bytes_by_size[after] += COPIES * hold.size
+        if after == LARGE:
+            self._large[hold] = None
         self._held_bytes += COPIES * size
         return True
 
+    def _has_room(self, hold: Hold, before: int, after: int, size: int) -> bool:
+        if after == LARGE and next(iter(self._large), hold) is hold:
+            return True
+        if self._missing_bytes(hold.size + size, size) <= 0:
+            return True
+        more = COPIES * (size if before == after else hold.size + size)
+        own = OWN_SHARES[after] * self._max_bytes
+        return self._bytes_by_size[after] + more <= own
+
     def remove(self, hold: Hold, *, served_seconds: float | None) -> None:
         """Count the bytes of a hold no more."""
         self._held_bytes -= COPIES * hold.size
+        self._bytes_by_size[_size_class(hold.size)] -= COPIES * hold.size
         if hold not in self._large:
             return
         del self._large[hold]
-        self._large_bytes -= COPIES * hold.size
         if served_seconds is not None:
             self._served_seconds += MEAN_WEIGHT * (
                 served_seconds - self._served_seconds
@@ -192,5 +202,10 @@
 
     def _missing_bytes(self, size: int, more: int) -> float:
         """Return the bytes that `more` of a body of `size` exceed the memory by."""
-        share = LARGE_BODY_SHARE if size > SMALL_BODY_BYTES else 1.0
+        share = SHARES[_size_class(size)]
         return self._held_bytes + COPIES * more - share * self._max_bytes
+
+
+def _size_class(size: int) -> int:
+    """Return the place of a body's size in the shares of the memory."""
+    return (size > USUAL_BODY_BYTES) + (size > SMALL_BODY_BYTES)
--- a/mallowpond/state/tests/test_payload_memory.py
+++ b/mallowpond/state/tests/test_payload_memory.py
@@ -6,6 +6,8 @@
     COPIES,
     LARGE_BODY_SHARE,
     SMALL_BODY_BYTES,
+    SMALL_BODY_SHARE,
+    USUAL_BODY_BYTES,
     PayloadMemory,
 )
 from mallowpond.state.process_limits import (
@@ -43,6 +45,31 @@
     assert reserve(memory, SMALL_BODY_BYTES)
 
 
+def test_usual_bodies_are_admitted_beside_many_of_middle_size():
+    """Guards against stalled bodies below the large ones that take all memory."""
+    memory = PayloadMemory(max_bytes=COPIES * 16 * MEBIBYTE)
+    while reserve(memory, SMALL_BODY_BYTES):
+        pass
+    assert memory.held_bytes == COPIES * SMALL_BODY_SHARE * 16 * MEBIBYTE
+    usual = reserve(memory, USUAL_BODY_BYTES)
+    assert usual and not usual.try_reserve(USUAL_BODY_BYTES + 1)
+    usual.release(1.0)
+    assert memory.held_bytes == COPIES * SMALL_BODY_SHARE * 16 * MEBIBYTE
+
+
+def test_a_body_that_grows_counts_once():
+    memory = PayloadMemory(max_bytes=COPIES * 16 * MEBIBYTE)
+    hold = reserve(memory, 1)
+    for size in (USUAL_BODY_BYTES + 1, SMALL_BODY_BYTES + 1, MEBIBYTE):
+        assert hold.try_reserve(size)
+        assert memory.held_bytes == COPIES * size
+    hold.release(1.0)
+    assert memory.held_bytes == 0
+    while reserve(memory, USUAL_BODY_BYTES):
+        pass
+    assert memory.held_bytes == COPIES * 16 * MEBIBYTE
+
+
 def test_a_body_alone_is_admitted_whatever_its_size():
     memory = PayloadMemory(max_bytes=MEBIBYTE)
     hold = reserve(memory, MEBIBYTE)
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -482,16 +482,29 @@
         Returns the time after which room is expected, in seconds, None if there is now.
         """
         now = asyncio.get_running_loop().time()
-        hopeless = self._memory.hopeless_holds(now)
-        for connection, (reader, other) in list(self._receiving.items()):
-            if other is not hold and other in hopeless:
-                connection.evict()
-                reader.drop_body()
-                other.release(now)
-        if hold.try_reserve(size):
-            return None
+        for connection in self._slow_connections(now):
+            reader, other = self._receiving[connection]
+            if other is hold or not other.size:
+                continue
+            connection.evict()
+            reader.drop_body()
+            other.release(now)
+            if hold.try_reserve(size):
+                return None
         return self._memory.seconds_until_room(size - hold.size, now)
 
+    def _slow_connections(self, now: float) -> list[CallerConnection]:
+        """Return connections whose request has stalled or will not arrive in time."""
+        stalled = [c for c in self._places.stalled(now) if c in self._receiving]
+        hopeless = set(self._memory.hopeless_holds(now))
+        if not hopeless:
+            return stalled
+        return stalled + [
+            connection
+            for connection, (_, hold) in self._receiving.items()
+            if hold in hopeless
+        ]
+
 
 def _watch_disconnect(connection: CallerConnection) -> asyncio.Future[None]:
     """Return a future that is done when the client has left."""
--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -205,6 +205,33 @@
     await server.close()
 
 
+async def test_stalled_bodies_make_room_for_others():
+    """Guards against small bodies that stop short and keep the memory until a limit."""
+    memory = PayloadMemory(max_bytes=COPIES * 400_000)
+    limits = ServerLimits(receive_seconds=20.0)
+
+    async def hello(request, exchange):
+        await exchange.respond(200, b"hello")
+
+    server = HttpServer(handler=hello, limits=limits, memory=memory)
+    await server.start("127.0.0.1", 0)
+    head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 60000\r\n\r\n"
+    opened = []
+    for _ in range(7):
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(head + b"x" * 59_999)
+        opened.append((reader, writer))
+    await asyncio.sleep(0.7)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(head + b"x" * 60_000)
+    assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+    assert (await opened[0][0].readline()).startswith(b"HTTP/1.1 408 ")
+    for _, writer in (*opened, (reader, writer)):
+        writer.close()
+    await server.close()
+    assert memory.held_bytes == 0
+
+
 async def test_requests_sent_ahead_are_not_read_while_one_is_served():
     """Guards against buffers that grow with each request that was sent ahead."""
     release = asyncio.Event()
