Node: its listeners for readiness and metrics share the limits of the process

What callers saw: 60 clients that send large bodies to the port for readiness, whole but for an end, or 100 that send requests ahead there, end a node of 112 MB.

Cause: each of the two servers had a ledger and limits of its own, those of a process of 300 MB.

Change: they count in the node's ledger, take bodies of 1 KiB at most, and have a few connections each, by memory_mb and descriptors; silent ones make room there, too.

--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Awaitable
 from contextlib import AsyncExitStack
+from dataclasses import replace
 
 import structlog
 from prometheus_client import generate_latest
@@ -52,7 +53,12 @@
 from mallowpond.state.payload_memory import PayloadMemory
 from mallowpond.state.site_configuration import Service
 from mallowpond.transport.connector import DirectConnector
-from mallowpond.transport.http_server import Exchange, HttpRequest, HttpServer
+from mallowpond.transport.http_server import (
+    Exchange,
+    HttpRequest,
+    HttpServer,
+    ServerLimits,
+)
 from mallowpond.transport.tunnel import TunnelServer
 
 log = structlog.get_logger()
@@ -70,6 +76,8 @@
 # Part of the grace time that is reserved for closing, in seconds.
 CLOSING_SECONDS = 0.7
 DRAIN_CHECK_SECONDS = 0.05
+# Limits of requests for the readiness and the metrics, which have no body.
+SIDE_LIMITS = ServerLimits(body_bytes=1024)
 # Time before the end of the drain from which streams that still wait for a slot are
 # refused, in seconds: otherwise a request that waited until its host closed, and that
 # no engine had received, got no answer at all.
@@ -333,8 +341,17 @@
         self.peers.on_target_healthy.append(self.directory.record_healthy)
         self.peers.on_work.append(lambda work: self.dispatcher.wake())
         self.directory.on_change.append(self.dispatcher.wake)
-        self._readiness = HttpServer(handler=self._answer_readiness)
-        self._metrics_server = HttpServer(handler=self._answer_metrics)
+        # Their connections and requests count as those of callers do.
+        side_limits = replace(limits, caller_connections=limits.side_connections)
+        self._readiness, self._metrics_server = (
+            HttpServer(
+                handler=handler,
+                limits=SIDE_LIMITS,
+                memory=memory,
+                process_limits=side_limits,
+            )
+            for handler in (self._answer_readiness, self._answer_metrics)
+        )
 
     @property
     def is_ready(self) -> bool:
