Gateway, controller: limits from memory and descriptors of their own

What callers saw: crowds end a gateway or a controller at 300 MB (chunks and short bodies of 4 MiB, requests sent ahead) or at 1,052 descriptors of 1,024 (connections that send nothing); chunks of one byte leave a gateway no time for others.

Change: the settings memory_mb and descriptors (300, 1,024 by default, as assumed before) divide one ledger for both, and bound a controller's listener for operators.

--- a/mallowpond/controller/service.py
+++ b/mallowpond/controller/service.py
@@ -81,7 +81,10 @@
             self._settings.peer_port,
             self._stack,
         )
-        self._api_server = HttpServer(handler=self._handle_operator)
+        self._api_server = HttpServer(
+            handler=self._handle_operator,
+            process_limits=self._settings.process_limits,
+        )
         self._stack.push_async_callback(self._api_server.close)
         await self._api_server.start(
             self._settings.address, self._settings.operator_port
--- a/mallowpond/gateway/service.py
+++ b/mallowpond/gateway/service.py
@@ -32,6 +32,7 @@
 from mallowpond.protocol.problems import CONTENT_TYPE, Outcome, Problem
 from mallowpond.settings import GatewaySettings
 from mallowpond.state.admission import Refused
+from mallowpond.state.payload_memory import PayloadMemory
 from mallowpond.state.retry import RetryBudget
 from mallowpond.transport.http_client import HttpClient
 from mallowpond.transport.http_server import (
@@ -63,7 +64,13 @@
         self._in_flight = 0
         self._budget = RetryBudget()
         self.metrics = GatewayMetrics()
-        self._http = HttpClient(connect_seconds=settings.timings.connect)
+        process_limits = settings.process_limits
+        memory = PayloadMemory(max_bytes=process_limits.payload_bytes)
+        self._http = HttpClient(
+            connect_seconds=settings.timings.connect,
+            memory=memory,
+            process_limits=process_limits,
+        )
         self.routes = RouteTable(permit_seconds=settings.timings.permit)
         self._quarantine = GatewayQuarantine(
             clock=clock,
@@ -109,7 +116,11 @@
             receive_seconds=settings.receive_seconds,
         )
         self._server = HttpServer(
-            handler=self._handle, limits=limits, on_bad_input=self._answer_bad_input
+            handler=self._handle,
+            limits=limits,
+            on_bad_input=self._answer_bad_input,
+            memory=memory,
+            process_limits=process_limits,
         )
 
     @property
--- a/mallowpond/node/settings.py
+++ b/mallowpond/node/settings.py
@@ -2,11 +2,9 @@
 
 from dataclasses import dataclass, field
 
-from mallowpond.settings import LogSettings
+from mallowpond.settings import MEGABYTE, LogSettings
 from mallowpond.state.process_limits import ProcessLimits, divide_limits
 
-MEGABYTE = 10**6
-
 
 @dataclass(frozen=True, kw_only=True)
 class NodeBounds:
--- a/mallowpond/settings.py
+++ b/mallowpond/settings.py
@@ -8,8 +8,10 @@
 from mallowpond.coordination.ports import Host
 from mallowpond.protocol.declaration_file import Fault, Faults, faults_from_error
 from mallowpond.protocol.strict import strict_converter
+from mallowpond.state.process_limits import ProcessLimits, divide_limits
 
 T = TypeVar("T")
+MEGABYTE = 10**6
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -54,6 +56,7 @@
 
     `cell` names the controllers of its data centre. `platform` is the IP:PORT of the
     platform's table service and host list, `host` its own host's name in that list.
+    `memory_mb`, in units of 10^6 bytes, and `descriptors` are what it may use.
     """
 
     name: str
@@ -64,9 +67,18 @@
     peer_port: int = 0
     operator_port: int = 0
     max_loading_hosts: int = 64
+    memory_mb: float = 300.0
+    descriptors: int = 1024
     timings: ControllerTimings = field(default_factory=ControllerTimings)
     log: LogSettings = field(default_factory=LogSettings)
 
+    @property
+    def process_limits(self) -> ProcessLimits:
+        """Return what the process may hold and have open."""
+        return divide_limits(
+            memory_bytes=MEGABYTE * self.memory_mb, descriptors=self.descriptors
+        )
+
 
 @dataclass(frozen=True, kw_only=True)
 class GatewayTimings:
@@ -94,7 +106,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class GatewaySettings:
-    """Settings of one gateway; it tries `controllers` in the order given."""
+    """Settings of one gateway; it tries `controllers` in the order given.
+
+    `memory_mb`, in units of 10^6 bytes, and `descriptors` are what it may use.
+    """
 
     name: str
     controllers: tuple[str, ...]
@@ -103,9 +118,18 @@
     max_body_bytes: int = 4 * 1024 * 1024
     max_header_bytes: int = 16384
     receive_seconds: float = 10.0
+    memory_mb: float = 300.0
+    descriptors: int = 1024
     timings: GatewayTimings = field(default_factory=GatewayTimings)
     log: LogSettings = field(default_factory=LogSettings)
 
+    @property
+    def process_limits(self) -> ProcessLimits:
+        """Return what the process may hold and have open."""
+        return divide_limits(
+            memory_bytes=MEGABYTE * self.memory_mb, descriptors=self.descriptors
+        )
+
 
 @dataclass(frozen=True, kw_only=True)
 class PlatformStandinSettings:
