Tunnels, targets: what nobody reads or asks for is bounded

What operators would see: connections to the port for tunnels that ask for nothing have no limit for a second each, take descriptors, and keep peers without links out (BUSY); the kernel holds megabytes of an answer whose reader has stopped, which counts as memory.

Found as related paths of the crowds at the callers' port; seen in tests of units, not with processes.

Change: a tunnel counts once its target is named; of more than 32 others the oldest ends. The kernel's receive buffers of tunnels and of connections to targets are set (64 KiB).

Evidence: both new tests failed before: BUSY beside 90 silent connections; 1.7 MB held unread (128 KiB allowed).

--- a/mallowpond/transport/connector.py
+++ b/mallowpond/transport/connector.py
@@ -1,12 +1,16 @@
 """Open TCP connections for the HTTP client, and observe when servers are silent."""
 
 import asyncio
+import socket
 import time
 from collections.abc import Callable, Hashable
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from mallowpond.state.buffer_sizes import CONNECTION_READ_BYTES
+from mallowpond.state.buffer_sizes import (
+    CONNECTION_READ_BYTES,
+    TARGET_RECEIVE_BUFFER_BYTES,
+)
 from mallowpond.transport.timeouts import lag_tolerant_timeout
 
 
@@ -113,6 +117,11 @@
                     local_addr=self._local,
                     limit=CONNECTION_READ_BYTES,
                 )
+                # It bounds what the kernel holds of an answer that nobody reads.
+                opened = writer.get_extra_info("socket")
+                opened.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, TARGET_RECEIVE_BUFFER_BYTES
+                )
         except TimeoutError:
             return ConnectFailed(reason="connect timeout")
         except OSError as error:
--- a/mallowpond/transport/tests/test_tunnel.py
+++ b/mallowpond/transport/tests/test_tunnel.py
@@ -1,10 +1,14 @@
 """Tests of tunnels between processes' sockets on loopback."""
 
 import asyncio
+import fcntl
+import sys
+import termios
 from contextlib import AsyncExitStack
 
 import pytest
 
+from mallowpond.state.buffer_sizes import TARGET_RECEIVE_BUFFER_BYTES
 from mallowpond.transport.connector import (
     Connected,
     ConnectFailed,
@@ -13,6 +17,7 @@
 )
 from mallowpond.transport.http_client import CallFailed, FailurePhase, HttpClient
 from mallowpond.transport.tunnel import (
+    MAX_REQUESTS_AWAITED,
     TunnelAnswer,
     TunnelConnector,
     TunnelServer,
@@ -187,3 +192,37 @@
         opened.writer.transport.abort()
         await rig.target_ends.get()
         assert not rig.proxy.is_busy
+
+
+async def test_connections_that_ask_for_nothing_keep_no_peer_out():
+    """Guards against silent connections that take all descriptors of a proxy."""
+
+    async def serve(rig, reader, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+
+    async with Rig(serve, max_tunnels=2) as rig:
+        port = rig.proxy._server.sockets[0].getsockname()[1]
+        silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(90)]
+        assert isinstance(await rig.connect(rig.target), Connected)
+        assert rig.proxy.count <= 2 + MAX_REQUESTS_AWAITED
+        for _, writer in silent:
+            writer.close()
+
+
+async def test_the_kernel_holds_little_of_an_answer_that_nobody_reads():
+    """Guards against buffers of many connections to targets that grow by themselves."""
+
+    async def send_much(rig, reader, writer):
+        writer.write(bytes(16_000_000))
+
+    async with Rig(send_much) as rig:
+        opened = await DirectConnector().connect(rig.target)
+        opened.writer.write(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        # The kernel enlarges its buffer for a reader that is fast at first.
+        async with asyncio.timeout(5.0):
+            await opened.reader.readexactly(8_000_000)
+        await asyncio.sleep(0.2)
+        found = opened.writer.get_extra_info("socket")
+        unread = fcntl.ioctl(found.fileno(), termios.FIONREAD, bytes(4))
+        assert int.from_bytes(unread, sys.byteorder) < 2 * TARGET_RECEIVE_BUFFER_BYTES
+        opened.writer.transport.abort()
--- a/mallowpond/transport/tunnel.py
+++ b/mallowpond/transport/tunnel.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 from enum import Enum
 
+from mallowpond.state.buffer_sizes import TARGET_RECEIVE_BUFFER_BYTES
 from mallowpond.state.process_limits import DEFAULT_LIMITS
 from mallowpond.transport.connector import (
     Connected,
@@ -19,6 +20,7 @@
     Connector,
     LinkActivity,
 )
+from mallowpond.transport.listening import accept_connections, open_listener
 from mallowpond.transport.timeouts import lag_tolerant_timeout
 
 READ_SIZE = 65536
@@ -26,6 +28,8 @@
 MAX_REQUEST_BYTES = 128
 FRAME_HEADER_BYTES = 4
 CLOSING_FRAME = bytes(FRAME_HEADER_BYTES)
+# Connections beyond the limit of tunnels that may wait to send their request.
+MAX_REQUESTS_AWAITED = 32
 # Time within which a peer must send its request, in seconds.
 REQUEST_SECONDS = 1.0
 # Time without any byte after which a tunnel is aborted, in seconds: longer than
@@ -69,7 +73,8 @@
         self._has_link = has_link
         self._max_tunnels = max_tunnels
         self._server: asyncio.Server | None = None
-        self._tunnels: set[_PeerSide] = set()
+        # In the order of their start.
+        self._tunnels: dict[_PeerSide, None] = {}
         self._is_draining = False
 
     @property
@@ -84,12 +89,10 @@
 
     async def start(self, host: str, port: int) -> int:
         """Listen, and return the port; 0 takes a free one."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _PeerSide(server=self, tunnels=self._tunnels),
-            host,
-            port,
-            backlog=256,
+        self._server = await accept_connections(
+            open_listener(host, port),
+            lambda: _PeerSide(server=self),
+            receive_buffer_bytes=TARGET_RECEIVE_BUFFER_BYTES,
         )
         return self._server.sockets[0].getsockname()[1]
 
@@ -112,13 +115,29 @@
         for tunnel in list(self._tunnels):
             tunnel.abort()
 
+    def add(self, tunnel: "_PeerSide") -> None:
+        """Count a new connection, and make room for it if there are too many.
+
+        What has sent no request for the longest time goes first.
+        """
+        self._tunnels[tunnel] = None
+        if len(self._tunnels) <= self._max_tunnels + MAX_REQUESTS_AWAITED:
+            return
+        awaited = (other for other in self._tunnels if not other.has_request)
+        next(awaited, tunnel).abort()
+
+    def discard(self, tunnel: "_PeerSide") -> None:
+        """Count a connection no more."""
+        self._tunnels.pop(tunnel, None)
+
     def refusal(self, peer: str, address: str) -> TunnelAnswer | None:
         """Return why a peer gets no tunnel to an address, None if it may have one."""
         if not self._may_connect(peer, address):
             return TunnelAnswer.DENIED
         if not self._has_link(address):
             return TunnelAnswer.NO_LINKS
-        if self._is_draining or len(self._tunnels) > self._max_tunnels:
+        asked = sum(tunnel.has_request for tunnel in self._tunnels)
+        if self._is_draining or asked > self._max_tunnels:
             return TunnelAnswer.BUSY
         return None
 
@@ -126,9 +145,8 @@
 class _PeerSide(asyncio.Protocol):
     """A tunnel's connection from the peer, which owns the one to the target."""
 
-    def __init__(self, *, server: TunnelServer, tunnels: set["_PeerSide"]) -> None:
+    def __init__(self, *, server: TunnelServer) -> None:
         self._server = server
-        self._tunnels = tunnels
         self._loop = asyncio.get_running_loop()
         self._began_at = self._last_byte_at = self._loop.time()
         self._awaits_answer = False
@@ -140,6 +158,11 @@
         self.transport: asyncio.Transport | None = None
         self.target: asyncio.Transport | None = None
 
+    @property
+    def has_request(self) -> bool:
+        """Return whether the peer has said which target it asks for."""
+        return self._opening is not None
+
     @property
     def is_active(self) -> bool:
         """Return whether a request seems to be in progress."""
@@ -170,7 +193,7 @@
         self.transport = transport
         address = transport.get_extra_info("peername")
         self._peer = address[0] if address else ""
-        self._tunnels.add(self)
+        self._server.add(self)
 
     def data_received(self, data: bytes) -> None:
         """Pass bytes on to the target, or read the request."""
@@ -188,7 +211,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Abort the connection to the target, which drops its request."""
-        self._tunnels.discard(self)
+        self._server.discard(self)
         self.abort()
 
     def pause_writing(self) -> None:
