Soak: crowds of clients that misbehave

Draw 12 lets a crowd of 60 come to a node for some seconds: large and small chunks, bodies and heads that stop short, requests sent ahead, silent connections, bytes one by one. The existing checks judge it: memory with unread bytes, descriptors, and every caller's answer.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,10 +23,12 @@
 )
 from soak import pauses, restores
 from soak.callers import FIRST_PARTS, SECOND_PARTS, Callers, FatalChoice
+from soak.crowds import CrowdKind, running_crowd
 from soak.fleet import DATA_CENTRES, Fleet, ManagedProcess
 from soak.judge import (
     BACKOFF_KIND,
     CONNECT_KIND,
+    CROWD_KIND,
     ENDLESS_KIND,
     EVACUATION_KIND,
     FATAL_PART_KIND,
@@ -128,11 +130,13 @@
     ENDLESS_KIND,
     CONNECT_KIND,
 )
+# A crowd of clients that misbehave comes to a node. `Fault.draw` chooses what they do.
+DRAW_12_KINDS = (CROWD_KIND,)
 # From draw version 2 on, a seed chooses one of these probabilities, with which each
 # kind may occur in its run. With few kinds there are undisturbed periods, in which the
 # time limits are checked.
 KIND_SHARES = (0.15, 0.3, 0.6, 1.0)
-NEWEST_DRAW = 11
+NEWEST_DRAW = 12
 LINK_FAULTS = (LinkMode.SLOW, LinkMode.RESET, LinkMode.SILENT, LinkMode.ONE_WAY)
 # How nodes lose their links to the engines, chosen by `Fault.draw`.
 CUT_MODES = (LinkMode.SILENT, LinkMode.RESET, LinkMode.NO_NEW)
@@ -157,6 +161,21 @@
 # Number of callers that read slowly, and the time before they read, in seconds.
 SLOW_READERS = 24
 READING_DELAY_SECONDS = 0.5
+# Crowds that are drawn, their number of clients, and the time for which they stay at
+# least, in seconds.
+CROWDS = (
+    CrowdKind.LARGE_CHUNKS,
+    CrowdKind.BYTE_CHUNKS,
+    CrowdKind.BARE_AHEAD,
+    CrowdKind.SHORT_BODIES,
+    CrowdKind.SMALL_SHORT_BODIES,
+    CrowdKind.SILENT,
+    CrowdKind.OPEN_HEADS,
+    CrowdKind.MANY_FIELDS,
+    CrowdKind.TRICKLE,
+)
+CROWD_CLIENTS = 60
+MIN_CROWD_SECONDS = 3.0
 # Time from the first large body to the stop of their node, in seconds.
 STOP_AMID_BODIES_SECONDS = 0.3
 # Time after the stop of a node in which streams still come, and then the silence of a
@@ -219,6 +238,7 @@
     kinds += DRAW_9_KINDS if draw > 8 else ()
     kinds += DRAW_10_KINDS if draw > 9 else ()
     kinds += DRAW_11_KINDS if draw > 10 else ()
+    kinds += DRAW_12_KINDS if draw > 11 else ()
     return tuple(k for k in kinds if rng.random() < share) or DRAW_2_KINDS
 
 
@@ -306,6 +326,8 @@
                 await self.callers.ask_without_end(number, ENDLESS_ANSWERS)
             case _ if fault.kind == CONNECT_KIND:
                 await self.callers.send_connect(number)
+            case _ if fault.kind == CROWD_KIND:
+                await self._send_crowd(fault, number)
             case "links":
                 await self._cut_engine_links(fault)
                 return
@@ -369,6 +391,13 @@
         await sending
         self._record_disturbance(fault.kind, began, None)
 
+    async def _send_crowd(self, fault: Fault, number: int) -> None:
+        """Let a crowd of clients that complete no valid request come to a node."""
+        kind = CROWDS[fault.draw // len(self.fleet.nodes) % len(CROWDS)]
+        port = self.fleet.node_ports[number][0]
+        async with running_crowd(kind=kind, clients=CROWD_CLIENTS, port=port):
+            await asyncio.sleep(MIN_CROWD_SECONDS + fault.seconds)
+
     async def _skew_connections(self, fault: Fault) -> None:
         """Send most new connections to one node, which stops in half of the draws."""
         number = fault.draw // 2 % len(self.fleet.nodes)
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -89,6 +89,8 @@
 # Engines answer some requests of a node without end. A caller asks a node for a tunnel.
 ENDLESS_KIND = "endless_answers"
 CONNECT_KIND = "connect"
+# Crowds of clients that misbehave come to a node.
+CROWD_KIND = "crowd"
 # Statuses and reason of requests that find no room.
 NO_ROOM_STATUSES = (408, 503)
 NO_ROOM_TEXT = b"bodies_exceed_memory"
