Crowds at the ports for metrics and peers, long answers unread, the usual host

Tests that were missing: crowds at the listeners for metrics and for tunnels, clients that read nothing of long answers, and the crowds that had been played at the smallest host only. The tests there were are unchanged.

--- a/soak/crowds.py
+++ b/soak/crowds.py
@@ -16,6 +16,7 @@
 
 from mallowpond.coordination.tasks import cancel_task
 from mallowpond.platform import headers as names
+from mallowpond.standins.observatory_engine import LARGE_ANSWER
 
 BODY_BYTES = 4 * 1024 * 1024
 CHUNK_BYTES = 64 * 1024
@@ -31,6 +32,8 @@
 # a client that sends slowly, in seconds.
 RETURN_SECONDS = 0.02
 TRICKLE_SECONDS = 0.1
+# Time for which a client reads nothing of a long answer, in seconds.
+UNREAD_SECONDS = 20.0
 # What a crowd prints once each of its clients has connected.
 COMPLETE = b"complete\n"
 
@@ -43,7 +46,7 @@
     with a length or in one chunk. Requests sent ahead without end, whose answers are
     not read: with nothing but a Host, valid small ones, valid ones of 60,000 bytes.
     Nothing at all; a head without its end; one of many fields, with a body that never
-    comes; a request byte by byte.
+    comes; a request byte by byte. Requests for long answers, which are not read.
     """
 
     WHOLE_BODIES = "whole-bodies"
@@ -59,6 +62,7 @@
     OPEN_HEADS = "open-heads"
     MANY_FIELDS = "many-fields"
     TRICKLE = "trickle"
+    LONG_ANSWERS = "long-answers"
 
 
 def post_head(path: str, fields: str, *, key: str) -> bytes:
@@ -75,10 +79,18 @@
     """Clients of one kind at one address, each with a connection."""
 
     def __init__(
-        self, *, kind: CrowdKind, clients: int, port: int, path: str, key: str
+        self,
+        *,
+        kind: CrowdKind,
+        clients: int,
+        host: str,
+        port: int,
+        path: str,
+        key: str,
     ) -> None:
         self._kind = kind
         self._clients = clients
+        self._host = host
         self._port = port
         self._path = path
         self._key = key
@@ -94,7 +106,7 @@
         is_first = True
         while True:
             with suppress(OSError, EOFError):
-                reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+                reader, writer = await asyncio.open_connection(self._host, self._port)
                 if is_first:
                     self._count_arrival()
                     is_first = False
@@ -115,6 +127,9 @@
         if self._kind is CrowdKind.WHOLE_BODIES:
             await reader.readuntil(b"\r\n\r\n")
             return
+        if self._kind is CrowdKind.LONG_ANSWERS:
+            await asyncio.sleep(UNREAD_SECONDS)
+            return
         while await reader.read(CHUNK_BYTES):
             pass
 
@@ -158,6 +173,10 @@
                     writer.write(bytes([byte]))
                     await writer.drain()
                     await asyncio.sleep(TRICKLE_SECONDS)
+            case CrowdKind.LONG_ANSWERS:
+                writer.transport.pause_reading()
+                writer.write(self._request(LARGE_ANSWER))
+                await writer.drain()
 
     def _request(self, body: bytes) -> bytes:
         fields = f"Content-Length: {len(body)}\r\n"
@@ -193,12 +212,18 @@
 
 @asynccontextmanager
 async def running_crowd(
-    *, kind: CrowdKind, clients: int, port: int, path: str = PATH, key: str = "key-a"
+    *,
+    kind: CrowdKind,
+    clients: int,
+    port: int,
+    host: str = "127.0.0.1",
+    path: str = PATH,
+    key: str = "key-a",
 ) -> AsyncIterator[asyncio.Event]:
     """Run a crowd in a process; the event tells that all have connected."""
     process = await asyncio.create_subprocess_exec(
         *(sys.executable, "-m", "soak.crowds", kind.value),
-        *("--clients", str(clients), "--port", str(port)),
+        *("--clients", str(clients), "--host", host, "--port", str(port)),
         *("--path", path, "--key", key),
         stdout=asyncio.subprocess.PIPE,
     )
@@ -222,12 +247,13 @@
 def main(
     kind: Annotated[CrowdKind, typer.Argument(help="What each client sends.")],
     clients: Annotated[int, typer.Option(help="Number of clients.")],
-    port: Annotated[int, typer.Option(help="Port on 127.0.0.1.")],
+    port: Annotated[int, typer.Option(help="Port of the server.")],
+    host: Annotated[str, typer.Option(help="Its address.")] = "127.0.0.1",
     path: Annotated[str, typer.Option(help="Path of valid requests.")] = PATH,
     key: Annotated[str, typer.Option(help="API key of valid requests.")] = "key-a",
 ) -> None:
     """Let a crowd of clients come until the process is killed."""
-    crowd = Crowd(kind=kind, clients=clients, port=port, path=path, key=key)
+    crowd = Crowd(kind=kind, clients=clients, host=host, port=port, path=path, key=key)
     asyncio.run(crowd.run())
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -160,6 +160,8 @@
     engine_store_links: list[Proxy] = field(default_factory=list)
     node_ports: list[tuple[int, int]] = field(default_factory=list)
     node_addresses: list[str] = field(default_factory=list)
+    # Ports of the peers, for tunnels too, and of the metrics, at these addresses.
+    node_side_ports: list[tuple[int, int]] = field(default_factory=list)
     version: int = 0
     active_keys: set[str] = field(default_factory=lambda: set(WORKSPACES))
     settings: SoakSettings = SoakSettings()
@@ -373,7 +375,7 @@
         self.engine_store_links.append(store_link)
 
     async def _add_node(self, number: int) -> None:
-        callers, readiness, peers = islice(self.unused_ports, 3)
+        callers, readiness, peers, metrics = islice(self.unused_ports, 4)
         link = await self._add_link(self._store_port)
         # revoke: limit until a revoked API key stops working. stall: time after which a
         # group without progress is reported as failed. Both in seconds.
@@ -384,7 +386,8 @@
             f'name = "node-{number}"\ndata_centre = "{data_centre}"\n'
             f'address = "{address}"\nbinds_source = true\n'
             f'callers = "127.0.0.1:{callers}"\nreadiness = "127.0.0.1:{readiness}"\n'
-            f'peer_port = {peers}\nstore = "127.0.0.1:{link.port}"\n'
+            f"peer_port = {peers}\nmetrics_port = {metrics}\n"
+            f'store = "127.0.0.1:{link.port}"\n'
             'guarantees = ["tenants"]\n'
             f"memory_mb = {self.shape.memory_mb}\n"
             f"descriptors = {self.shape.descriptors}\n"
@@ -403,6 +406,7 @@
         self.store_links.append(link)
         self.node_ports.append((callers, readiness))
         self.node_addresses.append(address)
+        self.node_side_ports.append((peers, metrics))
 
     def _cold_bounds(self) -> str:
         if not (self.shape.cold_seconds and self.shape.limits_cold):
--- a/soak/tests/test_hostile_clients.py
+++ b/soak/tests/test_hostile_clients.py
@@ -94,6 +94,22 @@
         """Return the port for checks of the readiness."""
         return self.fleet.node_ports[0][1]
 
+    @property
+    def peer_port(self) -> int:
+        """Return the port for tunnels of other hosts."""
+        return self.fleet.node_side_ports[0][0]
+
+    @property
+    def metrics_port(self) -> int:
+        """Return the port for metrics."""
+        return self.fleet.node_side_ports[0][1]
+
+    def host_of(self, port: str) -> str:
+        """Return the address on which the node listens on one of these ports."""
+        if port in ("peer_port", "metrics_port"):
+            return self.fleet.node_addresses[0]
+        return "127.0.0.1"
+
     async def ask(self, body: bytes = b"x" * 600) -> bool:
         """Send one request on a new connection; return whether it was served."""
         answer = await self.http.fetch_response(
@@ -152,7 +168,10 @@
         ) as node:
             during = []
             async with running_crowd(
-                kind=kind, clients=clients, port=getattr(node, port)
+                kind=kind,
+                clients=clients,
+                host=node.host_of(port),
+                port=getattr(node, port),
             ) as complete:
                 async with asyncio.timeout(PATIENCE_SECONDS):
                     await complete.wait()
@@ -279,6 +298,49 @@
     assert_held(held)
 
 
+@pytest.mark.parametrize(
+    ("kind", "clients", "port"),
+    [
+        (CrowdKind.LARGE_CHUNKS, 60, "metrics_port"),
+        (CrowdKind.LARGE_AHEAD, 100, "metrics_port"),
+        (CrowdKind.SILENT, 1500, "metrics_port"),
+        (CrowdKind.SHORT_BODIES, 60, "peer_port"),
+        (CrowdKind.SILENT, 1500, "peer_port"),
+    ],
+    ids=["metrics, chunks", "metrics, ahead", "metrics, silent", "peers", "silent"],
+)
+def test_a_crowd_at_another_port_does_not_exhaust_a_node(kind, clients, port, tmp_path):
+    """Guards against limits that hold at the ports for callers and readiness only."""
+    assert_held(meet(tmp_path, kind, clients, port=port, **SMALL_HOST))
+
+
+@pytest.mark.parametrize(
+    ("clients", "host"),
+    [(60, SMALL_HOST), (200, USUAL_HOST)],
+    ids=["small host", "usual host"],
+)
+def test_long_answers_that_nobody_reads_do_not_exhaust_a_node(clients, host, tmp_path):
+    """Guards against answers that wait for clients which read nothing."""
+    assert_held(meet(tmp_path, CrowdKind.LONG_ANSWERS, clients, **host))
+
+
+@pytest.mark.parametrize(
+    ("kind", "clients"),
+    [
+        (CrowdKind.WHOLE_BODIES, 40),
+        (CrowdKind.SMALL_SHORT_BODIES, 1200),
+        (CrowdKind.SILENT, 2000),
+        (CrowdKind.OPEN_HEADS, 2000),
+        (CrowdKind.TRICKLE, 2000),
+        (CrowdKind.MANY_FIELDS, 600),
+    ],
+    ids=["whole bodies", "bodies", "silent", "heads", "trickle", "many fields"],
+)
+def test_a_usual_host_serves_others_beside_a_crowd(kind, clients, tmp_path):
+    """Guards against limits that suit the smallest host only."""
+    assert_held(meet(tmp_path, kind, clients, **USUAL_HOST))
+
+
 async def _call(port: int, data: bytes, pieces: int = 1) -> list[int]:
     """Send raw bytes; return the statuses of so many answers."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
