Tunnels: each connection beyond the limit ends another one

What operators would see: 1,500 connections that send nothing to the port for peers take 1,034 descriptors of 1,024.

Cause: the oldest connection is closed in the next pass of the event loop. Up to 32 are accepted in one, and each of them chose the same oldest one.

--- a/mallowpond/transport/tunnel.py
+++ b/mallowpond/transport/tunnel.py
@@ -124,7 +124,10 @@
         if len(self._tunnels) <= self._max_tunnels + MAX_REQUESTS_AWAITED:
             return
         awaited = (other for other in self._tunnels if not other.has_request)
-        next(awaited, tunnel).abort()
+        oldest = next(awaited, tunnel)
+        # It is closed in the next pass of the event loop, and others come in this one.
+        self.discard(oldest)
+        oldest.abort()
 
     def discard(self, tunnel: "_PeerSide") -> None:
         """Count a connection no more."""
