Server: as many callers as before, with smaller buffers

What operators would see: since a host has places for 198 callers at 112 MB, 972 at 300 MB, where it had 366 and 1,435: with more requests in progress than that it refused callers that it had served before.

Cause: a connection counted as 48 KiB, for the sum of what its buffers may hold; larger receive buffers and the listeners for readiness and metrics were taken from the same part.

A large body gets a larger buffer only if it would come late at its pace. While it arrives it is counted twice and there once, so the buffer needs no room of its own; afterwards what the client sends ahead is discarded, and the connection closes after the answer. The listeners beside that for callers have eight connections each, which count with the program. Bodies of 4 to 64 KiB may use fifteen sixteenths of the memory for bodies, in place of seven eighths.

--- a/mallowpond/node/service.py
+++ b/mallowpond/node/service.py
@@ -51,6 +51,7 @@
 from mallowpond.node.watch import GroupWatch
 from mallowpond.state.group_pace import PaceChange
 from mallowpond.state.payload_memory import PayloadMemory
+from mallowpond.state.process_limits import SIDE_CONNECTIONS
 from mallowpond.state.site_configuration import Service
 from mallowpond.transport.connector import DirectConnector
 from mallowpond.transport.http_server import (
@@ -342,7 +343,7 @@
         self.peers.on_work.append(lambda work: self.dispatcher.wake())
         self.directory.on_change.append(self.dispatcher.wake)
         # Their connections and requests count as those of callers do.
-        side_limits = replace(limits, caller_connections=limits.side_connections)
+        side_limits = replace(limits, caller_connections=SIDE_CONNECTIONS)
         self._readiness, self._metrics_server = (
             HttpServer(
                 handler=handler,
--- a/mallowpond/state/payload_memory.py
+++ b/mallowpond/state/payload_memory.py
@@ -15,7 +15,7 @@
 # that a few large ones, or many of middle size, do not have the usual ones refused.
 USUAL_BODY_BYTES = 4 * 1024
 SMALL_BODY_BYTES = 64 * 1024
-SMALL_BODY_SHARE = 0.875
+SMALL_BODY_SHARE = 0.9375
 LARGE_BODY_SHARE = 0.75
 # Shares of the memory by size, and the part that larger bodies may not use, with zero
 # for the largest.
@@ -29,6 +29,10 @@
 # factor by which its forecast may exceed its limit: the pace of a link varies.
 MIN_PACE_SECONDS = 0.5
 HOPELESS_FACTOR = 1.5
+# Time after its first byte from which a body may be late, in seconds, and the share of
+# its limit that its forecast then exceeds.
+MIN_LATE_SECONDS = 0.1
+LATE_SHARE = 0.5
 # Weight of the last hold in the mean time from the receipt of a body to its release,
 # and that time before any was seen, in seconds.
 MEAN_WEIGHT = 0.1
@@ -90,6 +94,14 @@
         limit = self.began_at + self.limit_seconds
         return max(now, min(limit, now + self._seconds_left(now) + served_seconds))
 
+    def is_late(self, now: float, missing: int) -> bool:
+        """Return whether `missing` bytes more would take much of the time left."""
+        elapsed = now - self.began_at
+        if elapsed < MIN_LATE_SECONDS:
+            return False
+        forecast = elapsed + missing * elapsed / max(1, self._received)
+        return forecast > LATE_SHARE * self.limit_seconds
+
     def is_hopeless(self, now: float) -> bool:
         """Return whether the body arrives too slowly to be whole by its limit."""
         if self._received_at is not None or now - self.began_at < MIN_PACE_SECONDS:
--- a/mallowpond/state/process_limits.py
+++ b/mallowpond/state/process_limits.py
@@ -14,25 +14,17 @@
 # Parts of the memory for load that bodies, connections of callers and tunnels may take.
 PAYLOAD_MEMORY_SHARE = 2.0 / 3.0
 CALLER_MEMORY_SHARE = 0.25
-# Part of the memory for connections of callers that those to a listener of another kind
-# may take, and the fewest of them.
-SIDE_MEMORY_SHARE = 0.05
-MIN_SIDE_CONNECTIONS = 4
-SIDE_LISTENERS = 2
 TUNNEL_MEMORY_SHARE = 1.0 - PAYLOAD_MEMORY_SHARE - CALLER_MEMORY_SHARE
 # Bytes that a connection of a caller takes beside bodies: its objects, what was read of
 # a request that is not awaited, and what its buffers hold.
-CONNECTION_BYTES = 48 * 1024
-# What the larger receive buffer of a connection adds, and the part of the memory for
-# connections of callers for these.
-WIDE_BYTES = 192 * 1024
-WIDE_MEMORY_SHARE = 0.1
+CONNECTION_BYTES = 32 * 1024
 # A tunnel has two connections, with larger buffers.
 TUNNEL_BYTES = 128 * 1024
+# Connections to a listener beside that for callers; they count with the program.
+SIDE_CONNECTIONS = 8
 # Parts of the descriptors. A tunnel takes two, and the rest is for requests to targets
 # in progress, the store and files.
 CALLER_SHARE = 0.35
-SIDE_SHARE = 0.02
 IDLE_SHARE = 0.15
 TUNNEL_SHARE = 0.05
 
@@ -44,16 +36,12 @@
     payload_bytes: bodies of requests and of answers that are kept whole, with copies.
     caller_connections, idle_connections, tunnels: connections from callers, unused ones
     to targets, and those that are carried for other hosts.
-    side_connections: those to each listener beside that for callers.
-    wide_connections: those of callers whose receive buffers may be larger than usual.
     """
 
     payload_bytes: int
     caller_connections: int
     idle_connections: int
     tunnels: int
-    side_connections: int
-    wide_connections: int
 
 
 def divide_limits(*, memory_bytes: float, descriptors: int) -> ProcessLimits:
@@ -61,20 +49,11 @@
     load_bytes = max(MIN_LOAD_SHARE * memory_bytes, memory_bytes - PROGRAM_BYTES)
     caller_bytes = CALLER_MEMORY_SHARE * load_bytes
     tunnel_bytes = TUNNEL_MEMORY_SHARE * load_bytes
-    wide_connections = int(WIDE_MEMORY_SHARE * caller_bytes / WIDE_BYTES)
-    by_memory = (caller_bytes - WIDE_BYTES * wide_connections) / CONNECTION_BYTES
-    side = min(SIDE_SHARE * descriptors, SIDE_MEMORY_SHARE * by_memory)
-    side_connections = max(MIN_SIDE_CONNECTIONS, int(side))
     return ProcessLimits(
         payload_bytes=int(PAYLOAD_MEMORY_SHARE * load_bytes),
         caller_connections=int(
-            min(
-                CALLER_SHARE * descriptors,
-                by_memory - SIDE_LISTENERS * side_connections,
-            )
+            min(CALLER_SHARE * descriptors, caller_bytes / CONNECTION_BYTES)
         ),
-        side_connections=side_connections,
-        wide_connections=wide_connections,
         idle_connections=int(IDLE_SHARE * descriptors),
         tunnels=int(min(TUNNEL_SHARE * descriptors, tunnel_bytes / TUNNEL_BYTES)),
     )
--- a/mallowpond/transport/caller_connection.py
+++ b/mallowpond/transport/caller_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from math import inf
 
 from mallowpond.state.buffer_sizes import (
     WIDE_RECEIVE_BUFFER_BYTES,
@@ -11,9 +12,9 @@
 
 # Largest read of a socket; all connections read into one buffer of this size.
 READ_SIZE = 65536
-# Bytes of a request that is not awaited which are read at most: the next one, as a
-# connection that is not read does not show that its client has left.
-READ_AHEAD_BYTES = 8192
+# Bytes of the next request that are read at most while nobody waits for it. They are
+# read, as a connection that is not read does not show that its client has left.
+READ_AHEAD_BYTES = 4096
 # Interval at which an answer that waits for its reader is looked at, in seconds.
 DRAIN_POLL_SECONDS = 0.5
 
@@ -32,7 +33,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._max_received = READ_AHEAD_BYTES
-        self._left_to_discard: int | None = None
+        self._left_to_discard: float | None = None
         self._is_reading = True
         self._waiter: asyncio.Future[None] | None = None
         self._drain_waiter: asyncio.Future[None] | None = None
@@ -116,14 +117,17 @@
         watcher.add_done_callback(self._watchers.discard)
         return watcher
 
-    async def discard(self, limit: int, seconds: float) -> None:
-        """Read and drop up to `limit` bytes, for at most `seconds`."""
-        self._left_to_discard = limit - len(self.received)
+    def begin_discarding(self, limit: float = inf) -> None:
+        """Drop up to `limit` bytes that arrive from now on, and what has arrived."""
+        self._left_to_discard = max(0, limit - len(self.received))
         self.received.clear()
         self._adjust_reading()
+
+    async def finish_discarding(self, seconds: float) -> None:
+        """Wait until the client has closed, the limit is reached or time is over."""
         deadline = self._loop.time() + seconds
         while (
-            self._left_to_discard > 0
+            self._left_to_discard
             and not (self.is_at_end or self.is_evicted)
             and self._loop.time() < deadline
         ):
@@ -132,7 +136,7 @@
     def widen(self) -> None:
         """Let the kernel buffer more, for a client that is far away.
 
-        Its buffer is not made smaller again, as the client may then stand still.
+        The buffer is not made smaller again, as the client may then stand still.
         """
         self.is_wide = True
         found = self.transport.get_extra_info("socket")
@@ -207,8 +211,8 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Keep the bytes that were read."""
         if self._left_to_discard is not None:
-            self._left_to_discard -= nbytes
-            if self._left_to_discard > 0:
+            self._left_to_discard = max(0, self._left_to_discard - nbytes)
+            if self._left_to_discard:
                 return
         else:
             self.received += self._scratch[:nbytes]
--- a/mallowpond/transport/http_server.py
+++ b/mallowpond/transport/http_server.py
@@ -187,9 +187,6 @@
         self._idle: set[CallerConnection] = set()
         self._flushing: set[CallerConnection] = set()
         self._aborting: set[CallerConnection] = set()
-        # Connections whose receive buffers are larger than usual.
-        self._max_wide = process_limits.wide_connections
-        self._wide_count = 0
         self._turns = Turns()
         self._scratch = memoryview(bytearray(READ_SIZE))
         self._refuses_requests = False
@@ -306,11 +303,6 @@
     def _record_progress(self, connection: CallerConnection) -> None:
         self._record(connection, Activity.UNFINISHED)
 
-    def _widen(self, connection: CallerConnection) -> None:
-        if not connection.is_wide and self._wide_count < self._max_wide:
-            self._wide_count += 1
-            connection.widen()
-
     async def _run(self, connection: CallerConnection, *, has_place: bool) -> None:
         try:
             await self._serve(connection, has_place=has_place)
@@ -320,7 +312,6 @@
             await self._flush_and_close(connection)
             self._connections.discard(connection)
             self._places.remove(connection)
-            self._wide_count -= connection.is_wide
 
     async def _flush_and_close(self, connection: CallerConnection) -> None:
         """Close a connection after its send buffer has been flushed.
@@ -352,7 +343,6 @@
             turns=self._turns,
             make_room=self._make_room,
             on_progress=self._record_progress,
-            widen=self._widen,
         )
         for previous_requests in itertools.count():
             if self._refuses_requests or self._is_closing:
@@ -387,6 +377,8 @@
                     return
                 if self._refuses_requests:
                     return
+                if connection.is_wide:
+                    exchange.announce_close()
                 self._busy[connection] = exchange
                 self._record(connection, Activity.BUSY)
                 try:
@@ -397,9 +389,13 @@
                 del request
             finally:
                 hold.release(loop.time())
-            if not exchange.finished or reader.state.our_state is not h11.DONE:
+            if not exchange.finished:
                 # Without a final chunk the client sees that the response is incomplete.
                 return
+            if connection.is_wide:
+                await self._linger(connection)
+            if reader.state.our_state is not h11.DONE:
+                return
             if reader.state.their_state is not h11.DONE:
                 return
             reader.state.start_next_cycle()
@@ -449,12 +445,21 @@
     ) -> None:
         """Answer a request that was not read, and take what is left of it."""
         await self._on_bad_input(bad, exchange)
-        if bad.status in EARLY_STATUSES and not connection.is_closing:
-            # A close with unread bytes resets the connection, and the client may lose
-            # the answer.
-            self._record(connection, Activity.REFUSED)
-            connection.write_eof()
-            await connection.discard(self._limits.body_bytes, LINGER_SECONDS)
+        if bad.status in EARLY_STATUSES:
+            connection.begin_discarding(self._limits.body_bytes)
+            await self._linger(connection)
+
+    async def _linger(self, connection: CallerConnection) -> None:
+        """Wait until the client has closed, while what it still sends is discarded.
+
+        A close with unread bytes resets the connection, and the client may lose the
+        answer.
+        """
+        if connection.is_closing:
+            return
+        self._record(connection, Activity.REFUSED)
+        connection.write_eof()
+        await connection.finish_discarding(LINGER_SECONDS)
 
     async def _handle(
         self, request: HttpRequest, exchange: Exchange, connection: CallerConnection
--- a/mallowpond/transport/request_reader.py
+++ b/mallowpond/transport/request_reader.py
@@ -37,8 +37,10 @@
 # after which others take their turn.
 CHUNKED_READ_BYTES = 16384
 COSTLY_CHUNKS = 256
-# Bytes missing of a body from which on the kernel may buffer more of it.
-WIDE_FROM_BYTES = 512 * 1024
+# Bytes missing of a body, or received of one in chunks, from which on the kernel may
+# buffer more of it. The body is counted twice, and is there once while it arrives, so
+# what the kernel then holds is counted with it.
+WIDE_FROM_BYTES = 192 * 1024
 
 
 class _Refused(Exception):
@@ -53,7 +55,6 @@
     make_room: ends slower requests for one that finds no room for so many more bytes;
         returns the time after which room is expected if there is none now, in seconds.
     on_progress: called as a request arrives that is not complete yet.
-    widen: lets the kernel buffer more of a large body if that is possible.
     """
 
     def __init__(
@@ -63,13 +64,11 @@
         turns: Turns,
         make_room: Callable[[Hold, int], float | None],
         on_progress: Callable[[CallerConnection], None],
-        widen: Callable[[CallerConnection], None],
     ) -> None:
         self._connection = connection
         self._turns = turns
         self._make_room = make_room
         self._on_progress = on_progress
-        self._widen = widen
         self._loop = asyncio.get_running_loop()
         self._body = bytearray()
         self._deadline = 0.0
@@ -121,6 +120,10 @@
         finally:
             self.drop_body()
             self._connection.expect(READ_AHEAD_BYTES)
+            if self._connection.is_wide:
+                # What the client sends ahead would fill the larger buffer. It is not
+                # served, as the connection closes after this answer.
+                self._connection.begin_discarding()
 
     def drop_body(self) -> None:
         """Free the part of the body that was read."""
@@ -188,7 +191,7 @@
             if not missing:
                 break
             if missing > WIDE_FROM_BYTES:
-                self._widen(connection)
+                self._widen_if_late(hold, missing)
             connection.expect(min(READ_SIZE, missing + READ_AHEAD_BYTES))
             await self._wait_for_more()
         self.state.next_event()
@@ -208,6 +211,8 @@
                 break
             if decoded > COSTLY_CHUNKS:
                 await self._turns.take()
+            if len(self._body) > WIDE_FROM_BYTES:
+                self._widen_if_late(hold, limits.body_bytes - len(self._body))
             await self._wait_for_more()
         # The state of the protocol gets the body as empty, with the trailer.
         trailer = await self._read_trailer(limits)
@@ -244,6 +249,11 @@
             self._unreported_bytes = 0
             self._on_progress(connection)
 
+    def _widen_if_late(self, hold: Hold, missing: int) -> None:
+        """Let the kernel buffer more of a body that may come too late otherwise."""
+        if not self._connection.is_wide and hold.is_late(self._loop.time(), missing):
+            self._connection.widen()
+
     def _reserve(self, hold: Hold, size: int, limits: ServerLimits) -> None:
         """Reserve memory for a body of `size` bytes, or refuse its request."""
         if size > limits.body_bytes:
--- a/mallowpond/transport/tests/test_http_server.py
+++ b/mallowpond/transport/tests/test_http_server.py
@@ -9,6 +9,10 @@
 
 import pytest
 
+from mallowpond.state.buffer_sizes import (
+    RECEIVE_BUFFER_BYTES,
+    WIDE_RECEIVE_BUFFER_BYTES,
+)
 from mallowpond.state.payload_memory import COPIES, PayloadMemory
 from mallowpond.state.process_limits import DEFAULT_LIMITS
 from mallowpond.transport import http_server
@@ -339,6 +343,33 @@
     assert answer.count(b"whole") == 4
 
 
+async def test_a_large_body_that_comes_late_may_wait_in_a_larger_buffer():
+    """Guards against clients far away whose bodies come too late for a small buffer."""
+    size, buffers = 1_000_000, []
+
+    async def look(request, exchange):
+        (connection,) = server._connections
+        found = connection.transport.get_extra_info("socket")
+        buffers.append(found.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF))
+        await exchange.respond(200, b"%d" % len(request.body))
+
+    server = HttpServer(handler=look, limits=ServerLimits(receive_seconds=2.0))
+    await server.start("127.0.0.1", 0)
+    for seconds, header in ((0.0, b""), (0.3, b"connection: close")):
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n" % size
+        writer.write(head + b"x" * 50_000)
+        await asyncio.sleep(seconds)
+        writer.write(b"x" * (size - 50_000))
+        answer = await reader.readuntil(b"1000000")
+        assert answer.startswith(b"HTTP/1.1 200 ") and header in answer.lower()
+        writer.close()
+        while server.connection_count:
+            await asyncio.sleep(0.01)
+    assert buffers == [2 * RECEIVE_BUFFER_BYTES, 2 * WIDE_RECEIVE_BUFFER_BYTES]
+    await server.close()
+
+
 async def test_two_requests_on_one_connection_are_answered_in_order():
     answer = await answer_to(OK + OK, end=True)
     assert answer.count(b"HTTP/1.1 200") == 2
