--- a/mallowpond/gateway/service.py
+++ b/mallowpond/gateway/service.py
@@ -378,7 +378,12 @@
         await self._refuse(exchange, problem, request_id)
 
     async def _answer_bad_input(self, bad: BadInput, exchange: Exchange) -> None:
-        problem = Problem(status=bad.status, reason=bad.reason, detail=bad.detail)
+        problem = Problem(
+            status=bad.status,
+            reason=bad.reason,
+            detail=bad.detail,
+            retry_after=bad.retry_after,
+        )
         await self._refuse(exchange, problem, new_request_id(self._rng))
 
 
--- a/mallowpond/gateway/tests/test_bad_input.py
+++ b/mallowpond/gateway/tests/test_bad_input.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from mallowpond.gateway.tests.callers import counter, runs, send, serving_site
+from mallowpond.node.tests.fakes import FakeExchange
 from mallowpond.protocol.caller import (
     CallerHeaders,
     CompletionRequest,
@@ -15,6 +16,7 @@
     parse_headers,
 )
 from mallowpond.protocol.problems import Problem
+from mallowpond.transport.http_messages import BadInput
 
 AUTH = (("authorization", "Bearer demo-key"),)
 GOOD = {"model": "meteor-7b", "prompt": "x"}
@@ -121,3 +123,14 @@
 def test_timeout_is_bounded(text):
     read = parse_headers({"mallowpond-timeout": text}, 60.0)
     assert read.timeout == 3600.0
+
+
+async def test_a_request_that_finds_no_room_is_told_when_to_come_back():
+    """Guards against callers of a gateway that know no time to come back."""
+    bad = BadInput(status=503, reason="too_many", detail="Later.", retry_after=1.5)
+    async with serving_site(groups=1) as site:
+        exchange = FakeExchange()
+        await site.gateways[0]._answer_bad_input(bad, exchange)
+    headers = dict(exchange.headers)
+    assert (exchange.status, headers["retry-after"]) == (503, "2")
+    assert headers["mallowpond-outcome"] == "not_run"
--- a/mallowpond/transport/request_reader.py
+++ b/mallowpond/transport/request_reader.py
@@ -241,7 +241,8 @@
         await connection.wait(self._deadline)
         more = len(connection.received) - before
         if connection.is_evicted or (more == 0 and not connection.is_at_end):
-            raise _Refused(_slow_sender())
+            evicted = connection.is_evicted
+            raise _Refused(_slow_sender(MIN_RETRY_SECONDS if evicted else None))
         if more == 0:
             raise _Refused(_malformed("The request ended early."))
         self._unreported_bytes += more
@@ -316,9 +317,12 @@
     return BadInput(status=400, reason="malformed_http", detail=detail)
 
 
-def _slow_sender() -> BadInput:
+def _slow_sender(retry_after: float | None) -> BadInput:
     return BadInput(
-        status=408, reason="slow_sender", detail="The request did not arrive in time."
+        status=408,
+        reason="slow_sender",
+        detail="The request did not arrive in time.",
+        retry_after=retry_after,
     )
 
 
