--- a/mallowpond/node/settings.py
+++ b/mallowpond/node/settings.py
@@ -2,8 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from mallowpond.settings import MEGABYTE, LogSettings
-from mallowpond.state.process_limits import ProcessLimits, divide_limits
+from mallowpond.settings import LogSettings, ProcessResources
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -50,7 +49,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class NodeSettings:
+class NodeSettings(ProcessResources):
     """Settings of one node.
 
     address: IP address, as peers resolve no names.
@@ -79,10 +78,6 @@
     # Share of a processor that the host may use, and the cores of that processor.
     cpu_share: float = 1.0
     cpu_cores: float = 1.0
-    # Memory above which the process is killed, in units of 10^6 bytes, and the number
-    # of descriptors that it may have open.
-    memory_mb: float = 300.0
-    descriptors: int = 1024
     guarantees: tuple[str, ...] = ()
     contested_slots: bool = False
     checks_keys: bool = False
@@ -94,10 +89,3 @@
     def cores(self) -> float:
         """Return the processor capacity that the host may use, in cores."""
         return self.cpu_share * self.cpu_cores
-
-    @property
-    def process_limits(self) -> ProcessLimits:
-        """Return what the process may hold and have open."""
-        return divide_limits(
-            memory_bytes=MEGABYTE * self.memory_mb, descriptors=self.descriptors
-        )
--- a/mallowpond/settings.py
+++ b/mallowpond/settings.py
@@ -22,6 +22,25 @@
     level: str = "info"
 
 
+@dataclass(frozen=True, kw_only=True)
+class ProcessResources:
+    """What a process may use.
+
+    memory_mb: memory above which it is killed, in units of 10^6 bytes.
+    descriptors: number of descriptors that it may have open.
+    """
+
+    memory_mb: float = 300.0
+    descriptors: int = 1024
+
+    @property
+    def process_limits(self) -> ProcessLimits:
+        """Return what the process may hold and have open."""
+        return divide_limits(
+            memory_bytes=MEGABYTE * self.memory_mb, descriptors=self.descriptors
+        )
+
+
 @dataclass(frozen=True, kw_only=True)
 class ControllerTimings:
     """Intervals and timeouts of a controller, in seconds.
@@ -51,12 +70,11 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class ControllerSettings:
+class ControllerSettings(ProcessResources):
     """Settings of one controller; port 0 takes a free port.
 
     `cell` names the controllers of its data centre. `platform` is the IP:PORT of the
     platform's table service and host list, `host` its own host's name in that list.
-    `memory_mb`, in units of 10^6 bytes, and `descriptors` are what it may use.
     """
 
     name: str
@@ -67,18 +85,9 @@
     peer_port: int = 0
     operator_port: int = 0
     max_loading_hosts: int = 64
-    memory_mb: float = 300.0
-    descriptors: int = 1024
     timings: ControllerTimings = field(default_factory=ControllerTimings)
     log: LogSettings = field(default_factory=LogSettings)
 
-    @property
-    def process_limits(self) -> ProcessLimits:
-        """Return what the process may hold and have open."""
-        return divide_limits(
-            memory_bytes=MEGABYTE * self.memory_mb, descriptors=self.descriptors
-        )
-
 
 @dataclass(frozen=True, kw_only=True)
 class GatewayTimings:
@@ -105,11 +114,8 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class GatewaySettings:
-    """Settings of one gateway; it tries `controllers` in the order given.
-
-    `memory_mb`, in units of 10^6 bytes, and `descriptors` are what it may use.
-    """
+class GatewaySettings(ProcessResources):
+    """Settings of one gateway; it tries `controllers` in the order given."""
 
     name: str
     controllers: tuple[str, ...]
@@ -118,18 +124,9 @@
     max_body_bytes: int = 4 * 1024 * 1024
     max_header_bytes: int = 16384
     receive_seconds: float = 10.0
-    memory_mb: float = 300.0
-    descriptors: int = 1024
     timings: GatewayTimings = field(default_factory=GatewayTimings)
     log: LogSettings = field(default_factory=LogSettings)
 
-    @property
-    def process_limits(self) -> ProcessLimits:
-        """Return what the process may hold and have open."""
-        return divide_limits(
-            memory_bytes=MEGABYTE * self.memory_mb, descriptors=self.descriptors
-        )
-
 
 @dataclass(frozen=True, kw_only=True)
 class PlatformStandinSettings:
